Workspace, model of the inventory and rules, log client

Cause: an empty repository. Change: five packages, strict TypeScript, XO, the branded model with zod schemas, the port to the platform's log with its HTTP client, the test runner that closes with one line of counts.

--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,1 @@
+export * from './model/index.js';
--- /dev/null
+++ b/packages/core/src/model/change.ts
@@ -0,0 +1,9 @@
+/** One change of configuration, as operators publish it. */
+import {z} from 'zod';
+import {drainChangeSchema} from './drain-change.js';
+import {inventorySchema} from './inventory.js';
+import {rulesSchema} from './rules.js';
+
+export const changeSchema = z.discriminatedUnion('kind', [inventorySchema, rulesSchema, drainChangeSchema]);
+
+export type Change = z.infer<typeof changeSchema>;
--- /dev/null
+++ b/packages/core/src/model/routing-policy.ts
@@ -0,0 +1,28 @@
+/** The policies that can choose an upstream; rules name one per service. */
+import {z} from 'zod';
+
+/** Half-life after which a load report counts half. */
+const halfLifeMs = z.number().min(1).max(60_000).default(20);
+
+export const routingPolicySchema = z.discriminatedUnion('type', [
+	z.strictObject({type: z.literal('random')}),
+	z.strictObject({type: z.literal('round-robin')}),
+	z.strictObject({type: z.literal('least-in-flight')}),
+	z.strictObject({type: z.literal('two-choices')}),
+	z.strictObject({type: z.literal('two-choices-aged'), halfLifeMs}),
+	z.strictObject({
+		type: z.literal('hot-cold'),
+		/** Quantile of in-flight above which a probed upstream counts as hot. */
+		hotQuantile: z.number().min(0).max(1).default(0.8),
+		poolSize: z.int().min(2).max(64).default(16),
+		maximumAgeMs: z.number().min(1).default(1000),
+	}),
+	z.strictObject({
+		type: z.literal('home-subset'),
+		/** Instances that share one upstream as their home. */
+		instancesPerUpstream: z.int().min(1).max(64).default(3),
+		halfLifeMs,
+	}),
+]);
+
+export type RoutingPolicy = z.infer<typeof routingPolicySchema>;
--- /dev/null
+++ b/packages/protocol/src/headers/index.ts
@@ -0,0 +1,1 @@
+export * from './header-names.js';
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,2 @@
+export * from './log/index.js';
+export * from './headers/index.js';
--- /dev/null
+++ b/packages/protocol/src/log/http-log-client.ts
@@ -0,0 +1,112 @@
+/**
+ * The platform's log over HTTP.
+ *
+ * `POST /streams/{stream}/records` appends its JSON body and answers 201 `{offset}`.
+ * `GET /streams/{stream}/records?from=&limit=&waitMs=` answers a page.
+ */
+import {
+	ResultAsync, err, ok, type Result,
+} from 'neverthrow';
+import {request, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import {type AppendAcknowledgement, type LogClient, type LogReadOptions} from './log-client.js';
+import {type LogError} from './log-error.js';
+import {logPageSchema, type LogPage} from './log-page.js';
+
+const acknowledgementSchema = z.object({offset: z.int().min(1)});
+const codesBeforeSending = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+const defaultTimeoutMs = 5000;
+
+export type HttpLogClientOptions = {
+	readonly url: string;
+	readonly timeoutMs?: number;
+	readonly dispatcher?: Dispatcher;
+};
+
+type Call = {
+	readonly method: 'GET' | 'POST';
+	readonly path: string;
+	readonly body?: string;
+	readonly timeoutMs: number;
+	readonly signal?: AbortSignal;
+};
+
+function toLogError(cause: unknown): LogError {
+	const error = cause as Error & {code?: string};
+	const type = codesBeforeSending.has(error.code ?? '') ? 'unreachable' : 'unacknowledged';
+	return {type, message: error.message};
+}
+
+/** Client of the platform's log at one URL. */
+export class HttpLogClient implements LogClient {
+	readonly #options: HttpLogClientOptions;
+
+	constructor(options: HttpLogClientOptions) {
+		this.#options = options;
+	}
+
+	append(stream: string, value: unknown, signal?: AbortSignal): ResultAsync<AppendAcknowledgement, LogError> {
+		const path = `/streams/${encodeURIComponent(stream)}/records`;
+		const body = JSON.stringify(value);
+		return this.#call({
+			method: 'POST', path, body, timeoutMs: this.#timeoutMs, signal,
+		}, acknowledgementSchema);
+	}
+
+	read(stream: string, options: LogReadOptions): ResultAsync<LogPage, LogError> {
+		const query = new URLSearchParams({
+			from: String(options.fromOffset),
+			limit: String(options.limit),
+			waitMs: String(options.waitMs),
+		});
+		const path = `/streams/${encodeURIComponent(stream)}/records?${query.toString()}`;
+		const timeoutMs = this.#timeoutMs + options.waitMs;
+		return this.#call({
+			method: 'GET', path, timeoutMs, signal: options.signal,
+		}, logPageSchema);
+	}
+
+	get #timeoutMs(): number {
+		return this.#options.timeoutMs ?? defaultTimeoutMs;
+	}
+
+	#call<T>(call: Call, schema: z.ZodType<T>): ResultAsync<T, LogError> {
+		return ResultAsync.fromPromise(this.#send(call), toLogError).andThen(answer => this.#check(answer, schema));
+	}
+
+	async #send(call: Call): Promise<{statusCode: number; text: string}> {
+		const timeout = AbortSignal.timeout(call.timeoutMs);
+		const {statusCode, body} = await request(new URL(call.path, this.#options.url), {
+			method: call.method,
+			body: call.body,
+			headers: {'content-type': 'application/json'},
+			signal: call.signal ? AbortSignal.any([call.signal, timeout]) : timeout,
+			dispatcher: this.#options.dispatcher,
+		});
+		return {statusCode, text: await body.text()};
+	}
+
+	#check<T>(answer: {statusCode: number; text: string}, schema: z.ZodType<T>): Result<T, LogError> {
+		const {statusCode, text} = answer;
+		if (statusCode >= 500) {
+			return err({type: 'unacknowledged', message: `log answered ${statusCode}`});
+		}
+
+		if (statusCode >= 400) {
+			return err({type: 'refused', statusCode, message: text});
+		}
+
+		return parseJson(text).andThen(value => {
+			const parsed = schema.safeParse(value);
+			return parsed.success ? ok(parsed.data) : err({type: 'malformed' as const, message: parsed.error.message});
+		});
+	}
+}
+
+function parseJson(text: string): Result<unknown, LogError> {
+	try {
+		return ok(JSON.parse(text));
+	} catch (error) {
+		return err({type: 'malformed', message: (error as Error).message});
+	}
+}
--- /dev/null
+++ b/packages/protocol/src/log/log-client.ts
@@ -0,0 +1,21 @@
+/** Port to the platform's append-only log. */
+import {type ResultAsync} from 'neverthrow';
+import {type LogError} from './log-error.js';
+import {type LogPage} from './log-page.js';
+
+export type AppendAcknowledgement = {
+	readonly offset: number;
+};
+
+export type LogReadOptions = {
+	readonly fromOffset: number;
+	readonly limit: number;
+	/** How long the log may hold the answer back while there is nothing to read. */
+	readonly waitMs: number;
+	readonly signal?: AbortSignal;
+};
+
+export type LogClient = {
+	append(stream: string, value: unknown, signal?: AbortSignal): ResultAsync<AppendAcknowledgement, LogError>;
+	read(stream: string, options: LogReadOptions): ResultAsync<LogPage, LogError>;
+};
--- /dev/null
+++ b/scripts/run-tests.mjs
@@ -0,0 +1,55 @@
+/** Runs every compiled spec, then the scenarios where they are built, and closes with one line of counts. */
+import {existsSync} from 'node:fs';
+import {readdir} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {run} from 'node:test';
+import {spec as SpecReporter} from 'node:test/reporters';
+
+const concurrency = 6;
+const scenariosModule = new URL('../packages/testing/dist/fault-matrix/run-scenarios.js', import.meta.url);
+
+async function specFiles() {
+	const found = [];
+	for (const name of await readdir('packages')) {
+		const folder = path.join('packages', name, 'dist');
+		const entries = await readdir(folder, {recursive: true});
+		found.push(...entries.filter(entry => entry.endsWith('.spec.js')).map(entry => path.join(folder, entry)));
+	}
+
+	return found.sort().map(file => path.join(process.cwd(), file));
+}
+
+async function runSpecs(files) {
+	const counts = {passed: 0, failed: 0};
+	const stream = run({files, concurrency});
+	stream.on('test:pass', data => {
+		counts.passed += data.details.type === 'suite' ? 0 : 1;
+	});
+	stream.on('test:fail', data => {
+		counts.failed += data.details.type === 'suite' ? 0 : 1;
+	});
+	const report = stream.compose(new SpecReporter());
+	report.pipe(process.stdout);
+	await new Promise(resolve => {
+		report.on('end', resolve);
+	});
+	return counts;
+}
+
+async function runScenarios() {
+	if (!existsSync(scenariosModule)) {
+		return {passed: 0, failed: 0};
+	}
+
+	const {runScenarios: runAll} = await import(scenariosModule.href);
+	return runAll();
+}
+
+const files = await specFiles();
+const specs = await runSpecs(files);
+const scenarios = await runScenarios();
+const passed = specs.passed + scenarios.passed;
+const failed = specs.failed + scenarios.failed;
+console.log(`${passed} passed, ${failed} failed`);
+process.exitCode = failed > 0 || passed === 0 ? 1 : 0;
