Outcome types and the configuration state

Cause: the parts that serve calls need one vocabulary for how a request ends. Change: typed reasons for not-run and unknown, attempt results, outcomes, and the folded configuration's shape.

--- a/packages/core/src/configuration/index.ts
+++ b/packages/core/src/configuration/index.ts
@@ -1,1 +1,1 @@
-export {};
+export type * from './configuration-state.js';
--- a/packages/core/src/outcomes/index.ts
+++ b/packages/core/src/outcomes/index.ts
@@ -1,1 +1,5 @@
-export {};
+export type * from './answer.js';
+export type * from './attempt-result.js';
+export * from './not-run-reason.js';
+export type * from './outcome.js';
+export * from './unknown-reason.js';
--- /dev/null
+++ b/packages/core/src/outcomes/not-run-reason.ts
@@ -0,0 +1,23 @@
+/** Why a request provably did not run; told to callers as the problem's type. */
+export const notRunReasons = [
+	'malformed-request',
+	'unknown-service',
+	'no-configuration',
+	'no-upstream',
+	'connection-refused',
+	'shed-by-upstream',
+	'queue-full',
+	'queue-timeout',
+	'deadline-exceeded',
+	'request-too-large',
+	'answers-held-full',
+	'suspected-poison',
+	'claim-unproven',
+	'key-too-old',
+	'key-reused',
+	'ticket-invalid',
+	'caller-gone',
+	'stopping',
+] as const;
+
+export type NotRunReason = typeof notRunReasons[number];
