--- /dev/null
+++ b/packages/daemon/src/logging/index.ts
@@ -0,0 +1,1 @@
+export * from './logger.js';
--- /dev/null
+++ b/packages/daemon/src/logging/logger.spec.ts
@@ -0,0 +1,30 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type LogLevel} from '../settings/logging-settings.js';
+import {createLogger} from './logger.js';
+
+function loggerAt(level: LogLevel) {
+	const lines: string[] = [];
+	const logger = createLogger({level, instance: 'entry-01', write: line => lines.push(line)});
+	return {lines, logger};
+}
+
+describe('logger', () => {
+	it('should write one JSON object a line', () => {
+		const {lines, logger} = loggerAt('info');
+		logger.forFeature('admin').info('listening', {port: 7300});
+		const {time, ...fields} = JSON.parse(lines[0]!) as Record<string, unknown>;
+		assert.equal(typeof time, 'string');
+		assert.deepEqual(fields, {
+			level: 'info', event: 'listening', instance: 'entry-01', feature: 'admin', port: 7300,
+		});
+	});
+
+	it('should leave out lines below its level', () => {
+		const {lines, logger} = loggerAt('warn');
+		logger.info('left out');
+		logger.debug('left out');
+		logger.error('kept');
+		assert.equal(lines.length, 1);
+	});
+});
--- /dev/null
+++ b/packages/daemon/src/logging/logger.ts
@@ -0,0 +1,64 @@
+/** The daemon's one logger: JSON lines on standard output. */
+import process from 'node:process';
+import {Logger} from 'tslog';
+import {logLevels, type LogLevel} from '../settings/logging-settings.js';
+
+export type LoggerOptions = {
+	readonly level: LogLevel;
+	/** Fields that every line carries. */
+	readonly instance: string;
+	/** Where lines go; standard output unless a spec takes them. */
+	readonly write?: (line: string) => void;
+};
+
+/** A logger whose first argument is the event's text and whose second holds its fields. */
+export type DaemonLogger = {
+	debug(event: string, fields?: LogFields): void;
+	info(event: string, fields?: LogFields): void;
+	warn(event: string, fields?: LogFields): void;
+	error(event: string, fields?: LogFields): void;
+	/** A logger for one feature, named on each of its lines. */
+	forFeature(feature: string): DaemonLogger;
+};
+
+/** Plain values alone: request bodies, keys and secrets have no place in a log. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+type LineLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/** Makes the logger of a daemon. */
+export function createLogger(options: LoggerOptions): DaemonLogger {
+	const logger = new Logger<unknown>({
+		type: 'hidden',
+		minLevel: logLevels.indexOf(options.level),
+		hideLogPositionForProduction: true,
+	});
+	const write = options.write ?? (line => process.stdout.write(line));
+	logger.attachTransport(line => {
+		write(`${JSON.stringify(toJsonLine(line))}\n`);
+	});
+	return wrap(logger, {instance: options.instance});
+}
+
+function wrap(logger: Logger<unknown>, fixed: LogFields): DaemonLogger {
+	const log = (level: LineLevel) => (event: string, fields: LogFields = {}) => {
+		logger[level]({event, ...fixed, ...fields});
+	};
+
+	return {
+		debug: log('debug'),
+		info: log('info'),
+		warn: log('warn'),
+		error: log('error'),
+		forFeature: feature => wrap(logger, {...fixed, feature}),
+	};
+}
+
+type TslogLine = Record<string, unknown> & {
+	readonly _meta?: {readonly date: Date; readonly logLevelName: string};
+};
+
+function toJsonLine(line: TslogLine): Record<string, unknown> {
+	const {_meta: meta, ...fields} = line;
+	return {time: meta?.date.toISOString(), level: meta?.logLevelName.toLowerCase(), ...fields};
+}
--- /dev/null
+++ b/packages/daemon/src/settings/index.ts
@@ -0,0 +1,12 @@
+export * from './load-settings.js';
+export * from './listen-address.js';
+export type * from './instance-list-settings.js';
+export type * from './limit-settings.js';
+export type * from './listener-settings.js';
+export type * from './log-settings.js';
+export * from './logging-settings.js';
+export type * from './secret-settings.js';
+export * from './settings-error.js';
+export * from './settings.js';
+export type * from './timeout-settings.js';
+export type * from './tracing-settings.js';
--- /dev/null
+++ b/packages/daemon/src/settings/log-settings.ts
@@ -0,0 +1,23 @@
+/** The platform's append-only log and the streams that the daemons keep there. */
+import {z} from 'zod';
+import {httpUrlSchema} from './http-url.js';
+
+const streamName = z.string().regex(/^[\w.-]{1,64}$/, 'use letters, digits, "_", "." and "-"');
+
+export const logSettingsSchema = z.strictObject({
+	url: httpUrlSchema,
+	streams: z.strictObject({
+		/** Inventory, rules, drains and their snapshots. */
+		configuration: streamName.default('configuration'),
+		/** Claims on idempotency keys. */
+		claims: streamName.default('claims'),
+	}).prefault({}),
+	/** Longest wait for the answer to an append or to a read beyond its own wait. */
+	timeoutMs: z.int().min(10).max(60_000).default(5000),
+	/** How long the log may hold a read back while there is nothing new. */
+	readWaitMs: z.int().min(0).max(60_000).default(1000),
+	/** How long the log keeps a record; snapshots are written well before. */
+	retentionMs: z.int().min(1000).default(86_400_000),
+});
+
+export type LogSettings = z.infer<typeof logSettingsSchema>;
