Settings fields grouped by what they bound

Flat names for identity, listeners and secrets; a section for each part of the daemon, so that a bound stands beside the part that it bounds.

--- a/packages/daemon/src/logging/logger.spec.ts
+++ b/packages/daemon/src/logging/create-logger.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {type LogLevel} from '../settings/logging-settings.js';
-import {createLogger} from './logger.js';
+import {createLogger} from './create-logger.js';
 
 function loggerAt(level: LogLevel) {
 	const lines: string[] = [];
--- a/packages/daemon/src/logging/logger.ts
+++ b/packages/daemon/src/logging/create-logger.ts
@@ -1,6 +1,6 @@
 /** The daemon's one logger: JSON lines on standard output. */
 import process from 'node:process';
-import {Logger} from 'tslog';
+import {Logger as TsLogger} from 'tslog';
 import {logLevels, type LogLevel} from '../settings/logging-settings.js';
 
 export type LoggerOptions = {
@@ -12,13 +12,13 @@
 };
 
 /** A logger whose first argument is the event's text and whose second holds its fields. */
-export type DaemonLogger = {
+export type Logger = {
 	debug(event: string, fields?: LogFields): void;
 	info(event: string, fields?: LogFields): void;
 	warn(event: string, fields?: LogFields): void;
 	error(event: string, fields?: LogFields): void;
 	/** A logger for one feature, named on each of its lines. */
-	forFeature(feature: string): DaemonLogger;
+	forFeature(feature: string): Logger;
 };
 
 /** Plain values alone: request bodies, keys and secrets have no place in a log. */
@@ -27,8 +27,8 @@
 type LineLevel = 'debug' | 'info' | 'warn' | 'error';
 
 /** Makes the logger of a daemon. */
-export function createLogger(options: LoggerOptions): DaemonLogger {
-	const logger = new Logger<unknown>({
+export function createLogger(options: LoggerOptions): Logger {
+	const logger = new TsLogger<unknown>({
 		type: 'hidden',
 		minLevel: logLevels.indexOf(options.level),
 		hideLogPositionForProduction: true,
@@ -40,7 +40,7 @@
 	return wrap(logger, {instance: options.instance});
 }
 
-function wrap(logger: Logger<unknown>, fixed: LogFields): DaemonLogger {
+function wrap(logger: TsLogger<unknown>, fixed: LogFields): Logger {
 	const log = (level: LineLevel) => (event: string, fields: LogFields = {}) => {
 		logger[level]({event, ...fixed, ...fields});
 	};
--- a/packages/daemon/src/logging/index.ts
+++ b/packages/daemon/src/logging/index.ts
@@ -1,1 +1,1 @@
-export * from './logger.js';
+export * from './create-logger.js';
--- a/packages/daemon/src/settings/log-settings.ts
+++ b/packages/daemon/src/settings/log-settings.ts
@@ -6,16 +6,14 @@
 
 export const logSettingsSchema = z.strictObject({
 	url: httpUrlSchema,
-	streams: z.strictObject({
-		/** Inventory, rules, drains and their snapshots. */
-		configuration: streamName.default('configuration'),
-		/** Claims on idempotency keys. */
-		claims: streamName.default('claims'),
-	}).prefault({}),
-	/** Longest wait for the answer to an append or to a read beyond its own wait. */
-	timeoutMs: z.int().min(10).max(60_000).default(5000),
-	/** How long the log may hold a read back while there is nothing new. */
-	readWaitMs: z.int().min(0).max(60_000).default(1000),
+	/** Inventory, rules, drains and their snapshots. */
+	configurationStream: streamName.default('configuration'),
+	/** Claims on idempotency keys. */
+	claimsStream: streamName.default('claims'),
+	/** Longest wait for the answer to an append, or to a read beyond its own wait. */
+	timeoutMs: z.int().min(10).max(60_000).default(2000),
+	/** How long one read waits for new records. */
+	pollWaitMs: z.int().min(0).max(60_000).default(10_000),
 	/** How long the log keeps a record; snapshots are written well before. */
 	retentionMs: z.int().min(1000).default(86_400_000),
 });
--- a/packages/daemon/src/settings/load-settings.ts
+++ b/packages/daemon/src/settings/read-settings.ts
@@ -1,5 +1,6 @@
 /** Reads the settings from a file, from standard input or from the environment. */
 import {readFile} from 'node:fs/promises';
+import process from 'node:process';
 import {text} from 'node:stream/consumers';
 import {toValidationFaults} from '@cairnbank/core';
 import {
@@ -13,11 +14,12 @@
 
 const standardInputMark = '-';
 
-export type SettingsSources = {
+export type SettingsSource = {
 	/** Path of a file, or `-` for standard input. It goes before the environment. */
 	readonly file?: string;
-	readonly environment: NodeJS.ProcessEnv;
-	readonly standardInput: NodeJS.ReadableStream;
+	readonly environment: Readonly<Record<string, string | undefined>>;
+	/** The process's own standard input unless a spec gives another. */
+	readonly standardInput?: NodeJS.ReadableStream;
 };
 
 type SourceText = {
@@ -26,21 +28,13 @@
 };
 
 /** Finds, reads and checks the settings. */
-export function loadSettings(sources: SettingsSources): ResultAsync<Settings, SettingsError> {
-	return readSource(sources).andThen(source => parseSettings(source));
+export function readSettings(from: SettingsSource): ResultAsync<Settings, SettingsError> {
+	return readSource(from).andThen(source => parseSettings(source));
 }
 
-/** Checks settings that are already at hand as JSON text. */
-export function parseSettings({source, json}: SourceText): Result<Settings, SettingsError> {
-	return parseJson(source, json).andThen(value => {
-		const parsed = settingsSchema.safeParse(value);
-		return parsed.success ? ok(parsed.data) : err({type: 'invalid' as const, source, faults: toValidationFaults(parsed.error)});
-	});
-}
-
-function readSource({file, environment, standardInput}: SettingsSources): ResultAsync<SourceText, SettingsError> {
+function readSource({file, environment, standardInput}: SettingsSource): ResultAsync<SourceText, SettingsError> {
 	if (file === standardInputMark) {
-		return readText('standard input', text(standardInput));
+		return readText('standard input', text(standardInput ?? process.stdin));
 	}
 
 	if (file !== undefined) {
@@ -56,6 +50,13 @@
 		.map(json => ({source, json}));
 }
 
+function parseSettings({source, json}: SourceText): Result<Settings, SettingsError> {
+	return parseJson(source, json).andThen(value => {
+		const parsed = settingsSchema.safeParse(value);
+		return parsed.success ? ok(parsed.data) : err({type: 'invalid' as const, source, faults: toValidationFaults(parsed.error)});
+	});
+}
+
 function parseJson(source: string, json: string): Result<unknown, SettingsError> {
 	try {
 		return ok(JSON.parse(json));
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,25 +1,40 @@
-/** Everything that a daemon is told at its start, with defaults beside each field. */
+/** Everything that a daemon is told at its start; each section has its defaults beside its fields. */
+import {availabilityZoneIdSchema, instanceIdSchema} from '@cairnbank/core';
 import {z} from 'zod';
+import {addressSettingsSchema} from './address-settings.js';
+import {atMostOnceSettingsSchema} from './at-most-once-settings.js';
+import {callSettingsSchema} from './call-settings.js';
 import {instanceListSettingsSchema} from './instance-list-settings.js';
-import {instanceSettingsSchema} from './instance-settings.js';
-import {limitSettingsSchema} from './limit-settings.js';
-import {listenerSettingsSchema} from './listener-settings.js';
+import {listenAddressSchema} from './listen-address.js';
 import {logSettingsSchema} from './log-settings.js';
 import {loggingSettingsSchema} from './logging-settings.js';
-import {secretSettingsSchema} from './secret-settings.js';
-import {timeoutSettingsSchema} from './timeout-settings.js';
+import {secretsSchema} from './secrets.js';
+import {stoppingSettingsSchema} from './stopping-settings.js';
 import {tracingSettingsSchema} from './tracing-settings.js';
+import {upstreamSettingsSchema} from './upstream-settings.js';
 
 export const settingsSchema = z.strictObject({
-	instance: instanceSettingsSchema,
-	listeners: listenerSettingsSchema,
+	instanceId: instanceIdSchema,
+	availabilityZone: availabilityZoneIdSchema,
+	/** Port for callers: calls, address answers and tickets. */
+	callers: listenAddressSchema,
+	/** Port for the other daemons. */
+	peers: listenAddressSchema,
+	/** Port for operators and the metrics collector; keep it on their network. */
+	admin: listenAddressSchema,
 	log: logSettingsSchema,
 	instanceList: instanceListSettingsSchema,
-	secrets: secretSettingsSchema,
+	/** Accepted between daemons. */
+	peerSecrets: secretsSchema,
+	/** Accepted from operators. */
+	operatorSecrets: secretsSchema,
+	addresses: addressSettingsSchema.prefault({}),
+	calls: callSettingsSchema.prefault({}),
+	atMostOnce: atMostOnceSettingsSchema.prefault({}),
+	upstreams: upstreamSettingsSchema.prefault({}),
+	stopping: stoppingSettingsSchema.prefault({}),
 	tracing: tracingSettingsSchema.prefault({}),
 	logging: loggingSettingsSchema.prefault({}),
-	limits: limitSettingsSchema.prefault({}),
-	timeouts: timeoutSettingsSchema.prefault({}),
 });
 
 export type Settings = z.infer<typeof settingsSchema>;
