Retry decision, budgets, hedge delay, deadlines and the poison guard

Pure state in packages/core. A first form of the suspects' merge kept first and last crash per upstream; the property test found it dependent on grouping, so reports are kept separately and counted when read.

--- a/packages/core/src/poison/index.ts
+++ b/packages/core/src/poison/index.ts
@@ -1,1 +1,8 @@
-export {};
+export * from './count-crashes.js';
+export * from './crash-detector.js';
+export * from './fingerprint.js';
+export * from './merge-suspects.js';
+export type * from './poison-decision.js';
+export * from './poison-settings.js';
+export * from './suspect-table.js';
+export * from './suspect.js';
--- /dev/null
+++ b/packages/core/src/poison/suspect-table.spec.ts
@@ -0,0 +1,174 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {beforeEach, describe, it} from 'node:test';
+import fc from 'fast-check';
+import {instanceIdSchema, serviceIdSchema, upstreamIdSchema} from '../model/ids.js';
+import {ManualClock} from '../model/manual-clock.js';
+import {fingerprintOf} from './fingerprint.js';
+import {mergeSuspects} from './merge-suspects.js';
+import {defaultPoisonSettings} from './poison-settings.js';
+import type {Suspect} from './suspect.js';
+import {SuspectTable} from './suspect-table.js';
+
+const seed = 20_260_104;
+const upstreams = ['a', 'b', 'c', 'd'].map(id => upstreamIdSchema.parse(id));
+const [first, second, third] = upstreams as [typeof upstreams[0], typeof upstreams[0], typeof upstreams[0]];
+const service = serviceIdSchema.parse('ledger');
+
+function fingerprint(path: string) {
+	return fingerprintOf({
+		service, method: 'GET', path, body: undefined,
+	});
+}
+
+const poison = fingerprint('/poison');
+
+describe('suspect table', () => {
+	let clock: ManualClock;
+	let table: SuspectTable;
+	let peer: SuspectTable;
+
+	beforeEach(() => {
+		clock = new ManualClock();
+		table = new SuspectTable(clock, instanceIdSchema.parse('entry-1'));
+		peer = new SuspectTable(clock, instanceIdSchema.parse('entry-2'));
+	});
+
+	describe('one crash', () => {
+		it('should allow one run at a time, across instances', () => {
+			peer.merge([table.crashed(poison, first)]);
+			assert.deepEqual(peer.decide(poison), {type: 'trial'});
+			table.merge([peer.beginTrial(poison, second)]);
+			assert.equal(table.decide(poison).type, 'await-trial');
+			assert.equal(peer.decide(poison).type, 'await-trial');
+			assert.deepEqual([...table.upstreamsUnderTrial()], [second]);
+		});
+
+		it('should count once where several instances report it, or one reports it twice', () => {
+			table.crashed(poison, first);
+			clock.advance(400);
+			table.merge([peer.crashed(poison, first)]);
+			assert.deepEqual(table.decide(poison), {type: 'trial'});
+		});
+
+		it('should be cleared by a run that ends well, everywhere', () => {
+			peer.merge([table.crashed(poison, first)]);
+			clock.advance(5);
+			peer.beginTrial(poison, second);
+			table.merge([peer.endedWell(poison)!]);
+			assert.deepEqual(table.decide(poison), {type: 'run'});
+			assert.deepEqual(peer.decide(poison), {type: 'run'});
+		});
+
+		it('should allow the next run once a trial ended without proof', () => {
+			peer.merge([table.crashed(poison, first)]);
+			table.merge([peer.beginTrial(poison, second)]);
+			clock.advance(3);
+			table.merge([peer.endTrial(poison)!]);
+			assert.deepEqual(table.decide(poison), {type: 'trial'});
+			clock.advance(1);
+			peer.merge([table.beginTrial(poison, third)]);
+			peer.merge([peer.toShare(1)[0]!]);
+			assert.equal(peer.decide(poison).type, 'await-trial');
+		});
+
+		it('should allow the next run once a trial is taken for lost', () => {
+			peer.merge([table.crashed(poison, first), table.beginTrial(poison, second)]);
+			clock.advance(defaultPoisonSettings.trialMs + 1);
+			assert.deepEqual(peer.decide(poison), {type: 'trial'});
+		});
+	});
+
+	describe('two crashes', () => {
+		it('should refuse for the bounded time and then allow one run', () => {
+			table.crashed(poison, first);
+			clock.advance(10);
+			peer.merge([table.crashed(poison, second)]);
+			assert.deepEqual(peer.decide(poison), {type: 'refuse', retryAfterMs: defaultPoisonSettings.refusalMs});
+			clock.advance(defaultPoisonSettings.refusalMs);
+			assert.deepEqual(peer.decide(poison), {type: 'trial'});
+			peer.crashed(poison, third);
+			assert.equal(peer.decide(poison).type, 'refuse');
+		});
+
+		it('should refuse where one upstream came back and crashed again', () => {
+			table.crashed(poison, first);
+			clock.advance(30_000);
+			table.crashed(poison, first);
+			assert.equal(table.decide(poison).type, 'refuse');
+		});
+
+		it('should leave other requests alone', () => {
+			table.crashed(poison, first);
+			table.crashed(poison, second);
+			assert.deepEqual(table.decide(fingerprint('/balance')), {type: 'run'});
+		});
+	});
+
+	it('should not let a clock that runs ahead prolong a refusal', () => {
+		const ahead = new ManualClock(new Date(clock.now().getTime() + 3_600_000));
+		const fast = new SuspectTable(ahead, instanceIdSchema.parse('entry-3'));
+		fast.crashed(poison, first);
+		table.merge([fast.crashed(poison, second)]);
+		assert.deepEqual(table.decide(poison), {type: 'refuse', retryAfterMs: defaultPoisonSettings.refusalMs});
+	});
+
+	it('should stay within its bound and keep the most suspicious', () => {
+		const small = new SuspectTable(clock, instanceIdSchema.parse('entry-1'), {...defaultPoisonSettings, maximumSuspects: 3});
+		small.crashed(poison, first);
+		small.crashed(poison, second);
+		for (let index = 0; index < 10; index += 1) {
+			clock.advance(1);
+			small.crashed(fingerprint(`/innocent/${index}`), first);
+		}
+
+		assert.equal(small.size, 3);
+		assert.equal(small.decide(poison).type, 'refuse');
+	});
+
+	it('should forget after its memory time', () => {
+		table.crashed(poison, first);
+		clock.advance(defaultPoisonSettings.memoryMs + 1);
+		assert.deepEqual(table.toShare(8), []);
+	});
+});
+
+describe('merge of suspects', () => {
+	const time = fc.integer({min: 0, max: 5000});
+	const crash = fc.record({upstream: fc.constantFrom(...upstreams), atMs: time});
+	const trial = fc.record({
+		instance: fc.constantFrom('entry-1', 'entry-2').map(id => instanceIdSchema.parse(id)),
+		upstream: fc.constantFrom(...upstreams),
+		startedAtMs: time,
+		untilMs: time,
+	});
+	const view: fc.Arbitrary<Suspect> = fc.record({
+		fingerprint: fc.constant(poison),
+		crashes: fc.array(crash, {maxLength: 6}),
+		clearedAtMs: time,
+		trial,
+	}).map(suspect => mergeSuspects(suspect, suspect));
+
+	it('should not depend on order, grouping or repetition', () => {
+		fc.assert(fc.property(view, view, view, (left, middle, right) => {
+			assert.deepEqual(mergeSuspects(left, right), mergeSuspects(right, left));
+			assert.deepEqual(mergeSuspects(left, left), left);
+			assert.deepEqual(
+				mergeSuspects(mergeSuspects(left, middle), right),
+				mergeSuspects(left, mergeSuspects(middle, right)),
+			);
+		}), {seed});
+	});
+});
+
+describe('fingerprint', () => {
+	it('should tell service, method, path and body apart', () => {
+		const base = {
+			service, method: 'POST', path: '/a', body: Buffer.from('x'),
+		};
+		const others = [{...base, service: serviceIdSchema.parse('l')}, {...base, method: 'PUT'}, {...base, path: '/b'}, {...base, body: undefined}];
+		const all = [base, ...others].map(request => fingerprintOf(request));
+		assert.equal(new Set(all).size, all.length);
+		assert.equal(fingerprintOf({...base, body: Buffer.from('x')}), all[0]);
+	});
+});
--- /dev/null
+++ b/packages/core/src/poison/suspect-table.ts
@@ -0,0 +1,165 @@
+/** The suspects that one instance knows of, its own and its peers'. */
+import type {Clock} from '../model/clock.js';
+import type {InstanceId, UpstreamId} from '../model/ids.js';
+import {countCrashes} from './count-crashes.js';
+import type {Fingerprint} from './fingerprint.js';
+import {mergeSuspects} from './merge-suspects.js';
+import type {PoisonDecision} from './poison-decision.js';
+import {defaultPoisonSettings, type PoisonSettings} from './poison-settings.js';
+import type {Suspect, Trial} from './suspect.js';
+import {withoutFuture} from './without-future.js';
+
+function lastChangeMs(suspect: Suspect): number {
+	return suspect.crashes.at(-1)?.atMs ?? suspect.clearedAtMs;
+}
+
+function compareSuspicion(left: Suspect, right: Suspect): number {
+	return countCrashes(left) - countCrashes(right) || lastChangeMs(left) - lastChangeMs(right);
+}
+
+/** Bounded table of suspects; empty on an ordinary day, so that no request needs a fingerprint. */
+export class SuspectTable {
+	readonly #clock: Clock;
+	readonly #instance: InstanceId;
+	readonly #settings: PoisonSettings;
+	readonly #suspects = new Map<Fingerprint, Suspect>();
+
+	constructor(clock: Clock, instance: InstanceId, settings: PoisonSettings = defaultPoisonSettings) {
+		this.#clock = clock;
+		this.#instance = instance;
+		this.#settings = settings;
+	}
+
+	get size(): number {
+		return this.#suspects.size;
+	}
+
+	/** Decides whether a request may run. */
+	decide(fingerprint: Fingerprint): PoisonDecision {
+		const suspect = this.#suspects.get(fingerprint);
+		const count = suspect === undefined ? 0 : countCrashes(suspect);
+		if (suspect === undefined || count === 0) {
+			return {type: 'run'};
+		}
+
+		const nowMs = this.#nowMs();
+		const refusedUntilMs = lastChangeMs(suspect) + this.#settings.refusalMs;
+		if (count >= this.#settings.crashesBeforeRefusal && refusedUntilMs > nowMs) {
+			return {type: 'refuse', retryAfterMs: refusedUntilMs - nowMs};
+		}
+
+		const trialUntilMs = suspect.trial?.untilMs ?? 0;
+		return trialUntilMs > nowMs ? {type: 'await-trial', waitMs: trialUntilMs - nowMs} : {type: 'trial'};
+	}
+
+	/**
+	 * Notes that a suspect is about to run at an upstream.
+	 * @returns The suspect, to be told to all peers before the request is sent.
+	 */
+	beginTrial(fingerprint: Fingerprint, upstream: UpstreamId): Suspect {
+		const startedAtMs = this.#nowMs();
+		const trial: Trial = {
+			instance: this.#instance, upstream, startedAtMs, untilMs: startedAtMs + this.#settings.trialMs,
+		};
+		return this.#put({...this.#get(fingerprint), trial});
+	}
+
+	/** Upstreams at which a suspect runs now: no other suspect is tried there, so that blame stays apart. */
+	upstreamsUnderTrial(): Set<UpstreamId> {
+		const nowMs = this.#nowMs();
+		const trials = [...this.#suspects.values()].map(suspect => suspect.trial).filter(trial => trial !== undefined);
+		return new Set(trials.filter(trial => trial.untilMs > nowMs).map(trial => trial.upstream));
+	}
+
+	/**
+	 * Blames a request for a crash.
+	 * @returns The suspect, to be told to all peers at once.
+	 */
+	crashed(fingerprint: Fingerprint, upstream: UpstreamId): Suspect {
+		const atMs = this.#nowMs();
+		const known = this.#withTrialEnded(this.#get(fingerprint));
+		return this.#put(mergeSuspects(known, {...known, crashes: [{upstream, atMs}]}));
+	}
+
+	/**
+	 * Clears a request whose run ended well.
+	 * @returns The suspect, to be told to the peers, or nothing where it was none.
+	 */
+	endedWell(fingerprint: Fingerprint): Suspect | undefined {
+		const known = this.#suspects.get(fingerprint);
+		if (known === undefined || countCrashes(known) === 0) {
+			return undefined;
+		}
+
+		return this.#put({...this.#withTrialEnded(known), crashes: [], clearedAtMs: this.#nowMs()});
+	}
+
+	/**
+	 * Ends a trial of this instance that brought no proof either way.
+	 * @returns The suspect, to be told to the peers, or nothing where it was none.
+	 */
+	endTrial(fingerprint: Fingerprint): Suspect | undefined {
+		const known = this.#suspects.get(fingerprint);
+		return known === undefined ? undefined : this.#put(this.#withTrialEnded(known));
+	}
+
+	/** Joins suspects that a peer told of. Times ahead of the own clock are taken as now. */
+	merge(suspects: readonly Suspect[]): void {
+		const nowMs = this.#nowMs();
+		for (const suspect of suspects) {
+			const told = withoutFuture(suspect, nowMs, this.#settings.trialMs);
+			const known = this.#suspects.get(told.fingerprint);
+			this.#put(known === undefined ? told : mergeSuspects(known, told));
+		}
+	}
+
+	/** All that a peer should know, the most suspicious first. */
+	toShare(maximum: number): Suspect[] {
+		this.#dropForgotten();
+		return [...this.#suspects.values()].sort(compareSuspicion).reverse().slice(0, maximum);
+	}
+
+	#nowMs(): number {
+		return this.#clock.now().getTime();
+	}
+
+	#get(fingerprint: Fingerprint): Suspect {
+		return this.#suspects.get(fingerprint) ?? {fingerprint, crashes: [], clearedAtMs: 0};
+	}
+
+	#put(suspect: Suspect): Suspect {
+		this.#suspects.set(suspect.fingerprint, suspect);
+		if (this.#suspects.size > this.#settings.maximumSuspects) {
+			this.#dropForgotten();
+			this.#dropLeastSuspicious();
+		}
+
+		return suspect;
+	}
+
+	#withTrialEnded(suspect: Suspect): Suspect {
+		const {trial} = suspect;
+		if (trial?.instance !== this.#instance) {
+			return suspect;
+		}
+
+		return {...suspect, trial: {...trial, untilMs: Math.min(trial.untilMs, this.#nowMs())}};
+	}
+
+	#dropForgotten(): void {
+		const oldestMs = this.#nowMs() - this.#settings.memoryMs;
+		for (const suspect of this.#suspects.values()) {
+			if (lastChangeMs(suspect) < oldestMs) {
+				this.#suspects.delete(suspect.fingerprint);
+			}
+		}
+	}
+
+	#dropLeastSuspicious(): void {
+		const excess = this.#suspects.size - this.#settings.maximumSuspects;
+		const sorted = [...this.#suspects.values()].sort(compareSuspicion);
+		for (const suspect of sorted.slice(0, Math.max(0, excess))) {
+			this.#suspects.delete(suspect.fingerprint);
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/retries/attempt-budget.ts
@@ -0,0 +1,77 @@
+/** A budget of extra attempts: a share of first attempts, and a small floor for quiet services. */
+
+const millisecondsPerSecond = 1000;
+
+/** Below this age the decay is too small to be worth its computation. */
+const decayStepMs = 50;
+
+export type AttemptBudgetSettings = {
+	/** Extra attempts as a share of first attempts. */
+	readonly ratio: number;
+	/** Extra attempts each second that are allowed even without first attempts; they are not saved up beyond one. */
+	readonly floorPerSecond: number;
+	/** Time in which unused share fades to 1/e, so that a quiet hour doesn't pay for a storm. */
+	readonly memoryMs: number;
+};
+
+export const defaultRetryBudget = {floorPerSecond: 1, memoryMs: 5000} as const;
+export const defaultHedgeBudget = {floorPerSecond: 0, memoryMs: 30_000} as const;
+
+/** Token bucket whose size follows the recent rate of first attempts. */
+export class AttemptBudget {
+	readonly #settings: AttemptBudgetSettings;
+	#shareTokens = 0;
+	#shareAtMs: number;
+	#floorTokens: number;
+	#floorAtMs: number;
+
+	/**
+	 * @param settings Share, floor and memory.
+	 * @param nowMs Monotonic time of its making.
+	 */
+	constructor(settings: AttemptBudgetSettings, nowMs: number) {
+		this.#settings = settings;
+		this.#shareAtMs = nowMs;
+		this.#floorAtMs = nowMs;
+		this.#floorTokens = settings.floorPerSecond > 0 ? 1 : 0;
+	}
+
+	/** Earns a first attempt's share. */
+	deposit(nowMs: number): void {
+		this.#decay(nowMs);
+		this.#shareTokens += this.#settings.ratio;
+	}
+
+	/** Takes one extra attempt, if there is one left. */
+	tryWithdraw(nowMs: number): boolean {
+		this.#decay(nowMs);
+		if (this.#shareTokens >= 1) {
+			this.#shareTokens -= 1;
+			return true;
+		}
+
+		this.#refillFloor(nowMs);
+		if (this.#floorTokens < 1) {
+			return false;
+		}
+
+		this.#floorTokens -= 1;
+		return true;
+	}
+
+	#decay(nowMs: number): void {
+		const elapsedMs = nowMs - this.#shareAtMs;
+		if (elapsedMs < decayStepMs) {
+			return;
+		}
+
+		this.#shareTokens *= Math.exp(-elapsedMs / this.#settings.memoryMs);
+		this.#shareAtMs = nowMs;
+	}
+
+	#refillFloor(nowMs: number): void {
+		const earned = (nowMs - this.#floorAtMs) * this.#settings.floorPerSecond / millisecondsPerSecond;
+		this.#floorTokens = Math.min(1, this.#floorTokens + earned);
+		this.#floorAtMs = nowMs;
+	}
+}
--- a/packages/core/src/retries/index.ts
+++ b/packages/core/src/retries/index.ts
@@ -1,1 +1,10 @@
-export {};
+export * from './answer-status.js';
+export * from './attempt-budget.js';
+export type * from './attempt.js';
+export * from './deadline.js';
+export * from './final-outcome.js';
+export * from './hedge-delay.js';
+export * from './latency-quantiles.js';
+export * from './next-step.js';
+export type * from './retry-policy.js';
+export type * from './retry-step.js';
