Choosers, adaptive limits, admission queue and probe budget

Cause: the core had no way to choose an upstream, bound what it holds, queue by priority, or hold probing to its budget. Conclusion: the decisions are in place; policies are yet to be compared.

--- /dev/null
+++ b/packages/core/src/limits/adaptive-limit.spec.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {AdaptiveLimit} from './adaptive-limit.js';
+
+describe('adaptive limit', () => {
+	it('should start at the slots and stay within the connection share', () => {
+		assert.equal(new AdaptiveLimit(4, 10).value, 4);
+		assert.equal(new AdaptiveLimit(4, 2).value, 2);
+	});
+
+	it('should grow only when it was reached, and not past its greatest value', () => {
+		const limit = new AdaptiveLimit(4, 10);
+		limit.onAnswer(10, 0, 10);
+		assert.equal(limit.value, 4);
+		for (let answer = 0; answer < 200; answer++) {
+			limit.onAnswer(10, 20, 10);
+		}
+
+		assert.equal(limit.value, 8);
+	});
+
+	it('should fall on refusals and close the upstream longer with each in a row', () => {
+		const limit = new AdaptiveLimit(4, 10);
+		limit.onShed(0, 10);
+		assert.equal(limit.admits(0, 4), false);
+		assert.equal(limit.admits(0, 5), true);
+		limit.onShed(5, 10);
+		assert.equal(limit.admits(0, 14), false);
+		assert.equal(limit.admits(0, 15), true);
+		assert.ok(limit.value < 2);
+	});
+
+	it('should fall when latency rises far above the average, and never below one', () => {
+		const limit = new AdaptiveLimit(4, 10);
+		for (let answer = 0; answer < 50; answer++) {
+			limit.onAnswer(100, 3, 10);
+		}
+
+		assert.equal(limit.value, 1);
+	});
+});
--- /dev/null
+++ b/packages/core/src/limits/adaptive-limit.ts
@@ -0,0 +1,74 @@
+/**
+ * The number of own requests that an upstream may hold, found from its refusals and its latency. As many
+ * instances share an upstream, one request each may already be too much: repeated refusals therefore close the
+ * upstream for a while too, longer each time.
+ */
+
+const shedDecreaseFactor = 0.7;
+const latencyDecreaseFactor = 0.9;
+/** Latency above this many times the service's average lowers the limit. */
+const latencyRiseFactor = 3;
+const minimumLimit = 1;
+const maximumDoublings = 6;
+const slotsHeadroomFactor = 2;
+
+export class AdaptiveLimit {
+	#limit: number;
+	#maximum: number;
+	#consecutiveSheds = 0;
+	#closedUntilMs = 0;
+
+	/**
+	 * @param slots requests that the upstream runs at once
+	 * @param connectionShare connections that this instance may hold
+	 */
+	constructor(slots: number, connectionShare: number) {
+		this.#maximum = maximumOf(slots, connectionShare);
+		this.#limit = Math.min(slots, this.#maximum);
+	}
+
+	get value(): number {
+		return this.#limit;
+	}
+
+	get closedUntilMs(): number {
+		return this.#closedUntilMs;
+	}
+
+	/** Whether one more request may be sent. */
+	admits(inFlight: number, nowMs: number): boolean {
+		return nowMs >= this.#closedUntilMs && inFlight < Math.floor(this.#limit);
+	}
+
+	/** The inventory gave the upstream other numbers. */
+	resize(slots: number, connectionShare: number): void {
+		this.#maximum = maximumOf(slots, connectionShare);
+		this.#limit = Math.min(this.#limit, this.#maximum);
+	}
+
+	/** A whole answer. `inFlight` is what remains with the upstream. */
+	onAnswer(latencyMs: number, inFlight: number, averageLatencyMs: number): void {
+		this.#consecutiveSheds = 0;
+		if (latencyMs > latencyRiseFactor * averageLatencyMs) {
+			this.#limit = Math.max(minimumLimit, this.#limit * latencyDecreaseFactor);
+			return;
+		}
+
+		const wasFull = inFlight + 1 >= Math.floor(this.#limit);
+		if (wasFull) {
+			this.#limit = Math.min(this.#maximum, this.#limit + (1 / this.#limit));
+		}
+	}
+
+	/** A refusal. The closed time starts at a part of the usual latency and doubles. */
+	onShed(nowMs: number, averageLatencyMs: number): void {
+		this.#limit = Math.max(minimumLimit, this.#limit * shedDecreaseFactor);
+		const doublings = Math.min(this.#consecutiveSheds, maximumDoublings);
+		this.#closedUntilMs = Math.max(this.#closedUntilMs, nowMs + (averageLatencyMs / 2 * (2 ** doublings)));
+		this.#consecutiveSheds++;
+	}
+}
+
+function maximumOf(slots: number, connectionShare: number): number {
+	return Math.max(minimumLimit, Math.min(slots * slotsHeadroomFactor, connectionShare));
+}
--- a/packages/core/src/limits/index.ts
+++ b/packages/core/src/limits/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './adaptive-limit.js';
+export * from './admission-queue.js';
+export type * from './offer-result.js';
+export type * from './queued-request.js';
--- a/packages/core/src/measurement/index.ts
+++ b/packages/core/src/measurement/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './measurement-cost.js';
+export * from './probe-budget.js';
+export * from './probe-rate.js';
--- a/packages/core/src/model/routing-policy.ts
+++ b/packages/core/src/model/routing-policy.ts
@@ -23,6 +23,12 @@
 		instancesPerUpstream: z.int().min(1).max(64).default(3),
 		halfLifeMs,
 	}),
+	z.strictObject({
+		type: z.literal('least-expected-latency'),
+		halfLifeMs,
+		/** Upstreams compared for one request. */
+		comparedUpstreams: z.int().min(2).max(256).default(32),
+	}),
 ]);
 
 export type RoutingPolicy = z.infer<typeof routingPolicySchema>;
--- /dev/null
+++ b/packages/core/src/routing/candidate-filter.ts
@@ -0,0 +1,81 @@
+/** Narrows a service's upstreams to those that may take one request. */
+import type {AvailabilityZoneId, UpstreamId} from '../model/ids.js';
+import type {RandomSource} from '../model/random-source.js';
+import type {ChooseRequest} from './choose-request.js';
+import type {NoUpstreamReason} from './choice.js';
+import {slowStartShare} from './slow-start.js';
+import type {UpstreamState} from './upstream-state.js';
+
+export type CandidateFilterOptions = {
+	readonly slowStartMs: number;
+	/** Upstreams there go first while they have room. */
+	readonly preferredAvailabilityZone: AvailabilityZoneId | undefined;
+	readonly random: RandomSource;
+	/** Whether the upstream is believed to have a free slot. */
+	readonly hasRoom: (state: UpstreamState, nowMs: number) => boolean;
+};
+
+/** Keeps its list between calls, so that a choice allocates nothing. */
+export class CandidateFilter {
+	readonly candidates: UpstreamState[] = [];
+	readonly #options: CandidateFilterOptions;
+	readonly #ramping: UpstreamState[] = [];
+
+	constructor(options: CandidateFilterOptions) {
+		this.#options = options;
+	}
+
+	/** Fills `candidates`; the reason where there are none. */
+	fill(states: readonly UpstreamState[], request: ChooseRequest): NoUpstreamReason | undefined {
+		this.candidates.length = 0;
+		this.#ramping.length = 0;
+		let isAnyAtLimit = false;
+		for (const state of states) {
+			if (!isEligible(state, request.excluded, request.nowMs)) {
+				continue;
+			}
+
+			if (state.limit.admits(state.inFlight, request.nowMs)) {
+				this.#add(state, request.nowMs);
+			} else {
+				isAnyAtLimit = true;
+			}
+		}
+
+		if (this.candidates.length === 0) {
+			this.candidates.push(...this.#ramping);
+		}
+
+		this.#preferOwnAvailabilityZone(request.nowMs);
+		if (this.candidates.length > 0) {
+			return undefined;
+		}
+
+		return isAnyAtLimit ? 'at-limit' : 'no-upstream';
+	}
+
+	#add(state: UpstreamState, nowMs: number): void {
+		const {slowStartMs, random} = this.#options;
+		const share = slowStartShare(state, slowStartMs, nowMs);
+		const isIn = share === 1 || random.next() < share;
+		(isIn ? this.candidates : this.#ramping).push(state);
+	}
+
+	#preferOwnAvailabilityZone(nowMs: number): void {
+		const {preferredAvailabilityZone, hasRoom} = this.#options;
+		if (preferredAvailabilityZone === undefined) {
+			return;
+		}
+
+		const near = this.candidates.filter(({upstream}) => upstream.availabilityZone === preferredAvailabilityZone);
+		const withRoom = near.filter(state => hasRoom(state, nowMs));
+		if (withRoom.length > 0) {
+			this.candidates.length = 0;
+			this.candidates.push(...withRoom);
+		}
+	}
+}
+
+function isEligible(state: UpstreamState, excluded: ReadonlySet<UpstreamId>, nowMs: number): boolean {
+	return state.isAvailable(nowMs) && !excluded.has(state.upstream.id);
+}
--- /dev/null
+++ b/packages/core/src/routing/choosers/hot-cold-chooser.ts
@@ -0,0 +1,90 @@
+/**
+ * A pool of recent reports with the hot-cold rule (Prequal, NSDI 2024): among those in the pool that are not
+ * hot, the one of the lowest latency; if all are hot, the one of the fewest requests in flight.
+ */
+import type {RandomSource} from '../../model/random-source.js';
+import type {RoutingPolicy} from '../../model/routing-policy.js';
+import type {Chooser} from '../chooser.js';
+import type {UpstreamState} from '../upstream-state.js';
+import {randomEntry} from './pick.js';
+
+type HotColdPolicy = Extract<RoutingPolicy, {type: 'hot-cold'}>;
+
+type PoolEntry = {
+	readonly state: UpstreamState;
+	/** Reported, plus what this instance has sent on the strength of the report. */
+	inFlight: number;
+	usesLeft: number;
+	readonly atMs: number;
+};
+
+/** With fewer reports at hand the choice is random, which also brings in reports of other upstreams. */
+const minimumPoolSize = 4;
+/** Requests sent on the strength of one report. */
+const usesPerReport = 2;
+const unknownLatencyMs = 0;
+const recentInFlightCount = 64;
+
+export function createHotColdChooser(policy: HotColdPolicy, random: RandomSource): Chooser {
+	let pool: PoolEntry[] = [];
+	const recentInFlight: number[] = [];
+	let nextRecent = 0;
+
+	function hotThreshold(): number {
+		const sorted = recentInFlight.toSorted((a, b) => a - b);
+		return sorted[Math.floor(policy.hotQuantile * (sorted.length - 1))] ?? Number.POSITIVE_INFINITY;
+	}
+
+	function pickFrom(entries: readonly PoolEntry[]): PoolEntry | undefined {
+		const threshold = hotThreshold();
+		let best: PoolEntry | undefined;
+		for (const entry of entries) {
+			if (best === undefined || isBetter(entry, best, threshold)) {
+				best = entry;
+			}
+		}
+
+		return best;
+	}
+
+	return {
+		choose(candidates, nowMs) {
+			const usable = new Set(candidates);
+			pool = pool.filter(entry => entry.usesLeft > 0 && nowMs - entry.atMs <= policy.maximumAgeMs);
+			const entries = pool.filter(entry => usable.has(entry.state));
+			const picked = entries.length < Math.min(minimumPoolSize, candidates.length) ? undefined : pickFrom(entries);
+			if (picked === undefined) {
+				return randomEntry(candidates, random);
+			}
+
+			picked.inFlight++;
+			picked.usesLeft--;
+			return picked.state;
+		},
+		onReport(state, report, nowMs) {
+			recentInFlight[nextRecent] = report.inFlight;
+			nextRecent = (nextRecent + 1) % recentInFlightCount;
+			pool = pool.filter(entry => entry.state !== state);
+			pool.push({
+				state, inFlight: report.inFlight, usesLeft: usesPerReport, atMs: nowMs,
+			});
+			if (pool.length > policy.poolSize) {
+				pool.shift();
+			}
+		},
+	};
+}
+
+function isBetter(entry: PoolEntry, best: PoolEntry, hotThreshold: number): boolean {
+	const isHot = entry.inFlight > hotThreshold;
+	const isBestHot = best.inFlight > hotThreshold;
+	if (isHot !== isBestHot) {
+		return !isHot;
+	}
+
+	if (isHot) {
+		return entry.inFlight < best.inFlight;
+	}
+
+	return (entry.state.latencyMs.value ?? unknownLatencyMs) < (best.state.latencyMs.value ?? unknownLatencyMs);
+}
--- /dev/null
+++ b/packages/core/src/routing/choosers/least-expected-latency-chooser.ts
@@ -0,0 +1,33 @@
+/** The upstream whose answer is expected first: its recent latency, stretched by the load believed now. */
+import type {RandomSource} from '../../model/random-source.js';
+import {believedInFlight} from '../aged-load.js';
+import type {Chooser} from '../chooser.js';
+import type {ServiceAverages} from '../service-averages.js';
+import type {UpstreamState} from '../upstream-state.js';
+import {lowestCost} from './pick.js';
+
+export type LeastExpectedLatencyOptions = {
+	readonly halfLifeMs: number;
+	readonly comparedUpstreams: number;
+	readonly random: RandomSource;
+	readonly averages: ServiceAverages;
+};
+
+/** Expected milliseconds to an answer for one more request. */
+export function expectedLatencyMs(state: UpstreamState, averages: ServiceAverages, halfLifeMs: number, nowMs: number): number {
+	const latencyMs = state.latencyMs.value ?? averages.latencyMs;
+	const load = (believedInFlight(state, averages, halfLifeMs, nowMs) + 1) / state.upstream.slots;
+	return latencyMs * load;
+}
+
+export function createLeastExpectedLatencyChooser(options: LeastExpectedLatencyOptions): Chooser {
+	const {halfLifeMs, comparedUpstreams, random, averages} = options;
+	return {
+		choose: (candidates, nowMs) => lowestCost(
+			candidates,
+			comparedUpstreams,
+			random,
+			state => expectedLatencyMs(state, averages, halfLifeMs, nowMs),
+		),
+	};
+}
--- /dev/null
+++ b/packages/core/src/routing/choosers/round-robin-chooser.ts
@@ -0,0 +1,16 @@
+/** One upstream after the other, from a random start so that instances don't march in step. */
+import type {RandomSource} from '../../model/random-source.js';
+import type {Chooser} from '../chooser.js';
+import {entryAt} from './pick.js';
+
+const startBound = 65_536;
+
+export function createRoundRobinChooser(random: RandomSource): Chooser {
+	let turn = random.below(startBound);
+	return {
+		choose(candidates) {
+			turn = (turn + 1) % Number.MAX_SAFE_INTEGER;
+			return entryAt(candidates, turn % candidates.length);
+		},
+	};
+}
--- /dev/null
+++ b/packages/core/src/routing/choosers/two-choices-chooser.ts
@@ -0,0 +1,28 @@
+/** The better of two random upstreams, by own in-flight or by the load believed from aged reports. */
+import type {RandomSource} from '../../model/random-source.js';
+import {believedInFlight} from '../aged-load.js';
+import type {Chooser} from '../chooser.js';
+import type {ServiceAverages} from '../service-averages.js';
+import {twoRandomEntries} from './pick.js';
+
+/** By this instance's own requests per slot alone. */
+export function createTwoChoicesChooser(random: RandomSource): Chooser {
+	return {
+		choose(candidates) {
+			const [first, second] = twoRandomEntries(candidates, random);
+			return second.inFlight / second.upstream.slots < first.inFlight / first.upstream.slots ? second : first;
+		},
+	};
+}
+
+/** By own requests plus the aged reports of others'. */
+export function createTwoChoicesAgedChooser(random: RandomSource, averages: ServiceAverages, halfLifeMs: number): Chooser {
+	return {
+		choose(candidates, nowMs) {
+			const [first, second] = twoRandomEntries(candidates, random);
+			const firstLoad = believedInFlight(first, averages, halfLifeMs, nowMs) / first.upstream.slots;
+			const secondLoad = believedInFlight(second, averages, halfLifeMs, nowMs) / second.upstream.slots;
+			return secondLoad < firstLoad ? second : first;
+		},
+	};
+}
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -1,1 +1,11 @@
-export {};
+export * from './aged-load.js';
+export * from './attempt-signal.js';
+export type * from './choice.js';
+export type * from './choose-request.js';
+export * from './connection-share.js';
+export * from './hash-text.js';
+export * from './home-assignment.js';
+export type * from './load-report.js';
+export * from './slow-start.js';
+export * from './upstream-selector.js';
+export type {UpstreamState} from './upstream-state.js';
--- /dev/null
+++ b/packages/core/src/routing/service-averages.ts
@@ -0,0 +1,28 @@
+/** What an upstream of a service is taken for while little is known of it. */
+import {DecayingMean} from './decaying-mean.js';
+
+const latencySampleWeight = 0.02;
+const loadSampleWeight = 0.05;
+const unknownLatencyMs = 10;
+
+export class ServiceAverages {
+	readonly #latencyMs = new DecayingMean(latencySampleWeight);
+	readonly #othersPerSlot = new DecayingMean(loadSampleWeight);
+
+	get latencyMs(): number {
+		return this.#latencyMs.value ?? unknownLatencyMs;
+	}
+
+	/** Requests of other instances per slot. */
+	get othersPerSlot(): number {
+		return this.#othersPerSlot.value ?? 0;
+	}
+
+	addLatency(latencyMs: number): void {
+		this.#latencyMs.add(latencyMs);
+	}
+
+	addOthers(othersInFlight: number, slots: number): void {
+		this.#othersPerSlot.add(othersInFlight / slots);
+	}
+}
--- /dev/null
+++ b/packages/core/src/routing/upstream-state.ts
@@ -0,0 +1,40 @@
+/** All that one instance knows of one upstream. Counts are exact, the rest is aged evidence. */
+import type {Upstream} from '../model/upstream.js';
+import {AdaptiveLimit} from '../limits/adaptive-limit.js';
+import {DecayingMean} from './decaying-mean.js';
+
+const latencySampleWeight = 0.2;
+
+export class UpstreamState {
+	/** Requests of this instance that the upstream holds. */
+	inFlight = 0;
+	isDraining = false;
+	/** When it began to take work anew; absent for those known since the start. */
+	rampStartMs: number | undefined;
+	/** No work until then. */
+	ejectedUntilMs = 0;
+	consecutiveFailures = 0;
+	consecutiveEjections = 0;
+	/** Requests of others at the time of the last report. */
+	othersInFlight = 0;
+	reportAtMs = Number.NEGATIVE_INFINITY;
+	lastEndedAtMs = Number.NEGATIVE_INFINITY;
+	/** Time to a whole answer; a failure or a refusal counts as slow, however fast it came. */
+	readonly latencyMs = new DecayingMean(latencySampleWeight);
+	readonly limit: AdaptiveLimit;
+
+	constructor(public upstream: Upstream, connectionShare: number) {
+		this.limit = new AdaptiveLimit(upstream.slots, connectionShare);
+	}
+
+	/** Takes in a report; the count of others leaves out this instance's own requests. */
+	onReport(inFlight: number, nowMs: number): void {
+		this.othersInFlight = Math.max(0, inFlight - this.inFlight);
+		this.reportAtMs = nowMs;
+	}
+
+	/** Whether it may take new work at all. */
+	isAvailable(nowMs: number): boolean {
+		return !this.isDraining && nowMs >= this.ejectedUntilMs;
+	}
+}
