--- a/packages/core/src/configuration/configuration-state.ts
+++ b/packages/core/src/configuration/configuration-state.ts
@@ -1,7 +1,10 @@
 /** The configuration in force after a prefix of the log, folded the same way by every reader. */
-import type {Inventory} from '../model/inventory.js';
-import type {Rules} from '../model/rules.js';
-import type {UpstreamId} from '../model/ids.js';
+import {inventorySchema, type Inventory} from '../model/inventory.js';
+import {emptyRules, type Rules} from '../model/rules.js';
+import {type UpstreamId} from '../model/ids.js';
+import {type AcceptedChange} from './accepted-change.js';
+import {type ChangeKey} from './change-key.js';
+import {type RecentChange} from './recent-change.js';
 
 export type ConfigurationState = {
 	/** Offset of the last record that was folded in, accepted or not. */
@@ -12,4 +15,19 @@
 	readonly rules: Rules;
 	/** Upstreams that operators took out of new work. */
 	readonly drained: ReadonlySet<UpstreamId>;
+	/** The change that last set each key; a drain key exists while its upstream does. */
+	readonly lastAcceptedByKey: ReadonlyMap<ChangeKey, AcceptedChange>;
+	/** Changes folded last, oldest first; at most {@link maximumRecentChanges}. */
+	readonly recentChanges: readonly RecentChange[];
+};
+
+/** What is in force before the first record of the log. */
+export const initialConfiguration: ConfigurationState = {
+	throughOffset: 0,
+	acceptedOffset: 0,
+	inventory: inventorySchema.parse({kind: 'inventory', services: []}),
+	rules: emptyRules,
+	drained: new Set(),
+	lastAcceptedByKey: new Map(),
+	recentChanges: [],
 };
--- /dev/null
+++ b/packages/core/src/configuration/fold.spec.ts
@@ -0,0 +1,173 @@
+/** The fold under any order, repetition and loss of what a reader gets. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {recordIdSchema} from '../model/ids.js';
+import {adoptTransfer, applyRecord, type OffsetRecord} from './apply-record.js';
+import {initialConfiguration, type ConfigurationState} from './configuration-state.js';
+import {advanceReading, moveReading, startReading} from './reading.js';
+import {createSnapshot, openSnapshot} from './snapshot.js';
+import {hashConfiguration} from './stored-configuration.js';
+
+const seed = 20_260_104;
+const ids = ['u1', 'u2', 'u3'];
+
+function upstream(id: string, slots: number) {
+	const port = 9000 + Number(id.slice(1));
+	return {
+		id, address: `127.0.0.1:${port}`, availabilityZone: 'nadi', slots, connections: 200,
+	};
+}
+
+const inventoryChange = fc.record({
+	present: fc.subarray(ids, {minLength: 1}),
+	slots: fc.integer({min: 1, max: 3}),
+}).map(({present, slots}) => ({
+	kind: 'inventory', services: [{id: 'records', upstreams: present.map(id => upstream(id, slots))}],
+}));
+
+const rulesChange = fc.integer({min: 0, max: 2}).map(priority => ({
+	kind: 'rules', classes: [{id: 'status', match: {}, priority}], services: [],
+}));
+
+const drainChange = fc.record({upstream: fc.constantFrom(...ids), draining: fc.boolean()})
+	.map(drain => ({kind: 'drain', ...drain}));
+
+/** What is appended; a snapshot is made of the state some records earlier. */
+const entry = fc.oneof(
+	{weight: 6, arbitrary: fc.record({type: fc.constant('change' as const), change: fc.oneof(inventoryChange, rulesChange, drainChange), lag: fc.nat(4)})},
+	{weight: 1, arbitrary: fc.record({type: fc.constant('snapshot' as const), lag: fc.nat(4)})},
+	{weight: 1, arbitrary: fc.record({type: fc.constant('repeat' as const), lag: fc.nat(6)})},
+	{weight: 1, arbitrary: fc.record({type: fc.constant('junk' as const), junk: fc.jsonValue()})},
+);
+
+type Entry = typeof entry extends fc.Arbitrary<infer T> ? T : never;
+
+type History = {
+	readonly records: readonly OffsetRecord[];
+	/** States by offset: what a reader that misses nothing has. */
+	readonly states: readonly ConfigurationState[];
+};
+
+function valueOf(item: Entry, records: readonly OffsetRecord[], states: readonly ConfigurationState[]): unknown {
+	const offset = records.length + 1;
+	switch (item.type) {
+		case 'change': {
+			return {
+				type: 'change', id: `id-${offset}`, baseOffset: Math.max(0, offset - 1 - item.lag), author: 'clerk', change: item.change,
+			};
+		}
+
+		case 'snapshot': {
+			const state = states[Math.max(0, offset - 1 - item.lag)]!;
+			return createSnapshot(state, recordIdSchema.parse(`id-${offset}`));
+		}
+
+		case 'repeat': {
+			return records[Math.max(0, records.length - 1 - item.lag)]?.value ?? 'nothing to repeat';
+		}
+
+		case 'junk': {
+			return item.junk;
+		}
+	}
+}
+
+function write(entries: readonly Entry[]): History {
+	const records: OffsetRecord[] = [];
+	const states = [initialConfiguration];
+	for (const item of entries) {
+		const record = {offset: records.length + 1, value: structuredClone(valueOf(item, records, states))};
+		records.push(record);
+		states.push(applyRecord(states.at(-1)!, record).state);
+	}
+
+	return {records, states};
+}
+
+const history = fc.array(entry, {minLength: 1, maxLength: 30}).map(entries => write(entries));
+
+function assertOnHistory(state: ConfigurationState, before: ConfigurationState, {states}: History): void {
+	assert.ok(state.throughOffset >= before.throughOffset, 'offset fell');
+	assert.equal(hashConfiguration(state), hashConfiguration(states[state.throughOffset]!));
+}
+
+describe('configuration fold', () => {
+	it('should give the one state of its offset under any interleaving, duplication and loss', () => {
+		const steps = fc.array(fc.record({
+			source: fc.constantFrom('record', 'record', 'record', 'transfer', 'reopened'), reader: fc.nat(2), at: fc.nat(),
+		}), {maxLength: 80});
+		fc.assert(fc.property(history, steps, (log, moves) => {
+			const readers = [initialConfiguration, initialConfiguration, initialConfiguration];
+			for (const {source, reader, at} of moves) {
+				const before = readers[reader]!;
+				const other = readers[at % readers.length]!;
+				const received = source === 'transfer'
+					? adoptTransfer(before, other)
+					: (source === 'reopened'
+						? adoptTransfer(before, openSnapshot(createSnapshot(other, recordIdSchema.parse('t')))._unsafeUnwrap())
+						: applyRecord(before, log.records[at % log.records.length]!).state);
+				assertOnHistory(received, before, log);
+				readers[reader] = received;
+			}
+		}), {seed, numRuns: 300});
+	});
+
+	it('should end at the newest state from any pages, however the log forgets meanwhile', () => {
+		const reads = fc.array(fc.record({
+			limit: fc.integer({min: 1, max: 6}), forget: fc.nat(2), lagging: fc.nat(3), late: fc.boolean(),
+		}), {maxLength: 40});
+		fc.assert(fc.property(history, reads, (log, moves) => {
+			let reading = startReading();
+			let earliestOffset = 1;
+			let latePage;
+			for (const {limit, forget, lagging, late} of moves) {
+				earliestOffset = Math.min(earliestOffset + forget, log.records.length + 1);
+				const endOffset = log.records.length - lagging;
+				const from = Math.max(reading.nextOffset, earliestOffset);
+				const records = log.records.slice(from - 1, Math.max(0, endOffset)).slice(0, limit);
+				const page = {records, earliestOffset, endOffset: Math.max(0, endOffset)};
+				const before = reading;
+				reading = advanceReading(reading, late && latePage !== undefined ? latePage : page).reading;
+				latePage = page;
+				assertOnHistory(reading.state, before.state, log);
+				assert.ok(reading.nextOffset > reading.state.throughOffset);
+			}
+
+			const cure = moveReading(reading, log.states.at(-1)!);
+			assert.equal(hashConfiguration(cure.state), hashConfiguration(log.states.at(-1)!));
+		}), {seed, numRuns: 300});
+	});
+
+	it('should let the same one of two concurrent changes win for every reader', () => {
+		const contested = fc.oneof(
+			fc.constant('inventory').chain(() => fc.tuple(inventoryChange, inventoryChange)),
+			fc.constant('rules').chain(() => fc.tuple(rulesChange, rulesChange)),
+		);
+		fc.assert(fc.property(history, contested, (log, [first, second]) => {
+			const base = log.states.at(-1)!;
+			const change = (id: string, value: unknown) => ({
+				type: 'change', id, baseOffset: base.throughOffset, author: id, change: value,
+			});
+			const one = applyRecord(base, {offset: base.throughOffset + 1, value: change('one', first)});
+			const two = applyRecord(one.state, {offset: base.throughOffset + 2, value: change('two', second)});
+			if (one.verdict.type === 'accepted') {
+				assert.ok(two.verdict.type === 'conflict' || two.verdict.type === 'unchanged');
+				assert.equal(two.state.acceptedOffset, base.throughOffset + 1);
+			}
+
+			if (two.verdict.type === 'conflict') {
+				assert.equal(two.verdict.with.author, 'one');
+			}
+		}), {seed, numRuns: 200});
+	});
+
+	it('should never apply a second copy of a record, even long after the first was forgotten', () => {
+		fc.assert(fc.property(history, fc.nat(), (log, at) => {
+			const last = log.states.at(-1)!;
+			const forgotten = {...last, recentChanges: []};
+			const copy = {offset: last.throughOffset + 1, value: log.records[at % log.records.length]!.value};
+			assert.notEqual(applyRecord(forgotten, copy).verdict.type, 'accepted');
+		}), {seed, numRuns: 500});
+	});
+});
--- a/packages/core/src/configuration/index.ts
+++ b/packages/core/src/configuration/index.ts
@@ -1,1 +1,13 @@
-export type * from './configuration-state.js';
+export type * from './accepted-change.js';
+export * from './apply-record.js';
+export * from './canonical-json.js';
+export * from './change-key.js';
+export * from './configuration-record.js';
+export * from './configuration-state.js';
+export * from './reading.js';
+export * from './recent-change.js';
+export * from './snapshot.js';
+export {
+	hashConfiguration, restoreConfiguration, storeConfiguration, type StoredConfiguration,
+} from './stored-configuration.js';
+export type * from './verdict.js';
--- /dev/null
+++ b/packages/testing/src/harness/index.ts
@@ -0,0 +1,2 @@
+export * from './node-process.js';
+export * from './wait-for.js';
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './stand-ins/index.js';
+export * from './harness/index.js';
--- /dev/null
+++ b/packages/testing/src/stand-ins/control-server.ts
@@ -0,0 +1,27 @@
+/** A port beside each stand-in, for tests to switch faults and read counts while the service itself is down. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {readJson, sendJson} from './json-body.js';
+import {Listener} from './listener.js';
+
+/** Keyed by method and path, such as `GET /_runs`. A throw is answered as 400 with its message. */
+export type ControlRoutes = Readonly<Record<string, (body: unknown) => unknown>>;
+
+export function createControlServer(routes: ControlRoutes): Listener {
+	const answer = async (request: IncomingMessage, response: ServerResponse) => {
+		const route = routes[`${request.method} ${request.url}`];
+		if (!route) {
+			sendJson(response, 404, {routes: Object.keys(routes)});
+			return;
+		}
+
+		try {
+			sendJson(response, 200, await route(await readJson(request)) ?? {});
+		} catch (error) {
+			sendJson(response, 400, {message: (error as Error).message});
+		}
+	};
+
+	return new Listener((request, response) => {
+		void answer(request, response);
+	});
+}
--- /dev/null
+++ b/packages/testing/src/stand-ins/listener.ts
@@ -0,0 +1,68 @@
+/** An HTTP server on loopback that can refuse connections for a while and come back at its port. */
+import {once} from 'node:events';
+import {createServer, type RequestListener, type Server} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+
+const host = '127.0.0.1';
+
+/** Owns one port: open, refusing, or stopped. */
+export class Listener {
+	readonly #server: Server;
+	readonly #sockets = new Set<Socket>();
+	#port = 0;
+
+	constructor(handler: RequestListener) {
+		this.#server = createServer({keepAliveTimeout: 60_000, requestTimeout: 0}, handler);
+		this.#server.on('connection', socket => {
+			socket.setNoDelay(true);
+			this.#sockets.add(socket);
+			socket.once('close', () => this.#sockets.delete(socket));
+		});
+		this.#server.on('clientError', (_error, socket) => {
+			socket.destroy();
+		});
+	}
+
+	/** `IP:port`, known once opened. */
+	get address(): string {
+		return `${host}:${this.#port}`;
+	}
+
+	get url(): string {
+		return `http://${this.address}`;
+	}
+
+	get connections(): number {
+		return this.#sockets.size;
+	}
+
+	/** Listens at `port`, or at the port it had before; 0 picks a free one. */
+	async open(port: number = this.#port): Promise<void> {
+		if (this.#server.listening) {
+			return;
+		}
+
+		this.#server.listen(port, host);
+		await once(this.#server, 'listening');
+		this.#port = (this.#server.address() as AddressInfo).port;
+	}
+
+	/** Resets every connection; the port stays open. */
+	resetConnections(): void {
+		for (const socket of this.#sockets) {
+			socket.resetAndDestroy();
+		}
+	}
+
+	/** Resets every connection and refuses new ones until opened again. */
+	async refuse(): Promise<void> {
+		if (!this.#server.listening) {
+			return;
+		}
+
+		const closed = once(this.#server, 'close');
+		this.#server.close();
+		this.resetConnections();
+		await closed;
+	}
+}
--- /dev/null
+++ b/packages/testing/src/stand-ins/upstream-reporter.ts
@@ -0,0 +1,43 @@
+/** What an upstream tells of itself: load, health, drain mark, and the explicit shed answer. */
+import type {ServerResponse} from 'node:http';
+import {headerNames} from '@cairnbank/protocol';
+import {sendJson} from './json-body.js';
+import type {SlotPool} from './slot-pool.js';
+import type {UpstreamFaults} from './upstream-faults.js';
+
+/** Reports are true unless a fault has them mislead. */
+export class UpstreamReporter {
+	readonly #pool: SlotPool;
+	readonly #slots: number;
+
+	constructor(pool: SlotPool, slots: number) {
+		this.#pool = pool;
+		this.#slots = slots;
+	}
+
+	load(faults: UpstreamFaults) {
+		const {inFlight} = this.#pool;
+		return {
+			application_utilization: faults.reportedUtilization ?? inFlight / this.#slots,
+			named_metrics: {in_flight: inFlight},
+		};
+	}
+
+	headers(faults: UpstreamFaults): Record<string, string> {
+		return {
+			'content-type': 'application/json',
+			[headerNames.loadReport]: `JSON ${JSON.stringify(this.load(faults))}`,
+			...(faults.draining && {[headerNames.draining]: 'true'}),
+		};
+	}
+
+	shed(response: ServerResponse, faults: UpstreamFaults): void {
+		response.writeHead(503, {...this.headers(faults), [headerNames.outcome]: 'not-run', 'retry-after': '1'});
+		response.end('{"shed":true}');
+	}
+
+	answerHealth(response: ServerResponse, faults: UpstreamFaults): void {
+		const healthy = faults.reportedHealthy ?? !faults.failFast;
+		sendJson(response, healthy ? 200 : 503, {healthy});
+	}
+}
