--- /dev/null
+++ b/packages/testing/src/harness/daemon-process.ts
@@ -0,0 +1,124 @@
+/** A real daemon as a child process on ephemeral ports. */
+import {fileURLToPath} from 'node:url';
+import {NodeProcess, type JsonLine, type ProcessExit} from './node-process.js';
+
+const script = fileURLToPath(import.meta.resolve('@cairnbank/daemon').replace(/index\.js$/u, 'main.js'));
+const anyPort = '127.0.0.1:0';
+
+export const peerSecret = 'peer-secret-of-the-tests';
+export const operatorSecret = 'operator-secret-of-the-tests';
+
+export type DaemonOptions = {
+	readonly id: string;
+	readonly availabilityZone: string;
+	readonly logUrl: string;
+	readonly instanceListUrl: string;
+	/** Merged over the settings, section by section. */
+	readonly settings?: Readonly<Record<string, unknown>>;
+	readonly nodeOptions?: readonly string[];
+};
+
+type Listener = 'callers' | 'peers' | 'admin';
+
+/** Settings of a daemon in tests, as it reads them. */
+export function daemonSettings(options: DaemonOptions): Record<string, unknown> {
+	const settings: Record<string, unknown> = {
+		instanceId: options.id,
+		availabilityZone: options.availabilityZone,
+		callers: anyPort,
+		peers: anyPort,
+		admin: anyPort,
+		log: {url: options.logUrl, pollWaitMs: 2000},
+		instanceList: {url: options.instanceListUrl, pollIntervalMs: 200},
+		peerSecrets: [peerSecret],
+		operatorSecrets: [operatorSecret],
+		addresses: {ttlMs: 500},
+	};
+	for (const [key, value] of Object.entries(options.settings ?? {})) {
+		const section = settings[key];
+		settings[key] = isSection(section) && isSection(value) ? {...section, ...value} : value;
+	}
+
+	return settings;
+}
+
+/** Start it, await what it listens on, signal it. */
+export class DaemonProcess {
+	/** Starts a daemon and resolves once it listens for callers. */
+	static async start(options: DaemonOptions): Promise<DaemonProcess> {
+		const daemon = new DaemonProcess(options);
+		await daemon.process.line(`${options.id} listens for callers`, isListening('callers'));
+		return daemon;
+	}
+
+	readonly id: string;
+	readonly availabilityZone: string;
+	readonly process: NodeProcess;
+
+	constructor(options: DaemonOptions) {
+		this.id = options.id;
+		this.availabilityZone = options.availabilityZone;
+		this.process = new NodeProcess({
+			script,
+			args: ['--settings', '-'],
+			standardInput: JSON.stringify(daemonSettings(options)),
+			nodeOptions: options.nodeOptions,
+		});
+	}
+
+	/** `IP:port` for callers. */
+	get callers(): string {
+		return this.#address('callers');
+	}
+
+	get peers(): string {
+		return this.#address('peers');
+	}
+
+	get admin(): string {
+		return this.#address('admin');
+	}
+
+	/** Its log lines so far. */
+	get lines(): readonly JsonLine[] {
+		return this.process.lines;
+	}
+
+	/** Waits until it has put the configuration of this offset, or a later one, in force. */
+	async configurationInForce(offset: number): Promise<void> {
+		await this.process.line(`${this.id} has configuration ${offset} in force`, line =>
+			line.event === 'configuration in force' && Number(line.offset) >= offset);
+	}
+
+	/** Graceful stop; resolves with how it ended. */
+	async stop(): Promise<ProcessExit> {
+		this.process.kill('SIGTERM');
+		return this.process.exited;
+	}
+
+	async kill(): Promise<ProcessExit> {
+		this.process.kill('SIGKILL');
+		return this.process.exited;
+	}
+
+	pause(): void {
+		this.process.kill('SIGSTOP');
+	}
+
+	resume(): void {
+		this.process.kill('SIGCONT');
+	}
+
+	#address(listener: Listener): string {
+		const line = this.lines.find(one => isListening(listener)(one));
+		return `${String(line?.address)}:${String(line?.port)}`;
+	}
+}
+
+function isListening(listener: Listener): (line: JsonLine) => boolean {
+	return line => line.event === 'listening' && line.listener === listener;
+}
+
+function isSection(value: unknown): value is Record<string, unknown> {
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
--- a/packages/testing/src/harness/node-process.ts
+++ b/packages/testing/src/harness/node-process.ts
@@ -17,6 +17,8 @@
 	readonly args?: readonly string[];
 	readonly standardInput?: string;
 	readonly nodeOptions?: readonly string[];
+	/** Added to this process's environment. */
+	readonly environment?: Readonly<Record<string, string>>;
 	/** Standard error of the child goes to ours. */
 	readonly showErrors?: boolean;
 };
@@ -41,7 +43,7 @@
 
 	constructor(options: NodeProcessOptions) {
 		const args = [...options.nodeOptions ?? [], options.script, ...options.args ?? []];
-		const child = spawn(process.execPath, args, {stdio: ['pipe', 'pipe', 'pipe']});
+		const child = spawn(process.execPath, args, {stdio: ['pipe', 'pipe', 'pipe'], env: {...process.env, ...options.environment}});
 		this.#child = child;
 		running.add(child);
 		child.stdin.on('error', () => undefined);
