Daemon skeleton and the thin path of a call

Cause: nothing served a request yet. Change: tasks with start, leave, drain and stop; a typed message bus; the caller port by hono with raw answers; stages of a call joined in one place; one attempt per connection that never sends twice; the configuration followed from the log; metrics and health on the admin port; graceful stops. Conclusion: the features grow from these seams.

--- /dev/null
+++ b/packages/core/src/classification/classifier.ts
@@ -0,0 +1,54 @@
+/** Finds the request class of a call: the first that matches applies. */
+import {requestClassSchema, type RequestClass} from '../model/request-class.js';
+import type {Rules} from '../model/rules.js';
+import type {CallClass} from './call-class.js';
+
+/** Methods that are idempotent where no rule says otherwise; PUT and DELETE are left out, as doubt counts against. */
+const idempotentMethods = new Set(['GET', 'HEAD', 'OPTIONS']);
+
+/** Applies to requests that no class matches. */
+const defaultClass: RequestClass = requestClassSchema.parse({id: 'default', match: {}});
+
+type Candidate = {
+	readonly requestClass: RequestClass;
+	readonly methods: ReadonlySet<string> | undefined;
+};
+
+/** Classes of one version of the rules, prepared for lookup by service. */
+export class Classifier {
+	readonly #byService = new Map<string, Candidate[]>();
+	readonly #candidates: Candidate[];
+
+	constructor(rules: Rules) {
+		this.#candidates = rules.classes.map(requestClass => ({
+			requestClass,
+			methods: requestClass.match.methods && new Set<string>(requestClass.match.methods),
+		}));
+	}
+
+	/**
+	 * Class of a request.
+	 *
+	 * @param path - path at the upstream, without the service's segment; a query may follow
+	 */
+	classify(service: string, method: string, path: string): CallClass {
+		const found = this.#candidatesOf(service).find(candidate => matches(candidate, method, path));
+		const requestClass = found?.requestClass ?? defaultClass;
+		return {requestClass, idempotent: requestClass.idempotent ?? idempotentMethods.has(method)};
+	}
+
+	#candidatesOf(service: string): Candidate[] {
+		let candidates = this.#byService.get(service);
+		if (!candidates) {
+			candidates = this.#candidates.filter(({requestClass}) => (requestClass.match.service ?? service) === service);
+			this.#byService.set(service, candidates);
+		}
+
+		return candidates;
+	}
+}
+
+function matches({requestClass, methods}: Candidate, method: string, path: string): boolean {
+	const {pathPrefix} = requestClass.match;
+	return (methods?.has(method) ?? true) && (pathPrefix === undefined || path.startsWith(pathPrefix));
+}
--- /dev/null
+++ b/packages/core/src/classification/index.ts
@@ -0,0 +1,2 @@
+export type * from './call-class.js';
+export * from './classifier.js';
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,75 @@
+/** Runs the tasks of one daemon from start to graceful stop. */
+import {err, ok, type Result} from 'neverthrow';
+import type {DaemonContext} from './kernel/daemon-context.js';
+import type {StartError} from './kernel/start-error.js';
+import type {Task} from './kernel/task.js';
+
+export class Daemon {
+	readonly #context: DaemonContext;
+	readonly #tasks: readonly Task[];
+	#started: Task[] = [];
+	#stopping: Promise<void> | undefined;
+	#starting: Promise<Result<void, StartError>> | undefined;
+
+	/** @param tasks - in the order of their start */
+	constructor(context: DaemonContext, tasks: readonly Task[]) {
+		this.#context = context;
+		this.#tasks = tasks;
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		this.#starting = this.#startTasks();
+		return this.#starting;
+	}
+
+	/** Stops without cutting a request; further calls wait for the same stop. */
+	async stop(): Promise<void> {
+		this.#stopping ??= this.#stopGracefully();
+		return this.#stopping;
+	}
+
+	async #startTasks(): Promise<Result<void, StartError>> {
+		for (const task of this.#tasks) {
+			if (this.#stopping) {
+				return err({type: 'stopped-during-start'});
+			}
+
+			const started = await task.start();
+			if (started.isErr()) {
+				return started;
+			}
+
+			this.#started.push(task);
+		}
+
+		return ok(undefined);
+	}
+
+	async #stopGracefully(): Promise<void> {
+		await this.#starting;
+		const {logger, settings, bus} = this.#context;
+		const offered = this.#started.length === this.#tasks.length;
+		logger.info('leaving');
+		bus.send({type: 'leaving'});
+		await Promise.all(this.#started.map(async task => task.leave?.()));
+		if (offered) {
+			// Callers may keep an address answer for this long and connect at its end.
+			await delay(settings.timeouts.addressTimeToLiveMs);
+		}
+
+		const drained = Promise.all(this.#started.map(async task => task.drain?.()));
+		await Promise.race([drained, delay(settings.timeouts.gracefulStopMs)]);
+		for (const task of this.#started.toReversed()) {
+			await task.stop();
+		}
+
+		this.#started = [];
+		logger.info('stopped');
+	}
+}
+
+async function delay(durationMs: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, durationMs).unref();
+	});
+}
--- /dev/null
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -0,0 +1,141 @@
+/** Owns the caller port: reads calls, hands them to the stages, tells callers the outcome. */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {createAdaptorServer, type HttpBindings} from '@hono/node-server';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
+import {Hono} from 'hono';
+import {type Result} from 'neverthrow';
+import type {DaemonContext} from '../../kernel/daemon-context.js';
+import {closeServer, listen} from '../../kernel/listen.js';
+import type {StartError} from '../../kernel/start-error.js';
+import type {Task} from '../../kernel/task.js';
+import type {CallHandler} from './call-handler.js';
+import {Cancellation} from './cancellation.js';
+import {prepareConfiguration, type ConfigurationInForce} from './configuration-in-force.js';
+import {writeProblem} from './problem.js';
+import {readCall} from './read-call.js';
+import {ResponseSink} from './response-sink.js';
+import {writeOutcome} from './write-outcome.js';
+
+/** What the routes of the caller port are given. */
+export type CallerEnvironment = {Bindings: HttpBindings};
+
+/** Adds the routes of a feature to the caller port. */
+export type CallerRoutes = (app: Hono<CallerEnvironment>) => void;
+
+const badRequest = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\nCairnbank-Outcome: not-run\r\n\r\n';
+const headersTooLarge = 'HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\nCairnbank-Outcome: not-run\r\n\r\n';
+
+export class CallerListenerTask implements Task {
+	readonly name = 'callers';
+	readonly #context: DaemonContext;
+	readonly #handler: CallHandler;
+	readonly #server: Server;
+	#configuration: ConfigurationInForce | undefined;
+	#inFlight = 0;
+	#leaving = false;
+	#onIdle: (() => void) | undefined;
+
+	constructor(context: DaemonContext, handler: CallHandler, routes: readonly CallerRoutes[]) {
+		this.#context = context;
+		this.#handler = handler;
+		this.#server = this.#createServer(routes);
+		context.bus.on('configuration-in-force', ({configuration}) => {
+			this.#configuration = prepareConfiguration(configuration);
+		});
+	}
+
+	get inFlight(): number {
+		return this.#inFlight;
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		const listening = await listen(this.#server, this.name, this.#context.settings.listeners.caller.listen);
+		return listening.map(({address, port}: AddressInfo) => {
+			this.#context.logger.info('listening', {listener: this.name, address, port});
+		});
+	}
+
+	async leave(): Promise<void> {
+		this.#leaving = true;
+	}
+
+	async drain(): Promise<void> {
+		if (this.#inFlight === 0) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			this.#onIdle = resolve;
+		});
+	}
+
+	async stop(): Promise<void> {
+		await closeServer(this.#server);
+	}
+
+	#createServer(routes: readonly CallerRoutes[]): Server {
+		const app = new Hono<CallerEnvironment>();
+		for (const addRoutes of routes) {
+			addRoutes(app);
+		}
+
+		app.all('*', async context => {
+			await this.#serve(context.env.incoming, context.env.outgoing);
+			return RESPONSE_ALREADY_SENT;
+		});
+		const {limits, timeouts} = this.#context.settings;
+		const server = createAdaptorServer({
+			fetch: app.fetch,
+			serverOptions: {
+				maxHeaderSize: limits.requestHeaderBytes,
+				keepAliveTimeout: timeouts.callerKeepAliveMs,
+				requestTimeout: timeouts.requestReadMs,
+			},
+		}) as Server;
+		server.on('clientError', refuseMalformed);
+		return server;
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		this.#inFlight += 1;
+		if (this.#leaving) {
+			response.setHeader('connection', 'close');
+		}
+
+		response.once('close', () => {
+			this.#callEnded();
+		});
+		const cancellation = new Cancellation();
+		response.once('close', () => {
+			cancellation.cancel();
+		});
+		const call = await readCall({
+			request, configuration: this.#configuration, cancellation, sink: new ResponseSink(response),
+		}, {clock: this.#context.clock, maximumBodyBytes: this.#context.settings.limits.requestBodyBytes});
+		if (call.isErr()) {
+			response.setHeader('connection', 'close');
+			writeProblem(response, {...call.error, outcome: 'not-run'});
+			return;
+		}
+
+		const outcome = await this.#handler(call.value);
+		writeOutcome(response, outcome);
+	}
+
+	#callEnded(): void {
+		this.#inFlight -= 1;
+		if (this.#inFlight === 0) {
+			this.#onIdle?.();
+		}
+	}
+}
+
+function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+	if (!socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	socket.end(error.code === 'HPE_HEADER_OVERFLOW' ? headersTooLarge : badRequest);
+}
--- /dev/null
+++ b/packages/daemon/src/features/calls/read-call.ts
@@ -0,0 +1,132 @@
+/** Turns a caller's HTTP request into a call, or says why it cannot be one. */
+import type {IncomingMessage} from 'node:http';
+import {type Clock, type TenantId, tenantIdSchema} from '@cairnbank/core';
+import {headerNames} from '@cairnbank/protocol/headers';
+import {err, ok, type Result} from 'neverthrow';
+import type {AnswerSink} from './answer-sink.js';
+import type {Call} from './call.js';
+import type {CallRefusal} from './call-refusal.js';
+import type {Cancellation} from './cancellation.js';
+import type {ConfigurationInForce} from './configuration-in-force.js';
+import {endToEndHeaders} from './end-to-end-headers.js';
+import {hasBody, readBody} from './read-body.js';
+
+const anonymousTenant = tenantIdSchema.parse('anonymous');
+const deadlinePattern = /^\d{1,9}$/;
+
+const statusCodes = {
+	badRequest: 400,
+	notFound: 404,
+	contentTooLarge: 413,
+	unavailable: 503,
+} as const;
+
+export type CallReaderOptions = {
+	readonly clock: Clock;
+	readonly maximumBodyBytes: number;
+};
+
+export type CallSource = {
+	readonly request: IncomingMessage;
+	readonly configuration: ConfigurationInForce | undefined;
+	readonly cancellation: Cancellation;
+	readonly sink: AnswerSink;
+};
+
+/** Reads one request whole and classifies it. */
+export async function readCall(source: CallSource, options: CallReaderOptions): Promise<Result<Call, CallRefusal>> {
+	const head = readHead(source, options);
+	if (head.isErr() || !hasBody(source.request)) {
+		return head;
+	}
+
+	const body = await readBody(source.request, options.maximumBodyBytes);
+	return body
+		.map(bytes => ({...head.value, body: bytes}))
+		.mapErr((error): CallRefusal => error.type === 'too-large'
+			? {reason: 'request-too-large', statusCode: statusCodes.contentTooLarge, detail: `bodies may have ${options.maximumBodyBytes} bytes`}
+			: {reason: 'caller-gone', statusCode: statusCodes.badRequest, detail: 'the connection closed within the request'});
+}
+
+function readHead(source: CallSource, options: CallReaderOptions): Result<Call, CallRefusal> {
+	const {request, configuration} = source;
+	if (!configuration) {
+		return err({reason: 'no-configuration', statusCode: statusCodes.unavailable, detail: 'this instance has no configuration yet'});
+	}
+
+	const {serviceName, path} = splitTarget(request.url!);
+	const service = configuration.services.get(serviceName);
+	if (!service) {
+		return err({reason: 'unknown-service', statusCode: statusCodes.notFound, detail: 'the first path segment names no service'});
+	}
+
+	const tenant = readTenant(request);
+	if (tenant.isErr()) {
+		return err(tenant.error);
+	}
+
+	const method = request.method!;
+	const {requestClass, idempotent} = configuration.classifier.classify(service.id, method, path);
+	const remainingMs = readDeadline(request);
+	if (remainingMs.isErr()) {
+		return err(remainingMs.error);
+	}
+
+	const allowedMs = Math.min(remainingMs.value ?? requestClass.deadlineMs, requestClass.deadlineMs);
+	return ok({
+		serviceId: service.id,
+		service,
+		method,
+		path,
+		headers: endToEndHeaders(request.rawHeaders),
+		body: undefined,
+		tenant: tenant.value,
+		requestClass,
+		idempotent,
+		deadlineAtMs: options.clock.monotonicMs() + allowedMs,
+		ticket: singleHeader(request, headerNames.ticket),
+		idempotencyKey: singleHeader(request, headerNames.idempotencyKey),
+		traceparent: singleHeader(request, 'traceparent'),
+		cancellation: source.cancellation,
+		sink: source.sink,
+	});
+}
+
+/** Splits `/service/rest?query` into the service's name and the upstream's path. */
+function splitTarget(target: string): {serviceName: string; path: string} {
+	const [beforeQuery] = target.split('?', 1);
+	const slash = beforeQuery!.indexOf('/', 1);
+	if (slash === -1) {
+		return {serviceName: beforeQuery!.slice(1), path: `/${target.slice(beforeQuery!.length)}`};
+	}
+
+	return {serviceName: target.slice(1, slash), path: target.slice(slash)};
+}
+
+function singleHeader(request: IncomingMessage, name: string): string | undefined {
+	const value = request.headers[name];
+	return Array.isArray(value) ? value[0] : value;
+}
+
+function readTenant(request: IncomingMessage): Result<TenantId, CallRefusal> {
+	const text = singleHeader(request, headerNames.tenant);
+	if (text === undefined) {
+		return ok(anonymousTenant);
+	}
+
+	const parsed = tenantIdSchema.safeParse(text);
+	return parsed.success
+		? ok(parsed.data)
+		: err({reason: 'malformed-request', statusCode: statusCodes.badRequest, detail: `${headerNames.tenant} is not a tenant id`});
+}
+
+function readDeadline(request: IncomingMessage): Result<number | undefined, CallRefusal> {
+	const text = singleHeader(request, headerNames.deadlineMs);
+	if (text === undefined) {
+		return ok(undefined);
+	}
+
+	return deadlinePattern.test(text)
+		? ok(Number(text))
+		: err({reason: 'malformed-request', statusCode: statusCodes.badRequest, detail: `${headerNames.deadlineMs} must be whole milliseconds`});
+}
--- /dev/null
+++ b/packages/daemon/src/features/registry.ts
@@ -0,0 +1,13 @@
+/** The features of a daemon and the order in which they start; they stop in the reverse order. */
+import type {Task} from '../kernel/task.js';
+
+export type FeatureName = 'admin' | 'configuration' | 'upstreams' | 'callers';
+
+const startOrder: readonly FeatureName[] = ['admin', 'upstreams', 'configuration', 'callers'];
+
+export type Features = Readonly<Record<FeatureName, Task>>;
+
+/** The tasks in the order of their start. */
+export function inStartOrder(features: Features): Task[] {
+	return startOrder.map(name => features[name]);
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './settings/index.js';
+export * from './wire.js';
--- /dev/null
+++ b/packages/daemon/src/kernel/daemon-context.ts
@@ -0,0 +1,18 @@
+/** What every feature of the daemon is given. */
+import type {Clock, IncarnationId, RandomSource} from '@cairnbank/core';
+import type {Tracer} from '@opentelemetry/api';
+import type {Registry} from 'prom-client';
+import type {DaemonLogger} from '../logging/logger.js';
+import type {Settings} from '../settings/settings.js';
+import type {MessageBus} from './message-bus.js';
+
+export type DaemonContext = {
+	readonly settings: Settings;
+	readonly incarnation: IncarnationId;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly bus: MessageBus;
+	readonly logger: DaemonLogger;
+	readonly metrics: Registry;
+	readonly tracer: Tracer;
+};
--- /dev/null
+++ b/packages/daemon/src/kernel/daemon-message.ts
@@ -0,0 +1,13 @@
+/** What tasks tell each other. */
+import type {ConfigurationState} from '@cairnbank/core/configuration';
+import type {UpstreamId} from '@cairnbank/core';
+
+export type DaemonMessage =
+	/** A newer configuration is in force from now on. */
+	| {readonly type: 'configuration-in-force'; readonly configuration: ConfigurationState}
+	/** An upstream takes no new work; who said so first. */
+	| {readonly type: 'upstream-draining'; readonly upstream: UpstreamId; readonly source: 'answer' | 'instance-list' | 'peer'}
+	/** A graceful stop has begun. */
+	| {readonly type: 'leaving'};
+
+export type DaemonMessageOf<Type extends DaemonMessage['type']> = Extract<DaemonMessage, {type: Type}>;
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,45 @@
+#!/usr/bin/env node
+/** `cairnbankd`: reads settings, runs one daemon, stops gracefully on SIGTERM and SIGINT. */
+import process from 'node:process';
+import {cac} from 'cac';
+import {loadSettings} from './settings/load-settings.js';
+import {describeSettingsError} from './settings/settings-error.js';
+import {wireDaemon} from './wire.js';
+
+const exitCodes = {done: 0, wrongInput: 2, cannotStart: 1} as const;
+
+async function run(file: string | undefined): Promise<number> {
+	const settings = await loadSettings({file, environment: process.env, standardInput: process.stdin});
+	if (settings.isErr()) {
+		process.stderr.write(`cairnbankd: ${describeSettingsError(settings.error).join('\n')}\n`);
+		return exitCodes.wrongInput;
+	}
+
+	const daemon = wireDaemon(settings.value);
+	const stopped = new Promise<void>(resolve => {
+		const stop = async () => {
+			await daemon.stop();
+			resolve();
+		};
+
+		process.on('SIGTERM', stop);
+		process.on('SIGINT', stop);
+	});
+	const started = await daemon.start();
+	if (started.isErr() && started.error.type === 'cannot-listen') {
+		process.stderr.write(`cairnbankd: cannot listen for ${started.error.listener}: ${started.error.message}\n`);
+		await daemon.stop();
+		return exitCodes.cannotStart;
+	}
+
+	await stopped;
+	return exitCodes.done;
+}
+
+const cli = cac('cairnbankd');
+cli.option('--settings <file>', 'Settings as JSON: a path, or "-" for standard input');
+cli.help();
+const {options} = cli.parse();
+if (!options.help) {
+	process.exitCode = await run(options.settings as string | undefined);
+}
--- /dev/null
+++ b/packages/daemon/src/wire.ts
@@ -0,0 +1,53 @@
+/** The one module that wires the parts of a daemon. */
+import {
+	createRandomSource, incarnationIdSchema, systemClock,
+} from '@cairnbank/core';
+import {HttpLogClient} from '@cairnbank/protocol/log';
+import {Registry} from 'prom-client';
+import {v7 as uuid} from 'uuid';
+import {Daemon} from './daemon.js';
+import {AdminTask} from './features/admin/admin-task.js';
+import {createAttemptHandler} from './features/calls/attempt-handler.js';
+import {composeStages} from './features/calls/call-handler.js';
+import {CallerListenerTask} from './features/calls/caller-listener-task.js';
+import {ConfigurationTask} from './features/configuration/configuration-task.js';
+import {inStartOrder} from './features/registry.js';
+import {UpstreamsTask} from './features/upstreams/upstreams-task.js';
+import type {DaemonContext} from './kernel/daemon-context.js';
+import {MessageBus} from './kernel/message-bus.js';
+import {createLogger} from './logging/logger.js';
+import type {Settings} from './settings/settings.js';
+import {createTracing} from './tracing/create-tracing.js';
+
+const hexadecimal = 16;
+const seedDigits = 8;
+
+/** Builds a daemon; nothing is opened before its start. */
+export function wireDaemon(settings: Settings): Daemon {
+	const incarnation = uuid();
+	const tracing = createTracing(settings);
+	const context: DaemonContext = {
+		settings,
+		incarnation: incarnationIdSchema.parse(incarnation),
+		clock: systemClock,
+		random: createRandomSource(Number.parseInt(incarnation.slice(-seedDigits), hexadecimal)),
+		bus: new MessageBus(),
+		logger: createLogger({level: settings.logging.level, instance: settings.instance.id}),
+		metrics: new Registry(),
+		tracer: tracing.tracer,
+	};
+	const log = new HttpLogClient({url: settings.log.url, timeoutMs: settings.log.timeoutMs});
+	const upstreams = new UpstreamsTask(context);
+	const handler = composeStages([], createAttemptHandler({
+		clock: context.clock,
+		heldAnswerBytes: settings.limits.heldAnswerBytes,
+		choose: (service, excluded) => upstreams.choose(service, excluded),
+	}));
+	const tasks = inStartOrder({
+		admin: new AdminTask(context),
+		upstreams,
+		configuration: new ConfigurationTask(context, log),
+		callers: new CallerListenerTask(context, handler, []),
+	});
+	return new Daemon(context, tasks);
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -12,6 +12,10 @@
 			'@typescript-eslint/naming-convention': 'off',
 			// Steps that must follow one another are awaited in their loop.
 			'no-await-in-loop': 'off',
+			// A task's name is a plain field.
+			'@typescript-eslint/class-literal-property-style': 'off',
+			// Takes neverthrow's `map` for the one of arrays.
+			'array-callback-return': 'off',
 			// Node:test's describe/it return promises that the runner awaits.
 			'@typescript-eslint/no-floating-promises': ['error', {allowForKnownSafeCalls: [{from: 'package', name: ['describe', 'it', 'test'], package: 'node:test'}]}],
 		},
