Let calls bypass hono on the caller port

Change: hono serves the system's own routes below /.well-known/, calls are taken raw; the dash is attached to its option.

--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -1,8 +1,9 @@
 /** Owns the caller port: reads calls, hands them to the stages, tells callers the outcome. */
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
-import {createAdaptorServer, type HttpBindings} from '@hono/node-server';
-import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
+import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
 import {type Result} from 'neverthrow';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
@@ -23,6 +24,8 @@
 /** Adds the routes of a feature to the caller port. */
 export type CallerRoutes = (app: Hono<CallerEnvironment>) => void;
 
+/** The system's own routes on the caller port; a service cannot have this name. */
+const ownRoutesPrefix = '/.well-known/';
 const badRequest = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\nCairnbank-Outcome: not-run\r\n\r\n';
 const headersTooLarge = 'HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\nCairnbank-Outcome: not-run\r\n\r\n';
 
@@ -80,19 +83,17 @@
 			addRoutes(app);
 		}
 
-		app.all('*', async context => {
-			await this.#serve(context.env.incoming, context.env.outgoing);
-			return RESPONSE_ALREADY_SENT;
-		});
+		const serveOwnRoute = getRequestListener(app.fetch);
 		const {limits, timeouts} = this.#context.settings;
-		const server = createAdaptorServer({
-			fetch: app.fetch,
-			serverOptions: {
-				maxHeaderSize: limits.requestHeaderBytes,
-				keepAliveTimeout: timeouts.callerKeepAliveMs,
-				requestTimeout: timeouts.requestReadMs,
-			},
-		}) as Server;
+		const server = createServer({
+			maxHeaderSize: limits.requestHeaderBytes,
+			keepAliveTimeout: timeouts.callerKeepAliveMs,
+			requestTimeout: timeouts.requestReadMs,
+		});
+		// Calls bypass hono: it answers HEAD through GET with a response of its own, and costs each call a web request.
+		server.on('request', (request, response) => {
+			void (request.url!.startsWith(ownRoutesPrefix) ? serveOwnRoute(request, response) : this.#serve(request, response));
+		});
 		server.on('clientError', refuseMalformed);
 		return server;
 	}
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -6,8 +6,18 @@
 import {describeSettingsError} from './settings/settings-error.js';
 import {wireDaemon} from './wire.js';
 
+const settingsOption = '--settings';
 const exitCodes = {done: 0, wrongInput: 2, cannotStart: 1} as const;
 
+/** The argument parser takes a lone `-` for no value, so it is attached to its option. */
+function withAttachedDash(argv: readonly string[]): string[] {
+	return argv.flatMap((argument, index) => {
+		const attached = argument === '-' && argv[index - 1] === settingsOption;
+		const beforeDash = argument === settingsOption && argv[index + 1] === '-';
+		return beforeDash ? [] : [attached ? `${settingsOption}=-` : argument];
+	});
+}
+
 async function run(file: string | undefined): Promise<number> {
 	const settings = await loadSettings({file, environment: process.env, standardInput: process.stdin});
 	if (settings.isErr()) {
@@ -39,7 +49,7 @@
 const cli = cac('cairnbankd');
 cli.option('--settings <file>', 'Settings as JSON: a path, or "-" for standard input');
 cli.help();
-const {options} = cli.parse();
+const {options} = cli.parse(withAttachedDash(process.argv));
 if (!options.help) {
 	process.exitCode = await run(options.settings as string | undefined);
 }
