Follow the settings' grouped fields, take signals from the first moment

Cause: the settings were grouped by what they bound; a SIGTERM while settings were read ended the process with a signal's code.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -54,11 +54,11 @@
 		await Promise.all(this.#started.map(async task => task.leave?.()));
 		if (offered) {
 			// Callers may keep an address answer for this long and connect at its end.
-			await delay(settings.timeouts.addressTimeToLiveMs);
+			await delay(settings.addresses.ttlMs);
 		}
 
 		const drained = Promise.all(this.#started.map(async task => task.drain?.()));
-		await Promise.race([drained, delay(settings.timeouts.gracefulStopMs)]);
+		await Promise.race([drained, delay(settings.stopping.maximumDrainMs)]);
 		for (const task of this.#started.toReversed()) {
 			await task.stop();
 		}
--- a/packages/daemon/src/features/admin/admin-task.ts
+++ b/packages/daemon/src/features/admin/admin-task.ts
@@ -28,7 +28,7 @@
 	}
 
 	async start(): Promise<Result<void, StartError>> {
-		const listening = await listen(this.#server, this.name, this.#context.settings.listeners.admin.listen);
+		const listening = await listen(this.#server, this.name, this.#context.settings.admin);
 		return listening.map(({address, port}) => {
 			this.#context.logger.info('listening', {listener: this.name, address, port});
 		});
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -53,7 +53,7 @@
 	}
 
 	async start(): Promise<Result<void, StartError>> {
-		const listening = await listen(this.#server, this.name, this.#context.settings.listeners.caller.listen);
+		const listening = await listen(this.#server, this.name, this.#context.settings.callers);
 		return listening.map(({address, port}: AddressInfo) => {
 			this.#context.logger.info('listening', {listener: this.name, address, port});
 		});
@@ -84,11 +84,11 @@
 		}
 
 		const serveOwnRoute = getRequestListener(app.fetch);
-		const {limits, timeouts} = this.#context.settings;
+		const {maximumHeaderBytes, keepAliveTimeoutMs, readTimeoutMs} = this.#context.settings.calls;
 		const server = createServer({
-			maxHeaderSize: limits.requestHeaderBytes,
-			keepAliveTimeout: timeouts.callerKeepAliveMs,
-			requestTimeout: timeouts.requestReadMs,
+			maxHeaderSize: maximumHeaderBytes,
+			keepAliveTimeout: keepAliveTimeoutMs,
+			requestTimeout: readTimeoutMs,
 		});
 		// Calls bypass hono: it answers HEAD through GET with a response of its own, and costs each call a web request.
 		server.on('request', (request, response) => {
@@ -113,7 +113,7 @@
 		});
 		const call = await readCall({
 			request, configuration: this.#configuration, cancellation, sink: new ResponseSink(response),
-		}, {clock: this.#context.clock, maximumBodyBytes: this.#context.settings.limits.requestBodyBytes});
+		}, {clock: this.#context.clock, maximumBodyBytes: this.#context.settings.calls.maximumBodyBytes});
 		if (call.isErr()) {
 			response.setHeader('connection', 'close');
 			writeProblem(response, {...call.error, outcome: 'not-run'});
--- a/packages/daemon/src/features/configuration/configuration-task.ts
+++ b/packages/daemon/src/features/configuration/configuration-task.ts
@@ -44,10 +44,10 @@
 	}
 
 	async #follow(): Promise<void> {
-		const {streams, readWaitMs} = this.#context.settings.log;
+		const {configurationStream, pollWaitMs} = this.#context.settings.log;
 		while (!this.#stopping.signal.aborted) {
-			const page = await this.#log.read(streams.configuration, {
-				fromOffset: this.#state.throughOffset + 1, limit: recordsPerRead, waitMs: readWaitMs, signal: this.#stopping.signal,
+			const page = await this.#log.read(configurationStream, {
+				fromOffset: this.#state.throughOffset + 1, limit: recordsPerRead, waitMs: pollWaitMs, signal: this.#stopping.signal,
 			});
 			if (page.isErr()) {
 				await pause(retryDelayMs, this.#stopping.signal);
--- a/packages/daemon/src/features/upstreams/upstream-pools.ts
+++ b/packages/daemon/src/features/upstreams/upstream-pools.ts
@@ -9,7 +9,7 @@
 	/** Greatest number of instances that share an upstream's connections. */
 	readonly maximumInstances: number;
 	readonly connectTimeoutMs: number;
-	readonly keepAliveMs: number;
+	readonly keepAliveTimeoutMs: number;
 };
 
 type Entry = {
@@ -56,7 +56,7 @@
 		return new Pool(`http://${upstream.address}`, {
 			connections: share,
 			pipelining: requestsPerConnection,
-			keepAliveTimeout: this.#options.keepAliveMs,
+			keepAliveTimeout: this.#options.keepAliveTimeoutMs,
 			connect: {timeout: this.#options.connectTimeoutMs},
 		});
 	}
--- a/packages/daemon/src/features/upstreams/upstreams-task.ts
+++ b/packages/daemon/src/features/upstreams/upstreams-task.ts
@@ -23,8 +23,8 @@
 	#drained: ReadonlySet<UpstreamId> = new Set();
 
 	constructor(context: DaemonContext) {
-		const {upstreamConnectMs, upstreamKeepAliveMs} = context.settings.timeouts;
-		this.#pools = new UpstreamPools({maximumInstances, connectTimeoutMs: upstreamConnectMs, keepAliveMs: upstreamKeepAliveMs});
+		const {connectTimeoutMs, keepAliveTimeoutMs} = context.settings.upstreams;
+		this.#pools = new UpstreamPools({maximumInstances, connectTimeoutMs, keepAliveTimeoutMs});
 		this.#random = context.random;
 		context.bus.on('configuration-in-force', ({configuration}) => {
 			this.#apply(configuration);
--- a/packages/daemon/src/kernel/daemon-context.ts
+++ b/packages/daemon/src/kernel/daemon-context.ts
@@ -2,7 +2,7 @@
 import type {Clock, IncarnationId, RandomSource} from '@cairnbank/core';
 import type {Tracer} from '@opentelemetry/api';
 import type {Registry} from 'prom-client';
-import type {DaemonLogger} from '../logging/logger.js';
+import type {Logger} from '../logging/create-logger.js';
 import type {Settings} from '../settings/settings.js';
 import type {MessageBus} from './message-bus.js';
 
@@ -12,7 +12,7 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly bus: MessageBus;
-	readonly logger: DaemonLogger;
+	readonly logger: Logger;
 	readonly metrics: Registry;
 	readonly tracer: Tracer;
 };
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -2,7 +2,7 @@
 /** `cairnbankd`: reads settings, runs one daemon, stops gracefully on SIGTERM and SIGINT. */
 import process from 'node:process';
 import {cac} from 'cac';
-import {loadSettings} from './settings/load-settings.js';
+import {readSettings} from './settings/read-settings.js';
 import {describeSettingsError} from './settings/settings-error.js';
 import {wireDaemon} from './wire.js';
 
@@ -18,23 +18,23 @@
 	});
 }
 
-async function run(file: string | undefined): Promise<number> {
-	const settings = await loadSettings({file, environment: process.env, standardInput: process.stdin});
+/** Resolves at the first signal; later ones change nothing. */
+async function stopSignal(): Promise<void> {
+	return new Promise(resolve => {
+		process.on('SIGTERM', resolve);
+		process.on('SIGINT', resolve);
+	});
+}
+
+async function run(file: string | undefined, stopRequested: Promise<void>): Promise<number> {
+	const settings = await readSettings({file, environment: process.env});
 	if (settings.isErr()) {
 		process.stderr.write(`cairnbankd: ${describeSettingsError(settings.error).join('\n')}\n`);
 		return exitCodes.wrongInput;
 	}
 
 	const daemon = wireDaemon(settings.value);
-	const stopped = new Promise<void>(resolve => {
-		const stop = async () => {
-			await daemon.stop();
-			resolve();
-		};
-
-		process.on('SIGTERM', stop);
-		process.on('SIGINT', stop);
-	});
+	const stopped = stopRequested.then(async () => daemon.stop());
 	const started = await daemon.start();
 	if (started.isErr() && started.error.type === 'cannot-listen') {
 		process.stderr.write(`cairnbankd: cannot listen for ${started.error.listener}: ${started.error.message}\n`);
@@ -51,5 +51,5 @@
 cli.help();
 const {options} = cli.parse(withAttachedDash(process.argv));
 if (!options.help) {
-	process.exitCode = await run(options.settings as string | undefined);
+	process.exitCode = await run(options.settings as string | undefined, stopSignal());
 }
--- a/packages/daemon/src/tracing/create-tracing.ts
+++ b/packages/daemon/src/tracing/create-tracing.ts
@@ -25,7 +25,7 @@
 	}
 
 	const provider = new BasicTracerProvider({
-		resource: resourceFromAttributes({'service.name': tracerName, 'service.instance.id': settings.instance.id}),
+		resource: resourceFromAttributes({'service.name': tracerName, 'service.instance.id': settings.instanceId}),
 		sampler: new ParentBasedSampler({root: new TraceIdRatioBasedSampler(samplingRatio)}),
 		spanProcessors: [new BatchSpanProcessor(new OTLPTraceExporter({url: collectorUrl}))],
 	});
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -15,7 +15,7 @@
 import {UpstreamsTask} from './features/upstreams/upstreams-task.js';
 import type {DaemonContext} from './kernel/daemon-context.js';
 import {MessageBus} from './kernel/message-bus.js';
-import {createLogger} from './logging/logger.js';
+import {createLogger} from './logging/create-logger.js';
 import type {Settings} from './settings/settings.js';
 import {createTracing} from './tracing/create-tracing.js';
 
@@ -32,7 +32,7 @@
 		clock: systemClock,
 		random: createRandomSource(Number.parseInt(incarnation.slice(-seedDigits), hexadecimal)),
 		bus: new MessageBus(),
-		logger: createLogger({level: settings.logging.level, instance: settings.instance.id}),
+		logger: createLogger({level: settings.logging.level, instance: settings.instanceId}),
 		metrics: new Registry(),
 		tracer: tracing.tracer,
 	};
@@ -40,7 +40,7 @@
 	const upstreams = new UpstreamsTask(context);
 	const handler = composeStages([], createAttemptHandler({
 		clock: context.clock,
-		heldAnswerBytes: settings.limits.heldAnswerBytes,
+		heldAnswerBytes: settings.calls.heldAnswerBytes,
 		choose: (service, excluded) => upstreams.choose(service, excluded),
 	}));
 	const tasks = inStartOrder({
