--- a/packages/daemon/src/features/calls/upstream-attempt.ts
+++ b/packages/daemon/src/features/calls/upstream-attempt.ts
@@ -43,6 +43,7 @@
 	#statusCode = 0;
 	#headers: RawHeaders = [];
 	#shed = false;
+	#paused = false;
 	#chunks: Uint8Array[] = [];
 	#heldBytes = 0;
 
@@ -176,12 +177,16 @@
 
 	#passOn(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		const sink = this.#options.call.sink!;
-		if (!sink.write(chunk)) {
-			controller.pause();
-			sink.onDrain(() => {
-				controller.resume();
-			});
+		if (sink.write(chunk) || this.#paused) {
+			return;
 		}
+
+		this.#paused = true;
+		controller.pause();
+		sink.onDrain(() => {
+			this.#paused = false;
+			controller.resume();
+		});
 	}
 
 	#giveUp(reason: 'caller-gone' | 'deadline-exceeded'): void {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -18,14 +18,6 @@
 	});
 }
 
-/** Resolves at the first signal; later ones change nothing. */
-async function stopSignal(): Promise<void> {
-	return new Promise(resolve => {
-		process.on('SIGTERM', resolve);
-		process.on('SIGINT', resolve);
-	});
-}
-
 async function run(file: string | undefined, stopRequested: Promise<void>): Promise<number> {
 	const settings = await readSettings({file, environment: process.env});
 	if (settings.isErr()) {
@@ -34,7 +26,6 @@
 	}
 
 	const daemon = wireDaemon(settings.value);
-	const stopped = stopRequested.then(async () => daemon.stop());
 	const started = await daemon.start();
 	if (started.isErr() && started.error.type === 'cannot-listen') {
 		process.stderr.write(`cairnbankd: cannot listen for ${started.error.listener}: ${started.error.message}\n`);
@@ -42,14 +33,20 @@
 		return exitCodes.cannotStart;
 	}
 
-	await stopped;
+	await stopRequested;
+	await daemon.stop();
 	return exitCodes.done;
 }
 
 const cli = cac('cairnbankd');
 cli.option('--settings <file>', 'Settings as JSON: a path, or "-" for standard input');
 cli.help();
+// Stands before anything else is done, so that a signal during the start is a graceful stop too.
+const stopRequested = new Promise<void>(resolve => {
+	process.on('SIGTERM', resolve);
+	process.on('SIGINT', resolve);
+});
 const {options} = cli.parse(withAttachedDash(process.argv));
 if (!options.help) {
-	process.exitCode = await run(options.settings as string | undefined, stopSignal());
+	process.exitCode = await run(options.settings as string | undefined, stopRequested);
 }
