Command line with its commands, operators' router and samples

cairnbank validates, publishes, shows, lists, watches, asks for status and drains, by cac over a small registry; exit codes 0, 2, 3 and 4. The log is reached through publishChange, daemons over tRPC.

--- /dev/null
+++ b/packages/cli/src/command-line.ts
@@ -0,0 +1,122 @@
+/** Parses a command line, runs its command and gives the exit code. */
+import {toValidationFaults} from '@cairnbank/core';
+import {cac, type CAC, type Command as CacCommand} from 'cac';
+import {err} from 'neverthrow';
+import {commands} from './commands/registry.js';
+import {exitCodes, exitCodesHelp, type ExitCode} from './exit-codes/exit-code.js';
+import {type CommandError, describeError, toExitCode} from './kernel/command-error.js';
+import {type Command, type CommandResult} from './kernel/command.js';
+import {type Environment} from './kernel/environment.js';
+import {Session} from './kernel/session.js';
+import {cliSettingsVariable} from './settings/read-cli-settings.js';
+
+const programName = 'cairnbank';
+const helpAdvice = `see \`${programName} --help\``;
+
+/** Arguments of the process before those of the program: the runtime and the script. */
+const leadingArguments = [programName, programName];
+
+/** Runs `cairnbank` with `args`, the arguments after the program's name. */
+export async function runCommandLine(args: readonly string[], environment: Environment): Promise<ExitCode> {
+	const parsed = parse(args);
+	if ('type' in parsed) {
+		return fail(environment, parsed);
+	}
+
+	if (parsed.helpShown) {
+		return exitCodes.done;
+	}
+
+	const {command, positional, options} = parsed;
+	const result = await run(command, environment, positional, options);
+	return result.match(() => exitCodes.done, error => fail(environment, error));
+}
+
+type Parsed = {
+	readonly helpShown: boolean;
+	readonly command: Command;
+	readonly positional: readonly string[];
+	readonly options: Readonly<Record<string, unknown>>;
+};
+
+function parse(args: readonly string[]): Parsed | CommandError {
+	const cli = buildParser();
+	try {
+		cli.parse([...leadingArguments, ...args], {run: false});
+		const command = commands.find(({usage}) => usage.split(' ')[0] === cli.matchedCommandName);
+		if (cli.options.help === true) {
+			return {
+				helpShown: true, command: commands[0]!, positional: [], options: {},
+			};
+		}
+
+		if (command === undefined) {
+			const message = cli.args.length === 0 ? 'no command given' : `there is no command ${cli.args[0]}`;
+			return {type: 'wrong-use', message, advice: helpAdvice};
+		}
+
+		checkUse(cli.matchedCommand!);
+		const {'--': _, ...options} = cli.options;
+		return {
+			helpShown: false, command, positional: cli.args, options,
+		};
+	} catch (error) {
+		return {type: 'wrong-use', message: (error as Error).message, advice: helpAdvice};
+	}
+}
+
+function checkUse(command: CacCommand): void {
+	command.checkUnknownOptions();
+	command.checkOptionValue();
+	command.checkRequiredArgs();
+	command.checkUnusedArgs();
+}
+
+function buildParser(): CAC {
+	const cli = cac(programName);
+	cli.option('--settings <file>', `Settings of the command line as JSON (default: the JSON in ${cliSettingsVariable})`);
+	for (const command of commands) {
+		const added = cli.command(command.usage, command.summary);
+		for (const {flags, description} of command.options) {
+			added.option(flags, description);
+		}
+
+		for (const example of command.examples) {
+			added.example(`  ${example}`);
+		}
+	}
+
+	cli.help(sections => [...sections, {title: 'Exit codes', body: exitCodesHelp}]);
+	return cli;
+}
+
+async function run(
+	command: Command,
+	environment: Environment,
+	positional: readonly string[],
+	{settings, ...options}: Readonly<Record<string, unknown>>,
+): Promise<CommandResult> {
+	const parsed = command.optionsSchema.safeParse(options);
+	if (!parsed.success) {
+		const faults = toValidationFaults(parsed.error).map(fault => ({...fault, path: `--${toFlag(fault.path)}`}));
+		return err({
+			type: 'wrong-use', message: 'an option has a value that cannot be used', faults, advice: helpAdvice,
+		});
+	}
+
+	const session = new Session(environment, settings as string | undefined);
+	return command.run(session, positional, parsed.data);
+}
+
+/** `waitMs` as it is typed: `wait-ms`. */
+function toFlag(optionName: string): string {
+	return optionName.replaceAll(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
+}
+
+function fail({output}: Environment, error: CommandError): ExitCode {
+	for (const line of describeError(error)) {
+		output.error(line);
+	}
+
+	return toExitCode(error);
+}
--- /dev/null
+++ b/packages/cli/src/commands/show/configuration-source.ts
@@ -0,0 +1,62 @@
+/** Where `show` takes the configuration from: the log, or an instance while the log is down. */
+import {openSnapshot, type ConfigurationState} from '@cairnbank/core/configuration';
+import {readThroughEnd} from '@cairnbank/protocol/publishing';
+import {err, ok, type Result} from 'neverthrow';
+import {type CommandError} from '../../kernel/command-error.js';
+import {firstAnswer} from '../../kernel/first-answer.js';
+import {toLogFailure} from '../../kernel/log-failure.js';
+import {type Session} from '../../kernel/session.js';
+
+export type SourcedConfiguration = {
+	readonly source: string;
+	readonly state: ConfigurationState;
+};
+
+type Sourced = Result<SourcedConfiguration, CommandError>;
+
+/** The newest configuration that can be had. */
+export async function readConfiguration(session: Session, fromInstance = false): Promise<Sourced> {
+	if (fromInstance) {
+		return readFromInstance(session);
+	}
+
+	const fromLog = await readFromLog(session);
+	if (fromLog.isOk() || fromLog.error.type !== 'unavailable') {
+		return fromLog;
+	}
+
+	const answered = await readFromInstance(session);
+	return answered.isOk() ? answered : fromLog;
+}
+
+async function readFromLog(session: Session): Promise<Sourced> {
+	const log = await session.log();
+	if (log.isErr()) {
+		return err(log.error);
+	}
+
+	const read = await readThroughEnd(log.value, undefined, session.environment.interrupted);
+	if (read.isErr()) {
+		return err(toLogFailure(read.error));
+	}
+
+	const {state, standing} = read.value.reading;
+	return standing.type === 'missing-records'
+		? err({type: 'unavailable', message: `the log keeps records from ${standing.earliestOffset} on, without a snapshot before them`})
+		: ok({source: 'the log', state});
+}
+
+async function readFromInstance(session: Session): Promise<Sourced> {
+	const clients = await session.instances();
+	if (clients.isErr()) {
+		return err(clients.error);
+	}
+
+	const answer = await firstAnswer(clients.value, client => client.configuration());
+	return answer.andThen(({client, value}) => {
+		const opened = openSnapshot(value);
+		return opened
+			.map(state => ({source: `instance ${client.address}`, state}))
+			.mapErr(() => ({type: 'unavailable' as const, message: `the configuration from ${client.address} was not understood`}));
+	});
+}
--- /dev/null
+++ b/packages/cli/src/commands/status/status-command.ts
@@ -0,0 +1,38 @@
+/** `cairnbank status`: instances and upstreams as one instance sees them. */
+import {addressSchema} from '@cairnbank/core';
+import {err, ok} from 'neverthrow';
+import {z} from 'zod';
+import {defineCommand} from '../../kernel/command.js';
+import {firstAnswer} from '../../kernel/first-answer.js';
+import {renderStatus} from './status-view.js';
+
+export const statusCommand = defineCommand({
+	usage: 'status',
+	summary: 'Show instances and upstreams as one instance sees them',
+	options: [
+		{flags: '--instance <address>', description: 'Admin address to ask (default: the first in the settings that answers)'},
+		{flags: '--json', description: 'Print one JSON object'},
+	],
+	examples: ['cairnbank status', 'cairnbank status --instance 127.0.0.1:7300 --json'],
+	optionsSchema: z.strictObject({
+		instance: addressSchema.optional(),
+		json: z.boolean().optional(),
+	}),
+	async run(session, _positional, {instance, json}) {
+		const clients = await session.instances();
+		if (clients.isErr()) {
+			return err(clients.error);
+		}
+
+		const asked = clients.value.filter(client => instance === undefined || client.address === instance);
+		if (asked.length === 0) {
+			return err({type: 'wrong-use', message: `the settings name no instance ${instance}`, advice: 'name one of "instances" in the settings'});
+		}
+
+		const answer = await firstAnswer(asked, client => client.status());
+		return answer.andThen(({value}) => {
+			session.environment.output.line(json ? JSON.stringify(value) : renderStatus(value));
+			return ok();
+		});
+	},
+});
--- /dev/null
+++ b/packages/cli/src/commands/validate/validate-command.ts
@@ -0,0 +1,21 @@
+/** `cairnbank validate`: checks a file without sending it. */
+import {ok} from 'neverthrow';
+import {z} from 'zod';
+import {readChange} from '../../input/read-change.js';
+import {defineCommand} from '../../kernel/command.js';
+import {describeChange} from '../../rendering/describe-change.js';
+
+export const validateCommand = defineCommand({
+	usage: 'validate <file>',
+	summary: 'Check an inventory or rules file; nothing is sent and no settings are needed',
+	options: [],
+	examples: ['cairnbank validate samples/authority/inventory.json'],
+	optionsSchema: z.strictObject({}),
+	async run({environment}, [file]) {
+		const change = await readChange(environment, file!);
+		return change.andThen(value => {
+			environment.output.line(`${file}: valid, ${describeChange(value)}`);
+			return ok();
+		});
+	},
+});
--- /dev/null
+++ b/packages/cli/src/commands/watch/watch-until.ts
@@ -0,0 +1,74 @@
+/** Follows the instances until a change is in force on all of them, or until interrupted. */
+import {type OperatorsClient} from '@cairnbank/protocol/operators';
+import {err, ok} from 'neverthrow';
+import {type CommandResult} from '../../kernel/command.js';
+import {type Environment} from '../../kernel/environment.js';
+import {type Session} from '../../kernel/session.js';
+import {hasInForce, pollInstances, type InstanceAnswer} from './instance-poll.js';
+import {toWatchJson, toWatchText} from './watch-line.js';
+
+export const defaultIntervalMs = 250;
+
+export type WatchOptions = {
+	/** End once every instance has this offset in force; absent: go on until interrupted. */
+	readonly offset?: number;
+	/** End then in any case. */
+	readonly timeoutMs?: number;
+	readonly intervalMs?: number;
+	readonly json?: boolean;
+};
+
+/** Prints a line for each instance, and another each time that something changed there. */
+export async function watchUntil(session: Session, options: WatchOptions): Promise<CommandResult> {
+	const clients = await session.instances();
+	return clients.isErr() ? err(clients.error) : follow(session.environment, clients.value, options);
+}
+
+async function follow(environment: Environment, clients: readonly OperatorsClient[], options: WatchOptions): Promise<CommandResult> {
+	const {offset, timeoutMs = Number.POSITIVE_INFINITY, intervalMs = defaultIntervalMs} = options;
+	const startedMs = environment.clock.monotonicMs();
+	const printed = new Map<string, string>();
+	for (;;) {
+		const answers = await pollInstances(clients);
+		printChanges(environment, answers, printed, options.json);
+		if (offset !== undefined && answers.every(answer => hasInForce(answer, offset))) {
+			return reportInForce(environment, offset, answers.length, options.json);
+		}
+
+		if (environment.interrupted.aborted || environment.clock.monotonicMs() - startedMs >= timeoutMs) {
+			return offset === undefined ? ok() : err(notInForce(answers, offset));
+		}
+
+		await environment.pause(intervalMs);
+	}
+}
+
+function printChanges(environment: Environment, answers: readonly InstanceAnswer[], printed: Map<string, string>, json = false): void {
+	const time = environment.clock.now();
+	for (const answer of answers) {
+		const text = toWatchText(answer);
+		if (printed.get(answer.address) === text) {
+			continue;
+		}
+
+		printed.set(answer.address, text);
+		environment.output.line(json ? toWatchJson(answer, time) : `${time.toISOString()} ${text}`);
+	}
+}
+
+function reportInForce({output}: Environment, offset: number, instances: number, json = false): CommandResult {
+	if (!json) {
+		output.line(`offset ${offset} is in force on all ${instances} instance(s)`);
+	}
+
+	return ok();
+}
+
+function notInForce(answers: readonly InstanceAnswer[], offset: number) {
+	const missing = answers.filter(answer => !hasInForce(answer, offset)).map(answer => answer.address);
+	return {
+		type: 'unavailable' as const,
+		message: `offset ${offset} is not in force yet on ${missing.join(', ')}`,
+		advice: 'an accepted change takes effect there as soon as the instance reaches the log or another instance; look with `cairnbank watch`',
+	};
+}
--- /dev/null
+++ b/packages/cli/src/kernel/session.ts
@@ -0,0 +1,57 @@
+/** One run of a command: the outside world, and connections made from the settings on demand. */
+import {type Author} from '@cairnbank/core';
+import {type LogClient} from '@cairnbank/protocol/log';
+import {type OperatorsClient} from '@cairnbank/protocol/operators';
+import {
+	err, ok, type Result, type ResultAsync,
+} from 'neverthrow';
+import {readCliSettings} from '../settings/read-cli-settings.js';
+import {type CliSettings} from '../settings/cli-settings.js';
+import {type CommandError} from './command-error.js';
+import {type Environment} from './environment.js';
+
+export class Session {
+	readonly #settingsFile: string | undefined;
+	#settings: ResultAsync<CliSettings, CommandError> | undefined;
+
+	constructor(readonly environment: Environment, settingsFile?: string) {
+		this.#settingsFile = settingsFile;
+	}
+
+	/** The settings, read once. */
+	settings(): ResultAsync<CliSettings, CommandError> {
+		this.#settings ??= readCliSettings(this.environment, this.#settingsFile);
+		return this.#settings;
+	}
+
+	log(): ResultAsync<LogClient, CommandError> {
+		return this.settings().map(settings => this.environment.connectLog(settings.log));
+	}
+
+	/** Clients of all instances in the settings. */
+	instances(): ResultAsync<OperatorsClient[], CommandError> {
+		return this.settings().andThen(settings => this.#connect(settings));
+	}
+
+	/** Who a change is published as: an option, the settings, or the system's name of the person. */
+	author(fromOption: Author | undefined): ResultAsync<Author, CommandError> {
+		return this.settings().andThen(settings => {
+			const author = fromOption ?? settings.author ?? this.environment.userName as Author | undefined;
+			return author === undefined
+				? err({type: 'wrong-use' as const, message: 'no author', advice: 'give --author <name> or set "author" in the settings'})
+				: ok(author);
+		});
+	}
+
+	#connect({instances, operatorSecret, timeoutMs}: CliSettings): Result<OperatorsClient[], CommandError> {
+		if (instances.length === 0 || operatorSecret === undefined) {
+			return err({
+				type: 'wrong-use',
+				message: 'the settings name no instance to ask, or no secret',
+				advice: 'set "instances" to the admin addresses of the instances and "operatorSecret" to their operators\' secret',
+			});
+		}
+
+		return ok(instances.map(address => this.environment.connectInstance({address, secret: operatorSecret, timeoutMs})));
+	}
+}
--- /dev/null
+++ b/packages/cli/src/wire.ts
@@ -0,0 +1,51 @@
+/** The one module that wires the command line to the process it runs in. */
+import {readFile} from 'node:fs/promises';
+import {userInfo} from 'node:os';
+import process from 'node:process';
+import {text} from 'node:stream/consumers';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {recordIdSchema, systemClock} from '@cairnbank/core';
+import {HttpLogClient} from '@cairnbank/protocol/log';
+import {createOperatorsClient} from '@cairnbank/protocol/operators';
+import {v7 as uuid} from 'uuid';
+import {type Environment} from './kernel/environment.js';
+
+const standardInputMark = '-';
+
+/** The process's own files, streams, clock and connections. */
+export function wireEnvironment(interrupted: AbortSignal): Environment {
+	return {
+		output: {
+			line(line) {
+				process.stdout.write(`${line}\n`);
+			},
+			error(line) {
+				process.stderr.write(`${line}\n`);
+			},
+		},
+		clock: systemClock,
+		variables: process.env,
+		userName: findUserName(),
+		interrupted,
+		readText: async file => file === standardInputMark ? text(process.stdin) : readFile(file, 'utf8'),
+		async pause(durationMs) {
+			try {
+				await sleep(durationMs, undefined, {signal: interrupted});
+			} catch {
+				// An interruption ends the pause early and is no fault.
+			}
+		},
+		createRecordId: () => recordIdSchema.parse(uuid()),
+		connectLog: settings => new HttpLogClient(settings),
+		connectInstance: options => createOperatorsClient(options),
+	};
+}
+
+function findUserName(): string | undefined {
+	try {
+		return userInfo().username;
+	} catch {
+		// The system may know no name for the process's user.
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/protocol/src/operators/index.ts
@@ -0,0 +1,11 @@
+export * from './change-status.js';
+export * from './configuration-status.js';
+export * from './configuration-transfer.js';
+export * from './instance-brief.js';
+export * from './instance-status.js';
+export * from './member-status.js';
+export * from './operators-client.js';
+export type * from './operators-error.js';
+export type * from './operators-port.js';
+export * from './operators-router.js';
+export * from './upstream-status.js';
