A span for each hop of a call

Cause: the way of a call could not be seen across processes. Change: the entry reads the caller's W3C context, each attempt is a span of its own whose context the upstream gets, OTLP over HTTP to the collector of the settings; without a collector, or unsampled, one shared object stands in.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -64,6 +64,7 @@
 		}
 
 		this.#started = [];
+		await this.#context.tracing.shutdown();
 		logger.info('stopped');
 	}
 }
--- a/packages/daemon/src/features/calls/attempt-handler.ts
+++ b/packages/daemon/src/features/calls/attempt-handler.ts
@@ -33,7 +33,7 @@
 
 		tried.add(chosen.upstream.id);
 		last = await attemptUpstream({
-			call, dispatcher: chosen.dispatcher, remainingMs, heldAnswerBytes: options.heldAnswerBytes,
+			call, upstream: chosen.upstream.id, dispatcher: chosen.dispatcher, remainingMs, heldAnswerBytes: options.heldAnswerBytes,
 		});
 		if (last.type !== 'not-run') {
 			return last;
--- a/packages/daemon/src/features/calls/call.ts
+++ b/packages/daemon/src/features/calls/call.ts
@@ -3,6 +3,7 @@
 	RequestClass, ServiceId, TenantId,
 } from '@cairnbank/core';
 import type {RawHeaders} from '@cairnbank/core/outcomes';
+import type {CallTrace} from '../../tracing/call-trace.js';
 import type {AnswerSink} from './answer-sink.js';
 import type {Cancellation} from './cancellation.js';
 import type {ServiceInForce} from './service-in-force.js';
@@ -24,7 +25,7 @@
 	readonly deadlineAtMs: number;
 	readonly ticket: string | undefined;
 	readonly idempotencyKey: string | undefined;
-	readonly traceparent: string | undefined;
+	readonly trace: CallTrace;
 	readonly cancellation: Cancellation;
 	/** Takes an answer that is too large to be held whole; absent where the call cannot stream. */
 	readonly sink: AnswerSink | undefined;
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -113,7 +113,7 @@
 		});
 		const call = await readCall({
 			request, configuration: this.#configuration, cancellation, sink: new ResponseSink(response),
-		}, {clock: this.#context.clock, maximumBodyBytes: this.#context.settings.calls.maximumBodyBytes});
+		}, {clock: this.#context.clock, tracing: this.#context.tracing, maximumBodyBytes: this.#context.settings.calls.maximumBodyBytes});
 		if (call.isErr()) {
 			response.setHeader('connection', 'close');
 			writeProblem(response, {...call.error, outcome: 'not-run'});
@@ -122,6 +122,7 @@
 
 		const outcome = await this.#handler(call.value);
 		writeOutcome(response, outcome);
+		call.value.trace.end(outcome.type);
 	}
 
 	#callEnded(): void {
--- a/packages/daemon/src/features/calls/end-to-end-headers.ts
+++ b/packages/daemon/src/features/calls/end-to-end-headers.ts
@@ -17,6 +17,7 @@
 	'content-length',
 	headerNames.deadlineMs,
 	'traceparent',
+	'tracestate',
 ]);
 
 function namedByConnection(headers: RawHeaders): Set<string> {
--- a/packages/daemon/src/features/calls/read-call.ts
+++ b/packages/daemon/src/features/calls/read-call.ts
@@ -3,6 +3,8 @@
 import {type Clock, type TenantId, tenantIdSchema} from '@cairnbank/core';
 import {headerNames} from '@cairnbank/protocol/headers';
 import {err, ok, type Result} from 'neverthrow';
+import type {TraceHeaders} from '../../tracing/call-trace.js';
+import type {Tracing} from '../../tracing/create-tracing.js';
 import type {AnswerSink} from './answer-sink.js';
 import type {Call} from './call.js';
 import type {CallRefusal} from './call-refusal.js';
@@ -23,6 +25,7 @@
 
 export type CallReaderOptions = {
 	readonly clock: Clock;
+	readonly tracing: Tracing;
 	readonly maximumBodyBytes: number;
 };
 
@@ -86,7 +89,7 @@
 		deadlineAtMs: options.clock.monotonicMs() + allowedMs,
 		ticket: singleHeader(request, headerNames.ticket),
 		idempotencyKey: singleHeader(request, headerNames.idempotencyKey),
-		traceparent: singleHeader(request, 'traceparent'),
+		trace: options.tracing.startEntry(traceHeaders(request), {service: service.id, class: requestClass.id}),
 		cancellation: source.cancellation,
 		sink: source.sink,
 	});
@@ -108,6 +111,10 @@
 	return Array.isArray(value) ? value[0] : value;
 }
 
+function traceHeaders(request: IncomingMessage): TraceHeaders {
+	return {traceparent: singleHeader(request, 'traceparent'), tracestate: singleHeader(request, 'tracestate')};
+}
+
 function readTenant(request: IncomingMessage): Result<TenantId, CallRefusal> {
 	const text = singleHeader(request, headerNames.tenant);
 	if (text === undefined) {
--- a/packages/daemon/src/features/calls/upstream-attempt.ts
+++ b/packages/daemon/src/features/calls/upstream-attempt.ts
@@ -5,9 +5,11 @@
  * After it every failure is unknown, except for the upstream's own shed answer.
  */
 import {Buffer} from 'node:buffer';
+import type {UpstreamId} from '@cairnbank/core';
 import type {AttemptResult, RawHeaders} from '@cairnbank/core/outcomes';
 import {headerNames} from '@cairnbank/protocol/headers';
 import type {Dispatcher} from 'undici';
+import type {HopSpan} from '../../tracing/call-trace.js';
 import type {Call} from './call.js';
 
 const shedStatusCode = 503;
@@ -16,6 +18,7 @@
 export type AttemptOptions = {
 	readonly call: Call;
 	readonly dispatcher: Dispatcher;
+	readonly upstream: UpstreamId;
 	readonly remainingMs: number;
 	/** Answers up to this size are held whole. */
 	readonly heldAnswerBytes: number;
@@ -34,6 +37,7 @@
 class UpstreamAttempt implements Dispatcher.DispatchHandler {
 	readonly #options: AttemptOptions;
 	readonly #resolve: (result: AttemptResult) => void;
+	readonly #hop: HopSpan;
 	#controller: Dispatcher.DispatchController | undefined;
 	#stopListening: (() => void) | undefined;
 	#timer: NodeJS.Timeout | undefined;
@@ -49,6 +53,7 @@
 
 	constructor(options: AttemptOptions, resolve: (result: AttemptResult) => void) {
 		this.#options = options;
+		this.#hop = options.call.trace.hop('attempt', {upstream: options.upstream});
 		this.#resolve = resolve;
 	}
 
@@ -151,8 +156,13 @@
 	#requestHeaders(): string[] {
 		const {call, remainingMs} = this.#options;
 		const headers = [...call.headers, headerNames.deadlineMs, String(Math.floor(remainingMs))];
-		if (call.traceparent !== undefined) {
-			headers.push('traceparent', call.traceparent);
+		const {traceparent, tracestate} = this.#hop.headers;
+		if (traceparent !== undefined) {
+			headers.push('traceparent', traceparent);
+		}
+
+		if (tracestate !== undefined) {
+			headers.push('tracestate', tracestate);
 		}
 
 		return headers;
@@ -212,6 +222,7 @@
 		this.#settled = true;
 		clearTimeout(this.#timer);
 		this.#stopListening?.();
+		this.#hop.end(result.type);
 		this.#resolve(result);
 	}
 }
--- a/packages/daemon/src/kernel/daemon-context.ts
+++ b/packages/daemon/src/kernel/daemon-context.ts
@@ -1,9 +1,9 @@
 /** What every feature of the daemon is given. */
 import type {Clock, IncarnationId, RandomSource} from '@cairnbank/core';
-import type {Tracer} from '@opentelemetry/api';
 import type {Registry} from 'prom-client';
 import type {Logger} from '../logging/create-logger.js';
 import type {Settings} from '../settings/settings.js';
+import type {Tracing} from '../tracing/create-tracing.js';
 import type {MessageBus} from './message-bus.js';
 
 export type DaemonContext = {
@@ -14,5 +14,5 @@
 	readonly bus: MessageBus;
 	readonly logger: Logger;
 	readonly metrics: Registry;
-	readonly tracer: Tracer;
+	readonly tracing: Tracing;
 };
--- a/packages/daemon/src/tracing/create-tracing.ts
+++ b/packages/daemon/src/tracing/create-tracing.ts
@@ -1,33 +1,46 @@
-/** Spans for each hop, exported as OTLP over HTTP; a no-op tracer where no collector is set. */
-import {trace, type Tracer} from '@opentelemetry/api';
+/** Spans for each hop, exported as OTLP over HTTP; without a collector no span is ever made. */
+import {ROOT_CONTEXT, SpanKind, type Tracer} from '@opentelemetry/api';
 import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
 import {resourceFromAttributes} from '@opentelemetry/resources';
 import {
 	BasicTracerProvider, BatchSpanProcessor, ParentBasedSampler, TraceIdRatioBasedSampler,
 } from '@opentelemetry/sdk-trace-base';
 import type {Settings} from '../settings/settings.js';
+import type {CallTrace, HopAttributes, TraceHeaders} from './call-trace.js';
+import {extractContext, SampledTrace} from './sampled-trace.js';
+import {unsampledTrace} from './unsampled-trace.js';
 
 const tracerName = 'cairnbankd';
 
 export type Tracing = {
-	readonly tracer: Tracer;
-	/** Whether spans are made at all. */
-	readonly enabled: boolean;
+	/** Starts the trace of one call below the context that its headers carry. */
+	startEntry(headers: TraceHeaders, attributes: HopAttributes): CallTrace;
 	/** Sends what is still buffered. */
 	shutdown(): Promise<void>;
 };
 
-export function createTracing(settings: Settings): Tracing {
-	const {collectorUrl, samplingRatio} = settings.tracing;
+export type TracingOptions = Pick<Settings, 'instanceId' | 'tracing'>;
+
+export function createTracing(options: TracingOptions): Tracing {
+	const {collectorUrl, samplingRatio} = options.tracing;
 	if (collectorUrl === undefined) {
-		// The API's own tracer makes non-recording spans while no provider is registered.
-		return {tracer: trace.getTracer(tracerName), enabled: false, async shutdown() {/* Nothing is buffered. */}};
+		return {startEntry: headers => unsampledTrace(headers), async shutdown() {/* Nothing is buffered. */}};
 	}
 
 	const provider = new BasicTracerProvider({
-		resource: resourceFromAttributes({'service.name': tracerName, 'service.instance.id': settings.instanceId}),
+		resource: resourceFromAttributes({'service.name': tracerName, 'service.instance.id': options.instanceId}),
 		sampler: new ParentBasedSampler({root: new TraceIdRatioBasedSampler(samplingRatio)}),
 		spanProcessors: [new BatchSpanProcessor(new OTLPTraceExporter({url: collectorUrl}))],
 	});
-	return {tracer: provider.getTracer(tracerName), enabled: true, shutdown: async () => provider.shutdown()};
+	const tracer = provider.getTracer(tracerName);
+	return {
+		startEntry: (headers, attributes) => startEntry(tracer, headers, attributes),
+		shutdown: async () => provider.shutdown(),
+	};
+}
+
+function startEntry(tracer: Tracer, headers: TraceHeaders, attributes: HopAttributes): CallTrace {
+	const parent = extractContext(ROOT_CONTEXT, headers);
+	const entry = tracer.startSpan('entry', {kind: SpanKind.SERVER, attributes}, parent);
+	return entry.isRecording() ? new SampledTrace(tracer, entry, parent) : unsampledTrace(headers);
 }
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -25,7 +25,6 @@
 /** Builds a daemon; nothing is opened before its start. */
 export function wireDaemon(settings: Settings): Daemon {
 	const incarnation = uuid();
-	const tracing = createTracing(settings);
 	const context: DaemonContext = {
 		settings,
 		incarnation: incarnationIdSchema.parse(incarnation),
@@ -34,7 +33,7 @@
 		bus: new MessageBus(),
 		logger: createLogger({level: settings.logging.level, instance: settings.instanceId}),
 		metrics: new Registry(),
-		tracer: tracing.tracer,
+		tracing: createTracing(settings),
 	};
 	const log = new HttpLogClient({url: settings.log.url, timeoutMs: settings.log.timeoutMs});
 	const upstreams = new UpstreamsTask(context);
