--- a/packages/core/src/routing/candidate-filter.ts
+++ b/packages/core/src/routing/candidate-filter.ts
@@ -15,6 +15,9 @@
 	readonly hasRoom: (state: UpstreamState, nowMs: number) => boolean;
 };
 
+/** Enough to choose from; a larger service costs no more. */
+const maximumCandidates = 64;
+
 /** Keeps its list between calls, so that a choice allocates nothing. */
 export class CandidateFilter {
 	readonly candidates: UpstreamState[] = [];
@@ -29,19 +32,7 @@
 	fill(states: readonly UpstreamState[], request: ChooseRequest): NoUpstreamReason | undefined {
 		this.candidates.length = 0;
 		this.#ramping.length = 0;
-		let isAnyAtLimit = false;
-		for (const state of states) {
-			if (!isEligible(state, request.excluded, request.nowMs)) {
-				continue;
-			}
-
-			if (state.limit.admits(state.inFlight, request.nowMs)) {
-				this.#add(state, request.nowMs);
-			} else {
-				isAnyAtLimit = true;
-			}
-		}
-
+		const isAnyAtLimit = this.#scan(states, request);
 		if (this.candidates.length === 0) {
 			this.candidates.push(...this.#ramping);
 		}
@@ -54,6 +45,27 @@
 		return isAnyAtLimit ? 'at-limit' : 'no-upstream';
 	}
 
+	/** Looks at all upstreams, or from a random place at as many as give enough candidates. */
+	#scan(states: readonly UpstreamState[], {excluded, nowMs}: ChooseRequest): boolean {
+		let isAnyAtLimit = false;
+		let index = states.length > maximumCandidates ? this.#options.random.below(states.length) : 0;
+		for (let seen = 0; seen < states.length && this.candidates.length < maximumCandidates; seen++) {
+			const state = states[index]!;
+			index = index + 1 === states.length ? 0 : index + 1;
+			if (!isEligible(state, excluded, nowMs)) {
+				continue;
+			}
+
+			if (state.limit.admits(state.inFlight, nowMs)) {
+				this.#add(state, nowMs);
+			} else {
+				isAnyAtLimit = true;
+			}
+		}
+
+		return isAnyAtLimit;
+	}
+
 	#add(state: UpstreamState, nowMs: number): void {
 		const {slowStartMs, random} = this.#options;
 		const share = slowStartShare(state, slowStartMs, nowMs);
@@ -77,5 +89,5 @@
 }
 
 function isEligible(state: UpstreamState, excluded: ReadonlySet<UpstreamId>, nowMs: number): boolean {
-	return state.isAvailable(nowMs) && !excluded.has(state.upstream.id);
+	return state.isAvailable(nowMs) && (excluded.size === 0 || !excluded.has(state.upstream.id));
 }
