Send times of own requests are kept per upstream

Cause: own evidence ended with the last answer; a request that is still out and late said nothing. Change: onSent takes the time, onEnded the time of sending; an upstream's state knows its oldest request in flight.

--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -3,6 +3,7 @@
 export type * from './choice.js';
 export type * from './choose-request.js';
 export * from './connection-share.js';
+export type * from './ended-attempt.js';
 export * from './hash-text.js';
 export * from './home-assignment.js';
 export type * from './load-report.js';
--- a/packages/core/src/routing/upstream-selector.spec.ts
+++ b/packages/core/src/routing/upstream-selector.spec.ts
@@ -59,9 +59,11 @@
 
 function end(selector: UpstreamSelector, upstream: UpstreamId, ended: {latencyMs?: number; signal?: AttemptSignal; nowMs?: number; inFlight?: number}): void {
 	const {latencyMs = 10, signal = 'success', nowMs = 0, inFlight} = ended;
-	selector.onSent(upstream);
+	const sentAtMs = nowMs - latencyMs;
+	selector.onSent(upstream, sentAtMs);
+	const report = inFlight === undefined ? undefined : {inFlight};
 	selector.onEnded(upstream, {
-		latencyMs, signal, nowMs, ...(inFlight === undefined ? {} : {report: {inFlight}}),
+		sentAtMs, signal, nowMs, ...(report && {report}),
 	});
 }
 
@@ -83,7 +85,7 @@
 
 /** Plays a history and checks every choice in it. */
 function play(selector: UpstreamSelector, played: readonly Step[]): void {
-	const open: UpstreamId[] = [];
+	const open: Array<{upstream: UpstreamId; sentAtMs: number}> = [];
 	let nowMs = 0;
 	for (const {upstream, action, signal, excluded, afterMs} of played) {
 		nowMs += afterMs;
@@ -93,8 +95,8 @@
 				if (chosen !== undefined) {
 					assertUsable(selector, chosen, nowMs);
 					assert.notEqual(chosen, upstreamId(excluded));
-					selector.onSent(chosen);
-					open.push(chosen);
+					selector.onSent(chosen, nowMs);
+					open.push({upstream: chosen, sentAtMs: nowMs});
 				}
 
 				break;
@@ -103,8 +105,8 @@
 			case 'end': {
 				const ended = open.shift();
 				if (ended !== undefined) {
-					selector.onEnded(ended, {
-						latencyMs: 5, signal, nowMs, report: {inFlight: upstream},
+					selector.onEnded(ended.upstream, {
+						sentAtMs: ended.sentAtMs, signal, nowMs, report: {inFlight: upstream},
 					});
 				}
 
@@ -213,7 +215,7 @@
 	describe('configuration', () => {
 		it('should keep what is in flight over a change and ramp what is new', () => {
 			const before = selectorOf({policy: {type: 'random'}});
-			before.onSent(upstreamId(0));
+			before.onSent(upstreamId(0), 0);
 			const after = selectorOf({policy: {type: 'random'}}, {service: serviceOf(5), previous: before, nowMs: 1000});
 			assert.equal(after.stateOf(upstreamId(0))?.inFlight, 1);
 			const early = countChoices(after, 1001, 2000).get(upstreamId(4)) ?? 0;
@@ -234,7 +236,7 @@
 		it('should say whether waiting helps', () => {
 			const selector = selectorOf({policy: {type: 'random'}}, {service: serviceOf(1)});
 			for (let sent = 0; sent < 3; sent++) {
-				selector.onSent(upstreamId(0));
+				selector.onSent(upstreamId(0), 0);
 			}
 
 			assert.deepEqual(selector.choose({priority: 5, excluded: nobody, nowMs: 0}), {type: 'none', reason: 'at-limit'});
--- a/packages/core/src/routing/upstream-selector.ts
+++ b/packages/core/src/routing/upstream-selector.ts
@@ -5,6 +5,7 @@
 import type {ServiceRules} from '../model/service-rules.js';
 import {believedInFlight} from './aged-load.js';
 import type {AttemptSignal} from './attempt-signal.js';
+import type {EndedAttempt} from './ended-attempt.js';
 import {CandidateFilter} from './candidate-filter.js';
 import type {Choice} from './choice.js';
 import type {ChooseRequest} from './choose-request.js';
@@ -91,23 +92,19 @@
 		return {type: 'chosen', upstream: state.upstream.id};
 	}
 
-	onSent(upstream: UpstreamId): void {
-		const state = this.#byId.get(upstream);
-		if (state !== undefined) {
-			state.inFlight++;
-		}
+	onSent(upstream: UpstreamId, nowMs: number): void {
+		this.#byId.get(upstream)?.onSent(nowMs);
 	}
 
-	/** Once for each `onSent`. */
-	onEnded(upstream: UpstreamId, ended: {latencyMs: number; signal: AttemptSignal; nowMs: number; report?: LoadReport}): void {
+	/** Once for each `onSent`, with the time that it was given. */
+	onEnded(upstream: UpstreamId, ended: EndedAttempt): void {
 		const state = this.#byId.get(upstream);
 		if (state === undefined) {
 			return;
 		}
 
-		state.inFlight = Math.max(0, state.inFlight - 1);
-		state.lastEndedAtMs = ended.nowMs;
-		this.#onSignal(state, ended.signal, ended.latencyMs, ended.nowMs);
+		state.onEnded(ended.sentAtMs);
+		this.#onSignal(state, ended.signal, ended.nowMs - ended.sentAtMs, ended.nowMs);
 		if (ended.report !== undefined) {
 			this.#onReport(state, ended.report, ended.nowMs);
 		}
--- a/packages/core/src/routing/upstream-state.ts
+++ b/packages/core/src/routing/upstream-state.ts
@@ -6,8 +6,6 @@
 const latencySampleWeight = 0.2;
 
 export class UpstreamState {
-	/** Requests of this instance that the upstream holds. */
-	inFlight = 0;
 	isDraining = false;
 	/** When it began to take work anew; absent for those known since the start. */
 	rampStartMs: number | undefined;
@@ -18,15 +16,37 @@
 	/** Requests of others at the time of the last report. */
 	othersInFlight = 0;
 	reportAtMs = Number.NEGATIVE_INFINITY;
-	lastEndedAtMs = Number.NEGATIVE_INFINITY;
 	/** Time to a whole answer; a failure or a refusal counts as slow, however fast it came. */
 	readonly latencyMs = new DecayingMean(latencySampleWeight);
 	readonly limit: AdaptiveLimit;
+	/** In the order of sending. */
+	readonly #sentAtMs: number[] = [];
 
 	constructor(public upstream: Upstream, connectionShare: number) {
 		this.limit = new AdaptiveLimit(upstream.slots, connectionShare);
 	}
 
+	/** Requests of this instance that the upstream holds. */
+	get inFlight(): number {
+		return this.#sentAtMs.length;
+	}
+
+	/** When the oldest of them was sent. */
+	get oldestSentAtMs(): number | undefined {
+		return this.#sentAtMs[0];
+	}
+
+	onSent(nowMs: number): void {
+		this.#sentAtMs.push(nowMs);
+	}
+
+	onEnded(sentAtMs: number): void {
+		const index = this.#sentAtMs.indexOf(sentAtMs);
+		if (index !== -1) {
+			this.#sentAtMs.splice(index, 1);
+		}
+	}
+
 	/** Takes in a report; the count of others leaves out this instance's own requests. */
 	onReport(inFlight: number, nowMs: number): void {
 		this.othersInFlight = Math.max(0, inFlight - this.inFlight);
--- a/packages/testing/src/choice-cost/measure-choice.ts
+++ b/packages/testing/src/choice-cost/measure-choice.ts
@@ -27,21 +27,21 @@
 /** Sends choices around: each request ends after the next few dozen, with a report. */
 function runChoices(selector: UpstreamSelector, startMs: number): void {
 	const excluded: ReadonlySet<UpstreamId> = new Set();
-	const open: UpstreamId[] = [];
+	const open: Array<{upstream: UpstreamId; sentAtMs: number}> = [];
 	for (let index = 0; index < choicesPerRepeat; index++) {
 		const nowMs = startMs + (index * msBetweenChoices);
 		const choice = selector.choose({priority: 5, excluded, nowMs});
 		if (choice.type === 'chosen') {
-			selector.onSent(choice.upstream);
-			open.push(choice.upstream);
+			selector.onSent(choice.upstream, nowMs);
+			open.push({upstream: choice.upstream, sentAtMs: nowMs});
 		}
 
 		if (open.length > inFlightAtOnce) {
-			const upstream = open[index % open.length]!;
+			const {upstream, sentAtMs} = open[index % open.length]!;
 			open[index % open.length] = open.at(-1)!;
 			open.pop();
 			selector.onEnded(upstream, {
-				latencyMs: 5 + (index % 7), signal: 'success', nowMs, report: {inFlight: index % 4},
+				sentAtMs, nowMs, signal: 'success', report: {inFlight: index % 4},
 			});
 		}
 	}
