--- a/packages/core/src/poison/suspect-table.spec.ts
+++ b/packages/core/src/poison/suspect-table.spec.ts
@@ -58,6 +58,7 @@
 			table.merge([peer.endedWell(poison)!]);
 			assert.deepEqual(table.decide(poison), {type: 'run'});
 			assert.deepEqual(peer.decide(poison), {type: 'run'});
+			assert.deepEqual([table.blamesAny, peer.blamesAny], [false, false]);
 		});
 
 		it('should allow the next run once a trial ended without proof', () => {
@@ -129,7 +130,9 @@
 	it('should forget after its memory time', () => {
 		table.crashed(poison, first);
 		clock.advance(defaultPoisonSettings.memoryMs + 1);
+		assert.equal(table.blamesAny, true);
 		assert.deepEqual(table.toShare(8), []);
+		assert.equal(table.blamesAny, false);
 	});
 });
 
--- a/packages/core/src/poison/suspect-table.ts
+++ b/packages/core/src/poison/suspect-table.ts
@@ -17,12 +17,13 @@
 	return countCrashes(left) - countCrashes(right) || lastChangeMs(left) - lastChangeMs(right);
 }
 
-/** Bounded table of suspects; empty on an ordinary day, so that no request needs a fingerprint. */
+/** Bounded table of suspects; blames nobody on an ordinary day, so that no request needs a fingerprint. */
 export class SuspectTable {
 	readonly #clock: Clock;
 	readonly #instance: InstanceId;
 	readonly #settings: PoisonSettings;
 	readonly #suspects = new Map<Fingerprint, Suspect>();
+	#blamedCount = 0;
 
 	constructor(clock: Clock, instance: InstanceId, settings: PoisonSettings = defaultPoisonSettings) {
 		this.#clock = clock;
@@ -34,6 +35,11 @@
 		return this.#suspects.size;
 	}
 
+	/** Whether any request is blamed; only then requests need a fingerprint. */
+	get blamesAny(): boolean {
+		return this.#blamedCount > 0;
+	}
+
 	/** Decides whether a request may run. */
 	decide(fingerprint: Fingerprint): PoisonDecision {
 		const suspect = this.#suspects.get(fingerprint);
@@ -128,7 +134,9 @@
 	}
 
 	#put(suspect: Suspect): Suspect {
+		this.#delete(suspect.fingerprint);
 		this.#suspects.set(suspect.fingerprint, suspect);
+		this.#blamedCount += suspect.crashes.length > 0 ? 1 : 0;
 		if (this.#suspects.size > this.#settings.maximumSuspects) {
 			this.#dropForgotten();
 			this.#dropLeastSuspicious();
@@ -137,6 +145,12 @@
 		return suspect;
 	}
 
+	#delete(fingerprint: Fingerprint): void {
+		const wasBlamed = (this.#suspects.get(fingerprint)?.crashes.length ?? 0) > 0;
+		this.#blamedCount -= wasBlamed ? 1 : 0;
+		this.#suspects.delete(fingerprint);
+	}
+
 	#withTrialEnded(suspect: Suspect): Suspect {
 		const {trial} = suspect;
 		if (trial?.instance !== this.#instance) {
@@ -150,7 +164,7 @@
 		const oldestMs = this.#nowMs() - this.#settings.memoryMs;
 		for (const suspect of this.#suspects.values()) {
 			if (lastChangeMs(suspect) < oldestMs) {
-				this.#suspects.delete(suspect.fingerprint);
+				this.#delete(suspect.fingerprint);
 			}
 		}
 	}
@@ -159,7 +173,7 @@
 		const excess = this.#suspects.size - this.#settings.maximumSuspects;
 		const sorted = [...this.#suspects.values()].sort(compareSuspicion);
 		for (const suspect of sorted.slice(0, Math.max(0, excess))) {
-			this.#suspects.delete(suspect.fingerprint);
+			this.#delete(suspect.fingerprint);
 		}
 	}
 }
