--- a/packages/core/src/poison/index.ts
+++ b/packages/core/src/poison/index.ts
@@ -1,5 +1,5 @@
 export * from './count-crashes.js';
-export * from './crash-detector.js';
+export * from './crash-verdict.js';
 export * from './fingerprint.js';
 export * from './merge-suspects.js';
 export type * from './poison-decision.js';
