Attempt loop with retries, hedges, deadlines and the poison guard

One loop per call owns its deadline timer and its cancellation and asks the pure decision what follows. An answer that ends with its connection is not taken for whole: undici 7 reports such an answer as ended also after a reset (seen with a reset after half the body). An attempt that was given up while it queued for a connection no longer closes that connection. Callers of broken answers get a reset in place of a close.

--- /dev/null
+++ b/packages/daemon/src/features/calls/attempt-loop.ts
@@ -0,0 +1,249 @@
+/** Drives the attempts of one call: the first, its retries or hedge, and their end in one outcome. */
+import type {UpstreamId} from '@cairnbank/core';
+import type {AttemptResult, Outcome} from '@cairnbank/core/outcomes';
+import {
+	type Attempt, type AttemptEnd, type AttemptKind, finalOutcome, hedgeDelayMs, nextStep, remainingMs, type RetryPolicy,
+} from '@cairnbank/core/retries';
+import type {ChosenUpstream} from '../upstreams/upstreams-task.js';
+import type {AttemptParts} from './attempt-parts.js';
+import type {Call} from './call.js';
+import type {ClassHedging} from './call-budgets.js';
+import {type CancelReason, UpstreamAttempt} from './upstream-attempt.js';
+
+/** An attempt with the means to cancel it. */
+type LoopAttempt = Attempt & {
+	readonly chosen: ChosenUpstream;
+	running?: UpstreamAttempt;
+	end?: AttemptEnd;
+};
+
+const noUpstreams: readonly UpstreamId[] = [];
+
+export class AttemptLoop {
+	readonly #call: Call;
+	readonly #parts: AttemptParts;
+	readonly #attempts: LoopAttempt[] = [];
+	readonly #hedging: ClassHedging | undefined;
+	#policy: RetryPolicy;
+	#resolve: ((outcome: Outcome) => void) | undefined;
+	#timer: NodeJS.Timeout | undefined;
+	#stopListening: (() => void) | undefined;
+
+	constructor(call: Call, parts: AttemptParts) {
+		this.#call = call;
+		this.#parts = parts;
+		this.#hedging = parts.budgets.hedging(call.requestClass);
+		this.#policy = this.#makePolicy();
+	}
+
+	/** Runs the call to its one outcome. */
+	async run(): Promise<Outcome> {
+		if (this.#parts.heldAnswers.isFull) {
+			return {type: 'not-run', reason: 'answers-held-full'};
+		}
+
+		if (this.#call.cancellation.cancelled) {
+			return {type: 'not-run', reason: 'caller-gone'};
+		}
+
+		if (remainingMs(this.#call.deadlineAtMs, this.#parts.clock.monotonicMs()) === undefined) {
+			return {type: 'not-run', reason: 'deadline-exceeded'};
+		}
+
+		return new Promise(resolve => {
+			this.#resolve = resolve;
+			this.#begin();
+		});
+	}
+
+	#makePolicy(): RetryPolicy {
+		const {idempotent, deadlineAtMs, service, requestClass, trial} = this.#call;
+		const policy = {
+			idempotent,
+			deadlineAtMs,
+			maximumAttempts: service.rules.retries.maximumAttempts,
+			retryBudget: this.#parts.budgets.retries(service),
+		};
+		const hedging = trial === undefined ? this.#hedging : undefined;
+		const delayMs = hedging && hedgeDelayMs(requestClass.hedging, hedging.latencies);
+		return hedging === undefined || delayMs === undefined ? policy : {...policy, hedging: {delayMs, budget: hedging.budget}};
+	}
+
+	#begin(): void {
+		const nowMs = this.#parts.clock.monotonicMs();
+		this.#policy.retryBudget.deposit(nowMs);
+		this.#hedging?.budget.deposit(nowMs);
+		this.#stopListening = this.#call.cancellation.onCancel(() => {
+			this.#giveUp('caller-gone');
+		});
+		this.#arm(this.#call.deadlineAtMs, nowMs);
+		if (this.#start('first', noUpstreams)) {
+			this.#step();
+		} else {
+			this.#finish(finalOutcome(this.#attempts));
+		}
+	}
+
+	/** @returns false where no upstream can be had */
+	#start(kind: AttemptKind, excluding: readonly UpstreamId[]): boolean {
+		const {call: {service, serviceId, trial}} = {call: this.#call};
+		const nowMs = this.#parts.clock.monotonicMs();
+		const left = remainingMs(this.#call.deadlineAtMs, nowMs);
+		const chosen = left === undefined ? undefined : this.#parts.choose(service, new Set([...excluding, ...trial?.excluding ?? noUpstreams]));
+		if (left === undefined || chosen === undefined) {
+			return false;
+		}
+
+		trial?.begin(chosen.upstream.id);
+		this.#parts.metrics.attempted(serviceId, kind);
+		const attempt: LoopAttempt = {
+			kind, upstream: chosen.upstream.id, startedAtMs: nowMs, chosen,
+		};
+		attempt.running = this.#makeAttempt(attempt, left);
+		this.#attempts.push(attempt);
+		attempt.running.dispatch();
+		return true;
+	}
+
+	#makeAttempt(attempt: LoopAttempt, left: number): UpstreamAttempt {
+		return new UpstreamAttempt({
+			call: this.#call,
+			dispatcher: attempt.chosen.dispatcher,
+			upstream: attempt.upstream,
+			remainingMs: left,
+			heldAnswerBytes: this.#parts.heldAnswerBytes,
+			heldAnswers: this.#parts.heldAnswers,
+			onStream: () => {
+				this.#cancelRunning('caller-gone', attempt);
+			},
+			onEnd: result => {
+				this.#ended(attempt, result);
+			},
+		});
+	}
+
+	#ended(attempt: LoopAttempt, result: AttemptResult): void {
+		const {noRetry} = (attempt.running!);
+		if (this.#resolve === undefined || !isLoss(result)) {
+			this.#close(attempt, {result, noRetry, suspect: false});
+			return;
+		}
+
+		void this.#investigate(attempt, result, noRetry);
+	}
+
+	/** A lost connection may be a crash, and the request its cause. */
+	async #investigate(attempt: LoopAttempt, result: AttemptResult, noRetry: boolean): Promise<void> {
+		const suspect = await this.#parts.crashes.hasCrashed(attempt.chosen);
+		if (suspect) {
+			this.#parts.guard.blame(this.#call, attempt.upstream);
+		}
+
+		if (attempt.end === undefined) {
+			this.#close(attempt, {result, noRetry, suspect});
+		}
+	}
+
+	#close(attempt: LoopAttempt, end: AttemptEnd): void {
+		attempt.end = end;
+		if (end.result.type === 'answered') {
+			this.#hedging?.latencies.record(this.#parts.clock.monotonicMs() - attempt.startedAtMs);
+		}
+
+		if (this.#resolve !== undefined) {
+			this.#step();
+		}
+	}
+
+	#step(): void {
+		const nowMs = this.#parts.clock.monotonicMs();
+		const step = nextStep(this.#attempts, this.#policy, nowMs);
+		switch (step.type) {
+			case 'finish': {
+				this.#finish(step.outcome);
+				break;
+			}
+
+			case 'wait': {
+				this.#arm(step.hedgeAtMs ?? this.#call.deadlineAtMs, nowMs);
+				break;
+			}
+
+			case 'start': {
+				this.#startAnother(step.kind, step.excluding);
+			}
+		}
+	}
+
+	#startAnother(kind: 'retry' | 'hedge', excluding: readonly UpstreamId[]): void {
+		if (this.#start(kind, excluding)) {
+			this.#step();
+		} else if (kind === 'retry') {
+			this.#finish(finalOutcome(this.#attempts));
+		} else {
+			const {hedging: _, ...withoutHedging} = this.#policy;
+			this.#policy = withoutHedging;
+			this.#step();
+		}
+	}
+
+	#arm(atMs: number, nowMs: number): void {
+		clearTimeout(this.#timer);
+		this.#timer = setTimeout(() => {
+			this.#onTimer();
+		}, Math.max(1, Math.ceil(atMs - nowMs)));
+	}
+
+	#onTimer(): void {
+		if (this.#parts.clock.monotonicMs() >= this.#call.deadlineAtMs) {
+			this.#giveUp('deadline-exceeded');
+		} else {
+			this.#step();
+		}
+	}
+
+	#giveUp(reason: CancelReason): void {
+		const resolve = this.#resolve;
+		this.#resolve = undefined;
+		this.#cancelRunning(reason);
+		this.#resolve = resolve;
+		this.#finish(finalOutcome(this.#attempts));
+	}
+
+	#cancelRunning(reason: CancelReason, except?: LoopAttempt): void {
+		for (const attempt of this.#attempts) {
+			if (attempt.end === undefined && attempt !== except) {
+				attempt.running!.cancel(reason);
+			}
+		}
+	}
+
+	#finish(outcome: Outcome): void {
+		const resolve = this.#resolve;
+		if (resolve === undefined) {
+			return;
+		}
+
+		this.#resolve = undefined;
+		clearTimeout(this.#timer);
+		this.#stopListening?.();
+		this.#cancelLosers();
+		this.#parts.metrics.ended(this.#call.serviceId, outcome);
+		resolve(outcome);
+	}
+
+	/** The losers' times count as at least what they took, lest slow answers never show in the quantile. */
+	#cancelLosers(): void {
+		for (const attempt of this.#attempts) {
+			if (attempt.end === undefined) {
+				attempt.running!.cancel('caller-gone');
+				this.#parts.metrics.hedgeCancelled(this.#call.serviceId);
+				this.#hedging?.latencies.record(this.#parts.clock.monotonicMs() - attempt.startedAtMs);
+			}
+		}
+	}
+}
+
+function isLoss(result: AttemptResult): boolean {
+	return result.type === 'unknown' && (result.reason === 'connection-lost' || result.reason === 'answer-truncated');
+}
--- /dev/null
+++ b/packages/daemon/src/features/calls/attempt-parts.ts
@@ -0,0 +1,20 @@
+/** What the attempts of all calls share. */
+import type {Clock, UpstreamId} from '@cairnbank/core';
+import type {ChosenUpstream} from '../upstreams/upstreams-task.js';
+import type {CallBudgets} from './call-budgets.js';
+import type {CallMetrics} from './call-metrics.js';
+import type {CrashWatch} from './crash-watch.js';
+import type {HeldAnswers} from './held-answers.js';
+import type {PoisonGuard} from './poison-guard.js';
+import type {ServiceInForce} from './service-in-force.js';
+
+export type AttemptParts = {
+	readonly clock: Clock;
+	readonly heldAnswerBytes: number;
+	readonly heldAnswers: HeldAnswers;
+	readonly budgets: CallBudgets;
+	readonly crashes: CrashWatch;
+	readonly guard: PoisonGuard;
+	readonly metrics: CallMetrics;
+	choose(service: ServiceInForce, excluded: ReadonlySet<UpstreamId>): ChosenUpstream | undefined;
+};
--- a/packages/daemon/src/features/calls/call.ts
+++ b/packages/daemon/src/features/calls/call.ts
@@ -7,6 +7,7 @@
 import type {AnswerSink} from './answer-sink.js';
 import type {Cancellation} from './cancellation.js';
 import type {ServiceInForce} from './service-in-force.js';
+import type {SuspectTrial} from './suspect-trial.js';
 
 export type Call = {
 	readonly serviceId: ServiceId;
@@ -29,4 +30,6 @@
 	readonly cancellation: Cancellation;
 	/** Takes an answer that is too large to be held whole; absent where the call cannot stream. */
 	readonly sink: AnswerSink | undefined;
+	/** Present where the request is suspected of crashing upstreams. */
+	readonly trial?: SuspectTrial;
 };
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -6,12 +6,14 @@
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
 import {type Result} from 'neverthrow';
+import type {Outcome} from '@cairnbank/core/outcomes';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
 import {closeServer, listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {CallHandler} from './call-handler.js';
 import {Cancellation} from './cancellation.js';
+import type {HeldAnswers} from './held-answers.js';
 import {prepareConfiguration, type ConfigurationInForce} from './configuration-in-force.js';
 import {writeProblem} from './problem.js';
 import {readCall} from './read-call.js';
@@ -24,6 +26,12 @@
 /** Adds the routes of a feature to the caller port. */
 export type CallerRoutes = (app: Hono<CallerEnvironment>) => void;
 
+export type CallerListenerParts = {
+	readonly handler: CallHandler;
+	readonly heldAnswers: HeldAnswers;
+	readonly routes: readonly CallerRoutes[];
+};
+
 /** The system's own routes on the caller port; a service cannot have this name. */
 const ownRoutesPrefix = '/.well-known/';
 const badRequest = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\nCairnbank-Outcome: not-run\r\n\r\n';
@@ -33,15 +41,17 @@
 	readonly name = 'callers';
 	readonly #context: DaemonContext;
 	readonly #handler: CallHandler;
+	readonly #heldAnswers: HeldAnswers;
 	readonly #server: Server;
 	#configuration: ConfigurationInForce | undefined;
 	#inFlight = 0;
 	#leaving = false;
 	#onIdle: (() => void) | undefined;
 
-	constructor(context: DaemonContext, handler: CallHandler, routes: readonly CallerRoutes[]) {
+	constructor(context: DaemonContext, {handler, heldAnswers, routes}: CallerListenerParts) {
 		this.#context = context;
 		this.#handler = handler;
+		this.#heldAnswers = heldAnswers;
 		this.#server = this.#createServer(routes);
 		context.bus.on('configuration-in-force', ({configuration}) => {
 			this.#configuration = prepareConfiguration(configuration);
@@ -121,10 +131,24 @@
 		}
 
 		const outcome = await this.#handler(call.value);
+		this.#holdUntilSent(response, outcome);
 		writeOutcome(response, outcome);
 		call.value.trace.end(outcome.type);
 	}
 
+	/** An answer that a slow caller has yet to take counts as held. */
+	#holdUntilSent(response: ServerResponse, outcome: Outcome): void {
+		if (outcome.type !== 'answered' || response.closed) {
+			return;
+		}
+
+		const {length} = outcome.answer.body;
+		this.#heldAnswers.add(length);
+		response.once('close', () => {
+			this.#heldAnswers.remove(length);
+		});
+	}
+
 	#callEnded(): void {
 		this.#inFlight -= 1;
 		if (this.#inFlight === 0) {
--- a/packages/daemon/src/features/calls/response-sink.ts
+++ b/packages/daemon/src/features/calls/response-sink.ts
@@ -2,7 +2,10 @@
 import type {ServerResponse} from 'node:http';
 import type {RawHeaders} from '@cairnbank/core/outcomes';
 import type {AnswerSink} from './answer-sink.js';
+import {breakOff} from './break-off.js';
+import {contentLengthOf} from './content-length.js';
 import {endToEndHeaders} from './end-to-end-headers.js';
+import {withNoRetryMark} from './no-retry-mark.js';
 
 export class ResponseSink implements AnswerSink {
 	readonly #response: ServerResponse;
@@ -12,7 +15,13 @@
 	}
 
 	begin(statusCode: number, headers: RawHeaders): void {
-		this.#response.writeHead(statusCode, endToEndHeaders(headers));
+		const passedOn = [...withNoRetryMark(statusCode, endToEndHeaders(headers))];
+		const length = contentLengthOf(headers);
+		if (length !== undefined) {
+			passedOn.push('content-length', length);
+		}
+
+		this.#response.writeHead(statusCode, passedOn);
 	}
 
 	write(chunk: Uint8Array): boolean {
@@ -28,6 +37,6 @@
 	}
 
 	abort(): void {
-		this.#response.destroy();
+		breakOff(this.#response);
 	}
 }
--- /dev/null
+++ b/packages/daemon/src/features/calls/suspect-waiters.ts
@@ -0,0 +1,26 @@
+/** Calls that await the end of a trial of the same request. */
+export class SuspectWaiters {
+	#wakers = new Set<() => void>();
+
+	/** Resolves at the next change of the suspects, or after `durationMs`. */
+	async wait(durationMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const wake = () => {
+				clearTimeout(timer);
+				this.#wakers.delete(wake);
+				resolve();
+			};
+
+			const timer = setTimeout(wake, Math.ceil(durationMs));
+			this.#wakers.add(wake);
+		});
+	}
+
+	wake(): void {
+		const wakers = this.#wakers;
+		this.#wakers = new Set();
+		for (const wake of wakers) {
+			wake();
+		}
+	}
+}
--- a/packages/daemon/src/features/calls/upstream-attempt.ts
+++ b/packages/daemon/src/features/calls/upstream-attempt.ts
@@ -10,10 +10,16 @@
 import {headerNames} from '@cairnbank/protocol/headers';
 import type {Dispatcher} from 'undici';
 import type {HopSpan} from '../../tracing/call-trace.js';
+import {isDelimited, type AnswerHeaders} from './answer-framing.js';
 import type {Call} from './call.js';
+import type {HeldAnswers} from './held-answers.js';
+import {retryAfterMs} from './retry-after.js';
 
 const shedStatusCode = 503;
-const abandoned = 'attempt abandoned';
+const firstFinalStatusCode = 200;
+
+/** Why an attempt is given up before its upstream answered. */
+export type CancelReason = 'caller-gone' | 'deadline-exceeded';
 
 export type AttemptOptions = {
 	readonly call: Call;
@@ -22,49 +28,42 @@
 	readonly remainingMs: number;
 	/** Answers up to this size are held whole. */
 	readonly heldAnswerBytes: number;
+	readonly heldAnswers: HeldAnswers;
 	/** Sees the answer's head, for drain marks and load reports. */
-	readonly onHead?: (headers: Record<string, string | string[] | undefined>) => void;
+	readonly onHead?: (headers: AnswerHeaders) => void;
+	/** The answer is too large to be held and goes to the caller from now on. */
+	readonly onStream: () => void;
+	readonly onEnd: (result: AttemptResult) => void;
 };
 
-/** Sends the call's request and collects the answer. */
-export async function attemptUpstream(options: AttemptOptions): Promise<AttemptResult> {
-	return new Promise(resolve => {
-		const attempt = new UpstreamAttempt(options, resolve);
-		attempt.dispatch();
-	});
-}
-
-class UpstreamAttempt implements Dispatcher.DispatchHandler {
+export class UpstreamAttempt implements Dispatcher.DispatchHandler {
 	readonly #options: AttemptOptions;
-	readonly #resolve: (result: AttemptResult) => void;
 	readonly #hop: HopSpan;
 	#controller: Dispatcher.DispatchController | undefined;
-	#stopListening: (() => void) | undefined;
-	#timer: NodeJS.Timeout | undefined;
 	#started = false;
 	#settled = false;
 	#streaming = false;
 	#statusCode = 0;
 	#headers: RawHeaders = [];
+	#shedRetryAfterMs: number | undefined;
 	#shed = false;
-	#paused = false;
+	#noRetry = false;
 	#chunks: Uint8Array[] = [];
 	#heldBytes = 0;
 
-	constructor(options: AttemptOptions, resolve: (result: AttemptResult) => void) {
+	constructor(options: AttemptOptions) {
 		this.#options = options;
 		this.#hop = options.call.trace.hop('attempt', {upstream: options.upstream});
-		this.#resolve = resolve;
 	}
 
+	/** Whether the answer was marked as the end of a retried path. */
+	get noRetry(): boolean {
+		return this.#noRetry;
+	}
+
+	/** Sends the request; `onEnd` is called exactly once, before or after this returns. */
 	dispatch(): void {
-		const {call, dispatcher, remainingMs} = this.#options;
-		this.#stopListening = call.cancellation.onCancel(() => {
-			this.#giveUp('caller-gone');
-		});
-		this.#timer = setTimeout(() => {
-			this.#giveUp('deadline-exceeded');
-		}, remainingMs);
+		const {call, dispatcher} = this.#options;
 		dispatcher.dispatch({
 			path: call.path,
 			method: call.method,
@@ -76,16 +75,32 @@
 		}, this);
 	}
 
-	onRequestStart(controller: Dispatcher.DispatchController): void {
+	/** Gives the attempt up and closes its connection if the request may be on it. */
+	cancel(reason: CancelReason): void {
 		if (this.#settled) {
-			controller.abort(new Error('attempt already ended'));
 			return;
 		}
 
+		if (this.#streaming) {
+			this.#options.call.sink!.abort();
+			this.#settle({type: 'broken-off'});
+		} else {
+			this.#settle(this.#started ? {type: 'unknown', reason} : {type: 'not-run', reason});
+		}
+
+		this.#controller?.abort(new Error('attempt given up'));
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		if (this.#settled) {
+			// A throw ends this request alone; an abort would close the unused connection as well.
+			throw new Error('attempt was given up before its connection was free');
+		}
+
 		if (this.#started) {
 			// A second start would mean that the library sends again what may already have run.
-			controller.abort(new Error('request must not be sent twice'));
 			this.#settle({type: 'unknown', reason: 'connection-lost'});
+			controller.abort(new Error('request must not be sent twice'));
 			return;
 		}
 
@@ -93,14 +108,25 @@
 		this.#controller = controller;
 	}
 
-	onResponseStart(controller: Dispatcher.DispatchController, statusCode: number, headers: Record<string, string | string[] | undefined>): void {
-		if (statusCode < 200) {
+	onResponseStart(controller: Dispatcher.DispatchController, statusCode: number, headers: AnswerHeaders): void {
+		if (statusCode < firstFinalStatusCode || this.#settled) {
 			return;
 		}
 
 		this.#statusCode = statusCode;
+		this.#noRetry = headers[headerNames.noRetry] !== undefined;
+		if (!isDelimited(this.#options.call.method, statusCode, headers)) {
+			this.#settle({type: 'unknown', reason: 'answer-truncated'});
+			controller.abort(new Error('answer without a length'));
+			return;
+		}
+
 		this.#headers = toRawHeaders(controller.rawHeaders as Uint8Array[]);
-		this.#shed = statusCode === shedStatusCode && headers[headerNames.outcome] === 'not-run';
+		if (statusCode === shedStatusCode && headers[headerNames.outcome] === 'not-run') {
+			this.#shed = true;
+			this.#shedRetryAfterMs = retryAfterMs(headers['retry-after']);
+		}
+
 		this.#options.onHead?.(headers);
 	}
 
@@ -116,46 +142,54 @@
 
 		this.#chunks.push(chunk);
 		this.#heldBytes += chunk.length;
-		if (this.#heldBytes > this.#options.heldAnswerBytes) {
+		this.#options.heldAnswers.add(chunk.length);
+		if (this.#heldBytes > this.#options.heldAnswerBytes || this.#options.heldAnswers.isFull) {
 			this.#beginStreaming(controller);
 		}
 	}
 
 	onResponseEnd(): void {
-		if (this.#streaming) {
-			this.#options.call.sink!.end();
-			this.#settle({type: 'streamed', statusCode: this.#statusCode});
+		if (this.#settled) {
 			return;
 		}
 
-		if (this.#shed) {
-			this.#settle({type: 'not-run', reason: 'shed-by-upstream'});
+		if (this.#streaming) {
+			this.#options.call.sink!.end();
+			this.#settle({type: 'streamed', statusCode: this.#statusCode});
 			return;
 		}
 
-		const body = this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks);
-		this.#settle({type: 'answered', answer: {statusCode: this.#statusCode, headers: this.#headers, body}});
+		this.#settle(this.#shed ? this.#shedResult() : this.#wholeAnswer());
 	}
 
 	onResponseError(): void {
-		if (this.#streaming && !this.#settled) {
-			this.#options.call.sink!.abort();
-			this.#settle({type: 'broken-off'});
+		if (this.#settled) {
 			return;
 		}
 
-		if (!this.#started) {
+		if (this.#streaming) {
+			this.#options.call.sink!.abort();
+			this.#settle({type: 'broken-off'});
+		} else if (this.#started) {
+			this.#settle({type: 'unknown', reason: this.#statusCode === 0 ? 'connection-lost' : 'answer-truncated'});
+		} else {
 			this.#settle({type: 'not-run', reason: 'connection-refused'});
-			return;
 		}
+	}
 
-		const reason = this.#statusCode === 0 ? 'connection-lost' : 'answer-truncated';
-		this.#settle({type: 'unknown', reason});
+	#shedResult(): AttemptResult {
+		const waitMs = this.#shedRetryAfterMs;
+		return {type: 'not-run', reason: 'shed-by-upstream', ...(waitMs === undefined ? {} : {retryAfterMs: waitMs})};
+	}
+
+	#wholeAnswer(): AttemptResult {
+		const body = this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks);
+		return {type: 'answered', answer: {statusCode: this.#statusCode, headers: this.#headers, body}};
 	}
 
 	#requestHeaders(): string[] {
 		const {call, remainingMs} = this.#options;
-		const headers = [...call.headers, headerNames.deadlineMs, String(Math.floor(remainingMs))];
+		const headers = [...call.headers, headerNames.deadlineMs, String(remainingMs)];
 		const {traceparent, tracestate} = this.#hop.headers;
 		if (traceparent !== undefined) {
 			headers.push('traceparent', traceparent);
@@ -169,61 +203,44 @@
 	}
 
 	#beginStreaming(controller: Dispatcher.DispatchController): void {
-		const {sink} = this.#options.call;
+		const {call: {sink}, onStream} = this.#options;
 		if (!sink) {
-			controller.abort(new Error('answer too large to be held'));
 			this.#settle({type: 'unknown', reason: 'answer-not-held'});
+			controller.abort(new Error('answer too large to be held'));
 			return;
 		}
 
 		this.#streaming = true;
+		onStream();
 		sink.begin(this.#statusCode, this.#headers);
-		for (const chunk of this.#chunks) {
+		const chunks = this.#chunks;
+		this.#releaseHeld();
+		for (const chunk of chunks) {
 			this.#passOn(controller, chunk);
 		}
-
-		this.#chunks = [];
 	}
 
 	#passOn(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		const sink = this.#options.call.sink!;
-		if (sink.write(chunk) || this.#paused) {
-			return;
+		if (!sink.write(chunk) && !controller.paused) {
+			controller.pause();
+			sink.onDrain(() => {
+				controller.resume();
+			});
 		}
-
-		this.#paused = true;
-		controller.pause();
-		sink.onDrain(() => {
-			this.#paused = false;
-			controller.resume();
-		});
 	}
 
-	#giveUp(reason: 'caller-gone' | 'deadline-exceeded'): void {
-		if (this.#settled) {
-			return;
-		}
-
-		if (this.#streaming) {
-			this.#options.call.sink!.abort();
-			this.#settle({type: 'broken-off'});
-		} else {
-			this.#settle(this.#started ? {type: 'unknown', reason} : {type: 'not-run', reason});
-		}
-
-		this.#controller?.abort(new Error(abandoned));
+	#releaseHeld(): void {
+		this.#options.heldAnswers.remove(this.#heldBytes);
+		this.#heldBytes = 0;
+		this.#chunks = [];
 	}
 
 	#settle(result: AttemptResult): void {
-		if (this.#settled) {
-			return;
-		}
-
 		this.#settled = true;
-		clearTimeout(this.#timer);
-		this.#stopListening?.();
+		this.#releaseHeld();
 		this.#hop.end(result.type);
-		this.#resolve(result);
+		this.#options.onEnd(result);
 	}
 }
 
--- a/packages/daemon/src/features/calls/write-outcome.ts
+++ b/packages/daemon/src/features/calls/write-outcome.ts
@@ -3,10 +3,15 @@
 import type {
 	NotRunReason, Outcome, UnknownReason, WholeAnswer,
 } from '@cairnbank/core/outcomes';
+import {contentLengthOf} from './content-length.js';
 import {endToEndHeaders} from './end-to-end-headers.js';
+import {breakOff} from './break-off.js';
+import {withNoRetryMark} from './no-retry-mark.js';
 import {writeProblem} from './problem.js';
 
 const statusCodes = {unavailable: 503, badGateway: 502, gatewayTimeout: 504} as const;
+const noContent = 204;
+const notModified = 304;
 const defaultRetryAfterMs = 1000;
 
 export function writeOutcome(response: ServerResponse, outcome: Outcome): void {
@@ -21,7 +26,7 @@
 		}
 
 		case 'broken-off': {
-			response.destroy();
+			breakOff(response);
 			break;
 		}
 
@@ -38,17 +43,19 @@
 }
 
 function writeAnswer(response: ServerResponse, answer: WholeAnswer): void {
-	const headers = endToEndHeaders(answer.headers);
-	if (answer.body.length > 0 || !bodiless(response, answer.statusCode)) {
-		headers.push('content-length', String(answer.body.length));
+	const {statusCode, body} = answer;
+	const headers = [...withNoRetryMark(statusCode, endToEndHeaders(answer.headers))];
+	const length = isBodiless(response, statusCode) ? contentLengthOf(answer.headers) : String(body.length);
+	if (length !== undefined) {
+		headers.push('content-length', length);
 	}
 
-	response.writeHead(answer.statusCode, headers);
-	response.end(answer.body);
+	response.writeHead(statusCode, headers);
+	response.end(body);
 }
 
-function bodiless(response: ServerResponse, statusCode: number): boolean {
-	return response.req.method === 'HEAD' || statusCode === 204 || statusCode === 304;
+function isBodiless(response: ServerResponse, statusCode: number): boolean {
+	return response.req.method === 'HEAD' || statusCode === noContent || statusCode === notModified;
 }
 
 function writeNotRun(response: ServerResponse, reason: NotRunReason, retryAfterMs: number | undefined): void {
--- a/packages/daemon/src/features/upstreams/upstreams-task.ts
+++ b/packages/daemon/src/features/upstreams/upstreams-task.ts
@@ -2,7 +2,7 @@
 import type {RandomSource, Upstream, UpstreamId} from '@cairnbank/core';
 import type {ConfigurationState} from '@cairnbank/core/configuration';
 import {ok, type Result} from 'neverthrow';
-import type {Dispatcher} from 'undici';
+import type {Pool} from 'undici';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
@@ -13,7 +13,7 @@
 
 export type ChosenUpstream = {
 	readonly upstream: Upstream;
-	readonly dispatcher: Dispatcher;
+	readonly dispatcher: Pool;
 };
 
 export class UpstreamsTask implements Task {
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -9,7 +9,12 @@
 import {AdminTask} from './features/admin/admin-task.js';
 import {createAttemptHandler} from './features/calls/attempt-handler.js';
 import {composeStages} from './features/calls/call-handler.js';
+import {CallBudgets} from './features/calls/call-budgets.js';
+import {CallMetrics} from './features/calls/call-metrics.js';
 import {CallerListenerTask} from './features/calls/caller-listener-task.js';
+import {CrashWatch} from './features/calls/crash-watch.js';
+import {HeldAnswers} from './features/calls/held-answers.js';
+import {PoisonGuard} from './features/calls/poison-guard.js';
 import {ConfigurationTask} from './features/configuration/configuration-task.js';
 import {inStartOrder} from './features/registry.js';
 import {UpstreamsTask} from './features/upstreams/upstreams-task.js';
@@ -37,16 +42,24 @@
 	};
 	const log = new HttpLogClient({url: settings.log.url, timeoutMs: settings.log.timeoutMs});
 	const upstreams = new UpstreamsTask(context);
-	const handler = composeStages([], createAttemptHandler({
+	const metrics = new CallMetrics(context.metrics);
+	const guard = new PoisonGuard(context, metrics);
+	const heldAnswers = new HeldAnswers(settings.calls.heldAnswersTotalBytes);
+	const handler = composeStages([guard], createAttemptHandler({
 		clock: context.clock,
 		heldAnswerBytes: settings.calls.heldAnswerBytes,
+		heldAnswers,
+		budgets: new CallBudgets(context.clock),
+		crashes: new CrashWatch(),
+		guard,
+		metrics,
 		choose: (service, excluded) => upstreams.choose(service, excluded),
 	}));
 	const tasks = inStartOrder({
 		admin: new AdminTask(context),
 		upstreams,
 		configuration: new ConfigurationTask(context, log),
-		callers: new CallerListenerTask(context, handler, []),
+		callers: new CallerListenerTask(context, {handler, heldAnswers, routes: []}),
 	});
 	return new Daemon(context, tasks);
 }
--- a/packages/testing/src/harness/daemon-process.ts
+++ b/packages/testing/src/harness/daemon-process.ts
@@ -3,7 +3,7 @@
 import {NodeProcess, type JsonLine, type ProcessExit} from './node-process.js';
 
 const script = fileURLToPath(import.meta.resolve('@cairnbank/daemon').replace(/index\.js$/u, 'main.js'));
-const anyPort = '127.0.0.1:0';
+const anyPort = {port: 0};
 
 export const peerSecret = 'peer-secret-of-the-tests';
 export const operatorSecret = 'operator-secret-of-the-tests';
