Calls between daemons: peer port, clients, secrets, control bytes

Cause: gossip, configuration hand-over and forwarded tickets need one authenticated way between daemons. Change: a tRPC router merged from features, each with its file in protocol/peers; the peer port checks the secret in constant time before a body is read, two secrets are accepted; clients with a timeout for each call and typed errors that tell never-reached from not-answered; bytes of control counted at the sockets. Digests carry the poison guard's suspects and can be urgent; the list's word on leaving instances holds only against processes that were there before it. Conclusion: features add procedures by one line in peer-router.

--- a/packages/core/src/membership/gossip-state.spec.ts
+++ b/packages/core/src/membership/gossip-state.spec.ts
@@ -53,7 +53,7 @@
 	const byAddress = new Map(nodes.map(node => [node.table.self.peerAddress, node]));
 	for (const node of nodes) {
 		node.table.beat();
-		const peers = node.table.reachable().map(entry => entry.peerAddress);
+		const peers = node.table.reachable().map(({entry}) => entry.peerAddress);
 		for (const address of node.chooser.next(peers, timing.fanOut)) {
 			const peer = byAddress.get(address);
 			const request = gossipDigestSchema.parse(node.gossip.digest());
@@ -61,8 +61,8 @@
 				node.gossip.merge(gossipDigestSchema.parse(peer.gossip.digest()));
 				peer.gossip.merge(request);
 			} else {
-				const dead = node.table.reachable().find(entry => entry.peerAddress === address);
-				node.gossip.reportUnreachable(dead!.incarnation);
+				const dead = node.table.reachable().find(({entry}) => entry.peerAddress === address);
+				node.gossip.reportUnreachable(dead!.entry.incarnation);
 			}
 		}
 	}
@@ -126,7 +126,7 @@
 		const nodes = fleetOf(19, clock);
 		runRound(nodes, clock);
 		const [dead, ...rest] = nodes;
-		const isGone = () => rest.every(node => !node.table.reachable().some(entry => entry.incarnation === dead!.table.self.incarnation));
+		const isGone = () => rest.every(node => !node.table.reachable().some(({entry}) => entry.incarnation === dead!.table.self.incarnation));
 		assert.ok(runUntil(isGone, 30, () => {
 			runRound(rest, clock);
 		}) <= 10);
--- a/packages/core/src/membership/gossip-state.ts
+++ b/packages/core/src/membership/gossip-state.ts
@@ -1,5 +1,6 @@
 /** Everything that daemons tell each other: members, drain marks and suspects, folded and handed on within bounds. */
 import type {IncarnationId, UpstreamId} from '../model/ids.js';
+import type {Suspect} from '../poison/suspect.js';
 import {ByteBudget} from './byte-budget.js';
 import type {DrainMark} from './drain-mark.js';
 import type {DrainMarkSet} from './drain-mark-set.js';
@@ -7,12 +8,11 @@
 import type {MemberEntry} from './member-entry.js';
 import type {MemberTable} from './member-table.js';
 import {newsTransmissions, type MembershipTiming} from './membership-timing.js';
-import type {PoisonSuspect} from './poison-suspect.js';
 import {Rotation} from './rotation.js';
 import type {Suspicion} from './suspicion.js';
 
 /** Bytes of a digest's field names and brackets. */
-const frameBytes = 110;
+const frameBytes = 140;
 /** Shares of the bytes left at their turn, so that a burst of one kind never crowds out heartbeats. */
 const drainMarkRatio = 0.4;
 const memberRatio = 0.4;
@@ -30,7 +30,7 @@
 export type GossipNews = {
 	readonly members: readonly MemberEntry[];
 	readonly drainMarks: readonly DrainMark[];
-	readonly poisonSuspects: readonly PoisonSuspect[];
+	readonly poisonSuspects: readonly Suspect[];
 };
 
 /** Folds digests and makes digests. */
@@ -100,34 +100,31 @@
 	}
 
 	/** A digest of bounded size: the sender, news, heartbeats, then a rotating part of the rest. */
-	digest(poisonSuspects: readonly PoisonSuspect[] = []): GossipDigest {
-		const {self} = this.#table;
-		const budget = new ByteBudget(this.#timing.digestBytes - frameBytes);
-		budget.take(self);
-		const drainMarks = budget.part(drainMarkRatio, part => this.#takeMarks(this.#markTurns.news(), part));
-		const members = budget.part(memberRatio, part => this.#takeMembers(this.#memberTurns.news(), part));
-		const suspicions = this.#takeSuspicions(budget);
-		const suspects = budget.part(poisonRatio, part => part.takeAll(poisonSuspects));
+	digest(suspects: readonly Suspect[] = []): GossipDigest {
+		const budget = this.#openBudget();
+		const news = this.#takeNews(suspects, budget);
 		const rotatingMark = this.#takeMarks(this.#markTurns.rest().slice(0, 1), budget);
 		const rotatingMember = this.#takeMembers(this.#memberTurns.rest().slice(0, 1), budget);
-		const heartbeats = this.#takeHeartbeats(budget);
 		return {
-			self,
-			wantsAll: false,
-			members: [...members, ...rotatingMember],
-			heartbeats,
-			suspicions,
-			drainMarks: [...drainMarks, ...rotatingMark],
-			poisonSuspects: suspects,
+			...news,
+			members: [...news.members, ...rotatingMember],
+			heartbeats: this.#takeHeartbeats(budget),
+			drainMarks: [...news.drainMarks, ...rotatingMark],
 		};
 	}
 
+	/** Only the sender and news, to be sent between rounds. */
+	urgentDigest(suspects: readonly Suspect[] = []): GossipDigest {
+		return {...this.#takeNews(suspects, this.#openBudget()), urgent: true};
+	}
+
 	/** Everything, for a process that has just started. */
-	wholeDigest(poisonSuspects: readonly PoisonSuspect[] = []): GossipDigest {
+	wholeDigest(poisonSuspects: readonly Suspect[] = []): GossipDigest {
 		const budget = new ByteBudget(wholeDigestBytes);
 		return {
 			self: this.#table.self,
 			wantsAll: false,
+			urgent: false,
 			members: budget.takeAll(this.#table.others().map(member => member.entry)),
 			heartbeats: {},
 			suspicions: [],
@@ -140,6 +137,25 @@
 		return newsTransmissions(this.#table.size);
 	}
 
+	#openBudget(): ByteBudget {
+		const budget = new ByteBudget(this.#timing.digestBytes - frameBytes);
+		budget.take(this.#table.self);
+		return budget;
+	}
+
+	#takeNews(suspects: readonly Suspect[], budget: ByteBudget): GossipDigest {
+		return {
+			self: this.#table.self,
+			wantsAll: false,
+			urgent: false,
+			drainMarks: budget.part(drainMarkRatio, part => this.#takeMarks(this.#markTurns.news(), part)),
+			members: budget.part(memberRatio, part => this.#takeMembers(this.#memberTurns.news(), part)),
+			suspicions: this.#takeSuspicions(budget),
+			poisonSuspects: budget.part(poisonRatio, part => part.takeAll(suspects)),
+			heartbeats: {},
+		};
+	}
+
 	#passOn(suspicion: Suspicion): void {
 		this.#suspicions.set(suspicion.incarnation, {suspicion, left: this.#transmissions});
 	}
--- a/packages/core/src/membership/member-table.spec.ts
+++ b/packages/core/src/membership/member-table.spec.ts
@@ -6,6 +6,7 @@
 	joinEntries, memberEntrySchema, memberStates, type MemberEntry,
 } from './member-entry.js';
 import {MemberTable} from './member-table.js';
+import type {Member} from './member.js';
 import {membershipTimingSchema, suspectAfterMs} from './membership-timing.js';
 
 const timing = membershipTimingSchema.parse({});
@@ -32,8 +33,8 @@
 	return {clock, table: new MemberTable({self: entry(self), clock, timing})};
 }
 
-function incarnations(entries: readonly MemberEntry[]): string[] {
-	return entries.map(({incarnation}) => incarnation).sort();
+function incarnations(members: readonly Member[]): string[] {
+	return members.map(({entry: {incarnation}}) => incarnation).sort();
 }
 
 type Said = Pick<MemberEntry, 'heartbeat' | 'state'> & {incarnation: string};
@@ -95,7 +96,7 @@
 			const {clock, table} = tableOf();
 			table.mergeEntry(entry('a', 5));
 			clock.advance(timing.removeAfterMs + 1);
-			assert.deepEqual(incarnations(table.sweep()), ['a']);
+			assert.deepEqual(table.sweep().map(({incarnation}) => incarnation), ['a']);
 			assert.equal(table.mergeEntry(entry('a', 5)), false);
 			assert.equal(table.size, 1);
 			assert.equal(table.mergeEntry(entry('a', 6)), true);
@@ -120,7 +121,7 @@
 			clock.advance(10);
 			table.mergeEntry(entry('old', 900, {...address, state: 'leaving'}));
 			table.confirmOccupant(entry('new', 2, address));
-			assert.deepEqual(incarnations(table.others().map(member => member.entry)), ['new']);
+			assert.deepEqual(incarnations(table.others()), ['new']);
 			assert.equal(table.mergeEntry(entry('old', 900, address)), false);
 		});
 
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -1,5 +1,4 @@
 /** Which processes of entry instances exist, from gossip and from own exchanges. */
-import type {Address} from '../model/address.js';
 import type {Clock} from '../model/clock.js';
 import type {IncarnationId} from '../model/ids.js';
 import {joinEntries, laterState, type MemberEntry} from './member-entry.js';
@@ -23,15 +22,22 @@
 	readonly #timing: MembershipTiming;
 	readonly #others = new Map<IncarnationId, Member>();
 	readonly #tombstones: Tombstones;
+	readonly #startedAtMs: number;
 	#self: MemberEntry;
 
 	constructor({self, clock, timing}: MemberTableOptions) {
 		this.#self = self;
 		this.#clock = clock;
 		this.#timing = timing;
+		this.#startedAtMs = clock.monotonicMs();
 		this.#tombstones = new Tombstones(clock, timing.tombstoneMs);
 	}
 
+	/** The own process as a member. */
+	get selfMember(): Member {
+		return {entry: this.#self, firstHeardAtMs: this.#startedAtMs, heardAtMs: this.#clock.monotonicMs()};
+	}
+
 	get self(): MemberEntry {
 		return this.#self;
 	}
@@ -72,7 +78,8 @@
 		const known = this.#others.get(entry.incarnation);
 		if (!known) {
 			this.#tombstones.delete(entry.incarnation);
-			this.#others.set(entry.incarnation, {entry, heardAtMs: this.#clock.monotonicMs()});
+			const nowMs = this.#clock.monotonicMs();
+			this.#others.set(entry.incarnation, {entry, firstHeardAtMs: nowMs, heardAtMs: nowMs});
 			return true;
 		}
 
@@ -122,7 +129,9 @@
 			return;
 		}
 
-		this.#others.set(entry.incarnation, {entry: known.entry, heardAtMs: this.#clock.monotonicMs()});
+		this.#others.set(entry.incarnation, {
+			entry: known.entry, firstHeardAtMs: known.firstHeardAtMs, heardAtMs: this.#clock.monotonicMs(),
+		});
 		for (const other of this.others()) {
 			if (other.entry.incarnation !== entry.incarnation && other.entry.peerAddress === entry.peerAddress) {
 				this.#remove(other);
@@ -138,14 +147,12 @@
 	}
 
 	/** Others that are neither suspected nor superseded at their address; they may be leaving. */
-	reachable(): readonly MemberEntry[] {
-		return this.others()
-			.filter(member => !this.isSuspected(member) && this.#isOccupant(member))
-			.map(member => member.entry);
+	reachable(): readonly Member[] {
+		return this.others().filter(member => !this.isSuspected(member) && this.#isOccupant(member));
 	}
 
-	suspected(): readonly MemberEntry[] {
-		return this.others().filter(member => this.isSuspected(member)).map(member => member.entry);
+	suspected(): readonly Member[] {
+		return this.others().filter(member => this.isSuspected(member));
 	}
 
 	/** Removes what has been silent for long. @returns the removed */
@@ -160,12 +167,6 @@
 		return silent.map(member => member.entry);
 	}
 
-	/** Of several incarnations at one address, the one whose heartbeat rose last. */
-	occupant(callerAddress: Address): MemberEntry | undefined {
-		const atAddress = this.others().filter(member => member.entry.callerAddress === callerAddress);
-		return atAddress.find(member => this.#isOccupant(member))?.entry;
-	}
-
 	#isOccupant(member: Member): boolean {
 		if (member.entry.callerAddress === this.#self.callerAddress) {
 			return false;
--- a/packages/core/src/membership/member.ts
+++ b/packages/core/src/membership/member.ts
@@ -3,6 +3,8 @@
 
 export type Member = {
 	readonly entry: MemberEntry;
+	/** When it was first heard of here, on the own monotonic clock. */
+	readonly firstHeardAtMs: number;
 	/** When its heartbeat last rose here, on the own monotonic clock. */
 	readonly heardAtMs: number;
 	/** Heartbeat at which it was reported unreachable; a higher one refutes it. */
--- /dev/null
+++ b/packages/core/src/membership/offered-members.spec.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {ManualClock} from '../model/manual-clock.js';
+import {instanceListSchema} from './listed-instance.js';
+import {memberEntrySchema, type MemberState} from './member-entry.js';
+import {MemberTable} from './member-table.js';
+import {membershipTimingSchema} from './membership-timing.js';
+import {ListedLeaving, offeredMembers} from './offered-members.js';
+
+function entry(name: string, port: number, state: MemberState = 'live') {
+	return memberEntrySchema.parse({
+		instance: name,
+		incarnation: name,
+		heartbeat: 1,
+		state,
+		callerAddress: `10.0.0.1:${port}`,
+		peerAddress: `10.0.0.1:${port + 1000}`,
+		availabilityZone: 'nasr',
+		configurationOffset: 1,
+		configurationHash: '',
+		callsPerSecond: 0,
+	});
+}
+
+function listOf(leavingPorts: readonly number[]) {
+	return instanceListSchema.parse({
+		instances: leavingPorts.map(port => ({
+			id: `listed-${port}`, role: 'entry', address: `10.0.0.1:${port}`, availabilityZone: 'nasr', state: 'leaving',
+		})),
+	}).instances;
+}
+
+function offered(table: MemberTable, listed: ListedLeaving): string[] {
+	return offeredMembers(table, listed).map(({instance}) => instance).sort();
+}
+
+describe('offered members', () => {
+	it('should offer the own instance and live ones, not those that start or leave', () => {
+		const table = new MemberTable({self: entry('own', 1), clock: new ManualClock(), timing: membershipTimingSchema.parse({})});
+		table.mergeEntry(entry('live', 2));
+		table.mergeEntry(entry('starting', 3, 'starting'));
+		table.mergeEntry(entry('leaving', 4, 'leaving'));
+		assert.deepEqual(offered(table, new ListedLeaving()), ['live', 'own']);
+		table.updateSelf({state: 'leaving'});
+		assert.deepEqual(offered(table, new ListedLeaving()), ['live']);
+	});
+
+	it('should believe the list against processes that were there before it, and not against their successors', () => {
+		const clock = new ManualClock();
+		const table = new MemberTable({self: entry('own', 1), clock, timing: membershipTimingSchema.parse({})});
+		const listed = new ListedLeaving();
+		table.mergeEntry(entry('before', 2));
+		clock.advance(10);
+		listed.update(listOf([2, 3]), clock.monotonicMs());
+		clock.advance(10);
+		table.mergeEntry(entry('after', 3));
+		listed.update(listOf([2, 3]), clock.monotonicMs());
+		assert.deepEqual(offered(table, listed), ['after', 'own']);
+	});
+
+	it('should take a list for wrong that would leave none', () => {
+		const clock = new ManualClock();
+		const table = new MemberTable({self: entry('own', 1), clock, timing: membershipTimingSchema.parse({})});
+		const listed = new ListedLeaving();
+		clock.advance(10);
+		listed.update(listOf([1]), clock.monotonicMs());
+		assert.deepEqual(offered(table, listed), ['own']);
+	});
+});
--- /dev/null
+++ b/packages/daemon/src/features/peers/peer-clients.ts
@@ -0,0 +1,71 @@
+/** TRPC clients to other daemons. */
+import type {Address} from '@cairnbank/core';
+import type {PeerRouter} from '@cairnbank/protocol/peers';
+import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {ResultAsync} from 'neverthrow';
+import type {Agent} from 'undici';
+import {createControlAgent} from '../../metrics/control-agent.js';
+import type {ControlBytes} from '../../metrics/control-bytes.js';
+import {toPeerError, type PeerError} from './peer-error.js';
+import {createPeerFetch, type PeerFetch} from './peer-fetch.js';
+import {toAuthorization} from './secret.js';
+
+export type PeerClient = TRPCClient<PeerRouter>;
+
+/** One call, with the signal that ends it at its timeout. */
+export type PeerCall<Answer> = (client: PeerClient, signal: AbortSignal) => Promise<Answer>;
+
+export type PeerClientsOptions = {
+	/** The first is sent. */
+	readonly secrets: readonly string[];
+	readonly bytes: ControlBytes;
+};
+
+const connectTimeoutMs = 1000;
+const connectionsPerPeer = 16;
+const maximumClients = 256;
+
+/** Clients by peer address, made on first use. */
+export class PeerClients {
+	readonly #agent: Agent;
+	readonly #fetch: PeerFetch;
+	readonly #authorization: string;
+	readonly #clients = new Map<Address, PeerClient>();
+
+	constructor({secrets, bytes}: PeerClientsOptions) {
+		this.#agent = createControlAgent(bytes, 'peers', {connectTimeoutMs, connections: connectionsPerPeer});
+		this.#fetch = createPeerFetch(this.#agent);
+		this.#authorization = toAuthorization(secrets[0]!);
+	}
+
+	/**
+	 * Calls a peer.
+	 *
+	 * @example
+	 * clients.call(address, 1000, async (peer, signal) => peer.membership.exchange.mutate(digest, {signal}))
+	 */
+	call<Answer>(address: Address, timeoutMs: number, call: PeerCall<Answer>): ResultAsync<Answer, PeerError> {
+		return ResultAsync.fromPromise(call(this.#clientOf(address), AbortSignal.timeout(timeoutMs)), toPeerError);
+	}
+
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	#clientOf(address: Address): PeerClient {
+		const known = this.#clients.get(address);
+		if (known) {
+			return known;
+		}
+
+		if (this.#clients.size >= maximumClients) {
+			this.#clients.delete(this.#clients.keys().next().value!);
+		}
+
+		const client = createTRPCClient<PeerRouter>({
+			links: [httpLink({url: `http://${address}`, fetch: this.#fetch, headers: {authorization: this.#authorization}})],
+		});
+		this.#clients.set(address, client);
+		return client;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/features/peers/peers-task.ts
@@ -0,0 +1,74 @@
+/** Owns the peer port: calls of other daemons, once their secret is checked. */
+import {
+	createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse,
+} from 'node:http';
+import {addressSchema, type Address} from '@cairnbank/core';
+import {createPeerRouter, type PeerHandlers} from '@cairnbank/protocol/peers';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {type Result} from 'neverthrow';
+import type {DaemonContext} from '../../kernel/daemon-context.js';
+import {closeServer, listen} from '../../kernel/listen.js';
+import type {StartError} from '../../kernel/start-error.js';
+import type {Task} from '../../kernel/task.js';
+import type {ControlBytes} from '../../metrics/control-bytes.js';
+import {isAuthorized} from './secret.js';
+
+const unauthorized = 401;
+/** Room for a forwarded call in base64 and its headers. */
+const bodyBytesPerCallByte = 1.5;
+const keepAliveTimeoutMs = 60_000;
+const headersTimeoutMs = 5000;
+
+export class PeersTask implements Task {
+	readonly name = 'peers';
+	readonly #context: DaemonContext;
+	readonly #server: Server;
+	readonly #answer: RequestListener;
+	#address: Address | undefined;
+
+	constructor(context: DaemonContext, handlers: PeerHandlers, bytes: ControlBytes) {
+		this.#context = context;
+		this.#answer = createHTTPHandler({
+			router: createPeerRouter(handlers),
+			maxBodySize: Math.ceil((context.settings.calls.maximumBodyBytes + context.settings.calls.maximumHeaderBytes) * bodyBytesPerCallByte),
+		});
+		this.#server = createServer({keepAliveTimeout: keepAliveTimeoutMs, headersTimeout: headersTimeoutMs}, (request, response) => {
+			this.#handle(request, response);
+		});
+		this.#server.on('connection', socket => {
+			bytes.track('peers', socket);
+		});
+	}
+
+	/** Where other daemons reach this one; known once started. */
+	get address(): Address {
+		if (!this.#address) {
+			throw new Error('the peer port is not open yet');
+		}
+
+		return this.#address;
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		const {peers} = this.#context.settings;
+		const listening = await listen(this.#server, this.name, peers);
+		return listening.map(({address, port}) => {
+			this.#address = peers.advertisedAddress ?? addressSchema.parse(`${peers.host.includes(':') ? `[${peers.host}]` : peers.host}:${port}`);
+			this.#context.logger.info('listening', {listener: this.name, address, port});
+		});
+	}
+
+	async stop(): Promise<void> {
+		await closeServer(this.#server);
+	}
+
+	#handle(request: IncomingMessage, response: ServerResponse): void {
+		if (isAuthorized(request.headers.authorization, this.#context.settings.peerSecrets)) {
+			this.#answer(request, response);
+			return;
+		}
+
+		response.writeHead(unauthorized, {connection: 'close'});
+		response.end();
+	}
+}
--- /dev/null
+++ b/packages/protocol/src/peers/index.ts
@@ -0,0 +1,3 @@
+export * from './membership-router.js';
+export * from './peer-router.js';
+export * from './peer-trpc.js';
--- /dev/null
+++ b/packages/protocol/src/peers/membership-router.ts
@@ -0,0 +1,16 @@
+/** Gossip between daemons. */
+import {gossipDigestSchema, type GossipDigest} from '@cairnbank/core/membership';
+import {peerTrpc} from './peer-trpc.js';
+
+export type MembershipHandler = {
+	/** Takes in a peer's digest and answers with the own one. */
+	exchange(digest: GossipDigest): GossipDigest;
+};
+
+export function createMembershipRouter(handler: MembershipHandler) {
+	return peerTrpc.router({
+		exchange: peerTrpc.procedure
+			.input(gossipDigestSchema)
+			.mutation(({input}): GossipDigest => handler.exchange(input)),
+	});
+}
