Ticket and key state machines for at most one run

Cause: a non-idempotent request must run at most once across instances that keep nothing on disk and share no store.

Change: an owner's table of tickets whose issue costs no state, and a fold of the log's claims stream in which the first claim inside a key's window owns it for good. A not-run end holds for every send that the caller had made: a send may run after it only if it counts itself as later. Where the log cannot show that no claim exists, the end is unknown, as an earlier send may have run through another instance.

--- a/packages/core/src/outcomes/not-run-reason.ts
+++ b/packages/core/src/outcomes/not-run-reason.ts
@@ -16,6 +16,8 @@
 	'key-too-old',
 	'key-reused',
 	'ticket-invalid',
+	/** The ticket was told not run before and stays so; the answer brings a fresh one. */
+	'ticket-void',
 	'caller-gone',
 	'stopping',
 ] as const;
--- /dev/null
+++ b/packages/core/src/outcomes/runs/index.ts
@@ -0,0 +1,6 @@
+export * from './outcomes.js';
+export * from './request-fingerprint.js';
+export type * from './run-decision.js';
+export type * from './run-entry.js';
+export * from './run-table.js';
+export type * from './run-table-state.js';
--- a/packages/core/src/outcomes/unknown-reason.ts
+++ b/packages/core/src/outcomes/unknown-reason.ts
@@ -8,6 +8,10 @@
 	'answer-not-held',
 	'ticket-expired',
 	'claim-lost',
+	/** No claim of the key was proven in time; another instance may hold one. */
+	'claim-unproven',
+	/** The retained log no longer shows whether the key was claimed. */
+	'key-too-old',
 	'caller-gone',
 ] as const;
 
