--- a/packages/testing/src/harness/deployment.ts
+++ b/packages/testing/src/harness/deployment.ts
@@ -15,7 +15,8 @@
 
 export type ServiceOptions = {
 	readonly id: string;
-	readonly upstreams: number;
+	/** So many, spread over the availability zones, or each by itself. */
+	readonly upstreams: number | readonly UpstreamOptionsInput[];
 	/** Applies to each upstream of the service. */
 	readonly upstream?: UpstreamOptionsInput;
 };
@@ -124,10 +125,8 @@
 	async #startUpstreams(): Promise<void> {
 		for (const service of this.#options.services) {
 			const started: UpstreamStandIn[] = [];
-			for (let index = 1; index <= service.upstreams; index += 1) {
-				const upstream = new UpstreamStandIn({
-					id: `${service.id}-${index}`, availabilityZone: this.#zone(index), seed: index, ...service.upstream,
-				});
+			for (const options of this.#upstreamsOf(service)) {
+				const upstream = new UpstreamStandIn({...options, ...service.upstream});
 				started.push(await upstream.start());
 			}
 
@@ -135,6 +134,14 @@
 		}
 	}
 
+	#upstreamsOf({id, upstreams}: ServiceOptions): readonly UpstreamOptionsInput[] {
+		return typeof upstreams === 'number'
+			? Array.from({length: upstreams}, (_, index) => ({
+				id: `${id}-${index + 1}`, availabilityZone: this.#zone(index + 1), seed: index + 1,
+			}))
+			: upstreams;
+	}
+
 	#zone(index: number): string {
 		return this.#zones[(index - 1) % this.#zones.length]!;
 	}
--- a/packages/testing/src/stand-ins/upstream-answer.ts
+++ b/packages/testing/src/stand-ins/upstream-answer.ts
@@ -9,6 +9,8 @@
 	readonly requestId: string;
 	/** Bytes of the request's body, so that callers see that it came whole. */
 	readonly receivedBytes: number;
+	/** Time that the deadline left when the request came; null without one. */
+	readonly remainingMs: number;
 	/** Filler up to the size asked for. */
 	readonly padding?: string;
 };
--- a/packages/testing/src/stand-ins/upstream-stand-in.ts
+++ b/packages/testing/src/stand-ins/upstream-stand-in.ts
@@ -192,9 +192,12 @@
 		await this.#answer(work);
 	}
 
-	async #answer({response, requestId, receivedBytes, zoneDelayMs, faults}: UpstreamWork): Promise<void> {
-		await delayIfAny(faults.lateMs + Math.floor(zoneDelayMs));
-		const content = {upstream: this.options.id, requestId, receivedBytes};
+	async #answer(work: UpstreamWork): Promise<void> {
+		const {request, response, requestId, receivedBytes, faults} = work;
+		await delayIfAny(faults.lateMs + Math.floor(work.zoneDelayMs));
+		const content = {
+			upstream: this.options.id, requestId, receivedBytes, remainingMs: remainingMsOf(request),
+		};
 		await writeAnswer(response, content, this.#reporter.headers(this.#faults), faults);
 		this.counters.answered += 1;
 	}
