Operators' procedures on the admin port

The command line takes "-" for standard input, drains an instance and shows empty configurations as such. The daemon also exports its process metrics.

--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -13,6 +13,9 @@
 const programName = 'cairnbank';
 const helpAdvice = `see \`${programName} --help\``;
 
+/** No argument of a process can hold this character. */
+const hiddenDash = '\0';
+
 /** Arguments of the process before those of the program: the runtime and the script. */
 const leadingArguments = [programName, programName];
 
@@ -42,7 +45,7 @@
 function parse(args: readonly string[]): Parsed | CommandError {
 	const cli = buildParser();
 	try {
-		cli.parse([...leadingArguments, ...args], {run: false});
+		cli.parse([...leadingArguments, ...args.map(argument => hideDash(argument))], {run: false});
 		const command = commands.find(({usage}) => usage.split(' ')[0] === cli.matchedCommandName);
 		if (cli.options.help === true) {
 			return {
@@ -58,13 +61,26 @@
 		checkUse(cli.matchedCommand!);
 		const {'--': _, ...options} = cli.options;
 		return {
-			helpShown: false, command, positional: cli.args, options,
+			helpShown: false, command, positional: cli.args.map(argument => showDash(argument)), options: showDashes(options),
 		};
 	} catch (error) {
 		return {type: 'wrong-use', message: (error as Error).message, advice: helpAdvice};
 	}
 }
 
+/** The argument parser drops a lone `-`, which stands for standard input. */
+function hideDash(argument: string): string {
+	return argument === '-' ? hiddenDash : argument;
+}
+
+function showDash(argument: string): string {
+	return argument === hiddenDash ? '-' : argument;
+}
+
+function showDashes(options: Readonly<Record<string, unknown>>): Record<string, unknown> {
+	return Object.fromEntries(Object.entries(options).map(([name, value]) => [name, typeof value === 'string' ? showDash(value) : value]));
+}
+
 function checkUse(command: CacCommand): void {
 	command.checkUnknownOptions();
 	command.checkOptionValue();
--- a/packages/cli/src/commands/drain/drain-command.ts
+++ b/packages/cli/src/commands/drain/drain-command.ts
@@ -1,7 +1,9 @@
 /** `cairnbank drain`: takes an upstream out of new work. */
-import {authorSchema} from '@cairnbank/core';
+import {addressSchema, authorSchema} from '@cairnbank/core';
+import {err} from 'neverthrow';
 import {z} from 'zod';
 import {defineCommand} from '../../kernel/command.js';
+import {drainInstance} from './drain-instance.js';
 import {publishDrain} from './publish-drain.js';
 
 export const drainOptionsSchema = z.strictObject({
@@ -17,11 +19,22 @@
 ];
 
 export const drainCommand = defineCommand({
-	usage: 'drain <upstream>',
-	summary: 'Send an upstream no new work; requests that it is running end normally',
-	options: drainOptions,
-	examples: ['cairnbank drain disbursement-03 --wait-ms 5000'],
-	optionsSchema: drainOptionsSchema,
-	run: async (session, [upstream], options) => publishDrain(session, {upstream, draining: true}, options),
+	usage: 'drain [upstream]',
+	summary: 'Send an upstream no new work, or stop an instance; requests in flight end normally',
+	options: [
+		...drainOptions,
+		{flags: '--instance <address>', description: 'Admin address of an instance to stop gracefully, in place of an upstream'},
+	],
+	examples: ['cairnbank drain disbursement-03 --wait-ms 5000', 'cairnbank drain --instance 127.0.0.1:7300'],
+	optionsSchema: drainOptionsSchema.extend({instance: addressSchema.optional()}),
+	async run(session, [upstream], {instance, ...options}) {
+		if ((upstream === undefined) === (instance === undefined)) {
+			return err({type: 'wrong-use', message: 'name either an upstream or --instance <address>'});
+		}
+
+		return instance === undefined
+			? publishDrain(session, {upstream, draining: true}, options)
+			: drainInstance(session, instance);
+	},
 });
 
--- a/packages/cli/src/commands/show/configuration-view.ts
+++ b/packages/cli/src/commands/show/configuration-view.ts
@@ -21,10 +21,14 @@
 		upstream.connections,
 		drained.has(upstream.id) ? 'drained' : '',
 	]));
-	return renderTable(['SERVICE', 'UPSTREAM', 'ADDRESS', 'AVAILABILITY ZONE', 'SLOTS', 'CONNECTIONS', ''], rows);
+	return rows.length === 0 ? 'No upstream' : renderTable(['SERVICE', 'UPSTREAM', 'ADDRESS', 'AVAILABILITY ZONE', 'SLOTS', 'CONNECTIONS', ''], rows);
 }
 
 export function renderRules({classes, services}: Rules): string {
+	if (classes.length === 0 && services.length === 0) {
+		return 'No rule: defaults apply to every service';
+	}
+
 	const classTable = renderTable(
 		['CLASS', 'SERVICE', 'METHODS', 'PATH', 'PRIORITY', 'IDEMPOTENT', 'DEADLINE MS', 'HEDGED'],
 		classes.map(requestClass => toClassRow(requestClass)),
--- a/packages/cli/src/commands/status/status-command.ts
+++ b/packages/cli/src/commands/status/status-command.ts
@@ -19,17 +19,12 @@
 		json: z.boolean().optional(),
 	}),
 	async run(session, _positional, {instance, json}) {
-		const clients = await session.instances();
+		const clients = await (instance === undefined ? session.instances() : session.instance(instance).map(client => [client]));
 		if (clients.isErr()) {
 			return err(clients.error);
 		}
 
-		const asked = clients.value.filter(client => instance === undefined || client.address === instance);
-		if (asked.length === 0) {
-			return err({type: 'wrong-use', message: `the settings name no instance ${instance}`, advice: 'name one of "instances" in the settings'});
-		}
-
-		const answer = await firstAnswer(asked, client => client.status());
+		const answer = await firstAnswer(clients.value, client => client.status());
 		return answer.andThen(({value}) => {
 			session.environment.output.line(json ? JSON.stringify(value) : renderStatus(value));
 			return ok();
--- a/packages/cli/src/kernel/session.ts
+++ b/packages/cli/src/kernel/session.ts
@@ -1,5 +1,5 @@
 /** One run of a command: the outside world, and connections made from the settings on demand. */
-import {type Author} from '@cairnbank/core';
+import {type Address, type Author} from '@cairnbank/core';
 import {type LogClient} from '@cairnbank/protocol/log';
 import {type OperatorsClient} from '@cairnbank/protocol/operators';
 import {
@@ -33,6 +33,16 @@
 		return this.settings().andThen(settings => this.#connect(settings));
 	}
 
+	/** Client of one instance of the settings. */
+	instance(address: Address): ResultAsync<OperatorsClient, CommandError> {
+		return this.instances().andThen(clients => {
+			const client = clients.find(one => one.address === address);
+			return client === undefined
+				? err({type: 'wrong-use' as const, message: `the settings name no instance ${address}`, advice: 'name one of "instances" in the settings'})
+				: ok(client);
+		});
+	}
+
 	/** Who a change is published as: an option, the settings, or the system's name of the person. */
 	author(fromOption: Author | undefined): ResultAsync<Author, CommandError> {
 		return this.settings().andThen(settings => {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,6 +7,7 @@
 export class Daemon {
 	readonly #context: DaemonContext;
 	readonly #tasks: readonly Task[];
+	readonly #stopRequested: Promise<void>;
 	#started: Task[] = [];
 	#stopping: Promise<void> | undefined;
 	#starting: Promise<Result<void, StartError>> | undefined;
@@ -15,6 +16,16 @@
 	constructor(context: DaemonContext, tasks: readonly Task[]) {
 		this.#context = context;
 		this.#tasks = tasks;
+		this.#stopRequested = new Promise(resolve => {
+			context.bus.on('stop-requested', () => {
+				resolve();
+			});
+		});
+	}
+
+	/** Resolves once an operator asks this instance to stop. */
+	get stopRequested(): Promise<void> {
+		return this.#stopRequested;
 	}
 
 	async start(): Promise<Result<void, StartError>> {
--- a/packages/daemon/src/features/admin/admin-task.ts
+++ b/packages/daemon/src/features/admin/admin-task.ts
@@ -1,30 +1,31 @@
-/** Owns the admin port: metrics and health. */
+/** Owns the admin port: metrics, health and the operators' procedures. */
 import type {Server} from 'node:http';
 import {createAdaptorServer} from '@hono/node-server';
-import {Hono} from 'hono';
 import {type Result} from 'neverthrow';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
 import {closeServer, listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
-
-const unavailable = 503;
+import {createAdminRoutes} from './admin-routes.js';
+import {InstanceState} from './instance-state.js';
+import {OperatorsService} from './operators-service.js';
+import type {StatusSources} from './status-sources.js';
 
 export class AdminTask implements Task {
 	readonly name = 'admin';
 	readonly #context: DaemonContext;
 	readonly #server: Server;
-	#ready = false;
 
-	constructor(context: DaemonContext) {
+	constructor(context: DaemonContext, sources: StatusSources) {
 		this.#context = context;
-		this.#server = createAdaptorServer({fetch: this.#routes().fetch}) as Server;
-		context.bus.on('configuration-in-force', () => {
-			this.#ready = true;
-		});
-		context.bus.on('leaving', () => {
-			this.#ready = false;
+		const state = new InstanceState(context.bus);
+		const routes = createAdminRoutes({
+			metrics: context.metrics,
+			state,
+			operators: new OperatorsService(context, state, sources),
+			secrets: context.settings.operatorSecrets,
 		});
+		this.#server = createAdaptorServer({fetch: routes.fetch}) as Server;
 	}
 
 	async start(): Promise<Result<void, StartError>> {
@@ -37,12 +38,4 @@
 	async stop(): Promise<void> {
 		await closeServer(this.#server);
 	}
-
-	#routes(): Hono {
-		const app = new Hono();
-		app.get('/healthz', context => context.text('ok'));
-		app.get('/readyz', context => this.#ready ? context.text('ready') : context.text('not ready', unavailable));
-		app.get('/metrics', async context => context.text(await this.#context.metrics.metrics(), {headers: {'content-type': this.#context.metrics.contentType}}));
-		return app;
-	}
 }
--- /dev/null
+++ b/packages/daemon/src/features/admin/configuration-digest.ts
@@ -0,0 +1,17 @@
+/** Hash of the configuration in force, worked out once for each state. */
+import {hashConfiguration, type ConfigurationState} from '@cairnbank/core/configuration';
+
+export class ConfigurationDigest {
+	readonly #hashes = new WeakMap<ConfigurationState, string>();
+
+	hash(state: ConfigurationState): string {
+		const known = this.#hashes.get(state);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const hash = hashConfiguration(state);
+		this.#hashes.set(state, hash);
+		return hash;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/features/admin/instance-state.ts
@@ -0,0 +1,22 @@
+/** Follows an instance from its start to its stop, as readiness and status tell it. */
+import type {InstanceStatus} from '@cairnbank/protocol/operators';
+import type {MessageBus} from '../../kernel/message-bus.js';
+
+export class InstanceState {
+	#state: InstanceStatus['state'] = 'starting';
+
+	constructor(bus: MessageBus) {
+		bus.on('configuration-in-force', () => {
+			if (this.#state === 'starting') {
+				this.#state = 'ready';
+			}
+		});
+		bus.on('leaving', () => {
+			this.#state = 'leaving';
+		});
+	}
+
+	get current(): InstanceStatus['state'] {
+		return this.#state;
+	}
+}
--- a/packages/daemon/src/features/configuration/configuration-task.ts
+++ b/packages/daemon/src/features/configuration/configuration-task.ts
@@ -1,5 +1,5 @@
 /** Follows the configuration stream of the log and puts accepted changes in force. */
-import {advanceReading, startReading} from '@cairnbank/core/configuration';
+import {advanceReading, startReading, type ConfigurationState} from '@cairnbank/core/configuration';
 import type {LogClient, LogPage} from '@cairnbank/protocol/log';
 import {ok, type Result} from 'neverthrow';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
@@ -22,6 +22,11 @@
 		this.#log = log;
 	}
 
+	/** The configuration in force. */
+	get state(): ConfigurationState {
+		return this.#reading.state;
+	}
+
 	async start(): Promise<Result<void, StartError>> {
 		this.#running = this.#follow();
 		return ok(undefined);
--- a/packages/daemon/src/features/upstreams/upstreams-task.ts
+++ b/packages/daemon/src/features/upstreams/upstreams-task.ts
@@ -6,6 +6,7 @@
 import type {DaemonContext} from '../../kernel/daemon-context.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import type {UpstreamObservation} from '../admin/status-sources.js';
 import type {ServiceInForce} from '../calls/service-in-force.js';
 import {UpstreamPools} from './upstream-pools.js';
 
@@ -47,6 +48,11 @@
 		return upstream && dispatcher && {upstream, dispatcher};
 	}
 
+	/** How an upstream stands in the eyes of this instance. */
+	observe(id: UpstreamId): UpstreamObservation {
+		return {state: this.#drained.has(id) ? 'draining' : 'ready', inFlight: this.#pools.get(id)?.stats.running ?? 0};
+	}
+
 	#apply(configuration: ConfigurationState): void {
 		this.#drained = configuration.drained;
 		this.#pools.update(configuration.inventory.services.flatMap(service => service.upstreams));
--- a/packages/daemon/src/kernel/daemon-message.ts
+++ b/packages/daemon/src/kernel/daemon-message.ts
@@ -12,6 +12,8 @@
 	| {readonly type: 'suspects-changed'; readonly suspects: readonly Suspect[]}
 	/** What peers told about suspects. */
 	| {readonly type: 'suspects-received'; readonly suspects: readonly Suspect[]}
+	/** An operator asks for a graceful stop of this instance. */
+	| {readonly type: 'stop-requested'}
 	/** A graceful stop has begun. */
 	| {readonly type: 'leaving'};
 
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -33,7 +33,7 @@
 		return exitCodes.cannotStart;
 	}
 
-	await stopRequested;
+	await Promise.race([stopRequested, daemon.stopRequested]);
 	await daemon.stop();
 	return exitCodes.done;
 }
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -3,7 +3,7 @@
 	createRandomSource, incarnationIdSchema, systemClock,
 } from '@cairnbank/core';
 import {HttpLogClient} from '@cairnbank/protocol/log';
-import {Registry} from 'prom-client';
+import {collectDefaultMetrics, Registry} from 'prom-client';
 import {v7 as uuid} from 'uuid';
 import {Daemon} from './daemon.js';
 import {AdminTask} from './features/admin/admin-task.js';
@@ -40,6 +40,7 @@
 		metrics: new Registry(),
 		tracing: createTracing(settings),
 	};
+	collectDefaultMetrics({register: context.metrics});
 	const log = new HttpLogClient({url: settings.log.url, timeoutMs: settings.log.timeoutMs});
 	const upstreams = new UpstreamsTask(context);
 	const metrics = new CallMetrics(context.metrics);
@@ -55,10 +56,17 @@
 		metrics,
 		choose: (service, excluded) => upstreams.choose(service, excluded),
 	}));
+	const configuration = new ConfigurationTask(context, log);
+	const admin = new AdminTask(context, {
+		configuration: () => configuration.state,
+		observeUpstream: id => upstreams.observe(id),
+		members: () => [],
+		callersAddress: () => undefined,
+	});
 	const tasks = inStartOrder({
-		admin: new AdminTask(context),
+		admin,
 		upstreams,
-		configuration: new ConfigurationTask(context, log),
+		configuration,
 		callers: new CallerListenerTask(context, {handler, heldAnswers, routes: []}),
 	});
 	return new Daemon(context, tasks);
--- a/packages/protocol/src/operators/operators-client.ts
+++ b/packages/protocol/src/operators/operators-client.ts
@@ -26,7 +26,7 @@
 	brief(): ResultAsync<InstanceBrief, OperatorsError>;
 	status(): ResultAsync<InstanceStatus, OperatorsError>;
 	configuration(): ResultAsync<ConfigurationTransfer, OperatorsError>;
-	stopInstance(): ResultAsync<void, OperatorsError>;
+	drainInstance(): ResultAsync<void, OperatorsError>;
 };
 
 /** Makes a client; nothing is opened before its first call. */
@@ -40,7 +40,7 @@
 		brief: () => call(trpc.brief.query(undefined, signal()), instanceBriefSchema),
 		status: () => call(trpc.status.query(undefined, signal()), instanceStatusSchema),
 		configuration: () => call(trpc.configuration.query(undefined, signal()), configurationTransferSchema),
-		stopInstance: () => call(trpc.stopInstance.mutate(undefined, signal()), z.void()),
+		drainInstance: () => call(trpc.drainInstance.mutate(undefined, signal()), z.void()),
 	};
 }
 
--- a/packages/protocol/src/operators/operators-port.ts
+++ b/packages/protocol/src/operators/operators-port.ts
@@ -8,5 +8,5 @@
 	status(): InstanceStatus;
 	configuration(): ConfigurationTransfer;
 	/** Begins a graceful stop of the instance and returns at once. */
-	stopInstance(): void;
+	drainInstance(): void;
 };
--- a/packages/protocol/src/operators/operators-router.ts
+++ b/packages/protocol/src/operators/operators-router.ts
@@ -29,8 +29,8 @@
 		brief: procedure.output(instanceBriefSchema).query(() => port.brief()),
 		status: procedure.output(instanceStatusSchema).query(() => port.status()),
 		configuration: procedure.output(configurationTransferSchema).query(() => port.configuration()),
-		stopInstance: procedure.mutation(() => {
-			port.stopInstance();
+		drainInstance: procedure.mutation(() => {
+			port.drainInstance();
 		}),
 	});
 }
