Specs of the command line against log and daemons; rules for unknown services are pointed out

A rule for a service that the inventory does not have is accepted with a warning. The secret check stands in kernel, once.

--- a/packages/cli/src/commands/publish/publish-and-report.ts
+++ b/packages/cli/src/commands/publish/publish-and-report.ts
@@ -1,12 +1,15 @@
 /** Publishes one change and tells what became of it. */
 import {type Author, type Change, type RecordId} from '@cairnbank/core';
+import {type LogClient} from '@cairnbank/protocol/log';
 import {publishChange, type PublishVerdict} from '@cairnbank/protocol/publishing';
 import {err, ok} from 'neverthrow';
 import {type CommandResult} from '../../kernel/command.js';
+import {type Environment} from '../../kernel/environment.js';
 import {type Session} from '../../kernel/session.js';
 import {describeChange} from '../../rendering/describe-change.js';
 import {describeLogError} from '../../rendering/describe-log-error.js';
 import {watchUntil} from '../watch/watch-until.js';
+import {findUnknownServices} from './unknown-services.js';
 
 export type PublishRequest = {
 	readonly change: Change;
@@ -32,11 +35,22 @@
 		change, author: author.value, id, baseOffset, signal: session.environment.interrupted,
 	});
 	const reported = report(session, request, id, verdict);
+	if (reported.isOk()) {
+		await warnOfUnknownServices(session.environment, log.value, change);
+	}
+
 	return reported.isOk() && request.waitMs !== undefined && 'offset' in verdict
 		? watchUntil(session, {offset: verdict.offset, timeoutMs: request.waitMs, json: request.json})
 		: reported;
 }
 
+async function warnOfUnknownServices({output, interrupted}: Environment, log: LogClient, change: Change): Promise<void> {
+	const unknown = await findUnknownServices(log, change, interrupted);
+	if (unknown.length > 0) {
+		output.error(`cairnbank: warning: the rules name services that the inventory does not have: ${unknown.join(', ')}`);
+	}
+}
+
 function report(session: Session, {change, json}: PublishRequest, id: RecordId, verdict: PublishVerdict): CommandResult {
 	const {output} = session.environment;
 	if (json) {
--- a/packages/daemon/src/features/peers/peer-clients.ts
+++ b/packages/daemon/src/features/peers/peer-clients.ts
@@ -6,9 +6,9 @@
 import type {Agent} from 'undici';
 import {createControlAgent} from '../../metrics/control-agent.js';
 import type {ControlBytes} from '../../metrics/control-bytes.js';
+import {toAuthorization} from '../../kernel/secret.js';
 import {toPeerError, type PeerError} from './peer-error.js';
 import {createPeerFetch, type PeerFetch} from './peer-fetch.js';
-import {toAuthorization} from './secret.js';
 
 export type PeerClient = TRPCClient<PeerRouter>;
 
--- a/packages/daemon/src/features/peers/peers-task.ts
+++ b/packages/daemon/src/features/peers/peers-task.ts
@@ -11,7 +11,7 @@
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {ControlBytes} from '../../metrics/control-bytes.js';
-import {isAuthorized} from './secret.js';
+import {isAuthorized} from '../../kernel/secret.js';
 
 const unauthorized = 401;
 /** Room for a forwarded call in base64 and its headers. */
--- /dev/null
+++ b/packages/testing/src/command-line/instances.spec.ts
@@ -0,0 +1,124 @@
+import assert from 'node:assert/strict';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {Deployment, operatorSecret, waitFor} from '../harness/index.js';
+import {runAsOperator, type OperatorRun, type OperatorSettings} from './operator.js';
+
+const olderSecret = 'older-operator-secret-of-the-tests';
+const unusedAddress = '127.0.0.1:9';
+
+describe('cairnbank against daemons', () => {
+	let deployment: Deployment;
+	let settings: OperatorSettings;
+
+	before(async () => {
+		deployment = await Deployment.start({
+			services: [{id: 'records', upstreams: 2}], daemons: 2, settings: {operatorSecrets: [operatorSecret, olderSecret]},
+		});
+		await deployment.publishInventory();
+		settings = {logUrl: deployment.log.url, instances: deployment.daemons.map(({admin}) => admin), secret: operatorSecret};
+	});
+	after(async () => deployment.stop());
+
+	async function operator(...args: readonly string[]): Promise<OperatorRun> {
+		return runAsOperator(settings, args, {'rules.json': {kind: 'rules', classes: [{id: args.at(-1), match: {}}]}});
+	}
+
+	describe('publish --wait-ms', () => {
+		it('should exit 0 once the change is in force on every instance', async () => {
+			const {exitCode, output} = await operator('publish', 'rules.json', '--wait-ms', '10000', '--id', 'waited-for');
+			assert.equal(exitCode, 0);
+			assert.match(output, /offset 2 is in force on all 2 instance\(s\)$/);
+		});
+
+		it('should exit 4 and name the instances that do not have it in time', async () => {
+			const more = {...settings, instances: [...settings.instances!, unusedAddress]};
+			const {exitCode, errors} = await runAsOperator(more, ['drain', 'records-1', '--wait-ms', '300']);
+			await operator('undrain', 'records-1');
+			assert.equal(exitCode, 4);
+			assert.match(errors, /is not in force yet on .*127\.0\.0\.1:9/);
+		});
+	});
+
+	describe('watch', () => {
+		it('should print one JSON line for each instance and end at the offset', async () => {
+			const {exitCode, output} = await operator('watch', '--until', '1', '--json');
+			assert.equal(exitCode, 0);
+			const lines = output.split('\n').map(line => JSON.parse(line) as {instance: string; acceptedOffset: number});
+			assert.deepEqual(lines.map(({instance}) => instance).sort(), ['entry-1', 'entry-2']);
+			assert.ok(lines.every(({acceptedOffset}) => acceptedOffset >= 1));
+		});
+
+		it('should show a change taking effect until it is interrupted', async () => {
+			const interruption = new AbortController();
+			const watching = runAsOperator(settings, ['watch', '--interval-ms', '20'], {}, interruption.signal);
+			const drained = await operator('drain', 'records-2', '--wait-ms', '10000', '--json');
+			const {offset} = JSON.parse(drained.output.split('\n')[0]!) as {offset: number};
+			await operator('watch', '--until', String(offset), '--timeout-ms', '10000');
+			interruption.abort();
+			const {exitCode} = await watching;
+			await operator('undrain', 'records-2', '--wait-ms', '10000');
+			assert.deepEqual([drained.exitCode, exitCode], [0, 0]);
+		});
+
+		it('should exit 4 when the offset is not in force in time', async () => {
+			const {exitCode} = await operator('watch', '--until', '1000', '--timeout-ms', '50');
+			assert.equal(exitCode, 4);
+		});
+	});
+
+	describe('status', () => {
+		it('should list instances and upstreams as one instance sees them', async () => {
+			const {exitCode, output} = await operator('status');
+			assert.equal(exitCode, 0);
+			assert.match(output, /^entry-1 is ready/);
+			assert.match(output, /^records +records-1 +127\.0\.0\.1:\d+ +zone-a +ready/m);
+		});
+
+		it('should ask the instance that is named', async () => {
+			const {output} = await operator('status', '--instance', deployment.daemons[1]!.admin, '--json');
+			const status = JSON.parse(output) as {id: string; upstreams: unknown[]};
+			assert.deepEqual([status.id, status.upstreams.length], ['entry-2', 2]);
+		});
+
+		it('should pass over instances that do not answer', async () => {
+			const {exitCode} = await runAsOperator({...settings, instances: [unusedAddress, ...settings.instances!]}, ['status']);
+			assert.equal(exitCode, 0);
+		});
+
+		it('should exit 4 when no instance answers', async () => {
+			const {exitCode, errors} = await runAsOperator({...settings, instances: [unusedAddress]}, ['status']);
+			assert.equal(exitCode, 4);
+			assert.match(errors, /no instance answered: 127\.0\.0\.1:9 not reachable/);
+		});
+
+		it('should exit 2 when the secret is not accepted, and 0 with the older one of two', async () => {
+			const wrong = await runAsOperator({...settings, secret: 'not-the-operator-secret'}, ['status']);
+			const older = await runAsOperator({...settings, secret: olderSecret}, ['status']);
+			assert.deepEqual([wrong.exitCode, older.exitCode], [2, 0]);
+			assert.match(wrong.errors, /the operator secret is not accepted/);
+		});
+	});
+
+	describe('show', () => {
+		it('should ask an instance while the log is down', async () => {
+			await deployment.log.setFaults({down: 'refuse'});
+			const {exitCode, output} = await operator('show', 'inventory');
+			await deployment.log.setFaults({down: 'no'});
+			assert.equal(exitCode, 0);
+			assert.match(output, /as told by instance 127\.0\.0\.1:/);
+			assert.match(output, /records-2/);
+		});
+	});
+
+	describe('drain --instance', () => {
+		it('should stop the instance gracefully', async () => {
+			const extra = await deployment.startDaemon('entry-extra', 'zone-a');
+			const {exitCode} = await runAsOperator({...settings, instances: [extra.admin]}, ['drain', '--instance', extra.admin]);
+			assert.equal(exitCode, 0);
+			await waitFor('the drained instance exits', () => extra.process.exit !== undefined);
+			assert.deepEqual(extra.process.exit, {code: 0, signal: undefined});
+		});
+	});
+});
