Upstreams feature: selectors, pools, drains, probes and admission

Cause: the daemon chose at random and let every call through. Change: a selector per service replaced as a whole with the configuration, each attempt followed from choice to end, load reports and drain marks read off answers, a prober within its budget, an admission stage between guard and attempt, and metrics of probes, slot time, queues and limits. The attempt loop passes on its class's priority, answer heads and ends; the drain messages are those of the membership feature. Conclusion: choice, limits and shedding act on the way of a call.

--- a/packages/core/src/limits/admission-queue.ts
+++ b/packages/core/src/limits/admission-queue.ts
@@ -14,7 +14,7 @@
 const minimumRetryAfterMs = 50;
 
 export class AdmissionQueue<Payload> {
-	readonly #rules: LimitRules;
+	#rules: LimitRules;
 	readonly #waiting: Array<QueuedRequest<Payload>> = [];
 	readonly #waitingByTenant = new Map<TenantId, number>();
 	/** Turn at which a tenant was last served; absent long ago. */
@@ -30,6 +30,11 @@
 		return this.#waiting.length;
 	}
 
+	/** Changed rules apply from now on; what waits stays. */
+	setRules(rules: LimitRules): void {
+		this.#rules = rules;
+	}
+
 	/** Offers a request that cannot be started now. */
 	offer(request: QueuedRequest<Payload>, nowMs: number): OfferResult<Payload> {
 		const waitMs = this.#rate.waitMs(this.#countAhead(request));
--- a/packages/core/src/routing/upstream-selector.ts
+++ b/packages/core/src/routing/upstream-selector.ts
@@ -92,6 +92,22 @@
 		return {type: 'chosen', upstream: state.upstream.id};
 	}
 
+	/** Whether every upstream that may take work is at its limit, so that waiting helps. */
+	isAtLimit(nowMs: number): boolean {
+		let isAnyAvailable = false;
+		for (const state of this.#states) {
+			if (state.isAvailable(nowMs)) {
+				if (state.limit.admits(state.inFlight, nowMs)) {
+					return false;
+				}
+
+				isAnyAvailable = true;
+			}
+		}
+
+		return isAnyAvailable;
+	}
+
 	onSent(upstream: UpstreamId, nowMs: number): void {
 		this.#byId.get(upstream)?.onSent(nowMs);
 	}
--- a/packages/daemon/src/features/calls/attempt-loop.ts
+++ b/packages/daemon/src/features/calls/attempt-loop.ts
@@ -4,7 +4,7 @@
 import {
 	type Attempt, type AttemptEnd, type AttemptKind, finalOutcome, hedgeDelayMs, nextStep, remainingMs, type RetryPolicy,
 } from '@cairnbank/core/retries';
-import type {ChosenUpstream} from '../upstreams/upstreams-task.js';
+import type {ChosenUpstream} from '../upstreams/chosen-upstream.js';
 import type {AttemptParts} from './attempt-parts.js';
 import type {Call} from './call.js';
 import type {ClassHedging} from './call-budgets.js';
@@ -86,10 +86,11 @@
 
 	/** @returns false where no upstream can be had */
 	#start(kind: AttemptKind, excluding: readonly UpstreamId[]): boolean {
-		const {call: {service, serviceId, trial}} = {call: this.#call};
+		const {service, serviceId, trial, requestClass} = this.#call;
 		const nowMs = this.#parts.clock.monotonicMs();
 		const left = remainingMs(this.#call.deadlineAtMs, nowMs);
-		const chosen = left === undefined ? undefined : this.#parts.choose(service, new Set([...excluding, ...trial?.excluding ?? noUpstreams]));
+		const excluded = new Set([...excluding, ...trial?.excluding ?? noUpstreams]);
+		const chosen = left === undefined ? undefined : this.#parts.choose(service, excluded, requestClass.priority);
 		if (left === undefined || chosen === undefined) {
 			return false;
 		}
@@ -113,10 +114,14 @@
 			remainingMs: left,
 			heldAnswerBytes: this.#parts.heldAnswerBytes,
 			heldAnswers: this.#parts.heldAnswers,
+			onHead(headers) {
+				attempt.chosen.onHead(headers);
+			},
 			onStream: () => {
 				this.#cancelRunning('caller-gone', attempt);
 			},
 			onEnd: result => {
+				attempt.chosen.onEnd(result);
 				this.#ended(attempt, result);
 			},
 		});
--- a/packages/daemon/src/features/calls/attempt-parts.ts
+++ b/packages/daemon/src/features/calls/attempt-parts.ts
@@ -1,6 +1,6 @@
 /** What the attempts of all calls share. */
 import type {Clock, UpstreamId} from '@cairnbank/core';
-import type {ChosenUpstream} from '../upstreams/upstreams-task.js';
+import type {ChosenUpstream} from '../upstreams/chosen-upstream.js';
 import type {CallBudgets} from './call-budgets.js';
 import type {CallMetrics} from './call-metrics.js';
 import type {CrashWatch} from './crash-watch.js';
@@ -16,5 +16,5 @@
 	readonly crashes: CrashWatch;
 	readonly guard: PoisonGuard;
 	readonly metrics: CallMetrics;
-	choose(service: ServiceInForce, excluded: ReadonlySet<UpstreamId>): ChosenUpstream | undefined;
+	choose(service: ServiceInForce, excluded: ReadonlySet<UpstreamId>, priority: number): ChosenUpstream | undefined;
 };
--- a/packages/daemon/src/features/calls/crash-watch.ts
+++ b/packages/daemon/src/features/calls/crash-watch.ts
@@ -3,7 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Address, UpstreamId} from '@cairnbank/core';
 import {crashVerdict, type ConnectResult} from '@cairnbank/core/poison';
-import type {ChosenUpstream} from '../upstreams/upstreams-task.js';
+import type {ChosenUpstream} from '../upstreams/chosen-upstream.js';
 
 const connectTimeoutMs = 250;
 /** Connects before an upstream counts as alive for want of proof. */
--- /dev/null
+++ b/packages/daemon/src/features/upstreams/admission-stage.ts
@@ -0,0 +1,165 @@
+/** Holds calls back while every upstream of their service is at its limit, the important ones least. */
+import type {Clock, ServiceId} from '@cairnbank/core';
+import {AdmissionQueue, type QueuedRequest, type QueueShedReason} from '@cairnbank/core/limits';
+import type {NotRunReason, Outcome} from '@cairnbank/core/outcomes';
+import type {Call} from '../calls/call.js';
+import type {CallHandler, CallStage} from '../calls/call-handler.js';
+import type {ServiceInForce} from '../calls/service-in-force.js';
+import type {UpstreamMetrics} from './upstream-metrics.js';
+
+export type AdmissionStageParts = {
+	readonly clock: Clock;
+	readonly metrics: UpstreamMetrics;
+	/** Whether waiting is the only way to an upstream of the service. */
+	isAtLimit(service: ServiceId): boolean;
+};
+
+type Waiting = {
+	readonly call: Call;
+	readonly start: () => void;
+	readonly end: (outcome: Outcome) => void;
+};
+
+type ServiceQueue = {
+	readonly rules: ServiceInForce['rules']['limits'];
+	readonly queue: AdmissionQueue<Waiting>;
+};
+
+/** Time after which a closed upstream is looked at again while calls wait. */
+const recheckMs = 2;
+
+export class AdmissionStage implements CallStage {
+	readonly name = 'admission';
+	readonly #parts: AdmissionStageParts;
+	readonly #queues = new Map<ServiceId, ServiceQueue>();
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(parts: AdmissionStageParts) {
+		this.#parts = parts;
+	}
+
+	wrap(next: CallHandler): CallHandler {
+		return async call => {
+			const waiting = this.#queues.get(call.serviceId)?.queue.length ?? 0;
+			if (waiting === 0 && !this.#parts.isAtLimit(call.serviceId)) {
+				return next(call);
+			}
+
+			return this.#wait(call, next);
+		};
+	}
+
+	/** Starts what may start now; to be called whenever a place may have become free. */
+	onFreed(service: ServiceId): void {
+		const entry = this.#queues.get(service);
+		if (entry !== undefined && entry.queue.length > 0) {
+			this.#pump(service, entry.queue);
+		}
+	}
+
+	/** Ends the timer; calls that still wait are refused. */
+	stop(): void {
+		clearTimeout(this.#timer);
+		this.#timer = undefined;
+		for (const {queue} of this.#queues.values()) {
+			for (const request of queue.expire(Number.POSITIVE_INFINITY)) {
+				this.#refuse(request.payload, 'stopping');
+			}
+		}
+	}
+
+	async #wait(call: Call, next: CallHandler): Promise<Outcome> {
+		return new Promise(resolve => {
+			const waiting: Waiting = {
+				call,
+				start() {
+					resolve(next(call));
+				},
+				end: resolve,
+			};
+			this.#offer(waiting);
+		});
+	}
+
+	#offer(waiting: Waiting): void {
+		const {call} = waiting;
+		const nowMs = this.#parts.clock.monotonicMs();
+		const queue = this.#queueOf(call.service);
+		const request: QueuedRequest<Waiting> = {
+			priority: call.requestClass.priority,
+			tenant: call.tenant,
+			arrivedAtMs: nowMs,
+			deadlineAtMs: call.deadlineAtMs,
+			payload: waiting,
+		};
+		const result = queue.offer(request, nowMs);
+		if (result.type === 'shed') {
+			this.#refuse(waiting, result.reason, result.retryAfterMs);
+			return;
+		}
+
+		if (result.evicted !== undefined) {
+			this.#refuse(result.evicted.payload, 'queue-full', result.retryAfterMs);
+		}
+
+		call.cancellation.onCancel(() => {
+			if (queue.cancel(request)) {
+				waiting.end({type: 'not-run', reason: 'caller-gone'});
+			}
+		});
+		this.#parts.metrics.queued(call.serviceId);
+		this.#pump(call.serviceId, queue);
+	}
+
+	#pump(service: ServiceId, queue: AdmissionQueue<Waiting>): void {
+		const nowMs = this.#parts.clock.monotonicMs();
+		for (const request of queue.expire(nowMs)) {
+			this.#refuse(request.payload, nowMs >= request.deadlineAtMs ? 'deadline-exceeded' : 'queue-timeout');
+		}
+
+		while (queue.length > 0 && !this.#parts.isAtLimit(service)) {
+			const request = queue.take(nowMs);
+			this.#parts.metrics.leftQueue(service, nowMs - (request?.arrivedAtMs ?? nowMs));
+			request?.payload.start();
+		}
+
+		this.#parts.metrics.setQueueLength(service, queue.length);
+		if (queue.length > 0) {
+			this.#timer ??= setTimeout(() => {
+				this.#recheck();
+			}, recheckMs);
+		}
+	}
+
+	#recheck(): void {
+		this.#timer = undefined;
+		for (const [service, {queue}] of this.#queues) {
+			if (queue.length > 0) {
+				this.#pump(service, queue);
+			}
+		}
+	}
+
+	#refuse({call, end}: Waiting, reason: NotRunReason | QueueShedReason, retryAfterMs?: number): void {
+		this.#parts.metrics.shed(call.serviceId, call.requestClass.id, reason);
+		end({type: 'not-run', reason, ...(retryAfterMs !== undefined && {retryAfterMs})});
+	}
+
+	/** One queue per service; a changed rule applies to it from the next call on. */
+	#queueOf({id, rules: {limits}}: ServiceInForce): AdmissionQueue<Waiting> {
+		const known = this.#queues.get(id);
+		if (known?.rules === limits) {
+			return known.queue;
+		}
+
+		if (known !== undefined) {
+			known.queue.setRules(limits);
+			this.#queues.set(id, {rules: limits, queue: known.queue});
+			return known.queue;
+		}
+
+		const queue = new AdmissionQueue<Waiting>(limits);
+		this.#queues.set(id, {rules: limits, queue});
+		return queue;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/features/upstreams/tracked-attempt.ts
@@ -0,0 +1,59 @@
+/** Follows one attempt from its choice to its end and tells the selector and membership what it showed. */
+import type {Upstream} from '@cairnbank/core';
+import type {AttemptResult} from '@cairnbank/core/outcomes';
+import {toAttemptSignal, type LoadReport, type UpstreamSelector} from '@cairnbank/core/routing';
+import {headerNames} from '@cairnbank/protocol/headers';
+import type {Pool} from 'undici';
+import type {AnswerHeaders} from '../calls/answer-framing.js';
+import type {ChosenUpstream} from './chosen-upstream.js';
+import {readLoadReportHeader} from './load-report-header.js';
+
+/** What an attempt showed of its upstream beyond load. */
+export type UpstreamSign = 'marked' | 'clean' | 'failed';
+
+export type TrackedAttemptParts = {
+	readonly upstream: Upstream;
+	readonly dispatcher: Pool;
+	readonly selector: UpstreamSelector;
+	readonly nowMs: () => number;
+	readonly onSign: (sign: UpstreamSign, sentAtMs: number) => void;
+	/** A place may have become free. */
+	readonly onFreed: () => void;
+};
+
+export class TrackedAttempt implements ChosenUpstream {
+	readonly upstream: Upstream;
+	readonly dispatcher: Pool;
+	readonly #parts: TrackedAttemptParts;
+	readonly #sentAtMs: number;
+	#report: LoadReport | undefined;
+
+	constructor(parts: TrackedAttemptParts) {
+		this.#parts = parts;
+		this.upstream = parts.upstream;
+		this.dispatcher = parts.dispatcher;
+		this.#sentAtMs = parts.nowMs();
+		parts.selector.onSent(parts.upstream.id, this.#sentAtMs);
+	}
+
+	onHead(headers: AnswerHeaders): void {
+		this.#report = readLoadReportHeader(headers[headerNames.loadReport], this.upstream.slots);
+		this.#parts.onSign(headers[headerNames.draining] === 'true' ? 'marked' : 'clean', this.#sentAtMs);
+	}
+
+	onEnd(result: AttemptResult): void {
+		const {selector, upstream, nowMs, onSign, onFreed} = this.#parts;
+		const signal = toAttemptSignal(result);
+		selector.onEnded(upstream.id, {
+			sentAtMs: this.#sentAtMs,
+			nowMs: nowMs(),
+			signal,
+			...(this.#report && {report: this.#report}),
+		});
+		if (signal === 'failure' && result.type !== 'answered') {
+			onSign('failed', this.#sentAtMs);
+		}
+
+		onFreed();
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/features/upstreams/upstream-metrics.ts
@@ -0,0 +1,98 @@
+/** Metrics of choice, admission and the cost of measuring. */
+import type {RequestClassId, ServiceId, UpstreamId} from '@cairnbank/core';
+import {
+	Counter, Gauge, Histogram, type Registry,
+} from 'prom-client';
+
+const queueWaitBucketsMs = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000];
+
+/** What is read off at the time of a scrape. */
+export type UpstreamGauges = {
+	readonly service: ServiceId;
+	readonly upstream: UpstreamId;
+	readonly inFlight: number;
+	readonly limit: number;
+	readonly latencyMs: number | undefined;
+	readonly isDraining: boolean;
+	readonly isEjected: boolean;
+};
+
+export class UpstreamMetrics {
+	readonly #probes: Counter<'service' | 'upstream'>;
+	readonly #probeSlotTimeMs: Counter<'service' | 'upstream'>;
+	readonly #shed: Counter<'service' | 'class' | 'reason'>;
+	readonly #queued: Counter<'service'>;
+	readonly #queueLength: Gauge<'service'>;
+	readonly #queueWaitMs: Histogram<'service'>;
+
+	constructor(registry: Registry, read: () => Iterable<UpstreamGauges>) {
+		const registers = [registry];
+		this.#probes = new Counter({
+			name: 'cairnbank_probes_total', help: 'Probes sent', labelNames: ['service', 'upstream'], registers,
+		});
+		this.#probeSlotTimeMs = new Counter({
+			name: 'cairnbank_probe_slot_time_ms_total', help: 'Slot time that probes cost, by the rule', labelNames: ['service', 'upstream'], registers,
+		});
+		this.#shed = new Counter({
+			name: 'cairnbank_shed_total', help: 'Calls refused as not run by admission', labelNames: ['service', 'class', 'reason'], registers,
+		});
+		this.#queued = new Counter({
+			name: 'cairnbank_queued_total', help: 'Calls that had to wait for an upstream', labelNames: ['service'], registers,
+		});
+		this.#queueLength = new Gauge({
+			name: 'cairnbank_queue_length', help: 'Calls that wait for an upstream', labelNames: ['service'], registers,
+		});
+		this.#queueWaitMs = new Histogram({
+			name: 'cairnbank_queue_wait_ms', help: 'Wait of calls for an upstream', labelNames: ['service'], buckets: queueWaitBucketsMs, registers,
+		});
+		registerGauges(registry, read);
+	}
+
+	probed(service: ServiceId, upstream: UpstreamId, costMs: number): void {
+		this.#probes.inc({service, upstream});
+		this.#probeSlotTimeMs.inc({service, upstream}, costMs);
+	}
+
+	shed(service: ServiceId, requestClass: RequestClassId, reason: string): void {
+		this.#shed.inc({service, class: requestClass, reason});
+	}
+
+	queued(service: ServiceId): void {
+		this.#queued.inc({service});
+	}
+
+	leftQueue(service: ServiceId, waitMs: number): void {
+		this.#queueWaitMs.observe({service}, waitMs);
+	}
+
+	setQueueLength(service: ServiceId, length: number): void {
+		this.#queueLength.set({service}, length);
+	}
+}
+
+/** Gauges cost nothing between scrapes. */
+function registerGauges(registry: Registry, read: () => Iterable<UpstreamGauges>): void {
+	const register = (name: string, help: string, value: (gauges: UpstreamGauges) => number | undefined) => {
+		registry.registerMetric(new Gauge({
+			name,
+			help,
+			labelNames: ['service', 'upstream'] as const,
+			registers: [],
+			collect() {
+				this.reset();
+				for (const gauges of read()) {
+					const now = value(gauges);
+					if (now !== undefined) {
+						this.set({service: gauges.service, upstream: gauges.upstream}, now);
+					}
+				}
+			},
+		}));
+	};
+
+	register('cairnbank_upstream_in_flight', 'Own requests in flight', ({inFlight}) => inFlight);
+	register('cairnbank_upstream_limit', 'Limit of own requests in flight', ({limit}) => limit);
+	register('cairnbank_upstream_latency_ms', 'Recent time to an answer', ({latencyMs}) => latencyMs);
+	register('cairnbank_upstream_draining', '1 while it takes no new work', ({isDraining}) => Number(isDraining));
+	register('cairnbank_upstream_ejected', '1 while ejected after failures', ({isEjected}) => Number(isEjected));
+}
--- a/packages/daemon/src/features/upstreams/upstream-pools.ts
+++ b/packages/daemon/src/features/upstreams/upstream-pools.ts
@@ -6,14 +6,17 @@
 const requestsPerConnection = 1;
 
 export type UpstreamPoolsOptions = {
-	/** Greatest number of instances that share an upstream's connections. */
-	readonly maximumInstances: number;
 	readonly connectTimeoutMs: number;
 	readonly keepAliveTimeoutMs: number;
 };
 
-type Entry = {
+/** An upstream with the number of its connections that this instance may hold. */
+export type ConnectedUpstream = {
 	readonly upstream: Upstream;
+	readonly connections: number;
+};
+
+type Entry = ConnectedUpstream & {
 	readonly pool: Pool;
 };
 
@@ -26,18 +29,19 @@
 	}
 
 	/** Brings the pools in line with an inventory; what left it closes after its requests in flight. */
-	update(upstreams: readonly Upstream[]): void {
-		const wanted = new Map(upstreams.map(upstream => [upstream.id, upstream]));
+	update(connected: readonly ConnectedUpstream[]): void {
+		const wanted = new Map(connected.map(one => [one.upstream.id, one]));
 		for (const [id, entry] of this.#entries) {
-			if (wanted.get(id)?.address !== entry.upstream.address) {
+			const now = wanted.get(id);
+			if (now?.upstream.address !== entry.upstream.address || now.connections !== entry.connections) {
 				this.#entries.delete(id);
 				void entry.pool.close();
 			}
 		}
 
-		for (const upstream of upstreams) {
-			if (!this.#entries.has(upstream.id)) {
-				this.#entries.set(upstream.id, {upstream, pool: this.#open(upstream)});
+		for (const one of connected) {
+			if (!this.#entries.has(one.upstream.id)) {
+				this.#entries.set(one.upstream.id, {...one, pool: this.#open(one)});
 			}
 		}
 	}
@@ -51,10 +55,9 @@
 		this.#entries.clear();
 	}
 
-	#open(upstream: Upstream): Pool {
-		const share = Math.max(1, Math.floor(upstream.connections / this.#options.maximumInstances));
+	#open({upstream, connections}: ConnectedUpstream): Pool {
 		return new Pool(`http://${upstream.address}`, {
-			connections: share,
+			connections,
 			pipelining: requestsPerConnection,
 			keepAliveTimeout: this.#options.keepAliveTimeoutMs,
 			connect: {timeout: this.#options.connectTimeoutMs},
--- a/packages/daemon/src/features/upstreams/upstreams-task.ts
+++ b/packages/daemon/src/features/upstreams/upstreams-task.ts
@@ -1,60 +1,188 @@
-/** Owns the connections to upstreams and knows which of them take new work. */
-import type {RandomSource, Upstream, UpstreamId} from '@cairnbank/core';
+/** Owns the connections to upstreams, and knows of each its load, its limit and whether it takes new work. */
+import type {UpstreamId} from '@cairnbank/core';
 import type {ConfigurationState} from '@cairnbank/core/configuration';
+import {connectionShare} from '@cairnbank/core/routing';
 import {ok, type Result} from 'neverthrow';
-import type {Pool} from 'undici';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {UpstreamObservation} from '../admin/status-sources.js';
+import {prepareConfiguration} from '../calls/configuration-in-force.js';
 import type {ServiceInForce} from '../calls/service-in-force.js';
-import {UpstreamPools} from './upstream-pools.js';
+import {AdmissionStage} from './admission-stage.js';
+import type {ChosenUpstream} from './chosen-upstream.js';
+import {DrainRegister} from './drain-register.js';
+import {Prober} from './prober.js';
+import {ServiceSelectors} from './service-selectors.js';
+import {TrackedAttempt, type UpstreamSign} from './tracked-attempt.js';
+import {UpstreamMetrics, type UpstreamGauges} from './upstream-metrics.js';
+import {UpstreamPools, type ConnectedUpstream} from './upstream-pools.js';
 
-const maximumInstances = 40;
-
-export type ChosenUpstream = {
-	readonly upstream: Upstream;
-	readonly dispatcher: Pool;
-};
+const probeTimeoutMs = 1000;
 
 export class UpstreamsTask implements Task {
 	readonly name = 'upstreams';
+	/** Queues calls while all upstreams of their service are at their limits. */
+	readonly admission: AdmissionStage;
+	readonly #context: DaemonContext;
+	readonly #selectors: ServiceSelectors;
 	readonly #pools: UpstreamPools;
-	readonly #random: RandomSource;
-	#drained: ReadonlySet<UpstreamId> = new Set();
+	readonly #prober: Prober;
+	readonly #drains = new DrainRegister();
+	readonly #nowMs: () => number;
 
 	constructor(context: DaemonContext) {
-		const {connectTimeoutMs, keepAliveTimeoutMs} = context.settings.upstreams;
-		this.#pools = new UpstreamPools({maximumInstances, connectTimeoutMs, keepAliveTimeoutMs});
-		this.#random = context.random;
-		context.bus.on('configuration-in-force', ({configuration}) => {
-			this.#apply(configuration);
+		const {clock, random, settings, metrics} = context;
+		this.#context = context;
+		this.#nowMs = () => clock.monotonicMs();
+		this.#selectors = new ServiceSelectors({
+			instance: settings.instanceId, availabilityZone: settings.availabilityZone, random,
+		});
+		this.#pools = new UpstreamPools(settings.upstreams);
+		const upstreamMetrics = new UpstreamMetrics(metrics, () => this.#gauges());
+		this.#prober = new Prober({
+			clock,
+			metrics: upstreamMetrics,
+			selectors: this.#selectors,
+			probeTimeoutMs,
+			poolOf: id => this.#pools.get(id),
+		});
+		this.admission = new AdmissionStage({
+			clock,
+			metrics: upstreamMetrics,
+			isAtLimit: service => this.#selectors.get(service)?.isAtLimit(this.#nowMs()) ?? false,
 		});
+		this.#subscribe();
 	}
 
 	async start(): Promise<Result<void, StartError>> {
+		this.#prober.start();
 		return ok(undefined);
 	}
 
 	async stop(): Promise<void> {
+		this.#prober.stop();
+		this.admission.stop();
 		await this.#pools.close();
 	}
 
-	/** An upstream of the service that takes new work, or undefined where there is none. */
-	choose(service: ServiceInForce, excluded: ReadonlySet<UpstreamId>): ChosenUpstream | undefined {
-		const candidates = service.upstreams.filter(({id}) => !excluded.has(id) && !this.#drained.has(id));
-		const upstream = candidates[this.#random.below(candidates.length)];
-		const dispatcher = upstream && this.#pools.get(upstream.id);
-		return upstream && dispatcher && {upstream, dispatcher};
+	/** An upstream of the service for one attempt, or undefined where none may be had now. */
+	choose(service: ServiceInForce, excluded: ReadonlySet<UpstreamId>, priority: number): ChosenUpstream | undefined {
+		const selector = this.#selectors.get(service.id);
+		const choice = selector?.choose({priority, excluded, nowMs: this.#nowMs()});
+		if (selector === undefined || choice?.type !== 'chosen') {
+			return undefined;
+		}
+
+		const upstream = selector.stateOf(choice.upstream)?.upstream;
+		const dispatcher = this.#pools.get(choice.upstream);
+		return upstream && dispatcher && new TrackedAttempt({
+			upstream,
+			dispatcher,
+			selector,
+			nowMs: this.#nowMs,
+			onSign: (sign, sentAtMs) => {
+				this.#onSign(upstream.id, sign, sentAtMs);
+			},
+			onFreed: () => {
+				this.admission.onFreed(service.id);
+			},
+		});
 	}
 
 	/** How an upstream stands in the eyes of this instance. */
 	observe(id: UpstreamId): UpstreamObservation {
-		return {state: this.#drained.has(id) ? 'draining' : 'ready', inFlight: this.#pools.get(id)?.stats.running ?? 0};
+		const state = this.#selectors.ofUpstream(id)?.stateOf(id);
+		const nowMs = this.#nowMs();
+		const reportAgeMs = state && nowMs - state.reportAtMs;
+		return {
+			state: stateName(this.#drains.isDraining(id), state !== undefined && nowMs < state.ejectedUntilMs),
+			inFlight: state?.inFlight ?? 0,
+			...(state && reportAgeMs !== undefined && Number.isFinite(reportAgeMs) && {
+				utilizationRatio: (state.othersInFlight + state.inFlight) / state.upstream.slots,
+				reportAgeMs,
+			}),
+		};
 	}
 
+	#subscribe(): void {
+		const {bus} = this.#context;
+		bus.on('configuration-in-force', ({configuration}) => {
+			this.#apply(configuration);
+		});
+		bus.on('upstream-draining', ({upstream}) => {
+			this.#drains.mark(upstream);
+			this.#followDrain(upstream);
+		});
+		bus.on('upstream-undrained', ({upstream}) => {
+			this.#drains.unmark(upstream);
+			this.#followDrain(upstream);
+		});
+	}
+
+	/** Swaps everything at once: a choice sees the old configuration or the new one. */
 	#apply(configuration: ConfigurationState): void {
-		this.#drained = configuration.drained;
-		this.#pools.update(configuration.inventory.services.flatMap(service => service.upstreams));
+		const nowMs = this.#nowMs();
+		const services = [...prepareConfiguration(configuration).services.values()];
+		const connected = services.flatMap(service => this.#connectedOf(service));
+		this.#pools.update(connected);
+		this.#selectors.replace(services, nowMs);
+		this.#prober.replace(services, nowMs);
+		const ids = connected.map(({upstream}) => upstream.id);
+		this.#drains.setByOperators(configuration.drained);
+		this.#drains.retain(new Set(ids));
+		for (const id of ids) {
+			this.#followDrain(id);
+		}
+	}
+
+	#connectedOf({upstreams, rules}: ServiceInForce): ConnectedUpstream[] {
+		const {instanceId} = this.#context.settings;
+		return upstreams
+			.map(upstream => ({upstream, connections: connectionShare(upstream, rules.probes.maximumInstances, instanceId, [])}))
+			.filter(({connections}) => connections > 0);
+	}
+
+	#followDrain(upstream: UpstreamId): void {
+		this.#selectors.ofUpstream(upstream)?.setDraining(upstream, this.#drains.isDraining(upstream), this.#nowMs());
+	}
+
+	/** An upstream's own mark counts here at once; membership spreads it and says when it is over. */
+	#onSign(upstream: UpstreamId, sign: UpstreamSign, sentAtMs: number): void {
+		if (sign === 'marked') {
+			this.#drains.mark(upstream);
+			this.#followDrain(upstream);
+		} else if (sign === 'clean' && !this.#drains.isDraining(upstream)) {
+			return;
+		}
+
+		this.#context.bus.send({
+			type: 'upstream-sign', upstream, sign, sentAtMs,
+		});
 	}
+
+	* #gauges(): Iterable<UpstreamGauges> {
+		const nowMs = this.#nowMs();
+		for (const [service, selector] of this.#selectors.entries()) {
+			for (const state of selector.states) {
+				yield {
+					service,
+					upstream: state.upstream.id,
+					inFlight: state.inFlight,
+					limit: state.limit.value,
+					latencyMs: state.latencyMs.value,
+					isDraining: state.isDraining,
+					isEjected: nowMs < state.ejectedUntilMs,
+				};
+			}
+		}
+	}
+}
+
+function stateName(isDraining: boolean, isEjected: boolean): UpstreamObservation['state'] {
+	if (isDraining) {
+		return 'draining';
+	}
+
+	return isEjected ? 'ejected' : 'ready';
 }
--- a/packages/daemon/src/kernel/daemon-message.ts
+++ b/packages/daemon/src/kernel/daemon-message.ts
@@ -1,13 +1,12 @@
 /** What tasks tell each other. */
 import type {ConfigurationState} from '@cairnbank/core/configuration';
-import type {UpstreamId} from '@cairnbank/core';
 import type {Suspect} from '@cairnbank/core/poison';
+import type {MembershipMessage} from '../features/membership/membership-messages.js';
 
 export type DaemonMessage =
 	/** A newer configuration is in force from now on. */
 	| {readonly type: 'configuration-in-force'; readonly configuration: ConfigurationState}
-	/** An upstream takes no new work; who said so first. */
-	| {readonly type: 'upstream-draining'; readonly upstream: UpstreamId; readonly source: 'answer' | 'instance-list' | 'peer'}
+	| MembershipMessage
 	/** What this instance found out about suspects, to be told to all peers at once. */
 	| {readonly type: 'suspects-changed'; readonly suspects: readonly Suspect[]}
 	/** What peers told about suspects. */
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -46,7 +46,7 @@
 	const metrics = new CallMetrics(context.metrics);
 	const guard = new PoisonGuard(context, metrics);
 	const heldAnswers = new HeldAnswers(settings.calls.heldAnswersTotalBytes);
-	const handler = composeStages([guard], createAttemptHandler({
+	const handler = composeStages([guard, upstreams.admission], createAttemptHandler({
 		clock: context.clock,
 		heldAnswerBytes: settings.calls.heldAnswerBytes,
 		heldAnswers,
@@ -54,7 +54,7 @@
 		crashes: new CrashWatch(),
 		guard,
 		metrics,
-		choose: (service, excluded) => upstreams.choose(service, excluded),
+		choose: (service, excluded, priority) => upstreams.choose(service, excluded, priority),
 	}));
 	const configuration = new ConfigurationTask(context, log);
 	const admin = new AdminTask(context, {
