Gossip, instance list, drain marks and address answers in the daemon

Cause: instances must find each other, hear of drains within 2 s and tell callers where to go, with a list that lags. Change: the membership task with gossip rounds, urgent pushes and a poll of the list whose rate follows its size; drain marks from answers, list and peers reach the upstreams feature by messages, and draining upstreams are probed within a fleet budget; the address route; a leaving instance serves for the news' spread and the answers' time to live, then refuses as not run. The platform list may carry peer addresses; else the own peer port is tried. Conclusion: discovery needs neither a coordinator nor a right list.

--- a/packages/core/src/membership/drain-mark-set.spec.ts
+++ b/packages/core/src/membership/drain-mark-set.spec.ts
@@ -115,6 +115,14 @@
 		});
 	});
 
+	it('should forget upstreams that left the inventory and tell which were draining', () => {
+		const {marks} = setOf();
+		marks.observeMarkedAnswer(upstream);
+		assert.deepEqual(marks.retain(new Set([upstream])), []);
+		assert.deepEqual(marks.retain(new Set()), [upstream]);
+		assert.equal(marks.isDraining(upstream), false);
+	});
+
 	describe('spreading', () => {
 		const mark: fc.Arbitrary<DrainMark> = fc.record({
 			upstream: fc.constantFrom(upstream, upstreamIdSchema.parse('ledger-02')),
--- a/packages/core/src/membership/drain-mark-set.ts
+++ b/packages/core/src/membership/drain-mark-set.ts
@@ -108,8 +108,9 @@
 		return mark?.draining && mark.configurationOffset < offset ? this.#clear(upstream, 'operator') : undefined;
 	}
 
-	/** Forgets upstreams that the inventory no longer has. */
-	retain(upstreams: ReadonlySet<UpstreamId>): void {
+	/** Forgets upstreams that the inventory no longer has. @returns those of them that were draining */
+	retain(upstreams: ReadonlySet<UpstreamId>): UpstreamId[] {
+		const forgotten = this.all().filter(mark => mark.draining && !upstreams.has(mark.upstream));
 		for (const upstream of [...this.#marks.keys(), ...this.#listed.keys()]) {
 			if (!upstreams.has(upstream)) {
 				this.#marks.delete(upstream);
@@ -117,6 +118,8 @@
 				this.#listed.delete(upstream);
 			}
 		}
+
+		return forgotten.map(({upstream}) => upstream);
 	}
 
 	#mark(upstream: UpstreamId, source: DrainSource): DrainMark | undefined {
--- a/packages/core/src/membership/gossip-state.ts
+++ b/packages/core/src/membership/gossip-state.ts
@@ -81,12 +81,15 @@
 		}
 	}
 
-	/** An exchange failed: the suspicion travels on. */
-	reportUnreachable(incarnation: IncarnationId): void {
+	/** An exchange failed: the suspicion travels on. @returns whether it is news */
+	reportUnreachable(incarnation: IncarnationId): boolean {
+		const wasSuspected = this.#table.suspected().some(({entry}) => entry.incarnation === incarnation);
 		const suspicion = this.#table.reportUnreachable(incarnation);
-		if (suspicion) {
+		if (suspicion && !wasSuspected) {
 			this.#passOn(suspicion);
 		}
+
+		return suspicion !== undefined && !wasSuspected;
 	}
 
 	/** Forgets what has been silent for long. @returns the removed members */
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -3,7 +3,6 @@
 export * from './drain-mark-set.js';
 export * from './gossip-digest.js';
 export * from './gossip-state.js';
-export * from './leaving-plan.js';
 export * from './listed-instance.js';
 export type * from './member.js';
 export * from './member-entry.js';
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -64,8 +64,8 @@
 		bus.send({type: 'leaving'});
 		await Promise.all(this.#started.map(async task => task.leave?.()));
 		if (offered) {
-			// Callers may keep an address answer for this long and connect at its end.
-			await delay(settings.addresses.ttlMs);
+			// Others may name this instance until they hear, and callers may keep such an answer and connect at its end.
+			await delay(settings.stopping.spreadMs + settings.addresses.ttlMs);
 		}
 
 		const drained = Promise.all(this.#started.map(async task => task.drain?.()));
--- /dev/null
+++ b/packages/daemon/src/features/addresses/addresses-routes.ts
@@ -0,0 +1,39 @@
+/** `GET /.well-known/cairnbank/addresses`: which instances a caller should use, and for how long. */
+import {availabilityZoneIdSchema, type RandomSource} from '@cairnbank/core';
+import {answerAddresses, type MemberEntry} from '@cairnbank/core/membership';
+import type {AddressSettings} from '../../settings/address-settings.js';
+import type {CallerRoutes} from '../calls/caller-listener-task.js';
+
+export const addressesPath = '/.well-known/cairnbank/addresses';
+
+const unavailable = 503;
+const msPerSecond = 1000;
+
+export type AddressesOptions = {
+	readonly settings: AddressSettings;
+	readonly random: RandomSource;
+	/** Instances in service, as this one knows them. */
+	offered(): readonly MemberEntry[];
+	/** A ticket for one request, where the caller asks with `?ticket=true`; undefined while none can be issued. */
+	issueTicket?(): string | undefined;
+};
+
+/** The route; `?availabilityZone=` puts that availability zone's instances first. */
+export function addressesRoutes(options: AddressesOptions): CallerRoutes {
+	const {settings, random} = options;
+	return app => {
+		app.get(addressesPath, context => {
+			const availabilityZone = availabilityZoneIdSchema.safeParse(context.req.query('availabilityZone')).data;
+			const answer = answerAddresses({
+				members: options.offered(), availabilityZone, ttlMs: settings.ttlMs, maximumAddresses: settings.maximumAddresses, random,
+			});
+			if (answer.addresses.length === 0) {
+				return context.json({...answer, ttlMs: 0}, unavailable, {'retry-after': '1'});
+			}
+
+			const ticket = context.req.query('ticket') === 'true' ? options.issueTicket?.() : undefined;
+			const headers = {'cache-control': ticket === undefined ? `max-age=${Math.floor(settings.ttlMs / msPerSecond)}` : 'no-store'};
+			return context.json(ticket === undefined ? answer : {...answer, ticket}, {headers});
+		});
+	};
+}
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -3,19 +3,20 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import type {Address} from '@cairnbank/core';
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
 import {type Result} from 'neverthrow';
 import type {Outcome} from '@cairnbank/core/outcomes';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
-import {closeServer, listen} from '../../kernel/listen.js';
+import {closeServer, listen, reachableAddress} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {CallHandler} from './call-handler.js';
 import {Cancellation} from './cancellation.js';
 import type {HeldAnswers} from './held-answers.js';
 import {prepareConfiguration, type ConfigurationInForce} from './configuration-in-force.js';
-import {writeProblem} from './problem.js';
+import {writeProblem, type Problem} from './problem.js';
 import {readCall} from './read-call.js';
 import {ResponseSink} from './response-sink.js';
 import {writeOutcome} from './write-outcome.js';
@@ -37,6 +38,10 @@
 const badRequest = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\nCairnbank-Outcome: not-run\r\n\r\n';
 const headersTooLarge = 'HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\nCairnbank-Outcome: not-run\r\n\r\n';
 
+const stoppingProblem: Problem = {
+	statusCode: 503, outcome: 'not-run', reason: 'stopping', detail: 'not run: this instance is stopping, ask for addresses again', retryAfterMs: 1000,
+};
+
 export class CallerListenerTask implements Task {
 	readonly name = 'callers';
 	readonly #context: DaemonContext;
@@ -46,6 +51,8 @@
 	#configuration: ConfigurationInForce | undefined;
 	#inFlight = 0;
 	#leaving = false;
+	#refusing = false;
+	#address: Address | undefined;
 	#onIdle: (() => void) | undefined;
 
 	constructor(context: DaemonContext, {handler, heldAnswers, routes}: CallerListenerParts) {
@@ -58,6 +65,11 @@
 		});
 	}
 
+	/** Where callers reach this instance; undefined until the port is open. */
+	get address(): Address | undefined {
+		return this.#address;
+	}
+
 	get inFlight(): number {
 		return this.#inFlight;
 	}
@@ -65,6 +77,7 @@
 	async start(): Promise<Result<void, StartError>> {
 		const listening = await listen(this.#server, this.name, this.#context.settings.callers);
 		return listening.map(({address, port}: AddressInfo) => {
+			this.#address = reachableAddress(this.#context.settings.callers, port);
 			this.#context.logger.info('listening', {listener: this.name, address, port});
 		});
 	}
@@ -73,7 +86,9 @@
 		this.#leaving = true;
 	}
 
+	/** No address answer that names this instance holds any longer: refuses new calls and awaits those in flight. */
 	async drain(): Promise<void> {
+		this.#refusing = true;
 		if (this.#inFlight === 0) {
 			return;
 		}
@@ -102,6 +117,10 @@
 		});
 		// Calls bypass hono: it answers HEAD through GET with a response of its own, and costs each call a web request.
 		server.on('request', (request, response) => {
+			if (this.#leaving) {
+				response.setHeader('connection', 'close');
+			}
+
 			void (request.url!.startsWith(ownRoutesPrefix) ? serveOwnRoute(request, response) : this.#serve(request, response));
 		});
 		server.on('clientError', refuseMalformed);
@@ -109,11 +128,12 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		this.#inFlight += 1;
-		if (this.#leaving) {
-			response.setHeader('connection', 'close');
+		if (this.#refusing) {
+			writeProblem(response, stoppingProblem);
+			return;
 		}
 
+		this.#inFlight += 1;
 		response.once('close', () => {
 			this.#callEnded();
 		});
--- /dev/null
+++ b/packages/daemon/src/features/membership/membership-metrics.ts
@@ -0,0 +1,50 @@
+/** What the membership feature counts. */
+import {Counter, Gauge, type Registry} from 'prom-client';
+
+export type MemberCounts = {
+	readonly reachable: number;
+	readonly suspected: number;
+	readonly drainedUpstreams: number;
+};
+
+export class MembershipMetrics {
+	readonly #exchanges: Counter<'result'>;
+	readonly #listReads: Counter<'result'>;
+
+	constructor(registry: Registry, counts: () => MemberCounts) {
+		const registers = [registry];
+		this.#exchanges = new Counter({
+			name: 'cairnbank_gossip_exchanges_total', help: 'Exchanges begun by this instance, by result', labelNames: ['result'], registers,
+		});
+		this.#listReads = new Counter({
+			name: 'cairnbank_instance_list_reads_total', help: 'Reads of the platform\'s instance list, by result', labelNames: ['result'], registers,
+		});
+		registry.registerMetric(new Gauge({
+			name: 'cairnbank_members',
+			help: 'Other instances known here, by what is thought of them',
+			labelNames: ['state'] as const,
+			registers: [],
+			collect() {
+				const {reachable, suspected} = counts();
+				this.set({state: 'reachable'}, reachable);
+				this.set({state: 'suspected'}, suspected);
+			},
+		}));
+		registry.registerMetric(new Gauge({
+			name: 'cairnbank_drain_marks',
+			help: 'Upstreams that take no new work by their own or the platform\'s word',
+			registers: [],
+			collect() {
+				this.set(counts().drainedUpstreams);
+			},
+		}));
+	}
+
+	exchange(result: string): void {
+		this.#exchanges.inc({result});
+	}
+
+	listRead(result: string): void {
+		this.#listReads.inc({result});
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/features/membership/membership-state.ts
@@ -0,0 +1,48 @@
+/** The pure parts of membership, made for one process. */
+import type {Address, IncarnationId} from '@cairnbank/core';
+import {
+	DrainMarkSet, GossipState, ListedLeaving, MemberTable, type MemberEntry,
+} from '@cairnbank/core/membership';
+import type {DaemonContext} from '../../kernel/daemon-context.js';
+
+export type MembershipState = {
+	readonly table: MemberTable;
+	readonly drainMarks: DrainMarkSet;
+	readonly gossip: GossipState;
+	readonly listedLeaving: ListedLeaving;
+};
+
+export type OwnAddresses = {
+	readonly callerAddress: Address;
+	readonly peerAddress: Address;
+};
+
+function ownEntry({settings, incarnation}: DaemonContext, addresses: OwnAddresses): MemberEntry {
+	return {
+		...addresses,
+		instance: settings.instanceId,
+		incarnation,
+		heartbeat: 0,
+		state: 'starting',
+		availabilityZone: settings.availabilityZone,
+		configurationOffset: 0,
+		configurationHash: '',
+		callsPerSecond: 0,
+	};
+}
+
+export function createMembershipState(context: DaemonContext, addresses: OwnAddresses): MembershipState {
+	const {clock, settings: {membership}} = context;
+	const timing = membership.gossip;
+	const table = new MemberTable({self: ownEntry(context, addresses), clock, timing});
+	const drainMarks = new DrainMarkSet({clock, cleanForMs: membership.cleanForMs, cleanAnswers: membership.cleanAnswers});
+	return {
+		table, drainMarks, gossip: new GossipState({table, drainMarks, timing}), listedLeaving: new ListedLeaving(),
+	};
+}
+
+/** Whom a failed exchange is held against; addresses that nobody was heard from are nobody's. */
+export function incarnationAt({table}: MembershipState, peerAddress: Address): IncarnationId | undefined {
+	const members = table.others().filter(({entry}) => entry.peerAddress === peerAddress);
+	return members.sort((a, b) => b.heardAtMs - a.heardAtMs)[0]?.entry.incarnation;
+}
--- /dev/null
+++ b/packages/daemon/src/features/membership/upstream-marks.ts
@@ -0,0 +1,99 @@
+/** Turns signs of upstreams, the platform's list and operators' orders into drain marks, and tells the other tasks. */
+import type {Address, Upstream} from '@cairnbank/core';
+import {drainKey, type ConfigurationState} from '@cairnbank/core/configuration';
+import type {DrainMark, ListedInstance} from '@cairnbank/core/membership';
+import type {DaemonContext} from '../../kernel/daemon-context.js';
+import type {UpstreamSignMessage} from './membership-messages.js';
+import type {MembershipState} from './membership-state.js';
+
+type MarkSource = DrainMark['source'] | 'peer';
+
+export class UpstreamMarks {
+	readonly #context: DaemonContext;
+	readonly #state: MembershipState;
+	readonly #onMade: () => void;
+	#upstreams: ReadonlyMap<Address, Upstream> = new Map();
+
+	/** @param onMade - called when a mark was made here, which others must hear soon */
+	constructor(context: DaemonContext, state: MembershipState, onMade: () => void) {
+		this.#context = context;
+		this.#state = state;
+		this.#onMade = onMade;
+	}
+
+	/** Upstreams of the inventory with a mark. */
+	draining(): Upstream[] {
+		return [...this.#upstreams.values()].filter(({id}) => this.#state.drainMarks.isDraining(id));
+	}
+
+	applyConfiguration(configuration: ConfigurationState): void {
+		const {drainMarks} = this.#state;
+		const upstreams = configuration.inventory.services.flatMap(service => service.upstreams);
+		this.#upstreams = new Map(upstreams.map(upstream => [upstream.address, upstream]));
+		for (const upstream of drainMarks.retain(new Set(upstreams.map(({id}) => id)))) {
+			this.#context.bus.send({type: 'upstream-undrained', upstream});
+		}
+
+		drainMarks.setConfigurationOffset(configuration.acceptedOffset);
+		this.#applyUndrains(configuration);
+	}
+
+	takeList(instances: readonly ListedInstance[], requestedAtMs: number): void {
+		const marks = instances
+			.filter(({role}) => role === 'upstream')
+			.map(({address, state}) => ({upstream: this.#upstreams.get(address), state}))
+			.map(({upstream, state}) => upstream && this.#state.drainMarks.observeListed(upstream.id, state, requestedAtMs));
+		this.#announce(marks);
+	}
+
+	takeSign({upstream, sign, sentAtMs}: UpstreamSignMessage): void {
+		const {drainMarks} = this.#state;
+		switch (sign) {
+			case 'marked': {
+				this.#announce([drainMarks.observeMarkedAnswer(upstream)]);
+				break;
+			}
+
+			case 'clean': {
+				this.#announce([drainMarks.observeCleanAnswer(upstream, sentAtMs)]);
+				break;
+			}
+
+			case 'failed': {
+				drainMarks.observeFailure(upstream);
+				break;
+			}
+		}
+	}
+
+	/** Passes changed marks to the other tasks. */
+	tellTasks(marks: readonly DrainMark[], sourceOf: (mark: DrainMark) => MarkSource): void {
+		const {bus, logger} = this.#context;
+		for (const mark of marks) {
+			const {upstream, draining} = mark;
+			const source = sourceOf(mark);
+			logger.info(draining ? 'upstream draining' : 'upstream takes work again', {upstream, source});
+			bus.send(draining ? {type: 'upstream-draining', upstream, source} : {type: 'upstream-undrained', upstream});
+		}
+	}
+
+	/** A drain key that an operator set after a mark, and not to draining, brings the upstream back. */
+	#applyUndrains({drained, lastAcceptedByKey}: ConfigurationState): void {
+		const cleared = this.draining()
+			.filter(({id}) => !drained.has(id))
+			.map(({id}) => this.#state.drainMarks.observeUndrain(id, lastAcceptedByKey.get(drainKey(id))?.offset ?? 0));
+		this.#announce(cleared);
+	}
+
+	/** Marks made here. */
+	#announce(made: ReadonlyArray<DrainMark | undefined>): void {
+		const marks = made.filter(mark => mark !== undefined);
+		if (marks.length === 0) {
+			return;
+		}
+
+		this.#state.gossip.announceDrainMarks(marks);
+		this.tellTasks(marks, ({source}) => source);
+		this.#onMade();
+	}
+}
--- a/packages/daemon/src/features/peers/peer-clients.ts
+++ b/packages/daemon/src/features/peers/peer-clients.ts
@@ -4,9 +4,9 @@
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {ResultAsync} from 'neverthrow';
 import type {Agent} from 'undici';
+import {toAuthorization} from '../../kernel/secret.js';
 import {createControlAgent} from '../../metrics/control-agent.js';
 import type {ControlBytes} from '../../metrics/control-bytes.js';
-import {toAuthorization} from '../../kernel/secret.js';
 import {toPeerError, type PeerError} from './peer-error.js';
 import {createPeerFetch, type PeerFetch} from './peer-fetch.js';
 
--- a/packages/daemon/src/features/peers/peers-task.ts
+++ b/packages/daemon/src/features/peers/peers-task.ts
@@ -2,32 +2,42 @@
 import {
 	createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse,
 } from 'node:http';
-import {addressSchema, type Address} from '@cairnbank/core';
+import type {Address} from '@cairnbank/core';
 import {createPeerRouter, type PeerHandlers} from '@cairnbank/protocol/peers';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {type Result} from 'neverthrow';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
-import {closeServer, listen} from '../../kernel/listen.js';
+import {closeServer, listen, reachableAddress} from '../../kernel/listen.js';
+import {isAuthorized} from '../../kernel/secret.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {ControlBytes} from '../../metrics/control-bytes.js';
-import {isAuthorized} from '../../kernel/secret.js';
+import type {PeerClients} from './peer-clients.js';
 
 const unauthorized = 401;
 /** Room for a forwarded call in base64 and its headers. */
 const bodyBytesPerCallByte = 1.5;
 const keepAliveTimeoutMs = 60_000;
 const headersTimeoutMs = 5000;
+const closingTimeoutMs = 1000;
+
+export type PeersParts = {
+	/** Closed with the port. */
+	readonly clients: PeerClients;
+	readonly bytes: ControlBytes;
+};
 
 export class PeersTask implements Task {
 	readonly name = 'peers';
 	readonly #context: DaemonContext;
+	readonly #clients: PeerClients;
 	readonly #server: Server;
 	readonly #answer: RequestListener;
 	#address: Address | undefined;
 
-	constructor(context: DaemonContext, handlers: PeerHandlers, bytes: ControlBytes) {
+	constructor(context: DaemonContext, handlers: PeerHandlers, {clients, bytes}: PeersParts) {
 		this.#context = context;
+		this.#clients = clients;
 		this.#answer = createHTTPHandler({
 			router: createPeerRouter(handlers),
 			maxBodySize: Math.ceil((context.settings.calls.maximumBodyBytes + context.settings.calls.maximumHeaderBytes) * bodyBytesPerCallByte),
@@ -53,13 +63,19 @@
 		const {peers} = this.#context.settings;
 		const listening = await listen(this.#server, this.name, peers);
 		return listening.map(({address, port}) => {
-			this.#address = peers.advertisedAddress ?? addressSchema.parse(`${peers.host.includes(':') ? `[${peers.host}]` : peers.host}:${port}`);
+			this.#address = reachableAddress(peers, port);
 			this.#context.logger.info('listening', {listener: this.name, address, port});
 		});
 	}
 
+	/** Connections of other daemons stay open between calls; none of them keeps this one from its end. */
 	async stop(): Promise<void> {
+		const timer = setTimeout(() => {
+			this.#server.closeAllConnections();
+		}, closingTimeoutMs);
+		await this.#clients.close();
 		await closeServer(this.#server);
+		clearTimeout(timer);
 	}
 
 	#handle(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/daemon/src/features/registry.ts
+++ b/packages/daemon/src/features/registry.ts
@@ -1,9 +1,9 @@
 /** The features of a daemon and the order in which they start; they stop in the reverse order. */
 import type {Task} from '../kernel/task.js';
 
-export type FeatureName = 'admin' | 'configuration' | 'upstreams' | 'callers';
+export type FeatureName = 'admin' | 'configuration' | 'upstreams' | 'peers' | 'callers' | 'membership';
 
-const startOrder: readonly FeatureName[] = ['admin', 'upstreams', 'configuration', 'callers'];
+const startOrder: readonly FeatureName[] = ['admin', 'upstreams', 'peers', 'callers', 'membership', 'configuration'];
 
 export type Features = Readonly<Record<FeatureName, Task>>;
 
--- a/packages/daemon/src/kernel/listen.ts
+++ b/packages/daemon/src/kernel/listen.ts
@@ -1,6 +1,7 @@
 /** Opening and closing of HTTP listeners. */
 import type {Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {isIPv6, type AddressInfo} from 'node:net';
+import {addressSchema, type Address} from '@cairnbank/core';
 import {err, ok, type Result} from 'neverthrow';
 import type {ListenAddress} from '../settings/listen-address.js';
 import type {StartError} from './start-error.js';
@@ -17,6 +18,11 @@
 	});
 }
 
+/** What others are told of a listener on `port`. */
+export function reachableAddress({advertisedAddress, host}: ListenAddress, port: number): Address {
+	return advertisedAddress ?? addressSchema.parse(`${isIPv6(host) ? `[${host}]` : host}:${port}`);
+}
+
 /** Stops accepting and closes idle connections; resolves once the last connection has ended. */
 export async function closeServer(server: Server): Promise<void> {
 	if (!server.listening) {
--- a/packages/daemon/src/settings/index.ts
+++ b/packages/daemon/src/settings/index.ts
@@ -5,6 +5,7 @@
 export * from './listen-address.js';
 export type * from './log-settings.js';
 export * from './logging-settings.js';
+export type * from './membership-settings.js';
 export * from './read-settings.js';
 export type * from './secrets.js';
 export * from './settings-error.js';
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -8,6 +8,7 @@
 import {listenAddressSchema} from './listen-address.js';
 import {logSettingsSchema} from './log-settings.js';
 import {loggingSettingsSchema} from './logging-settings.js';
+import {membershipSettingsSchema} from './membership-settings.js';
 import {secretsSchema} from './secrets.js';
 import {stoppingSettingsSchema} from './stopping-settings.js';
 import {tracingSettingsSchema} from './tracing-settings.js';
@@ -28,6 +29,7 @@
 	peerSecrets: secretsSchema,
 	/** Accepted from operators. */
 	operatorSecrets: secretsSchema,
+	membership: membershipSettingsSchema.prefault({}),
 	addresses: addressSettingsSchema.prefault({}),
 	calls: callSettingsSchema.prefault({}),
 	atMostOnce: atMostOnceSettingsSchema.prefault({}),
--- a/packages/testing/src/harness/daemon-process.ts
+++ b/packages/testing/src/harness/daemon-process.ts
@@ -33,6 +33,7 @@
 		peerSecrets: [peerSecret],
 		operatorSecrets: [operatorSecret],
 		addresses: {ttlMs: 500},
+		stopping: {spreadMs: 200},
 	};
 	for (const [key, value] of Object.entries(options.settings ?? {})) {
 		const section = settings[key];
--- a/packages/testing/src/harness/deployment.ts
+++ b/packages/testing/src/harness/deployment.ts
@@ -73,7 +73,7 @@
 		});
 		this.daemons.push(daemon);
 		this.list.put({
-			id, role: 'entry', address: daemon.callers, availabilityZone, state: 'live',
+			id, role: 'entry', address: daemon.callers, peerAddress: daemon.peers, availabilityZone, state: 'live',
 		});
 		return daemon;
 	}
--- a/packages/testing/src/stand-ins/instance-list-stand-in.ts
+++ b/packages/testing/src/stand-ins/instance-list-stand-in.ts
@@ -8,6 +8,8 @@
 	readonly role: 'entry' | 'upstream';
 	/** `IP:port`: the callers' address of an entry instance, the service address of an upstream. */
 	readonly address: string;
+	/** Where other entry instances reach an entry instance. */
+	readonly peerAddress?: string;
 	readonly availabilityZone: string;
 	readonly state: 'live' | 'leaving';
 };
