--- /dev/null
+++ b/packages/testing/src/calls/attempts-at-depth.ts
@@ -0,0 +1,57 @@
+/** Counts the attempts that reach the lowest of several services that call each other through the system. */
+import {Deployment} from '../harness/deployment.js';
+import {RelayUpstream} from '../stand-ins/relay-upstream.js';
+
+const upstreamsPerService = 3;
+const lowestService = 'layer-1';
+
+export type DepthOptions = {
+	/** Services that a call passes, the failing one included. */
+	readonly depth: number;
+	readonly calls: number;
+	/** Retries as a share of first attempts, in each service. */
+	readonly budgetRatio: number;
+	/** Whether services pass on the mark that ends retries. */
+	readonly passesMark: boolean;
+};
+
+/** Every upstream of the lowest service fails fast; `layer-n` calls `layer-(n-1)`. */
+export async function attemptsAtDepth(options: DepthOptions): Promise<number> {
+	const deployment = await Deployment.start({daemons: 1, services: [{id: lowestService, upstreams: upstreamsPerService}]});
+	const relays = await startRelays(deployment, options);
+	try {
+		await publish(deployment, relays, options);
+		await Promise.all(deployment.upstreams.map(async upstream => upstream.setFaults({failFast: true})));
+		for (let count = 0; count < options.calls; count += 1) {
+			await deployment.caller.call({instance: deployment.daemons[0]!.callers, path: `/layer-${options.depth}/balance`});
+		}
+
+		return deployment.upstreams.reduce((sum, upstream) => sum + upstream.counters.received, 0);
+	} finally {
+		await Promise.all(relays.flat().map(async relay => relay.stop()));
+		await deployment.stop();
+	}
+}
+
+async function startRelays(deployment: Deployment, {depth, passesMark}: DepthOptions): Promise<RelayUpstream[][]> {
+	const entryUrl = `http://${deployment.daemons[0]!.callers}`;
+	const layers = Array.from({length: depth - 1}, (_, index) => `layer-${index + 1}`);
+	return Promise.all(layers.map(async next => Promise.all(Array.from({length: upstreamsPerService}, async () =>
+		new RelayUpstream({entryUrl, next, passesMark}).start()))));
+}
+
+async function publish(deployment: Deployment, relays: RelayUpstream[][], {depth, budgetRatio}: DepthOptions): Promise<void> {
+	const lowest = deployment.upstreams.map(({address}) => address);
+	const addresses = [lowest, ...relays.map(layer => layer.map(({address}) => address))];
+	const services = addresses.map((layer, index) => ({
+		id: `layer-${index + 1}`,
+		upstreams: layer.map((address, position) => ({
+			id: `layer-${index + 1}-${position}`, address, availabilityZone: 'zone-a', slots: 100, connections: 4000,
+		})),
+	}));
+	await deployment.publish({kind: 'inventory', services});
+	await deployment.publish({
+		kind: 'rules',
+		services: Array.from({length: depth}, (_, index) => ({service: `layer-${index + 1}`, retries: {budgetRatio, maximumAttempts: 3}})),
+	});
+}
--- /dev/null
+++ b/packages/testing/src/calls/attempts.spec.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import {
+	after, afterEach, before, describe, it,
+} from 'node:test';
+import {headerNames} from '@cairnbank/protocol';
+import {Deployment, waitFor} from '../harness/index.js';
+import type {UpstreamStandIn} from '../stand-ins/upstream-stand-in.js';
+
+const hedging = {quantile: 0.5, minimumDelayMs: 1, budgetRatio: 0.5};
+const answersBeforeHedges = 40;
+
+describe('attempts of a daemon', () => {
+	let deployment: Deployment;
+	let first: UpstreamStandIn;
+	let second: UpstreamStandIn;
+
+	before(async () => {
+		deployment = await Deployment.start({
+			daemons: 1, services: [{id: 'ledger', upstreams: 2, upstream: {slots: 1, serviceMs: 1}}],
+		});
+		await deployment.publishInventory();
+		await deployment.publish({kind: 'rules', classes: [{id: 'hedged', match: {pathPrefix: '/hedged'}, hedging}]});
+		[first, second] = deployment.upstreams as [UpstreamStandIn, UpstreamStandIn];
+	});
+
+	afterEach(async () => {
+		await Promise.all(deployment.upstreams.map(async upstream => upstream.clearFaults()));
+	});
+
+	after(async () => {
+		await deployment.stop();
+	});
+
+	async function call(path: string, headers: Record<string, string> = {}, timeoutMs?: number) {
+		return deployment.caller.call({
+			instance: deployment.daemons[0]!.callers, path: `/ledger${path}`, headers, timeoutMs,
+		});
+	}
+
+	async function metric(name: string): Promise<number> {
+		const answer = await fetch(`http://${deployment.daemons[0]!.admin}/metrics`);
+		const text = await answer.text();
+		const line = text.split('\n').find(one => one.startsWith(name));
+		return Number(line?.split(' ').at(-1) ?? 0);
+	}
+
+	function runs(requestId: string): number {
+		return deployment.runs().get(requestId) ?? 0;
+	}
+
+	it('should answer an idempotent request elsewhere where one upstream fails fast', async () => {
+		await first.setFaults({failFast: true});
+		await waitFor('a call that met the failing upstream', async () => {
+			const told = await call('/balance');
+			assert.deepEqual([told.type, told.type === 'answered' && told.statusCode], ['answered', 200]);
+			return runs(told.requestId) === 2;
+		});
+	});
+
+	it('should hedge a slow request, cancel the loser and count it', async () => {
+		for (let index = 0; index < answersBeforeHedges; index += 1) {
+			await call('/hedged');
+		}
+
+		await first.setFaults({frozen: true});
+		await waitFor('a hedge whose first attempt is stuck', async () => {
+			const told = await call('/hedged');
+			assert.equal(told.type, 'answered');
+			return await metric('cairnbank_hedge_losers_total{service="ledger"}') > 0;
+		});
+		assert.ok(await metric('cairnbank_attempts_total{service="ledger",kind="hedge"}') > 0);
+	});
+
+	it('should not start work whose deadline has passed while it waited', async () => {
+		await Promise.all(deployment.upstreams.map(async upstream => upstream.setFaults({frozen: true})));
+		const told = await call('/balance', {[headerNames.deadlineMs]: '30'});
+		assert.equal(told.type, 'unknown');
+		await Promise.all(deployment.upstreams.map(async upstream => upstream.setFaults({frozen: false})));
+		const next = await call('/balance');
+		assert.equal(next.type, 'answered');
+		assert.equal(runs(told.requestId), 0);
+	});
+
+	it('should hand on what is left of the deadline', async () => {
+		const told = await call('/balance', {[headerNames.deadlineMs]: '0'});
+		assert.equal(told.type, 'not-run');
+		assert.equal(runs(told.requestId), 0);
+	});
+
+	it('should cancel the attempts of a caller that leaves', async () => {
+		await second.setFaults({refusing: true});
+		const {cancelled} = first.counters;
+		const slow = call('/balance', {'x-service-ms': '1000'});
+		await waitFor('the slot is taken', () => first.inFlight === 1);
+		const left = await call('/balance', {}, 50);
+		assert.equal(left.type, 'cut');
+		await waitFor('the upstream sees the cancellation', () => first.counters.cancelled === cancelled + 1);
+		const whole = await slow;
+		assert.equal(whole.type, 'answered');
+		assert.equal(runs(left.requestId), 0);
+	});
+});
--- a/packages/testing/src/stand-ins/index.ts
+++ b/packages/testing/src/stand-ins/index.ts
@@ -8,3 +8,5 @@
 export * from './upstream-faults.js';
 export * from './upstream-options.js';
 export * from './upstream-stand-in.js';
+export * from './raw-upstream.js';
+export * from './relay-upstream.js';
--- /dev/null
+++ b/packages/testing/src/stand-ins/relay-upstream.ts
@@ -0,0 +1,54 @@
+/** An upstream that is itself a caller: it answers with what the next service answers through the system. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {headerNames} from '@cairnbank/protocol';
+import {Agent} from 'undici';
+import {Listener} from './listener.js';
+import {requestIdHeader} from './run-counter.js';
+
+export type RelayOptions = {
+	/** `http://IP:port` of an instance. */
+	readonly entryUrl: string;
+	/** The service that it calls. */
+	readonly next: string;
+	/** Whether a failure's mark against further retries is passed on. */
+	readonly passesMark: boolean;
+};
+
+const carried = [headerNames.deadlineMs, requestIdHeader, 'traceparent'];
+
+export class RelayUpstream {
+	readonly #options: RelayOptions;
+	readonly #agent = new Agent({pipelining: 1});
+	readonly #listener = new Listener((request, response) => {
+		void this.#relay(request, response);
+	});
+
+	constructor(options: RelayOptions) {
+		this.#options = options;
+	}
+
+	get address(): string {
+		return this.#listener.address;
+	}
+
+	async start(): Promise<this> {
+		await this.#listener.open(0);
+		return this;
+	}
+
+	async stop(): Promise<void> {
+		await this.#agent.destroy();
+		await this.#listener.refuse();
+	}
+
+	async #relay(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const headers = Object.fromEntries(carried.filter(name => name in request.headers).map(name => [name, request.headers[name]]));
+		const answer = await this.#agent.request({
+			origin: this.#options.entryUrl, path: `/${this.#options.next}${request.url}`, method: 'GET', headers,
+		});
+		const text = await answer.body.text();
+		const isMarked = answer.headers[headerNames.noRetry] !== undefined && this.#options.passesMark;
+		response.writeHead(answer.statusCode < 500 ? answer.statusCode : 502, isMarked ? {[headerNames.noRetry]: 'true'} : {});
+		response.end(text);
+	}
+}
