--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /** `cairnbankd`: reads settings, runs one daemon, stops gracefully on SIGTERM and SIGINT. */
 import process from 'node:process';
 import {cac} from 'cac';
