--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,24 +1,20 @@
 /** `cairnbankd`: reads settings, runs one daemon, stops gracefully on SIGTERM and SIGINT. */
 import process from 'node:process';
-import {cac} from 'cac';
+import {parseCommandLine} from './command-line.js';
 import {readSettings} from './settings/read-settings.js';
 import {describeSettingsError} from './settings/settings-error.js';
 import {wireDaemon} from './wire.js';
 
-const settingsOption = '--settings';
-const exitCodes = {done: 0, wrongInput: 2, cannotStart: 1} as const;
-
-/** The argument parser takes a lone `-` for no value, so it is attached to its option. */
-function withAttachedDash(argv: readonly string[]): string[] {
-	return argv.flatMap((argument, index) => {
-		const attached = argument === '-' && argv[index - 1] === settingsOption;
-		const beforeDash = argument === settingsOption && argv[index + 1] === '-';
-		return beforeDash ? [] : [attached ? `${settingsOption}=-` : argument];
-	});
-}
+const exitCodes = {done: 0, cannotStart: 1, wrongInput: 2} as const;
 
 async function run(file: string | undefined, stopRequested: Promise<void>): Promise<number> {
-	const settings = await readSettings({file, environment: process.env});
+	const settings = await Promise.race([readSettings({file, environment: process.env}), stopRequested]);
+	if (settings === undefined) {
+		// Nobody may ever close standard input.
+		process.stdin.destroy();
+		return exitCodes.done;
+	}
+
 	if (settings.isErr()) {
 		process.stderr.write(`cairnbankd: ${describeSettingsError(settings.error).join('\n')}\n`);
 		return exitCodes.wrongInput;
@@ -37,15 +33,18 @@
 	return exitCodes.done;
 }
 
-const cli = cac('cairnbankd');
-cli.option('--settings <file>', 'Settings as JSON: a path, or "-" for standard input');
-cli.help();
 // Stands before anything else is done, so that a signal during the start is a graceful stop too.
 const stopRequested = new Promise<void>(resolve => {
-	process.on('SIGTERM', resolve);
-	process.on('SIGINT', resolve);
+	for (const signal of ['SIGTERM', 'SIGINT']) {
+		process.on(signal, () => {
+			resolve();
+		});
+	}
 });
-const {options} = cli.parse(withAttachedDash(process.argv));
-if (!options.help) {
-	process.exitCode = await run(options.settings as string | undefined, stopRequested);
+const commandLine = parseCommandLine(process.argv);
+if (commandLine.isErr()) {
+	process.stderr.write(`cairnbankd: ${commandLine.error}; see cairnbankd --help\n`);
+	process.exitCode = exitCodes.wrongInput;
+} else if (commandLine.value.type === 'run') {
+	process.exitCode = await run(commandLine.value.settingsFile, stopRequested);
 }
