Metrics in seconds; what this instance adds to a call; what it has in force

Histogram of the time from a request read whole to the start of the attempt that answered it. Gauges of readiness and of the offsets in force. Waits, probe time and upstream latency are exported in seconds, as Prometheus names them.

--- a/packages/daemon/src/features/admin/admin-task.spec.ts
+++ b/packages/daemon/src/features/admin/admin-task.spec.ts
@@ -113,7 +113,10 @@
 	it('should show the metrics of the registry', async () => {
 		new Counter({name: 'specs_total', help: 'Specs', registers: [context.metrics]}).inc();
 		const metrics = await get('/metrics');
-		assert.match(await metrics.text(), /^specs_total 1$/m);
+		const text = await metrics.text();
+		assert.match(text, /^specs_total 1$/m);
+		assert.match(text, /^cairnbank_ready 0$/m);
+		assert.match(text, /^cairnbank_configuration_accepted_offset 0$/m);
 	});
 
 	it('should tell operators what is in force and what it sees', async () => {
--- a/packages/daemon/src/features/admin/admin-task.ts
+++ b/packages/daemon/src/features/admin/admin-task.ts
@@ -7,6 +7,7 @@
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import {createAdminRoutes} from './admin-routes.js';
+import {registerInstanceMetrics} from './instance-metrics.js';
 import {InstanceState} from './instance-state.js';
 import {OperatorsService} from './operators-service.js';
 import type {StatusSources} from './status-sources.js';
@@ -19,6 +20,7 @@
 	constructor(context: DaemonContext, sources: StatusSources) {
 		this.#context = context;
 		const state = new InstanceState(context.bus);
+		registerInstanceMetrics(context.metrics, state, sources);
 		const routes = createAdminRoutes({
 			metrics: context.metrics,
 			state,
--- a/packages/daemon/src/features/calls/attempt-loop.ts
+++ b/packages/daemon/src/features/calls/attempt-loop.ts
@@ -234,9 +234,21 @@
 		this.#stopListening?.();
 		this.#cancelLosers();
 		this.#parts.metrics.ended(this.#call.serviceId, outcome);
+		this.#recordAdded(outcome);
 		resolve(outcome);
 	}
 
+	/** All that passed before the attempt that answered began was added by this instance. */
+	#recordAdded({type}: Outcome): void {
+		const {readAtMs, serviceId} = this.#call;
+		const winner = type === 'answered' || type === 'streamed'
+			? this.#attempts.find(({end}) => end?.result.type === type)
+			: undefined;
+		if (winner !== undefined && readAtMs !== undefined) {
+			this.#parts.metrics.added(serviceId, winner.startedAtMs - readAtMs);
+		}
+	}
+
 	/** The losers' times count as at least what they took, lest slow answers never show in the quantile. */
 	#cancelLosers(): void {
 		for (const attempt of this.#attempts) {
--- a/packages/daemon/src/features/calls/call-metrics.ts
+++ b/packages/daemon/src/features/calls/call-metrics.ts
@@ -2,11 +2,15 @@
 import type {ServiceId} from '@cairnbank/core';
 import type {Outcome} from '@cairnbank/core/outcomes';
 import type {AttemptKind} from '@cairnbank/core/retries';
-import {Counter, type Registry} from 'prom-client';
+import {Counter, Histogram, type Registry} from 'prom-client';
+
+const millisecondsPerSecond = 1000;
+const addedBucketsSeconds = [0.0001, 0.0002, 0.0005, 0.001, 0.0012, 0.002, 0.005, 0.01, 0.05, 0.1, 0.5, 1];
 
 type ServiceCounters = {
 	readonly attempts: Readonly<Record<AttemptKind, Counter.Internal>>;
 	readonly outcomes: Readonly<Record<Outcome['type'], Counter.Internal>>;
+	readonly added: Histogram.Internal<'service'>;
 	readonly hedgesCancelled: Counter.Internal;
 	readonly suspected: Counter.Internal;
 	readonly refusedSuspects: Counter.Internal;
@@ -16,6 +20,7 @@
 export class CallMetrics {
 	readonly #attempts: Counter<'service' | 'kind'>;
 	readonly #outcomes: Counter<'service' | 'outcome'>;
+	readonly #added: Histogram<'service'>;
 	readonly #hedgesCancelled: Counter<'service'>;
 	readonly #suspected: Counter<'service'>;
 	readonly #refusedSuspects: Counter<'service'>;
@@ -29,6 +34,13 @@
 		this.#outcomes = new Counter({
 			name: 'cairnbank_calls_total', help: 'Calls by what their caller was told', labelNames: ['service', 'outcome'], registers,
 		});
+		this.#added = new Histogram({
+			name: 'cairnbank_call_added_seconds',
+			help: 'Time from a request read whole to the start of the attempt that answered it',
+			labelNames: ['service'],
+			buckets: addedBucketsSeconds,
+			registers,
+		});
 		this.#hedgesCancelled = new Counter({
 			name: 'cairnbank_hedge_losers_total', help: 'Attempts cancelled as another one of their call answered first', labelNames: ['service'], registers,
 		});
@@ -48,6 +60,10 @@
 		this.#of(service).outcomes[outcome.type].inc();
 	}
 
+	added(service: ServiceId, addedMs: number): void {
+		this.#of(service).added.observe(addedMs / millisecondsPerSecond);
+	}
+
 	hedgeCancelled(service: ServiceId): void {
 		this.#of(service).hedgesCancelled.inc();
 	}
@@ -83,6 +99,7 @@
 				'not-run': outcomes('not-run'),
 				unknown: outcomes('unknown'),
 			},
+			added: this.#added.labels({service}),
 			hedgesCancelled: this.#hedgesCancelled.labels({service}),
 			suspected: this.#suspected.labels({service}),
 			refusedSuspects: this.#refusedSuspects.labels({service}),
--- a/packages/daemon/src/features/calls/call.ts
+++ b/packages/daemon/src/features/calls/call.ts
@@ -24,6 +24,8 @@
 	readonly idempotent: boolean;
 	/** On the monotonic clock. */
 	readonly deadlineAtMs: number;
+	/** When the request was read whole, on the monotonic clock; absent where another instance passed it on. */
+	readonly readAtMs?: number;
 	readonly ticket: string | undefined;
 	readonly idempotencyKey: string | undefined;
 	readonly trace: CallTrace;
--- a/packages/daemon/src/features/calls/read-call.ts
+++ b/packages/daemon/src/features/calls/read-call.ts
@@ -45,7 +45,7 @@
 
 	const body = await readBody(source.request, options.maximumBodyBytes);
 	return body
-		.map(bytes => ({...head.value, body: bytes}))
+		.map(bytes => ({...head.value, body: bytes, readAtMs: options.clock.monotonicMs()}))
 		.mapErr((error): CallRefusal => error.type === 'too-large'
 			? {reason: 'request-too-large', statusCode: statusCodes.contentTooLarge, detail: `bodies may have ${options.maximumBodyBytes} bytes`}
 			: {reason: 'caller-gone', statusCode: statusCodes.badRequest, detail: 'the connection closed within the request'});
@@ -75,6 +75,7 @@
 		return err(remainingMs.error);
 	}
 
+	const readAtMs = options.clock.monotonicMs();
 	const allowedMs = Math.min(remainingMs.value ?? requestClass.deadlineMs, requestClass.deadlineMs);
 	return ok({
 		serviceId: service.id,
@@ -86,7 +87,8 @@
 		tenant: tenant.value,
 		requestClass,
 		idempotent,
-		deadlineAtMs: options.clock.monotonicMs() + allowedMs,
+		deadlineAtMs: readAtMs + allowedMs,
+		readAtMs,
 		ticket: singleHeader(request, headerNames.ticket),
 		idempotencyKey: singleHeader(request, headerNames.idempotencyKey),
 		trace: options.tracing.startEntry(traceHeaders(request), {service: service.id, class: requestClass.id}),
--- a/packages/daemon/src/features/membership/membership-task.ts
+++ b/packages/daemon/src/features/membership/membership-task.ts
@@ -245,6 +245,6 @@
 function toMemberStatus(entry: MemberEntry, isSuspected: boolean): MemberStatus {
 	const {instance, incarnation, availabilityZone, state, configurationOffset} = entry;
 	return {
-		id: instance, incarnation, availabilityZone, state: state === 'leaving' ? 'leaving' : (isSuspected ? 'suspected' : 'live'), acceptedOffset: configurationOffset,
+		id: instance, incarnation, availabilityZone, state: isSuspected && state !== 'leaving' ? 'suspected' : state, acceptedOffset: configurationOffset,
 	};
 }
--- a/packages/daemon/src/features/upstreams/upstream-metrics.ts
+++ b/packages/daemon/src/features/upstreams/upstream-metrics.ts
@@ -4,7 +4,8 @@
 	Counter, Gauge, Histogram, type Registry,
 } from 'prom-client';
 
-const queueWaitBucketsMs = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000];
+const queueWaitBucketsSeconds = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1];
+const millisecondsPerSecond = 1000;
 
 /** What is read off at the time of a scrape. */
 export type UpstreamGauges = {
@@ -19,19 +20,19 @@
 
 export class UpstreamMetrics {
 	readonly #probes: Counter<'service' | 'upstream'>;
-	readonly #probeSlotTimeMs: Counter<'service' | 'upstream'>;
+	readonly #probeSlotSeconds: Counter<'service' | 'upstream'>;
 	readonly #shed: Counter<'service' | 'class' | 'reason'>;
 	readonly #queued: Counter<'service'>;
 	readonly #queueLength: Gauge<'service'>;
-	readonly #queueWaitMs: Histogram<'service'>;
+	readonly #queueWaitSeconds: Histogram<'service'>;
 
 	constructor(registry: Registry, read: () => Iterable<UpstreamGauges>) {
 		const registers = [registry];
 		this.#probes = new Counter({
 			name: 'cairnbank_probes_total', help: 'Probes sent', labelNames: ['service', 'upstream'], registers,
 		});
-		this.#probeSlotTimeMs = new Counter({
-			name: 'cairnbank_probe_slot_time_ms_total', help: 'Slot time that probes cost, by the rule', labelNames: ['service', 'upstream'], registers,
+		this.#probeSlotSeconds = new Counter({
+			name: 'cairnbank_probe_slot_seconds_total', help: 'Slot time that probes cost, by the rule', labelNames: ['service', 'upstream'], registers,
 		});
 		this.#shed = new Counter({
 			name: 'cairnbank_shed_total', help: 'Calls refused as not run by admission', labelNames: ['service', 'class', 'reason'], registers,
@@ -42,15 +43,15 @@
 		this.#queueLength = new Gauge({
 			name: 'cairnbank_queue_length', help: 'Calls that wait for an upstream', labelNames: ['service'], registers,
 		});
-		this.#queueWaitMs = new Histogram({
-			name: 'cairnbank_queue_wait_ms', help: 'Wait of calls for an upstream', labelNames: ['service'], buckets: queueWaitBucketsMs, registers,
+		this.#queueWaitSeconds = new Histogram({
+			name: 'cairnbank_queue_wait_seconds', help: 'Wait of calls for an upstream', labelNames: ['service'], buckets: queueWaitBucketsSeconds, registers,
 		});
 		registerGauges(registry, read);
 	}
 
 	probed(service: ServiceId, upstream: UpstreamId, costMs: number): void {
 		this.#probes.inc({service, upstream});
-		this.#probeSlotTimeMs.inc({service, upstream}, costMs);
+		this.#probeSlotSeconds.inc({service, upstream}, costMs / millisecondsPerSecond);
 	}
 
 	shed(service: ServiceId, requestClass: RequestClassId, reason: string): void {
@@ -62,7 +63,7 @@
 	}
 
 	leftQueue(service: ServiceId, waitMs: number): void {
-		this.#queueWaitMs.observe({service}, waitMs);
+		this.#queueWaitSeconds.observe({service}, waitMs / millisecondsPerSecond);
 	}
 
 	setQueueLength(service: ServiceId, length: number): void {
@@ -92,7 +93,7 @@
 
 	register('cairnbank_upstream_in_flight', 'Own requests in flight', ({inFlight}) => inFlight);
 	register('cairnbank_upstream_limit', 'Limit of own requests in flight', ({limit}) => limit);
-	register('cairnbank_upstream_latency_ms', 'Recent time to an answer', ({latencyMs}) => latencyMs);
+	register('cairnbank_upstream_latency_seconds', 'Recent time to an answer', ({latencyMs}) => latencyMs === undefined ? undefined : latencyMs / millisecondsPerSecond);
 	register('cairnbank_upstream_draining', '1 while it takes no new work', ({isDraining}) => Number(isDraining));
 	register('cairnbank_upstream_ejected', '1 while ejected after failures', ({isEjected}) => Number(isEjected));
 }
--- a/packages/protocol/src/operators/member-status.ts
+++ b/packages/protocol/src/operators/member-status.ts
@@ -6,7 +6,7 @@
 	id: instanceIdSchema,
 	incarnation: incarnationIdSchema,
 	availabilityZone: availabilityZoneIdSchema,
-	state: z.enum(['live', 'suspected', 'leaving']),
+	state: z.enum(['starting', 'live', 'suspected', 'leaving']),
 	/** Last accepted offset that it told of. */
 	acceptedOffset: z.int().min(0),
 });
--- a/packages/testing/src/command-line/instances.spec.ts
+++ b/packages/testing/src/command-line/instances.spec.ts
@@ -112,6 +112,20 @@
 		});
 	});
 
+	describe('metrics', () => {
+		it('should show calls, what was added to them, and what control costs', async () => {
+			const {admin, callers} = deployment.daemons[0]!;
+			const told = await deployment.caller.call({instance: callers, path: '/records/invoices/1'});
+			const response = await fetch(`http://${admin}/metrics`);
+			const text = await response.text();
+			assert.equal(told.type, 'answered');
+			assert.match(text, /^cairnbank_calls_total{service="records",outcome="answered"} 1$/m);
+			assert.match(text, /^cairnbank_call_added_seconds_count{service="records"} 1$/m);
+			assert.match(text, /^cairnbank_control_bytes_total{channel="peers",direction="sent"} [1-9]/m);
+			assert.match(text, /^cairnbank_configuration_accepted_offset [1-9]/m);
+		});
+	});
+
 	describe('drain --instance', () => {
 		it('should stop the instance gracefully', async () => {
 			const extra = await deployment.startDaemon('entry-extra', 'zone-a');
