Demo and bench of policies

The demo starts a stand-in for each upstream of the sample inventory and three daemons, operates them with cairnbank under load and judges every call by the upstreams' own counts. The bench sends seeded open-loop arrivals from processes of its own and tells when these were the limit.

--- /dev/null
+++ b/packages/testing/src/bench/arrivals.ts
@@ -0,0 +1,49 @@
+/** Open-loop arrivals: seeded, and the same for every policy, whatever becomes of earlier calls. */
+import {createRandomSource, type RandomSource} from '@cairnbank/core';
+import type {LoadClass, LoadJob} from './load-job.js';
+import type {RateStep} from './scenario.js';
+
+export type Arrival = {
+	/** Time from the start of the job. */
+	readonly dueMs: number;
+	readonly callClass: LoadClass;
+	readonly serviceMs: number;
+	readonly caller: number;
+};
+
+const fixedShare = 0.5;
+
+function exponential(random: RandomSource, mean: number): number {
+	return -mean * Math.log(1 - random.next());
+}
+
+/** Factor on the rate at a share of the measured time. */
+export function rateFactorAt(steps: readonly RateStep[], position: number): number {
+	return steps.findLast(step => step.at <= position)?.factor ?? 1;
+}
+
+function drawClass(classes: readonly LoadClass[], total: number, random: RandomSource): LoadClass {
+	let rest = random.next() * total;
+	return classes.find(one => {
+		rest -= one.callsPerSecond;
+		return rest <= 0;
+	}) ?? classes.at(-1)!;
+}
+
+/** The job's arrivals in order. */
+export function * arrivalsOf(job: LoadJob): Generator<Arrival> {
+	const random = createRandomSource(job.seed);
+	const total = job.classes.reduce((sum, one) => sum + one.callsPerSecond, 0);
+	const endMs = job.warmUpMs + job.measuredMs;
+	let dueMs = 0;
+	while (dueMs < endMs) {
+		const factor = rateFactorAt(job.rate, (dueMs - job.warmUpMs) / job.measuredMs);
+		dueMs += exponential(random, 1000 / (total * factor));
+		yield {
+			dueMs,
+			callClass: drawClass(job.classes, total, random),
+			serviceMs: job.serviceMs * (fixedShare + exponential(random, 1 - fixedShare)),
+			caller: random.below(job.callers),
+		};
+	}
+}
--- /dev/null
+++ b/packages/testing/src/bench/main.ts
@@ -0,0 +1,55 @@
+/** `npm run bench`: policies under load with real daemons, or the latency that one daemon adds. */
+import {writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {toValidationFaults} from '@cairnbank/core';
+import {cac} from 'cac';
+import {benchOptionsSchema, scenarioNames, workloadNames} from './bench-options.js';
+import {policyNames} from './policies.js';
+import {benchPolicies} from './policy-bench.js';
+
+const wrongUse = 2;
+
+function parser() {
+	const cli = cac('bench');
+	cli.option('--workload <names>', `Comma-separated: ${workloadNames.join(', ')}`);
+	cli.option('--scenario <names>', `Comma-separated: ${scenarioNames.join(', ')}`);
+	cli.option('--policies <names>', `Comma-separated: ${policyNames.join(', ')}`);
+	cli.option('--seconds <n>', 'Measured part of each run');
+	cli.option('--seed <n>', 'Seed of arrivals, service times and swings');
+	cli.option('--repeats <n>', 'Repeats, of which medians are shown');
+	cli.option('--daemons <n>', 'Daemons in place of the workload\'s number');
+	cli.option('--load <ratio>', 'Share of the upstreams\' capacity');
+	cli.option('--service-ms <ms>', 'Mean service time');
+	cli.option('--output <file>', 'Also write the results to this file');
+	cli.help();
+	return cli;
+}
+
+async function run(): Promise<number> {
+	const {options} = parser().parse();
+	if (options.help) {
+		return 0;
+	}
+
+	const parsed = benchOptionsSchema.safeParse(options);
+	if (!parsed.success) {
+		for (const {path, message} of toValidationFaults(parsed.error)) {
+			console.error(`--${path}: ${message}`);
+		}
+
+		return wrongUse;
+	}
+
+	const results = await benchPolicies(parsed.data);
+	const line = JSON.stringify({
+		seconds: parsed.data.seconds, load: parsed.data.load, seed: parsed.data.seed, results,
+	});
+	if (parsed.data.output !== undefined) {
+		await writeFile(parsed.data.output, line);
+	}
+
+	console.log(line);
+	return 0;
+}
+
+process.exitCode = await run();
--- /dev/null
+++ b/packages/testing/src/demo/call-mix.ts
@@ -0,0 +1,30 @@
+/** The calls of the demo: status checks, payment instructions and archive reads, in a seeded mix. */
+import type {RandomSource} from '@cairnbank/core';
+
+export type MixedCall = {
+	readonly method: 'GET' | 'POST';
+	readonly path: string;
+	readonly idempotent: boolean;
+	readonly body?: string;
+};
+
+const references = 10_000;
+
+/** Draws the next call. */
+export function drawCall(random: RandomSource): MixedCall {
+	const share = random.next();
+	const reference = random.below(references);
+	if (share < 0.25) {
+		const body = JSON.stringify({supplier: `supplier-${reference}`, amountCents: 1 + random.below(1_000_000)});
+		return {
+			method: 'POST', path: '/disbursement/payments', idempotent: false, body,
+		};
+	}
+
+	if (share < 0.6) {
+		return {method: 'GET', path: `/disbursement/payments/${reference}`, idempotent: true};
+	}
+
+	const kind = share < 0.9 ? 'invoices' : 'archive';
+	return {method: 'GET', path: `/records/${kind}/${reference}`, idempotent: true};
+}
--- /dev/null
+++ b/packages/testing/src/demo/demo-caller.ts
@@ -0,0 +1,67 @@
+/** One caller of the demo: sends calls one after another, and resends as it is told. */
+import {randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {RandomSource} from '@cairnbank/core';
+import {headerNames} from '@cairnbank/protocol';
+import {v7 as uuid} from 'uuid';
+import type {Caller, CallResult} from '../harness/caller.js';
+import type {AddressBook} from './address-book.js';
+import type {CallEnd} from './call-account.js';
+import {drawCall, type MixedCall} from './call-mix.js';
+
+const maximumSends = 8;
+const pauseBetweenCallsMs = 10;
+const pauseBeforeResendMs = 100;
+
+export type DemoCallerOptions = {
+	readonly caller: Caller;
+	readonly addresses: AddressBook;
+	readonly random: RandomSource;
+	readonly stop: AbortSignal;
+};
+
+/** Sends until stopped; the ends of all its calls. */
+export async function runDemoCaller(options: DemoCallerOptions): Promise<CallEnd[]> {
+	const ends: CallEnd[] = [];
+	while (!options.stop.aborted) {
+		ends.push(await sendToEnd(drawCall(options.random), options));
+		await delay(options.random.next() * 2 * pauseBetweenCallsMs);
+	}
+
+	return ends;
+}
+
+/** Sends one call, and again under the same id and key while it was not run or its end is unknown. */
+async function sendToEnd(call: MixedCall, {caller, addresses}: DemoCallerOptions): Promise<CallEnd> {
+	const requestId = randomUUID();
+	const headers = call.idempotent ? undefined : {[headerNames.idempotencyKey]: uuid()};
+	let instance = await addresses.current();
+	let result = await caller.call({
+		...call, instance, requestId, headers,
+	});
+	for (let sends = 1; sends < maximumSends && (result.type === 'not-run' || result.type === 'unknown'); sends += 1) {
+		await delay(pauseBeforeResendMs);
+		await addresses.current();
+		instance = addresses.next();
+		result = await caller.call({
+			...call, instance, requestId, headers,
+		});
+	}
+
+	return {
+		requestId, idempotent: call.idempotent, told: result.type, own: isOwn(result, call),
+	};
+}
+
+function isOwn(result: CallResult, call: MixedCall): boolean {
+	if (result.type !== 'answered' || result.statusCode !== 200) {
+		return false;
+	}
+
+	try {
+		const content = JSON.parse(result.body) as {requestId?: string; receivedBytes?: number};
+		return content.requestId === result.requestId && content.receivedBytes === (call.body?.length ?? 0);
+	} catch {
+		return false;
+	}
+}
