A claim that provably took no effect leaves its key free

Cause: a key refused while the log takes no appends stayed void at its instance, although nothing of it could ever reach the log.

Change: giving up a claim voids the key only where an append in flight, in doubt or acknowledged may show it; new keys are refused at once while the log is known to be down.

--- a/packages/core/src/outcomes/attempt-result.ts
+++ b/packages/core/src/outcomes/attempt-result.ts
@@ -13,4 +13,4 @@
 	/** Provably not run: never sent, connection refused, or the upstream's explicit shed answer. */
 	| {readonly type: 'not-run'; readonly reason: NotRunReason; readonly retryAfterMs?: number}
 	/** Bytes left for the upstream and no whole answer came. */
-	| {readonly type: 'unknown'; readonly reason: UnknownReason};
+	| {readonly type: 'unknown'; readonly reason: UnknownReason; readonly retryAfterMs?: number};
--- a/packages/core/src/outcomes/claims/claim-batcher.ts
+++ b/packages/core/src/outcomes/claims/claim-batcher.ts
@@ -20,6 +20,8 @@
 	readonly #waiting = new Map<IdempotencyKey, Claim>();
 	/** In the append in flight. */
 	#inFlight: ReadonlyMap<IdempotencyKey, Claim> | undefined;
+	/** In an append that may have taken effect or may yet do so. */
+	readonly #inDoubt = new Set<IdempotencyKey>();
 	/** Acknowledged at an offset that the fold has not reached yet. */
 	readonly #acknowledged = new Map<IdempotencyKey, number>();
 
@@ -57,8 +59,12 @@
 		for (const [key, claim] of claims) {
 			if (result.type === 'acknowledged') {
 				this.#acknowledged.set(key, result.offset);
-			} else {
-				this.#waiting.set(key, claim);
+				continue;
+			}
+
+			this.#waiting.set(key, claim);
+			if (result.type === 'in-doubt') {
+				this.#inDoubt.add(key);
 			}
 		}
 	}
@@ -69,10 +75,16 @@
 		return offset !== undefined && offset <= throughOffset;
 	}
 
+	/** Whether a claim of this key by this process may be in the log, now or later. */
+	mayTakeEffect(key: IdempotencyKey): boolean {
+		return this.#inDoubt.has(key) || this.#acknowledged.has(key) || this.#inFlight?.has(key) === true;
+	}
+
 	/** The claim is decided or its request gave up; an append in flight may still take effect. */
 	remove(key: IdempotencyKey): void {
 		this.#waiting.delete(key);
 		this.#acknowledged.delete(key);
+		this.#inDoubt.delete(key);
 		if (this.#inFlight?.has(key)) {
 			this.#inFlight = new Map([...this.#inFlight].filter(([other]) => other !== key));
 		}
--- a/packages/core/src/outcomes/claims/key-table.property.spec.ts
+++ b/packages/core/src/outcomes/claims/key-table.property.spec.ts
@@ -187,7 +187,7 @@
 		}
 
 		const request = {key: this.#keys[send.key]!, fingerprint, previousAttempts: send.key % 2 === 1 ? send.attempt : undefined};
-		const decision: KeyDecision = forwarded ? to.table.beginOwned(request) : to.table.begin(request);
+		const decision: KeyDecision = forwarded ? to.table.beginOwned(request) : to.table.begin(request, this.#step % 5 > 0);
 		switch (decision.type) {
 			case 'run':
 			case 'claim': {
@@ -240,7 +240,10 @@
 		if (append) {
 			append.reported = true;
 			const isAcknowledged = append.offset !== undefined && pick % 2 === 0;
-			append.by.batcher.appended(isAcknowledged ? {type: 'acknowledged', offset: append.offset!} : {type: 'in-doubt'});
+			const hasFailed = append.offset === undefined && pick % 2 === 0;
+			append.offset ??= hasFailed ? Number.NaN : undefined;
+			const otherwise = hasFailed ? {type: 'failed'} as const : {type: 'in-doubt'} as const;
+			append.by.batcher.appended(isAcknowledged ? {type: 'acknowledged', offset: append.offset!} : otherwise);
 		}
 	}
 
--- a/packages/core/src/outcomes/claims/key-table.ts
+++ b/packages/core/src/outcomes/claims/key-table.ts
@@ -72,8 +72,11 @@
 		return this.#runs.heldAnswerBytes;
 	}
 
-	/** Decides a send that came from a caller. */
-	begin(send: KeySend): KeyDecision {
+	/**
+	 * Decides a send that came from a caller.
+	 * @param canClaim - false while the log is known to take no appends
+	 */
+	begin(send: KeySend, canClaim = true): KeyDecision {
 		const request = toRequest(send);
 		const isHeld = this.#runs.has(request.id);
 		if (isHeld && !isGivenUp(this.#runs.outcomeOf(request.id))) {
@@ -87,7 +90,7 @@
 				: {type: 'elsewhere', owner: claim.owner};
 		}
 
-		return this.#refusalOfUnclaimed(send, isHeld) ?? this.#queueClaim(send);
+		return this.#refusalOfUnclaimed(send, isHeld || !canClaim) ?? this.#queueClaim(send);
 	}
 
 	/** Decides a send that another instance passed on because the first claim of its key is this process's. */
@@ -116,11 +119,20 @@
 		return {type: 'elsewhere', owner: claim.owner};
 	}
 
-	/** The claim was not proven in time. From here on this process never runs the key's request. */
+	/**
+	 * The claim was not proven in time. If a claim by this process may be in the log, now or later, this process never
+	 * runs the key's request from here on.
+	 */
 	giveUp(key: IdempotencyKey): Outcome {
-		this.#parts.batcher.remove(key);
+		const {batcher} = this.#parts;
 		const outcome = unproven('claim-unproven', this.#runs.isFirstAttempt(key));
-		this.#runs.end(key, outcome);
+		if (batcher.mayTakeEffect(key)) {
+			this.#runs.end(key, outcome);
+		} else {
+			this.#runs.release(key);
+		}
+
+		batcher.remove(key);
 		return outcome;
 	}
 
@@ -139,14 +151,14 @@
 		return this.#runs.toState();
 	}
 
-	#refusalOfUnclaimed(send: KeySend, isGivenUpHere: boolean): KeyDecision | undefined {
+	#refusalOfUnclaimed(send: KeySend, cannotClaim: boolean): KeyDecision | undefined {
 		const {fold} = this.#parts;
 		const isFirst = send.previousAttempts === 0;
 		if (fold.isClosed(send.key) && fold.covers(send.key)) {
 			return {type: 'end', outcome: notRun('key-too-old')};
 		}
 
-		if (isGivenUpHere || !fold.hasRead) {
+		if (cannotClaim || !fold.hasRead) {
 			return {type: 'end', outcome: unproven('claim-unproven', isFirst)};
 		}
 
--- a/packages/core/src/outcomes/runs/run-table.ts
+++ b/packages/core/src/outcomes/runs/run-table.ts
@@ -221,8 +221,8 @@
 	return request.previousAttempts ?? Number.POSITIVE_INFINITY;
 }
 
-/** What later sends are told: an answer that was passed on as it came is not held. */
-function toKept(outcome: Outcome): Outcome {
+/** What other sends of a request are told: an answer that was passed on as it came is not held. */
+export function toKept(outcome: Outcome): Outcome {
 	switch (outcome.type) {
 		case 'streamed': {
 			return unknown('answer-not-held');
