At-most-once stage in the way of a call, tickets in address answers

Change: the stage stands before the poison guard, so that a resend under a used ticket joins or repeats its run whatever else would be refused. Gossip entries say which stopped processes' tables a process took over, and a take-over is pushed to all peers at once.

--- a/packages/core/src/membership/member-entry.ts
+++ b/packages/core/src/membership/member-entry.ts
@@ -9,7 +9,8 @@
 export type MemberState = typeof memberStates[number];
 
 const maximumHashLength = 64;
-const maximumTablesHeld = 64;
+/** Older ones have expired long before a process takes over this many. */
+export const maximumTablesHeld = 64;
 
 /** Unknown fields are dropped, so that daemons of two versions understand each other. */
 export const memberEntrySchema = z.object({
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -8,7 +8,7 @@
 import {Tombstones} from './tombstones.js';
 
 /** Changes of the own entry; the state can only move on. */
-export type SelfUpdate = Partial<Pick<MemberEntry, 'state' | 'configurationOffset' | 'configurationHash' | 'callsPerSecond'>>;
+export type SelfUpdate = Partial<Pick<MemberEntry, 'state' | 'configurationOffset' | 'configurationHash' | 'callsPerSecond' | 'holdsTablesOf'>>;
 
 export type MemberTableOptions = {
 	readonly self: MemberEntry;
--- a/packages/core/src/outcomes/tickets/ticket-office.ts
+++ b/packages/core/src/outcomes/tickets/ticket-office.ts
@@ -65,18 +65,6 @@
 		}
 	}
 
-	/** A table is of no use once its last ticket has expired and its last end is no longer kept. */
-	#forgetAdopted(): void {
-		const {clock, lifetimeMs, keepEndedMs} = this.#options;
-		const oldestMs = clock.monotonicMs() - lifetimeMs - Math.max(keepEndedMs, lifetimeMs);
-		for (const [owner, adoptedAtMs] of this.#adoptedAtMs) {
-			if (adoptedAtMs < oldestMs && this.#adopted.get(owner)?.runningCount === 0) {
-				this.#adopted.delete(owner);
-				this.#adoptedAtMs.delete(owner);
-			}
-		}
-	}
-
 	/** From here on no run starts under any ticket held here. */
 	seal(): void {
 		for (const table of this.#tables()) {
@@ -89,6 +77,18 @@
 		return this.#tables().map(table => table.toState());
 	}
 
+	/** A table is of no use once its last ticket has expired and its last end is no longer kept. */
+	#forgetAdopted(): void {
+		const {clock, lifetimeMs, keepEndedMs} = this.#options;
+		const oldestMs = clock.monotonicMs() - lifetimeMs - Math.max(keepEndedMs, lifetimeMs);
+		for (const [owner, adoptedAtMs] of this.#adoptedAtMs) {
+			if (adoptedAtMs < oldestMs && this.#adopted.get(owner)?.runningCount === 0) {
+				this.#adopted.delete(owner);
+				this.#adoptedAtMs.delete(owner);
+			}
+		}
+	}
+
 	#tables(): readonly TicketTable[] {
 		return [this.#own, ...this.#adopted.values()];
 	}
--- /dev/null
+++ b/packages/daemon/src/features/at-most-once/at-most-once-handler-fixture.ts
@@ -0,0 +1,10 @@
+/** Answers of an instance that holds no tables, for specs. */
+import type {AtMostOnceHandler} from '@cairnbank/protocol/at-most-once';
+
+const refuse = () => ({accepted: false});
+
+export const noTables: AtMostOnceHandler = {
+	forward: async () => ({type: 'not-owner'}),
+	handOverPart: refuse,
+	handOverCommit: refuse,
+};
--- a/packages/daemon/src/features/at-most-once/owner-directory.ts
+++ b/packages/daemon/src/features/at-most-once/owner-directory.ts
@@ -1,5 +1,6 @@
 /** Where the processes that hold at-most-once tables are reached; answered by the membership feature. */
-import type {Address, IncarnationId} from '@cairnbank/core';
+import type {Address, IncarnationId, RandomSource} from '@cairnbank/core';
+import type {MemberEntry} from '@cairnbank/core/membership';
 
 export type Successor = {
 	readonly incarnation: IncarnationId;
@@ -13,8 +14,18 @@
 	successors(): readonly Successor[];
 };
 
-/** Knows nobody: the only instance. */
-export const emptyDirectory: OwnerDirectory = {
-	holderOf: () => undefined,
-	successors: () => [],
-};
+/** The directory as gossip knows it. A process that took a table over says so in its own entry. */
+export function createOwnerDirectory(peers: () => readonly MemberEntry[], random: RandomSource): OwnerDirectory {
+	return {
+		holderOf(owner) {
+			const known = peers();
+			const holder = known.find(({holdsTablesOf}) => holdsTablesOf?.includes(owner)) ?? known.find(({incarnation}) => incarnation === owner);
+			return holder?.peerAddress;
+		},
+		successors() {
+			const live = peers().filter(({state}) => state === 'live');
+			const first = random.below(Math.max(1, live.length));
+			return [...live.slice(first), ...live.slice(0, first)];
+		},
+	};
+}
--- a/packages/daemon/src/features/membership/membership-task.spec.ts
+++ b/packages/daemon/src/features/membership/membership-task.spec.ts
@@ -12,6 +12,7 @@
 import {suspectSchema} from '@cairnbank/core/poison';
 import {createContextFixture} from '../../kernel/daemon-context-fixture.js';
 import {ControlBytes} from '../../metrics/control-bytes.js';
+import {noTables} from '../at-most-once/at-most-once-handler-fixture.js';
 import {PeerClients} from '../peers/peer-clients.js';
 import {PeersTask} from '../peers/peers-task.js';
 import {MembershipTask} from './membership-task.js';
@@ -72,7 +73,7 @@
 			ownAddresses: () => ({callerAddress: this.#caller, peerAddress: this.peers.address}),
 			callsPerSecond: () => 0,
 		});
-		this.peers = new PeersTask(this.context, {membership: this.membership}, {bytes, clients});
+		this.peers = new PeersTask(this.context, {membership: this.membership, atMostOnce: noTables}, {bytes, clients});
 	}
 
 	async start(): Promise<void> {
--- a/packages/daemon/src/features/membership/membership-task.ts
+++ b/packages/daemon/src/features/membership/membership-task.ts
@@ -4,7 +4,7 @@
 } from '@cairnbank/core';
 import {hashConfiguration, type ConfigurationState} from '@cairnbank/core/configuration';
 import {
-	offeredMembers, peerCandidates, type GossipDigest, type GossipNews, type ListedInstance, type MemberEntry,
+	maximumTablesHeld, offeredMembers, peerCandidates, type GossipDigest, type GossipNews, type ListedInstance, type MemberEntry,
 } from '@cairnbank/core/membership';
 import type {MembershipHandler} from '@cairnbank/protocol/peers';
 import type {MemberStatus} from '@cairnbank/protocol/operators';
@@ -199,6 +199,11 @@
 				void this.#loop?.pushToAll();
 			}
 		});
+		bus.on('tables-taken-over', ({owners}) => {
+			this.#state?.table.updateSelf({holdsTablesOf: owners.slice(-maximumTablesHeld)});
+			this.#state?.table.beat();
+			void this.#loop?.pushToAll();
+		});
 	}
 
 	#applyConfiguration(): void {
--- a/packages/daemon/src/features/peers/peers-task.spec.ts
+++ b/packages/daemon/src/features/peers/peers-task.spec.ts
@@ -4,21 +4,16 @@
 import {after, describe, it} from 'node:test';
 import {addressSchema} from '@cairnbank/core';
 import {gossipDigestSchema, type GossipDigest} from '@cairnbank/core/membership';
-import type {AtMostOnceHandler} from '@cairnbank/protocol/at-most-once';
 import {Registry} from 'prom-client';
 import {createContextFixture} from '../../kernel/daemon-context-fixture.js';
 import {ControlBytes} from '../../metrics/control-bytes.js';
+import {noTables} from '../at-most-once/at-most-once-handler-fixture.js';
 import {PeerClients} from './peer-clients.js';
 import {PeersTask} from './peers-task.js';
 
 const [oldSecret, newSecret, otherSecret] = ['old-secret-for-specs', 'new-secret-for-specs', 'other-secret-for-specs'];
 const timeoutMs = 5000;
 
-const refuse = () => ({accepted: false});
-const noAtMostOnce: AtMostOnceHandler = {
-	forward: async () => ({type: 'not-owner'}), handOverPart: refuse, handOverCommit: refuse,
-};
-
 function digestOf(instance: string): GossipDigest {
 	return gossipDigestSchema.parse({
 		self: {
@@ -50,7 +45,7 @@
 	async function startServer(exchange: (digest: GossipDigest) => GossipDigest) {
 		const bytes = new ControlBytes();
 		const context = createContextFixture({settings: {peerSecrets: [newSecret, oldSecret]}});
-		const task = new PeersTask(context, {membership: {exchange}, atMostOnce: noAtMostOnce}, {bytes, clients: createClients(newSecret)});
+		const task = new PeersTask(context, {membership: {exchange}, atMostOnce: noTables}, {bytes, clients: createClients(newSecret)});
 		const started = await task.start();
 		assert.equal(started.isOk(), true);
 		closers.push(async () => task.stop());
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -7,6 +7,8 @@
 import {v7 as uuid} from 'uuid';
 import {Daemon} from './daemon.js';
 import {AdminTask} from './features/admin/admin-task.js';
+import {AtMostOnceTask} from './features/at-most-once/at-most-once-task.js';
+import {createOwnerDirectory} from './features/at-most-once/owner-directory.js';
 import {createAttemptHandler} from './features/calls/attempt-handler.js';
 import {composeStages} from './features/calls/call-handler.js';
 import {addressesRoutes} from './features/addresses/addresses-routes.js';
@@ -63,7 +65,17 @@
 	const guard = new PoisonGuard(context, metrics);
 	const heldAnswers = new HeldAnswers(settings.calls.heldAnswersTotalBytes);
 	const callRate = new CallRate(context.clock);
-	const handler = composeStages([callRate, guard, upstreams.admission], createAttemptHandler({
+	const configuration = new ConfigurationTask(context, log);
+	const clients = new PeerClients({secrets: settings.peerSecrets, bytes});
+	const membership: MembershipTask = new MembershipTask(context, {
+		clients,
+		bytes,
+		ownAddresses: () => ({callerAddress: callers.address!, peerAddress: peers.address}),
+		callsPerSecond: () => callRate.take(),
+	});
+	const directory = createOwnerDirectory(() => membership.peers(), context.random);
+	const atMostOnce = new AtMostOnceTask(context, {log, peers: clients, directory});
+	const handler = composeStages([callRate, atMostOnce.stage, guard, upstreams.admission], createAttemptHandler({
 		clock: context.clock,
 		heldAnswerBytes: settings.calls.heldAnswerBytes,
 		heldAnswers,
@@ -73,19 +85,16 @@
 		metrics,
 		choose: (service, excluded, priority) => upstreams.choose(service, excluded, priority),
 	}));
-	const configuration = new ConfigurationTask(context, log);
-	const clients = new PeerClients({secrets: settings.peerSecrets, bytes});
-	const membership: MembershipTask = new MembershipTask(context, {
-		clients,
-		bytes,
-		ownAddresses: () => ({callerAddress: callers.address!, peerAddress: peers.address}),
-		callsPerSecond: () => callRate.take(),
-	});
-	const peers = new PeersTask(context, {membership}, {clients, bytes});
+	const peers = new PeersTask(context, {membership, atMostOnce: atMostOnce.handler}, {clients, bytes});
 	const callers = new CallerListenerTask(context, {
 		handler,
 		heldAnswers,
-		routes: [addressesRoutes({settings: settings.addresses, random: context.random, offered: () => membership.offered()})],
+		routes: [
+			addressesRoutes({
+				settings: settings.addresses, random: context.random, offered: () => membership.offered(), issueTicket: () => atMostOnce.issueTicket(),
+			}),
+			atMostOnce.routes,
+		],
 	});
 	const admin = new AdminTask(context, {
 		configuration: () => configuration.state,
@@ -98,6 +107,7 @@
 		upstreams,
 		configuration,
 		peers,
+		atMostOnce,
 		callers,
 		membership,
 	});
