Refusals before the tables are asked stay true

Cause: an instance that is stopping, has no configuration or cannot read a request told 'not run', although the same ticket or key may have run through another instance before.

Change: such a refusal of a request under a ticket or key says unknown, unless the caller counts its sends and this is the first. Refusals name what the caller must change, by status code and detail; Retry-After stands only where the same request may run later.

--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -15,6 +15,7 @@
 import type {CallHandler} from './call-handler.js';
 import {Cancellation} from './cancellation.js';
 import type {HeldAnswers} from './held-answers.js';
+import {outcomeBeforeTable} from './outcome-before-table.js';
 import {prepareConfiguration, type ConfigurationInForce} from './configuration-in-force.js';
 import {writeProblem, type Problem} from './problem.js';
 import {readCall} from './read-call.js';
@@ -129,7 +130,7 @@
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		if (this.#refusing) {
-			writeProblem(response, stoppingProblem);
+			writeProblem(response, {...stoppingProblem, outcome: outcomeBeforeTable(request)});
 			return;
 		}
 
@@ -146,7 +147,7 @@
 		}, {clock: this.#context.clock, tracing: this.#context.tracing, maximumBodyBytes: this.#context.settings.calls.maximumBodyBytes});
 		if (call.isErr()) {
 			response.setHeader('connection', 'close');
-			writeProblem(response, {...call.error, outcome: 'not-run'});
+			writeProblem(response, {...call.error, outcome: outcomeBeforeTable(request)});
 			return;
 		}
 
--- a/packages/daemon/src/features/calls/write-outcome.ts
+++ b/packages/daemon/src/features/calls/write-outcome.ts
@@ -7,6 +7,7 @@
 import {endToEndHeaders} from './end-to-end-headers.js';
 import {breakOff} from './break-off.js';
 import {withNoRetryMark} from './no-retry-mark.js';
+import {notRunStatusCodes, outcomeDetails} from './outcome-details.js';
 import {writeProblem} from './problem.js';
 
 const statusCodes = {unavailable: 503, badGateway: 502, gatewayTimeout: 504} as const;
@@ -36,7 +37,7 @@
 		}
 
 		case 'unknown': {
-			writeUnknown(response, outcome.reason);
+			writeUnknown(response, outcome.reason, outcome.retryAfterMs);
 			break;
 		}
 	}
@@ -60,19 +61,20 @@
 
 function writeNotRun(response: ServerResponse, reason: NotRunReason, retryAfterMs: number | undefined): void {
 	writeProblem(response, {
-		statusCode: statusCodes.unavailable,
+		statusCode: notRunStatusCodes[reason],
 		outcome: 'not-run',
 		reason,
-		detail: `not run: ${reason}`,
-		retryAfterMs: retryAfterMs ?? defaultRetryAfterMs,
+		detail: outcomeDetails[reason] ?? `not run: ${reason}`,
+		retryAfterMs: notRunStatusCodes[reason] === statusCodes.unavailable ? retryAfterMs ?? defaultRetryAfterMs : undefined,
 	});
 }
 
-function writeUnknown(response: ServerResponse, reason: UnknownReason): void {
+function writeUnknown(response: ServerResponse, reason: UnknownReason, retryAfterMs: number | undefined): void {
 	writeProblem(response, {
 		statusCode: reason === 'deadline-exceeded' ? statusCodes.gatewayTimeout : statusCodes.badGateway,
 		outcome: 'unknown',
 		reason,
-		detail: `the request may have run: ${reason}`,
+		detail: outcomeDetails[reason] ?? `the request may have run: ${reason}`,
+		retryAfterMs,
 	});
 }
