--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,4 +1,5 @@
 export * from './command-line.js';
+export * from './commands/registry.js';
 export * from './exit-codes/exit-code.js';
 export type * from './kernel/environment.js';
 export type * from './kernel/output.js';
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,6 @@
 /** Runs the tasks of one daemon from start to graceful stop. */
 import {err, ok, type Result} from 'neverthrow';
+import type {Registry} from 'prom-client';
 import type {DaemonContext} from './kernel/daemon-context.js';
 import type {StartError} from './kernel/start-error.js';
 import type {Task} from './kernel/task.js';
@@ -23,6 +24,11 @@
 		});
 	}
 
+	/** What the admin port exports. */
+	get metrics(): Registry {
+		return this.#context.metrics;
+	}
+
 	/** Resolves once an operator asks this instance to stop. */
 	get stopRequested(): Promise<void> {
 		return this.#stopRequested;
