--- a/packages/core/src/configuration/index.ts
+++ b/packages/core/src/configuration/index.ts
@@ -6,8 +6,10 @@
 export * from './configuration-state.js';
 export * from './reading.js';
 export * from './recent-change.js';
+export * from './snapshot-coverage.js';
+export * from './snapshot-turn.js';
 export * from './snapshot.js';
 export {
-	hashConfiguration, restoreConfiguration, storeConfiguration, type StoredConfiguration,
+	hashConfiguration, hashInForce, restoreConfiguration, storeConfiguration, type StoredConfiguration,
 } from './stored-configuration.js';
 export type * from './verdict.js';
--- a/packages/core/src/configuration/reading.spec.ts
+++ b/packages/core/src/configuration/reading.spec.ts
@@ -57,6 +57,13 @@
 		});
 	});
 
+	it('should not let a late copy of a refused drain take effect on an upstream added since', () => {
+		const late = change('b', 1, drain('r2'));
+		const {state, types} = fold([change('a', 0, one), late, change('c', 2, both)]);
+		assert.deepEqual(types, ['accepted', 'invalid', 'accepted']);
+		assert.deepEqual(fold([late], {...state, recentChanges: []}).types, ['conflict']);
+	});
+
 	describe('with changes of different parts at one moment', () => {
 		it('should accept both', () => {
 			const rules = {kind: 'rules', classes: [], services: [{service: 'records'}]};
--- a/packages/core/src/configuration/snapshot.ts
+++ b/packages/core/src/configuration/snapshot.ts
@@ -20,10 +20,13 @@
 	};
 }
 
-type Transfer = Pick<SnapshotRecord, 'throughOffset' | 'hash' | 'state'>;
+/** A state on its way, with what proves it whole. */
+export type StateTransfer = Pick<SnapshotRecord, 'throughOffset' | 'hash'> & {
+	readonly state?: unknown;
+};
 
 /** The state inside a snapshot or a peer's transfer, after its hash, offset and shape were checked. */
-export function openSnapshot(snapshot: Transfer): Result<ConfigurationState, readonly ValidationFault[]> {
+export function openSnapshot(snapshot: StateTransfer): Result<ConfigurationState, readonly ValidationFault[]> {
 	if (hashStoredConfiguration(snapshot.state) !== snapshot.hash) {
 		return err([{path: 'hash', message: 'does not fit the state'}]);
 	}
--- a/packages/core/src/configuration/stored-configuration.ts
+++ b/packages/core/src/configuration/stored-configuration.ts
@@ -94,3 +94,10 @@
 export function hashConfiguration(state: ConfigurationState): string {
 	return hashStoredConfiguration(storeConfiguration(state));
 }
+
+/** Hash of what callers feel of a state: the same for all readers at one accepted offset, however far each has read. */
+export function hashInForce({acceptedOffset, inventory, rules, drained}: ConfigurationState): string {
+	return hashStoredConfiguration({
+		acceptedOffset, inventory, rules, drained: [...drained].sort(),
+	});
+}
--- /dev/null
+++ b/packages/daemon/src/features/configuration/peer-watch.ts
@@ -0,0 +1,101 @@
+/** Gets a newer configuration from other daemons where the log does not tell it in time. */
+import {openSnapshot, type ConfigurationState, type StateTransfer} from '@cairnbank/core/configuration';
+import type {MemberEntry} from '@cairnbank/core/membership';
+import type {DaemonContext} from '../../kernel/daemon-context.js';
+import type {PeerClients} from '../peers/peer-clients.js';
+import {pause} from './pause.js';
+
+const checkIntervalMs = 250;
+/** Time that the log is given to tell what a peer already has: a record is a hundredth of a transfer. */
+const logGraceMs = 1000;
+const transferTimeoutMs = 3000;
+
+export type PeerWatchOptions = {
+	readonly context: DaemonContext;
+	readonly clients: PeerClients;
+	peers(): readonly MemberEntry[];
+	/** Offset of the last accepted change in force here; 0 for none. */
+	acceptedOffset(): number;
+	/** Whether the log does not answer. */
+	isLogDown(): boolean;
+	/** Whether the log no longer keeps records that are needed here. */
+	isMissingRecords(): boolean;
+	/** Takes a state whose hash was checked. */
+	onState(state: ConfigurationState): void;
+	onResult(result: 'adopted' | 'nothing' | 'damaged' | 'failed'): void;
+};
+
+export class PeerWatch {
+	readonly #options: PeerWatchOptions;
+	#behindSinceMs: number | undefined;
+
+	constructor(options: PeerWatchOptions) {
+		this.#options = options;
+	}
+
+	/** Resolves once `signal` aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {random} = this.#options.context;
+		while (!signal.aborted) {
+			if (this.#shouldAsk()) {
+				this.#behindSinceMs = undefined;
+				await this.#askNewest();
+			}
+
+			await pause(checkIntervalMs * (0.75 + (random.next() / 2)), signal);
+		}
+	}
+
+	/** Whether a peer told of a later accepted change than `acceptedOffset`. */
+	isBehindPeers(acceptedOffset: number): boolean {
+		return this.#options.peers().some(({configurationOffset}) => configurationOffset > acceptedOffset);
+	}
+
+	/** Asks one of the peers with the latest configuration. */
+	async #askNewest(): Promise<void> {
+		const {clients, context} = this.#options;
+		const newest = this.#newestPeers();
+		if (newest.length === 0) {
+			return;
+		}
+
+		const peer = newest[context.random.below(newest.length)]!;
+		const answer = await clients.call(peer.peerAddress, transferTimeoutMs, async (client, signal) =>
+			client.configuration.get.query(undefined, {signal}));
+		this.#options.onResult(answer.match(transfer => this.#take(transfer), () => 'failed'));
+	}
+
+	#take(transfer: StateTransfer | undefined) {
+		if (transfer === undefined) {
+			return 'nothing';
+		}
+
+		return openSnapshot(transfer).match(
+			state => {
+				this.#options.onState(state);
+				return 'adopted' as const;
+			},
+			() => 'damaged' as const,
+		);
+	}
+
+	#newestPeers(): MemberEntry[] {
+		const peers = this.#options.peers().filter(({configurationOffset}) => configurationOffset > 0);
+		const highest = Math.max(0, ...peers.map(({configurationOffset}) => configurationOffset));
+		return peers.filter(({configurationOffset}) => configurationOffset === highest);
+	}
+
+	#shouldAsk(): boolean {
+		const {context, acceptedOffset, isLogDown, isMissingRecords} = this.#options;
+		const isBehind = this.isBehindPeers(acceptedOffset());
+		if (!isBehind && !isMissingRecords()) {
+			this.#behindSinceMs = undefined;
+			return false;
+		}
+
+		const nowMs = context.clock.monotonicMs();
+		this.#behindSinceMs ??= nowMs;
+		const cannotWait = isBehind && (acceptedOffset() === 0 || isLogDown());
+		return cannotWait || nowMs - this.#behindSinceMs >= logGraceMs;
+	}
+}
--- a/packages/daemon/src/features/membership/membership-task.spec.ts
+++ b/packages/daemon/src/features/membership/membership-task.spec.ts
@@ -73,7 +73,7 @@
 			ownAddresses: () => ({callerAddress: this.#caller, peerAddress: this.peers.address}),
 			callsPerSecond: () => 0,
 		});
-		this.peers = new PeersTask(this.context, {membership: this.membership, atMostOnce: noTables}, {bytes, clients});
+		this.peers = new PeersTask(this.context, {membership: this.membership, atMostOnce: noTables, configuration: {transfer: () => undefined}}, {bytes, clients});
 	}
 
 	async start(): Promise<void> {
--- a/packages/daemon/src/features/membership/membership-task.ts
+++ b/packages/daemon/src/features/membership/membership-task.ts
@@ -2,7 +2,7 @@
 import type {
 	IncarnationId, UpstreamId,
 } from '@cairnbank/core';
-import {hashConfiguration, type ConfigurationState} from '@cairnbank/core/configuration';
+import {hashInForce, type ConfigurationState} from '@cairnbank/core/configuration';
 import {
 	maximumTablesHeld, offeredMembers, peerCandidates, type GossipDigest, type GossipNews, type ListedInstance, type MemberEntry,
 } from '@cairnbank/core/membership';
@@ -216,7 +216,7 @@
 		state.table.updateSelf({
 			state: 'live',
 			configurationOffset: configuration.acceptedOffset,
-			configurationHash: hashConfiguration(configuration).slice(0, hashDigits),
+			configurationHash: hashInForce(configuration).slice(0, hashDigits),
 		});
 	}
 
--- a/packages/daemon/src/features/peers/peers-task.spec.ts
+++ b/packages/daemon/src/features/peers/peers-task.spec.ts
@@ -45,7 +45,7 @@
 	async function startServer(exchange: (digest: GossipDigest) => GossipDigest) {
 		const bytes = new ControlBytes();
 		const context = createContextFixture({settings: {peerSecrets: [newSecret, oldSecret]}});
-		const task = new PeersTask(context, {membership: {exchange}, atMostOnce: noTables}, {bytes, clients: createClients(newSecret)});
+		const task = new PeersTask(context, {membership: {exchange}, atMostOnce: noTables, configuration: {transfer: () => undefined}}, {bytes, clients: createClients(newSecret)});
 		const started = await task.start();
 		assert.equal(started.isOk(), true);
 		closers.push(async () => task.stop());
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -65,7 +65,6 @@
 	const guard = new PoisonGuard(context, metrics);
 	const heldAnswers = new HeldAnswers(settings.calls.heldAnswersTotalBytes);
 	const callRate = new CallRate(context.clock);
-	const configuration = new ConfigurationTask(context, log);
 	const clients = new PeerClients({secrets: settings.peerSecrets, bytes});
 	const membership: MembershipTask = new MembershipTask(context, {
 		clients,
@@ -85,7 +84,8 @@
 		metrics,
 		choose: (service, excluded, priority) => upstreams.choose(service, excluded, priority),
 	}));
-	const peers = new PeersTask(context, {membership, atMostOnce: atMostOnce.handler}, {clients, bytes});
+	const configuration = new ConfigurationTask(context, {log, clients, peers: () => membership.peers()});
+	const peers = new PeersTask(context, {membership, atMostOnce: atMostOnce.handler, configuration}, {clients, bytes});
 	const callers = new CallerListenerTask(context, {
 		handler,
 		heldAnswers,
--- a/packages/protocol/src/peers/peer-router.ts
+++ b/packages/protocol/src/peers/peer-router.ts
@@ -3,6 +3,7 @@
  * a new one takes one line in `PeerHandlers` and one in `createPeerRouter`.
  */
 import {createAtMostOnceRouter, type AtMostOnceHandler} from '../at-most-once/at-most-once-router.js';
+import {createConfigurationRouter, type ConfigurationHandler} from './configuration-router.js';
 import {createMembershipRouter, type MembershipHandler} from './membership-router.js';
 import {peerTrpc} from './peer-trpc.js';
 
@@ -10,12 +11,14 @@
 export type PeerHandlers = {
 	readonly membership: MembershipHandler;
 	readonly atMostOnce: AtMostOnceHandler;
+	readonly configuration: ConfigurationHandler;
 };
 
 export function createPeerRouter(handlers: PeerHandlers) {
 	return peerTrpc.router({
 		membership: createMembershipRouter(handlers.membership),
 		atMostOnce: createAtMostOnceRouter(handlers.atMostOnce),
+		configuration: createConfigurationRouter(handlers.configuration),
 	});
 }
 
