--- a/packages/testing/src/stand-ins/upstream-stand-in.ts
+++ b/packages/testing/src/stand-ins/upstream-stand-in.ts
@@ -28,8 +28,9 @@
 	readonly #reporter: UpstreamReporter;
 	readonly #gate = new FreezeGate();
 	readonly #listener = new Listener((request, response) => {
+		const receivedMs = performance.now();
 		this.#gate.pass(() => {
-			this.#route(request, response);
+			this.#route(request, response, receivedMs);
 		});
 	});
 
@@ -110,7 +111,7 @@
 		await this.#listener.open();
 	}
 
-	#route(request: IncomingMessage, response: ServerResponse): void {
+	#route(request: IncomingMessage, response: ServerResponse, receivedMs: number): void {
 		this.counters.peakConnections = Math.max(this.counters.peakConnections, this.#listener.connections);
 		if (request.url === '/health') {
 			this.counters.healthChecks += 1;
@@ -118,12 +119,11 @@
 		} else if (request.url === '/load') {
 			this.#probe(response);
 		} else {
-			void this.#receive(request, response);
+			void this.#receive(request, response, receivedMs);
 		}
 	}
 
-	async #receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const receivedMs = performance.now();
+	async #receive(request: IncomingMessage, response: ServerResponse, receivedMs: number): Promise<void> {
 		this.#countArrival();
 		try {
 			const body = await readBody(request);
