Bound the calls under way and the callers' connections

Cause: two settings bounded nothing: calls.maximumInFlight and calls.maximumConnections were read by no code. Change: calls are counted, the one beyond the bound is told not run (instance-busy) with a time to come back; the listener takes no connections past its bound. A problem's reason is a typed reason.

--- a/packages/core/src/outcomes/not-run-reason.ts
+++ b/packages/core/src/outcomes/not-run-reason.ts
@@ -11,6 +11,7 @@
 	'deadline-exceeded',
 	'request-too-large',
 	'answers-held-full',
+	'instance-busy',
 	'suspected-poison',
 	'claim-unproven',
 	'key-too-old',
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -13,6 +13,7 @@
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {CallHandler} from './call-handler.js';
+import {CallsInFlight} from './calls-in-flight.js';
 import {Cancellation} from './cancellation.js';
 import type {HeldAnswers} from './held-answers.js';
 import {outcomeBeforeTable} from './outcome-before-table.js';
@@ -43,23 +44,27 @@
 	statusCode: 503, outcome: 'not-run', reason: 'stopping', detail: 'not run: this instance is stopping, ask for addresses again', retryAfterMs: 1000,
 };
 
+const busyProblem: Problem = {
+	statusCode: 503, outcome: 'not-run', reason: 'instance-busy', detail: 'not run: this instance has too many calls under way', retryAfterMs: 1000,
+};
+
 export class CallerListenerTask implements Task {
 	readonly name = 'callers';
 	readonly #context: DaemonContext;
 	readonly #handler: CallHandler;
 	readonly #heldAnswers: HeldAnswers;
 	readonly #server: Server;
+	readonly #inFlight: CallsInFlight;
 	#configuration: ConfigurationInForce | undefined;
-	#inFlight = 0;
 	#leaving = false;
 	#refusing = false;
 	#address: Address | undefined;
-	#onIdle: (() => void) | undefined;
 
 	constructor(context: DaemonContext, {handler, heldAnswers, routes}: CallerListenerParts) {
 		this.#context = context;
 		this.#handler = handler;
 		this.#heldAnswers = heldAnswers;
+		this.#inFlight = new CallsInFlight(context.settings.calls.maximumInFlight);
 		this.#server = this.#createServer(routes);
 		context.bus.on('configuration-in-force', ({configuration}) => {
 			this.#configuration = prepareConfiguration(configuration);
@@ -72,7 +77,7 @@
 	}
 
 	get inFlight(): number {
-		return this.#inFlight;
+		return this.#inFlight.count;
 	}
 
 	async start(): Promise<Result<void, StartError>> {
@@ -90,13 +95,7 @@
 	/** No address answer that names this instance holds any longer: refuses new calls and awaits those in flight. */
 	async drain(): Promise<void> {
 		this.#refusing = true;
-		if (this.#inFlight === 0) {
-			return;
-		}
-
-		await new Promise<void>(resolve => {
-			this.#onIdle = resolve;
-		});
+		await this.#inFlight.idle();
 	}
 
 	async stop(): Promise<void> {
@@ -110,7 +109,9 @@
 		}
 
 		const serveOwnRoute = getRequestListener(app.fetch);
-		const {maximumHeaderBytes, keepAliveTimeoutMs, readTimeoutMs} = this.#context.settings.calls;
+		const {
+			maximumHeaderBytes, maximumConnections, keepAliveTimeoutMs, readTimeoutMs,
+		} = this.#context.settings.calls;
 		const server = createServer({
 			maxHeaderSize: maximumHeaderBytes,
 			keepAliveTimeout: keepAliveTimeoutMs,
@@ -124,6 +125,7 @@
 
 			void (request.url!.startsWith(ownRoutesPrefix) ? serveOwnRoute(request, response) : this.#serve(request, response));
 		});
+		server.maxConnections = maximumConnections;
 		server.on('clientError', refuseMalformed);
 		return server;
 	}
@@ -134,9 +136,13 @@
 			return;
 		}
 
-		this.#inFlight += 1;
+		if (!this.#inFlight.tryBegin()) {
+			writeProblem(response, busyProblem);
+			return;
+		}
+
 		response.once('close', () => {
-			this.#callEnded();
+			this.#inFlight.end();
 		});
 		const cancellation = new Cancellation();
 		response.once('close', () => {
@@ -169,13 +175,6 @@
 			this.#heldAnswers.remove(length);
 		});
 	}
-
-	#callEnded(): void {
-		this.#inFlight -= 1;
-		if (this.#inFlight === 0) {
-			this.#onIdle?.();
-		}
-	}
 }
 
 function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
--- a/packages/daemon/src/features/calls/problem.ts
+++ b/packages/daemon/src/features/calls/problem.ts
@@ -1,6 +1,7 @@
 /** The system's own answers to callers, as problem details (RFC 9457). */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import type {NotRunReason, UnknownReason} from '@cairnbank/core/outcomes';
 import {headerNames} from '@cairnbank/protocol/headers';
 
 const contentType = 'application/problem+json';
@@ -10,7 +11,7 @@
 export type Problem = {
 	readonly statusCode: number;
 	readonly outcome: 'not-run' | 'unknown';
-	readonly reason: string;
+	readonly reason: NotRunReason | UnknownReason;
 	readonly detail: string;
 	readonly retryAfterMs?: number;
 };
