Status code of a busy instance; the deadline test runs last

Cause: the new reason had no status code; a timed-out call leaves its upstream with a lower limit, so that a later test was shed where it expected to queue. Change: 503 for instance-busy; the test that times a call out is the last of its deployment.

--- a/packages/daemon/src/features/calls/outcome-details.ts
+++ b/packages/daemon/src/features/calls/outcome-details.ts
@@ -25,6 +25,7 @@
 	'queue-timeout': unavailable,
 	'deadline-exceeded': unavailable,
 	'answers-held-full': unavailable,
+	'instance-busy': unavailable,
 	'suspected-poison': unavailable,
 	'claim-unproven': unavailable,
 	'caller-gone': unavailable,
--- a/packages/testing/src/calls/attempts.spec.ts
+++ b/packages/testing/src/calls/attempts.spec.ts
@@ -74,19 +74,6 @@
 		assert.ok(await metric('cairnbank_attempts_total{service="ledger",kind="hedge"}') > 0);
 	});
 
-	it('should withdraw a request whose deadline passes while it waits at its upstream', async () => {
-		await second.setFaults({refusing: true});
-		const {cancelled} = first.counters;
-		const slow = call('/balance', {'x-service-ms': String(slowServiceMs)});
-		await waitFor('the slot is taken', () => first.inFlight === 1);
-		const told = await call('/balance', {[headerNames.deadlineMs]: String(shortDeadlineMs)});
-		assert.equal(told.type, 'unknown');
-		await waitFor('the upstream sees the cancellation', () => first.counters.cancelled === cancelled + 1);
-		const whole = await slow;
-		assert.equal(whole.type, 'answered');
-		assert.equal(runs(told.requestId), 0);
-	});
-
 	it('should hand on what is left of the deadline', async () => {
 		const told = await call('/balance', {[headerNames.deadlineMs]: '0'});
 		assert.equal(told.type, 'not-run');
@@ -105,4 +92,17 @@
 		assert.equal(whole.type, 'answered');
 		assert.equal(runs(left.requestId), 0);
 	});
+
+	it('should withdraw a request whose deadline passes while it waits at its upstream', async () => {
+		await second.setFaults({refusing: true});
+		const {cancelled} = first.counters;
+		const slow = call('/balance', {'x-service-ms': String(slowServiceMs)});
+		await waitFor('the slot is taken', () => first.inFlight === 1);
+		const told = await call('/balance', {[headerNames.deadlineMs]: String(shortDeadlineMs)});
+		assert.equal(told.type, 'unknown');
+		await waitFor('the upstream sees the cancellation', () => first.counters.cancelled === cancelled + 1);
+		const whole = await slow;
+		assert.equal(whole.type, 'answered');
+		assert.equal(runs(told.requestId), 0);
+	});
 });
