--- a/packages/daemon/src/features/upstreams/prober.ts
+++ b/packages/daemon/src/features/upstreams/prober.ts
@@ -32,6 +32,7 @@
 export class Prober {
 	readonly #parts: ProberParts;
 	#targets: ReadonlyMap<UpstreamId, Target> = new Map();
+	#started = false;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(parts: ProberParts) {
@@ -57,16 +58,30 @@
 		}
 
 		this.#targets = targets;
+		this.#setTimer();
 	}
 
 	start(): void {
-		this.#timer = setInterval(() => {
-			this.#tick();
-		}, tickMs);
+		this.#started = true;
+		this.#setTimer();
 	}
 
 	stop(): void {
-		clearInterval(this.#timer);
+		this.#started = false;
+		this.#setTimer();
+	}
+
+	/** Ticks only while something is probed: 50 wake-ups a second cost an idle daemon more than its gossip. */
+	#setTimer(): void {
+		if (!this.#started || this.#targets.size === 0) {
+			clearInterval(this.#timer);
+			this.#timer = undefined;
+			return;
+		}
+
+		this.#timer ??= setInterval(() => {
+			this.#tick();
+		}, tickMs);
 	}
 
 	#tick(): void {
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -34,6 +34,8 @@
 import {createTracing} from './tracing/create-tracing.js';
 
 const logConnections = 4;
+/** Milliseconds between samples of the event loop's delay; each sample is a wake-up of an idle daemon. */
+const eventLoopMonitoringPrecision = 100;
 const hexadecimal = 16;
 const seedDigits = 8;
 /** The random half of a UUIDv7; short, as every digest and ticket carries incarnations. */
@@ -52,7 +54,7 @@
 		metrics: new Registry(),
 		tracing: createTracing(settings),
 	};
-	collectDefaultMetrics({register: context.metrics});
+	collectDefaultMetrics({register: context.metrics, eventLoopMonitoringPrecision});
 	const bytes = new ControlBytes();
 	bytes.register(context.metrics);
 	const log = new HttpLogClient({
