Configuration held by tests against real daemons and a failing log

Cause: the ways through an outage were untested. Change: specs for a log that is down, slow, loses an acknowledgement or has forgotten records; all daemons replaced one by one and at once; a daemon that sleeps past the retention; two operators at one moment.

--- /dev/null
+++ b/packages/testing/src/configuration/configuration.spec.ts
@@ -0,0 +1,178 @@
+/** Configuration through a log that fails, with real daemons. */
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import {authorSchema, recordIdSchema, type Change} from '@cairnbank/core';
+import {HttpLogClient} from '@cairnbank/protocol/log';
+import {publishChange} from '@cairnbank/protocol/publishing';
+import {request} from 'undici';
+import type {DaemonProcess} from '../harness/daemon-process.js';
+import {Deployment, type DeploymentOptions} from '../harness/deployment.js';
+import {waitFor} from '../harness/wait-for.js';
+
+const stream = 'configuration';
+const path = '/ledger/balance';
+
+function rules(priority: number): Change {
+	return {kind: 'rules', classes: [{id: 'payout', match: {}, priority}], services: []} as unknown as Change;
+}
+
+function offsetsInForce({lines}: DaemonProcess): number[] {
+	return lines.filter(({event}) => event === 'configuration in force').map(({offset}) => Number(offset));
+}
+
+function sourceOf({lines}: DaemonProcess): unknown {
+	return lines.findLast(({event}) => event === 'configuration in force')?.source;
+}
+
+async function metric({admin}: DaemonProcess, name: string): Promise<number> {
+	const {body} = await request(`http://${admin}/metrics`);
+	const text = await body.text();
+	const line = text.split('\n').find(one => one.startsWith(name));
+	return Number(line?.split(' ').at(-1));
+}
+
+describe('configuration', () => {
+	let deployment: Deployment;
+
+	const start = async (options: Partial<DeploymentOptions> = {}) => {
+		deployment = await Deployment.start({services: [{id: 'ledger', upstreams: 2}], daemons: 2, ...options});
+		return deployment;
+	};
+
+	const call = async ({callers}: DaemonProcess) => deployment.caller.call({instance: callers, path});
+
+	/** Waits until each daemon knows of the other, so that one of them may go. */
+	const meet = async () => {
+		await Promise.all(deployment.daemons.map(async daemon =>
+			waitFor(`${daemon.id} knows its peer`, async () => await metric(daemon, 'cairnbank_members{state="reachable"}') >= 1)));
+	};
+
+	afterEach(async () => deployment.stop());
+
+	describe('while the log is down', () => {
+		it('should outlive every daemon that is replaced one after another', async () => {
+			await start();
+			await deployment.publishInventory();
+			const offset = await deployment.publish(rules(1));
+			await meet();
+			await deployment.log.setFaults({down: 'refuse'});
+			const [first, second] = deployment.daemons;
+			for (const old of [first!, second!]) {
+				const successor = await deployment.startDaemon(`${old.id}-successor`, old.availabilityZone);
+				await successor.configurationInForce(offset);
+				assert.equal(sourceOf(successor), 'peer');
+				deployment.list.remove(old.id);
+				await old.kill();
+			}
+
+			const successors = deployment.daemons.slice(2);
+			for (const successor of successors) {
+				const told = await call(successor);
+				assert.equal(told.type, 'answered');
+			}
+
+			await deployment.log.setFaults({down: 'no'});
+			await deployment.publish(rules(2));
+		});
+
+		it('should not be guessed by daemons that are all replaced at once, until the log is back', async () => {
+			await start();
+			const offset = await deployment.publishInventory();
+			await deployment.log.setFaults({down: 'unavailable'});
+			for (const old of deployment.daemons) {
+				deployment.list.remove(old.id);
+			}
+
+			await Promise.all(deployment.daemons.map(async old => old.kill()));
+			const fresh = await deployment.startDaemon('entry-fresh', 'zone-a');
+			await waitFor('the log failed', async () => await metric(fresh, 'cairnbank_configuration_log_reads_total{result="unacknowledged"}') > 0);
+			const told = await call(fresh);
+			const addresses = await request(`http://${fresh.callers}/.well-known/cairnbank/addresses`);
+			const ready = await request(`http://${fresh.admin}/readyz`);
+			assert.deepEqual([told.type, addresses.statusCode, ready.statusCode], ['not-run', 503, 503]);
+			await Promise.all([addresses.body.dump(), ready.body.dump()]);
+			await deployment.log.setFaults({down: 'no'});
+			await fresh.configurationInForce(offset);
+		});
+	});
+
+	it('should be told by a log that answers later than it is waited for', async () => {
+		await start({daemons: 1, settings: {log: {timeoutMs: 100, pollWaitMs: 100}}});
+		await deployment.log.setFaults({delayMs: 600});
+		const [daemon] = deployment.daemons;
+		await waitFor('reads fail', async () => await metric(daemon!, 'cairnbank_configuration_log_reads_total{result="unacknowledged"}') > 0);
+		await deployment.publishInventory();
+	});
+
+	it('should take effect once when the acknowledgement of its append is lost', async () => {
+		await start();
+		await deployment.publishInventory();
+		await deployment.log.setFaults({loseAcknowledgements: 1});
+		assert.equal(await deployment.publish(rules(1)), 2);
+		assert.equal(deployment.log.stream(stream).endOffset, 2);
+	});
+
+	it('should have the same winner everywhere when two operators publish at one moment', async () => {
+		await start();
+		await deployment.publishInventory();
+		const client = new HttpLogClient({url: deployment.log.url});
+		const verdicts = await Promise.all(['ana', 'tevita'].map(async (author, index) => publishChange(client, {
+			change: rules(index + 1), author: authorSchema.parse(author), id: recordIdSchema.parse(author), baseOffset: 1,
+		})));
+		assert.deepEqual(verdicts.map(({type}) => type).sort(), ['accepted', 'conflict']);
+		const winner = verdicts.find(verdict => verdict.type === 'accepted')!;
+		await Promise.all(deployment.daemons.map(async daemon => daemon.configurationInForce(winner.offset)));
+	});
+
+	it('should live past the retention through a few snapshots, whoever stops', async () => {
+		const retentionMs = 4000;
+		const startMs = performance.now();
+		await start({log: {retention: {maximumAgeMs: retentionMs}}, settings: {log: {retentionMs}}});
+		const offset = await deployment.publishInventory();
+		const {log, daemons} = deployment;
+		await waitFor('a snapshot', () => log.stream(stream).endOffset >= 2);
+		await daemons[0]!.kill();
+		await waitFor('the change expired', () => log.stream(stream).page(1, 1).earliestOffset > offset);
+		await waitFor('a later snapshot of the other', () => log.stream(stream).endOffset >= 3);
+		await daemons[1]!.kill();
+		const fresh = await deployment.startDaemon('entry-fresh', 'zone-a');
+		await fresh.configurationInForce(offset);
+		assert.equal(sourceOf(fresh), 'log');
+		const dueSnapshots = 1 + Math.ceil((performance.now() - startMs) / (retentionMs / 2));
+		assert.ok(log.appends <= 1 + (2 * dueSnapshots), `${log.appends} appends where ${dueSnapshots} snapshots were due`);
+	});
+
+	it('should never fall back in a daemon that sleeps past the retention', async () => {
+		await start();
+		await deployment.publishInventory();
+		await meet();
+		const [sleeper, awake] = deployment.daemons;
+		sleeper!.pause();
+		let offset = 0;
+		for (const priority of [1, 2, 3]) {
+			const verdict = await publishChange(new HttpLogClient({url: deployment.log.url}), {
+				change: rules(priority), author: authorSchema.parse('ana'), id: recordIdSchema.parse(`change-${priority}`),
+			});
+			offset = verdict.type === 'accepted' ? verdict.offset : Number.NaN;
+		}
+
+		await awake!.configurationInForce(offset);
+		deployment.log.expire(stream, offset + 1);
+		sleeper!.resume();
+		await sleeper!.configurationInForce(offset);
+		const offsets = offsetsInForce(sleeper!);
+		assert.deepEqual(offsets, [...offsets].sort((left, right) => left - right));
+	});
+
+	it('should be said to be unknown when its records expired and no snapshot stands in', async () => {
+		await start({daemons: 0});
+		const offset = await deployment.publishInventory();
+		await deployment.publish(rules(1));
+		deployment.log.expire(stream, offset + 1);
+		const daemon = await deployment.startDaemon('entry-late', 'zone-a');
+		await waitFor('it says so', async () => await metric(daemon, 'cairnbank_configuration_log_standing{standing="missing-records"}') === 1);
+		const told = await call(daemon);
+		assert.equal(told.type, 'not-run');
+		assert.deepEqual(offsetsInForce(daemon), []);
+	});
+});
