Claims are judged from the first moment; at most once held by tests against real daemons

Cause: found by the new spec: after a start the first read of the claims stream waited for news, so keys were told unknown for up to one poll (10 s by default) although the log was up.

Change: the first read does not wait.

--- a/packages/daemon/src/features/at-most-once/claim-log.ts
+++ b/packages/daemon/src/features/at-most-once/claim-log.ts
@@ -121,7 +121,8 @@
 			const page = await this.#parts.log.read(settings.log.claimsStream, {
 				fromOffset: this.#parts.fold.throughOffset + 1,
 				limit: recordsPerRead,
-				waitMs: settings.log.pollWaitMs,
+				// No key can be judged before the first read: it does not wait for news.
+				waitMs: this.#parts.fold.hasRead ? settings.log.pollWaitMs : 0,
 				signal: this.#stopping.signal,
 			});
 			if (page.isOk()) {
