--- /dev/null
+++ b/packages/testing/src/fault-matrix/cells/faults.ts
@@ -0,0 +1,27 @@
+/** The faults, in the order of the table's rows. */
+export const faults = [
+	'straggler',
+	'upstream drains',
+	'fail-fast',
+	'upstream crash',
+	'log down',
+	'log slow',
+	'acknowledgement lost',
+	'holder paused',
+	'two operators',
+	'poison request',
+	'instance killed',
+	'instance replaced',
+	'instance stopped by plan',
+	'instance list lagging',
+	'misleading health',
+	'late answer',
+	'reordered answers',
+	'truncated answer',
+] as const;
+
+export type Fault = typeof faults[number];
+
+export function isFault(text: string): text is Fault {
+	return (faults as readonly string[]).includes(text);
+}
--- /dev/null
+++ b/packages/testing/src/fault-matrix/report/summary.ts
@@ -0,0 +1,31 @@
+/** Figures of the last line: how many cells are proved, impossible or open. */
+import type {CellResult} from '../cells/cell.js';
+import {faults} from '../cells/faults.js';
+import {reasonImpossible} from '../cells/impossible-cells.js';
+import {stepsOfLife} from '../cells/steps-of-life.js';
+
+export type Summary = {
+	readonly passed: number;
+	readonly failed: number;
+	readonly cells: number;
+	readonly cellsProved: number;
+	readonly cellsImpossible: number;
+	readonly cellsNotProved: readonly string[];
+	readonly pairs: number;
+};
+
+export function summarise(counts: {passed: number; failed: number}, results: readonly CellResult[]): Summary {
+	const single = results.filter(cell => cell.secondFault === undefined);
+	const all = faults.flatMap(fault => stepsOfLife.map(step => ({fault, step})));
+	const proved = all.filter(({fault, step}) => single.some(cell => cell.fault === fault && cell.step === step && cell.passed));
+	const impossible = all.filter(({fault, step}) => !proved.some(cell => cell.fault === fault && cell.step === step) && reasonImpossible(fault, step) !== undefined);
+	const settled = new Set([...proved, ...impossible]);
+	return {
+		...counts,
+		cells: all.length,
+		cellsProved: proved.length,
+		cellsImpossible: impossible.length,
+		cellsNotProved: all.filter(cell => !settled.has(cell)).map(({fault, step}) => `${fault} at ${step}`),
+		pairs: results.length - single.length,
+	};
+}
--- /dev/null
+++ b/packages/testing/src/fault-matrix/run-scenarios.ts
@@ -0,0 +1,62 @@
+/** Runs the scenarios of the fault matrix in this process, a few feature files at once. */
+import {readdir} from 'node:fs/promises';
+import {fileURLToPath} from 'node:url';
+import path from 'node:path';
+import {loadConfiguration, loadSupport} from '@cucumber/cucumber/api';
+import {runGroup, type GroupResult} from './runner/run-group.js';
+
+const featuresFolder = fileURLToPath(new URL('../../features', import.meta.url));
+const stepsFolder = fileURLToPath(new URL('steps', import.meta.url));
+const concurrency = 4;
+
+export type ScenarioCounts = {
+	readonly passed: number;
+	readonly failed: number;
+};
+
+export type ScenarioSelection = {
+	/** Tag expression, such as `@pairs`. */
+	readonly tags?: string;
+	/** Regular expression of scenario names. */
+	readonly name?: string;
+	/** Part of a feature file's name. */
+	readonly feature?: string;
+};
+
+async function featureFiles(part: string): Promise<string[]> {
+	const names = await readdir(featuresFolder);
+	return names.filter(name => name.endsWith('.feature') && name.includes(part)).sort().map(name => path.join(featuresFolder, name));
+}
+
+async function loadSteps() {
+	const {runConfiguration} = await loadConfiguration({file: false, provided: {paths: [featuresFolder], import: [`${stepsFolder}/*.js`]}});
+	return loadSupport(runConfiguration);
+}
+
+function print(group: GroupResult): void {
+	console.log(`${path.basename(group.feature)}: ${group.passed} passed, ${group.failed} failed`);
+	if (group.failed > 0) {
+		console.log(group.text);
+	}
+}
+
+/** Runs the selected scenarios, all by default; prints a line for each feature file and each failure. */
+export async function runScenarios(selection: ScenarioSelection = {}): Promise<ScenarioCounts> {
+	const support = await loadSteps();
+	const waiting = await featureFiles(selection.feature ?? '');
+	const results: GroupResult[] = [];
+	const work = async () => {
+		for (let feature = waiting.shift(); feature !== undefined; feature = waiting.shift()) {
+			const group = await runGroup({
+				feature, support, tags: selection.tags ?? '', names: selection.name === undefined ? [] : [selection.name],
+			});
+			print(group);
+			results.push(group);
+		}
+	};
+
+	await Promise.all(Array.from({length: concurrency}, work));
+	const passed = results.reduce((sum, group) => sum + group.passed, 0);
+	const failed = results.reduce((sum, group) => sum + group.failed, 0);
+	return {passed, failed};
+}
--- /dev/null
+++ b/packages/testing/src/fault-matrix/steps/caller-steps.ts
@@ -0,0 +1,20 @@
+/** Steps about callers: what they send and what they are told. */
+import assert from 'node:assert/strict';
+import {Then as then, When as when} from '@cucumber/cucumber';
+import {parseRequestKind} from '../fixtures/request-kind.js';
+import {sendRequest} from '../fixtures/send-request.js';
+import type {MatrixWorld} from './matrix-world.js';
+
+when(/^a caller sends a (payment|query)$/u, async function (this: MatrixWorld, kind: string) {
+	const request = this.newRequest(parseRequestKind(kind));
+	await sendRequest(request, {address: this.address('A')});
+});
+
+then(/^the caller is told (.+)$/u, function (this: MatrixWorld, expected: string) {
+	const told = this.request.told.at(-1);
+	assert.equal(told?.type, expected, JSON.stringify(told));
+});
+
+then('it ran {int} time(s)', function (this: MatrixWorld, expected: number) {
+	assert.equal(this.runsOf(this.request.id), expected);
+});
--- /dev/null
+++ b/packages/testing/src/fault-matrix/steps/hooks.ts
@@ -0,0 +1,47 @@
+/** What happens around every scenario: a sound fleet before it, the promises checked after it. */
+import {
+	After as after, Before as before, setDefaultTimeout, setWorldConstructor, Status, type ITestCaseHookParameter,
+} from '@cucumber/cucumber';
+import {recordCell} from '../cells/cell-log.js';
+import {checkPromises} from '../fixtures/promises.js';
+import {toldText} from '../fixtures/told.js';
+import {MatrixWorld} from './matrix-world.js';
+
+/** Generous: a step that waits this long has failed. */
+const stepLimitMs = 40_000;
+
+setWorldConstructor(MatrixWorld);
+setDefaultTimeout(stepLimitMs);
+
+before(async function (this: MatrixWorld) {
+	await this.open();
+});
+
+// Hooks after a scenario run last first: the promises are checked before all is taken down.
+after(async function (this: MatrixWorld) {
+	for (const cleanUp of this.cleanUps.toReversed()) {
+		await cleanUp();
+	}
+
+	await Promise.all(this.upstreams.map(async upstream => upstream.stop()));
+});
+
+after(function (this: MatrixWorld, {result, pickle}: ITestCaseHookParameter) {
+	const told = [...new Set(this.requests.flatMap(request => request.told.map(one => toldText(one))))];
+	const runs = Math.max(0, ...this.requests.map(request => this.runsOf(request.id)));
+	for (const cell of this.cells) {
+		recordCell({
+			...cell, scenario: pickle.name, passed: result?.status === Status.PASSED, told, runs,
+		});
+	}
+});
+
+after(async function (this: MatrixWorld) {
+	// What is still under way ends first, for the promises are about the whole history.
+	await this.fleet.mend();
+	await Promise.all(this.upstreams.map(async upstream => upstream.gate.open()));
+	await Promise.all(this.underWay);
+	for (const request of this.requests) {
+		checkPromises(request, this.runsOf(request.id));
+	}
+});
--- /dev/null
+++ b/packages/testing/src/fault-matrix/steps/matrix-world.ts
@@ -0,0 +1,113 @@
+/** What one scenario knows: its cell, its service, its requests and what callers were told. */
+import {randomUUID} from 'node:crypto';
+import {World, type IWorldOptions} from '@cucumber/cucumber';
+import {headerNames} from '@cairnbank/protocol';
+import type {Fault} from '../cells/faults.js';
+import type {StepOfLife} from '../cells/steps-of-life.js';
+import type {Behaviour} from '../fixtures/behaviour.js';
+import type {CallerRequest} from '../fixtures/caller-request.js';
+import {expectedAnswer} from '../fixtures/expected-answer.js';
+import type {Fleet} from '../fixtures/fleet.js';
+import {fleetOf} from '../fixtures/fleets.js';
+import type {RequestKind} from '../fixtures/request-kind.js';
+import {rulesOf, type RulesOptions} from '../fixtures/rules.js';
+import {ScriptedUpstream} from '../fixtures/scripted-upstream.js';
+import {StalledListener} from '../fixtures/stalled-listener.js';
+import type {Told} from '../fixtures/told.js';
+import {requestIdHeader} from '../../stand-ins/index.js';
+
+export type WorldParameters = {
+	readonly feature: string;
+};
+
+export type CellPlace = {
+	readonly fault: Fault;
+	readonly secondFault?: Fault;
+	readonly step: StepOfLife;
+};
+
+const requestBytes = 300_000;
+const defaultDeadlineMs = 2000;
+let services = 0;
+
+export class MatrixWorld extends World<WorldParameters> {
+	readonly cells: CellPlace[] = [];
+	readonly requests: CallerRequest[] = [];
+	readonly upstreams: ScriptedUpstream[] = [];
+	/** Exchanges that a step began and a later one ends. */
+	readonly underWay: Array<Promise<Told>> = [];
+	/** Run at the scenario's end, last first. */
+	readonly cleanUps: Array<() => Promise<void>> = [];
+	readonly service: string;
+	fleet!: Fleet;
+	/** The instances of the scenario, by name. */
+	instanceNames: readonly string[] = ['A'];
+	/** What new requests allow. */
+	deadlineMs = defaultDeadlineMs;
+
+	constructor(options: IWorldOptions<WorldParameters>) {
+		super(options);
+		services += 1;
+		this.service = `service-${services}`;
+	}
+
+	get request(): CallerRequest {
+		return this.requests.at(-1)!;
+	}
+
+	async open(): Promise<void> {
+		this.fleet = await fleetOf(this.parameters.feature);
+	}
+
+	async startInstances(names: readonly string[]): Promise<void> {
+		this.instanceNames = names;
+		for (const name of names) {
+			await this.fleet.instance(name);
+		}
+	}
+
+	/** Starts the upstreams and publishes the service with them. */
+	async startService(listed: readonly Behaviour[], options: Omit<RulesOptions, 'service'> = {}): Promise<void> {
+		await this.startInstances(this.instanceNames);
+		for (const [index, behaviour] of listed.entries()) {
+			const upstream = await new ScriptedUpstream(`${this.service}-${index + 1}`).start();
+			await upstream.setBehaviour(behaviour);
+			this.upstreams.push(upstream);
+		}
+
+		await this.fleet.publishService(this.service, this.upstreams, rulesOf({service: this.service, ...options}));
+	}
+
+	/** Publishes the service with one upstream at which connecting never ends. */
+	async startStalledService(): Promise<StalledListener> {
+		await this.startInstances(this.instanceNames);
+		const stalled = await new StalledListener().start();
+		this.cleanUps.push(async () => stalled.stop());
+		const listed = {id: `${this.service}-1`, address: stalled.address};
+		await this.fleet.publishService(this.service, [listed], rulesOf({service: this.service}));
+		return stalled;
+	}
+
+	address(name: string): string {
+		return this.fleet.known(name).callers;
+	}
+
+	/** A new request; tickets and keys are added by the steps that get them. */
+	newRequest(kind: RequestKind, headers: Record<string, string> = {}): CallerRequest {
+		const id = randomUUID();
+		const request: CallerRequest = {
+			id,
+			kind,
+			service: this.service,
+			body: kind === 'query' ? new Uint8Array() : expectedAnswer(`body of ${id}`, requestBytes),
+			headers: {[requestIdHeader]: id, [headerNames.deadlineMs]: String(this.deadlineMs), ...headers},
+			told: [],
+		};
+		this.requests.push(request);
+		return request;
+	}
+
+	runsOf(id: string): number {
+		return this.upstreams.reduce((sum, upstream) => sum + upstream.runs.of(id), 0);
+	}
+}
--- /dev/null
+++ b/packages/testing/src/fault-matrix/steps/service-steps.ts
@@ -0,0 +1,45 @@
+/** Steps about the cell, the instances and the service with its upstreams. */
+import assert from 'node:assert/strict';
+import {Given as given, When as when} from '@cucumber/cucumber';
+import {isFault} from '../cells/faults.js';
+import {isStepOfLife} from '../cells/steps-of-life.js';
+import {parseBehaviour, type Behaviour} from '../fixtures/behaviour.js';
+import type {MatrixWorld} from './matrix-world.js';
+
+const allButOne = ', all but one';
+
+given('the cell {string} at {string}', function (this: MatrixWorld, fault: string, step: string) {
+	assert.ok(isFault(fault), `no such fault: ${fault}`);
+	assert.ok(isStepOfLife(step), `no such step: ${step}`);
+	this.cells.push({fault, step});
+});
+
+given('the pair {string} and {string} at {string}', function (this: MatrixWorld, fault: string, secondFault: string, step: string) {
+	assert.ok(isFault(fault), `no such fault: ${fault}`);
+	assert.ok(isFault(secondFault), `no such fault: ${secondFault}`);
+	assert.ok(isStepOfLife(step), `no such step: ${step}`);
+	this.cells.push({fault, secondFault, step});
+});
+
+given(/^instances? (.+)$/u, async function (this: MatrixWorld, names: string) {
+	await this.startInstances(names.split(/,\s*|\s+and\s+/u));
+});
+
+given(/^a service with (\d+) upstreams? that (.+)$/u, async function (this: MatrixWorld, count: string, text: string) {
+	const faulty = parseBehaviour(text.replace(allButOne, '').replace(/^answers$/u, 'answer'));
+	const listed = Array.from({length: Number(count)}, (): Behaviour => faulty);
+	if (text.endsWith(allButOne)) {
+		listed[0] = 'answer';
+	}
+
+	await this.startService(listed);
+});
+
+given('a service whose only upstream takes no connection', async function (this: MatrixWorld) {
+	await this.startStalledService();
+});
+
+when(/^the upstreams now (.+)$/u, async function (this: MatrixWorld, text: string) {
+	const behaviour = parseBehaviour(text);
+	await Promise.all(this.upstreams.map(async upstream => upstream.setBehaviour(behaviour)));
+});
