--- a/packages/testing/src/fault-matrix/steps/caller-steps.ts
+++ b/packages/testing/src/fault-matrix/steps/caller-steps.ts
@@ -7,7 +7,10 @@
 
 when(/^a caller sends a (payment|query)$/u, async function (this: MatrixWorld, kind: string) {
 	const request = this.newRequest(parseRequestKind(kind));
-	await sendRequest(request, {address: this.address('A')});
+	await sendRequest(request, {
+		address: this.address('A'),
+		onAnswerBegun: async () => this.letGo(),
+	});
 });
 
 then(/^the caller is told (.+)$/u, function (this: MatrixWorld, expected: string) {
--- a/packages/testing/src/fault-matrix/steps/hooks.ts
+++ b/packages/testing/src/fault-matrix/steps/hooks.ts
@@ -39,7 +39,7 @@
 after(async function (this: MatrixWorld) {
 	// What is still under way ends first, for the promises are about the whole history.
 	await this.fleet.mend();
-	await Promise.all(this.upstreams.map(async upstream => upstream.gate.open()));
+	await this.letGo();
 	await Promise.all(this.underWay);
 	for (const request of this.requests) {
 		checkPromises(request, this.runsOf(request.id));
--- a/packages/testing/src/fault-matrix/steps/matrix-world.ts
+++ b/packages/testing/src/fault-matrix/steps/matrix-world.ts
@@ -107,6 +107,11 @@
 		return request;
 	}
 
+	/** Lets requests that the upstreams hold go on. */
+	async letGo(reversed = false): Promise<void> {
+		await Promise.all(this.upstreams.map(async upstream => upstream.gate.open(reversed)));
+	}
+
 	runsOf(id: string): number {
 		return this.upstreams.reduce((sum, upstream) => sum + upstream.runs.of(id), 0);
 	}
--- a/packages/testing/src/stand-ins/index.ts
+++ b/packages/testing/src/stand-ins/index.ts
@@ -10,3 +10,4 @@
 export * from './upstream-stand-in.js';
 export * from './raw-upstream.js';
 export * from './relay-upstream.js';
+export * from './reset-socket.js';
--- a/packages/testing/src/stand-ins/listener.ts
+++ b/packages/testing/src/stand-ins/listener.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {createServer, type RequestListener, type Server} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {resetSocket} from './reset-socket.js';
 
 const host = '127.0.0.1';
 
@@ -50,7 +51,7 @@
 	/** Resets every connection; the port stays open. */
 	resetConnections(): void {
 		for (const socket of this.#sockets) {
-			socket.resetAndDestroy();
+			resetSocket(socket);
 		}
 	}
 
