Concurrency of a service held by marks of congestion, the first class last

Cause: under overload every upstream's queue filled, first come, first served, so important calls waited behind the rest and refusals fell on all classes. Change: an instance holds what it keeps with a service's upstreams together; a report of more than twice the slots is a mark, and the limit falls by half the share of marks; calls beyond it wait in the queue, the first class may pass the limit twice over.

--- a/packages/core/src/limits/adaptive-limit.ts
+++ b/packages/core/src/limits/adaptive-limit.ts
@@ -29,6 +29,11 @@
 		return this.#limit;
 	}
 
+	/** The greatest value that it may take. */
+	get maximum(): number {
+		return this.#maximum;
+	}
+
 	get closedUntilMs(): number {
 		return this.#closedUntilMs;
 	}
--- a/packages/core/src/limits/admission-queue.ts
+++ b/packages/core/src/limits/admission-queue.ts
@@ -56,9 +56,13 @@
 		return evicted === undefined ? {type: 'queued', retryAfterMs} : {type: 'queued', evicted, retryAfterMs};
 	}
 
-	/** The next request to start, or none. Call `expire` first. */
-	take(nowMs: number): QueuedRequest<Payload> | undefined {
-		const next = this.#next();
+	/**
+	 * The next request to start, or none. Call `expire` first.
+	 *
+	 * @param leastPriority only requests at least as important as this are taken
+	 */
+	take(nowMs: number, leastPriority = Number.POSITIVE_INFINITY): QueuedRequest<Payload> | undefined {
+		const next = this.#next(leastPriority);
 		if (next === undefined) {
 			return undefined;
 		}
@@ -150,12 +154,13 @@
 		return held === otherHeld ? request.arrivedAtMs >= other.arrivedAtMs : held > otherHeld;
 	}
 
-	#next(): QueuedRequest<Payload> | undefined {
+	#next(leastPriority: number): QueuedRequest<Payload> | undefined {
 		const isTurnOfLeastImportant = this.#turn % turnsPerLeastImportant === turnsPerLeastImportant - 1;
 		const sign = isTurnOfLeastImportant ? -1 : 1;
 		let best: QueuedRequest<Payload> | undefined;
 		for (const request of this.#waiting) {
-			if (best === undefined || this.#compare(request, best, sign) < 0) {
+			const isEligible = request.priority <= leastPriority;
+			if (isEligible && (best === undefined || this.#compare(request, best, sign) < 0)) {
 				best = request;
 			}
 		}
--- /dev/null
+++ b/packages/core/src/limits/service-concurrency.spec.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {firstClassPriority, ServiceConcurrency} from './service-concurrency.js';
+
+const windowMs = 50;
+const reportsPerWindow = 8;
+
+function report(concurrency: ServiceConcurrency, perSlot: number, startMs: number, windows: number): number {
+	for (let window = 0; window < windows; window++) {
+		for (let index = 0; index < reportsPerWindow; index++) {
+			concurrency.onReport(perSlot, windowMs, startMs + (window * windowMs));
+		}
+	}
+
+	return startMs + (windows * windowMs);
+}
+
+describe('service concurrency', () => {
+	it('should not hold back anything while upstreams keep up', () => {
+		const concurrency = new ServiceConcurrency(45);
+		report(concurrency, 1, 0, 100);
+		assert.equal(concurrency.value, 45);
+	});
+
+	it('should fall within a few windows of congestion, never below one', () => {
+		const concurrency = new ServiceConcurrency(45);
+		concurrency.admits(12, 5);
+		const nowMs = report(concurrency, 8, 0, 1);
+		assert.equal(concurrency.value, 6);
+		report(concurrency, 8, nowMs, 50);
+		assert.equal(concurrency.value, 1);
+		assert.equal(concurrency.admits(0, 5), true);
+	});
+
+	it('should rise once congestion is over, only where it holds requests back', () => {
+		const concurrency = new ServiceConcurrency(45);
+		let nowMs = report(concurrency, 8, 0, 50);
+		nowMs = report(concurrency, 1, nowMs, 20);
+		assert.equal(concurrency.value, 1);
+		for (let window = 0; window < 20; window++) {
+			assert.equal(concurrency.admits(45, 5), false);
+			nowMs = report(concurrency, 1, nowMs, 1);
+		}
+
+		assert.equal(concurrency.value, 21);
+	});
+
+	it('should let the first class pass the limit', () => {
+		const concurrency = new ServiceConcurrency(4);
+		assert.equal(concurrency.admits(4, 5), false);
+		assert.equal(concurrency.admits(4, firstClassPriority), true);
+		assert.equal(concurrency.admits(8, firstClassPriority), false);
+	});
+
+	it('should fall little for the marks of a single straggler', () => {
+		const concurrency = new ServiceConcurrency(45);
+		for (let nowMs = 0; nowMs < 500; nowMs++) {
+			concurrency.admits(45, 5);
+			concurrency.onReport(nowMs % 15 === 0 ? 8 : 1, windowMs, nowMs);
+		}
+
+		assert.ok(concurrency.value > 25);
+	});
+});
--- a/packages/core/src/routing/choosers/home-least-latency-chooser.ts
+++ b/packages/core/src/routing/choosers/home-least-latency-chooser.ts
@@ -2,6 +2,7 @@
  * Home subset with overflow, stragglers weighed by their slowness. Few instances share a home, so that counts of
  * it are nearly exact; what is out for much longer than usual marks its upstream before any answer does.
  */
+import {firstClassPriority} from '../../limits/service-concurrency.js';
 import type {UpstreamId} from '../../model/ids.js';
 import type {RandomSource} from '../../model/random-source.js';
 import {believedInFlight} from '../aged-load.js';
@@ -22,7 +23,6 @@
 /** Calls of the first class try a former straggler again much later than others. */
 const retrialHalfLifeMs = 3000;
 const firstClassRetrialHalfLifeMs = 30_000;
-const firstClassPriority = 0;
 /** Upstreams compared for one request. */
 const comparedUpstreams = 32;
 
--- a/packages/core/src/routing/upstream-selector.ts
+++ b/packages/core/src/routing/upstream-selector.ts
@@ -1,5 +1,6 @@
 /** Chooses the upstream of each request of one service, from what this instance has seen. */
 import type {AvailabilityZoneId, InstanceId, UpstreamId} from '../model/ids.js';
+import {ServiceConcurrency} from '../limits/service-concurrency.js';
 import type {RandomSource} from '../model/random-source.js';
 import type {Service} from '../model/service.js';
 import type {ServiceRules} from '../model/service-rules.js';
@@ -46,6 +47,7 @@
 	readonly #averages: ServiceAverages;
 	readonly #filter: CandidateFilter;
 	readonly #chooser: Chooser;
+	readonly #concurrency: ServiceConcurrency;
 	#homes: ReadonlySet<UpstreamId> | undefined;
 	#instances: readonly InstanceId[];
 
@@ -57,6 +59,7 @@
 		this.#averages = previous?.averages ?? new ServiceAverages();
 		this.#states = service.upstreams.flatMap(upstream => stateFor(upstream, options));
 		this.#byId = new Map(this.#states.map(state => [state.upstream.id, state]));
+		this.#concurrency = new ServiceConcurrency(this.#states.reduce((sum, state) => sum + state.limit.maximum, 0));
 		this.#filter = new CandidateFilter({
 			slowStartMs: rules.limits.slowStartMs,
 			preferredAvailabilityZone: rules.preferOwnAvailabilityZone ? options.availabilityZone : undefined,
@@ -74,6 +77,11 @@
 		return this.#averages;
 	}
 
+	/** Requests that this instance keeps with all upstreams together. */
+	get concurrency(): number {
+		return this.#concurrency.value;
+	}
+
 	/** What is known of each upstream, for metrics and for the prober. */
 	get states(): readonly UpstreamState[] {
 		return this.#states;
@@ -94,20 +102,20 @@
 		return {type: 'chosen', upstream: state.upstream.id};
 	}
 
-	/** Whether every upstream that may take work is at its limit, so that waiting helps. */
-	isAtLimit(nowMs: number): boolean {
+	/** Whether a new request had better wait: the service has all it can run soon, or every upstream is at its limit. */
+	isAtLimit(priority: number, nowMs: number): boolean {
 		let isAnyAvailable = false;
+		let isAnyOpen = false;
+		let inFlight = 0;
 		for (const state of this.#states) {
+			inFlight += state.inFlight;
 			if (state.isAvailable(nowMs)) {
-				if (state.limit.admits(state.inFlight, nowMs)) {
-					return false;
-				}
-
 				isAnyAvailable = true;
+				isAnyOpen ||= state.limit.admits(state.inFlight, nowMs);
 			}
 		}
 
-		return isAnyAvailable;
+		return isAnyAvailable && !(isAnyOpen && this.#concurrency.admits(inFlight, priority));
 	}
 
 	onSent(upstream: UpstreamId, nowMs: number): void {
@@ -160,6 +168,7 @@
 
 	#onReport(state: UpstreamState, report: LoadReport, nowMs: number): void {
 		state.onReport(report.inFlight, nowMs);
+		this.#concurrency.onReport(report.inFlight / state.upstream.slots, this.#averages.latencyMs, nowMs);
 		this.#averages.addOthers(state.othersInFlight, state.upstream.slots);
 		this.#chooser.onReport?.(state, report, nowMs);
 	}
--- a/packages/daemon/src/features/upstreams/admission-stage.ts
+++ b/packages/daemon/src/features/upstreams/admission-stage.ts
@@ -1,6 +1,8 @@
 /** Holds calls back while every upstream of their service is at its limit, the important ones least. */
 import type {Clock, ServiceId} from '@cairnbank/core';
-import {AdmissionQueue, type QueuedRequest, type QueueShedReason} from '@cairnbank/core/limits';
+import {
+	AdmissionQueue, firstClassPriority, type QueuedRequest, type QueueShedReason,
+} from '@cairnbank/core/limits';
 import type {NotRunReason, Outcome} from '@cairnbank/core/outcomes';
 import type {Call} from '../calls/call.js';
 import type {CallHandler, CallStage} from '../calls/call-handler.js';
@@ -11,7 +13,7 @@
 	readonly clock: Clock;
 	readonly metrics: UpstreamMetrics;
 	/** Whether waiting is the only way to an upstream of the service. */
-	isAtLimit(service: ServiceId): boolean;
+	isAtLimit(service: ServiceId, priority: number): boolean;
 };
 
 type Waiting = {
@@ -27,6 +29,8 @@
 
 /** Time after which a closed upstream is looked at again while calls wait. */
 const recheckMs = 2;
+/** Any priority but the first. */
+const ordinaryPriority = 9;
 
 export class AdmissionStage implements CallStage {
 	readonly name = 'admission';
@@ -41,7 +45,7 @@
 	wrap(next: CallHandler): CallHandler {
 		return async call => {
 			const waiting = this.#queues.get(call.serviceId)?.queue.length ?? 0;
-			if (waiting === 0 && !this.#parts.isAtLimit(call.serviceId)) {
+			if (waiting === 0 && !this.#parts.isAtLimit(call.serviceId, call.requestClass.priority)) {
 				return next(call);
 			}
 
@@ -117,10 +121,9 @@
 			this.#refuse(request.payload, nowMs >= request.deadlineAtMs ? 'deadline-exceeded' : 'queue-timeout');
 		}
 
-		while (queue.length > 0 && !this.#parts.isAtLimit(service)) {
-			const request = queue.take(nowMs);
-			this.#parts.metrics.leftQueue(service, nowMs - (request?.arrivedAtMs ?? nowMs));
-			request?.payload.start();
+		for (let request = this.#takeNext(service, queue, nowMs); request !== undefined; request = this.#takeNext(service, queue, nowMs)) {
+			this.#parts.metrics.leftQueue(service, nowMs - request.arrivedAtMs);
+			request.payload.start();
 		}
 
 		this.#parts.metrics.setQueueLength(service, queue.length);
@@ -131,6 +134,19 @@
 		}
 	}
 
+	/** The next in order while there is room for all; else the first class alone. */
+	#takeNext(service: ServiceId, queue: AdmissionQueue<Waiting>, nowMs: number): QueuedRequest<Waiting> | undefined {
+		if (queue.length === 0) {
+			return undefined;
+		}
+
+		if (!this.#parts.isAtLimit(service, ordinaryPriority)) {
+			return queue.take(nowMs);
+		}
+
+		return this.#parts.isAtLimit(service, firstClassPriority) ? undefined : queue.take(nowMs, firstClassPriority);
+	}
+
 	#recheck(): void {
 		this.#timer = undefined;
 		for (const [service, {queue}] of this.#queues) {
--- a/packages/daemon/src/features/upstreams/upstreams-task.ts
+++ b/packages/daemon/src/features/upstreams/upstreams-task.ts
@@ -50,7 +50,7 @@
 		this.admission = new AdmissionStage({
 			clock,
 			metrics: upstreamMetrics,
-			isAtLimit: service => this.#selectors.get(service)?.isAtLimit(this.#nowMs()) ?? false,
+			isAtLimit: (service, priority) => this.#selectors.get(service)?.isAtLimit(priority, this.#nowMs()) ?? false,
 		});
 		this.#subscribe();
 	}
