In-flight limits start at their greatest value and fall by latency only where the instance is the cause

Cause: a limit of one request at a one-slot upstream made calls wait at the instance where the upstream would have taken them, and slow answers lowered it even while the instance held no more than the upstream can run. Conclusion: sheds and own queueing bound it, slowness alone is the chooser's.

--- a/packages/core/src/limits/adaptive-limit.ts
+++ b/packages/core/src/limits/adaptive-limit.ts
@@ -13,6 +13,7 @@
 export class AdaptiveLimit {
 	#limit: number;
 	#maximum: number;
+	#slots: number;
 	#consecutiveSheds = 0;
 	#closedUntilMs = 0;
 
@@ -21,8 +22,9 @@
 	 * @param connectionShare connections that this instance may hold
 	 */
 	constructor(slots: number, connectionShare: number) {
+		this.#slots = slots;
 		this.#maximum = maximumOf(slots, connectionShare);
-		this.#limit = Math.min(slots, this.#maximum);
+		this.#limit = this.#maximum;
 	}
 
 	get value(): number {
@@ -45,6 +47,7 @@
 
 	/** The inventory gave the upstream other numbers. */
 	resize(slots: number, connectionShare: number): void {
+		this.#slots = slots;
 		this.#maximum = maximumOf(slots, connectionShare);
 		this.#limit = Math.min(this.#limit, this.#maximum);
 	}
@@ -52,18 +55,19 @@
 	/**
 	 * A whole answer.
 	 *
-	 * @param inFlight what remains with the upstream
+	 * @param inFlight what remains with the upstream; only more than it can run lowers the limit
 	 * @param isSlow whether its answers have been slow for a while; single slow ones are no sign of overload
 	 */
 	onAnswer(inFlight: number, isSlow: boolean): void {
 		this.#consecutiveSheds = 0;
-		if (isSlow) {
+		const heldMoreThanRuns = inFlight + 1 > this.#slots;
+		if (isSlow && heldMoreThanRuns) {
 			this.#limit = Math.max(minimumLimit, this.#limit * latencyDecreaseFactor);
 			return;
 		}
 
 		const wasFull = inFlight + 1 >= Math.floor(this.#limit);
-		if (wasFull) {
+		if (wasFull && !isSlow) {
 			this.#limit = Math.min(this.#maximum, this.#limit + (1 / this.#limit));
 		}
 	}
