Bounds on passed-on runs; refusals of a busy instance stay true

Cause: calls that other instances pass on were bounded by no count of calls under way, and the new bound at the caller port told 'not run' of requests whose ticket or key may have run elsewhere.

Change: the tables refuse new runs beyond calls.maximumInFlight; every refusal before the tables goes through one function that says unknown where an earlier send may have run.

--- a/packages/core/src/outcomes/claims/key-table.ts
+++ b/packages/core/src/outcomes/claims/key-table.ts
@@ -28,6 +28,7 @@
 	/** How long an end is kept for resends; never less than the claim window stays open. */
 	readonly keepEndedMs: number;
 	readonly maximumEntries: number;
+	readonly maximumRunning?: number;
 	readonly maximumAnswerBytes: number;
 };
 
--- a/packages/core/src/outcomes/runs/run-table.ts
+++ b/packages/core/src/outcomes/runs/run-table.ts
@@ -17,6 +17,8 @@
 	readonly keepEndedMs: number;
 	/** Bound on running and ended entries together. */
 	readonly maximumEntries: number;
+	/** Bound on running entries alone; absent: none but the one above. */
+	readonly maximumRunning?: number;
 	/** Bound on the bytes of kept answers. */
 	readonly maximumAnswerBytes: number;
 };
@@ -50,7 +52,8 @@
 	/** Whether a new id finds room. */
 	get hasRoom(): boolean {
 		this.forgetExpired();
-		return this.entryCount < this.#options.maximumEntries;
+		const {maximumEntries, maximumRunning = maximumEntries} = this.#options;
+		return this.entryCount < maximumEntries && this.runningCount < maximumRunning;
 	}
 
 	has(id: string): boolean {
--- a/packages/core/src/outcomes/tickets/ticket-table.spec.ts
+++ b/packages/core/src/outcomes/tickets/ticket-table.spec.ts
@@ -107,6 +107,15 @@
 		}
 	});
 
+	it('should refuse new tickets while as many run as may', () => {
+		const {table} = setUp({maximumEntries: 10, maximumRunning: 1});
+		const [first, second, third] = [issue(table), issue(table), issue(table)];
+		table.begin({ticket: first, fingerprint});
+		assert.deepEqual(table.begin({ticket: second, fingerprint}), {type: 'end', outcome: notRun('answers-held-full')});
+		table.end(first, answered);
+		assert.deepEqual(table.begin({ticket: third, fingerprint}), {type: 'run'});
+	});
+
 	it('should let a send run after a not-run end only if it counts itself as later', () => {
 		const {table} = setUp();
 		const ticket = issue(table);
--- a/packages/core/src/outcomes/tickets/ticket-table.ts
+++ b/packages/core/src/outcomes/tickets/ticket-table.ts
@@ -27,6 +27,7 @@
 	/** How long an end is kept for resends; never less than `lifetimeMs`. */
 	readonly keepEndedMs: number;
 	readonly maximumEntries: number;
+	readonly maximumRunning?: number;
 	readonly maximumAnswerBytes: number;
 	/** Bound on single tickets remembered as void. */
 	readonly maximumVoided: number;
--- a/packages/daemon/src/features/at-most-once/tables.ts
+++ b/packages/daemon/src/features/at-most-once/tables.ts
@@ -25,6 +25,8 @@
 		const shared = {
 			clock,
 			keepEndedMs: atMostOnce.keptAnswerMs,
+			// Calls that other instances pass on count here and not at the caller port.
+			maximumRunning: settings.calls.maximumInFlight,
 			maximumAnswerBytes: Math.floor(atMostOnce.keptAnswersTotalBytes / tablesSharingAnswers),
 		};
 		const window = {openMs: atMostOnce.claimWindowMs, clockSkewMs: atMostOnce.clockSkewMs};
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -16,9 +16,9 @@
 import {CallsInFlight} from './calls-in-flight.js';
 import {Cancellation} from './cancellation.js';
 import type {HeldAnswers} from './held-answers.js';
-import {outcomeBeforeTable} from './outcome-before-table.js';
 import {prepareConfiguration, type ConfigurationInForce} from './configuration-in-force.js';
-import {writeProblem, type Problem} from './problem.js';
+import {problemBeforeTable, type Refusal} from './problem-before-table.js';
+import {writeProblem} from './problem.js';
 import {readCall} from './read-call.js';
 import {ResponseSink} from './response-sink.js';
 import {writeOutcome} from './write-outcome.js';
@@ -40,12 +40,12 @@
 const badRequest = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\nCairnbank-Outcome: not-run\r\n\r\n';
 const headersTooLarge = 'HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\nCairnbank-Outcome: not-run\r\n\r\n';
 
-const stoppingProblem: Problem = {
-	statusCode: 503, outcome: 'not-run', reason: 'stopping', detail: 'not run: this instance is stopping, ask for addresses again', retryAfterMs: 1000,
+const stoppingProblem: Refusal = {
+	statusCode: 503, reason: 'stopping', detail: 'not run: this instance is stopping, ask for addresses again', retryAfterMs: 1000,
 };
 
-const busyProblem: Problem = {
-	statusCode: 503, outcome: 'not-run', reason: 'instance-busy', detail: 'not run: this instance has too many calls under way', retryAfterMs: 1000,
+const busyProblem: Refusal = {
+	statusCode: 503, reason: 'instance-busy', detail: 'not run: this instance has too many calls under way', retryAfterMs: 1000,
 };
 
 export class CallerListenerTask implements Task {
@@ -132,12 +132,12 @@
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		if (this.#refusing) {
-			writeProblem(response, {...stoppingProblem, outcome: outcomeBeforeTable(request)});
+			writeProblem(response, problemBeforeTable(request, stoppingProblem));
 			return;
 		}
 
 		if (!this.#inFlight.tryBegin()) {
-			writeProblem(response, busyProblem);
+			writeProblem(response, problemBeforeTable(request, busyProblem));
 			return;
 		}
 
@@ -153,7 +153,7 @@
 		}, {clock: this.#context.clock, tracing: this.#context.tracing, maximumBodyBytes: this.#context.settings.calls.maximumBodyBytes});
 		if (call.isErr()) {
 			response.setHeader('connection', 'close');
-			writeProblem(response, {...call.error, outcome: outcomeBeforeTable(request)});
+			writeProblem(response, problemBeforeTable(request, call.error));
 			return;
 		}
 
--- a/packages/daemon/src/features/calls/outcome-before-table.ts
+++ b/packages/daemon/src/features/calls/problem-before-table.ts
@@ -1,6 +1,9 @@
 /** What a refusal may say of a request that no table of tickets or keys was asked about. */
 import type {IncomingMessage} from 'node:http';
 import {headerNames} from '@cairnbank/protocol/headers';
+import type {Problem} from './problem.js';
+
+export type Refusal = Omit<Problem, 'outcome'>;
 
 const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS']);
 
@@ -8,8 +11,12 @@
  * A request under a ticket or key may have run when it was sent before, through any instance. Only a first send, or one
  * that stands for itself alone, is known not to have run once it is refused.
  */
-export function outcomeBeforeTable({method, headers}: Pick<IncomingMessage, 'method' | 'headers'>): 'not-run' | 'unknown' {
+export function problemBeforeTable({method, headers}: Pick<IncomingMessage, 'method' | 'headers'>, problem: Refusal): Problem {
 	const isBound = headers[headerNames.ticket] !== undefined || headers[headerNames.idempotencyKey] !== undefined;
 	const isFirst = headers[headerNames.previousAttempts] === '0';
-	return isBound && !isFirst && !safeMethods.has(method ?? '') ? 'unknown' : 'not-run';
+	if (!isBound || isFirst || safeMethods.has(method ?? '')) {
+		return {...problem, outcome: 'not-run'};
+	}
+
+	return {...problem, outcome: 'unknown', detail: `an earlier send may have run; of this one: ${problem.detail}`};
 }
