Calls to the log let go of their signals

Cause: AbortSignal.any keeps a part of each call for as long as the daemon's own stop signal lives (Node.js 20), and the pause between two failed reads of the claims left its listener behind, which Node.js warned of during a log outage. Both grow without bound, the second with each retry of an outage. Change: one controller per call, released at its end; one pause, in kernel.

--- a/packages/daemon/src/features/at-most-once/claim-log.ts
+++ b/packages/daemon/src/features/at-most-once/claim-log.ts
@@ -6,6 +6,7 @@
 import type {LogClient, LogError, LogPage} from '@cairnbank/protocol/log';
 import {v7 as uuid} from 'uuid';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
+import {pause} from '../../kernel/pause.js';
 import type {AtMostOnceMetrics} from './at-most-once-metrics.js';
 
 const recordsPerRead = 500;
@@ -177,13 +178,3 @@
 		}
 	}
 }
-
-async function pause(durationMs: number, signal: AbortSignal): Promise<void> {
-	await new Promise<void>(resolve => {
-		const timer = setTimeout(resolve, durationMs);
-		signal.addEventListener('abort', () => {
-			clearTimeout(timer);
-			resolve();
-		}, {once: true});
-	});
-}
--- a/packages/daemon/src/features/configuration/log-follower.ts
+++ b/packages/daemon/src/features/configuration/log-follower.ts
@@ -2,7 +2,7 @@
 import type {RandomSource} from '@cairnbank/core';
 import type {LogClient, LogError, LogPage} from '@cairnbank/protocol/log';
 import type {LogSettings} from '../../settings/log-settings.js';
-import {pause} from './pause.js';
+import {pause} from '../../kernel/pause.js';
 
 const recordsPerRead = 500;
 const firstRetryDelayMs = 50;
--- a/packages/daemon/src/features/configuration/peer-watch.ts
+++ b/packages/daemon/src/features/configuration/peer-watch.ts
@@ -3,7 +3,7 @@
 import type {MemberEntry} from '@cairnbank/core/membership';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
 import type {PeerClients} from '../peers/peer-clients.js';
-import {pause} from './pause.js';
+import {pause} from '../../kernel/pause.js';
 
 const checkIntervalMs = 250;
 /** Time that the log is given to tell what a peer already has: a record is a hundredth of a transfer. */
--- a/packages/daemon/src/features/configuration/snapshot-writer.ts
+++ b/packages/daemon/src/features/configuration/snapshot-writer.ts
@@ -6,7 +6,7 @@
 import type {LogClient} from '@cairnbank/protocol/log';
 import {v7 as uuid} from 'uuid';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
-import {pause} from './pause.js';
+import {pause} from '../../kernel/pause.js';
 
 /** Parts of the retention: how often the need is looked at, and how long each next instance waits for those before it. */
 const checksPerRetention = 200;
--- a/packages/protocol/src/log/http-log-client.ts
+++ b/packages/protocol/src/log/http-log-client.ts
@@ -9,6 +9,7 @@
 } from 'neverthrow';
 import {request, type Dispatcher} from 'undici';
 import {z} from 'zod';
+import {CallSignal} from './call-signal.js';
 import {type AppendAcknowledgement, type LogClient, type LogReadOptions} from './log-client.js';
 import {type LogError} from './log-error.js';
 import {logPageSchema, type LogPage} from './log-page.js';
@@ -75,15 +76,19 @@
 	}
 
 	async #send(call: Call): Promise<{statusCode: number; text: string}> {
-		const timeout = AbortSignal.timeout(call.timeoutMs);
-		const {statusCode, body} = await request(new URL(call.path, this.#options.url), {
-			method: call.method,
-			body: call.body,
-			headers: {'content-type': 'application/json'},
-			signal: call.signal ? AbortSignal.any([call.signal, timeout]) : timeout,
-			dispatcher: this.#options.dispatcher,
-		});
-		return {statusCode, text: await body.text()};
+		const limit = new CallSignal(call.timeoutMs, call.signal);
+		try {
+			const {statusCode, body} = await request(new URL(call.path, this.#options.url), {
+				method: call.method,
+				body: call.body,
+				headers: {'content-type': 'application/json'},
+				signal: limit.signal,
+				dispatcher: this.#options.dispatcher,
+			});
+			return {statusCode, text: await body.text()};
+		} finally {
+			limit.release();
+		}
 	}
 
 	#check<T>(answer: {statusCode: number; text: string}, schema: z.ZodType<T>): Result<T, LogError> {
