--- a/packages/core/src/membership/gossip-state.ts
+++ b/packages/core/src/membership/gossip-state.ts
@@ -58,7 +58,7 @@
 
 		for (const suspicion of digest.suspicions) {
 			if (suspicion.incarnation === this.#table.self.incarnation) {
-				this.#table.beat();
+				this.#table.refute(suspicion.heartbeat);
 			} else if (this.#table.mergeSuspicion(suspicion)) {
 				this.#passOn(suspicion);
 			}
--- a/packages/core/src/membership/member-table.spec.ts
+++ b/packages/core/src/membership/member-table.spec.ts
@@ -68,27 +68,43 @@
 			assert.deepEqual(incarnations(table.suspected()), ['a']);
 		});
 
-		it('should hold a failed exchange against a member for a time, then believe a later heartbeat', () => {
+		it('should hold a failed exchange against a member for a time, then believe a heartbeat past the margin', () => {
 			const {clock, table} = tableOf();
 			table.mergeEntry(entry('a', 5));
 			assert.deepEqual(table.reportUnreachable(entry('a').incarnation), {incarnation: 'a', heartbeat: 5});
-			table.mergeEntry(entry('a', 6));
+			const refuting = 5 + timing.suspicionMargin + 1;
+			table.mergeEntry(entry('a', refuting - 1));
+			clock.advance(timing.unreachableHoldMs);
+			assert.deepEqual(incarnations(table.reachable()), []);
+			table.reportUnreachable(entry('a').incarnation);
+			table.mergeEntry(entry('a', refuting + timing.suspicionMargin));
 			assert.deepEqual(incarnations(table.reachable()), []);
 			clock.advance(timing.unreachableHoldMs);
 			assert.deepEqual(incarnations(table.reachable()), ['a']);
 		});
 
-		it('should take in a peer\'s suspicion only where nothing newer is known', () => {
+		it('should take in a peer\'s suspicion unless a heartbeat past the margin is known', () => {
 			const {table} = tableOf();
 			const {incarnation} = entry('a');
-			table.mergeEntry(entry('a', 5));
+			const {suspicionMargin} = timing;
+			table.mergeEntry(entry('a', 5 + suspicionMargin));
 			assert.equal(table.mergeSuspicion({incarnation, heartbeat: 4}), false);
 			assert.equal(table.mergeSuspicion({incarnation, heartbeat: 5}), true);
 			assert.equal(table.mergeSuspicion({incarnation, heartbeat: 5}), false);
 			assert.deepEqual(incarnations(table.reachable()), []);
-			table.mergeHeartbeat(incarnation, 6);
+			table.mergeHeartbeat(incarnation, 6 + suspicionMargin);
 			assert.deepEqual(incarnations(table.reachable()), ['a']);
 		});
+
+		it('should let a process that others suspect refute it at once', () => {
+			const {table} = tableOf();
+			const other = tableOf('b').table;
+			other.mergeEntry(table.self);
+			const suspicion = other.reportUnreachable(table.self.incarnation)!;
+			table.refute(suspicion.heartbeat);
+			other.confirmOccupant(table.self);
+			assert.deepEqual(incarnations(other.reachable()), ['S']);
+		});
 	});
 
 	describe('removal', () => {
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -51,6 +51,12 @@
 		this.#self = {...this.#self, heartbeat: this.#self.heartbeat + 1};
 	}
 
+	/** Others suspect this process: beats past what they hold against it. */
+	refute(suspectedAtHeartbeat: number): void {
+		const heartbeat = Math.max(this.#self.heartbeat, suspectedAtHeartbeat + this.#timing.suspicionMargin + 1);
+		this.#self = {...this.#self, heartbeat};
+	}
+
 	updateSelf(update: SelfUpdate): void {
 		const state = laterState(this.#self.state, update.state ?? this.#self.state);
 		this.#self = {...this.#self, ...update, state};
@@ -97,10 +103,10 @@
 		}
 	}
 
-	/** @returns whether the suspicion is news: nothing newer is known of the incarnation */
+	/** @returns whether the suspicion is news: nothing that refutes it is known */
 	mergeSuspicion({incarnation, heartbeat}: Suspicion): boolean {
 		const known = this.#others.get(incarnation);
-		if (!known || known.entry.heartbeat > heartbeat || this.#isKnownSuspicion(known, heartbeat)) {
+		if (!known || this.#refutes(known.entry.heartbeat, heartbeat) || this.#isKnownSuspicion(known, heartbeat)) {
 			return false;
 		}
 
@@ -141,7 +147,7 @@
 
 	isSuspected(member: Member): boolean {
 		const nowMs = this.#clock.monotonicMs();
-		const isRumoured = member.suspectedAtHeartbeat !== undefined && member.entry.heartbeat <= member.suspectedAtHeartbeat;
+		const isRumoured = member.suspectedAtHeartbeat !== undefined && !this.#refutes(member.entry.heartbeat, member.suspectedAtHeartbeat);
 		const isHeld = member.unreachableUntilMs !== undefined && nowMs < member.unreachableUntilMs;
 		return isRumoured || isHeld || nowMs - member.heardAtMs > suspectAfterMs(this.#timing, this.size);
 	}
@@ -178,6 +184,10 @@
 			|| (other.heardAtMs === member.heardAtMs && other.entry.incarnation < member.entry.incarnation));
 	}
 
+	#refutes(heartbeat: number, suspectedAtHeartbeat: number): boolean {
+		return heartbeat > suspectedAtHeartbeat + this.#timing.suspicionMargin;
+	}
+
 	#isKnownSuspicion(known: Member, heartbeat: number): boolean {
 		return known.suspectedAtHeartbeat !== undefined && known.suspectedAtHeartbeat >= heartbeat;
 	}
--- a/packages/core/src/membership/member.ts
+++ b/packages/core/src/membership/member.ts
@@ -7,7 +7,7 @@
 	readonly firstHeardAtMs: number;
 	/** When its heartbeat last rose here, on the own monotonic clock. */
 	readonly heardAtMs: number;
-	/** Heartbeat at which it was reported unreachable; a higher one refutes it. */
+	/** Heartbeat at which it was reported unreachable; one that is higher by the margin refutes it. */
 	readonly suspectedAtHeartbeat?: number;
 	/** Until when a failed exchange of this daemon counts, whatever others say. */
 	readonly unreachableUntilMs?: number;
--- a/packages/core/src/membership/membership-timing.ts
+++ b/packages/core/src/membership/membership-timing.ts
@@ -17,6 +17,11 @@
 	/** Silence after which a fleet of one or two is suspected; each doubling adds `suspectStepMs`. */
 	suspectBaseMs: z.int().min(1).default(5000),
 	suspectStepMs: z.int().min(0).default(2000),
+	/**
+	 * Heartbeats above the one of a suspicion that do not refute it yet:
+	 * when an instance dies, some have heard later heartbeats than the one that finds it dead.
+	 */
+	suspicionMargin: z.int().min(0).default(5),
 	/** How long a failed exchange counts against an instance, whatever others say. */
 	unreachableHoldMs: z.int().min(0).default(2000),
 	/** Silence after which an incarnation is removed. */
--- a/packages/core/src/membership/suspicion.ts
+++ b/packages/core/src/membership/suspicion.ts
@@ -4,7 +4,7 @@
 
 export const suspicionSchema = z.object({
 	incarnation: incarnationIdSchema,
-	/** Last heartbeat known when the exchange failed; a higher one refutes the suspicion. */
+	/** Last heartbeat known when the exchange failed; one that is higher by the margin refutes the suspicion. */
 	heartbeat: z.int().min(0),
 });
 
--- a/packages/daemon/src/features/membership/gossip-loop.ts
+++ b/packages/daemon/src/features/membership/gossip-loop.ts
@@ -93,9 +93,13 @@
 		const peers = this.#chooser.next(this.#reachableAddresses(), settings.gossip.fanOut);
 		const tries = this.#triesCandidate(peers) ? this.#candidateChooser.next(this.#otherAddresses(), 1) : [];
 		this.#round += 1;
-		await Promise.all([...peers, ...tries].map(async peer => this.#exchange(peer, this.#digest())));
+		await Promise.all([
+			...peers.map(async peer => this.#exchange(peer, this.#digest())),
+			...tries.map(async peer => this.#exchange(peer, {...this.#digest(), wantsAll: true})),
+		]);
 	}
 
+	/** One that was lost or never heard of may know a part of the fleet that this one does not. */
 	#triesCandidate(peers: readonly Address[]): boolean {
 		return peers.length === 0 || this.#round % this.#options.settings.gossip.candidateRounds === 0;
 	}
@@ -113,8 +117,7 @@
 	}
 
 	#digest(): GossipDigest {
-		const {state, suspects} = this.#options;
-		return {...state.gossip.digest(suspects()), wantsAll: state.table.size === 1};
+		return this.#options.state.gossip.digest(this.#options.suspects());
 	}
 
 	#urgentDigest(): GossipDigest {
--- a/packages/testing/src/control-cost/fleet.ts
+++ b/packages/testing/src/control-cost/fleet.ts
@@ -14,7 +14,7 @@
 
 const availabilityZones = ['zone-a', 'zone-b', 'zone-c', 'zone-d'];
 const upstreamsPerService = 24;
-const settleMs = 15_000;
+const settleMs = 8000;
 const firstPort = 20_000;
 const portsPerHost = 1000;
 
--- a/packages/testing/src/control-cost/main.ts
+++ b/packages/testing/src/control-cost/main.ts
@@ -8,7 +8,7 @@
 } from './measure.js';
 import {spreadOf, type Spread} from './statistics.js';
 
-const windowMs = 15_000;
+const windowMs = 8000;
 const listLagMs = 10_000;
 const bytesPerMebibyte = 1_048_576;
 
