--- a/packages/testing/src/demo/call-account.ts
+++ b/packages/testing/src/demo/call-account.ts
@@ -5,6 +5,8 @@
 export type CallEnd = {
 	readonly requestId: string;
 	readonly idempotent: boolean;
+	/** What keeps it from running twice; absent for idempotent calls. */
+	readonly guard?: 'ticket' | 'key';
 	readonly told: FinalTold;
 	/** The answer is the upstream's to this request, and the upstream had the whole request. */
 	readonly own: boolean;
@@ -12,6 +14,9 @@
 
 export type CallCounts = {
 	readonly sent: number;
+	/** Non-idempotent calls under a ticket, and under a key. */
+	readonly ticketed: number;
+	readonly keyed: number;
 	readonly answered: number;
 	readonly notRun: number;
 	readonly unknown: number;
@@ -31,6 +36,8 @@
 	const count = (matches: (end: CallEnd) => boolean) => ends.filter(end => matches(end)).length;
 	return {
 		sent: ends.length,
+		ticketed: count(end => end.guard === 'ticket'),
+		keyed: count(end => end.guard === 'key'),
 		answered: count(end => end.told === 'answered' && end.own),
 		notRun: count(end => end.told === 'not-run'),
 		unknown: count(end => end.told === 'unknown'),
--- a/packages/testing/src/demo/demo-caller.ts
+++ b/packages/testing/src/demo/demo-caller.ts
@@ -3,10 +3,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {RandomSource} from '@cairnbank/core';
 import {headerNames} from '@cairnbank/protocol';
-import {v7 as uuid} from 'uuid';
 import type {Caller, CallResult} from '../harness/caller.js';
 import type {AddressBook} from './address-book.js';
 import type {CallEnd} from './call-account.js';
+import {takeGuard} from './once-guard.js';
 import {drawCall, type MixedCall} from './call-mix.js';
 
 const maximumSends = 8;
@@ -32,24 +32,23 @@
 }
 
 /** Sends one call, and again under the same id and key while it was not run or its end is unknown. */
-async function sendToEnd(call: MixedCall, {caller, addresses}: DemoCallerOptions): Promise<CallEnd> {
+async function sendToEnd(call: MixedCall, {caller, addresses, random}: DemoCallerOptions): Promise<CallEnd> {
 	const requestId = randomUUID();
-	const headers = call.idempotent ? undefined : {[headerNames.idempotencyKey]: uuid()};
 	let instance = await addresses.current();
-	let result = await caller.call({
-		...call, instance, requestId, headers,
+	const guard = call.idempotent ? undefined : await takeGuard(caller, instance, random);
+	const send = async (previousAttempts: number) => caller.call({
+		...call, instance, requestId, headers: guard && {...guard.headers, [headerNames.previousAttempts]: String(previousAttempts)},
 	});
+	let result = await send(0);
 	for (let sends = 1; sends < maximumSends && (result.type === 'not-run' || result.type === 'unknown'); sends += 1) {
 		await delay(pauseBeforeResendMs);
 		await addresses.current();
 		instance = addresses.next();
-		result = await caller.call({
-			...call, instance, requestId, headers,
-		});
+		result = await send(sends);
 	}
 
 	return {
-		requestId, idempotent: call.idempotent, told: result.type, own: isOwn(result, call),
+		requestId, idempotent: call.idempotent, guard: guard?.kind, told: result.type, own: isOwn(result, call),
 	};
 }
 
--- a/packages/testing/src/demo/main.ts
+++ b/packages/testing/src/demo/main.ts
@@ -60,9 +60,10 @@
 	const ends = await load;
 	const counts = countCalls(ends.flat(), deployment.runs());
 	const configurationInForceMs = Math.max(...inForceMs.values());
-	tell(`${counts.sent} calls: ${counts.answered} answered whole, ${counts.notRun} told not run, ${counts.unknown} unknown`);
+	tell(`${counts.sent} calls, of them ${counts.ticketed} payment instructions under a ticket and ${counts.keyed} under a key`);
+	tell(`${counts.answered} answered whole, ${counts.notRun} told not run, ${counts.unknown} unknown`);
 	tell(`by the upstreams' own counts ${counts.doubled} doubled, ${counts.lost} lost, ${counts.falselyNotRun} falsely told not run, ${counts.cut} cut`);
-	const ok = isClean(counts) && counts.answered > 0 && exit.code === 0
+	const ok = isClean(counts) && counts.ticketed > 0 && counts.keyed > 0 && exit.code === 0
 		&& configurationInForceMs <= inForceGoalMs && drain.receivedBefore > 0 && drain.inForceMs <= drainGoalMs;
 	console.log(JSON.stringify({
 		...counts, configurationInForceMs, drainInForceMs: drain.inForceMs, stopExitCode: exit.code ?? null, ok,
--- a/packages/testing/src/harness/node-process.ts
+++ b/packages/testing/src/harness/node-process.ts
@@ -25,11 +25,22 @@
 
 const running = new Set<ChildProcess>();
 
-process.once('exit', () => {
+function killRunning(): void {
 	for (const child of running) {
 		child.kill('SIGKILL');
 	}
-});
+}
+
+/** Exit code of a process that a signal ended, as shells have it. */
+const exitCodeOfSignals = {SIGINT: 130, SIGTERM: 143} as const;
+
+process.once('exit', killRunning);
+for (const [signal, exitCode] of Object.entries(exitCodeOfSignals)) {
+	process.once(signal, () => {
+		killRunning();
+		process.exit(exitCode);
+	});
+}
 
 /** Starts at construction; whatever still runs is killed when this process exits. */
 export class NodeProcess {
