Every setting bounds something, and the operators' page is held to the code

Cause: log.configurationStream was followed by daemons alone, as the command line publishes to one fixed stream; atMostOnce.maximumSuspects was read by no code. Change: one constant names the stream; calls.maximumSuspects bounds the poison guard. A spec compares the operators' page with the schemas, commands, headers, reasons and metrics.

--- a/packages/daemon/src/features/calls/poison-guard.ts
+++ b/packages/daemon/src/features/calls/poison-guard.ts
@@ -2,7 +2,7 @@
 import type {UpstreamId} from '@cairnbank/core';
 import type {NotRunReason, Outcome} from '@cairnbank/core/outcomes';
 import {
-	countCrashes, type Fingerprint, fingerprintOf, type Suspect, SuspectTable,
+	countCrashes, defaultPoisonSettings, type Fingerprint, fingerprintOf, type Suspect, SuspectTable,
 } from '@cairnbank/core/poison';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
 import type {Call} from './call.js';
@@ -24,7 +24,8 @@
 	constructor(context: DaemonContext, metrics: CallMetrics) {
 		this.#context = context;
 		this.#metrics = metrics;
-		this.#table = new SuspectTable(context.clock, context.settings.instanceId);
+		const {maximumSuspects} = context.settings.calls;
+		this.#table = new SuspectTable(context.clock, context.settings.instanceId, {...defaultPoisonSettings, maximumSuspects});
 		context.bus.on('suspects-received', ({suspects}) => {
 			this.#table.merge(suspects);
 			this.#waiters.wake();
--- a/packages/daemon/src/features/configuration/log-follower.ts
+++ b/packages/daemon/src/features/configuration/log-follower.ts
@@ -1,5 +1,6 @@
 /** Reads a stream page by page, for as long as the daemon runs and through any outage. */
 import type {RandomSource} from '@cairnbank/core';
+import {configurationStream} from '@cairnbank/core/configuration';
 import type {LogClient, LogError, LogPage} from '@cairnbank/protocol/log';
 import type {LogSettings} from '../../settings/log-settings.js';
 import {pause} from '../../kernel/pause.js';
@@ -52,8 +53,8 @@
 	}
 
 	async #read(signal: AbortSignal) {
-		const {log, settings, nextOffset} = this.#options;
-		return log.read(settings.configurationStream, {
+		const {log, nextOffset} = this.#options;
+		return log.read(configurationStream, {
 			fromOffset: nextOffset(), limit: recordsPerRead, waitMs: this.#waitMs(), signal,
 		});
 	}
--- a/packages/daemon/src/features/configuration/snapshot-writer.ts
+++ b/packages/daemon/src/features/configuration/snapshot-writer.ts
@@ -1,7 +1,7 @@
 /** Appends snapshots before the log forgets what a new daemon needs; instances take turns. */
 import {recordIdSchema, type InstanceId} from '@cairnbank/core';
 import {
-	createSnapshot, judgeCoverage, snapshotTurn, type Reading, type SnapshotCoverage, type SnapshotNeed,
+	configurationStream, createSnapshot, judgeCoverage, snapshotTurn, type Reading, type SnapshotCoverage, type SnapshotNeed,
 } from '@cairnbank/core/configuration';
 import type {LogClient} from '@cairnbank/protocol/log';
 import {v7 as uuid} from 'uuid';
@@ -73,7 +73,6 @@
 	/** One append a turn at most, as a lost acknowledgement shows only when the record is read back. */
 	async #append(signal: AbortSignal): Promise<void> {
 		const {context, log, reading, onResult} = this.#options;
-		const {configurationStream} = context.settings.log;
 		this.#notBeforeMs = context.clock.monotonicMs() + this.#partOfRetentionMs(turnsPerRetention);
 		const snapshot = createSnapshot(reading().state, recordIdSchema.parse(uuid()));
 		const appended = await log.append(configurationStream, snapshot, signal);
--- a/packages/daemon/src/settings/at-most-once-settings.ts
+++ b/packages/daemon/src/settings/at-most-once-settings.ts
@@ -20,8 +20,6 @@
 	keptAnswersTotalBytes: z.int().min(0).default(32 * mebibyte),
 	/** How long an answer is kept for resends. */
 	keptAnswerMs: z.int().min(0).max(3_600_000).default(60_000),
-	/** Request fingerprints remembered as suspected of crashing upstreams. */
-	maximumSuspects: z.int().min(1).default(10_000),
 });
 
 export type AtMostOnceSettings = z.infer<typeof atMostOnceSettingsSchema>;
--- a/packages/daemon/src/settings/call-settings.ts
+++ b/packages/daemon/src/settings/call-settings.ts
@@ -1,4 +1,5 @@
 /** Bounds and waits of the calls that pass through a daemon. Past a bound the answer is a clear "not run". */
+import {defaultPoisonSettings} from '@cairnbank/core/poison';
 import {z} from 'zod';
 
 const kibibyte = 1024;
@@ -17,6 +18,8 @@
 	maximumInFlight: z.int().min(1).default(10_000),
 	/** Connections of callers at one time. */
 	maximumConnections: z.int().min(1).default(10_000),
+	/** Requests remembered as suspected of crashing upstreams; the least suspicious are dropped first. */
+	maximumSuspects: z.int().min(1).default(defaultPoisonSettings.maximumSuspects),
 	/** Idle time after which a caller's connection is closed. */
 	keepAliveTimeoutMs: z.int().min(0).max(600_000).default(60_000),
 	/** Time within which a request's headers and body must arrive. */
--- a/packages/daemon/src/settings/log-settings.ts
+++ b/packages/daemon/src/settings/log-settings.ts
@@ -6,8 +6,6 @@
 
 export const logSettingsSchema = z.strictObject({
 	url: httpUrlSchema,
-	/** Inventory, rules, drains and their snapshots. */
-	configurationStream: streamName.default('configuration'),
 	/** Claims on idempotency keys. */
 	claimsStream: streamName.default('claims'),
 	/** Longest wait for the answer to an append, or to a read beyond its own wait. */
--- /dev/null
+++ b/packages/testing/src/docs/operating.spec.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import {readFile} from 'node:fs/promises';
+import {describe, it} from 'node:test';
+import {cliSettingsSchema, commands} from '@cairnbank/cli';
+import {notRunReasons, unknownReasons} from '@cairnbank/core/outcomes';
+import {rulesSchema} from '@cairnbank/core';
+import {settingsSchema, wireDaemon} from '@cairnbank/daemon';
+import {headerNames} from '@cairnbank/protocol/headers';
+import {z} from 'zod';
+
+type Schema = {readonly properties?: Readonly<Record<string, Schema>>; readonly items?: Schema};
+
+const page = await readFile(new URL('../../../../docs/OPERATING.md', import.meta.url), 'utf8');
+
+/** Paths of all fields that hold a value. */
+function fieldPaths(schema: Schema, prefix = ''): string[] {
+	return Object.entries(schema.properties ?? {}).flatMap(([name, field]) => {
+		const path = `${prefix}${name}`;
+		return field.properties === undefined ? [path] : fieldPaths(field, `${path}.`);
+	});
+}
+
+function pathsOf(schema: z.ZodType): string[] {
+	return fieldPaths(z.toJSONSchema(schema, {io: 'input'}) as Schema);
+}
+
+function undocumented(names: readonly string[]): string[] {
+	return names.filter(name => !page.includes(`\`${name}\``));
+}
+
+describe('the operators\' page', () => {
+	it('should name every setting of the daemon and of the command line', () => {
+		assert.deepEqual(undocumented([...pathsOf(settingsSchema), ...pathsOf(cliSettingsSchema)]), []);
+	});
+
+	it('should name every command with its options', () => {
+		const missing = commands.flatMap(({usage, options}) => [
+			...page.includes(`cairnbank ${usage.split(' ')[0]!}`) ? [] : [usage],
+			...options.map(({flags}) => flags.split(' ')[0]!).filter(flag => !page.includes(flag)),
+		]);
+		assert.deepEqual(missing, []);
+	});
+
+	it('should name every reason and every header', () => {
+		assert.deepEqual(undocumented([...notRunReasons, ...unknownReasons]), []);
+		assert.deepEqual(Object.values(headerNames).filter(name => !page.includes(name)), []);
+	});
+
+	it('should name every field of the rules', () => {
+		const {classes, services} = (z.toJSONSchema(rulesSchema, {io: 'input'}) as Schema).properties!;
+		const paths = [...fieldPaths(classes!.items!), ...fieldPaths(services!.items!)];
+		const leaves = paths.map(path => path.split('.').at(-1)!).filter(leaf => !['id', 'service'].includes(leaf));
+		assert.deepEqual(leaves.filter(leaf => !page.includes(leaf)), []);
+	});
+
+	it('should name every metric of ours', async () => {
+		const sample = await readFile(new URL('../../../../samples/authority/settings.json', import.meta.url), 'utf8');
+		const daemon = wireDaemon(settingsSchema.parse(JSON.parse(sample)));
+		const metrics = daemon.metrics.getMetricsAsArray().map(({name}) => name).filter(name => name.startsWith('cairnbank_'));
+		assert.ok(metrics.length > 0);
+		assert.deepEqual(metrics.filter(name => !page.includes(name)), []);
+	});
+});
