--- a/packages/testing/src/control-cost/fleet.ts
+++ b/packages/testing/src/control-cost/fleet.ts
@@ -15,6 +15,7 @@
 const availabilityZones = ['zone-a', 'zone-b', 'zone-c', 'zone-d'];
 const upstreamsPerService = 24;
 const settleMs = 8000;
+const defaultSlots = 4;
 const firstPort = 20_000;
 const portsPerHost = 1000;
 
@@ -30,7 +31,7 @@
 		id: `listed-${index}`,
 		address: `127.9.0.1:${firstPort + (index % portsPerHost)}`,
 		availabilityZone: availabilityZones[index % availabilityZones.length]!,
-		slots: 4,
+		slots: defaultSlots,
 		connections: 200,
 	}));
 }
@@ -45,8 +46,14 @@
 	return changeSchema.parse({kind: 'inventory', services: [...services, ...listed]});
 }
 
+export type Fleet = {
+	readonly deployment: Deployment;
+	/** The inventory, with the first upstream without a process at this many slots. */
+	inventory(slots: number): Change;
+};
+
 /** Starts the fleet, lists everything, publishes the inventory and lets it settle. */
-export async function startFleet(options: FleetOptions): Promise<Deployment> {
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
 	const deployment = await Deployment.start({
 		services: [{id: 'ledger', upstreams: options.realUpstreams}], daemons: options.daemons, availabilityZones, settings,
 	});
@@ -61,8 +68,9 @@
 		deployment.list.put(instance);
 	}
 
-	await deployment.publish(inventoryOf(deployment, others));
+	const inventory = (slots: number) => inventoryOf(deployment, others.map((upstream, index) => index === 0 ? {...upstream, slots} : upstream));
+	await deployment.publish(inventory(defaultSlots));
 	deployment.list.lagMs = options.listLagMs;
 	await delay(settleMs);
-	return deployment;
+	return {deployment, inventory};
 }
--- a/packages/testing/src/control-cost/main.ts
+++ b/packages/testing/src/control-cost/main.ts
@@ -4,12 +4,14 @@
 import Table from 'cli-table3';
 import {startFleet} from './fleet.js';
 import {
-	measureDrain, measureIdle, measureLoss, type IdleCost,
+	measureChange, measureDrain, measureIdle, measureLoss, type ChangeCost, type IdleCost,
 } from './measure.js';
 import {spreadOf, type Spread} from './statistics.js';
 
 const windowMs = 8000;
 const listLagMs = 10_000;
+const firstChangedSlots = 5;
+const bytesPerKibibyte = 1024;
 const bytesPerMebibyte = 1_048_576;
 
 type Options = {
@@ -44,15 +46,24 @@
 	];
 }
 
+function changeCells(changes: readonly ChangeCost[]): string[] {
+	return [
+		show(spreadOf(changes.map(({cpuMs}) => cpuMs)), 1),
+		show(spreadOf(changes.map(({bytes}) => bytes / bytesPerKibibyte)), 1),
+		show(spreadOf(changes.map(({inForceMs}) => inForceMs))),
+	];
+}
+
 async function measureFleet(daemons: number, upstreams: number, runs: number): Promise<string[]> {
-	const deployment = await startFleet({
+	const {deployment, inventory} = await startFleet({
 		daemons, upstreams, realUpstreams: runs + 1, listLagMs,
 	});
 	try {
 		const idle = await repeat(runs, async () => measureIdle(deployment, windowMs));
+		const changes = await repeat(runs, async run => measureChange(deployment, inventory(firstChangedSlots + run), idle[run]!));
 		const drains = await repeat(runs, async run => measureDrain(deployment, run));
 		const losses = await repeat(runs, async () => measureLoss(deployment, deployment.daemons.findLast(daemon => daemon.process.exit === undefined)!));
-		return [String(daemons), String(upstreams), ...idleCells(idle), show(spreadOf(drains)), show(spreadOf(losses))];
+		return [String(daemons), String(upstreams), ...idleCells(idle), ...changeCells(changes), show(spreadOf(drains)), show(spreadOf(losses))];
 	} finally {
 		await deployment.stop();
 	}
@@ -68,7 +79,22 @@
 	const options = parsed as unknown as Options;
 	const numbersOf = (text: string) => String(text).split(',').map(Number);
 	const table = new Table({
-		head: ['daemons', 'upstreams', 'B/s per node', 'B/s greatest node', 'peers B/s', 'list B/s', 'log B/s', 'CPU %', 'RSS MiB', 'drain known ms', 'loss not offered ms'],
+		head: [
+			'daemons',
+			'upstreams',
+			'B/s per node',
+			'B/s greatest node',
+			'peers B/s',
+			'list B/s',
+			'log B/s',
+			'CPU %',
+			'RSS MiB',
+			'CPU ms per change',
+			'KiB per change',
+			'change in force ms',
+			'drain known ms',
+			'loss not offered ms',
+		],
 	});
 	for (const upstreams of numbersOf(options.upstreams)) {
 		for (const daemons of numbersOf(options.daemons)) {
--- a/packages/testing/src/control-cost/measure.ts
+++ b/packages/testing/src/control-cost/measure.ts
@@ -1,5 +1,6 @@
 /** What control costs one fleet, and how fast news gets round in it. */
 import {setTimeout as delay} from 'node:timers/promises';
+import type {Change} from '@cairnbank/core';
 import type {DaemonProcess} from '../harness/daemon-process.js';
 import type {Deployment} from '../harness/deployment.js';
 import {waitFor} from '../harness/wait-for.js';
@@ -55,6 +56,35 @@
 	};
 }
 
+/** What one change costs a daemon beyond being idle, means over the daemons. */
+export type ChangeCost = {
+	readonly cpuMs: number;
+	readonly bytes: number;
+	readonly inForceMs: number;
+};
+
+const changeSettleMs = 1000;
+
+/** Publishes a change, waits until it is in force everywhere, and takes off what an idle time as long costs. */
+export async function measureChange(deployment: Deployment, change: Change, idle: IdleCost): Promise<ChangeCost> {
+	const daemons = running(deployment);
+	const before = await Promise.all(daemons.map(async daemon => scrape(daemon.admin)));
+	const startMs = performance.now();
+	await deployment.publish(change);
+	const inForceMs = performance.now() - startMs;
+	await delay(changeSettleMs);
+	const after = await Promise.all(daemons.map(async daemon => scrape(daemon.admin)));
+	const costs = after.map((end, index) => {
+		const start = before[index]!;
+		const seconds = (end.atMs - start.atMs) / msPerSecond;
+		return {
+			cpuMs: ((end.cpuSeconds - start.cpuSeconds) * msPerSecond) - (idle.cpuPercent / percent * seconds * msPerSecond),
+			bytes: total(end.controlBytes) - total(start.controlBytes) - (idle.bytesPerSecond * seconds),
+		};
+	});
+	return {cpuMs: mean(costs.map(({cpuMs}) => cpuMs)), bytes: mean(costs.map(({bytes}) => bytes)), inForceMs};
+}
+
 /** From the first answer with the mark, at one daemon, until all daemons know; the list says nothing for its lag. */
 export async function measureDrain(deployment: Deployment, upstreamIndex: number): Promise<number> {
 	const upstream = deployment.upstreams[upstreamIndex]!;
