One probe budget for all probing; home subsets follow the instances in service

Home subsets knew no other instance, so every upstream was a home. The setting drainProbesPerSecond is gone. The selectors are told who is in service. A mark that nobody clears by list or order is now cleared by probes after minutes, not seconds.

--- a/packages/core/src/routing/upstream-state.ts
+++ b/packages/core/src/routing/upstream-state.ts
@@ -5,6 +5,7 @@
 import {Slowness} from './slowness.js';
 
 const latencySampleWeight = 0.2;
+const avoidedHalfLifeMs = 30_000;
 
 export class UpstreamState {
 	isDraining = false;
@@ -38,6 +39,11 @@
 		return this.#sentAtMs[0];
 	}
 
+	/** Whether calls pass it by: ejected, or slow. */
+	isAvoided(nowMs: number): boolean {
+		return nowMs < this.ejectedUntilMs || this.slowness.factorAt(nowMs, avoidedHalfLifeMs) > 1;
+	}
+
 	onSent(nowMs: number): void {
 		this.#sentAtMs.push(nowMs);
 	}
--- a/packages/daemon/src/features/membership/drain-probes.ts
+++ b/packages/daemon/src/features/membership/drain-probes.ts
@@ -7,22 +7,20 @@
 
 const timeoutMs = 2000;
 const checkIntervalMs = 1000;
-const perSecond = 1000;
 const loadPath = '/load';
 
 export type DrainProbesOptions = {
 	readonly context: DaemonContext;
 	/** Upstreams with a mark. */
 	draining(): readonly Upstream[];
-	/** Instances that probe besides this one; all of them share the budget of an upstream. */
-	otherInstances(): number;
+	/** Takes one probe out of the upstream's budget; false where none is left. */
+	tryProbe(upstream: UpstreamId): boolean;
 };
 
 /** Owns the connections of its probes. */
 export class DrainProbes {
 	readonly #options: DrainProbesOptions;
 	readonly #agent = new Agent({connections: 1, pipelining: 1, connect: {timeout: timeoutMs}});
-	readonly #probedAtMs = new Map<UpstreamId, number>();
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(options: DrainProbesOptions) {
@@ -41,19 +39,10 @@
 	}
 
 	#probeDue(): void {
-		const {context: {clock, settings}, draining, otherInstances} = this.#options;
-		const nowMs = clock.monotonicMs();
-		const intervalMs = (otherInstances() + 1) * perSecond / settings.membership.drainProbesPerSecond;
-		const upstreams = draining();
-		for (const upstream of upstreams.filter(({id}) => nowMs - (this.#probedAtMs.get(id) ?? -intervalMs) >= intervalMs)) {
-			this.#probedAtMs.set(upstream.id, nowMs);
-			void this.#probe(upstream, nowMs);
-		}
-
-		const ids = new Set(upstreams.map(({id}) => id));
-		for (const id of this.#probedAtMs.keys()) {
-			if (!ids.has(id)) {
-				this.#probedAtMs.delete(id);
+		const {context: {clock}, draining, tryProbe} = this.#options;
+		for (const upstream of draining()) {
+			if (tryProbe(upstream.id)) {
+				void this.#probe(upstream, clock.monotonicMs());
 			}
 		}
 	}
--- a/packages/daemon/src/features/membership/membership-task.spec.ts
+++ b/packages/daemon/src/features/membership/membership-task.spec.ts
@@ -72,6 +72,7 @@
 			bytes,
 			ownAddresses: () => ({callerAddress: this.#caller, peerAddress: this.peers.address}),
 			callsPerSecond: () => 0,
+			tryProbe: () => true,
 		});
 		this.peers = new PeersTask(this.context, {membership: this.membership, atMostOnce: noTables, configuration: {transfer: () => undefined}}, {bytes, clients});
 	}
--- a/packages/daemon/src/features/membership/membership-task.ts
+++ b/packages/daemon/src/features/membership/membership-task.ts
@@ -30,6 +30,8 @@
 export type MembershipParts = {
 	readonly clients: PeerClients;
 	readonly bytes: ControlBytes;
+	/** Takes one probe out of the upstream's budget; false where none is left. */
+	readonly tryProbe: (upstream: UpstreamId) => boolean;
 	/** Asked once the ports are open. */
 	ownAddresses(): OwnAddresses;
 	callsPerSecond(): number;
@@ -58,7 +60,7 @@
 		this.#probes = new DrainProbes({
 			context,
 			draining: () => this.#drains?.draining() ?? [],
-			otherInstances: () => this.peers().length,
+			tryProbe: parts.tryProbe,
 		});
 		this.#subscribe();
 	}
--- a/packages/daemon/src/features/upstreams/prober.ts
+++ b/packages/daemon/src/features/upstreams/prober.ts
@@ -9,9 +9,14 @@
 import type {ServiceSelectors} from './service-selectors.js';
 import type {UpstreamMetrics} from './upstream-metrics.js';
 
-const tickMs = 20;
+/** The shortest and the longest time between two looks at what is due. */
+const minimumTickMs = 20;
+const maximumTickMs = 500;
+const ticksPerInterval = 4;
 const loadPath = '/load';
 const okStatusCode = 200;
+/** A report on an answer of this age or less makes a probe needless. */
+const staleReportMs = 1000;
 
 export type ProberParts = {
 	readonly clock: Clock;
@@ -27,6 +32,8 @@
 	readonly intervalMs: number;
 	readonly costMs: number;
 	readonly budget: ProbeBudget;
+	/** Its policy lives by probes; else only what may be in trouble is probed. */
+	readonly isAlwaysProbed: boolean;
 };
 
 export class Prober {
@@ -42,7 +49,7 @@
 	/** Takes over new rules; budgets that stay the same keep what they have used. */
 	replace(services: Iterable<ServiceInForce>, nowMs: number): void {
 		const targets = new Map<UpstreamId, Target>();
-		for (const {id: service, upstreams, rules: {probes}} of services) {
+		for (const {id: service, upstreams, rules: {probes, policy}} of services) {
 			for (const upstream of upstreams) {
 				const intervalMs = probeIntervalMs(probes, upstream.slots);
 				if (intervalMs === undefined) {
@@ -52,7 +59,7 @@
 				const known = this.#targets.get(upstream.id);
 				const budget = known?.intervalMs === intervalMs ? known.budget : new ProbeBudget(intervalMs, nowMs);
 				targets.set(upstream.id, {
-					service, upstream, intervalMs, costMs: probes.costMs, budget,
+					service, upstream, intervalMs, costMs: probes.costMs, budget, isAlwaysProbed: policy.type === 'hot-cold',
 				});
 			}
 		}
@@ -71,37 +78,51 @@
 		this.#setTimer();
 	}
 
-	/** Ticks only while something is probed: 50 wake-ups a second cost an idle daemon more than its gossip. */
-	#setTimer(): void {
-		if (!this.#started || this.#targets.size === 0) {
-			clearInterval(this.#timer);
-			this.#timer = undefined;
-			return;
+	/** Takes one probe of the upstream out of its budget and counts it; false where none is left. */
+	tryTake(upstream: UpstreamId): boolean {
+		const target = this.#targets.get(upstream);
+		if (!target?.budget.tryTake(this.#parts.clock.monotonicMs())) {
+			return false;
 		}
 
-		this.#timer ??= setInterval(() => {
-			this.#tick();
-		}, tickMs);
+		this.#parts.metrics.probed(target.service, upstream, target.costMs);
+		return true;
+	}
+
+	/** Ticks only while something may be probed: each wake-up costs an idle daemon. */
+	#setTimer(): void {
+		clearInterval(this.#timer);
+		this.#timer = undefined;
+		if (this.#started && this.#targets.size > 0) {
+			const shortestMs = Math.min(...[...this.#targets.values()].map(({intervalMs}) => intervalMs));
+			const tickMs = Math.min(maximumTickMs, Math.max(minimumTickMs, shortestMs / ticksPerInterval));
+			this.#timer = setInterval(() => {
+				this.#tick();
+			}, tickMs);
+		}
 	}
 
 	#tick(): void {
 		const nowMs = this.#parts.clock.monotonicMs();
 		for (const target of this.#targets.values()) {
-			if (target.budget.earliestMs <= nowMs && this.#isWorthProbing(target)) {
-				target.budget.tryTake(nowMs);
+			if (target.budget.earliestMs <= nowMs && this.#isWorthProbing(target) && this.tryTake(target.upstream.id)) {
 				void this.#probe(target);
 			}
 		}
 	}
 
-	/** An upstream that gets no work anyway needs no probe, nor one whose connections are all in use. */
-	#isWorthProbing({service, upstream}: Target): boolean {
+	/** Calls bring reports for nothing: a probe is for what calls avoid. One that drains is asked by membership. */
+	#isWorthProbing({service, upstream, isAlwaysProbed}: Target): boolean {
+		const nowMs = this.#parts.clock.monotonicMs();
 		const state = this.#parts.selectors.get(service)?.stateOf(upstream.id);
-		return state !== undefined && !state.isDraining && state.inFlight < state.limit.value;
+		if (state === undefined || state.isDraining || state.inFlight >= state.limit.value) {
+			return false;
+		}
+
+		return isAlwaysProbed || (state.isAvoided(nowMs) && nowMs - state.reportAtMs > staleReportMs);
 	}
 
-	async #probe({service, upstream, costMs}: Target): Promise<void> {
-		this.#parts.metrics.probed(service, upstream.id, costMs);
+	async #probe({service, upstream}: Target): Promise<void> {
 		const report = await this.#read(upstream);
 		if (report !== undefined) {
 			this.#parts.selectors.get(service)?.onProbe(upstream.id, report, this.#parts.clock.monotonicMs());
--- a/packages/daemon/src/features/upstreams/service-selectors.ts
+++ b/packages/daemon/src/features/upstreams/service-selectors.ts
@@ -58,10 +58,16 @@
 		return this.#selectors;
 	}
 
+	/** Does nothing where they are the same as before. */
 	setInstances(instances: readonly InstanceId[]): void {
-		this.#instances = instances;
+		const sorted = [...new Set(instances)].sort();
+		if (sorted.length === this.#instances.length && sorted.every((id, index) => id === this.#instances[index])) {
+			return;
+		}
+
+		this.#instances = sorted;
 		for (const selector of this.#selectors.values()) {
-			selector.setInstances(instances);
+			selector.setInstances(sorted);
 		}
 	}
 }
--- a/packages/daemon/src/features/upstreams/upstreams-task.ts
+++ b/packages/daemon/src/features/upstreams/upstreams-task.ts
@@ -1,5 +1,5 @@
 /** Owns the connections to upstreams, and knows of each its load, its limit and whether it takes new work. */
-import type {UpstreamId} from '@cairnbank/core';
+import type {InstanceId, UpstreamId} from '@cairnbank/core';
 import type {ConfigurationState} from '@cairnbank/core/configuration';
 import {connectionShare} from '@cairnbank/core/routing';
 import {ok, type Result} from 'neverthrow';
@@ -19,6 +19,7 @@
 import {UpstreamPools, type ConnectedUpstream} from './upstream-pools.js';
 
 const probeTimeoutMs = 1000;
+const instancesRefreshMs = 1000;
 
 export class UpstreamsTask implements Task {
 	readonly name = 'upstreams';
@@ -30,10 +31,14 @@
 	readonly #prober: Prober;
 	readonly #drains = new DrainRegister();
 	readonly #nowMs: () => number;
+	readonly #instances: () => readonly InstanceId[];
+	#timer: NodeJS.Timeout | undefined;
 
-	constructor(context: DaemonContext) {
+	/** @param instances those in service now, for home subsets */
+	constructor(context: DaemonContext, instances: () => readonly InstanceId[]) {
 		const {clock, random, settings, metrics} = context;
 		this.#context = context;
+		this.#instances = instances;
 		this.#nowMs = () => clock.monotonicMs();
 		this.#selectors = new ServiceSelectors({
 			instance: settings.instanceId, availabilityZone: settings.availabilityZone, random,
@@ -57,11 +62,15 @@
 
 	async start(): Promise<Result<void, StartError>> {
 		this.#prober.start();
+		this.#timer = setInterval(() => {
+			this.#selectors.setInstances(this.#instances());
+		}, instancesRefreshMs);
 		return ok(undefined);
 	}
 
 	async stop(): Promise<void> {
 		this.#prober.stop();
+		clearInterval(this.#timer);
 		this.admission.stop();
 		await this.#pools.close();
 	}
@@ -105,6 +114,11 @@
 		};
 	}
 
+	/** Takes one probe of the upstream out of its budget; false where none is left. */
+	tryProbe(upstream: UpstreamId): boolean {
+		return this.#prober.tryTake(upstream);
+	}
+
 	#subscribe(): void {
 		const {bus} = this.#context;
 		bus.on('configuration-in-force', ({configuration}) => {
--- a/packages/daemon/src/settings/membership-settings.ts
+++ b/packages/daemon/src/settings/membership-settings.ts
@@ -15,8 +15,6 @@
 	listBytesPerSecond: z.int().min(100).default(2500),
 	/** How long answers of an upstream must come without its drain mark before it gets new work again. */
 	cleanForMs: z.int().min(0).default(drainMarkDefaults.cleanForMs),
-	/** Probes that ask one draining upstream whether it still is, from all instances together. */
-	drainProbesPerSecond: z.number().min(0.01).max(100).default(2),
 	/** How many such answers at least. */
 	cleanAnswers: z.int().min(1).default(drainMarkDefaults.cleanAnswers),
 });
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -62,7 +62,7 @@
 		timeoutMs: settings.log.timeoutMs,
 		dispatcher: createControlAgent(bytes, 'log', {connectTimeoutMs: settings.log.timeoutMs, connections: logConnections}),
 	});
-	const upstreams = new UpstreamsTask(context);
+	const upstreams = new UpstreamsTask(context, () => membership.offered().map(({instance}) => instance));
 	const metrics = new CallMetrics(context.metrics);
 	const guard = new PoisonGuard(context, metrics);
 	const heldAnswers = new HeldAnswers(settings.calls.heldAnswersTotalBytes);
@@ -73,6 +73,7 @@
 		bytes,
 		ownAddresses: () => ({callerAddress: callers.address!, peerAddress: peers.address}),
 		callsPerSecond: () => callRate.take(),
+		tryProbe: id => upstreams.tryProbe(id),
 	});
 	const directory = createOwnerDirectory({peers: () => membership.peers(), suspected: () => membership.suspected()}, context.random);
 	const atMostOnce = new AtMostOnceTask(context, {log, peers: clients, directory});
