--- /dev/null
+++ b/packages/testing/src/command-line/daemon-process.spec.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict';
+import {createServer, type AddressInfo} from 'node:net';
+import {once} from 'node:events';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {
+	daemonSettings, NodeProcess, waitFor, type NodeProcessOptions,
+} from '../harness/index.js';
+import {InstanceListStandIn, LogStandIn} from '../stand-ins/index.js';
+
+const script = fileURLToPath(import.meta.resolve('@cairnbank/daemon').replace(/index\.js$/u, 'main.js'));
+
+describe('cairnbankd as a process', () => {
+	const log = new LogStandIn();
+	const list = new InstanceListStandIn();
+
+	before(async () => {
+		await log.start();
+		await list.start();
+	});
+	after(async () => {
+		await list.stop();
+		await log.stop();
+	});
+
+	function settings(overrides: Readonly<Record<string, unknown>> = {}): string {
+		return JSON.stringify(daemonSettings({
+			id: 'entry-1', availabilityZone: 'nadi', logUrl: log.url, instanceListUrl: list.url, settings: {addresses: {ttlMs: 50}, stopping: {spreadMs: 50}, ...overrides},
+		}));
+	}
+
+	function start(options: Omit<NodeProcessOptions, 'script'>): NodeProcess {
+		return new NodeProcess({script, ...options});
+	}
+
+	async function listening(daemon: NodeProcess): Promise<void> {
+		await daemon.line('the caller port is open', ({event, listener}) => event === 'listening' && listener === 'callers');
+	}
+
+	it('should exit 2 and name every fault of its settings', async () => {
+		const daemon = start({args: ['--settings', '-'], standardInput: settings({availabilityZone: 'not a name', calls: {maximumInFlight: 0}, extra: 1})});
+		const {code} = await daemon.exited;
+		const errors = daemon.otherLines.join('\n');
+		assert.equal(code, 2);
+		for (const path of ['availabilityZone', 'calls.maximumInFlight', 'extra']) {
+			assert.ok(errors.includes(`  ${path}: `), path);
+		}
+	});
+
+	it('should exit 2 without settings, for an unknown option and for text that is not JSON', async () => {
+		const daemons = [start({}), start({args: ['--setings', 'a.json']}), start({args: ['--settings', '-'], standardInput: '{'})];
+		const ends = await Promise.all(daemons.map(async daemon => daemon.exited));
+		assert.deepEqual(ends.map(({code}) => code), [2, 2, 2]);
+	});
+
+	it('should exit 1 and name the port that is taken', async () => {
+		const holder = createServer().listen(0, '127.0.0.1');
+		await once(holder, 'listening');
+		const {port} = holder.address() as AddressInfo;
+		const daemon = start({args: ['--settings', '-'], standardInput: settings({callers: {port}})});
+		const {code} = await daemon.exited;
+		holder.close();
+		assert.equal(code, 1);
+		assert.match(daemon.otherLines.join('\n'), new RegExp(`cannot listen for callers: .*:${port}`));
+	});
+
+	it('should take its settings from the environment', async () => {
+		const daemon = start({environment: {CAIRNBANK_SETTINGS: settings()}});
+		await listening(daemon);
+		daemon.kill('SIGINT');
+		assert.deepEqual(await daemon.exited, {code: 0, signal: undefined});
+	});
+
+	it('should stop gracefully when told so while it starts', async () => {
+		const daemon = start({args: ['--settings', '-'], standardInput: settings()});
+		await daemon.line('the first port is open', ({event}) => event === 'listening');
+		daemon.kill('SIGTERM');
+		assert.deepEqual(await daemon.exited, {code: 0, signal: undefined});
+	});
+
+	it('should stop once, however often it is told to', async () => {
+		const daemon = start({args: ['--settings', '-'], standardInput: settings({stopping: {spreadMs: 300}})});
+		await listening(daemon);
+		daemon.kill('SIGTERM');
+		await waitFor('it leaves', () => daemon.lines.some(({event}) => event === 'leaving'));
+		daemon.kill('SIGTERM');
+		daemon.kill('SIGINT');
+		assert.deepEqual(await daemon.exited, {code: 0, signal: undefined});
+		const events = daemon.lines.map(({event}) => event);
+		assert.deepEqual(events.filter(event => event === 'leaving' || event === 'stopped'), ['leaving', 'stopped']);
+	});
+
+	it('should write no secret to its log', async () => {
+		const daemon = start({args: ['--settings', '-'], standardInput: settings({logging: {level: 'debug'}})});
+		await listening(daemon);
+		daemon.kill('SIGTERM');
+		await daemon.exited;
+		const output = [...daemon.lines.map(line => JSON.stringify(line)), ...daemon.otherLines].join('\n');
+		assert.doesNotMatch(output, /-secret-of-the-tests/);
+	});
+});
