--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -19,55 +19,63 @@
 /** Arguments of the process before those of the program: the runtime and the script. */
 const leadingArguments = [programName, programName];
 
+type ParsedLine =
+	/** Help was asked for and printed. */
+	| {readonly type: 'help'}
+	| {readonly type: 'wrong'; readonly error: CommandError}
+	| {
+		readonly type: 'run';
+		readonly command: Command;
+		readonly positional: readonly string[];
+		readonly options: Readonly<Record<string, unknown>>;
+	};
+
+type RunnableLine = Extract<ParsedLine, {type: 'run'}>;
+
 /** Runs `cairnbank` with `args`, the arguments after the program's name. */
 export async function runCommandLine(args: readonly string[], environment: Environment): Promise<ExitCode> {
-	const parsed = parse(args);
-	if ('type' in parsed) {
-		return fail(environment, parsed);
-	}
+	const line = parse(args);
+	switch (line.type) {
+		case 'help': {
+			return exitCodes.done;
+		}
 
-	if (parsed.helpShown) {
-		return exitCodes.done;
-	}
+		case 'wrong': {
+			return fail(environment, line.error);
+		}
 
-	const {command, positional, options} = parsed;
-	const result = await run(command, environment, positional, options);
-	return result.match(() => exitCodes.done, error => fail(environment, error));
+		case 'run': {
+			const result = await run(line, environment);
+			return result.match(() => exitCodes.done, error => fail(environment, error));
+		}
+	}
 }
 
-type Parsed = {
-	readonly helpShown: boolean;
-	readonly command: Command;
-	readonly positional: readonly string[];
-	readonly options: Readonly<Record<string, unknown>>;
-};
-
-function parse(args: readonly string[]): Parsed | CommandError {
+function parse(args: readonly string[]): ParsedLine {
 	const cli = buildParser();
 	try {
 		cli.parse([...leadingArguments, ...args.map(argument => hideDash(argument))], {run: false});
-		const command = commands.find(({usage}) => usage.split(' ')[0] === cli.matchedCommandName);
-		if (cli.options.help === true) {
-			return {
-				helpShown: true, command: commands[0]!, positional: [], options: {},
-			};
-		}
-
-		if (command === undefined) {
-			const message = cli.args.length === 0 ? 'no command given' : `there is no command ${cli.args[0]}`;
-			return {type: 'wrong-use', message, advice: helpAdvice};
-		}
-
-		checkUse(cli.matchedCommand!);
-		const {'--': _, ...options} = cli.options;
-		return {
-			helpShown: false, command, positional: cli.args.map(argument => showDash(argument)), options: showDashes(options),
-		};
+		return cli.options.help === true ? {type: 'help'} : toLine(cli);
 	} catch (error) {
-		return {type: 'wrong-use', message: (error as Error).message, advice: helpAdvice};
+		return {type: 'wrong', error: {type: 'wrong-use', message: (error as Error).message, advice: helpAdvice}};
 	}
 }
 
+/** Throws the parser's own error where the command is used wrongly. */
+function toLine(cli: CAC): ParsedLine {
+	const command = commands.find(({usage}) => usage.split(' ')[0] === cli.matchedCommandName);
+	if (command === undefined) {
+		const message = cli.args.length === 0 ? 'no command given' : `there is no command ${cli.args[0]}`;
+		return {type: 'wrong', error: {type: 'wrong-use', message, advice: helpAdvice}};
+	}
+
+	checkUse(cli.matchedCommand!);
+	const {'--': _, ...options} = cli.options;
+	return {
+		type: 'run', command, positional: cli.args.map(argument => showDash(argument)), options: showDashes(options),
+	};
+}
+
 /** The argument parser drops a lone `-`, which stands for standard input. */
 function hideDash(argument: string): string {
 	return argument === '-' ? hiddenDash : argument;
@@ -106,12 +114,7 @@
 	return cli;
 }
 
-async function run(
-	command: Command,
-	environment: Environment,
-	positional: readonly string[],
-	{settings, ...options}: Readonly<Record<string, unknown>>,
-): Promise<CommandResult> {
+async function run({command, positional, options: {settings, ...options}}: RunnableLine, environment: Environment): Promise<CommandResult> {
 	const parsed = command.optionsSchema.safeParse(options);
 	if (!parsed.success) {
 		const faults = toValidationFaults(parsed.error).map(fault => ({...fault, path: `--${toFlag(fault.path)}`}));
@@ -120,7 +123,9 @@
 		});
 	}
 
-	const session = new Session(environment, settings as string | undefined);
+	// The argument parser reads a file named by digits as a number.
+	const file = settings as string | number | undefined;
+	const session = new Session(environment, file === undefined ? undefined : String(file));
 	return command.run(session, positional, parsed.data);
 }
 
