Start the configuration over in another stream

Cause: once the log had forgotten records that no instance kept, nothing could be published again: every reader rightly refuses to guess. The daemons' stream could be set, the command line's could not.

--- a/packages/cli/src/kernel/session.ts
+++ b/packages/cli/src/kernel/session.ts
@@ -1,6 +1,7 @@
 /** One run of a command: the outside world, and connections made from the settings on demand. */
 import {type Address, type Author} from '@cairnbank/core';
-import {type LogClient} from '@cairnbank/protocol/log';
+import {configurationStream} from '@cairnbank/core/configuration';
+import {renameStream, type LogClient} from '@cairnbank/protocol/log';
 import {type OperatorsClient} from '@cairnbank/protocol/operators';
 import {
 	err, ok, type Result, type ResultAsync,
@@ -25,7 +26,7 @@
 	}
 
 	log(): ResultAsync<LogClient, CommandError> {
-		return this.settings().map(settings => this.environment.connectLog(settings.log));
+		return this.settings().map(({log}) => renameStream(this.environment.connectLog(log), configurationStream, log.configurationStream));
 	}
 
 	/** Clients of all instances in the settings. */
--- a/packages/cli/src/settings/cli-settings.ts
+++ b/packages/cli/src/settings/cli-settings.ts
@@ -1,6 +1,7 @@
 /** Settings of the command line, with defaults beside each field. */
 import {isIP} from 'node:net';
 import {addressSchema, authorSchema} from '@cairnbank/core';
+import {configurationStream} from '@cairnbank/core/configuration';
 import {z} from 'zod';
 
 function isHttpUrlWithIp(text: string): boolean {
@@ -14,6 +15,8 @@
 	log: z.strictObject({
 		url: z.string().refine(isHttpUrlWithIp, 'expected http://IP:port'),
 		timeoutMs: z.int().min(10).max(60_000).default(5000),
+		/** As in the daemons' settings. */
+		configurationStream: z.string().regex(/^[\w.-]{1,64}$/).default(configurationStream),
 	}),
 	/** Admin addresses of the instances that `watch` and `status` ask. */
 	instances: z.array(addressSchema).default([]),
--- a/packages/testing/src/configuration/configuration.spec.ts
+++ b/packages/testing/src/configuration/configuration.spec.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
 import {authorSchema, recordIdSchema, type Change} from '@cairnbank/core';
-import {HttpLogClient} from '@cairnbank/protocol/log';
+import {HttpLogClient, renameStream} from '@cairnbank/protocol/log';
 import {publishChange} from '@cairnbank/protocol/publishing';
 import {request} from 'undici';
 import type {DaemonProcess} from '../harness/daemon-process.js';
@@ -164,7 +164,7 @@
 		assert.deepEqual(offsets, [...offsets].sort((left, right) => left - right));
 	});
 
-	it('should be said to be unknown when its records expired and no snapshot stands in', async () => {
+	it('should be said to be unknown when its records expired and no snapshot stands in, and start over in a new stream', async () => {
 		await start({daemons: 0});
 		const offset = await deployment.publishInventory();
 		await deployment.publish(rules(1));
@@ -174,5 +174,11 @@
 		const told = await call(daemon);
 		assert.equal(told.type, 'not-run');
 		assert.deepEqual(offsetsInForce(daemon), []);
+
+		const startedOver = await deployment.startDaemon('entry-started-over', 'zone-a', {log: {configurationStream: 'configuration-2'}});
+		const log = renameStream(new HttpLogClient({url: deployment.log.url}), stream, 'configuration-2');
+		const published = await publishChange(log, {change: deployment.inventory(), author: authorSchema.parse('ana'), id: recordIdSchema.parse('again')});
+		assert.deepEqual(published, {type: 'accepted', offset: 1});
+		await startedOver.configurationInForce(1);
 	});
 });
