Reads of the log cost less at rest and come back sooner after it hung

Reads lost by a hung log held a change back. Change: reads wait 2 s at most; while they fail they don't wait at all, and a patient one is 4 s longer, not 8.

--- a/packages/daemon/src/features/configuration/log-follower.ts
+++ b/packages/daemon/src/features/configuration/log-follower.ts
@@ -11,7 +11,7 @@
 const maximumRetryDelayMs = 1000;
 /** One in so many failed reads is patient, so that a slow log is read at last and a hung one is soon tried again. */
 const patientEvery = 4;
-const patientWaitMs = 8000;
+const patientWaitMs = 4000;
 
 export type LogFollowerOptions = {
 	readonly log: LogClient;
@@ -65,7 +65,7 @@
 			return patientWaitMs;
 		}
 
-		return this.#options.isBehind() ? 0 : this.#options.settings.pollWaitMs;
+		return this.#failures > 0 || this.#options.isBehind() ? 0 : this.#options.settings.pollWaitMs;
 	}
 
 	/** Between half and the whole of a delay that doubles. */
--- a/packages/daemon/src/settings/log-settings.ts
+++ b/packages/daemon/src/settings/log-settings.ts
@@ -11,7 +11,7 @@
 	/** Longest wait for the answer to an append, or to a read beyond its own wait. */
 	timeoutMs: z.int().min(10).max(60_000).default(2000),
 	/** How long one read waits for new records. A read that the log lost is given up this much after `timeoutMs`. */
-	pollWaitMs: z.int().min(0).max(60_000).default(1000),
+	pollWaitMs: z.int().min(0).max(60_000).default(2000),
 	/** How long the log keeps a record; snapshots are written well before. */
 	retentionMs: z.int().min(1000).default(86_400_000),
 });
