--- a/packages/daemon/src/settings/log-settings.ts
+++ b/packages/daemon/src/settings/log-settings.ts
@@ -1,4 +1,5 @@
 /** The platform's append-only log and the streams that the daemons keep there. */
+import {configurationStream} from '@cairnbank/core/configuration';
 import {z} from 'zod';
 import {httpUrlSchema} from './http-url.js';
 
@@ -6,6 +7,8 @@
 
 export const logSettingsSchema = z.strictObject({
 	url: httpUrlSchema,
+	/** Inventory, rules, drains and their snapshots; another one starts the configuration over. */
+	configurationStream: streamName.default(configurationStream),
 	/** Claims on idempotency keys. */
 	claimsStream: streamName.default('claims'),
 	/** Longest wait for the answer to an append, or to a read beyond its own wait. */
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -2,7 +2,8 @@
 import {
 	createRandomSource, incarnationIdSchema, systemClock,
 } from '@cairnbank/core';
-import {HttpLogClient} from '@cairnbank/protocol/log';
+import {configurationStream} from '@cairnbank/core/configuration';
+import {HttpLogClient, renameStream} from '@cairnbank/protocol/log';
 import {collectDefaultMetrics, Registry} from 'prom-client';
 import {v7 as uuid} from 'uuid';
 import {Daemon} from './daemon.js';
@@ -57,11 +58,12 @@
 	collectDefaultMetrics({register: context.metrics, eventLoopMonitoringPrecision});
 	const bytes = new ControlBytes();
 	bytes.register(context.metrics);
-	const log = new HttpLogClient({
+	const logClient = new HttpLogClient({
 		url: settings.log.url,
 		timeoutMs: settings.log.timeoutMs,
 		dispatcher: createControlAgent(bytes, 'log', {connectTimeoutMs: settings.log.timeoutMs, connections: logConnections}),
 	});
+	const log = renameStream(logClient, configurationStream, settings.log.configurationStream);
 	const upstreams = new UpstreamsTask(context, () => membership.offered().map(({instance}) => instance));
 	const metrics = new CallMetrics(context.metrics);
 	const guard = new PoisonGuard(context, metrics);
