Suspicions travel at once

Cause: a suspicion was pushed by the daemon that made it but waited for the rounds at those that heard it. Change: whoever hears a new one passes it on at once; an unused accessor goes.

--- a/packages/core/src/membership/gossip-state.ts
+++ b/packages/core/src/membership/gossip-state.ts
@@ -29,6 +29,7 @@
 /** What a digest changed here. */
 export type GossipNews = {
 	readonly members: readonly MemberEntry[];
+	readonly suspicions: readonly Suspicion[];
 	readonly drainMarks: readonly DrainMark[];
 	readonly poisonSuspects: readonly Suspect[];
 };
@@ -56,13 +57,7 @@
 			this.#table.mergeHeartbeat(incarnation as IncarnationId, heartbeat);
 		}
 
-		for (const suspicion of digest.suspicions) {
-			if (suspicion.incarnation === this.#table.self.incarnation) {
-				this.#table.refute(suspicion.heartbeat);
-			} else if (this.#table.mergeSuspicion(suspicion)) {
-				this.#passOn(suspicion);
-			}
-		}
+		const suspicions = digest.suspicions.filter(suspicion => this.#mergeSuspicion(suspicion));
 
 		for (const entry of members) {
 			this.#memberTurns.renew(entry.incarnation, this.#transmissions);
@@ -71,7 +66,9 @@
 
 		const drainMarks = this.#drainMarks.merge(digest.drainMarks);
 		this.announceDrainMarks(drainMarks);
-		return {members, drainMarks, poisonSuspects: digest.poisonSuspects};
+		return {
+			members, suspicions, drainMarks, poisonSuspects: digest.poisonSuspects,
+		};
 	}
 
 	/** Drain marks made or learned here travel first from now on. */
@@ -159,6 +156,20 @@
 		};
 	}
 
+	#mergeSuspicion(suspicion: Suspicion): boolean {
+		if (suspicion.incarnation === this.#table.self.incarnation) {
+			this.#table.refute(suspicion.heartbeat);
+			return false;
+		}
+
+		const isNews = this.#table.mergeSuspicion(suspicion);
+		if (isNews) {
+			this.#passOn(suspicion);
+		}
+
+		return isNews;
+	}
+
 	#passOn(suspicion: Suspicion): void {
 		this.#suspicions.set(suspicion.incarnation, {suspicion, left: this.#transmissions});
 	}
--- a/packages/daemon/src/features/membership/membership-task.ts
+++ b/packages/daemon/src/features/membership/membership-task.ts
@@ -1,7 +1,5 @@
 /** Knows the other instances and the upstreams that drain: gossip, the platform's list, signs from upstreams. */
-import type {
-	IncarnationId, UpstreamId,
-} from '@cairnbank/core';
+import type {UpstreamId} from '@cairnbank/core';
 import {hashInForce, type ConfigurationState} from '@cairnbank/core/configuration';
 import {
 	maximumTablesHeld, offeredMembers, peerCandidates, type GossipDigest, type GossipNews, type ListedInstance, type MemberEntry,
@@ -86,11 +84,6 @@
 		return state?.table.others().map(member => toMemberStatus(member.entry, state.table.isSuspected(member))) ?? [];
 	}
 
-	/** The entry of one incarnation, also if it is suspected; undefined once it is removed. */
-	find(incarnation: IncarnationId): MemberEntry | undefined {
-		return this.#state?.table.entryOf(incarnation);
-	}
-
 	/** The platform's list as last read. */
 	get listed(): readonly ListedInstance[] {
 		return this.#poller.latest;
@@ -227,14 +220,14 @@
 		this.#drains?.takeList(instances, requestedAtMs);
 	}
 
-	#takeNews({members, drainMarks, poisonSuspects}: GossipNews): void {
+	#takeNews({members, suspicions, drainMarks, poisonSuspects}: GossipNews): void {
 		this.#drains?.tellTasks(drainMarks, () => 'peer');
 		const suspects = this.#suspects.renew(poisonSuspects);
 		if (suspects.length > 0) {
 			this.#context.bus.send({type: 'suspects-received', suspects});
 		}
 
-		if (drainMarks.length > 0 || members.some(({state}) => state === 'leaving')) {
+		if (drainMarks.length > 0 || suspicions.length > 0 || members.some(({state}) => state === 'leaving')) {
 			this.#loop?.pushSoon();
 		}
 	}
