Bounds of taken-over tables; own deadlines and run ids at the owner

Cause: each table taken over had the full bounds again; a run that waited in a queue to its deadline was told unknown by a second timer before it was told not run; a claim lost to a process whose tables are held here was passed to nobody.

Change: all tables taken over share one more set of the bounds, and a commit beyond them is refused; only joined sends are timed by the stage; runs of taken-over keys have ids of their own; a forward leaves 5 ms of the deadline for its answer.

--- a/packages/core/src/membership/member-entry.ts
+++ b/packages/core/src/membership/member-entry.ts
@@ -10,7 +10,7 @@
 
 const maximumHashLength = 64;
 /** Older ones have expired long before a process takes over this many. */
-export const maximumTablesHeld = 64;
+export const maximumTablesHeld = 20;
 
 /** Unknown fields are dropped, so that daemons of two versions understand each other. */
 export const memberEntrySchema = z.object({
--- a/packages/core/src/outcomes/tickets/ticket-office.ts
+++ b/packages/core/src/outcomes/tickets/ticket-office.ts
@@ -56,13 +56,26 @@
 		this.#tableOf(ticket.owner)?.end(ticket, outcome);
 	}
 
+	/** Whether so many more entries of stopped processes find room; all of theirs together have as much as the own. */
+	hasRoomToAdopt(entries: number): boolean {
+		this.#forgetAdopted();
+		return this.#sumAdopted(table => table.entryCount) + entries <= this.#options.maximumEntries;
+	}
+
 	/** Takes over the table of a stopped process. A second hand-over of the same table changes nothing. */
 	adopt(state: TicketTableState): void {
-		this.#forgetAdopted();
-		if (!this.#tableOf(state.owner)) {
-			this.#adopted.set(state.owner, TicketTable.adopt(this.#options, state));
-			this.#adoptedAtMs.set(state.owner, this.#options.clock.monotonicMs());
+		if (this.#tableOf(state.owner)) {
+			return;
 		}
+
+		const {maximumEntries, maximumAnswerBytes} = this.#options;
+		const options = {
+			...this.#options,
+			maximumEntries: Math.max(0, maximumEntries - this.#sumAdopted(table => table.entryCount)),
+			maximumAnswerBytes: Math.max(0, maximumAnswerBytes - this.#sumAdopted(table => table.heldAnswerBytes)),
+		};
+		this.#adopted.set(state.owner, TicketTable.adopt(options, state));
+		this.#adoptedAtMs.set(state.owner, this.#options.clock.monotonicMs());
 	}
 
 	/** From here on no run starts under any ticket held here. */
@@ -97,6 +110,10 @@
 		return owner === this.#own.owner ? this.#own : this.#adopted.get(owner);
 	}
 
+	#sumAdopted(measure: (table: TicketTable) => number): number {
+		return this.#sum(measure) - measure(this.#own);
+	}
+
 	#sum(measure: (table: TicketTable) => number): number {
 		return this.#tables().reduce((sum, table) => sum + measure(table), 0);
 	}
--- a/packages/daemon/src/features/at-most-once/at-most-once-stage.ts
+++ b/packages/daemon/src/features/at-most-once/at-most-once-stage.ts
@@ -59,7 +59,7 @@
 		const decision = binding.type === 'ticket'
 			? this.#parts.tickets.send(send, binding.ticket, this.#next)
 			: this.#parts.keys.sendOwned(send, binding.key, owner, this.#next);
-		const answer = await this.#answerForwarded(decision, call);
+		const answer = await this.#answerForwarded(decision);
 		call.trace.end(answer.type);
 		return answer;
 	}
@@ -97,7 +97,7 @@
 		metrics.decided(send.binding.type, decision.type);
 		switch (decision.type) {
 			case 'here': {
-				return withinDeadline(decision.outcome, send.call.deadlineAtMs, clock);
+				return decision.outcome;
 			}
 
 			case 'elsewhere': {
@@ -128,11 +128,10 @@
 		}
 	}
 
-	async #answerForwarded(decision: LocalDecision, call: Call): Promise<ForwardAnswer> {
+	async #answerForwarded(decision: LocalDecision): Promise<ForwardAnswer> {
 		switch (decision.type) {
 			case 'here': {
-				const outcome = await withinDeadline(decision.outcome, call.deadlineAtMs, this.#parts.clock);
-				return {type: 'ended', outcome: toOutcomeMessage(outcome)};
+				return {type: 'ended', outcome: toOutcomeMessage(await decision.outcome)};
 			}
 
 			case 'elsewhere': {
--- a/packages/daemon/src/features/at-most-once/at-most-once-task.ts
+++ b/packages/daemon/src/features/at-most-once/at-most-once-task.ts
@@ -105,9 +105,9 @@
 		return new AtMostOnceStage({
 			owner: incarnation,
 			clock,
-			tickets: new TicketRunner(office, runs),
+			tickets: new TicketRunner(office, runs, clock),
 			keys: new KeyRunner({
-				owner: incarnation, table, adopted: adoptedKeys, claims: this.#claims, runs, forward: async (send, owner) => forwarder.forward(send, owner),
+				owner: incarnation, clock, table, adopted: adoptedKeys, claims: this.#claims, runs, forward: async (send, owner) => forwarder.forward(send, owner),
 			}),
 			forwarder,
 			forwardedCalls: new ForwardedCalls(this.#context),
--- a/packages/daemon/src/features/at-most-once/forwarder.ts
+++ b/packages/daemon/src/features/at-most-once/forwarder.ts
@@ -11,6 +11,8 @@
 
 /** A table may have been handed over this many times in a row. */
 const maximumHops = 3;
+/** Left of the deadline for the owner's answer to come back. */
+const answerAllowanceMs = 5;
 
 export type ForwarderParts = {
 	readonly clock: Clock;
@@ -71,7 +73,7 @@
 
 	/** Asks once: the owner's table makes a second ask harmless, but nothing is gained by it. */
 	async #ask(address: Address, message: ForwardedCall): Promise<ForwardAnswer | undefined> {
-		const answer = await this.#parts.peers.call(address, Math.ceil(message.remainingMs) + 1, async (peer, signal) =>
+		const answer = await this.#parts.peers.call(address, Math.ceil(message.remainingMs) + answerAllowanceMs, async (peer, signal) =>
 			peer.atMostOnce.forward.mutate(message, {signal}));
 		const parsed = answer.isOk() ? forwardAnswerSchema.safeParse(answer.value) : undefined;
 		return parsed?.data;
@@ -88,7 +90,7 @@
 			headers: [...call.headers],
 			body: call.body && encodeBytes(call.body),
 			tenant: call.tenant,
-			remainingMs: Math.max(0, call.deadlineAtMs - this.#parts.clock.monotonicMs()),
+			remainingMs: Math.max(0, call.deadlineAtMs - this.#parts.clock.monotonicMs() - answerAllowanceMs),
 			traceparent: hop.headers.traceparent,
 			tracestate: hop.headers.tracestate,
 		};
--- a/packages/daemon/src/features/at-most-once/hand-over-receiver.ts
+++ b/packages/daemon/src/features/at-most-once/hand-over-receiver.ts
@@ -52,7 +52,7 @@
 		}
 
 		const parts = this.#pending?.from === commit.from ? [...this.#pending.parts.values()] : [];
-		if (!this.#isForMe(commit) || parts.length !== commit.parts) {
+		if (!this.#isForMe(commit) || parts.length !== commit.parts || !this.#hasRoomFor(parts)) {
 			return refused;
 		}
 
@@ -64,6 +64,11 @@
 		return accepted;
 	}
 
+	#hasRoomFor(parts: readonly HandOverPart[]): boolean {
+		const count = (wanted: HandOverPart['kind']) => parts.reduce((sum, {kind, entries}) => sum + (kind === wanted ? entries.length : 0), 0);
+		return this.#tables.hasRoomToAdopt(count('ticket'), count('key'));
+	}
+
 	#isForMe({to}: {to: IncarnationId}): boolean {
 		return !this.#isLeaving && to === this.#context.incarnation;
 	}
@@ -84,7 +89,7 @@
 		}
 
 		for (const owner of commit.keyOwners) {
-			this.#tables.adoptKeys(owner).restore(joinParts(parts, 'key', owner));
+			this.#tables.adoptKeys(owner, joinParts(parts, 'key', owner));
 		}
 	}
 }
--- a/packages/daemon/src/features/at-most-once/key-runner.ts
+++ b/packages/daemon/src/features/at-most-once/key-runner.ts
@@ -1,5 +1,5 @@
 /** Runs requests under keys that this process claims, or whose claims it took over. */
-import type {IncarnationId} from '@cairnbank/core';
+import type {Clock, IncarnationId} from '@cairnbank/core';
 import {
 	beginOwned, toKept, type IdempotencyKey, type KeyTable, type Outcome, type RunDecision, type RunTable,
 } from '@cairnbank/core/outcomes';
@@ -10,9 +10,11 @@
 import type {LocalDecision} from './local-decision.js';
 import type {RunsInFlight} from './runs-in-flight.js';
 import {here} from './ticket-runner.js';
+import {withinDeadline} from './within-deadline.js';
 
 export type KeyRunnerParts = {
 	readonly owner: IncarnationId;
+	readonly clock: Clock;
 	readonly table: KeyTable;
 	/** By the process that made them. */
 	readonly adopted: Map<IncarnationId, RunTable>;
@@ -27,8 +29,9 @@
 
 type KeySend = {
 	readonly send: BoundSend;
-	readonly key: IdempotencyKey;
 	readonly next: CallHandler;
+	/** Tells runs of own claims from those of adopted ones. */
+	readonly runId: string;
 };
 
 export class KeyRunner {
@@ -55,7 +58,7 @@
 			case 'join':
 			case 'end':
 			case 'sealed': {
-				return this.#act(decision, {send, key, next}, outcome => {
+				return this.#act(decision, {send, next, runId: key}, outcome => {
 					table.end(key, outcome);
 				});
 			}
@@ -66,7 +69,7 @@
 	sendOwned(send: BoundSend, key: IdempotencyKey, owner: IncarnationId, next: CallHandler): LocalDecision {
 		const {table, adopted} = this.#parts;
 		if (owner === this.#parts.owner) {
-			return this.#act(table.beginOwned({key, ...request(send)}), {send, key, next}, outcome => {
+			return this.#act(table.beginOwned({key, ...request(send)}), {send, next, runId: key}, outcome => {
 				table.end(key, outcome);
 			});
 		}
@@ -76,19 +79,19 @@
 			return {type: 'elsewhere', owner};
 		}
 
-		return this.#act(beginOwned(runs, {id: key, ...request(send)}), {send, key, next}, outcome => {
+		return this.#act(beginOwned(runs, {id: key, ...request(send)}), {send, next, runId: `${owner}/${key}`}, outcome => {
 			runs.end(key, outcome);
 		});
 	}
 
-	#act(decision: RunDecision, {send, key, next}: KeySend, finish: Finish): LocalDecision {
+	#act(decision: RunDecision, {send, next, runId}: KeySend, finish: Finish): LocalDecision {
 		switch (decision.type) {
 			case 'run': {
-				return {type: 'here', outcome: this.#parts.runs.start(key, async () => run(send, next, finish))};
+				return {type: 'here', outcome: this.#parts.runs.start(runId, async () => run(send, next, finish))};
 			}
 
 			case 'join': {
-				return {type: 'here', outcome: this.#join(key)};
+				return {type: 'here', outcome: withinDeadline(this.#join(runId), send.call.deadlineAtMs, this.#parts.clock)};
 			}
 
 			case 'end': {
@@ -114,7 +117,8 @@
 			}
 
 			case 'elsewhere': {
-				return forward(send, resolution.owner);
+				const decision = this.sendOwned(send, key, resolution.owner, next);
+				return decision.type === 'here' ? decision.outcome : forward(send, resolution.owner);
 			}
 
 			case 'end': {
@@ -123,8 +127,8 @@
 		}
 	}
 
-	async #join(key: IdempotencyKey): Promise<Outcome> {
-		return toKept(await this.#parts.runs.join(key));
+	async #join(runId: string): Promise<Outcome> {
+		return toKept(await this.#parts.runs.join(runId));
 	}
 }
 
--- a/packages/daemon/src/features/at-most-once/tables.ts
+++ b/packages/daemon/src/features/at-most-once/tables.ts
@@ -2,7 +2,7 @@
 import {randomBytes} from 'node:crypto';
 import type {IncarnationId} from '@cairnbank/core';
 import {
-	ClaimBatcher, ClaimFold, createKeyRuns, KeyTable, TicketOffice, type KeyTableOptions, type RunTable,
+	ClaimBatcher, ClaimFold, createKeyRuns, KeyTable, TicketOffice, type KeyTableOptions, type RunTable, type RunTableState,
 } from '@cairnbank/core/outcomes';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
 
@@ -47,17 +47,25 @@
 		return this.office.owners.filter(owner => owner !== this.owner);
 	}
 
-	/** The runs of a stopped process's keys, made empty where there are none yet. */
-	adoptKeys(owner: IncarnationId): RunTable {
-		for (const [other, {entryCount}] of this.adoptedKeys) {
-			if (entryCount === 0 && !this.office.owners.includes(other)) {
-				this.adoptedKeys.delete(other);
+	/** Whether so many more entries of stopped processes find room. */
+	hasRoomToAdopt(tickets: number, keys: number): boolean {
+		for (const [owner, runs] of this.adoptedKeys) {
+			runs.forgetExpired();
+			if (runs.entryCount === 0 && !this.office.owners.includes(owner)) {
+				this.adoptedKeys.delete(owner);
 			}
 		}
 
-		const runs = this.adoptedKeys.get(owner) ?? createKeyRuns(this.#keyOptions);
+		return this.office.hasRoomToAdopt(tickets) && this.#sumAdoptedKeys(runs => runs.entryCount) + keys <= this.#keyOptions.maximumEntries;
+	}
+
+	/** Takes over the runs of a stopped process's keys. */
+	adoptKeys(owner: IncarnationId, state: RunTableState): void {
+		const {maximumAnswerBytes} = this.#keyOptions;
+		const remainingBytes = Math.max(0, maximumAnswerBytes - this.#sumAdoptedKeys(runs => runs.heldAnswerBytes));
+		const runs = createKeyRuns({...this.#keyOptions, maximumAnswerBytes: remainingBytes});
+		runs.restore(state);
 		this.adoptedKeys.set(owner, runs);
-		return runs;
 	}
 
 	/** From here on nothing new runs. */
@@ -68,4 +76,8 @@
 			runs.seal();
 		}
 	}
+
+	#sumAdoptedKeys(measure: (runs: RunTable) => number): number {
+		return [...this.adoptedKeys.values()].reduce((sum, runs) => sum + measure(runs), 0);
+	}
 }
--- a/packages/daemon/src/features/at-most-once/ticket-runner.ts
+++ b/packages/daemon/src/features/at-most-once/ticket-runner.ts
@@ -1,4 +1,5 @@
 /** Runs requests under tickets whose tables are held here. */
+import type {Clock} from '@cairnbank/core';
 import {
 	parseTicket, notRun, toKept, type Outcome, type Ticket, type TicketOffice,
 } from '@cairnbank/core/outcomes';
@@ -7,14 +8,17 @@
 import {detachCall} from './detached-call.js';
 import type {LocalDecision} from './local-decision.js';
 import type {RunsInFlight} from './runs-in-flight.js';
+import {withinDeadline} from './within-deadline.js';
 
 export class TicketRunner {
 	readonly #office: TicketOffice;
 	readonly #runs: RunsInFlight;
+	readonly #clock: Clock;
 
-	constructor(office: TicketOffice, runs: RunsInFlight) {
+	constructor(office: TicketOffice, runs: RunsInFlight, clock: Clock) {
 		this.#office = office;
 		this.#runs = runs;
+		this.#clock = clock;
 	}
 
 	send(send: BoundSend, ticketText: string, next: CallHandler): LocalDecision {
@@ -31,7 +35,7 @@
 			}
 
 			case 'join': {
-				return {type: 'here', outcome: this.#join(ticket)};
+				return {type: 'here', outcome: withinDeadline(this.#join(ticket), send.call.deadlineAtMs, this.#clock)};
 			}
 
 			case 'end': {
