Poison guard end to end: pushes reach all peers, running suspects go on trial

Cause: suspects were cut from digests (300 bytes, where about 200 were left of 1200), so that a third upstream fell to a request resent through three instances; each peer's digest used up a turn, so that a push to 18 peers reached 12. Change: suspects have 2 kB of their own, one digest serves all peers of a push, an instance that starts is given all known suspects. An instance that runs a request while it hears of it as a suspect announces that run. Conclusion: held by tests against real daemons.

--- a/packages/core/src/membership/gossip-state.ts
+++ b/packages/core/src/membership/gossip-state.ts
@@ -16,7 +16,8 @@
 /** Shares of the bytes left at their turn, so that a burst of one kind never crowds out heartbeats. */
 const drainMarkRatio = 0.4;
 const memberRatio = 0.4;
-const poisonRatio = 0.3;
+/** Suspects come on top: they are rare, and one that doesn't fit costs an upstream. */
+const suspectsBytes = 2048;
 /** Greatest answer to a process that has just started; it asks once. */
 const wholeDigestBytes = 65_536;
 
@@ -151,7 +152,7 @@
 			drainMarks: budget.part(drainMarkRatio, part => this.#takeMarks(this.#markTurns.news(), part)),
 			members: budget.part(memberRatio, part => this.#takeMembers(this.#memberTurns.news(), part)),
 			suspicions: this.#takeSuspicions(budget),
-			poisonSuspects: budget.part(poisonRatio, part => part.takeAll(suspects)),
+			poisonSuspects: new ByteBudget(suspectsBytes).takeAll(suspects),
 			heartbeats: {},
 		};
 	}
--- a/packages/core/src/poison/suspect-table.ts
+++ b/packages/core/src/poison/suspect-table.ts
@@ -9,6 +9,8 @@
 import type {Suspect, Trial} from './suspect.js';
 import {withoutFuture} from './without-future.js';
 
+export type SuspectCounts = {readonly suspected: number; readonly refused: number};
+
 function lastChangeMs(suspect: Suspect): number {
 	return suspect.crashes.at(-1)?.atMs ?? suspect.clearedAtMs;
 }
@@ -40,6 +42,13 @@
 		return this.#blamedCount > 0;
 	}
 
+	/** How many requests are suspected, and how many of them refused now. */
+	counts(): SuspectCounts {
+		const decisions = [...this.#suspects.keys()].map(fingerprint => this.decide(fingerprint).type);
+		const refused = decisions.filter(type => type === 'refuse').length;
+		return {refused, suspected: decisions.filter(type => type !== 'run').length - refused};
+	}
+
 	/** Decides whether a request may run. */
 	decide(fingerprint: Fingerprint): PoisonDecision {
 		const suspect = this.#suspects.get(fingerprint);
@@ -102,11 +111,12 @@
 
 	/**
 	 * Ends a trial of this instance that brought no proof either way.
-	 * @returns The suspect, to be told to the peers, or nothing where it was none.
+	 * @returns The suspect, to be told to the peers, or nothing where no such trial was under way.
 	 */
 	endTrial(fingerprint: Fingerprint): Suspect | undefined {
 		const known = this.#suspects.get(fingerprint);
-		return known === undefined ? undefined : this.#put(this.#withTrialEnded(known));
+		const isOwn = known?.trial?.instance === this.#instance && known.trial.untilMs > this.#nowMs();
+		return isOwn ? this.#put(this.#withTrialEnded(known)) : undefined;
 	}
 
 	/** Joins suspects that a peer told of. Times ahead of the own clock are taken as now. */
--- a/packages/daemon/src/features/calls/attempt-loop.ts
+++ b/packages/daemon/src/features/calls/attempt-loop.ts
@@ -77,7 +77,10 @@
 			this.#giveUp('caller-gone');
 		});
 		this.#arm(this.#call.deadlineAtMs, nowMs);
-		if (this.#start('first', noUpstreams)) {
+		const refusal = this.#parts.guard.refusal(this.#call);
+		if (refusal !== undefined) {
+			this.#finish(refusal);
+		} else if (this.#start('first', noUpstreams)) {
 			this.#step();
 		} else {
 			this.#finish(finalOutcome(this.#attempts));
@@ -95,7 +98,7 @@
 			return false;
 		}
 
-		trial?.begin(chosen.upstream.id);
+		this.#parts.guard.started(this.#call, chosen.upstream.id);
 		this.#parts.metrics.attempted(serviceId, kind);
 		const attempt: LoopAttempt = {
 			kind, upstream: chosen.upstream.id, startedAtMs: nowMs, chosen,
@@ -128,24 +131,21 @@
 	}
 
 	#ended(attempt: LoopAttempt, result: AttemptResult): void {
-		const {noRetry} = (attempt.running!);
-		if (this.#resolve === undefined || !isLoss(result)) {
+		const {noRetry, isLost} = attempt.running!;
+		const inquiry = this.#parts.inquiry.inquire({
+			call: this.#call, chosen: attempt.chosen, result, isLost,
+		});
+		if (inquiry === undefined) {
 			this.#close(attempt, {result, noRetry, suspect: false});
-			return;
+		} else {
+			void this.#closeAfter(inquiry, attempt, {result, noRetry});
 		}
-
-		void this.#investigate(attempt, result, noRetry);
 	}
 
-	/** A lost connection may be a crash, and the request its cause. */
-	async #investigate(attempt: LoopAttempt, result: AttemptResult, noRetry: boolean): Promise<void> {
-		const suspect = await this.#parts.crashes.hasCrashed(attempt.chosen);
-		if (suspect) {
-			this.#parts.guard.blame(this.#call, attempt.upstream);
-		}
-
-		if (attempt.end === undefined) {
-			this.#close(attempt, {result, noRetry, suspect});
+	async #closeAfter(inquiry: Promise<boolean>, attempt: LoopAttempt, end: Omit<AttemptEnd, 'suspect'>): Promise<void> {
+		const suspect = await inquiry;
+		if (this.#resolve !== undefined) {
+			this.#close(attempt, {...end, suspect});
 		}
 	}
 
@@ -181,7 +181,8 @@
 	}
 
 	#startAnother(kind: 'retry' | 'hedge', excluding: readonly UpstreamId[]): void {
-		if (this.#start(kind, excluding)) {
+		const isRefused = this.#parts.guard.refusal(this.#call) !== undefined;
+		if (!isRefused && this.#start(kind, excluding)) {
 			this.#step();
 		} else if (kind === 'retry') {
 			this.#finish(finalOutcome(this.#attempts));
@@ -235,6 +236,7 @@
 		this.#cancelLosers();
 		this.#parts.metrics.ended(this.#call.serviceId, outcome);
 		this.#recordAdded(outcome);
+		this.#parts.guard.ended(this.#call, outcome);
 		resolve(outcome);
 	}
 
@@ -252,15 +254,10 @@
 	/** The losers' times count as at least what they took, lest slow answers never show in the quantile. */
 	#cancelLosers(): void {
 		for (const attempt of this.#attempts) {
-			if (attempt.end === undefined) {
-				attempt.running!.cancel('caller-gone');
+			if (attempt.end === undefined && attempt.running!.cancel('caller-gone')) {
 				this.#parts.metrics.hedgeCancelled(this.#call.serviceId);
 				this.#hedging?.latencies.record(this.#parts.clock.monotonicMs() - attempt.startedAtMs);
 			}
 		}
 	}
 }
-
-function isLoss(result: AttemptResult): boolean {
-	return result.type === 'unknown' && (result.reason === 'connection-lost' || result.reason === 'answer-truncated');
-}
--- a/packages/daemon/src/features/calls/attempt-parts.ts
+++ b/packages/daemon/src/features/calls/attempt-parts.ts
@@ -3,7 +3,7 @@
 import type {ChosenUpstream} from '../upstreams/chosen-upstream.js';
 import type {CallBudgets} from './call-budgets.js';
 import type {CallMetrics} from './call-metrics.js';
-import type {CrashWatch} from './crash-watch.js';
+import type {CrashInquiry} from './crash-inquiry.js';
 import type {HeldAnswers} from './held-answers.js';
 import type {PoisonGuard} from './poison-guard.js';
 import type {ServiceInForce} from './service-in-force.js';
@@ -13,7 +13,7 @@
 	readonly heldAnswerBytes: number;
 	readonly heldAnswers: HeldAnswers;
 	readonly budgets: CallBudgets;
-	readonly crashes: CrashWatch;
+	readonly inquiry: CrashInquiry;
 	readonly guard: PoisonGuard;
 	readonly metrics: CallMetrics;
 	choose(service: ServiceInForce, excluded: ReadonlySet<UpstreamId>, priority: number): ChosenUpstream | undefined;
--- a/packages/daemon/src/features/calls/call-metrics.ts
+++ b/packages/daemon/src/features/calls/call-metrics.ts
@@ -1,63 +1,77 @@
 /** Metrics of the calls feature. */
 import type {ServiceId} from '@cairnbank/core';
 import type {Outcome} from '@cairnbank/core/outcomes';
+import type {SuspectCounts} from '@cairnbank/core/poison';
 import type {AttemptKind} from '@cairnbank/core/retries';
-import {Counter, Histogram, type Registry} from 'prom-client';
+import {
+	Counter, Gauge, Histogram, type Registry,
+} from 'prom-client';
 
 const millisecondsPerSecond = 1000;
 const addedBucketsSeconds = [0.0001, 0.0002, 0.0005, 0.001, 0.0012, 0.002, 0.005, 0.01, 0.05, 0.1, 0.5, 1];
 
-type ServiceCounters = {
-	readonly attempts: Readonly<Record<AttemptKind, Counter.Internal>>;
-	readonly outcomes: Readonly<Record<Outcome['type'], Counter.Internal>>;
+type ServiceCounts = {
+	readonly attempts: Record<AttemptKind, number>;
+	readonly outcomes: Record<Outcome['type'], number>;
 	readonly added: Histogram.Internal<'service'>;
-	readonly hedgesCancelled: Counter.Internal;
-	readonly suspected: Counter.Internal;
-	readonly refusedSuspects: Counter.Internal;
+	hedgeLosers: number;
+	refusedSuspects: number;
 };
 
-/** Counters with their labels bound once per service, as a lookup by labels costs more than the count. */
+/** One line of a counter: the values of its labels and the count. */
+type Line = {readonly labels: Readonly<Record<string, string>>; readonly count: number};
+
+function linesOf<Value extends string>(label: string, counts: Readonly<Record<Value, number>>): Line[] {
+	return Object.entries<number>(counts).map(([value, count]) => ({labels: {[label]: value}, count}));
+}
+
+/** Plain numbers on the way of a call, read by the registry at each scrape: a labelled counter costs a hash per count. */
 export class CallMetrics {
-	readonly #attempts: Counter<'service' | 'kind'>;
-	readonly #outcomes: Counter<'service' | 'outcome'>;
+	readonly #registry: Registry;
+	readonly #services = new Map<ServiceId, ServiceCounts>();
 	readonly #added: Histogram<'service'>;
-	readonly #hedgesCancelled: Counter<'service'>;
-	readonly #suspected: Counter<'service'>;
-	readonly #refusedSuspects: Counter<'service'>;
-	readonly #services = new Map<ServiceId, ServiceCounters>();
+	readonly #suspected: Counter;
 
 	constructor(registry: Registry) {
-		const registers = [registry];
-		this.#attempts = new Counter({
-			name: 'cairnbank_attempts_total', help: 'Attempts at upstreams', labelNames: ['service', 'kind'], registers,
-		});
-		this.#outcomes = new Counter({
-			name: 'cairnbank_calls_total', help: 'Calls by what their caller was told', labelNames: ['service', 'outcome'], registers,
-		});
+		this.#registry = registry;
 		this.#added = new Histogram({
 			name: 'cairnbank_call_added_seconds',
 			help: 'Time from a request read whole to the start of the attempt that answered it',
 			labelNames: ['service'],
 			buckets: addedBucketsSeconds,
-			registers,
-		});
-		this.#hedgesCancelled = new Counter({
-			name: 'cairnbank_hedge_losers_total', help: 'Attempts cancelled as another one of their call answered first', labelNames: ['service'], registers,
+			registers: [registry],
 		});
 		this.#suspected = new Counter({
-			name: 'cairnbank_suspects_total', help: 'Calls in flight on an upstream that crashed', labelNames: ['service'], registers,
+			name: 'cairnbank_suspects_total', help: 'Requests in flight on an upstream that crashed', registers: [registry],
 		});
-		this.#refusedSuspects = new Counter({
-			name: 'cairnbank_suspects_refused_total', help: 'Calls refused as their request crashed upstreams', labelNames: ['service'], registers,
+		this.#register('cairnbank_attempts_total', 'Attempts at upstreams', ['kind'], ({attempts}) => linesOf('kind', attempts));
+		this.#register('cairnbank_calls_total', 'Calls by what their caller was told', ['outcome'], ({outcomes}) => linesOf('outcome', outcomes));
+		this.#register('cairnbank_hedge_losers_total', 'Attempts cancelled as another one of their call answered first', [], ({hedgeLosers}) => [{labels: {}, count: hedgeLosers}]);
+		this.#register('cairnbank_suspects_refused_total', 'Calls refused as their request crashed upstreams', [], ({refusedSuspects}) => [{labels: {}, count: refusedSuspects}]);
+	}
+
+	/** Shows how many suspects are known. */
+	gaugeSuspects(read: () => SuspectCounts): void {
+		// eslint-disable-next-line no-new -- it registers itself
+		new Gauge({
+			name: 'cairnbank_suspects',
+			help: 'Requests that are suspected of crashing upstreams, or refused for it',
+			labelNames: ['state'],
+			registers: [this.#registry],
+			collect() {
+				const {suspected, refused} = read();
+				this.set({state: 'suspected'}, suspected);
+				this.set({state: 'refused'}, refused);
+			},
 		});
 	}
 
 	attempted(service: ServiceId, kind: AttemptKind): void {
-		this.#of(service).attempts[kind].inc();
+		this.#of(service).attempts[kind] += 1;
 	}
 
 	ended(service: ServiceId, outcome: Outcome): void {
-		this.#of(service).outcomes[outcome.type].inc();
+		this.#of(service).outcomes[outcome.type] += 1;
 	}
 
 	added(service: ServiceId, addedMs: number): void {
@@ -65,44 +79,56 @@
 	}
 
 	hedgeCancelled(service: ServiceId): void {
-		this.#of(service).hedgesCancelled.inc();
+		this.#of(service).hedgeLosers += 1;
 	}
 
-	suspected(service: ServiceId): void {
-		this.#of(service).suspected.inc();
+	refusedSuspect(service: ServiceId): void {
+		this.#of(service).refusedSuspects += 1;
 	}
 
-	refusedSuspect(service: ServiceId): void {
-		this.#of(service).refusedSuspects.inc();
+	suspected(): void {
+		this.#suspected.inc();
 	}
 
-	#of(service: ServiceId): ServiceCounters {
+	#of(service: ServiceId): ServiceCounts {
 		const known = this.#services.get(service);
 		if (known !== undefined) {
 			return known;
 		}
 
-		const made = this.#bind(service);
+		const made = this.#zero(service);
 		this.#services.set(service, made);
 		return made;
 	}
 
-	#bind(service: ServiceId): ServiceCounters {
-		const attempts = (kind: AttemptKind) => this.#attempts.labels({service, kind});
-		const outcomes = (outcome: Outcome['type']) => this.#outcomes.labels({service, outcome});
+	#zero(service: ServiceId): ServiceCounts {
 		return {
-			attempts: {first: attempts('first'), retry: attempts('retry'), hedge: attempts('hedge')},
+			attempts: {first: 0, retry: 0, hedge: 0},
 			outcomes: {
-				answered: outcomes('answered'),
-				streamed: outcomes('streamed'),
-				'broken-off': outcomes('broken-off'),
-				'not-run': outcomes('not-run'),
-				unknown: outcomes('unknown'),
+				answered: 0, streamed: 0, 'broken-off': 0, 'not-run': 0, unknown: 0,
 			},
 			added: this.#added.labels({service}),
-			hedgesCancelled: this.#hedgesCancelled.labels({service}),
-			suspected: this.#suspected.labels({service}),
-			refusedSuspects: this.#refusedSuspects.labels({service}),
+			hedgeLosers: 0,
+			refusedSuspects: 0,
 		};
 	}
+
+	#register(name: string, help: string, labelNames: readonly string[], read: (counts: ServiceCounts) => readonly Line[]): void {
+		const services = this.#services;
+		// eslint-disable-next-line no-new -- it registers itself
+		new Counter({
+			name,
+			help,
+			labelNames: ['service', ...labelNames],
+			registers: [this.#registry],
+			collect() {
+				this.reset();
+				for (const [service, counts] of services) {
+					for (const {labels, count} of read(counts)) {
+						this.inc({service, ...labels}, count);
+					}
+				}
+			},
+		});
+	}
 }
--- /dev/null
+++ b/packages/daemon/src/features/calls/fingerprint-of-call.ts
@@ -0,0 +1,9 @@
+/** The poison guard's name of a call's request. */
+import {type Fingerprint, fingerprintOf} from '@cairnbank/core/poison';
+import type {Call} from './call.js';
+
+export function fingerprintOfCall({serviceId, method, path, body}: Call): Fingerprint {
+	return fingerprintOf({
+		service: serviceId, method, path, body,
+	});
+}
--- a/packages/daemon/src/features/calls/poison-guard.ts
+++ b/packages/daemon/src/features/calls/poison-guard.ts
@@ -1,13 +1,16 @@
 /** Keeps a request that crashes upstreams from taking down more than two. */
 import type {UpstreamId} from '@cairnbank/core';
-import type {NotRunReason, Outcome} from '@cairnbank/core/outcomes';
+import type {Outcome} from '@cairnbank/core/outcomes';
 import {
-	countCrashes, defaultPoisonSettings, type Fingerprint, fingerprintOf, type Suspect, SuspectTable,
+	countCrashes, defaultPoisonSettings, type Fingerprint, type PoisonDecision, type Suspect, SuspectTable,
 } from '@cairnbank/core/poison';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
+import {AbandonedRequests} from './abandoned-requests.js';
 import type {Call} from './call.js';
 import type {CallHandler, CallStage} from './call-handler.js';
 import type {CallMetrics} from './call-metrics.js';
+import {fingerprintOfCall} from './fingerprint-of-call.js';
+import {RunningCalls} from './running-calls.js';
 import {SuspectWaiters} from './suspect-waiters.js';
 
 /** Time after which a caller may ask again while the same request is on trial. */
@@ -20,47 +23,94 @@
 	readonly #metrics: CallMetrics;
 	readonly #table: SuspectTable;
 	readonly #waiters = new SuspectWaiters();
+	readonly #running = new RunningCalls();
+	/** Suspects whose trial waits for an upstream or is under way here. */
+	readonly #reserved = new Set<Fingerprint>();
+	readonly #abandoned: AbandonedRequests;
 
 	constructor(context: DaemonContext, metrics: CallMetrics) {
 		this.#context = context;
 		this.#metrics = metrics;
 		const {maximumSuspects} = context.settings.calls;
 		this.#table = new SuspectTable(context.clock, context.settings.instanceId, {...defaultPoisonSettings, maximumSuspects});
+		this.#abandoned = new AbandonedRequests(context.clock);
+		metrics.gaugeSuspects(() => this.#table.counts());
 		context.bus.on('suspects-received', ({suspects}) => {
 			this.#table.merge(suspects);
+			this.#announceRunning(suspects);
 			this.#waiters.wake();
 		});
 	}
 
 	wrap(next: CallHandler): CallHandler {
-		return async call => this.#table.blamesAny ? this.#guard(call, next) : this.#watch(call, next);
+		return async call => this.#table.blamesAny ? this.#guard(call, next) : next(call);
 	}
 
-	/** Blames a call that was in flight when its upstream crashed. */
-	blame(call: Call, upstream: UpstreamId): void {
+	/** Refuses a call that became known as poison while it waited. */
+	refusal(call: Call): Outcome | undefined {
+		return this.#table.blamesAny ? this.#refusalOf(call, this.#table.decide(fingerprintOfCall(call))) : undefined;
+	}
+
+	/** A request is about to leave for an upstream. */
+	started(call: Call, upstream: UpstreamId): void {
+		this.#running.set(call, upstream);
+		call.trial?.begin(upstream);
+	}
+
+	/** A request was given up while its upstream may run it. */
+	abandoned(call: Call, upstream: UpstreamId): void {
+		this.#abandoned.add(fingerprintOfCall(call), upstream);
+	}
+
+	/** Whether a refused connect may mean that an abandoned request crashed the upstream. */
+	suspectsAbandoned(upstream: UpstreamId): boolean {
+		return this.#abandoned.has(upstream);
+	}
+
+	/** The call has its outcome. */
+	ended(call: Call, outcome: Outcome): void {
+		this.#running.delete(call);
+		if (!this.#table.blamesAny) {
+			return;
+		}
+
 		const fingerprint = fingerprintOfCall(call);
-		const suspect = this.#table.crashed(fingerprint, upstream);
-		const crashes = countCrashes(suspect);
-		this.#metrics.suspected(call.serviceId);
-		this.#context.logger.warn('upstream crashed with request in flight', {
-			service: call.serviceId, upstream, fingerprint, crashes,
-		});
-		this.#announce(suspect);
+		const isWell = outcome.type === 'answered' || outcome.type === 'streamed';
+		this.#announce(isWell ? this.#table.endedWell(fingerprint) : this.#table.endTrial(fingerprint));
+	}
+
+	/** An upstream crashed: blames a call that was in flight there, and those that were given up there. */
+	crashed(upstream: UpstreamId, call?: Call): void {
+		const inFlight = call === undefined ? [] : [fingerprintOfCall(call)];
+		for (const fingerprint of [...inFlight, ...this.#abandoned.take(upstream)]) {
+			this.#blame(fingerprint, upstream);
+		}
 	}
 
-	/** What a peer that has just started should know. */
+	/** What a peer that has just started should know, the most suspicious first. */
 	suspects(maximum: number): Suspect[] {
 		return this.#table.toShare(maximum);
 	}
 
-	/** Ordinary days: a fingerprint is taken only if a crash was seen meanwhile. */
-	async #watch(call: Call, next: CallHandler): Promise<Outcome> {
-		const outcome = await next(call);
-		if (this.#table.blamesAny) {
-			this.#clear(fingerprintOfCall(call), outcome);
-		}
+	#blame(fingerprint: Fingerprint, upstream: UpstreamId): void {
+		const suspect = this.#table.crashed(fingerprint, upstream);
+		this.#metrics.suspected();
+		this.#context.logger.warn('upstream crashed with request in flight', {
+			upstream, fingerprint, crashes: countCrashes(suspect),
+		});
+		this.#announce(suspect);
+		this.#announceRunning([suspect]);
+	}
 
-		return outcome;
+	/** A suspect that already runs here is on trial from now on, so that no peer runs it as well. */
+	#announceRunning(suspects: readonly Suspect[]): void {
+		const blamed = suspects.filter(({crashes}) => crashes.length > 0).map(({fingerprint}) => fingerprint);
+		const onTrial = blamed.filter(fingerprint => this.#table.decide(fingerprint).type === 'trial');
+		if (onTrial.length > 0) {
+			for (const {fingerprint, upstream} of this.#running.find(new Set(onTrial))) {
+				this.#announce(this.#table.beginTrial(fingerprint, upstream));
+			}
+		}
 	}
 
 	async #guard(call: Call, next: CallHandler): Promise<Outcome> {
@@ -69,62 +119,60 @@
 			const decision = this.#table.decide(fingerprint);
 			switch (decision.type) {
 				case 'run': {
-					return this.#run(fingerprint, call, next);
+					return next(call);
 				}
 
 				case 'trial': {
-					return this.#try(fingerprint, call, next);
+					if (!this.#reserved.has(fingerprint)) {
+						return this.#try(fingerprint, call, next);
+					}
+
+					break;
 				}
 
 				case 'refuse': {
-					this.#metrics.refusedSuspect(call.serviceId);
-					return notRun('suspected-poison', decision.retryAfterMs);
+					return this.#refusalOf(call, decision)!;
 				}
 
 				case 'await-trial': {
-					const remainingMs = call.deadlineAtMs - this.#context.clock.monotonicMs();
-					if (call.cancellation.cancelled || remainingMs <= 0) {
-						return notRun('suspected-poison', trialRetryAfterMs);
-					}
-
-					await this.#waiters.wait(Math.min(decision.waitMs, remainingMs));
+					break;
 				}
 			}
+
+			const remainingMs = call.deadlineAtMs - this.#context.clock.monotonicMs();
+			if (call.cancellation.cancelled || remainingMs <= 0) {
+				return {type: 'not-run', reason: 'suspected-poison', retryAfterMs: trialRetryAfterMs};
+			}
+
+			await this.#waiters.wait(Math.min(decision.type === 'await-trial' ? decision.waitMs : remainingMs, remainingMs));
 		}
 	}
 
-	async #run(fingerprint: Fingerprint, call: Call, next: CallHandler): Promise<Outcome> {
-		const outcome = await next(call);
-		this.#clear(fingerprint, outcome);
+	/** Others of the same request wait from here on, although the trial begins once an upstream is chosen. */
+	async #try(fingerprint: Fingerprint, call: Call, next: CallHandler): Promise<Outcome> {
+		this.#reserved.add(fingerprint);
+		const outcome = await next({...call, trial: this.#trial(fingerprint)});
+		this.#reserved.delete(fingerprint);
+		this.#waiters.wake();
 		return outcome;
 	}
 
-	async #try(fingerprint: Fingerprint, call: Call, next: CallHandler): Promise<Outcome> {
-		const outcome = await next({
-			...call,
-			trial: {
-				excluding: [...this.#table.upstreamsUnderTrial()],
-				begin: upstream => {
-					this.#announce(this.#table.beginTrial(fingerprint, upstream));
-				},
-			},
-		});
-		if (!this.#clear(fingerprint, outcome)) {
-			this.#announce(this.#table.endTrial(fingerprint));
+	#refusalOf(call: Call, decision: PoisonDecision): Outcome | undefined {
+		if (decision.type !== 'refuse') {
+			return undefined;
 		}
 
-		return outcome;
+		this.#metrics.refusedSuspect(call.serviceId);
+		return {type: 'not-run', reason: 'suspected-poison', retryAfterMs: decision.retryAfterMs};
 	}
 
-	/** Whether the outcome proves that the request crashes nothing. */
-	#clear(fingerprint: Fingerprint, outcome: Outcome): boolean {
-		if (outcome.type !== 'answered' && outcome.type !== 'streamed') {
-			return false;
-		}
-
-		const suspect = this.#table.endedWell(fingerprint);
-		this.#announce(suspect);
-		return suspect !== undefined;
+	#trial(fingerprint: Fingerprint): Call['trial'] {
+		return {
+			excluding: [...this.#table.upstreamsUnderTrial()],
+			begin: upstream => {
+				this.#announce(this.#table.beginTrial(fingerprint, upstream));
+			},
+		};
 	}
 
 	#announce(suspect: Suspect | undefined): void {
@@ -134,13 +182,3 @@
 		}
 	}
 }
-
-function fingerprintOfCall(call: Call): Fingerprint {
-	return fingerprintOf({
-		service: call.serviceId, method: call.method, path: call.path, body: call.body,
-	});
-}
-
-function notRun(reason: NotRunReason, retryAfterMs: number): Outcome {
-	return {type: 'not-run', reason, retryAfterMs};
-}
--- a/packages/daemon/src/features/calls/upstream-attempt.ts
+++ b/packages/daemon/src/features/calls/upstream-attempt.ts
@@ -11,6 +11,7 @@
 import type {Dispatcher} from 'undici';
 import type {HopSpan} from '../../tracing/call-trace.js';
 import {isDelimited, type AnswerHeaders} from './answer-framing.js';
+import {requestHeaders, toRawHeaders} from './attempt-headers.js';
 import type {Call} from './call.js';
 import type {HeldAnswers} from './held-answers.js';
 import {retryAfterMs} from './retry-after.js';
@@ -48,6 +49,7 @@
 	#shedRetryAfterMs: number | undefined;
 	#shed = false;
 	#noRetry = false;
+	#lost = false;
 	#chunks: Uint8Array[] = [];
 	#heldBytes = 0;
 
@@ -61,13 +63,18 @@
 		return this.#noRetry;
 	}
 
+	/** Whether the connection broke with the request on it. */
+	get isLost(): boolean {
+		return this.#lost;
+	}
+
 	/** Sends the request; `onEnd` is called exactly once, before or after this returns. */
 	dispatch(): void {
-		const {call, dispatcher} = this.#options;
+		const {call, dispatcher, remainingMs} = this.#options;
 		dispatcher.dispatch({
 			path: call.path,
 			method: call.method,
-			headers: this.#requestHeaders(),
+			headers: requestHeaders(call, remainingMs, this.#hop.headers),
 
 			body: call.body ?? null,
 			headersTimeout: 0,
@@ -75,10 +82,13 @@
 		}, this);
 	}
 
-	/** Gives the attempt up and closes its connection if the request may be on it. */
-	cancel(reason: CancelReason): void {
+	/**
+	 * Gives the attempt up and closes its connection if the request may be on it.
+	 * @returns false where it had ended before
+	 */
+	cancel(reason: CancelReason): boolean {
 		if (this.#settled) {
-			return;
+			return false;
 		}
 
 		if (this.#streaming) {
@@ -89,6 +99,7 @@
 		}
 
 		this.#controller?.abort(new Error('attempt given up'));
+		return true;
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -167,6 +178,8 @@
 			return;
 		}
 
+		this.#lost = this.#started;
+
 		if (this.#streaming) {
 			this.#options.call.sink!.abort();
 			this.#settle({type: 'broken-off'});
@@ -187,21 +200,6 @@
 		return {type: 'answered', answer: {statusCode: this.#statusCode, headers: this.#headers, body}};
 	}
 
-	#requestHeaders(): string[] {
-		const {call, remainingMs} = this.#options;
-		const headers = [...call.headers, headerNames.deadlineMs, String(remainingMs)];
-		const {traceparent, tracestate} = this.#hop.headers;
-		if (traceparent !== undefined) {
-			headers.push('traceparent', traceparent);
-		}
-
-		if (tracestate !== undefined) {
-			headers.push('tracestate', tracestate);
-		}
-
-		return headers;
-	}
-
 	#beginStreaming(controller: Dispatcher.DispatchController): void {
 		const {call: {sink}, onStream} = this.#options;
 		if (!sink) {
@@ -243,7 +241,3 @@
 		this.#options.onEnd(result);
 	}
 }
-
-function toRawHeaders(rawHeaders: readonly Uint8Array[]): string[] {
-	return rawHeaders.map(part => Buffer.from(part.buffer, part.byteOffset, part.length).toString('latin1'));
-}
--- a/packages/daemon/src/features/membership/gossip-loop.ts
+++ b/packages/daemon/src/features/membership/gossip-loop.ts
@@ -82,7 +82,9 @@
 	/** Sends news to all reachable peers, for what is rare and must be known before a caller's next try. */
 	async pushToAll(): Promise<void> {
 		const peers = this.#reachableAddresses().slice(0, maximumToldAtOnce);
-		await Promise.all(peers.map(async peer => this.#exchange(peer, this.#urgentDigest())));
+		// One digest for all: each one taken uses up a turn of the suspects in it.
+		const digest = this.#urgentDigest();
+		await Promise.all(peers.map(async peer => this.#exchange(peer, digest)));
 	}
 
 	async #runRound(): Promise<void> {
--- a/packages/daemon/src/features/membership/membership-task.spec.ts
+++ b/packages/daemon/src/features/membership/membership-task.spec.ts
@@ -73,6 +73,7 @@
 			ownAddresses: () => ({callerAddress: this.#caller, peerAddress: this.peers.address}),
 			callsPerSecond: () => 0,
 			tryProbe: () => true,
+			knownSuspects: () => [],
 		});
 		this.peers = new PeersTask(this.context, {membership: this.membership, atMostOnce: noTables, configuration: {transfer: () => undefined}}, {bytes, clients});
 	}
--- a/packages/daemon/src/features/membership/membership-task.ts
+++ b/packages/daemon/src/features/membership/membership-task.ts
@@ -1,5 +1,6 @@
 /** Knows the other instances and the upstreams that drain: gossip, the platform's list, signs from upstreams. */
 import type {UpstreamId} from '@cairnbank/core';
+import type {Suspect} from '@cairnbank/core/poison';
 import {hashInForce, type ConfigurationState} from '@cairnbank/core/configuration';
 import {
 	maximumTablesHeld, offeredMembers, peerCandidates, type GossipDigest, type GossipNews, type ListedInstance, type MemberEntry,
@@ -33,6 +34,8 @@
 	/** Asked once the ports are open. */
 	ownAddresses(): OwnAddresses;
 	callsPerSecond(): number;
+	/** All that the poison guard knows, for an instance that has just started. */
+	knownSuspects(): readonly Suspect[];
 };
 
 export class MembershipTask implements Task, MembershipHandler {
@@ -97,7 +100,7 @@
 		const {gossip} = this.#started();
 		this.#takeNews(gossip.merge(digest));
 		if (digest.wantsAll) {
-			return gossip.wholeDigest(this.#suspects.take());
+			return gossip.wholeDigest(this.#parts.knownSuspects());
 		}
 
 		return digest.urgent ? gossip.urgentDigest(this.#suspects.take()) : gossip.digest(this.#suspects.take());
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -16,6 +16,7 @@
 import {CallBudgets} from './features/calls/call-budgets.js';
 import {CallMetrics} from './features/calls/call-metrics.js';
 import {CallerListenerTask} from './features/calls/caller-listener-task.js';
+import {CrashInquiry} from './features/calls/crash-inquiry.js';
 import {CrashWatch} from './features/calls/crash-watch.js';
 import {HeldAnswers} from './features/calls/held-answers.js';
 import {PoisonGuard} from './features/calls/poison-guard.js';
@@ -37,6 +38,8 @@
 const logConnections = 4;
 /** Milliseconds between samples of the event loop's delay; each sample is a wake-up of an idle daemon. */
 const eventLoopMonitoringPrecision = 100;
+/** Suspects that an instance is told of as it starts; about 300 bytes each. */
+const maximumSharedSuspects = 128;
 const hexadecimal = 16;
 const seedDigits = 8;
 /** The random half of a UUIDv7; short, as every digest and ticket carries incarnations. */
@@ -76,6 +79,7 @@
 		ownAddresses: () => ({callerAddress: callers.address!, peerAddress: peers.address}),
 		callsPerSecond: () => callRate.take(),
 		tryProbe: id => upstreams.tryProbe(id),
+		knownSuspects: () => guard.suspects(maximumSharedSuspects),
 	});
 	const directory = createOwnerDirectory({peers: () => membership.peers(), suspected: () => membership.suspected()}, context.random);
 	const atMostOnce = new AtMostOnceTask(context, {log, peers: clients, directory});
@@ -84,7 +88,7 @@
 		heldAnswerBytes: settings.calls.heldAnswerBytes,
 		heldAnswers,
 		budgets: new CallBudgets(context.clock),
-		crashes: new CrashWatch(),
+		inquiry: new CrashInquiry(new CrashWatch(), guard),
 		guard,
 		metrics,
 		choose: (service, excluded, priority) => upstreams.choose(service, excluded, priority),
--- /dev/null
+++ b/packages/testing/src/calls/poison.spec.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {Deployment, waitFor, type DaemonProcess} from '../harness/index.js';
+
+const crashHeader = 'x-poison';
+const poison = {path: '/ledger/statement/17', headers: {[crashHeader]: '1'}};
+const crashDownMs = 60_000;
+
+describe('a request that crashes upstreams', () => {
+	let deployment: Deployment;
+
+	beforeEach(async () => {
+		deployment = await Deployment.start({services: [{id: 'ledger', upstreams: 6, upstream: {slots: 4}}], daemons: 3});
+		await deployment.publishInventory();
+		await Promise.all(deployment.upstreams.map(async upstream => upstream.setFaults({crashHeader, crashDownMs})));
+		await waitFor('all instances know each other', async () => {
+			const counts = await Promise.all(deployment.daemons.map(async daemon => gauge(daemon, 'cairnbank_members{state="reachable"}')));
+			return counts.every(count => count === 2);
+		});
+	});
+
+	afterEach(async () => {
+		await deployment.stop();
+	});
+
+	async function gauge({admin}: DaemonProcess, name: string): Promise<number> {
+		const answer = await fetch(`http://${admin}/metrics`);
+		const text = await answer.text();
+		const line = text.split('\n').find(one => one.startsWith(name));
+		return Number(line?.split(' ').at(-1) ?? 0);
+	}
+
+	/** A caller's resend takes a round trip, in which the instances have told each other. */
+	async function awaitKnown(state: 'suspected' | 'refused'): Promise<void> {
+		await waitFor(`all instances hold it ${state}`, async () => {
+			const counts = await Promise.all(deployment.daemons.map(async daemon => gauge(daemon, `cairnbank_suspects{state="${state}"}`)));
+			return counts.every(count => count > 0);
+		});
+	}
+
+	async function send(index: number, request: {path: string; headers?: Record<string, string>; requestId?: string; timeoutMs?: number}) {
+		return deployment.caller.call({instance: deployment.daemons[index]!.callers, ...request});
+	}
+
+	function crashes(): number {
+		return deployment.upstreams.reduce((sum, {counters}) => sum + counters.crashes, 0);
+	}
+
+	it('should take down at most two upstreams when resent through three instances, then be refused', async () => {
+		const first = await send(0, poison);
+		await awaitKnown('suspected');
+		const second = await send(1, poison);
+		await awaitKnown('refused');
+		const third = await send(2, poison);
+		const fourth = await send(0, poison);
+		assert.deepEqual([first.type, second.type, third.type, fourth.type], ['unknown', 'unknown', 'not-run', 'not-run']);
+		assert.ok(third.type === 'not-run' && Number(third.headers['retry-after']) > 0);
+		assert.equal(crashes(), 2);
+	});
+
+	it('should be refused by an instance that started afterwards', async () => {
+		await send(0, poison);
+		await awaitKnown('suspected');
+		await send(1, poison);
+		await awaitKnown('refused');
+		const started = await deployment.startDaemon('entry-4', 'zone-a');
+		await waitFor('the new instance holds it refused', async () => await gauge(started, 'cairnbank_suspects{state="refused"}') > 0);
+		const told = await send(3, poison);
+		assert.equal(told.type, 'not-run');
+		assert.equal(crashes(), 2);
+	});
+
+	it('should leave its neighbours alone', async () => {
+		const slow = {'x-service-ms': '200'};
+		const innocent = Array.from({length: 9}, (_, index) => ({path: `/ledger/balance/${index}`, headers: slow}));
+		const neighbours = innocent.map(async (request, index) => send(index % 3, request));
+		await waitFor('the neighbours run', () => deployment.upstreams.reduce((sum, {inFlight}) => sum + inFlight, 0) === 9);
+		await send(0, poison);
+		await awaitKnown('suspected');
+		await Promise.all(neighbours);
+		const resent = await Promise.all(innocent.map(async (request, index) => send((index + 1) % 3, request)));
+		assert.deepEqual(new Set(resent.map(({type}) => type)), new Set(['answered']));
+		await send(1, poison);
+		await awaitKnown('refused');
+		const after = await Promise.all(innocent.map(async (request, index) => send((index + 2) % 3, request)));
+		assert.ok(after.every(({type, ...told}) => type === 'answered' || !('body' in told) || !told.body.includes('suspected-poison')));
+		assert.equal(crashes(), 2);
+	});
+
+	it('should be found out where its caller does not wait for the crash', async () => {
+		const [victim] = deployment.upstreams;
+		const {address, options: {id, availabilityZone}} = victim!;
+		const upstream = {
+			id, address, availabilityZone, slots: 4, connections: 200,
+		};
+		await deployment.publish({kind: 'inventory', services: [{id: 'ledger', upstreams: [upstream]}]});
+		const told = await send(0, {path: '/ledger/report', headers: {'x-service-ms': '5000'}, timeoutMs: 300});
+		assert.equal(told.type, 'cut');
+		await victim!.setFaults({refusing: true});
+		await waitFor('the abandoned request is suspected', async () => {
+			await send(0, {path: '/ledger/balance'});
+			return await gauge(deployment.daemons[0]!, 'cairnbank_suspects{state="suspected"}') > 0;
+		});
+	});
+});
--- a/packages/testing/src/stand-ins/upstream-stand-in.ts
+++ b/packages/testing/src/stand-ins/upstream-stand-in.ts
@@ -36,6 +36,7 @@
 		},
 	});
 
+	readonly #stopped = new AbortController();
 	#drainingSinceMs = 0;
 	#neighbour?: Neighbour;
 
@@ -69,6 +70,7 @@
 	}
 
 	async stop(): Promise<void> {
+		this.#stopped.abort();
 		this.#neighbour?.stop();
 		await this.#listener.refuse();
 		await this.#control.refuse();
@@ -106,8 +108,12 @@
 	async crash(downMs: number = this.#service.faults.crashDownMs): Promise<void> {
 		this.counters.crashes += 1;
 		await this.#listener.refuse();
-		await delay(downMs);
-		await this.#listener.open();
+		try {
+			await delay(downMs, undefined, {signal: this.#stopped.signal});
+			await this.#listener.open();
+		} catch {
+			// Stopped meanwhile: it stays down.
+		}
 	}
 
 	#route(request: IncomingMessage, response: ServerResponse, receivedMs: number): void {
