The command line finds instances through the platform's list

Cause: instances are replaced at any time, so admin addresses in an operator's settings go stale. Change: instanceList in the settings; watch reads it anew each round and tells of instances that come and go.

--- a/packages/cli/src/command-line.spec.ts
+++ b/packages/cli/src/command-line.spec.ts
@@ -31,6 +31,9 @@
 
 			return text;
 		},
+		async readJson() {
+			throw new Error('nothing here reads the list');
+		},
 		async pause() {
 			throw new Error('nothing here waits');
 		},
--- a/packages/cli/src/commands/watch/watch-line.ts
+++ b/packages/cli/src/commands/watch/watch-line.ts
@@ -23,3 +23,8 @@
 	);
 	return JSON.stringify({time: time.toISOString(), address, ...fields});
 }
+
+/** For scripts, about an instance that the platform lists no longer. */
+export function toGoneJson(address: string, time: Date): string {
+	return JSON.stringify({time: time.toISOString(), address, listed: false});
+}
--- a/packages/cli/src/commands/watch/watch-until.ts
+++ b/packages/cli/src/commands/watch/watch-until.ts
@@ -5,7 +5,7 @@
 import {type Environment} from '../../kernel/environment.js';
 import {type Session} from '../../kernel/session.js';
 import {hasInForce, pollInstances, type InstanceAnswer} from './instance-poll.js';
-import {toWatchJson, toWatchText} from './watch-line.js';
+import {toGoneJson, toWatchJson, toWatchText} from './watch-line.js';
 
 export const defaultIntervalMs = 250;
 
@@ -21,13 +21,15 @@
 /** Prints a line for each instance, and another each time that something changed there. */
 export async function watchUntil(session: Session, options: WatchOptions): Promise<CommandResult> {
 	const clients = await session.instances();
-	return clients.isErr() ? err(clients.error) : follow(session.environment, clients.value, options);
+	return clients.isErr() ? err(clients.error) : follow(session, clients.value, options);
 }
 
-async function follow(environment: Environment, clients: readonly OperatorsClient[], options: WatchOptions): Promise<CommandResult> {
+async function follow(session: Session, firstClients: readonly OperatorsClient[], options: WatchOptions): Promise<CommandResult> {
 	const {offset, timeoutMs = Number.POSITIVE_INFINITY, intervalMs = defaultIntervalMs} = options;
+	const {environment} = session;
 	const startedMs = environment.clock.monotonicMs();
 	const printed = new Map<string, string>();
+	let clients = firstClients;
 	for (;;) {
 		const answers = await pollInstances(clients);
 		printChanges(environment, answers, printed, options.json);
@@ -40,6 +42,9 @@
 		}
 
 		await environment.pause(intervalMs);
+		// Instances come and go; the last ones known are kept while they cannot be found out.
+		const found = await session.instances();
+		clients = found.unwrapOr([...clients]);
 	}
 }
 
@@ -54,6 +59,13 @@
 		printed.set(answer.address, text);
 		environment.output.line(json ? toWatchJson(answer, time) : `${time.toISOString()} ${text}`);
 	}
+
+	for (const address of printed.keys()) {
+		if (!answers.some(answer => answer.address === address)) {
+			printed.delete(address);
+			environment.output.line(json ? toGoneJson(address, time) : `${time.toISOString()} ${address} is no longer listed`);
+		}
+	}
 }
 
 function reportInForce({output}: Environment, offset: number, instances: number, json = false): CommandResult {
--- a/packages/cli/src/kernel/environment.ts
+++ b/packages/cli/src/kernel/environment.ts
@@ -15,6 +15,8 @@
 	readonly interrupted: AbortSignal;
 	/** The text of a file, or of standard input for `-`. */
 	readText(file: string): Promise<string>;
+	/** The JSON that a URL answers; throws where there is none. */
+	readJson(url: URL, timeoutMs: number): Promise<unknown>;
 	/** Waits, or returns early once interrupted. */
 	pause(durationMs: number): Promise<void>;
 	createRecordId(): RecordId;
--- a/packages/cli/src/kernel/session.ts
+++ b/packages/cli/src/kernel/session.ts
@@ -10,6 +10,7 @@
 import {type CliSettings} from '../settings/cli-settings.js';
 import {type CommandError} from './command-error.js';
 import {type Environment} from './environment.js';
+import {findListedInstances} from './listed-instances.js';
 
 export class Session {
 	readonly #settingsFile: string | undefined;
@@ -29,17 +30,19 @@
 		return this.settings().map(({log}) => renameStream(this.environment.connectLog(log), configurationStream, log.configurationStream));
 	}
 
-	/** Clients of all instances in the settings. */
+	/** Clients of the instances that the settings name and of those that the platform lists now. */
 	instances(): ResultAsync<OperatorsClient[], CommandError> {
-		return this.settings().andThen(settings => this.#connect(settings));
+		return this.settings().andThen(settings => findListedInstances(this.environment, settings)
+			.orElse(error => settings.instances.length > 0 ? ok([]) : err(error))
+			.andThen(listed => this.#connect(settings, [...new Set([...settings.instances, ...listed])])));
 	}
 
-	/** Client of one instance of the settings. */
+	/** Client of one of these instances. */
 	instance(address: Address): ResultAsync<OperatorsClient, CommandError> {
 		return this.instances().andThen(clients => {
 			const client = clients.find(one => one.address === address);
 			return client === undefined
-				? err({type: 'wrong-use' as const, message: `the settings name no instance ${address}`, advice: 'name one of "instances" in the settings'})
+				? err({type: 'wrong-use' as const, message: `neither the settings nor the platform's list name an instance ${address}`, advice: 'name an admin address that they have'})
 				: ok(client);
 		});
 	}
@@ -54,12 +57,16 @@
 		});
 	}
 
-	#connect({instances, operatorSecret, timeoutMs}: CliSettings): Result<OperatorsClient[], CommandError> {
+	#connect({operatorSecret, timeoutMs, instanceList}: CliSettings, instances: readonly Address[]): Result<OperatorsClient[], CommandError> {
+		if (instances.length === 0 && instanceList !== undefined) {
+			return err({type: 'unavailable', message: 'the platform lists no entry instance in service', advice: 'start an instance, or name admin addresses in "instances"'});
+		}
+
 		if (instances.length === 0 || operatorSecret === undefined) {
 			return err({
 				type: 'wrong-use',
 				message: 'the settings name no instance to ask, or no secret',
-				advice: 'set "instances" to the admin addresses of the instances and "operatorSecret" to their operators\' secret',
+				advice: 'set "instances" to admin addresses or "instanceList" to the platform\'s list, and "operatorSecret" to the operators\' secret',
 			});
 		}
 
--- a/packages/cli/src/settings/cli-settings.ts
+++ b/packages/cli/src/settings/cli-settings.ts
@@ -10,16 +10,25 @@
 	return (url?.protocol === 'http:' || url?.protocol === 'https:') && isIP(host) !== 0;
 }
 
+const maximumPort = 65_535;
+const httpUrl = z.string().refine(isHttpUrlWithIp, 'expected http://IP:port');
+
 export const cliSettingsSchema = z.strictObject({
 	/** The platform's log, where changes are published. */
 	log: z.strictObject({
-		url: z.string().refine(isHttpUrlWithIp, 'expected http://IP:port'),
+		url: httpUrl,
 		timeoutMs: z.int().min(10).max(60_000).default(5000),
 		/** As in the daemons' settings. */
 		configurationStream: z.string().regex(/^[\w.-]{1,64}$/).default(configurationStream),
 	}),
 	/** Admin addresses of the instances that `watch` and `status` ask. */
 	instances: z.array(addressSchema).default([]),
+	/** The platform's instance list, to find instances besides those: as they are replaced, addresses change. */
+	instanceList: z.strictObject({
+		url: httpUrl,
+		/** Admin port of all instances, at the IP number that the list has for callers. */
+		adminPort: z.int().min(1).max(maximumPort),
+	}).optional(),
 	/** Secret that the instances accept from operators. */
 	operatorSecret: z.string().min(1).optional(),
 	/** Longest wait for one answer of an instance. */
--- a/packages/cli/src/wire.ts
+++ b/packages/cli/src/wire.ts
@@ -28,6 +28,10 @@
 		userName: findUserName(),
 		interrupted,
 		readText: async file => file === standardInputMark ? text(process.stdin) : readFile(file, 'utf8'),
+		async readJson(url, timeoutMs) {
+			const response = await fetch(url, {signal: AbortSignal.timeout(timeoutMs)});
+			return response.json();
+		},
 		async pause(durationMs) {
 			try {
 				await sleep(durationMs, undefined, {signal: interrupted});
--- a/packages/testing/src/command-line/instances.spec.ts
+++ b/packages/testing/src/command-line/instances.spec.ts
@@ -2,6 +2,7 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
+import {InstanceListStandIn} from '../stand-ins/index.js';
 import {Deployment, operatorSecret, waitFor} from '../harness/index.js';
 import {runAsOperator, type OperatorRun, type OperatorSettings} from './operator.js';
 
@@ -68,6 +69,47 @@
 		});
 	});
 
+	describe('the platform\'s list', () => {
+		it('should name the instances to ask, and leave out those that leave', async () => {
+			const {admin} = deployment.daemons[0]!;
+			const list = await new InstanceListStandIn().start();
+			const entry = {
+				id: 'entry-1', role: 'entry', address: '127.0.0.1:9', availabilityZone: 'zone-a',
+			} as const;
+			list.set([{...entry, state: 'live'}]);
+			const instanceList = {url: list.url, adminPort: Number(admin.split(':')[1])};
+			const asked = await runAsOperator({...settings, instances: [], instanceList}, ['status', '--json']);
+			list.set([{...entry, state: 'leaving'}]);
+			const none = await runAsOperator({...settings, instances: [], instanceList}, ['status']);
+			await list.stop();
+			const withoutList = await runAsOperator({...settings, instances: [], instanceList}, ['status']);
+			const withoutNeed = await runAsOperator({...settings, instanceList}, ['status']);
+			assert.equal((JSON.parse(asked.output) as {id: string}).id, 'entry-1');
+			assert.deepEqual([none.exitCode, withoutList.exitCode, withoutNeed.exitCode], [4, 4, 0]);
+		});
+
+		it('should show an instance that comes and one that goes while watched', async () => {
+			const list = await new InstanceListStandIn().start();
+			const entry = {
+				id: 'entry-1', role: 'entry', address: '127.0.0.1:9', availabilityZone: 'zone-a', state: 'live',
+			} as const;
+			const instanceList = {url: list.url, adminPort: Number(deployment.daemons[0]!.admin.split(':')[1])};
+			const interruption = new AbortController();
+			const watched = {...settings, instances: [unusedAddress], instanceList};
+			const lines: string[] = [];
+			const watching = runAsOperator({...watched, onLine: line => lines.push(line)}, ['watch', '--interval-ms', '20', '--json'], {}, interruption.signal);
+			await waitFor('the first round', () => lines.length === 1);
+			list.set([entry]);
+			await waitFor('the instance that came', () => lines.some(line => line.includes('"instance":"entry-1"')));
+			list.set([]);
+			await waitFor('the instance that went', () => lines.some(line => line.includes('"listed":false')));
+			interruption.abort();
+			const {exitCode} = await watching;
+			await list.stop();
+			assert.equal(exitCode, 0);
+		});
+	});
+
 	describe('status', () => {
 		it('should list instances and upstreams as one instance sees them', async () => {
 			const {exitCode, output} = await operator('status');
--- a/packages/testing/src/command-line/operator.ts
+++ b/packages/testing/src/command-line/operator.ts
@@ -6,8 +6,11 @@
 	readonly logUrl: string;
 	/** Admin addresses. */
 	readonly instances?: readonly string[];
+	/** The platform's list, besides. */
+	readonly instanceList?: {readonly url: string; readonly adminPort: number};
 	readonly secret?: string;
 	readonly author?: string;
+	readonly onLine?: (line: string) => void;
 	/** Runs after an append has taken effect and before its acknowledgement is read. */
 	readonly afterAppend?: () => Promise<void>;
 };
@@ -39,15 +42,21 @@
 ): Promise<OperatorRun> {
 	const lines: string[] = [];
 	const errors: string[] = [];
-	const {logUrl, instances = [], secret, author = 'clerk', afterAppend} = settings;
+	const {logUrl, instances = [], instanceList, secret, author = 'clerk', onLine, afterAppend} = settings;
 	const json = JSON.stringify({
-		log: {url: logUrl, timeoutMs: logTimeoutMs}, instances, operatorSecret: secret, author,
+		log: {url: logUrl, timeoutMs: logTimeoutMs}, instances, instanceList, operatorSecret: secret, author,
 	});
 	const environment = wireEnvironment(interrupted);
 	const exitCode = await runCommandLine(args, {
 		...environment,
 		connectLog: log => withHook(environment.connectLog(log), afterAppend),
-		output: {line: text => lines.push(text), error: text => errors.push(text)},
+		output: {
+			line(text) {
+				lines.push(text);
+				onLine?.(text);
+			},
+			error: text => errors.push(text),
+		},
 		variables: {CAIRNBANK_CLI_SETTINGS: json},
 		readText: async file => JSON.stringify(files[file]),
 	});
