--- a/packages/testing/src/at-most-once/at-most-once.spec.ts
+++ b/packages/testing/src/at-most-once/at-most-once.spec.ts
@@ -3,6 +3,7 @@
 import {
 	after, afterEach, before, describe, it,
 } from 'node:test';
+import {addressAnswerSchema} from '@cairnbank/core/membership';
 import {headerNames} from '@cairnbank/protocol';
 import {issuedTicketSchema, ticketPath} from '@cairnbank/protocol/at-most-once';
 import {request} from 'undici';
@@ -82,6 +83,12 @@
 		assertSameAnswer([...joined, await post(second, headers, requestId)]);
 	});
 
+	it('should run a ticket that came with an address answer', async () => {
+		const {body} = await request(`http://${first.callers}/.well-known/cairnbank/addresses?ticket=true`);
+		const {ticket} = addressAnswerSchema.parse(await body.json());
+		assertSameAnswer([await post(second, {[headerNames.ticket]: ticket!})]);
+	});
+
 	it('should run a key once and tell its answer to sends at both instances', async () => {
 		const headers = {...keyed(), [serviceMsHeader]: '60'};
 		const requestId = randomUUID();
