Call path: fewer objects, listeners and hashes per call

Cause: a profile of the daemon under a closed loop showed header filtering, labelled counters, three close listeners and a second timer on each call.

--- a/packages/daemon/src/features/calls/attempt-headers.ts
+++ b/packages/daemon/src/features/calls/attempt-headers.ts
@@ -1,5 +1,4 @@
 /** Headers between an attempt and its upstream. */
-import {Buffer} from 'node:buffer';
 import {headerNames} from '@cairnbank/protocol/headers';
 import type {TraceHeaders} from '../../tracing/call-trace.js';
 import type {Call} from './call.js';
@@ -18,7 +17,10 @@
 	return headers;
 }
 
+/** A name or a value as the library hands it on. */
+export type HeaderBytes = {toString(encoding: 'latin1'): string};
+
 /** An answer's headers as text, names and values in turn. */
-export function toRawHeaders(rawHeaders: readonly Uint8Array[]): string[] {
-	return rawHeaders.map(part => Buffer.from(part.buffer, part.byteOffset, part.length).toString('latin1'));
+export function toRawHeaders(rawHeaders: readonly HeaderBytes[]): string[] {
+	return rawHeaders.map(part => part.toString('latin1'));
 }
--- a/packages/daemon/src/features/calls/attempt-loop.ts
+++ b/packages/daemon/src/features/calls/attempt-loop.ts
@@ -2,12 +2,13 @@
 import type {UpstreamId} from '@cairnbank/core';
 import type {AttemptResult, Outcome} from '@cairnbank/core/outcomes';
 import {
-	type Attempt, type AttemptEnd, type AttemptKind, finalOutcome, hedgeDelayMs, nextStep, remainingMs, type RetryPolicy,
+	type Attempt, type AttemptEnd, type AttemptKind, finalOutcome, nextStep, remainingMs, type RetryPolicy,
 } from '@cairnbank/core/retries';
 import type {ChosenUpstream} from '../upstreams/chosen-upstream.js';
 import type {AttemptParts} from './attempt-parts.js';
 import type {Call} from './call.js';
 import type {ClassHedging} from './call-budgets.js';
+import {retryPolicyOf} from './retry-policy-of.js';
 import {type CancelReason, UpstreamAttempt} from './upstream-attempt.js';
 
 /** An attempt with the means to cancel it. */
@@ -18,6 +19,7 @@
 };
 
 const noUpstreams: readonly UpstreamId[] = [];
+const excludesNone: ReadonlySet<UpstreamId> = new Set();
 
 export class AttemptLoop {
 	readonly #call: Call;
@@ -27,13 +29,14 @@
 	#policy: RetryPolicy;
 	#resolve: ((outcome: Outcome) => void) | undefined;
 	#timer: NodeJS.Timeout | undefined;
+	#armedAtMs: number | undefined;
 	#stopListening: (() => void) | undefined;
 
 	constructor(call: Call, parts: AttemptParts) {
 		this.#call = call;
 		this.#parts = parts;
 		this.#hedging = parts.budgets.hedging(call.requestClass);
-		this.#policy = this.#makePolicy();
+		this.#policy = retryPolicyOf(call, parts.budgets);
 	}
 
 	/** Runs the call to its one outcome. */
@@ -56,19 +59,6 @@
 		});
 	}
 
-	#makePolicy(): RetryPolicy {
-		const {idempotent, deadlineAtMs, service, requestClass, trial} = this.#call;
-		const policy = {
-			idempotent,
-			deadlineAtMs,
-			maximumAttempts: service.rules.retries.maximumAttempts,
-			retryBudget: this.#parts.budgets.retries(service),
-		};
-		const hedging = trial === undefined ? this.#hedging : undefined;
-		const delayMs = hedging && hedgeDelayMs(requestClass.hedging, hedging.latencies);
-		return hedging === undefined || delayMs === undefined ? policy : {...policy, hedging: {delayMs, budget: hedging.budget}};
-	}
-
 	#begin(): void {
 		const nowMs = this.#parts.clock.monotonicMs();
 		this.#policy.retryBudget.deposit(nowMs);
@@ -80,10 +70,10 @@
 		const refusal = this.#parts.guard.refusal(this.#call);
 		if (refusal !== undefined) {
 			this.#finish(refusal);
-		} else if (this.#start('first', noUpstreams)) {
-			this.#step();
-		} else {
+		} else if (!this.#start('first', noUpstreams)) {
 			this.#finish(finalOutcome(this.#attempts));
+		} else if (this.#policy.hedging !== undefined && this.#resolve !== undefined) {
+			this.#step();
 		}
 	}
 
@@ -92,7 +82,9 @@
 		const {service, serviceId, trial, requestClass} = this.#call;
 		const nowMs = this.#parts.clock.monotonicMs();
 		const left = remainingMs(this.#call.deadlineAtMs, nowMs);
-		const excluded = new Set([...excluding, ...trial?.excluding ?? noUpstreams]);
+		const excluded = trial === undefined && excluding.length === 0
+			? excludesNone
+			: new Set([...excluding, ...trial?.excluding ?? noUpstreams]);
 		const chosen = left === undefined ? undefined : this.#parts.choose(service, excluded, requestClass.priority);
 		if (left === undefined || chosen === undefined) {
 			return false;
@@ -194,6 +186,11 @@
 	}
 
 	#arm(atMs: number, nowMs: number): void {
+		if (atMs === this.#armedAtMs) {
+			return;
+		}
+
+		this.#armedAtMs = atMs;
 		clearTimeout(this.#timer);
 		this.#timer = setTimeout(() => {
 			this.#onTimer();
@@ -201,6 +198,7 @@
 	}
 
 	#onTimer(): void {
+		this.#armedAtMs = undefined;
 		if (this.#parts.clock.monotonicMs() >= this.#call.deadlineAtMs) {
 			this.#giveUp('deadline-exceeded');
 		} else {
@@ -235,22 +233,11 @@
 		this.#stopListening?.();
 		this.#cancelLosers();
 		this.#parts.metrics.ended(this.#call.serviceId, outcome);
-		this.#recordAdded(outcome);
+		this.#parts.metrics.addedBy(this.#call, this.#attempts, outcome);
 		this.#parts.guard.ended(this.#call, outcome);
 		resolve(outcome);
 	}
 
-	/** All that passed before the attempt that answered began was added by this instance. */
-	#recordAdded({type}: Outcome): void {
-		const {readAtMs, serviceId} = this.#call;
-		const winner = type === 'answered' || type === 'streamed'
-			? this.#attempts.find(({end}) => end?.result.type === type)
-			: undefined;
-		if (winner !== undefined && readAtMs !== undefined) {
-			this.#parts.metrics.added(serviceId, winner.startedAtMs - readAtMs);
-		}
-	}
-
 	/** The losers' times count as at least what they took, lest slow answers never show in the quantile. */
 	#cancelLosers(): void {
 		for (const attempt of this.#attempts) {
--- a/packages/daemon/src/features/calls/call-metrics.ts
+++ b/packages/daemon/src/features/calls/call-metrics.ts
@@ -2,10 +2,11 @@
 import type {ServiceId} from '@cairnbank/core';
 import type {Outcome} from '@cairnbank/core/outcomes';
 import type {SuspectCounts} from '@cairnbank/core/poison';
-import type {AttemptKind} from '@cairnbank/core/retries';
+import type {Attempt, AttemptKind} from '@cairnbank/core/retries';
 import {
 	Counter, Gauge, Histogram, type Registry,
 } from 'prom-client';
+import type {Call} from './call.js';
 
 const millisecondsPerSecond = 1000;
 const addedBucketsSeconds = [0.0001, 0.0002, 0.0005, 0.001, 0.0012, 0.002, 0.005, 0.01, 0.05, 0.1, 0.5, 1];
@@ -74,8 +75,14 @@
 		this.#of(service).outcomes[outcome.type] += 1;
 	}
 
-	added(service: ServiceId, addedMs: number): void {
-		this.#of(service).added.observe(addedMs / millisecondsPerSecond);
+	/** All that passed before the attempt that answered began was added by this instance. */
+	addedBy({readAtMs, serviceId}: Call, attempts: readonly Attempt[], {type}: Outcome): void {
+		const winner = type === 'answered' || type === 'streamed'
+			? attempts.find(({end}) => end?.result.type === type)
+			: undefined;
+		if (winner !== undefined && readAtMs !== undefined) {
+			this.#of(serviceId).added.observe((winner.startedAtMs - readAtMs) / millisecondsPerSecond);
+		}
 	}
 
 	hedgeCancelled(service: ServiceId): void {
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -7,7 +7,6 @@
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
 import {type Result} from 'neverthrow';
-import type {Outcome} from '@cairnbank/core/outcomes';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
 import {closeServer, listen, reachableAddress} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
@@ -19,7 +18,7 @@
 import {prepareConfiguration, type ConfigurationInForce} from './configuration-in-force.js';
 import {problemBeforeTable, type Refusal} from './problem-before-table.js';
 import {writeProblem} from './problem.js';
-import {readCall} from './read-call.js';
+import {readCall, type CallReaderOptions} from './read-call.js';
 import {ResponseSink} from './response-sink.js';
 import {writeOutcome} from './write-outcome.js';
 
@@ -53,6 +52,7 @@
 	readonly #context: DaemonContext;
 	readonly #handler: CallHandler;
 	readonly #heldAnswers: HeldAnswers;
+	readonly #readerOptions: CallReaderOptions;
 	readonly #server: Server;
 	readonly #inFlight: CallsInFlight;
 	#configuration: ConfigurationInForce | undefined;
@@ -64,6 +64,7 @@
 		this.#context = context;
 		this.#handler = handler;
 		this.#heldAnswers = heldAnswers;
+		this.#readerOptions = {clock: context.clock, tracing: context.tracing, maximumBodyBytes: context.settings.calls.maximumBodyBytes};
 		this.#inFlight = new CallsInFlight(context.settings.calls.maximumInFlight);
 		this.#server = this.#createServer(routes);
 		context.bus.on('configuration-in-force', ({configuration}) => {
@@ -141,16 +142,16 @@
 			return;
 		}
 
-		response.once('close', () => {
-			this.#inFlight.end();
-		});
 		const cancellation = new Cancellation();
+		let heldBytes = 0;
 		response.once('close', () => {
+			this.#inFlight.end();
+			this.#heldAnswers.remove(heldBytes);
 			cancellation.cancel();
 		});
 		const call = await readCall({
 			request, configuration: this.#configuration, cancellation, sink: new ResponseSink(response),
-		}, {clock: this.#context.clock, tracing: this.#context.tracing, maximumBodyBytes: this.#context.settings.calls.maximumBodyBytes});
+		}, this.#readerOptions);
 		if (call.isErr()) {
 			response.setHeader('connection', 'close');
 			writeProblem(response, problemBeforeTable(request, call.error));
@@ -158,22 +159,14 @@
 		}
 
 		const outcome = await this.#handler(call.value);
-		this.#holdUntilSent(response, outcome);
-		writeOutcome(response, outcome);
-		call.value.trace.end(outcome.type);
-	}
-
-	/** An answer that a slow caller has yet to take counts as held. */
-	#holdUntilSent(response: ServerResponse, outcome: Outcome): void {
-		if (outcome.type !== 'answered' || response.closed) {
-			return;
+		if (outcome.type === 'answered' && !response.closed) {
+			// An answer that a slow caller has yet to take counts as held.
+			heldBytes = outcome.answer.body.length;
+			this.#heldAnswers.add(heldBytes);
 		}
 
-		const {length} = outcome.answer.body;
-		this.#heldAnswers.add(length);
-		response.once('close', () => {
-			this.#heldAnswers.remove(length);
-		});
+		writeOutcome(response, outcome);
+		call.value.trace.end(outcome.type);
 	}
 }
 
--- a/packages/daemon/src/features/calls/cancellation.ts
+++ b/packages/daemon/src/features/calls/cancellation.ts
@@ -14,7 +14,10 @@
 	onCancel(listener: Listener): () => void {
 		this.#listeners.push(listener);
 		return () => {
-			this.#listeners = this.#listeners.filter(other => other !== listener);
+			const index = this.#listeners.indexOf(listener);
+			if (index !== -1) {
+				this.#listeners.splice(index, 1);
+			}
 		};
 	}
 
@@ -24,10 +27,10 @@
 		}
 
 		this.#cancelled = true;
-		for (const listener of this.#listeners) {
+		const listeners = this.#listeners;
+		this.#listeners = [];
+		for (const listener of listeners) {
 			listener();
 		}
-
-		this.#listeners = [];
 	}
 }
--- a/packages/daemon/src/features/calls/response-sink.ts
+++ b/packages/daemon/src/features/calls/response-sink.ts
@@ -15,7 +15,7 @@
 	}
 
 	begin(statusCode: number, headers: RawHeaders): void {
-		const passedOn = [...withNoRetryMark(statusCode, endToEndHeaders(headers))];
+		const passedOn = withNoRetryMark(statusCode, endToEndHeaders(headers));
 		const length = contentLengthOf(headers);
 		if (length !== undefined) {
 			passedOn.push('content-length', length);
--- /dev/null
+++ b/packages/daemon/src/features/calls/retry-policy-of.ts
@@ -0,0 +1,17 @@
+/** The retry policy of one call. */
+import {hedgeDelayMs, type RetryPolicy} from '@cairnbank/core/retries';
+import type {Call} from './call.js';
+import type {CallBudgets} from './call-budgets.js';
+
+/** A suspect on trial is not hedged: it runs at one upstream. */
+export function retryPolicyOf({idempotent, deadlineAtMs, service, requestClass, trial}: Call, budgets: CallBudgets): RetryPolicy {
+	const policy: RetryPolicy = {
+		idempotent,
+		deadlineAtMs,
+		maximumAttempts: service.rules.retries.maximumAttempts,
+		retryBudget: budgets.retries(service),
+	};
+	const hedging = trial === undefined ? budgets.hedging(requestClass) : undefined;
+	const delayMs = hedging && hedgeDelayMs(requestClass.hedging, hedging.latencies);
+	return hedging === undefined || delayMs === undefined ? policy : {...policy, hedging: {delayMs, budget: hedging.budget}};
+}
--- a/packages/daemon/src/features/calls/upstream-attempt.ts
+++ b/packages/daemon/src/features/calls/upstream-attempt.ts
@@ -11,7 +11,7 @@
 import type {Dispatcher} from 'undici';
 import type {HopSpan} from '../../tracing/call-trace.js';
 import {isDelimited, type AnswerHeaders} from './answer-framing.js';
-import {requestHeaders, toRawHeaders} from './attempt-headers.js';
+import {requestHeaders, toRawHeaders, type HeaderBytes} from './attempt-headers.js';
 import type {Call} from './call.js';
 import type {HeldAnswers} from './held-answers.js';
 import {retryAfterMs} from './retry-after.js';
@@ -132,7 +132,7 @@
 			return;
 		}
 
-		this.#headers = toRawHeaders(controller.rawHeaders as Uint8Array[]);
+		this.#headers = toRawHeaders(controller.rawHeaders as HeaderBytes[]);
 		if (statusCode === shedStatusCode && headers[headerNames.outcome] === 'not-run') {
 			this.#shed = true;
 			this.#shedRetryAfterMs = retryAfterMs(headers['retry-after']);
--- a/packages/daemon/src/features/calls/write-outcome.ts
+++ b/packages/daemon/src/features/calls/write-outcome.ts
@@ -1,4 +1,5 @@
 /** Tells a caller how its request ended. */
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {
 	NotRunReason, Outcome, UnknownReason, WholeAnswer,
@@ -13,6 +14,8 @@
 const statusCodes = {unavailable: 503, badGateway: 502, gatewayTimeout: 504} as const;
 const noContent = 204;
 const notModified = 304;
+/** Bodies up to this size are copied to save a system call with two parts. */
+const joinedBodyBytes = 16_384;
 const defaultRetryAfterMs = 1000;
 
 export function writeOutcome(response: ServerResponse, outcome: Outcome): void {
@@ -45,14 +48,19 @@
 
 function writeAnswer(response: ServerResponse, answer: WholeAnswer): void {
 	const {statusCode, body} = answer;
-	const headers = [...withNoRetryMark(statusCode, endToEndHeaders(answer.headers))];
+	const headers = withNoRetryMark(statusCode, endToEndHeaders(answer.headers));
 	const length = isBodiless(response, statusCode) ? contentLengthOf(answer.headers) : String(body.length);
 	if (length !== undefined) {
 		headers.push('content-length', length);
 	}
 
 	response.writeHead(statusCode, headers);
-	response.end(body);
+	if (body.length > 0 && body.length <= joinedBodyBytes) {
+		// As text of one byte a character it leaves in one write with the head.
+		response.end(Buffer.from(body.buffer, body.byteOffset, body.length).toString('latin1'), 'latin1');
+	} else {
+		response.end(body);
+	}
 }
 
 function isBodiless(response: ServerResponse, statusCode: number): boolean {
