A graceful stop ends although connections were left silent or half a request

Cause: a closed HTTP server no longer enforces its timeouts, and takes a connection that never sent a byte for a busy one. One such connection to the admin or caller port kept a stopping daemon from its end for good. Ruled out: keep-alive connections, which were closed. Change: silent connections are closed at once; a request that has begun to arrive may end within calls.readTimeoutMs and is told not run.

--- a/packages/daemon/src/features/admin/admin-task.ts
+++ b/packages/daemon/src/features/admin/admin-task.ts
@@ -12,6 +12,9 @@
 import {OperatorsService} from './operators-service.js';
 import type {StatusSources} from './status-sources.js';
 
+/** Time for answers under way at the end of a stop. */
+const closingGraceMs = 1000;
+
 export class AdminTask implements Task {
 	readonly name = 'admin';
 	readonly #context: DaemonContext;
@@ -38,6 +41,6 @@
 	}
 
 	async stop(): Promise<void> {
-		await closeServer(this.#server);
+		await closeServer(this.#server, closingGraceMs);
 	}
 }
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -100,7 +100,7 @@
 	}
 
 	async stop(): Promise<void> {
-		await closeServer(this.#server);
+		await closeServer(this.#server, this.#context.settings.calls.readTimeoutMs);
 	}
 
 	#createServer(routes: readonly CallerRoutes[]): Server {
--- a/packages/daemon/src/features/peers/peers-task.ts
+++ b/packages/daemon/src/features/peers/peers-task.ts
@@ -70,12 +70,8 @@
 
 	/** Connections of other daemons stay open between calls; none of them keeps this one from its end. */
 	async stop(): Promise<void> {
-		const timer = setTimeout(() => {
-			this.#server.closeAllConnections();
-		}, closingTimeoutMs);
 		await this.#clients.close();
-		await closeServer(this.#server);
-		clearTimeout(timer);
+		await closeServer(this.#server, closingTimeoutMs);
 	}
 
 	#handle(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/daemon/src/kernel/listen.ts
+++ b/packages/daemon/src/kernel/listen.ts
@@ -1,13 +1,16 @@
 /** Opening and closing of HTTP listeners. */
 import type {Server} from 'node:http';
-import {isIPv6, type AddressInfo} from 'node:net';
+import {isIPv6, type AddressInfo, type Socket} from 'node:net';
 import {addressSchema, type Address} from '@cairnbank/core';
 import {err, ok, type Result} from 'neverthrow';
 import type {ListenAddress} from '../settings/listen-address.js';
 import type {StartError} from './start-error.js';
 
+const openSockets = new WeakMap<Server, Set<Socket>>();
+
 /** Starts listening; the port is the one really taken where 0 was asked for. */
 export async function listen(server: Server, name: string, address: ListenAddress): Promise<Result<AddressInfo, StartError>> {
+	trackSockets(server);
 	return new Promise(resolve => {
 		server.once('error', error => {
 			resolve(err({type: 'cannot-listen', listener: name, message: error.message}));
@@ -23,16 +26,45 @@
 	return advertisedAddress ?? addressSchema.parse(`${isIPv6(host) ? `[${host}]` : host}:${port}`);
 }
 
-/** Stops accepting and closes idle connections; resolves once the last connection has ended. */
-export async function closeServer(server: Server): Promise<void> {
+/**
+ * Stops accepting; resolves once the last connection has ended.
+ *
+ * Connections without a request under way are closed at once. One whose request has begun to arrive may end it within
+ * `graceMs`, and is closed after that: a closed server no longer enforces its own timeouts.
+ */
+export async function closeServer(server: Server, graceMs: number): Promise<void> {
 	if (!server.listening) {
 		return;
 	}
 
-	await new Promise<void>(resolve => {
+	const closed = new Promise<void>(resolve => {
 		server.close(() => {
 			resolve();
 		});
-		server.closeIdleConnections();
+	});
+	server.closeIdleConnections();
+	closeSilentConnections(server);
+	const timer = setTimeout(() => {
+		server.closeAllConnections();
+	}, graceMs);
+	await closed;
+	clearTimeout(timer);
+}
+
+/** The server takes a connection that never sent a byte for a busy one. */
+function closeSilentConnections(server: Server): void {
+	for (const socket of openSockets.get(server) ?? []) {
+		if (socket.bytesRead === 0) {
+			socket.destroy();
+		}
+	}
+}
+
+function trackSockets(server: Server): void {
+	const sockets = new Set<Socket>();
+	openSockets.set(server, sockets);
+	server.on('connection', socket => {
+		sockets.add(socket);
+		socket.once('close', () => sockets.delete(socket));
 	});
 }
--- a/packages/testing/src/command-line/daemon-process.spec.ts
+++ b/packages/testing/src/command-line/daemon-process.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
-import {createServer, type AddressInfo} from 'node:net';
 import {once} from 'node:events';
+import {connect, createServer, type AddressInfo} from 'node:net';
+import {text} from 'node:stream/consumers';
 import {
 	after, before, describe, it,
 } from 'node:test';
@@ -12,6 +13,19 @@
 
 const script = fileURLToPath(import.meta.resolve('@cairnbank/daemon').replace(/index\.js$/u, 'main.js'));
 
+async function refuses(port: number): Promise<boolean> {
+	return new Promise(resolve => {
+		const socket = connect(port, '127.0.0.1');
+		socket.once('connect', () => {
+			socket.destroy();
+			resolve(false);
+		});
+		socket.once('error', () => {
+			resolve(true);
+		});
+	});
+}
+
 describe('cairnbankd as a process', () => {
 	const log = new LogStandIn();
 	const list = new InstanceListStandIn();
@@ -92,6 +106,36 @@
 		assert.deepEqual(events.filter(event => event === 'leaving' || event === 'stopped'), ['leaving', 'stopped']);
 	});
 
+	it('should end although connections were left silent or in the middle of a request', async () => {
+		const daemon = start({args: ['--settings', '-'], standardInput: settings({calls: {readTimeoutMs: 100}})});
+		await listening(daemon);
+		const ports = daemon.lines.filter(({event}) => event === 'listening').map(({port}) => Number(port));
+		const sockets = ports.flatMap(port => [connect(port, '127.0.0.1'), connect(port, '127.0.0.1')]);
+		await Promise.all(sockets.map(async socket => once(socket, 'connect')));
+		for (const [index, socket] of sockets.entries()) {
+			socket.on('error', () => undefined);
+			socket.write(index % 2 === 0 ? '' : 'GET /records HTTP/1.1\r\nHost: entry\r\n');
+		}
+
+		daemon.kill('SIGTERM');
+		assert.deepEqual(await daemon.exited, {code: 0, signal: undefined});
+	});
+
+	it('should answer a request that had begun to arrive when the port closed', async () => {
+		const daemon = start({args: ['--settings', '-'], standardInput: settings()});
+		await listening(daemon);
+		const {port} = daemon.lines.find(({listener}) => listener === 'callers') as {port: number};
+		const socket = connect(port, '127.0.0.1');
+		await once(socket, 'connect');
+		socket.write('GET /records/x HTTP/1.1\r\nHost: entry\r\n');
+		daemon.kill('SIGTERM');
+		await waitFor('the port is closed', async () => refuses(port));
+		socket.end('\r\n');
+		const answer = await text(socket);
+		assert.match(answer, /^HTTP\/1\.1 503 .*cairnbank-outcome: not-run.*"outcome":"not-run"}$/s);
+		assert.deepEqual(await daemon.exited, {code: 0, signal: undefined});
+	});
+
 	it('should write no secret to its log', async () => {
 		const daemon = start({args: ['--settings', '-'], standardInput: settings({logging: {level: 'debug'}})});
 		await listening(daemon);
