Patient reads of a slow log run beside the short ones; smaller pages

Cause: after the log had hung for 12 s a change took 3.9 s in the median and 4.7 s at most until it was in force on 3 to 40 daemons (goal: 4 s), as one read in four was patient and held the others up. A page of 500 inventories may have 58 MB, more than a read has time for on a slow network. Change: from the third failure on one patient read runs beside the short ones; whichever answers first ends it. Retries wait 0.5 s at most. Pages have 50 records.

--- a/packages/daemon/src/features/configuration/log-follower.ts
+++ b/packages/daemon/src/features/configuration/log-follower.ts
@@ -5,13 +5,15 @@
 import type {LogSettings} from '../../settings/log-settings.js';
 import {pause} from '../../kernel/pause.js';
 
-const recordsPerRead = 500;
+/** An inventory may have more than 100 kB. */
+const recordsPerRead = 50;
 const firstRetryDelayMs = 50;
 /** Low, as a change may be accepted as soon as the log is back. */
-const maximumRetryDelayMs = 1000;
-/** One in so many failed reads is patient, so that a slow log is read at last and a hung one is soon tried again. */
-const patientEvery = 4;
-const patientWaitMs = 4000;
+const maximumRetryDelayMs = 500;
+/** Failures in a row from which on a patient read runs beside the others, so that a slow log is read as well. */
+const failuresBeforePatience = 3;
+/** How much longer than the log's timeout it is waited for. */
+const patientWaitMs = 10_000;
 
 export type LogFollowerOptions = {
 	readonly log: LogClient;
@@ -27,6 +29,7 @@
 export class LogFollower {
 	readonly #options: LogFollowerOptions;
 	#failures = 0;
+	#patient: AbortController | undefined;
 
 	constructor(options: LogFollowerOptions) {
 		this.#options = options;
@@ -35,36 +38,58 @@
 	/** Resolves once `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			const page = await this.#read(signal);
+			const page = await this.#read(this.#waitMs(), signal);
 			if (signal.aborted) {
-				return;
+				break;
 			}
 
 			if (page.isOk()) {
-				this.#failures = 0;
-				this.#options.onPage(page.value);
+				this.#take(page.value);
 				continue;
 			}
 
 			this.#failures += 1;
 			this.#options.onError(page.error);
+			if (this.#failures >= failuresBeforePatience && this.#patient === undefined) {
+				void this.#readPatiently();
+			}
+
 			await pause(this.#retryDelayMs(), signal);
 		}
+
+		this.#patient?.abort();
+	}
+
+	/** One long read. It fails alone: a log that hangs would hold it for long, and is tried again by the others meanwhile. */
+	async #readPatiently(): Promise<void> {
+		const patient = new AbortController();
+		this.#patient = patient;
+		const page = await this.#read(patientWaitMs, patient.signal);
+		if (this.#patient === patient) {
+			this.#patient = undefined;
+		}
+
+		if (page.isOk() && !patient.signal.aborted) {
+			this.#take(page.value);
+		}
+	}
+
+	#take(page: LogPage): void {
+		this.#failures = 0;
+		this.#patient?.abort();
+		this.#patient = undefined;
+		this.#options.onPage(page);
 	}
 
-	async #read(signal: AbortSignal) {
+	async #read(waitMs: number, signal: AbortSignal) {
 		const {log, nextOffset} = this.#options;
 		return log.read(configurationStream, {
-			fromOffset: nextOffset(), limit: recordsPerRead, waitMs: this.#waitMs(), signal,
+			fromOffset: nextOffset(), limit: recordsPerRead, waitMs, signal,
 		});
 	}
 
 	/** The log holds an empty answer back for this long, and the client gives up only after it. */
 	#waitMs(): number {
-		if (this.#failures > 0 && this.#failures % patientEvery === 0) {
-			return patientWaitMs;
-		}
-
 		return this.#failures > 0 || this.#options.isBehind() ? 0 : this.#options.settings.pollWaitMs;
 	}
 
--- a/packages/protocol/src/publishing/read-configuration.ts
+++ b/packages/protocol/src/publishing/read-configuration.ts
@@ -6,7 +6,8 @@
 import {type LogClient} from '../log/log-client.js';
 import {type LogError} from '../log/log-error.js';
 
-const pageLimit = 500;
+/** An inventory may have more than 100 kB. */
+const pageLimit = 50;
 /** Pages after which a reader that still sees no end gives up. */
 const maximumPages = 1000;
 
