--- a/packages/testing/src/memory-cost/main.ts
+++ b/packages/testing/src/call-cost/memory-main.ts
@@ -1,4 +1,4 @@
-/** `node main.js`: resident memory of a daemon by calls in flight and by idle connections, medians of 5 daemons. */
+/** `node memory-main.js`: resident memory of a daemon by calls in flight and by idle connections, medians of 5 daemons. */
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import Table from 'cli-table3';
