--- a/packages/core/src/membership/gossip-state.ts
+++ b/packages/core/src/membership/gossip-state.ts
@@ -31,6 +31,8 @@
 export type GossipNews = {
 	readonly members: readonly MemberEntry[];
 	readonly suspicions: readonly Suspicion[];
+	/** Members that a peer suspects although later heartbeats are known here: worth asking at once. */
+	readonly disputed: readonly MemberEntry[];
 	readonly drainMarks: readonly DrainMark[];
 	readonly poisonSuspects: readonly Suspect[];
 };
@@ -43,6 +45,8 @@
 	readonly #memberTurns = new Rotation<IncarnationId>();
 	readonly #heartbeatTurns = new Rotation<IncarnationId>();
 	readonly #markTurns = new Rotation<UpstreamId>();
+	/** Heartbeat of the latest suspicion that was disputed, so that each is checked once. */
+	readonly #disputed = new Map<IncarnationId, number>();
 	readonly #suspicions = new Map<IncarnationId, {suspicion: Suspicion; left: number}>();
 
 	constructor({table, drainMarks, timing}: GossipStateOptions) {
@@ -58,6 +62,7 @@
 			this.#table.mergeHeartbeat(incarnation as IncarnationId, heartbeat);
 		}
 
+		const disputed = digest.suspicions.filter(suspicion => this.#isDisputed(suspicion)).map(({incarnation}) => this.#table.entryOf(incarnation)!);
 		const suspicions = digest.suspicions.filter(suspicion => this.#mergeSuspicion(suspicion));
 
 		for (const entry of members) {
@@ -68,7 +73,7 @@
 		const drainMarks = this.#drainMarks.merge(digest.drainMarks);
 		this.announceDrainMarks(drainMarks);
 		return {
-			members, suspicions, drainMarks, poisonSuspects: digest.poisonSuspects,
+			members, suspicions, disputed, drainMarks, poisonSuspects: digest.poisonSuspects,
 		};
 	}
 
@@ -96,6 +101,12 @@
 		const isKnown = (incarnation: IncarnationId) => this.#table.entryOf(incarnation) !== undefined;
 		this.#memberTurns.retain(isKnown);
 		this.#heartbeatTurns.retain(isKnown);
+		for (const incarnation of this.#disputed.keys()) {
+			if (!isKnown(incarnation)) {
+				this.#disputed.delete(incarnation);
+			}
+		}
+
 		this.#markTurns.retain(upstream => this.#drainMarks.markOf(upstream) !== undefined);
 		return removed;
 	}
@@ -157,6 +168,16 @@
 		};
 	}
 
+	#isDisputed({incarnation, heartbeat}: Suspicion): boolean {
+		const known = this.#table.entryOf(incarnation);
+		if (!known || incarnation === this.#table.self.incarnation || known.heartbeat <= heartbeat || (this.#disputed.get(incarnation) ?? -1) >= heartbeat) {
+			return false;
+		}
+
+		this.#disputed.set(incarnation, heartbeat);
+		return true;
+	}
+
 	#mergeSuspicion(suspicion: Suspicion): boolean {
 		if (suspicion.incarnation === this.#table.self.incarnation) {
 			this.#table.refute(suspicion.heartbeat);
--- a/packages/daemon/src/features/membership/gossip-loop.ts
+++ b/packages/daemon/src/features/membership/gossip-loop.ts
@@ -10,6 +10,7 @@
 import {incarnationAt, type MembershipState} from './membership-state.js';
 
 const jitter = 0.1;
+const checkDelayMs = 20;
 /** Upper bound of peers told at once of suspects, however many there are. */
 const maximumToldAtOnce = 64;
 
@@ -42,6 +43,9 @@
 		this.#chooser = new PeerChooser(options.random);
 		this.#urgentChooser = new PeerChooser(options.random);
 		this.#candidateChooser = new PeerChooser(options.random);
+		options.clients.onDisconnect(peer => {
+			this.checkSoon(peer);
+		});
 	}
 
 	/** Runs one round and goes on by itself. */
@@ -87,6 +91,22 @@
 		await Promise.all(peers.map(async peer => this.#exchange(peer, digest)));
 	}
 
+	/**
+	 * A process that ends takes its connections with it: asks at once whether it is still there.
+	 * Later than the call that ended with the connection, if one did, whose failure says it already.
+	 */
+	checkSoon(peer: Address): void {
+		if (this.#stopped) {
+			return;
+		}
+
+		setTimeout(() => {
+			if (!this.#stopped && this.#reachableAddresses().includes(peer)) {
+				void this.#exchange(peer, this.#urgentDigest());
+			}
+		}, checkDelayMs).unref();
+	}
+
 	async #runRound(): Promise<void> {
 		const {settings, state, beforeRound} = this.#options;
 		beforeRound();
--- a/packages/daemon/src/features/membership/membership-task.ts
+++ b/packages/daemon/src/features/membership/membership-task.ts
@@ -21,6 +21,7 @@
 import {InstanceListPoller} from './instance-list-poller.js';
 import {createMembershipState, type MembershipState, type OwnAddresses} from './membership-state.js';
 import {MembershipMetrics} from './membership-metrics.js';
+import {toMemberStatus} from './to-member-status.js';
 import {UpstreamMarks} from './upstream-marks.js';
 import {SuspectTurns} from './suspect-turns.js';
 
@@ -223,7 +224,11 @@
 		this.#drains?.takeList(instances, requestedAtMs);
 	}
 
-	#takeNews({members, suspicions, drainMarks, poisonSuspects}: GossipNews): void {
+	#takeNews({members, suspicions, disputed, drainMarks, poisonSuspects}: GossipNews): void {
+		for (const {peerAddress} of disputed) {
+			this.#loop?.checkSoon(peerAddress);
+		}
+
 		this.#drains?.tellTasks(drainMarks, () => 'peer');
 		const suspects = this.#suspects.renew(poisonSuspects);
 		if (suspects.length > 0) {
@@ -244,10 +249,3 @@
 		};
 	}
 }
-
-function toMemberStatus(entry: MemberEntry, isSuspected: boolean): MemberStatus {
-	const {instance, incarnation, availabilityZone, state, configurationOffset} = entry;
-	return {
-		id: instance, incarnation, availabilityZone, state: isSuspected && state !== 'leaving' ? 'suspected' : state, acceptedOffset: configurationOffset,
-	};
-}
--- /dev/null
+++ b/packages/daemon/src/features/membership/to-member-status.ts
@@ -0,0 +1,10 @@
+/** A member as operators are told of it. */
+import type {MemberEntry} from '@cairnbank/core/membership';
+import type {MemberStatus} from '@cairnbank/protocol/operators';
+
+export function toMemberStatus(entry: MemberEntry, isSuspected: boolean): MemberStatus {
+	const {instance, incarnation, availabilityZone, state, configurationOffset} = entry;
+	return {
+		id: instance, incarnation, availabilityZone, state: isSuspected && state !== 'leaving' ? 'suspected' : state, acceptedOffset: configurationOffset,
+	};
+}
--- a/packages/daemon/src/features/peers/peer-clients.ts
+++ b/packages/daemon/src/features/peers/peer-clients.ts
@@ -23,6 +23,8 @@
 
 const connectTimeoutMs = 1000;
 const connectionsPerPeer = 16;
+/** Long, as a connection that breaks is the first sign of a peer's end. */
+const keepAliveTimeoutMs = 590_000;
 const maximumClients = 256;
 
 /** Clients by peer address, made on first use. */
@@ -33,7 +35,7 @@
 	readonly #clients = new Map<Address, PeerClient>();
 
 	constructor({secrets, bytes}: PeerClientsOptions) {
-		this.#agent = createControlAgent(bytes, 'peers', {connectTimeoutMs, connections: connectionsPerPeer});
+		this.#agent = createControlAgent(bytes, 'peers', {connectTimeoutMs, connections: connectionsPerPeer, keepAliveTimeoutMs});
 		this.#fetch = createPeerFetch(this.#agent);
 		this.#authorization = toAuthorization(secrets[0]!);
 	}
@@ -48,6 +50,13 @@
 		return ResultAsync.fromPromise(call(this.#clientOf(address), AbortSignal.timeout(timeoutMs)), toPeerError);
 	}
 
+	/** Calls back with the peer whose connection has ended, for whatever reason. */
+	onDisconnect(listener: (peer: Address) => void): void {
+		this.#agent.on('disconnect', origin => {
+			listener(origin.host as Address);
+		});
+	}
+
 	async close(): Promise<void> {
 		await this.#agent.destroy();
 	}
--- a/packages/daemon/src/features/peers/peers-task.ts
+++ b/packages/daemon/src/features/peers/peers-task.ts
@@ -17,7 +17,7 @@
 const unauthorized = 401;
 /** Room for a forwarded call in base64 and its headers. */
 const bodyBytesPerCallByte = 1.5;
-const keepAliveTimeoutMs = 60_000;
+const keepAliveTimeoutMs = 600_000;
 const headersTimeoutMs = 5000;
 const closingTimeoutMs = 1000;
 
--- a/packages/daemon/src/metrics/control-agent.ts
+++ b/packages/daemon/src/metrics/control-agent.ts
@@ -6,6 +6,8 @@
 	readonly connectTimeoutMs: number;
 	/** Connections to one address at a time. */
 	readonly connections: number;
+	/** How long an idle connection stays open; undici's own default where absent. */
+	readonly keepAliveTimeoutMs?: number;
 };
 
 /** An agent whose sockets count as `channel`. */
@@ -14,6 +16,7 @@
 	return new Agent({
 		connections: options.connections,
 		pipelining: 1,
+		...(options.keepAliveTimeoutMs !== undefined && {keepAliveTimeout: options.keepAliveTimeoutMs}),
 		connect(target, callback) {
 			connect(target, (error, socket) => {
 				if (error) {
