What cannot be read is never answered in place of a running request

Cause: the refusal of unreadable bytes is written to the bare connection. Where a request before them on the same connection was running, its caller read the refusal as its answer: told not run (400 or 431), with one run counted by the upstream. Found by sending a payment and garbage over one connection. Ruled out: Node.js queueing the refusal behind the answer; it does not. Change: unanswered requests are known by connection; where one may be running, the connection is broken off, which its caller takes for unknown. CONNECT, an unknown expectation and unknown routes of the system's own say not run too, as an answer without an outcome counts as the upstream's.

--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -5,6 +5,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import type {Address} from '@cairnbank/core';
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono} from 'hono';
 import {type Result} from 'neverthrow';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
@@ -19,7 +20,9 @@
 import {problemBeforeTable, type Refusal} from './problem-before-table.js';
 import {writeProblem} from './problem.js';
 import {readCall, type CallReaderOptions} from './read-call.js';
+import {refuseUnreadable} from './refuse-unreadable.js';
 import {ResponseSink} from './response-sink.js';
+import {UnansweredRequests} from './unanswered-requests.js';
 import {writeOutcome} from './write-outcome.js';
 
 /** What the routes of the caller port are given. */
@@ -36,13 +39,19 @@
 
 /** The system's own routes on the caller port; a service cannot have this name. */
 const ownRoutesPrefix = '/.well-known/';
-const badRequest = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\nCairnbank-Outcome: not-run\r\n\r\n';
-const headersTooLarge = 'HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\nCairnbank-Outcome: not-run\r\n\r\n';
 
 const stoppingProblem: Refusal = {
 	statusCode: 503, reason: 'stopping', detail: 'not run: this instance is stopping, ask for addresses again', retryAfterMs: 1000,
 };
 
+const unmetExpectation: Refusal = {
+	statusCode: 417, reason: 'malformed-request', detail: 'no expectation is met but 100-continue',
+};
+
+const unknownRoute: Refusal = {
+	statusCode: 404, reason: 'unknown-service', detail: 'the system has no such route of its own',
+};
+
 const busyProblem: Refusal = {
 	statusCode: 503, reason: 'instance-busy', detail: 'not run: this instance has too many calls under way', retryAfterMs: 1000,
 };
@@ -55,6 +64,7 @@
 	readonly #readerOptions: CallReaderOptions;
 	readonly #server: Server;
 	readonly #inFlight: CallsInFlight;
+	readonly #unanswered = new UnansweredRequests();
 	#configuration: ConfigurationInForce | undefined;
 	#leaving = false;
 	#refusing = false;
@@ -109,6 +119,11 @@
 			addRoutes(app);
 		}
 
+		app.notFound(context => {
+			const {incoming, outgoing} = context.env;
+			writeProblem(outgoing, problemBeforeTable(incoming, unknownRoute));
+			return RESPONSE_ALREADY_SENT;
+		});
 		const serveOwnRoute = getRequestListener(app.fetch);
 		const {
 			maximumHeaderBytes, maximumConnections, keepAliveTimeoutMs, readTimeoutMs,
@@ -127,7 +142,15 @@
 			void (request.url!.startsWith(ownRoutesPrefix) ? serveOwnRoute(request, response) : this.#serve(request, response));
 		});
 		server.maxConnections = maximumConnections;
-		server.on('clientError', refuseMalformed);
+		server.on('checkExpectation', (request, response) => {
+			writeProblem(response, problemBeforeTable(request, unmetExpectation));
+		});
+		server.on('connect', (_request, socket: Socket) => {
+			refuseUnreadable(socket, this.#unanswered.mayRun(socket));
+		});
+		server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+			refuseUnreadable(socket, this.#unanswered.mayRun(socket), error.code);
+		});
 		return server;
 	}
 
@@ -142,10 +165,12 @@
 			return;
 		}
 
+		this.#unanswered.begin(request);
 		const cancellation = new Cancellation();
 		let heldBytes = 0;
 		response.once('close', () => {
 			this.#inFlight.end();
+			this.#unanswered.end(request);
 			this.#heldAnswers.remove(heldBytes);
 			cancellation.cancel();
 		});
@@ -169,12 +194,3 @@
 		call.value.trace.end(outcome.type);
 	}
 }
-
-function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-	if (!socket.writable) {
-		socket.destroy();
-		return;
-	}
-
-	socket.end(error.code === 'HPE_HEADER_OVERFLOW' ? headersTooLarge : badRequest);
-}
--- /dev/null
+++ b/packages/daemon/src/features/calls/refuse-unreadable.ts
@@ -0,0 +1,25 @@
+/** Refusals of what cannot be read as a request, written to the bare connection. */
+import type {Socket} from 'node:net';
+import {headerNames} from '@cairnbank/protocol/headers';
+
+const headerOverflow = 'HPE_HEADER_OVERFLOW';
+
+function refusal(status: string): string {
+	return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n${headerNames.outcome}: not-run\r\n\r\n`;
+}
+
+const badRequest = refusal('400 Bad Request');
+const headersTooLarge = refusal('431 Request Header Fields Too Large');
+
+/**
+ * @param mayRun Whether an earlier request of the connection may be running. The refusal would be read as its answer,
+ * so the connection is broken off without one.
+ */
+export function refuseUnreadable(socket: Socket, mayRun: boolean, errorCode?: string): void {
+	if (mayRun || !socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	socket.end(errorCode === headerOverflow ? headersTooLarge : badRequest);
+}
