--- /dev/null
+++ b/packages/daemon/src/features/upstreams/admission-stage.spec.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import {
+	ManualClock, requestClassSchema, serviceIdSchema, serviceRulesSchema, tenantIdSchema,
+} from '@cairnbank/core';
+import type {Outcome} from '@cairnbank/core/outcomes';
+import {Registry} from 'prom-client';
+import type {Call} from '../calls/call.js';
+import {Cancellation} from '../calls/cancellation.js';
+import {AdmissionStage} from './admission-stage.js';
+import {UpstreamMetrics} from './upstream-metrics.js';
+
+const service = serviceIdSchema.parse('ledger');
+const ran: Outcome = {type: 'streamed', statusCode: 200};
+
+describe('admission stage', () => {
+	const stages: AdmissionStage[] = [];
+
+	afterEach(() => {
+		for (const stage of stages.splice(0)) {
+			stage.stop();
+		}
+	});
+
+	function setUp(queueLength: number) {
+		const clock = new ManualClock();
+		const state = {room: 0, started: [] as number[]};
+		const stage = new AdmissionStage({
+			clock,
+			metrics: new UpstreamMetrics(new Registry(), () => []),
+			isAtLimit: () => state.room === 0,
+		});
+		stages.push(stage);
+		const handler = stage.wrap(async call => {
+			state.room--;
+			state.started.push(call.requestClass.priority);
+			return ran;
+		});
+		const rules = serviceRulesSchema.parse({service, limits: {queueLength}});
+		const callOf = (priority: number): Call => ({
+			serviceId: service,
+			service: {id: service, upstreams: [], rules},
+			tenant: tenantIdSchema.parse(`tenant-${priority}`),
+			requestClass: requestClassSchema.parse({id: `class-${priority}`, match: {}, priority}),
+			deadlineAtMs: 10_000,
+			cancellation: new Cancellation(),
+		} as unknown as Call);
+		return {
+			state, stage, handler, callOf,
+		};
+	}
+
+	it('should pass a call straight on while there is room', async () => {
+		const {state, handler, callOf} = setUp(10);
+		state.room = 1;
+		assert.deepEqual(await handler(callOf(5)), ran);
+	});
+
+	it('should hold calls at the limit and start the important ones first, as many as there is room for', async () => {
+		const {state, stage, handler, callOf} = setUp(10);
+		const calls = [5, 0, 3].map(async priority => handler(callOf(priority)));
+		assert.deepEqual(state.started, []);
+		state.room = 2;
+		stage.onFreed(service);
+		assert.deepEqual(state.started, [0, 3]);
+		state.room = 1;
+		stage.onFreed(service);
+		assert.deepEqual(await Promise.all(calls), [ran, ran, ran]);
+	});
+
+	it('should not let a newcomer overtake calls that wait', () => {
+		const {state, handler, callOf} = setUp(10);
+		void handler(callOf(3));
+		state.room = 1;
+		void handler(callOf(5));
+		assert.deepEqual(state.started, [3]);
+	});
+
+	it('should refuse the least important at once as not run, with a time to come back', async () => {
+		const {handler, callOf} = setUp(1);
+		const low = handler(callOf(9));
+		void handler(callOf(0));
+		const outcome = await low;
+		assert.equal(outcome.type === 'not-run' && outcome.reason, 'queue-full');
+		assert.ok(outcome.type === 'not-run' && outcome.retryAfterMs! > 0);
+	});
+
+	it('should drop a waiting call whose caller has gone', async () => {
+		const {state, stage, handler, callOf} = setUp(10);
+		const call = callOf(5);
+		const outcome = handler(call);
+		call.cancellation.cancel();
+		assert.deepEqual(await outcome, {type: 'not-run', reason: 'caller-gone'});
+		state.room = 1;
+		stage.onFreed(service);
+		assert.deepEqual(state.started, []);
+	});
+});
