Slowness learned from given-up attempts too, and sooner; ties broken evenly; the first class passes four times the limit

Cause: an attempt given up as its hedge won taught nothing, so a straggler was met again; one sample hardly counted; others tried it again after 3 s. Least in flight broke ties in favour of the last. Under overload an instance with many first-class calls held them back at its share. Change: the time out counts as a latency where it is above the average; sample weight 0.5, tolerance 0.4, lateness from 2 average latencies, retrial half-life 10 s; ties by reservoir; the first class may pass the limit four times over.

--- a/packages/core/src/limits/service-concurrency.ts
+++ b/packages/core/src/limits/service-concurrency.ts
@@ -7,8 +7,8 @@
 
 /** Requests of this priority come first. */
 export const firstClassPriority = 0;
-/** First-class requests may pass the limit by this factor; they are refused last. */
-const firstClassFactor = 2;
+/** First-class requests may pass the limit by this factor: an instance with many of them takes room from others. */
+const firstClassFactor = 4;
 /** Reported requests per slot from which on a report is a mark. */
 const congestedPerSlot = 2;
 const minimumLimit = 1;
--- a/packages/core/src/routing/choosers/home-least-latency-chooser.ts
+++ b/packages/core/src/routing/choosers/home-least-latency-chooser.ts
@@ -19,9 +19,9 @@
 };
 
 /** A request out for longer than this many average latencies tells of a straggler. */
-const usualLatencies = 3;
+const usualLatencies = 2;
 /** Calls of the first class try a former straggler again much later than others. */
-const retrialHalfLifeMs = 3000;
+const retrialHalfLifeMs = 10_000;
 const firstClassRetrialHalfLifeMs = 30_000;
 /** Upstreams compared for one request. */
 const comparedUpstreams = 32;
--- a/packages/core/src/routing/choosers/pick.ts
+++ b/packages/core/src/routing/choosers/pick.ts
@@ -37,6 +37,7 @@
 	let index = random.below(entries.length);
 	let best = entryAt(entries, index);
 	let bestCost = cost(best);
+	let ties = 1;
 	for (let seen = 1; seen < count; seen++) {
 		index = index + 1 === entries.length ? 0 : index + 1;
 		const entry = entryAt(entries, index);
@@ -44,6 +45,10 @@
 		if (entryCost < bestCost) {
 			best = entry;
 			bestCost = entryCost;
+			ties = 1;
+		} else if (entryCost === bestCost) {
+			ties++;
+			best = random.below(ties) === 0 ? entry : best;
 		}
 	}
 
--- a/packages/core/src/routing/slowness.ts
+++ b/packages/core/src/routing/slowness.ts
@@ -3,9 +3,9 @@
  * answer among quick ones weighs little and several in a row weigh much.
  */
 
-const sampleWeight = 0.3;
+const sampleWeight = 0.5;
 /** Mean logarithm up to which an upstream counts as usual: swings of load stay below, stragglers do not. */
-const tolerance = 0.6;
+const tolerance = 0.4;
 const shortestLatencyMs = 0.1;
 
 export class Slowness {
--- a/packages/core/src/routing/upstream-selector.ts
+++ b/packages/core/src/routing/upstream-selector.ts
@@ -197,11 +197,20 @@
 			}
 
 			case 'neutral': {
+				this.#onGivenUp(state, latencyMs, nowMs);
 				break;
 			}
 		}
 	}
 
+	/** An attempt that was given up, as its hedge won or its caller left, would have taken at least as long as it was out. */
+	#onGivenUp(state: UpstreamState, elapsedMs: number, nowMs: number): void {
+		const averageMs = this.#averages.latencyMs;
+		if (elapsedMs > averageMs) {
+			state.onLatency(elapsedMs, averageMs, nowMs);
+		}
+	}
+
 	/** A refusal that comes fast must not make the upstream look fast. */
 	#penalize(state: UpstreamState, latencyMs: number, nowMs: number): void {
 		const averageMs = this.#averages.latencyMs;
