--- a/packages/testing/src/configuration/configuration.spec.ts
+++ b/packages/testing/src/configuration/configuration.spec.ts
@@ -112,6 +112,18 @@
 		assert.equal(deployment.log.stream(stream).endOffset, 2);
 	});
 
+	it('should put all changes of a page in force at once', async () => {
+		await start({daemons: 0});
+		await deployment.publishInventory();
+		await deployment.publish(rules(1));
+		const offset = await deployment.publish({kind: 'drain', upstream: 'ledger-1', draining: true});
+		const daemon = await deployment.startDaemon('entry-late', 'zone-a');
+		await daemon.configurationInForce(offset);
+		assert.deepEqual(offsetsInForce(daemon), [offset]);
+		const told = await call(daemon);
+		assert.match(told.type === 'answered' ? told.body : '', /ledger-2/);
+	});
+
 	it('should have the same winner everywhere when two operators publish at one moment', async () => {
 		await start();
 		await deployment.publishInventory();
