An upstream's answer never carries the system's outcome mark

Cause: headers of an upstream's answer went through as they came. A service that passes on the headers of the one it called made its own answer look like the system's word: told not run, though it ran. Change: the mark is dropped from answers of upstreams; on a 503 it goes on meaning an explicit shed.

--- a/packages/daemon/src/features/calls/end-to-end-headers.ts
+++ b/packages/daemon/src/features/calls/end-to-end-headers.ts
@@ -14,6 +14,7 @@
 	'expect',
 	'host',
 	'content-length',
+	headerNames.outcome,
 	headerNames.deadlineMs,
 	headerNames.ticket,
 	headerNames.previousAttempts,
