A report of no load cannot hide a slow upstream

Cause: the cost of an upstream was its load times its slowness, so a report of nothing in flight made a straggler free of cost. Change: the request to be sent counts in the load. The specs of misleading reports now report no load at all; they failed before.

--- a/packages/core/src/routing/choosers/home-least-latency-chooser.ts
+++ b/packages/core/src/routing/choosers/home-least-latency-chooser.ts
@@ -36,12 +36,18 @@
 	return Math.max(1, 1 + ((nowMs - oldestSentAtMs) / averageLatencyMs) - usualLatencies);
 }
 
+/** Cost of one more request where all slots are taken and nothing is slow. */
+function costOfFull({upstream}: UpstreamState): number {
+	return (upstream.slots + 1) / upstream.slots;
+}
+
 export function createHomeLeastLatencyChooser(options: HomeLeastLatencyOptions): Chooser {
 	const {homes, halfLifeMs, random, averages} = options;
 	const homeCandidates: UpstreamState[] = [];
 
+	/** The request itself counts: a report of no load at all must not outweigh own evidence. */
 	function costOf(state: UpstreamState, nowMs: number, retrialMs: number): number {
-		const load = believedInFlight(state, averages, halfLifeMs, nowMs) / state.upstream.slots;
+		const load = (believedInFlight(state, averages, halfLifeMs, nowMs) + 1) / state.upstream.slots;
 		const slowness = state.slowness.factorAt(nowMs, retrialMs);
 		return load * Math.max(slowness, latenessFactor(state, averages.latencyMs, nowMs));
 	}
@@ -59,7 +65,7 @@
 			}
 
 			const home = homeCandidates.length === 0 ? undefined : lowestCost(homeCandidates, comparedUpstreams, random, cost);
-			if (home !== undefined && cost(home) < 1) {
+			if (home !== undefined && cost(home) < costOfFull(home)) {
 				return home;
 			}
 
--- a/packages/core/src/routing/upstream-selector.spec.ts
+++ b/packages/core/src/routing/upstream-selector.spec.ts
@@ -24,16 +24,16 @@
 				const selector = selectorOf({policy: {type}});
 				for (const index of [0, 1, 2, 3, 2, 2]) {
 					const isFaulty = index === 2;
-					end(selector, upstreamId(index), {latencyMs: isFaulty ? 0.1 : 10, signal: isFaulty ? 'shed' : 'success', inFlight: isFaulty ? 1 : 2});
+					end(selector, upstreamId(index), {latencyMs: isFaulty ? 0.1 : 10, signal: isFaulty ? 'shed' : 'success', inFlight: isFaulty ? 0 : 2});
 				}
 
 				assert.equal(countChoices(selector, 1000).has(upstreamId(2)), false);
 			});
 
-			it('should not believe a report of little load against own slow answers', () => {
+			it('should not believe a report of no load against own slow answers', () => {
 				const selector = selectorOf({policy: {type}});
 				for (const index of [0, 1, 2, 3, 2, 2]) {
-					end(selector, upstreamId(index), {latencyMs: index === 2 ? 200 : 10, inFlight: index === 2 ? 1 : 2});
+					end(selector, upstreamId(index), {latencyMs: index === 2 ? 200 : 10, inFlight: index === 2 ? 0 : 2});
 				}
 
 				assert.equal(countChoices(selector, 1).has(upstreamId(2)), false);
