Start spec reads several pages

Cause: a daemon that put older states in force on its way to the log's end would have passed: the spec had one page.

--- a/packages/testing/src/configuration/configuration.spec.ts
+++ b/packages/testing/src/configuration/configuration.spec.ts
@@ -112,10 +112,16 @@
 		assert.equal(deployment.log.stream(stream).endOffset, 2);
 	});
 
-	it('should put all changes of a page in force at once', async () => {
+	it('should go straight to the newest state at its start, however many pages lead there', async () => {
 		await start({daemons: 0});
 		await deployment.publishInventory();
-		await deployment.publish(rules(1));
+		const records = deployment.log.stream(stream);
+		while (records.endOffset < 120) {
+			records.append({
+				type: 'change', id: `change-${records.endOffset}`, baseOffset: records.endOffset, author: 'ana', change: rules(records.endOffset % 2),
+			});
+		}
+
 		const offset = await deployment.publish({kind: 'drain', upstream: 'ledger-1', draining: true});
 		const daemon = await deployment.startDaemon('entry-late', 'zone-a');
 		await daemon.configurationInForce(offset);
