Fault matrix: the instance that holds a payment is paused, killed, replaced or stopped

Cause: at most once must hold whatever becomes of the instance that took a payment, at each step, with a ticket and with a key. Change: a payment is held at a named step (claim appended and its holder not told so, connecting at a full backlog, half sent, sent, answer half received, answer passed on, sent twice), then the instance is paused within its deadline or past it, killed, replaced at its address, or told to stop. Its caller sends it again through the other instance and through the first. An instance that ends by itself fails the scenario.

--- a/packages/testing/src/fault-matrix/steps/hooks.ts
+++ b/packages/testing/src/fault-matrix/steps/hooks.ts
@@ -39,8 +39,9 @@
 after(async function (this: MatrixWorld) {
 	// What is still under way ends first, for the promises are about the whole history.
 	await this.fleet.mend();
-	await this.letGo();
+	await this.goOn();
 	await Promise.all(this.underWay);
+	this.fleet.assertNoneEnded();
 	for (const request of this.requests) {
 		checkPromises(request, this.runsOf(request.id));
 	}
--- a/packages/testing/src/fault-matrix/steps/matrix-world.ts
+++ b/packages/testing/src/fault-matrix/steps/matrix-world.ts
@@ -7,11 +7,13 @@
 import type {Behaviour} from '../fixtures/behaviour.js';
 import type {CallerRequest} from '../fixtures/caller-request.js';
 import {expectedAnswer} from '../fixtures/expected-answer.js';
-import type {Fleet} from '../fixtures/fleet.js';
+import type {Fleet, ListedUpstream} from '../fixtures/fleet.js';
 import {fleetOf} from '../fixtures/fleets.js';
+import type {Gate} from '../fixtures/gate.js';
 import type {RequestKind} from '../fixtures/request-kind.js';
 import {rulesOf, type RulesOptions} from '../fixtures/rules.js';
 import {ScriptedUpstream} from '../fixtures/scripted-upstream.js';
+import {sendRequest, type SendOptions} from '../fixtures/send-request.js';
 import {StalledListener} from '../fixtures/stalled-listener.js';
 import type {Told} from '../fixtures/told.js';
 import {requestIdHeader} from '../../stand-ins/index.js';
@@ -36,6 +38,10 @@
 	readonly upstreams: ScriptedUpstream[] = [];
 	/** Exchanges that a step began and a later one ends. */
 	readonly underWay: Array<Promise<Told>> = [];
+	/** Where the caller itself waits in its sending or reading. */
+	callerGate: Gate | undefined;
+	/** Ends, from the caller's side, what is under way. */
+	callerLeaves = new AbortController();
 	/** Run at the scenario's end, last first. */
 	readonly cleanUps: Array<() => Promise<void>> = [];
 	readonly service: string;
@@ -75,7 +81,19 @@
 			this.upstreams.push(upstream);
 		}
 
-		await this.fleet.publishService(this.service, this.upstreams, rulesOf({service: this.service, ...options}));
+		await this.#publish(this.upstreams, options);
+	}
+
+	/** Sends without waiting for the end. */
+	sendAside(options: SendOptions): void {
+		this.underWay.push(sendRequest(this.request, {signal: this.callerLeaves.signal, ...options}));
+	}
+
+	/** The caller closes its connections and hears no more of what it sent. */
+	async giveUp(): Promise<void> {
+		this.callerLeaves.abort();
+		await Promise.all(this.underWay);
+		this.callerLeaves = new AbortController();
 	}
 
 	/** Publishes the service with one upstream at which connecting never ends. */
@@ -84,7 +102,7 @@
 		const stalled = await new StalledListener().start();
 		this.cleanUps.push(async () => stalled.stop());
 		const listed = {id: `${this.service}-1`, address: stalled.address};
-		await this.fleet.publishService(this.service, [listed], rulesOf({service: this.service}));
+		await this.#publish([listed]);
 		return stalled;
 	}
 
@@ -102,11 +120,19 @@
 			body: kind === 'query' ? new Uint8Array() : expectedAnswer(`body of ${id}`, requestBytes),
 			headers: {[requestIdHeader]: id, [headerNames.deadlineMs]: String(this.deadlineMs), ...headers},
 			told: [],
+			sends: 0,
 		};
 		this.requests.push(request);
 		return request;
 	}
 
+	/** Lets everything go on that a step holds: the caller, the log's answers and the upstreams. */
+	async goOn(): Promise<void> {
+		await this.callerGate?.open();
+		await this.fleet.passLogs();
+		await this.letGo();
+	}
+
 	/** Lets requests that the upstreams hold go on. */
 	async letGo(reversed = false): Promise<void> {
 		await Promise.all(this.upstreams.map(async upstream => upstream.gate.open(reversed)));
@@ -115,4 +141,10 @@
 	runsOf(id: string): number {
 		return this.upstreams.reduce((sum, upstream) => sum + upstream.runs.of(id), 0);
 	}
+
+	/** Instances offer themselves to callers once they have a configuration. */
+	async #publish(listed: readonly ListedUpstream[], options: Omit<RulesOptions, 'service'> = {}): Promise<void> {
+		await this.fleet.publishService(this.service, listed, rulesOf({service: this.service, ...options}));
+		await this.fleet.untilAllKnown(this.instanceNames);
+	}
 }
--- a/packages/testing/src/fault-matrix/steps/service-steps.ts
+++ b/packages/testing/src/fault-matrix/steps/service-steps.ts
@@ -21,7 +21,7 @@
 	this.cells.push({fault, secondFault, step});
 });
 
-given(/^instances? (.+)$/u, async function (this: MatrixWorld, names: string) {
+given(/^instances (\w+(?:(?:, | and )\w+)*)$/u, async function (this: MatrixWorld, names: string) {
 	await this.startInstances(names.split(/,\s*|\s+and\s+/u));
 });
 
