--- a/packages/testing/features/holder-paused.feature
+++ b/packages/testing/features/holder-paused.feature
@@ -36,7 +36,7 @@
 
     Scenario Outline: holder paused at <step>, awake after its claim and the deadline: a payment with a <binding>
       Given the cell "holder paused" at "<step>"
-      And callers that allow 2000 ms
+      And callers that allow 3000 ms
       And a payment with a <binding> that instance A holds at "<step>"
       When instance A is paused
       And the caller gives up
--- /dev/null
+++ b/packages/testing/src/fault-matrix/steps/answer-steps.ts
@@ -0,0 +1,40 @@
+/** Steps about several callers at the same time. */
+import assert from 'node:assert/strict';
+import {Then as then, When as when} from '@cucumber/cucumber';
+import {parseRequestKind} from '../fixtures/request-kind.js';
+import {bindingOf} from './hold-request.js';
+import type {MatrixWorld} from './matrix-world.js';
+
+when(/^(\d+) callers have each sent a (payment.*|query) through instances? (\w+(?: and \w+)*)$/u, async function (this: MatrixWorld, count: string, kindText: string, names: string) {
+	const kind = parseRequestKind(kindText);
+	const instances = names.split(' and ');
+	for (let index = 0; index < Number(count); index++) {
+		const first = instances[index % instances.length]!;
+		this.newRequest(kind, await bindingOf(this, kind, first));
+		if (kind === 'payment') {
+			this.sendAside({address: this.address(first)});
+		} else {
+			// Those with a ticket are sent twice, and both sends are open.
+			this.sendAside({address: this.address('A'), uncounted: true});
+			this.sendAside({address: this.address('B'), uncounted: true});
+		}
+	}
+
+	await this.upstreams[0]!.gate.untilArrived(Number(count));
+});
+
+when('the upstream goes on in reverse order', async function (this: MatrixWorld) {
+	await this.letGo(true);
+});
+
+then(/^each caller is told (.+)$/u, function (this: MatrixWorld, expected: string) {
+	const told = this.requests.flatMap(request => request.told);
+	assert.ok(told.length >= this.requests.length);
+	assert.deepEqual(new Set(told.map(one => one.type)), new Set([expected]));
+});
+
+then('each ran {int} time(s)', function (this: MatrixWorld, expected: number) {
+	for (const request of this.requests) {
+		assert.equal(this.runsOf(request.id), expected);
+	}
+});
--- a/packages/testing/src/fault-matrix/steps/hold-request.ts
+++ b/packages/testing/src/fault-matrix/steps/hold-request.ts
@@ -19,7 +19,7 @@
 };
 
 /** Header that binds a payment to its ticket or key. */
-async function bindingOf(world: MatrixWorld, kind: RequestKind, instance: string): Promise<Record<string, string>> {
+export async function bindingOf(world: MatrixWorld, kind: RequestKind, instance: string): Promise<Record<string, string>> {
 	switch (kind) {
 		case 'payment with a ticket': {
 			return {[headerNames.ticket]: await askTicket(world.address(instance))};
--- /dev/null
+++ b/packages/testing/src/fault-matrix/steps/log-steps.ts
@@ -0,0 +1,18 @@
+/** Steps about the platform's log. */
+import {When as when} from '@cucumber/cucumber';
+import type {MatrixWorld} from './matrix-world.js';
+
+/** Less than the wait for a claim, more than a claim takes on a fast log. */
+const slowAppendMs = 150;
+
+when('the log is down', async function (this: MatrixWorld) {
+	await this.fleet.stopLog();
+});
+
+when('the log is slow', async function (this: MatrixWorld) {
+	await this.fleet.deployment.log.setFaults({delayMs: slowAppendMs});
+});
+
+when('the log loses the next acknowledgement', async function (this: MatrixWorld) {
+	await this.fleet.deployment.log.setFaults({loseAcknowledgements: 1});
+});
--- a/packages/testing/src/fault-matrix/steps/matrix-world.ts
+++ b/packages/testing/src/fault-matrix/steps/matrix-world.ts
@@ -146,5 +146,6 @@
 	async #publish(listed: readonly ListedUpstream[], options: Omit<RulesOptions, 'service'> = {}): Promise<void> {
 		await this.fleet.publishService(this.service, listed, rulesOf({service: this.service, ...options}));
 		await this.fleet.untilAllKnown(this.instanceNames);
+		await this.fleet.untilClaimsProven(this.instanceNames);
 	}
 }
