--- a/packages/testing/src/docs/operating.spec.ts
+++ b/packages/testing/src/docs/operating.spec.ts
@@ -8,18 +8,32 @@
 import {headerNames} from '@cairnbank/protocol/headers';
 import {z} from 'zod';
 
-type Schema = {readonly properties?: Readonly<Record<string, Schema>>; readonly items?: Schema};
+type Schema = {
+	readonly properties?: Readonly<Record<string, Schema>>;
+	readonly items?: Schema;
+	readonly default?: unknown;
+};
 
 const page = await readFile(new URL('../../../../docs/OPERATING.md', import.meta.url), 'utf8');
 
-/** Paths of all fields that hold a value. */
-function fieldPaths(schema: Schema, prefix = ''): string[] {
+/** All fields that hold a value, by path. */
+function leafFields(schema: Schema, prefix = ''): Array<readonly [path: string, field: Schema]> {
 	return Object.entries(schema.properties ?? {}).flatMap(([name, field]) => {
 		const path = `${prefix}${name}`;
-		return field.properties === undefined ? [path] : fieldPaths(field, `${path}.`);
+		return field.properties === undefined ? [[path, field] as const] : leafFields(field, `${path}.`);
 	});
 }
 
+function fieldPaths(schema: Schema): string[] {
+	return leafFields(schema).map(([path]) => path);
+}
+
+/** The field's row in a table of settings, with its default in the second column. */
+function showsDefault(path: string, {default: value}: Schema): boolean {
+	const row = page.split('\n').find(line => line.startsWith('|') && line.split('|')[1]!.includes(`\`${path}\``));
+	return row?.split('|')[2]!.trim().replaceAll('`', '') === String(value);
+}
+
 function pathsOf(schema: z.ZodType): string[] {
 	return fieldPaths(z.toJSONSchema(schema, {io: 'input'}) as Schema);
 }
@@ -33,6 +47,14 @@
 		assert.deepEqual(undocumented([...pathsOf(settingsSchema), ...pathsOf(cliSettingsSchema)]), []);
 	});
 
+	it('should show the default of every setting that has one', () => {
+		const fields = leafFields(z.toJSONSchema(settingsSchema, {io: 'input'}) as Schema);
+		const wrong = fields
+			.filter(([, field]) => ['number', 'string', 'boolean'].includes(typeof field.default))
+			.filter(([path, field]) => !showsDefault(path, field));
+		assert.deepEqual(wrong, []);
+	});
+
 	it('should name every command with its options', () => {
 		const missing = commands.flatMap(({usage, options}) => [
 			...page.includes(`cairnbank ${usage.split(' ')[0]!}`) ? [] : [usage],
