A suspect that already runs elsewhere holds its trial until its deadline

Cause: a trial was taken for lost after 5 s, so that a slow run of a suspect left room for another one; callers of a suspect were not told when to come back. Change: a trial holds as long as its request's deadline, 30 s at most; the unknown outcome of a suspect carries Retry-After; suspects on trial are counted. A test holds that a request which already runs at two upstreams runs at no third one once the first has crashed.

--- a/packages/core/src/poison/poison-settings.ts
+++ b/packages/core/src/poison/poison-settings.ts
@@ -7,7 +7,7 @@
 	readonly refusalMs: number;
 	/** Time after the last crash for which it is remembered: one more crash refuses it again. */
 	readonly memoryMs: number;
-	/** Time after which a trial without an end is taken for lost. */
+	/** Time after which a trial without an end is taken for lost, whatever its deadline. */
 	readonly trialMs: number;
 	/** Suspects kept; the least suspicious are dropped first. */
 	readonly maximumSuspects: number;
@@ -17,6 +17,6 @@
 	crashesBeforeRefusal: 2,
 	refusalMs: 60_000,
 	memoryMs: 600_000,
-	trialMs: 5000,
+	trialMs: 30_000,
 	maximumSuspects: 512,
 };
--- a/packages/core/src/poison/suspect-table.spec.ts
+++ b/packages/core/src/poison/suspect-table.spec.ts
@@ -10,6 +10,7 @@
 import type {Suspect} from './suspect.js';
 import {SuspectTable} from './suspect-table.js';
 
+const trialMs = 4000;
 const seed = 20_260_104;
 const upstreams = ['a', 'b', 'c', 'd'].map(id => upstreamIdSchema.parse(id));
 const [first, second, third] = upstreams as [typeof upstreams[0], typeof upstreams[0], typeof upstreams[0]];
@@ -38,7 +39,7 @@
 		it('should allow one run at a time, across instances', () => {
 			peer.merge([table.crashed(poison, first)]);
 			assert.deepEqual(peer.decide(poison), {type: 'trial'});
-			table.merge([peer.beginTrial(poison, second)]);
+			table.merge([peer.beginTrial(poison, second, trialMs)]);
 			assert.equal(table.decide(poison).type, 'await-trial');
 			assert.equal(peer.decide(poison).type, 'await-trial');
 			assert.deepEqual([...table.upstreamsUnderTrial()], [second]);
@@ -54,7 +55,7 @@
 		it('should be cleared by a run that ends well, everywhere', () => {
 			peer.merge([table.crashed(poison, first)]);
 			clock.advance(5);
-			peer.beginTrial(poison, second);
+			peer.beginTrial(poison, second, trialMs);
 			table.merge([peer.endedWell(poison)!]);
 			assert.deepEqual(table.decide(poison), {type: 'run'});
 			assert.deepEqual(peer.decide(poison), {type: 'run'});
@@ -63,19 +64,19 @@
 
 		it('should allow the next run once a trial ended without proof', () => {
 			peer.merge([table.crashed(poison, first)]);
-			table.merge([peer.beginTrial(poison, second)]);
+			table.merge([peer.beginTrial(poison, second, trialMs)]);
 			clock.advance(3);
 			table.merge([peer.endTrial(poison)!]);
 			assert.deepEqual(table.decide(poison), {type: 'trial'});
 			clock.advance(1);
-			peer.merge([table.beginTrial(poison, third)]);
+			peer.merge([table.beginTrial(poison, third, trialMs)]);
 			peer.merge([peer.toShare(1)[0]!]);
 			assert.equal(peer.decide(poison).type, 'await-trial');
 		});
 
 		it('should allow the next run once a trial is taken for lost', () => {
-			peer.merge([table.crashed(poison, first), table.beginTrial(poison, second)]);
-			clock.advance(defaultPoisonSettings.trialMs + 1);
+			peer.merge([table.crashed(poison, first), table.beginTrial(poison, second, trialMs)]);
+			clock.advance(trialMs + 1);
 			assert.deepEqual(peer.decide(poison), {type: 'trial'});
 		});
 	});
@@ -106,6 +107,12 @@
 		});
 	});
 
+	it('should bound a trial by the settings', () => {
+		table.crashed(poison, first);
+		table.beginTrial(poison, second, Number.MAX_SAFE_INTEGER);
+		assert.deepEqual(table.decide(poison), {type: 'await-trial', waitMs: defaultPoisonSettings.trialMs});
+	});
+
 	it('should not let a clock that runs ahead prolong a refusal', () => {
 		const ahead = new ManualClock(new Date(clock.now().getTime() + 3_600_000));
 		const fast = new SuspectTable(ahead, instanceIdSchema.parse('entry-3'));
--- a/packages/core/src/poison/suspect-table.ts
+++ b/packages/core/src/poison/suspect-table.ts
@@ -9,7 +9,7 @@
 import type {Suspect, Trial} from './suspect.js';
 import {withoutFuture} from './without-future.js';
 
-export type SuspectCounts = {readonly suspected: number; readonly refused: number};
+export type SuspectCounts = {readonly suspected: number; readonly onTrial: number; readonly refused: number};
 
 function lastChangeMs(suspect: Suspect): number {
 	return suspect.crashes.at(-1)?.atMs ?? suspect.clearedAtMs;
@@ -42,11 +42,11 @@
 		return this.#blamedCount > 0;
 	}
 
-	/** How many requests are suspected, and how many of them refused now. */
+	/** How many requests are held in each state now. */
 	counts(): SuspectCounts {
 		const decisions = [...this.#suspects.keys()].map(fingerprint => this.decide(fingerprint).type);
-		const refused = decisions.filter(type => type === 'refuse').length;
-		return {refused, suspected: decisions.filter(type => type !== 'run').length - refused};
+		const count = (type: PoisonDecision['type']) => decisions.filter(decision => decision === type).length;
+		return {suspected: count('trial'), onTrial: count('await-trial'), refused: count('refuse')};
 	}
 
 	/** Decides whether a request may run. */
@@ -69,12 +69,16 @@
 
 	/**
 	 * Notes that a suspect is about to run at an upstream.
+	 * @param fingerprint The suspect.
+	 * @param upstream Where it runs.
+	 * @param durationMs What its deadline leaves it; bounded by the settings.
 	 * @returns The suspect, to be told to all peers before the request is sent.
 	 */
-	beginTrial(fingerprint: Fingerprint, upstream: UpstreamId): Suspect {
+	beginTrial(fingerprint: Fingerprint, upstream: UpstreamId, durationMs: number): Suspect {
 		const startedAtMs = this.#nowMs();
+		const untilMs = startedAtMs + Math.ceil(Math.min(Math.max(durationMs, 0), this.#settings.trialMs));
 		const trial: Trial = {
-			instance: this.#instance, upstream, startedAtMs, untilMs: startedAtMs + this.#settings.trialMs,
+			instance: this.#instance, upstream, startedAtMs, untilMs,
 		};
 		return this.#put({...this.#get(fingerprint), trial});
 	}
--- a/packages/daemon/src/features/calls/attempt-loop.ts
+++ b/packages/daemon/src/features/calls/attempt-loop.ts
@@ -2,22 +2,16 @@
 import type {UpstreamId} from '@cairnbank/core';
 import type {AttemptResult, Outcome} from '@cairnbank/core/outcomes';
 import {
-	type Attempt, type AttemptEnd, type AttemptKind, finalOutcome, nextStep, remainingMs, type RetryPolicy,
+	type AttemptEnd, type AttemptKind, finalOutcome, nextStep, remainingMs, type RetryPolicy,
 } from '@cairnbank/core/retries';
-import type {ChosenUpstream} from '../upstreams/chosen-upstream.js';
 import type {AttemptParts} from './attempt-parts.js';
 import type {Call} from './call.js';
 import type {ClassHedging} from './call-budgets.js';
+import {withRetryAfter} from './crash-inquiry.js';
+import type {LoopAttempt} from './loop-attempt.js';
 import {retryPolicyOf} from './retry-policy-of.js';
 import {type CancelReason, UpstreamAttempt} from './upstream-attempt.js';
 
-/** An attempt with the means to cancel it. */
-type LoopAttempt = Attempt & {
-	readonly chosen: ChosenUpstream;
-	running?: UpstreamAttempt;
-	end?: AttemptEnd;
-};
-
 const noUpstreams: readonly UpstreamId[] = [];
 const excludesNone: ReadonlySet<UpstreamId> = new Set();
 
@@ -137,7 +131,7 @@
 	async #closeAfter(inquiry: Promise<boolean>, attempt: LoopAttempt, end: Omit<AttemptEnd, 'suspect'>): Promise<void> {
 		const suspect = await inquiry;
 		if (this.#resolve !== undefined) {
-			this.#close(attempt, {...end, suspect});
+			this.#close(attempt, suspect ? {...end, result: withRetryAfter(end.result), suspect} : {...end, suspect});
 		}
 	}
 
--- a/packages/daemon/src/features/calls/call-metrics.ts
+++ b/packages/daemon/src/features/calls/call-metrics.ts
@@ -60,8 +60,9 @@
 			labelNames: ['state'],
 			registers: [this.#registry],
 			collect() {
-				const {suspected, refused} = read();
+				const {suspected, onTrial, refused} = read();
 				this.set({state: 'suspected'}, suspected);
+				this.set({state: 'on-trial'}, onTrial);
 				this.set({state: 'refused'}, refused);
 			},
 		});
--- a/packages/daemon/src/features/calls/crash-inquiry.ts
+++ b/packages/daemon/src/features/calls/crash-inquiry.ts
@@ -5,6 +5,8 @@
 import type {CrashWatch} from './crash-watch.js';
 import type {PoisonGuard} from './poison-guard.js';
 
+const suspectRetryAfterMs = 1000;
+
 export type EndedAttempt = {
 	readonly call: Call;
 	readonly chosen: ChosenUpstream;
@@ -55,3 +57,8 @@
 function isRefusedConnect(result: AttemptResult): boolean {
 	return result.type === 'not-run' && result.reason === 'connection-refused';
 }
+
+/** A suspect is not tried again here; its caller may come back once the peers know of it. */
+export function withRetryAfter(result: AttemptResult): AttemptResult {
+	return result.type === 'unknown' ? {...result, retryAfterMs: suspectRetryAfterMs} : result;
+}
--- /dev/null
+++ b/packages/daemon/src/features/calls/loop-attempt.ts
@@ -0,0 +1,10 @@
+/** An attempt with the means to cancel it. */
+import type {Attempt, AttemptEnd} from '@cairnbank/core/retries';
+import type {ChosenUpstream} from '../upstreams/chosen-upstream.js';
+import type {UpstreamAttempt} from './upstream-attempt.js';
+
+export type LoopAttempt = Attempt & {
+	readonly chosen: ChosenUpstream;
+	running?: UpstreamAttempt;
+	end?: AttemptEnd;
+};
--- a/packages/daemon/src/features/calls/poison-guard.ts
+++ b/packages/daemon/src/features/calls/poison-guard.ts
@@ -15,6 +15,8 @@
 
 /** Time after which a caller may ask again while the same request is on trial. */
 const trialRetryAfterMs = 1000;
+/** What a trial may take beyond its deadline until a crash is told from a reset. */
+const verdictMs = 500;
 
 /** Guards the way of a call; suspects are shared with the peers over the bus. */
 export class PoisonGuard implements CallStage {
@@ -107,8 +109,8 @@
 		const blamed = suspects.filter(({crashes}) => crashes.length > 0).map(({fingerprint}) => fingerprint);
 		const onTrial = blamed.filter(fingerprint => this.#table.decide(fingerprint).type === 'trial');
 		if (onTrial.length > 0) {
-			for (const {fingerprint, upstream} of this.#running.find(new Set(onTrial))) {
-				this.#announce(this.#table.beginTrial(fingerprint, upstream));
+			for (const {fingerprint, upstream, deadlineAtMs} of this.#running.find(new Set(onTrial))) {
+				this.#beginTrial(fingerprint, upstream, deadlineAtMs);
 			}
 		}
 	}
@@ -151,7 +153,7 @@
 	/** Others of the same request wait from here on, although the trial begins once an upstream is chosen. */
 	async #try(fingerprint: Fingerprint, call: Call, next: CallHandler): Promise<Outcome> {
 		this.#reserved.add(fingerprint);
-		const outcome = await next({...call, trial: this.#trial(fingerprint)});
+		const outcome = await next({...call, trial: this.#trial(fingerprint, call)});
 		this.#reserved.delete(fingerprint);
 		this.#waiters.wake();
 		return outcome;
@@ -166,11 +168,16 @@
 		return {type: 'not-run', reason: 'suspected-poison', retryAfterMs: decision.retryAfterMs};
 	}
 
-	#trial(fingerprint: Fingerprint): Call['trial'] {
+	#beginTrial(fingerprint: Fingerprint, upstream: UpstreamId, deadlineAtMs: number): void {
+		const durationMs = deadlineAtMs - this.#context.clock.monotonicMs() + verdictMs;
+		this.#announce(this.#table.beginTrial(fingerprint, upstream, durationMs));
+	}
+
+	#trial(fingerprint: Fingerprint, {deadlineAtMs}: Call): Call['trial'] {
 		return {
 			excluding: [...this.#table.upstreamsUnderTrial()],
 			begin: upstream => {
-				this.#announce(this.#table.beginTrial(fingerprint, upstream));
+				this.#beginTrial(fingerprint, upstream, deadlineAtMs);
 			},
 		};
 	}
--- a/packages/daemon/src/features/calls/running-calls.ts
+++ b/packages/daemon/src/features/calls/running-calls.ts
@@ -4,7 +4,7 @@
 import type {Call} from './call.js';
 import {fingerprintOfCall} from './fingerprint-of-call.js';
 
-export type RunningCall = {readonly fingerprint: Fingerprint; readonly upstream: UpstreamId};
+export type RunningCall = {readonly fingerprint: Fingerprint; readonly upstream: UpstreamId; readonly deadlineAtMs: number};
 
 /** Fingerprints are taken only where suspects are looked for. */
 export class RunningCalls {
@@ -21,7 +21,7 @@
 
 	/** Those of the given requests that run. */
 	find(fingerprints: ReadonlySet<Fingerprint>): RunningCall[] {
-		const running = [...this.#upstreams].map(([call, upstream]) => ({fingerprint: fingerprintOfCall(call), upstream}));
+		const running = [...this.#upstreams].map(([call, upstream]) => ({fingerprint: fingerprintOfCall(call), upstream, deadlineAtMs: call.deadlineAtMs}));
 		return running.filter(({fingerprint}) => fingerprints.has(fingerprint));
 	}
 }
--- a/packages/testing/src/calls/poison.spec.ts
+++ b/packages/testing/src/calls/poison.spec.ts
@@ -2,6 +2,7 @@
 import {
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
+import {headerNames} from '@cairnbank/protocol';
 import {Deployment, waitFor, type DaemonProcess} from '../harness/index.js';
 
 const crashHeader = 'x-poison';
@@ -33,7 +34,7 @@
 	}
 
 	/** A caller's resend takes a round trip, in which the instances have told each other. */
-	async function awaitKnown(state: 'suspected' | 'refused'): Promise<void> {
+	async function awaitKnown(state: 'suspected' | 'on-trial' | 'refused'): Promise<void> {
 		await waitFor(`all instances hold it ${state}`, async () => {
 			const counts = await Promise.all(deployment.daemons.map(async daemon => gauge(daemon, `cairnbank_suspects{state="${state}"}`)));
 			return counts.every(count => count > 0);
@@ -89,6 +90,28 @@
 		assert.equal(crashes(), 2);
 	});
 
+	it('should run nowhere else while an instance that learns of the crash runs it already', async () => {
+		const report = {path: '/ledger/report', requestId: 'report', headers: {'x-service-ms': '10000'}};
+		const busy = () => deployment.upstreams.filter(({inFlight}) => inFlight > 0);
+		const first = send(0, report);
+		await waitFor('one upstream runs it', () => busy().length === 1);
+		const [crashing] = busy();
+		await deployment.publish({kind: 'drain', upstream: crashing!.options.id, draining: true});
+		const others = deployment.upstreams.filter(upstream => upstream !== crashing);
+		const second = send(1, {...report, headers: {...report.headers, [headerNames.deadlineMs]: '20000'}});
+		await waitFor('two runs', () => deployment.runs().get('report') === 2);
+		const running = others.find(({inFlight}) => inFlight > 0);
+		void crashing!.crash(crashDownMs);
+		await awaitKnown('on-trial');
+		const third = await send(2, {...report, headers: {...report.headers, [headerNames.deadlineMs]: '200'}});
+		assert.equal(third.type, 'not-run');
+		void running!.crash(crashDownMs);
+		await awaitKnown('refused');
+		const told = await Promise.all([first, second, send(2, report)]);
+		assert.deepEqual(told.map(({type}) => type), ['unknown', 'unknown', 'not-run']);
+		assert.equal(deployment.runs().get('report'), 2);
+	});
+
 	it('should be found out where its caller does not wait for the crash', async () => {
 		const [victim] = deployment.upstreams;
 		const {address, options: {id, availabilityZone}} = victim!;
