--- a/packages/testing/features/answers.feature
+++ b/packages/testing/features/answers.feature
@@ -49,3 +49,13 @@
     And the caller sends it again through instance B
     Then the caller is told unknown
     And it ran 1 time
+
+  Scenario: late answer at answer passed on: the second half comes after the deadline
+    Given the cell "late answer" at "answer passed on"
+    And callers that allow 2000 ms
+    And a payment that instance A holds at "answer passed on"
+    When the upstream sees its answer given up
+    And what was held goes on
+    And what is under way has ended
+    Then the caller is told cut off
+    And it ran 1 time
--- a/packages/testing/features/holder-paused.feature
+++ b/packages/testing/features/holder-paused.feature
@@ -26,6 +26,7 @@
         | step                  | binding | told     | finally  | runs    |
         | address asked         | key     | answered | answered | 1 time  |
         | ticket or claim taken | ticket  | unknown  | answered | 1 time  |
+        | queued                | ticket  | unknown  | answered | 1 time  |
         | request half sent     | ticket  | unknown  | answered | 1 time  |
         | sent                  | ticket  | unknown  | answered | 1 time  |
         | sent                  | key     | unknown  | answered | 1 time  |
--- a/packages/testing/features/instance-replaced.feature
+++ b/packages/testing/features/instance-replaced.feature
@@ -23,6 +23,7 @@
         | step                  | binding | told     | runs    |
         | ticket or claim taken | ticket  | unknown  | 0 times |
         | ticket or claim taken | key     | unknown  | 0 times |
+        | queued                | ticket  | unknown  | 0 times |
         | connecting            | ticket  | unknown  | 0 times |
         | request half sent     | ticket  | unknown  | 0 times |
         | sent                  | ticket  | unknown  | 1 time  |
--- a/packages/testing/features/planned-stops.feature
+++ b/packages/testing/features/planned-stops.feature
@@ -16,6 +16,7 @@
     Examples:
       | step                  | request               | told     | runs    |
       | ticket or claim taken | payment with a key    | answered | 1 time  |
+      | queued                | payment with a ticket | answered | 1 time  |
       | connecting            | payment               | not run  | 0 times |
       | request half sent     | payment               | answered | 1 time  |
       | request half sent     | payment with a ticket | answered | 1 time  |
--- a/packages/testing/features/two-operators.feature
+++ b/packages/testing/features/two-operators.feature
@@ -16,6 +16,7 @@
 
     Examples:
       | step                  | request               | told     | runs    |
+      | queued                | payment               | answered | 1 time  |
       | connecting            | payment               | not run  | 0 times |
       | request half sent     | payment               | answered | 1 time  |
       | sent                  | payment               | answered | 1 time  |
--- a/packages/testing/src/fault-matrix/cells/impossible-cells.ts
+++ b/packages/testing/src/fault-matrix/cells/impossible-cells.ts
@@ -26,6 +26,11 @@
 	{fault: 'late answer', steps: answersOnly, reason: 'nothing can be answered before the request is sent'},
 	{fault: 'reordered answers', steps: answersOnly, reason: 'nothing can be answered before the request is sent'},
 	{fault: 'truncated answer', steps: [...answersOnly, 'sent'], reason: 'an answer is truncated only once its first bytes are there'},
+	{
+		fault: 'acknowledgement lost',
+		steps: ['address asked', 'queued', 'connecting', 'request half sent', 'sent', 'answer half received', 'answer passed on'],
+		reason: 'a request appends to the log only where its claim is taken',
+	},
 	{fault: 'instance list lagging', steps: ['ticket or claim taken', 'request half sent', 'sent', 'answer half received', 'answer passed on'], reason: 'the list is not consulted in this step'},
 ];
 
--- a/packages/testing/src/fault-matrix/steps/answer-steps.ts
+++ b/packages/testing/src/fault-matrix/steps/answer-steps.ts
@@ -1,6 +1,7 @@
 /** Steps about several callers at the same time. */
 import assert from 'node:assert/strict';
 import {Then as then, When as when} from '@cucumber/cucumber';
+import {waitFor} from '../../harness/index.js';
 import {parseRequestKind} from '../fixtures/request-kind.js';
 import {bindingOf} from './hold-request.js';
 import type {MatrixWorld} from './matrix-world.js';
@@ -27,6 +28,10 @@
 	await this.letGo(true);
 });
 
+when('the upstream sees its answer given up', async function (this: MatrixWorld) {
+	await waitFor('an answer that is given up', () => this.upstreams.some(upstream => upstream.givenUp > 0));
+});
+
 then(/^each caller is told (.+)$/u, function (this: MatrixWorld, expected: string) {
 	const told = this.requests.flatMap(request => request.told);
 	assert.ok(told.length >= this.requests.length);
--- a/packages/testing/src/fault-matrix/steps/hold-request.ts
+++ b/packages/testing/src/fault-matrix/steps/hold-request.ts
@@ -1,4 +1,5 @@
 /** Takes a request up to a named step of its life and holds it there. */
+import {request} from 'undici';
 import {v7 as uuid} from 'uuid';
 import {headerNames} from '@cairnbank/protocol';
 import {waitFor} from '../../harness/index.js';
@@ -10,6 +11,8 @@
 import type {MatrixWorld} from './matrix-world.js';
 
 const claimsStream = 'claims';
+const queueWaitLimitMs = 20_000;
+const maximumRequestsToFill = 40;
 
 const behaviourAt: Partial<Record<StepOfLife, Behaviour>> = {
 	sent: 'wait before running it',
@@ -46,6 +49,11 @@
 		return;
 	}
 
+	if (step === 'queued') {
+		await holdInQueue(world, kind, instance);
+		return;
+	}
+
 	await world.startService([behaviourAt[step] ?? 'answer']);
 	if (step === 'address asked') {
 		await askAddresses(world.address(instance));
@@ -115,3 +123,31 @@
 	world.sendAside({address: world.address(instance)});
 	await waitFor('the claim in the log', () => claims.endOffset > before);
 }
+
+/** Sends requests until the upstream is at its limit and the last one waits in the instance's queue. */
+async function holdInQueue(world: MatrixWorld, kind: RequestKind, instance: string): Promise<void> {
+	await world.startService(['run it and wait'], {limits: {queueWaitMs: queueWaitLimitMs}});
+	const {gate} = world.upstreams[0]!;
+	world.answersOnceOn = true;
+	for (let sent = 1; sent <= maximumRequestsToFill; sent++) {
+		world.newRequest(kind, await bindingOf(world, kind, instance));
+		world.sendAside({address: world.address(instance)});
+		let queued = 0;
+		await waitFor('a request at the upstream or in the queue', async () => {
+			queued = await queueLength(world.fleet.known(instance).admin, world.service);
+			return queued > 0 || gate.arrived >= sent;
+		});
+		if (queued > 0) {
+			return;
+		}
+	}
+
+	throw new Error('nothing was queued');
+}
+
+async function queueLength(admin: string, service: string): Promise<number> {
+	const {body} = await request(`http://${admin}/metrics`);
+	const text = await body.text();
+	const line = text.split('\n').find(one => one.startsWith('cairnbank_queue_length') && one.includes(`"${service}"`));
+	return Number(line?.split(' ').at(-1) ?? 0);
+}
--- a/packages/testing/src/fault-matrix/steps/instance-steps.ts
+++ b/packages/testing/src/fault-matrix/steps/instance-steps.ts
@@ -44,6 +44,11 @@
 	await this.goOn();
 });
 
+when('what was held goes on as it is', async function (this: MatrixWorld) {
+	this.answersOnceOn = false;
+	await this.goOn();
+});
+
 when('the caller gives up', async function (this: MatrixWorld) {
 	await this.giveUp();
 });
--- /dev/null
+++ b/packages/testing/src/fault-matrix/steps/poison-steps.ts
@@ -0,0 +1,22 @@
+/** Steps about a request that crashes what runs it. */
+import assert from 'node:assert/strict';
+import {Then as then, When as when} from '@cucumber/cucumber';
+import {sendRequest} from '../fixtures/send-request.js';
+import type {MatrixWorld} from './matrix-world.js';
+
+const poisonBody = new TextEncoder().encode('{"amount":"poison"}');
+
+// Each send is a request of its own to the upstreams, as callers without ticket or key have it; the body is the same.
+when(/^a caller sends a poison payment (\d+) times through (.+)$/u, async function (this: MatrixWorld, times: string, names: string) {
+	const instances = names.split(' and ');
+	for (let sent = 0; sent < Number(times); sent++) {
+		const request = {...this.newRequest('payment', {'x-poison': 'yes'}), body: poisonBody};
+		this.requests[this.requests.length - 1] = request;
+		await sendRequest(request, {address: this.address(instances[sent % instances.length]!), uncounted: true});
+	}
+});
+
+then('at most {int} upstreams have crashed', function (this: MatrixWorld, most: number) {
+	const crashed = this.upstreams.filter(upstream => upstream.crashes > 0);
+	assert.ok(crashed.length > 0 && crashed.length <= most, `${crashed.length} upstreams crashed`);
+});
