Large fleets share the cost of reading the list

Cause: at 40 daemons control took 8.0 KB/s in the mean and 10.6 KB/s on the greatest node, at the limit of 10 KB/s.

--- a/packages/daemon/src/features/membership/instance-list-poller.ts
+++ b/packages/daemon/src/features/membership/instance-list-poller.ts
@@ -12,7 +12,8 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly intervalMs: number;
-	readonly bytesPerSecond: number;
+	/** What reading may cost this instance now. */
+	bytesPerSecond(): number;
 	/** Takes each read that came through; `requestedAtMs` is on the monotonic clock. */
 	onList(instances: readonly ListedInstance[], requestedAtMs: number): void;
 	onResult(result: 'read' | 'unchanged' | 'unavailable' | 'malformed'): void;
@@ -66,7 +67,7 @@
 
 	#delayMs(bytes: number): number {
 		const {intervalMs, bytesPerSecond, random} = this.#options;
-		const affordableMs = bytes * perSecond / bytesPerSecond;
+		const affordableMs = bytes * perSecond / bytesPerSecond();
 		return Math.max(intervalMs, affordableMs) * (1 - jitter + (2 * jitter * random.next()));
 	}
 }
--- a/packages/daemon/src/features/membership/membership-state.ts
+++ b/packages/daemon/src/features/membership/membership-state.ts
@@ -4,6 +4,7 @@
 	DrainMarkSet, GossipState, ListedLeaving, MemberTable, type MemberEntry,
 } from '@cairnbank/core/membership';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
+import type {MemberCounts} from './membership-metrics.js';
 
 export type MembershipState = {
 	readonly table: MemberTable;
@@ -46,3 +47,12 @@
 	const members = table.others().filter(({entry}) => entry.peerAddress === peerAddress);
 	return members.sort((a, b) => b.heardAtMs - a.heardAtMs)[0]?.entry.incarnation;
 }
+
+/** Nothing is known before the start. */
+export function countMembers(state: MembershipState | undefined): MemberCounts {
+	return {
+		reachable: state?.table.reachable().length ?? 0,
+		suspected: state?.table.suspected().length ?? 0,
+		drainedUpstreams: state?.drainMarks.all().filter(({draining}) => draining).length ?? 0,
+	};
+}
--- a/packages/daemon/src/features/membership/membership-task.ts
+++ b/packages/daemon/src/features/membership/membership-task.ts
@@ -18,8 +18,11 @@
 import {DrainProbes} from './drain-probes.js';
 import {GossipLoop} from './gossip-loop.js';
 import {InstanceListClient} from './instance-list-client.js';
+import {listBytesPerSecond} from './list-budget.js';
 import {InstanceListPoller} from './instance-list-poller.js';
-import {createMembershipState, type MembershipState, type OwnAddresses} from './membership-state.js';
+import {
+	countMembers, createMembershipState, type MembershipState, type OwnAddresses,
+} from './membership-state.js';
 import {MembershipMetrics} from './membership-metrics.js';
 import {toMemberStatus} from './to-member-status.js';
 import {UpstreamMarks} from './upstream-marks.js';
@@ -56,7 +59,7 @@
 	constructor(context: DaemonContext, parts: MembershipParts) {
 		this.#context = context;
 		this.#parts = parts;
-		this.#metrics = new MembershipMetrics(context.metrics, () => this.#counts());
+		this.#metrics = new MembershipMetrics(context.metrics, () => countMembers(this.#state));
 		this.#listAgent = createControlAgent(parts.bytes, 'instance-list', {connectTimeoutMs: context.settings.instanceList.timeoutMs, connections: 1});
 		this.#poller = this.#createPoller();
 		this.#probes = new DrainProbes({
@@ -150,7 +153,7 @@
 			clock,
 			random,
 			intervalMs: pollIntervalMs,
-			bytesPerSecond: settings.membership.listBytesPerSecond,
+			bytesPerSecond: () => listBytesPerSecond(settings.membership, this.#state?.table.size ?? 1),
 			onList: (instances, requestedAtMs) => {
 				this.#takeList(instances, requestedAtMs);
 			},
@@ -239,13 +242,4 @@
 			this.#loop?.pushSoon();
 		}
 	}
-
-	#counts() {
-		const state = this.#state;
-		return {
-			reachable: state?.table.reachable().length ?? 0,
-			suspected: state?.table.suspected().length ?? 0,
-			drainedUpstreams: state?.drainMarks.all().filter(({draining}) => draining).length ?? 0,
-		};
-	}
 }
--- a/packages/daemon/src/settings/membership-settings.ts
+++ b/packages/daemon/src/settings/membership-settings.ts
@@ -11,7 +11,7 @@
 	gossip: membershipTimingSchema.prefault({}),
 	/** Longest wait for a peer's answer to a digest. */
 	exchangeTimeoutMs: z.int().min(10).max(60_000).default(1000),
-	/** What reading the platform's list may cost; a long list is read less often. */
+	/** What reading the platform's list may cost; a long list is read less often, and so it is in a large fleet. */
 	listBytesPerSecond: z.int().min(100).default(2500),
 	/** How long answers of an upstream must come without its drain mark before it gets new work again. */
 	cleanForMs: z.int().min(0).default(drainMarkDefaults.cleanForMs),
