A service's limit opens where reports stay away

Cause: the limit rose only with reports, so one that had fallen stayed low if upstreams stopped reporting, or calls were few and long. Change: while it holds requests back, it rises by one for each second without a report. Conclusion: overload leaves nothing behind that needs a report to go away.

--- a/packages/core/src/limits/service-concurrency.spec.ts
+++ b/packages/core/src/limits/service-concurrency.spec.ts
@@ -24,12 +24,12 @@
 
 	it('should fall within a few windows of congestion, never below one', () => {
 		const concurrency = new ServiceConcurrency(45);
-		concurrency.admits(12, 5);
+		concurrency.admits(12, 5, 0);
 		const nowMs = report(concurrency, 8, 0, 1);
 		assert.equal(concurrency.value, 6);
 		report(concurrency, 8, nowMs, 50);
 		assert.equal(concurrency.value, 1);
-		assert.equal(concurrency.admits(0, 5), true);
+		assert.equal(concurrency.admits(0, 5, 0), true);
 	});
 
 	it('should rise once congestion is over, only where it holds requests back', () => {
@@ -38,7 +38,7 @@
 		nowMs = report(concurrency, 1, nowMs, 20);
 		assert.equal(concurrency.value, 1);
 		for (let window = 0; window < 20; window++) {
-			assert.equal(concurrency.admits(45, 5), false);
+			assert.equal(concurrency.admits(45, 5, 0), false);
 			nowMs = report(concurrency, 1, nowMs, 1);
 		}
 
@@ -47,15 +47,24 @@
 
 	it('should let the first class pass the limit', () => {
 		const concurrency = new ServiceConcurrency(4);
-		assert.equal(concurrency.admits(4, 5), false);
-		assert.equal(concurrency.admits(4, firstClassPriority), true);
-		assert.equal(concurrency.admits(16, firstClassPriority), false);
+		assert.equal(concurrency.admits(4, 5, 0), false);
+		assert.equal(concurrency.admits(4, firstClassPriority, 0), true);
+		assert.equal(concurrency.admits(16, firstClassPriority, 0), false);
+	});
+
+	it('should open by one a second where reports stay away', () => {
+		const concurrency = new ServiceConcurrency(45);
+		const nowMs = report(concurrency, 8, 0, 50);
+		assert.equal(concurrency.admits(1, 5, nowMs), false);
+		assert.equal(concurrency.admits(1, 5, nowMs + 1100), false);
+		assert.equal(concurrency.admits(1, 5, nowMs + 1200), true);
+		assert.equal(concurrency.admits(2, 5, nowMs + 1200), false);
 	});
 
 	it('should fall little for the marks of a single straggler', () => {
 		const concurrency = new ServiceConcurrency(45);
 		for (let nowMs = 0; nowMs < 500; nowMs++) {
-			concurrency.admits(45, 5);
+			concurrency.admits(45, 5, 0);
 			concurrency.onReport(nowMs % 15 === 0 ? 8 : 1, windowMs, nowMs);
 		}
 
--- a/packages/core/src/limits/service-concurrency.ts
+++ b/packages/core/src/limits/service-concurrency.ts
@@ -18,6 +18,8 @@
 const minimumWindowMs = 10;
 /** With fewer reports one straggler would look like congestion of all. */
 const minimumReports = 8;
+/** Without a report for so long, a limit that holds requests back rises by one: nothing speaks for it any more. */
+const silenceMs = 1000;
 
 export class ServiceConcurrency {
 	readonly #maximum: number;
@@ -27,6 +29,7 @@
 	#marks = 0;
 	#wasLimited = false;
 	#peakInFlight = 0;
+	#evidenceAtMs = 0;
 
 	/** @param maximum requests that all upstreams may hold at their greatest limits */
 	constructor(maximum: number) {
@@ -39,11 +42,16 @@
 	}
 
 	/** Whether one more request of that priority may be started. */
-	admits(inFlight: number, priority: number): boolean {
+	admits(inFlight: number, priority: number, nowMs: number): boolean {
 		this.#peakInFlight = Math.max(this.#peakInFlight, inFlight);
 		const factor = priority === firstClassPriority ? firstClassFactor : 1;
 		const admitted = inFlight < Math.floor(this.#limit * factor);
 		this.#wasLimited ||= !admitted;
+		if (!admitted && nowMs - this.#evidenceAtMs > silenceMs) {
+			this.#evidenceAtMs = nowMs;
+			this.#limit = Math.min(this.#maximum, this.#limit + 1);
+		}
+
 		return admitted;
 	}
 
@@ -55,6 +63,7 @@
 	 */
 	onReport(inFlightPerSlot: number, windowMs: number, nowMs: number): void {
 		this.#reports++;
+		this.#evidenceAtMs = nowMs;
 		this.#marks += inFlightPerSlot > congestedPerSlot ? 1 : 0;
 		if (nowMs >= this.#windowEndMs && this.#reports >= minimumReports) {
 			this.#endWindow();
--- a/packages/core/src/routing/upstream-selector.ts
+++ b/packages/core/src/routing/upstream-selector.ts
@@ -115,7 +115,7 @@
 			}
 		}
 
-		return isAnyAvailable && !(isAnyOpen && this.#concurrency.admits(inFlight, priority));
+		return isAnyAvailable && !(isAnyOpen && this.#concurrency.admits(inFlight, priority, nowMs));
 	}
 
 	onSent(upstream: UpstreamId, nowMs: number): void {
