One fingerprint of a request for tickets, keys and the poison guard

Cause: two modules hashed service, method, path and body alike, one with the tenant and one without. Change: one module in the model; the tenant is left out where the guard compares requests.

--- a/packages/core/src/model/index.ts
+++ b/packages/core/src/model/index.ts
@@ -7,6 +7,7 @@
 export * from './manual-clock.js';
 export * from './random-source.js';
 export * from './request-class.js';
+export * from './request-fingerprint.js';
 export * from './routing-policy.js';
 export * from './rules.js';
 export * from './service-rules.js';
--- a/packages/core/src/outcomes/claims/key-world-parts-fixture.ts
+++ b/packages/core/src/outcomes/claims/key-world-parts-fixture.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '../../model/clock.js';
 import type {IncarnationId} from '../../model/ids.js';
 import type {Outcome} from '../outcome.js';
-import {fingerprintOf} from '../runs/request-fingerprint.js';
+import {fingerprintOf} from '../../model/request-fingerprint.js';
 import {ClaimBatcher} from './claim-batcher.js';
 import {ClaimFold} from './claim-fold.js';
 import {parseIdempotencyKey, type IdempotencyKey} from './idempotency-key.js';
--- a/packages/core/src/outcomes/runs/index.ts
+++ b/packages/core/src/outcomes/runs/index.ts
@@ -1,5 +1,4 @@
 export * from './outcomes.js';
-export * from './request-fingerprint.js';
 export type * from './run-decision.js';
 export type * from './run-entry.js';
 export * from './run-table.js';
--- a/packages/core/src/outcomes/tickets/ticket-table.spec.ts
+++ b/packages/core/src/outcomes/tickets/ticket-table.spec.ts
@@ -4,7 +4,7 @@
 import {ManualClock} from '../../model/manual-clock.js';
 import type {Outcome} from '../outcome.js';
 import {notRun, unknown} from '../runs/outcomes.js';
-import {fingerprintOf} from '../runs/request-fingerprint.js';
+import {fingerprintOf} from '../../model/request-fingerprint.js';
 import {formatTicket, parseTicket, type Ticket} from './ticket.js';
 import {TicketTable, type TicketTableOptions} from './ticket-table.js';
 
--- a/packages/core/src/outcomes/tickets/ticket-world-fixture.ts
+++ b/packages/core/src/outcomes/tickets/ticket-world-fixture.ts
@@ -3,7 +3,7 @@
 import {ManualClock} from '../../model/manual-clock.js';
 import type {Outcome} from '../outcome.js';
 import {notRun, unknown} from '../runs/outcomes.js';
-import {fingerprintOf} from '../runs/request-fingerprint.js';
+import {fingerprintOf} from '../../model/request-fingerprint.js';
 import {parseTicket, type Ticket} from './ticket.js';
 import {TicketOffice} from './ticket-office.js';
 
--- a/packages/core/src/poison/suspect-table.spec.ts
+++ b/packages/core/src/poison/suspect-table.spec.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check';
 import {instanceIdSchema, serviceIdSchema, upstreamIdSchema} from '../model/ids.js';
 import {ManualClock} from '../model/manual-clock.js';
-import {fingerprintOf} from './fingerprint.js';
+import {fingerprintOf} from '../model/request-fingerprint.js';
 import {mergeSuspects} from './merge-suspects.js';
 import {defaultPoisonSettings} from './poison-settings.js';
 import type {Suspect} from './suspect.js';
--- a/packages/core/src/poison/suspect.ts
+++ b/packages/core/src/poison/suspect.ts
@@ -1,7 +1,7 @@
 /** A request that was in flight when an upstream crashed, in the form that instances hand to each other. */
 import {z} from 'zod';
 import {instanceIdSchema, upstreamIdSchema} from '../model/ids.js';
-import {fingerprintSchema} from './fingerprint.js';
+import {fingerprintSchema} from '../model/request-fingerprint.js';
 
 /** Reports of crashes kept per suspect, the latest ones. */
 export const maximumCrashesKept = 6;
--- a/packages/daemon/src/features/at-most-once/at-most-once-stage.ts
+++ b/packages/daemon/src/features/at-most-once/at-most-once-stage.ts
@@ -1,7 +1,7 @@
 /** Guards the way of a non-idempotent call: its ticket or key decides whether it runs here, elsewhere or not at all. */
-import type {Clock, IncarnationId} from '@cairnbank/core';
+import {type Clock, type IncarnationId, fingerprintOf} from '@cairnbank/core';
 import {
-	fingerprintOf, notRun, parseIdempotencyKey, unknown, type IdempotencyKey, type Outcome,
+	notRun, parseIdempotencyKey, unknown, type IdempotencyKey, type Outcome,
 } from '@cairnbank/core/outcomes';
 import {type ForwardAnswer, type ForwardedCall, toOutcomeMessage} from '@cairnbank/protocol/at-most-once';
 import type {Call} from '../calls/call.js';
--- a/packages/daemon/src/features/at-most-once/bound-send.ts
+++ b/packages/daemon/src/features/at-most-once/bound-send.ts
@@ -1,5 +1,5 @@
 /** One send of a call under a ticket or key. */
-import type {Fingerprint} from '@cairnbank/core/outcomes';
+import type {Fingerprint} from '@cairnbank/core';
 import type {CallBinding} from '@cairnbank/protocol/at-most-once';
 import type {Call} from '../calls/call.js';
 
--- a/packages/daemon/src/features/calls/abandoned-requests.ts
+++ b/packages/daemon/src/features/calls/abandoned-requests.ts
@@ -1,6 +1,5 @@
 /** Requests that were given up while an upstream may still run them. */
-import type {Clock, UpstreamId} from '@cairnbank/core';
-import type {Fingerprint} from '@cairnbank/core/poison';
+import type {Clock, UpstreamId, Fingerprint} from '@cairnbank/core';
 
 /** Time after which an upstream's crash is no longer laid to them. */
 const keptMs = 10_000;
--- a/packages/daemon/src/features/calls/fingerprint-of-call.ts
+++ b/packages/daemon/src/features/calls/fingerprint-of-call.ts
@@ -1,5 +1,5 @@
 /** The poison guard's name of a call's request. */
-import {type Fingerprint, fingerprintOf} from '@cairnbank/core/poison';
+import {type Fingerprint, fingerprintOf} from '@cairnbank/core';
 import type {Call} from './call.js';
 
 export function fingerprintOfCall({serviceId, method, path, body}: Call): Fingerprint {
--- a/packages/daemon/src/features/calls/poison-guard.ts
+++ b/packages/daemon/src/features/calls/poison-guard.ts
@@ -1,8 +1,8 @@
 /** Keeps a request that crashes upstreams from taking down more than two. */
-import type {UpstreamId} from '@cairnbank/core';
+import type {UpstreamId, Fingerprint} from '@cairnbank/core';
 import type {Outcome} from '@cairnbank/core/outcomes';
 import {
-	countCrashes, defaultPoisonSettings, type Fingerprint, type PoisonDecision, type Suspect, SuspectTable,
+	countCrashes, defaultPoisonSettings, type PoisonDecision, type Suspect, SuspectTable,
 } from '@cairnbank/core/poison';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
 import {AbandonedRequests} from './abandoned-requests.js';
--- a/packages/daemon/src/features/calls/running-calls.ts
+++ b/packages/daemon/src/features/calls/running-calls.ts
@@ -1,6 +1,5 @@
 /** Calls whose request is at an upstream now. */
-import type {UpstreamId} from '@cairnbank/core';
-import type {Fingerprint} from '@cairnbank/core/poison';
+import type {UpstreamId, Fingerprint} from '@cairnbank/core';
 import type {Call} from './call.js';
 import {fingerprintOfCall} from './fingerprint-of-call.js';
 
--- a/packages/protocol/src/at-most-once/hand-over.ts
+++ b/packages/protocol/src/at-most-once/hand-over.ts
@@ -4,8 +4,7 @@
  * Entries come in parts; nothing counts until the commit, which says how many parts there were. A hand-over that was
  * not committed changed nothing, so another successor may be tried; once a commit was sent, none may.
  */
-import {incarnationIdSchema} from '@cairnbank/core';
-import {fingerprintSchema} from '@cairnbank/core/outcomes';
+import {incarnationIdSchema, fingerprintSchema} from '@cairnbank/core';
 import {z} from 'zod';
 import {outcomeMessageSchema} from './outcome-message.js';
 
--- a/packages/testing/src/at-most-once/table-cost-main.ts
+++ b/packages/testing/src/at-most-once/table-cost-main.ts
@@ -1,9 +1,9 @@
 /** Measures what one remembered ticket costs: time of issue, first send, end and resend, and memory. Run with --expose-gc. */
 import {randomBytes} from 'node:crypto';
 import process from 'node:process';
-import {incarnationIdSchema, systemClock} from '@cairnbank/core';
+import {incarnationIdSchema, systemClock, fingerprintOf} from '@cairnbank/core';
 import {
-	claimRecordSchema, fingerprintOf, parseTicket, TicketTable, type Outcome,
+	claimRecordSchema, parseTicket, TicketTable, type Outcome,
 } from '@cairnbank/core/outcomes';
 import {v7 as uuid} from 'uuid';
 
