Fault matrix: the budget of measuring, and a configuration that never reverts

Cause: two of the points that must always hold had no scenario. Change: probes of two instances are counted at the upstream while one of them is paused, wakes and is replaced; an instance sleeps through a change, wakes while the log is down, and both instances are replaced then.

--- /dev/null
+++ b/packages/testing/src/fault-matrix/steps/budget-steps.ts
@@ -0,0 +1,39 @@
+/** Steps about the cost of measuring. */
+import assert from 'node:assert/strict';
+import {Given as given, Then as then, When as when} from '@cucumber/cucumber';
+import {waitFor} from '../../harness/index.js';
+import type {MatrixWorld} from './matrix-world.js';
+
+const millisecondsPerSecond = 1000;
+
+type Budget = {
+	readonly perSecond: number;
+	readonly startMs: number;
+};
+
+const budgets = new WeakMap<MatrixWorld, Budget>();
+
+given('a service with 1 upstream and a budget of {int} probes each second for {int} instances', async function (this: MatrixWorld, perSecond: number, instances: number) {
+	budgets.set(this, {perSecond, startMs: performance.now()});
+	await this.startService(['answer'], {
+		policy: {type: 'hot-cold'},
+		probes: {
+			perSecondPerUpstream: perSecond, maximumInstances: instances, slotTimeRatio: 1, costMs: 1,
+		},
+	});
+});
+
+when('the upstream has had {int} more probes', async function (this: MatrixWorld, more: number) {
+	const [upstream] = this.upstreams;
+	const before = upstream!.probes;
+	await waitFor(`${more} probes`, () => upstream!.probes >= before + more);
+});
+
+// Counted against the time that truly went by, however slow the machine is.
+then('the upstream never had more probes than the budget', function (this: MatrixWorld) {
+	const {perSecond, startMs} = budgets.get(this)!;
+	const elapsedSeconds = (performance.now() - startMs) / millisecondsPerSecond;
+	const allowed = (perSecond * elapsedSeconds) + this.instanceNames.length;
+	const {probes} = this.upstreams[0]!;
+	assert.ok(probes <= allowed, `${probes} probes in ${elapsedSeconds.toFixed(2)} s`);
+});
--- a/packages/testing/src/fault-matrix/steps/drain-steps.ts
+++ b/packages/testing/src/fault-matrix/steps/drain-steps.ts
@@ -41,6 +41,14 @@
 	}
 });
 
+when(/^a second upstream takes the place of the first one, as instance (\w+) hears$/u, async function (this: MatrixWorld, name: string) {
+	const second = await new ScriptedUpstream(`${this.service}-2`).start();
+	this.upstreams.push(second);
+	this.answersOnceOn = true;
+	await this.fleet.publishAs('operator', inventoryOf(this.service, [second]), this.fleet.offset);
+	await this.fleet.known(name).configurationInForce(this.fleet.offset);
+});
+
 // The second upstream holds what it gets until it is at its limit: the first one, idle, would get the next request.
 then('every instance sends new work to the second upstream alone', async function (this: MatrixWorld) {
 	const [first, second] = this.upstreams;
