Fault matrix: the last send to a woken holder outlives the one it joins

Cause: one run in two told "unknown (deadline-exceeded)" for "not run" at "connecting": the last send joined the one that the other instance had passed on, and both had the same deadline. Both tellings are true; the scenario left open which. Change: the last send has a longer deadline, so it hears how the joined one ended.

--- a/packages/testing/features/holder-paused.feature
+++ b/packages/testing/features/holder-paused.feature
@@ -18,7 +18,7 @@
       Then the caller is told <told>
       When instance A is back
       And what was held goes on
-      And the caller sends it again through instance A
+      And the caller sends it again through instance A, allowing 10000 ms
       Then the caller is told <finally>
       And it ran <runs>
 
@@ -45,7 +45,7 @@
       Then the caller is told unknown
       When instance A is back
       And what was held goes on
-      And the caller sends it again through instance A
+      And the caller sends it again through instance A, allowing 10000 ms
       Then the caller is told <finally>
       And it ran <runs>
 
