Fault matrix: a holder that wakes late does so past the deadline for certain

Cause: one run in three told "answered" for "unknown": the other instance had held the holder for gone and answered early, so it woke within its deadline. Change: the scenario waits until the deadline of the first send has passed.

--- a/packages/testing/features/holder-paused.feature
+++ b/packages/testing/features/holder-paused.feature
@@ -43,7 +43,8 @@
       And the caller gives up
       And the caller sends it again through instance B
       Then the caller is told unknown
-      When instance A is back
+      When the deadline of the first send has passed
+      And instance A is back
       And what was held goes on
       And the caller sends it again through instance A, allowing 10000 ms
       Then the caller is told <finally>
--- a/packages/testing/src/fault-matrix/steps/instance-steps.ts
+++ b/packages/testing/src/fault-matrix/steps/instance-steps.ts
@@ -1,6 +1,7 @@
 /** Steps about entry instances: what befalls the one that holds a request, and what comes after. */
 import assert from 'node:assert/strict';
 import {Given as given, Then as then, When as when} from '@cucumber/cucumber';
+import {waitFor} from '../../harness/index.js';
 import {isStepOfLife} from '../cells/steps-of-life.js';
 import {parseRequestKind} from '../fixtures/request-kind.js';
 import {sendRequest} from '../fixtures/send-request.js';
@@ -10,6 +11,7 @@
 given(/^a (payment.*|query) that instance (\w+) holds at "(.+)"$/u, async function (this: MatrixWorld, kind: string, instance: string, step: string) {
 	assert.ok(isStepOfLife(step), `no such step: ${step}`);
 	await holdRequest(this, parseRequestKind(kind), step, instance);
+	this.heldAtMs = performance.now();
 });
 
 when(/^instance (\w+) is (killed|paused|replaced|told to stop|back)$/u, async function (this: MatrixWorld, name: string, event: string) {
@@ -40,6 +42,10 @@
 	}
 });
 
+when('the deadline of the first send has passed', async function (this: MatrixWorld) {
+	await waitFor('a time past the deadline', () => performance.now() > this.heldAtMs + this.deadlineMs);
+});
+
 when('what was held goes on', async function (this: MatrixWorld) {
 	await this.goOn();
 });
--- a/packages/testing/src/fault-matrix/steps/matrix-world.ts
+++ b/packages/testing/src/fault-matrix/steps/matrix-world.ts
@@ -52,6 +52,8 @@
 	fleet!: Fleet;
 	/** The instances of the scenario, by name. */
 	instanceNames: readonly string[] = ['A'];
+	/** When the request was held: the deadline that an instance knows began before. */
+	heldAtMs = 0;
 	/** What new requests allow. */
 	deadlineMs = defaultDeadlineMs;
 
