Fault matrix: a resend no longer lets the upstream go on; late wake-ups are strict again

Cause: three rows were widened to "answered or unknown", and the reason given was wrong. The step that sends a request again also opened the upstream's gate as soon as any answer began, so the late answer lay in the paused holder's socket before it woke. Change: sending again opens nothing; the rows expect "unknown" again, and the upstream goes on only once it has seen its answer given up.

--- a/packages/testing/features/holder-paused.feature
+++ b/packages/testing/features/holder-paused.feature
@@ -55,7 +55,26 @@
         | ticket or claim taken | ticket  | answered | 1 time  |
         | ticket or claim taken | key     | not run  | 0 times |
         | connecting            | ticket  | not run  | 0 times |
-        | sent                  | ticket  | answered or unknown | 1 time  |
-        | sent                  | key     | answered or unknown | 1 time  |
-        | answer half received  | ticket  | answered or unknown | 1 time  |
+
+    Scenario Outline: holder paused at <step>, awake after the deadline, its answer later still: a payment with a <binding>
+      Given the cell "holder paused" at "<step>"
+      And callers that allow 3000 ms
+      And a payment with a <binding> that instance A holds at "<step>"
+      When instance A is paused
+      And the caller gives up
+      And the caller sends it again through instance B
+      Then the caller is told unknown
+      When the deadline of the first send has passed
+      And instance A is back
+      And the upstream sees its answer given up
+      And what was held goes on
+      And the caller sends it again through instance A, allowing 10000 ms
+      Then the caller is told <finally>
+      And it ran <runs>
+
+      Examples:
+        | step                  | binding | finally  | runs    |
+        | sent                  | ticket  | unknown  | 1 time  |
+        | sent                  | key     | unknown  | 1 time  |
+        | answer half received  | ticket  | unknown  | 1 time  |
         | answer passed on      | ticket  | unknown  | 1 time  |
--- a/packages/testing/src/fault-matrix/steps/instance-steps.ts
+++ b/packages/testing/src/fault-matrix/steps/instance-steps.ts
@@ -64,9 +64,7 @@
 });
 
 when(/^the caller sends it again through instance (\w+)(?:, allowing (\d+) ms)?$/u, async function (this: MatrixWorld, name: string, deadlineMs: string | undefined) {
-	await sendRequest(this.request, {
-		address: this.address(name), deadlineMs: deadlineMs ?? undefined, onAnswerBegun: async () => this.letGo(),
-	});
+	await sendRequest(this.request, {address: this.address(name), deadlineMs: deadlineMs ?? undefined});
 });
 
 when('what is under way has ended', async function (this: MatrixWorld) {
