--- /dev/null
+++ b/packages/core/src/fleet/fleet-member.ts
@@ -0,0 +1,25 @@
+/** What instances tell each other of themselves. */
+import type {AvailabilityZoneId, IncarnationId, InstanceId} from '../model/ids.js';
+
+/** Sent with every heartbeat; plain data. */
+export type FleetMember = {
+	readonly instance: InstanceId;
+	readonly incarnation: IncarnationId;
+	/** IP number; the ports are the same on all instances. */
+	readonly host: string;
+	readonly availabilityZone: AvailabilityZoneId;
+	/** It serves callers and knows a configuration. */
+	readonly ready: boolean;
+	/** It has been told to stop; it still serves for a while. */
+	readonly leaving: boolean;
+	/** Version of the configuration in force; 0 for none. */
+	readonly configurationVersion: number;
+	/** Registry records folded in, see `UpstreamRegistry.endOffset`; -1 for none. */
+	readonly registryOffset: number;
+	/** Sums up which upstreams it knows, see `UpstreamRegistry.digest`. */
+	readonly registryDigest: number;
+	/** Time since the store last confirmed what it knows, directly or through others. */
+	readonly stateAgeMs: number;
+	/** Its last call to the store succeeded, or it has made none. */
+	readonly reachesStore: boolean;
+};
--- /dev/null
+++ b/packages/core/src/fleet/index.ts
@@ -0,0 +1,3 @@
+export type * from './fleet-member.js';
+export * from './fleet-view.js';
+export * from './store-follower.js';
--- /dev/null
+++ b/packages/core/src/placement/index.ts
@@ -0,0 +1,4 @@
+export * from './expected-duration.js';
+export type * from './load-report.js';
+export * from './upstream-condition.js';
+export * from './work-estimate.js';
--- /dev/null
+++ b/packages/core/src/placement/work-estimate.ts
@@ -0,0 +1,36 @@
+/** How long requests of a route work at an upstream that runs as usual. */
+
+/** Share of a new measurement in the running mean: about the last twenty answers count. */
+const learningRate = 0.05;
+/** Part of the target latency that work is taken for before anything is measured. */
+const firstGuessRatio = 0.4;
+/** A request whose work is outside the usual must not move the mean by more than this factor at once. */
+const maximumStep = 3;
+
+/** Running means by route. */
+export class WorkEstimates {
+	readonly #meanMs = new Map<string, number>();
+
+	/** Expected work of a request at an upstream of usual speed. */
+	expectedMs(routeId: string, targetLatencyMs: number): number {
+		return this.#meanMs.get(routeId) ?? targetLatencyMs * firstGuessRatio;
+	}
+
+	/**
+	 * Learns from one answer.
+	 *
+	 * @param tookMs - from send to answer
+	 * @param slowness - of the upstream as the request was sent
+	 */
+	learn(routeId: string, tookMs: number, slowness: number): void {
+		const workMs = tookMs / Math.max(1, slowness);
+		const meanMs = this.#meanMs.get(routeId);
+		if (meanMs === undefined) {
+			this.#meanMs.set(routeId, workMs);
+			return;
+		}
+
+		const bounded = Math.min(Math.max(workMs, meanMs / maximumStep), meanMs * maximumStep);
+		this.#meanMs.set(routeId, meanMs + ((bounded - meanMs) * learningRate));
+	}
+}
--- /dev/null
+++ b/packages/core/src/registry/store-trust.ts
@@ -0,0 +1,48 @@
+/** Whether a removal that the store shows now can be taken at its word. */
+import type {Clock} from '../model/clock.js';
+import {lapseGraceMs, type RemovalTrust} from './upstream-registry.js';
+
+/** Remembers outages of the store as this instance saw them. */
+export class StoreTrust {
+	readonly #clock: Clock;
+	#isDown = false;
+	#returnedAtMs: number | undefined;
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	get isDown(): boolean {
+		return this.#isDown;
+	}
+
+	/** A call failed. @returns whether this is news */
+	failed(): boolean {
+		const isNews = !this.#isDown;
+		this.#isDown = true;
+		return isNews;
+	}
+
+	/** A call succeeded. @returns whether this is news */
+	succeeded(): boolean {
+		if (!this.#isDown) {
+			return false;
+		}
+
+		this.#isDown = false;
+		this.#returnedAtMs = this.#clock.monotonicMs();
+		return true;
+	}
+
+	current(): RemovalTrust {
+		const nowMs = this.#clock.monotonicMs();
+		if (this.#isDown) {
+			return {type: 'after-outage', returnedAtMs: nowMs};
+		}
+
+		const returnedAtMs = this.#returnedAtMs;
+		return returnedAtMs !== undefined && nowMs - returnedAtMs < lapseGraceMs
+			? {type: 'after-outage', returnedAtMs}
+			: {type: 'sound'};
+	}
+}
--- /dev/null
+++ b/packages/core/src/registry/upstream-registry.ts
@@ -0,0 +1,169 @@
+/** Which upstreams exist, folded from the registry's records; never moves back. */
+import type {Clock} from '../model/clock.js';
+import type {UpstreamId} from '../model/ids.js';
+import {hashText} from '../routing/hash-text.js';
+import type {KeyedChange, KeyedChanges, KeyedSnapshot} from './keyed-change.js';
+import type {RegisteredUpstream} from './registered-upstream.js';
+
+/**
+ * How long an upstream whose entry vanished around an outage of the store is kept after the store's return.
+ * The store promises that entries of live upstreams are back about 2 s after its return; the rest is its tolerance.
+ */
+export const lapseGraceMs = 2300;
+
+const digestRange = 4_294_967_296;
+
+/** How sure a removal is. */
+export type RemovalTrust =
+	/** The store has served without a break: what is removed is gone. */
+	| {readonly type: 'sound'}
+	/** The store has just come back: an entry may have lapsed while it could not be renewed. */
+	| {readonly type: 'after-outage'; readonly returnedAtMs: number};
+
+export type RegistryEvent =
+	| {readonly type: 'joined'; readonly upstream: RegisteredUpstream}
+	| {readonly type: 'draining'; readonly upstream: RegisteredUpstream}
+	| {readonly type: 'lapsed'; readonly upstream: RegisteredUpstream}
+	| {readonly type: 'gone'; readonly upstream: RegisteredUpstream};
+
+type Entry = {
+	readonly upstream: RegisteredUpstream;
+	readonly offset: number;
+	readonly seenAtMs: number;
+	/** Set while its entry is missing around an outage. */
+	readonly goneAtMs?: number;
+};
+
+/** The fold of the registry. */
+export class UpstreamRegistry {
+	readonly #clock: Clock;
+	readonly #entries = new Map<UpstreamId, Entry>();
+	#endOffset = -1;
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	/** Records up to here (not included) are folded in; -1 before the first snapshot. */
+	get endOffset(): number {
+		return this.#endOffset;
+	}
+
+	get isKnown(): boolean {
+		return this.#endOffset >= 0;
+	}
+
+	/** Equal where the same upstreams are known in the same states, whatever the order they came in. */
+	get digest(): number {
+		let sum = 0;
+		for (const {upstream} of this.#entries.values()) {
+			sum = (sum + hashText(`${upstream.id}/${upstream.draining}`)) % digestRange;
+		}
+
+		return sum;
+	}
+
+	/** Another instance knows the same upstreams and has folded in more records. */
+	confirm(endOffset: number): void {
+		this.#endOffset = Math.max(this.#endOffset, endOffset);
+	}
+
+	/** Every upstream that may be in service, with the time at which its entry was last seen to change. */
+	entries(): ReadonlyArray<{readonly upstream: RegisteredUpstream; readonly seenAtMs: number}> {
+		return [...this.#entries.values()];
+	}
+
+	get(id: UpstreamId): RegisteredUpstream | undefined {
+		return this.#entries.get(id)?.upstream;
+	}
+
+	/** The state for an instance that has none; entries that lapsed count as present. */
+	toSnapshot(): KeyedSnapshot<RegisteredUpstream> {
+		const records = [...this.#entries.values()].map(({upstream, offset}) => ({key: upstream.id, offset, value: upstream}));
+		return {endOffset: this.#endOffset, records};
+	}
+
+	/** Replaces the state by a later snapshot; earlier ones are ignored. */
+	replace(snapshot: KeyedSnapshot<RegisteredUpstream>, trust: RemovalTrust): readonly RegistryEvent[] {
+		if (snapshot.endOffset < this.#endOffset) {
+			return [];
+		}
+
+		const present = new Set(snapshot.records.filter(({value}) => value !== undefined).map(({key}) => key));
+		const removed = [...this.#entries.values()]
+			.filter(({upstream}) => !present.has(upstream.id))
+			.flatMap(({upstream}) => this.#remove(upstream.id, trust));
+		const changed = snapshot.records.flatMap(record => this.#apply(record, trust));
+		this.#endOffset = snapshot.endOffset;
+		return [...removed, ...changed];
+	}
+
+	/**
+	 * Folds consecutive records in.
+	 *
+	 * @returns nothing where records between the state and `changes` are missing
+	 */
+	follow(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalTrust): readonly RegistryEvent[] | undefined {
+		if (!this.isKnown || changes.fromOffset > this.#endOffset) {
+			return undefined;
+		}
+
+		const fresh = changes.records.filter(({offset}) => offset >= this.#endOffset);
+		const events = fresh.flatMap(record => this.#apply(record, trust));
+		this.#endOffset = Math.max(this.#endOffset, changes.endOffset);
+		return events;
+	}
+
+	/** Drops what lapsed and did not come back in time. */
+	sweep(): readonly RegistryEvent[] {
+		const nowMs = this.#clock.monotonicMs();
+		const overdue = [...this.#entries.values()].filter(({goneAtMs}) => goneAtMs !== undefined && goneAtMs <= nowMs);
+		for (const {upstream} of overdue) {
+			this.#entries.delete(upstream.id);
+		}
+
+		return overdue.map(({upstream}) => ({type: 'gone', upstream}));
+	}
+
+	#apply({key, value, offset}: KeyedChange<RegisteredUpstream>, trust: RemovalTrust): readonly RegistryEvent[] {
+		const id = key as UpstreamId;
+		if (value === undefined) {
+			return this.#remove(id, trust);
+		}
+
+		const known = this.#entries.get(id);
+		if (known !== undefined && known.offset > offset) {
+			return [];
+		}
+
+		// An upstream that has begun to leave stays so, whatever order its records come in.
+		const upstream = {...value, draining: value.draining || (known?.upstream.draining ?? false)};
+		const seenAtMs = known?.seenAtMs ?? this.#clock.monotonicMs();
+		this.#entries.set(id, {upstream, offset, seenAtMs});
+		if (known === undefined) {
+			return [{type: 'joined', upstream}];
+		}
+
+		return upstream.draining && !known.upstream.draining ? [{type: 'draining', upstream}] : [];
+	}
+
+	#remove(id: UpstreamId, trust: RemovalTrust): readonly RegistryEvent[] {
+		const known = this.#entries.get(id);
+		if (known === undefined) {
+			return [];
+		}
+
+		// One that was draining had planned to leave: its entry did not lapse by accident.
+		if (trust.type === 'sound' || known.upstream.draining) {
+			this.#entries.delete(id);
+			return [{type: 'gone', upstream: known.upstream}];
+		}
+
+		if (known.goneAtMs !== undefined) {
+			return [];
+		}
+
+		this.#entries.set(id, {...known, goneAtMs: trust.returnedAtMs + lapseGraceMs});
+		return [{type: 'lapsed', upstream: known.upstream}];
+	}
+}
--- a/packages/core/src/retries/index.ts
+++ b/packages/core/src/retries/index.ts
@@ -8,3 +8,4 @@
 export * from './next-step.js';
 export type * from './retry-policy.js';
 export type * from './retry-step.js';
+export * from './window-budget.js';
--- /dev/null
+++ b/packages/core/src/routes/index.ts
@@ -0,0 +1,3 @@
+export * from './pick-service.js';
+export * from './route-table.js';
+export type * from './route.js';
--- /dev/null
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -0,0 +1,20 @@
+/** What a call needs of the rest of the process. */
+import type {Clock, ServiceId} from '@cairnbank/core';
+import type {WorkEstimates} from '@cairnbank/core/placement';
+import type {WindowBudget} from '@cairnbank/core/retries';
+import type {Metrics} from '../../metrics/metrics.js';
+import type {RequestDialect} from '../../ports/index.js';
+import type {Placement, PlacementRequest} from '../upstreams/placer.js';
+
+export type CallDependencies = {
+	readonly clock: Clock;
+	readonly dialect: RequestDialect;
+	readonly metrics: Metrics;
+	readonly work: WorkEstimates;
+	/** This instance's part of the repeats that a service may get. */
+	readonly budget: (service: ServiceId) => WindowBudget;
+	/** Greatest number of instances that may share the budget. */
+	readonly instances: () => number;
+	readonly place: (request: PlacementRequest) => Promise<Placement | undefined>;
+	readonly pause: (durationMs: number) => Promise<void>;
+};
--- /dev/null
+++ b/packages/gateway/src/features/calls/index.ts
@@ -0,0 +1,1 @@
+export * from './callers-task.js';
--- /dev/null
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -0,0 +1,22 @@
+/** What a caller is told; each request ends in exactly one of these. */
+import type {UpstreamAnswer} from '../upstreams/exchange.js';
+
+export type NotRunReason =
+	| 'no-configuration' | 'no-upstream' | 'refused-by-upstreams' | 'not-connected' | 'never-sent' | 'suspected-poison';
+
+export type UnknownReason = 'broken' | 'malformed' | 'timed-out' | 'unsigned' | 'unproven-refusal';
+
+export type BadRequestReason = 'no-route' | 'no-request-id' | 'body-too-large' | 'header-too-large' | 'bad-deadline';
+
+export type Outcome =
+	/** An upstream's own answer, whole. */
+	| {readonly type: 'answered'; readonly answer: UpstreamAnswer}
+	/** Neither has it run nor will it. */
+	| {readonly type: 'not-run'; readonly reason: NotRunReason; readonly retryAfterMs: number}
+	/** It may have run. */
+	| {readonly type: 'unknown'; readonly reason: UnknownReason}
+	/** The route's timeout or the caller's deadline has passed; it may have run. */
+	| {readonly type: 'timed-out'}
+	| {readonly type: 'bad-request'; readonly reason: BadRequestReason}
+	/** The caller has gone. */
+	| {readonly type: 'abandoned'};
--- /dev/null
+++ b/packages/gateway/src/features/calls/read-call.ts
@@ -0,0 +1,96 @@
+/** Makes a call of an incoming request, or says what is wrong with it. */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import type {Clock, RandomSource} from '@cairnbank/core';
+import {pickService, type RouteTable} from '@cairnbank/core/routes';
+import {err, ok, type Result} from 'neverthrow';
+import type {RequestDialect} from '../../ports/index.js';
+import type {Call} from './call.js';
+import {forwardedHeaders} from './forwarded-headers.js';
+import type {Outcome} from './outcome.js';
+
+/** When a caller may come again to an instance that doesn't know any configuration yet. */
+const startingRetryAfterMs = 200;
+
+export type ReadCallOptions = {
+	readonly routes: RouteTable | undefined;
+	readonly dialect: RequestDialect;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+};
+
+type CallHead = Omit<Call, 'body'>;
+
+/** Reads all but the body. */
+export function readCallHead(request: IncomingMessage, {routes, dialect, clock, random}: ReadCallOptions): Result<CallHead, Outcome> {
+	if (routes === undefined) {
+		return err({type: 'not-run', reason: 'no-configuration', retryAfterMs: startingRetryAfterMs});
+	}
+
+	const {limits, version} = routes.configuration;
+	const headerBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
+	if (headerBytes > limits.maximumHeaderBytes) {
+		return err({type: 'bad-request', reason: 'header-too-large'});
+	}
+
+	if (Number(request.headers['content-length'] ?? 0) > limits.maximumBodyBytes) {
+		return err({type: 'bad-request', reason: 'body-too-large'});
+	}
+
+	const target = request.url ?? '/';
+	const route = routes.match(request.headers.host ?? '', target);
+	const service = route === undefined ? undefined : pickService(route, random);
+	if (route === undefined || service === undefined) {
+		return err({type: 'bad-request', reason: 'no-route'});
+	}
+
+	const requestId = request.headers[dialect.requestIdHeader];
+	if (typeof requestId !== 'string' || requestId === '') {
+		return err({type: 'bad-request', reason: 'no-request-id'});
+	}
+
+	const deadlineHeader = request.headers[dialect.deadlineHeader];
+	const waitMs = deadlineHeader === undefined ? route.timeoutMs : Number(deadlineHeader);
+	if (!Number.isFinite(waitMs) || waitMs <= 0) {
+		return err({type: 'bad-request', reason: 'bad-deadline'});
+	}
+
+	const receivedAtMs = clock.monotonicMs();
+	return ok({
+		requestId,
+		method: request.method ?? 'GET',
+		target,
+		headers: forwardedHeaders(request.rawHeaders, [dialect.deadlineHeader, dialect.expectedUpstreamHeader]),
+		route,
+		service,
+		configurationVersion: version,
+		receivedAtMs,
+		deadlineAtMs: receivedAtMs + Math.min(waitMs, route.timeoutMs),
+	});
+}
+
+/** Reads the body whole; nothing where the caller broke off or sent too much. */
+export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Result<Uint8Array | undefined, 'too-large' | 'broken-off'>> {
+	return new Promise(resolve => {
+		const chunks: Uint8Array[] = [];
+		let bytes = 0;
+		request.on('data', (chunk: Uint8Array) => {
+			bytes += chunk.length;
+			if (bytes > maximumBytes) {
+				request.removeAllListeners('data');
+				request.resume();
+				resolve(err('too-large'));
+				return;
+			}
+
+			chunks.push(chunk);
+		});
+		request.on('end', () => {
+			const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
+			resolve(ok(hasBody ? Buffer.concat(chunks) : undefined));
+		});
+		request.on('close', () => {
+			resolve(err('broken-off'));
+		});
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/features/directory/directory-task.ts
@@ -0,0 +1,94 @@
+/** Answers callers that ask where to connect, and the platform that asks whether this instance is ready. */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {FleetMember} from '@cairnbank/core/fleet';
+import {ok, type Result} from 'neverthrow';
+import type {Context} from '../../kernel/context.js';
+import {listen, splitAddress} from '../../kernel/listen.js';
+import type {StartError} from '../../kernel/start-error.js';
+import type {Task} from '../../kernel/task.js';
+import type {DirectoryDialect} from '../../ports/index.js';
+
+/**
+ * How long callers may keep an answer. Some keep it three times as long, and an instance that is told to stop goes on
+ * accepting for that time.
+ */
+export const addressTtlMs = 1500;
+const millisecondsPerSecond = 1000;
+
+export type DirectoryTaskOptions = {
+	readonly context: Context;
+	readonly dialect: DirectoryDialect;
+	readonly isReady: () => boolean;
+	readonly offered: () => readonly FleetMember[];
+};
+
+export class DirectoryTask implements Task {
+	readonly name = 'directory';
+	readonly #options: DirectoryTaskOptions;
+	readonly #servers = new Map<string, Server>();
+
+	constructor(options: DirectoryTaskOptions) {
+		this.#options = options;
+		const {directory, readiness, control} = options.context.settings.listen;
+		for (const address of new Set([directory, readiness, ...(control === undefined ? [] : [control])])) {
+			this.#servers.set(address, createServer((request, response) => {
+				this.#answer(request, response);
+			}));
+		}
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		for (const [address, server] of this.#servers) {
+			const started = await listen(server, this.name, address);
+			if (started.isErr()) {
+				return started;
+			}
+		}
+
+		return ok(undefined);
+	}
+
+	stop(): void {
+		for (const server of this.#servers.values()) {
+			server.close();
+			server.closeAllConnections();
+		}
+	}
+
+	#answer(request: IncomingMessage, response: ServerResponse): void {
+		const {dialect, isReady} = this.#options;
+		const url = request.url ?? '/';
+		request.resume();
+		if (url.split('?')[0] === dialect.readinessPath) {
+			response.statusCode = isReady() ? 200 : 503;
+			response.end();
+			return;
+		}
+
+		const query = dialect.readQuery(url);
+		if (query === undefined) {
+			response.statusCode = 404;
+			response.end();
+			return;
+		}
+
+		this.#answerAddresses(response);
+	}
+
+	#answerAddresses(response: ServerResponse): void {
+		const {context, dialect, offered} = this.#options;
+		const {port} = splitAddress(context.settings.listen.callers);
+		const addresses = offered().map(({host}) => `${host}:${port}`).slice(0, dialect.maximumAddresses);
+		if (addresses.length === 0) {
+			response.statusCode = 503;
+			response.end();
+			return;
+		}
+
+		const ttlMs = Math.min(addressTtlMs, context.settings.bounds.maximumAddressTtlSeconds * millisecondsPerSecond);
+		response.setHeader('Content-Type', 'application/json');
+		response.end(dialect.writeAnswer(addresses, ttlMs));
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -0,0 +1,150 @@
+/** Messages between instances, as JSON arrays: every byte between availability zones is paid for. */
+import {Buffer} from 'node:buffer';
+import type {
+	AvailabilityZoneId, IncarnationId, InstanceId, ServiceId, UpstreamId,
+} from '@cairnbank/core';
+import type {FleetMember} from '@cairnbank/core/fleet';
+import type {KeyedChanges, RegisteredUpstream, RemovalTrust} from '@cairnbank/core/registry';
+import {err, ok, type Result} from 'neverthrow';
+import * as v from 'valibot';
+
+/** Larger messages might be split on the way and lost whole with any part; others then ask for the state. */
+export const maximumDatagramBytes = 1200;
+
+export type FleetMessage =
+	| {readonly type: 'heartbeat'; readonly member: FleetMember}
+	/** Addresses of instances, told to one that has just appeared. */
+	| {readonly type: 'hosts'; readonly hosts: readonly string[]}
+	| {readonly type: 'changes'; readonly changes: KeyedChanges<RegisteredUpstream>; readonly trust: RemovalTrust};
+
+const readyFlag = 1;
+const leavingFlag = 2;
+const reachesStoreFlag = 4;
+
+const heartbeatSchema = v.tuple([
+	v.literal('b'), v.string(), v.string(), v.string(), v.string(), v.number(), v.number(), v.number(), v.number(), v.number(),
+]);
+const hostsSchema = v.tuple([v.literal('k'), v.array(v.string())]);
+const upstreamSchema = v.tuple([
+	v.string(), v.string(), v.string(), v.number(), v.string(), v.number(), v.boolean(), v.number(),
+]);
+const changesSchema = v.tuple([
+	v.literal('c'),
+	v.number(),
+	v.number(),
+	v.nullable(v.number()),
+	v.array(v.tuple([v.number(), v.string(), v.nullable(upstreamSchema)])),
+]);
+const messageSchema = v.union([heartbeatSchema, hostsSchema, changesSchema]);
+
+export function encodeMessage(message: FleetMessage, nowMs: number): Uint8Array {
+	return Buffer.from(JSON.stringify(toArray(message, nowMs)));
+}
+
+/** @param nowMs - of the monotonic clock, to which relative times are set */
+export function decodeMessage(bytes: Uint8Array, nowMs: number): Result<FleetMessage, string> {
+	let json: unknown;
+	try {
+		json = JSON.parse(bytes.toString());
+	} catch (error) {
+		return err((error as Error).message);
+	}
+
+	const parsed = v.safeParse(messageSchema, json);
+	return parsed.success ? ok(fromArray(parsed.output, nowMs)) : err(parsed.issues[0].message);
+}
+
+function toArray(message: FleetMessage, nowMs: number): unknown[] {
+	switch (message.type) {
+		case 'heartbeat': {
+			const {member} = message;
+			const flags = (member.ready ? readyFlag : 0) + (member.leaving ? leavingFlag : 0) + (member.reachesStore ? reachesStoreFlag : 0);
+			return [
+				'b',
+				member.instance,
+				member.incarnation,
+				member.host,
+				member.availabilityZone,
+				flags,
+				member.configurationVersion,
+				member.registryOffset,
+				member.registryDigest,
+				member.stateAgeMs,
+			];
+		}
+
+		case 'hosts': {
+			return ['k', message.hosts];
+		}
+
+		case 'changes': {
+			const {changes, trust} = message;
+			const returnedAgoMs = trust.type === 'sound' ? null : Math.round(nowMs - trust.returnedAtMs);
+			return ['c', changes.fromOffset, changes.endOffset, returnedAgoMs, changes.records.map(({offset, key, value}) => [
+				offset, key, value === undefined
+					? null
+					: [
+						value.service, value.host, value.availabilityZone, value.port, value.id, value.slots, value.draining, value.warmupMs,
+					],
+			])];
+		}
+	}
+}
+
+function fromArray(array: v.InferOutput<typeof messageSchema>, nowMs: number): FleetMessage {
+	switch (array[0]) {
+		case 'b': {
+			const [, instance, incarnation, host, zone, flags, configurationVersion, registryOffset, registryDigest, stateAgeMs] = array;
+			return {
+				type: 'heartbeat',
+				member: {
+					instance: instance as InstanceId,
+					incarnation: incarnation as IncarnationId,
+					host,
+					availabilityZone: zone as AvailabilityZoneId,
+					ready: hasFlag(flags, readyFlag),
+					leaving: hasFlag(flags, leavingFlag),
+					reachesStore: hasFlag(flags, reachesStoreFlag),
+					configurationVersion,
+					registryOffset,
+					registryDigest,
+					stateAgeMs,
+				},
+			};
+		}
+
+		case 'k': {
+			return {type: 'hosts', hosts: array[1]};
+		}
+
+		case 'c': {
+			const [, fromOffset, endOffset, returnedAgoMs, records] = array;
+			return {
+				type: 'changes',
+				trust: returnedAgoMs === null ? {type: 'sound'} : {type: 'after-outage', returnedAtMs: nowMs - returnedAgoMs},
+				changes: {
+					fromOffset,
+					endOffset,
+					records: records.map(([offset, key, value]) => ({offset, key, value: value === null ? undefined : toUpstream(value)})),
+				},
+			};
+		}
+	}
+}
+
+function toUpstream([service, host, zone, port, id, slots, draining, warmupMs]: v.InferOutput<typeof upstreamSchema>): RegisteredUpstream {
+	return {
+		service: service as ServiceId,
+		host,
+		availabilityZone: zone as AvailabilityZoneId,
+		port,
+		id: id as UpstreamId,
+		slots,
+		draining,
+		warmupMs,
+	};
+}
+
+function hasFlag(flags: number, flag: number): boolean {
+	return Math.floor(flags / flag) % 2 === 1;
+}
--- /dev/null
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -0,0 +1,253 @@
+/** Owns the traffic between instances: heartbeats, news of the registry, the search for other instances. */
+import {createSocket, type Socket} from 'node:dgram';
+import type {AvailabilityZoneId, InstanceId} from '@cairnbank/core';
+import {
+	chooseFollower, defaultFleetTiming, FleetView, type FleetMember,
+} from '@cairnbank/core/fleet';
+import type {KeyedChanges, RegisteredUpstream, RemovalTrust} from '@cairnbank/core/registry';
+import {err, ok, type Result} from 'neverthrow';
+import type {Context} from '../../kernel/context.js';
+import {splitAddress} from '../../kernel/listen.js';
+import type {StartError} from '../../kernel/start-error.js';
+import type {Task} from '../../kernel/task.js';
+import type {StateStore} from '../../ports/index.js';
+import type {StateTask} from '../state/state-task.js';
+import {
+	decodeMessage, encodeMessage, maximumDatagramBytes, type FleetMessage,
+} from './datagrams.js';
+import {fetchState, StateExchange} from './state-exchange.js';
+
+/** Pause between two tries to enter this instance in the store and to read who else is there. */
+const enterRetryMs = 1000;
+/** The follower's heartbeats carry the age of what all know, so they are more frequent than those of the others. */
+const followerHeartbeatMs = 300;
+
+export type FleetTaskOptions = {
+	readonly context: Context;
+	readonly store: StateStore;
+	readonly state: () => StateTask;
+};
+
+export class FleetTask implements Task {
+	readonly name = 'fleet';
+	readonly #options: FleetTaskOptions;
+	readonly #view: FleetView;
+	readonly #exchange: StateExchange;
+	readonly #socket: Socket;
+	/** Hosts that are being asked for their state. */
+	readonly #asked = new Set<string>();
+	#beatTimer: NodeJS.Timeout | undefined;
+	#enterTimer: NodeJS.Timeout | undefined;
+	#isLeaving = false;
+	#isStopped = false;
+
+	constructor(options: FleetTaskOptions) {
+		this.#options = options;
+		this.#view = new FleetView(options.context.clock);
+		this.#exchange = new StateExchange(query => options.state().share(query));
+		this.#socket = createSocket('udp4');
+		this.#socket.on('message', (bytes, {address}) => {
+			this.#received(bytes, address);
+		});
+		this.#socket.on('error', error => {
+			options.context.logger.warn('datagram socket failed', {message: error.message});
+		});
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		const {settings} = this.#options.context;
+		const exchange = await this.#exchange.start(`${settings.host}:${settings.peers.statePort}`);
+		if (exchange.isErr()) {
+			return exchange;
+		}
+
+		const bound = await this.#bind(settings.host, settings.peers.datagramPort);
+		this.#view.addCandidates(settings.seeds.map(seed => splitAddress(seed).host).filter(host => host !== settings.host));
+		this.#beat();
+		void this.#enter();
+		return bound;
+	}
+
+	leave(): void {
+		this.#isLeaving = true;
+		this.announce();
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+		clearTimeout(this.#beatTimer);
+		clearTimeout(this.#enterTimer);
+		this.#socket.close();
+		this.#exchange.stop();
+	}
+
+	/** This instance as others see it. */
+	get self(): FleetMember {
+		const {settings, incarnation} = this.#options.context;
+		const state = this.#options.state();
+		return {
+			instance: settings.instanceId as InstanceId,
+			incarnation,
+			host: settings.host,
+			availabilityZone: settings.availabilityZone as AvailabilityZoneId,
+			ready: state.isKnown && !this.#isLeaving,
+			leaving: this.#isLeaving,
+			...state.describe(),
+		};
+	}
+
+	/** Whether this instance reads the store on behalf of all. */
+	get isFollower(): boolean {
+		return chooseFollower([this.self, ...this.#view.live()]) === this.#options.context.incarnation;
+	}
+
+	/** Instances that callers may be sent to, this one among them if it is ready. */
+	offered(): readonly FleetMember[] {
+		const {self} = this;
+		return self.ready ? [self, ...this.#view.offered()] : this.#view.offered();
+	}
+
+	/** Greatest number of instances that may share a budget. */
+	get greatestSize(): number {
+		return this.#view.greatestSize;
+	}
+
+	/** Tells all others what changed in the registry, where it fits into a message. */
+	announceChanges(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalTrust): void {
+		this.#sendToAll({type: 'changes', changes, trust});
+	}
+
+	/** Tells all others of this instance at once. */
+	announce(): void {
+		this.#sendToAll({type: 'heartbeat', member: this.self});
+	}
+
+	async #bind(address: string, port: number): Promise<Result<void, StartError>> {
+		return new Promise(resolve => {
+			this.#socket.once('error', error => {
+				resolve(err({type: 'cannot-listen', listener: 'datagrams', message: error.message}));
+			});
+			this.#socket.bind({address, port}, () => {
+				resolve(ok(undefined));
+			});
+		});
+	}
+
+	#beat(): void {
+		if (this.#isStopped) {
+			return;
+		}
+
+		const {logger, metrics} = this.#options.context;
+		for (const host of this.#view.sweep()) {
+			logger.info('instance forgotten', {host});
+		}
+
+		metrics.liveInstances.set(this.#view.live().length + 1);
+		this.announce();
+		this.#beatTimer = setTimeout(() => {
+			this.#beat();
+		}, this.isFollower ? followerHeartbeatMs : defaultFleetTiming.heartbeatMs);
+	}
+
+	/** Enters this instance in the store and learns of others there; again until both have worked. */
+	async #enter(): Promise<void> {
+		const {context: {settings, logger, metrics}, store} = this.#options;
+		const entered = await store.instances.enter(settings.instanceId, {host: settings.host});
+		metrics.storeCalls.inc({call: 'enter', result: entered.isOk() ? 'ok' : 'failed'});
+		const listed = entered.isOk() ? await store.instances.list() : err(entered.error);
+		if (listed.isOk()) {
+			metrics.storeCalls.inc({call: 'list', result: 'ok'});
+			this.#view.addCandidates(listed.value.map(({host}) => host).filter(host => host !== settings.host));
+			logger.info('entered in the store', {others: listed.value.length - 1});
+			return;
+		}
+
+		logger.warn('cannot enter this instance in the store', {...listed.error});
+		if (!this.#isStopped) {
+			this.#enterTimer = setTimeout(() => {
+				void this.#enter();
+			}, enterRetryMs);
+		}
+	}
+
+	#received(bytes: Uint8Array, host: string): void {
+		const {context} = this.#options;
+		const message = decodeMessage(bytes, context.clock.monotonicMs());
+		if (message.isErr()) {
+			context.logger.warn('unreadable message', {host, message: message.error});
+			return;
+		}
+
+		context.metrics.peerMessages.inc({type: message.value.type});
+		switch (message.value.type) {
+			case 'heartbeat': {
+				this.#heard(message.value.member);
+				return;
+			}
+
+			case 'hosts': {
+				this.#view.addCandidates(message.value.hosts.filter(other => other !== context.settings.host));
+				return;
+			}
+
+			case 'changes': {
+				this.#options.state().changed(message.value.changes, message.value.trust);
+			}
+		}
+	}
+
+	#heard(member: FleetMember): void {
+		const {context} = this.#options;
+		if (member.incarnation === context.incarnation) {
+			return;
+		}
+
+		if (this.#view.heard(member)) {
+			context.logger.info('instance appeared', {instance: member.instance, host: member.host, incarnation: member.incarnation});
+			this.#sendTo(member.host, {type: 'hosts', hosts: this.#view.targets().filter(host => host !== member.host)});
+			this.#sendTo(member.host, {type: 'heartbeat', member: this.self});
+		}
+
+		const isFollower = chooseFollower([this.self, ...this.#view.live()]) === member.incarnation;
+		const query = this.#options.state().compare(member, isFollower);
+		if (query !== undefined && !this.#asked.has(member.host)) {
+			void this.#ask(member.host, query);
+		}
+	}
+
+	async #ask(host: string, query: Parameters<typeof fetchState>[2]): Promise<void> {
+		this.#asked.add(host);
+		const state = await fetchState(host, this.#options.context.settings.peers.statePort, query);
+		this.#asked.delete(host);
+		if (state.isErr()) {
+			this.#options.context.logger.warn('instance did not hand over its state', {host, message: state.error});
+			return;
+		}
+
+		this.#options.state().adopt(state.value);
+	}
+
+	#sendToAll(message: FleetMessage): void {
+		const bytes = encodeMessage(message, this.#options.context.clock.monotonicMs());
+		if (bytes.length > maximumDatagramBytes) {
+			return;
+		}
+
+		for (const host of this.#view.targets()) {
+			this.#send(bytes, host);
+		}
+	}
+
+	#sendTo(host: string, message: FleetMessage): void {
+		this.#send(encodeMessage(message, this.#options.context.clock.monotonicMs()), host);
+	}
+
+	#send(bytes: Uint8Array, host: string): void {
+		this.#socket.send(bytes, this.#options.context.settings.peers.datagramPort, host, error => {
+			if (error) {
+				this.#options.context.logger.debug('datagram not sent', {host, message: error.message});
+			}
+		});
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/features/metrics/metrics-task.ts
@@ -0,0 +1,37 @@
+/** Serves the counters to whoever collects them. */
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import type {Result} from 'neverthrow';
+import type {Context} from '../../kernel/context.js';
+import {listen} from '../../kernel/listen.js';
+import type {StartError} from '../../kernel/start-error.js';
+import type {Task} from '../../kernel/task.js';
+
+export class MetricsTask implements Task {
+	readonly name = 'metrics';
+	readonly #context: Context;
+	readonly #server: Server;
+
+	constructor(context: Context, droppedLogLines: () => number) {
+		this.#context = context;
+		this.#server = createServer((_request, response) => {
+			context.metrics.droppedLogLines.set(droppedLogLines());
+			void this.#answer(response);
+		});
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		const {host, peers} = this.#context.settings;
+		return listen(this.#server, this.name, `${host}:${peers.metricsPort}`);
+	}
+
+	stop(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #answer(response: ServerResponse): Promise<void> {
+		const {registry} = this.#context.metrics;
+		response.setHeader('Content-Type', registry.contentType);
+		response.end(await registry.metrics());
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/features/state/topic-reader.ts
@@ -0,0 +1,154 @@
+/** Keeps one topic of the store in step: at length on behalf of all, or once where what others tell grows old. */
+import type {Clock, RandomSource} from '@cairnbank/core';
+import type {KeyedChanges, KeyedSnapshot, StoreTrust} from '@cairnbank/core/registry';
+import type {Logger} from '../../logging/create-logger.js';
+import type {Metrics} from '../../metrics/metrics.js';
+import type {KeyedTopic, StoreError} from '../../ports/index.js';
+
+/**
+ * How long the store may hold a read. A connection may fall silent without a sign, so this bounds the age of what is
+ * known; shorter reads cost more calls, each of which is paid for.
+ */
+const followWaitMs = 700;
+/** Pause after records came, so that a burst of them takes one call. */
+const gatherMs = 150;
+/** Age of what others told at which an instance reads for itself; with a read and its retry well within 2 s. */
+const staleAfterMs = 1250;
+/** How often an instance that relies on others looks at the age. */
+const checkIntervalMs = 100;
+const firstBackoffMs = 150;
+const maximumBackoffMs = 1500;
+/** Part of a pause that is random, so that instances don't call at the same moment. */
+const jitterRatio = 0.5;
+
+export type TopicReaderOptions<Value> = {
+	readonly name: string;
+	readonly topic: KeyedTopic<Value>;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly trust: StoreTrust;
+	/** Position up to which records are known; nothing where none is. */
+	readonly offset: () => number | undefined;
+	/** Whether this instance reads on behalf of all. */
+	readonly isFollower: () => boolean;
+	/** Age of what is known, through whomever. */
+	readonly ageMs: () => number;
+	readonly onSnapshot: (snapshot: KeyedSnapshot<Value>) => void;
+	readonly onChanges: (changes: KeyedChanges<Value>) => void;
+	/** The store has confirmed what is known. */
+	readonly onConfirmed: () => void;
+};
+
+export class TopicReader<Value> {
+	readonly #options: TopicReaderOptions<Value>;
+	#isStopped = false;
+	#failures = 0;
+	#wake: (() => void) | undefined;
+
+	constructor(options: TopicReaderOptions<Value>) {
+		this.#options = options;
+	}
+
+	/** Runs until `stop`. */
+	async run(): Promise<void> {
+		while (!this.#isStopped) {
+			await this.#step();
+		}
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+		this.#wake?.();
+	}
+
+	async #step(): Promise<void> {
+		const {isFollower, offset, ageMs} = this.#options;
+		const from = offset();
+		if (!isFollower() && from !== undefined && ageMs() < staleAfterMs) {
+			await this.#pause(checkIntervalMs);
+			return;
+		}
+
+		const error = from === undefined ? await this.#readNewest() : await this.#readOn(from, isFollower() ? followWaitMs : 0);
+		if (error === undefined) {
+			this.#succeeded();
+			return;
+		}
+
+		await this.#failed(error);
+	}
+
+	async #readNewest(): Promise<StoreError | undefined> {
+		const {topic, onSnapshot, onConfirmed} = this.#options;
+		const snapshot = await topic.newest();
+		this.#count('newest', snapshot.isOk());
+		if (snapshot.isErr()) {
+			return snapshot.error;
+		}
+
+		onSnapshot(snapshot.value);
+		onConfirmed();
+		return undefined;
+	}
+
+	async #readOn(from: number, waitMs: number): Promise<StoreError | undefined> {
+		const {topic, onChanges, onConfirmed, logger, name} = this.#options;
+		const read = await topic.readOn(from, waitMs);
+		this.#count('read', read.isOk());
+		if (read.isErr()) {
+			return read.error;
+		}
+
+		switch (read.value.type) {
+			case 'expired': {
+				logger.info('store history expired', {topic: name, from});
+				return this.#readNewest();
+			}
+
+			case 'changes': {
+				const {changes} = read.value;
+				onChanges(changes);
+				onConfirmed();
+				if (changes.records.length > 0) {
+					await this.#pause(gatherMs);
+				}
+
+				return undefined;
+			}
+		}
+	}
+
+	#succeeded(): void {
+		this.#failures = 0;
+		if (this.#options.trust.succeeded()) {
+			this.#options.logger.info('store regained', {topic: this.#options.name});
+		}
+	}
+
+	async #failed(error: StoreError): Promise<void> {
+		const {trust, logger, name, random} = this.#options;
+		if (trust.failed()) {
+			logger.warn('store lost', {topic: name, ...error});
+		}
+
+		const backoffMs = Math.min(maximumBackoffMs, firstBackoffMs * (2 ** this.#failures));
+		this.#failures += 1;
+		await this.#pause(backoffMs * (1 - (jitterRatio * random.next())));
+	}
+
+	#count(call: string, isOk: boolean): void {
+		this.#options.metrics.storeCalls.inc({call, result: isOk ? 'ok' : 'failed'});
+	}
+
+	async #pause(durationMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(resolve, durationMs);
+			this.#wake = () => {
+				clearTimeout(timer);
+				resolve();
+			};
+		});
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/features/upstreams/exchange.ts
@@ -0,0 +1,44 @@
+/** One request to one upstream and how it ended. */
+
+/** Header names and values by turns, as they came. */
+export type RawHeaders = readonly string[];
+
+export type UpstreamAnswer = {
+	readonly status: number;
+	readonly headers: RawHeaders;
+	readonly body: Uint8Array;
+};
+
+export type ExchangeFailure =
+	/** No connection: nothing was sent. */
+	| {readonly type: 'not-connected'; readonly message: string}
+	/** The connection ended before the answer was complete; the request may have run. */
+	| {readonly type: 'broken'; readonly message: string}
+	/** Bytes came that are no answer; the request may have run. */
+	| {readonly type: 'malformed'; readonly message: string}
+	/** No answer in the time given; the request may have run. */
+	| {readonly type: 'timed-out'}
+	/** Given up by the sender. */
+	| {readonly type: 'cancelled'};
+
+export type OutgoingRequest = {
+	readonly method: string;
+	/** Path and query. */
+	readonly target: string;
+	readonly headers: RawHeaders;
+	readonly body: Uint8Array | undefined;
+	/** An answer with another id belongs to an earlier request and is passed over. */
+	readonly requestId: string | undefined;
+	readonly timeoutMs: number;
+};
+
+/** Value of a header, whatever the case of its name. */
+export function headerOf(headers: RawHeaders, name: string): string | undefined {
+	for (let index = 0; index + 1 < headers.length; index += 2) {
+		if (headers[index]!.toLowerCase() === name) {
+			return headers[index + 1];
+		}
+	}
+
+	return undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -0,0 +1,153 @@
+/** Chooses the upstream of one attempt: ranks by what is known, asks the best for their load now, takes the best. */
+import type {ServiceId, UpstreamId} from '@cairnbank/core';
+import {expectedDurationMs} from '@cairnbank/core/placement';
+import type {Context} from '../../kernel/context.js';
+import type {Prober} from './prober.js';
+import type {Upstream} from './upstream.js';
+
+/** Upstreams asked at the same time before an attempt. */
+const probesPerRound = 3;
+/** Rounds of asking; the second one asks others where none of the first has room at its usual speed. */
+const maximumRounds = 2;
+/** Longest wait for the answers of a round. */
+const roundTimeoutMs = 25;
+/** A report this fresh needs no health check. */
+const freshReportMs = 5;
+/** An upstream this much slower than usual still counts as running at its usual speed. */
+const usualSlowness = 1.3;
+/** Bytes between availability zones are paid for: another zone must be this much faster to be taken. */
+const otherZoneFactor = 1.25;
+/** A failed answer costs about this many times the work of a good one. */
+const failureWeight = 4;
+/** Spread of the ranking, so that instances that know nothing don't all ask the same upstreams. */
+const rankingSpread = 0.5;
+
+export type PlacementRequest = {
+	readonly service: ServiceId;
+	/** Work of the request at an upstream of usual speed. */
+	readonly workMs: number;
+	readonly excluded: ReadonlySet<UpstreamId>;
+};
+
+export type Placement = {
+	readonly upstream: Upstream;
+	readonly expectedMs: number;
+	/** Slowness told by the upstream's last report, or 1 where there is none. */
+	readonly slowness: number;
+};
+
+export type PlacerOptions = {
+	readonly context: Context;
+	readonly prober: Prober;
+	readonly ofService: (service: ServiceId) => readonly Upstream[];
+};
+
+export class Placer {
+	readonly #options: PlacerOptions;
+
+	constructor(options: PlacerOptions) {
+		this.#options = options;
+	}
+
+	/** @returns nothing where the service has no upstream that may be tried */
+	async place(request: PlacementRequest): Promise<Placement | undefined> {
+		const ranked = this.#ranked(request);
+		for (let round = 0; round < maximumRounds; round++) {
+			const asked = ranked.slice(round * probesPerRound, (round + 1) * probesPerRound);
+			if (asked.length === 0) {
+				break;
+			}
+
+			await this.#ask(asked);
+			if (asked.some(upstream => isAtEase(upstream))) {
+				break;
+			}
+		}
+
+		return this.#best(request);
+	}
+
+	#ranked(request: PlacementRequest): readonly Upstream[] {
+		const {random} = this.#options.context;
+		return this.#candidates(request)
+			.map(upstream => ({upstream, cost: this.#costMs(upstream, request.workMs) * (1 + (random.next() * rankingSpread))}))
+			.sort((left, right) => left.cost - right.cost)
+			.map(({upstream}) => upstream);
+	}
+
+	#best(request: PlacementRequest): Placement | undefined {
+		const candidates = this.#candidates(request);
+		if (candidates.length === 0) {
+			return undefined;
+		}
+
+		const costs = candidates.map(upstream => this.#costMs(upstream, request.workMs));
+		const upstream = candidates[costs.indexOf(Math.min(...costs))]!;
+		return {
+			upstream,
+			expectedMs: this.#expectedMs(upstream, request.workMs),
+			slowness: upstream.condition.report?.slowness ?? 1,
+		};
+	}
+
+	#candidates({service, excluded}: PlacementRequest): readonly Upstream[] {
+		const all = this.#options.ofService(service).filter(({registered}) => !excluded.has(registered.id));
+		const reachable = all.filter(({condition}) => !condition.isAvoided);
+		return reachable.length > 0 ? reachable : all;
+	}
+
+	/** Asks all at once; goes on as soon as one is at ease in this zone, or all have answered, or time is up. */
+	async #ask(upstreams: readonly Upstream[]): Promise<void> {
+		const stale = upstreams.filter(({condition}) => condition.reportAgeMs > freshReportMs);
+		if (stale.length === 0) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(resolve, roundTimeoutMs);
+			const done = () => {
+				clearTimeout(timer);
+				resolve();
+			};
+
+			void this.#probeAll(stale, done);
+		});
+	}
+
+	/** @param onEnough - called once one upstream is at ease in this zone, and once all have answered */
+	async #probeAll(upstreams: readonly Upstream[], onEnough: () => void): Promise<void> {
+		await Promise.all(upstreams.map(async upstream => {
+			await this.#options.prober.probe(upstream);
+			if (isAtEase(upstream) && this.#isNear(upstream)) {
+				onEnough();
+			}
+		}));
+		onEnough();
+	}
+
+	#isNear({registered}: Upstream): boolean {
+		return registered.availabilityZone === this.#options.context.settings.availabilityZone;
+	}
+
+	#costMs(upstream: Upstream, workMs: number): number {
+		const zoneFactor = this.#isNear(upstream) ? 1 : otherZoneFactor;
+		return this.#expectedMs(upstream, workMs) * zoneFactor * (1 + (failureWeight * upstream.condition.failureRatio));
+	}
+
+	#expectedMs({registered, condition, warmUntilMs}: Upstream, workMs: number): number {
+		return expectedDurationMs({
+			workMs,
+			report: condition.report,
+			unreportedInFlight: condition.unreportedInFlight,
+			slots: registered.slots,
+			warmingUp: warmUntilMs > this.#options.context.clock.monotonicMs(),
+		});
+	}
+}
+
+function isAtEase({registered, condition}: Upstream): boolean {
+	const {report} = condition;
+	return report !== undefined
+		&& report.slowness <= usualSlowness
+		&& report.running + report.waiting + condition.unreportedInFlight < registered.slots;
+}
--- /dev/null
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -0,0 +1,83 @@
+/** Owns the connections to all upstreams and what is known of their condition. */
+import type {ServiceId, UpstreamId} from '@cairnbank/core';
+import {UpstreamCondition} from '@cairnbank/core/placement';
+import type {RegisteredUpstream} from '@cairnbank/core/registry';
+import {ok, type Result} from 'neverthrow';
+import type {Context} from '../../kernel/context.js';
+import type {StartError} from '../../kernel/start-error.js';
+import type {Task} from '../../kernel/task.js';
+import type {RequestDialect} from '../../ports/index.js';
+import {ConnectionPool} from './connection-pool.js';
+import type {Upstream} from './upstream.js';
+
+/**
+ * Longest wait for a connection. The slowest link has a round trip of some milliseconds; a host without power never
+ * answers, and a lost first packet is sent again only after a second, when another upstream has long been tried.
+ */
+const connectTimeoutMs = 150;
+const sweepIntervalMs = 500;
+
+export class UpstreamsTask implements Task {
+	readonly name = 'upstreams';
+	readonly #context: Context;
+	readonly #dialect: RequestDialect;
+	readonly #upstreams = new Map<UpstreamId, Upstream>();
+	#sweepTimer: NodeJS.Timeout | undefined;
+
+	constructor(context: Context, dialect: RequestDialect) {
+		this.#context = context;
+		this.#dialect = dialect;
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		this.#sweepTimer = setInterval(() => {
+			for (const {pool} of this.#upstreams.values()) {
+				pool.sweep();
+			}
+		}, sweepIntervalMs);
+		return ok(undefined);
+	}
+
+	stop(): void {
+		clearInterval(this.#sweepTimer);
+		for (const {pool} of this.#upstreams.values()) {
+			pool.close();
+		}
+	}
+
+	/** An upstream joined, or its entry changed. */
+	put(registered: RegisteredUpstream): void {
+		const known = this.#upstreams.get(registered.id);
+		const {clock, metrics} = this.#context;
+		this.#upstreams.set(registered.id, {
+			registered,
+			warmUntilMs: known?.warmUntilMs ?? clock.monotonicMs() + registered.warmupMs,
+			condition: known?.condition ?? new UpstreamCondition(clock),
+			pool: known?.pool ?? new ConnectionPool({
+				host: registered.host,
+				port: registered.port,
+				requestIdHeader: this.#dialect.requestIdHeader,
+				connectTimeoutMs,
+				now: () => clock.monotonicMs(),
+				onOpened() {
+					metrics.upstreamConnections.inc();
+				},
+			}),
+		});
+	}
+
+	/** An upstream has left; requests that run there end on their own. */
+	remove(id: UpstreamId): void {
+		this.#upstreams.get(id)?.pool.close();
+		this.#upstreams.delete(id);
+	}
+
+	get size(): number {
+		return this.#upstreams.size;
+	}
+
+	/** Upstreams of a service that take new requests. */
+	ofService(service: ServiceId): readonly Upstream[] {
+		return [...this.#upstreams.values()].filter(({registered}) => registered.service === service && !registered.draining);
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,58 @@
+/** Runs the tasks of one entry instance from start to graceful stop. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {ok, type Result} from 'neverthrow';
+import type {Context} from './kernel/context.js';
+import type {StartError} from './kernel/start-error.js';
+import type {Task} from './kernel/task.js';
+
+const millisecondsPerSecond = 1000;
+/**
+ * Part of the time given to a stop in which new connections are still accepted: callers keep addresses for up to three
+ * times their time to live.
+ */
+const acceptingRatio = 0.6;
+/** Part of the time given in which requests under way must have ended; the rest closes sockets and ends the process. */
+const drainRatio = 0.93;
+
+export class Gateway {
+	readonly #context: Context;
+	readonly #tasks: readonly Task[];
+
+	/** @param tasks - in the order of their start */
+	constructor(context: Context, tasks: readonly Task[]) {
+		this.#context = context;
+		this.#tasks = tasks;
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		const {logger, settings, incarnation} = this.#context;
+		for (const task of this.#tasks) {
+			const started = await task.start();
+			if (started.isErr()) {
+				return started;
+			}
+		}
+
+		logger.info('started', {incarnation, availabilityZone: settings.availabilityZone, callers: settings.listen.callers});
+		return ok(undefined);
+	}
+
+	/** Stops without cutting a request that can end in the time given. */
+	async stop(): Promise<void> {
+		const {logger, settings} = this.#context;
+		const graceMs = settings.bounds.graceSeconds * millisecondsPerSecond;
+		logger.info('leaving', {graceMs});
+		for (const task of this.#tasks) {
+			task.leave?.();
+		}
+
+		await delay(graceMs * acceptingRatio);
+		const drained = Promise.all(this.#tasks.map(async task => task.drain?.()));
+		await Promise.race([drained, delay(graceMs * (drainRatio - acceptingRatio))]);
+		for (const task of this.#tasks.toReversed()) {
+			task.stop();
+		}
+
+		logger.info('stopped');
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/kernel/start-error.ts
@@ -0,0 +1,2 @@
+/** Why a process could not start. */
+export type StartError = {readonly type: 'cannot-listen'; readonly listener: string; readonly message: string};
--- /dev/null
+++ b/packages/gateway/src/kernel/task.ts
@@ -0,0 +1,15 @@
+/** A part of the process that owns its sockets and its state. */
+import type {Result} from 'neverthrow';
+import type {StartError} from './start-error.js';
+
+export type Task = {
+	readonly name: string;
+	/** Opens sockets and begins work. */
+	start(): Promise<Result<void, StartError>>;
+	/** A graceful stop has begun: tells others, service goes on. */
+	leave?(): void;
+	/** Takes nothing new; resolves once nothing is in flight. */
+	drain?(): Promise<void>;
+	/** Closes sockets and timers. */
+	stop(): void;
+};
--- /dev/null
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -0,0 +1,35 @@
+/** Everything that the process counts, by Prometheus's names and units. */
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+/** From a fast in-memory answer to the longest route timeout in use, in seconds. */
+const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4];
+
+export type Metrics = ReturnType<typeof createMetrics>;
+
+export function createMetrics() {
+	const registry = new Registry();
+	const registers = [registry];
+	const counter = <Label extends string>(name: string, help: string, labelNames: Label[] = []) => new Counter({
+		name, help, labelNames, registers,
+	});
+	return {
+		registry,
+		requests: counter('cairnbank_requests_total', 'Requests of callers, by what they were told and why', ['outcome', 'reason']),
+		attempts: counter('cairnbank_attempts_total', 'Requests sent to upstreams, by why they were sent and how they ended', ['kind', 'result']),
+		probes: counter('cairnbank_probes_total', 'Health checks of upstreams, by result', ['result']),
+		repeatsDenied: counter('cairnbank_repeats_denied_total', 'Repeats that the shared budget did not allow', ['service']),
+		storeCalls: counter('cairnbank_store_calls_total', 'Calls to the store, by call and result', ['call', 'result']),
+		peerMessages: counter('cairnbank_peer_messages_total', 'Messages from other instances, by type', ['type']),
+		upstreamConnections: counter('cairnbank_upstream_connections_total', 'Connections opened to upstreams'),
+		requestSeconds: new Histogram({
+			name: 'cairnbank_request_seconds', help: 'Time from a request\'s last byte to its answer', labelNames: ['outcome'], buckets: latencyBuckets, registers,
+		}),
+		inFlight: new Gauge({name: 'cairnbank_requests_in_flight', help: 'Requests without an answer yet', registers}),
+		configurationVersion: new Gauge({name: 'cairnbank_configuration_version', help: 'Version of the configuration in force', registers}),
+		stateAgeSeconds: new Gauge({name: 'cairnbank_state_age_seconds', help: 'Time since the store last confirmed what is known', registers}),
+		liveInstances: new Gauge({name: 'cairnbank_live_instances', help: 'Instances heard lately, this one among them', registers}),
+		droppedLogLines: new Gauge({name: 'cairnbank_log_lines_dropped', help: 'Log lines lost since the start as their reader stalled', registers}),
+	};
+}
--- /dev/null
+++ b/packages/gateway/src/ports/index.ts
@@ -0,0 +1,3 @@
+export type * from './directory-dialect.js';
+export type * from './request-dialect.js';
+export type * from './state-store.js';
--- /dev/null
+++ b/packages/gateway/src/ports/request-dialect.ts
@@ -0,0 +1,21 @@
+/** The headers by which callers, gateway and upstreams understand each other. */
+import type {LoadReport} from '@cairnbank/core/placement';
+
+/** Names are in lower case. */
+export type RequestDialect = {
+	/** Names one attempt of a caller; upstreams repeat it on the answer. */
+	readonly requestIdHeader: string;
+	/** Milliseconds that the sender will still wait. */
+	readonly deadlineHeader: string;
+	/** Which upstream is meant; any other refuses. */
+	readonly expectedUpstreamHeader: string;
+	/** Which upstream answered a health check. */
+	readonly upstreamIdHeader: string;
+	/** Proves that an answer is an upstream's own. */
+	readonly signatureHeader: string;
+	/** On a refusal: the upstream did not run the request. */
+	readonly notExecutedHeader: string;
+	readonly loadHeader: string;
+	/** @returns nothing where the value is not a load report */
+	parseLoad(value: string): LoadReport | undefined;
+};
--- /dev/null
+++ b/packages/gateway/src/wire.ts
@@ -0,0 +1,125 @@
+/** The one module that wires the parts of an entry instance. */
+import {randomBytes} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {IncarnationId, ServiceId} from '@cairnbank/core';
+import {systemClock} from '@cairnbank/core/clock';
+import {createRandomSource} from '@cairnbank/core/random';
+import {WorkEstimates} from '@cairnbank/core/placement';
+import {WindowBudget} from '@cairnbank/core/window-budget';
+import {CallersTask} from './features/calls/callers-task.js';
+import {DirectoryTask} from './features/directory/directory-task.js';
+import {FleetTask} from './features/fleet/fleet-task.js';
+import {MetricsTask} from './features/metrics/metrics-task.js';
+import {StateTask} from './features/state/state-task.js';
+import {Placer} from './features/upstreams/placer.js';
+import {Prober} from './features/upstreams/prober.js';
+import {UpstreamsTask} from './features/upstreams/upstreams-task.js';
+import {Gateway} from './gateway.js';
+import type {Context} from './kernel/context.js';
+import {createLogger, type Logger} from './logging/create-logger.js';
+import {descriptorSink, LineWriter} from './logging/line-writer.js';
+import {createMetrics} from './metrics/metrics.js';
+import type {DirectoryDialect, RequestDialect, StateStore} from './ports/index.js';
+import type {Settings} from './settings/settings.js';
+
+const incarnationBytes = 6;
+const seedBytes = 4;
+const standardOutput = 1;
+const millisecondsPerSecond = 1000;
+/** Until others are heard, the fleet is taken to be at least this large, so that a start never overdraws a budget. */
+const leastAssumedInstances = 8;
+
+export type Ports = {
+	readonly store: StateStore;
+	readonly requests: RequestDialect;
+	readonly directory: DirectoryDialect;
+};
+
+/**
+ * Builds an entry instance; nothing is opened before its start.
+ *
+ * @param createPorts - makes what speaks to the outside; it logs what it cannot read
+ */
+export function wireGateway(settings: Settings, createPorts: (logger: Logger) => Ports): Gateway {
+	const lines = new LineWriter(descriptorSink(standardOutput));
+	const context: Context = {
+		settings,
+		incarnation: randomBytes(incarnationBytes).toString('base64url') as IncarnationId,
+		clock: systemClock,
+		random: createRandomSource(randomBytes(seedBytes).readInt32BE()),
+		logger: createLogger({
+			level: settings.logging.level,
+			fixed: {instance: settings.instanceId},
+			write(line) {
+				lines.write(line);
+			},
+		}),
+		metrics: createMetrics(),
+	};
+	const {bounds} = settings;
+	const ports = createPorts(context.logger);
+	const upstreams = new UpstreamsTask(context, ports.requests);
+	const instances = () => Math.max(leastAssumedInstances, fleet.greatestSize);
+	const state: StateTask = new StateTask({
+		context,
+		store: ports.store,
+		isFollower: () => fleet.isFollower,
+		onConfiguration(routes) {
+			callers.configured(routes);
+		},
+		onUpstream({type, upstream}) {
+			if (type === 'gone') {
+				upstreams.remove(upstream.id);
+			} else {
+				upstreams.put(upstream);
+			}
+		},
+		onNews(changes) {
+			if (changes !== undefined) {
+				fleet.announceChanges(changes, state.removalTrust);
+			}
+
+			fleet.announce();
+		},
+	});
+	const fleet: FleetTask = new FleetTask({context, store: ports.store, state: () => state});
+	const prober = new Prober({
+		context,
+		dialect: ports.requests,
+		healthPath: service => state.routes?.service(service)?.healthPath,
+		instances,
+		upstreams: () => upstreams.size,
+	});
+	const placer = new Placer({context, prober, ofService: service => upstreams.ofService(service)});
+	const budgets = new Map<ServiceId, WindowBudget>();
+	const budget = (service: ServiceId) => {
+		const known = budgets.get(service) ?? new WindowBudget({
+			ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowSeconds * millisecondsPerSecond,
+		});
+		budgets.set(service, known);
+		return known;
+	};
+
+	const callers: CallersTask = new CallersTask({
+		context,
+		routes: () => state.routes,
+		call: {
+			clock: context.clock,
+			dialect: ports.requests,
+			metrics: context.metrics,
+			work: new WorkEstimates(),
+			budget,
+			instances,
+			place: async request => placer.place(request),
+			pause: async durationMs => delay(durationMs),
+		},
+	});
+	const directory = new DirectoryTask({
+		context,
+		dialect: ports.directory,
+		isReady: () => fleet.self.ready,
+		offered: () => fleet.offered(),
+	});
+	const metrics = new MetricsTask(context, () => lines.droppedLines);
+	return new Gateway(context, [upstreams, fleet, state, callers, directory, metrics]);
+}
