--- a/packages/core/src/retries/window-budget.ts
+++ b/packages/core/src/retries/window-budget.ts
@@ -18,11 +18,12 @@
  * instances that divides the slack is not below the real one.
  */
 export class WindowBudget {
-	readonly #settings: WindowBudgetSettings;
+	readonly #settings: () => WindowBudgetSettings;
 	readonly #firstAtMs: number[] = [];
 	readonly #repeatAtMs: number[] = [];
 
-	constructor(settings: WindowBudgetSettings) {
+	/** @param settings - asked for each time, as they may change while the process runs */
+	constructor(settings: () => WindowBudgetSettings) {
 		this.#settings = settings;
 	}
 
@@ -49,13 +50,13 @@
 	/** Repeats left in the window that ends now; may be a fraction. */
 	left(nowMs: number, instances: number): number {
 		this.#forget(nowMs);
-		const {ratio, slack} = this.#settings;
+		const {ratio, slack} = this.#settings();
 		const granted = (this.#firstAtMs.length * ratio * usedShare) + (slack * usedShare / Math.max(1, instances));
 		return granted - this.#repeatAtMs.length;
 	}
 
 	#forget(nowMs: number): void {
-		const oldestMs = nowMs - this.#settings.windowMs;
+		const oldestMs = nowMs - this.#settings().windowMs;
 		for (const times of [this.#firstAtMs, this.#repeatAtMs]) {
 			const kept = times.findIndex(atMs => atMs > oldestMs);
 			times.splice(0, kept === -1 ? times.length : kept);
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -80,7 +80,9 @@
 
 	async #attempt(kind: AttemptKind): Promise<void> {
 		this.#placing += 1;
+		const askedAtMs = this.#now();
 		const placement = await this.#place(kind);
+		this.#decisions.push(`asked:${Math.round(this.#now() - askedAtMs)}ms`);
 		this.#placing -= 1;
 		if (this.#isOver) {
 			return;
--- a/packages/gateway/src/features/directory/directory-task.ts
+++ b/packages/gateway/src/features/directory/directory-task.ts
@@ -11,10 +11,10 @@
 import type {DirectoryDialect} from '../../ports/index.js';
 
 /**
- * How long callers may keep an answer. Some keep it three times as long, and an instance that is told to stop goes on
- * accepting for that time.
+ * How long callers may keep an answer. A look-up before a request costs two round trips, and a caller makes a request
+ * about every two seconds: with 1500 ms there were 1.2 look-ups a request. An address that has gone refuses at once.
  */
-export const addressTtlMs = 1500;
+const addressTtlMs = 5000;
 const millisecondsPerSecond = 1000;
 
 export type DirectoryTaskOptions = {
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -49,7 +49,10 @@
 				this.#answered(answer, keepAlive);
 			},
 		});
-		this.#socket = connect({host: options.host, port: options.port, noDelay: true});
+		// Half open, so that the end of an answer can be told from a reset before the handle is closed.
+		this.#socket = connect({
+			host: options.host, port: options.port, noDelay: true, allowHalfOpen: true,
+		});
 		this.#listen();
 	}
 
@@ -94,8 +97,7 @@
 			this.#received(chunk);
 		});
 		this.#socket.on('end', () => {
-			const fault = this.#parser.finish();
-			this.#fail(fault === undefined ? {type: 'broken', message: 'ended without an answer'} : {type: 'broken', message: fault});
+			this.#ended();
 		});
 		this.#socket.on('error', error => {
 			this.#fail(this.#isConnected ? {type: 'broken', message: error.message} : {type: 'not-connected', message: error.message});
@@ -146,6 +148,16 @@
 		}
 	}
 
+	/**
+	 * The platform's event loop reports a reset that comes together with data as an orderly end; the peer's address is
+	 * known only for a connection that was not reset. An answer without a length is whole only after an orderly end.
+	 */
+	#ended(): void {
+		const wasReset = this.#socket.remoteAddress === undefined;
+		const fault = wasReset ? 'reset' : this.#parser.finish();
+		this.#fail({type: 'broken', message: fault ?? 'ended without an answer'});
+	}
+
 	#answered(answer: UpstreamAnswer, keepAlive: boolean): void {
 		const waiting = this.#waiting;
 		const answeredId = headerOf(answer.headers, this.#options.requestIdHeader);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,8 @@
 import type {Context} from './kernel/context.js';
 import type {StartError} from './kernel/start-error.js';
 import type {Task} from './kernel/task.js';
+import type {SettingsError} from './settings/read-settings.js';
+import type {Settings} from './settings/settings.js';
 
 const millisecondsPerSecond = 1000;
 /**
@@ -37,6 +39,23 @@
 		return ok(undefined);
 	}
 
+	/** Puts changed settings in force; what is bound to sockets and names stays until a restart. */
+	reload(read: Result<Settings, SettingsError>): void {
+		const {logger, settings: before} = this.#context;
+		if (read.isErr()) {
+			logger.error('settings not reloaded: the former ones stay in force', {faults: read.error.faults});
+			return;
+		}
+
+		const after = read.value;
+		this.#context.settings = {
+			...after, instanceId: before.instanceId, host: before.host, listen: before.listen, peers: before.peers,
+		};
+		const needsRestart = JSON.stringify([before.host, before.listen, before.peers, before.store])
+			!== JSON.stringify([after.host, after.listen, after.peers, after.store]);
+		logger.info('settings reloaded', {changed: JSON.stringify(before) !== JSON.stringify(after), needsRestart});
+	}
+
 	/** Stops without cutting a request that can end in the time given. */
 	async stop(): Promise<void> {
 		const {logger, settings} = this.#context;
--- a/packages/gateway/src/kernel/context.ts
+++ b/packages/gateway/src/kernel/context.ts
@@ -5,7 +5,8 @@
 import type {Settings} from '../settings/settings.js';
 
 export type Context = {
-	readonly settings: Settings;
+	/** Replaced by a reload; what is bound to sockets keeps its first value until a restart. */
+	settings: Settings;
 	readonly incarnation: IncarnationId;
 	readonly clock: Clock;
 	readonly random: RandomSource;
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -56,7 +56,6 @@
 		}),
 		metrics: createMetrics(),
 	};
-	const {bounds} = settings;
 	const ports = createPorts(context.logger);
 	const upstreams = new UpstreamsTask(context, ports.requests);
 	const instances = () => Math.max(leastAssumedInstances, fleet.greatestSize);
@@ -93,8 +92,9 @@
 	const placer = new Placer({context, prober, ofService: service => upstreams.ofService(service)});
 	const budgets = new Map<ServiceId, WindowBudget>();
 	const budget = (service: ServiceId) => {
-		const known = budgets.get(service) ?? new WindowBudget({
-			ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowSeconds * millisecondsPerSecond,
+		const known = budgets.get(service) ?? new WindowBudget(() => {
+			const {bounds} = context.settings;
+			return {ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowSeconds * millisecondsPerSecond};
 		});
 		budgets.set(service, known);
 		return known;
