A request that crashes upstreams is refused at every instance

Change: a connection that breaks under a request is followed by one health check; where that is refused, the request is blamed, here and at all other instances. Three crashes of different upstreams refuse it as not run. The existing table of suspects decides; its zod schemas moved out of its way.

--- a/packages/core/src/model/index.ts
+++ b/packages/core/src/model/index.ts
@@ -2,6 +2,7 @@
 export * from './change.js';
 export * from './clock.js';
 export * from './drain-change.js';
+export * from './fingerprint-schema.js';
 export * from './ids.js';
 export * from './inventory.js';
 export * from './manual-clock.js';
--- a/packages/core/src/model/request-fingerprint.ts
+++ b/packages/core/src/model/request-fingerprint.ts
@@ -1,14 +1,10 @@
 /** A hash that tells whether two requests are the same one sent again, whichever instance they came through. */
 import {createHash} from 'node:crypto';
-import {z} from 'zod';
+import type {Fingerprint} from './fingerprint-schema.js';
 
 const fingerprintBytes = 16;
 const nobody = '';
 
-/** 128 bits of SHA-256 in base64url. */
-export const fingerprintSchema = z.string().regex(/^[\w-]{22}$/).brand<'Fingerprint'>();
-export type Fingerprint = z.infer<typeof fingerprintSchema>;
-
 export type FingerprintedRequest = {
 	readonly service: string;
 	readonly method: string;
--- a/packages/core/src/outcomes/claims/claim-fold.ts
+++ b/packages/core/src/outcomes/claims/claim-fold.ts
@@ -5,7 +5,7 @@
  * counts for no reader, so an append that takes effect late cannot start a run after the key's fate is known.
  */
 import type {IncarnationId} from '../../model/ids.js';
-import type {Fingerprint} from '../../model/request-fingerprint.js';
+import type {Fingerprint} from '../../model/fingerprint-schema.js';
 import {type Claim, claimRecordSchema} from './claim-record.js';
 import type {ClaimWindow} from './claim-window.js';
 import {mintedAtMs, type IdempotencyKey} from './idempotency-key.js';
--- a/packages/core/src/outcomes/claims/claim-record.ts
+++ b/packages/core/src/outcomes/claims/claim-record.ts
@@ -1,7 +1,7 @@
 /** Record of the claims stream: one append may claim many keys. */
 import {z} from 'zod';
 import {incarnationIdSchema, recordIdSchema} from '../../model/ids.js';
-import {fingerprintSchema} from '../../model/request-fingerprint.js';
+import {fingerprintSchema} from '../../model/fingerprint-schema.js';
 import {idempotencyKeySchema} from './idempotency-key.js';
 
 export const claimSchema = z.object({
--- a/packages/core/src/outcomes/claims/key-table.ts
+++ b/packages/core/src/outcomes/claims/key-table.ts
@@ -10,7 +10,7 @@
 import type {Outcome} from '../outcome.js';
 import type {NotRunReason} from '../not-run-reason.js';
 import {notRun, unknown} from '../runs/outcomes.js';
-import type {Fingerprint} from '../../model/request-fingerprint.js';
+import type {Fingerprint} from '../../model/fingerprint-schema.js';
 import type {RunDecision} from '../runs/run-decision.js';
 import type {RunRequest} from '../runs/run-entry.js';
 import type {RunTableState} from '../runs/run-table-state.js';
--- a/packages/core/src/outcomes/runs/run-entry.ts
+++ b/packages/core/src/outcomes/runs/run-entry.ts
@@ -1,6 +1,6 @@
 /** What a run table knows about one ticket or key. */
 import type {Outcome} from '../outcome.js';
-import type {Fingerprint} from '../../model/request-fingerprint.js';
+import type {Fingerprint} from '../../model/fingerprint-schema.js';
 
 /** One send of a request. */
 export type RunRequest = {
--- a/packages/core/src/outcomes/runs/run-table-state.ts
+++ b/packages/core/src/outcomes/runs/run-table-state.ts
@@ -1,6 +1,6 @@
 /** A run table as it is handed over at a planned stop. */
 import type {Outcome} from '../outcome.js';
-import type {Fingerprint} from '../../model/request-fingerprint.js';
+import type {Fingerprint} from '../../model/fingerprint-schema.js';
 
 export type HandedOverEntry = {
 	readonly id: string;
--- a/packages/core/src/outcomes/tickets/ticket-table.ts
+++ b/packages/core/src/outcomes/tickets/ticket-table.ts
@@ -10,7 +10,7 @@
 import type {IncarnationId} from '../../model/ids.js';
 import {notRun, unknown} from '../runs/outcomes.js';
 import type {RunDecision} from '../runs/run-decision.js';
-import type {Fingerprint} from '../../model/request-fingerprint.js';
+import type {Fingerprint} from '../../model/fingerprint-schema.js';
 import type {Outcome} from '../outcome.js';
 import {RunTable} from '../runs/run-table.js';
 import {formatTicket, type Ticket} from './ticket.js';
--- /dev/null
+++ b/packages/core/src/poison/maximum-crashes.ts
@@ -0,0 +1,2 @@
+/** Reports of crashes kept per suspect, the latest ones. */
+export const maximumCrashesKept = 6;
--- a/packages/core/src/poison/merge-suspects.ts
+++ b/packages/core/src/poison/merge-suspects.ts
@@ -1,7 +1,6 @@
 /** Joins what two instances know of one suspect: the order and the number of joins don't matter. */
-import {
-	type Crash, maximumCrashesKept, type Suspect, type Trial,
-} from './suspect.js';
+import {maximumCrashesKept} from './maximum-crashes.js';
+import type {Crash, Suspect, Trial} from './suspect.js';
 
 function compareCrashes(left: Crash, right: Crash): number {
 	return left.atMs - right.atMs || left.upstream.localeCompare(right.upstream);
--- a/packages/core/src/poison/suspect-table.ts
+++ b/packages/core/src/poison/suspect-table.ts
@@ -1,7 +1,7 @@
 /** The suspects that one instance knows of, its own and its peers'. */
 import type {Clock} from '../model/clock.js';
 import type {InstanceId, UpstreamId} from '../model/ids.js';
-import type {Fingerprint} from '../model/request-fingerprint.js';
+import type {Fingerprint} from '../model/fingerprint-schema.js';
 import {countCrashes} from './count-crashes.js';
 import {mergeSuspects} from './merge-suspects.js';
 import type {PoisonDecision} from './poison-decision.js';
--- a/packages/core/src/poison/suspect.ts
+++ b/packages/core/src/poison/suspect.ts
@@ -1,10 +1,8 @@
 /** A request that was in flight when an upstream crashed, in the form that instances hand to each other. */
 import {z} from 'zod';
 import {instanceIdSchema, upstreamIdSchema} from '../model/ids.js';
-import {fingerprintSchema} from '../model/request-fingerprint.js';
-
-/** Reports of crashes kept per suspect, the latest ones. */
-export const maximumCrashesKept = 6;
+import {fingerprintSchema} from '../model/fingerprint-schema.js';
+import {maximumCrashesKept} from './maximum-crashes.js';
 
 /** Calendar milliseconds since 1970. */
 const epochMs = z.number().int().min(0);
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -5,6 +5,8 @@
 import type {Metrics} from '../../metrics/metrics.js';
 import type {RequestDialect} from '../../ports/index.js';
 import type {Placement, PlacementRequest} from '../upstreams/placer.js';
+import type {Upstream} from '../upstreams/upstream.js';
+import type {Call} from './call.js';
 
 export type CallDependencies = {
 	readonly clock: Clock;
@@ -16,5 +18,7 @@
 	/** Greatest number of instances that may share the budget. */
 	readonly instances: () => number;
 	readonly place: (request: PlacementRequest) => Promise<Placement | undefined>;
+	/** A connection broke while the upstream ran the call. */
+	readonly onBroken: (call: Call, upstream: Upstream) => void;
 	readonly pause: (durationMs: number) => Promise<void>;
 };
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -29,7 +29,7 @@
 const failure = answered(500, 'signature', 's');
 const refusal = answered(503, 'not-run', '1');
 const broken = err({type: 'broken', message: 'reset'} as const);
-const notConnected = err({type: 'not-connected', message: 'refused'} as const);
+const notConnected = err({type: 'not-connected', message: 'refused', isTimeout: false} as const);
 
 /** A world of upstreams whose answers the spec gives, with a clock that it moves. */
 class World {
@@ -44,6 +44,7 @@
 		const {idempotent, maximumAttempts = 2, slack = 50, upstreams = 9} = options;
 		const call: Call = {
 			requestId: 'r1',
+			caller: '10.9.0.1',
 			method: 'GET',
 			target: '/',
 			headers: ['Host', 'h'],
@@ -64,6 +65,7 @@
 			work: new WorkEstimates(),
 			budget: () => budget,
 			instances: () => 1,
+			onBroken: () => undefined,
 			pause: async () => undefined,
 			place: async ({excluded}) => this.#place(excluded, upstreams),
 		}, call);
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -186,9 +186,17 @@
 				break;
 			}
 
-			case 'upstream-failure':
+			case 'upstream-failure': {
+				condition.failed();
+				break;
+			}
+
 			case 'unknown': {
 				condition.failed();
+				if (verdict.reason === 'broken') {
+					this.#dependencies.onBroken(this.#call, placement.upstream);
+				}
+
 				break;
 			}
 
--- a/packages/gateway/src/features/calls/call.ts
+++ b/packages/gateway/src/features/calls/call.ts
@@ -5,6 +5,8 @@
 
 export type Call = {
 	readonly requestId: string;
+	/** Address of the caller, without its port. */
+	readonly caller: string;
 	readonly method: string;
 	/** Path and query. */
 	readonly target: string;
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -12,6 +12,7 @@
 import type {CallDependencies} from './call-dependencies.js';
 import {CallRun} from './call-run.js';
 import type {Outcome} from './outcome.js';
+import type {PoisonGuard} from './poison-guard.js';
 import {readBody, readCallHead} from './read-call.js';
 import {writeOutcome} from './write-outcome.js';
 
@@ -23,6 +24,7 @@
 export type CallersTaskOptions = {
 	readonly context: Context;
 	readonly call: CallDependencies;
+	readonly guard: PoisonGuard;
 	readonly routes: () => RouteTable | undefined;
 };
 
@@ -103,7 +105,14 @@
 			return;
 		}
 
-		const run = new CallRun(this.#options.call, {...head, body: body.value});
+		const call = {...head, body: body.value};
+		const refusedForMs = this.#options.guard.refusedForMs(call);
+		if (refusedForMs !== undefined) {
+			this.#answer(response, {type: 'not-run', reason: 'suspected-poison', retryAfterMs: refusedForMs}, fields);
+			return;
+		}
+
+		const run = new CallRun(this.#options.call, call);
 		const abandon = () => {
 			if (!response.writableFinished) {
 				run.abandon();
@@ -112,6 +121,10 @@
 
 		response.on('close', abandon);
 		const outcome = await run.run();
+		if (outcome.type === 'answered') {
+			this.#options.guard.endedWell(call);
+		}
+
 		const tookMs = this.#options.context.clock.monotonicMs() - head.receivedAtMs;
 		this.#answer(response, outcome, {...fields, tookMs: Math.round(tookMs), decisions: run.decisions.join(' ')}, run.attemptsSent === 1);
 		this.#options.context.metrics.requestSeconds.observe({outcome: outcome.type}, tookMs / 1000);
--- a/packages/gateway/src/features/calls/judge-exchange.spec.ts
+++ b/packages/gateway/src/features/calls/judge-exchange.spec.ts
@@ -39,7 +39,7 @@
 
 	it('should say "not run" of failures only where nothing was sent', () => {
 		const judged = (failure: ExchangeFailure) => judgeExchange(err(failure), dialect).type;
-		assert.equal(judged({type: 'not-connected', message: ''}), 'not-run');
+		assert.equal(judged({type: 'not-connected', message: '', isTimeout: false}), 'not-run');
 		assert.equal(judged({type: 'broken', message: ''}), 'unknown');
 		assert.equal(judged({type: 'malformed', message: ''}), 'unknown');
 		assert.equal(judged({type: 'timed-out'}), 'unknown');
--- a/packages/gateway/src/features/calls/read-call.ts
+++ b/packages/gateway/src/features/calls/read-call.ts
@@ -58,6 +58,7 @@
 	const receivedAtMs = clock.monotonicMs();
 	return ok({
 		requestId,
+		caller: request.socket.remoteAddress ?? '',
 		method: request.method ?? 'GET',
 		target,
 		headers: forwardedHeaders(request.rawHeaders, [dialect.deadlineHeader, dialect.expectedUpstreamHeader]),
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {describe, it} from 'node:test';
 import type {
-	AvailabilityZoneId, IncarnationId, InstanceId, ServiceId, UpstreamId,
+	AvailabilityZoneId, Fingerprint, IncarnationId, InstanceId, ServiceId, UpstreamId,
 } from '@cairnbank/core';
 import fc from 'fast-check';
 import {decodeMessage, encodeMessage, type FleetMessage} from './datagrams.js';
@@ -50,8 +50,10 @@
 	},
 };
 
+const crash: FleetMessage = {type: 'crash', crash: {fingerprint: 'f'.repeat(22) as Fingerprint, upstream: 'u1' as UpstreamId}};
+
 describe('datagrams', () => {
-	for (const message of [heartbeat, changes, {type: 'hosts', hosts: ['10.0.0.1', '10.0.0.2']}] satisfies FleetMessage[]) {
+	for (const message of [heartbeat, changes, crash, {type: 'hosts', hosts: ['10.0.0.1', '10.0.0.2']}] satisfies FleetMessage[]) {
 		it(`should carry ${message.type} as they are`, () => {
 			assert.deepEqual(decodeMessage(encodeMessage(message, 1000), 1000)._unsafeUnwrap(), message);
 		});
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -1,12 +1,13 @@
 /** Messages between instances, as JSON arrays: every byte between availability zones is paid for. */
 import {Buffer} from 'node:buffer';
 import type {
-	AvailabilityZoneId, IncarnationId, InstanceId, ServiceId, UpstreamId,
+	AvailabilityZoneId, Fingerprint, IncarnationId, InstanceId, ServiceId, UpstreamId,
 } from '@cairnbank/core';
 import type {FleetMember} from '@cairnbank/core/fleet';
 import type {KeyedChanges, RegisteredUpstream, RemovalTrust} from '@cairnbank/core/registry';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
+import type {Crash} from '../calls/poison-guard.js';
 
 /** Larger messages might be split on the way and lost whole with any part; others then ask for the state. */
 export const maximumDatagramBytes = 1200;
@@ -15,6 +16,8 @@
 	| {readonly type: 'heartbeat'; readonly member: FleetMember}
 	/** Addresses of instances, told to one that has just appeared. */
 	| {readonly type: 'hosts'; readonly hosts: readonly string[]}
+	/** A request was running at an upstream that crashed. */
+	| {readonly type: 'crash'; readonly crash: Crash}
 	| {readonly type: 'changes'; readonly changes: KeyedChanges<RegisteredUpstream>; readonly trust: RemovalTrust};
 
 const readyFlag = 1;
@@ -35,7 +38,8 @@
 	v.nullable(v.number()),
 	v.array(v.tuple([v.number(), v.string(), v.nullable(upstreamSchema)])),
 ]);
-const messageSchema = v.union([heartbeatSchema, hostsSchema, changesSchema]);
+const crashSchema = v.tuple([v.literal('x'), v.string(), v.string()]);
+const messageSchema = v.union([heartbeatSchema, hostsSchema, changesSchema, crashSchema]);
 
 export function encodeMessage(message: FleetMessage, nowMs: number): Uint8Array {
 	return Buffer.from(JSON.stringify(toArray(message, nowMs)));
@@ -77,6 +81,10 @@
 			return ['k', message.hosts];
 		}
 
+		case 'crash': {
+			return ['x', message.crash.fingerprint, message.crash.upstream];
+		}
+
 		case 'changes': {
 			const {changes, trust} = message;
 			const returnedAgoMs = trust.type === 'sound' ? null : Math.round(nowMs - trust.returnedAtMs);
@@ -117,6 +125,10 @@
 			return {type: 'hosts', hosts: array[1]};
 		}
 
+		case 'x': {
+			return {type: 'crash', crash: {fingerprint: array[1] as Fingerprint, upstream: array[2] as UpstreamId}};
+		}
+
 		case 'c': {
 			const [, fromOffset, endOffset, returnedAgoMs, records] = array;
 			return {
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -11,6 +11,7 @@
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {StateStore} from '../../ports/index.js';
+import type {Crash} from '../calls/poison-guard.js';
 import type {StateTask} from '../state/state-task.js';
 import {
 	decodeMessage, encodeMessage, maximumDatagramBytes, type FleetMessage,
@@ -28,6 +29,8 @@
 	readonly context: Context;
 	readonly store: StateStore;
 	readonly state: () => StateTask;
+	/** Another instance saw an upstream crash under a request. */
+	readonly onCrash: (crash: Crash) => void;
 };
 
 export class FleetTask implements Task {
@@ -121,6 +124,10 @@
 		this.#sendToAll({type: 'changes', changes, trust});
 	}
 
+	announceCrash(crash: Crash): void {
+		this.#sendToAll({type: 'crash', crash});
+	}
+
 	/** Tells all others of this instance at once. */
 	announce(): void {
 		this.#sendToAll({type: 'heartbeat', member: this.self});
@@ -205,6 +212,11 @@
 				return;
 			}
 
+			case 'crash': {
+				this.#options.onCrash(message.value.crash);
+				return;
+			}
+
 			case 'changes': {
 				this.#options.state().changed(message.value.changes, message.value.trust);
 			}
--- a/packages/gateway/src/features/upstreams/exchange.ts
+++ b/packages/gateway/src/features/upstreams/exchange.ts
@@ -11,7 +11,7 @@
 
 export type ExchangeFailure =
 	/** No connection: nothing was sent. */
-	| {readonly type: 'not-connected'; readonly message: string}
+	| {readonly type: 'not-connected'; readonly message: string; readonly isTimeout: boolean}
 	/** The connection ended before the answer was complete; the request may have run. */
 	| {readonly type: 'broken'; readonly message: string}
 	/** Bytes came that are no answer; the request may have run. */
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -1,9 +1,10 @@
 /** Asks upstreams for their load. */
 import type {LoadReport} from '@cairnbank/core/placement';
 import {ProbeAllowance} from '@cairnbank/core/measurement';
+import type {Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import type {RequestDialect} from '../../ports/index.js';
-import {headerOf, type UpstreamAnswer} from './exchange.js';
+import {headerOf, type ExchangeFailure, type UpstreamAnswer} from './exchange.js';
 import type {Upstream} from './upstream.js';
 
 /** An upstream that has not answered a health check after this time is left alone for a moment. */
@@ -43,6 +44,25 @@
 			return undefined;
 		}
 
+		const result = await this.#ask(upstream, path);
+		if (result.isErr()) {
+			context.metrics.probes.inc({result: result.error.type});
+			upstream.condition.unreachable();
+			context.logger.debug('probe failed', {upstream: upstream.registered.id, ...result.error});
+			return undefined;
+		}
+
+		return this.#noted(upstream, result.value);
+	}
+
+	/** Whether an upstream that broke a connection refuses new ones; no part of the budget, as it comes once a crash. */
+	async refusesConnections(upstream: Upstream): Promise<boolean> {
+		const path = this.#options.healthPath(upstream.registered.service) ?? '/';
+		const result = await this.#ask(upstream, path);
+		return result.isErr() && result.error.type === 'not-connected' && !result.error.isTimeout;
+	}
+
+	async #ask(upstream: Upstream, path: string): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
 		const connection = upstream.pool.take();
 		const {host, port} = upstream.registered;
 		const result = await connection.exchange({
@@ -54,14 +74,7 @@
 			timeoutMs: probeTimeoutMs,
 		});
 		upstream.pool.release(connection);
-		if (result.isErr()) {
-			context.metrics.probes.inc({result: result.error.type});
-			upstream.condition.unreachable();
-			context.logger.debug('probe failed', {upstream: upstream.registered.id, ...result.error});
-			return undefined;
-		}
-
-		return this.#noted(upstream, result.value);
+		return result;
 	}
 
 	#noted(upstream: Upstream, answer: UpstreamAnswer): LoadReport | undefined {
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -65,12 +65,12 @@
 	async exchange(request: OutgoingRequest): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
 		return new Promise(resolve => {
 			if (this.#isClosed) {
-				resolve(err({type: 'not-connected', message: 'closed before it was used'}));
+				resolve(err({type: 'not-connected', message: 'closed before it was used', isTimeout: false}));
 				return;
 			}
 
 			const timer = setTimeout(() => {
-				this.#fail(this.#isConnected ? {type: 'timed-out'} : {type: 'not-connected', message: 'no connection in time'});
+				this.#fail(this.#isConnected ? {type: 'timed-out'} : {type: 'not-connected', message: 'no connection in time', isTimeout: true});
 			}, Math.max(1, this.#isConnected ? request.timeoutMs : Math.min(request.timeoutMs, this.#options.connectTimeoutMs)));
 			this.#waiting = {request, timer, settle: resolve};
 			if (this.#isConnected) {
@@ -100,7 +100,7 @@
 			this.#ended();
 		});
 		this.#socket.on('error', error => {
-			this.#fail(this.#isConnected ? {type: 'broken', message: error.message} : {type: 'not-connected', message: error.message});
+			this.#fail(this.#isConnected ? {type: 'broken', message: error.message} : {type: 'not-connected', message: error.message, isTimeout: false});
 		});
 		this.#socket.on('close', () => {
 			this.#fail({type: 'broken', message: 'closed'});
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -1,12 +1,13 @@
 /** The one module that wires the parts of an entry instance. */
 import {randomBytes} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {IncarnationId, ServiceId} from '@cairnbank/core';
+import type {IncarnationId, InstanceId, ServiceId} from '@cairnbank/core';
 import {systemClock} from '@cairnbank/core/clock';
 import {createRandomSource} from '@cairnbank/core/random';
 import {WorkEstimates} from '@cairnbank/core/placement';
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {CallersTask} from './features/calls/callers-task.js';
+import {PoisonGuard} from './features/calls/poison-guard.js';
 import {DirectoryTask} from './features/directory/directory-task.js';
 import {FleetTask} from './features/fleet/fleet-task.js';
 import {MetricsTask} from './features/metrics/metrics-task.js';
@@ -81,7 +82,14 @@
 			fleet.announce();
 		},
 	});
-	const fleet: FleetTask = new FleetTask({context, store: ports.store, state: () => state});
+	const fleet: FleetTask = new FleetTask({
+		context,
+		store: ports.store,
+		state: () => state,
+		onCrash(crash) {
+			guard.crashed(crash);
+		},
+	});
 	const prober = new Prober({
 		context,
 		dialect: ports.requests,
@@ -89,6 +97,15 @@
 		instances,
 		upstreams: () => upstreams.size,
 	});
+	const guard: PoisonGuard = new PoisonGuard({
+		clock: context.clock,
+		logger: context.logger,
+		instance: settings.instanceId as InstanceId,
+		hasCrashed: async upstream => prober.refusesConnections(upstream),
+		onCrash(crash) {
+			fleet.announceCrash(crash);
+		},
+	});
 	const placer = new Placer({context, prober, ofService: service => upstreams.ofService(service)});
 	const budgets = new Map<ServiceId, WindowBudget>();
 	const budget = (service: ServiceId) => {
@@ -103,6 +120,7 @@
 	const callers: CallersTask = new CallersTask({
 		context,
 		routes: () => state.routes,
+		guard,
 		call: {
 			clock: context.clock,
 			dialect: ports.requests,
@@ -111,6 +129,9 @@
 			budget,
 			instances,
 			place: async request => placer.place(request),
+			onBroken(call, upstream) {
+				void guard.brokeOff(call, upstream);
+			},
 			pause: async durationMs => delay(durationMs),
 		},
 	});
