A wrong estimate is put right; explain command; the last log line is written

The line 'stopped' was lost, as the process ended before it was written. Change: an upstream at ease is always tried, estimates stay within the target latency; the end waits for the log. cairnbank explain <id> tells a request's story from the logs of many instances. OPERATING.md is now OPERATIONS.md, the name that the users ask for.

--- /dev/null
+++ b/packages/cli/src/commands/explain/explain-command.ts
@@ -0,0 +1,55 @@
+/** `cairnbank explain`: the story of one request from the logs of all instances. */
+import {err, ok, ResultAsync} from 'neverthrow';
+import {z} from 'zod';
+import {readInput} from '../../input/read-input.js';
+import {defineCommand} from '../../kernel/command.js';
+import {parseLogs, tellStory, type LogLine} from './story.js';
+
+const standardInput = '-';
+
+export const explainCommand = defineCommand({
+	usage: 'explain <id> [...files]',
+	summary: 'Tell what happened to one request, from the logs of the instances; no settings are needed',
+	options: [],
+	examples: ['cairnbank explain 9c41d07be2a35f68 entry-1.log entry-2.log', 'cat *.log | cairnbank explain 9c41d07be2a35f68 -'],
+	optionsSchema: z.strictObject({}),
+	async run({environment}, [id, ...files]) {
+		const sources = files.length === 0 ? [standardInput] : files;
+		const texts = await ResultAsync.combine(sources.map(file => readInput(environment, file)));
+		if (texts.isErr()) {
+			return err(texts.error);
+		}
+
+		const logs = parseLogs(texts.value);
+		if (logs.unreadable > 0) {
+			environment.output.error(`cairnbank: passed over ${logs.unreadable} line(s) that no instance wrote`);
+		}
+
+		const story = tellStory(id!, logs.lines);
+		if (story === undefined) {
+			return err({
+				type: 'wrong-use',
+				message: `none of ${logs.lines.length} line(s) has the id ${id!}`,
+				advice: 'look at the instances that the caller was sent to; an uneventful answer is logged once in `logging.sampleOneIn`',
+			});
+		}
+
+		environment.output.line('What the instances believed:');
+		for (const line of story.beliefs) {
+			environment.output.line(toText(line));
+		}
+
+		environment.output.line('The request:');
+		for (const line of story.lines) {
+			environment.output.line(toText(line));
+		}
+
+		return ok();
+	},
+});
+
+function toText({time, instance, event, level: _, decisions, ...fields}: LogLine): string {
+	const details = Object.entries(fields).map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`);
+	const steps = typeof decisions === 'string' && decisions !== '' ? decisions.split(' ').map(step => `\n      ${step}`) : [];
+	return `  ${time} ${instance} ${event}: ${details.join(' ')}${steps.join('')}`;
+}
--- /dev/null
+++ b/packages/cli/src/commands/explain/story.spec.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {parseLogs, tellStory} from './story.js';
+
+function line(second: number, instance: string, event: string, fields: Record<string, unknown> = {}): string {
+	return JSON.stringify({
+		time: `2026-01-01T00:00:0${second}.000Z`, level: 'info', event, instance, ...fields,
+	});
+}
+
+const logs = [
+	line(1, 'entry-1', 'configuration in force', {version: 3}),
+	line(2, 'entry-1', 'configuration in force', {version: 4}),
+	line(2, 'entry-2', 'configuration in force', {version: 3}),
+	line(3, 'entry-1', 'upstream joined', {upstream: 'u7'}),
+	line(3, 'entry-1', 'upstream joined', {upstream: 'u8'}),
+	line(5, 'entry-1', 'request', {id: 'r1', outcome: 'unknown', decisions: 'first:u7:expected=20ms unknown(broken):4ms'}),
+	line(6, 'entry-1', 'configuration in force', {version: 5}),
+	'not a line',
+	'{"time":1}',
+].join('\n');
+
+describe('the story of a request', () => {
+	it('should hold its lines and what its instance believed then, not what it learnt later', () => {
+		const story = tellStory('r1', parseLogs([logs]).lines);
+		assert.deepEqual(story?.lines.map(({id}) => id), ['r1']);
+		assert.deepEqual(story?.beliefs.map(({event, version, upstream}) => [event, version ?? upstream]), [
+			['configuration in force', 4], ['upstream joined', 'u7'],
+		]);
+	});
+
+	it('should be told in order over several logs', () => {
+		const later = line(7, 'entry-2', 'request', {id: 'r1', outcome: 'answered', decisions: ''});
+		const story = tellStory('r1', parseLogs([later, logs]).lines);
+		assert.deepEqual(story?.lines.map(({instance}) => instance), ['entry-1', 'entry-2']);
+	});
+
+	it('should not exist for an id that no line has', () => {
+		assert.equal(tellStory('r2', parseLogs([logs]).lines), undefined);
+	});
+
+	it('should count lines that cannot be read', () => {
+		assert.equal(parseLogs([logs]).unreadable, 2);
+	});
+});
--- a/packages/cli/src/commands/registry.ts
+++ b/packages/cli/src/commands/registry.ts
@@ -2,6 +2,7 @@
 import {type Command} from '../kernel/command.js';
 import {drainCommand} from './drain/drain-command.js';
 import {undrainCommand} from './drain/undrain-command.js';
+import {explainCommand} from './explain/explain-command.js';
 import {historyCommand} from './history/history-command.js';
 import {publishCommand} from './publish/publish-command.js';
 import {showCommand} from './show/show-command.js';
@@ -18,4 +19,5 @@
 	statusCommand,
 	drainCommand,
 	undrainCommand,
+	explainCommand,
 ];
--- a/packages/core/src/placement/upstream-condition.spec.ts
+++ b/packages/core/src/placement/upstream-condition.spec.ts
@@ -109,6 +109,12 @@
 		assert.equal(work.expectedMs('r', 100), 30);
 	});
 
+	it('should never pass the target latency, whatever the first answer took', () => {
+		const work = new WorkEstimates();
+		work.learn('r', 900, 1);
+		assert.equal(work.expectedMs('r', 100), 100);
+	});
+
 	it('should not be moved far by one outlier', () => {
 		const work = new WorkEstimates();
 		work.learn('r', 30, 1);
--- a/packages/core/src/placement/work-estimate.ts
+++ b/packages/core/src/placement/work-estimate.ts
@@ -11,9 +11,9 @@
 export class WorkEstimates {
 	readonly #meanMs = new Map<string, number>();
 
-	/** Expected work of a request at an upstream of usual speed. */
+	/** Expected work of a request at an upstream of usual speed; a target latency leaves room for the work at least. */
 	expectedMs(routeId: string, targetLatencyMs: number): number {
-		return this.#meanMs.get(routeId) ?? targetLatencyMs * firstGuessRatio;
+		return Math.min(this.#meanMs.get(routeId) ?? targetLatencyMs * firstGuessRatio, targetLatencyMs);
 	}
 
 	/**
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -223,12 +223,21 @@
 		it('should refuse at once, as not run, what cannot end in time', async () => {
 			const world = new World({idempotent: false});
 			world.expectedMs = 1001;
+			world.isAtEase = false;
 			await world.start();
 			assert.deepEqual([world.outcome?.type, world.outcome?.type === 'not-run' && world.outcome.reason], ['not-run', 'too-busy']);
 			assert.equal(world.exchanges.length, 0);
 		});
 	});
 
+	it('should try an upstream at ease whatever is expected, so that a wrong estimate is put right', async () => {
+		const world = new World({idempotent: false});
+		world.expectedMs = 1001;
+		await world.start();
+		assert.equal(world.exchanges.length, 1);
+		world.run.abandon();
+	});
+
 	describe('upstreams that cannot be reached', () => {
 		inWorld('should count neither as attempts nor against the budget', {idempotent: false, slack: 0}, async world => {
 			await world.answer(0, notConnected);
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -110,7 +110,8 @@
 	#isWorthSending(kind: AttemptKind, placement: Placement): boolean {
 		switch (kind) {
 			case 'first': {
-				const canEndInTime = placement.expectedMs <= this.#call.deadlineAtMs - this.#now();
+				// An upstream at ease is always tried: an estimate that is too high would never be put right otherwise.
+				const canEndInTime = placement.isAtEase || placement.expectedMs <= this.#call.deadlineAtMs - this.#now();
 				if (!canEndInTime) {
 					this.#notRun = 'too-busy';
 					this.#decisions.push(`too-busy:expected=${Math.round(placement.expectedMs)}`);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,11 +19,16 @@
 export class Gateway {
 	readonly #context: Context;
 	readonly #tasks: readonly Task[];
+	readonly #flushLogs: () => Promise<void>;
 
-	/** @param tasks - in the order of their start */
-	constructor(context: Context, tasks: readonly Task[]) {
+	/**
+	 * @param tasks - in the order of their start
+	 * @param flushLogs - resolves once the last lines are written
+	 */
+	constructor(context: Context, tasks: readonly Task[], flushLogs: () => Promise<void>) {
 		this.#context = context;
 		this.#tasks = tasks;
+		this.#flushLogs = flushLogs;
 	}
 
 	async start(): Promise<Result<void, StartError>> {
@@ -73,5 +78,6 @@
 		}
 
 		logger.info('stopped');
+		await this.#flushLogs();
 	}
 }
--- a/packages/gateway/src/logging/line-writer.ts
+++ b/packages/gateway/src/logging/line-writer.ts
@@ -38,6 +38,7 @@
 	#droppedLines = 0;
 	#droppedSinceNote = 0;
 	#isWriting = false;
+	#whenIdle: (() => void) | undefined;
 
 	constructor(sink: LineSink) {
 		this.#sink = sink;
@@ -48,6 +49,21 @@
 		return this.#droppedLines;
 	}
 
+	/** Resolves once all lines are written; at the latest when the reader has stalled for the time given. */
+	async flushed(maximumMs: number): Promise<void> {
+		if (!this.#isWriting) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(resolve, maximumMs);
+			this.#whenIdle = () => {
+				clearTimeout(timer);
+				resolve();
+			};
+		});
+	}
+
 	write(line: string): void {
 		if (this.#bufferedBytes + line.length > maximumBufferedBytes) {
 			this.#droppedLines += 1;
@@ -76,6 +92,7 @@
 		this.#bufferedBytes = 0;
 		if (chunk === '') {
 			this.#isWriting = false;
+			this.#whenIdle?.();
 			return;
 		}
 
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -26,6 +26,8 @@
 const incarnationBytes = 6;
 const seedBytes = 4;
 const standardOutput = 1;
+/** How long the end of the process waits for the reader of its log; well within the rest of the time for a stop. */
+const lastLinesMs = 200;
 const millisecondsPerSecond = 1000;
 /** Until others are heard, the fleet is taken to be at least this large, so that a start never overdraws a budget. */
 const leastAssumedInstances = 8;
@@ -142,5 +144,5 @@
 		offered: () => fleet.offered(),
 	});
 	const metrics = new MetricsTask(context, () => lines.droppedLines);
-	return new Gateway(context, [upstreams, fleet, state, callers, directory, metrics]);
+	return new Gateway(context, [upstreams, fleet, state, callers, directory, metrics], async () => lines.flushed(lastLinesMs));
 }
--- a/packages/testing/src/docs/operating.spec.ts
+++ b/packages/testing/src/docs/operating.spec.ts
@@ -14,7 +14,7 @@
 	readonly default?: unknown;
 };
 
-const page = await readFile(new URL('../../../../docs/OPERATING.md', import.meta.url), 'utf8');
+const page = await readFile(new URL('../../../../docs/OPERATIONS.md', import.meta.url), 'utf8');
 
 /** All fields that hold a value, by path. */
 function leafFields(schema: Schema, prefix = ''): Array<readonly [path: string, field: Schema]> {
