--- /dev/null
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -0,0 +1,122 @@
+/** One try of a call at one upstream: sends it, and notes what its end says of the upstream. */
+import {headerOf} from '../upstreams/exchange.js';
+import type {Placement} from '../upstreams/placer.js';
+import type {UpstreamConnection} from '../upstreams/upstream-connection.js';
+import type {Call} from './call.js';
+import type {CallDependencies} from './call-dependencies.js';
+import {judgeExchange, type Verdict} from './judge-exchange.js';
+
+export type AttemptKind = 'first' | 'repeat' | 'hedge';
+
+export class Attempt {
+	readonly #dependencies: CallDependencies;
+	readonly #call: Call;
+	readonly #kind: AttemptKind;
+	readonly #placement: Placement;
+	readonly #connection: UpstreamConnection;
+
+	constructor(dependencies: CallDependencies, call: Call, kind: AttemptKind, placement: Placement) {
+		this.#dependencies = dependencies;
+		this.#call = call;
+		this.#kind = kind;
+		this.#placement = placement;
+		this.#connection = placement.upstream.pool.take();
+	}
+
+	/**
+	 * Sends the request; resolves once its answer is whole or it has failed.
+	 *
+	 * @param remainingMs - until the call's deadline
+	 */
+	async run(remainingMs: number): Promise<Verdict> {
+		const {dialect, clock, metrics} = this.#dependencies;
+		const {condition, pool} = this.#placement.upstream;
+		const sentAtMs = clock.monotonicMs();
+		condition.sent();
+		const result = await this.#connection.exchange({
+			method: this.#call.method,
+			target: this.#call.target,
+			headers: this.#headers(remainingMs),
+			body: this.#call.body,
+			requestId: this.#call.requestId,
+			timeoutMs: remainingMs,
+		});
+		pool.release(this.#connection);
+		const verdict = judgeExchange(result, dialect);
+		metrics.attempts.inc({kind: this.#kind, result: verdict.type});
+		this.#note(verdict, clock.monotonicMs() - sentAtMs);
+		if (result.isOk()) {
+			const load = headerOf(result.value.headers, dialect.loadHeader);
+			const report = load === undefined ? undefined : dialect.parseLoad(load);
+			if (report !== undefined) {
+				condition.reported(report);
+			}
+		}
+
+		return verdict;
+	}
+
+	/** Gives the request up; most upstreams then stop working on it. */
+	cancel(): void {
+		this.#connection.cancel();
+	}
+
+	/** What decided the choice, and how old it was. */
+	describe(): string {
+		const {upstream: {registered, condition}, expectedMs, slowness} = this.#placement;
+		const {report} = condition;
+		const load = report === undefined ? 'load=unknown' : `running=${report.running}:waiting=${report.waiting}:age=${Math.round(condition.reportAgeMs)}ms`;
+		return `${this.#kind}:${registered.id}:expected=${Math.round(expectedMs)}ms:slowness=${slowness}:${load}`;
+	}
+
+	#headers(remainingMs: number): readonly string[] {
+		const {dialect} = this.#dependencies;
+		const {headers, body} = this.#call;
+		return [
+			...headers,
+			dialect.deadlineHeader,
+			String(remainingMs),
+			dialect.expectedUpstreamHeader,
+			this.#placement.upstream.registered.id,
+			...(body === undefined ? [] : ['Content-Length', String(body.length)]),
+		];
+	}
+
+	#note(verdict: Verdict, tookMs: number): void {
+		const {upstream, slowness} = this.#placement;
+		const {condition} = upstream;
+		switch (verdict.type) {
+			case 'success': {
+				condition.succeeded();
+				this.#dependencies.work.learn(this.#call.route.id, tookMs, slowness);
+				break;
+			}
+
+			case 'not-run': {
+				if (verdict.reason === 'not-connected') {
+					condition.unreachable();
+				}
+
+				break;
+			}
+
+			case 'upstream-failure': {
+				condition.failed();
+				break;
+			}
+
+			case 'unknown': {
+				condition.failed();
+				if (verdict.reason === 'broken') {
+					this.#dependencies.onBroken(this.#call, upstream);
+				}
+
+				break;
+			}
+
+			case 'cancelled': {
+				break;
+			}
+		}
+	}
+}
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -1,134 +1,15 @@
 import assert from 'node:assert/strict';
-import {Buffer} from 'node:buffer';
 import {describe, it, mock} from 'node:test';
-import {ManualClock, type ServiceId, type UpstreamId} from '@cairnbank/core';
-import {UpstreamCondition, WorkEstimates} from '@cairnbank/core/placement';
-import {WindowBudget} from '@cairnbank/core/window-budget';
-import {err, ok, type Result} from 'neverthrow';
-import {createMetrics} from '../../metrics/metrics.js';
-import type {RequestDialect} from '../../ports/index.js';
-import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from '../upstreams/exchange.js';
-import type {Placement} from '../upstreams/placer.js';
-import type {Call} from './call.js';
-import {CallRun} from './call-run.js';
-import type {Outcome} from './outcome.js';
-
-const dialect: RequestDialect = {
-	requestIdHeader: 'id', deadlineHeader: 'deadline', expectedUpstreamHeader: 'expect', upstreamIdHeader: 'upstream',
-	signatureHeader: 'signature', notExecutedHeader: 'not-run', loadHeader: 'load', parseLoad: () => undefined,
-};
-
-type Exchange = {
-	readonly upstream: string;
-	readonly request: OutgoingRequest;
-	readonly settle: (result: Result<UpstreamAnswer, ExchangeFailure>) => void;
-};
-
-const answered = (status: number, ...headers: string[]) => ok({status, headers, body: Buffer.from('body')});
-const success = answered(200, 'signature', 's');
-const failure = answered(500, 'signature', 's');
-const refusal = answered(503, 'not-run', '1');
-const broken = err({type: 'broken', message: 'reset'} as const);
-const notConnected = err({type: 'not-connected', message: 'refused', isTimeout: false} as const);
-
-/** A world of upstreams whose answers the spec gives, with a clock that it moves. */
-class World {
-	readonly clock = new ManualClock();
-	readonly exchanges: Exchange[] = [];
-	readonly cancelled: string[] = [];
-	outcome: Outcome | undefined;
-	isAtEase = true;
-	expectedMs = 40;
-	readonly run: CallRun;
-	#next = 0;
-
-	constructor(options: {idempotent: boolean; maximumAttempts?: number; slack?: number; upstreams?: number}) {
-		const {idempotent, maximumAttempts = 2, slack = 50, upstreams = 9} = options;
-		const call: Call = {
-			requestId: 'r1',
-			caller: '10.9.0.1',
-			method: 'GET',
-			target: '/',
-			headers: ['Host', 'h'],
-			body: undefined,
-			route: {
-				id: 'route', pathPrefix: '/', idempotent, timeoutMs: 1000, targetLatencyMs: 100, priority: 0, maximumAttempts, services: [],
-			},
-			service: 'ledger' as ServiceId,
-			configurationVersion: 1,
-			receivedAtMs: 0,
-			deadlineAtMs: 1000,
-		};
-		const budget = new WindowBudget(() => ({ratio: 0, slack, windowMs: 10_000}));
-		this.run = new CallRun({
-			clock: this.clock,
-			dialect,
-			metrics: createMetrics(),
-			work: new WorkEstimates(),
-			budget: () => budget,
-			instances: () => 1,
-			onBroken: () => undefined,
-			pause: async () => undefined,
-			place: async ({excluded}) => this.#place(excluded, upstreams),
-		}, call);
-	}
-
-	async start(): Promise<void> {
-		void this.run.run().then(outcome => { // eslint-disable-line promise/prefer-await-to-then
-			this.outcome = outcome;
-		});
-		await settled();
-	}
-
-	async answer(index: number, result: Result<UpstreamAnswer, ExchangeFailure>): Promise<void> {
-		this.exchanges[index]!.settle(result);
-		await settled();
-	}
-
-	async pass(durationMs: number): Promise<void> {
-		this.clock.advance(durationMs);
-		mock.timers.tick(durationMs);
-		await settled();
-	}
-
-	#place(excluded: ReadonlySet<UpstreamId>, upstreams: number): Placement | undefined {
-		if (excluded.size >= upstreams) {
-			return undefined;
-		}
-
-		this.#next += 1;
-		const id = `u${this.#next}` as UpstreamId;
-		const connection = {
-			exchange: async (request: OutgoingRequest) => new Promise<Result<UpstreamAnswer, ExchangeFailure>>(resolve => {
-				this.exchanges.push({upstream: id, request, settle: resolve});
-			}),
-			cancel: () => {
-				this.cancelled.push(id);
-			},
-		};
-		return {
-			upstream: {
-				registered: {id}, warmUntilMs: 0, condition: new UpstreamCondition(this.clock), pool: {take: () => connection, release: () => undefined},
-			},
-			expectedMs: this.expectedMs,
-			slowness: 1,
-			isAtEase: this.isAtEase,
-		} as unknown as Placement;
-	}
-}
-
-async function settled(): Promise<void> {
-	for (let turn = 0; turn < 20; turn++) {
-		await Promise.resolve();
-	}
-}
+import {
+	broken, CallWorld, failure, notConnected, refusal, settled, success,
+} from './call-run-fixture.js';
 
 describe('CallRun', () => {
-	const inWorld = (name: string, options: ConstructorParameters<typeof World>[0], body: (world: World) => Promise<void>) => {
+	const inWorld = (name: string, options: ConstructorParameters<typeof CallWorld>[0], body: (world: CallWorld) => Promise<void>) => {
 		it(name, async () => {
 			mock.timers.enable({apis: ['setTimeout']});
 			try {
-				const world = new World(options);
+				const world = new CallWorld(options);
 				await world.start();
 				await body(world);
 			} finally {
@@ -221,7 +102,7 @@
 
 	describe('upstreams that are all too busy', () => {
 		it('should refuse at once, as not run, what cannot end in time', async () => {
-			const world = new World({idempotent: false});
+			const world = new CallWorld({idempotent: false});
 			world.expectedMs = 1001;
 			world.isAtEase = false;
 			await world.start();
@@ -231,7 +112,7 @@
 	});
 
 	it('should try an upstream at ease whatever is expected, so that a wrong estimate is put right', async () => {
-		const world = new World({idempotent: false});
+		const world = new CallWorld({idempotent: false});
 		world.expectedMs = 1001;
 		await world.start();
 		assert.equal(world.exchanges.length, 1);
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -1,21 +1,11 @@
 /** Leads one call to its one outcome: attempts, repeats, an early second attempt, the deadline. */
-import type {UpstreamId} from '@cairnbank/core';
-import type {UpstreamConnection} from '../upstreams/upstream-connection.js';
 import type {Placement} from '../upstreams/placer.js';
-import {headerOf} from '../upstreams/exchange.js';
+import {Attempt, type AttemptKind} from './attempt.js';
+import {AttemptLedger} from './attempt-ledger.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
-import {judgeExchange, type Verdict} from './judge-exchange.js';
-import type {NotRunReason, Outcome, UnknownReason} from './outcome.js';
-
-type AttemptKind = 'first' | 'repeat' | 'hedge';
-
-type Attempt = {
-	readonly kind: AttemptKind;
-	readonly placement: Placement;
-	readonly connection: UpstreamConnection;
-	readonly sentAtMs: number;
-};
+import type {Verdict} from './judge-exchange.js';
+import type {Outcome} from './outcome.js';
 
 /** An early second attempt starts once the first has taken this many times what was expected; 1.5 left a third of the budget unused and served 1 in 200 fewer in time. */
 const hedgeFactor = 1.25;
@@ -23,8 +13,6 @@
 const minimumHedgeDelayMs = 15;
 /** What is sent with less time left than this part of its expected work cannot end in time. */
 const minimumTimeRatio = 0.5;
-/** When a caller of a request that has not run may come again: some upstream has a free slot by then. */
-const retryAfterMs = 60;
 /** Pause before a service without any upstream that can be tried is looked at again. */
 const placementRetryMs = 20;
 /** Part of the target latency for which a request without any upstream is held. */
@@ -34,16 +22,12 @@
 	readonly #dependencies: CallDependencies;
 	readonly #call: Call;
 	readonly #running = new Set<Attempt>();
-	readonly #tried = new Set<UpstreamId>();
+	readonly #ledger = new AttemptLedger();
 	readonly #decisions: string[] = [];
 	readonly #outcome: Promise<Outcome>;
 	#resolve!: (outcome: Outcome) => void;
 	#isOver = false;
 	#placing = 0;
-	#sent = 0;
-	#mayHaveRun: UnknownReason | undefined;
-	#notRun: NotRunReason = 'never-sent';
-	#upstreamFailure: Outcome | undefined;
 	#deadlineTimer: NodeJS.Timeout | undefined;
 	#hedgeTimer: NodeJS.Timeout | undefined;
 
@@ -61,13 +45,13 @@
 	}
 
 	get attemptsSent(): number {
-		return this.#sent;
+		return this.#ledger.sent;
 	}
 
 	async run(): Promise<Outcome> {
 		this.#deadlineTimer = setTimeout(() => {
-			this.#end(this.#sent > 0 ? {type: 'timed-out'} : this.#notRunOutcome());
-		}, Math.max(0, this.#call.deadlineAtMs - this.#now()));
+			this.#end(this.#ledger.outcomeAtDeadline());
+		}, Math.max(0, this.#remainingMs));
 		this.#dependencies.budget(this.#call.service).first(this.#now());
 		void this.#attempt('first');
 		return this.#outcome;
@@ -89,7 +73,7 @@
 		}
 
 		if (placement === undefined) {
-			this.#notRun = this.#sent > 0 ? this.#notRun : 'no-upstream';
+			this.#ledger.refused('no-upstream');
 			this.#endIfIdle();
 			return;
 		}
@@ -111,9 +95,9 @@
 		switch (kind) {
 			case 'first': {
 				// An upstream at ease is always tried: an estimate that is too high would never be put right otherwise.
-				const canEndInTime = placement.isAtEase || placement.expectedMs <= this.#call.deadlineAtMs - this.#now();
+				const canEndInTime = placement.isAtEase || placement.expectedMs <= this.#remainingMs;
 				if (!canEndInTime) {
-					this.#notRun = 'too-busy';
+					this.#ledger.refused('too-busy');
 					this.#decisions.push(`too-busy:expected=${Math.round(placement.expectedMs)}`);
 				}
 
@@ -136,7 +120,7 @@
 
 	async #place(kind: AttemptKind): Promise<Placement | undefined> {
 		const {route} = this.#call;
-		const request = {service: this.#call.service, workMs: this.#workMs, excluded: this.#tried};
+		const request = {service: this.#call.service, workMs: this.#workMs, excluded: this.#ledger.tried};
 		const holdMs = kind === 'first' ? route.targetLatencyMs * holdRatio : 0;
 		const holdUntilMs = this.#call.receivedAtMs + holdMs;
 		let placement = await this.#dependencies.place(request);
@@ -149,133 +133,37 @@
 	}
 
 	async #send(kind: AttemptKind, placement: Placement): Promise<void> {
-		const call = this.#call;
-		const {upstream} = placement;
-		const nowMs = this.#now();
-		const remainingMs = Math.floor(call.deadlineAtMs - nowMs);
+		const remainingMs = Math.floor(this.#remainingMs);
 		if (remainingMs <= 0) {
 			return;
 		}
 
-		const attempt = {
-			kind, placement, connection: upstream.pool.take(), sentAtMs: nowMs,
-		};
+		const attempt = new Attempt(this.#dependencies, this.#call, kind, placement);
 		this.#running.add(attempt);
-		this.#tried.add(upstream.registered.id);
-		this.#sent += 1;
-		upstream.condition.sent();
-		this.#decisions.push(describeSend(kind, placement));
+		this.#ledger.sentTo(placement.upstream.registered.id);
+		this.#decisions.push(attempt.describe());
 		if (kind === 'first') {
 			this.#planHedge(placement);
 		}
 
-		const {dialect} = this.#dependencies;
-		const result = await attempt.connection.exchange({
-			method: call.method,
-			target: call.target,
-			headers: [
-				...call.headers,
-				dialect.deadlineHeader,
-				String(remainingMs),
-				dialect.expectedUpstreamHeader,
-				upstream.registered.id,
-				...(call.body === undefined ? [] : ['Content-Length', String(call.body.length)]),
-			],
-			body: call.body,
-			requestId: call.requestId,
-			timeoutMs: remainingMs,
-		});
-		upstream.pool.release(attempt.connection);
+		const sentAtMs = this.#now();
+		const verdict = await attempt.run(remainingMs);
 		this.#running.delete(attempt);
-		const verdict = judgeExchange(result, dialect);
-		this.#note(attempt, verdict);
-		if (result.isOk()) {
-			const load = headerOf(result.value.headers, dialect.loadHeader);
-			const report = load === undefined ? undefined : dialect.parseLoad(load);
-			if (report !== undefined) {
-				upstream.condition.reported(report);
-			}
-		}
-
+		this.#decisions.push(describeEnd(verdict, this.#now() - sentAtMs));
 		if (!this.#isOver) {
 			this.#ended(verdict);
 		}
 	}
 
-	#note({kind, placement, sentAtMs}: Attempt, verdict: Verdict): void {
-		const {metrics, work} = this.#dependencies;
-		const tookMs = this.#now() - sentAtMs;
-		const {condition} = placement.upstream;
-		metrics.attempts.inc({kind, result: verdict.type});
-		this.#decisions.push(`${verdict.type}${'reason' in verdict ? `(${verdict.reason})` : ''}:${Math.round(tookMs)}ms`);
-		switch (verdict.type) {
-			case 'success': {
-				condition.succeeded();
-				work.learn(this.#call.route.id, tookMs, placement.slowness);
-				break;
-			}
-
-			case 'not-run': {
-				if (verdict.reason === 'not-connected') {
-					condition.unreachable();
-				}
-
-				break;
-			}
-
-			case 'upstream-failure': {
-				condition.failed();
-				break;
-			}
-
-			case 'unknown': {
-				condition.failed();
-				if (verdict.reason === 'broken') {
-					this.#dependencies.onBroken(this.#call, placement.upstream);
-				}
-
-				break;
-			}
-
-			case 'cancelled': {
-				break;
-			}
-		}
-	}
-
 	#ended(verdict: Verdict): void {
-		switch (verdict.type) {
-			case 'success': {
-				this.#end({type: 'answered', answer: verdict.answer});
-				return;
-			}
-
-			case 'upstream-failure': {
-				this.#upstreamFailure = {type: 'answered', answer: verdict.answer};
-				break;
-			}
-
-			case 'unknown': {
-				this.#mayHaveRun = verdict.reason;
-				break;
-			}
-
-			case 'not-run': {
-				this.#notRun = verdict.reason;
-				if (verdict.reason === 'not-connected') {
-					// Nothing has reached an upstream, so it counts neither as an attempt nor as a repeat.
-					this.#sent -= 1;
-				}
-
-				break;
-			}
-
-			case 'cancelled': {
-				return;
-			}
+		if (verdict.type === 'success') {
+			this.#end({type: 'answered', answer: verdict.answer});
+			return;
 		}
 
-		if (this.#running.size === 0 && this.#placing === 0 && this.#mayRepeat(verdict)) {
+		this.#ledger.ended(verdict);
+		const isLast = this.#running.size === 0 && this.#placing === 0;
+		if (isLast && this.#mayRepeat(verdict)) {
 			void this.#attempt('repeat');
 			return;
 		}
@@ -284,20 +172,20 @@
 	}
 
 	#mayRepeat(verdict: Verdict): boolean {
-		const {route} = this.#call;
-		const isAllowed = verdict.type === 'not-run' || route.idempotent;
+		const isAllowed = verdict.type === 'not-run' || this.#call.route.idempotent;
 		if (!isAllowed || !this.#hasRoomForAttempt) {
 			return false;
 		}
 
-		return this.#sent === 0 || this.#takeRepeat();
+		return this.#ledger.sent === 0 || this.#takeRepeat();
 	}
 
 	#takeRepeat(): boolean {
-		const isGranted = this.#dependencies.budget(this.#call.service).tryTake(this.#now(), this.#dependencies.instances());
+		const {service} = this.#call;
+		const isGranted = this.#dependencies.budget(service).tryTake(this.#now(), this.#dependencies.instances());
 		if (!isGranted) {
 			this.#decisions.push('repeat-denied:budget');
-			this.#dependencies.metrics.repeatsDenied.inc({service: this.#call.service});
+			this.#dependencies.metrics.repeatsDenied.inc({service});
 		}
 
 		return isGranted;
@@ -317,23 +205,11 @@
 	}
 
 	#endIfIdle(): void {
-		if (this.#running.size > 0 || this.#placing > 0) {
-			return;
-		}
-
-		if (this.#upstreamFailure !== undefined) {
-			this.#end(this.#upstreamFailure);
-		} else if (this.#mayHaveRun === undefined) {
-			this.#end(this.#notRunOutcome());
-		} else {
-			this.#end({type: 'unknown', reason: this.#mayHaveRun});
+		if (this.#running.size === 0 && this.#placing === 0) {
+			this.#end(this.#ledger.outcome());
 		}
 	}
 
-	#notRunOutcome(): Outcome {
-		return {type: 'not-run', reason: this.#notRun, retryAfterMs};
-	}
-
 	#end(outcome: Outcome): void {
 		if (this.#isOver) {
 			return;
@@ -342,8 +218,8 @@
 		this.#isOver = true;
 		clearTimeout(this.#deadlineTimer);
 		clearTimeout(this.#hedgeTimer);
-		for (const {connection} of this.#running) {
-			connection.cancel();
+		for (const attempt of this.#running) {
+			attempt.cancel();
 		}
 
 		this.#resolve(outcome);
@@ -351,8 +227,8 @@
 
 	/** Whether one more attempt is allowed and can end in time. */
 	get #hasRoomForAttempt(): boolean {
-		const hasTime = this.#call.deadlineAtMs - this.#now() > this.#workMs * minimumTimeRatio;
-		return hasTime && this.#sent < this.#call.route.maximumAttempts;
+		const hasTime = this.#remainingMs > this.#workMs * minimumTimeRatio;
+		return hasTime && this.#ledger.sent < this.#call.route.maximumAttempts;
 	}
 
 	get #workMs(): number {
@@ -360,14 +236,16 @@
 		return this.#dependencies.work.expectedMs(route.id, route.targetLatencyMs);
 	}
 
+	get #remainingMs(): number {
+		return this.#call.deadlineAtMs - this.#now();
+	}
+
 	#now(): number {
 		return this.#dependencies.clock.monotonicMs();
 	}
 }
 
-/** What decided the choice, and how old it was. */
-function describeSend(kind: AttemptKind, {upstream: {registered, condition}, expectedMs, slowness}: Placement): string {
-	const {report} = condition;
-	const load = report === undefined ? 'load=unknown' : `running=${report.running}:waiting=${report.waiting}:age=${Math.round(condition.reportAgeMs)}ms`;
-	return `${kind}:${registered.id}:expected=${Math.round(expectedMs)}ms:slowness=${slowness}:${load}`;
+function describeEnd(verdict: Verdict, tookMs: number): string {
+	const reason = 'reason' in verdict ? `(${verdict.reason})` : '';
+	return `${verdict.type}${reason}:${Math.round(tookMs)}ms`;
 }
--- /dev/null
+++ b/packages/gateway/src/features/fleet/fleet-socket.ts
@@ -0,0 +1,64 @@
+/** Owns the datagram socket between instances: one message a datagram. */
+import {createSocket, type Socket} from 'node:dgram';
+import {err, ok, type Result} from 'neverthrow';
+import type {Context} from '../../kernel/context.js';
+import type {StartError} from '../../kernel/start-error.js';
+import {
+	decodeMessage, encodeMessage, maximumDatagramBytes, type FleetMessage,
+} from './datagrams.js';
+
+export class FleetSocket {
+	readonly #context: Context;
+	readonly #socket: Socket;
+
+	/** @param onMessage - for each message that can be read */
+	constructor(context: Context, onMessage: (message: FleetMessage) => void) {
+		this.#context = context;
+		this.#socket = createSocket('udp4');
+		this.#socket.on('message', (bytes, {address}) => {
+			decodeMessage(bytes, context.clock.monotonicMs()).match(message => {
+				context.metrics.peerMessages.inc({type: message.type});
+				onMessage(message);
+			}, fault => {
+				context.logger.warn('unreadable message', {host: address, message: fault});
+			});
+		});
+		this.#socket.on('error', error => {
+			context.logger.warn('datagram socket failed', {message: error.message});
+		});
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		const {host, peers} = this.#context.settings;
+		return new Promise(resolve => {
+			this.#socket.once('error', error => {
+				resolve(err({type: 'cannot-listen', listener: 'datagrams', message: error.message}));
+			});
+			this.#socket.bind({address: host, port: peers.datagramPort}, () => {
+				resolve(ok(undefined));
+			});
+		});
+	}
+
+	stop(): void {
+		this.#socket.close();
+	}
+
+	/** Sends a message to each host; one that is too long for a datagram is left out, as hosts ask for what they miss. */
+	send(message: FleetMessage, hosts: readonly string[]): void {
+		const {clock, logger, settings} = this.#context;
+		const bytes = encodeMessage(message, clock.monotonicMs());
+		if (bytes.length > maximumDatagramBytes) {
+			logger.debug('message too long for a datagram', {type: message.type, bytes: bytes.length});
+			return;
+		}
+
+		for (const host of hosts) {
+			this.#socket.send(bytes, settings.peers.datagramPort, host, error => {
+				if (error) {
+					logger.debug('datagram not sent', {host, message: error.message});
+				}
+			});
+		}
+	}
+}
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -1,11 +1,10 @@
 /** Owns the traffic between instances: heartbeats, news of the registry, the search for other instances. */
-import {createSocket, type Socket} from 'node:dgram';
 import type {AvailabilityZoneId, IncarnationId, InstanceId} from '@cairnbank/core';
 import {
 	chooseFollower, defaultFleetTiming, FleetView, type FleetMember,
 } from '@cairnbank/core/fleet';
 import type {KeyedChanges, RegisteredUpstream, RemovalTrust} from '@cairnbank/core/registry';
-import {err, ok, type Result} from 'neverthrow';
+import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import {splitAddress} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
@@ -13,13 +12,11 @@
 import type {StateStore} from '../../ports/index.js';
 import type {Crash} from '../calls/poison-guard.js';
 import type {StateTask} from '../state/state-task.js';
-import {
-	decodeMessage, encodeMessage, maximumDatagramBytes, type FleetMessage,
-} from './datagrams.js';
+import type {FleetMessage} from './datagrams.js';
+import {FleetSocket} from './fleet-socket.js';
 import {fetchState, StateExchange} from './state-exchange.js';
+import {StoreEntry} from './store-entry.js';
 
-/** Pause between two tries to enter this instance in the store and to read who else is there. */
-const enterRetryMs = 1000;
 /** The follower's heartbeats carry the age of what all know, so they are more frequent than those of the others. */
 const followerHeartbeatMs = 300;
 /** How long a choice of the follower holds, so that not every message takes a new one. */
@@ -38,11 +35,11 @@
 	readonly #options: FleetTaskOptions;
 	readonly #view: FleetView;
 	readonly #exchange: StateExchange;
-	readonly #socket: Socket;
+	readonly #socket: FleetSocket;
+	readonly #storeEntry: StoreEntry;
 	/** Hosts that are being asked for their state. */
 	readonly #asked = new Set<string>();
 	#beatTimer: NodeJS.Timeout | undefined;
-	#enterTimer: NodeJS.Timeout | undefined;
 	#isLeaving = false;
 	#chosenFollower: IncarnationId | undefined;
 	#followerChosenAtMs = Number.NEGATIVE_INFINITY;
@@ -52,12 +49,15 @@
 		this.#options = options;
 		this.#view = new FleetView(options.context.clock);
 		this.#exchange = new StateExchange(query => options.state().share(query));
-		this.#socket = createSocket('udp4');
-		this.#socket.on('message', (bytes, {address}) => {
-			this.#received(bytes, address);
+		this.#socket = new FleetSocket(options.context, message => {
+			this.#received(message);
 		});
-		this.#socket.on('error', error => {
-			options.context.logger.warn('datagram socket failed', {message: error.message});
+		this.#storeEntry = new StoreEntry({
+			context: options.context,
+			store: options.store,
+			onOthers: hosts => {
+				this.#view.addCandidates(hosts);
+			},
 		});
 	}
 
@@ -68,11 +68,15 @@
 			return exchange;
 		}
 
-		const bound = await this.#bind(settings.host, settings.peers.datagramPort);
+		const bound = await this.#socket.start();
+		if (bound.isErr()) {
+			return bound;
+		}
+
 		this.#view.addCandidates(settings.seeds.map(seed => splitAddress(seed).host).filter(host => host !== settings.host));
 		this.#beat();
-		void this.#enter();
-		return bound;
+		this.#storeEntry.start();
+		return ok(undefined);
 	}
 
 	leave(): void {
@@ -83,8 +87,8 @@
 	stop(): void {
 		this.#isStopped = true;
 		clearTimeout(this.#beatTimer);
-		clearTimeout(this.#enterTimer);
-		this.#socket.close();
+		this.#storeEntry.stop();
+		this.#socket.stop();
 		this.#exchange.stop();
 	}
 
@@ -143,17 +147,6 @@
 		return this.#chosenFollower;
 	}
 
-	async #bind(address: string, port: number): Promise<Result<void, StartError>> {
-		return new Promise(resolve => {
-			this.#socket.once('error', error => {
-				resolve(err({type: 'cannot-listen', listener: 'datagrams', message: error.message}));
-			});
-			this.#socket.bind({address, port}, () => {
-				resolve(ok(undefined));
-			});
-		});
-	}
-
 	#beat(): void {
 		if (this.#isStopped) {
 			return;
@@ -171,54 +164,26 @@
 		}, this.isFollower ? followerHeartbeatMs : defaultFleetTiming.heartbeatMs);
 	}
 
-	/** Enters this instance in the store and learns of others there; again until both have worked. */
-	async #enter(): Promise<void> {
-		const {context: {settings, logger, metrics}, store} = this.#options;
-		const entered = await store.instances.enter(settings.instanceId, {host: settings.host});
-		metrics.storeCalls.inc({call: 'enter', result: entered.isOk() ? 'ok' : 'failed'});
-		const listed = entered.isOk() ? await store.instances.list() : err(entered.error);
-		if (listed.isOk()) {
-			metrics.storeCalls.inc({call: 'list', result: 'ok'});
-			this.#view.addCandidates(listed.value.map(({host}) => host).filter(host => host !== settings.host));
-			logger.info('entered in the store', {others: listed.value.length - 1});
-			return;
-		}
-
-		logger.warn('cannot enter this instance in the store', {...listed.error});
-		if (!this.#isStopped) {
-			this.#enterTimer = setTimeout(() => {
-				void this.#enter();
-			}, enterRetryMs);
-		}
-	}
-
-	#received(bytes: Uint8Array, host: string): void {
-		const {context} = this.#options;
-		const message = decodeMessage(bytes, context.clock.monotonicMs());
-		if (message.isErr()) {
-			context.logger.warn('unreadable message', {host, message: message.error});
-			return;
-		}
-
-		context.metrics.peerMessages.inc({type: message.value.type});
-		switch (message.value.type) {
+	#received(message: FleetMessage): void {
+		const {context, state, onCrash} = this.#options;
+		switch (message.type) {
 			case 'heartbeat': {
-				this.#heard(message.value.member);
+				this.#heard(message.member);
 				return;
 			}
 
 			case 'hosts': {
-				this.#view.addCandidates(message.value.hosts.filter(other => other !== context.settings.host));
+				this.#view.addCandidates(message.hosts.filter(other => other !== context.settings.host));
 				return;
 			}
 
 			case 'crash': {
-				this.#options.onCrash(message.value.crash);
+				onCrash(message.crash);
 				return;
 			}
 
 			case 'changes': {
-				this.#options.state().changed(message.value.changes, message.value.trust);
+				state().changed(message.changes, message.trust);
 			}
 		}
 	}
@@ -231,8 +196,8 @@
 
 		if (this.#view.heard(member)) {
 			context.logger.info('instance appeared', {instance: member.instance, host: member.host, incarnation: member.incarnation});
-			this.#sendTo(member.host, {type: 'hosts', hosts: this.#view.targets().filter(host => host !== member.host)});
-			this.#sendTo(member.host, {type: 'heartbeat', member: this.self});
+			this.#socket.send({type: 'hosts', hosts: this.#view.targets().filter(host => host !== member.host)}, [member.host]);
+			this.#socket.send({type: 'heartbeat', member: this.self}, [member.host]);
 		}
 
 		const query = this.#options.state().compare(member, this.#follower === member.incarnation);
@@ -254,25 +219,6 @@
 	}
 
 	#sendToAll(message: FleetMessage): void {
-		const bytes = encodeMessage(message, this.#options.context.clock.monotonicMs());
-		if (bytes.length > maximumDatagramBytes) {
-			return;
-		}
-
-		for (const host of this.#view.targets()) {
-			this.#send(bytes, host);
-		}
-	}
-
-	#sendTo(host: string, message: FleetMessage): void {
-		this.#send(encodeMessage(message, this.#options.context.clock.monotonicMs()), host);
-	}
-
-	#send(bytes: Uint8Array, host: string): void {
-		this.#socket.send(bytes, this.#options.context.settings.peers.datagramPort, host, error => {
-			if (error) {
-				this.#options.context.logger.debug('datagram not sent', {host, message: error.message});
-			}
-		});
+		this.#socket.send(message, this.#view.targets());
 	}
 }
