--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -15,6 +15,7 @@
 import type {FleetMessage} from './datagrams.js';
 import {FleetSocket} from './fleet-socket.js';
 import {fetchState, StateExchange} from './state-exchange.js';
+import {StateAsker} from './state-asker.js';
 import {StoreEntry} from './store-entry.js';
 
 /** The follower's heartbeats carry the age of what all know, so they are more frequent than those of the others. */
@@ -37,8 +38,7 @@
 	readonly #exchange: StateExchange;
 	readonly #socket: FleetSocket;
 	readonly #storeEntry: StoreEntry;
-	/** Hosts that are being asked for their state. */
-	readonly #asked = new Set<string>();
+	readonly #asker: StateAsker;
 	#beatTimer: NodeJS.Timeout | undefined;
 	#isLeaving = false;
 	#chosenFollower: IncarnationId | undefined;
@@ -52,6 +52,15 @@
 		this.#socket = new FleetSocket(options.context, message => {
 			this.#received(message);
 		});
+		this.#asker = new StateAsker({
+			context: options.context,
+			compare: member => options.state().compare(member, this.#follower === member.incarnation),
+			isFirstOfZone: () => this.#isFirstOfZone,
+			fetch: async (host, query) => fetchState(host, options.context.settings.peers.statePort, query),
+			adopt(state) {
+				options.state().adopt(state);
+			},
+		});
 		this.#storeEntry = new StoreEntry({
 			context: options.context,
 			store: options.store,
@@ -88,6 +97,7 @@
 		this.#isStopped = true;
 		clearTimeout(this.#beatTimer);
 		this.#storeEntry.stop();
+		this.#asker.stop();
 		this.#socket.stop();
 		this.#exchange.stop();
 	}
@@ -147,6 +157,12 @@
 		return this.#chosenFollower;
 	}
 
+	get #isFirstOfZone(): boolean {
+		const {self} = this;
+		const inZone = this.#view.live().filter(({availabilityZone}) => availabilityZone === self.availabilityZone);
+		return chooseFollower([self, ...inZone]) === self.incarnation;
+	}
+
 	#beat(): void {
 		if (this.#isStopped) {
 			return;
@@ -200,22 +216,7 @@
 			this.#socket.send({type: 'heartbeat', member: this.self}, [member.host]);
 		}
 
-		const query = this.#options.state().compare(member, this.#follower === member.incarnation);
-		if (query !== undefined && !this.#asked.has(member.host)) {
-			void this.#ask(member.host, query);
-		}
-	}
-
-	async #ask(host: string, query: Parameters<typeof fetchState>[2]): Promise<void> {
-		this.#asked.add(host);
-		const state = await fetchState(host, this.#options.context.settings.peers.statePort, query);
-		this.#asked.delete(host);
-		if (state.isErr()) {
-			this.#options.context.logger.warn('instance did not hand over its state', {host, message: state.error});
-			return;
-		}
-
-		this.#options.state().adopt(state.value);
+		this.#asker.heard(member);
 	}
 
 	#sendToAll(message: FleetMessage): void {
--- /dev/null
+++ b/packages/gateway/src/features/fleet/state-body.spec.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {describe, it} from 'node:test';
+import {deflateRawSync} from 'node:zlib';
+import type {ServiceId} from '@cairnbank/core';
+import {createRandomSource} from '@cairnbank/core/random';
+import type {GatewayConfiguration} from '@cairnbank/core/routes';
+import {decodeState, encodeState} from './state-body.js';
+
+const routeCount = 1200;
+
+function largeConfiguration(): GatewayConfiguration {
+	const random = createRandomSource(7);
+	const word = () => Math.floor(random.next() * (36 ** 6)).toString(36);
+	return {
+		version: 4,
+		services: [{id: 'ledger' as ServiceId, healthPath: '/health', maximumConnections: 100}],
+		hosts: [{
+			host: 'pay.example',
+			routes: Array.from({length: routeCount}, (_, index) => ({
+				id: `r-${word()}`,
+				pathPrefix: `/path${index}/${word()}/`,
+				idempotent: true,
+				timeoutMs: 1000,
+				targetLatencyMs: 300,
+				priority: 2,
+				maximumAttempts: 2,
+				services: [{service: 'ledger' as ServiceId, weight: 100}],
+			})),
+		}],
+		limits: {
+			maximumHeaderBytes: 8192, maximumBodyBytes: 65_536, headerTimeoutMs: 5000, idleTimeoutMs: 4000,
+		},
+	};
+}
+
+describe('state handed over', () => {
+	it('should come back as it was', async () => {
+		const state = {configuration: largeConfiguration(), registry: {endOffset: 3, records: []}};
+		const decoded = await decodeState(await encodeState(state));
+		assert.deepEqual(decoded._unsafeUnwrap(), state);
+	});
+
+	it('should take less than a tenth of the bytes of its JSON where it is large', async () => {
+		const state = {configuration: largeConfiguration()};
+		const bytes = await encodeState(state);
+		assert.ok(bytes.length * 10 < JSON.stringify(state).length, `${bytes.length} bytes`);
+	});
+
+	for (const [name, bytes] of Object.entries({
+		'no compressed text': Buffer.from('{}'),
+		'a text cut short': deflateRawSync('{"configuration": {}}').subarray(0, 12),
+		'no JSON': deflateRawSync('state'),
+		'another shape': deflateRawSync('{"configuration": {"version": "4"}}'),
+		'more than an instance can hold': deflateRawSync(Buffer.alloc(20_000_000)),
+	})) {
+		it(`should be told from ${name}`, async () => {
+			const decoded = await decodeState(bytes);
+			assert.ok(decoded.isErr());
+		});
+	}
+});
--- /dev/null
+++ b/packages/gateway/src/features/fleet/state-body.ts
@@ -0,0 +1,40 @@
+/** State as it is handed from instance to instance: JSON, compressed. */
+import {promisify} from 'node:util';
+import {deflateRaw, inflateRaw} from 'node:zlib';
+import {err, ok, type Result} from 'neverthrow';
+import * as v from 'valibot';
+import type {SharedState} from '../state/shared-state.js';
+
+const compress = promisify(deflateRaw);
+const decompress = promisify(inflateRaw);
+
+/**
+ * Every byte between availability zones is paid for. 1,200 routes take 224 kB as JSON and 16.5 kB compressed (1.7 ms);
+ * higher levels take three times as long for a tenth less.
+ */
+const compressionLevel = 3;
+/** Ten times the largest state expected, so that a faulty answer cannot fill the memory. */
+const maximumStateBytes = 16_777_216;
+
+const sharedStateSchema = v.object({
+	configuration: v.optional(v.object({
+		version: v.number(), hosts: v.array(v.unknown()), services: v.array(v.unknown()), limits: v.object({}),
+	})),
+	registry: v.optional(v.object({endOffset: v.number(), records: v.array(v.object({key: v.string(), offset: v.number()}))})),
+});
+
+export async function encodeState(state: SharedState): Promise<Uint8Array> {
+	return compress(JSON.stringify(state), {level: compressionLevel});
+}
+
+/** @returns the state, or what is wrong with the bytes */
+export async function decodeState(bytes: Uint8Array): Promise<Result<SharedState, string>> {
+	try {
+		const text = await decompress(bytes, {maxOutputLength: maximumStateBytes});
+		const json: unknown = JSON.parse(text.toString());
+		const parsed = v.safeParse(sharedStateSchema, json);
+		return parsed.success ? ok(json as SharedState) : err(parsed.issues[0].message);
+	} catch (error) {
+		return err((error as Error).message);
+	}
+}
--- a/packages/gateway/src/features/fleet/state-exchange.ts
+++ b/packages/gateway/src/features/fleet/state-exchange.ts
@@ -1,35 +1,28 @@
 /** Hands whole state to an instance that lacks it, and asks for it, over TCP. */
 import {Buffer} from 'node:buffer';
 import {createServer, get, type Server} from 'node:http';
-import {err, ok, type Result} from 'neverthrow';
-import * as v from 'valibot';
+import {err, type Result} from 'neverthrow';
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {SharedState, StateQuery} from '../state/shared-state.js';
+import {decodeState, encodeState} from './state-body.js';
 
 const statePath = '/state';
 /** A peer that doesn't answer within this time is asked again with its next heartbeat. */
 const queryTimeoutMs = 800;
 
-const sharedStateSchema = v.object({
-	configuration: v.optional(v.object({
-		version: v.number(), hosts: v.array(v.unknown()), services: v.array(v.unknown()), limits: v.object({}),
-	})),
-	registry: v.optional(v.object({endOffset: v.number(), records: v.array(v.object({key: v.string(), offset: v.number()}))})),
-});
-
 export class StateExchange {
 	readonly #server: Server;
 
 	constructor(share: (query: StateQuery) => SharedState) {
-		this.#server = createServer((request, response) => {
+		this.#server = createServer(async (request, response) => {
 			const {searchParams} = new URL(request.url ?? '/', 'http://peer');
-			const state = share({
+			const body = await encodeState(share({
 				configurationVersion: Number(searchParams.get('configuration') ?? 0),
 				wantsRegistry: searchParams.get('registry') === '1',
-			});
-			response.setHeader('Content-Type', 'application/json');
-			response.end(JSON.stringify(state));
+			}));
+			response.setHeader('Content-Type', 'application/octet-stream');
+			response.end(body);
 		});
 	}
 
@@ -55,7 +48,7 @@
 				chunks.push(chunk);
 			});
 			response.on('end', () => {
-				resolve(parseState(Buffer.concat(chunks).toString()));
+				resolve(decodeState(Buffer.concat(chunks)));
 			});
 			response.on('error', error => {
 				resolve(err(error.message));
@@ -73,13 +66,3 @@
 		});
 	});
 }
-
-function parseState(text: string): Result<SharedState, string> {
-	try {
-		const json: unknown = JSON.parse(text);
-		const parsed = v.safeParse(sharedStateSchema, json);
-		return parsed.success ? ok(json as SharedState) : err(parsed.issues[0].message);
-	} catch (error) {
-		return err((error as Error).message);
-	}
-}
