Upstreams that tell no load are served by what own requests say; silent ones are passed over

Own requests at an upstream were counted from their send to its next load report. Ruled out: health checks as a measure of speed where no load is told: they take under 1 ms whatever the speed is. Change: a request counts until it ends; speed is taken from the last own request and from those overdue; the work of a route is learned with less weight on what took long where the speed is unknown. An upstream whose health check is unanswered for 20 ms gets nothing while another one answers; one that could not be reached is checked beside the requests. Requests that want the same health check at the same time share it. An entry whose address changed gets a new pool.

--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,4 +1,5 @@
 export * from './expected-duration.js';
 export type * from './load-report.js';
+export type {OwnRequest} from './own-requests.js';
 export * from './upstream-condition.js';
 export * from './work-estimate.js';
--- /dev/null
+++ b/packages/core/src/placement/own-requests.ts
@@ -0,0 +1,57 @@
+/** What an instance's own requests at one upstream tell of its speed; the only sign where it tells no load. */
+import type {Clock} from '../model/clock.js';
+
+/** How long a finished request tells of the speed: upstreams change it about twice a second. */
+const observationLifetimeMs = 400;
+/** Work varies by a third; what takes no longer than this times the usual is at an upstream of usual speed. */
+const usualVariation = 1.3;
+
+/** One request under way; handed back as it ends. */
+export type OwnRequest = {
+	/** Work at an upstream of usual speed. */
+	readonly workMs: number;
+	readonly sentAtMs: number;
+	/** Number of load reports of the upstream before it was sent. */
+	readonly reports: number;
+};
+
+export class OwnRequests {
+	readonly #clock: Clock;
+	readonly #underWay = new Set<OwnRequest>();
+	#slowness = 1;
+	#observedAtMs = Number.NEGATIVE_INFINITY;
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	get count(): number {
+		return this.#underWay.size;
+	}
+
+	sent(workMs: number, reports: number): OwnRequest {
+		const request = {workMs, reports, sentAtMs: this.#clock.monotonicMs()};
+		this.#underWay.add(request);
+		return request;
+	}
+
+	/** @param isWhole - whether it ran to its end, so that its time tells of the speed */
+	ended(request: OwnRequest, isWhole: boolean): void {
+		this.#underWay.delete(request);
+		if (isWhole) {
+			this.#slowness = this.#ratio(request);
+			this.#observedAtMs = this.#clock.monotonicMs();
+		}
+	}
+
+	/** Time that work takes now against the usual: from the last request that ended, and from those that are overdue. */
+	get slowness(): number {
+		const isFresh = this.#clock.monotonicMs() - this.#observedAtMs <= observationLifetimeMs;
+		const slowness = Math.max(isFresh ? this.#slowness : 1, ...[...this.#underWay].map(request => this.#ratio(request)));
+		return slowness <= usualVariation ? 1 : slowness;
+	}
+
+	#ratio({sentAtMs, workMs}: OwnRequest): number {
+		return (this.#clock.monotonicMs() - sentAtMs) / workMs;
+	}
+}
--- a/packages/core/src/placement/upstream-condition.spec.ts
+++ b/packages/core/src/placement/upstream-condition.spec.ts
@@ -21,33 +21,134 @@
 
 	it('should count what was sent since the report', () => {
 		const condition = new UpstreamCondition(new ManualClock());
-		condition.sent();
-		condition.sent();
+		condition.sent(100);
+		condition.sent(100);
 		assert.equal(condition.unreportedInFlight, 2);
 		condition.reported(report);
 		assert.equal(condition.unreportedInFlight, 0);
 	});
 
-	it('should be left alone for longer each time it could not be reached, until it answers', () => {
+	it('should no longer count what has ended since the report', () => {
+		const condition = new UpstreamCondition(new ManualClock());
+		const mark = condition.sent(100);
+		condition.ended(mark, true);
+		assert.equal(condition.unreportedInFlight, 0);
+		const counted = condition.sent(100);
+		condition.reported(report);
+		condition.ended(counted, true);
+		assert.equal(condition.unreportedInFlight, 0);
+	});
+
+	describe('an upstream that could not be reached', () => {
+		it('should be checked again after a pause that grows each time, and left alone until it answers', () => {
+			const clock = new ManualClock();
+			const condition = new UpstreamCondition(clock);
+			const pauseMs = () => {
+				let elapsedMs = 0;
+				while (!condition.isCheckDue) {
+					clock.advance(10);
+					elapsedMs += 10;
+				}
+
+				return elapsedMs;
+			};
+
+			condition.unreachable();
+			const first = pauseMs();
+			condition.unreachable();
+			assert.ok(pauseMs() > first);
+			clock.advance(60_000);
+			assert.equal(condition.isAvoided, true);
+			condition.reported(report);
+			assert.equal(condition.isAvoided, false);
+		});
+
+		it('should be checked by one health check at a time', () => {
+			const clock = new ManualClock();
+			const condition = new UpstreamCondition(clock);
+			condition.unreachable();
+			clock.advance(1000);
+			condition.asked();
+			assert.equal(condition.isCheckDue, false);
+		});
+	});
+
+	it('should be silent while a health check takes longer than one does', () => {
 		const clock = new ManualClock();
 		const condition = new UpstreamCondition(clock);
-		const avoidedForMs = () => {
-			let elapsedMs = 0;
-			while (condition.isAvoided) {
-				clock.advance(10);
-				elapsedMs += 10;
-			}
+		condition.asked();
+		clock.advance(5);
+		assert.equal(condition.isSilent, false);
+		condition.asked();
+		clock.advance(20);
+		assert.equal(condition.isSilent, true);
+		condition.checked(4);
+		assert.equal(condition.isSilent, false);
+	});
 
-			return elapsedMs;
-		};
+	describe('an upstream that tells no load', () => {
+		it('should count own requests until they end, whatever health checks say', () => {
+			const condition = new UpstreamCondition(new ManualClock());
+			const marks = [condition.sent(100), condition.sent(100), condition.sent(100)];
+			condition.checked(4);
+			assert.equal(condition.unreportedInFlight, 3);
+			for (const mark of marks) {
+				condition.ended(mark, true);
+			}
 
-		condition.unreachable();
-		const first = avoidedForMs();
-		condition.unreachable();
-		assert.ok(avoidedForMs() > first);
-		condition.unreachable();
-		condition.reported(report);
-		assert.equal(condition.isAvoided, false);
+			assert.equal(condition.unreportedInFlight, 0);
+		});
+
+		it('should count as slow as the last own request there, for a moment', () => {
+			const clock = new ManualClock();
+			const condition = new UpstreamCondition(clock);
+			const mark = condition.sent(100);
+			clock.advance(500);
+			condition.ended(mark, true);
+			condition.checked(4);
+			assert.equal(condition.report?.slowness, 5);
+			clock.advance(401);
+			condition.checked(4);
+			assert.equal(condition.report?.slowness, 1);
+		});
+
+		it('should count as slow as an own request there is overdue', () => {
+			const clock = new ManualClock();
+			const condition = new UpstreamCondition(clock);
+			condition.sent(100);
+			clock.advance(120);
+			condition.checked(4);
+			assert.equal(condition.report?.slowness, 1);
+			clock.advance(180);
+			assert.equal(condition.report?.slowness, 3);
+		});
+
+		it('should learn no speed from requests that were given up', () => {
+			const clock = new ManualClock();
+			const condition = new UpstreamCondition(clock);
+			const mark = condition.sent(100);
+			clock.advance(500);
+			condition.ended(mark, false);
+			condition.checked(4);
+			assert.equal(condition.report?.slowness, 1);
+		});
+
+		it('should count as full for a moment after a refusal', () => {
+			const clock = new ManualClock();
+			const condition = new UpstreamCondition(clock);
+			condition.refused(4);
+			assert.equal(condition.report?.running, 4);
+			clock.advance(1000);
+			assert.equal(condition.report, undefined);
+		});
+
+		it('should be taken at its word from its first report on', () => {
+			const condition = new UpstreamCondition(new ManualClock());
+			condition.reported(report);
+			condition.checked(4);
+			condition.refused(4);
+			assert.equal(condition.report, report);
+		});
 	});
 
 	it('should blame failures and let the blame fade', () => {
@@ -115,6 +216,15 @@
 		assert.equal(work.expectedMs('r', 100), 100);
 	});
 
+	it('should stay near the usual where a quarter of the upstreams is slow and none tells so', () => {
+		const work = new WorkEstimates();
+		for (let count = 0; count < 400; count++) {
+			work.learn('r', count % 4 === 0 ? 210 : 30, undefined);
+		}
+
+		assert.ok(work.expectedMs('r', 1000) < 40, `${work.expectedMs('r', 1000)}`);
+	});
+
 	it('should not be moved far by one outlier', () => {
 		const work = new WorkEstimates();
 		work.learn('r', 30, 1);
--- a/packages/core/src/placement/upstream-condition.ts
+++ b/packages/core/src/placement/upstream-condition.ts
@@ -1,36 +1,56 @@
-/** What one instance knows of one upstream: its last load report, own requests there, failures. */
+/** What one instance knows of one upstream: its load, own requests there, failures, whether it answers. */
 import type {Clock} from '../model/clock.js';
 import type {LoadReport} from './load-report.js';
+import {OwnRequests, type OwnRequest} from './own-requests.js';
 
 /** Neighbours of an upstream change their load about twice a second: a report says little after that. */
 const reportLifetimeMs = 400;
 /** Time in which half of the blame for a failure fades. */
 const failureHalfLifeMs = 3000;
-/** Time without new requests after an upstream could not be reached; doubles with each further time. */
+/** Time after which an upstream that could not be reached is checked again; doubles with each further time. */
 const firstBackoffMs = 100;
 const maximumBackoffMs = 1600;
 /** Blame that a failed answer adds; a mean share of failures over recent answers. */
 const failureStep = 0.25;
+/**
+ * A health check is answered within some 10 ms, or 14 on a new connection to another availability zone; one that takes
+ * longer than this is at an upstream that is dark, cut off or frozen, or whose packets were lost.
+ */
+const silentAfterMs = 20;
 const ln2 = Math.LN2;
 
 /** Mutable record of one upstream; owned by the task that sends to it. */
 export class UpstreamCondition {
 	readonly #clock: Clock;
+	readonly #own: OwnRequests;
 	#report: LoadReport | undefined;
 	#reportAtMs = Number.NEGATIVE_INFINITY;
+	#reports = 0;
+	#tellsLoad = false;
 	#failureRatio = 0;
 	#failureAtMs = 0;
 	#unreachableCount = 0;
-	#unreachableUntilMs = Number.NEGATIVE_INFINITY;
+	#checkDueAtMs = Number.NEGATIVE_INFINITY;
+	#askedAtMs: number | undefined;
 	#unreportedInFlight = 0;
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
+		this.#own = new OwnRequests(clock);
 	}
 
-	/** The last report while it is worth something. */
+	/** The last report while it is worth something; where an upstream tells no load, what its answers say of it. */
 	get report(): LoadReport | undefined {
-		return this.reportAgeMs <= reportLifetimeMs ? this.#report : undefined;
+		if (this.reportAgeMs > reportLifetimeMs || this.#report === undefined) {
+			return undefined;
+		}
+
+		return this.#tellsLoad ? this.#report : {...this.#report, slowness: this.#own.slowness};
+	}
+
+	/** Whether its speed is known from itself. */
+	get tellsLoad(): boolean {
+		return this.#tellsLoad;
 	}
 
 	get reportAgeMs(): number {
@@ -43,29 +63,77 @@
 		return this.#failureRatio * Math.exp(-ln2 * elapsedMs / failureHalfLifeMs);
 	}
 
-	/** Own requests sent since the last report, which doesn't count them. */
+	/** Own requests there that the report doesn't count. */
 	get unreportedInFlight(): number {
 		return this.#unreportedInFlight;
 	}
 
-	/** It could not be reached lately and is left alone for a moment. */
+	/** It could not be reached and has answered nothing since. */
 	get isAvoided(): boolean {
-		return this.#clock.monotonicMs() < this.#unreachableUntilMs;
+		return this.#unreachableCount > 0;
+	}
+
+	/** It is avoided and may be checked again. */
+	get isCheckDue(): boolean {
+		return this.isAvoided && this.#askedAtMs === undefined && this.#clock.monotonicMs() >= this.#checkDueAtMs;
+	}
+
+	/** A health check is under way there for longer than one takes. */
+	get isSilent(): boolean {
+		return this.#askedAtMs !== undefined && this.#clock.monotonicMs() - this.#askedAtMs >= silentAfterMs;
 	}
 
-	sent(): void {
+	/**
+	 * A request is on its way there.
+	 *
+	 * @param workMs - expected at usual speed
+	 * @returns what is handed back as it ends
+	 */
+	sent(workMs: number): OwnRequest {
 		this.#unreportedInFlight += 1;
+		return this.#own.sent(workMs, this.#reports);
 	}
 
+	/** @param isWhole - whether it ran to its end */
+	ended(request: OwnRequest, isWhole: boolean): void {
+		this.#own.ended(request, isWhole);
+		if (request.reports === this.#reports) {
+			this.#unreportedInFlight -= 1;
+		}
+	}
+
+	/** It has told its load, which counts own requests too. */
 	reported(report: LoadReport): void {
-		this.#report = report;
+		this.#tellsLoad = true;
+		this.#reports += 1;
 		this.#unreportedInFlight = 0;
-		this.#reportAtMs = this.#clock.monotonicMs();
-		this.#unreachableCount = 0;
-		this.#unreachableUntilMs = Number.NEGATIVE_INFINITY;
+		this.#setReport(report);
+		this.answered();
+	}
+
+	/** A health check is on its way. */
+	asked(): void {
+		this.#askedAtMs ??= this.#clock.monotonicMs();
+	}
+
+	/** A health check was answered without a load report: such a check waits for a slot, so one is free. */
+	checked(slots: number): void {
+		this.answered();
+		this.#imply({
+			running: 0, waiting: 0, slots, slowness: 1,
+		});
+	}
+
+	/** It has refused a request; one that tells no load has no free slot. */
+	refused(slots: number): void {
+		this.answered();
+		this.#imply({
+			running: slots, waiting: slots, slots, slowness: 1,
+		});
 	}
 
 	succeeded(): void {
+		this.answered();
 		this.#setFailureRatio(this.failureRatio * (1 - failureStep));
 	}
 
@@ -73,14 +141,32 @@
 		this.#setFailureRatio(this.failureRatio + ((1 - this.failureRatio) * failureStep));
 	}
 
-	/** No connection, or no answer to a probe. */
+	/** It can be reached. */
+	answered(): void {
+		this.#askedAtMs = undefined;
+		this.#unreachableCount = 0;
+	}
+
+	/** No connection, or no answer to a health check. */
 	unreachable(): void {
 		const backoffMs = Math.min(maximumBackoffMs, firstBackoffMs * (2 ** this.#unreachableCount));
+		this.#askedAtMs = undefined;
 		this.#unreachableCount += 1;
-		this.#unreachableUntilMs = this.#clock.monotonicMs() + backoffMs;
+		this.#checkDueAtMs = this.#clock.monotonicMs() + backoffMs;
 		this.#reportAtMs = Number.NEGATIVE_INFINITY;
 	}
 
+	#imply(report: LoadReport): void {
+		if (!this.#tellsLoad) {
+			this.#setReport(report);
+		}
+	}
+
+	#setReport(report: LoadReport): void {
+		this.#report = report;
+		this.#reportAtMs = this.#clock.monotonicMs();
+	}
+
 	#setFailureRatio(ratio: number): void {
 		this.#failureRatio = ratio;
 		this.#failureAtMs = this.#clock.monotonicMs();
--- a/packages/core/src/placement/work-estimate.ts
+++ b/packages/core/src/placement/work-estimate.ts
@@ -6,6 +6,8 @@
 const firstGuessRatio = 0.4;
 /** A request whose work is outside the usual must not move the mean by more than this factor at once. */
 const maximumStep = 3;
+/** Where the upstream's slowness is unknown, what took long says more of the upstream than of the work. */
+const maximumUnknownStep = 1.5;
 
 /** Running means by route. */
 export class WorkEstimates {
@@ -20,17 +22,18 @@
 	 * Learns from one answer.
 	 *
 	 * @param tookMs - from send to answer
-	 * @param slowness - of the upstream as the request was sent
+	 * @param slowness - of the upstream as the request was sent, if it tells so
 	 */
-	learn(routeId: string, tookMs: number, slowness: number): void {
-		const workMs = tookMs / Math.max(1, slowness);
+	learn(routeId: string, tookMs: number, slowness: number | undefined): void {
+		const workMs = tookMs / Math.max(1, slowness ?? 1);
 		const meanMs = this.#meanMs.get(routeId);
 		if (meanMs === undefined) {
 			this.#meanMs.set(routeId, workMs);
 			return;
 		}
 
-		const bounded = Math.min(Math.max(workMs, meanMs / maximumStep), meanMs * maximumStep);
+		const greatestMs = meanMs * (slowness === undefined ? maximumUnknownStep : maximumStep);
+		const bounded = Math.min(Math.max(workMs, meanMs / maximumStep), greatestMs);
 		this.#meanMs.set(routeId, meanMs + ((bounded - meanMs) * learningRate));
 	}
 }
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -32,7 +32,7 @@
 		const {dialect, clock, metrics} = this.#dependencies;
 		const {condition, pool} = this.#placement.upstream;
 		const sentAtMs = clock.monotonicMs();
-		condition.sent();
+		const own = condition.sent(this.#placement.workMs);
 		const result = await this.#connection.exchange({
 			method: this.#call.method,
 			target: this.#call.target,
@@ -43,6 +43,7 @@
 		});
 		pool.release(this.#connection);
 		const verdict = judgeExchange(result, dialect);
+		condition.ended(own, verdict.type === 'success');
 		metrics.attempts.inc({kind: this.#kind, result: verdict.type});
 		this.#note(verdict, clock.monotonicMs() - sentAtMs);
 		if (result.isOk()) {
@@ -66,7 +67,7 @@
 		const {upstream: {registered, condition}, expectedMs, slowness} = this.#placement;
 		const {report} = condition;
 		const load = report === undefined ? 'load=unknown' : `running=${report.running}:waiting=${report.waiting}:age=${Math.round(condition.reportAgeMs)}ms`;
-		return `${this.#kind}:${registered.id}:expected=${Math.round(expectedMs)}ms:slowness=${slowness}:${load}`;
+		return `${this.#kind}:${registered.id}:expected=${Math.round(expectedMs)}ms:slowness=${slowness ?? 'unknown'}:${load}`;
 	}
 
 	#headers(remainingMs: number): readonly string[] {
@@ -95,6 +96,8 @@
 			case 'not-run': {
 				if (verdict.reason === 'not-connected') {
 					condition.unreachable();
+				} else {
+					condition.refused(upstream.registered.slots);
 				}
 
 				break;
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -110,6 +110,7 @@
 				registered: {id}, warmUntilMs: 0, condition: new UpstreamCondition(this.clock), pool: {take: () => connection, release: () => undefined},
 			},
 			expectedMs: this.expectedMs,
+			workMs: this.expectedMs,
 			slowness: 1,
 			isAtEase: this.isAtEase,
 		} as unknown as Placement;
--- /dev/null
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -0,0 +1,138 @@
+import assert from 'node:assert/strict';
+import {describe, it, mock} from 'node:test';
+import {ManualClock, type ServiceId, type UpstreamId} from '@cairnbank/core';
+import {createRandomSource} from '@cairnbank/core/random';
+import {UpstreamCondition, type LoadReport} from '@cairnbank/core/placement';
+import type {Context} from '../../kernel/context.js';
+import {Placer, type PlacerOptions} from './placer.js';
+import type {Upstream} from './upstream.js';
+
+const slots = 4;
+/** More than a placement takes. */
+const rounds = 5;
+const roundMs = 25;
+const idle: LoadReport = {
+	running: 0, waiting: 0, slots, slowness: 1,
+};
+
+/** Upstreams that answer health checks as a spec says; time passes only as the spec says. */
+class PlacerWorld {
+	readonly clock = new ManualClock();
+	readonly asked: string[] = [];
+	readonly #upstreams = new Map<string, Upstream>();
+	readonly #answers: ReadonlyMap<string, LoadReport | undefined>;
+	readonly #placer: Placer;
+
+	/** @param answers - what each upstream says of its load; one without a report never answers */
+	constructor(answers: Readonly<Record<string, LoadReport | undefined>>) {
+		this.#answers = new Map(Object.entries(answers));
+		for (const id of Object.keys(answers)) {
+			this.#upstreams.set(id, {
+				registered: {id: id as UpstreamId, slots, availabilityZone: 'nasr'},
+				warmUntilMs: 0,
+				condition: new UpstreamCondition(this.clock),
+			} as unknown as Upstream);
+		}
+
+		this.#placer = new Placer({
+			context: {clock: this.clock, random: createRandomSource(3), settings: {availabilityZone: 'nasr'}} as unknown as Context,
+			prober: {probe: async (upstream: Upstream) => this.#probe(upstream)} as unknown as PlacerOptions['prober'],
+			ofService: () => [...this.#upstreams.values()],
+		});
+	}
+
+	condition(id: string): UpstreamCondition {
+		return this.#upstreams.get(id)!.condition;
+	}
+
+	/** Places one request; whoever has not answered when nothing else happens is waited for in vain. */
+	async place(excluded: readonly string[] = []): Promise<string | undefined> {
+		const placement = this.#placer.place({service: 'ledger' as ServiceId, workMs: 100, excluded: new Set(excluded as UpstreamId[])});
+		for (let round = 0; round < rounds; round++) {
+			await settled();
+			this.clock.advance(roundMs);
+			mock.timers.tick(roundMs);
+		}
+
+		const found = await placement;
+		return found?.upstream.registered.id;
+	}
+
+	async #probe({registered, condition}: Upstream): Promise<LoadReport | undefined> {
+		this.asked.push(registered.id);
+		condition.asked();
+		const report = this.#answers.get(registered.id);
+		if (report === undefined) {
+			return new Promise(() => {/* It never answers. */});
+		}
+
+		condition.reported(report);
+		return report;
+	}
+}
+
+async function settled(): Promise<void> {
+	for (let turn = 0; turn < 20; turn++) {
+		await Promise.resolve();
+	}
+}
+
+describe('Placer', () => {
+	const inWorld = (name: string, answers: Readonly<Record<string, LoadReport | undefined>>, body: (world: PlacerWorld) => Promise<void>) => {
+		it(name, async () => {
+			mock.timers.enable({apis: ['setTimeout']});
+			try {
+				await body(new PlacerWorld(answers));
+			} finally {
+				mock.timers.reset();
+			}
+		});
+	};
+
+	inWorld('should take the upstream that runs at its usual speed', {slow: {...idle, slowness: 7}, usual: idle}, async world => {
+		assert.equal(await world.place(), 'usual');
+	});
+
+	inWorld('should take the upstream with a free slot', {full: {...idle, running: slots, waiting: 3}, free: idle}, async world => {
+		assert.equal(await world.place(), 'free');
+	});
+
+	inWorld('should ask others where the first ones are all busy', {
+		a: {...idle, running: 4}, b: {...idle, running: 4}, c: {...idle, running: 4}, d: idle,
+	}, async world => {
+		assert.equal(await world.place(), 'd');
+	});
+
+	inWorld('should find nothing where all were tried', {a: idle}, async world => {
+		assert.equal(await world.place(['a']), undefined);
+	});
+
+	describe('upstreams that do not answer', () => {
+		const busy = {
+			...idle, running: slots, waiting: 2, slowness: 3,
+		};
+
+		inWorld('should get no request while another one answers, however busy it is', {dark: undefined, busy}, async world => {
+			assert.equal(await world.place(), 'busy');
+		});
+
+		inWorld('should not be waited for again by the next request', {dark: undefined, other: idle}, async world => {
+			await world.place();
+			world.asked.length = 0;
+			world.clock.advance(30);
+			assert.equal(await world.place(), 'other');
+			assert.ok(!world.asked.includes('dark'));
+		});
+
+		inWorld('should be tried where there is no other', {dark: undefined}, async world => {
+			assert.equal(await world.place(), 'dark');
+		});
+
+		inWorld('should be passed over once they could not be reached', {gone: undefined, other: idle}, async world => {
+			world.condition('gone').unreachable();
+			world.clock.advance(60_000);
+			assert.equal(await world.place(), 'other');
+			assert.deepEqual(world.asked, ['other']);
+		});
+	});
+});
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -32,8 +32,10 @@
 export type Placement = {
 	readonly upstream: Upstream;
 	readonly expectedMs: number;
-	/** Slowness told by the upstream's last report, or 1 where there is none. */
-	readonly slowness: number;
+	/** Work of the request at an upstream of usual speed. */
+	readonly workMs: number;
+	/** Slowness told by the upstream's last report; nothing where there is none. */
+	readonly slowness: number | undefined;
 	/** It runs at its usual speed and has a slot to spare. */
 	readonly isAtEase: boolean;
 };
@@ -88,15 +90,18 @@
 		return {
 			upstream,
 			expectedMs: this.#expectedMs(upstream, request.workMs),
-			slowness: upstream.condition.report?.slowness ?? 1,
+			workMs: request.workMs,
+			slowness: upstream.condition.tellsLoad ? upstream.condition.report?.slowness : undefined,
 			isAtEase: isAtEase(upstream),
 		};
 	}
 
+	/** Those that answer; only where none does, those that may not. */
 	#candidates({service, excluded}: PlacementRequest): readonly Upstream[] {
 		const all = this.#options.ofService(service).filter(({registered}) => !excluded.has(registered.id));
 		const reachable = all.filter(({condition}) => !condition.isAvoided);
-		return reachable.length > 0 ? reachable : all;
+		const answering = reachable.filter(({condition}) => !condition.isSilent);
+		return [answering, reachable, all].find(candidates => candidates.length > 0) ?? [];
 	}
 
 	/** Asks all at once; goes on as soon as one is at ease in this zone, or all have answered, or time is up. */
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -1,4 +1,5 @@
 /** Asks upstreams for their load. */
+import type {UpstreamId} from '@cairnbank/core';
 import type {LoadReport} from '@cairnbank/core/placement';
 import {ProbeAllowance} from '@cairnbank/core/measurement';
 import type {Result} from 'neverthrow';
@@ -23,6 +24,8 @@
 export class Prober {
 	readonly #options: ProberOptions;
 	readonly #allowance: ProbeAllowance;
+	/** Health checks under way, by upstream: whoever asks for one meanwhile gets its result. */
+	readonly #underWay = new Map<UpstreamId, Promise<LoadReport | undefined>>();
 
 	constructor(options: ProberOptions) {
 		this.#options = options;
@@ -35,24 +38,30 @@
 	 * @returns the load report, or nothing where none came
 	 */
 	async probe(upstream: Upstream): Promise<LoadReport | undefined> {
-		const {context, healthPath, instances, upstreams} = this.#options;
-		const path = healthPath(upstream.registered.service);
-		const inputs = {
-			probesPerSecond: context.settings.bounds.probesPerSecond, upstreams: upstreams(), instances: instances(),
-		};
-		if (path === undefined || !this.#allowance.tryTake(context.clock.monotonicMs(), inputs)) {
+		const {id, service} = upstream.registered;
+		const underWay = this.#underWay.get(id);
+		if (underWay !== undefined) {
+			return underWay;
+		}
+
+		const path = this.#options.healthPath(service);
+		if (path === undefined) {
+			// Without a check nothing would ever say that it is back.
+			upstream.condition.answered();
 			return undefined;
 		}
 
-		const result = await this.#ask(upstream, path);
-		if (result.isErr()) {
-			context.metrics.probes.inc({result: result.error.type});
-			upstream.condition.unreachable();
-			context.logger.debug('probe failed', {upstream: upstream.registered.id, ...result.error});
+		if (!this.#tryTake()) {
 			return undefined;
 		}
 
-		return this.#noted(upstream, result.value);
+		const probe = this.#check(upstream, path);
+		this.#underWay.set(id, probe);
+		try {
+			return await probe;
+		} finally {
+			this.#underWay.delete(id);
+		}
 	}
 
 	/** Whether an upstream that broke a connection refuses new ones; no part of the budget, as it comes once a crash. */
@@ -62,6 +71,29 @@
 		return result.isErr() && result.error.type === 'not-connected' && !result.error.isTimeout;
 	}
 
+	#tryTake(): boolean {
+		const {context, instances, upstreams} = this.#options;
+		return this.#allowance.tryTake(context.clock.monotonicMs(), {
+			probesPerSecond: context.settings.bounds.probesPerSecond, upstreams: upstreams(), instances: instances(),
+		});
+	}
+
+	async #check(upstream: Upstream, path: string): Promise<LoadReport | undefined> {
+		const {logger, metrics} = this.#options.context;
+		const {condition, registered} = upstream;
+		condition.asked();
+		const result = await this.#ask(upstream, path);
+		if (result.isErr()) {
+			metrics.probes.inc({result: result.error.type});
+			condition.unreachable();
+			logger.debug('probe failed', {upstream: registered.id, ...result.error});
+			return undefined;
+		}
+
+		this.#note(upstream, result.value);
+		return condition.report;
+	}
+
 	async #ask(upstream: Upstream, path: string): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
 		const connection = upstream.pool.take();
 		const {host, port} = upstream.registered;
@@ -77,22 +109,24 @@
 		return result;
 	}
 
-	#noted(upstream: Upstream, answer: UpstreamAnswer): LoadReport | undefined {
-		const {context, dialect} = this.#options;
+	#note({condition, registered}: Upstream, answer: UpstreamAnswer): void {
+		const {context: {metrics}, dialect} = this.#options;
 		const answeredBy = headerOf(answer.headers, dialect.upstreamIdHeader);
-		if (answeredBy !== undefined && answeredBy !== upstream.registered.id) {
-			context.metrics.probes.inc({result: 'other-upstream'});
-			upstream.condition.unreachable();
-			return undefined;
+		if (answeredBy !== undefined && answeredBy !== registered.id) {
+			metrics.probes.inc({result: 'other-upstream'});
+			condition.unreachable();
+			return;
 		}
 
-		context.metrics.probes.inc({result: answer.status === okStatus ? 'ok' : 'unwell'});
+		metrics.probes.inc({result: answer.status === okStatus ? 'ok' : 'unwell'});
 		const header = headerOf(answer.headers, dialect.loadHeader);
 		const report = header === undefined ? undefined : dialect.parseLoad(header);
 		if (report !== undefined) {
-			upstream.condition.reported(report);
+			condition.reported(report);
+		} else if (headerOf(answer.headers, dialect.notExecutedHeader) === undefined) {
+			condition.checked(registered.slots);
+		} else {
+			condition.refused(registered.slots);
 		}
-
-		return report;
 	}
 }
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -47,7 +47,12 @@
 
 	/** An upstream joined, or its entry changed. */
 	put(registered: RegisteredUpstream): void {
-		const known = this.#upstreams.get(registered.id);
+		const sameId = this.#upstreams.get(registered.id);
+		const known = sameId !== undefined && hasSameAddress(sameId.registered, registered) ? sameId : undefined;
+		if (known === undefined) {
+			sameId?.pool.close();
+		}
+
 		const {clock, metrics} = this.#context;
 		this.#upstreams.set(registered.id, {
 			registered,
@@ -76,8 +81,16 @@
 		return this.#upstreams.size;
 	}
 
+	all(): Iterable<Upstream> {
+		return this.#upstreams.values();
+	}
+
 	/** Upstreams of a service that take new requests. */
 	ofService(service: ServiceId): readonly Upstream[] {
 		return [...this.#upstreams.values()].filter(({registered}) => registered.service === service && !registered.draining);
 	}
 }
+
+function hasSameAddress(left: RegisteredUpstream, right: RegisteredUpstream): boolean {
+	return left.host === right.host && left.port === right.port;
+}
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -14,6 +14,7 @@
 import {StateTask} from './features/state/state-task.js';
 import {Placer} from './features/upstreams/placer.js';
 import {Prober} from './features/upstreams/prober.js';
+import {RecheckTask} from './features/upstreams/recheck-task.js';
 import {UpstreamsTask} from './features/upstreams/upstreams-task.js';
 import {Gateway} from './gateway.js';
 import type {Context} from './kernel/context.js';
@@ -99,6 +100,7 @@
 		instances,
 		upstreams: () => upstreams.size,
 	});
+	const recheck = new RecheckTask({upstreams: () => upstreams.all(), probe: async upstream => prober.probe(upstream)});
 	const guard: PoisonGuard = new PoisonGuard({
 		clock: context.clock,
 		logger: context.logger,
@@ -144,5 +146,5 @@
 		offered: () => fleet.offered(),
 	});
 	const metrics = new MetricsTask(context, () => lines.droppedLines);
-	return new Gateway(context, [upstreams, fleet, state, callers, directory, metrics], async () => lines.flushed(lastLinesMs));
+	return new Gateway(context, [upstreams, recheck, fleet, state, callers, directory, metrics], async () => lines.flushed(lastLinesMs));
 }
