Requests that cannot end within their target latency are refused; less urgent ones first

Change: a first attempt must be expected to end within the target latency, and within 0.75 of it for each more urgent priority in use at the service. Upstreams at ease are tried as before. Tests: admission.spec, call-run.spec (red without the change).

--- /dev/null
+++ b/packages/core/src/placement/admission.spec.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {ServiceId} from '../model/ids.js';
+import {ManualClock} from '../model/manual-clock.js';
+import {Admission, type AdmissionRequest} from './admission.js';
+
+const ledger = 'ledger' as ServiceId;
+const portal = 'portal' as ServiceId;
+
+function request(service: ServiceId, priority: number, deadlineAtMs = 1000): AdmissionRequest {
+	return {
+		service, route: {priority, targetLatencyMs: 200}, receivedAtMs: 0, deadlineAtMs,
+	};
+}
+
+function latestEndMs(admission: Admission, priority: number, deadlineAtMs?: number): number {
+	return admission.latestEndMs(request(ledger, priority, deadlineAtMs));
+}
+
+describe('Admission', () => {
+	it('should give a request its target latency where nothing more urgent comes', () => {
+		const admission = new Admission(new ManualClock());
+		admission.arrived(request(ledger, 2));
+		assert.equal(latestEndMs(admission, 2), 200);
+	});
+
+	it('should never give more time than the deadline leaves', () => {
+		assert.equal(latestEndMs(new Admission(new ManualClock()), 0, 120), 120);
+	});
+
+	it('should give less time the more urgent priorities are in use at the service', () => {
+		const admission = new Admission(new ManualClock());
+		admission.arrived(request(ledger, 1));
+		assert.equal(latestEndMs(admission, 1), 200);
+		const behindOne = latestEndMs(admission, 2);
+		assert.ok(behindOne < 200);
+		admission.arrived(request(ledger, 0));
+		assert.ok(latestEndMs(admission, 2) < behindOne);
+	});
+
+	it('should not count what goes to other services', () => {
+		const admission = new Admission(new ManualClock());
+		admission.arrived(request(portal, 0));
+		assert.equal(latestEndMs(admission, 2), 200);
+	});
+
+	it('should forget a priority that is no longer used', () => {
+		const clock = new ManualClock();
+		const admission = new Admission(clock);
+		admission.arrived(request(ledger, 0));
+		clock.advance(10_001);
+		assert.equal(latestEndMs(admission, 2), 200);
+	});
+});
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,3 +1,4 @@
+export * from './admission.js';
 export * from './expected-duration.js';
 export type * from './load-report.js';
 export type {OwnRequest} from './own-requests.js';
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -1,6 +1,6 @@
 /** What a call needs of the rest of the process. */
 import type {Clock, ServiceId} from '@cairnbank/core';
-import type {WorkEstimates} from '@cairnbank/core/placement';
+import type {Admission, WorkEstimates} from '@cairnbank/core/placement';
 import type {WindowBudget} from '@cairnbank/core/retries';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {RequestDialect} from '../../ports/index.js';
@@ -13,6 +13,7 @@
 	readonly dialect: RequestDialect;
 	readonly metrics: Metrics;
 	readonly work: WorkEstimates;
+	readonly admission: Admission;
 	/** This instance's part of the repeats that a service may get. */
 	readonly budget: (service: ServiceId) => WindowBudget;
 	/** Greatest number of instances that may share the budget. */
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {mock} from 'node:test';
 import {ManualClock, type ServiceId, type UpstreamId} from '@cairnbank/core';
-import {UpstreamCondition, WorkEstimates} from '@cairnbank/core/placement';
+import {Admission, UpstreamCondition, WorkEstimates} from '@cairnbank/core/placement';
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
@@ -64,6 +64,7 @@
 			dialect,
 			metrics: createMetrics(),
 			work: new WorkEstimates(),
+			admission: new Admission(this.clock),
 			budget: () => budget,
 			instances: () => 1,
 			onBroken: () => undefined,
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -111,6 +111,15 @@
 		});
 	});
 
+	it('should refuse at once what would end after its target latency, though before its deadline', async () => {
+		const world = new CallWorld({idempotent: false});
+		world.expectedMs = 101;
+		world.isAtEase = false;
+		await world.start();
+		assert.equal(world.outcome?.type === 'not-run' && world.outcome.reason, 'too-busy');
+		assert.equal(world.exchanges.length, 0);
+	});
+
 	it('should try an upstream at ease whatever is expected, so that a wrong estimate is put right', async () => {
 		const world = new CallWorld({idempotent: false});
 		world.expectedMs = 1001;
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -4,7 +4,7 @@
 import {AttemptLedger} from './attempt-ledger.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
-import type {Verdict} from './judge-exchange.js';
+import {describeVerdict, type Verdict} from './judge-exchange.js';
 import type {Outcome} from './outcome.js';
 
 /** An early second attempt starts once the first has taken this many times what was expected; 1.5 left a third of the budget unused and served 1 in 200 fewer in time. */
@@ -52,6 +52,7 @@
 		this.#deadlineTimer = setTimeout(() => {
 			this.#end(this.#ledger.outcomeAtDeadline());
 		}, Math.max(0, this.#remainingMs));
+		this.#dependencies.admission.arrived(this.#call);
 		this.#dependencies.budget(this.#call.service).first(this.#now());
 		void this.#attempt('first');
 		return this.#outcome;
@@ -87,15 +88,14 @@
 	}
 
 	/**
-	 * What cannot end in time is refused before it takes a slot from what can: under a load of twice what a service
-	 * bears, 0.535 of the requests' worth was earned in place of 0.441 (one day of 28,000 requests). Where all
-	 * upstreams are busy, an early second attempt would only take slots from first ones.
+	 * What cannot end in time is refused before it takes a slot from what can. Where all upstreams are busy, an early
+	 * second attempt would only take slots from first ones.
 	 */
 	#isWorthSending(kind: AttemptKind, placement: Placement): boolean {
 		switch (kind) {
 			case 'first': {
 				// An upstream at ease is always tried: an estimate that is too high would never be put right otherwise.
-				const canEndInTime = placement.isAtEase || placement.expectedMs <= this.#remainingMs;
+				const canEndInTime = placement.isAtEase || this.#now() + placement.expectedMs <= this.#dependencies.admission.latestEndMs(this.#call);
 				if (!canEndInTime) {
 					this.#ledger.refused('too-busy');
 					this.#decisions.push(`too-busy:expected=${Math.round(placement.expectedMs)}`);
@@ -149,7 +149,7 @@
 		const sentAtMs = this.#now();
 		const verdict = await attempt.run(remainingMs);
 		this.#running.delete(attempt);
-		this.#decisions.push(describeEnd(verdict, this.#now() - sentAtMs));
+		this.#decisions.push(describeVerdict(verdict, this.#now() - sentAtMs));
 		if (!this.#isOver) {
 			this.#ended(verdict);
 		}
@@ -244,8 +244,3 @@
 		return this.#dependencies.clock.monotonicMs();
 	}
 }
-
-function describeEnd(verdict: Verdict, tookMs: number): string {
-	const reason = 'reason' in verdict ? `(${verdict.reason})` : '';
-	return `${verdict.type}${reason}:${Math.round(tookMs)}ms`;
-}
--- a/packages/gateway/src/features/calls/judge-exchange.ts
+++ b/packages/gateway/src/features/calls/judge-exchange.ts
@@ -67,3 +67,9 @@
 		}
 	}
 }
+
+/** For the log. */
+export function describeVerdict(verdict: Verdict, tookMs: number): string {
+	const reason = 'reason' in verdict ? `(${verdict.reason})` : '';
+	return `${verdict.type}${reason}:${Math.round(tookMs)}ms`;
+}
--- a/packages/gateway/src/features/upstreams/answer-parser.spec.ts
+++ b/packages/gateway/src/features/upstreams/answer-parser.spec.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {AnswerParser} from './answer-parser.js';
+import {AnswerParser, maximumAnswerBytes} from './answer-parser.js';
 import type {UpstreamAnswer} from './exchange.js';
 
 type Parsed = {answers: UpstreamAnswer[]; fault: string | undefined; endFault: string | undefined};
@@ -74,4 +74,17 @@
 			}), {seed: 9});
 		});
 	});
+
+	it('should take what is longer than an instance holds for no answer', () => {
+		const answers: UpstreamAnswer[] = [];
+		const parser = new AnswerParser({expectsNoBody: () => false, onAnswer: answer => answers.push(answer)});
+		const piece = Buffer.alloc(1_048_576);
+		let fault = parser.execute(Buffer.from(`${head}Content-Length: ${maximumAnswerBytes + piece.length}\r\n\r\n`));
+		for (let sent = 0; sent <= maximumAnswerBytes && fault === undefined; sent += piece.length) {
+			fault = parser.execute(piece);
+		}
+
+		assert.equal(fault, 'answer too long');
+		assert.deepEqual(answers, []);
+	});
 });
--- a/packages/gateway/src/features/upstreams/answer-parser.ts
+++ b/packages/gateway/src/features/upstreams/answer-parser.ts
@@ -3,6 +3,8 @@
 import {HTTPParser, type HTTPParserJS} from 'http-parser-js';
 import {type RawHeaders, type UpstreamAnswer, headerOf} from './exchange.js';
 
+/** Answers are held whole; a longer one is no answer, so that a faulty upstream cannot fill the memory. */
+export const maximumAnswerBytes = 33_554_432;
 const firstFinalStatus = 200;
 /** Result for the parser: the answer has no body, whatever its headers say. */
 const skipBody = 1;
@@ -24,6 +26,7 @@
 	#headers: RawHeaders = [];
 	#keepAlive = false;
 	#chunks: Uint8Array[] = [];
+	#heldBytes = 0;
 	#fault: string | undefined;
 	#isMidway = false;
 
@@ -32,6 +35,12 @@
 		this.#parser = new HTTPParser(HTTPParser.RESPONSE);
 		this.#parser[HTTPParser.kOnHeadersComplete] = info => this.#headersComplete(info);
 		this.#parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
+			this.#heldBytes += length;
+			if (this.#heldBytes > maximumAnswerBytes) {
+				this.#fault ??= 'answer too long';
+				return;
+			}
+
 			this.#chunks.push(Buffer.from(chunk.subarray(offset, offset + length)));
 		};
 
@@ -63,6 +72,7 @@
 		this.#headers = headers;
 		this.#keepAlive = shouldKeepAlive;
 		this.#chunks = [];
+		this.#heldBytes = 0;
 		const length = headerOf(headers, 'content-length');
 		const coding = headerOf(headers, 'transfer-encoding');
 		if (length !== undefined && (!/^\d+$/.test(length) || coding !== undefined)) {
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -4,7 +4,7 @@
 import type {IncarnationId, InstanceId, ServiceId} from '@cairnbank/core';
 import {systemClock} from '@cairnbank/core/clock';
 import {createRandomSource} from '@cairnbank/core/random';
-import {WorkEstimates} from '@cairnbank/core/placement';
+import {Admission, WorkEstimates} from '@cairnbank/core/placement';
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {CallersTask} from './features/calls/callers-task.js';
 import {PoisonGuard} from './features/calls/poison-guard.js';
@@ -130,6 +130,7 @@
 			dialect: ports.requests,
 			metrics: context.metrics,
 			work: new WorkEstimates(),
+			admission: new Admission(context.clock),
 			budget,
 			instances,
 			place: async request => placer.place(request),
--- a/packages/testing/src/harness/node-process.ts
+++ b/packages/testing/src/harness/node-process.ts
@@ -90,6 +90,15 @@
 		this.#child.kill(signal);
 	}
 
+	/** Nobody reads its standard output until {@link NodeProcess.resumeOutput}. */
+	pauseOutput(): void {
+		this.#child.stdout!.pause();
+	}
+
+	resumeOutput(): void {
+		this.#child.stdout!.resume();
+	}
+
 	/** The first JSON line that `matches`, waiting for it; throws when the process ends without it. */
 	async line(what: string, matches: (line: JsonLine) => boolean): Promise<JsonLine> {
 		await waitFor(what, () => {
