A process that replaces another one uses no slack of the retry budget for one window

Cause: the slack of the retry budget is divided by the number of instances, but a process that starts anew in a place got that place's part again at once; with all killed and started again within a window the fleet could use it twice. Change: an instance looks in the store, before it enters itself, whether one has run in its place; if so, or while the store cannot say, its part of the slack begins after one window.

--- a/packages/core/src/retries/window-budget.ts
+++ b/packages/core/src/retries/window-budget.ts
@@ -15,16 +15,22 @@
 /**
  * Repeats are granted from the first attempts of the window that ends now, plus this instance's part of the slack.
  * Each sum over instances then stays within the fleet's bound, whatever window is counted, as long as the number of
- * instances that divides the slack is not below the real one.
+ * instances that divides the slack is not below the real one; also while instances are killed and start anew.
  */
 export class WindowBudget {
 	readonly #settings: () => WindowBudgetSettings;
+	readonly #slackFromMs: () => number;
 	readonly #firstAtMs: number[] = [];
 	readonly #repeatAtMs: number[] = [];
 
-	/** @param settings - asked for each time, as they may change while the process runs */
-	constructor(settings: () => WindowBudgetSettings) {
+	/**
+	 * @param settings - asked for each time, as they may change while the process runs
+	 * @param slackFromMs - asked for each time: when this process may begin to use its part of the slack. Where another
+	 * process ran in its place before, that one may have used it up to a window ago.
+	 */
+	constructor(settings: () => WindowBudgetSettings, slackFromMs: () => number) {
 		this.#settings = settings;
+		this.#slackFromMs = slackFromMs;
 	}
 
 	/** Notes a first attempt. */
@@ -51,7 +57,8 @@
 	left(nowMs: number, instances: number): number {
 		this.#forget(nowMs);
 		const {ratio, slack} = this.#settings();
-		const granted = (this.#firstAtMs.length * ratio * usedShare) + (slack * usedShare / Math.max(1, instances));
+		const ownSlack = nowMs < this.#slackFromMs() ? 0 : slack / Math.max(1, instances);
+		const granted = ((this.#firstAtMs.length * ratio) + ownSlack) * usedShare;
 		return granted - this.#repeatAtMs.length;
 	}
 
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -58,7 +58,7 @@
 			receivedAtMs: 0,
 			deadlineAtMs: 1000,
 		};
-		const budget = new WindowBudget(() => ({ratio: 0, slack, windowMs: 10_000}));
+		const budget = new WindowBudget(() => ({ratio: 0, slack, windowMs: 10_000}), () => 0);
 		this.run = new CallRun({
 			clock: this.clock,
 			dialect,
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -29,6 +29,8 @@
 	readonly state: () => StateTask;
 	/** Another instance saw an upstream crash under a request. */
 	readonly onCrash: (crash: Crash) => void;
+	/** No process has entered the store from this instance's place before. */
+	readonly onFirstInPlace: () => void;
 };
 
 export class FleetTask implements Task {
@@ -64,6 +66,7 @@
 		this.#storeEntry = new StoreEntry({
 			context: options.context,
 			store: options.store,
+			onFirstInPlace: options.onFirstInPlace,
 			onOthers: hosts => {
 				this.#view.addCandidates(hosts);
 			},
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -92,6 +92,9 @@
 		onCrash(crash) {
 			guard.crashed(crash);
 		},
+		onFirstInPlace() {
+			slackFromMs = Number.NEGATIVE_INFINITY;
+		},
 	});
 	const prober = new Prober({
 		context,
@@ -111,12 +114,15 @@
 		},
 	});
 	const placer = new Placer({context, prober, ofService: service => upstreams.ofService(service)});
+	const windowMs = () => context.settings.bounds.retryWindowSeconds * millisecondsPerSecond;
+	// Until the store says otherwise, another process may have run in this place a moment ago.
+	let slackFromMs = context.clock.monotonicMs() + windowMs();
 	const budgets = new Map<ServiceId, WindowBudget>();
 	const budget = (service: ServiceId) => {
 		const known = budgets.get(service) ?? new WindowBudget(() => {
 			const {bounds} = context.settings;
-			return {ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowSeconds * millisecondsPerSecond};
-		});
+			return {ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: windowMs()};
+		}, () => slackFromMs);
 		budgets.set(service, known);
 		return known;
 	};
