--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -21,6 +21,7 @@
 const readHeaderBytes = 65_536;
 /** Request bodies are held whole, so that a refused one can be sent elsewhere. */
 const heldBodyBytes = 8_388_608;
+const firstServerErrorStatus = 500;
 
 export type CallersTaskOptions = {
 	readonly context: Context;
@@ -138,7 +139,7 @@
 		const {metrics, logger, settings} = this.#options.context;
 		const reason = 'reason' in outcome ? outcome.reason : '';
 		metrics.requests.inc({outcome: outcome.type, reason});
-		const isUneventful = isPlain && outcome.type === 'answered';
+		const isUneventful = isPlain && outcome.type === 'answered' && outcome.answer.status < firstServerErrorStatus;
 		const {sampleOneIn} = settings.logging;
 		this.#uneventful += isUneventful ? 1 : 0;
 		if (!isUneventful || (sampleOneIn > 0 && this.#uneventful % sampleOneIn === 0)) {
