--- a/packages/gateway/src/features/calls/attempt-ledger.ts
+++ b/packages/gateway/src/features/calls/attempt-summary.ts
@@ -6,7 +6,7 @@
 /** When a caller of a request that has not run may come again: some upstream has a free slot by then. */
 const retryAfterMs = 60;
 
-export class AttemptLedger {
+export class AttemptSummary {
 	readonly #tried = new Set<UpstreamId>();
 	#sent = 0;
 	#mayHaveRun: UnknownReason | undefined;
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -1,7 +1,7 @@
 /** Leads one call to its one outcome: attempts, repeats, an early second attempt, the deadline. */
 import type {Placement} from '../upstreams/placer.js';
 import {Attempt, type AttemptKind} from './attempt.js';
-import {AttemptLedger} from './attempt-ledger.js';
+import {AttemptSummary} from './attempt-summary.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
 import {describeVerdict, type Verdict} from './judge-exchange.js';
@@ -22,7 +22,7 @@
 	readonly #dependencies: CallDependencies;
 	readonly #call: Call;
 	readonly #running = new Set<Attempt>();
-	readonly #ledger = new AttemptLedger();
+	readonly #attempts = new AttemptSummary();
 	readonly #decisions: string[] = [];
 	readonly #outcome: Promise<Outcome>;
 	#resolve!: (outcome: Outcome) => void;
@@ -45,12 +45,12 @@
 	}
 
 	get attemptsSent(): number {
-		return this.#ledger.sent;
+		return this.#attempts.sent;
 	}
 
 	async run(): Promise<Outcome> {
 		this.#deadlineTimer = setTimeout(() => {
-			this.#end(this.#ledger.outcomeAtDeadline());
+			this.#end(this.#attempts.outcomeAtDeadline());
 		}, Math.max(0, this.#remainingMs));
 		this.#dependencies.admission.arrived(this.#call);
 		this.#dependencies.budget(this.#call.service).first(this.#now());
@@ -74,7 +74,7 @@
 		}
 
 		if (placement === undefined) {
-			this.#ledger.refused('no-upstream');
+			this.#attempts.refused('no-upstream');
 			this.#endIfIdle();
 			return;
 		}
@@ -97,7 +97,7 @@
 				// An upstream at ease is always tried: an estimate that is too high would never be put right otherwise.
 				const canEndInTime = placement.isAtEase || this.#now() + placement.expectedMs <= this.#dependencies.admission.latestEndMs(this.#call);
 				if (!canEndInTime) {
-					this.#ledger.refused('too-busy');
+					this.#attempts.refused('too-busy');
 					this.#decisions.push(`too-busy:expected=${Math.round(placement.expectedMs)}`);
 				}
 
@@ -120,7 +120,7 @@
 
 	async #place(kind: AttemptKind): Promise<Placement | undefined> {
 		const {route} = this.#call;
-		const request = {service: this.#call.service, workMs: this.#workMs, excluded: this.#ledger.tried};
+		const request = {service: this.#call.service, workMs: this.#workMs, excluded: this.#attempts.tried};
 		const holdMs = kind === 'first' ? route.targetLatencyMs * holdRatio : 0;
 		const holdUntilMs = this.#call.receivedAtMs + holdMs;
 		let placement = await this.#dependencies.place(request);
@@ -140,7 +140,7 @@
 
 		const attempt = new Attempt(this.#dependencies, this.#call, kind, placement);
 		this.#running.add(attempt);
-		this.#ledger.sentTo(placement.upstream.registered.id);
+		this.#attempts.sentTo(placement.upstream.registered.id);
 		this.#decisions.push(attempt.describe());
 		if (kind === 'first') {
 			this.#planHedge(placement);
@@ -161,7 +161,7 @@
 			return;
 		}
 
-		this.#ledger.ended(verdict);
+		this.#attempts.ended(verdict);
 		const isLast = this.#running.size === 0 && this.#placing === 0;
 		if (isLast && this.#mayRepeat(verdict)) {
 			void this.#attempt('repeat');
@@ -177,7 +177,7 @@
 			return false;
 		}
 
-		return this.#ledger.sent === 0 || this.#takeRepeat();
+		return this.#attempts.sent === 0 || this.#takeRepeat();
 	}
 
 	#takeRepeat(): boolean {
@@ -206,7 +206,7 @@
 
 	#endIfIdle(): void {
 		if (this.#running.size === 0 && this.#placing === 0) {
-			this.#end(this.#ledger.outcome());
+			this.#end(this.#attempts.outcome());
 		}
 	}
 
@@ -228,7 +228,7 @@
 	/** Whether one more attempt is allowed and can end in time. */
 	get #hasRoomForAttempt(): boolean {
 		const hasTime = this.#remainingMs > this.#workMs * minimumTimeRatio;
-		return hasTime && this.#ledger.sent < this.#call.route.maximumAttempts;
+		return hasTime && this.#attempts.sent < this.#call.route.maximumAttempts;
 	}
 
 	get #workMs(): number {
