--- a/packages/core/src/placement/own-requests.ts
+++ b/packages/core/src/placement/own-requests.ts
@@ -25,10 +25,6 @@
 		this.#clock = clock;
 	}
 
-	get count(): number {
-		return this.#underWay.size;
-	}
-
 	sent(workMs: number, reports: number): OwnRequest {
 		const request = {workMs, reports, sentAtMs: this.#clock.monotonicMs()};
 		this.#underWay.add(request);
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -1,5 +1,5 @@
 /** One try of a call at one upstream: sends it, and notes what its end says of the upstream. */
-import {headerOf, type UpstreamAnswer} from '../upstreams/exchange.js';
+import {loadOf} from '../upstreams/exchange.js';
 import type {Placement} from '../upstreams/placer.js';
 import type {UpstreamConnection} from '../upstreams/upstream-connection.js';
 import type {Call} from './call.js';
@@ -45,8 +45,9 @@
 		const verdict = judgeExchange(result, dialect);
 		condition.ended(own, verdict.type === 'success');
 		metrics.attempts.inc({kind: this.#kind, result: verdict.type});
-		if (result.isOk() && !isFromAnother(verdict)) {
-			this.#noteLoad(result.value);
+		const report = result.isOk() && !isFromAnother(verdict) ? loadOf(result.value, dialect) : undefined;
+		if (report !== undefined) {
+			condition.reported(report);
 		}
 
 		this.#note(verdict, clock.monotonicMs() - sentAtMs);
@@ -79,15 +80,6 @@
 		];
 	}
 
-	#noteLoad({headers}: UpstreamAnswer): void {
-		const {dialect} = this.#dependencies;
-		const load = headerOf(headers, dialect.loadHeader);
-		const report = load === undefined ? undefined : dialect.parseLoad(load);
-		if (report !== undefined) {
-			this.#placement.upstream.condition.reported(report);
-		}
-	}
-
 	#note(verdict: Verdict, tookMs: number): void {
 		const {upstream, slowness} = this.#placement;
 		const {condition} = upstream;
--- a/packages/gateway/src/features/upstreams/answer-parser.ts
+++ b/packages/gateway/src/features/upstreams/answer-parser.ts
@@ -28,7 +28,6 @@
 	#chunks: Uint8Array[] = [];
 	#heldBytes = 0;
 	#fault: string | undefined;
-	#isMidway = false;
 
 	constructor(options: AnswerParserOptions) {
 		this.#options = options;
@@ -49,14 +48,8 @@
 		};
 	}
 
-	/** Whether part of an answer has come. */
-	get isMidway(): boolean {
-		return this.#isMidway;
-	}
-
 	/** @returns what is wrong with the bytes, if anything */
 	execute(chunk: Uint8Array): string | undefined {
-		this.#isMidway = true;
 		const result = this.#parser.execute(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength));
 		return this.#fault ?? (result instanceof Error ? result.message : undefined);
 	}
@@ -87,7 +80,6 @@
 	}
 
 	#messageComplete(): void {
-		this.#isMidway = false;
 		const {body_bytes: left} = this.#parser as unknown as {body_bytes: number | undefined};
 		if (Number.isNaN(left)) {
 			this.#fault = 'invalid chunk size';
--- a/packages/gateway/src/features/upstreams/exchange.ts
+++ b/packages/gateway/src/features/upstreams/exchange.ts
@@ -1,4 +1,6 @@
 /** One request to one upstream and how it ended. */
+import type {LoadReport} from '@cairnbank/core/placement';
+import type {RequestDialect} from '../../ports/index.js';
 
 /** Header names and values by turns, as they came. */
 export type RawHeaders = readonly string[];
@@ -42,3 +44,9 @@
 
 	return undefined;
 }
+
+/** What an answer tells of its upstream's load; nothing where it tells none that can be read. */
+export function loadOf({headers}: UpstreamAnswer, {loadHeader, parseLoad}: RequestDialect): LoadReport | undefined {
+	const header = headerOf(headers, loadHeader);
+	return header === undefined ? undefined : parseLoad(header);
+}
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -5,7 +5,9 @@
 import type {Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import type {RequestDialect} from '../../ports/index.js';
-import {headerOf, type ExchangeFailure, type UpstreamAnswer} from './exchange.js';
+import {
+	headerOf, loadOf, type ExchangeFailure, type UpstreamAnswer,
+} from './exchange.js';
 import type {Upstream} from './upstream.js';
 
 /** An upstream that has not answered a health check after this time is left alone for a moment. */
@@ -119,8 +121,7 @@
 		}
 
 		metrics.probes.inc({result: answer.status === okStatus ? 'ok' : 'unwell'});
-		const header = headerOf(answer.headers, dialect.loadHeader);
-		const report = header === undefined ? undefined : dialect.parseLoad(header);
+		const report = loadOf(answer, dialect);
 		if (report !== undefined) {
 			condition.reported(report);
 		} else if (headerOf(answer.headers, dialect.notExecutedHeader) === undefined) {
--- /dev/null
+++ b/packages/testing/src/day-player/main.ts
@@ -0,0 +1,99 @@
+/** `npm run play-days`: plays days in files on sites of the users' bench, and prints what each was worth and which rules it broke. */
+import {spawn} from 'node:child_process';
+import {mkdtemp, readFile, readdir} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {cac} from 'cac';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+
+const daysFolder = fileURLToPath(new URL('../../../../platform/days', import.meta.url));
+/** A day takes less than a minute on a free processor. */
+const defaultJobs = 4;
+const nameWidth = 44;
+const wrongUse = 2;
+
+/** The part of the bench's report that is printed; `G` is what the day was worth. */
+const reportSchema = z.object({
+	G: z.number(), served: z.number(), refused: z.number(), failed: z.number(), fault: z.unknown(), breaks: z.record(z.string(), z.unknown()),
+});
+
+type Report = z.infer<typeof reportSchema>;
+type Play = {readonly site: string; readonly day: string; readonly reportFile: string; readonly why: string};
+type Options = {readonly bench?: string; readonly why: string; readonly only?: string; readonly jobs: string | number};
+
+/** Plays one day of one site; resolves with its report, or with the last line of output where it made none. */
+async function play(bench: string, {site, day, reportFile, why}: Play): Promise<Result<Report, string>> {
+	const player = spawn(bench, ['run', site, path.join(daysFolder, day), '--report', reportFile, '--why', why], {stdio: ['ignore', 'pipe', 'pipe']});
+	let lastLine = 'no output';
+	const noteLine = (text: string) => {
+		lastLine = text.trim().split('\n').at(-1) ?? lastLine;
+	};
+
+	player.stdout.setEncoding('utf8').on('data', noteLine);
+	player.stderr.setEncoding('utf8').on('data', noteLine);
+
+	await new Promise(resolve => {
+		player.on('close', resolve);
+	});
+	try {
+		return ok(reportSchema.parse(JSON.parse(await readFile(reportFile, 'utf8'))));
+	} catch (error) {
+		return err(`${lastLine} (${(error as Error).message})`);
+	}
+}
+
+/** Prints one line of the table. @returns whether the day kept all rules */
+function print({site, day}: Play, result: Result<Report, string>): boolean {
+	const name = `${path.basename(site, '.toml')} ${path.basename(day, '.toml')}`.padEnd(nameWidth);
+	return result.match(report => {
+		const broken = [...Object.keys(report.breaks), ...(report.fault === null ? [] : [JSON.stringify(report.fault)])];
+		const figures = [report.G, report.served, report.refused, report.failed].map(value => value.toFixed(3)).join('  ');
+		console.log(`${name} ${figures}  ${broken.length === 0 ? 'all rules kept' : broken.join(' ')}`);
+		return broken.length === 0;
+	}, failure => {
+		console.log(`${name} not played: ${failure}`);
+		return false;
+	});
+}
+
+async function playAll(sites: readonly string[], bench: string, {jobs, why, only = ''}: Options): Promise<void> {
+	const files = await readdir(daysFolder);
+	const days = files.filter(day => day.endsWith('.toml') && day.startsWith(only));
+	const reports = await mkdtemp(path.join(tmpdir(), 'days-'));
+	const waiting = sites.flatMap(site => days.map((day): Play => ({
+		site, day, why: `${why}: ${day}`, reportFile: path.join(reports, `${path.basename(site)}-${day}.json`),
+	})));
+	let failed = 0;
+	console.log(`${'site and day'.padEnd(nameWidth)} worth  served refused failed`);
+	const work = async () => {
+		for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
+			failed += print(next, await play(bench, next)) ? 0 : 1;
+		}
+	};
+
+	await Promise.all(Array.from({length: Number(jobs)}, work));
+	console.log(`${failed} days with a broken rule or without a report`);
+	process.exitCode = failed > 0 ? 1 : 0;
+}
+
+const cli = cac('play-days');
+cli
+	.command('<...sites>', 'Play the days of platform/days on the sites of these files')
+	.option('--bench <path>', 'The users\' bench')
+	.option('--why <text>', 'A line for the journal', {default: 'own days'})
+	.option('--only <text>', 'Only days whose names begin so')
+	.option('--jobs <count>', 'Days that are played at the same time', {default: defaultJobs})
+	.action(async (sites: string[], options: Options) => {
+		if (options.bench === undefined) {
+			console.error('--bench is missing: the path of the users\' bench');
+			process.exitCode = wrongUse;
+			return;
+		}
+
+		await playAll(sites, options.bench, options);
+	});
+cli.help();
+cli.parse();
