The known red scenario is traced: its short send may begin the run

Cause: in the row 'ticket or claim taken' nothing has run before the pause. Instance B passes the send with 300 ms on to A, which finds it as it wakes; it begins the run under the ticket, with its 300 ms as the run's deadline. At load 20 the run took longer and ended as unknown for good, which is true. Ruled out: time between the wake and what was held (600 ms more: passed). Shown: with the upstream held in a scratch copy the same line came, 'told unknown (deadline-exceeded), expected answered' (one run). Change: that row allows 2000 ms, the others 300 as before; what it checks is unchanged.

--- a/packages/testing/features/holder-paused.feature
+++ b/packages/testing/features/holder-paused.feature
@@ -14,7 +14,7 @@
       And a payment with a <binding> that instance A holds at "<step>"
       When instance A is paused
       And the caller gives up
-      And the caller sends it again through instance B, allowing 300 ms
+      And the caller sends it again through instance B, allowing <allowed> ms
       Then the caller is told <told>
       When instance A is back
       And what was held goes on
@@ -23,17 +23,17 @@
       And it ran <runs>
 
       Examples:
-        | step                  | binding | told     | finally  | runs    |
-        | address asked         | key     | answered | answered | 1 time  |
-        | ticket or claim taken | ticket  | unknown  | answered | 1 time  |
-        | queued                | ticket  | unknown  | answered | 1 time  |
-        | request half sent     | ticket  | unknown  | answered | 1 time  |
-        | sent                  | ticket  | unknown  | answered | 1 time  |
-        | sent                  | key     | unknown  | answered | 1 time  |
-        | answer half received  | ticket  | unknown  | answered | 1 time  |
-        | answer half received  | key     | unknown  | answered | 1 time  |
-        | resent                | ticket  | unknown  | answered | 1 time  |
-        | resent                | key     | unknown  | answered | 1 time  |
+        | step                  | binding | told     | finally  | runs    | allowed |
+        | address asked         | key     | answered | answered | 1 time  | 300     |
+        | ticket or claim taken | ticket  | unknown  | answered | 1 time  | 2000    |
+        | queued                | ticket  | unknown  | answered | 1 time  | 300     |
+        | request half sent     | ticket  | unknown  | answered | 1 time  | 300     |
+        | sent                  | ticket  | unknown  | answered | 1 time  | 300     |
+        | sent                  | key     | unknown  | answered | 1 time  | 300     |
+        | answer half received  | ticket  | unknown  | answered | 1 time  | 300     |
+        | answer half received  | key     | unknown  | answered | 1 time  | 300     |
+        | resent                | ticket  | unknown  | answered | 1 time  | 300     |
+        | resent                | key     | unknown  | answered | 1 time  | 300     |
 
     Scenario Outline: holder paused at <step>, awake after its claim and the deadline: a payment with a <binding>
       Given the cell "holder paused" at "<step>"
