Whether an upstream is at ease is decided in core, once

The rule stood in the gateway's placer and again, without its case of one slot, in the simulation of placement.

--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -1,6 +1,8 @@
 /** Chooses the upstream of one attempt: ranks by what is known, asks the best for their load now, takes the best. */
 import type {ServiceId, UpstreamId} from '@cairnbank/core';
-import {expectedDurationMs, isWorthAsking, TypicalDurations} from '@cairnbank/core/placement';
+import {
+	expectedDurationMs, isAtEase, isWorthAsking, TypicalDurations,
+} from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import type {Prober} from './prober.js';
 import type {Upstream} from './upstream.js';
@@ -11,8 +13,6 @@
 const roundTimeoutMs = 25;
 /** A report this fresh needs no health check. */
 const freshReportMs = 5;
-/** An upstream this much slower than usual still counts as running at its usual speed. */
-const usualSlowness = 1.3;
 /** Bytes between availability zones are paid for: another zone must be this much faster to be taken. */
 const otherZoneFactor = 1.25;
 /** A failed answer costs about this many times the work of a good one. */
@@ -68,7 +68,7 @@
 			best = this.#best(request);
 			const hasOthers = rounds * probesPerRound < ranked.length;
 			isWorthwhile = best !== undefined && hasOthers && isWorthAsking({
-				rounds, isAtEase: asked.some(upstream => isAtEase(upstream)), bestRatio: best.expectedMs / request.workMs,
+				rounds, isAtEase: asked.some(upstream => hasEase(upstream)), bestRatio: best.expectedMs / request.workMs,
 			});
 		}
 
@@ -105,7 +105,7 @@
 			workMs: request.workMs,
 			slowness: tellsLoad ? report?.slowness : undefined,
 			durationRatio: tellsLoad && report !== undefined ? expectedMs / request.workMs : undefined,
-			isAtEase: isAtEase(upstream),
+			isAtEase: hasEase(upstream),
 		};
 	}
 
@@ -139,7 +139,7 @@
 	async #probeAll(upstreams: readonly Upstream[], onEnough: () => void): Promise<void> {
 		await Promise.all(upstreams.map(async upstream => {
 			await this.#options.prober.probe(upstream);
-			if (isAtEase(upstream) && this.#isNear(upstream)) {
+			if (hasEase(upstream) && this.#isNear(upstream)) {
 				onEnough();
 			}
 		}));
@@ -168,13 +168,6 @@
 	}
 }
 
-/** It runs at its usual speed and nothing else, or has a free slot beside the one that is to be taken. */
-function isAtEase({registered, condition}: Upstream): boolean {
-	const {report} = condition;
-	if (report === undefined || report.slowness > usualSlowness) {
-		return false;
-	}
-
-	const ahead = report.running + report.waiting + condition.unreportedInFlight;
-	return ahead === 0 || ahead + 1 < registered.slots;
+function hasEase({registered, condition}: Upstream): boolean {
+	return isAtEase({report: condition.report, unreportedInFlight: condition.unreportedInFlight, slots: registered.slots});
 }
--- a/packages/testing/src/placement-bench/placement-policies.ts
+++ b/packages/testing/src/placement-bench/placement-policies.ts
@@ -1,7 +1,7 @@
 /** Ways to choose an upstream that the bench compares. */
 import type {RandomSource, ServiceId} from '@cairnbank/core';
 import {
-	expectedDurationMs, isWorthAsking, type TypicalDurations, type UpstreamCondition,
+	expectedDurationMs, isAtEase, isWorthAsking, type TypicalDurations, type UpstreamCondition,
 } from '@cairnbank/core/placement';
 import type {SimulatedUpstream} from './simulated-upstream.js';
 
@@ -34,7 +34,6 @@
 /** Two upstreams a round, at most three rounds, until one runs at its usual speed with a slot to spare. */
 const askedPerRound = 2;
 const maximumRounds = 3;
-const usualSlowness = 1.3;
 
 export function choose(policy: PlacementPolicy, choice: Choice): Known {
 	switch (policy) {
@@ -75,7 +74,7 @@
 		}
 
 		const bestRatio = expectedMs(best(), workMs, unknownRatio()) / workMs;
-		if (!isWorthwhile({rounds, isAtEase: asked.some(known => isAtEase(known)), bestRatio})) {
+		if (!isWorthwhile({rounds, isAtEase: asked.some(known => hasEase(known)), bestRatio})) {
 			break;
 		}
 	}
@@ -83,8 +82,8 @@
 	return best();
 }
 
-function isAtEase({upstream, condition: {report, unreportedInFlight}}: Known): boolean {
-	return report !== undefined && report.slowness <= usualSlowness && report.running + report.waiting + unreportedInFlight + 1 < upstream.slots;
+function hasEase({upstream, condition: {report, unreportedInFlight}}: Known): boolean {
+	return isAtEase({report, unreportedInFlight, slots: upstream.slots});
 }
 
 function expectedMs({upstream, condition}: Known, workMs: number, typicalRatio: number): number {
