--- a/packages/core/src/placement/upstream-condition.ts
+++ b/packages/core/src/placement/upstream-condition.ts
@@ -12,6 +12,11 @@
 const maximumBackoffMs = 1600;
 /** Blame that a failed answer adds; a mean share of failures over recent answers. */
 const failureStep = 0.25;
+/**
+ * Blame where a later attempt elsewhere was answered first. It makes the upstream second among equals for some seconds;
+ * without it one that hangs and reports free slots was chosen again for 4 to 5 of 10 requests on a loaded machine.
+ */
+const overtakenStep = 0.1;
 /**
  * A health check is answered within some 10 ms, or 14 on a new connection to another availability zone; one that takes
  * longer than this is at an upstream that is dark, cut off or frozen, or whose packets were lost.
@@ -148,7 +153,12 @@
 	}
 
 	failed(): void {
-		this.#setFailureRatio(this.failureRatio + ((1 - this.failureRatio) * failureStep));
+		this.#blame(failureStep);
+	}
+
+	/** A request there was given up, as one sent elsewhere later was answered first. */
+	overtaken(): void {
+		this.#blame(overtakenStep);
 	}
 
 	/** It can be reached. */
@@ -177,6 +187,10 @@
 		this.#reportAtMs = this.#clock.monotonicMs();
 	}
 
+	#blame(step: number): void {
+		this.#setFailureRatio(this.failureRatio + ((1 - this.failureRatio) * step));
+	}
+
 	#setFailureRatio(ratio: number): void {
 		this.#failureRatio = ratio;
 		this.#failureAtMs = this.#clock.monotonicMs();
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -14,6 +14,7 @@
 	readonly #kind: AttemptKind;
 	readonly #placement: Placement;
 	readonly #connection: UpstreamConnection;
+	#isOvertaken = false;
 
 	constructor(dependencies: CallDependencies, call: Call, kind: AttemptKind, placement: Placement) {
 		this.#dependencies = dependencies;
@@ -44,6 +45,10 @@
 		pool.release(this.#connection);
 		const verdict = judgeExchange(result, dialect);
 		condition.ended(own, verdict.type === 'success');
+		if (this.#isOvertaken) {
+			condition.overtaken();
+		}
+
 		metrics.attempts.inc({kind: this.#kind, result: verdict.type});
 		const report = result.isOk() && !isFromAnother(verdict) ? loadOf(result.value, dialect) : undefined;
 		if (report !== undefined) {
@@ -54,11 +59,20 @@
 		return verdict;
 	}
 
+	get kind(): AttemptKind {
+		return this.#kind;
+	}
+
 	/** Gives the request up; most upstreams then stop working on it. */
 	cancel(): void {
 		this.#connection.cancel();
 	}
 
+	/** One sent elsewhere later was answered first; this one is given up next. */
+	overtaken(): void {
+		this.#isOvertaken = true;
+	}
+
 	/** What decided the choice, and how old it was. */
 	describe(): string {
 		const {upstream: {registered, condition}, expectedMs, slowness} = this.#placement;
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -29,12 +29,15 @@
 export const failure = answered(500, 'signature', 's');
 export const refusal = answered(503, 'not-run', '1');
 export const broken = err({type: 'broken', message: 'reset'} as const);
+export const cancelled = err({type: 'cancelled'} as const);
 export const notConnected = err({type: 'not-connected', message: 'refused', isTimeout: false} as const);
 
 export class CallWorld {
 	readonly clock = new ManualClock();
 	readonly exchanges: Exchange[] = [];
 	readonly cancelled: string[] = [];
+	/** Of the upstreams of the exchanges, in their order. */
+	readonly conditions: UpstreamCondition[] = [];
 	outcome: Outcome | undefined;
 	isAtEase = true;
 	expectedMs = 40;
@@ -106,9 +109,11 @@
 				this.cancelled.push(id);
 			},
 		};
+		const condition = new UpstreamCondition(this.clock);
+		this.conditions.push(condition);
 		return {
 			upstream: {
-				registered: {id}, warmUntilMs: 0, condition: new UpstreamCondition(this.clock), pool: {take: () => connection, release: () => undefined},
+				registered: {id}, warmUntilMs: 0, condition, pool: {take: () => connection, release: () => undefined},
 			},
 			expectedMs: this.expectedMs,
 			workMs: this.expectedMs,
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -2,7 +2,7 @@
 import {describe, it, mock} from 'node:test';
 import {err} from 'neverthrow';
 import {
-	broken, CallWorld, failure, notConnected, refusal, settled, success,
+	broken, CallWorld, cancelled, failure, notConnected, refusal, settled, success,
 } from './call-run-fixture.js';
 
 describe('CallRun', () => {
@@ -55,6 +55,43 @@
 			assert.equal(world.outcome?.type, 'answered');
 		});
 
+		inWorld('should get that second attempt later where no upstream has a slot to spare at first', {idempotent: true}, async world => {
+			world.isAtEase = false;
+			await world.pass(60);
+			world.isAtEase = true;
+			await world.pass(60);
+			assert.equal(world.exchanges.length, 1);
+			await world.pass(60);
+			assert.equal(world.exchanges.length, 2);
+			await world.answer(1, success);
+			assert.equal(world.outcome?.type, 'answered');
+		});
+
+		inWorld('should be looked after ever more seldom while no upstream has a slot to spare', {idempotent: true}, async world => {
+			world.isAtEase = false;
+			for (let passedMs = 0; passedMs < 990; passedMs += 10) {
+				await world.pass(10);
+			}
+
+			const skipped = world.run.decisions.filter(decision => decision === 'hedge-skipped:all-busy');
+			assert.equal(skipped.length, 4);
+		});
+
+		inWorld('should speak against an upstream that a later attempt elsewhere overtook', {idempotent: true}, async world => {
+			await world.pass(60);
+			await world.answer(1, success);
+			await world.answer(0, cancelled);
+			assert.ok(world.conditions[0]!.failureRatio > 0);
+			assert.equal(world.conditions[1]!.failureRatio, 0);
+		});
+
+		inWorld('should not speak against the later attempt where the first is answered after all', {idempotent: true}, async world => {
+			await world.pass(60);
+			await world.answer(0, success);
+			await world.answer(1, cancelled);
+			assert.equal(world.conditions[1]!.failureRatio, 0);
+		});
+
 		inWorld('should never be sent to more upstreams than the route allows, also by an early attempt beside a repeat', {idempotent: true}, async world => {
 			await world.answer(0, failure);
 			assert.equal(world.exchanges.length, 2);
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -63,28 +63,29 @@
 		this.#end({type: 'abandoned'});
 	}
 
-	async #attempt(kind: AttemptKind): Promise<void> {
+	/** @returns whether something was sent, known once that has ended */
+	async #attempt(kind: AttemptKind): Promise<boolean> {
 		this.#placing += 1;
 		const askedAtMs = this.#now();
 		const placement = await this.#place(kind);
 		this.#decisions.push(`asked:${Math.round(this.#now() - askedAtMs)}ms`);
 		this.#placing -= 1;
 		if (this.#isOver) {
-			return;
+			return false;
 		}
 
 		if (placement === undefined) {
 			this.#attempts.refused('no-upstream');
 			this.#endIfIdle();
-			return;
+			return false;
 		}
 
 		if (!this.#isWorthSending(kind, placement)) {
 			this.#endIfIdle();
-			return;
+			return false;
 		}
 
-		await this.#send(kind, placement);
+		return this.#send(kind, placement);
 	}
 
 	/**
@@ -132,10 +133,10 @@
 		return placement;
 	}
 
-	async #send(kind: AttemptKind, placement: Placement): Promise<void> {
+	async #send(kind: AttemptKind, placement: Placement): Promise<boolean> {
 		const remainingMs = Math.floor(this.#remainingMs);
 		if (remainingMs <= 0) {
-			return;
+			return false;
 		}
 
 		const attempt = new Attempt(this.#dependencies, this.#call, kind, placement);
@@ -143,7 +144,7 @@
 		this.#attempts.sentTo(placement.upstream.registered.id);
 		this.#decisions.push(attempt.describe());
 		if (kind === 'first') {
-			this.#planHedge(placement);
+			this.#planHedge(Math.max(minimumHedgeDelayMs, placement.expectedMs * hedgeFactor));
 		}
 
 		const sentAtMs = this.#now();
@@ -151,12 +152,18 @@
 		this.#running.delete(attempt);
 		this.#decisions.push(describeVerdict(verdict, this.#now() - sentAtMs));
 		if (!this.#isOver) {
-			this.#ended(verdict);
+			this.#ended(attempt, verdict);
 		}
+
+		return true;
 	}
 
-	#ended(verdict: Verdict): void {
+	#ended({kind}: Attempt, verdict: Verdict): void {
 		if (verdict.type === 'success') {
+			if (kind === 'hedge') {
+				this.#overtakeOthers();
+			}
+
 			this.#end({type: 'answered', answer: verdict.answer});
 			return;
 		}
@@ -171,6 +178,12 @@
 		this.#endIfIdle();
 	}
 
+	#overtakeOthers(): void {
+		for (const attempt of this.#running) {
+			attempt.overtaken();
+		}
+	}
+
 	#mayRepeat(verdict: Verdict): boolean {
 		const isAllowed = verdict.type === 'not-run' || this.#call.route.idempotent;
 		if (!isAllowed || !this.#hasRoomForAttempt) {
@@ -191,17 +204,26 @@
 		return isGranted;
 	}
 
-	#planHedge({expectedMs}: Placement): void {
+	/**
+	 * Looks for another upstream after this time, and where none has a slot to spare, again after twice as long: with one
+	 * look alone a request that hangs waited for its deadline wherever the other's load was not known in time.
+	 */
+	#planHedge(delayMs: number): void {
 		if (!this.#call.route.idempotent) {
 			return;
 		}
 
-		this.#hedgeTimer = setTimeout(() => {
+		this.#hedgeTimer = setTimeout(async () => {
 			const isAlone = this.#running.size === 1 && this.#placing === 0;
-			if (!this.#isOver && isAlone && this.#hasRoomForAttempt) {
-				void this.#attempt('hedge');
+			if (this.#isOver || !isAlone || !this.#hasRoomForAttempt) {
+				return;
+			}
+
+			const isSent = await this.#attempt('hedge');
+			if (!isSent && !this.#isOver) {
+				this.#planHedge(delayMs * 2);
 			}
-		}, Math.max(minimumHedgeDelayMs, expectedMs * hedgeFactor));
+		}, delayMs);
 	}
 
 	#endIfIdle(): void {
