The store is read by one on behalf of all also after a start and where the follower is gone

Change: a pure rule, core/fleet/store-reading: nobody follows the store in the first 600 ms; where another instance is ready, it hands over; the deputy of the follower reads first and tells all; the others come later, spread over 0.2 s. The first heartbeats come every 25 ms. Found by the price of calls on the way: an empty topic counted as unknown and was read in a loop (1,042 calls a second).

--- /dev/null
+++ b/packages/core/src/fleet/store-reading.spec.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {chooseReading, type ReadingSituation} from './store-reading.js';
+
+const settled: ReadingSituation = {
+	isFollower: false, isDeputy: false, isKnown: true, isKnownToOthers: true, sinceStartMs: 60_000, ageMs: 300, spread: 0,
+};
+
+const started: ReadingSituation = {
+	...settled, isKnown: false, ageMs: Number.POSITIVE_INFINITY, sinceStartMs: 50,
+};
+
+describe('chooseReading', () => {
+	describe('after the start', () => {
+		it('should read at once where nobody is known to know more', () => {
+			assert.equal(chooseReading({
+				...started, sinceStartMs: 0, isKnownToOthers: false, isFollower: true,
+			}), 'once');
+			assert.equal(chooseReading({...started, sinceStartMs: 0, isKnownToOthers: false}), 'once');
+		});
+
+		it('should wait for others to hand over what they know, but not for long', () => {
+			assert.equal(chooseReading(started), 'wait');
+			assert.equal(chooseReading({...started, sinceStartMs: 250}), 'once');
+		});
+	});
+
+	it('should follow nothing soon after the start, as others may not have been heard yet', () => {
+		assert.equal(chooseReading({
+			...settled, isFollower: true, isKnownToOthers: false, sinceStartMs: 500,
+		}), 'wait');
+		assert.equal(chooseReading({
+			...settled, isFollower: true, isKnownToOthers: false, sinceStartMs: 600,
+		}), 'follow');
+	});
+
+	describe('of what is known', () => {
+		it('should be followed by one on behalf of all', () => {
+			assert.equal(chooseReading({...settled, isFollower: true}), 'follow');
+			assert.equal(chooseReading(settled), 'wait');
+		});
+
+		it('should be read by the deputy first where it grows old, so that one call does for all', () => {
+			assert.equal(chooseReading({...settled, isDeputy: true, ageMs: 1100}), 'once');
+			assert.equal(chooseReading({...settled, ageMs: 1100}), 'wait');
+		});
+
+		it('should be read by all, one after the other, where the deputy is gone too', () => {
+			assert.equal(chooseReading({...settled, ageMs: 1250}), 'once');
+			assert.equal(chooseReading({...settled, ageMs: 1250, spread: 0.9}), 'wait');
+			assert.equal(chooseReading({...settled, ageMs: 1450, spread: 0.99}), 'once');
+		});
+
+		it('should be followed with no regular read by the deputy while the follower reads', () => {
+			const heldReadMs = 700;
+			const heartbeatMs = 300;
+			assert.equal(chooseReading({...settled, isDeputy: true, ageMs: heldReadMs + heartbeatMs + 50}), 'wait');
+		});
+	});
+});
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -10,6 +10,7 @@
 import type {StateStore} from '../../ports/index.js';
 import type {Crash} from '../calls/poison-guard.js';
 import type {StateTask} from '../state/state-task.js';
+import type {StorePlace} from '../state/topic-reader.js';
 import type {FleetMessage} from './datagrams.js';
 import {FleetSocket} from './fleet-socket.js';
 import {Membership} from './membership.js';
@@ -41,6 +42,7 @@
 	#beatTimer: NodeJS.Timeout | undefined;
 	#isLeaving = false;
 	#chosenFollower: IncarnationId | undefined;
+	#chosenDeputy: IncarnationId | undefined;
 	#followerChosenAtMs = Number.NEGATIVE_INFINITY;
 	#isStopped = false;
 
@@ -129,6 +131,12 @@
 		return this.#follower === this.#options.context.incarnation;
 	}
 
+	/** What this instance is to the others as a reader of the store. */
+	get place(): StorePlace {
+		const {incarnation} = this.#options.context;
+		return {isFollower: this.isFollower, isDeputy: this.#chosenDeputy === incarnation, isKnownToOthers: this.#membership.view.live().some(({ready}) => ready)};
+	}
+
 	/** Instances that callers may be sent to, this one among them if it is ready. */
 	offered(): readonly FleetMember[] {
 		const {self} = this;
@@ -155,10 +163,17 @@
 		this.#membership.announce();
 	}
 
+	/** Tells all others of this instance at once. */
+	announceToAll(): void {
+		this.#membership.announceToAll();
+	}
+
 	get #follower(): IncarnationId | undefined {
 		const nowMs = this.#options.context.clock.monotonicMs();
 		if (nowMs - this.#followerChosenAtMs > followerChoiceMs) {
-			this.#chosenFollower = chooseFollower([this.self, ...this.#membership.view.live()]);
+			const candidates = [this.self, ...this.#membership.view.live()];
+			this.#chosenFollower = chooseFollower(candidates);
+			this.#chosenDeputy = chooseFollower(candidates.filter(({incarnation}) => incarnation !== this.#chosenFollower));
 			this.#followerChosenAtMs = nowMs;
 		}
 
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -12,6 +12,9 @@
 
 /** The follower's heartbeats carry the age of what all know, so they are more frequent than those of the others. */
 const followerHeartbeatMs = 300;
+/** After its start an instance looks for others more often, as they may be starting too. */
+const firstBeatsMs = 25;
+const firstBeatsUntilMs = 200;
 /** Up to this number of others, heartbeats to all cost less than 60 datagrams a second. */
 const smallFleet = 24;
 /** Others that are told of news in a large fleet; each that learns something by it tells as many. */
@@ -34,18 +37,24 @@
 	readonly view: FleetView;
 	readonly #options: MembershipOptions;
 	readonly #checks: MemberChecks;
+	readonly #startedAtMs: number;
 	#toldFlags = '';
 	/** Another instance holds this one for lost. */
 	#isDoubted = false;
 
 	constructor(options: MembershipOptions) {
 		this.#options = options;
+		this.#startedAtMs = options.context.clock.monotonicMs();
 		this.view = new FleetView(options.context.clock);
 		this.#checks = new MemberChecks(options.context.random);
 	}
 
 	/** Time until the next beat. */
 	get beatMs(): number {
+		if (this.#isStarting) {
+			return firstBeatsMs;
+		}
+
 		return this.#options.isFollower() ? followerHeartbeatMs : defaultFleetTiming.heartbeatMs;
 	}
 
@@ -56,7 +65,7 @@
 			logger.info('instance forgotten', {host});
 		}
 
-		const {asked, lost} = this.#checks.next(this.view.unsure());
+		const {asked, lost} = this.#isStarting ? {asked: [], lost: []} : this.#checks.next(this.view.unsure());
 		for (const host of lost) {
 			this.#lost(host);
 		}
@@ -72,12 +81,16 @@
 	/** Tells others of this instance now: all of what concerns callers, a few of newer state, who ask for it and tell others. */
 	announce(): void {
 		if (this.#tellsAll) {
-			this.#tellAll(new Set());
+			this.announceToAll();
 		} else {
 			this.#tell(this.few(), false);
 		}
 	}
 
+	announceToAll(): void {
+		this.#tellAll(new Set());
+	}
+
 	/** Some live others, drawn anew each time. */
 	few(): readonly string[] {
 		const hosts = this.view.live().map(({host}) => host);
@@ -147,6 +160,10 @@
 		}
 	}
 
+	get #isStarting(): boolean {
+		return this.#options.context.clock.monotonicMs() - this.#startedAtMs < firstBeatsUntilMs;
+	}
+
 	get #tellsAll(): boolean {
 		return this.isBeatingToAll || this.#isDoubted || this.#flags !== this.#toldFlags;
 	}
--- a/packages/gateway/src/features/state/state-task.ts
+++ b/packages/gateway/src/features/state/state-task.ts
@@ -10,7 +10,7 @@
 import type {Task} from '../../kernel/task.js';
 import type {StateStore} from '../../ports/index.js';
 import type {SharedState, StateQuery} from './shared-state.js';
-import {TopicReader} from './topic-reader.js';
+import {TopicReader, type StorePlace} from './topic-reader.js';
 
 const sweepIntervalMs = 200;
 const millisecondsPerSecond = 1000;
@@ -18,12 +18,13 @@
 export type StateTaskOptions = {
 	readonly context: Context;
 	readonly store: StateStore;
-	/** Whether this instance reads the store on behalf of all. */
-	readonly isFollower: () => boolean;
+	readonly place: () => StorePlace;
 	readonly onConfiguration: (routes: RouteTable) => void;
 	readonly onUpstream: (event: RegistryEvent) => void;
 	/** Something is newer than what others may know; registry changes in hand where there are any. */
 	readonly onNews: (changes: KeyedChanges<RegisteredUpstream> | undefined) => void;
+	/** The store has confirmed what others may hold for too old. */
+	readonly onRefreshed: () => void;
 };
 
 export class StateTask implements Task {
@@ -39,12 +40,12 @@
 
 	constructor(options: StateTaskOptions) {
 		this.#options = options;
-		const {context, store, isFollower} = options;
+		const {context, store, place} = options;
 		const {clock, random, logger, metrics} = context;
 		this.#registry = new UpstreamRegistry(clock);
 		this.#trust = new StoreTrust(clock);
 		const common = {
-			clock, random, logger, metrics, isFollower, trust: this.#trust,
+			clock, random, logger, metrics, place, trust: this.#trust,
 		};
 		this.#readers = [
 			new TopicReader<GatewayConfiguration>({
@@ -52,6 +53,7 @@
 				name: 'configurations',
 				topic: store.configurations,
 				offset: () => this.#configurationOffset,
+				isKnown: () => this.#routes !== undefined || this.#configurationOffset !== undefined,
 				ageMs: () => this.#ageMs('configuration'),
 				onSnapshot: snapshot => {
 					this.#configurationsRead(snapshot);
@@ -59,14 +61,15 @@
 				onChanges: changes => {
 					this.#configurationsRead(changes);
 				},
-				onConfirmed: () => {
-					this.#confirmed('configuration', 0);
+				onConfirmed: wasStale => {
+					this.#read('configuration', wasStale);
 				},
 			}),
 			new TopicReader<RegisteredUpstream>({
 				...common,
 				name: 'upstreams',
 				topic: store.upstreams,
+				isKnown: () => this.#registry.isKnown,
 				offset: () => this.#registry.isKnown ? this.#registry.endOffset : undefined,
 				ageMs: () => this.#ageMs('registry'),
 				onSnapshot: snapshot => {
@@ -75,8 +78,8 @@
 				onChanges: changes => {
 					this.#followRegistry(changes);
 				},
-				onConfirmed: () => {
-					this.#confirmed('registry', 0);
+				onConfirmed: wasStale => {
+					this.#read('registry', wasStale);
 				},
 			}),
 		];
@@ -138,7 +141,7 @@
 		const knowsNewerConfiguration = member.configurationVersion > this.#version;
 		const hasSameUpstreams = member.registryDigest === this.#registry.digest;
 		const knowsMore = member.registryOffset > this.#registry.endOffset
-			|| (isFollower && !this.#options.isFollower() && member.registryOffset === this.#registry.endOffset);
+			|| (isFollower && !this.#options.place().isFollower && member.registryOffset === this.#registry.endOffset);
 		const wantsRegistry = !hasSameUpstreams && knowsMore;
 		if (!knowsNewerConfiguration) {
 			this.#confirmed('configuration', member.stateAgeMs);
@@ -177,6 +180,13 @@
 		return this.#routes?.configuration.version ?? 0;
 	}
 
+	#read(part: 'configuration' | 'registry', wasStale: boolean): void {
+		this.#confirmed(part, 0);
+		if (wasStale) {
+			this.#options.onRefreshed();
+		}
+	}
+
 	#ageMs(part: 'configuration' | 'registry'): number {
 		return this.#options.context.clock.monotonicMs() - this.#confirmedAtMs[part];
 	}
--- a/packages/gateway/src/features/state/topic-reader.ts
+++ b/packages/gateway/src/features/state/topic-reader.ts
@@ -1,5 +1,6 @@
 /** Keeps one topic of the store in step: at length on behalf of all, or once where what others tell grows old. */
 import type {Clock, RandomSource} from '@cairnbank/core';
+import {chooseReading, type Reading} from '@cairnbank/core/fleet';
 import type {KeyedChanges, KeyedSnapshot, StoreTrust} from '@cairnbank/core/registry';
 import type {Logger} from '../../logging/create-logger.js';
 import type {Metrics} from '../../metrics/metrics.js';
@@ -13,15 +14,24 @@
 const followWaitMs = 700;
 /** Pause after records came, so that a burst of them takes one call. */
 const gatherMs = 150;
-/** Age of what others told at which an instance reads for itself; with a read and its retry well within 2 s. */
-const staleAfterMs = 1250;
-/** How often an instance that relies on others looks at the age. */
+/** How often an instance that relies on others looks at the age; before it knows anything, how often it looks for others. */
 const checkIntervalMs = 100;
+const firstCheckIntervalMs = 10;
 const firstBackoffMs = 150;
 const maximumBackoffMs = 1500;
 /** Part of a pause that is random, so that instances don't call at the same moment. */
 const jitterRatio = 0.5;
 
+/** What an instance is to the others as a reader of the store. */
+export type StorePlace = {
+	/** It reads on behalf of all. */
+	readonly isFollower: boolean;
+	/** It would be the follower if that one were gone. */
+	readonly isDeputy: boolean;
+	/** Another instance that was heard has a configuration and the upstreams. */
+	readonly isKnownToOthers: boolean;
+};
+
 export type TopicReaderOptions<Value> = {
 	readonly name: string;
 	readonly topic: KeyedTopic<Value>;
@@ -32,14 +42,19 @@
 	readonly trust: StoreTrust;
 	/** Position up to which records are known; nothing where none is. */
 	readonly offset: () => number | undefined;
-	/** Whether this instance reads on behalf of all. */
-	readonly isFollower: () => boolean;
+	/** Something is known, through whomever; that the topic is empty counts as well. */
+	readonly isKnown: () => boolean;
+	readonly place: () => StorePlace;
 	/** Age of what is known, through whomever. */
 	readonly ageMs: () => number;
 	readonly onSnapshot: (snapshot: KeyedSnapshot<Value>) => void;
 	readonly onChanges: (changes: KeyedChanges<Value>) => void;
-	/** The store has confirmed what is known. */
-	readonly onConfirmed: () => void;
+	/**
+	 * The store has confirmed what is known.
+	 *
+	 * @param wasStale - what others told of it had grown old, as it may have at others too
+	 */
+	readonly onConfirmed: (wasStale: boolean) => void;
 };
 
 export class TopicReader<Value> {
@@ -47,16 +62,21 @@
 	readonly #unreadable: UnreadableRecords;
 	#isStopped = false;
 	#failures = 0;
+	#startedAtMs = 0;
+	/** Place of this instance among those that find what others told too old at the same moment. */
+	readonly #spread: number;
 	#wake: (() => void) | undefined;
 
 	constructor(options: TopicReaderOptions<Value>) {
 		const {name: topic, logger, metrics} = options;
 		this.#options = options;
+		this.#spread = options.random.next();
 		this.#unreadable = new UnreadableRecords({topic, logger, metrics});
 	}
 
 	/** Runs until `stop`. */
 	async run(): Promise<void> {
+		this.#startedAtMs = this.#options.clock.monotonicMs();
 		while (!this.#isStopped) {
 			await this.#step();
 		}
@@ -67,15 +87,24 @@
 		this.#wake?.();
 	}
 
+	get #reading(): Reading {
+		const {place, isKnown, ageMs, clock} = this.#options;
+		return chooseReading({
+			...place(), isKnown: isKnown(), ageMs: ageMs(), spread: this.#spread, sinceStartMs: clock.monotonicMs() - this.#startedAtMs,
+		});
+	}
+
 	async #step(): Promise<void> {
-		const {isFollower, offset, ageMs} = this.#options;
-		const from = offset();
-		if (!isFollower() && from !== undefined && ageMs() < staleAfterMs) {
-			await this.#pause(checkIntervalMs);
+		const {isKnown, offset} = this.#options;
+		const reading = this.#reading;
+		if (reading === 'wait') {
+			await this.#pause(isKnown() ? checkIntervalMs : firstCheckIntervalMs);
 			return;
 		}
 
-		const error = from === undefined ? await this.#readNewest() : await this.#readOn(from, isFollower() ? followWaitMs : 0);
+		const from = offset();
+		const wasStale = reading === 'once' && isKnown();
+		const error = from === undefined ? await this.#readNewest(wasStale) : await this.#readOn(from, reading === 'follow' ? followWaitMs : 0, wasStale);
 		if (error === undefined) {
 			this.#succeeded();
 			return;
@@ -84,7 +113,7 @@
 		await this.#failed(error);
 	}
 
-	async #readNewest(): Promise<StoreError | undefined> {
+	async #readNewest(wasStale: boolean): Promise<StoreError | undefined> {
 		const {topic, onSnapshot, onConfirmed} = this.#options;
 		const snapshot = await topic.newest();
 		this.#count('newest', snapshot.isOk());
@@ -94,11 +123,11 @@
 
 		this.#unreadable.read(snapshot.value.records);
 		onSnapshot(snapshot.value);
-		onConfirmed();
+		onConfirmed(wasStale);
 		return undefined;
 	}
 
-	async #readOn(from: number, waitMs: number): Promise<StoreError | undefined> {
+	async #readOn(from: number, waitMs: number, wasStale: boolean): Promise<StoreError | undefined> {
 		const {topic, onChanges, onConfirmed, logger, name} = this.#options;
 		const read = await topic.readOn(from, waitMs);
 		this.#count('read', read.isOk());
@@ -109,14 +138,14 @@
 		switch (read.value.type) {
 			case 'expired': {
 				logger.info('store history expired', {topic: name, from});
-				return this.#readNewest();
+				return this.#readNewest(wasStale);
 			}
 
 			case 'changes': {
 				const {changes} = read.value;
 				this.#unreadable.read(changes.records);
 				onChanges(changes);
-				onConfirmed();
+				onConfirmed(wasStale);
 				if (changes.records.length > 0) {
 					await this.#pause(gatherMs);
 				}
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -61,7 +61,7 @@
 	const state: StateTask = new StateTask({
 		context,
 		store: ports.store,
-		isFollower: () => fleet.isFollower,
+		place: () => fleet.place,
 		onConfiguration(routes) {
 			callers.configured(routes);
 		},
@@ -79,6 +79,9 @@
 
 			fleet.announce();
 		},
+		onRefreshed() {
+			fleet.announceToAll();
+		},
 	});
 	const fleet: FleetTask = new FleetTask({
 		context,
