--- a/packages/gateway/src/features/fleet/membership.spec.ts
+++ b/packages/gateway/src/features/fleet/membership.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import fc from 'fast-check';
 import {SimulatedFleet} from './simulated-fleet.js';
 
 const settleMs = 3000;
@@ -12,6 +13,30 @@
 	return fleet;
 }
 
+function happen(fleet: SimulatedFleet, kind: string, index: number): void {
+	const instance = fleet.instances[index]!;
+	switch (kind) {
+		case 'dies': {
+			instance.isUp = false;
+			break;
+		}
+
+		case 'starts anew': {
+			fleet.restart(index);
+			break;
+		}
+
+		case 'is cut off': {
+			instance.isCut = true;
+			break;
+		}
+
+		default: {
+			instance.isCut = false;
+		}
+	}
+}
+
 describe('Membership', () => {
 	for (const size of [3, 16, 24, 25, 26, 40, 132]) {
 		describe(`of ${size} instances`, () => {
@@ -74,6 +99,26 @@
 		});
 	}
 
+	it('should agree with what is up within 8 s after any deaths, new processes, cuts and losses', () => {
+		const event = fc.record({
+			kind: fc.constantFrom('dies', 'starts anew', 'is cut off', 'is reached again'),
+			place: fc.nat(),
+			thenMs: fc.integer({min: 0, max: 3000}),
+		});
+		fc.assert(fc.property(fc.integer({min: 2, max: 40}), fc.integer(), fc.array(event, {maxLength: 12}), (size, seed, events) => {
+			const fleet = new SimulatedFleet({size, seed, lossShare: 0.01});
+			fleet.pass(settleMs);
+			for (const {kind, place, thenMs} of events) {
+				happen(fleet, kind, place % size);
+				fleet.pass(thenMs);
+			}
+
+			fleet.lossShare = 0;
+			fleet.pass(8 * secondMs);
+			assert.deepEqual(fleet.wrong(fleet.hostsUp), []);
+		}), {numRuns: 30, seed: 20_261_203});
+	});
+
 	it('should cost an instance as many datagrams at 132 instances as at 12', () => {
 		const received = (size: number) => {
 			const fleet = settledFleet(size);
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -8,6 +8,8 @@
 import {Membership, type MembershipOptions} from './membership.js';
 
 const stepMs = 10;
+/** How long a choice of the follower holds, as in an instance. */
+const followerChoiceMs = 100;
 const zones = ['nasr', 'giza', 'maadi'] as const;
 const seedCount = 3;
 
@@ -40,9 +42,13 @@
 	received = 0;
 	nextBeatMs: number;
 	readonly #index: number;
+	readonly #clock: ManualClock;
+	#follower: IncarnationId | undefined;
+	#followerChosenAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor({index, life, startMs, clock, random, seeds, send}: InstanceOptions) {
 		this.#index = index;
+		this.#clock = clock;
 		this.host = hostOf(index);
 		this.incarnation = `life-${life}-of-${index}` as IncarnationId;
 		this.nextBeatMs = startMs;
@@ -79,7 +85,13 @@
 	}
 
 	get isFollower(): boolean {
-		return chooseFollower([this.member, ...this.membership.view.live()]) === this.incarnation;
+		const nowMs = this.#clock.monotonicMs();
+		if (nowMs - this.#followerChosenAtMs > followerChoiceMs) {
+			this.#follower = chooseFollower([this.member, ...this.membership.view.live()]);
+			this.#followerChosenAtMs = nowMs;
+		}
+
+		return this.#follower === this.incarnation;
 	}
 
 	/** Hosts of the other instances that it names to callers. */
@@ -88,19 +100,27 @@
 	}
 }
 
+type Datagram = {
+	readonly from: SimulatedInstance;
+	readonly message: FleetMessage;
+	readonly bytes: number;
+	readonly host: string;
+};
+
 export class SimulatedFleet {
 	readonly clock = new ManualClock();
 	readonly instances: SimulatedInstance[];
+	/** Share of the datagrams that are lost. */
+	lossShare: number;
 	/** Bytes sent between availability zones. */
 	bytesBetweenZones = 0;
 	readonly #random: RandomSource;
-	readonly #lossShare: number;
-	readonly #underWay: Array<{readonly from: SimulatedInstance; readonly message: FleetMessage; readonly host: string}> = [];
+	readonly #underWay: Datagram[] = [];
 	#lives = 0;
 
 	constructor({size, lossShare = 0, seed = 1}: FleetOptions) {
 		this.#random = createRandomSource(seed);
-		this.#lossShare = lossShare;
+		this.lossShare = lossShare;
 		this.instances = Array.from({length: size}, (_, index) => this.#create(index));
 	}
 
@@ -142,17 +162,22 @@
 			random: this.#random,
 			seeds,
 			send: (message, hosts) => {
-				this.#underWay.push(...hosts.map(host => ({from: created, message, host})));
+				const {length: bytes} = encodeMessage(message, this.clock.monotonicMs());
+				this.#underWay.push(...hosts.map(host => ({
+					from: created, message, bytes, host,
+				})));
 			},
 		});
 		return created;
 	}
 
 	#deliver(): void {
-		for (const {from, message, host} of this.#underWay.splice(0)) {
-			const bytes = encodeMessage(message, this.clock.monotonicMs()).length;
-			const to = this.instances.find(instance => instance.host === host);
-			const isLost = bytes > maximumDatagramBytes || this.#random.next() < this.#lossShare;
+		const byHost = new Map(this.instances.map(instance => [instance.host, instance]));
+		for (const {
+			from, message, bytes, host,
+		} of this.#underWay.splice(0)) {
+			const to = byHost.get(host);
+			const isLost = bytes > maximumDatagramBytes || this.#random.next() < this.lossShare;
 			if (to === undefined || !to.isUp || to.isCut || from.isCut || isLost) {
 				continue;
 			}
