--- a/packages/core/src/fleet/store-reading.ts
+++ b/packages/core/src/fleet/store-reading.ts
@@ -48,6 +48,7 @@
 	/** Reads that the store holds until there is something new. */
 	| 'follow';
 
+/** What an instance does next about one topic of the store. */
 export function chooseReading({isFollower, isDeputy, isKnown, isKnownToOthers, sinceStartMs, ageMs, spread}: ReadingSituation): Reading {
 	if (!isKnown) {
 		return isKnownToOthers && sinceStartMs < handOverMs ? 'wait' : 'once';
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -87,6 +87,7 @@
 		}
 	}
 
+	/** Tells all others of this instance now. */
 	announceToAll(): void {
 		this.#tellAll(new Set());
 	}
