--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -15,7 +15,7 @@
 /** After its start an instance looks for others more often, as they may be starting too. */
 const firstBeatsMs = 25;
 const firstBeatsUntilMs = 200;
-/** Up to this number of others, heartbeats to all cost less than 60 datagrams a second. */
+/** Up to this number of others, heartbeats to all cost at most 60 datagrams a second. */
 const smallFleet = 24;
 /** Others that are told of news in a large fleet; each that learns something by it tells as many. */
 const toldOfNews = 6;
