--- a/packages/core/src/fleet/fleet-member.ts
+++ b/packages/core/src/fleet/fleet-member.ts
@@ -1,17 +1,20 @@
 /** What instances tell each other of themselves. */
-import type {AvailabilityZoneId, IncarnationId, InstanceId} from '../model/ids.js';
+import type {AvailabilityZoneId, IncarnationId} from '../model/ids.js';
 
 /** Sent with every heartbeat; plain data. */
 export type FleetMember = {
-	readonly instance: InstanceId;
 	readonly incarnation: IncarnationId;
 	/** IP number; the ports are the same on all instances. */
 	readonly host: string;
 	readonly availabilityZone: AvailabilityZoneId;
+	/** Raised by the member with each change of what it says of itself, see `MemberNews`. */
+	readonly revision: number;
 	/** It serves callers and knows a configuration. */
 	readonly ready: boolean;
 	/** It has been told to stop; it still serves for a while. */
 	readonly leaving: boolean;
+	/** Sums up which members it knows, see `FleetView.digest`. */
+	readonly membersDigest: number;
 	/** Version of the configuration in force; 0 for none. */
 	readonly configurationVersion: number;
 	/** Registry records folded in, see `UpstreamRegistry.endOffset`; -1 for none. */
--- a/packages/core/src/fleet/fleet-view.spec.ts
+++ b/packages/core/src/fleet/fleet-view.spec.ts
@@ -1,18 +1,19 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {ManualClock} from '../model/manual-clock.js';
-import type {AvailabilityZoneId, IncarnationId, InstanceId} from '../model/ids.js';
+import type {AvailabilityZoneId, IncarnationId} from '../model/ids.js';
 import type {FleetMember} from './fleet-member.js';
 import {defaultFleetTiming, FleetView} from './fleet-view.js';
 
 function member(host: string, changes: Partial<FleetMember> = {}): FleetMember {
 	return {
-		instance: `entry-${host}` as InstanceId,
 		incarnation: `life-of-${host}` as IncarnationId,
 		host,
 		availabilityZone: 'nasr' as AvailabilityZoneId,
 		ready: true,
 		leaving: false,
+		revision: 0,
+		membersDigest: 0,
 		configurationVersion: 1,
 		registryOffset: 0,
 		registryDigest: 0,
@@ -107,14 +108,74 @@
 		it('should be held for lost where another instance says so, but not if they were heard just now or are another process', () => {
 			const clock = new ManualClock();
 			const view = new FleetView(clock);
-			const {incarnation} = member('10.0.0.1');
 			view.heard(member('10.0.0.1'), false);
-			assert.equal(view.toldLost('10.0.0.1', incarnation), false);
+			const lost = {...view.newsOf('10.0.0.1')!, isLost: true};
+			assert.deepEqual(view.told([lost]), []);
 			clock.advance(defaultFleetTiming.heartbeatMs);
-			assert.equal(view.toldLost('10.0.0.1', 'another-life' as IncarnationId), false);
-			assert.equal(view.toldLost('10.0.0.1', incarnation), true);
+			assert.deepEqual(view.told([{...lost, incarnation: 'another-life' as IncarnationId}]), []);
+			assert.deepEqual(view.told([lost]), [lost]);
 			assert.deepEqual(view.offered(), []);
 		});
+
+		it('should return through others once they have contradicted that they are lost', () => {
+			const view = new FleetView(new ManualClock());
+			view.heard(member('10.0.0.1'), false);
+			view.lost('10.0.0.1');
+			const alive = {...view.newsOf('10.0.0.1')!, isLost: false};
+			assert.deepEqual(view.told([alive]), []);
+			assert.equal(view.told([{...alive, revision: 1}]).length, 1);
+			assert.equal(view.offered().length, 1);
+		});
+
+		it('should be known through others, as they say, and not be replaced by an earlier process', () => {
+			const view = new FleetView(new ManualClock());
+			const first = new FleetView(new ManualClock());
+			first.heard(member('10.0.0.1', {incarnation: 'a' as IncarnationId, ready: false}), false);
+			assert.equal(view.told(first.news()).length, 1);
+			assert.deepEqual(view.offered(), []);
+			first.heard(member('10.0.0.1', {incarnation: 'b' as IncarnationId}), false);
+			view.told(first.news());
+			assert.equal(view.offered().length, 1);
+			assert.deepEqual(view.told([{...first.news()[0]!, incarnation: 'a' as IncarnationId, revision: 7}]), []);
+		});
+	});
+
+	describe('digest', () => {
+		const self = {host: '10.0.0.9', incarnation: 'own' as IncarnationId, revision: 0};
+
+		it('should be the same at all that hold the same processes for alive', () => {
+			const clock = new ManualClock();
+			const [left, right] = [new FleetView(clock), new FleetView(clock)];
+			left.heard(member('10.0.0.1'), false);
+			left.heard(member('10.0.0.2'), false);
+			right.heard(member('10.0.0.2'), false);
+			assert.notEqual(left.digestWith(self), right.digestWith(self));
+			right.told(left.news());
+			assert.equal(left.digestWith(self), right.digestWith(self));
+			left.lost('10.0.0.1');
+			assert.notEqual(left.digestWith(self), right.digestWith(self));
+			clock.advance(defaultFleetTiming.heartbeatMs);
+			right.told(left.news());
+			assert.equal(left.digestWith(self), right.digestWith(self));
+		});
+
+		it('should differ where a member\'s last word has been missed', () => {
+			const [left, right] = [new FleetView(new ManualClock()), new FleetView(new ManualClock())];
+			left.heard(member('10.0.0.1', {revision: 2}), false);
+			right.heard(member('10.0.0.1', {revision: 1, ready: false}), false);
+			assert.notEqual(left.digestWith(self), right.digestWith(self));
+			right.told(left.news());
+			assert.equal(left.digestWith(self), right.digestWith(self));
+			assert.equal(right.offered().length, 1);
+		});
+
+		it('should count the own process like any other', () => {
+			const clock = new ManualClock();
+			const [left, right] = [new FleetView(clock), new FleetView(clock)];
+			left.heard(member('10.0.0.1'), false);
+			right.heard(member('10.0.0.9', {incarnation: self.incarnation}), false);
+			assert.equal(left.digestWith(self), right.digestWith(member('10.0.0.1')));
+		});
 	});
 
 	it('should ask a member that beats only once its heartbeats stay away', () => {
--- a/packages/core/src/fleet/fleet-view.ts
+++ b/packages/core/src/fleet/fleet-view.ts
@@ -1,7 +1,9 @@
 /** Which instances are alive, from their heartbeats. */
 import type {Clock} from '../model/clock.js';
-import type {IncarnationId} from '../model/ids.js';
+import type {AvailabilityZoneId, IncarnationId} from '../model/ids.js';
+import {hashText} from '../routing/hash-text.js';
 import type {FleetMember} from './fleet-member.js';
+import {isNewer, type MemberNews} from './member-news.js';
 
 export type FleetTiming = {
 	/** Time between two heartbeats of an instance. */
@@ -14,8 +16,12 @@
 
 /** One lost datagram must not cost an instance its callers: three heartbeats in a row have to be missed. */
 export const defaultFleetTiming: FleetTiming = {heartbeatMs: 400, suspectAfterMs: 1400, forgetAfterMs: 20_000};
+/** Up to this number of others, heartbeats to all cost at most 60 datagrams a second. */
+const smallFleet = 24;
 /** Heartbeats that may be late before a member that sends them is asked. */
 const toleratedBeats = 1.5;
+/** Heartbeats without a word from anyone after which an instance takes itself for cut off. */
+const cutOffBeats = 2;
 
 type Peer = {
 	readonly member: FleetMember;
@@ -24,11 +30,20 @@
 	readonly isBeating: boolean;
 	/** When it was found to be lost; it is told so as it is heard again. */
 	readonly lostAtMs: number | undefined;
+	/** Part of the digest. */
+	readonly hash: number;
 };
 
+/** What tells one word of a process from another. */
+type Identity = Pick<FleetMember, 'host' | 'incarnation' | 'revision'>;
+
+const digestRange = 4_294_967_296;
+
 /** What a heartbeat changed in the view. */
 export type HeardNews =
 	| 'nothing'
+	/** It is known, and says something new of itself. */
+	| 'changed'
 	/** The process was not known or had fallen silent. */
 	| 'appeared'
 	/** It was held for lost, maybe by others too. */
@@ -42,6 +57,9 @@
 	/** Addresses that are only known by name, with the time at which they were told. */
 	readonly #candidates = new Map<string, number>();
 	#greatestSize = 1;
+	#digest = 0;
+	/** When anything last came from any other instance. */
+	#heardAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(clock: Clock, timing: FleetTiming = defaultFleetTiming) {
 		this.#clock = clock;
@@ -56,17 +74,53 @@
 	heard(member: FleetMember, isBeating = true): HeardNews {
 		const known = this.#peers.get(member.host);
 		const news = this.#newsOf(member, known);
-		this.#peers.set(member.host, {
-			member, isBeating, heardAtMs: this.#clock.monotonicMs(), lostAtMs: undefined,
-		});
-		this.#candidates.delete(member.host);
+		this.#heardAtMs = this.#clock.monotonicMs();
+		this.#put(member, isBeating, undefined);
 		if (news !== 'nothing') {
-			this.#greatestSize = Math.max(this.#greatestSize, this.live().length + 1);
+			this.#noteSize();
+		}
+
+		return news;
+	}
+
+	/**
+	 * Takes in what another instance has passed on.
+	 *
+	 * @returns what was news here
+	 */
+	told(passedOn: readonly MemberNews[]): readonly MemberNews[] {
+		this.#heardAtMs = this.#clock.monotonicMs();
+		const news = passedOn.filter(one => this.#tell(one));
+		if (news.length > 0) {
+			this.#noteSize();
 		}
 
 		return news;
 	}
 
+	/** Whether this process was heard itself within the last heartbeat. */
+	isHeardNow(host: string, incarnation: IncarnationId): boolean {
+		const peer = this.#peers.get(host);
+		return peer?.member.incarnation === incarnation && peer.lostAtMs === undefined
+			&& this.#clock.monotonicMs() - peer.heardAtMs < this.#timing.heartbeatMs;
+	}
+
+	/** What is passed on of one member. */
+	newsOf(host: string): MemberNews | undefined {
+		const peer = this.#peers.get(host);
+		return peer === undefined ? undefined : newsOf(peer);
+	}
+
+	/** All that is known of others, for an instance that knows something else; what fell silent is left out. */
+	news(): readonly MemberNews[] {
+		return [...this.#peers.values()].filter(peer => peer.lostAtMs !== undefined || !this.#isSilent(peer)).map(peer => newsOf(peer));
+	}
+
+	/** Equal where the same of the same processes is known, and the same ones are held for alive, whatever the order in which they became known. */
+	digestWith(own: Identity): number {
+		return (this.#digest + hashOf(own)) % digestRange;
+	}
+
 	/** It has left all asks unanswered. @returns what was known of it, if it counted as alive */
 	lost(host: string): FleetMember | undefined {
 		const peer = this.#peers.get(host);
@@ -74,25 +128,22 @@
 			return undefined;
 		}
 
-		this.#peers.set(host, {...peer, lostAtMs: this.#clock.monotonicMs()});
+		this.#put(peer.member, peer.isBeating, this.#clock.monotonicMs());
 		return peer.member;
 	}
 
-	/**
-	 * Another instance holds it for lost.
-	 *
-	 * @returns whether it should be asked: it counts as lost until it answers, unless it was heard just now
-	 */
-	toldLost(host: string, incarnation: IncarnationId): boolean {
-		const peer = this.#peers.get(host);
-		const isHeardNow = peer !== undefined && this.#clock.monotonicMs() - peer.heardAtMs < this.#timing.heartbeatMs;
-		return peer?.member.incarnation === incarnation && !isHeardNow && this.lost(host) !== undefined;
+	/** Number of members found to be lost within this time. */
+	lostWithin(durationMs: number): number {
+		const oldestMs = this.#clock.monotonicMs() - durationMs;
+		return [...this.#peers.values()].filter(({lostAtMs}) => lostAtMs !== undefined && lostAtMs >= oldestMs).length;
 	}
 
-	/** Whether anyone was heard lately: an instance that hears nobody is cut off itself. */
+	/**
+	 * Whether anyone was heard lately: an instance that hears nobody is cut off itself. One hears some ten datagrams a
+	 * second, so that two heartbeats without any are no accident.
+	 */
 	get hearsOthers(): boolean {
-		const oldestMs = this.#clock.monotonicMs() - this.#timing.suspectAfterMs;
-		return [...this.#peers.values()].some(({heardAtMs}) => heardAtMs >= oldestMs);
+		return this.#clock.monotonicMs() - this.#heardAtMs < this.#timing.heartbeatMs * cutOffBeats;
 	}
 
 	/** Members that must be asked whether they are alive, as they send no heartbeats here or have stopped to. */
@@ -123,6 +174,19 @@
 		return [...this.#candidates.keys()];
 	}
 
+	/** Availability zone of a member, as far as it is known. */
+	zoneOf(host: string): AvailabilityZoneId | undefined {
+		return this.#peers.get(host)?.member.availabilityZone;
+	}
+
+	/**
+	 * Whether all send heartbeats to all. In a larger fleet some may still think it small, or have been told late that it
+	 * isn't, so that silence tells nothing.
+	 */
+	get isSmall(): boolean {
+		return this.#peers.size + this.#candidates.size <= smallFleet;
+	}
+
 	/** All addresses at which an instance is or may be. */
 	targets(): readonly string[] {
 		return [...this.#peers.keys(), ...this.#candidates.keys()];
@@ -139,7 +203,7 @@
 		const silent = [...this.#peers].filter(([, peer]) => this.#isSilent(peer) && (peer.lostAtMs ?? peer.heardAtMs) < oldestMs).map(([host]) => host);
 		const unheard = [...this.#candidates].filter(([, toldAtMs]) => toldAtMs < oldestMs).map(([host]) => host);
 		for (const host of silent) {
-			this.#peers.delete(host);
+			this.#drop(host);
 		}
 
 		for (const host of unheard) {
@@ -149,7 +213,21 @@
 		return [...silent, ...unheard];
 	}
 
-	#newsOf({incarnation}: FleetMember, known: Peer | undefined): HeardNews {
+	/** One that was heard just now is not lost, whatever others say. */
+	#tell(news: MemberNews): boolean {
+		const known = this.#peers.get(news.host);
+		const isContradicted = news.isLost && (known === undefined || this.isHeardNow(news.host, news.incarnation));
+		if (isContradicted || (known !== undefined && !isNewer(news, newsOf(known)))) {
+			return false;
+		}
+
+		const {isLost, ...told} = news;
+		const before = known?.member.incarnation === news.incarnation ? known.member : unknownState;
+		this.#put({...before, ...told}, false, isLost ? this.#clock.monotonicMs() : undefined);
+		return true;
+	}
+
+	#newsOf({incarnation, revision}: FleetMember, known: Peer | undefined): HeardNews {
 		if (known?.member.incarnation !== incarnation) {
 			return 'appeared';
 		}
@@ -158,11 +236,62 @@
 			return 'returned';
 		}
 
-		return this.#isSilent(known) ? 'appeared' : 'nothing';
+		if (this.#isSilent(known)) {
+			return 'appeared';
+		}
+
+		return known.member.revision === revision ? 'nothing' : 'changed';
+	}
+
+	#put(member: FleetMember, isBeating: boolean, lostAtMs: number | undefined): void {
+		const known = this.#peers.get(member.host);
+		const heardAtMs = lostAtMs === undefined ? this.#clock.monotonicMs() : known?.heardAtMs ?? Number.NEGATIVE_INFINITY;
+		const hash = known !== undefined && isSame(known.member, member) ? known.hash : hashOf(member);
+		this.#digest += (lostAtMs === undefined ? hash : 0) - digestPart(known);
+		this.#peers.set(member.host, {
+			member, isBeating, heardAtMs, lostAtMs, hash,
+		});
+		this.#candidates.delete(member.host);
+	}
+
+	#drop(host: string): void {
+		this.#digest -= digestPart(this.#peers.get(host));
+		this.#peers.delete(host);
+	}
+
+	#noteSize(): void {
+		this.#greatestSize = Math.max(this.#greatestSize, this.live().length + 1);
 	}
 
 	#isSilent({isBeating, heardAtMs, lostAtMs}: Peer): boolean {
-		const isOverdue = isBeating && this.#clock.monotonicMs() - heardAtMs > this.#timing.suspectAfterMs;
+		const isOverdue = isBeating && this.isSmall && this.#clock.monotonicMs() - heardAtMs > this.#timing.suspectAfterMs;
 		return lostAtMs !== undefined || isOverdue;
 	}
 }
+
+/** What is taken of a member of which another instance has told, until it is heard itself. */
+const unknownState = {
+	membersDigest: 0, configurationVersion: 0, registryOffset: -1, registryDigest: 0, stateAgeMs: Number.POSITIVE_INFINITY,
+};
+
+function newsOf({member, lostAtMs}: Peer): MemberNews {
+	const {
+		host, incarnation, availabilityZone, ready, leaving, reachesStore, revision,
+	} = member;
+	return {
+		host, incarnation, availabilityZone, ready, leaving, reachesStore, revision, isLost: lostAtMs !== undefined,
+	};
+}
+
+function digestPart(peer: Peer | undefined): number {
+	return peer?.lostAtMs === undefined ? peer?.hash ?? 0 : 0;
+}
+
+function isSame(left: Identity, right: Identity): boolean {
+	return left.incarnation === right.incarnation && left.revision === right.revision;
+}
+
+/** With the revision, as whoever missed one doesn't know whether callers may be sent there. */
+function hashOf({host, incarnation, revision}: Identity): number {
+	return hashText(`${host} ${incarnation} ${revision}`);
+}
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,5 +1,11 @@
+export * from './address-choice.js';
 export type * from './fleet-member.js';
 export * from './fleet-view.js';
+export * from './hand-over-limit.js';
+export * from './incarnation.js';
+export * from './member-news.js';
+export * from './news-targets.js';
+export * from './store-entry-plan.js';
 export * from './store-follower.js';
 export * from './member-checks.js';
 export * from './store-reading.js';
--- a/packages/core/src/fleet/member-checks.spec.ts
+++ b/packages/core/src/fleet/member-checks.spec.ts
@@ -29,6 +29,20 @@
 		assert.equal(new MemberChecks(createRandomSource(1)).next(many).asked.length, 2);
 	});
 
+	it('should ask a fraction of a member a round on the mean, and more where it is told to', () => {
+		const checks = new MemberChecks(createRandomSource(1), 0.25);
+		const rounds = Array.from({length: 8}, () => {
+			const {asked} = checks.next(hosts);
+			for (const host of asked) {
+				checks.heard(host);
+			}
+
+			return asked.length;
+		});
+		assert.deepEqual(rounds, [0, 0, 0, 1, 0, 0, 0, 1]);
+		assert.equal(checks.next(hosts, 8).asked.length, 2);
+	});
+
 	it('should ask three times, and then hold a member for lost, once', () => {
 		const checks = new MemberChecks(createRandomSource(1));
 		const [silent] = hosts;
--- a/packages/core/src/fleet/member-checks.ts
+++ b/packages/core/src/fleet/member-checks.ts
@@ -5,7 +5,7 @@
  * Members that one instance asks anew in each round. As all ask, each member is asked about twice a round whatever the
  * size of the fleet: at 132 instances one received 20 datagrams a second in place of 328 with heartbeats from each to all.
  */
-const askedPerRound = 2;
+export const askedPerRound = 2;
 /** One lost datagram must not cost a member its callers: it is asked this often before it counts as lost. */
 const maximumAsks = 3;
 
@@ -18,17 +18,25 @@
 
 export class MemberChecks {
 	readonly #random: RandomSource;
+	readonly #perRound: number;
+	/** Part of an ask that is left over from the rounds before. */
+	#credit = 0;
 	/** Number of asks by host, while none is answered. */
 	readonly #unanswered = new Map<string, number>();
 	/** Hosts in the order in which they are asked next; each comes once before any comes again. */
 	#queue: string[] = [];
 
-	constructor(random: RandomSource) {
+	/** @param perRound - members asked anew in each round, on the mean; may be a fraction */
+	constructor(random: RandomSource, perRound: number = askedPerRound) {
 		this.#random = random;
+		this.#perRound = perRound;
 	}
 
-	/** @param hosts - members that are not known to be alive without being asked */
-	next(hosts: readonly string[]): CheckRound {
+	/**
+	 * @param hosts - members that are not known to be alive without being asked
+	 * @param factor - how many times as many as usual are asked in this round
+	 */
+	next(hosts: readonly string[], factor = 1): CheckRound {
 		const known = new Set(hosts);
 		for (const host of [...this.#unanswered.keys()].filter(host => !known.has(host))) {
 			this.#unanswered.delete(host);
@@ -39,7 +47,7 @@
 			this.#unanswered.delete(host);
 		}
 
-		const asked = [...this.#unanswered.keys(), ...this.#drawn(known)];
+		const asked = [...this.#unanswered.keys(), ...this.#drawn(known, this.#perRound * factor)];
 		for (const host of asked) {
 			this.#unanswered.set(host, (this.#unanswered.get(host) ?? 0) + 1);
 		}
@@ -52,15 +60,22 @@
 		this.#unanswered.delete(host);
 	}
 
-	#drawn(known: ReadonlySet<string>): string[] {
+	#drawn(known: ReadonlySet<string>, due: number): string[] {
+		this.#credit += due;
+		const count = Math.floor(this.#credit);
+		this.#credit -= count;
+		if (count === 0) {
+			return [];
+		}
+
 		this.#queue = this.#queue.filter(host => known.has(host) && !this.#unanswered.has(host));
-		if (this.#queue.length < askedPerRound) {
+		if (this.#queue.length < count) {
 			const waiting = new Set(this.#queue);
 			const others = [...known].filter(host => !waiting.has(host) && !this.#unanswered.has(host));
 			this.#queue.push(...this.#shuffled(others));
 		}
 
-		return this.#queue.splice(0, askedPerRound);
+		return this.#queue.splice(0, count);
 	}
 
 	#shuffled(hosts: readonly string[]): string[] {
--- /dev/null
+++ b/packages/core/src/fleet/news-targets.ts
@@ -0,0 +1,27 @@
+/** To whom an instance passes on what it has just learnt of others. */
+import type {AvailabilityZoneId} from '../model/ids.js';
+import type {RandomSource} from '../model/random-source.js';
+import type {FleetMember} from './fleet-member.js';
+
+/**
+ * Each instance passes each piece of news on once, to this many. One instance then misses it with a probability of
+ * exp(-6), 1 in 400, and finds that out by comparing digests.
+ */
+const targets = 6;
+/**
+ * Those of them in other availability zones, as bytes between zones are paid for. Each zone of 60 instances still gets
+ * each piece of news from some 60 outside.
+ */
+const farTargets = 1;
+
+/** Draws some of the other instances, most of them from the own availability zone. */
+export function chooseNewsTargets(live: readonly FleetMember[], ownZone: AvailabilityZoneId, random: RandomSource): readonly string[] {
+	const near = drawn(live.filter(({availabilityZone}) => availabilityZone === ownZone), targets - farTargets, random);
+	const far = drawn(live.filter(({availabilityZone}) => availabilityZone !== ownZone), targets - near.length, random);
+	return [...near, ...far].map(({host}) => host);
+}
+
+function drawn(members: readonly FleetMember[], count: number, random: RandomSource): readonly FleetMember[] {
+	const left = [...members];
+	return Array.from({length: Math.min(count, left.length)}, () => left.splice(random.below(left.length), 1)[0]!);
+}
--- a/packages/core/src/fleet/store-follower.ts
+++ b/packages/core/src/fleet/store-follower.ts
@@ -19,3 +19,9 @@
 	const orders = eligible.map(({incarnation}) => hashText(incarnation));
 	return eligible[orders.indexOf(Math.min(...orders))]?.incarnation;
 }
+
+/** Place of an instance in that order among all, from 0. */
+export function followerRank(incarnation: IncarnationId, others: ReadonlyArray<Pick<FollowerCandidate, 'incarnation'>>): number {
+	const own = hashText(incarnation);
+	return others.filter(other => hashText(other.incarnation) < own).length;
+}
--- a/packages/core/src/fleet/store-reading.spec.ts
+++ b/packages/core/src/fleet/store-reading.spec.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {chooseReading, type ReadingSituation} from './store-reading.js';
+import {chooseReading, nextLookMs, type ReadingSituation} from './store-reading.js';
 
 const settled: ReadingSituation = {
-	isFollower: false, isDeputy: false, isKnown: true, isKnownToOthers: true, sinceStartMs: 60_000, ageMs: 300, spread: 0,
+	isFollower: false, isDeputy: false, isKnown: true, isKnownToOthers: true, isToldOfOthers: false, isFirstStart: false, sinceStartMs: 60_000, ageMs: 300, spread: 0,
 };
 
 const started: ReadingSituation = {
@@ -19,6 +19,22 @@
 			assert.equal(chooseReading({...started, sinceStartMs: 0, isKnownToOthers: false}), 'once');
 		});
 
+		it('should wait to be heard where others were named to it, for a moment that differs from instance to instance', () => {
+			const told: ReadingSituation = {...started, isToldOfOthers: true, isKnownToOthers: false};
+			assert.equal(chooseReading({...told, sinceStartMs: 149}), 'wait');
+			assert.equal(chooseReading({...told, sinceStartMs: 150}), 'once');
+			assert.equal(chooseReading({...told, sinceStartMs: 400, spread: 0.9}), 'wait');
+			assert.equal(chooseReading({...told, sinceStartMs: 450, spread: 0.99}), 'once');
+		});
+
+		it('should wait longer at the first start of the whole fleet, as no caller waits yet', () => {
+			const first: ReadingSituation = {
+				...started, isToldOfOthers: true, isKnownToOthers: false, isFirstStart: true,
+			};
+			assert.equal(chooseReading({...first, sinceStartMs: 1499}), 'wait');
+			assert.equal(chooseReading({...first, sinceStartMs: 1500}), 'once');
+		});
+
 		it('should wait for others to hand over what they know, but not for long', () => {
 			assert.equal(chooseReading(started), 'wait');
 			assert.equal(chooseReading({...started, sinceStartMs: 250}), 'once');
@@ -34,6 +50,24 @@
 		}), 'follow');
 	});
 
+	describe('the next look', () => {
+		it('should come at the moment at which what is known is old enough to be read', () => {
+			assert.equal(nextLookMs(settled), 950);
+			assert.equal(nextLookMs({...settled, isDeputy: true}), 800);
+			for (const spread of [0, 0.5, 0.99]) {
+				const situation = {...settled, spread};
+				assert.equal(chooseReading({...situation, ageMs: situation.ageMs + nextLookMs(situation)}), 'once');
+			}
+		});
+
+		it('should come soon while nothing is known, and as soon as the follower may follow', () => {
+			assert.equal(nextLookMs(started), 10);
+			assert.equal(nextLookMs({
+				...settled, isFollower: true, sinceStartMs: 500, ageMs: 0,
+			}), 100);
+		});
+	});
+
 	describe('of what is known', () => {
 		it('should be followed by one on behalf of all', () => {
 			assert.equal(chooseReading({...settled, isFollower: true}), 'follow');
--- a/packages/core/src/fleet/store-reading.ts
+++ b/packages/core/src/fleet/store-reading.ts
@@ -1,11 +1,20 @@
 /** When an instance reads the store itself, and when it relies on what others tell: each call to the store is paid for. */
 
 /**
- * Time after the start within which others that know what is sought hand it over. Where nobody is known to know it, it is
- * read at once: looking around for 30 ms first, and waiting for the follower, cost 0.05 of the worth of the two seconds
- * after all instances lost power (four seconds of two days).
+ * Time after the start within which others that know what is sought hand it over. An instance that was told of no other
+ * one reads at once where nobody is known to know it: looking around for 30 ms first, and waiting for the follower, cost
+ * 0.05 of the worth of the two seconds after all instances lost power (four seconds of two days).
  */
 const handOverMs = 250;
+/**
+ * Time after the start in which an instance that was told of others waits for one of them to be heard. Those others read
+ * at once and hand on what they read: 20 instances that each read for themselves made 60 calls of 269 on a calm day.
+ */
+const firstContactMs = 150;
+/** Spread of the end of that wait, so that the first to read can hand it to the rest where none of those told of is up. */
+const firstContactSpreadMs = 300;
+/** After the first start of the whole fleet no caller waits yet, and instances come up within some hundred milliseconds. */
+const firstStartContactMs = 1500;
 /**
  * Time after the start in which nobody follows the store: until then each of many that start at one moment may hold
  * itself for the follower. 132 instances made 264 reads that the store held for 700 ms each.
@@ -23,6 +32,8 @@
 const staleAfterMs = 1250;
 /** Spread of that moment over the instances, so that the first to read can tell the others. */
 const staleSpreadMs = 200;
+/** How often an instance that knows nothing yet looks for others; the least pause between two looks. */
+const firstLookMs = 10;
 
 export type ReadingSituation = {
 	/** It reads on behalf of all. */
@@ -33,6 +44,10 @@
 	readonly isKnown: boolean;
 	/** Another instance that was heard knows what is sought. */
 	readonly isKnownToOthers: boolean;
+	/** Others were named to it before the start, and it was not named to them. */
+	readonly isToldOfOthers: boolean;
+	/** The whole fleet starts for the first time. */
+	readonly isFirstStart: boolean;
 	readonly sinceStartMs: number;
 	/** Age of what is known. */
 	readonly ageMs: number;
@@ -49,15 +64,45 @@
 	| 'follow';
 
 /** What an instance does next about one topic of the store. */
-export function chooseReading({isFollower, isDeputy, isKnown, isKnownToOthers, sinceStartMs, ageMs, spread}: ReadingSituation): Reading {
+export function chooseReading(situation: ReadingSituation): Reading {
+	const {isFollower, isKnown, sinceStartMs, ageMs} = situation;
 	if (!isKnown) {
-		return isKnownToOthers && sinceStartMs < handOverMs ? 'wait' : 'once';
+		return sinceStartMs < longestWaitMs(situation) ? 'wait' : 'once';
 	}
 
 	if (isFollower && sinceStartMs >= settleMs) {
 		return 'follow';
 	}
 
-	const staleMs = isFollower || isDeputy ? deputyStaleAfterMs : staleAfterMs + (spread * staleSpreadMs);
-	return ageMs < staleMs ? 'wait' : 'once';
+	return ageMs < staleMs(situation) ? 'wait' : 'once';
+}
+
+/**
+ * How long nothing need be looked at where the choice is to wait: what is known can only become fresher meanwhile. An
+ * instance that becomes the follower is woken. Looking every 100 ms instead made 20 of the 40 times a second that an idle
+ * instance woke up.
+ */
+export function nextLookMs(situation: ReadingSituation): number {
+	const {isFollower, isKnown, sinceStartMs, ageMs} = situation;
+	if (!isKnown) {
+		return firstLookMs;
+	}
+
+	const untilStaleMs = staleMs(situation) - ageMs;
+	return Math.max(firstLookMs, isFollower ? Math.min(untilStaleMs, settleMs - sinceStartMs) : untilStaleMs);
+}
+
+/** After its start, until it knows what it looks for. */
+function longestWaitMs({isKnownToOthers, isToldOfOthers, isFirstStart, spread}: ReadingSituation): number {
+	const contactMs = (isFirstStart ? firstStartContactMs : firstContactMs) + (spread * firstContactSpreadMs);
+	if (isToldOfOthers) {
+		return isKnownToOthers ? contactMs + handOverMs : contactMs;
+	}
+
+	return isKnownToOthers ? handOverMs : 0;
+}
+
+/** Age at which what is known is read once more. */
+function staleMs({isFollower, isDeputy, spread}: ReadingSituation): number {
+	return isFollower || isDeputy ? deputyStaleAfterMs : staleAfterMs + (spread * staleSpreadMs);
 }
--- /dev/null
+++ b/packages/core/src/placement/aperture.spec.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {
+	apertureWidth, ringOrder, seatOf, takeAperture,
+} from './aperture.js';
+
+const always = () => true;
+
+function ring(upstreams: number): readonly string[] {
+	return ringOrder(Array.from({length: upstreams}, (_, index) => `upstream-${index}`), id => id);
+}
+
+/** How many of these instances turn to each upstream. */
+function turnedTo(upstreams: readonly string[], instances: number): readonly number[] {
+	const counts = new Map(upstreams.map(id => [id, 0]));
+	for (let index = 0; index < instances; index++) {
+		for (const id of takeAperture(upstreams, {index, count: instances}, always)) {
+			counts.set(id, counts.get(id)! + 1);
+		}
+	}
+
+	return [...counts.values()];
+}
+
+describe('seatOf', () => {
+	it('should give each instance a place of its own, in the same order at all', () => {
+		const hosts = Array.from({length: 61}, (_, index) => `10.1.0.${index}`);
+		const seats = hosts.map(host => seatOf(host, hosts.filter(other => other !== host)));
+		assert.equal(new Set(seats.map(({index}) => index)).size, 61);
+		assert.ok(seats.every(({count}) => count === 61));
+	});
+});
+
+describe('takeAperture', () => {
+	it('should spread the instances of zones of any size evenly: the busiest upstream under 1.3 times the mean', () => {
+		for (const [instances, upstreams] of [[61, 87], [58, 61], [67, 64], [66, 111], [61, 49], [313, 503], [30, 503]] as const) {
+			const counts = turnedTo(ring(upstreams), instances);
+			const mean = instances * apertureWidth / upstreams;
+			assert.ok(Math.max(...counts) <= Math.max(mean * 1.3, mean + 1), `${instances} on ${upstreams}: ${Math.max(...counts)} of ${mean}`);
+		}
+	});
+
+	it('should keep that with a tenth of both coming and going', () => {
+		fc.assert(fc.property(fc.integer({min: 280, max: 345}), fc.integer({min: 450, max: 553}), (instances, upstreams) => {
+			const counts = turnedTo(ring(upstreams), instances);
+			assert.ok(Math.max(...counts) - Math.min(...counts) <= 2);
+		}), {seed: 3, numRuns: 20});
+	});
+
+	it('should move little as one instance goes', () => {
+		const upstreams = ring(87);
+		let kept = 0;
+		for (let index = 0; index < 60; index++) {
+			const before = new Set(takeAperture(upstreams, {index, count: 61}, always));
+			kept += takeAperture(upstreams, {index, count: 60}, always).filter(id => before.has(id)).length;
+		}
+
+		assert.ok(kept / 60 > apertureWidth - 1, `${kept / 60} of ${apertureWidth}`);
+	});
+
+	it('should take the next ones for those that are not usable', () => {
+		const upstreams = ring(40);
+		const seat = {index: 7, count: 20};
+		const [first, ...others] = takeAperture(upstreams, seat, always);
+		const taken = takeAperture(upstreams, seat, id => id !== first);
+		assert.deepEqual(taken.slice(0, -1), others);
+		assert.equal(taken.length, apertureWidth);
+	});
+
+	it('should take all where there are few, and none where there are none', () => {
+		assert.equal(takeAperture(ring(5), {index: 2, count: 9}, always).length, 5);
+		assert.deepEqual(takeAperture([], {index: 0, count: 1}, always), []);
+	});
+});
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,4 +1,5 @@
 export * from './admission.js';
+export * from './aperture.js';
 export * from './at-ease.js';
 export * from './expected-duration.js';
 export type * from './load-report.js';
--- a/packages/core/src/placement/upstream-condition.ts
+++ b/packages/core/src/placement/upstream-condition.ts
@@ -28,6 +28,7 @@
 export class UpstreamCondition {
 	readonly #clock: Clock;
 	readonly #own: OwnRequests;
+	readonly #onUnreachable: () => void;
 	#report: LoadReport | undefined;
 	#reportAtMs = Number.NEGATIVE_INFINITY;
 	#reports = 0;
@@ -39,9 +40,11 @@
 	#askedAtMs: number | undefined;
 	#unreportedInFlight = 0;
 
-	constructor(clock: Clock) {
+	/** @param onUnreachable - it could not be reached, and is to be checked once that is due */
+	constructor(clock: Clock, onUnreachable: () => void = () => undefined) {
 		this.#clock = clock;
 		this.#own = new OwnRequests(clock);
+		this.#onUnreachable = onUnreachable;
 	}
 
 	/** The last report while it is worth something; where an upstream tells no load, what its answers say of it. */
@@ -174,6 +177,7 @@
 		this.#unreachableCount += 1;
 		this.#checkDueAtMs = this.#clock.monotonicMs() + backoffMs;
 		this.#reportAtMs = Number.NEGATIVE_INFINITY;
+		this.#onUnreachable();
 	}
 
 	#imply(report: LoadReport): void {
--- a/packages/core/src/registry/upstream-registry.ts
+++ b/packages/core/src/registry/upstream-registry.ts
@@ -115,6 +115,11 @@
 		return events;
 	}
 
+	/** An entry is missing that may come back. */
+	get hasLapsed(): boolean {
+		return [...this.#entries.values()].some(({goneAtMs}) => goneAtMs !== undefined);
+	}
+
 	/** Drops what lapsed and did not come back in time. */
 	sweep(): readonly RegistryEvent[] {
 		const nowMs = this.#clock.monotonicMs();
--- a/packages/gateway/src/features/directory/directory-task.ts
+++ b/packages/gateway/src/features/directory/directory-task.ts
@@ -2,7 +2,8 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {FleetMember} from '@cairnbank/core/fleet';
+import type {AvailabilityZoneId} from '@cairnbank/core';
+import {chooseAddresses, type Addressable} from '@cairnbank/core/fleet';
 import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import {listen, splitAddress} from '../../kernel/listen.js';
@@ -23,7 +24,7 @@
 	readonly context: Context;
 	readonly dialect: DirectoryDialect;
 	readonly isReady: () => boolean;
-	readonly offered: () => readonly FleetMember[];
+	readonly offered: () => readonly Addressable[];
 };
 
 export class DirectoryTask implements Task {
@@ -76,13 +77,13 @@
 			return;
 		}
 
-		this.#answerAddresses(response);
+		this.#answerAddresses(response, query.availabilityZone as AvailabilityZoneId);
 	}
 
-	#answerAddresses(response: ServerResponse): void {
+	#answerAddresses(response: ServerResponse, callerZone: AvailabilityZoneId): void {
 		const {context, dialect, offered} = this.#options;
 		const {port} = splitAddress(context.settings.listen.callers);
-		const addresses = offered().map(({host}) => `${host}:${port}`).slice(0, dialect.maximumAddresses);
+		const addresses = chooseAddresses(offered(), callerZone, dialect.maximumAddresses).map(({host}) => `${host}:${port}`);
 		if (addresses.length === 0) {
 			response.statusCode = 503;
 			response.end();
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -2,20 +2,24 @@
 import {Buffer} from 'node:buffer';
 import {describe, it} from 'node:test';
 import type {
-	AvailabilityZoneId, Fingerprint, IncarnationId, InstanceId, ServiceId, UpstreamId,
+	AvailabilityZoneId, Fingerprint, IncarnationId, ServiceId, UpstreamId,
 } from '@cairnbank/core';
+import type {MemberNews} from '@cairnbank/core/fleet';
 import fc from 'fast-check';
-import {decodeMessage, encodeMessage, type FleetMessage} from './datagrams.js';
+import {
+	decodeMessage, encodeMessage, maximumDatagramBytes, membersPerMessage, type FleetMessage,
+} from './datagrams.js';
 
 const heartbeat: FleetMessage = {
 	type: 'heartbeat',
 	member: {
-		instance: 'entry-1' as InstanceId,
 		incarnation: 'abc' as IncarnationId,
 		host: '10.0.0.1',
 		availabilityZone: 'nasr' as AvailabilityZoneId,
 		ready: true,
 		leaving: false,
+		revision: 3,
+		membersDigest: 4_294_967_295,
 		configurationVersion: 4,
 		registryOffset: 17,
 		registryDigest: 99,
@@ -24,9 +28,26 @@
 	},
 	isBeating: true,
 	wantsReply: false,
+	wantsMembers: false,
 };
 
-const lost: FleetMessage = {type: 'lost', host: '10.0.0.1', incarnation: 'abc' as IncarnationId};
+const news: MemberNews = {
+	host: '10.0.0.1',
+	incarnation: 'abc' as IncarnationId,
+	availabilityZone: 'nasr' as AvailabilityZoneId,
+	ready: true,
+	leaving: false,
+	reachesStore: true,
+	revision: 2,
+	isLost: false,
+};
+
+const members: FleetMessage = {
+	type: 'members',
+	members: [news, {
+		...news, host: '10.0.0.2', isLost: true, ready: false,
+	}, {...news, host: '10.1.0.1', availabilityZone: 'giza' as AvailabilityZoneId}],
+};
 
 const changes: FleetMessage = {
 	type: 'changes',
@@ -59,12 +80,25 @@
 const crash: FleetMessage = {type: 'crash', crash: {fingerprint: 'f'.repeat(22) as Fingerprint, upstream: 'u1' as UpstreamId}};
 
 describe('datagrams', () => {
-	for (const message of [heartbeat, {...heartbeat, isBeating: false, wantsReply: true}, changes, crash, lost, {type: 'hosts', hosts: ['10.0.0.1', '10.0.0.2']}] satisfies FleetMessage[]) {
+	for (const message of [heartbeat, {
+		...heartbeat, isBeating: false, wantsReply: true, wantsMembers: true,
+	}, changes, crash, members] satisfies FleetMessage[]) {
 		it(`should carry ${message.type} as they are`, () => {
 			assert.deepEqual(decodeMessage(encodeMessage(message, 1000), 1000)._unsafeUnwrap(), message);
 		});
 	}
 
+	it('should hold as many members as are put into one, whatever their names', () => {
+		const many = Array.from({length: membersPerMessage}, (_, index) => ({
+			...news,
+			host: `255.255.255.${100 + index}`,
+			incarnation: '0mhq3x1k2abc' as IncarnationId,
+			availabilityZone: `rakiraki-substation-control-${index % 5}` as AvailabilityZoneId,
+			revision: 10_000,
+		}));
+		assert.ok(encodeMessage({type: 'members', members: many}, 0).length <= maximumDatagramBytes);
+	});
+
 	it('should set times of the sender against the clock of the receiver', () => {
 		const received = decodeMessage(encodeMessage(changes, 1000), 9000)._unsafeUnwrap();
 		assert.deepEqual(received.type === 'changes' && received.trust, {type: 'after-outage', returnedAtMs: 8500});
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -1,9 +1,9 @@
 /** Messages between instances, as JSON arrays: every byte between availability zones is paid for. */
 import {Buffer} from 'node:buffer';
 import type {
-	AvailabilityZoneId, Fingerprint, IncarnationId, InstanceId, ServiceId, UpstreamId,
+	AvailabilityZoneId, Fingerprint, IncarnationId, ServiceId, UpstreamId,
 } from '@cairnbank/core';
-import type {FleetMember} from '@cairnbank/core/fleet';
+import type {FleetMember, MemberNews} from '@cairnbank/core/fleet';
 import type {
 	KeyedChange, KeyedChanges, RegisteredUpstream, RemovalTrust,
 } from '@cairnbank/core/registry';
@@ -22,11 +22,11 @@
 		readonly isBeating: boolean;
 		/** The receiver is asked for one of its own. */
 		readonly wantsReply: boolean;
+		/** The receiver is asked for all that it knows of members. */
+		readonly wantsMembers: boolean;
 	}
-	/** The sender has had no answer from this process. */
-	| {readonly type: 'lost'; readonly host: string; readonly incarnation: IncarnationId}
-	/** Addresses of instances, told to one that has just appeared. */
-	| {readonly type: 'hosts'; readonly hosts: readonly string[]}
+	/** What the sender knows of some members. */
+	| {readonly type: 'members'; readonly members: readonly MemberNews[]}
 	/** A request was running at an upstream that crashed. */
 	| {readonly type: 'crash'; readonly crash: Crash}
 	| {readonly type: 'changes'; readonly changes: KeyedChanges<RegisteredUpstream>; readonly trust: RemovalTrust};
@@ -36,11 +36,19 @@
 const reachesStoreFlag = 4;
 const beatingFlag = 8;
 const wantsReplyFlag = 16;
+const wantsMembersFlag = 32;
+const lostFlag = 64;
+
+/** Members in one message, so that it fits into a datagram with five availability zones of long names. */
+export const membersPerMessage = 22;
 
 const heartbeatSchema = v.tuple([
-	v.literal('b'), v.string(), v.string(), v.string(), v.string(), v.number(), v.number(), v.number(), v.number(), v.number(),
+	v.literal('b'), v.string(), v.string(), v.string(), v.number(), v.number(), v.number(), v.number(), v.number(), v.number(), v.number(),
+]);
+/** By availability zone: host, incarnation, flags, revision. */
+const membersSchema = v.tuple([
+	v.literal('m'), v.array(v.tuple([v.string(), v.array(v.tuple([v.string(), v.string(), v.number(), v.number()]))])),
 ]);
-const hostsSchema = v.tuple([v.literal('k'), v.array(v.string())]);
 const upstreamSchema = v.tuple([
 	v.string(), v.string(), v.string(), v.number(), v.string(), v.number(), v.boolean(), v.number(), v.number(), v.number(),
 ]);
@@ -54,8 +62,7 @@
 	v.array(v.tuple([v.number(), v.string(), entrySchema])),
 ]);
 const crashSchema = v.tuple([v.literal('x'), v.string(), v.string()]);
-const lostSchema = v.tuple([v.literal('l'), v.string(), v.string()]);
-const messageSchema = v.union([heartbeatSchema, hostsSchema, changesSchema, crashSchema, lostSchema]);
+const messageSchema = v.union([heartbeatSchema, membersSchema, changesSchema, crashSchema]);
 
 export function encodeMessage(message: FleetMessage, nowMs: number): Uint8Array {
 	return Buffer.from(JSON.stringify(toArray(message, nowMs)));
@@ -80,11 +87,12 @@
 			const {member} = message;
 			return [
 				'b',
-				member.instance,
 				member.incarnation,
 				member.host,
 				member.availabilityZone,
 				flagsOf(message),
+				member.revision,
+				member.membersDigest,
 				member.configurationVersion,
 				member.registryOffset,
 				member.registryDigest,
@@ -92,12 +100,8 @@
 			];
 		}
 
-		case 'hosts': {
-			return ['k', message.hosts];
-		}
-
-		case 'lost': {
-			return ['l', message.host, message.incarnation];
+		case 'members': {
+			return ['m', fromMembers(message.members)];
 		}
 
 		case 'crash': {
@@ -117,17 +121,18 @@
 function fromArray(array: v.InferOutput<typeof messageSchema>, nowMs: number): FleetMessage {
 	switch (array[0]) {
 		case 'b': {
-			const [, instance, incarnation, host, zone, flags, configurationVersion, registryOffset, registryDigest, stateAgeMs] = array;
+			const [, incarnation, host, zone, flags, revision, membersDigest, configurationVersion, registryOffset, registryDigest, stateAgeMs] = array;
 			return {
 				type: 'heartbeat',
 				member: {
-					instance: instance as InstanceId,
 					incarnation: incarnation as IncarnationId,
 					host,
 					availabilityZone: zone as AvailabilityZoneId,
 					ready: hasFlag(flags, readyFlag),
 					leaving: hasFlag(flags, leavingFlag),
 					reachesStore: hasFlag(flags, reachesStoreFlag),
+					revision,
+					membersDigest,
 					configurationVersion,
 					registryOffset,
 					registryDigest,
@@ -135,15 +140,12 @@
 				},
 				isBeating: hasFlag(flags, beatingFlag),
 				wantsReply: hasFlag(flags, wantsReplyFlag),
+				wantsMembers: hasFlag(flags, wantsMembersFlag),
 			};
 		}
 
-		case 'l': {
-			return {type: 'lost', host: array[1], incarnation: array[2] as IncarnationId};
-		}
-
-		case 'k': {
-			return {type: 'hosts', hosts: array[1]};
+		case 'm': {
+			return {type: 'members', members: toMembers(array)};
 		}
 
 		case 'x': {
@@ -197,12 +199,36 @@
 	};
 }
 
-function flagsOf({member, isBeating, wantsReply}: Extract<FleetMessage, {type: 'heartbeat'}>): number {
-	return (member.ready ? readyFlag : 0)
-		+ (member.leaving ? leavingFlag : 0)
-		+ (member.reachesStore ? reachesStoreFlag : 0)
-		+ (isBeating ? beatingFlag : 0)
-		+ (wantsReply ? wantsReplyFlag : 0);
+function flagsOf({member, isBeating, wantsReply, wantsMembers}: Extract<FleetMessage, {type: 'heartbeat'}>): number {
+	return memberFlags(member) + (isBeating ? beatingFlag : 0) + (wantsReply ? wantsReplyFlag : 0) + (wantsMembers ? wantsMembersFlag : 0);
+}
+
+function memberFlags({ready, leaving, reachesStore}: Pick<MemberNews, 'ready' | 'leaving' | 'reachesStore'>): number {
+	return (ready ? readyFlag : 0) + (leaving ? leavingFlag : 0) + (reachesStore ? reachesStoreFlag : 0);
+}
+
+function fromMembers(members: readonly MemberNews[]): Array<v.InferInput<typeof membersSchema>[1][number]> {
+	const byZone = new Map<string, Array<[string, string, number, number]>>();
+	for (const member of members) {
+		const ofZone = byZone.get(member.availabilityZone) ?? [];
+		ofZone.push([member.host, member.incarnation, memberFlags(member) + (member.isLost ? lostFlag : 0), member.revision]);
+		byZone.set(member.availabilityZone, ofZone);
+	}
+
+	return [...byZone];
+}
+
+function toMembers([, byZone]: v.InferOutput<typeof membersSchema>): readonly MemberNews[] {
+	return byZone.flatMap(([zone, members]) => members.map(([host, incarnation, flags, revision]) => ({
+		host,
+		incarnation: incarnation as IncarnationId,
+		availabilityZone: zone as AvailabilityZoneId,
+		ready: hasFlag(flags, readyFlag),
+		leaving: hasFlag(flags, leavingFlag),
+		reachesStore: hasFlag(flags, reachesStoreFlag),
+		isLost: hasFlag(flags, lostFlag),
+		revision,
+	})));
 }
 
 function hasFlag(flags: number, flag: number): boolean {
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -1,6 +1,7 @@
 /** Owns the traffic between instances: membership, news of the registry, the choice of who reads the store. */
-import type {AvailabilityZoneId, IncarnationId, InstanceId} from '@cairnbank/core';
-import {chooseFollower, type FleetMember} from '@cairnbank/core/fleet';
+import type {AvailabilityZoneId, IncarnationId} from '@cairnbank/core';
+import {chooseFollower, followerRank} from '@cairnbank/core/fleet';
+import {seatOf, type Seat} from '@cairnbank/core/placement';
 import type {KeyedChanges, RegisteredUpstream, RemovalTrust} from '@cairnbank/core/registry';
 import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
@@ -13,7 +14,7 @@
 import type {StorePlace} from '../state/topic-reader.js';
 import type {FleetMessage} from './datagrams.js';
 import {FleetSocket} from './fleet-socket.js';
-import {Membership} from './membership.js';
+import {gatherMs, Membership, type OwnState} from './membership.js';
 import {fetchState, StateExchange} from './state-exchange.js';
 import {StateAsker} from './state-asker.js';
 import {StoreEntry} from './store-entry.js';
@@ -27,8 +28,8 @@
 	readonly state: () => StateTask;
 	/** Another instance saw an upstream crash under a request. */
 	readonly onCrash: (crash: Crash) => void;
-	/** No process has entered the store from this instance's place before. */
-	readonly onFirstInPlace: () => void;
+	/** This instance has become the follower of the store or its deputy, or is it no more. */
+	readonly onPlaceChanged: () => void;
 };
 
 export class FleetTask implements Task {
@@ -39,7 +40,10 @@
 	readonly #socket: FleetSocket;
 	readonly #storeEntry: StoreEntry;
 	readonly #asker: StateAsker;
+	/** Others were named to it before the start, and it was not named to them. */
+	readonly #isToldOfOthers: boolean;
 	#beatTimer: NodeJS.Timeout | undefined;
+	#newsTimer: NodeJS.Timeout | undefined;
 	#isLeaving = false;
 	#chosenFollower: IncarnationId | undefined;
 	#chosenDeputy: IncarnationId | undefined;
@@ -48,7 +52,14 @@
 
 	constructor(options: FleetTaskOptions) {
 		this.#options = options;
-		this.#exchange = new StateExchange(query => options.state().share(query));
+		const {settings} = options.context;
+		const seeds = settings.seeds.map(seed => splitAddress(seed).host);
+		this.#isToldOfOthers = seeds.length > 0 && !seeds.includes(settings.host);
+		this.#exchange = new StateExchange({
+			context: options.context,
+			share: query => options.state().share(query),
+			stateKey: () => options.state().key,
+		});
 		this.#socket = new FleetSocket(options.context, message => {
 			this.#received(message);
 		});
@@ -59,6 +70,11 @@
 			},
 			self: () => this.self,
 			isFollower: () => this.isFollower,
+			onNews: () => {
+				this.#newsTimer = setTimeout(() => {
+					this.#membership.passOn();
+				}, gatherMs);
+			},
 		});
 		this.#asker = new StateAsker({
 			context: options.context,
@@ -72,7 +88,9 @@
 		this.#storeEntry = new StoreEntry({
 			context: options.context,
 			store: options.store,
-			onFirstInPlace: options.onFirstInPlace,
+			isToldOfOthers: this.#isToldOfOthers,
+			hasHeardOthers: () => this.#membership.view.greatestSize > 1,
+			rank: () => followerRank(this.self.incarnation, this.#membership.view.live()),
 			onOthers: hosts => {
 				this.#membership.view.addCandidates(hosts);
 			},
@@ -105,6 +123,7 @@
 	stop(): void {
 		this.#isStopped = true;
 		clearTimeout(this.#beatTimer);
+		clearTimeout(this.#newsTimer);
 		this.#storeEntry.stop();
 		this.#asker.stop();
 		this.#socket.stop();
@@ -112,11 +131,10 @@
 	}
 
 	/** This instance as others see it. */
-	get self(): FleetMember {
+	get self(): OwnState {
 		const {settings, incarnation} = this.#options.context;
 		const state = this.#options.state();
 		return {
-			instance: settings.instanceId as InstanceId,
 			incarnation,
 			host: settings.host,
 			availabilityZone: settings.availabilityZone as AvailabilityZoneId,
@@ -134,15 +152,28 @@
 	/** What this instance is to the others as a reader of the store. */
 	get place(): StorePlace {
 		const {incarnation} = this.#options.context;
-		return {isFollower: this.isFollower, isDeputy: this.#chosenDeputy === incarnation, isKnownToOthers: this.#membership.view.live().some(({ready}) => ready)};
+		return {
+			isFollower: this.isFollower,
+			isDeputy: this.#chosenDeputy === incarnation,
+			isKnownToOthers: this.#membership.view.live().some(({ready}) => ready),
+			isToldOfOthers: this.#isToldOfOthers,
+		};
 	}
 
 	/** Instances that callers may be sent to, this one among them if it is ready. */
-	offered(): readonly FleetMember[] {
+	offered(): readonly OwnState[] {
 		const {self} = this;
 		return self.ready ? [self, ...this.#membership.view.offered()] : this.#membership.view.offered();
 	}
 
+	/** Place of this instance among the live ones, of its availability zone or of all. */
+	seat(among: 'zone' | 'fleet'): Seat {
+		const {host, availabilityZone} = this.self;
+		const live = this.#membership.view.live();
+		const others = among === 'zone' ? live.filter(member => member.availabilityZone === availabilityZone) : live;
+		return seatOf(host, others.map(other => other.host));
+	}
+
 	/** Greatest number of instances that may share a budget. */
 	get greatestSize(): number {
 		return this.#membership.view.greatestSize;
@@ -171,15 +202,25 @@
 	get #follower(): IncarnationId | undefined {
 		const nowMs = this.#options.context.clock.monotonicMs();
 		if (nowMs - this.#followerChosenAtMs > followerChoiceMs) {
-			const candidates = [this.self, ...this.#membership.view.live()];
-			this.#chosenFollower = chooseFollower(candidates);
-			this.#chosenDeputy = chooseFollower(candidates.filter(({incarnation}) => incarnation !== this.#chosenFollower));
 			this.#followerChosenAtMs = nowMs;
+			this.#choosePlaces();
 		}
 
 		return this.#chosenFollower;
 	}
 
+	#choosePlaces(): void {
+		const {incarnation} = this.#options.context;
+		const placeOf = () => [this.#chosenFollower === incarnation, this.#chosenDeputy === incarnation].join(' ');
+		const before = placeOf();
+		const candidates = [this.self, ...this.#membership.view.live()];
+		this.#chosenFollower = chooseFollower(candidates);
+		this.#chosenDeputy = chooseFollower(candidates.filter(candidate => candidate.incarnation !== this.#chosenFollower));
+		if (placeOf() !== before) {
+			this.#options.onPlaceChanged();
+		}
+	}
+
 	get #isFirstOfZone(): boolean {
 		const {self} = this;
 		const inZone = this.#membership.view.live().filter(({availabilityZone}) => availabilityZone === self.availabilityZone);
@@ -209,13 +250,8 @@
 				return;
 			}
 
-			case 'lost': {
-				this.#membership.toldLost(message);
-				return;
-			}
-
-			case 'hosts': {
-				this.#membership.view.addCandidates(message.hosts.filter(other => other !== context.settings.host));
+			case 'members': {
+				this.#membership.told(message);
 				return;
 			}
 
--- a/packages/gateway/src/features/fleet/membership.spec.ts
+++ b/packages/gateway/src/features/fleet/membership.spec.ts
@@ -38,7 +38,7 @@
 }
 
 describe('Membership', () => {
-	for (const size of [3, 16, 24, 25, 26, 40, 132]) {
+	for (const size of [3, 16, 24, 25, 26, 40, 132, 313]) {
 		describe(`of ${size} instances`, () => {
 			it('should know all that start at the same moment within 3 s', () => {
 				settledFleet(size);
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -1,52 +1,79 @@
 /**
  * Keeps the view of the fleet true. In a small fleet each instance sends heartbeats to all others. In a large one, where
- * these would grow with the square of its size, each asks a few others in turn whether they are alive, and tells all of
- * one that does not answer.
+ * these would grow with the square of its size, each asks a few others in turn whether they are alive, and what anyone
+ * learns of a member is passed on from instance to instance.
  */
 import {
-	defaultFleetTiming, FleetView, MemberChecks, type FleetMember,
+	askedPerRound, chooseNewsTargets, defaultFleetTiming, FleetView, MemberChecks, type FleetMember, type MemberNews,
 } from '@cairnbank/core/fleet';
 import type {Context} from '../../kernel/context.js';
 import {splitAddress} from '../../kernel/listen.js';
-import type {FleetMessage} from './datagrams.js';
+import {membersPerMessage, type FleetMessage} from './datagrams.js';
 
 /** The follower's heartbeats carry the age of what all know, so they are more frequent than those of the others. */
 const followerHeartbeatMs = 300;
 /** After its start an instance looks for others more often, as they may be starting too. */
 const firstBeatsMs = 25;
 const firstBeatsUntilMs = 200;
-/** Up to this number of others, heartbeats to all cost at most 60 datagrams a second. */
-const smallFleet = 24;
-/** Others that are told of news in a large fleet; each that learns something by it tells as many. */
-const toldOfNews = 6;
-/** Others that tell an instance that has just appeared where all are, beside those that it asks first. */
-const introducers = 4;
-/** Addresses in one message, so that it fits into a datagram. */
-const hostsPerMessage = 50;
+/**
+ * News are gathered for this long before they are passed on. They reach 313 instances in some five such steps; passed on
+ * one by one they would take 20 times as many datagrams while all start at one moment.
+ */
+export const gatherMs = 50;
+/** Asks of a round that go to other availability zones, where the own one has enough members to watch each other. */
+const farAsksPerRound = 0.25;
+const enoughNear = 30;
+/**
+ * Where this many members were lost within this time, more may be: as many times as many are asked. Of half of 313 that
+ * died at one moment the last was found after 7 s without this.
+ */
+const manyLost = 3;
+const manyLostWithinMs = 2000;
+const manyLostFactor = 4;
+/** Least time between two questions for all that another instance knows of members: an answer is up to 15 datagrams. */
+const membersAskMs = 700;
+/** Where news came within this time, more may be under way, and a difference tells nothing yet. */
+const newsUnderWayMs = 300;
+/** How often instances that were named at the start, and aren't known to be alive, are asked: two parts of a fleet that forgot each other meet there. */
+const seedAskMs = 5000;
 
 export type MembershipOptions = {
 	readonly context: Pick<Context, 'clock' | 'incarnation' | 'logger' | 'metrics' | 'random' | 'settings'>;
 	readonly send: (message: FleetMessage, hosts: readonly string[]) => void;
 	/** This instance as others see it. */
-	readonly self: () => FleetMember;
+	readonly self: () => OwnState;
 	/** Whether this instance reads the store on behalf of all. */
 	readonly isFollower: () => boolean;
+	/** There are news to pass on; `passOn` is to be called after `gatherMs`. */
+	readonly onNews: () => void;
 };
 
+/** What this instance says of itself, but for what its membership adds. */
+export type OwnState = Omit<FleetMember, 'revision' | 'membersDigest'>;
+
 export class Membership {
 	readonly view: FleetView;
 	readonly #options: MembershipOptions;
-	readonly #checks: MemberChecks;
+	readonly #nearChecks: MemberChecks;
+	readonly #farChecks: MemberChecks;
 	readonly #startedAtMs: number;
+	/** News to pass on, by host. */
+	#news = new Map<string, MemberNews>();
+	#newsAtMs = Number.NEGATIVE_INFINITY;
+	#askedForMembersAtMs = Number.NEGATIVE_INFINITY;
+	#askedSeedsAtMs: number;
+	#revision = 0;
 	#toldFlags = '';
-	/** Another instance holds this one for lost. */
-	#isDoubted = false;
+	#wasOffered = false;
 
 	constructor(options: MembershipOptions) {
+		const {clock, random} = options.context;
 		this.#options = options;
-		this.#startedAtMs = options.context.clock.monotonicMs();
-		this.view = new FleetView(options.context.clock);
-		this.#checks = new MemberChecks(options.context.random);
+		this.#startedAtMs = clock.monotonicMs();
+		this.#askedSeedsAtMs = this.#startedAtMs;
+		this.view = new FleetView(clock);
+		this.#nearChecks = new MemberChecks(random, askedPerRound - farAsksPerRound);
+		this.#farChecks = new MemberChecks(random, farAsksPerRound);
 	}
 
 	/** Time until the next beat. */
@@ -65,90 +92,135 @@
 			logger.info('instance forgotten', {host});
 		}
 
-		const {asked, lost} = this.#isStarting ? {asked: [], lost: []} : this.#checks.next(this.view.unsure());
-		for (const host of lost) {
-			this.#lost(host);
-		}
-
 		metrics.liveInstances.set(this.view.live().length + 1);
-		const asks = new Set([...asked, ...this.view.candidates()]);
-		this.#tell([...asks], true);
-		if (this.#tellsAll) {
-			this.#tellAll(asks);
+		const asks = new Set([...this.#asked(), ...this.view.candidates(), ...this.#forgottenSeeds()]);
+		this.#noteOwnFlags();
+		this.#tell([...asks], {wantsReply: true});
+		if (this.isBeatingToAll) {
+			this.#tell(this.view.targets().filter(host => !asks.has(host)));
 		}
 	}
 
-	/** Tells others of this instance now: all of what concerns callers, a few of newer state, who ask for it and tell others. */
+	/** Tells others of this instance now: all of them where callers must leave it, a few of newer state, who ask for it and tell others. */
 	announce(): void {
-		if (this.#tellsAll) {
-			this.announceToAll();
-		} else {
-			this.#tell(this.few(), false);
+		if (this.#noteOwnFlags() !== 'told') {
+			this.#tell(this.isBeatingToAll ? this.view.targets() : this.few());
 		}
 	}
 
 	/** Tells all others of this instance now. */
 	announceToAll(): void {
-		this.#tellAll(new Set());
+		this.#noteOwnFlags();
+		this.#tell(this.view.targets());
 	}
 
 	/** Some live others, drawn anew each time. */
 	few(): readonly string[] {
-		const hosts = this.view.live().map(({host}) => host);
 		const {random} = this.#options.context;
-		return Array.from({length: Math.min(toldOfNews, hosts.length)}, () => hosts.splice(random.below(hosts.length), 1)[0]!);
+		return chooseNewsTargets(this.view.live(), this.#options.self().availabilityZone, random);
 	}
 
 	/** Whether all others are told of each heartbeat of this instance. */
 	get isBeatingToAll(): boolean {
-		return this.view.targets().length <= smallFleet || this.#options.isFollower();
+		return this.view.isSmall || this.#options.isFollower();
 	}
 
 	/** A heartbeat came from another instance. */
 	heard(message: Extract<FleetMessage, {type: 'heartbeat'}>): void {
-		const {member, isBeating, wantsReply} = message;
-		this.#checks.heard(member.host);
+		const {member, isBeating, wantsReply, wantsMembers} = message;
+		this.#nearChecks.heard(member.host);
+		this.#farChecks.heard(member.host);
+		const before = this.view.newsOf(member.host);
 		const news = this.view.heard(member, isBeating);
 		switch (news) {
 			case 'nothing': {
-				if (wantsReply) {
-					this.#tell([member.host], false);
-				}
+				break;
+			}
 
-				return;
+			case 'changed': {
+				this.#passOn(member.host);
+				break;
 			}
 
 			case 'appeared': {
-				this.#logAppeared(member);
-				this.#introduce(member);
-				this.#tell([member.host], false);
-				return;
+				this.#logAppeared([member]);
+				this.#passOn(member.host);
+				break;
 			}
 
 			case 'returned': {
-				this.#logAppeared(member);
-				// It tells all that it lives, as others may hold it for lost too.
-				this.#options.send({type: 'lost', host: member.host, incarnation: member.incarnation}, [member.host]);
-				this.#tell([member.host], false);
+				this.#logAppeared([member]);
+				this.#tellDoubt(member, before);
 			}
 		}
+
+		if (wantsMembers) {
+			this.#sendMembers(member.host);
+		}
+
+		const wanted = this.#wantsMembersOf(member);
+		if (wantsReply || wanted || news === 'appeared' || news === 'returned') {
+			this.#tell([member.host], {wantsMembers: wanted});
+		}
 	}
 
-	/** Another instance holds a member for lost. */
-	toldLost({host, incarnation}: Extract<FleetMessage, {type: 'lost'}>): void {
-		if (incarnation === this.#options.context.incarnation) {
-			this.#isDoubted = true;
-			return;
+	/** Another instance has passed on what it knows of some members. */
+	told({members}: Extract<FleetMessage, {type: 'members'}>): void {
+		const {context, self} = this.#options;
+		const {host} = self();
+		for (const member of members) {
+			if (member.host === host) {
+				this.#heardOfSelf(member);
+			} else if (member.isLost && this.view.isHeardNow(member.host, member.incarnation)) {
+				// It lives, and only its own word takes back what others hold.
+				this.#options.send({type: 'members', members: [member]}, [member.host]);
+			}
+		}
+
+		const news = this.view.told(members.filter(member => member.host !== host));
+		this.#logAppeared(news.filter(({isLost}) => !isLost));
+		for (const {host: lostHost, incarnation} of news.filter(({isLost}) => isLost)) {
+			context.logger.info('instance lost', {host: lostHost, incarnation, source: 'instance'});
+		}
+
+		for (const {host: newHost} of news) {
+			this.#passOn(newHost);
+		}
+	}
+
+	/** Passes on the news that were gathered. */
+	passOn(): void {
+		const members = [...this.#news.values()];
+		this.#news = new Map();
+		this.#sendInParts(members, this.few());
+	}
+
+	/** Members that are asked in this round; those that have left all asks unanswered are lost. */
+	#asked(): readonly string[] {
+		if (this.#isStarting) {
+			return [];
 		}
 
-		if (this.view.toldLost(host, incarnation)) {
-			this.#options.context.logger.info('instance lost', {host, incarnation, source: 'instance'});
-			this.#tell([host], true);
+		const {availabilityZone} = this.#options.self();
+		const unsure = this.view.unsure();
+		const near = unsure.filter(host => this.view.zoneOf(host) === availabilityZone);
+		const isSplit = near.length >= enoughNear;
+		const factor = this.view.lostWithin(manyLostWithinMs) >= manyLost ? manyLostFactor : 1;
+		const nearRound = this.#nearChecks.next(isSplit ? near : unsure, factor);
+		const farRound = this.#farChecks.next(isSplit ? unsure.filter(host => this.view.zoneOf(host) !== availabilityZone) : [], factor);
+		for (const host of [...nearRound.lost, ...farRound.lost]) {
+			this.#lost(host);
 		}
+
+		return [...nearRound.asked, ...farRound.asked];
 	}
 
 	#lost(host: string): void {
-		const {hearsOthers} = this.view;
+		// An instance that hears nobody is cut off itself, and can't tell who is lost.
+		if (!this.view.hearsOthers) {
+			return;
+		}
+
 		const member = this.view.lost(host);
 		if (member === undefined) {
 			return;
@@ -156,58 +228,157 @@
 
 		const {incarnation} = member;
 		this.#options.context.logger.info('instance lost', {host, incarnation, source: 'no answer'});
-		if (hearsOthers) {
-			this.#options.send({type: 'lost', host, incarnation}, this.view.targets());
+		if (this.view.isSmall) {
+			this.#options.send({type: 'members', members: [this.view.newsOf(host)!]}, this.view.targets());
+		} else {
+			this.#passOn(host);
+			this.#options.send({type: 'members', members: [this.view.newsOf(host)!]}, [host]);
 		}
 	}
 
-	get #isStarting(): boolean {
-		return this.#options.context.clock.monotonicMs() - this.#startedAtMs < firstBeatsUntilMs;
+	/** A member that was held for lost is heard: only its own word takes that back at the others. */
+	#tellDoubt(member: FleetMember, before: MemberNews | undefined): void {
+		if (before?.incarnation === member.incarnation && before.revision >= member.revision) {
+			this.#options.send({type: 'members', members: [before]}, [member.host]);
+		} else {
+			this.#passOn(member.host);
+		}
 	}
 
-	get #tellsAll(): boolean {
-		return this.isBeatingToAll || this.#isDoubted || this.#flags !== this.#toldFlags;
+	#heardOfSelf({incarnation, revision, isLost}: MemberNews): void {
+		if (isLost && incarnation === this.#options.context.incarnation && revision >= this.#revision) {
+			this.#revision = revision + 1;
+			this.#passOnSelf();
+		}
 	}
 
-	/** What is told to all as it changes: whether callers are sent here, who reads the store, whether silence tells a loss. */
-	get #flags(): string {
+	/**
+	 * Tells of changes in what this instance says of itself. Callers must not be sent any more to one that isn't ready or
+	 * leaves, so all are told of that at once; of the rest they learn from each other.
+	 *
+	 * @returns whether all have been told
+	 */
+	#noteOwnFlags(): 'told' | 'passed on' | 'unchanged' {
 		const {ready, leaving, reachesStore} = this.#options.self();
-		return [ready, leaving, reachesStore, this.isBeatingToAll].join(' ');
+		const flags = [ready, leaving, reachesStore].join(' ');
+		if (flags === this.#toldFlags) {
+			return 'unchanged';
+		}
+
+		const isOffered = ready && !leaving;
+		const mustLeave = this.#wasOffered && !isOffered;
+		this.#toldFlags = flags;
+		this.#wasOffered = isOffered;
+		this.#revision += 1;
+		if (mustLeave || this.isBeatingToAll) {
+			this.#tell(this.view.targets());
+			return 'told';
+		}
+
+		this.#passOnSelf();
+		return 'passed on';
 	}
 
-	/** @param except - hosts that were told just now */
-	#tellAll(except: ReadonlySet<string>): void {
-		this.#tell(this.view.targets().filter(host => !except.has(host)), false);
-		this.#toldFlags = this.#flags;
-		this.#isDoubted = false;
+	#passOnSelf(): void {
+		const {
+			host, incarnation, availabilityZone, ready, leaving, reachesStore,
+		} = this.#options.self();
+		const news = {
+			host, incarnation, availabilityZone, ready, leaving, reachesStore, revision: this.#revision, isLost: false,
+		};
+		if (this.view.isSmall) {
+			this.#options.send({type: 'members', members: [news]}, this.view.targets());
+		} else {
+			this.#gather(news);
+		}
 	}
 
-	#tell(hosts: readonly string[], wantsReply: boolean): void {
-		const {send, self} = this.#options;
-		send({
-			type: 'heartbeat', member: self(), isBeating: this.isBeatingToAll, wantsReply,
-		}, hosts);
+	/** In a small fleet all hear each other. */
+	#passOn(host: string): void {
+		const news = this.view.newsOf(host);
+		if (news !== undefined && !this.view.isSmall) {
+			this.#gather(news);
+		}
 	}
 
-	#introduce({host}: FleetMember): void {
-		const {context: {random}, send} = this.#options;
-		const others = this.view.targets().filter(other => other !== host);
-		const isIntroducer = others.length <= smallFleet || this.#isSeed || random.below(others.length) < introducers;
-		if (!isIntroducer) {
-			return;
+	#gather(news: MemberNews): void {
+		this.#newsAtMs = this.#options.context.clock.monotonicMs();
+		if (this.#news.size === 0) {
+			this.#options.onNews();
 		}
 
-		for (let start = 0; start < others.length; start += hostsPerMessage) {
-			send({type: 'hosts', hosts: others.slice(start, start + hostsPerMessage)}, [host]);
+		this.#news.set(news.host, news);
+	}
+
+	/**
+	 * Whether to ask a member for all that it knows: it holds others for alive than this instance does, and no news are
+	 * under way that may explain it. Members of other availability zones are asked only where the own one has none.
+	 */
+	#wantsMembersOf({host, incarnation, availabilityZone, membersDigest}: FleetMember): boolean {
+		const {context: {clock}, self} = this.#options;
+		const nowMs = clock.monotonicMs();
+		const own = self();
+		if (membersDigest === this.view.digestWith({...own, revision: this.#revision}) || nowMs - this.#askedForMembersAtMs < membersAskMs) {
+			return false;
 		}
+
+		const knowsOthers = this.view.live().some(member => member.incarnation !== incarnation);
+		if (knowsOthers && nowMs - this.#newsAtMs < newsUnderWayMs) {
+			return false;
+		}
+
+		const isNear = availabilityZone === own.availabilityZone;
+		const hasNear = this.view.live().some(member => member.host !== host && member.availabilityZone === own.availabilityZone);
+		if (!isNear && hasNear) {
+			return false;
+		}
+
+		this.#askedForMembersAtMs = nowMs;
+		return true;
 	}
 
-	get #isSeed(): boolean {
-		const {seeds, host} = this.#options.context.settings;
-		return seeds.some(seed => splitAddress(seed).host === host);
+	#sendMembers(host: string): void {
+		this.#sendInParts(this.view.news().filter(news => news.host !== host), [host]);
 	}
 
-	#logAppeared({instance, host, incarnation}: FleetMember): void {
-		this.#options.context.logger.info('instance appeared', {instance, host, incarnation});
+	#sendInParts(members: readonly MemberNews[], hosts: readonly string[]): void {
+		for (let start = 0; start < members.length; start += membersPerMessage) {
+			this.#options.send({type: 'members', members: members.slice(start, start + membersPerMessage)}, hosts);
+		}
+	}
+
+	#forgottenSeeds(): readonly string[] {
+		const {clock, settings: {seeds, host}} = this.#options.context;
+		if (clock.monotonicMs() - this.#askedSeedsAtMs < seedAskMs) {
+			return [];
+		}
+
+		this.#askedSeedsAtMs = clock.monotonicMs();
+		const live = new Set(this.view.live().map(member => member.host));
+		return seeds.map(seed => splitAddress(seed).host).filter(seed => seed !== host && !live.has(seed));
+	}
+
+	get #isStarting(): boolean {
+		return this.#options.context.clock.monotonicMs() - this.#startedAtMs < firstBeatsUntilMs;
+	}
+
+	#tell(hosts: readonly string[], {wantsReply = false, wantsMembers = false}: {wantsReply?: boolean; wantsMembers?: boolean} = {}): void {
+		if (hosts.length === 0) {
+			return;
+		}
+
+		const {send, self} = this.#options;
+		const own = self();
+		const member = {...own, revision: this.#revision};
+		send({
+			type: 'heartbeat', member: {...member, membersDigest: this.view.digestWith(member)}, isBeating: this.isBeatingToAll, wantsReply, wantsMembers,
+		}, hosts);
+	}
+
+	/** One line for many that become known together. */
+	#logAppeared(members: ReadonlyArray<Pick<FleetMember, 'host' | 'incarnation'>>): void {
+		if (members.length > 0) {
+			this.#options.context.logger.info('instances appeared', {instances: members.map(({host, incarnation}) => `${host}/${incarnation}`).join(' ')});
+		}
 	}
 }
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -1,17 +1,21 @@
 /** A fleet in one process: each instance's membership, a network that loses datagrams, and a clock that a spec moves. */
 import {
-	createRandomSource, ManualClock, type AvailabilityZoneId, type IncarnationId, type InstanceId, type RandomSource,
+	createRandomSource, ManualClock, type AvailabilityZoneId, type IncarnationId, type RandomSource,
 } from '@cairnbank/core';
-import {chooseFollower, type FleetMember} from '@cairnbank/core/fleet';
+import {chooseFollower} from '@cairnbank/core/fleet';
 import {createMetrics} from '../../metrics/metrics.js';
 import {encodeMessage, maximumDatagramBytes, type FleetMessage} from './datagrams.js';
-import {Membership, type MembershipOptions} from './membership.js';
+import {
+	gatherMs, Membership, type MembershipOptions, type OwnState,
+} from './membership.js';
 
 const stepMs = 10;
 /** How long a choice of the follower holds, as in an instance. */
 const followerChoiceMs = 100;
 const zones = ['nasr', 'giza', 'maadi'] as const;
 const seedCount = 3;
+/** Enough for names that sort by their number. */
+const lifeDigits = 6;
 
 export type FleetOptions = {
 	readonly size: number;
@@ -41,6 +45,8 @@
 	isCut = false;
 	received = 0;
 	nextBeatMs: number;
+	/** When it passes on what it has learnt; nothing where it has learnt nothing. */
+	passesOnAtMs: number | undefined;
 	readonly #index: number;
 	readonly #clock: ManualClock;
 	#follower: IncarnationId | undefined;
@@ -50,7 +56,7 @@
 		this.#index = index;
 		this.#clock = clock;
 		this.host = hostOf(index);
-		this.incarnation = `life-${life}-of-${index}` as IncarnationId;
+		this.incarnation = `life-${String(life).padStart(lifeDigits, '0')}` as IncarnationId;
 		this.nextBeatMs = startMs;
 		this.membership = new Membership({
 			context: {
@@ -64,13 +70,15 @@
 			send,
 			self: () => this.member,
 			isFollower: () => this.isFollower,
+			onNews: () => {
+				this.passesOnAtMs = clock.monotonicMs() + gatherMs;
+			},
 		});
 		this.membership.view.addCandidates(seeds.filter(host => host !== this.host));
 	}
 
-	get member(): FleetMember {
+	get member(): OwnState {
 		return {
-			instance: `entry-${this.#index}` as InstanceId,
 			incarnation: this.incarnation,
 			host: this.host,
 			availabilityZone: zones[this.#index % zones.length] as AvailabilityZoneId,
@@ -195,13 +203,8 @@
 				break;
 			}
 
-			case 'hosts': {
-				to.membership.view.addCandidates(message.hosts.filter(host => host !== to.host));
-				break;
-			}
-
-			case 'lost': {
-				to.membership.toldLost(message);
+			case 'members': {
+				to.membership.told(message);
 				break;
 			}
 
@@ -218,6 +221,11 @@
 				instance.membership.beat();
 				instance.nextBeatMs = this.clock.monotonicMs() + instance.membership.beatMs;
 			}
+
+			if (instance.passesOnAtMs !== undefined && this.clock.monotonicMs() >= instance.passesOnAtMs) {
+				instance.passesOnAtMs = undefined;
+				instance.membership.passOn();
+			}
 		}
 	}
 }
--- a/packages/gateway/src/features/fleet/state-asker.spec.ts
+++ b/packages/gateway/src/features/fleet/state-asker.spec.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it, mock} from 'node:test';
-import type {AvailabilityZoneId, IncarnationId, InstanceId} from '@cairnbank/core';
+import type {AvailabilityZoneId, IncarnationId} from '@cairnbank/core';
 import type {FleetMember} from '@cairnbank/core/fleet';
+import {createRandomSource} from '@cairnbank/core/random';
 import {ok} from 'neverthrow';
 import {StateAsker, type StateAskerOptions} from './state-asker.js';
 
@@ -9,12 +10,13 @@
 
 function member(host: string, availabilityZone: string): FleetMember {
 	return {
-		instance: host as InstanceId,
 		incarnation: host as IncarnationId,
 		host,
 		availabilityZone: availabilityZone as AvailabilityZoneId,
 		ready: true,
 		leaving: false,
+		revision: 0,
+		membersDigest: 0,
 		configurationVersion: 5,
 		registryOffset: 0,
 		registryDigest: 0,
@@ -24,18 +26,19 @@
 }
 
 /** An instance in zone `nasr` that lacks a configuration until it has adopted one. */
-function setUp({isFirst, version = 4}: {isFirst: boolean; version?: number}) {
+function setUp({isFirst, version = 4, busy = {}}: {isFirst: boolean; version?: number; busy?: Readonly<Record<string, readonly string[]>>}) {
 	const asked: string[] = [];
 	const own = {version};
 	const asker = new StateAsker({
-		context: {logger: silentLogger, settings: {availabilityZone: 'nasr'}} as unknown as StateAskerOptions['context'],
+		context: {logger: silentLogger, random: createRandomSource(1), settings: {host: '10.0.0.1', availabilityZone: 'nasr'}} as unknown as StateAskerOptions['context'],
 		compare: ({configurationVersion}) => configurationVersion > own.version
 			? {configurationVersion: own.version, wantsRegistry: false}
 			: undefined,
 		isFirstOfZone: () => isFirst,
 		async fetch(host) {
 			asked.push(host);
-			return ok({});
+			const hosts = busy[host];
+			return ok(hosts === undefined ? {type: 'state', state: {}} : {type: 'busy', hosts});
 		},
 		adopt() {
 			own.version = 5;
@@ -44,6 +47,12 @@
 	return {asked, own, asker};
 }
 
+async function settled(): Promise<void> {
+	for (let turn = 0; turn < 30; turn++) {
+		await Promise.resolve();
+	}
+}
+
 async function inManualTime(body: () => Promise<void>): Promise<void> {
 	mock.timers.enable({apis: ['setTimeout']});
 	try {
@@ -76,7 +85,7 @@
 			const {asked, asker} = setUp({isFirst: false});
 			asker.heard(member('10.1.0.2', 'giza'));
 			asker.heard(member('10.0.0.2', 'nasr'));
-			await Promise.resolve();
+			await settled();
 			mock.timers.tick(1000);
 			assert.deepEqual(asked, ['10.0.0.2']);
 		});
@@ -97,6 +106,20 @@
 		assert.deepEqual(asked, ['10.1.0.2']);
 	});
 
+	it('should ask where a busy instance sends it, but not for ever', async () => {
+		const hosts = ['10.0.0.2', '10.0.0.3'];
+		const {asked, asker, own} = setUp({isFirst: false, busy: {'10.0.0.2': ['10.0.0.3']}});
+		asker.heard(member('10.0.0.2', 'nasr'));
+		await settled();
+		assert.deepEqual(asked, hosts);
+		assert.equal(own.version, 5);
+
+		const circle = setUp({isFirst: false, busy: {'10.0.0.2': ['10.0.0.3'], '10.0.0.3': ['10.0.0.2']}});
+		circle.asker.heard(member('10.0.0.2', 'nasr'));
+		await settled();
+		assert.equal(circle.asked.length, 4);
+	});
+
 	it('should ask few at a time, whoever knows more', () => {
 		const {asked, asker} = setUp({isFirst: true});
 		for (const host of ['10.1.0.1', '10.1.0.2', '10.1.0.3', '10.1.0.4']) {
--- a/packages/gateway/src/features/fleet/state-asker.ts
+++ b/packages/gateway/src/features/fleet/state-asker.ts
@@ -3,6 +3,7 @@
 import type {Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import type {SharedState, StateQuery} from '../state/shared-state.js';
+import type {StateAnswer} from './state-exchange.js';
 
 /**
  * How long an instance waits for one of its own availability zone to have what one of another zone knows. A fetch
@@ -11,14 +12,16 @@
 const ownZoneWaitMs = 150;
 /** One more than one, so that a host that doesn't answer holds nothing up. */
 const maximumAsked = 2;
+/** Busy instances that send an instance on to another one before it waits for the next heartbeat. */
+const maximumReferrals = 3;
 
 export type StateAskerOptions = {
-	readonly context: Pick<Context, 'logger' | 'settings'>;
+	readonly context: Pick<Context, 'logger' | 'random' | 'settings'>;
 	/** What this instance lacks and the other one has. */
 	readonly compare: (member: FleetMember) => StateQuery | undefined;
 	/** Whether it is this instance's turn to fetch from other availability zones. */
 	readonly isFirstOfZone: () => boolean;
-	readonly fetch: (host: string, query: StateQuery) => Promise<Result<SharedState, string>>;
+	readonly fetch: (host: string, query: StateQuery) => Promise<Result<StateAnswer, string>>;
 	readonly adopt: (state: SharedState) => void;
 };
 
@@ -63,12 +66,32 @@
 	}
 
 	async #ask(host: string, query: StateQuery): Promise<void> {
-		const {context: {logger}, fetch, adopt} = this.#options;
 		this.#asked.add(host);
-		const state = await fetch(host, query);
+		const state = await this.#fetch(host, query, 0);
 		this.#asked.delete(host);
-		state.match(adopt, fault => {
-			logger.warn('instance did not hand over its state', {host, message: fault});
-		});
+		if (state !== undefined) {
+			this.#options.adopt(state);
+		}
+	}
+
+	async #fetch(host: string, query: StateQuery, referrals: number): Promise<SharedState | undefined> {
+		const {context: {logger, random, settings}, fetch} = this.#options;
+		const answer = await fetch(host, query);
+		if (answer.isErr()) {
+			logger.warn('instance did not hand over its state', {host, message: answer.error});
+			return undefined;
+		}
+
+		switch (answer.value.type) {
+			case 'state': {
+				return answer.value.state;
+			}
+
+			case 'busy': {
+				const others = answer.value.hosts.filter(other => other !== settings.host);
+				const next = others[random.below(Math.max(1, others.length))];
+				return next === undefined || referrals >= maximumReferrals ? undefined : this.#fetch(next, query, referrals + 1);
+			}
+		}
 	}
 }
--- a/packages/gateway/src/features/fleet/state-exchange.ts
+++ b/packages/gateway/src/features/fleet/state-exchange.ts
@@ -1,7 +1,12 @@
 /** Hands whole state to an instance that lacks it, and asks for it, over TCP. */
 import {Buffer} from 'node:buffer';
-import {createServer, get, type Server} from 'node:http';
-import {err, type Result} from 'neverthrow';
+import {
+	createServer, get, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {HandOverLimit} from '@cairnbank/core/fleet';
+import {err, ok, type Result} from 'neverthrow';
+import * as v from 'valibot';
+import type {Context} from '../../kernel/context.js';
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {SharedState, StateQuery} from '../state/shared-state.js';
@@ -10,19 +15,36 @@
 const statePath = '/state';
 /** A peer that doesn't answer within this time is asked again with its next heartbeat. */
 const queryTimeoutMs = 800;
+const busyStatus = 503;
+
+const busySchema = v.object({hosts: v.array(v.pipe(v.string(), v.ip()))});
+
+/** How a question for state ended. */
+export type StateAnswer =
+	| {readonly type: 'state'; readonly state: SharedState}
+	/** It has handed its state to too many others just now; these have it since. */
+	| {readonly type: 'busy'; readonly hosts: readonly string[]};
+
+export type StateExchangeOptions = {
+	readonly context: Pick<Context, 'clock'>;
+	readonly share: (query: StateQuery) => SharedState;
+	/** Changes with each change of the state: a body is made once for all that ask for the same. */
+	readonly stateKey: () => string;
+};
+
+type EncodedState = {readonly key: string; readonly body: Promise<Uint8Array>};
 
 export class StateExchange {
+	readonly #options: StateExchangeOptions;
+	readonly #limit: HandOverLimit;
 	readonly #server: Server;
+	#encoded: EncodedState | undefined;
 
-	constructor(share: (query: StateQuery) => SharedState) {
-		this.#server = createServer(async (request, response) => {
-			const {searchParams} = new URL(request.url ?? '/', 'http://peer');
-			const body = await encodeState(share({
-				configurationVersion: Number(searchParams.get('configuration') ?? 0),
-				wantsRegistry: searchParams.get('registry') === '1',
-			}));
-			response.setHeader('Content-Type', 'application/octet-stream');
-			response.end(body);
+	constructor(options: StateExchangeOptions) {
+		this.#options = options;
+		this.#limit = new HandOverLimit(options.context.clock);
+		this.#server = createServer((request, response) => {
+			void this.#answer(request, response);
 		});
 	}
 
@@ -34,10 +56,40 @@
 		this.#server.close();
 		this.#server.closeAllConnections();
 	}
+
+	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const host = request.socket.remoteAddress ?? '';
+		const isServed = this.#limit.tryServe(host);
+		const hosts = this.#limit.served(host);
+		if (!isServed && hosts.length > 0) {
+			response.statusCode = busyStatus;
+			response.end(JSON.stringify({hosts}));
+			return;
+		}
+
+		const {searchParams} = new URL(request.url ?? '/', 'http://peer');
+		const body = await this.#encode({
+			configurationVersion: Number(searchParams.get('configuration') ?? 0),
+			wantsRegistry: searchParams.get('registry') === '1',
+		});
+		response.setHeader('Content-Type', 'application/octet-stream');
+		response.end(body);
+	}
+
+	async #encode(query: StateQuery): Promise<Uint8Array> {
+		const state = this.#options.share(query);
+		const parts = [state.configuration !== undefined, state.registry !== undefined];
+		const key = `${this.#options.stateKey()} ${parts.join(' ')}`;
+		if (this.#encoded?.key !== key) {
+			this.#encoded = {key, body: encodeState(state)};
+		}
+
+		return this.#encoded.body;
+	}
 }
 
 /** Asks one instance for what it knows beyond the query. */
-export async function fetchState(host: string, port: number, query: StateQuery): Promise<Result<SharedState, string>> {
+export async function fetchState(host: string, port: number, query: StateQuery): Promise<Result<StateAnswer, string>> {
 	const path = `${statePath}?configuration=${query.configurationVersion}&registry=${query.wantsRegistry ? 1 : 0}`;
 	return new Promise(resolve => {
 		const request = get({
@@ -48,7 +100,7 @@
 				chunks.push(chunk);
 			});
 			response.on('end', () => {
-				resolve(decodeState(Buffer.concat(chunks)));
+				resolve(decodeAnswer(response.statusCode, Buffer.concat(chunks)));
 			});
 			response.on('error', error => {
 				resolve(err(error.message));
@@ -66,3 +118,17 @@
 		});
 	});
 }
+
+async function decodeAnswer(status: number | undefined, body: Uint8Array): Promise<Result<StateAnswer, string>> {
+	if (status !== busyStatus) {
+		const state = await decodeState(body);
+		return state.map(known => ({type: 'state', state: known}));
+	}
+
+	try {
+		const parsed = v.safeParse(busySchema, JSON.parse(Buffer.from(body).toString()));
+		return parsed.success ? ok({type: 'busy', hosts: parsed.output.hosts}) : err(parsed.issues[0].message);
+	} catch (error) {
+		return err((error as Error).message);
+	}
+}
--- a/packages/gateway/src/features/fleet/store-entry.ts
+++ b/packages/gateway/src/features/fleet/store-entry.ts
@@ -1,30 +1,39 @@
-/** Enters this instance in the store and learns there who else is; again until both have worked. */
-import {err, type Result} from 'neverthrow';
+/** Enters this instance in the store and learns there who else is, where others would not find each other without it. */
+import {planEntry, type EntryPlan} from '@cairnbank/core/fleet';
 import type {Context} from '../../kernel/context.js';
-import type {StateStore, StoreError} from '../../ports/index.js';
+import type {StateStore} from '../../ports/index.js';
 
-/** Pause between two tries; the store may be away for seconds, and others are also found by the seeds. */
-const enterRetryMs = 1000;
+/** How often it is looked whether an entry is needed: an instance must not stay alone for long. */
+const lookIntervalMs = 250;
+/** Pause after a failed call; the store may be away for seconds, and others are also found by the seeds. */
+const retryMs = 1000;
 
 export type StoreEntryOptions = {
-	readonly context: Context;
-	readonly store: StateStore;
+	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics' | 'settings'>;
+	readonly store: Pick<StateStore, 'instances'>;
+	readonly isToldOfOthers: boolean;
+	/** Any other instance was heard since the start. */
+	readonly hasHeardOthers: () => boolean;
+	/** Place of this instance in the order of all live ones. */
+	readonly rank: () => number;
 	readonly onOthers: (hosts: readonly string[]) => void;
-	/** The store knew nothing of an instance at this host. */
-	readonly onFirstInPlace: () => void;
 };
 
 export class StoreEntry {
 	readonly #options: StoreEntryOptions;
+	#startedAtMs = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
+	#isEntered = false;
+	#hasListed = false;
 
 	constructor(options: StoreEntryOptions) {
 		this.#options = options;
 	}
 
 	start(): void {
-		void this.#enter();
+		this.#startedAtMs = this.#options.context.clock.monotonicMs();
+		void this.#look();
 	}
 
 	stop(): void {
@@ -32,42 +41,75 @@
 		clearTimeout(this.#timer);
 	}
 
-	async #enter(): Promise<void> {
-		const {context: {settings: {host}, logger}, onOthers, onFirstInPlace} = this.#options;
-		const before = await this.#list();
-		// Entered before the others are read, so that of two that start together one sees the other.
-		const entered = before.isOk() ? await this.#putEntry() : err(before.error);
-		const listed = entered.isOk() ? await this.#list() : err(entered.error);
-		if (before.isOk() && listed.isOk()) {
-			const isFirst = !before.value.includes(host);
-			if (isFirst) {
-				onFirstInPlace();
-			}
-
-			onOthers(listed.value.filter(other => other !== host));
-			logger.info('entered in the store', {others: listed.value.length - 1, isFirst});
+	async #look(): Promise<void> {
+		const isDone = await this.#act(this.#plan());
+		if (this.#isStopped || this.#isEntered) {
 			return;
 		}
 
-		logger.warn('cannot enter this instance in the store', {...(listed.isErr() ? listed.error : {})});
-		if (!this.#isStopped) {
-			this.#timer = setTimeout(() => {
-				void this.#enter();
-			}, enterRetryMs);
+		this.#timer = setTimeout(() => {
+			void this.#look();
+		}, isDone ? lookIntervalMs : retryMs);
+	}
+
+	#plan(): EntryPlan {
+		const {context: {clock}, isToldOfOthers, hasHeardOthers, rank} = this.#options;
+		return planEntry({
+			isToldOfOthers,
+			hasHeardOthers: hasHeardOthers(),
+			rank: rank(),
+			isEntered: this.#isEntered,
+			hasListed: this.#hasListed,
+			sinceStartMs: clock.monotonicMs() - this.#startedAtMs,
+		});
+	}
+
+	/** @returns whether no call failed */
+	async #act(plan: EntryPlan): Promise<boolean> {
+		switch (plan) {
+			case 'wait': {
+				return true;
+			}
+
+			case 'enter': {
+				return this.#enter();
+			}
+
+			case 'enter-and-list': {
+				const isEntered = await this.#enter();
+				return isEntered && this.#list();
+			}
 		}
 	}
 
-	async #putEntry(): Promise<Result<void, StoreError>> {
-		const {context: {settings, metrics}, store} = this.#options;
+	async #enter(): Promise<boolean> {
+		const {context: {settings, metrics, logger}, store} = this.#options;
 		const entered = await store.instances.enter(settings.instanceId, {host: settings.host});
 		metrics.storeCalls.inc({call: 'enter', result: entered.isOk() ? 'ok' : 'failed'});
-		return entered;
+		return entered.match(() => {
+			this.#isEntered = true;
+			logger.info('entered in the store');
+			return true;
+		}, error => {
+			logger.warn('cannot enter this instance in the store', {...error});
+			return false;
+		});
 	}
 
-	async #list(): Promise<Result<readonly string[], StoreError>> {
-		const {context: {metrics}, store} = this.#options;
+	async #list(): Promise<boolean> {
+		const {context: {settings, metrics, logger}, store, onOthers} = this.#options;
 		const listed = await store.instances.list();
 		metrics.storeCalls.inc({call: 'list', result: listed.isOk() ? 'ok' : 'failed'});
-		return listed.map(entries => entries.map(({host}) => host));
+		return listed.match(entries => {
+			this.#hasListed = true;
+			const hosts = entries.map(({host}) => host).filter(host => host !== settings.host);
+			logger.info('instances found in the store', {hosts: hosts.join(' ')});
+			onOthers(hosts);
+			return true;
+		}, error => {
+			this.#isEntered = false;
+			logger.warn('cannot read the instances in the store', {...error});
+			return false;
+		});
 	}
 }
--- a/packages/gateway/src/features/state/state-task.ts
+++ b/packages/gateway/src/features/state/state-task.ts
@@ -45,7 +45,7 @@
 		this.#registry = new UpstreamRegistry(clock);
 		this.#trust = new StoreTrust(clock);
 		const common = {
-			clock, random, logger, metrics, place, trust: this.#trust,
+			clock, random, logger, metrics, place, trust: this.#trust, isFirstStart: context.settings.isFirstStart,
 		};
 		this.#readers = [
 			new TopicReader<GatewayConfiguration>({
@@ -90,9 +90,6 @@
 			void reader.run();
 		}
 
-		this.#sweepTimer = setInterval(() => {
-			this.#sweep();
-		}, sweepIntervalMs);
 		return ok(undefined);
 	}
 
@@ -103,6 +100,13 @@
 		}
 	}
 
+	/** This instance has become the follower of the store, or is it no more. */
+	placeChanged(): void {
+		for (const reader of this.#readers) {
+			reader.placeChanged();
+		}
+	}
+
 	get routes(): RouteTable | undefined {
 		return this.#routes;
 	}
@@ -123,6 +127,11 @@
 		};
 	}
 
+	/** Changes with each change of what is shared. */
+	get key(): string {
+		return `${this.#version} ${this.#registry.endOffset} ${this.#registry.digest}`;
+	}
+
 	/** What another instance asks for. */
 	share({configurationVersion, wantsRegistry}: StateQuery): SharedState {
 		return {
@@ -222,7 +231,7 @@
 
 	#replaceRegistry(snapshot: KeyedSnapshot<RegisteredUpstream>, trust: RemovalTrust): void {
 		const events = this.#registry.replace(snapshot, trust);
-		this.#emit(events);
+		this.#emitAll(events);
 		if (events.length > 0) {
 			this.#options.onNews(undefined);
 		}
@@ -236,6 +245,17 @@
 		}
 	}
 
+	/** Runs only while an entry is missing that may come back. */
+	#sweepWhileLapsed(): void {
+		this.#sweepTimer ??= setInterval(() => {
+			this.#sweep();
+			if (!this.#registry.hasLapsed) {
+				clearInterval(this.#sweepTimer);
+				this.#sweepTimer = undefined;
+			}
+		}, sweepIntervalMs);
+	}
+
 	#sweep(): void {
 		const events = this.#registry.sweep();
 		this.#emit(events);
@@ -244,6 +264,21 @@
 		}
 	}
 
+	/** Those that become known together share one line: 500 lines at each of 313 starts were a tenth of their work. */
+	#emitAll(events: readonly RegistryEvent[]): void {
+		const joined = events.filter(({type}) => type === 'joined');
+		for (const event of joined) {
+			this.#options.onUpstream(event);
+		}
+
+		if (joined.length > 0) {
+			const upstreams = joined.map(({upstream: {id, host, port}}) => `${id}=${host}:${port}`).join(' ');
+			this.#options.context.logger.info('upstreams joined', {count: joined.length, registryOffset: this.#registry.endOffset, upstreams});
+		}
+
+		this.#emit(events.filter(({type}) => type !== 'joined'));
+	}
+
 	#emit(events: readonly RegistryEvent[]): void {
 		for (const event of events) {
 			const {id, service, host, port, availabilityZone} = event.upstream;
@@ -252,6 +287,10 @@
 			});
 			this.#options.onUpstream(event);
 		}
+
+		if (events.some(({type}) => type === 'lapsed')) {
+			this.#sweepWhileLapsed();
+		}
 	}
 }
 
--- a/packages/gateway/src/features/state/topic-reader.ts
+++ b/packages/gateway/src/features/state/topic-reader.ts
@@ -1,6 +1,6 @@
 /** Keeps one topic of the store in step: at length on behalf of all, or once where what others tell grows old. */
 import type {Clock, RandomSource} from '@cairnbank/core';
-import {chooseReading, type Reading} from '@cairnbank/core/fleet';
+import {chooseReading, nextLookMs, type ReadingSituation} from '@cairnbank/core/fleet';
 import type {KeyedChanges, KeyedSnapshot, StoreTrust} from '@cairnbank/core/registry';
 import type {Logger} from '../../logging/create-logger.js';
 import type {Metrics} from '../../metrics/metrics.js';
@@ -14,9 +14,6 @@
 const followWaitMs = 700;
 /** Pause after records came, so that a burst of them takes one call. */
 const gatherMs = 150;
-/** How often an instance that relies on others looks at the age; before it knows anything, how often it looks for others. */
-const checkIntervalMs = 100;
-const firstCheckIntervalMs = 10;
 const firstBackoffMs = 150;
 const maximumBackoffMs = 1500;
 /** Part of a pause that is random, so that instances don't call at the same moment. */
@@ -30,6 +27,8 @@
 	readonly isDeputy: boolean;
 	/** Another instance that was heard has a configuration and the upstreams. */
 	readonly isKnownToOthers: boolean;
+	/** Others were named to it before the start, and it was not named to them. */
+	readonly isToldOfOthers: boolean;
 };
 
 export type TopicReaderOptions<Value> = {
@@ -45,6 +44,8 @@
 	/** Something is known, through whomever; that the topic is empty counts as well. */
 	readonly isKnown: () => boolean;
 	readonly place: () => StorePlace;
+	/** Whether the whole fleet starts for the first time. */
+	readonly isFirstStart: boolean;
 	/** Age of what is known, through whomever. */
 	readonly ageMs: () => number;
 	readonly onSnapshot: (snapshot: KeyedSnapshot<Value>) => void;
@@ -61,6 +62,8 @@
 	readonly #options: TopicReaderOptions<Value>;
 	readonly #unreadable: UnreadableRecords;
 	#isStopped = false;
+	/** It relies on others for now. */
+	#isWaiting = false;
 	#failures = 0;
 	#startedAtMs = 0;
 	/** Place of this instance among those that find what others told too old at the same moment. */
@@ -87,18 +90,28 @@
 		this.#wake?.();
 	}
 
-	get #reading(): Reading {
-		const {place, isKnown, ageMs, clock} = this.#options;
-		return chooseReading({
-			...place(), isKnown: isKnown(), ageMs: ageMs(), spread: this.#spread, sinceStartMs: clock.monotonicMs() - this.#startedAtMs,
-		});
+	/** This instance has become the follower, or is it no more. */
+	placeChanged(): void {
+		if (this.#isWaiting) {
+			this.#wake?.();
+		}
+	}
+
+	get #situation(): ReadingSituation {
+		const {place, isFirstStart, isKnown, ageMs, clock} = this.#options;
+		return {
+			...place(), isFirstStart, isKnown: isKnown(), ageMs: ageMs(), spread: this.#spread, sinceStartMs: clock.monotonicMs() - this.#startedAtMs,
+		};
 	}
 
 	async #step(): Promise<void> {
 		const {isKnown, offset} = this.#options;
-		const reading = this.#reading;
+		const situation = this.#situation;
+		const reading = chooseReading(situation);
 		if (reading === 'wait') {
-			await this.#pause(isKnown() ? checkIntervalMs : firstCheckIntervalMs);
+			this.#isWaiting = true;
+			await this.#pause(nextLookMs(situation));
+			this.#isWaiting = false;
 			return;
 		}
 
--- a/packages/gateway/src/features/upstreams/connection-pool.ts
+++ b/packages/gateway/src/features/upstreams/connection-pool.ts
@@ -51,6 +51,10 @@
 
 	/** Closes idle connections whose time is over. */
 	sweep(): void {
+		if (this.#idle.length === 0) {
+			return;
+		}
+
 		const [kept, over] = partition(this.#idle, connection => connection.isReusable);
 		this.#idle = kept;
 		for (const connection of over) {
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -37,7 +37,8 @@
 		this.#placer = new Placer({
 			context: {clock: this.clock, random: createRandomSource(3), settings: {availabilityZone: 'nasr'}} as unknown as Context,
 			prober: {probe: async (upstream: Upstream) => this.#probe(upstream)} as unknown as PlacerOptions['prober'],
-			ofService: () => [...this.#upstreams.values()],
+			ofService: (_service, zone) => [...this.#upstreams.values()].filter(({registered}) => zone === undefined || registered.availabilityZone === zone),
+			seat: () => ({index: 0, count: 1}),
 		});
 	}
 
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -1,7 +1,7 @@
 /** Chooses the upstream of one attempt: ranks by what is known, asks the best for their load now, takes the best. */
-import type {ServiceId, UpstreamId} from '@cairnbank/core';
+import type {AvailabilityZoneId, ServiceId, UpstreamId} from '@cairnbank/core';
 import {
-	expectedDurationMs, isAtEase, isWorthAsking, TypicalDurations,
+	apertureWidth, expectedDurationMs, isAtEase, isWorthAsking, takeAperture, TypicalDurations, type Seat,
 } from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import type {Prober} from './prober.js';
@@ -23,6 +23,12 @@
 const otherZoneRankingFactor = 1.3;
 /** A failed answer costs about this many times the work of a good one. */
 const failureWeight = 4;
+/** Up to this many upstreams of a service, every instance turns to all of them. */
+const smallService = 2 * apertureWidth;
+/** Rounds in which an instance of a large fleet asks only upstreams that it knows; then it looks further. */
+const roundsAtHand = 3;
+/** Upstreams that it draws from all others then. */
+const drawnOthers = 8;
 /** Spread of the ranking, so that instances that know nothing don't all ask the same upstreams. */
 const rankingSpread = 0.5;
 
@@ -49,7 +55,10 @@
 export type PlacerOptions = {
 	readonly context: Context;
 	readonly prober: Prober;
-	readonly ofService: (service: ServiceId) => readonly Upstream[];
+	/** Upstreams that take new requests, of one availability zone or of all, in an order that is the same at all instances. */
+	readonly ofService: (service: ServiceId, zone?: AvailabilityZoneId) => readonly Upstream[];
+	/** Place of this instance among those of its availability zone or of the fleet. */
+	readonly seat: (among: 'zone' | 'fleet') => Seat;
 };
 
 export class Placer {
@@ -62,18 +71,25 @@
 
 	/** @returns nothing where the service has no upstream that may be tried */
 	async place(request: PlacementRequest): Promise<Placement | undefined> {
-		const ranked = this.#ranked(request);
-		let best = this.#best(request);
+		const usable = this.#usable(request);
+		const considered = [...this.#atHand(request, usable)];
+		const queue = this.#ranked(considered, request.workMs);
+		let best = this.#best(considered, request.workMs);
 		let rounds = 0;
 		let isWorthwhile = best !== undefined;
 		while (isWorthwhile) {
-			const asked = ranked.slice(rounds * probesPerRound, (rounds + 1) * probesPerRound);
+			const asked = queue.splice(0, probesPerRound);
 			await this.#ask(asked);
 			this.#learn(asked, request.workMs);
 			rounds += 1;
-			best = this.#best(request);
-			const hasOthers = rounds * probesPerRound < ranked.length;
-			isWorthwhile = best !== undefined && hasOthers && isWorthAsking({
+			if (rounds === roundsAtHand && considered.length < usable.length) {
+				const others = this.#drawOthers(usable, new Set(considered));
+				considered.push(...others);
+				queue.unshift(...this.#ranked(others, request.workMs));
+			}
+
+			best = this.#best(considered, request.workMs);
+			isWorthwhile = best !== undefined && queue.length > 0 && isWorthAsking({
 				rounds, isAtEase: asked.some(upstream => hasEase(upstream)), bestRatio: best.expectedMs / request.workMs,
 			});
 		}
@@ -81,46 +97,62 @@
 		return best;
 	}
 
+	/** Upstreams that this instance turns to first. */
+	#atHand({service}: PlacementRequest, usable: readonly Upstream[]): readonly Upstream[] {
+		if (usable.length <= smallService) {
+			return usable;
+		}
+
+		const {context, ofService, seat} = this.#options;
+		const near = ofService(service, context.settings.availabilityZone as AvailabilityZoneId);
+		const isEnough = near.length >= apertureWidth;
+		const isUsable = new Set(usable);
+		const taken = takeAperture(isEnough ? near : ofService(service), seat(isEnough ? 'zone' : 'fleet'), upstream => isUsable.has(upstream));
+		return taken.length > 0 ? taken : usable;
+	}
+
+	#drawOthers(usable: readonly Upstream[], considered: ReadonlySet<Upstream>): readonly Upstream[] {
+		const {random} = this.#options.context;
+		const others = usable.filter(upstream => !considered.has(upstream));
+		return Array.from({length: Math.min(drawnOthers, others.length)}, () => others.splice(random.below(others.length), 1)[0]!);
+	}
+
 	#learn(asked: readonly Upstream[], workMs: number): void {
 		for (const upstream of asked.filter(({condition}) => condition.reportAgeMs <= freshReportMs)) {
 			this.#typical.found(upstream.registered.service, this.#expectedMs(upstream, workMs) / workMs);
 		}
 	}
 
-	#ranked(request: PlacementRequest): readonly Upstream[] {
+	#ranked(upstreams: readonly Upstream[], workMs: number): Upstream[] {
 		const {random} = this.#options.context;
-		return this.#candidates(request)
-			.map(upstream => ({upstream, cost: this.#rankMs(upstream, request.workMs) * (1 + (random.next() * rankingSpread))}))
+		return upstreams
+			.map(upstream => ({upstream, cost: this.#rankMs(upstream, workMs) * (1 + (random.next() * rankingSpread))}))
 			.sort((left, right) => left.cost - right.cost)
 			.map(({upstream}) => upstream);
 	}
 
-	#best(request: PlacementRequest): Placement | undefined {
-		const candidates = this.#candidates(request);
+	#best(considered: readonly Upstream[], workMs: number): Placement | undefined {
+		const candidates = answeringOf(considered);
 		if (candidates.length === 0) {
 			return undefined;
 		}
 
-		const costs = candidates.map(upstream => this.#costMs(upstream, request.workMs));
+		const costs = candidates.map(upstream => this.#costMs(upstream, workMs));
 		const upstream = candidates[costs.indexOf(Math.min(...costs))]!;
-		const expectedMs = this.#expectedMs(upstream, request.workMs);
+		const expectedMs = this.#expectedMs(upstream, workMs);
 		const {tellsLoad, report} = upstream.condition;
 		return {
 			upstream,
 			expectedMs,
-			workMs: request.workMs,
+			workMs,
 			slowness: tellsLoad ? report?.slowness : undefined,
-			durationRatio: tellsLoad && report !== undefined ? expectedMs / request.workMs : undefined,
+			durationRatio: tellsLoad && report !== undefined ? expectedMs / workMs : undefined,
 			isAtEase: hasEase(upstream),
 		};
 	}
 
-	/** Those that answer; only where none does, those that may not. */
-	#candidates({service, excluded}: PlacementRequest): readonly Upstream[] {
-		const all = this.#options.ofService(service).filter(({registered}) => !excluded.has(registered.id));
-		const reachable = all.filter(({condition}) => !condition.isAvoided);
-		const answering = reachable.filter(({condition}) => !condition.isSilent);
-		return [answering, reachable, all].find(candidates => candidates.length > 0) ?? [];
+	#usable({service, excluded}: PlacementRequest): readonly Upstream[] {
+		return answeringOf(this.#options.ofService(service).filter(({registered}) => !excluded.has(registered.id)));
 	}
 
 	/** Asks all at once; goes on as soon as one is at ease in this zone, or all have answered, or time is up. */
@@ -181,3 +213,10 @@
 function hasEase({registered, condition}: Upstream): boolean {
 	return isAtEase({report: condition.report, unreportedInFlight: condition.unreportedInFlight, slots: registered.slots});
 }
+
+/** Those that answer; only where none does, those that may not. */
+function answeringOf(upstreams: readonly Upstream[]): readonly Upstream[] {
+	const reachable = upstreams.filter(({condition}) => !condition.isAvoided);
+	const answering = reachable.filter(({condition}) => !condition.isSilent);
+	return [answering, reachable, upstreams].find(candidates => candidates.length > 0) ?? [];
+}
--- a/packages/gateway/src/features/upstreams/recheck-task.ts
+++ b/packages/gateway/src/features/upstreams/recheck-task.ts
@@ -22,21 +22,29 @@
 	}
 
 	async start(): Promise<Result<void, StartError>> {
-		this.#timer = setInterval(() => {
-			this.#checkDue();
-		}, intervalMs);
 		return ok(undefined);
 	}
 
 	stop(): void {
-		clearInterval(this.#timer);
+		clearTimeout(this.#timer);
+	}
+
+	/** An upstream could not be reached. While none is, an idle instance need not wake up 20 times a second. */
+	wake(): void {
+		this.#timer ??= setTimeout(() => {
+			this.#timer = undefined;
+			this.#checkDue();
+		}, intervalMs);
 	}
 
 	#checkDue(): void {
-		for (const upstream of this.#options.upstreams()) {
-			if (upstream.condition.isCheckDue) {
-				void this.#options.probe(upstream);
-			}
+		const avoided = [...this.#options.upstreams()].filter(({condition}) => condition.isAvoided);
+		for (const upstream of avoided.filter(({condition}) => condition.isCheckDue)) {
+			void this.#options.probe(upstream);
+		}
+
+		if (avoided.length > 0) {
+			this.wake();
 		}
 	}
 }
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -1,6 +1,6 @@
 /** Owns the connections to all upstreams and what is known of their condition. */
-import type {ServiceId, UpstreamId} from '@cairnbank/core';
-import {UpstreamCondition} from '@cairnbank/core/placement';
+import type {AvailabilityZoneId, ServiceId, UpstreamId} from '@cairnbank/core';
+import {ringOrder, UpstreamCondition} from '@cairnbank/core/placement';
 import type {RegisteredUpstream} from '@cairnbank/core/registry';
 import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
@@ -15,18 +15,24 @@
  * answers, and a lost first packet is sent again only after a second, when another upstream has long been tried.
  */
 const connectTimeoutMs = 150;
-const sweepIntervalMs = 500;
+/** Connections past their time are never used; this bounds how long they stay open. */
+const sweepIntervalMs = 2000;
 
 export class UpstreamsTask implements Task {
 	readonly name = 'upstreams';
 	readonly #context: Context;
 	readonly #dialect: RequestDialect;
+	readonly #onUnreachable: () => void;
 	readonly #upstreams = new Map<UpstreamId, Upstream>();
+	/** Upstreams that take new requests, by service and availability zone in the order of the ring; made as they are asked for. */
+	readonly #rings = new Map<string, readonly Upstream[]>();
 	#sweepTimer: NodeJS.Timeout | undefined;
 
-	constructor(context: Context, dialect: RequestDialect) {
+	/** @param onUnreachable - an upstream could not be reached */
+	constructor(context: Context, dialect: RequestDialect, onUnreachable: () => void) {
 		this.#context = context;
 		this.#dialect = dialect;
+		this.#onUnreachable = onUnreachable;
 	}
 
 	async start(): Promise<Result<void, StartError>> {
@@ -53,11 +59,12 @@
 			sameId?.pool.close();
 		}
 
+		this.#rings.clear();
 		const {clock, metrics} = this.#context;
 		this.#upstreams.set(registered.id, {
 			registered,
 			warmUntilMs: known?.warmUntilMs ?? clock.monotonicMs() + registered.warmupMs,
-			condition: known?.condition ?? new UpstreamCondition(clock),
+			condition: known?.condition ?? new UpstreamCondition(clock, this.#onUnreachable),
 			pool: known?.pool ?? new ConnectionPool({
 				host: registered.host,
 				port: registered.port,
@@ -75,6 +82,7 @@
 	remove(id: UpstreamId): void {
 		this.#upstreams.get(id)?.pool.close();
 		this.#upstreams.delete(id);
+		this.#rings.clear();
 	}
 
 	count(isCounted: (service: ServiceId) => boolean): number {
@@ -85,9 +93,24 @@
 		return this.#upstreams.values();
 	}
 
-	/** Upstreams of a service that take new requests. */
-	ofService(service: ServiceId): readonly Upstream[] {
-		return [...this.#upstreams.values()].filter(({registered}) => registered.service === service && !registered.draining);
+	/**
+	 * Upstreams of a service that take new requests, in an order that is the same at all instances.
+	 *
+	 * @param zone - only those of this availability zone
+	 */
+	ofService(service: ServiceId, zone?: AvailabilityZoneId): readonly Upstream[] {
+		const key = JSON.stringify([service, zone]);
+		const known = this.#rings.get(key);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const upstreams = [...this.#upstreams.values()]
+			.filter(({registered}) => registered.service === service && !registered.draining)
+			.filter(({registered}) => zone === undefined || registered.availabilityZone === zone);
+		const ring = ringOrder(upstreams, ({registered}) => registered.id);
+		this.#rings.set(key, ring);
+		return ring;
 	}
 }
 
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -38,6 +38,8 @@
 		statePort: port,
 		metricsPort: port,
 	}),
+	/** The whole fleet starts for the first time: no process has run in this place before. */
+	isFirstStart: v.optional(v.boolean(), false),
 	/** `IP:port` of instances that may be up; only the IP number counts. */
 	seeds: v.optional(v.array(address), []),
 	store: v.strictObject({address}),
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -1,9 +1,10 @@
 /** The one module that wires the parts of an entry instance. */
 import {randomBytes} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {IncarnationId, InstanceId, ServiceId} from '@cairnbank/core';
+import type {InstanceId, ServiceId} from '@cairnbank/core';
 import {systemClock} from '@cairnbank/core/clock';
 import {createRandomSource} from '@cairnbank/core/random';
+import {createIncarnation} from '@cairnbank/core/fleet';
 import {Admission, WorkEstimates} from '@cairnbank/core/placement';
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {CallersTask} from './features/calls/callers-task.js';
@@ -24,7 +25,8 @@
 import type {DirectoryDialect, RequestDialect, StateStore} from './ports/index.js';
 import type {Settings} from './settings/settings.js';
 
-const incarnationBytes = 6;
+/** Of the part that tells processes apart that start in the same millisecond. */
+const incarnationBytes = 3;
 const seedBytes = 4;
 const standardOutput = 1;
 /** How long the end of the process waits for the reader of its log; well within the rest of the time for a stop. */
@@ -44,7 +46,7 @@
 	const lines = new LineWriter(descriptorSink(standardOutput));
 	const context: Context = {
 		settings,
-		incarnation: randomBytes(incarnationBytes).toString('base64url') as IncarnationId,
+		incarnation: createIncarnation(systemClock, randomBytes(incarnationBytes).toString('base64url')),
 		clock: systemClock,
 		random: createRandomSource(randomBytes(seedBytes).readInt32BE()),
 		logger: createLogger({
@@ -56,7 +58,9 @@
 		}),
 		metrics: createMetrics(),
 	};
-	const upstreams = new UpstreamsTask(context, ports.requests);
+	const upstreams: UpstreamsTask = new UpstreamsTask(context, ports.requests, () => {
+		recheck.wake();
+	});
 	const instances = () => Math.max(leastAssumedInstances, fleet.greatestSize);
 	const state: StateTask = new StateTask({
 		context,
@@ -90,8 +94,8 @@
 		onCrash(crash) {
 			guard.crashed(crash);
 		},
-		onFirstInPlace() {
-			slackFromMs = Number.NEGATIVE_INFINITY;
+		onPlaceChanged() {
+			state.placeChanged();
 		},
 	});
 	const prober = new Prober({
@@ -102,7 +106,7 @@
 		// Entries of services that no configuration names must not raise what the others are checked.
 		upstreams: () => upstreams.count(service => state.routes?.service(service) !== undefined),
 	});
-	const recheck = new RecheckTask({upstreams: () => upstreams.all(), probe: async upstream => prober.probe(upstream)});
+	const recheck: RecheckTask = new RecheckTask({upstreams: () => upstreams.all(), probe: async upstream => prober.probe(upstream)});
 	const guard: PoisonGuard = new PoisonGuard({
 		clock: context.clock,
 		logger: context.logger,
@@ -112,10 +116,15 @@
 			fleet.announceCrash(crash);
 		},
 	});
-	const placer = new Placer({context, prober, ofService: service => upstreams.ofService(service)});
+	const placer = new Placer({
+		context,
+		prober,
+		ofService: (service, zone) => upstreams.ofService(service, zone),
+		seat: among => fleet.seat(among),
+	});
 	const windowMs = () => context.settings.bounds.retryWindowSeconds * millisecondsPerSecond;
-	// Until the store says otherwise, another process may have run in this place a moment ago.
-	let slackFromMs = context.clock.monotonicMs() + windowMs();
+	// Unless the whole fleet starts for the first time, another process may have run in this place a moment ago.
+	const slackFromMs = settings.isFirstStart ? Number.NEGATIVE_INFINITY : context.clock.monotonicMs() + windowMs();
 	const budgets = new Map<ServiceId, WindowBudget>();
 	const budget = (service: ServiceId) => {
 		const known = budgets.get(service) ?? new WindowBudget(() => {
