--- a/packages/core/src/fleet/member-checks.spec.ts
+++ b/packages/core/src/fleet/member-checks.spec.ts
@@ -43,6 +43,16 @@
 		assert.equal(checks.next(hosts, 8).asked.length, 2);
 	});
 
+	it('should be asked soon by some instance where it has just become unsure at all, however many wait there', () => {
+		const many = Array.from({length: 100}, (_, index) => `host-${index}`);
+		const rounds = Array.from({length: 60}, (_, seed) => {
+			const checks = new MemberChecks(createRandomSource(seed));
+			checks.next(many);
+			return Array.from({length: 5}, () => checks.next([...many, 'silent']).asked).findIndex(asked => asked.includes('silent'));
+		});
+		assert.ok(rounds.some(round => round >= 0));
+	});
+
 	it('should ask three times, and then hold a member for lost, once', () => {
 		const checks = new MemberChecks(createRandomSource(1));
 		const [silent] = hosts;
--- a/packages/core/src/fleet/member-checks.ts
+++ b/packages/core/src/fleet/member-checks.ts
@@ -5,7 +5,7 @@
  * Members that one instance asks anew in each round. As all ask, each member is asked about twice a round whatever the
  * size of the fleet: at 132 instances one received 20 datagrams a second in place of 328 with heartbeats from each to all.
  */
-export const askedPerRound = 2;
+const askedPerRound = 2;
 /** One lost datagram must not cost a member its callers: it is asked this often before it counts as lost. */
 const maximumAsks = 3;
 
@@ -25,6 +25,8 @@
 	readonly #unanswered = new Map<string, number>();
 	/** Hosts in the order in which they are asked next; each comes once before any comes again. */
 	#queue: string[] = [];
+	/** Hosts of the round before. */
+	#known: ReadonlySet<string> = new Set();
 
 	/** @param perRound - members asked anew in each round, on the mean; may be a fraction */
 	constructor(random: RandomSource, perRound: number = askedPerRound) {
@@ -38,6 +40,8 @@
 	 */
 	next(hosts: readonly string[], factor = 1): CheckRound {
 		const known = new Set(hosts);
+		this.#enqueue(hosts.filter(host => !this.#known.has(host)));
+		this.#known = known;
 		for (const host of [...this.#unanswered.keys()].filter(host => !known.has(host))) {
 			this.#unanswered.delete(host);
 		}
@@ -78,6 +82,16 @@
 		return this.#queue.splice(0, count);
 	}
 
+	/**
+	 * Puts whoever has just become unsure somewhere among those that wait: at the end, a member that all watched until now
+	 * would be asked by nobody for a whole turn, half a minute at 313 instances; at the front, all would ask the same one.
+	 */
+	#enqueue(hosts: readonly string[]): void {
+		for (const host of hosts) {
+			this.#queue.splice(this.#random.below(this.#queue.length + 1), 0, host);
+		}
+	}
+
 	#shuffled(hosts: readonly string[]): string[] {
 		return hosts
 			.map(host => ({host, order: this.#random.next()}))
--- a/packages/core/src/fleet/news-targets.spec.ts
+++ b/packages/core/src/fleet/news-targets.spec.ts
@@ -3,7 +3,7 @@
 import type {AvailabilityZoneId} from '../model/ids.js';
 import {createRandomSource} from '../model/random-source.js';
 import type {FleetMember} from './fleet-member.js';
-import {chooseNewsTargets} from './news-targets.js';
+import {chooseNewsTargets, chooseRelays} from './news-targets.js';
 
 const ownZone = 'nasr' as AvailabilityZoneId;
 
@@ -11,6 +11,15 @@
 	return Array.from({length: count}, (_, index) => ({host: `${zone}-${index}`, availabilityZone: zone}) as unknown as FleetMember);
 }
 
+describe('chooseRelays', () => {
+	it('should take two of each other availability zone, or the one that there is', () => {
+		const relays = chooseRelays([...members('nasr', 60), ...members('giza', 60), ...members('maadi', 1)], ownZone, createRandomSource(1));
+		assert.equal(new Set(relays).size, 3);
+		assert.equal(relays.filter(host => host.startsWith('giza')).length, 2);
+		assert.ok(relays.includes('maadi-0'));
+	});
+});
+
 describe('chooseNewsTargets', () => {
 	it('should take five of the own zone and one of another', () => {
 		const targets = chooseNewsTargets([...members('nasr', 60), ...members('giza', 250)], ownZone, createRandomSource(1));
--- a/packages/core/src/fleet/news-targets.ts
+++ b/packages/core/src/fleet/news-targets.ts
@@ -21,6 +21,20 @@
 	return [...near, ...far].map(({host}) => host);
 }
 
+/**
+ * Instances of each other availability zone that pass on to all of their zone what one tells the whole fleet: bytes between
+ * zones are paid for, and one that tells 250 others in four zones sends eight datagrams there in place of 250. Where both
+ * of a zone are gone or their datagrams lost, its instances learn by the next heartbeat, or from each other.
+ */
+const relaysPerZone = 2;
+
+export function chooseRelays(live: readonly FleetMember[], ownZone: AvailabilityZoneId, random: RandomSource): readonly string[] {
+	const zones = new Set(live.map(({availabilityZone}) => availabilityZone).filter(zone => zone !== ownZone));
+	return [...zones]
+		.flatMap(zone => drawn(live.filter(({availabilityZone}) => availabilityZone === zone), relaysPerZone, random))
+		.map(({host}) => host);
+}
+
 function drawn(members: readonly FleetMember[], count: number, random: RandomSource): readonly FleetMember[] {
 	const left = [...members];
 	return Array.from({length: Math.min(count, left.length)}, () => left.splice(random.below(left.length), 1)[0]!);
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -29,6 +29,7 @@
 	isBeating: true,
 	wantsReply: false,
 	wantsMembers: false,
+	isForZone: false,
 };
 
 const news: MemberNews = {
@@ -51,6 +52,7 @@
 
 const changes: FleetMessage = {
 	type: 'changes',
+	isForZone: true,
 	trust: {type: 'after-outage', returnedAtMs: 500},
 	changes: {
 		fromOffset: 3,
@@ -81,7 +83,7 @@
 
 describe('datagrams', () => {
 	for (const message of [heartbeat, {
-		...heartbeat, isBeating: false, wantsReply: true, wantsMembers: true,
+		...heartbeat, isBeating: false, wantsReply: true, wantsMembers: true, isForZone: true,
 	}, changes, crash, members] satisfies FleetMessage[]) {
 		it(`should carry ${message.type} as they are`, () => {
 			assert.deepEqual(decodeMessage(encodeMessage(message, 1000), 1000)._unsafeUnwrap(), message);
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -24,12 +24,20 @@
 		readonly wantsReply: boolean;
 		/** The receiver is asked for all that it knows of members. */
 		readonly wantsMembers: boolean;
+		/** The receiver passes it on to its availability zone. */
+		readonly isForZone: boolean;
 	}
 	/** What the sender knows of some members. */
 	| {readonly type: 'members'; readonly members: readonly MemberNews[]}
 	/** A request was running at an upstream that crashed. */
 	| {readonly type: 'crash'; readonly crash: Crash}
-	| {readonly type: 'changes'; readonly changes: KeyedChanges<RegisteredUpstream>; readonly trust: RemovalTrust};
+	| {
+		readonly type: 'changes';
+		readonly changes: KeyedChanges<RegisteredUpstream>;
+		readonly trust: RemovalTrust;
+		/** The receiver passes them on to its availability zone. */
+		readonly isForZone: boolean;
+	};
 
 const readyFlag = 1;
 const leavingFlag = 2;
@@ -38,6 +46,7 @@
 const wantsReplyFlag = 16;
 const wantsMembersFlag = 32;
 const lostFlag = 64;
+const forZoneFlag = 128;
 
 /** Members in one message, so that it fits into a datagram with five availability zones of long names. */
 export const membersPerMessage = 22;
@@ -60,6 +69,7 @@
 	v.number(),
 	v.nullable(v.number()),
 	v.array(v.tuple([v.number(), v.string(), entrySchema])),
+	v.boolean(),
 ]);
 const crashSchema = v.tuple([v.literal('x'), v.string(), v.string()]);
 const messageSchema = v.union([heartbeatSchema, membersSchema, changesSchema, crashSchema]);
@@ -113,7 +123,7 @@
 			const returnedAgoMs = trust.type === 'sound' ? null : Math.round(nowMs - trust.returnedAtMs);
 			return ['c', changes.fromOffset, changes.endOffset, returnedAgoMs, changes.records.map(({offset, key, value, fault}) => [
 				offset, key, value === undefined ? fault ?? null : fromUpstream(value),
-			])];
+			]), message.isForZone];
 		}
 	}
 }
@@ -141,6 +151,7 @@
 				isBeating: hasFlag(flags, beatingFlag),
 				wantsReply: hasFlag(flags, wantsReplyFlag),
 				wantsMembers: hasFlag(flags, wantsMembersFlag),
+				isForZone: hasFlag(flags, forZoneFlag),
 			};
 		}
 
@@ -153,9 +164,10 @@
 		}
 
 		case 'c': {
-			const [, fromOffset, endOffset, returnedAgoMs, records] = array;
+			const [, fromOffset, endOffset, returnedAgoMs, records, isForZone] = array;
 			return {
 				type: 'changes',
+				isForZone,
 				trust: returnedAgoMs === null ? {type: 'sound'} : {type: 'after-outage', returnedAtMs: nowMs - returnedAgoMs},
 				changes: {
 					fromOffset,
@@ -199,8 +211,12 @@
 	};
 }
 
-function flagsOf({member, isBeating, wantsReply, wantsMembers}: Extract<FleetMessage, {type: 'heartbeat'}>): number {
-	return memberFlags(member) + (isBeating ? beatingFlag : 0) + (wantsReply ? wantsReplyFlag : 0) + (wantsMembers ? wantsMembersFlag : 0);
+function flagsOf({member, isBeating, wantsReply, wantsMembers, isForZone}: Extract<FleetMessage, {type: 'heartbeat'}>): number {
+	return memberFlags(member)
+		+ (isBeating ? beatingFlag : 0)
+		+ (wantsReply ? wantsReplyFlag : 0)
+		+ (wantsMembers ? wantsMembersFlag : 0)
+		+ (isForZone ? forZoneFlag : 0);
 }
 
 function memberFlags({ready, leaving, reachesStore}: Pick<MemberNews, 'ready' | 'leaving' | 'reachesStore'>): number {
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -181,8 +181,14 @@
 
 	/** Tells others what changed in the registry, where it fits into a message; what they miss they ask for. */
 	announceChanges(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalTrust): void {
-		const hosts = this.#membership.isBeatingToAll ? this.#membership.view.targets() : this.#membership.few();
-		this.#socket.send({type: 'changes', changes, trust}, hosts);
+		const make = (isForZone: boolean): FleetMessage => ({
+			type: 'changes', changes, trust, isForZone,
+		});
+		if (this.#membership.isBeatingToAll) {
+			this.#membership.sendToAll(make);
+		} else {
+			this.#socket.send(make(false), this.#membership.few());
+		}
 	}
 
 	announceCrash(crash: Crash): void {
@@ -262,6 +268,9 @@
 
 			case 'changes': {
 				state().changed(message.changes, message.trust);
+				if (message.isForZone) {
+					this.#membership.passToZone({...message, isForZone: false}, '');
+				}
 			}
 		}
 	}
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -4,7 +4,7 @@
  * learns of a member is passed on from instance to instance.
  */
 import {
-	askedPerRound, chooseNewsTargets, defaultFleetTiming, FleetView, MemberChecks, type FleetMember, type MemberNews,
+	chooseNewsTargets, chooseRelays, defaultFleetTiming, FleetView, MemberChecks, type FleetMember, type MemberNews,
 } from '@cairnbank/core/fleet';
 import type {Context} from '../../kernel/context.js';
 import {splitAddress} from '../../kernel/listen.js';
@@ -20,16 +20,23 @@
  * one by one they would take 20 times as many datagrams while all start at one moment.
  */
 export const gatherMs = 50;
-/** Asks of a round that go to other availability zones, where the own one has enough members to watch each other. */
-const farAsksPerRound = 0.25;
+/**
+ * Members that one instance of a large fleet asks in each round. Each is then asked about once in 400 ms by somebody; twice
+ * would find a loss 200 ms sooner, and is ten of the 24 times a second that an idle instance wakes up.
+ */
+const asksPerRound = 1;
+/** Asks of a round that go to other availability zones besides, where the own one has enough members to watch each other. */
+const farAsksPerRound = 0.2;
 const enoughNear = 30;
+/** Where all members are asked alike they are few, and a loss has fewer to notice it: 4.3 s at 26 instances without this. */
+const unsplitFactor = 2;
 /**
  * Where this many members were lost within this time, more may be: as many times as many are asked. Of half of 313 that
  * died at one moment the last was found after 7 s without this.
  */
 const manyLost = 3;
-const manyLostWithinMs = 2000;
-const manyLostFactor = 4;
+const manyLostWithinMs = 4000;
+const manyLostFactor = 6;
 /** Least time between two questions for all that another instance knows of members: an answer is up to 15 datagrams. */
 const membersAskMs = 700;
 /** Where news came within this time, more may be under way, and a difference tells nothing yet. */
@@ -51,6 +58,9 @@
 /** What this instance says of itself, but for what its membership adds. */
 export type OwnState = Omit<FleetMember, 'revision' | 'membersDigest'>;
 
+/** What is asked of those that get a heartbeat. */
+type Wants = {readonly wantsReply?: boolean; readonly wantsMembers?: boolean; readonly isForZone?: boolean};
+
 export class Membership {
 	readonly view: FleetView;
 	readonly #options: MembershipOptions;
@@ -72,7 +82,7 @@
 		this.#startedAtMs = clock.monotonicMs();
 		this.#askedSeedsAtMs = this.#startedAtMs;
 		this.view = new FleetView(clock);
-		this.#nearChecks = new MemberChecks(random, askedPerRound - farAsksPerRound);
+		this.#nearChecks = new MemberChecks(random, asksPerRound);
 		this.#farChecks = new MemberChecks(random, farAsksPerRound);
 	}
 
@@ -97,21 +107,36 @@
 		this.#noteOwnFlags();
 		this.#tell([...asks], {wantsReply: true});
 		if (this.isBeatingToAll) {
-			this.#tell(this.view.targets().filter(host => !asks.has(host)));
+			this.#tellAll(asks);
 		}
 	}
 
 	/** Tells others of this instance now: all of them where callers must leave it, a few of newer state, who ask for it and tell others. */
 	announce(): void {
 		if (this.#noteOwnFlags() !== 'told') {
-			this.#tell(this.isBeatingToAll ? this.view.targets() : this.few());
+			this.#announceState();
 		}
 	}
 
 	/** Tells all others of this instance now. */
 	announceToAll(): void {
 		this.#noteOwnFlags();
-		this.#tell(this.view.targets());
+		this.#tellAll(new Set());
+	}
+
+	/** Sends a message to all others, through a few others in the other availability zones of a large fleet. */
+	sendToAll(make: (isForZone: boolean) => FleetMessage, except: ReadonlySet<string> = new Set()): void {
+		const {context: {random}, self, send} = this.#options;
+		const {availabilityZone} = self();
+		const relays = this.view.isSmall ? [] : chooseRelays(this.view.live(), availabilityZone, random);
+		const direct = this.view.isSmall ? this.view.targets() : this.#nearHosts;
+		send(make(false), direct.filter(host => !except.has(host)));
+		send(make(true), relays);
+	}
+
+	/** Passes a message of another instance on to the own availability zone. */
+	passToZone(message: FleetMessage, from: string): void {
+		this.#options.send(message, this.#nearHosts.filter(host => host !== from));
 	}
 
 	/** Some live others, drawn anew each time. */
@@ -127,7 +152,7 @@
 
 	/** A heartbeat came from another instance. */
 	heard(message: Extract<FleetMessage, {type: 'heartbeat'}>): void {
-		const {member, isBeating, wantsReply, wantsMembers} = message;
+		const {member, isBeating, wantsReply, wantsMembers, isForZone} = message;
 		this.#nearChecks.heard(member.host);
 		this.#farChecks.heard(member.host);
 		const before = this.view.newsOf(member.host);
@@ -154,6 +179,10 @@
 			}
 		}
 
+		if (isForZone) {
+			this.passToZone({...message, isForZone: false}, member.host);
+		}
+
 		if (wantsMembers) {
 			this.#sendMembers(member.host);
 		}
@@ -195,6 +224,19 @@
 		this.#sendInParts(members, this.few());
 	}
 
+	get #nearHosts(): readonly string[] {
+		const {availabilityZone} = this.#options.self();
+		return this.view.live().filter(member => member.availabilityZone === availabilityZone).map(({host}) => host);
+	}
+
+	#announceState(): void {
+		if (this.isBeatingToAll) {
+			this.#tellAll(new Set());
+		} else {
+			this.#tell(this.few());
+		}
+	}
+
 	/** Members that are asked in this round; those that have left all asks unanswered are lost. */
 	#asked(): readonly string[] {
 		if (this.#isStarting) {
@@ -206,7 +248,7 @@
 		const near = unsure.filter(host => this.view.zoneOf(host) === availabilityZone);
 		const isSplit = near.length >= enoughNear;
 		const factor = this.view.lostWithin(manyLostWithinMs) >= manyLost ? manyLostFactor : 1;
-		const nearRound = this.#nearChecks.next(isSplit ? near : unsure, factor);
+		const nearRound = isSplit ? this.#nearChecks.next(near, factor) : this.#nearChecks.next(unsure, factor * unsplitFactor);
 		const farRound = this.#farChecks.next(isSplit ? unsure.filter(host => this.view.zoneOf(host) !== availabilityZone) : [], factor);
 		for (const host of [...nearRound.lost, ...farRound.lost]) {
 			this.#lost(host);
@@ -270,7 +312,7 @@
 		this.#toldFlags = flags;
 		this.#wasOffered = isOffered;
 		this.#revision += 1;
-		if (mustLeave || this.isBeatingToAll) {
+		if (mustLeave || this.view.isSmall) {
 			this.#tell(this.view.targets());
 			return 'told';
 		}
@@ -362,17 +404,27 @@
 		return this.#options.context.clock.monotonicMs() - this.#startedAtMs < firstBeatsUntilMs;
 	}
 
-	#tell(hosts: readonly string[], {wantsReply = false, wantsMembers = false}: {wantsReply?: boolean; wantsMembers?: boolean} = {}): void {
-		if (hosts.length === 0) {
-			return;
+	/** @param except - hosts that were told just now */
+	#tellAll(except: ReadonlySet<string>): void {
+		this.sendToAll(isForZone => this.#heartbeat({isForZone}), except);
+	}
+
+	#tell(hosts: readonly string[], wants: Wants = {}): void {
+		if (hosts.length > 0) {
+			this.#options.send(this.#heartbeat(wants), hosts);
 		}
+	}
 
-		const {send, self} = this.#options;
-		const own = self();
-		const member = {...own, revision: this.#revision};
-		send({
-			type: 'heartbeat', member: {...member, membersDigest: this.view.digestWith(member)}, isBeating: this.isBeatingToAll, wantsReply, wantsMembers,
-		}, hosts);
+	#heartbeat({wantsReply = false, wantsMembers = false, isForZone = false}: Wants): FleetMessage {
+		const member = {...this.#options.self(), revision: this.#revision};
+		return {
+			type: 'heartbeat',
+			member: {...member, membersDigest: this.view.digestWith(member)},
+			isBeating: this.isBeatingToAll,
+			wantsReply,
+			wantsMembers,
+			isForZone,
+		};
 	}
 
 	/** One line for many that become known together. */
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -2,7 +2,9 @@
 import {describe, it, mock} from 'node:test';
 import {ManualClock, type ServiceId, type UpstreamId} from '@cairnbank/core';
 import {createRandomSource} from '@cairnbank/core/random';
-import {lastSlotSlowness, UpstreamCondition, type LoadReport} from '@cairnbank/core/placement';
+import {
+	apertureWidth, lastSlotSlowness, UpstreamCondition, type LoadReport,
+} from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import {Placer, type Placement, type PlacerOptions} from './placer.js';
 import type {Upstream} from './upstream.js';
@@ -113,6 +115,34 @@
 		assert.deepEqual(world.asked.toSorted(), ['near1', 'near2']);
 	});
 
+	describe('of a large fleet', () => {
+		const all = Object.fromEntries(Array.from({length: 60}, (_, index) => [`${index < 30 ? 'near' : 'far'}${index}`, idle]));
+
+		inWorld('should turn to the same few upstreams of its own availability zone again and again', all, async world => {
+			for (let request = 0; request < 40; request++) {
+				await world.place();
+			}
+
+			assert.ok(world.asked.every(id => id.startsWith('near')));
+			assert.ok(new Set(world.asked).size <= apertureWidth, `${new Set(world.asked).size}`);
+		});
+
+		const fullNearby = Object.fromEntries(Object.keys(all).map(id => [id, id.startsWith('near') ? {...idle, running: slots, waiting: 2} : idle]));
+		inWorld('should look further where those have no slot left', fullNearby, async world => {
+			const taken = await world.place();
+			assert.match(String(taken), /^far/);
+		});
+
+		const fewNearby = Object.fromEntries(Array.from({length: 60}, (_, index) => index < 3 ? [`near${index}`, {...idle, running: slots}] : [`far${index}`, idle]));
+		inWorld('should turn to the same few of all zones where its own has few', fewNearby, async world => {
+			for (let request = 0; request < 40; request++) {
+				assert.match(String(await world.place()), /^far/);
+			}
+
+			assert.ok(new Set(world.asked).size <= apertureWidth);
+		});
+	});
+
 	inWorld('should take the upstream with a free slot', {full: {...idle, running: slots, waiting: 3}, free: idle}, async world => {
 		assert.equal(await world.place(), 'free');
 	});
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -111,9 +111,12 @@
 		return taken.length > 0 ? taken : usable;
 	}
 
+	/** Those of other availability zones, as the ones at hand tell how busy the own zone is. */
 	#drawOthers(usable: readonly Upstream[], considered: ReadonlySet<Upstream>): readonly Upstream[] {
 		const {random} = this.#options.context;
-		const others = usable.filter(upstream => !considered.has(upstream));
+		const left = usable.filter(upstream => !considered.has(upstream));
+		const far = left.filter(upstream => !this.#isNear(upstream));
+		const others = far.length > 0 ? far : left;
 		return Array.from({length: Math.min(drawnOthers, others.length)}, () => others.splice(random.below(others.length), 1)[0]!);
 	}
 
