--- a/packages/core/src/placement/upstream-condition.spec.ts
+++ b/packages/core/src/placement/upstream-condition.spec.ts
@@ -122,6 +122,32 @@
 		assert.ok(condition.failureRatio > 0);
 	});
 
+	describe('an upstream that breaks off health checks', () => {
+		it('should go after others, but be taken out by none of them', () => {
+			const clock = new ManualClock();
+			const condition = new UpstreamCondition(clock);
+			condition.reported(report);
+			for (let check = 0; check < 20; check++) {
+				condition.asked();
+				condition.checkBroken();
+				clock.advance(100);
+			}
+
+			assert.equal(condition.isAvoided, false);
+			assert.equal(condition.isSilent, false);
+			assert.equal(condition.report, undefined);
+			assert.ok(condition.failureRatio > 0);
+		});
+
+		it('should be cleared by the requests that it answers', () => {
+			const condition = new UpstreamCondition(new ManualClock());
+			condition.checkBroken();
+			const blamed = condition.failureRatio;
+			condition.succeeded();
+			assert.ok(condition.failureRatio < blamed);
+		});
+	});
+
 	describe('an upstream that tells no load', () => {
 		it('should count own requests until they end, whatever health checks say', () => {
 			const condition = new UpstreamCondition(new ManualClock());
--- a/packages/core/src/placement/upstream-condition.ts
+++ b/packages/core/src/placement/upstream-condition.ts
@@ -17,6 +17,8 @@
  * without it one that hangs and reports free slots was chosen again for 4 to 5 of 10 requests on a loaded machine.
  */
 const overtakenStep = 0.1;
+/** Blame for a health check that was broken off: two make the upstream cost half as much again as one that answers. */
+const brokenCheckStep = 0.05;
 /**
  * A health check is answered within some 10 ms, or 14 on a new connection to another availability zone; one that takes
  * longer than this is at an upstream that is dark, cut off or frozen, or whose packets were lost.
@@ -170,6 +172,17 @@
 		this.#unreachableCount = 0;
 	}
 
+	/**
+	 * It took a connection and broke off a health check: nothing is known of its load, and others go first. That it doesn't
+	 * serve is not said by this: upstreams that break off health checks and serve all else are common, and one that has
+	 * crashed takes no further connection.
+	 */
+	checkBroken(): void {
+		this.#askedAtMs = undefined;
+		this.#reportAtMs = Number.NEGATIVE_INFINITY;
+		this.#blame(brokenCheckStep);
+	}
+
 	/** No connection, or no answer to a health check. */
 	unreachable(): void {
 		const backoffMs = Math.min(maximumBackoffMs, firstBackoffMs * (2 ** this.#unreachableCount));
--- a/packages/gateway/src/features/fleet/membership.spec.ts
+++ b/packages/gateway/src/features/fleet/membership.spec.ts
@@ -13,6 +13,15 @@
 	return fleet;
 }
 
+function receivedByAll(fleet: SimulatedFleet): number {
+	let received = 0;
+	for (const instance of fleet.instances) {
+		received += instance.received;
+	}
+
+	return received;
+}
+
 function happen(fleet: SimulatedFleet, kind: string, index: number): void {
 	const instance = fleet.instances[index]!;
 	switch (kind) {
@@ -99,6 +108,34 @@
 		});
 	}
 
+	it('should take back a third of 132 that were cut off for 12 s within 5 s, for less than two datagrams a member', () => {
+		const fleet = settledFleet(132);
+		const cut = fleet.instances.filter((_, index) => index % 3 === 0);
+		for (const instance of cut) {
+			instance.isCut = true;
+		}
+
+		fleet.pass(12 * secondMs);
+		assert.deepEqual(fleet.wrong(fleet.hostsUp), []);
+		const before = receivedByAll(fleet);
+		for (const instance of cut) {
+			instance.isCut = false;
+		}
+
+		fleet.pass(5 * secondMs);
+		assert.deepEqual(fleet.wrong(fleet.hostsUp), []);
+		const atRest = 5 * 15;
+		assert.ok((receivedByAll(fleet) - before) / 132 < (2 * 132) + atRest);
+	});
+
+	it('should take an instance that hears nobody for cut off itself, and hold nobody for lost', () => {
+		const fleet = settledFleet(40);
+		const [cut] = fleet.instances;
+		cut!.isCut = true;
+		fleet.pass(10 * secondMs);
+		assert.ok(cut!.offered.length >= 38, `${cut!.offered.length}`);
+	});
+
 	it('should agree with what is up within 8 s after any deaths, new processes, cuts and losses', () => {
 		const event = fc.record({
 			kind: fc.constantFrom('dies', 'starts anew', 'is cut off', 'is reached again'),
--- a/packages/gateway/src/features/state/state-task.ts
+++ b/packages/gateway/src/features/state/state-task.ts
@@ -53,7 +53,8 @@
 				name: 'configurations',
 				topic: store.configurations,
 				offset: () => this.#configurationOffset,
-				isKnown: () => this.#routes !== undefined || this.#configurationOffset !== undefined,
+				// Also where another instance has read that there is none yet: 313 that each read it for themselves made 313 calls.
+				isKnown: () => this.#routes !== undefined || this.#confirmedAtMs.configuration > Number.NEGATIVE_INFINITY,
 				ageMs: () => this.#ageMs('configuration'),
 				onSnapshot: snapshot => {
 					this.#configurationsRead(snapshot);
@@ -152,7 +153,7 @@
 		const knowsMore = member.registryOffset > this.#registry.endOffset
 			|| (isFollower && !this.#options.place().isFollower && member.registryOffset === this.#registry.endOffset);
 		const wantsRegistry = !hasSameUpstreams && knowsMore;
-		if (!knowsNewerConfiguration) {
+		if (!knowsNewerConfiguration && member.stateAgeMs < maximumToldAgeMs) {
 			this.#confirmed('configuration', member.stateAgeMs);
 		}
 
@@ -294,5 +295,5 @@
 	}
 }
 
-/** Ages beyond this say the same: nobody has heard of the store for long. */
+/** Told by an instance that has heard nothing of the store, or nothing for long. */
 const maximumToldAgeMs = 600_000;
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -1,6 +1,6 @@
 /** Asks upstreams for their load. */
 import type {UpstreamId} from '@cairnbank/core';
-import type {LoadReport} from '@cairnbank/core/placement';
+import type {LoadReport, UpstreamCondition} from '@cairnbank/core/placement';
 import {ProbeAllowance} from '@cairnbank/core/measurement';
 import type {Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
@@ -87,7 +87,7 @@
 		const result = await this.#ask(upstream, path);
 		if (result.isErr()) {
 			metrics.probes.inc({result: result.error.type});
-			condition.unreachable();
+			this.#failed(condition, result.error);
 			logger.debug('probe failed', {upstream: registered.id, ...result.error});
 			return undefined;
 		}
@@ -111,6 +111,22 @@
 		return result;
 	}
 
+	#failed(condition: UpstreamCondition, failure: ExchangeFailure): void {
+		switch (failure.type) {
+			case 'not-connected':
+			case 'timed-out':
+			case 'cancelled': {
+				condition.unreachable();
+				break;
+			}
+
+			case 'broken':
+			case 'malformed': {
+				condition.checkBroken();
+			}
+		}
+	}
+
 	#note({condition, registered}: Upstream, answer: UpstreamAnswer): void {
 		const {context: {metrics}, dialect} = this.#options;
 		const answeredBy = headerOf(answer.headers, dialect.upstreamIdHeader);
