--- a/packages/gateway/src/features/fleet/membership.spec.ts
+++ b/packages/gateway/src/features/fleet/membership.spec.ts
@@ -128,6 +128,20 @@
 		assert.ok((receivedByAll(fleet) - before) / 132 < (2 * 132) + atRest);
 	});
 
+	it('should not go on doubting a member that one instance alone cannot reach', () => {
+		const fleet = settledFleet(40);
+		const [left, right] = [fleet.instances[3]!, fleet.instances[4]!];
+		fleet.cutLinks.add(`${left.host} ${right.host}`);
+		fleet.cutLinks.add(`${right.host} ${left.host}`);
+		fleet.pass(10 * secondMs);
+		const before = fleet.toldLost;
+		fleet.pass(8 * secondMs);
+		assert.equal(fleet.toldLost - before, 0);
+		for (const {host, offered} of fleet.instances.filter(instance => instance !== left && instance !== right)) {
+			assert.equal(offered.length, 39, host);
+		}
+	});
+
 	it('should take an instance that hears nobody for cut off itself, and hold nobody for lost', () => {
 		const fleet = settledFleet(40);
 		const [cut] = fleet.instances;
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -37,6 +37,11 @@
 const manyLost = 3;
 const manyLostWithinMs = 4000;
 const manyLostFactor = 6;
+/**
+ * A member that has contradicted that it is lost is not held for lost again by the same instance within this time: the link
+ * between the two may be cut alone, and each doubt is told to the whole fleet. Others find it if it dies meanwhile.
+ */
+const trustAfterContradictionMs = 20_000;
 /** Least time between two questions for all that another instance knows of members: an answer is up to 15 datagrams. */
 const membersAskMs = 700;
 /** Where news came within this time, more may be under way, and a difference tells nothing yet. */
@@ -70,6 +75,8 @@
 	/** News to pass on, by host. */
 	#news = new Map<string, MemberNews>();
 	#newsAtMs = Number.NEGATIVE_INFINITY;
+	/** When members contradicted that they are lost, by host. */
+	readonly #contradictedAtMs = new Map<string, number>();
 	#askedForMembersAtMs = Number.NEGATIVE_INFINITY;
 	#askedSeedsAtMs: number;
 	#revision = 0;
@@ -206,7 +213,9 @@
 			}
 		}
 
+		const lostBefore = new Set(members.map(member => member.host).filter(other => this.view.newsOf(other)?.isLost === true));
 		const news = this.view.told(members.filter(member => member.host !== host));
+		this.#noteContradictions(news.filter(member => !member.isLost && lostBefore.has(member.host)));
 		this.#logAppeared(news.filter(({isLost}) => !isLost));
 		for (const {host: lostHost, incarnation} of news.filter(({isLost}) => isLost)) {
 			context.logger.info('instance lost', {host: lostHost, incarnation, source: 'instance'});
@@ -259,7 +268,7 @@
 
 	#lost(host: string): void {
 		// An instance that hears nobody is cut off itself, and can't tell who is lost.
-		if (!this.view.hearsOthers) {
+		if (!this.view.hearsOthers || this.#hasContradicted(host)) {
 			return;
 		}
 
@@ -278,6 +287,24 @@
 		}
 	}
 
+	#noteContradictions(members: readonly MemberNews[]): void {
+		const nowMs = this.#options.context.clock.monotonicMs();
+		for (const {host} of members) {
+			this.#contradictedAtMs.set(host, nowMs);
+		}
+
+		for (const [host, atMs] of this.#contradictedAtMs) {
+			if (nowMs - atMs >= trustAfterContradictionMs) {
+				this.#contradictedAtMs.delete(host);
+			}
+		}
+	}
+
+	#hasContradicted(host: string): boolean {
+		const atMs = this.#contradictedAtMs.get(host);
+		return atMs !== undefined && this.#options.context.clock.monotonicMs() - atMs < trustAfterContradictionMs;
+	}
+
 	/** A member that was held for lost is heard: only its own word takes that back at the others. */
 	#tellDoubt(member: FleetMember, before: MemberNews | undefined): void {
 		if (before?.incarnation === member.incarnation && before.revision >= member.revision) {
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -120,6 +120,10 @@
 	readonly instances: SimulatedInstance[];
 	/** Share of the datagrams that are lost. */
 	lossShare: number;
+	/** Pairs of hosts, `from to`, between which nothing arrives. */
+	readonly cutLinks = new Set<string>();
+	/** Messages that held a member for lost. */
+	toldLost = 0;
 	/** Bytes sent between availability zones. */
 	bytesBetweenZones = 0;
 	readonly #random: RandomSource;
@@ -186,7 +190,7 @@
 		} of this.#underWay.splice(0)) {
 			const to = byHost.get(host);
 			const isLost = bytes > maximumDatagramBytes || this.#random.next() < this.lossShare;
-			if (to === undefined || !to.isUp || to.isCut || from.isCut || isLost) {
+			if (to === undefined || !to.isUp || to.isCut || from.isCut || isLost || this.cutLinks.has(`${from.host} ${host}`)) {
 				continue;
 			}
 
@@ -204,6 +208,7 @@
 			}
 
 			case 'members': {
+				this.toldLost += message.members.some(({isLost}) => isLost) ? 1 : 0;
 				to.membership.told(message);
 				break;
 			}
