--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,10 +1,12 @@
 export * from './address-choice.js';
 export type * from './fleet-member.js';
 export * from './fleet-view.js';
+export * from './contradictions.js';
 export * from './hand-over-limit.js';
 export * from './incarnation.js';
 export * from './member-news.js';
 export * from './news-targets.js';
+export * from './own-word.js';
 export * from './store-entry-plan.js';
 export * from './store-follower.js';
 export * from './member-checks.js';
--- /dev/null
+++ b/packages/gateway/src/features/fleet/member-watch.ts
@@ -0,0 +1,52 @@
+/** Whom an instance asks in each round whether it is alive, and who has left all asks unanswered. */
+import type {AvailabilityZoneId, RandomSource} from '@cairnbank/core';
+import {MemberChecks, type CheckRound, type FleetView} from '@cairnbank/core/fleet';
+
+/**
+ * Members that one instance of a large fleet asks in each round. Each is then asked about once in 400 ms by somebody; twice
+ * would find a loss 200 ms sooner, and is ten of the 24 times a second that an idle instance wakes up.
+ */
+const asksPerRound = 1;
+/** Asks of a round that go to other availability zones besides, where the own one has enough members to watch each other. */
+const farAsksPerRound = 0.2;
+const enoughNear = 30;
+/** Where all members are asked alike they are few, and a loss has fewer to notice it: 4.3 s at 26 instances without this. */
+const unsplitFactor = 2;
+/**
+ * Where this many members were lost within this time, more may be: as many times as many are asked. Of half of 313 that
+ * died at one moment the last was found after 7 s without this.
+ */
+const manyLost = 3;
+const manyLostWithinMs = 4000;
+const manyLostFactor = 6;
+
+export class MemberWatch {
+	readonly #view: FleetView;
+	readonly #near: MemberChecks;
+	readonly #far: MemberChecks;
+
+	constructor(view: FleetView, random: RandomSource) {
+		this.#view = view;
+		this.#near = new MemberChecks(random, asksPerRound);
+		this.#far = new MemberChecks(random, farAsksPerRound);
+	}
+
+	/** Anything came from this host. */
+	heard(host: string): void {
+		this.#near.heard(host);
+		this.#far.heard(host);
+	}
+
+	next(ownZone: AvailabilityZoneId): CheckRound {
+		const unsure = this.#view.unsure();
+		const near = unsure.filter(host => this.#view.zoneOf(host) === ownZone);
+		const factor = this.#view.lostWithin(manyLostWithinMs) >= manyLost ? manyLostFactor : 1;
+		if (near.length < enoughNear) {
+			return this.#near.next(unsure, factor * unsplitFactor);
+		}
+
+		const nearRound = this.#near.next(near, factor);
+		const farRound = this.#far.next(unsure.filter(host => this.#view.zoneOf(host) !== ownZone), factor);
+		return {asked: [...nearRound.asked, ...farRound.asked], lost: [...nearRound.lost, ...farRound.lost]};
+	}
+}
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -4,44 +4,19 @@
  * learns of a member is passed on from instance to instance.
  */
 import {
-	chooseNewsTargets, chooseRelays, defaultFleetTiming, FleetView, MemberChecks, type FleetMember, type MemberNews,
+	chooseNewsTargets, chooseRelays, Contradictions, defaultFleetTiming, FleetView, OwnWord, type FleetMember, type MemberNews,
 } from '@cairnbank/core/fleet';
 import type {Context} from '../../kernel/context.js';
 import {splitAddress} from '../../kernel/listen.js';
-import {membersPerMessage, type FleetMessage} from './datagrams.js';
+import type {FleetMessage} from './datagrams.js';
+import {MemberWatch} from './member-watch.js';
+import {NewsQueue, toMessages} from './news-queue.js';
 
 /** The follower's heartbeats carry the age of what all know, so they are more frequent than those of the others. */
 const followerHeartbeatMs = 300;
 /** After its start an instance looks for others more often, as they may be starting too. */
 const firstBeatsMs = 25;
 const firstBeatsUntilMs = 200;
-/**
- * News are gathered for this long before they are passed on. They reach 313 instances in some five such steps; passed on
- * one by one they would take 20 times as many datagrams while all start at one moment.
- */
-export const gatherMs = 50;
-/**
- * Members that one instance of a large fleet asks in each round. Each is then asked about once in 400 ms by somebody; twice
- * would find a loss 200 ms sooner, and is ten of the 24 times a second that an idle instance wakes up.
- */
-const asksPerRound = 1;
-/** Asks of a round that go to other availability zones besides, where the own one has enough members to watch each other. */
-const farAsksPerRound = 0.2;
-const enoughNear = 30;
-/** Where all members are asked alike they are few, and a loss has fewer to notice it: 4.3 s at 26 instances without this. */
-const unsplitFactor = 2;
-/**
- * Where this many members were lost within this time, more may be: as many times as many are asked. Of half of 313 that
- * died at one moment the last was found after 7 s without this.
- */
-const manyLost = 3;
-const manyLostWithinMs = 4000;
-const manyLostFactor = 6;
-/**
- * A member that has contradicted that it is lost is not held for lost again by the same instance within this time: the link
- * between the two may be cut alone, and each doubt is told to the whole fleet. Others find it if it dies meanwhile.
- */
-const trustAfterContradictionMs = 20_000;
 /** Least time between two questions for all that another instance knows of members: an answer is up to 15 datagrams. */
 const membersAskMs = 700;
 /** Where news came within this time, more may be under way, and a difference tells nothing yet. */
@@ -69,19 +44,13 @@
 export class Membership {
 	readonly view: FleetView;
 	readonly #options: MembershipOptions;
-	readonly #nearChecks: MemberChecks;
-	readonly #farChecks: MemberChecks;
+	readonly #watch: MemberWatch;
+	readonly #news: NewsQueue;
+	readonly #contradictions: Contradictions;
+	readonly #word = new OwnWord();
 	readonly #startedAtMs: number;
-	/** News to pass on, by host. */
-	#news = new Map<string, MemberNews>();
-	#newsAtMs = Number.NEGATIVE_INFINITY;
-	/** When members contradicted that they are lost, by host. */
-	readonly #contradictedAtMs = new Map<string, number>();
 	#askedForMembersAtMs = Number.NEGATIVE_INFINITY;
 	#askedSeedsAtMs: number;
-	#revision = 0;
-	#toldFlags = '';
-	#wasOffered = false;
 
 	constructor(options: MembershipOptions) {
 		const {clock, random} = options.context;
@@ -89,8 +58,9 @@
 		this.#startedAtMs = clock.monotonicMs();
 		this.#askedSeedsAtMs = this.#startedAtMs;
 		this.view = new FleetView(clock);
-		this.#nearChecks = new MemberChecks(random, asksPerRound);
-		this.#farChecks = new MemberChecks(random, farAsksPerRound);
+		this.#watch = new MemberWatch(this.view, random);
+		this.#news = new NewsQueue(clock, options.onNews);
+		this.#contradictions = new Contradictions(clock);
 	}
 
 	/** Time until the next beat. */
@@ -111,7 +81,7 @@
 
 		metrics.liveInstances.set(this.view.live().length + 1);
 		const asks = new Set([...this.#asked(), ...this.view.candidates(), ...this.#forgottenSeeds()]);
-		this.#noteOwnFlags();
+		this.#noteOwnWord();
 		this.#tell([...asks], {wantsReply: true});
 		if (this.isBeatingToAll) {
 			this.#tellAll(asks);
@@ -120,14 +90,14 @@
 
 	/** Tells others of this instance now: all of them where callers must leave it, a few of newer state, who ask for it and tell others. */
 	announce(): void {
-		if (this.#noteOwnFlags() !== 'told') {
+		if (!this.#noteOwnWord()) {
 			this.#announceState();
 		}
 	}
 
 	/** Tells all others of this instance now. */
 	announceToAll(): void {
-		this.#noteOwnFlags();
+		this.#noteOwnWord();
 		this.#tellAll(new Set());
 	}
 
@@ -160,8 +130,7 @@
 	/** A heartbeat came from another instance. */
 	heard(message: Extract<FleetMessage, {type: 'heartbeat'}>): void {
 		const {member, isBeating, wantsReply, wantsMembers, isForZone} = message;
-		this.#nearChecks.heard(member.host);
-		this.#farChecks.heard(member.host);
+		this.#watch.heard(member.host);
 		const before = this.view.newsOf(member.host);
 		const news = this.view.heard(member, isBeating);
 		switch (news) {
@@ -191,7 +160,7 @@
 		}
 
 		if (wantsMembers) {
-			this.#sendMembers(member.host);
+			this.#sendMembers(this.view.news().filter(({host}) => host !== member.host), [member.host]);
 		}
 
 		const wanted = this.#wantsMembersOf(member);
@@ -215,7 +184,10 @@
 
 		const lostBefore = new Set(members.map(member => member.host).filter(other => this.view.newsOf(other)?.isLost === true));
 		const news = this.view.told(members.filter(member => member.host !== host));
-		this.#noteContradictions(news.filter(member => !member.isLost && lostBefore.has(member.host)));
+		for (const member of news.filter(({host: other, isLost}) => !isLost && lostBefore.has(other))) {
+			this.#contradictions.said(member.host);
+		}
+
 		this.#logAppeared(news.filter(({isLost}) => !isLost));
 		for (const {host: lostHost, incarnation} of news.filter(({isLost}) => isLost)) {
 			context.logger.info('instance lost', {host: lostHost, incarnation, source: 'instance'});
@@ -228,9 +200,7 @@
 
 	/** Passes on the news that were gathered. */
 	passOn(): void {
-		const members = [...this.#news.values()];
-		this.#news = new Map();
-		this.#sendInParts(members, this.few());
+		this.#sendMembers(this.#news.take(), this.few());
 	}
 
 	get #nearHosts(): readonly string[] {
@@ -252,23 +222,17 @@
 			return [];
 		}
 
-		const {availabilityZone} = this.#options.self();
-		const unsure = this.view.unsure();
-		const near = unsure.filter(host => this.view.zoneOf(host) === availabilityZone);
-		const isSplit = near.length >= enoughNear;
-		const factor = this.view.lostWithin(manyLostWithinMs) >= manyLost ? manyLostFactor : 1;
-		const nearRound = isSplit ? this.#nearChecks.next(near, factor) : this.#nearChecks.next(unsure, factor * unsplitFactor);
-		const farRound = this.#farChecks.next(isSplit ? unsure.filter(host => this.view.zoneOf(host) !== availabilityZone) : [], factor);
-		for (const host of [...nearRound.lost, ...farRound.lost]) {
+		const {asked, lost} = this.#watch.next(this.#options.self().availabilityZone);
+		for (const host of lost) {
 			this.#lost(host);
 		}
 
-		return [...nearRound.asked, ...farRound.asked];
+		return asked;
 	}
 
 	#lost(host: string): void {
 		// An instance that hears nobody is cut off itself, and can't tell who is lost.
-		if (!this.view.hearsOthers || this.#hasContradicted(host)) {
+		if (!this.view.hearsOthers || this.#contradictions.isTrusted(host)) {
 			return;
 		}
 
@@ -287,24 +251,6 @@
 		}
 	}
 
-	#noteContradictions(members: readonly MemberNews[]): void {
-		const nowMs = this.#options.context.clock.monotonicMs();
-		for (const {host} of members) {
-			this.#contradictedAtMs.set(host, nowMs);
-		}
-
-		for (const [host, atMs] of this.#contradictedAtMs) {
-			if (nowMs - atMs >= trustAfterContradictionMs) {
-				this.#contradictedAtMs.delete(host);
-			}
-		}
-	}
-
-	#hasContradicted(host: string): boolean {
-		const atMs = this.#contradictedAtMs.get(host);
-		return atMs !== undefined && this.#options.context.clock.monotonicMs() - atMs < trustAfterContradictionMs;
-	}
-
 	/** A member that was held for lost is heard: only its own word takes that back at the others. */
 	#tellDoubt(member: FleetMember, before: MemberNews | undefined): void {
 		if (before?.incarnation === member.incarnation && before.revision >= member.revision) {
@@ -315,37 +261,39 @@
 	}
 
 	#heardOfSelf({incarnation, revision, isLost}: MemberNews): void {
-		if (isLost && incarnation === this.#options.context.incarnation && revision >= this.#revision) {
-			this.#revision = revision + 1;
+		if (isLost && incarnation === this.#options.context.incarnation && this.#word.contradict(revision)) {
 			this.#passOnSelf();
 		}
 	}
 
 	/**
-	 * Tells of changes in what this instance says of itself. Callers must not be sent any more to one that isn't ready or
-	 * leaves, so all are told of that at once; of the rest they learn from each other.
+	 * Tells of changes in what this instance says of itself: all at once where callers must leave it; of the rest the others
+	 * of a large fleet learn from each other.
 	 *
 	 * @returns whether all have been told
 	 */
-	#noteOwnFlags(): 'told' | 'passed on' | 'unchanged' {
-		const {ready, leaving, reachesStore} = this.#options.self();
-		const flags = [ready, leaving, reachesStore].join(' ');
-		if (flags === this.#toldFlags) {
-			return 'unchanged';
-		}
+	#noteOwnWord(): boolean {
+		const change = this.#word.note(this.#options.self());
+		switch (change) {
+			case 'unchanged': {
+				return false;
+			}
 
-		const isOffered = ready && !leaving;
-		const mustLeave = this.#wasOffered && !isOffered;
-		this.#toldFlags = flags;
-		this.#wasOffered = isOffered;
-		this.#revision += 1;
-		if (mustLeave || this.view.isSmall) {
-			this.#tell(this.view.targets());
-			return 'told';
-		}
+			case 'withdrawn': {
+				this.#tell(this.view.targets());
+				return true;
+			}
+
+			case 'changed': {
+				if (this.view.isSmall) {
+					this.#tell(this.view.targets());
+					return true;
+				}
 
-		this.#passOnSelf();
-		return 'passed on';
+				this.#passOnSelf();
+				return false;
+			}
+		}
 	}
 
 	#passOnSelf(): void {
@@ -353,12 +301,12 @@
 			host, incarnation, availabilityZone, ready, leaving, reachesStore,
 		} = this.#options.self();
 		const news = {
-			host, incarnation, availabilityZone, ready, leaving, reachesStore, revision: this.#revision, isLost: false,
+			host, incarnation, availabilityZone, ready, leaving, reachesStore, revision: this.#word.revision, isLost: false,
 		};
 		if (this.view.isSmall) {
 			this.#options.send({type: 'members', members: [news]}, this.view.targets());
 		} else {
-			this.#gather(news);
+			this.#news.add(news);
 		}
 	}
 
@@ -366,17 +314,8 @@
 	#passOn(host: string): void {
 		const news = this.view.newsOf(host);
 		if (news !== undefined && !this.view.isSmall) {
-			this.#gather(news);
-		}
-	}
-
-	#gather(news: MemberNews): void {
-		this.#newsAtMs = this.#options.context.clock.monotonicMs();
-		if (this.#news.size === 0) {
-			this.#options.onNews();
+			this.#news.add(news);
 		}
-
-		this.#news.set(news.host, news);
 	}
 
 	/**
@@ -387,12 +326,12 @@
 		const {context: {clock}, self} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const own = self();
-		if (membersDigest === this.view.digestWith({...own, revision: this.#revision}) || nowMs - this.#askedForMembersAtMs < membersAskMs) {
+		if (membersDigest === this.view.digestWith({...own, revision: this.#word.revision}) || nowMs - this.#askedForMembersAtMs < membersAskMs) {
 			return false;
 		}
 
 		const knowsOthers = this.view.live().some(member => member.incarnation !== incarnation);
-		if (knowsOthers && nowMs - this.#newsAtMs < newsUnderWayMs) {
+		if (knowsOthers && this.#news.hasAddedWithin(newsUnderWayMs)) {
 			return false;
 		}
 
@@ -406,13 +345,9 @@
 		return true;
 	}
 
-	#sendMembers(host: string): void {
-		this.#sendInParts(this.view.news().filter(news => news.host !== host), [host]);
-	}
-
-	#sendInParts(members: readonly MemberNews[], hosts: readonly string[]): void {
-		for (let start = 0; start < members.length; start += membersPerMessage) {
-			this.#options.send({type: 'members', members: members.slice(start, start + membersPerMessage)}, hosts);
+	#sendMembers(members: readonly MemberNews[], hosts: readonly string[]): void {
+		for (const message of toMessages(members)) {
+			this.#options.send(message, hosts);
 		}
 	}
 
@@ -443,7 +378,7 @@
 	}
 
 	#heartbeat({wantsReply = false, wantsMembers = false, isForZone = false}: Wants): FleetMessage {
-		const member = {...this.#options.self(), revision: this.#revision};
+		const member = {...this.#options.self(), revision: this.#word.revision};
 		return {
 			type: 'heartbeat',
 			member: {...member, membersDigest: this.view.digestWith(member)},
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -5,9 +5,8 @@
 import {chooseFollower} from '@cairnbank/core/fleet';
 import {createMetrics} from '../../metrics/metrics.js';
 import {encodeMessage, maximumDatagramBytes, type FleetMessage} from './datagrams.js';
-import {
-	gatherMs, Membership, type MembershipOptions, type OwnState,
-} from './membership.js';
+import {Membership, type MembershipOptions, type OwnState} from './membership.js';
+import {gatherMs} from './news-queue.js';
 
 const stepMs = 10;
 /** How long a choice of the follower holds, as in an instance. */
