What an upstream says of its rate limit is known, logged and counted

Change: the header is read (platform/), each upstream's last statement is kept (core/limits/advertised-rate: newest wins, an answer without a limit counts from the time its request was sent), and a line, a note in the decisions and a counter by kind of attempt show it. No request is placed otherwise than before.

--- a/packages/core/src/limits/index.ts
+++ b/packages/core/src/limits/index.ts
@@ -1,5 +1,6 @@
 export * from './adaptive-limit.js';
 export * from './admission-queue.js';
+export * from './advertised-rate.js';
 export * from './cold-start-limit.js';
 export * from './service-concurrency.js';
 export type * from './offer-result.js';
--- a/packages/core/src/placement/upstream-condition.ts
+++ b/packages/core/src/placement/upstream-condition.ts
@@ -1,4 +1,5 @@
 /** What one instance knows of one upstream: its load, own requests there, failures, whether it answers. */
+import {AdvertisedRate} from '../limits/advertised-rate.js';
 import type {Clock} from '../model/clock.js';
 import type {LoadReport} from './load-report.js';
 import {OwnRequests, type OwnRequest} from './own-requests.js';
@@ -30,6 +31,7 @@
 /** Mutable record of one upstream; owned by the task that sends to it. */
 export class UpstreamCondition {
 	readonly warmth: Warmth;
+	readonly advertisedRate = new AdvertisedRate();
 	readonly #clock: Clock;
 	readonly #own: OwnRequests;
 	readonly #onUnreachable: () => void;
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -30,9 +30,14 @@
 	 * @param remainingMs - until the call's deadline
 	 */
 	async run(remainingMs: number): Promise<Verdict> {
-		const {dialect, clock, metrics} = this.#dependencies;
-		const {condition, pool} = this.#placement.upstream;
+		const {dialect, clock, metrics, rateLimits} = this.#dependencies;
+		const {upstream} = this.#placement;
+		const {condition, pool} = upstream;
 		const sentAtMs = clock.monotonicMs();
+		if (condition.advertisedRate.requestsPerSecond !== undefined) {
+			metrics.rateLimitedRequests.inc({kind: this.#kind});
+		}
+
 		const own = condition.sent(this.#placement.workMs, this.#placement.expectedMs);
 		const result = await this.#connection.exchange({
 			method: this.#call.method,
@@ -50,9 +55,12 @@
 		}
 
 		metrics.attempts.inc({kind: this.#kind, result: verdict.type});
-		const report = result.isOk() && !isFromAnother(verdict) ? loadOf(result.value, dialect) : undefined;
-		if (report !== undefined) {
-			condition.reported(report);
+		if (result.isOk() && !isFromAnother(verdict)) {
+			rateLimits.answered(upstream, {answer: result.value, sentAtMs, isSuccess: verdict.type === 'success'});
+			const report = loadOf(result.value, dialect);
+			if (report !== undefined) {
+				condition.reported(report);
+			}
 		}
 
 		this.#note(verdict, clock.monotonicMs() - sentAtMs);
@@ -78,7 +86,9 @@
 		const {upstream: {registered, condition}, expectedMs, slowness} = this.#placement;
 		const {report} = condition;
 		const load = report === undefined ? 'load=unknown' : `running=${report.running}:waiting=${report.waiting}:age=${Math.round(condition.reportAgeMs)}ms`;
-		return `${this.#kind}:${registered.id}:expected=${Math.round(expectedMs)}ms:slowness=${slowness ?? 'unknown'}:${load}`;
+		const {requestsPerSecond} = condition.advertisedRate;
+		const limit = requestsPerSecond === undefined ? '' : `:limit=${requestsPerSecond}/s`;
+		return `${this.#kind}:${registered.id}:expected=${Math.round(expectedMs)}ms:slowness=${slowness ?? 'unknown'}:${load}${limit}`;
 	}
 
 	#headers(remainingMs: number): readonly string[] {
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -5,6 +5,7 @@
 import type {Metrics} from '../../metrics/metrics.js';
 import type {RequestDialect} from '../../ports/index.js';
 import type {Placement, PlacementRequest} from '../upstreams/placer.js';
+import type {RateLimits} from '../upstreams/rate-limits.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import type {Call} from './call.js';
 import type {NoUpstreamReason} from './outcome.js';
@@ -15,6 +16,7 @@
 	readonly metrics: Metrics;
 	readonly work: WorkEstimates;
 	readonly admission: Admission;
+	readonly rateLimits: Pick<RateLimits, 'answered'>;
 	/** This instance's part of the repeats that a service may get. */
 	readonly budget: (service: ServiceId) => WindowBudget;
 	/** Greatest number of instances that may share the budget. */
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -15,7 +15,8 @@
 
 const dialect: RequestDialect = {
 	requestIdHeader: 'id', deadlineHeader: 'deadline', expectedUpstreamHeader: 'expect', upstreamIdHeader: 'upstream',
-	signatureHeader: 'signature', notExecutedHeader: 'not-run', loadHeader: 'load', warmupHeader: 'warmup', parseLoad: () => undefined,
+	signatureHeader: 'signature', notExecutedHeader: 'not-run', loadHeader: 'load', warmupHeader: 'warmup', rateLimitHeader: 'limit',
+	parseLoad: () => undefined, parseRateLimit: () => undefined,
 };
 
 type Exchange = {
@@ -68,6 +69,7 @@
 			metrics: createMetrics(),
 			work: new WorkEstimates(),
 			admission: new Admission(this.clock),
+			rateLimits: {answered: () => undefined},
 			budget: () => budget,
 			instances: () => 1,
 			onBroken: () => undefined,
--- a/packages/gateway/src/features/calls/judge-exchange.spec.ts
+++ b/packages/gateway/src/features/calls/judge-exchange.spec.ts
@@ -8,7 +8,8 @@
 
 const dialect: RequestDialect = {
 	requestIdHeader: 'id', deadlineHeader: 'deadline', expectedUpstreamHeader: 'expect', upstreamIdHeader: 'upstream',
-	signatureHeader: 'signature', notExecutedHeader: 'not-run', loadHeader: 'load', warmupHeader: 'warmup', parseLoad: () => undefined,
+	signatureHeader: 'signature', notExecutedHeader: 'not-run', loadHeader: 'load', warmupHeader: 'warmup', rateLimitHeader: 'limit',
+	parseLoad: () => undefined, parseRateLimit: () => undefined,
 };
 
 function judge(status: number, ...headers: string[]): string {
--- a/packages/gateway/src/features/upstreams/exchange.ts
+++ b/packages/gateway/src/features/upstreams/exchange.ts
@@ -1,4 +1,5 @@
 /** One request to one upstream and how it ended. */
+import type {AdvertisedLimit} from '@cairnbank/core/limits';
 import type {LoadReport} from '@cairnbank/core/placement';
 import type {RequestDialect} from '../../ports/index.js';
 
@@ -50,3 +51,14 @@
 	const header = headerOf(headers, loadHeader);
 	return header === undefined ? undefined : parseLoad(header);
 }
+
+/** The rate limit that an answer advertises; nothing where it advertises one that can't be read. */
+export function rateLimitOf({headers}: UpstreamAnswer, {rateLimitHeader, parseRateLimit}: RequestDialect): AdvertisedLimit | undefined {
+	const header = headerOf(headers, rateLimitHeader);
+	if (header === undefined) {
+		return {type: 'none'};
+	}
+
+	const requestsPerSecond = parseRateLimit(header);
+	return requestsPerSecond === undefined ? undefined : {type: 'limited', requestsPerSecond};
+}
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -8,6 +8,7 @@
 import {
 	headerOf, loadOf, type ExchangeFailure, type UpstreamAnswer,
 } from './exchange.js';
+import type {RateLimits} from './rate-limits.js';
 import type {Upstream} from './upstream.js';
 
 /** An upstream that has not answered a health check after this time is left alone for a moment. */
@@ -17,6 +18,7 @@
 export type ProberOptions = {
 	readonly context: Context;
 	readonly dialect: RequestDialect;
+	readonly rateLimits: Pick<RateLimits, 'checked'>;
 	/** Path of a service's health check; nothing for an unknown service. */
 	readonly healthPath: (service: string) => string | undefined;
 	/** Whether anything may be sent to an upstream. */
@@ -133,8 +135,9 @@
 		}
 	}
 
-	#note({condition, registered}: Upstream, answer: UpstreamAnswer): void {
-		const {context: {metrics}, dialect} = this.#options;
+	#note(upstream: Upstream, answer: UpstreamAnswer): void {
+		const {condition, registered} = upstream;
+		const {context: {metrics}, dialect, rateLimits} = this.#options;
 		const answeredBy = headerOf(answer.headers, dialect.upstreamIdHeader);
 		if (answeredBy !== undefined && answeredBy !== registered.id) {
 			metrics.probes.inc({result: 'other-upstream'});
@@ -143,6 +146,7 @@
 		}
 
 		metrics.probes.inc({result: answer.status === okStatus ? 'ok' : 'unwell'});
+		rateLimits.checked(upstream, answer);
 		const warmupMs = headerOf(answer.headers, dialect.warmupHeader);
 		if (warmupMs !== undefined || answer.status === okStatus) {
 			// One that is warm need not say so.
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -30,6 +30,7 @@
 		configurationVersion: new Gauge({name: 'cairnbank_configuration_version', help: 'Version of the configuration in force', registers}),
 		emptiedZones: new Gauge({name: 'cairnbank_emptied_zones', help: 'Availability zones whose upstreams get nothing by an order of the operators', registers}),
 		coldRequests: counter('cairnbank_cold_requests_total', 'Requests sent to upstreams that were cold or not known to be warm', ['service']),
+		rateLimitedRequests: counter('cairnbank_rate_limited_requests_total', 'Requests sent to upstreams that advertise a rate limit, by why they were sent', ['kind']),
 		stateAgeSeconds: new Gauge({name: 'cairnbank_state_age_seconds', help: 'Time since the store last confirmed what is known', registers}),
 		unreadableRecords: new Gauge({
 			name: 'cairnbank_unreadable_records', help: 'Newest records of the store that can\'t be read, by topic', labelNames: ['topic'], registers,
--- a/packages/gateway/src/ports/request-dialect.ts
+++ b/packages/gateway/src/ports/request-dialect.ts
@@ -18,6 +18,10 @@
 	readonly loadHeader: string;
 	/** On health answers: milliseconds for which the upstream stays cold. */
 	readonly warmupHeader: string;
+	/** On answers of an upstream in need: requests a second that it takes from all instances together. */
+	readonly rateLimitHeader: string;
 	/** @returns nothing where the value is not a load report */
 	parseLoad(value: string): LoadReport | undefined;
+	/** @returns requests a second, or nothing where the value is no rate */
+	parseRateLimit(value: string): number | undefined;
 };
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -18,6 +18,7 @@
 import {ColdStarts} from './features/upstreams/cold-starts.js';
 import {Placer} from './features/upstreams/placer.js';
 import {Prober} from './features/upstreams/prober.js';
+import {RateLimits} from './features/upstreams/rate-limits.js';
 import {RecheckTask} from './features/upstreams/recheck-task.js';
 import {UpstreamsTask} from './features/upstreams/upstreams-task.js';
 import {Gateway} from './gateway.js';
@@ -109,9 +110,11 @@
 			state.placeChanged();
 		},
 	});
+	const rateLimits = new RateLimits({context, dialect: ports.requests});
 	const prober = new Prober({
 		context,
 		dialect: ports.requests,
+		rateLimits,
 		healthPath: service => state.routes?.service(service)?.healthPath,
 		isInService: upstream => upstreams.isInService(upstream),
 		instances,
@@ -172,6 +175,7 @@
 			metrics: context.metrics,
 			work: new WorkEstimates(),
 			admission: new Admission(context.clock),
+			rateLimits,
 			budget,
 			instances,
 			place: async request => placer.place(request),
