An upstream's advertised rate limit is kept over the whole fleet

Cause: no decision knew that an upstream may limit its rate. Class of fault: a statement of an upstream that travels in answers is passed on to the caller and not acted upon. Change: what kept cold upstreams within their pace (ColdStartLimit) is FleetPace now and keeps advertised limits too: as many instances of the upstream's zone as requests a second, or all of the zone at a part of the rate each; health checks of placements obey. Other way, equal parts for all instances: in a closed window of 4 s each may send one more than its part, so 104 instances may send 104 where 27 are allowed; not taken.

--- a/packages/core/src/limits/index.ts
+++ b/packages/core/src/limits/index.ts
@@ -1,7 +1,7 @@
 export * from './adaptive-limit.js';
 export * from './admission-queue.js';
 export * from './advertised-rate.js';
-export * from './cold-start-limit.js';
+export * from './fleet-pace.js';
 export * from './service-concurrency.js';
 export type * from './offer-result.js';
 export type * from './queued-request.js';
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -7,7 +7,9 @@
 	/** Operators have emptied the availability zones that have any. */
 	| 'zones-emptied'
 	/** All of them are cold, and other instances send them what they bear. */
-	| 'warming-up';
+	| 'warming-up'
+	/** All of them advertise rate limits or are cold, and take no more from this instance now. */
+	| 'rate-limited';
 
 export type NotRunReason =
 	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'never-sent' | 'too-busy' | 'suspected-poison';
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -3,14 +3,14 @@
 import {
 	ManualClock, type AvailabilityZoneId, type ServiceId, type UpstreamId,
 } from '@cairnbank/core';
-import {ColdStartLimit} from '@cairnbank/core/limits';
+import {FleetPace} from '@cairnbank/core/limits';
 import {createRandomSource} from '@cairnbank/core/random';
 import {
 	apertureWidth, lastSlotSlowness, UpstreamCondition, type LoadReport,
 } from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import {createMetrics} from '../../metrics/metrics.js';
-import {ColdStarts} from './cold-starts.js';
+import {Pacing} from './pacing.js';
 import {Placer, type Placement, type PlacerOptions} from './placer.js';
 import type {Upstream} from './upstream.js';
 
@@ -47,9 +47,9 @@
 			prober: {probe: async (upstream: Upstream) => this.#probe(upstream)} as unknown as PlacerOptions['prober'],
 			ofService: (_service, zone) => [...this.#upstreams.values()].filter(({registered}) => zone === undefined || registered.availabilityZone === zone),
 			seat: () => ({index: 0, count: 1}),
-			coldStarts: new ColdStarts({
-				limit: new ColdStartLimit({clock: this.clock, self: {host: 'a', availabilityZone: 'nasr' as AvailabilityZoneId}, others: () => []}),
-				requestsPerSecond: () => this.coldRequestsPerSecond,
+			pacing: new Pacing({
+				pace: new FleetPace({clock: this.clock, self: {host: 'a', availabilityZone: 'nasr' as AvailabilityZoneId}, others: () => []}),
+				coldRequestsPerSecond: () => this.coldRequestsPerSecond,
 				metrics: createMetrics(),
 			}),
 		});
@@ -74,6 +74,10 @@
 		return found?.upstream.registered.id;
 	}
 
+	whyHeldBack(): string | undefined {
+		return this.#placer.whyHeldBack('ledger' as ServiceId);
+	}
+
 	async #placed(excluded: readonly string[]): Promise<Placement | undefined> {
 		const placement = this.#placer.place({service: 'ledger' as ServiceId, workMs: 100, excluded: new Set(excluded as UpstreamId[])});
 		for (let round = 0; round < rounds; round++) {
@@ -235,6 +239,40 @@
 		});
 	});
 
+	describe('upstreams that advertise a rate limit', () => {
+		const limited = (world: PlacerWorld, id: string, requestsPerSecond: number) => {
+			world.clock.advance(2000);
+			world.condition(id).advertisedRate.learn({limit: {type: 'limited', requestsPerSecond}, atMs: world.clock.monotonicMs()});
+		};
+
+		inWorld('should get no more than that, nor be asked for more', {limited: idle, other: {...idle, slowness: 3}}, async world => {
+			limited(world, 'limited', 1);
+			const taken: Array<string | undefined> = [];
+			for (let request = 0; request < 5; request++) {
+				taken.push(await world.place());
+			}
+
+			assert.equal(taken.filter(id => id === 'limited').length, 1);
+			assert.equal(world.asked.filter(id => id === 'limited').length, 1);
+		});
+
+		inWorld('should leave a request without an upstream where all have had that', {limited: idle}, async world => {
+			limited(world, 'limited', 1);
+			assert.equal(await world.place(), 'limited');
+			assert.equal(await world.place(), undefined);
+			assert.equal(world.whyHeldBack(), 'rate-limited');
+		});
+
+		inWorld('should get any number again once the limit is lifted', {limited: idle}, async world => {
+			limited(world, 'limited', 1);
+			await world.place();
+			world.condition('limited').advertisedRate.learn({limit: {type: 'none'}, atMs: world.clock.monotonicMs()});
+			for (let request = 0; request < 3; request++) {
+				assert.equal(await world.place(), 'limited');
+			}
+		});
+	});
+
 	describe('upstreams that do not answer', () => {
 		const busy = {
 			...idle, running: slots, waiting: 2, slowness: 3,
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -4,7 +4,7 @@
 	apertureWidth, expectedDurationMs, isAtEase, isWorthAsking, takeAperture, TypicalDurations, type Seat,
 } from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
-import type {ColdStarts} from './cold-starts.js';
+import type {Pacing} from './pacing.js';
 import type {Prober} from './prober.js';
 import type {Upstream} from './upstream.js';
 
@@ -55,7 +55,7 @@
 export type PlacerOptions = {
 	readonly context: Context;
 	readonly prober: Prober;
-	readonly coldStarts: ColdStarts;
+	readonly pacing: Pacing;
 	/** Upstreams that take new requests, of one availability zone or of all, in an order that is the same at all instances. */
 	readonly ofService: (service: ServiceId, zone?: AvailabilityZoneId) => readonly Upstream[];
 	/** Place of this instance among those of its availability zone or of the fleet. */
@@ -98,16 +98,21 @@
 		}
 
 		if (best !== undefined) {
-			this.#options.coldStarts.taken(best.upstream);
+			this.#options.pacing.taken(best.upstream);
 		}
 
 		return best;
 	}
 
-	/** Whether a service has upstreams, of which each is cold and takes no request of this instance now. */
-	isWarmingUp(service: ServiceId): boolean {
+	/** Why none of a service's upstreams takes a request of this instance now; nothing where one does, or there is none. */
+	whyHeldBack(service: ServiceId): 'warming-up' | 'rate-limited' | undefined {
 		const upstreams = this.#options.ofService(service);
-		return upstreams.length > 0 && !upstreams.some(upstream => this.#options.coldStarts.mayTake(upstream));
+		if (upstreams.length === 0 || upstreams.some(upstream => this.#options.pacing.mayTake(upstream))) {
+			return undefined;
+		}
+
+		const isLimited = upstreams.some(({condition}) => condition.advertisedRate.requestsPerSecond !== undefined);
+		return isLimited ? 'rate-limited' : 'warming-up';
 	}
 
 	/** Upstreams that this instance turns to first. */
@@ -148,7 +153,7 @@
 	}
 
 	#best(considered: readonly Upstream[], workMs: number): Placement | undefined {
-		const candidates = answeringOf(considered.filter(upstream => this.#options.coldStarts.mayTake(upstream)));
+		const candidates = answeringOf(considered.filter(upstream => this.#options.pacing.mayTake(upstream)));
 		if (candidates.length === 0) {
 			return undefined;
 		}
@@ -169,7 +174,7 @@
 
 	#usable({service, excluded}: PlacementRequest): readonly Upstream[] {
 		const untried = this.#options.ofService(service).filter(({registered}) => !excluded.has(registered.id));
-		return answeringOf(untried.filter(upstream => !upstream.condition.warmth.isCold || this.#options.coldStarts.mayTake(upstream)));
+		return answeringOf(untried.filter(upstream => this.#options.pacing.mayConsider(upstream)));
 	}
 
 	/** Asks all at once; goes on as soon as one is at ease in this zone, or all have answered, or time is up. */
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -5,7 +5,7 @@
 import {systemClock} from '@cairnbank/core/clock';
 import {createRandomSource} from '@cairnbank/core/random';
 import {createIncarnation} from '@cairnbank/core/fleet';
-import {ColdStartLimit} from '@cairnbank/core/limits';
+import {FleetPace} from '@cairnbank/core/limits';
 import {Admission, WorkEstimates} from '@cairnbank/core/placement';
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {CallersTask} from './features/calls/callers-task.js';
@@ -15,7 +15,7 @@
 import {FleetTask} from './features/fleet/fleet-task.js';
 import {MetricsTask} from './features/metrics/metrics-task.js';
 import {StateTask} from './features/state/state-task.js';
-import {ColdStarts} from './features/upstreams/cold-starts.js';
+import {Pacing} from './features/upstreams/pacing.js';
 import {Placer} from './features/upstreams/placer.js';
 import {Prober} from './features/upstreams/prober.js';
 import {RateLimits} from './features/upstreams/rate-limits.js';
@@ -131,19 +131,19 @@
 			fleet.announceCrash(crash);
 		},
 	});
-	const coldStarts = new ColdStarts({
-		limit: new ColdStartLimit({
+	const pacing = new Pacing({
+		pace: new FleetPace({
 			clock: context.clock,
 			self: {host: settings.host, availabilityZone: settings.availabilityZone as AvailabilityZoneId},
 			others: () => fleet.others(),
 		}),
-		requestsPerSecond: service => state.routes?.service(service)?.coldRequestsPerSecond,
+		coldRequestsPerSecond: service => state.routes?.service(service)?.coldRequestsPerSecond,
 		metrics: context.metrics,
 	});
 	const placer = new Placer({
 		context,
 		prober,
-		coldStarts,
+		pacing,
 		ofService: (service, zone) => upstreams.ofService(service, zone),
 		seat: among => fleet.seat(among),
 	});
@@ -180,11 +180,7 @@
 			instances,
 			place: async request => placer.place(request),
 			whyNone(service) {
-				if (placer.isWarmingUp(service)) {
-					return 'warming-up';
-				}
-
-				return upstreams.hasEmptied(service) ? 'zones-emptied' : 'no-upstream';
+				return placer.whyHeldBack(service) ?? (upstreams.hasEmptied(service) ? 'zones-emptied' : 'no-upstream');
 			},
 			onBroken(call, upstream) {
 				void guard.brokeOff(call, upstream);
