Instances report to each other which rate limit an upstream advertises

Cause: an instance knew of a limit only from an answer of its own, so each of them went on until one reached it; with 13 instances that is several seconds of the upstream's whole load, with 300 much longer. The rule counts only those that were told; the limit means all of them.

--- a/packages/core/src/placement/upstream-condition.ts
+++ b/packages/core/src/placement/upstream-condition.ts
@@ -31,7 +31,7 @@
 /** Mutable record of one upstream; owned by the task that sends to it. */
 export class UpstreamCondition {
 	readonly warmth: Warmth;
-	readonly advertisedRate = new AdvertisedRate();
+	readonly advertisedRate: AdvertisedRate;
 	readonly #clock: Clock;
 	readonly #own: OwnRequests;
 	readonly #onUnreachable: () => void;
@@ -53,6 +53,7 @@
 	constructor(clock: Clock, onUnreachable: () => void = () => undefined, coldForMs = 0) {
 		this.#clock = clock;
 		this.warmth = new Warmth(clock, coldForMs);
+		this.advertisedRate = new AdvertisedRate(clock);
 		this.#own = new OwnRequests(clock);
 		this.#onUnreachable = onUnreachable;
 	}
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -82,10 +82,20 @@
 
 const crash: FleetMessage = {type: 'crash', crash: {fingerprint: 'f'.repeat(22) as Fingerprint, upstream: 'u1' as UpstreamId}};
 
+const rate: FleetMessage = {
+	type: 'rate',
+	report: {
+		upstream: 'u1' as UpstreamId, startedAtMs: 1_790_000_000_123, statement: {limit: {type: 'limited', requestsPerSecond: 3.6}, atMs: 400},
+	},
+	isForZone: true,
+};
+
+const lifted: FleetMessage = {...rate, report: {...rate.report, statement: {limit: {type: 'none'}, atMs: 400}}, isForZone: false};
+
 describe('datagrams', () => {
 	for (const message of [heartbeat, {
 		...heartbeat, isBeating: false, wantsReply: true, wantsMembers: true, isForZone: true,
-	}, changes, crash, members] satisfies FleetMessage[]) {
+	}, changes, crash, members, rate, lifted] satisfies FleetMessage[]) {
 		it(`should carry ${message.type} as they are`, () => {
 			assert.deepEqual(decodeMessage(encodeMessage(message, 1000), 1000)._unsafeUnwrap(), message);
 		});
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -4,10 +4,12 @@
 	AvailabilityZoneId, Fingerprint, IncarnationId, UpstreamId,
 } from '@cairnbank/core';
 import type {FleetMember, MemberNews} from '@cairnbank/core/fleet';
+import type {AdvertisedLimit} from '@cairnbank/core/limits';
 import type {KeyedChanges, RegisteredUpstream, RemovalTrust} from '@cairnbank/core/registry';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
 import type {Crash} from '../calls/poison-guard.js';
+import type {RateReport} from '../upstreams/rate-limits.js';
 import {entrySchema, fromEntry, toEntry} from './upstream-codec.js';
 
 /** Larger messages might be split on the way and lost whole with any part; others then ask for the state. */
@@ -30,6 +32,13 @@
 	| {readonly type: 'members'; readonly members: readonly MemberNews[]}
 	/** A request was running at an upstream that crashed. */
 	| {readonly type: 'crash'; readonly crash: Crash}
+	/** What an upstream says of its rate limit. */
+	| {
+		readonly type: 'rate';
+		readonly report: RateReport;
+		/** The receiver passes it on to its availability zone. */
+		readonly isForZone: boolean;
+	}
 	| {
 		readonly type: 'changes';
 		readonly changes: KeyedChanges<RegisteredUpstream>;
@@ -78,7 +87,11 @@
 	v.boolean(),
 ]);
 const crashSchema = v.tuple([v.literal('x'), v.string(), v.string()]);
-const messageSchema = v.union([heartbeatSchema, membersSchema, changesSchema, crashSchema]);
+/** Upstream, its start, requests a second or nothing, age of the statement, whether it is passed on. */
+const rateSchema = v.tuple([
+	v.literal('r'), v.string(), v.number(), v.nullable(v.pipe(v.number(), v.minValue(0))), v.pipe(v.number(), v.minValue(0)), v.boolean(),
+]);
+const messageSchema = v.union([heartbeatSchema, membersSchema, changesSchema, crashSchema, rateSchema]);
 
 export function encodeMessage(message: FleetMessage, nowMs: number): Uint8Array {
 	return Buffer.from(JSON.stringify(toArray(message, nowMs)));
@@ -126,6 +139,12 @@
 			return ['x', message.crash.fingerprint, message.crash.upstream];
 		}
 
+		case 'rate': {
+			const {report: {upstream, startedAtMs, statement: {limit, atMs}}, isForZone} = message;
+			const requestsPerSecond = limit.type === 'limited' ? limit.requestsPerSecond : null;
+			return ['r', upstream, startedAtMs, requestsPerSecond, Math.max(0, Math.round(nowMs - atMs)), isForZone];
+		}
+
 		case 'changes': {
 			const {changes, trust} = message;
 			const returnedAgoMs = trust.type === 'sound' ? null : Math.round(nowMs - trust.returnedAtMs);
@@ -174,6 +193,12 @@
 			return {type: 'crash', crash: {fingerprint: array[1] as Fingerprint, upstream: array[2] as UpstreamId}};
 		}
 
+		case 'r': {
+			const [, upstream, startedAtMs, requestsPerSecond, ageMs, isForZone] = array;
+			const limit: AdvertisedLimit = requestsPerSecond === null ? {type: 'none'} : {type: 'limited', requestsPerSecond};
+			return {type: 'rate', report: {upstream: upstream as UpstreamId, startedAtMs, statement: {limit, atMs: nowMs - ageMs}}, isForZone};
+		}
+
 		case 'c': {
 			const [, fromOffset, endOffset, returnedAgoMs, records, isForZone] = array;
 			return {
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -10,6 +10,7 @@
 import type {Task} from '../../kernel/task.js';
 import type {StateStore} from '../../ports/index.js';
 import type {Crash} from '../calls/poison-guard.js';
+import type {RateReport} from '../upstreams/rate-limits.js';
 import type {StateTask} from '../state/state-task.js';
 import type {StorePlace} from '../state/topic-reader.js';
 import type {FleetMessage} from './datagrams.js';
@@ -27,6 +28,8 @@
 	readonly state: () => StateTask;
 	/** Another instance saw an upstream crash under a request. */
 	readonly onCrash: (crash: Crash) => void;
+	/** Another instance reports what an upstream says of its rate limit. */
+	readonly onRate: (report: RateReport) => void;
 	/** The place of this instance among the readers of the store has changed. */
 	readonly onPlaceChanged: () => void;
 };
@@ -195,6 +198,11 @@
 		}
 	}
 
+	/** Reports to all others what an upstream says of its rate limit. */
+	shareRate(report: RateReport): void {
+		this.#membership.sendToAll(isForZone => ({type: 'rate', report, isForZone}));
+	}
+
 	announceCrash(crash: Crash): void {
 		this.#socket.send({type: 'crash', crash}, this.#membership.view.targets());
 	}
@@ -221,7 +229,7 @@
 	}
 
 	#received(message: FleetMessage): void {
-		const {context, state, onCrash} = this.#options;
+		const {context, state, onCrash, onRate} = this.#options;
 		switch (message.type) {
 			case 'heartbeat': {
 				if (message.member.incarnation !== context.incarnation) {
@@ -242,6 +250,15 @@
 				return;
 			}
 
+			case 'rate': {
+				onRate(message.report);
+				if (message.isForZone) {
+					this.#membership.passToZone({...message, isForZone: false}, '');
+				}
+
+				return;
+			}
+
 			case 'changes': {
 				state().changed(message.changes, message.trust);
 				if (message.isForZone) {
--- a/packages/gateway/src/features/upstreams/rate-limits.ts
+++ b/packages/gateway/src/features/upstreams/rate-limits.ts
@@ -1,16 +1,25 @@
-/** Rate limits that upstreams advertise: learns them from answers, and logs what changes. */
-import type {AdvertisedLimit, RateStatement} from '@cairnbank/core/limits';
+/** Rate limits that upstreams advertise: learns them from answers and from other instances, and tells those. */
+import type {UpstreamId} from '@cairnbank/core';
+import type {RateStatement} from '@cairnbank/core/limits';
 import type {Context} from '../../kernel/context.js';
 import type {RequestDialect} from '../../ports/index.js';
 import {rateLimitOf, type UpstreamAnswer} from './exchange.js';
 import type {Upstream} from './upstream.js';
 
-/** A limit that drifts by less is not logged again. */
-const loggedChangeRatio = 1.25;
+/** The last statement of one start of an upstream, as instances report it to each other. */
+export type RateReport = {
+	readonly upstream: UpstreamId;
+	/** Unix milliseconds of the upstream's start; 0 where it doesn't tell. */
+	readonly startedAtMs: number;
+	readonly statement: RateStatement;
+};
 
 export type RateLimitsOptions = {
 	readonly context: Pick<Context, 'clock' | 'logger'>;
 	readonly dialect: RequestDialect;
+	readonly upstreamOf: (id: UpstreamId) => Upstream | undefined;
+	/** Reports a statement to the other instances. */
+	readonly share: (report: RateReport) => void;
 };
 
 /** The answer to a request. */
@@ -32,10 +41,10 @@
 	answered(upstream: Upstream, {answer, sentAtMs, isSuccess}: AnsweredRequest): void {
 		const limit = rateLimitOf(answer, this.#options.dialect);
 		if (limit?.type === 'limited') {
-			this.#learn(upstream, {limit, atMs: this.#options.context.clock.monotonicMs()});
+			this.#observed(upstream, {limit, atMs: this.#options.context.clock.monotonicMs()});
 		} else if (limit !== undefined && isSuccess) {
 			// The answer may have been written any time after the request was sent.
-			this.#learn(upstream, {limit, atMs: sentAtMs});
+			this.#observed(upstream, {limit, atMs: sentAtMs});
 		}
 	}
 
@@ -43,25 +52,36 @@
 	checked(upstream: Upstream, answer: UpstreamAnswer): void {
 		const limit = rateLimitOf(answer, this.#options.dialect);
 		if (limit?.type === 'limited') {
-			this.#learn(upstream, {limit, atMs: this.#options.context.clock.monotonicMs()});
+			this.#observed(upstream, {limit, atMs: this.#options.context.clock.monotonicMs()});
 		}
 	}
 
-	#learn({registered: {id, service}, condition: {advertisedRate}}: Upstream, statement: RateStatement): void {
-		const before = advertisedRate.requestsPerSecond;
-		if (advertisedRate.learn(statement) && isMaterial(before, statement.limit)) {
-			this.#options.context.logger.info('upstream rate limit changed', {
-				upstream: id, service, requestsPerSecond: advertisedRate.requestsPerSecond ?? 'none', before: before ?? 'none', source: 'answer',
-			});
+	/** Another instance reports a statement, to all. */
+	reported({upstream: id, startedAtMs, statement}: RateReport): void {
+		const upstream = this.#options.upstreamOf(id);
+		if (upstream?.registered.startedAtMs !== startedAtMs) {
+			return;
 		}
+
+		this.#learn(upstream, statement, 'instance');
+		upstream.condition.advertisedRate.shared();
 	}
-}
 
-function isMaterial(before: number | undefined, after: AdvertisedLimit): boolean {
-	if (before === undefined || after.type === 'none') {
-		return before !== undefined || after.type !== 'none';
+	#observed(upstream: Upstream, statement: RateStatement): void {
+		this.#learn(upstream, statement, 'answer');
+		const {registered: {id, startedAtMs}, condition: {advertisedRate}} = upstream;
+		if (advertisedRate.statement === statement && advertisedRate.isShareDue) {
+			advertisedRate.shared();
+			this.#options.share({upstream: id, startedAtMs, statement});
+		}
 	}
 
-	const {requestsPerSecond} = after;
-	return requestsPerSecond > before * loggedChangeRatio || requestsPerSecond * loggedChangeRatio < before;
+	#learn({registered: {id, service}, condition: {advertisedRate}}: Upstream, statement: RateStatement, source: 'answer' | 'instance'): void {
+		const change = advertisedRate.learn(statement);
+		if (change !== undefined) {
+			this.#options.context.logger.info('upstream rate limit changed', {
+				upstream: id, service, requestsPerSecond: change.after ?? 'none', before: change.before ?? 'none', source,
+			});
+		}
+	}
 }
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -116,6 +116,10 @@
 		return [...this.#upstreams.values()].filter(({registered}) => isCounted(registered.service)).length;
 	}
 
+	get(id: UpstreamId): Upstream | undefined {
+		return this.#upstreams.get(id);
+	}
+
 	/** Those to which anything may be sent. */
 	inService(): readonly Upstream[] {
 		return [...this.#upstreams.values()].filter(upstream => this.isInService(upstream));
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -106,11 +106,21 @@
 		onCrash(crash) {
 			guard.crashed(crash);
 		},
+		onRate(report) {
+			rateLimits.reported(report);
+		},
 		onPlaceChanged() {
 			state.placeChanged();
 		},
 	});
-	const rateLimits = new RateLimits({context, dialect: ports.requests});
+	const rateLimits: RateLimits = new RateLimits({
+		context,
+		dialect: ports.requests,
+		upstreamOf: id => upstreams.get(id),
+		share(report) {
+			fleet.shareRate(report);
+		},
+	});
 	const prober = new Prober({
 		context,
 		dialect: ports.requests,
