A store that comes back from an older copy is followed; what is in force stays so

What callers would have seen: requests to availability zones that operators had emptied, zones empty for good by an order nobody gave, upstreams and orders written after the restore not followed at all, as long as a process lives. Cause: all that is believed is ordered by the store's offsets alone and never moves back; a restored store gives them out again. Change: core/registry/store-epoch is the one gate (StateTask.#observe): answers, heartbeats, handed-over state and changes name the epoch they belong to; an earlier one is left out, a later one starts positions anew and keeps beliefs by the table of docs/decisions/0015. A read asked for in one epoch and answered in the next is done anew.

--- a/packages/core/src/evacuation/evacuations.spec.ts
+++ b/packages/core/src/evacuation/evacuations.spec.ts
@@ -44,6 +44,47 @@
 		});
 	});
 
+	describe('a restore of the store from an older copy', () => {
+		function restarted(): Evacuations {
+			const evacuations = new Evacuations();
+			evacuations.follow([order(40, nasr)]);
+			evacuations.restart();
+			return evacuations;
+		}
+
+		it('should hold an order that the copy lacks until it is released', () => {
+			const evacuations = restarted();
+			assert.deepEqual(evacuations.replace(30, []), []);
+			assert.equal(evacuations.isEmptied(nasr), true);
+			assert.deepEqual(evacuations.release(), [{type: 'restored', zone: nasr}]);
+		});
+
+		it('should hold it beyond that where it is ordered again, and not beyond its end', () => {
+			const evacuations = restarted();
+			evacuations.replace(30, []);
+			assert.deepEqual(evacuations.follow([order(30, nasr)]), []);
+			assert.deepEqual(evacuations.release(), []);
+			assert.deepEqual(evacuations.follow([order(31, nasr, false)]), [{type: 'restored', zone: nasr}]);
+		});
+
+		it('should end it at once where the order is taken back again', () => {
+			const evacuations = restarted();
+			assert.deepEqual(evacuations.follow([order(12, nasr, false)]), [{type: 'restored', zone: nasr}]);
+		});
+
+		it('should tell others an order that the copy holds, though nothing changed here', () => {
+			const evacuations = restarted();
+			evacuations.replace(30, [nasr]);
+			const other = new Evacuations();
+			assert.deepEqual(other.adopt(evacuations.orders), [{type: 'emptied', zone: nasr}]);
+		});
+
+		it('should obey an order of another zone at a lesser position than before', () => {
+			const evacuations = restarted();
+			assert.deepEqual(evacuations.follow([order(30, giza)]), [{type: 'emptied', zone: giza}]);
+		});
+	});
+
 	it('should end with the store\'s last orders on every instance, in whatever order they are read or told', () => {
 		const orders = fc.array(fc.record({zone: fc.constantFrom(nasr, giza), isOrdered: fc.boolean()}), {minLength: 1, maxLength: 8});
 		const step = fc.record({
--- a/packages/core/src/evacuation/evacuations.ts
+++ b/packages/core/src/evacuation/evacuations.ts
@@ -1,4 +1,4 @@
-/** Which availability zones operators have emptied; folded from their orders in the store, never moves back. */
+/** Which availability zones operators have emptied; folded from their orders in the store, never moves back within an epoch of it. */
 import type {AvailabilityZoneId} from '../model/ids.js';
 
 /** What an instance knows of evacuations; plain data, told with every heartbeat. */
@@ -24,14 +24,33 @@
 /** The fold of the orders. */
 export class Evacuations {
 	#revision = 0;
-	#zones: ReadonlySet<AvailabilityZoneId> = new Set();
+	#ordered: ReadonlySet<AvailabilityZoneId> = new Set();
+	/** Emptied by orders that a restored store has lost, until those are written again or released. */
+	#held: ReadonlySet<AvailabilityZoneId> = new Set();
 
 	get orders(): EvacuationOrders {
-		return {revision: this.#revision, zones: [...this.#zones]};
+		return {revision: this.#revision, zones: [...this.#ordered]};
 	}
 
 	isEmptied(zone: AvailabilityZoneId): boolean {
-		return this.#zones.has(zone);
+		return this.zones.has(zone);
+	}
+
+	/** All zones that get nothing now. */
+	get zones(): ReadonlySet<AvailabilityZoneId> {
+		return new Set([...this.#ordered, ...this.#held]);
+	}
+
+	/** The store has come back from an older copy: positions count anew, and what was ordered holds until `release`. */
+	restart(): void {
+		this.#held = this.zones;
+		this.#ordered = new Set();
+		this.#revision = 0;
+	}
+
+	/** What a restored store has lost and operators have not ordered again is over. */
+	release(): readonly EvacuationEvent[] {
+		return this.#put(this.#ordered, new Set());
 	}
 
 	/**
@@ -40,19 +59,25 @@
 	 * @param endOffset - position behind the last record that the store held then
 	 */
 	replace(endOffset: number, zones: readonly AvailabilityZoneId[]): readonly EvacuationEvent[] {
-		const events = endOffset < this.#revision ? [] : this.#put(zones);
-		if (events.length > 0) {
+		if (endOffset < this.#revision) {
+			return [];
+		}
+
+		const ordered = new Set(zones);
+		if (!isSame(ordered, this.#ordered)) {
 			this.#revision = endOffset;
 		}
 
-		return events;
+		return this.#put(ordered);
 	}
 
 	/** Takes in consecutive records; those that are known already change nothing. */
 	follow(records: readonly EvacuationRecord[]): readonly EvacuationEvent[] {
-		const zones = new Set(this.#zones);
+		const zones = new Set(this.#ordered);
+		const held = new Set(this.#held);
 		for (const {offset, zone, isOrdered} of records.filter(record => record.offset >= this.#revision)) {
 			this.#revision = offset + 1;
+			held.delete(zone);
 			if (isOrdered) {
 				zones.add(zone);
 			} else {
@@ -60,7 +85,7 @@
 			}
 		}
 
-		return this.#put([...zones]);
+		return this.#put(zones, held);
 	}
 
 	/** Takes in what another instance knows, where that is more. */
@@ -70,16 +95,21 @@
 		}
 
 		this.#revision = revision;
-		return this.#put(zones);
+		return this.#put(new Set(zones));
 	}
 
-	#put(zones: readonly AvailabilityZoneId[]): readonly EvacuationEvent[] {
-		const before = this.#zones;
-		const after = new Set(zones);
-		this.#zones = after;
+	#put(ordered: ReadonlySet<AvailabilityZoneId>, held: ReadonlySet<AvailabilityZoneId> = this.#held): readonly EvacuationEvent[] {
+		const before = this.zones;
+		this.#ordered = ordered;
+		this.#held = held;
+		const after = this.zones;
 		return [
 			...[...after].filter(zone => !before.has(zone)).map(zone => ({type: 'emptied' as const, zone})),
 			...[...before].filter(zone => !after.has(zone)).map(zone => ({type: 'restored' as const, zone})),
 		];
 	}
 }
+
+function isSame(left: ReadonlySet<AvailabilityZoneId>, right: ReadonlySet<AvailabilityZoneId>): boolean {
+	return left.size === right.size && [...left].every(zone => right.has(zone));
+}
--- a/packages/core/src/fleet/fleet-member.ts
+++ b/packages/core/src/fleet/fleet-member.ts
@@ -1,6 +1,7 @@
 /** What instances tell each other of themselves. */
 import type {EvacuationOrders} from '../evacuation/evacuations.js';
 import type {AvailabilityZoneId, IncarnationId} from '../model/ids.js';
+import type {StoreEpoch} from '../registry/store-epoch.js';
 
 /** Sent with every heartbeat; plain data. */
 export type FleetMember = {
@@ -18,6 +19,8 @@
 	readonly membersDigest: number;
 	/** Version of the configuration in force; 0 for none. */
 	readonly configurationVersion: number;
+	/** Epoch of the store to which the positions below belong. */
+	readonly storeEpoch: StoreEpoch;
 	/** Availability zones that operators have emptied, as far as it knows. */
 	readonly evacuations: EvacuationOrders;
 	/** Registry records folded in, see `UpstreamRegistry.endOffset`; -1 for none. */
--- a/packages/core/src/fleet/fleet-view.spec.ts
+++ b/packages/core/src/fleet/fleet-view.spec.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import {ManualClock} from '../model/manual-clock.js';
 import type {AvailabilityZoneId, IncarnationId} from '../model/ids.js';
+import {unknownEpoch} from '../registry/store-epoch.js';
 import type {FleetMember} from './fleet-member.js';
 import {defaultFleetTiming, FleetView} from './fleet-view.js';
 
@@ -15,7 +16,7 @@
 		revision: 0,
 		membersDigest: 0,
 		configurationVersion: 1,
-		evacuations: {revision: 0, zones: []},
+		storeEpoch: unknownEpoch, evacuations: {revision: 0, zones: []},
 		registryOffset: 0,
 		registryDigest: 0,
 		stateAgeMs: 0,
--- a/packages/core/src/fleet/fleet-view.ts
+++ b/packages/core/src/fleet/fleet-view.ts
@@ -1,6 +1,7 @@
 /** Which instances are alive, from their heartbeats. */
 import type {Clock} from '../model/clock.js';
 import type {AvailabilityZoneId, IncarnationId} from '../model/ids.js';
+import {unknownEpoch} from '../registry/store-epoch.js';
 import {hashText} from '../routing/hash-text.js';
 import type {FleetMember} from './fleet-member.js';
 import {isNewer, type MemberNews} from './member-news.js';
@@ -273,6 +274,7 @@
 const unknownState = {
 	membersDigest: 0,
 	configurationVersion: 0,
+	storeEpoch: unknownEpoch,
 	evacuations: {revision: 0, zones: []},
 	registryOffset: -1,
 	registryDigest: 0,
--- /dev/null
+++ b/packages/core/src/registry/store-epoch.spec.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {LatestEpoch, unknownEpoch, type StoreEpoch} from './store-epoch.js';
+
+const epoch = (value: number) => value as StoreEpoch;
+
+describe('LatestEpoch', () => {
+	it('should take each later epoch for the current one, also where it jumps', () => {
+		const latest = new LatestEpoch();
+		assert.equal(latest.observe(epoch(3)), 'later');
+		assert.equal(latest.observe(epoch(3)), 'current');
+		assert.equal(latest.observe(epoch(9)), 'later');
+		assert.equal(latest.current, 9);
+	});
+
+	it('should never move back', () => {
+		const latest = new LatestEpoch();
+		latest.observe(epoch(3));
+		assert.deepEqual([latest.observe(epoch(2)), latest.observe(unknownEpoch)], ['earlier', 'earlier']);
+		assert.equal(latest.current, 3);
+	});
+
+	it('should hold the epoch that was known where none is told', () => {
+		const latest = new LatestEpoch();
+		latest.observe(epoch(3));
+		assert.equal(latest.observe(undefined), 'current');
+		assert.equal(latest.current, 3);
+	});
+});
--- a/packages/core/src/registry/store-trust.ts
+++ b/packages/core/src/registry/store-trust.ts
@@ -34,6 +34,11 @@
 		return true;
 	}
 
+	/** The store has come back from an older copy: entries that it has lost are written again. */
+	restored(): void {
+		this.#returnedAtMs = this.#clock.monotonicMs();
+	}
+
 	current(): RemovalTrust {
 		const nowMs = this.#clock.monotonicMs();
 		if (this.#isDown) {
--- a/packages/core/src/registry/upstream-registry.spec.ts
+++ b/packages/core/src/registry/upstream-registry.spec.ts
@@ -116,6 +116,58 @@
 		});
 	});
 
+	describe('a restore of the store from an older copy', () => {
+		const afterRestore: RemovalTrust = {type: 'after-outage', returnedAtMs: 0};
+
+		function restarted(clock: ManualClock, ...known: readonly RegisteredUpstream[]): UpstreamRegistry {
+			const registry = new UpstreamRegistry(clock);
+			registry.replace({endOffset: 40, records: known.map((value, index) => record(30 + index, value.id, value))}, sound);
+			registry.restart();
+			return registry;
+		}
+
+		it('should leave the upstreams in service until the copy is read, which may end at a lesser position', () => {
+			const registry = restarted(new ManualClock(), upstream('a'));
+			assert.deepEqual([registry.isKnown, registry.endOffset, ids(registry)], [true, -1, ['a']]);
+			registry.replace({endOffset: 12, records: [record(3, 'a', upstream('a')), record(7, 'b', upstream('b'))]}, afterRestore);
+			assert.deepEqual([registry.endOffset, ids(registry)], [12, ['a', 'b']]);
+		});
+
+		it('should not make an upstream ready again that had begun to drain', () => {
+			const registry = restarted(new ManualClock(), {...upstream('a', true), sequence: 5});
+			registry.replace({endOffset: 12, records: [record(3, 'a', {...upstream('a'), sequence: 4})]}, afterRestore);
+			assert.equal(registry.get('a' as UpstreamId)?.draining, true);
+		});
+
+		it('should not bring back an upstream that was gone', () => {
+			const registry = new UpstreamRegistry(new ManualClock());
+			registry.replace({endOffset: 4, records: [record(3, 'a', upstream('a'))]}, sound);
+			registry.follow({fromOffset: 4, endOffset: 5, records: [record(4, 'a', undefined)]}, sound);
+			registry.restart();
+			registry.replace({endOffset: 4, records: [record(3, 'a', upstream('a'))]}, afterRestore);
+			assert.deepEqual(ids(registry), []);
+		});
+
+		it('should keep one that the copy lacks until it is written again, or does not come in time', () => {
+			const clock = new ManualClock();
+			const registry = restarted(clock, upstream('a'), upstream('b'));
+			registry.replace({endOffset: 2, records: []}, afterRestore);
+			assert.deepEqual(ids(registry), ['a', 'b']);
+			registry.follow({fromOffset: 2, endOffset: 3, records: [record(2, 'a', {...upstream('a'), sequence: 2})]}, afterRestore);
+			clock.advance(lapseGraceMs);
+			assert.deepEqual(registry.sweep().map(event => [event.type, event.upstream.id]), [['gone', 'b']]);
+			assert.deepEqual(ids(registry), ['a']);
+		});
+
+		it('should hand over no changes from positions of before', () => {
+			const registry = restarted(new ManualClock(), upstream('a'));
+			registry.replace({endOffset: 12, records: [record(3, 'a', upstream('a'))]}, afterRestore);
+			assert.equal(registry.changesSince(5), undefined);
+			registry.follow({fromOffset: 12, endOffset: 13, records: [record(12, 'c', upstream('c'))]}, sound);
+			assert.deepEqual(registry.changesSince(12)?.records.map(({key}) => key), ['c']);
+		});
+	});
+
 	describe('changes in place of the whole state', () => {
 		it('should bring another instance to the same upstreams, or not be told where a removal is not known', () => {
 			const operation = fc.record({id: fc.constantFrom('a', 'b', 'c', 'd'), kind: fc.constantFrom('ready', 'draining', 'removed')});
--- a/packages/core/src/registry/upstream-registry.ts
+++ b/packages/core/src/registry/upstream-registry.ts
@@ -43,7 +43,8 @@
 	readonly #clock: Clock;
 	readonly #entries = new Map<UpstreamId, Entry>();
 	readonly #order: EntryOrder;
-	readonly #removals = new RemovalLog();
+	#removals = new RemovalLog();
+	#isKnown = false;
 	#endOffset = -1;
 	/** Nothing until it is asked for after a change. */
 	#digest: number | undefined;
@@ -53,13 +54,13 @@
 		this.#order = new EntryOrder(clock);
 	}
 
-	/** Records up to here (not included) are folded in; -1 before the first snapshot. */
+	/** Records up to here (not included) are folded in; -1 before the first snapshot of the store's epoch. */
 	get endOffset(): number {
 		return this.#endOffset;
 	}
 
 	get isKnown(): boolean {
-		return this.#endOffset >= 0;
+		return this.#isKnown;
 	}
 
 	/** Equal where the same upstreams are known in the same states, whatever the order they came in. */
@@ -68,6 +69,15 @@
 		return this.#digest;
 	}
 
+	/** The store has come back from an older copy: upstreams stay as they are, positions count anew. */
+	restart(): void {
+		this.#endOffset = -1;
+		this.#removals = new RemovalLog();
+		for (const [id, entry] of this.#entries) {
+			this.#entries.set(id, {...entry, offset: -1});
+		}
+	}
+
 	/** Another instance knows the same upstreams and has folded in more records. */
 	confirm(endOffset: number): void {
 		if (endOffset > this.#endOffset) {
@@ -121,6 +131,7 @@
 			.filter(({upstream}) => !present.has(upstream.id))
 			.flatMap(({upstream}) => this.#remove(upstream.id, trust));
 		const changed = snapshot.records.flatMap(record => this.#apply(record, trust));
+		this.#isKnown = true;
 		this.#endOffset = snapshot.endOffset;
 		// It doesn't tell at which positions records were removed.
 		this.#removals.forgetBefore(snapshot.endOffset);
@@ -133,7 +144,7 @@
 	 * @returns nothing where records between the state and `changes` are missing
 	 */
 	follow(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalTrust): readonly RegistryEvent[] | undefined {
-		if (!this.isKnown || changes.fromOffset > this.#endOffset) {
+		if (changes.fromOffset > this.#endOffset) {
 			return undefined;
 		}
 
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -5,6 +5,7 @@
 	AvailabilityZoneId, Fingerprint, IncarnationId, ServiceId, UpstreamId,
 } from '@cairnbank/core';
 import type {MemberNews} from '@cairnbank/core/fleet';
+import type {StoreEpoch} from '@cairnbank/core/registry';
 import fc from 'fast-check';
 import {
 	decodeMessage, encodeMessage, maximumDatagramBytes, membersPerMessage, type FleetMessage,
@@ -21,6 +22,7 @@
 		revision: 3,
 		membersDigest: 4_294_967_295,
 		configurationVersion: 4,
+		storeEpoch: 3 as StoreEpoch,
 		evacuations: {revision: 12, zones: ['nasr' as AvailabilityZoneId]},
 		registryOffset: 17,
 		registryDigest: 99,
@@ -53,6 +55,7 @@
 
 const changes: FleetMessage = {
 	type: 'changes',
+	epoch: 3 as StoreEpoch,
 	isForZone: true,
 	trust: {type: 'after-outage', returnedAtMs: 500},
 	changes: {
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -5,7 +5,9 @@
 } from '@cairnbank/core';
 import type {FleetMember, MemberNews} from '@cairnbank/core/fleet';
 import type {AdvertisedLimit} from '@cairnbank/core/limits';
-import type {KeyedChanges, RegisteredUpstream, RemovalTrust} from '@cairnbank/core/registry';
+import type {
+	KeyedChanges, RegisteredUpstream, RemovalTrust, StoreEpoch,
+} from '@cairnbank/core/registry';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
 import type {Crash} from '../calls/poison-guard.js';
@@ -41,6 +43,8 @@
 	}
 	| {
 		readonly type: 'changes';
+		/** To which the positions of the changes belong. */
+		readonly epoch: StoreEpoch;
 		readonly changes: KeyedChanges<RegisteredUpstream>;
 		readonly trust: RemovalTrust;
 		/** The receiver passes them on to its availability zone. */
@@ -73,6 +77,7 @@
 	v.number(),
 	v.number(),
 	v.array(v.string()),
+	v.number(),
 ]);
 /** By availability zone: host, incarnation, flags, revision. */
 const membersSchema = v.tuple([
@@ -85,6 +90,7 @@
 	v.nullable(v.number()),
 	v.array(v.tuple([v.number(), v.string(), entrySchema])),
 	v.boolean(),
+	v.number(),
 ]);
 const crashSchema = v.tuple([v.literal('x'), v.string(), v.string()]);
 /** Upstream, its start, requests a second or nothing, age of the statement, whether it is passed on. */
@@ -128,6 +134,7 @@
 				member.stateAgeMs,
 				member.evacuations.revision,
 				member.evacuations.zones,
+				member.storeEpoch,
 			];
 		}
 
@@ -146,11 +153,11 @@
 		}
 
 		case 'changes': {
-			const {changes, trust} = message;
+			const {epoch, changes, trust} = message;
 			const returnedAgoMs = trust.type === 'sound' ? null : Math.round(nowMs - trust.returnedAtMs);
 			return ['c', changes.fromOffset, changes.endOffset, returnedAgoMs, changes.records.map(({offset, key, value, fault}) => [
 				offset, key, fromEntry({value, fault}),
-			]), message.isForZone];
+			]), message.isForZone, epoch];
 		}
 	}
 }
@@ -159,7 +166,7 @@
 	switch (array[0]) {
 		case 'b': {
 			const [
-				, incarnation, host, zone, flags, revision, membersDigest, configurationVersion, registryOffset, registryDigest, stateAgeMs, evacuationRevision, emptied,
+				, incarnation, host, zone, flags, revision, membersDigest, configurationVersion, registryOffset, registryDigest, stateAgeMs, evacuationRevision, emptied, storeEpoch,
 			] = array;
 			return {
 				type: 'heartbeat',
@@ -173,6 +180,7 @@
 					revision,
 					membersDigest,
 					configurationVersion,
+					storeEpoch: storeEpoch as StoreEpoch,
 					evacuations: {revision: evacuationRevision, zones: emptied as AvailabilityZoneId[]},
 					registryOffset,
 					registryDigest,
@@ -200,9 +208,10 @@
 		}
 
 		case 'c': {
-			const [, fromOffset, endOffset, returnedAgoMs, records, isForZone] = array;
+			const [, fromOffset, endOffset, returnedAgoMs, records, isForZone, epoch] = array;
 			return {
 				type: 'changes',
+				epoch: epoch as StoreEpoch,
 				isForZone,
 				trust: returnedAgoMs === null ? {type: 'sound'} : {type: 'after-outage', returnedAtMs: nowMs - returnedAgoMs},
 				changes: {
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -188,8 +188,9 @@
 
 	/** Tells others what changed in the registry, where it fits into a message; what they miss they ask for. */
 	announceChanges(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalTrust): void {
+		const {storeEpoch: epoch} = this.#options.state().describe();
 		const make = (isForZone: boolean): FleetMessage => ({
-			type: 'changes', changes, trust, isForZone,
+			type: 'changes', epoch, changes, trust, isForZone,
 		});
 		if (this.#membership.isBeatingToAll) {
 			this.#membership.sendToAll(make);
@@ -198,6 +199,11 @@
 		}
 	}
 
+	/** The store has come back from an older copy, which may lack the entry of this instance. */
+	storeRestored(): void {
+		this.#storeEntry.renew();
+	}
+
 	/** Reports to all others what an upstream says of its rate limit. */
 	shareRate(report: RateReport): void {
 		this.#membership.sendToAll(isForZone => ({type: 'rate', report, isForZone}));
@@ -260,7 +266,7 @@
 			}
 
 			case 'changes': {
-				state().changed(message.changes, message.trust);
+				state().changed(message);
 				if (message.isForZone) {
 					this.#membership.passToZone({...message, isForZone: false}, '');
 				}
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -3,6 +3,7 @@
 	createRandomSource, ManualClock, type AvailabilityZoneId, type IncarnationId, type RandomSource,
 } from '@cairnbank/core';
 import {chooseFollower} from '@cairnbank/core/fleet';
+import {unknownEpoch} from '@cairnbank/core/registry';
 import {createMetrics} from '../../metrics/metrics.js';
 import {encodeMessage, maximumDatagramBytes, type FleetMessage} from './datagrams.js';
 import {Membership, type MembershipOptions, type OwnState} from './membership.js';
@@ -84,7 +85,7 @@
 			ready: this.ready,
 			leaving: false,
 			configurationVersion: 1,
-			evacuations: {revision: 0, zones: []},
+			storeEpoch: unknownEpoch, evacuations: {revision: 0, zones: []},
 			registryOffset: 1,
 			registryDigest: 1,
 			stateAgeMs: 0,
@@ -214,6 +215,7 @@
 			}
 
 			case 'crash':
+			case 'rate':
 			case 'changes': {
 				break;
 			}
--- a/packages/gateway/src/features/fleet/state-asker.spec.ts
+++ b/packages/gateway/src/features/fleet/state-asker.spec.ts
@@ -3,6 +3,7 @@
 import type {AvailabilityZoneId, IncarnationId} from '@cairnbank/core';
 import type {FleetMember} from '@cairnbank/core/fleet';
 import {createRandomSource} from '@cairnbank/core/random';
+import {unknownEpoch} from '@cairnbank/core/registry';
 import {ok} from 'neverthrow';
 import {StateAsker, type StateAskerOptions} from './state-asker.js';
 
@@ -18,7 +19,7 @@
 		revision: 0,
 		membersDigest: 0,
 		configurationVersion: 5,
-		evacuations: {revision: 0, zones: []},
+		storeEpoch: unknownEpoch, evacuations: {revision: 0, zones: []},
 		registryOffset: 0,
 		registryDigest: 0,
 		stateAgeMs: 0,
@@ -33,13 +34,13 @@
 	const asker = new StateAsker({
 		context: {logger: silentLogger, random: createRandomSource(1), settings: {host: '10.0.0.1', availabilityZone: 'nasr'}} as unknown as StateAskerOptions['context'],
 		compare: ({configurationVersion}) => configurationVersion > own.version
-			? {configurationVersion: own.version, wantsRegistry: false}
+			? {configurationVersion: own.version, wantsRegistry: false, epoch: unknownEpoch}
 			: undefined,
 		isFirstOfZone: () => isFirst,
 		async fetch(host) {
 			asked.push(host);
 			const hosts = busy[host];
-			return ok(hosts === undefined ? {type: 'state', state: {}} : {type: 'busy', hosts});
+			return ok(hosts === undefined ? {type: 'state', state: {epoch: unknownEpoch}} : {type: 'busy', hosts});
 		},
 		adopt() {
 			own.version = 5;
--- a/packages/gateway/src/features/fleet/state-body.spec.ts
+++ b/packages/gateway/src/features/fleet/state-body.spec.ts
@@ -4,6 +4,7 @@
 import {deflateRawSync} from 'node:zlib';
 import type {ServiceId} from '@cairnbank/core';
 import {createRandomSource} from '@cairnbank/core/random';
+import {unknownEpoch} from '@cairnbank/core/registry';
 import type {GatewayConfiguration} from '@cairnbank/core/routes';
 import {decodeState, encodeState} from './state-body.js';
 
@@ -36,13 +37,13 @@
 
 describe('state handed over', () => {
 	it('should come back as it was', async () => {
-		const state = {configuration: largeConfiguration(), registry: {endOffset: 3, records: []}};
+		const state = {epoch: unknownEpoch, configuration: largeConfiguration(), registry: {endOffset: 3, records: []}};
 		const decoded = await decodeState(await encodeState(state));
 		assert.deepEqual(decoded._unsafeUnwrap(), state);
 	});
 
 	it('should take less than a tenth of the bytes of its JSON where it is large', async () => {
-		const state = {configuration: largeConfiguration()};
+		const state = {epoch: unknownEpoch, configuration: largeConfiguration()};
 		const bytes = await encodeState(state);
 		assert.ok(bytes.length * 10 < JSON.stringify(state).length, `${bytes.length} bytes`);
 	});
--- a/packages/gateway/src/features/fleet/state-body.ts
+++ b/packages/gateway/src/features/fleet/state-body.ts
@@ -19,6 +19,7 @@
 const recordsSchema = v.array(v.object({key: v.string(), offset: v.number()}));
 
 const sharedStateSchema = v.object({
+	epoch: v.number(),
 	configuration: v.optional(v.object({
 		version: v.number(), hosts: v.array(v.unknown()), services: v.array(v.unknown()), limits: v.object({}),
 	})),
--- a/packages/gateway/src/features/fleet/state-exchange.ts
+++ b/packages/gateway/src/features/fleet/state-exchange.ts
@@ -4,6 +4,7 @@
 	createServer, get, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {HandOverLimit} from '@cairnbank/core/fleet';
+import {unknownEpoch, type StoreEpoch} from '@cairnbank/core/registry';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
 import type {Context} from '../../kernel/context.js';
@@ -71,6 +72,7 @@
 		const body = await this.#encode({
 			configurationVersion: Number(searchParams.get('configuration') ?? 0),
 			wantsRegistry: searchParams.get('registry') === '1',
+			epoch: Number(searchParams.get('epoch') ?? unknownEpoch) as StoreEpoch,
 			...readOffset(searchParams.get('from') ?? ''),
 		});
 		response.setHeader('Content-Type', 'application/octet-stream');
@@ -92,7 +94,7 @@
 /** Asks one instance for what it knows beyond the query. */
 export async function fetchState(host: string, port: number, query: StateQuery): Promise<Result<StateAnswer, string>> {
 	const from = query.registryOffset === undefined ? '' : `&from=${query.registryOffset}`;
-	const path = `${statePath}?configuration=${query.configurationVersion}&registry=${query.wantsRegistry ? 1 : 0}${from}`;
+	const path = `${statePath}?configuration=${query.configurationVersion}&registry=${query.wantsRegistry ? 1 : 0}&epoch=${query.epoch}${from}`;
 	return new Promise(resolve => {
 		const request = get({
 			host, port, path, agent: false, timeout: queryTimeoutMs,
--- a/packages/gateway/src/features/fleet/store-entry.ts
+++ b/packages/gateway/src/features/fleet/store-entry.ts
@@ -7,9 +7,11 @@
 const lookIntervalMs = 250;
 /** Pause after a failed call; the store may be away for seconds, and others are also found by the seeds. */
 const retryMs = 1000;
+/** Over which instances spread the renewal of their entries after a restore of the store. */
+const renewSpreadMs = 500;
 
 export type StoreEntryOptions = {
-	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics' | 'settings'>;
+	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics' | 'random' | 'settings'>;
 	readonly store: Pick<StateStore, 'instances'>;
 	readonly isToldOfOthers: boolean;
 	/** Any other instance was heard since the start. */
@@ -36,6 +38,19 @@
 		void this.#look();
 	}
 
+	/** The store may have lost the entry. */
+	renew(): void {
+		if (!this.#isEntered || this.#isStopped) {
+			return;
+		}
+
+		this.#isEntered = false;
+		clearTimeout(this.#timer);
+		this.#timer = setTimeout(() => {
+			void this.#look();
+		}, this.#options.context.random.next() * renewSpreadMs);
+	}
+
 	stop(): void {
 		this.#isStopped = true;
 		clearTimeout(this.#timer);
--- a/packages/gateway/src/features/state/operator-state.ts
+++ b/packages/gateway/src/features/state/operator-state.ts
@@ -39,7 +39,18 @@
 		return this.#evacuations.orders;
 	}
 
-	/** Position in the store up to which this instance has read; nothing where it has read nothing. */
+	/** The store has come back from an older copy: what is in force stays so, positions count anew. */
+	restart(): void {
+		this.#readThrough = undefined;
+		this.#evacuations.restart();
+	}
+
+	/** Orders that a restored store has lost, and that nobody has written again, are over. */
+	releaseEvacuations(): void {
+		this.#evacuated(this.#evacuations.release(), 'store');
+	}
+
+	/** Position in the store up to which this instance has read; nothing where it has read nothing since its last restore. */
 	get offset(): number | undefined {
 		return this.#readThrough;
 	}
@@ -95,7 +106,7 @@
 		}
 
 		if (events.length > 0) {
-			metrics.emptiedZones.set(this.evacuations.zones.length);
+			metrics.emptiedZones.set(this.#evacuations.zones.size);
 			this.#options.onNews();
 		}
 	}
--- a/packages/gateway/src/features/state/registry-state.ts
+++ b/packages/gateway/src/features/state/registry-state.ts
@@ -31,6 +31,11 @@
 		return this.#registry.isKnown;
 	}
 
+	/** The store has come back from an older copy: upstreams stay as they are, positions count anew. */
+	restart(): void {
+		this.#registry.restart();
+	}
+
 	/** Records folded in; -1 for none. */
 	get endOffset(): number {
 		return this.#registry.endOffset;
--- a/packages/gateway/src/features/state/state-hand-over.spec.ts
+++ b/packages/gateway/src/features/state/state-hand-over.spec.ts
@@ -4,7 +4,7 @@
 	ManualClock, type AvailabilityZoneId, type ServiceId, type UpstreamId,
 } from '@cairnbank/core';
 import type {FleetMember} from '@cairnbank/core/fleet';
-import type {KeyedChange, RegisteredUpstream} from '@cairnbank/core/registry';
+import {unknownEpoch, type KeyedChange, type RegisteredUpstream} from '@cairnbank/core/registry';
 import {createMetrics} from '../../metrics/metrics.js';
 import {encodeState} from '../fleet/state-body.js';
 import {StateTask, type StateTaskOptions} from './state-task.js';
@@ -50,12 +50,12 @@
 	it('should cost about one whole state while thousands of upstreams register, not one for each step', async () => {
 		const [follower, other] = [createState(), createState()];
 		const records = Array.from({length: upstreamCount}, (_, offset) => record(offset));
-		follower.adopt({registry: {endOffset: 0, records: []}});
+		follower.adopt({epoch: unknownEpoch, registry: {endOffset: 0, records: []}});
 		let handedBytes = 0;
 		const step = upstreamCount / batches;
 		for (let fromOffset = 0; fromOffset < upstreamCount; fromOffset += step) {
 			const endOffset = fromOffset + step;
-			follower.changed({fromOffset, endOffset, records: records.slice(fromOffset, endOffset)}, {type: 'sound'});
+			follower.changed({epoch: unknownEpoch, changes: {fromOffset, endOffset, records: records.slice(fromOffset, endOffset)}, trust: {type: 'sound'}});
 			const query = other.compare({...follower.describe(), incarnation: 'f', host: 'f'} as FleetMember, true);
 			assert.ok(query !== undefined);
 			const state = follower.share(query);
@@ -64,7 +64,7 @@
 			other.adopt(state);
 		}
 
-		const whole = await encodeState(follower.share({configurationVersion: 0, wantsRegistry: true}));
+		const whole = await encodeState(follower.share({configurationVersion: 0, wantsRegistry: true, epoch: unknownEpoch}));
 		assert.equal(other.describe().registryDigest, follower.describe().registryDigest);
 		assert.ok(handedBytes < whole.length * 2, `${handedBytes} bytes in place of ${whole.length}`);
 	});
--- a/packages/gateway/src/features/state/state-task.ts
+++ b/packages/gateway/src/features/state/state-task.ts
@@ -2,7 +2,8 @@
 import type {FleetMember} from '@cairnbank/core/fleet';
 import type {EvacuationEvent} from '@cairnbank/core/evacuation';
 import {
-	StoreTrust, type KeyedChanges, type RegisteredUpstream, type RegistryEvent, type RemovalTrust,
+	LatestEpoch, lapseGraceMs, StoreTrust, unknownEpoch, type EpochOrder, type KeyedChanges, type RegisteredUpstream, type RegistryEvent, type RemovalTrust,
+	type StoreEpoch,
 } from '@cairnbank/core/registry';
 import type {RouteTable} from '@cairnbank/core/routes';
 import {ok, type Result} from 'neverthrow';
@@ -16,6 +17,8 @@
 import {TopicReader, type StorePlace} from './topic-reader.js';
 
 const millisecondsPerSecond = 1000;
+/** Operators write again within seconds what a restored store has lost; until then their orders stay in force. */
+const heldOrdersMs = 5000;
 /** Told by an instance that has heard nothing of the store, or nothing for long. */
 const maximumToldAgeMs = 600_000;
 
@@ -30,17 +33,33 @@
 	readonly onNews: (changes: KeyedChanges<RegisteredUpstream> | undefined) => void;
 	/** The store has confirmed what others may hold for too old. */
 	readonly onRefreshed: () => void;
+	/** The store has come back from an older copy. */
+	readonly onRestored: () => void;
 };
 
 /** The parts of the state, each a topic of the store. */
 type Part = 'operators' | 'registry';
 
+/** From where an epoch was learnt. */
+type EpochSource = 'store' | 'instance';
+
+/** Changes of the registry as another instance reports them. */
+export type ReportedChanges = {
+	readonly epoch: StoreEpoch;
+	readonly changes: KeyedChanges<RegisteredUpstream>;
+	readonly trust: RemovalTrust;
+};
+
 export class StateTask implements Task {
 	readonly name = 'state';
 	readonly #options: StateTaskOptions;
 	readonly #operators: OperatorState;
 	readonly #registry: RegistryState;
 	readonly #trust: StoreTrust;
+	readonly #epoch = new LatestEpoch();
+	#restoredAtMs = Number.NEGATIVE_INFINITY;
+	#releaseTimer: NodeJS.Timeout | undefined;
+	#isEpochMissed = false;
 	readonly #readers: ReadonlyArray<TopicReader<OperatorRecord> | TopicReader<RegisteredUpstream>>;
 	#confirmedAtMs = {operators: Number.NEGATIVE_INFINITY, registry: Number.NEGATIVE_INFINITY};
 
@@ -69,6 +88,7 @@
 	}
 
 	stop(): void {
+		clearTimeout(this.#releaseTimer);
 		this.#registry.stop();
 		for (const reader of this.#readers) {
 			reader.stop();
@@ -92,9 +112,10 @@
 	}
 
 	/** What others are told of it with each heartbeat. */
-	describe(): Pick<FleetMember, 'configurationVersion' | 'evacuations' | 'registryOffset' | 'registryDigest' | 'stateAgeMs' | 'reachesStore'> {
+	describe(): Pick<FleetMember, 'configurationVersion' | 'storeEpoch' | 'evacuations' | 'registryOffset' | 'registryDigest' | 'stateAgeMs' | 'reachesStore'> {
 		return {
 			configurationVersion: this.#operators.version,
+			storeEpoch: this.#epoch.current,
 			evacuations: this.#operators.evacuations,
 			registryOffset: this.#registry.endOffset,
 			registryDigest: this.#registry.digest,
@@ -105,15 +126,17 @@
 
 	/** Changes with each change of what is handed over. */
 	get key(): string {
-		return `${this.#operators.version} ${this.#registry.endOffset} ${this.#registry.digest}`;
+		return `${this.#operators.version} ${this.#epoch.current} ${this.#registry.endOffset} ${this.#registry.digest}`;
 	}
 
 	/** What another instance asks for. */
-	share({configurationVersion, wantsRegistry, registryOffset}: StateQuery): SharedState {
+	share({configurationVersion, wantsRegistry, epoch, registryOffset}: StateQuery): SharedState {
 		const {routes, version} = this.#operators;
+		const fromOffset = epoch === this.#epoch.current ? registryOffset : undefined;
 		return {
+			epoch: this.#epoch.current,
 			...(routes !== undefined && version > configurationVersion ? {configuration: routes.configuration} : {}),
-			...(wantsRegistry && this.#registry.isKnown ? this.#shareRegistry(registryOffset) : {}),
+			...(wantsRegistry && this.#registry.endOffset >= 0 ? this.#shareRegistry(fromOffset) : {}),
 		};
 	}
 
@@ -121,13 +144,20 @@
 	 * Another instance has told its state. Evacuations come with it whole, so that an instance never serves by a
 	 * configuration of another one without knowing its orders.
 	 *
+	 * Versions of configurations rise through restores of the store, so one is taken also from an instance that doesn't know
+	 * of the last restore yet.
+	 *
 	 * @param isFollower - whether it reads the store on behalf of all, so that its view goes first
 	 * @returns what to ask it for, if it knows more
 	 */
 	compare(member: FleetMember, isFollower: boolean): StateQuery | undefined {
-		this.#operators.adoptEvacuations(member.evacuations);
 		const {version} = this.#operators;
 		const knowsNewerConfiguration = member.configurationVersion > version;
+		if (this.#observe(member.storeEpoch, 'instance') === 'earlier') {
+			return knowsNewerConfiguration ? this.#query(false) : undefined;
+		}
+
+		this.#operators.adoptEvacuations(member.evacuations);
 		const hasSameUpstreams = member.registryDigest === this.#registry.digest;
 		const knowsMore = member.registryOffset > this.#registry.endOffset
 			|| (isFollower && !this.#options.place().isFollower && member.registryOffset === this.#registry.endOffset);
@@ -146,28 +176,34 @@
 		}
 
 		// With the same records and other upstreams, only all of it puts this instance right.
-		const canFollow = this.#registry.isKnown && member.registryOffset > this.#registry.endOffset;
-		return {configurationVersion: version, wantsRegistry, ...(canFollow ? {registryOffset: this.#registry.endOffset} : {})};
+		const canFollow = this.#registry.endOffset >= 0 && member.registryOffset > this.#registry.endOffset;
+		return {...this.#query(wantsRegistry), ...(canFollow ? {registryOffset: this.#registry.endOffset} : {})};
 	}
 
 	/** Another instance has handed its state over. */
-	adopt({configuration, registry, changes}: SharedState): void {
+	adopt({epoch, configuration, registry, changes}: SharedState): void {
 		if (configuration !== undefined) {
 			this.#operators.putInForce(configuration, 'instance');
 		}
 
+		if (this.#observe(epoch, 'instance') === 'earlier') {
+			return;
+		}
+
 		if (registry !== undefined) {
-			this.#registry.replace(registry, {type: 'sound'});
+			this.#registry.replace(registry, this.#handedOverTrust);
 		}
 
 		if (changes !== undefined) {
-			this.#registry.follow(changes, {type: 'sound'});
+			this.#registry.follow(changes, this.#handedOverTrust);
 		}
 	}
 
 	/** The follower has told what changed in the registry. */
-	changed(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalTrust): void {
-		this.#registry.told(changes, trust);
+	changed({epoch, changes, trust}: ReportedChanges): void {
+		if (this.#observe(epoch, 'instance') !== 'earlier') {
+			this.#registry.told(changes, trust);
+		}
 	}
 
 	/** Trust that goes with the changes that this instance passes on. */
@@ -175,8 +211,69 @@
 		return this.#trust.current();
 	}
 
+	/** What an instance hands over lacks entries for a while that a restored store has lost. */
+	get #handedOverTrust(): RemovalTrust {
+		const isJustRestored = this.#options.context.clock.monotonicMs() - this.#restoredAtMs < lapseGraceMs;
+		return isJustRestored ? {type: 'after-outage', returnedAtMs: this.#restoredAtMs} : {type: 'sound'};
+	}
+
+	#query(wantsRegistry: boolean): StateQuery {
+		return {configurationVersion: this.#operators.version, wantsRegistry, epoch: this.#epoch.current};
+	}
+
+	/** An answer of the store or another instance names an epoch; what comes with it is left out where that is over. */
+	#observe(epoch: StoreEpoch | undefined, source: EpochSource): EpochOrder {
+		const {logger, metrics} = this.#options.context;
+		const before = this.#epoch.current;
+		this.#noteMissingEpoch(epoch);
+		const order = this.#epoch.observe(epoch);
+		switch (order) {
+			case 'current': {
+				break;
+			}
+
+			case 'earlier': {
+				if (epoch !== unknownEpoch) {
+					metrics.outdatedState.inc({source});
+				}
+
+				break;
+			}
+
+			case 'later': {
+				metrics.storeEpoch.set(this.#epoch.current);
+				this.#operators.restart();
+				this.#registry.restart();
+				if (before !== unknownEpoch) {
+					logger.warn('store restored from an older copy', {before, epoch: this.#epoch.current, source});
+					this.#restored();
+				}
+			}
+		}
+
+		return order;
+	}
+
+	#restored(): void {
+		this.#restoredAtMs = this.#options.context.clock.monotonicMs();
+		this.#trust.restored();
+		clearTimeout(this.#releaseTimer);
+		this.#releaseTimer = setTimeout(() => {
+			this.#operators.releaseEvacuations();
+		}, heldOrdersMs);
+		this.#options.onRestored();
+		this.#options.onNews(undefined);
+	}
+
+	#noteMissingEpoch(epoch: StoreEpoch | undefined): void {
+		if (epoch === undefined && this.#epoch.current !== unknownEpoch && !this.#isEpochMissed) {
+			this.#isEpochMissed = true;
+			this.#options.context.logger.warn('store does not tell its epoch', {epoch: this.#epoch.current});
+		}
+	}
+
 	/** What has changed since, where that is known: while upstreams register by the thousand each step would cost a whole state. */
-	#shareRegistry(fromOffset: number | undefined): SharedState {
+	#shareRegistry(fromOffset: number | undefined): Pick<SharedState, 'registry' | 'changes'> {
 		const changes = fromOffset === undefined ? undefined : this.#registry.changesSince(fromOffset);
 		return changes === undefined ? {registry: this.#registry.toSnapshot()} : {changes};
 	}
@@ -206,7 +303,7 @@
 			name: 'upstreams',
 			topic: store.upstreams,
 			isKnown: () => this.#registry.isKnown,
-			offset: () => this.#registry.isKnown ? this.#registry.endOffset : undefined,
+			offset: () => this.#registry.endOffset >= 0 ? this.#registry.endOffset : undefined,
 			onSnapshot: snapshot => {
 				this.#registry.replace(snapshot, this.#trust.current());
 			},
@@ -225,6 +322,8 @@
 			metrics,
 			place,
 			trust: this.#trust,
+			epoch: () => this.#epoch.current,
+			onEpoch: (epoch: StoreEpoch | undefined) => this.#observe(epoch, 'store'),
 			isFirstStart: settings.isFirstStart,
 			ageMs: () => this.#ageMs(part),
 			onConfirmed: (wasStale: boolean) => {
--- a/packages/gateway/src/features/state/topic-reader.ts
+++ b/packages/gateway/src/features/state/topic-reader.ts
@@ -3,7 +3,9 @@
 import {
 	chooseReading, nextLookMs, retryPauseMs, type ReadingSituation,
 } from '@cairnbank/core/fleet';
-import type {KeyedChanges, KeyedSnapshot, StoreTrust} from '@cairnbank/core/registry';
+import type {
+	EpochOrder, KeyedChanges, KeyedSnapshot, StoreEpoch, StoreTrust,
+} from '@cairnbank/core/registry';
 import type {Logger} from '../../logging/create-logger.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {KeyedTopic, StoreError} from '../../ports/index.js';
@@ -19,6 +21,9 @@
 /** Part of a pause that is random, so that instances don't call at the same moment. */
 const jitterRatio = 0.5;
 
+/** An answer that was under way while the store was restored. */
+const outdated: StoreError = {type: 'malformed', message: 'answer of the store from before its restore'};
+
 /** What an instance is to the others as a reader of the store. */
 export type StorePlace = {
 	/** It reads on behalf of all. */
@@ -41,6 +46,10 @@
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 	readonly trust: StoreTrust;
+	/** Epoch of the store that this instance holds for the current one. */
+	readonly epoch: () => StoreEpoch;
+	/** An answer of the store names its epoch. */
+	readonly onEpoch: (epoch: StoreEpoch | undefined) => EpochOrder;
 	/** Position up to which records are known; nothing where none is. */
 	readonly offset: () => number | undefined;
 	/** Something is known, through whomever; that the topic is empty counts as well. */
@@ -130,26 +139,43 @@
 
 	async #readNewest(wasStale: boolean): Promise<StoreError | undefined> {
 		const {topic, onSnapshot, onConfirmed} = this.#options;
-		const snapshot = await topic.newest();
-		this.#count('newest', snapshot.isOk());
-		if (snapshot.isErr()) {
-			return snapshot.error;
+		const newest = await topic.newest();
+		this.#count('newest', newest.isOk());
+		if (newest.isErr()) {
+			return newest.error;
+		}
+
+		const {epoch, snapshot} = newest.value;
+		if (this.#options.onEpoch(epoch) === 'earlier') {
+			return outdated;
 		}
 
-		this.#unreadable.read(snapshot.value.records);
-		onSnapshot(snapshot.value);
+		this.#unreadable.read(snapshot.records);
+		onSnapshot(snapshot);
 		onConfirmed(wasStale);
 		return undefined;
 	}
 
 	async #readOn(from: number, waitMs: number, wasStale: boolean): Promise<StoreError | undefined> {
-		const {topic, onChanges, onConfirmed, logger, name} = this.#options;
+		const {
+			topic, epoch, onEpoch, onChanges, onConfirmed, logger, name,
+		} = this.#options;
+		const askedIn = epoch();
 		const read = await topic.readOn(from, waitMs);
 		this.#count('read', read.isOk());
 		if (read.isErr()) {
 			return read.error;
 		}
 
+		if (onEpoch(read.value.epoch) === 'earlier') {
+			return outdated;
+		}
+
+		if (epoch() !== askedIn) {
+			// The position belongs to the epoch before.
+			return this.#readNewest(wasStale);
+		}
+
 		switch (read.value.type) {
 			case 'expired': {
 				logger.info('store history expired', {topic: name, from});
--- a/packages/gateway/src/ports/state-store.ts
+++ b/packages/gateway/src/ports/state-store.ts
@@ -1,7 +1,9 @@
 /** The store that holds what must last, as the gateway sees it. */
 import type {AvailabilityZoneId} from '@cairnbank/core';
 import type {GatewayConfiguration} from '@cairnbank/core/routes';
-import type {KeyedChanges, KeyedSnapshot, RegisteredUpstream} from '@cairnbank/core/registry';
+import type {
+	KeyedChanges, KeyedSnapshot, RegisteredUpstream, StoreEpoch,
+} from '@cairnbank/core/registry';
 import type {Result} from 'neverthrow';
 
 export type StoreError =
@@ -12,16 +14,26 @@
 	/** Its answer could not be read. */
 	| {readonly type: 'malformed'; readonly message: string};
 
+/** What an answer tells of the store itself. */
+type Answered = {
+	/** Nothing where it isn't told. */
+	readonly epoch: StoreEpoch | undefined;
+};
+
+/** The newest record of each key. */
+export type Newest<Value> = Answered & {readonly snapshot: KeyedSnapshot<Value>};
+
 /** What reading on from a position gives. */
-export type ReadOn<Value> =
+export type ReadOn<Value> = Answered & (
 	| {readonly type: 'changes'; readonly changes: KeyedChanges<Value>}
 	/** Records from the position on are no longer kept: start anew from the newest ones. */
-	| {readonly type: 'expired'};
+	| {readonly type: 'expired'}
+);
 
 /** A topic that keeps the newest record of each key. */
 export type KeyedTopic<Value> = {
 	/** The newest record of each key. */
-	newest(): Promise<Result<KeyedSnapshot<Value>, StoreError>>;
+	newest(): Promise<Result<Newest<Value>, StoreError>>;
 	/**
 	 * Records from `offset` on.
 	 *
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -95,6 +95,9 @@
 
 			fleet.announce();
 		},
+		onRestored() {
+			fleet.storeRestored();
+		},
 		onRefreshed() {
 			fleet.announceToAll();
 		},
