The end of an order that a restored store has lost is known to all instances at once

Cause: what others hold beyond the restore knew only the end of the order on the store's own word. Change: orders that were taken back are told with the others.

--- a/packages/core/src/evacuation/evacuations.spec.ts
+++ b/packages/core/src/evacuation/evacuations.spec.ts
@@ -25,7 +25,7 @@
 			const evacuations = new Evacuations();
 			evacuations.follow([order(4, nasr), order(5, giza)]);
 			assert.deepEqual(evacuations.replace(9, [giza]), [{type: 'restored', zone: nasr}]);
-			assert.deepEqual(evacuations.orders, {revision: 9, zones: [giza]});
+			assert.deepEqual(evacuations.orders, {revision: 9, zones: [giza], takenBack: []});
 		});
 
 		it('should not be taken back by what the store held before them', () => {
@@ -79,6 +79,12 @@
 			assert.deepEqual(other.adopt(evacuations.orders), [{type: 'emptied', zone: nasr}]);
 		});
 
+		it('should end it on an instance that hears of its end from another one', () => {
+			const [follower, other] = [restarted(), restarted()];
+			follower.follow([order(12, nasr, false)]);
+			assert.deepEqual(other.adopt(follower.orders), [{type: 'restored', zone: nasr}]);
+		});
+
 		it('should obey an order of another zone at a lesser position than before', () => {
 			const evacuations = restarted();
 			assert.deepEqual(evacuations.follow([order(30, giza)]), [{type: 'emptied', zone: giza}]);
--- a/packages/core/src/evacuation/evacuations.ts
+++ b/packages/core/src/evacuation/evacuations.ts
@@ -7,6 +7,8 @@
 	readonly revision: number;
 	/** Availability zones whose upstreams get nothing new. */
 	readonly zones: readonly AvailabilityZoneId[];
+	/** Those whose orders were taken back since the last restore of the store, and that nobody holds beyond that. */
+	readonly takenBack: readonly AvailabilityZoneId[];
 };
 
 /** One order, or its removal. */
@@ -27,9 +29,10 @@
 	#ordered: ReadonlySet<AvailabilityZoneId> = new Set();
 	/** Emptied by orders that a restored store has lost, until those are written again or released. */
 	#held: ReadonlySet<AvailabilityZoneId> = new Set();
+	#takenBack: ReadonlySet<AvailabilityZoneId> = new Set();
 
 	get orders(): EvacuationOrders {
-		return {revision: this.#revision, zones: [...this.#ordered]};
+		return {revision: this.#revision, zones: [...this.#ordered], takenBack: [...this.#takenBack]};
 	}
 
 	isEmptied(zone: AvailabilityZoneId): boolean {
@@ -45,6 +48,7 @@
 	restart(): void {
 		this.#held = this.zones;
 		this.#ordered = new Set();
+		this.#takenBack = new Set();
 		this.#revision = 0;
 	}
 
@@ -75,27 +79,32 @@
 	follow(records: readonly EvacuationRecord[]): readonly EvacuationEvent[] {
 		const zones = new Set(this.#ordered);
 		const held = new Set(this.#held);
+		const takenBack = new Set(this.#takenBack);
 		for (const {offset, zone, isOrdered} of records.filter(record => record.offset >= this.#revision)) {
 			this.#revision = offset + 1;
 			held.delete(zone);
 			if (isOrdered) {
 				zones.add(zone);
+				takenBack.delete(zone);
 			} else {
 				zones.delete(zone);
+				takenBack.add(zone);
 			}
 		}
 
+		this.#takenBack = takenBack;
 		return this.#put(zones, held);
 	}
 
 	/** Takes in what another instance knows, where that is more. */
-	adopt({revision, zones}: EvacuationOrders): readonly EvacuationEvent[] {
+	adopt({revision, zones, takenBack}: EvacuationOrders): readonly EvacuationEvent[] {
 		if (revision <= this.#revision) {
 			return [];
 		}
 
 		this.#revision = revision;
-		return this.#put(new Set(zones));
+		this.#takenBack = new Set(takenBack);
+		return this.#put(new Set(zones), new Set([...this.#held].filter(zone => !this.#takenBack.has(zone))));
 	}
 
 	#put(ordered: ReadonlySet<AvailabilityZoneId>, held: ReadonlySet<AvailabilityZoneId> = this.#held): readonly EvacuationEvent[] {
--- a/packages/core/src/fleet/fleet-view.spec.ts
+++ b/packages/core/src/fleet/fleet-view.spec.ts
@@ -16,7 +16,7 @@
 		revision: 0,
 		membersDigest: 0,
 		configurationVersion: 1,
-		storeEpoch: unknownEpoch, evacuations: {revision: 0, zones: []},
+		storeEpoch: unknownEpoch, evacuations: {revision: 0, zones: [], takenBack: []},
 		registryOffset: 0,
 		registryDigest: 0,
 		stateAgeMs: 0,
--- a/packages/core/src/fleet/fleet-view.ts
+++ b/packages/core/src/fleet/fleet-view.ts
@@ -275,7 +275,7 @@
 	membersDigest: 0,
 	configurationVersion: 0,
 	storeEpoch: unknownEpoch,
-	evacuations: {revision: 0, zones: []},
+	evacuations: {revision: 0, zones: [], takenBack: []},
 	registryOffset: -1,
 	registryDigest: 0,
 	stateAgeMs: Number.POSITIVE_INFINITY,
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -23,7 +23,7 @@
 		membersDigest: 4_294_967_295,
 		configurationVersion: 4,
 		storeEpoch: 3 as StoreEpoch,
-		evacuations: {revision: 12, zones: ['nasr' as AvailabilityZoneId]},
+		evacuations: {revision: 12, zones: ['nasr' as AvailabilityZoneId], takenBack: ['giza' as AvailabilityZoneId]},
 		registryOffset: 17,
 		registryDigest: 99,
 		stateAgeMs: 120,
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -77,6 +77,7 @@
 	v.number(),
 	v.number(),
 	v.array(v.string()),
+	v.array(v.string()),
 	v.number(),
 ]);
 /** By availability zone: host, incarnation, flags, revision. */
@@ -134,6 +135,7 @@
 				member.stateAgeMs,
 				member.evacuations.revision,
 				member.evacuations.zones,
+				member.evacuations.takenBack,
 				member.storeEpoch,
 			];
 		}
@@ -166,7 +168,7 @@
 	switch (array[0]) {
 		case 'b': {
 			const [
-				, incarnation, host, zone, flags, revision, membersDigest, configurationVersion, registryOffset, registryDigest, stateAgeMs, evacuationRevision, emptied, storeEpoch,
+				, incarnation, host, zone, flags, revision, membersDigest, configurationVersion, registryOffset, registryDigest, stateAgeMs, evacuationRevision, emptied, takenBack, storeEpoch,
 			] = array;
 			return {
 				type: 'heartbeat',
@@ -181,7 +183,7 @@
 					membersDigest,
 					configurationVersion,
 					storeEpoch: storeEpoch as StoreEpoch,
-					evacuations: {revision: evacuationRevision, zones: emptied as AvailabilityZoneId[]},
+					evacuations: {revision: evacuationRevision, zones: emptied as AvailabilityZoneId[], takenBack: takenBack as AvailabilityZoneId[]},
 					registryOffset,
 					registryDigest,
 					stateAgeMs,
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -85,7 +85,7 @@
 			ready: this.ready,
 			leaving: false,
 			configurationVersion: 1,
-			storeEpoch: unknownEpoch, evacuations: {revision: 0, zones: []},
+			storeEpoch: unknownEpoch, evacuations: {revision: 0, zones: [], takenBack: []},
 			registryOffset: 1,
 			registryDigest: 1,
 			stateAgeMs: 0,
--- a/packages/gateway/src/features/fleet/state-asker.spec.ts
+++ b/packages/gateway/src/features/fleet/state-asker.spec.ts
@@ -19,7 +19,7 @@
 		revision: 0,
 		membersDigest: 0,
 		configurationVersion: 5,
-		storeEpoch: unknownEpoch, evacuations: {revision: 0, zones: []},
+		storeEpoch: unknownEpoch, evacuations: {revision: 0, zones: [], takenBack: []},
 		registryOffset: 0,
 		registryDigest: 0,
 		stateAgeMs: 0,
