--- a/packages/core/src/evacuation/evacuations.spec.ts
+++ b/packages/core/src/evacuation/evacuations.spec.ts
@@ -36,7 +36,7 @@
 			assert.equal(evacuations.isEmptied(nasr), true);
 		});
 
-		it('should not count as news where nothing has changed, so that instances don\'t tell each other', () => {
+		it('should not count as an update where nothing has changed, so that instances don\'t tell each other', () => {
 			const evacuations = new Evacuations();
 			evacuations.follow([order(4, nasr)]);
 			assert.deepEqual(evacuations.replace(20, [nasr]), []);
--- a/packages/core/src/fleet/fleet-member.ts
+++ b/packages/core/src/fleet/fleet-member.ts
@@ -9,7 +9,7 @@
 	/** IP number; the ports are the same on all instances. */
 	readonly host: string;
 	readonly availabilityZone: AvailabilityZoneId;
-	/** Raised by the member with each change of what it says of itself, see `MemberNews`. */
+	/** Raised by the member with each change of what it says of itself, see `MemberUpdate`. */
 	readonly revision: number;
 	/** It serves callers and knows a configuration. */
 	readonly ready: boolean;
--- a/packages/core/src/fleet/fleet-view.ts
+++ b/packages/core/src/fleet/fleet-view.ts
@@ -4,7 +4,7 @@
 import {unknownEpoch} from '../registry/store-epoch.js';
 import {hashText} from '../routing/hash-text.js';
 import type {FleetMember} from './fleet-member.js';
-import {isNewer, type MemberNews} from './member-news.js';
+import {isNewer, type MemberUpdate} from './member-update.js';
 
 export type FleetTiming = {
 	/** Time between two heartbeats of an instance. */
@@ -41,7 +41,7 @@
 const digestRange = 4_294_967_296;
 
 /** What a heartbeat changed in the view. */
-export type HeardNews =
+export type HeardChange =
 	| 'nothing'
 	/** It is known, and says something new of itself. */
 	| 'changed'
@@ -72,31 +72,31 @@
 	 *
 	 * @param isBeating - whether more of them follow without being asked for
 	 */
-	heard(member: FleetMember, isBeating = true): HeardNews {
+	heard(member: FleetMember, isBeating = true): HeardChange {
 		const known = this.#peers.get(member.host);
-		const news = this.#newsOf(member, known);
+		const update = this.#updateOf(member, known);
 		this.#heardAtMs = this.#clock.monotonicMs();
 		this.#put(member, isBeating, undefined);
-		if (news !== 'nothing') {
+		if (update !== 'nothing') {
 			this.#noteSize();
 		}
 
-		return news;
+		return update;
 	}
 
 	/**
 	 * Takes in what another instance has passed on.
 	 *
-	 * @returns what was news here
+	 * @returns what was new here
 	 */
-	told(passedOn: readonly MemberNews[]): readonly MemberNews[] {
+	told(passedOn: readonly MemberUpdate[]): readonly MemberUpdate[] {
 		this.#heardAtMs = this.#clock.monotonicMs();
-		const news = passedOn.filter(one => this.#tell(one));
-		if (news.length > 0) {
+		const update = passedOn.filter(one => this.#tell(one));
+		if (update.length > 0) {
 			this.#noteSize();
 		}
 
-		return news;
+		return update;
 	}
 
 	/** Whether this process was heard itself within the last heartbeat. */
@@ -107,14 +107,14 @@
 	}
 
 	/** What is passed on of one member. */
-	newsOf(host: string): MemberNews | undefined {
+	updateOf(host: string): MemberUpdate | undefined {
 		const peer = this.#peers.get(host);
-		return peer === undefined ? undefined : newsOf(peer);
+		return peer === undefined ? undefined : updateOf(peer);
 	}
 
 	/** All that is known of others, for an instance that knows something else; what fell silent is left out. */
-	news(): readonly MemberNews[] {
-		return [...this.#peers.values()].filter(peer => peer.lostAtMs !== undefined || !this.#isSilent(peer)).map(peer => newsOf(peer));
+	updates(): readonly MemberUpdate[] {
+		return [...this.#peers.values()].filter(peer => peer.lostAtMs !== undefined || !this.#isSilent(peer)).map(peer => updateOf(peer));
 	}
 
 	/** Equal where the same of the same processes is known, and the same ones are held for alive, whatever the order in which they became known. */
@@ -215,20 +215,20 @@
 	}
 
 	/** One that was heard just now is not lost, whatever others say. */
-	#tell(news: MemberNews): boolean {
-		const known = this.#peers.get(news.host);
-		const isContradicted = news.isLost && (known === undefined || this.isHeardNow(news.host, news.incarnation));
-		if (isContradicted || (known !== undefined && !isNewer(news, newsOf(known)))) {
+	#tell(update: MemberUpdate): boolean {
+		const known = this.#peers.get(update.host);
+		const isContradicted = update.isLost && (known === undefined || this.isHeardNow(update.host, update.incarnation));
+		if (isContradicted || (known !== undefined && !isNewer(update, updateOf(known)))) {
 			return false;
 		}
 
-		const {isLost, ...told} = news;
-		const before = known?.member.incarnation === news.incarnation ? known.member : unknownState;
+		const {isLost, ...told} = update;
+		const before = known?.member.incarnation === update.incarnation ? known.member : unknownState;
 		this.#put({...before, ...told}, false, isLost ? this.#clock.monotonicMs() : undefined);
 		return true;
 	}
 
-	#newsOf({incarnation, revision}: FleetMember, known: Peer | undefined): HeardNews {
+	#updateOf({incarnation, revision}: FleetMember, known: Peer | undefined): HeardChange {
 		if (known?.member.incarnation !== incarnation) {
 			return 'appeared';
 		}
@@ -281,7 +281,7 @@
 	stateAgeMs: Number.POSITIVE_INFINITY,
 };
 
-function newsOf({member, lostAtMs}: Peer): MemberNews {
+function updateOf({member, lostAtMs}: Peer): MemberUpdate {
 	const {
 		host, incarnation, availabilityZone, ready, leaving, reachesStore, revision,
 	} = member;
--- a/packages/core/src/fleet/member-news.spec.ts
+++ b/packages/core/src/fleet/member-update.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import type {IncarnationId} from '../model/ids.js';
-import {isNewer} from './member-news.js';
+import {isNewer} from './member-update.js';
 
 const known = {incarnation: 'b' as IncarnationId, revision: 3, isLost: false};
 
--- a/packages/core/src/fleet/member-news.ts
+++ b/packages/core/src/fleet/member-update.ts
@@ -2,7 +2,7 @@
 import type {AvailabilityZoneId, IncarnationId} from '../model/ids.js';
 
 /** Plain data. */
-export type MemberNews = {
+export type MemberUpdate = {
 	/** IP number; the ports are the same on all instances. */
 	readonly host: string;
 	readonly incarnation: IncarnationId;
@@ -17,13 +17,13 @@
 };
 
 /**
- * Whether news go before what is known of a member: those of a later process first (incarnations sort by their start),
+ * Whether an update goes before what is known of a member: those of a later process first (incarnations sort by their start),
  * then the higher revision, then that it is lost, which only the member itself can take back.
  */
-export function isNewer(news: Pick<MemberNews, 'incarnation' | 'revision' | 'isLost'>, known: Pick<MemberNews, 'incarnation' | 'revision' | 'isLost'>): boolean {
-	if (news.incarnation !== known.incarnation) {
-		return news.incarnation > known.incarnation;
+export function isNewer(update: Pick<MemberUpdate, 'incarnation' | 'revision' | 'isLost'>, known: Pick<MemberUpdate, 'incarnation' | 'revision' | 'isLost'>): boolean {
+	if (update.incarnation !== known.incarnation) {
+		return update.incarnation > known.incarnation;
 	}
 
-	return news.revision === known.revision ? news.isLost && !known.isLost : news.revision > known.revision;
+	return update.revision === known.revision ? update.isLost && !known.isLost : update.revision > known.revision;
 }
--- a/packages/core/src/fleet/news-targets.spec.ts
+++ b/packages/core/src/fleet/update-targets.spec.ts
@@ -3,7 +3,7 @@
 import type {AvailabilityZoneId} from '../model/ids.js';
 import {createRandomSource} from '../model/random-source.js';
 import type {FleetMember} from './fleet-member.js';
-import {chooseNewsTargets, chooseRelays} from './news-targets.js';
+import {chooseUpdateTargets, chooseRelays} from './update-targets.js';
 
 const ownZone = 'nasr' as AvailabilityZoneId;
 
@@ -20,20 +20,20 @@
 	});
 });
 
-describe('chooseNewsTargets', () => {
+describe('chooseUpdateTargets', () => {
 	it('should take five of the own zone and one of another', () => {
-		const targets = chooseNewsTargets([...members('nasr', 60), ...members('giza', 250)], ownZone, createRandomSource(1));
+		const targets = chooseUpdateTargets([...members('nasr', 60), ...members('giza', 250)], ownZone, createRandomSource(1));
 		assert.equal(new Set(targets).size, 6);
 		assert.equal(targets.filter(host => host.startsWith('nasr')).length, 5);
 	});
 
 	it('should take more of other zones where the own one has few', () => {
-		const targets = chooseNewsTargets([...members('nasr', 1), ...members('giza', 250)], ownZone, createRandomSource(1));
+		const targets = chooseUpdateTargets([...members('nasr', 1), ...members('giza', 250)], ownZone, createRandomSource(1));
 		assert.equal(targets.length, 6);
 	});
 
 	it('should take all where there are few', () => {
-		assert.equal(chooseNewsTargets(members('giza', 2), ownZone, createRandomSource(1)).length, 2);
-		assert.deepEqual(chooseNewsTargets([], ownZone, createRandomSource(1)), []);
+		assert.equal(chooseUpdateTargets(members('giza', 2), ownZone, createRandomSource(1)).length, 2);
+		assert.deepEqual(chooseUpdateTargets([], ownZone, createRandomSource(1)), []);
 	});
 });
--- a/packages/core/src/fleet/news-targets.ts
+++ b/packages/core/src/fleet/update-targets.ts
@@ -4,18 +4,18 @@
 import type {FleetMember} from './fleet-member.js';
 
 /**
- * Each instance passes each piece of news on once, to this many. One instance then misses it with a probability of
+ * Each instance passes each update on once, to this many. One instance then misses it with a probability of
  * exp(-6), 1 in 400, and finds that out by comparing digests.
  */
 const targets = 6;
 /**
  * Those of them in other availability zones, as bytes between zones are paid for. Each zone of 60 instances still gets
- * each piece of news from some 60 outside.
+ * each update from some 60 outside.
  */
 const farTargets = 1;
 
 /** Draws some of the other instances, most of them from the own availability zone. */
-export function chooseNewsTargets(live: readonly FleetMember[], ownZone: AvailabilityZoneId, random: RandomSource): readonly string[] {
+export function chooseUpdateTargets(live: readonly FleetMember[], ownZone: AvailabilityZoneId, random: RandomSource): readonly string[] {
 	const near = drawn(live.filter(({availabilityZone}) => availabilityZone === ownZone), targets - farTargets, random);
 	const far = drawn(live.filter(({availabilityZone}) => availabilityZone !== ownZone), targets - near.length, random);
 	return [...near, ...far].map(({host}) => host);
--- a/packages/core/src/membership/gossip-state.ts
+++ b/packages/core/src/membership/gossip-state.ts
@@ -184,12 +184,12 @@
 			return false;
 		}
 
-		const isNews = this.#table.mergeSuspicion(suspicion);
-		if (isNews) {
+		const isChange = this.#table.mergeSuspicion(suspicion);
+		if (isChange) {
 			this.#passOn(suspicion);
 		}
 
-		return isNews;
+		return isChange;
 	}
 
 	#passOn(suspicion: Suspicion): void {
--- a/packages/core/src/membership/membership-timing.ts
+++ b/packages/core/src/membership/membership-timing.ts
@@ -40,7 +40,7 @@
 	return timing.suspectBaseMs + (timing.suspectStepMs * (doublings - 1));
 }
 
-/** How many exchanges carry a news item before it is only sent in rotation. */
+/** How many exchanges carry an update before it is only sent in rotation. */
 export function newsTransmissions(memberCount: number): number {
 	return transmissionsPerDoubling * Math.ceil(Math.log2(memberCount + 2));
 }
--- a/packages/core/src/registry/store-trust.ts
+++ b/packages/core/src/registry/store-trust.ts
@@ -16,14 +16,14 @@
 		return this.#isDown;
 	}
 
-	/** A call failed. @returns whether this is news */
+	/** A call failed. @returns whether this is a change */
 	failed(): boolean {
-		const isNews = !this.#isDown;
+		const isChange = !this.#isDown;
 		this.#isDown = true;
-		return isNews;
+		return isChange;
 	}
 
-	/** A call succeeded. @returns whether this is news */
+	/** A call succeeded. @returns whether this is a change */
 	succeeded(): boolean {
 		if (!this.#isDown) {
 			return false;
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -4,7 +4,7 @@
 import type {
 	AvailabilityZoneId, Fingerprint, IncarnationId, ServiceId, UpstreamId,
 } from '@cairnbank/core';
-import type {MemberNews} from '@cairnbank/core/fleet';
+import type {MemberUpdate} from '@cairnbank/core/fleet';
 import type {StoreEpoch} from '@cairnbank/core/registry';
 import fc from 'fast-check';
 import {
@@ -35,7 +35,7 @@
 	isForZone: false,
 };
 
-const news: MemberNews = {
+const update: MemberUpdate = {
 	host: '10.0.0.1',
 	incarnation: 'abc' as IncarnationId,
 	availabilityZone: 'nasr' as AvailabilityZoneId,
@@ -48,9 +48,9 @@
 
 const members: FleetMessage = {
 	type: 'members',
-	members: [news, {
-		...news, host: '10.0.0.2', isLost: true, ready: false,
-	}, {...news, host: '10.1.0.1', availabilityZone: 'giza' as AvailabilityZoneId}],
+	members: [update, {
+		...update, host: '10.0.0.2', isLost: true, ready: false,
+	}, {...update, host: '10.1.0.1', availabilityZone: 'giza' as AvailabilityZoneId}],
 };
 
 const changes: FleetMessage = {
@@ -106,7 +106,7 @@
 
 	it('should hold as many members as are put into one, whatever their names', () => {
 		const many = Array.from({length: membersPerMessage}, (_, index) => ({
-			...news,
+			...update,
 			host: `255.255.255.${100 + index}`,
 			incarnation: '0mhq3x1k2abc' as IncarnationId,
 			availabilityZone: `rakiraki-substation-control-${index % 5}` as AvailabilityZoneId,
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -3,7 +3,7 @@
 import type {
 	AvailabilityZoneId, Fingerprint, IncarnationId, UpstreamId,
 } from '@cairnbank/core';
-import type {FleetMember, MemberNews} from '@cairnbank/core/fleet';
+import type {FleetMember, MemberUpdate} from '@cairnbank/core/fleet';
 import type {AdvertisedLimit} from '@cairnbank/core/limits';
 import type {
 	KeyedChanges, RegisteredUpstream, RemovalTrust, StoreEpoch,
@@ -31,7 +31,7 @@
 		readonly isForZone: boolean;
 	}
 	/** What the sender knows of some members. */
-	| {readonly type: 'members'; readonly members: readonly MemberNews[]}
+	| {readonly type: 'members'; readonly members: readonly MemberUpdate[]}
 	/** A request was running at an upstream that crashed. */
 	| {readonly type: 'crash'; readonly crash: Crash}
 	/** What an upstream says of its rate limit. */
@@ -234,11 +234,11 @@
 		+ (isForZone ? forZoneFlag : 0);
 }
 
-function memberFlags({ready, leaving, reachesStore}: Pick<MemberNews, 'ready' | 'leaving' | 'reachesStore'>): number {
+function memberFlags({ready, leaving, reachesStore}: Pick<MemberUpdate, 'ready' | 'leaving' | 'reachesStore'>): number {
 	return (ready ? readyFlag : 0) + (leaving ? leavingFlag : 0) + (reachesStore ? reachesStoreFlag : 0);
 }
 
-function fromMembers(members: readonly MemberNews[]): Array<v.InferInput<typeof membersSchema>[1][number]> {
+function fromMembers(members: readonly MemberUpdate[]): Array<v.InferInput<typeof membersSchema>[1][number]> {
 	const byZone = new Map<string, Array<[string, string, number, number]>>();
 	for (const member of members) {
 		const ofZone = byZone.get(member.availabilityZone) ?? [];
@@ -249,7 +249,7 @@
 	return [...byZone];
 }
 
-function toMembers([, byZone]: v.InferOutput<typeof membersSchema>): readonly MemberNews[] {
+function toMembers([, byZone]: v.InferOutput<typeof membersSchema>): readonly MemberUpdate[] {
 	return byZone.flatMap(([zone, members]) => members.map(([host, incarnation, flags, revision]) => ({
 		host,
 		incarnation: incarnation as IncarnationId,
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -1,4 +1,4 @@
-/** Owns the traffic between instances: membership, news of the registry, the choice of who reads the store. */
+/** Owns the traffic between instances: membership, updates of the registry, the choice of who reads the store. */
 import type {AvailabilityZoneId} from '@cairnbank/core';
 import {followerRank} from '@cairnbank/core/fleet';
 import {seatOf, type Seat} from '@cairnbank/core/placement';
@@ -16,7 +16,7 @@
 import type {FleetMessage} from './datagrams.js';
 import {FleetSocket} from './fleet-socket.js';
 import {Membership, type OwnState} from './membership.js';
-import {gatherMs} from './news-queue.js';
+import {gatherMs} from './update-queue.js';
 import {fetchState, StateExchange} from './state-exchange.js';
 import {StateAsker} from './state-asker.js';
 import {StoreEntry} from './store-entry.js';
@@ -46,7 +46,7 @@
 	/** Others were named to it before the start, and it was not named to them. */
 	readonly #isToldOfOthers: boolean;
 	#beatTimer: NodeJS.Timeout | undefined;
-	#newsTimer: NodeJS.Timeout | undefined;
+	#updateTimer: NodeJS.Timeout | undefined;
 	#isLeaving = false;
 	#isStopped = false;
 
@@ -70,8 +70,8 @@
 			},
 			self: () => this.self,
 			isFollower: () => this.#places.isFollower,
-			onNews: () => {
-				this.#newsTimer = setTimeout(() => {
+			onUpdate: () => {
+				this.#updateTimer = setTimeout(() => {
 					this.#membership.passOn();
 				}, gatherMs);
 			},
@@ -129,7 +129,7 @@
 	stop(): void {
 		this.#isStopped = true;
 		clearTimeout(this.#beatTimer);
-		clearTimeout(this.#newsTimer);
+		clearTimeout(this.#updateTimer);
 		this.#storeEntry.stop();
 		this.#asker.stop();
 		this.#socket.stop();
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -4,13 +4,13 @@
  * learns of a member is passed on from instance to instance.
  */
 import {
-	chooseNewsTargets, chooseRelays, Contradictions, defaultFleetTiming, FleetView, OwnWord, type FleetMember, type MemberNews,
+	chooseUpdateTargets, chooseRelays, Contradictions, defaultFleetTiming, FleetView, OwnWord, type FleetMember, type MemberUpdate,
 } from '@cairnbank/core/fleet';
 import type {Context} from '../../kernel/context.js';
 import {splitAddress} from '../../kernel/listen.js';
 import type {FleetMessage} from './datagrams.js';
 import {MemberWatch} from './member-watch.js';
-import {NewsQueue, toMessages} from './news-queue.js';
+import {UpdateQueue, toMessages} from './update-queue.js';
 
 /** The follower's heartbeats carry the age of what all know, so they are more frequent than those of the others. */
 const followerHeartbeatMs = 300;
@@ -19,8 +19,8 @@
 const firstBeatsUntilMs = 200;
 /** Least time between two questions for all that another instance knows of members: an answer is up to 15 datagrams. */
 const membersAskMs = 700;
-/** Where news came within this time, more may be under way, and a difference tells nothing yet. */
-const newsUnderWayMs = 300;
+/** Where an update came within this time, more may be under way, and a difference tells nothing yet. */
+const updatesUnderWayMs = 300;
 /** How often instances that were named at the start, and aren't known to be alive, are asked: two parts of a fleet that forgot each other meet there. */
 const seedAskMs = 5000;
 
@@ -31,8 +31,8 @@
 	readonly self: () => OwnState;
 	/** Whether this instance reads the store on behalf of all. */
 	readonly isFollower: () => boolean;
-	/** There are news to pass on; `passOn` is to be called after `gatherMs`. */
-	readonly onNews: () => void;
+	/** There are updates to pass on; `passOn` is to be called after `gatherMs`. */
+	readonly onUpdate: () => void;
 };
 
 /** What this instance says of itself, but for what its membership adds. */
@@ -45,7 +45,7 @@
 	readonly view: FleetView;
 	readonly #options: MembershipOptions;
 	readonly #watch: MemberWatch;
-	readonly #news: NewsQueue;
+	readonly #update: UpdateQueue;
 	readonly #contradictions: Contradictions;
 	readonly #word = new OwnWord();
 	readonly #startedAtMs: number;
@@ -59,7 +59,7 @@
 		this.#askedSeedsAtMs = this.#startedAtMs;
 		this.view = new FleetView(clock);
 		this.#watch = new MemberWatch(this.view, random);
-		this.#news = new NewsQueue(clock, options.onNews);
+		this.#update = new UpdateQueue(clock, options.onUpdate);
 		this.#contradictions = new Contradictions(clock);
 	}
 
@@ -119,7 +119,7 @@
 	/** Some live others, drawn anew each time. */
 	few(): readonly string[] {
 		const {random} = this.#options.context;
-		return chooseNewsTargets(this.view.live(), this.#options.self().availabilityZone, random);
+		return chooseUpdateTargets(this.view.live(), this.#options.self().availabilityZone, random);
 	}
 
 	/** Whether all others are told of each heartbeat of this instance. */
@@ -131,9 +131,9 @@
 	heard(message: Extract<FleetMessage, {type: 'heartbeat'}>): void {
 		const {member, isBeating, wantsReply, wantsMembers, isForZone} = message;
 		this.#watch.heard(member.host);
-		const before = this.view.newsOf(member.host);
-		const news = this.view.heard(member, isBeating);
-		switch (news) {
+		const before = this.view.updateOf(member.host);
+		const update = this.view.heard(member, isBeating);
+		switch (update) {
 			case 'nothing': {
 				break;
 			}
@@ -160,11 +160,11 @@
 		}
 
 		if (wantsMembers) {
-			this.#sendMembers(this.view.news().filter(({host}) => host !== member.host), [member.host]);
+			this.#sendMembers(this.view.updates().filter(({host}) => host !== member.host), [member.host]);
 		}
 
 		const wanted = this.#wantsMembersOf(member);
-		if (wantsReply || wanted || news === 'appeared' || news === 'returned') {
+		if (wantsReply || wanted || update === 'appeared' || update === 'returned') {
 			this.#tell([member.host], {wantsMembers: wanted});
 		}
 	}
@@ -182,25 +182,25 @@
 			}
 		}
 
-		const lostBefore = new Set(members.map(member => member.host).filter(other => this.view.newsOf(other)?.isLost === true));
-		const news = this.view.told(members.filter(member => member.host !== host));
-		for (const member of news.filter(({host: other, isLost}) => !isLost && lostBefore.has(other))) {
+		const lostBefore = new Set(members.map(member => member.host).filter(other => this.view.updateOf(other)?.isLost === true));
+		const update = this.view.told(members.filter(member => member.host !== host));
+		for (const member of update.filter(({host: other, isLost}) => !isLost && lostBefore.has(other))) {
 			this.#contradictions.said(member.host);
 		}
 
-		this.#logAppeared(news.filter(({isLost}) => !isLost));
-		for (const {host: lostHost, incarnation} of news.filter(({isLost}) => isLost)) {
+		this.#logAppeared(update.filter(({isLost}) => !isLost));
+		for (const {host: lostHost, incarnation} of update.filter(({isLost}) => isLost)) {
 			context.logger.info('instance lost', {host: lostHost, incarnation, source: 'instance'});
 		}
 
-		for (const {host: newHost} of news) {
+		for (const {host: newHost} of update) {
 			this.#passOn(newHost);
 		}
 	}
 
-	/** Passes on the news that were gathered. */
+	/** Passes on the updates that were gathered. */
 	passOn(): void {
-		this.#sendMembers(this.#news.take(), this.few());
+		this.#sendMembers(this.#update.take(), this.few());
 	}
 
 	get #nearHosts(): readonly string[] {
@@ -244,15 +244,15 @@
 		const {incarnation} = member;
 		this.#options.context.logger.info('instance lost', {host, incarnation, source: 'no answer'});
 		if (this.view.isSmall) {
-			this.#options.send({type: 'members', members: [this.view.newsOf(host)!]}, this.view.targets());
+			this.#options.send({type: 'members', members: [this.view.updateOf(host)!]}, this.view.targets());
 		} else {
 			this.#passOn(host);
-			this.#options.send({type: 'members', members: [this.view.newsOf(host)!]}, [host]);
+			this.#options.send({type: 'members', members: [this.view.updateOf(host)!]}, [host]);
 		}
 	}
 
 	/** A member that was held for lost is heard: only its own word takes that back at the others. */
-	#tellDoubt(member: FleetMember, before: MemberNews | undefined): void {
+	#tellDoubt(member: FleetMember, before: MemberUpdate | undefined): void {
 		if (before?.incarnation === member.incarnation && before.revision >= member.revision) {
 			this.#options.send({type: 'members', members: [before]}, [member.host]);
 		} else {
@@ -260,7 +260,7 @@
 		}
 	}
 
-	#heardOfSelf({incarnation, revision, isLost}: MemberNews): void {
+	#heardOfSelf({incarnation, revision, isLost}: MemberUpdate): void {
 		if (isLost && incarnation === this.#options.context.incarnation && this.#word.contradict(revision)) {
 			this.#passOnSelf();
 		}
@@ -300,26 +300,26 @@
 		const {
 			host, incarnation, availabilityZone, ready, leaving, reachesStore,
 		} = this.#options.self();
-		const news = {
+		const update = {
 			host, incarnation, availabilityZone, ready, leaving, reachesStore, revision: this.#word.revision, isLost: false,
 		};
 		if (this.view.isSmall) {
-			this.#options.send({type: 'members', members: [news]}, this.view.targets());
+			this.#options.send({type: 'members', members: [update]}, this.view.targets());
 		} else {
-			this.#news.add(news);
+			this.#update.add(update);
 		}
 	}
 
 	/** In a small fleet all hear each other. */
 	#passOn(host: string): void {
-		const news = this.view.newsOf(host);
-		if (news !== undefined && !this.view.isSmall) {
-			this.#news.add(news);
+		const update = this.view.updateOf(host);
+		if (update !== undefined && !this.view.isSmall) {
+			this.#update.add(update);
 		}
 	}
 
 	/**
-	 * Whether to ask a member for all that it knows: it holds others for alive than this instance does, and no news are
+	 * Whether to ask a member for all that it knows: it holds others for alive than this instance does, and no updates are
 	 * under way that may explain it. Members of other availability zones are asked only where the own one has none.
 	 */
 	#wantsMembersOf({host, incarnation, availabilityZone, membersDigest}: FleetMember): boolean {
@@ -331,7 +331,7 @@
 		}
 
 		const knowsOthers = this.view.live().some(member => member.incarnation !== incarnation);
-		if (knowsOthers && this.#news.hasAddedWithin(newsUnderWayMs)) {
+		if (knowsOthers && this.#update.hasAddedWithin(updatesUnderWayMs)) {
 			return false;
 		}
 
@@ -345,7 +345,7 @@
 		return true;
 	}
 
-	#sendMembers(members: readonly MemberNews[], hosts: readonly string[]): void {
+	#sendMembers(members: readonly MemberUpdate[], hosts: readonly string[]): void {
 		for (const message of toMessages(members)) {
 			this.#options.send(message, hosts);
 		}
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -7,7 +7,7 @@
 import {createMetrics} from '../../metrics/metrics.js';
 import {encodeMessage, maximumDatagramBytes, type FleetMessage} from './datagrams.js';
 import {Membership, type MembershipOptions, type OwnState} from './membership.js';
-import {gatherMs} from './news-queue.js';
+import {gatherMs} from './update-queue.js';
 
 const stepMs = 10;
 /** How long a choice of the follower holds, as in an instance. */
@@ -70,7 +70,7 @@
 			send,
 			self: () => this.member,
 			isFollower: () => this.isFollower,
-			onNews: () => {
+			onUpdate: () => {
 				this.passesOnAtMs = clock.monotonicMs() + gatherMs;
 			},
 		});
--- a/packages/gateway/src/features/state/operator-state.ts
+++ b/packages/gateway/src/features/state/operator-state.ts
@@ -10,7 +10,7 @@
 	readonly onConfiguration: (routes: RouteTable) => void;
 	readonly onEvacuation: (event: EvacuationEvent) => void;
 	/** Something is newer than what others may know. */
-	readonly onNews: () => void;
+	readonly onUpdate: () => void;
 };
 
 /** From where something was learnt, for the log. */
@@ -87,7 +87,7 @@
 		metrics.configurationVersion.set(configuration.version);
 		logger.info('configuration in force', {version: configuration.version, source});
 		this.#options.onConfiguration(this.#routes);
-		this.#options.onNews();
+		this.#options.onUpdate();
 	}
 
 	#configure(values: ReadonlyArray<OperatorRecord | undefined>): void {
@@ -107,7 +107,7 @@
 
 		if (events.length > 0) {
 			metrics.emptiedZones.set(this.#evacuations.zones.size);
-			this.#options.onNews();
+			this.#options.onUpdate();
 		}
 	}
 }
--- a/packages/gateway/src/features/state/registry-state.ts
+++ b/packages/gateway/src/features/state/registry-state.ts
@@ -10,7 +10,7 @@
 	readonly context: Pick<Context, 'clock' | 'logger'>;
 	readonly onUpstream: (event: RegistryEvent) => void;
 	/** Something is newer than what others may know; changes in hand where there are any. */
-	readonly onNews: (changes: KeyedChanges<RegisteredUpstream> | undefined) => void;
+	readonly onUpdate: (changes: KeyedChanges<RegisteredUpstream> | undefined) => void;
 };
 
 export class RegistryState {
@@ -66,7 +66,7 @@
 		const events = this.#registry.replace(snapshot, trust);
 		this.#emitAll(events);
 		if (events.length > 0) {
-			this.#options.onNews(undefined);
+			this.#options.onUpdate(undefined);
 		}
 	}
 
@@ -75,7 +75,7 @@
 		const events = this.#registry.follow(changes, trust) ?? [];
 		this.#emit(events);
 		if (events.length > 0) {
-			this.#options.onNews(changes);
+			this.#options.onUpdate(changes);
 		}
 	}
 
@@ -99,7 +99,7 @@
 		const events = this.#registry.sweep();
 		this.#emit(events);
 		if (events.length > 0) {
-			this.#options.onNews(undefined);
+			this.#options.onUpdate(undefined);
 		}
 	}
 
--- a/packages/gateway/src/features/state/state-hand-over.spec.ts
+++ b/packages/gateway/src/features/state/state-hand-over.spec.ts
@@ -22,7 +22,7 @@
 		store: {},
 		place: () => ({isFollower: false}),
 		onUpstream: () => undefined,
-		onNews: () => undefined,
+		onUpdate: () => undefined,
 	} as unknown as StateTaskOptions);
 }
 
--- a/packages/gateway/src/features/state/state-task.ts
+++ b/packages/gateway/src/features/state/state-task.ts
@@ -30,7 +30,7 @@
 	readonly onEvacuation: (event: EvacuationEvent) => void;
 	readonly onUpstream: (event: RegistryEvent) => void;
 	/** Something is newer than what others may know; registry changes in hand where there are any. */
-	readonly onNews: (changes: KeyedChanges<RegisteredUpstream> | undefined) => void;
+	readonly onUpdate: (changes: KeyedChanges<RegisteredUpstream> | undefined) => void;
 	/** The store has confirmed what others may hold for too old. */
 	readonly onRefreshed: () => void;
 	/** The store has come back from an older copy. */
@@ -65,16 +65,16 @@
 
 	constructor(options: StateTaskOptions) {
 		this.#options = options;
-		const {context, onConfiguration, onEvacuation, onUpstream, onNews} = options;
+		const {context, onConfiguration, onEvacuation, onUpstream, onUpdate} = options;
 		this.#operators = new OperatorState({
 			context,
 			onConfiguration,
 			onEvacuation,
-			onNews() {
-				onNews(undefined);
+			onUpdate() {
+				onUpdate(undefined);
 			},
 		});
-		this.#registry = new RegistryState({context, onUpstream, onNews});
+		this.#registry = new RegistryState({context, onUpstream, onUpdate});
 		this.#trust = new StoreTrust(context.clock);
 		this.#readers = [this.#operatorReader(), this.#registryReader()];
 	}
@@ -262,7 +262,7 @@
 			this.#operators.releaseEvacuations();
 		}, heldOrdersMs);
 		this.#options.onRestored();
-		this.#options.onNews(undefined);
+		this.#options.onUpdate(undefined);
 	}
 
 	#noteMissingEpoch(epoch: StoreEpoch | undefined): void {
--- a/packages/gateway/src/features/state/store-restore.spec.ts
+++ b/packages/gateway/src/features/state/store-restore.spec.ts
@@ -166,7 +166,7 @@
 			store: this.store.reachedBy(() => !this.cut.has(index)),
 			place: () => this.#placeOf(index),
 			...beliefs.handlers(),
-			onNews: () => {
+			onUpdate: () => {
 				this.#tellAll(index);
 			},
 			onRefreshed: () => undefined,
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -88,7 +88,7 @@
 				upstreams.put(upstream);
 			}
 		},
-		onNews(changes) {
+		onUpdate(changes) {
 			if (changes !== undefined) {
 				fleet.announceChanges(changes, state.removalTrust);
 			}
