--- a/packages/core/src/placement/admission-load.spec.ts
+++ b/packages/core/src/placement/admission-load.spec.ts
@@ -4,7 +4,7 @@
 import {ManualClock} from '../model/manual-clock.js';
 import {createRandomSource} from '../model/random-source.js';
 import {Admission} from './admission.js';
-import {isAtEase} from './at-ease.js';
+import {isLightlyLoaded} from './light-load.js';
 import type {LoadReport} from './load-report.js';
 import {expectedDurationMs, lastSlotSlowness} from './expected-duration.js';
 
@@ -71,7 +71,7 @@
 		const upstream = upstreams[expected.indexOf(expectedMs)]!;
 		admission.arrived(request);
 		counts[kind].asked += 1;
-		if (admission.admits(request, {expectedMs, isAtEase: isAtEase({report: upstream.report(nowMs), unreportedInFlight: 0, slots})})) {
+		if (admission.admits(request, {expectedMs, isLightlyLoaded: isLightlyLoaded({report: upstream.report(nowMs), unreportedInFlight: 0, slots})})) {
 			const actualWorkMs = workMs * (1 + ((random.next() - 0.5) * variation));
 			counts[kind].inTime += upstream.take(nowMs, actualWorkMs) <= nowMs + route.targetLatencyMs ? 1 : 0;
 		} else {
--- a/packages/core/src/placement/admission.ts
+++ b/packages/core/src/placement/admission.ts
@@ -62,11 +62,11 @@
 	/**
 	 * Whether a request may be sent that is expected to take this long from now on.
 	 *
-	 * An upstream at ease is always tried: an estimate that is too high would never be put right otherwise. Where more urgent
+	 * An upstream lightly loaded is always tried: an estimate that is too high would never be put right otherwise. Where more urgent
 	 * requests are refused for lack of room, less urgent ones take nothing else: both kinds would else be refused alike.
 	 */
-	admits(request: AdmissionRequest, {expectedMs, isAtEase}: {readonly expectedMs: number; readonly isAtEase: boolean}): boolean {
-		return isAtEase || (!this.#mustYield(request) && this.mayEndInTime(request, expectedMs));
+	admits(request: AdmissionRequest, {expectedMs, isLightlyLoaded}: {readonly expectedMs: number; readonly isLightlyLoaded: boolean}): boolean {
+		return isLightlyLoaded || (!this.#mustYield(request) && this.mayEndInTime(request, expectedMs));
 	}
 
 	/**
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,6 +1,6 @@
 export * from './admission.js';
 export * from './aperture.js';
-export * from './at-ease.js';
+export * from './light-load.js';
 export * from './expected-duration.js';
 export type * from './load-report.js';
 export type {OwnRequest} from './own-requests.js';
--- a/packages/core/src/placement/worth-asking.spec.ts
+++ b/packages/core/src/placement/worth-asking.spec.ts
@@ -3,14 +3,14 @@
 import {lastSlotSlowness} from './expected-duration.js';
 import {isWorthAsking} from './worth-asking.js';
 
-const asked = {rounds: 1, isAtEase: false, bestRatio: lastSlotSlowness};
+const asked = {rounds: 1, isLightlyLoaded: false, bestRatio: lastSlotSlowness};
 
 describe('isWorthAsking', () => {
-	it('should end as soon as an upstream is at ease', () => {
-		assert.equal(isWorthAsking({...asked, isAtEase: true}), false);
+	it('should end as soon as an upstream is lightly loaded', () => {
+		assert.equal(isWorthAsking({...asked, isLightlyLoaded: true}), false);
 	});
 
-	it('should look for one at ease for two rounds', () => {
+	it('should look for one lightly loaded for two rounds', () => {
 		assert.equal(isWorthAsking(asked), true);
 		assert.equal(isWorthAsking({...asked, rounds: 2}), false);
 	});
--- a/packages/core/src/placement/worth-asking.ts
+++ b/packages/core/src/placement/worth-asking.ts
@@ -1,8 +1,8 @@
 /** Whether more upstreams are asked for their load before a request is placed. */
 import {lastSlotSlowness} from './expected-duration.js';
 
-/** At least this many rounds look for an upstream at ease: taking a last slot makes the request last 1.6 times as long. */
-const roundsForEase = 2;
+/** At least this many rounds look for an upstream lightly loaded: taking a last slot makes the request last 1.6 times as long. */
+const roundsForLightLoad = 2;
 /** After these the best that was found is taken: each round takes some 3 ms and two health checks. */
 const maximumRounds = 5;
 /** Where at most this was found after the first rounds, the request most likely ends in time. */
@@ -12,19 +12,19 @@
 	/** Rounds of questions so far. */
 	readonly rounds: number;
 	/** One of those asked runs at its usual speed with a slot to spare. */
-	readonly isAtEase: boolean;
+	readonly isLightlyLoaded: boolean;
 	/** Least expected time of all upstreams against the work at an idle one of usual speed. */
 	readonly bestRatio: number;
 };
 
 /**
- * Two rounds look for an upstream at ease, three more for a last slot at usual speed: fewer requests are late, at fewer
+ * Two rounds look for an upstream lightly loaded, three more for a last slot at usual speed: fewer requests are late, at fewer
  * checks, than where all rounds look for ease.
  */
-export function isWorthAsking({rounds, isAtEase, bestRatio}: Asked): boolean {
-	if (isAtEase || rounds >= maximumRounds) {
+export function isWorthAsking({rounds, isLightlyLoaded, bestRatio}: Asked): boolean {
+	if (isLightlyLoaded || rounds >= maximumRounds) {
 		return false;
 	}
 
-	return rounds < roundsForEase || bestRatio > goodRatio;
+	return rounds < roundsForLightLoad || bestRatio > goodRatio;
 }
--- a/packages/gateway/src/features/calls/attempt.spec.ts
+++ b/packages/gateway/src/features/calls/attempt.spec.ts
@@ -38,7 +38,7 @@
 		expectedMs,
 		slowness: 1,
 		durationRatio: 1,
-		isAtEase: true,
+		isLightlyLoaded: true,
 	} as unknown as Placement;
 	const dependencies = {
 		clock, dialect, metrics: createMetrics(), work: {learn: () => undefined}, rateLimits: {answered: () => undefined},
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -40,7 +40,7 @@
 	/** Of the upstreams of the exchanges, in their order. */
 	readonly conditions: UpstreamCondition[] = [];
 	outcome: Outcome | undefined;
-	isAtEase = true;
+	isLightlyLoaded = true;
 	expectedMs = 40;
 	readonly run: CallRun;
 	#next = 0;
@@ -122,7 +122,7 @@
 			workMs: this.expectedMs,
 			slowness: 1,
 			durationRatio: 1,
-			isAtEase: this.isAtEase,
+			isLightlyLoaded: this.isLightlyLoaded,
 		} as unknown as Placement;
 	}
 }
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -48,7 +48,7 @@
 		});
 
 		inWorld('should get no early second attempt where no upstream has a slot to spare', {idempotent: true}, async world => {
-			world.isAtEase = false;
+			world.isLightlyLoaded = false;
 			await world.pass(60);
 			assert.equal(world.exchanges.length, 1);
 			await world.answer(0, success);
@@ -56,9 +56,9 @@
 		});
 
 		inWorld('should get that second attempt later where no upstream has a slot to spare at first', {idempotent: true}, async world => {
-			world.isAtEase = false;
+			world.isLightlyLoaded = false;
 			await world.pass(60);
-			world.isAtEase = true;
+			world.isLightlyLoaded = true;
 			await world.pass(60);
 			assert.equal(world.exchanges.length, 1);
 			await world.pass(60);
@@ -68,7 +68,7 @@
 		});
 
 		inWorld('should be looked after ever more seldom while no upstream has a slot to spare', {idempotent: true}, async world => {
-			world.isAtEase = false;
+			world.isLightlyLoaded = false;
 			for (let passedMs = 0; passedMs < 990; passedMs += 10) {
 				await world.pass(10);
 			}
@@ -142,7 +142,7 @@
 		it('should refuse at once, as not run, what cannot end in time', async () => {
 			const world = new CallWorld({idempotent: false});
 			world.expectedMs = 1001;
-			world.isAtEase = false;
+			world.isLightlyLoaded = false;
 			await world.start();
 			assert.deepEqual([world.outcome?.type, world.outcome?.type === 'not-run' && world.outcome.reason], ['not-run', 'too-busy']);
 			assert.equal(world.exchanges.length, 0);
@@ -152,7 +152,7 @@
 	it('should refuse at once what can hardly end within its target latency, though before its deadline', async () => {
 		const world = new CallWorld({idempotent: false});
 		world.expectedMs = 118;
-		world.isAtEase = false;
+		world.isLightlyLoaded = false;
 		await world.start();
 		assert.equal(world.outcome?.type === 'not-run' && world.outcome.reason, 'too-busy');
 		assert.equal(world.exchanges.length, 0);
@@ -161,13 +161,13 @@
 	it('should send what may end within its target latency, as work varies by a third', async () => {
 		const world = new CallWorld({idempotent: false});
 		world.expectedMs = 117;
-		world.isAtEase = false;
+		world.isLightlyLoaded = false;
 		await world.start();
 		assert.equal(world.outcome, undefined);
 		assert.equal(world.exchanges.length, 1);
 	});
 
-	it('should try an upstream at ease whatever is expected, so that a wrong estimate is put right', async () => {
+	it('should try an upstream lightly loaded whatever is expected, so that a wrong estimate is put right', async () => {
 		const world = new CallWorld({idempotent: false});
 		world.expectedMs = 1001;
 		await world.start();
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -107,11 +107,11 @@
 			}
 
 			case 'hedge': {
-				if (!placement.isAtEase) {
+				if (!placement.isLightlyLoaded) {
 					this.#decisions.push('hedge-skipped:all-busy');
 				}
 
-				return placement.isAtEase && this.#takeRepeat();
+				return placement.isLightlyLoaded && this.#takeRepeat();
 			}
 
 			case 'repeat': {
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -171,14 +171,14 @@
 	describe('upstreams of one slot', () => {
 		const oneSlot = {...idle, slots: 1};
 
-		inWorld('should be at ease where nothing runs, so that what is sent there puts a wrong estimate right', {idle: oneSlot}, async world => {
+		inWorld('should be lightly loaded where nothing runs, so that what is sent there puts a wrong estimate right', {idle: oneSlot}, async world => {
 			const placement = await world.placement(1);
-			assert.equal(placement?.isAtEase, true);
+			assert.equal(placement?.isLightlyLoaded, true);
 		});
 
-		inWorld('should not be at ease where something runs', {busy: {...oneSlot, running: 1}}, async world => {
+		inWorld('should not be lightly loaded where something runs', {busy: {...oneSlot, running: 1}}, async world => {
 			const placement = await world.placement(1);
-			assert.equal(placement?.isAtEase, false);
+			assert.equal(placement?.isLightlyLoaded, false);
 		});
 
 		inWorld('should tell what part of the expected time is work', {idle: oneSlot}, async world => {
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -1,7 +1,7 @@
 /** Chooses the upstream of one attempt: ranks by what is known, asks the best for their load now, takes the best. */
 import type {AvailabilityZoneId, ServiceId, UpstreamId} from '@cairnbank/core';
 import {
-	apertureWidth, expectedDurationMs, isAtEase, isWorthAsking, takeAperture, TypicalDurations, type Seat,
+	apertureWidth, expectedDurationMs, isLightlyLoaded, isWorthAsking, takeAperture, TypicalDurations, type Seat,
 } from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import type {Pacing} from './pacing.js';
@@ -49,7 +49,7 @@
 	/** Expected time against the work, from what the upstream tells of its load; nothing where it tells none. */
 	readonly durationRatio: number | undefined;
 	/** It runs at its usual speed and has a slot to spare. */
-	readonly isAtEase: boolean;
+	readonly isLightlyLoaded: boolean;
 };
 
 export type PlacerOptions = {
@@ -92,7 +92,7 @@
 			best = this.#best(considered, request.workMs);
 			isWorthwhile = queue.length > 0 && isWorthAsking({
 				rounds,
-				isAtEase: best !== undefined && asked.some(upstream => hasEase(upstream)),
+				isLightlyLoaded: best !== undefined && asked.some(upstream => isLight(upstream)),
 				bestRatio: best === undefined ? Number.POSITIVE_INFINITY : best.expectedMs / request.workMs,
 			});
 		}
@@ -168,7 +168,7 @@
 			workMs,
 			slowness: tellsLoad ? report?.slowness : undefined,
 			durationRatio: tellsLoad && report !== undefined ? expectedMs / workMs : undefined,
-			isAtEase: hasEase(upstream),
+			isLightlyLoaded: isLight(upstream),
 		};
 	}
 
@@ -177,7 +177,7 @@
 		return answeringOf(untried.filter(upstream => this.#options.pacing.mayConsider(upstream)));
 	}
 
-	/** Asks all at once; goes on as soon as one is at ease in this zone, or all have answered, or time is up. */
+	/** Asks all at once; goes on as soon as one is lightly loaded in this zone, or all have answered, or time is up. */
 	async #ask(upstreams: readonly Upstream[]): Promise<void> {
 		const stale = upstreams.filter(({condition}) => condition.reportAgeMs > freshReportMs);
 		if (stale.length === 0) {
@@ -195,11 +195,11 @@
 		});
 	}
 
-	/** @param onEnough - called once one upstream is at ease in this zone, and once all have answered */
+	/** @param onEnough - called once one upstream is lightly loaded in this zone, and once all have answered */
 	async #probeAll(upstreams: readonly Upstream[], onEnough: () => void): Promise<void> {
 		await Promise.all(upstreams.map(async upstream => {
 			await this.#options.prober.probe(upstream);
-			if (hasEase(upstream) && this.#isNear(upstream)) {
+			if (isLight(upstream) && this.#isNear(upstream)) {
 				onEnough();
 			}
 		}));
@@ -232,8 +232,8 @@
 	}
 }
 
-function hasEase({registered, condition}: Upstream): boolean {
-	return isAtEase({report: condition.report, unreportedInFlight: condition.unreportedInFlight, slots: registered.slots});
+function isLight({registered, condition}: Upstream): boolean {
+	return isLightlyLoaded({report: condition.report, unreportedInFlight: condition.unreportedInFlight, slots: registered.slots});
 }
 
 /** Those that answer; only where none does, those that may not. */
--- a/packages/testing/src/placement-bench/placement-policies.ts
+++ b/packages/testing/src/placement-bench/placement-policies.ts
@@ -1,7 +1,7 @@
 /** Ways to choose an upstream that the bench compares. */
 import type {RandomSource, ServiceId} from '@cairnbank/core';
 import {
-	expectedDurationMs, isAtEase, isWorthAsking, type TypicalDurations, type UpstreamCondition,
+	expectedDurationMs, isLightlyLoaded, isWorthAsking, type TypicalDurations, type UpstreamCondition,
 } from '@cairnbank/core/placement';
 import type {SimulatedUpstream} from './simulated-upstream.js';
 
@@ -50,7 +50,7 @@
 		}
 
 		case 'ask-first': {
-			return askFirst(choice, () => fixedRatio, ({rounds, isAtEase}) => !isAtEase && rounds < maximumRounds);
+			return askFirst(choice, () => fixedRatio, ({rounds, isLightlyLoaded}) => !isLightlyLoaded && rounds < maximumRounds);
 		}
 
 		case 'ask-first-and-learn': {
@@ -74,7 +74,7 @@
 		}
 
 		const bestRatio = expectedMs(best(), workMs, unknownRatio()) / workMs;
-		if (!isWorthwhile({rounds, isAtEase: asked.some(known => hasEase(known)), bestRatio})) {
+		if (!isWorthwhile({rounds, isLightlyLoaded: asked.some(known => isLight(known)), bestRatio})) {
 			break;
 		}
 	}
@@ -82,8 +82,8 @@
 	return best();
 }
 
-function hasEase({upstream, condition: {report, unreportedInFlight}}: Known): boolean {
-	return isAtEase({report, unreportedInFlight, slots: upstream.slots});
+function isLight({upstream, condition: {report, unreportedInFlight}}: Known): boolean {
+	return isLightlyLoaded({report, unreportedInFlight, slots: upstream.slots});
 }
 
 function expectedMs({upstream, condition}: Known, workMs: number, typicalRatio: number): number {
