--- a/packages/core/src/registry/store-trust.spec.ts
+++ b/packages/core/src/registry/store-health.spec.ts
@@ -1,24 +1,24 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {ManualClock} from '../model/manual-clock.js';
-import {StoreTrust} from './store-trust.js';
+import {StoreHealth} from './store-health.js';
 import {lapseGraceMs} from './upstream-registry.js';
 
-describe('StoreTrust', () => {
+describe('StoreHealth', () => {
 	it('should take removals at their word while the store serves', () => {
-		const trust = new StoreTrust(new ManualClock());
+		const trust = new StoreHealth(new ManualClock());
 		assert.equal(trust.succeeded(), false);
 		assert.deepEqual(trust.current(), {type: 'sound'});
 	});
 
 	it('should say when the store was lost and regained, each once', () => {
-		const trust = new StoreTrust(new ManualClock());
+		const trust = new StoreHealth(new ManualClock());
 		assert.deepEqual([trust.failed(), trust.failed(), trust.succeeded(), trust.succeeded()], [true, false, true, false]);
 	});
 
 	it('should doubt removals until the time of grace after the return is over', () => {
 		const clock = new ManualClock();
-		const trust = new StoreTrust(clock);
+		const trust = new StoreHealth(clock);
 		trust.failed();
 		clock.advance(5000);
 		trust.succeeded();
--- a/packages/core/src/registry/store-trust.ts
+++ b/packages/core/src/registry/store-health.ts
@@ -1,9 +1,9 @@
 /** Whether a removal that the store shows now can be taken at its word. */
 import type {Clock} from '../model/clock.js';
-import {lapseGraceMs, type RemovalTrust} from './upstream-registry.js';
+import {lapseGraceMs, type RemovalConfidence} from './upstream-registry.js';
 
 /** Remembers outages of the store as this instance saw them. */
-export class StoreTrust {
+export class StoreHealth {
 	readonly #clock: Clock;
 	#isDown = false;
 	#returnedAtMs: number | undefined;
@@ -39,7 +39,7 @@
 		this.#returnedAtMs = this.#clock.monotonicMs();
 	}
 
-	current(): RemovalTrust {
+	current(): RemovalConfidence {
 		const nowMs = this.#clock.monotonicMs();
 		if (this.#isDown) {
 			return {type: 'after-outage', returnedAtMs: nowMs};
--- a/packages/core/src/registry/upstream-registry.spec.ts
+++ b/packages/core/src/registry/upstream-registry.spec.ts
@@ -5,9 +5,9 @@
 import type {AvailabilityZoneId, ServiceId, UpstreamId} from '../model/ids.js';
 import type {KeyedChange} from './keyed-change.js';
 import type {RegisteredUpstream} from './registered-upstream.js';
-import {lapseGraceMs, UpstreamRegistry, type RemovalTrust} from './upstream-registry.js';
+import {lapseGraceMs, UpstreamRegistry, type RemovalConfidence} from './upstream-registry.js';
 
-const sound: RemovalTrust = {type: 'sound'};
+const sound: RemovalConfidence = {type: 'sound'};
 
 function upstream(id: string, draining = false): RegisteredUpstream {
 	return {
@@ -117,7 +117,7 @@
 	});
 
 	describe('a restore of the store from an older copy', () => {
-		const afterRestore: RemovalTrust = {type: 'after-outage', returnedAtMs: 0};
+		const afterRestore: RemovalConfidence = {type: 'after-outage', returnedAtMs: 0};
 
 		function restarted(clock: ManualClock, ...known: readonly RegisteredUpstream[]): UpstreamRegistry {
 			const registry = new UpstreamRegistry(clock);
--- a/packages/core/src/registry/upstream-registry.ts
+++ b/packages/core/src/registry/upstream-registry.ts
@@ -16,7 +16,7 @@
 const digestRange = 4_294_967_296;
 
 /** How sure a removal is. */
-export type RemovalTrust =
+export type RemovalConfidence =
 	/** The store has served without a break: what is removed is gone. */
 	| {readonly type: 'sound'}
 	/** The store has just come back: an entry may have lapsed while it could not be renewed. */
@@ -121,7 +121,7 @@
 	}
 
 	/** Replaces the state by a later snapshot; earlier ones are ignored. */
-	replace(snapshot: KeyedSnapshot<RegisteredUpstream>, trust: RemovalTrust): readonly RegistryEvent[] {
+	replace(snapshot: KeyedSnapshot<RegisteredUpstream>, trust: RemovalConfidence): readonly RegistryEvent[] {
 		if (snapshot.endOffset < this.#endOffset) {
 			return [];
 		}
@@ -143,7 +143,7 @@
 	 *
 	 * @returns nothing where records between the state and `changes` are missing
 	 */
-	follow(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalTrust): readonly RegistryEvent[] | undefined {
+	follow(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalConfidence): readonly RegistryEvent[] | undefined {
 		if (changes.fromOffset > this.#endOffset) {
 			return undefined;
 		}
@@ -179,7 +179,7 @@
 	 * An entry that can't be read names no upstream, also where one stood under its key: what it says may be that the
 	 * upstream has left. One that still serves writes its next entry within seconds.
 	 */
-	#apply({key, value, offset, fault}: KeyedChange<RegisteredUpstream>, trust: RemovalTrust): readonly RegistryEvent[] {
+	#apply({key, value, offset, fault}: KeyedChange<RegisteredUpstream>, trust: RemovalConfidence): readonly RegistryEvent[] {
 		const id = key as UpstreamId;
 		if (value === undefined) {
 			this.#removals.removed(id, offset);
@@ -215,7 +215,7 @@
 		return isWarming ? [{type: 'warming', upstream}] : [];
 	}
 
-	#remove(id: UpstreamId, trust: RemovalTrust): readonly RegistryEvent[] {
+	#remove(id: UpstreamId, trust: RemovalConfidence): readonly RegistryEvent[] {
 		const known = this.#entries.get(id);
 		if (known === undefined) {
 			return [];
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -6,7 +6,7 @@
 import type {FleetMember, MemberUpdate} from '@cairnbank/core/fleet';
 import type {AdvertisedLimit} from '@cairnbank/core/limits';
 import type {
-	KeyedChanges, RegisteredUpstream, RemovalTrust, StoreEpoch,
+	KeyedChanges, RegisteredUpstream, RemovalConfidence, StoreEpoch,
 } from '@cairnbank/core/registry';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
@@ -46,7 +46,7 @@
 		/** To which the positions of the changes belong. */
 		readonly epoch: StoreEpoch;
 		readonly changes: KeyedChanges<RegisteredUpstream>;
-		readonly trust: RemovalTrust;
+		readonly trust: RemovalConfidence;
 		/** The receiver passes them on to its availability zone. */
 		readonly isForZone: boolean;
 	};
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -2,7 +2,7 @@
 import type {AvailabilityZoneId} from '@cairnbank/core';
 import {followerRank} from '@cairnbank/core/fleet';
 import {seatOf, type Seat} from '@cairnbank/core/placement';
-import type {KeyedChanges, RegisteredUpstream, RemovalTrust} from '@cairnbank/core/registry';
+import type {KeyedChanges, RegisteredUpstream, RemovalConfidence} from '@cairnbank/core/registry';
 import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import {splitAddress} from '../../kernel/listen.js';
@@ -187,7 +187,7 @@
 	}
 
 	/** Tells others what changed in the registry, where it fits into a message; what they miss they ask for. */
-	announceChanges(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalTrust): void {
+	announceChanges(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalConfidence): void {
 		const {storeEpoch: epoch} = this.#options.state().describe();
 		const make = (isForZone: boolean): FleetMessage => ({
 			type: 'changes', epoch, changes, trust, isForZone,
--- a/packages/gateway/src/features/state/registry-state.ts
+++ b/packages/gateway/src/features/state/registry-state.ts
@@ -1,6 +1,6 @@
 /** The upstreams that exist, as far as this instance knows, and what is told of their changes. */
 import {
-	UpstreamRegistry, type KeyedChanges, type KeyedSnapshot, type RegisteredUpstream, type RegistryEvent, type RemovalTrust,
+	UpstreamRegistry, type KeyedChanges, type KeyedSnapshot, type RegisteredUpstream, type RegistryEvent, type RemovalConfidence,
 } from '@cairnbank/core/registry';
 import type {Context} from '../../kernel/context.js';
 
@@ -62,7 +62,7 @@
 	}
 
 	/** The newest records, of the store or of another instance. */
-	replace(snapshot: KeyedSnapshot<RegisteredUpstream>, trust: RemovalTrust): void {
+	replace(snapshot: KeyedSnapshot<RegisteredUpstream>, trust: RemovalConfidence): void {
 		const events = this.#registry.replace(snapshot, trust);
 		this.#emitAll(events);
 		if (events.length > 0) {
@@ -71,7 +71,7 @@
 	}
 
 	/** Further records of the store. */
-	follow(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalTrust): void {
+	follow(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalConfidence): void {
 		const events = this.#registry.follow(changes, trust) ?? [];
 		this.#emit(events);
 		if (events.length > 0) {
@@ -80,7 +80,7 @@
 	}
 
 	/** The follower has told what changed; it has told all others too. */
-	told(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalTrust): void {
+	told(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalConfidence): void {
 		this.#emit(this.#registry.follow(changes, trust) ?? []);
 	}
 
--- a/packages/gateway/src/features/state/state-task.ts
+++ b/packages/gateway/src/features/state/state-task.ts
@@ -2,7 +2,7 @@
 import type {FleetMember} from '@cairnbank/core/fleet';
 import type {EvacuationEvent} from '@cairnbank/core/evacuation';
 import {
-	LatestEpoch, lapseGraceMs, StoreTrust, unknownEpoch, type EpochOrder, type KeyedChanges, type RegisteredUpstream, type RegistryEvent, type RemovalTrust,
+	LatestEpoch, lapseGraceMs, StoreHealth, unknownEpoch, type EpochOrder, type KeyedChanges, type RegisteredUpstream, type RegistryEvent, type RemovalConfidence,
 	type StoreEpoch,
 } from '@cairnbank/core/registry';
 import type {RouteTable} from '@cairnbank/core/routes';
@@ -47,7 +47,7 @@
 export type ReportedChanges = {
 	readonly epoch: StoreEpoch;
 	readonly changes: KeyedChanges<RegisteredUpstream>;
-	readonly trust: RemovalTrust;
+	readonly trust: RemovalConfidence;
 };
 
 export class StateTask implements Task {
@@ -55,7 +55,7 @@
 	readonly #options: StateTaskOptions;
 	readonly #operators: OperatorState;
 	readonly #registry: RegistryState;
-	readonly #trust: StoreTrust;
+	readonly #trust: StoreHealth;
 	readonly #epoch = new LatestEpoch();
 	#restoredAtMs = Number.NEGATIVE_INFINITY;
 	#releaseTimer: NodeJS.Timeout | undefined;
@@ -75,7 +75,7 @@
 			},
 		});
 		this.#registry = new RegistryState({context, onUpstream, onUpdate});
-		this.#trust = new StoreTrust(context.clock);
+		this.#trust = new StoreHealth(context.clock);
 		this.#readers = [this.#operatorReader(), this.#registryReader()];
 	}
 
@@ -191,11 +191,11 @@
 		}
 
 		if (registry !== undefined) {
-			this.#registry.replace(registry, this.#handedOverTrust);
+			this.#registry.replace(registry, this.#handedOverConfidence);
 		}
 
 		if (changes !== undefined) {
-			this.#registry.follow(changes, this.#handedOverTrust);
+			this.#registry.follow(changes, this.#handedOverConfidence);
 		}
 	}
 
@@ -207,12 +207,12 @@
 	}
 
 	/** Trust that goes with the changes that this instance passes on. */
-	get removalTrust(): RemovalTrust {
+	get removalConfidence(): RemovalConfidence {
 		return this.#trust.current();
 	}
 
 	/** What an instance hands over lacks entries for a while that a restored store has lost. */
-	get #handedOverTrust(): RemovalTrust {
+	get #handedOverConfidence(): RemovalConfidence {
 		const isJustRestored = this.#options.context.clock.monotonicMs() - this.#restoredAtMs < lapseGraceMs;
 		return isJustRestored ? {type: 'after-outage', returnedAtMs: this.#restoredAtMs} : {type: 'sound'};
 	}
--- a/packages/gateway/src/features/state/topic-reader.ts
+++ b/packages/gateway/src/features/state/topic-reader.ts
@@ -4,7 +4,7 @@
 	chooseReading, nextLookMs, retryPauseMs, type ReadingSituation,
 } from '@cairnbank/core/fleet';
 import type {
-	EpochOrder, KeyedChanges, KeyedSnapshot, StoreEpoch, StoreTrust,
+	EpochOrder, KeyedChanges, KeyedSnapshot, StoreEpoch, StoreHealth,
 } from '@cairnbank/core/registry';
 import type {Logger} from '../../logging/create-logger.js';
 import type {Metrics} from '../../metrics/metrics.js';
@@ -45,7 +45,7 @@
 	readonly random: RandomSource;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
-	readonly trust: StoreTrust;
+	readonly trust: StoreHealth;
 	/** Epoch of the store that this instance holds for the current one. */
 	readonly epoch: () => StoreEpoch;
 	/** An answer of the store names its epoch. */
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -90,7 +90,7 @@
 		},
 		onUpdate(changes) {
 			if (changes !== undefined) {
-				fleet.announceChanges(changes, state.removalTrust);
+				fleet.announceChanges(changes, state.removalConfidence);
 			}
 
 			fleet.announce();
