--- a/packages/core/src/fleet/store-reading.spec.ts
+++ b/packages/core/src/fleet/store-reading.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	chooseReading, nextLookMs, retryPauseMs, type ReadingSituation,
+	chooseReading, nextPollMs, retryPauseMs, type ReadingSituation,
 } from './store-reading.js';
 
 const settled: ReadingSituation = {
@@ -54,17 +54,17 @@
 
 	describe('the next look', () => {
 		it('should come at the moment at which what is known is old enough to be read', () => {
-			assert.equal(nextLookMs(settled), 950);
-			assert.equal(nextLookMs({...settled, isDeputy: true}), 800);
+			assert.equal(nextPollMs(settled), 950);
+			assert.equal(nextPollMs({...settled, isDeputy: true}), 800);
 			for (const spread of [0, 0.5, 0.99]) {
 				const situation = {...settled, spread};
-				assert.equal(chooseReading({...situation, ageMs: situation.ageMs + nextLookMs(situation)}), 'once');
+				assert.equal(chooseReading({...situation, ageMs: situation.ageMs + nextPollMs(situation)}), 'once');
 			}
 		});
 
 		it('should come soon while nothing is known, and as soon as the follower may follow', () => {
-			assert.equal(nextLookMs(started), 10);
-			assert.equal(nextLookMs({
+			assert.equal(nextPollMs(started), 10);
+			assert.equal(nextPollMs({
 				...settled, isFollower: true, sinceStartMs: 500, ageMs: 0,
 			}), 100);
 		});
--- a/packages/core/src/fleet/store-reading.ts
+++ b/packages/core/src/fleet/store-reading.ts
@@ -46,7 +46,7 @@
 /** Spread of that moment over the instances, so that the first to read can tell the others. */
 const staleSpreadMs = 200;
 /** How often an instance that knows nothing yet looks for others; the least pause between two looks. */
-const firstLookMs = 10;
+const firstPollMs = 10;
 
 export type ReadingSituation = {
 	/** It reads on behalf of all. */
@@ -96,14 +96,14 @@
  * How long nothing need be looked at where the choice is to wait: what is known can only become fresher meanwhile. An
  * instance that becomes the follower is woken. Looking every 100 ms, for two topics, wakes an idle instance 20 times a second.
  */
-export function nextLookMs(situation: ReadingSituation): number {
+export function nextPollMs(situation: ReadingSituation): number {
 	const {isFollower, isKnown, sinceStartMs, ageMs} = situation;
 	if (!isKnown) {
-		return firstLookMs;
+		return firstPollMs;
 	}
 
 	const untilStaleMs = staleMs(situation) - ageMs;
-	return Math.max(firstLookMs, isFollower ? Math.min(untilStaleMs, settleMs - sinceStartMs) : untilStaleMs);
+	return Math.max(firstPollMs, isFollower ? Math.min(untilStaleMs, settleMs - sinceStartMs) : untilStaleMs);
 }
 
 /** @param failures - calls that failed in a row before the last one */
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -4,7 +4,7 @@
 import {AttemptSummary} from './attempt-summary.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
-import {HedgeTimer, type HedgeLook} from './hedge-timer.js';
+import {HedgeTimer, type HedgeCheck} from './hedge-timer.js';
 import {describeVerdict, type Verdict} from './judge-exchange.js';
 import type {Outcome} from './outcome.js';
 
@@ -211,7 +211,7 @@
 		}
 	}
 
-	async #hedge(): Promise<HedgeLook> {
+	async #hedge(): Promise<HedgeCheck> {
 		const isAlone = this.#running.size === 1 && this.#placing === 0;
 		if (this.#isOver || !isAlone || !this.#hasRoomForAttempt) {
 			return 'not-needed';
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -15,7 +15,7 @@
 import type {Outcome} from './outcome.js';
 import type {PoisonGuard} from './poison-guard.js';
 import {readBody, readCallHead} from './read-call.js';
-import type {StartHold} from './start-hold.js';
+import type {StartupGate} from './startup-gate.js';
 import {writeOutcome} from './write-outcome.js';
 
 /** Greatest header that is read at all; the configuration's own bound is checked on what was read. */
@@ -28,7 +28,7 @@
 	readonly context: Context;
 	readonly call: CallDependencies;
 	readonly guard: PoisonGuard;
-	readonly startHold: StartHold;
+	readonly startupGate: StartupGate;
 	readonly routes: () => RouteTable | undefined;
 };
 
@@ -84,7 +84,7 @@
 		const {context, call, routes} = this.#options;
 		this.#inFlight += 1;
 		context.metrics.inFlight.set(this.#inFlight);
-		await this.#options.startHold.passed();
+		await this.#options.startupGate.ready();
 		const head = readCallHead(request, {
 			routes: routes(), dialect: call.dialect, requestHeaders: this.#requestHeaders, clock: context.clock, random: context.random,
 		});
--- a/packages/gateway/src/features/calls/hedge-timer.ts
+++ b/packages/gateway/src/features/calls/hedge-timer.ts
@@ -1,18 +1,18 @@
 /** When a call looks for an early second attempt. */
 
 /** What a look has shown. */
-export type HedgeLook = 'sent' | 'none-found' | 'not-needed';
+export type HedgeCheck = 'sent' | 'none-found' | 'not-needed';
 
 /**
  * Looks after a time, and where no upstream has a slot to spare, again after twice as long: with one look alone a request that
  * hangs would wait for its deadline wherever the load of others was not known in time.
  */
 export class HedgeTimer {
-	readonly #look: () => Promise<HedgeLook>;
+	readonly #look: () => Promise<HedgeCheck>;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
 
-	constructor(look: () => Promise<HedgeLook>) {
+	constructor(look: () => Promise<HedgeCheck>) {
 		this.#look = look;
 	}
 
--- a/packages/gateway/src/features/calls/start-hold.ts
+++ b/packages/gateway/src/features/calls/startup-gate.ts
@@ -15,7 +15,7 @@
 	readonly pause: (durationMs: number) => Promise<void>;
 };
 
-export class StartHold {
+export class StartupGate {
 	readonly #options: StartHoldOptions;
 
 	constructor(options: StartHoldOptions) {
@@ -23,7 +23,7 @@
 	}
 
 	/** Resolves once requests can be served, or can't be for too long. */
-	async passed(): Promise<void> {
+	async ready(): Promise<void> {
 		const {clock, isKnown, pause} = this.#options;
 		const untilMs = clock.monotonicMs() + maximumHoldMs;
 		while (!isKnown() && clock.monotonicMs() < untilMs) {
--- a/packages/gateway/src/features/fleet/store-entry.ts
+++ b/packages/gateway/src/features/fleet/store-entry.ts
@@ -4,7 +4,7 @@
 import type {StateStore} from '../../ports/index.js';
 
 /** How often it is looked whether an entry is needed: an instance must not stay alone for long. */
-const lookIntervalMs = 250;
+const pollIntervalMs = 250;
 /** Pause after a failed call; the store may be away for seconds, and others are also found by the seeds. */
 const retryMs = 1000;
 /** Over which instances spread the renewal of their entries after a restore of the store. */
@@ -64,7 +64,7 @@
 
 		this.#timer = setTimeout(() => {
 			void this.#look();
-		}, isDone ? lookIntervalMs : retryMs);
+		}, isDone ? pollIntervalMs : retryMs);
 	}
 
 	#plan(): EntryPlan {
--- a/packages/gateway/src/features/state/topic-reader.ts
+++ b/packages/gateway/src/features/state/topic-reader.ts
@@ -1,7 +1,7 @@
 /** Keeps one topic of the store in step: at length on behalf of all, or once where what others tell grows old. */
 import type {Clock, RandomSource} from '@cairnbank/core';
 import {
-	chooseReading, nextLookMs, retryPauseMs, type ReadingSituation,
+	chooseReading, nextPollMs, retryPauseMs, type ReadingSituation,
 } from '@cairnbank/core/fleet';
 import type {
 	EpochOrder, KeyedChanges, KeyedSnapshot, StoreEpoch, StoreHealth,
@@ -121,7 +121,7 @@
 		const reading = chooseReading(situation);
 		if (reading === 'wait') {
 			this.#isWaiting = true;
-			await this.#pause(nextLookMs(situation));
+			await this.#pause(nextPollMs(situation));
 			this.#isWaiting = false;
 			return;
 		}
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -10,7 +10,7 @@
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {CallersTask} from './features/calls/callers-task.js';
 import {PoisonGuard} from './features/calls/poison-guard.js';
-import {StartHold} from './features/calls/start-hold.js';
+import {StartupGate} from './features/calls/startup-gate.js';
 import {DirectoryTask} from './features/directory/directory-task.js';
 import {FleetTask} from './features/fleet/fleet-task.js';
 import {MetricsTask} from './features/metrics/metrics-task.js';
@@ -177,7 +177,7 @@
 		context,
 		routes: () => state.routes,
 		guard,
-		startHold: new StartHold({
+		startupGate: new StartupGate({
 			clock: context.clock,
 			isKnown: () => state.isKnown,
 			pause: async durationMs => delay(durationMs),
