--- a/packages/gateway/src/features/state/state-task.ts
+++ b/packages/gateway/src/features/state/state-task.ts
@@ -2,8 +2,7 @@
 import type {FleetMember} from '@cairnbank/core/fleet';
 import type {EvacuationEvent} from '@cairnbank/core/evacuation';
 import {
-	LatestEpoch, lapseGraceMs, StoreHealth, unknownEpoch, type EpochOrder, type KeyedChanges, type RegisteredUpstream, type RegistryEvent, type RemovalConfidence,
-	type StoreEpoch,
+	StoreHealth, type KeyedChanges, type RegisteredUpstream, type RegistryEvent, type RemovalConfidence, type StoreEpoch,
 } from '@cairnbank/core/registry';
 import type {RouteTable} from '@cairnbank/core/routes';
 import {ok, type Result} from 'neverthrow';
@@ -11,6 +10,7 @@
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {OperatorRecord, StateStore} from '../../ports/index.js';
+import {EpochTracker} from './epoch-tracker.js';
 import {OperatorState} from './operator-state.js';
 import {RegistryState} from './registry-state.js';
 import type {SharedState, StateQuery} from './shared-state.js';
@@ -40,9 +40,6 @@
 /** The parts of the state, each a topic of the store. */
 type Part = 'operators' | 'registry';
 
-/** From where an epoch was learnt. */
-type EpochSource = 'store' | 'instance';
-
 /** Changes of the registry as another instance reports them. */
 export type ReportedChanges = {
 	readonly epoch: StoreEpoch;
@@ -56,10 +53,8 @@
 	readonly #operators: OperatorState;
 	readonly #registry: RegistryState;
 	readonly #trust: StoreHealth;
-	readonly #epoch = new LatestEpoch();
-	#restoredAtMs = Number.NEGATIVE_INFINITY;
+	readonly #epoch: EpochTracker;
 	#releaseTimer: NodeJS.Timeout | undefined;
-	#isEpochMissed = false;
 	readonly #readers: ReadonlyArray<TopicReader<OperatorRecord> | TopicReader<RegisteredUpstream>>;
 	#confirmedAtMs = {operators: Number.NEGATIVE_INFINITY, registry: Number.NEGATIVE_INFINITY};
 
@@ -76,6 +71,16 @@
 		});
 		this.#registry = new RegistryState({context, onUpstream, onUpdate});
 		this.#trust = new StoreHealth(context.clock);
+		this.#epoch = new EpochTracker({
+			context,
+			onLater: () => {
+				this.#operators.restart();
+				this.#registry.restart();
+			},
+			onRestored: () => {
+				this.#restored();
+			},
+		});
 		this.#readers = [this.#operatorReader(), this.#registryReader()];
 	}
 
@@ -153,7 +158,7 @@
 	compare(member: FleetMember, isFollower: boolean): StateQuery | undefined {
 		const {version} = this.#operators;
 		const knowsNewerConfiguration = member.configurationVersion > version;
-		if (this.#observe(member.storeEpoch, 'instance') === 'earlier') {
+		if (this.#epoch.observe(member.storeEpoch, 'instance') === 'earlier') {
 			return knowsNewerConfiguration ? this.#query(false) : undefined;
 		}
 
@@ -186,22 +191,22 @@
 			this.#operators.putInForce(configuration, 'instance');
 		}
 
-		if (this.#observe(epoch, 'instance') === 'earlier') {
+		if (this.#epoch.observe(epoch, 'instance') === 'earlier') {
 			return;
 		}
 
 		if (registry !== undefined) {
-			this.#registry.replace(registry, this.#handedOverConfidence);
+			this.#registry.replace(registry, this.#epoch.handedOverConfidence);
 		}
 
 		if (changes !== undefined) {
-			this.#registry.follow(changes, this.#handedOverConfidence);
+			this.#registry.follow(changes, this.#epoch.handedOverConfidence);
 		}
 	}
 
 	/** The follower has told what changed in the registry. */
 	changed({epoch, changes, trust}: ReportedChanges): void {
-		if (this.#observe(epoch, 'instance') !== 'earlier') {
+		if (this.#epoch.observe(epoch, 'instance') !== 'earlier') {
 			this.#registry.told(changes, trust);
 		}
 	}
@@ -211,51 +216,11 @@
 		return this.#trust.current();
 	}
 
-	/** What an instance hands over lacks entries for a while that a restored store has lost. */
-	get #handedOverConfidence(): RemovalConfidence {
-		const isJustRestored = this.#options.context.clock.monotonicMs() - this.#restoredAtMs < lapseGraceMs;
-		return isJustRestored ? {type: 'after-outage', returnedAtMs: this.#restoredAtMs} : {type: 'sound'};
-	}
-
 	#query(wantsRegistry: boolean): StateQuery {
 		return {configurationVersion: this.#operators.version, wantsRegistry, epoch: this.#epoch.current};
 	}
 
-	/** An answer of the store or another instance names an epoch; what comes with it is left out where that is over. */
-	#observe(epoch: StoreEpoch | undefined, source: EpochSource): EpochOrder {
-		const {logger, metrics} = this.#options.context;
-		const before = this.#epoch.current;
-		this.#noteMissingEpoch(epoch);
-		const order = this.#epoch.observe(epoch);
-		switch (order) {
-			case 'current': {
-				break;
-			}
-
-			case 'earlier': {
-				if (epoch !== unknownEpoch) {
-					metrics.outdatedState.inc({source});
-				}
-
-				break;
-			}
-
-			case 'later': {
-				metrics.storeEpoch.set(this.#epoch.current);
-				this.#operators.restart();
-				this.#registry.restart();
-				if (before !== unknownEpoch) {
-					logger.warn('store restored from an older copy', {before, epoch: this.#epoch.current, source});
-					this.#restored();
-				}
-			}
-		}
-
-		return order;
-	}
-
 	#restored(): void {
-		this.#restoredAtMs = this.#options.context.clock.monotonicMs();
 		this.#trust.restored();
 		clearTimeout(this.#releaseTimer);
 		this.#releaseTimer = setTimeout(() => {
@@ -265,13 +230,6 @@
 		this.#options.onUpdate(undefined);
 	}
 
-	#noteMissingEpoch(epoch: StoreEpoch | undefined): void {
-		if (epoch === undefined && this.#epoch.current !== unknownEpoch && !this.#isEpochMissed) {
-			this.#isEpochMissed = true;
-			this.#options.context.logger.warn('store does not tell its epoch', {epoch: this.#epoch.current});
-		}
-	}
-
 	/** What has changed since, where that is known: while upstreams register by the thousand each step would cost a whole state. */
 	#shareRegistry(fromOffset: number | undefined): Pick<SharedState, 'registry' | 'changes'> {
 		const changes = fromOffset === undefined ? undefined : this.#registry.changesSince(fromOffset);
@@ -323,7 +281,7 @@
 			place,
 			trust: this.#trust,
 			epoch: () => this.#epoch.current,
-			onEpoch: (epoch: StoreEpoch | undefined) => this.#observe(epoch, 'store'),
+			onEpoch: (epoch: StoreEpoch | undefined) => this.#epoch.observe(epoch, 'store'),
 			isFirstStart: settings.isFirstStart,
 			ageMs: () => this.#ageMs(part),
 			onConfirmed: (wasStale: boolean) => {
