--- a/packages/core/src/fleet/fleet-view.spec.ts
+++ b/packages/core/src/fleet/fleet-view.spec.ts
@@ -112,10 +112,10 @@
 			const view = new FleetView(clock);
 			view.heard(member('10.0.0.1'), false);
 			const lost = {...view.updateOf('10.0.0.1')!, isLost: true};
-			assert.deepEqual(view.told([lost]), []);
+			assert.deepEqual(view.receive([lost]), []);
 			clock.advance(defaultFleetTiming.heartbeatMs);
-			assert.deepEqual(view.told([{...lost, incarnation: 'another-life' as IncarnationId}]), []);
-			assert.deepEqual(view.told([lost]), [lost]);
+			assert.deepEqual(view.receive([{...lost, incarnation: 'another-life' as IncarnationId}]), []);
+			assert.deepEqual(view.receive([lost]), [lost]);
 			assert.deepEqual(view.offered(), []);
 		});
 
@@ -124,8 +124,8 @@
 			view.heard(member('10.0.0.1'), false);
 			view.lost('10.0.0.1');
 			const alive = {...view.updateOf('10.0.0.1')!, isLost: false};
-			assert.deepEqual(view.told([alive]), []);
-			assert.equal(view.told([{...alive, revision: 1}]).length, 1);
+			assert.deepEqual(view.receive([alive]), []);
+			assert.equal(view.receive([{...alive, revision: 1}]).length, 1);
 			assert.equal(view.offered().length, 1);
 		});
 
@@ -133,12 +133,12 @@
 			const view = new FleetView(new ManualClock());
 			const first = new FleetView(new ManualClock());
 			first.heard(member('10.0.0.1', {incarnation: 'a' as IncarnationId, ready: false}), false);
-			assert.equal(view.told(first.updates()).length, 1);
+			assert.equal(view.receive(first.updates()).length, 1);
 			assert.deepEqual(view.offered(), []);
 			first.heard(member('10.0.0.1', {incarnation: 'b' as IncarnationId}), false);
-			view.told(first.updates());
+			view.receive(first.updates());
 			assert.equal(view.offered().length, 1);
-			assert.deepEqual(view.told([{...first.updates()[0]!, incarnation: 'a' as IncarnationId, revision: 7}]), []);
+			assert.deepEqual(view.receive([{...first.updates()[0]!, incarnation: 'a' as IncarnationId, revision: 7}]), []);
 		});
 	});
 
@@ -152,12 +152,12 @@
 			left.heard(member('10.0.0.2'), false);
 			right.heard(member('10.0.0.2'), false);
 			assert.notEqual(left.digestWith(self), right.digestWith(self));
-			right.told(left.updates());
+			right.receive(left.updates());
 			assert.equal(left.digestWith(self), right.digestWith(self));
 			left.lost('10.0.0.1');
 			assert.notEqual(left.digestWith(self), right.digestWith(self));
 			clock.advance(defaultFleetTiming.heartbeatMs);
-			right.told(left.updates());
+			right.receive(left.updates());
 			assert.equal(left.digestWith(self), right.digestWith(self));
 		});
 
@@ -166,7 +166,7 @@
 			left.heard(member('10.0.0.1', {revision: 2}), false);
 			right.heard(member('10.0.0.1', {revision: 1, ready: false}), false);
 			assert.notEqual(left.digestWith(self), right.digestWith(self));
-			right.told(left.updates());
+			right.receive(left.updates());
 			assert.equal(left.digestWith(self), right.digestWith(self));
 			assert.equal(right.offered().length, 1);
 		});
--- a/packages/core/src/fleet/fleet-view.ts
+++ b/packages/core/src/fleet/fleet-view.ts
@@ -89,7 +89,7 @@
 	 *
 	 * @returns what was new here
 	 */
-	told(passedOn: readonly MemberUpdate[]): readonly MemberUpdate[] {
+	receive(passedOn: readonly MemberUpdate[]): readonly MemberUpdate[] {
 		this.#heardAtMs = this.#clock.monotonicMs();
 		const update = passedOn.filter(one => this.#tell(one));
 		if (update.length > 0) {
--- a/packages/core/src/fleet/store-entry-plan.spec.ts
+++ b/packages/core/src/fleet/store-entry-plan.spec.ts
@@ -3,7 +3,7 @@
 import {planEntry, type EntrySituation} from './store-entry-plan.js';
 
 const settled: EntrySituation = {
-	isToldOfOthers: true, hasHeardOthers: true, rank: 100, isEntered: false, hasListed: false, sinceStartMs: 60_000,
+	hasSeeds: true, hasHeardOthers: true, rank: 100, isEntered: false, hasListed: false, sinceStartMs: 60_000,
 };
 
 describe('planEntry', () => {
@@ -20,7 +20,7 @@
 
 	it('should look into the store at once where nobody was named', () => {
 		assert.equal(planEntry({
-			...settled, hasHeardOthers: false, isToldOfOthers: false, sinceStartMs: 0,
+			...settled, hasHeardOthers: false, hasSeeds: false, sinceStartMs: 0,
 		}), 'enter-and-list');
 	});
 
--- a/packages/core/src/fleet/store-entry-plan.ts
+++ b/packages/core/src/fleet/store-entry-plan.ts
@@ -13,7 +13,7 @@
 
 export type EntrySituation = {
 	/** Others were named to it before the start, and it was not named to them. */
-	readonly isToldOfOthers: boolean;
+	readonly hasSeeds: boolean;
 	/** Any other instance was heard since the start. */
 	readonly hasHeardOthers: boolean;
 	/** Place of this instance in the order of all live ones. */
@@ -34,9 +34,9 @@
 	| 'enter-and-list';
 
 /** What an instance does about its entry in the store. */
-export function planEntry({isToldOfOthers, hasHeardOthers, rank, isEntered, hasListed, sinceStartMs}: EntrySituation): EntryPlan {
+export function planEntry({hasSeeds, hasHeardOthers, rank, isEntered, hasListed, sinceStartMs}: EntrySituation): EntryPlan {
 	if (!hasHeardOthers && !hasListed) {
-		return isToldOfOthers && sinceStartMs < aloneAfterMs ? 'wait' : 'enter-and-list';
+		return hasSeeds && sinceStartMs < aloneAfterMs ? 'wait' : 'enter-and-list';
 	}
 
 	return !isEntered && rank < namedInstances && sinceStartMs >= settledAfterMs ? 'enter' : 'wait';
--- a/packages/core/src/fleet/store-reading.spec.ts
+++ b/packages/core/src/fleet/store-reading.spec.ts
@@ -5,7 +5,7 @@
 } from './store-reading.js';
 
 const settled: ReadingSituation = {
-	isFollower: false, isDeputy: false, readersAheadInZone: 0, isKnown: true, isKnownToOthers: true, isToldOfOthers: false, isFirstStart: false, sinceStartMs: 60_000, ageMs: 300, spread: 0,
+	isFollower: false, isDeputy: false, readersAheadInZone: 0, isKnown: true, isKnownToOthers: true, hasSeeds: false, isFirstStart: false, sinceStartMs: 60_000, ageMs: 300, spread: 0,
 };
 
 const started: ReadingSituation = {
@@ -22,7 +22,7 @@
 		});
 
 		it('should wait to be heard where others were named to it, for a moment that differs from instance to instance', () => {
-			const told: ReadingSituation = {...started, isToldOfOthers: true, isKnownToOthers: false};
+			const told: ReadingSituation = {...started, hasSeeds: true, isKnownToOthers: false};
 			assert.equal(chooseReading({...told, sinceStartMs: 29}), 'wait');
 			assert.equal(chooseReading({...told, sinceStartMs: 30}), 'once');
 			assert.equal(chooseReading({...told, sinceStartMs: 115, spread: 0.9}), 'wait');
@@ -31,7 +31,7 @@
 
 		it('should wait longer at the first start of the whole fleet, as no caller waits yet', () => {
 			const first: ReadingSituation = {
-				...started, isToldOfOthers: true, isKnownToOthers: false, isFirstStart: true,
+				...started, hasSeeds: true, isKnownToOthers: false, isFirstStart: true,
 			};
 			assert.equal(chooseReading({...first, sinceStartMs: 1499}), 'wait');
 			assert.equal(chooseReading({...first, sinceStartMs: 1500}), 'once');
--- a/packages/core/src/fleet/store-reading.ts
+++ b/packages/core/src/fleet/store-reading.ts
@@ -60,7 +60,7 @@
 	/** Another instance that was heard knows what is sought. */
 	readonly isKnownToOthers: boolean;
 	/** Others were named to it before the start, and it was not named to them. */
-	readonly isToldOfOthers: boolean;
+	readonly hasSeeds: boolean;
 	/** The whole fleet starts for the first time. */
 	readonly isFirstStart: boolean;
 	readonly sinceStartMs: number;
@@ -114,9 +114,9 @@
 }
 
 /** After its start, until it knows what it looks for. */
-function longestWaitMs({isKnownToOthers, isToldOfOthers, isFirstStart, spread}: ReadingSituation): number {
+function longestWaitMs({isKnownToOthers, hasSeeds, isFirstStart, spread}: ReadingSituation): number {
 	const contactMs = (isFirstStart ? firstStartContactMs : firstContactMs) + (spread * firstContactSpreadMs);
-	if (isToldOfOthers) {
+	if (hasSeeds) {
 		return isKnownToOthers ? contactMs + handOverMs : contactMs;
 	}
 
--- a/packages/core/src/placement/warmth.spec.ts
+++ b/packages/core/src/placement/warmth.spec.ts
@@ -11,7 +11,7 @@
 		assert.equal(warmth.isCold, true);
 		clock.advance(1);
 		assert.equal(warmth.mayBeCold, false);
-		warmth.told(500);
+		warmth.reported(500);
 		assert.equal(warmth.isCold, true);
 	});
 
@@ -23,7 +23,7 @@
 
 	it('should not be held for warm by an entry that is older than what the upstream said', () => {
 		const warmth = new Warmth(new ManualClock());
-		warmth.told(3000);
+		warmth.reported(3000);
 		warmth.registered(0);
 		assert.equal(warmth.isCold, true);
 	});
@@ -34,7 +34,7 @@
 		assert.deepEqual([warmth.isCold, warmth.mayBeCold], [false, true]);
 		warmth.registered(0);
 		assert.equal(warmth.mayBeCold, true);
-		warmth.told(0);
+		warmth.reported(0);
 		assert.equal(warmth.mayBeCold, false);
 	});
 });
--- a/packages/core/src/placement/warmth.ts
+++ b/packages/core/src/placement/warmth.ts
@@ -23,7 +23,7 @@
 	}
 
 	/** It has said itself how much longer it is cold; 0 where it is warm. */
-	told(leftMs: number): void {
+	reported(leftMs: number): void {
 		this.#isDoubted = false;
 		this.#coldUntilMs = this.#clock.monotonicMs() + leftMs;
 	}
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -44,7 +44,7 @@
 	readonly #asker: StateAsker;
 	readonly #places: StorePlaces;
 	/** Others were named to it before the start, and it was not named to them. */
-	readonly #isToldOfOthers: boolean;
+	readonly #hasSeeds: boolean;
 	#beatTimer: NodeJS.Timeout | undefined;
 	#updateTimer: NodeJS.Timeout | undefined;
 	#isLeaving = false;
@@ -54,7 +54,7 @@
 		this.#options = options;
 		const {settings} = options.context;
 		const seeds = settings.seeds.map(seed => splitAddress(seed).host);
-		this.#isToldOfOthers = seeds.length > 0 && !seeds.includes(settings.host);
+		this.#hasSeeds = seeds.length > 0 && !seeds.includes(settings.host);
 		this.#exchange = new StateExchange({
 			context: options.context,
 			share: query => options.state().share(query),
@@ -94,7 +94,7 @@
 		this.#storeEntry = new StoreEntry({
 			context: options.context,
 			store: options.store,
-			isToldOfOthers: this.#isToldOfOthers,
+			hasSeeds: this.#hasSeeds,
 			hasHeardOthers: () => this.#membership.view.greatestSize > 1,
 			rank: () => followerRank(this.self.incarnation, this.#membership.view.live()),
 			onOthers: hosts => {
@@ -158,7 +158,7 @@
 			isDeputy,
 			readersAheadInZone,
 			isKnownToOthers: this.#membership.view.live().some(({ready}) => ready),
-			isToldOfOthers: this.#isToldOfOthers,
+			hasSeeds: this.#hasSeeds,
 		};
 	}
 
@@ -247,7 +247,7 @@
 			}
 
 			case 'members': {
-				this.#membership.told(message);
+				this.#membership.receive(message);
 				return;
 			}
 
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -170,7 +170,7 @@
 	}
 
 	/** Another instance has passed on what it knows of some members. */
-	told({members}: Extract<FleetMessage, {type: 'members'}>): void {
+	receive({members}: Extract<FleetMessage, {type: 'members'}>): void {
 		const {context, self} = this.#options;
 		const {host} = self();
 		for (const member of members) {
@@ -183,7 +183,7 @@
 		}
 
 		const lostBefore = new Set(members.map(member => member.host).filter(other => this.view.updateOf(other)?.isLost === true));
-		const update = this.view.told(members.filter(member => member.host !== host));
+		const update = this.view.receive(members.filter(member => member.host !== host));
 		for (const member of update.filter(({host: other, isLost}) => !isLost && lostBefore.has(other))) {
 			this.#contradictions.said(member.host);
 		}
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -210,7 +210,7 @@
 
 			case 'members': {
 				this.toldLost += message.members.some(({isLost}) => isLost) ? 1 : 0;
-				to.membership.told(message);
+				to.membership.receive(message);
 				break;
 			}
 
--- a/packages/gateway/src/features/fleet/store-entry.spec.ts
+++ b/packages/gateway/src/features/fleet/store-entry.spec.ts
@@ -18,7 +18,7 @@
 	isDown: boolean;
 	readonly #entry: StoreEntry;
 
-	constructor({isToldOfOthers, isDown}: {isToldOfOthers: boolean; isDown: boolean}) {
+	constructor({hasSeeds, isDown}: {hasSeeds: boolean; isDown: boolean}) {
 		this.isDown = isDown;
 		const answer = <Value>(call: string, value: Value): Result<Value, StoreError> => {
 			this.calls.push(call);
@@ -35,7 +35,7 @@
 					list: async () => answer('list', [{host: '10.0.0.1'}, {host: '10.0.0.2'}]),
 				},
 			},
-			isToldOfOthers,
+			hasSeeds,
 			hasHeardOthers: () => this.hasHeardOthers,
 			rank: () => this.rank,
 			onOthers: hosts => {
@@ -60,9 +60,9 @@
 	}
 }
 
-async function inWorld(isToldOfOthers: boolean, body: (world: EntryWorld) => Promise<void>, isDown = false): Promise<void> {
+async function inWorld(hasSeeds: boolean, body: (world: EntryWorld) => Promise<void>, isDown = false): Promise<void> {
 	mock.timers.enable({apis: ['setTimeout']});
-	const world = new EntryWorld({isToldOfOthers, isDown});
+	const world = new EntryWorld({hasSeeds, isDown});
 	try {
 		await body(world);
 	} finally {
--- a/packages/gateway/src/features/fleet/store-entry.ts
+++ b/packages/gateway/src/features/fleet/store-entry.ts
@@ -13,7 +13,7 @@
 export type StoreEntryOptions = {
 	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics' | 'random' | 'settings'>;
 	readonly store: Pick<StateStore, 'instances'>;
-	readonly isToldOfOthers: boolean;
+	readonly hasSeeds: boolean;
 	/** Any other instance was heard since the start. */
 	readonly hasHeardOthers: () => boolean;
 	/** Place of this instance in the order of all live ones. */
@@ -68,9 +68,9 @@
 	}
 
 	#plan(): EntryPlan {
-		const {context: {clock}, isToldOfOthers, hasHeardOthers, rank} = this.#options;
+		const {context: {clock}, hasSeeds, hasHeardOthers, rank} = this.#options;
 		return planEntry({
-			isToldOfOthers,
+			hasSeeds,
 			hasHeardOthers: hasHeardOthers(),
 			rank: rank(),
 			isEntered: this.#isEntered,
--- a/packages/gateway/src/features/state/registry-state.ts
+++ b/packages/gateway/src/features/state/registry-state.ts
@@ -80,7 +80,7 @@
 	}
 
 	/** The follower has told what changed; it has told all others too. */
-	told(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalConfidence): void {
+	receiveChanges(changes: KeyedChanges<RegisteredUpstream>, trust: RemovalConfidence): void {
 		this.#emit(this.#registry.follow(changes, trust) ?? []);
 	}
 
--- a/packages/gateway/src/features/state/state-task.ts
+++ b/packages/gateway/src/features/state/state-task.ts
@@ -20,7 +20,7 @@
 /** Operators write again within seconds what a restored store has lost; until then their orders stay in force. */
 const heldOrdersMs = 5000;
 /** Told by an instance that has heard nothing of the store, or nothing for long. */
-const maximumToldAgeMs = 600_000;
+const maximumReportedAgeMs = 600_000;
 
 export type StateTaskOptions = {
 	readonly context: Context;
@@ -124,7 +124,7 @@
 			evacuations: this.#operators.evacuations,
 			registryOffset: this.#registry.endOffset,
 			registryDigest: this.#registry.digest,
-			stateAgeMs: Math.round(Math.min(Math.max(this.#ageMs('operators'), this.#ageMs('registry')), maximumToldAgeMs)),
+			stateAgeMs: Math.round(Math.min(Math.max(this.#ageMs('operators'), this.#ageMs('registry')), maximumReportedAgeMs)),
 			reachesStore: !this.#trust.isDown,
 		};
 	}
@@ -167,7 +167,7 @@
 		const knowsMore = member.registryOffset > this.#registry.endOffset
 			|| (isFollower && !this.#options.place().isFollower && member.registryOffset === this.#registry.endOffset);
 		const wantsRegistry = !hasSameUpstreams && knowsMore;
-		if (!knowsNewerConfiguration && member.stateAgeMs < maximumToldAgeMs) {
+		if (!knowsNewerConfiguration && member.stateAgeMs < maximumReportedAgeMs) {
 			this.#confirmed('operators', member.stateAgeMs);
 		}
 
@@ -207,7 +207,7 @@
 	/** The follower has told what changed in the registry. */
 	changed({epoch, changes, trust}: ReportedChanges): void {
 		if (this.#epoch.observe(epoch, 'instance') !== 'earlier') {
-			this.#registry.told(changes, trust);
+			this.#registry.receiveChanges(changes, trust);
 		}
 	}
 
--- a/packages/gateway/src/features/state/store-restore.spec.ts
+++ b/packages/gateway/src/features/state/store-restore.spec.ts
@@ -183,7 +183,7 @@
 		const reaching = this.instances?.map(instance => instance.index).filter(other => !this.cut.has(other)) ?? [];
 		return {
 			isFollower: reaching[0] === index, isDeputy: reaching[1] === index, readersAheadInZone: Math.max(0, reaching.indexOf(index)),
-			isKnownToOthers: this.instances?.some(({state}) => state.isKnown) ?? false, isToldOfOthers: true,
+			isKnownToOthers: this.instances?.some(({state}) => state.isKnown) ?? false, hasSeeds: true,
 		};
 	}
 
--- a/packages/gateway/src/features/state/topic-reader.ts
+++ b/packages/gateway/src/features/state/topic-reader.ts
@@ -35,7 +35,7 @@
 	/** Another instance that was heard has a configuration and the upstreams. */
 	readonly isKnownToOthers: boolean;
 	/** Others were named to it before the start, and it was not named to them. */
-	readonly isToldOfOthers: boolean;
+	readonly hasSeeds: boolean;
 };
 
 export type TopicReaderOptions<Value> = {
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -197,7 +197,7 @@
 			world.coldRequestsPerSecond = 1;
 			world.clock.advance(boundMs);
 			for (const id of ids) {
-				world.condition(id).warmth.told(boundMs);
+				world.condition(id).warmth.reported(boundMs);
 			}
 		};
 
@@ -226,7 +226,7 @@
 			for (let request = 0; request < 3; request++) {
 				assert.equal(await world.place(), 'doubted');
 				// What its health answer says, as the prober notes it.
-				world.condition('doubted').warmth.told(0);
+				world.condition('doubted').warmth.reported(0);
 			}
 		});
 
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -150,7 +150,7 @@
 		const warmupMs = headerOf(answer.headers, dialect.warmupHeader);
 		if (warmupMs !== undefined || answer.status === okStatus) {
 			// One that is warm need not say so.
-			condition.warmth.told(Number(warmupMs ?? 0) || 0);
+			condition.warmth.reported(Number(warmupMs ?? 0) || 0);
 		}
 
 		const report = loadOf(answer, dialect);
