The soak judges limits and drains by each instance, as the disturbance of one excuses no other

Found by a broken build (a limit that nobody keeps): its schedule was sound, as any killed or paused instance excused all. Specs: checks.spec, one case more.

--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -63,12 +63,30 @@
 		assert.notDeepEqual(breached({...sound, disturbances: [{...disturbances[0]!, fromMs: 11}], calls: [call({type: 'cut'})]}), []);
 	});
 
+	it('should not judge a limit by an instance that was started again, but by all others', () => {
+		const {limits} = broken['an upstream that advertises a rate limit gets no more from all instances together']!;
+		const runs = Array.from({length: 20}, (_, index) => run('u0', 4000 + index, `b${index}`));
+		const calls = runs.map(({id, atMs}) => call({type: 'cut'}, {id, sentAtMs: atMs, endedAtMs: atMs}));
+		const restartOf = (instance: string) => [{
+			kind: 'restart' as const, instance, fromMs: 3000, untilMs: 3500,
+		}];
+		const history = (instance: string) => ({
+			...sound, limits: limits!, runs, calls: calls.map(each => ({
+				...each, end: {
+					type: 'answered' as const, status: 504, requestId: each.id, signature: '', body: '',
+				},
+			})), disturbances: restartOf(instance),
+		});
+		assert.deepEqual(breached(history('127.0.0.2')), []);
+		assert.equal(breached(history('127.0.0.3')).length, 1);
+	});
+
 	it('should not judge a drain by an instance that was paused meanwhile', () => {
 		const disturbances = [{
 			kind: 'instance' as const, instance: '127.0.0.2', fromMs: 100, untilMs: 2500,
 		}];
 		assert.deepEqual(breached({
-			...sound, disturbances, drains: [{upstream: 'u0', atMs: 0}], runs: [run(), run('u0', 2600, 'b')],
+			...sound, disturbances, drains: [{upstream: 'u0', atMs: 0}], runs: [run(), run('u0', 2600, 'b')], calls: [call(answered(200)), call(answered(504), {id: 'b'})],
 		}), []);
 	});
 });
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -106,22 +106,32 @@
 	},
 };
 
+/** Whether the instance that took a request from its caller was disturbed; the disturbance of one excuses no other. */
+function isInstanceDisturbed({calls, disturbances}: Pick<History, 'calls' | 'disturbances'>): (run: RunRecord, fromMs: number) => boolean {
+	const instanceOf = new Map(calls.map(({id, instance}) => [id, instance]));
+	return ({id, atMs}, fromMs) => disturbances.some(disturbance =>
+		disturbance.instance === instanceOf.get(id) && overlaps(disturbance, fromMs, atMs));
+}
+
 const drainedGetsNothing: Check = {
 	name: 'a leaving upstream gets nothing new after its time to drain',
-	breaches({runs, drains, disturbances}) {
+	breaches({calls, runs, drains, disturbances}) {
+		const isExcused = isInstanceDisturbed({calls, disturbances});
+		const ofAll = disturbances.filter(({instance}) => instance === undefined);
 		return drains.flatMap(({upstream, atMs}) => runs
 			.filter(run => run.upstream === upstream && run.atMs > atMs + drainMs)
-			.filter(run => !disturbances.some(disturbance => overlaps(disturbance, atMs, run.atMs)))
+			.filter(run => !isExcused(run, atMs) && !ofAll.some(disturbance => overlaps(disturbance, atMs, run.atMs)))
 			.map(run => `${run.id} ran on ${upstream} ${Math.round(run.atMs - atMs)} ms after it began to drain`));
 	},
 };
 
 const limitIsKept: Check = {
 	name: 'an upstream that advertises a rate limit gets no more from all instances together',
-	breaches({runs, limits, disturbances}) {
+	breaches({calls, runs, limits, disturbances}) {
+		const isExcused = isInstanceDisturbed({calls, disturbances});
 		return limits.flatMap(({upstream, requestsPerSecond, fromMs, untilMs}) => {
 			const judged = runs.filter(run => run.upstream === upstream && run.atMs >= fromMs + limitKnownAfterMs && run.atMs <= untilMs);
-			const calm = judged.filter(run => !disturbances.some(disturbance => disturbance.kind === 'instance' && overlaps(disturbance, run.atMs - limitWindowMs, run.atMs)));
+			const calm = judged.filter(run => !isExcused(run, run.atMs - limitWindowMs));
 			const most = mostInWindow(calm.map(({atMs}) => atMs), limitWindowMs);
 			const allowed = (limitFactor * requestsPerSecond * limitWindowMs / 1000) + limitSlack;
 			return most > allowed ? [`${upstream} got ${most} requests in ${limitWindowMs} ms, ${allowed} allowed`] : [];
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -24,7 +24,13 @@
 
 /** A time in which promises with a bound in time are not judged, and some time after it. */
 export type Disturbance = {
-	readonly kind: 'instance' | 'store' | 'link';
+	readonly kind:
+		/** Killed or paused. */
+		| 'instance'
+		/** Told to stop and started again. */
+		| 'restart'
+		| 'store'
+		| 'link';
 	/** Host of the instance that is disturbed; nothing where all may be. */
 	readonly instance?: string;
 	readonly fromMs: number;
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -228,9 +228,11 @@
 			this.#stops.push({instance: host, exitCode: ending.exit?.code, wasKilled});
 		};
 
-		await (wasKilled ? this.#disturb({kind: 'instance', instance: host}, end) : end());
-		const entry = await this.#site.restartEntry(index);
-		await entry.ready();
+		await this.#disturb({kind: wasKilled ? 'instance' : 'restart', instance: host}, async () => {
+			await end();
+			const entry = await this.#site.restartEntry(index);
+			await entry.ready();
+		});
 		this.#busy.delete(index);
 	}
 
