The soak judges a drain by the calm before a request, not since the drain began

Found by a broken build (drains ignored): no request was judged, as some disturbance had always overlapped the time since the drain. Specs of the checks green.

--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -120,7 +120,7 @@
 		const ofAll = disturbances.filter(({instance}) => instance === undefined);
 		return drains.flatMap(({upstream, atMs}) => runs
 			.filter(run => run.upstream === upstream && run.atMs > atMs + drainMs)
-			.filter(run => !isExcused(run, atMs) && !ofAll.some(disturbance => overlaps(disturbance, atMs, run.atMs)))
+			.filter(run => !isExcused(run, run.atMs - drainMs) && !ofAll.some(disturbance => overlaps(disturbance, run.atMs - drainMs, run.atMs)))
 			.map(run => `${run.id} ran on ${upstream} ${Math.round(run.atMs - atMs)} ms after it began to drain`));
 	},
 };
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -13,8 +13,8 @@
 import type {Schedule, SoakEvent} from './schedule.js';
 import {callOnce, runSoakCaller} from './soak-caller.js';
 
-/** After the last fault, before everything is to be served again: limits are lifted, instances listen, lost entries are back. */
-const settleMs = 5000;
+/** After the last fault, before everything is to be served again; long enough for all promises to be judged at its end. */
+const settleMs = 7000;
 /** An instance ends within its grace time, and some more on a busy machine. */
 const stopWaitMs = 20_000;
 const copyIntervalMs = 1500;
