--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -16,7 +16,8 @@
 /** As in the settings of each instance. */
 const retryRatio = 0.2;
 const retrySlack = 56;
-export const maximumAttempts = 2;
+/** Of the routes of a site. */
+const maximumAttempts = 2;
 /** Statuses that promise that a request has not run and never will. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 const okStatus = 200;
--- a/packages/soak/src/soak-caller.ts
+++ b/packages/soak/src/soak-caller.ts
@@ -2,6 +2,7 @@
 import {Agent, request} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {RandomSource} from '@cairnbank/core';
+import {answerMarks, callerHeaders} from '@cairnbank/platform/spec-support/caller-request';
 import type {CallEnd, CallRecord} from './history.js';
 
 const pauseMs = 15;
@@ -61,7 +62,7 @@
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const outgoing = request({
-			host, port, method, path, agent: agent ?? false, headers: {host: 'pay.example', 'x-request-id': id, 'x-deadline-ms': String(deadlineMs)},
+			host, port, method, path, agent: agent ?? false, headers: callerHeaders(id, deadlineMs),
 		}, response => {
 			let body = '';
 			response.on('data', chunk => {
@@ -71,8 +72,7 @@
 				const end: CallEnd = {
 					type: 'answered',
 					status: response.statusCode ?? 0,
-					requestId: String(response.headers['x-request-id']),
-					signature: String(response.headers['x-response-signature']),
+					...answerMarks(response.headers),
 					body,
 				};
 				resolve({end: response.complete ? end : {type: 'cut'}, keepsConnection: response.complete && response.headers.connection !== 'close'});
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -1,11 +1,10 @@
 /** Plays one schedule on the real program and resolves with what callers and upstreams saw. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandomSource} from '@cairnbank/core/random';
-import {route, Site} from '@cairnbank/platform/spec-support/site';
+import {paymentRoute, route, Site} from '@cairnbank/platform/spec-support/site';
 import type {StoreCopy} from '@cairnbank/platform/spec-support/store-stand-in';
 import {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {waitFor} from '@cairnbank/testing/harness';
-import {maximumAttempts} from './checks.js';
 import type {
 	CallRecord, Disturbance, DrainMark, History, LimitMark, RunRecord, StopRecord,
 } from './history.js';
@@ -97,8 +96,8 @@
 	#configure(): void {
 		this.#version += 1;
 		this.#site.configure(`r${this.#version}`, [
-			route('read', '/read/', {maxAttempts: maximumAttempts}),
-			route('pay', '/pay/', {kind: 'non_idempotent', maxAttempts: maximumAttempts}),
+			route('read', '/read/'),
+			paymentRoute('pay', '/pay/'),
 			route('new', `/new-${this.#version}/`),
 		]);
 	}
@@ -107,8 +106,7 @@
 		const upstream = this.#upstreams[index]!;
 		const sequence = (this.#sequences.get(upstream.id) ?? 0) + 1;
 		this.#sequences.set(upstream.id, sequence);
-		const entry = upstream.entry(state, undefined, sequence) as Record<string, unknown>;
-		this.#site.store.put('keyed.servers', upstream.id, {...entry, address: this.#proxies[index]!.address});
+		this.#site.register(upstream, this.#proxies[index]!.address, sequence, state);
 	}
 
 	#startCallers(stop: AbortSignal): Array<Promise<CallRecord[]>> {
