--- /dev/null
+++ b/packages/testing/src/regression/main.ts
@@ -0,0 +1,93 @@
+/**
+ * `npm run regression -- SITE… --bench PATH`: scores sites on the users' bench and compares them with the last score of another
+ * commit. What has been scored on this commit is not played again, so that a stopped run goes on where it was.
+ */
+import {spawn} from 'node:child_process';
+import path from 'node:path';
+import process from 'node:process';
+import {cac} from 'cac';
+import {readGit} from './read-git.js';
+import {compareScores, type Comparison} from './compare-scores.js';
+import {readScores, type SiteScore} from './site-score.js';
+
+const journalFolder = 'journal';
+const defaultJobs = 4;
+const nameWidth = 32;
+const exitCodes = {held: 0, fell: 1, wrongUse: 2} as const;
+
+type Options = {readonly bench?: string; readonly baseline?: string; readonly jobs: string | number};
+
+async function play(bench: string, site: string, jobs: string | number): Promise<void> {
+	const player = spawn(bench, ['score', site, '--jobs', String(jobs), '--why', 'regression'], {stdio: 'inherit'});
+	await new Promise(resolve => {
+		player.on('close', resolve);
+	});
+}
+
+function print({site, before, after, faults}: Comparison, playedSeconds: number): void {
+	const figures = [before, after].map(mean => mean?.toFixed(3) ?? 'none').join(' -> ');
+	console.log(`${site.padEnd(nameWidth)} ${figures}  ${Math.round(playedSeconds)} s of days  ${faults.length === 0 ? 'held' : faults.join('; ')}`);
+}
+
+async function scoreOf(site: string, commit: string, bench: string, jobs: string | number): Promise<SiteScore | undefined> {
+	const name = path.basename(site, '.toml');
+	const find = async () => {
+		const scores = await readScores(journalFolder);
+		return scores.findLast(score => score.site === name && score.commit === commit);
+	};
+
+	const known = await find();
+	if (known !== undefined) {
+		return known;
+	}
+
+	await play(bench, site, jobs);
+	return find();
+}
+
+async function compareAll(sites: readonly string[], bench: string, {baseline, jobs}: Options): Promise<number> {
+	const commit = await readGit(['rev-parse', 'HEAD']);
+	const isBaseline = (score: SiteScore) => baseline === undefined ? score.commit !== commit : score.commit.startsWith(baseline);
+	const comparisons: Array<{readonly comparison: Comparison; readonly playedSeconds: number}> = [];
+	for (const site of sites) {
+		const after = await scoreOf(site, commit, bench, jobs);
+		const name = path.basename(site, '.toml');
+		if (after === undefined) {
+			comparisons.push({
+				comparison: {
+					site: name, before: undefined, after: undefined, faults: ['no score in the journal'],
+				},
+				playedSeconds: 0,
+			});
+			continue;
+		}
+
+		const scores = await readScores(journalFolder);
+		const before = scores.findLast(score => score.site === name && isBaseline(score));
+		comparisons.push({comparison: compareScores(before, after), playedSeconds: after.playedSeconds});
+	}
+
+	for (const {comparison, playedSeconds} of comparisons) {
+		print(comparison, playedSeconds);
+	}
+
+	return comparisons.every(({comparison}) => comparison.faults.length === 0) ? exitCodes.held : exitCodes.fell;
+}
+
+const cli = cac('regression');
+cli
+	.command('<...sites>', 'Score the sites of these files on this commit and compare with the last score of another one')
+	.option('--bench <path>', 'The users\' bench')
+	.option('--baseline <commit>', 'Compare with the last score of this commit')
+	.option('--jobs <count>', 'Days that are played at the same time', {default: defaultJobs})
+	.action(async (sites: string[], options: Options) => {
+		if (options.bench === undefined) {
+			console.error('regression: --bench is needed');
+			process.exitCode = exitCodes.wrongUse;
+			return;
+		}
+
+		process.exitCode = await compareAll(sites, options.bench, options);
+	});
+cli.help();
+cli.parse();
