--- a/packages/testing/src/regression/compare-scores.spec.ts
+++ b/packages/testing/src/regression/compare-scores.spec.ts
@@ -49,6 +49,6 @@
 	});
 
 	it('should name a site whose days were not all played to their end', () => {
-		assert.deepEqual(compareScores(sound, score(day('trouble-1', null), day('trouble-2', 0.8))).faults, ['not played to its end']);
+		assert.deepEqual(compareScores(sound, score(day('trouble-1', undefined), day('trouble-2', 0.8))).faults, ['not played to its end']);
 	});
 });
