--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -5,9 +5,9 @@
 
 /** Time in which a leaving upstream may still get requests. */
 const drainMs = 2000;
-/** After a disturbance, promises with a bound in time are judged again. */
+/** Promises with a bound in time are judged again this long after a disturbance. */
 const stabilityMs = 3000;
-/** Instances that were told of a limit obey from half a second on; before that, from their first answer. */
+/** From this time on after an upstream first advertised its limit, all instances have to know it. */
 const limitKnownAfterMs = 3000;
 const limitWindowMs = 4000;
 const limitFactor = 1.5;
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -249,7 +249,7 @@
 		this.#busy.delete(index);
 	}
 
-	/** It says that it leaves, serves on for a while, and comes back as a new start under a new entry. */
+	/** It says that it leaves, and serves what still comes. */
 	async #drain(index: number): Promise<void> {
 		const {id} = this.#upstreams[index]!;
 		if (this.#drains.some(({upstream}) => upstream === id)) {
