--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -34,7 +34,11 @@
 		runs: [run(), ...Array.from({length: 12}, (_, index) => run('u0', 4000 + index, `b${index}`))],
 	},
 	'no request that ran is cut at an instance that was neither killed nor paused': {calls: [call({type: 'cut'})]},
-	'an instance that is told to stop ends in order': {stops: [{instance: '127.0.0.2', exitCode: 1, wasKilled: false}]},
+	'an instance that is told to stop ends in order': {
+		stops: [{
+			instance: '127.0.0.2', exitCode: 1, wasKilled: false, errors: [],
+		}],
+	},
 	'everything is served again after the last fault': {afterwards: [call(answered(504))]},
 };
 
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -159,7 +159,7 @@
 	name: 'an instance that is told to stop ends in order',
 	breaches: ({stops}) => stops
 		.filter(({exitCode, wasKilled}) => !wasKilled && exitCode !== 0)
-		.map(({instance, exitCode}) => `${instance} ended with ${exitCode ?? 'a signal'}`),
+		.map(({instance, exitCode, errors}) => `${instance} ended with ${exitCode ?? 'a signal'}: ${errors.join(' ')}`),
 };
 
 const recovers: Check = {
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -42,7 +42,13 @@
 /** An upstream advertised a rate limit all this time. */
 export type LimitMark = {readonly upstream: string; readonly requestsPerSecond: number; readonly fromMs: number; readonly untilMs: number};
 
-export type StopRecord = {readonly instance: string; readonly exitCode: number | undefined; readonly wasKilled: boolean};
+export type StopRecord = {
+	readonly instance: string;
+	readonly exitCode: number | undefined;
+	readonly wasKilled: boolean;
+	/** What it wrote beside its log. */
+	readonly errors: readonly string[];
+};
 
 export type History = {
 	readonly calls: readonly CallRecord[];
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -223,7 +223,9 @@
 		const end = async () => {
 			ending.kill(signal);
 			await waitFor(`end of ${host}`, () => ending.exit !== undefined, stopWaitMs);
-			this.#stops.push({instance: host, exitCode: ending.exit?.code, wasKilled});
+			this.#stops.push({
+				instance: host, exitCode: ending.exit?.code, wasKilled, errors: ending.otherLines.slice(-20),
+			});
 		};
 
 		await this.#disturb({kind: wasKilled ? 'instance' : 'restart', instance: host}, async () => {
