An instance that is stopping no longer ends by an exception as the store answers late

Callers lost nothing (all was drained), but its last log lines may be lost, and the platform counts a process that ends by itself. Cause, from the stack that it wrote: a read of the store is answered after the fleet's socket was closed; the change is announced, and sending on a closed socket throws. Ruled out: the releases of orders after a restore (their timer ends with the state task). Change: after its stop the socket sends nothing.

--- a/packages/gateway/src/features/fleet/fleet-socket.ts
+++ b/packages/gateway/src/features/fleet/fleet-socket.ts
@@ -10,6 +10,7 @@
 export class FleetSocket {
 	readonly #context: Context;
 	readonly #socket: Socket;
+	#isStopped = false;
 
 	/** @param onMessage - for each message that can be read */
 	constructor(context: Context, onMessage: (message: FleetMessage) => void) {
@@ -41,11 +42,19 @@
 	}
 
 	stop(): void {
+		this.#isStopped = true;
 		this.#socket.close();
 	}
 
-	/** Sends a message to each host; one that is too long for a datagram is left out, as hosts ask for what they miss. */
+	/**
+	 * Sends a message to each host; one that is too long for a datagram is left out, as hosts ask for what they miss. After
+	 * the stop nothing is sent.
+	 */
 	send(message: FleetMessage, hosts: readonly string[]): void {
+		if (this.#isStopped) {
+			return;
+		}
+
 		const {clock, logger, settings} = this.#context;
 		const bytes = encodeMessage(message, clock.monotonicMs());
 		if (bytes.length > maximumDatagramBytes) {
--- a/packages/soak/src/soak.spec.ts
+++ b/packages/soak/src/soak.spec.ts
@@ -6,11 +6,11 @@
 import {SoakRun} from './soak-run.js';
 
 const durationMs = 6000;
-/** Payments at an upstream whose link falls silent as their instance is told to stop. */
-const silentLink = readSchedule(fileURLToPath(new URL('../schedules/silent-link.json', import.meta.url)));
+/** Schedules that showed a breach once. */
+const kept = ['silent-link', 'update-while-stopping'].map(name => readSchedule(fileURLToPath(new URL(`../schedules/${name}.json`, import.meta.url))));
 
 describe('the real program under overlapping faults', () => {
-	for (const schedule of [drawSchedule(1, {instances: 3, durationMs}), drawSchedule(2, {instances: 3, durationMs}), silentLink]) {
+	for (const schedule of [drawSchedule(1, {instances: 3, durationMs}), drawSchedule(2, {instances: 3, durationMs}), ...kept]) {
 		it(`should keep its promises through a schedule of seed ${schedule.seed}`, async () => {
 			const history = await new SoakRun(schedule).play();
 			assert.ok(history.calls.length > 100, `${history.calls.length} requests`);
