The soak counts a rate limit from the first whole answer that names it

Traced in its logs: all instances learnt the limit 5.4 s after it had begun, as u2 began to answer whole again; it had cut every answer since 2.5 s, and none had named the limit before. A limit that nobody has been told binds nobody (the rule counts instances that passed such an answer on), so the case is allowed; bound and schedule stay. The limit is kept once it is named: checks.spec, rate-limit.spec green.

--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -39,7 +39,7 @@
 
 export type DrainMark = {readonly upstream: string; readonly atMs: number};
 
-/** An upstream advertised a rate limit all this time. */
+/** An upstream advertised a rate limit all this time, from the first whole answer that named it. */
 export type LimitMark = {readonly upstream: string; readonly requestsPerSecond: number; readonly fromMs: number; readonly untilMs: number};
 
 export type StopRecord = {
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -268,13 +268,15 @@
 			return;
 		}
 
-		const fromMs = performance.now();
+		upstream.limitNamedAtMs = undefined;
 		upstream.rateLimit = requestsPerSecond;
 		await delay(forMs);
 		upstream.rateLimit = undefined;
-		this.#limits.push({
-			upstream: upstream.id, requestsPerSecond, fromMs, untilMs: performance.now(),
-		});
+		if (upstream.limitNamedAtMs !== undefined) {
+			this.#limits.push({
+				upstream: upstream.id, requestsPerSecond, fromMs: upstream.limitNamedAtMs, untilMs: performance.now(),
+			});
+		}
 	}
 
 	/** The store comes back from its oldest copy; operators and upstreams write again what it lost. */
