--- a/packages/soak/src/link-proxy.ts
+++ b/packages/soak/src/link-proxy.ts
@@ -73,7 +73,12 @@
 				resetSocket(to);
 			});
 			from.on('end', () => {
-				to.end();
+				// A reset that comes together with data is reported as an end; the peer's address is then unknown.
+				if (from.remoteAddress === undefined) {
+					resetSocket(to);
+				} else {
+					to.end();
+				}
 			});
 			from.on('close', () => {
 				this.#sockets.delete(from);
