--- a/packages/gateway/src/features/state/simulated-states.ts
+++ b/packages/gateway/src/features/state/simulated-states.ts
@@ -157,7 +157,7 @@
 			place: () => this.#placeOf(index),
 			...beliefs.handlers(),
 			onUpdate: () => {
-				this.#tellAll(index);
+				this.#sendToAll(index);
 			},
 			onRefreshed: () => undefined,
 			onRestored: () => undefined,
@@ -179,12 +179,12 @@
 
 	#beat(): void {
 		for (const {index} of this.instances) {
-			this.#tellAll(index);
+			this.#sendToAll(index);
 		}
 	}
 
-	/** Each tells all others in a small fleet; in a large one only the follower does, and the rest tell some. */
-	#tellAll(from: number): void {
+	/** Heartbeats go to all others in a small fleet; in a large one only the follower sends to all, the rest to some. */
+	#sendToAll(from: number): void {
 		const size = this.instances?.length ?? 0;
 		const heard = size <= 13 || this.#placeOf(from).isFollower ? [...this.instances ?? []] : Array.from({length: 8}, () => this.instances[this.#random.below(size)]!);
 		for (const {state} of heard.filter(({index}) => index !== from)) {
@@ -202,8 +202,8 @@
 }
 
 function memberOf(index: number, state: StateTask): FleetMember {
-	const told: Partial<FleetMember> = {...state.describe(), incarnation: `${index}` as IncarnationId, host: `${index}`};
-	return told as FleetMember;
+	const member: Partial<FleetMember> = {...state.describe(), incarnation: `${index}` as IncarnationId, host: `${index}`};
+	return member as FleetMember;
 }
 
 async function settled(): Promise<void> {
