What upstreams advise in their answers is read, logged and counted

The logs could not tell the hypotheses of the incidents apart: no line said that an upstream leaves or asks for a pause. Now: the line 'upstream advised', a word in the decisions of requests sent there all the same, two counters. Nothing decides by it yet. core/advisories holds what one start of an upstream has advised; values that can't be read are counted and not believed. Specs of the two modules and of the decoders are green.

--- /dev/null
+++ b/packages/core/src/advisories/index.ts
@@ -0,0 +1,2 @@
+export * from './advisory-record.js';
+export type * from './upstream-advisory.js';
--- a/packages/core/src/placement/upstream-condition.ts
+++ b/packages/core/src/placement/upstream-condition.ts
@@ -1,4 +1,5 @@
 /** What one instance knows of one upstream: its load, own requests there, failures, whether it answers. */
+import {AdvisoryRecord} from '../advisories/advisory-record.js';
 import {AdvertisedRate} from '../limits/advertised-rate.js';
 import type {Clock} from '../model/clock.js';
 import type {LoadReport} from './load-report.js';
@@ -32,6 +33,7 @@
 export class UpstreamCondition {
 	readonly warmth: Warmth;
 	readonly advertisedRate: AdvertisedRate;
+	readonly advisories: AdvisoryRecord;
 	readonly #clock: Clock;
 	readonly #own: OwnRequests;
 	readonly #onUnreachable: () => void;
@@ -54,6 +56,7 @@
 		this.#clock = clock;
 		this.warmth = new Warmth(clock, coldForMs);
 		this.advertisedRate = new AdvertisedRate(clock);
+		this.advisories = new AdvisoryRecord(clock);
 		this.#own = new OwnRequests(clock);
 		this.#onUnreachable = onUnreachable;
 	}
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -30,7 +30,9 @@
 	 * @param remainingMs - until the call's deadline
 	 */
 	async run(remainingMs: number): Promise<Verdict> {
-		const {dialect, clock, metrics, rateLimits} = this.#dependencies;
+		const {
+			dialect, clock, metrics, rateLimits, advisories,
+		} = this.#dependencies;
 		const {upstream} = this.#placement;
 		const {condition, pool} = upstream;
 		const sentAtMs = clock.monotonicMs();
@@ -56,6 +58,7 @@
 
 		metrics.attempts.inc({kind: this.#kind, result: verdict.type});
 		if (result.isOk() && !isFromAnother(verdict)) {
+			advisories.received(upstream, result.value, 'answer');
 			rateLimits.answered(upstream, {answer: result.value, sentAtMs, isSuccess: verdict.type === 'success'});
 			const report = loadOf(result.value, dialect);
 			if (report !== undefined) {
@@ -88,7 +91,9 @@
 		const load = report === undefined ? 'load=unknown' : `running=${report.running}:waiting=${report.waiting}:age=${Math.round(condition.reportAgeMs)}ms`;
 		const {requestsPerSecond} = condition.advertisedRate;
 		const limit = requestsPerSecond === undefined ? '' : `:limit=${requestsPerSecond}/s`;
-		return `${this.#kind}:${registered.id}:expected=${Math.round(expectedMs)}ms:slowness=${slowness ?? 'unknown'}:${load}${limit}`;
+		const {type: availability} = condition.advisories.availability;
+		const advised = availability === 'available' ? '' : `:${availability}`;
+		return `${this.#kind}:${registered.id}:expected=${Math.round(expectedMs)}ms:slowness=${slowness ?? 'unknown'}:${load}${limit}${advised}`;
 	}
 
 	#headers(remainingMs: number): readonly string[] {
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -4,6 +4,7 @@
 import type {WindowBudget} from '@cairnbank/core/retries';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {RequestDialect} from '../../ports/index.js';
+import type {Advisories} from '../upstreams/advisories.js';
 import type {Placement, PlacementRequest} from '../upstreams/placer.js';
 import type {RateLimits} from '../upstreams/rate-limits.js';
 import type {Upstream} from '../upstreams/upstream.js';
@@ -16,6 +17,7 @@
 	readonly metrics: Metrics;
 	readonly work: WorkEstimates;
 	readonly admission: Admission;
+	readonly advisories: Pick<Advisories, 'received'>;
 	readonly rateLimits: Pick<RateLimits, 'answered'>;
 	/** This instance's part of the repeats that a service may get. */
 	readonly budget: (service: ServiceId) => WindowBudget;
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -6,19 +6,13 @@
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
-import type {RequestDialect} from '../../ports/index.js';
+import {plainDialect} from '../../ports/request-dialect-fixture.js';
 import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from '../upstreams/exchange.js';
 import type {Placement} from '../upstreams/placer.js';
 import type {Call} from './call.js';
 import {CallRun} from './call-run.js';
 import type {Outcome} from './outcome.js';
 
-const dialect: RequestDialect = {
-	requestIdHeader: 'id', deadlineHeader: 'deadline', expectedUpstreamHeader: 'expect', upstreamIdHeader: 'upstream',
-	signatureHeader: 'signature', notExecutedHeader: 'not-run', loadHeader: 'load', warmupHeader: 'warmup', rateLimitHeader: 'limit',
-	parseLoad: () => undefined, parseRateLimit: () => undefined,
-};
-
 type Exchange = {
 	readonly upstream: string;
 	readonly request: OutgoingRequest;
@@ -65,10 +59,11 @@
 		const budget = new WindowBudget(() => ({ratio: 0, slack, windowMs: 10_000}), () => 0);
 		this.run = new CallRun({
 			clock: this.clock,
-			dialect,
+			dialect: plainDialect,
 			metrics: createMetrics(),
 			work: new WorkEstimates(),
 			admission: new Admission(this.clock),
+			advisories: {received: () => undefined},
 			rateLimits: {answered: () => undefined},
 			budget: () => budget,
 			instances: () => 1,
--- a/packages/gateway/src/features/calls/judge-exchange.spec.ts
+++ b/packages/gateway/src/features/calls/judge-exchange.spec.ts
@@ -2,18 +2,12 @@
 import {Buffer} from 'node:buffer';
 import {describe, it} from 'node:test';
 import {err, ok} from 'neverthrow';
-import type {RequestDialect} from '../../ports/index.js';
+import {plainDialect} from '../../ports/request-dialect-fixture.js';
 import type {ExchangeFailure} from '../upstreams/exchange.js';
 import {judgeExchange} from './judge-exchange.js';
 
-const dialect: RequestDialect = {
-	requestIdHeader: 'id', deadlineHeader: 'deadline', expectedUpstreamHeader: 'expect', upstreamIdHeader: 'upstream',
-	signatureHeader: 'signature', notExecutedHeader: 'not-run', loadHeader: 'load', warmupHeader: 'warmup', rateLimitHeader: 'limit',
-	parseLoad: () => undefined, parseRateLimit: () => undefined,
-};
-
 function judge(status: number, ...headers: string[]): string {
-	const verdict = judgeExchange(ok({status, headers, body: Buffer.alloc(0)}), dialect);
+	const verdict = judgeExchange(ok({status, headers, body: Buffer.alloc(0)}), plainDialect);
 	return 'reason' in verdict ? `${verdict.type}:${verdict.reason}` : verdict.type;
 }
 
@@ -39,7 +33,7 @@
 	});
 
 	it('should say "not run" of failures only where nothing was sent', () => {
-		const judged = (failure: ExchangeFailure) => judgeExchange(err(failure), dialect).type;
+		const judged = (failure: ExchangeFailure) => judgeExchange(err(failure), plainDialect).type;
 		assert.equal(judged({type: 'not-connected', message: '', isTimeout: false}), 'not-run');
 		assert.equal(judged({type: 'broken', message: ''}), 'unknown');
 		assert.equal(judged({type: 'malformed', message: ''}), 'unknown');
--- a/packages/gateway/src/features/upstreams/exchange.ts
+++ b/packages/gateway/src/features/upstreams/exchange.ts
@@ -1,4 +1,5 @@
 /** One request to one upstream and how it ended. */
+import type {UpstreamAdvisory} from '@cairnbank/core/advisories';
 import type {AdvertisedLimit} from '@cairnbank/core/limits';
 import type {LoadReport} from '@cairnbank/core/placement';
 import type {RequestDialect} from '../../ports/index.js';
@@ -62,3 +63,37 @@
 	const requestsPerSecond = parseRateLimit(header);
 	return requestsPerSecond === undefined ? undefined : {type: 'limited', requestsPerSecond};
 }
+
+export type AnswerAdvisories = {
+	readonly advisories: readonly UpstreamAdvisory[];
+	/** Names of headers whose values can't be read. */
+	readonly unreadable: readonly string[];
+};
+
+const backOffStatus = 503;
+
+/** What an answer advises whoever would send its upstream more. */
+export function advisoriesOf({status, headers}: UpstreamAnswer, dialect: RequestDialect): AnswerAdvisories {
+	const advisories: UpstreamAdvisory[] = [];
+	const unreadable: string[] = [];
+	const read = <Value>(header: string, parse: (value: string) => Value | undefined): Value | undefined => {
+		const text = headerOf(headers, header);
+		const value = text === undefined ? undefined : parse(text);
+		if (text !== undefined && value === undefined) {
+			unreadable.push(header);
+		}
+
+		return value;
+	};
+
+	if (read(dialect.leavingHeader, dialect.parseLeaving) === true) {
+		advisories.push({type: 'leaving'});
+	}
+
+	const backOffMs = status === backOffStatus ? read(dialect.backOffHeader, dialect.parseBackOffMs) : undefined;
+	if (backOffMs !== undefined) {
+		advisories.push({type: 'back-off', durationMs: backOffMs});
+	}
+
+	return {advisories, unreadable};
+}
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -8,6 +8,7 @@
 import {
 	headerOf, loadOf, type ExchangeFailure, type UpstreamAnswer,
 } from './exchange.js';
+import type {Advisories} from './advisories.js';
 import type {RateLimits} from './rate-limits.js';
 import type {Upstream} from './upstream.js';
 
@@ -18,6 +19,7 @@
 export type ProberOptions = {
 	readonly context: Context;
 	readonly dialect: RequestDialect;
+	readonly advisories: Pick<Advisories, 'received'>;
 	readonly rateLimits: Pick<RateLimits, 'checked'>;
 	/** Path of a service's health check; nothing for an unknown service. */
 	readonly healthPath: (service: string) => string | undefined;
@@ -137,7 +139,9 @@
 
 	#note(upstream: Upstream, answer: UpstreamAnswer): void {
 		const {condition, registered} = upstream;
-		const {context: {metrics}, dialect, rateLimits} = this.#options;
+		const {
+			context: {metrics}, dialect, advisories, rateLimits,
+		} = this.#options;
 		const answeredBy = headerOf(answer.headers, dialect.upstreamIdHeader);
 		if (answeredBy !== undefined && answeredBy !== registered.id) {
 			metrics.probes.inc({result: 'other-upstream'});
@@ -146,6 +150,7 @@
 		}
 
 		metrics.probes.inc({result: answer.status === okStatus ? 'ok' : 'unwell'});
+		advisories.received(upstream, answer, 'health-check');
 		rateLimits.checked(upstream, answer);
 		const warmupMs = headerOf(answer.headers, dialect.warmupHeader);
 		if (warmupMs !== undefined || answer.status === okStatus) {
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -31,6 +31,8 @@
 		emptiedZones: new Gauge({name: 'cairnbank_emptied_zones', help: 'Availability zones whose upstreams get nothing by an order of the operators', registers}),
 		coldRequests: counter('cairnbank_cold_requests_total', 'Requests sent to upstreams that were cold or not known to be warm', ['service']),
 		rateLimitedRequests: counter('cairnbank_rate_limited_requests_total', 'Requests sent to upstreams that advertise a rate limit, by why they were sent', ['kind']),
+		advisories: counter('cairnbank_upstream_advisories_total', 'Answers in which an upstream advised instances, by what and whether to a request or a health check', ['type', 'source']),
+		unreadableAdvisories: counter('cairnbank_unreadable_advisories_total', 'Headers of answers that advise something that can\'t be read, by header', ['header']),
 		storeEpoch: new Gauge({name: 'cairnbank_store_epoch', help: 'Epoch of the store, which rises with each restore from an older copy', registers}),
 		outdatedState: counter('cairnbank_outdated_state_total', 'Answers of the store and states of instances from before a restore, left out', ['source']),
 		stateAgeSeconds: new Gauge({name: 'cairnbank_state_age_seconds', help: 'Time since the store last confirmed what is known', registers}),
--- a/packages/gateway/src/ports/request-dialect.ts
+++ b/packages/gateway/src/ports/request-dialect.ts
@@ -20,8 +20,16 @@
 	readonly warmupHeader: string;
 	/** On answers of an upstream in need: requests a second that it takes from all instances together. */
 	readonly rateLimitHeader: string;
+	/** On all answers of an upstream that is about to stop. */
+	readonly leavingHeader: string;
+	/** On a 503: how long the upstream wants nothing from the instance that it answers. */
+	readonly backOffHeader: string;
 	/** @returns nothing where the value is not a load report */
 	parseLoad(value: string): LoadReport | undefined;
 	/** @returns requests a second, or nothing where the value is no rate */
 	parseRateLimit(value: string): number | undefined;
+	/** @returns whether the upstream leaves, or nothing where the value says neither */
+	parseLeaving(value: string): boolean | undefined;
+	/** @returns milliseconds, or nothing where the value is no duration */
+	parseBackOffMs(value: string): number | undefined;
 };
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -15,6 +15,7 @@
 import {FleetTask} from './features/fleet/fleet-task.js';
 import {MetricsTask} from './features/metrics/metrics-task.js';
 import {StateTask} from './features/state/state-task.js';
+import {Advisories} from './features/upstreams/advisories.js';
 import {Pacing} from './features/upstreams/pacing.js';
 import {Placer} from './features/upstreams/placer.js';
 import {Prober} from './features/upstreams/prober.js';
@@ -124,9 +125,11 @@
 			fleet.shareRate(report);
 		},
 	});
+	const advisories = new Advisories({context, dialect: ports.requests});
 	const prober = new Prober({
 		context,
 		dialect: ports.requests,
+		advisories,
 		rateLimits,
 		healthPath: service => state.routes?.service(service)?.healthPath,
 		isInService: upstream => upstreams.isInService(upstream),
@@ -188,6 +191,7 @@
 			metrics: context.metrics,
 			work: new WorkEstimates(),
 			admission: new Admission(context.clock),
+			advisories,
 			rateLimits,
 			budget,
 			instances,
