An upstream that says in its answers that it leaves gets nothing more

What was seen: requests reached an upstream up to 4,719 ms after an answer had told the sending instance that it leaves; bound 2,000. Cause: the announcement travels in answers and was read by nobody; instances went by the registry's entry, which the store accepted 13 s later as it was down. Ruled out: one path only (all kinds of attempts went there); forgotten with the entry (no line says that it joined again), though the spec shows that this would have come next. Change: core/advisories holds what a start of an upstream has advised, beyond its entry in the registry; Eligibility (which replaces Pacing) asks it for each path that sends, health checks included. A new kind of advice does not compile before mayReceive has decided on it.

--- a/packages/core/src/advisories/advisory-record.ts
+++ b/packages/core/src/advisories/advisory-record.ts
@@ -1,16 +1,11 @@
 /** What one start of an upstream has advised, as far as an instance knows. */
 import type {Clock} from '../model/clock.js';
+import type {Availability} from './availability.js';
 import type {UpstreamAdvisory} from './upstream-advisory.js';
 
 /** A back-off is believed for no longer, so that a wrong value takes no upstream out of use for good. */
 export const maximumBackOffMs = 300_000;
 
-/** Whether an upstream may be sent anything by this instance. */
-export type Availability =
-	| {readonly type: 'available'}
-	| {readonly type: 'leaving'}
-	| {readonly type: 'backing-off'; readonly remainingMs: number};
-
 export class AdvisoryRecord {
 	readonly #clock: Clock;
 	#isLeaving = false;
--- a/packages/core/src/placement/upstream-condition.ts
+++ b/packages/core/src/placement/upstream-condition.ts
@@ -51,12 +51,13 @@
 	/**
 	 * @param onUnreachable - it could not be reached, and is to be checked once that is due
 	 * @param coldForMs - how much longer it is cold, as far as is known
+	 * @param advisories - what it has advised before; nothing, unless said otherwise
 	 */
-	constructor(clock: Clock, onUnreachable: () => void = () => undefined, coldForMs = 0) {
+	constructor(clock: Clock, onUnreachable: () => void = () => undefined, coldForMs = 0, advisories = new AdvisoryRecord(clock)) {
 		this.#clock = clock;
 		this.warmth = new Warmth(clock, coldForMs);
 		this.advertisedRate = new AdvertisedRate(clock);
-		this.advisories = new AdvisoryRecord(clock);
+		this.advisories = advisories;
 		this.#own = new OwnRequests(clock);
 		this.#onUnreachable = onUnreachable;
 	}
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -9,7 +9,7 @@
 import type {RateLimits} from '../upstreams/rate-limits.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import type {Call} from './call.js';
-import type {NoUpstreamReason} from './outcome.js';
+import type {NoUpstream} from './outcome.js';
 
 export type CallDependencies = {
 	readonly clock: Clock;
@@ -24,7 +24,7 @@
 	/** Greatest number of instances that may share the budget. */
 	readonly instances: () => number;
 	/** Asked where no upstream was found. */
-	readonly whyNone: (service: ServiceId) => NoUpstreamReason;
+	readonly whyNone: (service: ServiceId) => NoUpstream;
 	readonly place: (request: PlacementRequest) => Promise<Placement | undefined>;
 	/** A connection broke while the upstream ran the call. */
 	readonly onBroken: (call: Call, upstream: Upstream) => void;
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -69,7 +69,7 @@
 			instances: () => 1,
 			onBroken: () => undefined,
 			pause: async () => undefined,
-			whyNone: () => 'no-upstream',
+			whyNone: () => ({reason: 'no-upstream'}),
 			place: async ({excluded}) => this.#place(excluded, upstreams),
 		}, call);
 	}
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -76,7 +76,8 @@
 		}
 
 		if (placement === undefined) {
-			this.#attempts.refused(this.#dependencies.whyNone(this.#call.service));
+			const {reason} = this.#dependencies.whyNone(this.#call.service);
+			this.#attempts.refused(reason);
 			this.#endIfIdle();
 			return false;
 		}
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -1,4 +1,5 @@
 /** What a caller is told; each request ends in exactly one of these. */
+import type {NoneAvailableReason} from '@cairnbank/core/advisories';
 import type {UpstreamAnswer} from '../upstreams/exchange.js';
 
 /** Why there is no upstream to which a request may be sent. */
@@ -6,10 +7,14 @@
 	| 'no-upstream'
 	/** Operators have emptied the availability zones that have any. */
 	| 'zones-emptied'
-	/** All of them are cold, and other instances send them what they bear. */
-	| 'warming-up'
-	/** All of them advertise rate limits or are cold, and take no more from this instance now. */
-	| 'rate-limited';
+	/** All of them take nothing from this instance now, by what they say of themselves. */
+	| NoneAvailableReason;
+
+export type NoUpstream = {
+	readonly reason: NoUpstreamReason;
+	/** Until one takes requests again; nothing where that isn't known. */
+	readonly availableInMs?: number;
+};
 
 export type NotRunReason =
 	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'never-sent' | 'too-busy' | 'suspected-poison';
--- a/packages/gateway/src/features/upstreams/pacing.ts
+++ b/packages/gateway/src/features/upstreams/eligibility.ts
@@ -1,34 +1,40 @@
-/** Which upstreams that bear a limited rate may get a request of this instance now. */
+/** Which upstreams may get a request or a health check of this instance now, by what they have said of themselves. */
 import type {ServiceId} from '@cairnbank/core';
+import {mayReceive} from '@cairnbank/core/advisories';
 import type {FleetPace, PacedUpstream} from '@cairnbank/core/limits';
 import {startOf} from '@cairnbank/core/registry';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {Upstream} from './upstream.js';
 
-export type PacingOptions = {
+export type EligibilityOptions = {
 	readonly pace: FleetPace;
 	/** Requests a second that a cold upstream of a service bears; nothing where that has no bound. */
 	readonly coldRequestsPerSecond: (service: ServiceId) => number | undefined;
 	readonly metrics: Pick<Metrics, 'coldRequests'>;
 };
 
-export class Pacing {
-	readonly #options: PacingOptions;
+export class Eligibility {
+	readonly #options: EligibilityOptions;
 
-	constructor(options: PacingOptions) {
+	constructor(options: EligibilityOptions) {
 		this.#options = options;
 	}
 
-	/** All but those that are left to other instances for now. */
+	/** All but those that take nothing, and those that are left to other instances for now. */
 	mayTake(upstream: Upstream): boolean {
-		return this.#boundsOf(upstream).every(bound => this.#options.pace.mayUse(bound));
+		return this.mayCheck(upstream) && this.#boundsOf(upstream).every(bound => this.#options.pace.mayUse(bound));
 	}
 
 	/** Whether it may be considered for a request: also one that only a health check can show to be warm. */
 	mayConsider(upstream: Upstream): boolean {
 		const {warmth, advertisedRate} = upstream.condition;
 		const isPaced = warmth.isCold || advertisedRate.requestsPerSecond !== undefined;
-		return !isPaced || this.mayTake(upstream);
+		return isPaced ? this.mayTake(upstream) : this.mayCheck(upstream);
+	}
+
+	/** Whether it may get a health check. */
+	mayCheck({condition}: Upstream): boolean {
+		return mayReceive(condition.advisories.availability);
 	}
 
 	/** A request is sent there. */
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -10,7 +10,7 @@
 } from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import {createMetrics} from '../../metrics/metrics.js';
-import {Pacing} from './pacing.js';
+import {Eligibility} from './eligibility.js';
 import {Placer, type Placement, type PlacerOptions} from './placer.js';
 import type {Upstream} from './upstream.js';
 
@@ -47,7 +47,7 @@
 			prober: {probe: async (upstream: Upstream) => this.#probe(upstream)} as unknown as PlacerOptions['prober'],
 			ofService: (_service, zone) => [...this.#upstreams.values()].filter(({registered}) => zone === undefined || registered.availabilityZone === zone),
 			seat: () => ({index: 0, count: 1}),
-			pacing: new Pacing({
+			eligibility: new Eligibility({
 				pace: new FleetPace({clock: this.clock, self: {host: 'a', availabilityZone: 'nasr' as AvailabilityZoneId}, others: () => []}),
 				coldRequestsPerSecond: () => this.coldRequestsPerSecond,
 				metrics: createMetrics(),
@@ -75,7 +75,7 @@
 	}
 
 	whyHeldBack(): string | undefined {
-		return this.#placer.whyHeldBack('ledger' as ServiceId);
+		return this.#placer.whyHeldBack('ledger' as ServiceId)?.reason;
 	}
 
 	async #placed(excluded: readonly string[]): Promise<Placement | undefined> {
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -1,10 +1,11 @@
 /** Chooses the upstream of one attempt: ranks by what is known, asks the best for their load now, takes the best. */
 import type {AvailabilityZoneId, ServiceId, UpstreamId} from '@cairnbank/core';
+import {noneAvailable, type NoneAvailable} from '@cairnbank/core/advisories';
 import {
 	apertureWidth, expectedDurationMs, isLightlyLoaded, isWorthAsking, takeAperture, TypicalDurations, type Seat,
 } from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
-import type {Pacing} from './pacing.js';
+import type {Eligibility} from './eligibility.js';
 import type {Prober} from './prober.js';
 import type {Upstream} from './upstream.js';
 
@@ -55,7 +56,7 @@
 export type PlacerOptions = {
 	readonly context: Context;
 	readonly prober: Prober;
-	readonly pacing: Pacing;
+	readonly eligibility: Eligibility;
 	/** Upstreams that take new requests, of one availability zone or of all, in an order that is the same at all instances. */
 	readonly ofService: (service: ServiceId, zone?: AvailabilityZoneId) => readonly Upstream[];
 	/** Place of this instance among those of its availability zone or of the fleet. */
@@ -98,21 +99,27 @@
 		}
 
 		if (best !== undefined) {
-			this.#options.pacing.taken(best.upstream);
+			this.#options.eligibility.taken(best.upstream);
 		}
 
 		return best;
 	}
 
 	/** Why none of a service's upstreams takes a request of this instance now; nothing where one does, or there is none. */
-	whyHeldBack(service: ServiceId): 'warming-up' | 'rate-limited' | undefined {
+	whyHeldBack(service: ServiceId): NoneAvailable | undefined {
 		const upstreams = this.#options.ofService(service);
-		if (upstreams.length === 0 || upstreams.some(upstream => this.#options.pacing.mayTake(upstream))) {
+		if (upstreams.length === 0 || upstreams.some(upstream => this.#options.eligibility.mayTake(upstream))) {
 			return undefined;
 		}
 
-		const isLimited = upstreams.some(({condition}) => condition.advertisedRate.requestsPerSecond !== undefined);
-		return isLimited ? 'rate-limited' : 'warming-up';
+		return noneAvailable(upstreams.map(({condition}) => {
+			const {availability} = condition.advisories;
+			if (availability.type !== 'available') {
+				return availability;
+			}
+
+			return {type: condition.advertisedRate.requestsPerSecond === undefined ? 'warming-up' : 'rate-limited'};
+		}));
 	}
 
 	/** Upstreams that this instance turns to first. */
@@ -153,7 +160,7 @@
 	}
 
 	#best(considered: readonly Upstream[], workMs: number): Placement | undefined {
-		const candidates = answeringOf(considered.filter(upstream => this.#options.pacing.mayTake(upstream)));
+		const candidates = answeringOf(considered.filter(upstream => this.#options.eligibility.mayTake(upstream)));
 		if (candidates.length === 0) {
 			return undefined;
 		}
@@ -174,7 +181,7 @@
 
 	#usable({service, excluded}: PlacementRequest): readonly Upstream[] {
 		const untried = this.#options.ofService(service).filter(({registered}) => !excluded.has(registered.id));
-		return answeringOf(untried.filter(upstream => this.#options.pacing.mayConsider(upstream)));
+		return answeringOf(untried.filter(upstream => this.#options.eligibility.mayConsider(upstream)));
 	}
 
 	/** Asks all at once; goes on as soon as one is lightly loaded in this zone, or all have answered, or time is up. */
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -9,6 +9,7 @@
 	headerOf, loadOf, type ExchangeFailure, type UpstreamAnswer,
 } from './exchange.js';
 import type {Advisories} from './advisories.js';
+import type {Eligibility} from './eligibility.js';
 import type {RateLimits} from './rate-limits.js';
 import type {Upstream} from './upstream.js';
 
@@ -20,6 +21,7 @@
 	readonly context: Context;
 	readonly dialect: RequestDialect;
 	readonly advisories: Pick<Advisories, 'received'>;
+	readonly eligibility: Pick<Eligibility, 'mayCheck'>;
 	readonly rateLimits: Pick<RateLimits, 'checked'>;
 	/** Path of a service's health check; nothing for an unknown service. */
 	readonly healthPath: (service: string) => string | undefined;
@@ -59,7 +61,8 @@
 			return undefined;
 		}
 
-		if (!this.#options.isInService(upstream) || !this.#tryTake()) {
+		const {isInService, eligibility} = this.#options;
+		if (!isInService(upstream) || !eligibility.mayCheck(upstream) || !this.#tryTake()) {
 			return undefined;
 		}
 
--- a/packages/gateway/src/features/upstreams/recheck-task.ts
+++ b/packages/gateway/src/features/upstreams/recheck-task.ts
@@ -39,7 +39,7 @@
 	}
 
 	#checkDue(): void {
-		const avoided = this.#options.upstreams().filter(({condition}) => condition.isAvoided);
+		const avoided = this.#options.upstreams().filter(({condition}) => condition.isAvoided && condition.advisories.availability.type !== 'leaving');
 		for (const upstream of avoided.filter(({condition}) => condition.isCheckDue)) {
 			void this.#options.probe(upstream);
 		}
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -16,7 +16,7 @@
 import {MetricsTask} from './features/metrics/metrics-task.js';
 import {StateTask} from './features/state/state-task.js';
 import {Advisories} from './features/upstreams/advisories.js';
-import {Pacing} from './features/upstreams/pacing.js';
+import {Eligibility} from './features/upstreams/eligibility.js';
 import {Placer} from './features/upstreams/placer.js';
 import {Prober} from './features/upstreams/prober.js';
 import {RateLimits} from './features/upstreams/rate-limits.js';
@@ -126,10 +126,20 @@
 		},
 	});
 	const advisories = new Advisories({context, dialect: ports.requests});
+	const eligibility = new Eligibility({
+		pace: new FleetPace({
+			clock: context.clock,
+			self: {host: settings.host, availabilityZone: settings.availabilityZone as AvailabilityZoneId},
+			others: () => fleet.others(),
+		}),
+		coldRequestsPerSecond: service => state.routes?.service(service)?.coldRequestsPerSecond,
+		metrics: context.metrics,
+	});
 	const prober = new Prober({
 		context,
 		dialect: ports.requests,
 		advisories,
+		eligibility,
 		rateLimits,
 		healthPath: service => state.routes?.service(service)?.healthPath,
 		isInService: upstream => upstreams.isInService(upstream),
@@ -147,19 +157,10 @@
 			fleet.announceCrash(crash);
 		},
 	});
-	const pacing = new Pacing({
-		pace: new FleetPace({
-			clock: context.clock,
-			self: {host: settings.host, availabilityZone: settings.availabilityZone as AvailabilityZoneId},
-			others: () => fleet.others(),
-		}),
-		coldRequestsPerSecond: service => state.routes?.service(service)?.coldRequestsPerSecond,
-		metrics: context.metrics,
-	});
 	const placer = new Placer({
 		context,
 		prober,
-		pacing,
+		eligibility,
 		ofService: (service, zone) => upstreams.ofService(service, zone),
 		seat: among => fleet.seat(among),
 	});
@@ -197,7 +198,7 @@
 			instances,
 			place: async request => placer.place(request),
 			whyNone(service) {
-				return placer.whyHeldBack(service) ?? (upstreams.hasEmptied(service) ? 'zones-emptied' : 'no-upstream');
+				return placer.whyHeldBack(service) ?? {reason: upstreams.hasEmptied(service) ? 'zones-emptied' : 'no-upstream'};
 			},
 			onBroken(call, upstream) {
 				void guard.brokeOff(call, upstream);
