An upstream that asks an instance to back off gets nothing from it until then

What was seen: an upstream had turned an instance away with 503 and 3 s of Retry-After, and got four requests from it in that time; callers were answered, the upstream got no rest. Cause: the time was read by nobody. A refusal only blames the upstream, half of which fades in 3 s, and its load report says that slots are free. Ruled out: repeats only; requests that were already on their way. Change: mayReceive is false while a back-off lasts, for all paths that send. Callers for whom nothing is left are refused at once and told the soonest end, not after 60 ms; they are held only where that end falls into the time for which they are held anyway.

--- a/packages/core/src/advisories/availability.ts
+++ b/packages/core/src/advisories/availability.ts
@@ -4,6 +4,7 @@
 	| {readonly type: 'available'}
 	/** It is about to stop, and takes nothing until it starts anew. */
 	| {readonly type: 'leaving'}
+	/** It has turned this instance away for some time. */
 	| {readonly type: 'backing-off'; readonly remainingMs: number};
 
 /** Whether anything may be sent there, a health check too. */
@@ -13,12 +14,9 @@
 			return true;
 		}
 
-		case 'leaving': {
-			return false;
-		}
-
+		case 'leaving':
 		case 'backing-off': {
-			return true;
+			return false;
 		}
 	}
 }
--- a/packages/gateway/src/features/calls/attempt-summary.ts
+++ b/packages/gateway/src/features/calls/attempt-summary.ts
@@ -1,16 +1,19 @@
 /** What the attempts of one call have shown so far, and what its caller is told if no further one comes. */
 import type {UpstreamId} from '@cairnbank/core';
 import type {Verdict} from './judge-exchange.js';
-import type {NotRunReason, Outcome, UnknownReason} from './outcome.js';
+import type {
+	NotRunReason, NoUpstream, Outcome, UnknownReason,
+} from './outcome.js';
 
-/** When a caller of a request that has not run may come again: some upstream has a free slot by then. */
-const retryAfterMs = 60;
+/** When a caller of a request that has not run may come again, unless more is known: some upstream has a free slot by then. */
+const usualRetryAfterMs = 60;
 
 export class AttemptSummary {
 	readonly #tried = new Set<UpstreamId>();
 	#sent = 0;
 	#mayHaveRun: UnknownReason | undefined;
 	#notRun: NotRunReason = 'never-sent';
+	#retryAfterMs = usualRetryAfterMs;
 	#upstreamFailure: Outcome | undefined;
 
 	/** Upstreams that no further attempt goes to. */
@@ -33,6 +36,12 @@
 		this.#notRun = this.#sent > 0 ? this.#notRun : reason;
 	}
 
+	/** No upstream takes an attempt now. */
+	noneAvailable({reason, availableInMs}: NoUpstream): void {
+		this.refused(reason);
+		this.#retryAfterMs = availableInMs ?? usualRetryAfterMs;
+	}
+
 	/** An attempt has ended without a success. */
 	ended(verdict: Exclude<Verdict, {readonly type: 'success'}>): void {
 		switch (verdict.type) {
@@ -82,6 +91,6 @@
 	}
 
 	#notRunOutcome(): Outcome {
-		return {type: 'not-run', reason: this.#notRun, retryAfterMs};
+		return {type: 'not-run', reason: this.#notRun, retryAfterMs: this.#retryAfterMs};
 	}
 }
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -11,7 +11,7 @@
 import type {Placement} from '../upstreams/placer.js';
 import type {Call} from './call.js';
 import {CallRun} from './call-run.js';
-import type {Outcome} from './outcome.js';
+import type {NoUpstream, Outcome} from './outcome.js';
 
 type Exchange = {
 	readonly upstream: string;
@@ -27,6 +27,15 @@
 export const cancelled = err({type: 'cancelled'} as const);
 export const notConnected = err({type: 'not-connected', message: 'refused', isTimeout: false} as const);
 
+export type CallWorldOptions = {
+	readonly idempotent: boolean;
+	readonly maximumAttempts?: number;
+	readonly slack?: number;
+	readonly upstreams?: number;
+	/** Why there is none where none is left. */
+	readonly noUpstream?: NoUpstream;
+};
+
 export class CallWorld {
 	readonly clock = new ManualClock();
 	readonly exchanges: Exchange[] = [];
@@ -39,8 +48,10 @@
 	readonly run: CallRun;
 	#next = 0;
 
-	constructor(options: {idempotent: boolean; maximumAttempts?: number; slack?: number; upstreams?: number}) {
-		const {idempotent, maximumAttempts = 2, slack = 50, upstreams = 9} = options;
+	constructor(options: CallWorldOptions) {
+		const {
+			idempotent, maximumAttempts = 2, slack = 50, upstreams = 9, noUpstream = {reason: 'no-upstream'},
+		} = options;
 		const call: Call = {
 			requestId: 'r1',
 			caller: '10.9.0.1',
@@ -68,8 +79,10 @@
 			budget: () => budget,
 			instances: () => 1,
 			onBroken: () => undefined,
-			pause: async () => undefined,
-			whyNone: () => ({reason: 'no-upstream'}),
+			pause: async durationMs => {
+				this.clock.advance(durationMs);
+			},
+			whyNone: () => noUpstream,
 			place: async ({excluded}) => this.#place(excluded, upstreams),
 		}, call);
 	}
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -32,6 +32,30 @@
 		assert.equal(headers[headers.indexOf('expect') + 1], 'u1');
 	});
 
+	describe('while no upstream takes requests', () => {
+		const backingOff = (availableInMs: number) => ({reason: 'upstreams-backing-off', availableInMs}) as const;
+		inWorld('should be refused at once where none takes any within the time for which they are held', {
+			idempotent: true, upstreams: 0, noUpstream: backingOff(700),
+		}, async world => {
+			assert.deepEqual(world.outcome, {type: 'not-run', reason: 'upstreams-backing-off', retryAfterMs: 700});
+			assert.equal(world.clock.monotonicMs(), 0);
+		});
+
+		inWorld('should be held where one may take them in that time', {
+			idempotent: true, upstreams: 0, noUpstream: backingOff(5),
+		}, async world => {
+			assert.equal(world.outcome?.type, 'not-run');
+			assert.ok(world.clock.monotonicMs() > 0);
+		});
+
+		inWorld('should be told when one that has turned them away takes requests again', {
+			idempotent: false, upstreams: 1, noUpstream: backingOff(300),
+		}, async world => {
+			await world.answer(0, refusal);
+			assert.deepEqual(world.outcome, {type: 'not-run', reason: 'refused-by-upstreams', retryAfterMs: 300});
+		});
+	});
+
 	describe('idempotent requests', () => {
 		inWorld('should be repeated elsewhere after a failure', {idempotent: true}, async world => {
 			await world.answer(0, broken);
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -76,8 +76,7 @@
 		}
 
 		if (placement === undefined) {
-			const {reason} = this.#dependencies.whyNone(this.#call.service);
-			this.#attempts.refused(reason);
+			this.#attempts.noneAvailable(this.#dependencies.whyNone(this.#call.service));
 			this.#endIfIdle();
 			return false;
 		}
@@ -127,7 +126,7 @@
 		const holdMs = kind === 'first' ? route.targetLatencyMs * holdRatio : 0;
 		const holdUntilMs = this.#call.receivedAtMs + holdMs;
 		let placement = await this.#dependencies.place(request);
-		while (placement === undefined && this.#now() < holdUntilMs && !this.#isOver) {
+		while (placement === undefined && this.#isWorthHolding(holdUntilMs)) {
 			await this.#dependencies.pause(placementRetryMs);
 			placement = await this.#dependencies.place(request);
 		}
@@ -135,6 +134,12 @@
 		return placement;
 	}
 
+	/** A request is not held for an upstream that is known to take nothing until later. */
+	#isWorthHolding(holdUntilMs: number): boolean {
+		const {availableInMs = 0} = this.#dependencies.whyNone(this.#call.service);
+		return !this.#isOver && this.#now() + availableInMs < holdUntilMs;
+	}
+
 	async #send(kind: AttemptKind, placement: Placement): Promise<boolean> {
 		const remainingMs = Math.floor(this.#remainingMs);
 		if (remainingMs <= 0) {
