The soak plays upstreams that leave or ask for a back-off, with a check for each

An upstream says in its answers that it leaves, and in its entry some seconds later; another turns requests away for a moment and asks for a longer back-off. Two checks go by what callers and upstreams saw; checks.spec has a broken history for each.

--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -16,7 +16,7 @@
 const run = (upstream = 'u0', atMs = 5, id = 'a'): RunRecord => ({id, upstream, atMs});
 
 const sound: History = {
-	calls: [call(answered(200))], runs: [run()], disturbances: [], drains: [], limits: [], stops: [], afterwards: [],
+	calls: [call(answered(200))], runs: [run()], disturbances: [], arrivals: [], backOffs: [], drains: [], limits: [], leavings: [], stops: [], afterwards: [],
 };
 
 /** One broken promise each, by the name of the check that is to notice it. */
@@ -33,6 +33,19 @@
 		}],
 		runs: [run(), ...Array.from({length: 12}, (_, index) => run('u0', 4000 + index, `b${index}`))],
 	},
+	'an upstream gets nothing new from an instance that has passed on that it leaves, after its time to drain': {
+		leavings: [{upstream: 'u0', atMs: 0}],
+		calls: [call(answered(200)), call(answered(200, 'u0', '/read/1', 'b'), {id: 'b', sentAtMs: 2011, endedAtMs: 2020})],
+		runs: [run(), run('u0', 2015, 'b')],
+	},
+	'an upstream that asks an instance to back off gets next to nothing from it in that time': {
+		calls: ['a', 'b', 'c', 'd'].map(id => call(answered(200, 'u1', '/read/1', id), {id})),
+		runs: ['a', 'b', 'c', 'd'].map(id => run('u1', 5, id)),
+		arrivals: ['b', 'c', 'd'].map(id => ({id, upstream: 'u0', atMs: 2000})),
+		backOffs: [{
+			id: 'a', upstream: 'u0', atMs: 100, durationMs: 3000,
+		}],
+	},
 	'no request that ran is cut at an instance that was neither killed nor paused': {calls: [call({type: 'cut'})]},
 	'an instance that is told to stop ends in order': {
 		stops: [{
@@ -85,6 +98,16 @@
 		assert.equal(breached(history('127.0.0.3')).length, 1);
 	});
 
+	it('should not judge what an instance was told before it was started again', () => {
+		const disturbances = [{
+			kind: 'restart' as const, instance: '127.0.0.2', fromMs: 500, untilMs: 900,
+		}];
+		for (const name of Object.keys(broken).filter(each => each.includes('leaves') || each.includes('back off'))) {
+			assert.deepEqual(breached({...sound, ...broken[name], disturbances}), []);
+			assert.deepEqual(breached({...sound, ...broken[name], disturbances: [{...disturbances[0]!, instance: '127.0.0.3'}]}), [name]);
+		}
+	});
+
 	it('should not judge a drain by an instance that was paused meanwhile', () => {
 		const disturbances = [{
 			kind: 'instance' as const, instance: '127.0.0.2', fromMs: 100, untilMs: 2500,
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -9,6 +9,10 @@
 const stabilityMs = 3000;
 /** From this time on after an upstream first advertised its limit, all instances have to know it. */
 const limitKnownAfterMs = 3000;
+/** What is already under way when an upstream asks an instance to back off may still arrive in this time. */
+const underWayMs = 500;
+/** Requests that may reach an upstream all the same while it wants nothing from an instance. */
+const backOffSlack = 2;
 const limitWindowMs = 4000;
 const limitFactor = 1.5;
 const limitSlack = 5;
@@ -140,6 +144,56 @@
 	},
 };
 
+/** Instances by the ids of the requests that they took from callers. */
+function instancesOf(calls: readonly CallRecord[]): ReadonlyMap<string, string> {
+	return new Map(calls.map(({id, instance}) => [id, instance]));
+}
+
+const isOfInstance = (instance: string) => (disturbance: Disturbance) => disturbance.instance === instance;
+
+const leavingIsHeeded: Check = {
+	name: 'an upstream gets nothing new from an instance that has passed on that it leaves, after its time to drain',
+	breaches({calls, runs, leavings, disturbances}) {
+		const byId = runsOf(runs);
+		return leavings.flatMap(({upstream, atMs: leavingAtMs}) => {
+			/** When each instance first passed on an answer of the upstream that says so. */
+			const toldAtMs = new Map<string, number>();
+			for (const {id, end, instance, endedAtMs} of calls) {
+				const isTold = end.type === 'answered' && end.signature === `signed-by-${upstream}`
+					&& byId.get(id)?.some(run => run.upstream === upstream && run.atMs >= leavingAtMs);
+				if (isTold) {
+					toldAtMs.set(instance, Math.min(endedAtMs, toldAtMs.get(instance) ?? Number.POSITIVE_INFINITY));
+				}
+			}
+
+			const isLate = ({id, instance, sentAtMs}: CallRecord) => {
+				const atMs = toldAtMs.get(instance) ?? Number.POSITIVE_INFINITY;
+				const isExcused = disturbances.filter(isOfInstance(instance)).some(({fromMs, untilMs}) => fromMs <= sentAtMs + drainMs && untilMs >= atMs);
+				return !isExcused && sentAtMs > atMs + drainMs && byId.get(id)?.some(run => run.upstream === upstream);
+			};
+
+			return calls.filter(call => isLate(call)).map(({id, instance}) => `${id} ran on ${upstream}, sent by ${instance}, which had been told that it leaves`);
+		});
+	},
+};
+
+const backOffIsKept: Check = {
+	name: 'an upstream that asks an instance to back off gets next to nothing from it in that time',
+	breaches({calls, arrivals, backOffs, disturbances}) {
+		const instances = instancesOf(calls);
+		return backOffs.flatMap(({id: askedBy, upstream, atMs, durationMs}) => {
+			const instance = instances.get(askedBy);
+			const isExcused = disturbances.some(disturbance =>
+				(disturbance.instance === instance || disturbance.upstream === upstream) && disturbance.fromMs <= atMs + durationMs && disturbance.untilMs >= atMs);
+			const late = arrivals.filter(arrival => arrival.upstream === upstream && instances.get(arrival.id) === instance
+				&& arrival.atMs > atMs + underWayMs && arrival.atMs <= atMs + durationMs);
+			return isExcused || late.length <= backOffSlack
+				? []
+				: [`${upstream} had asked ${instance} to back off for ${durationMs} ms, and got ${late.length} requests from it`];
+		});
+	},
+};
+
 const plannedWorkCutsNothing: Check = {
 	name: 'no request that ran is cut at an instance that was neither killed nor paused',
 	breaches({calls, runs, disturbances}) {
@@ -177,6 +231,8 @@
 	repeatsWithinBudget,
 	drainedGetsNothing,
 	limitIsKept,
+	leavingIsHeeded,
+	backOffIsKept,
 	plannedWorkCutsNothing,
 	stopsInOrder,
 	recovers,
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -33,6 +33,8 @@
 		| 'link';
 	/** Host of the instance that is disturbed; nothing where all may be. */
 	readonly instance?: string;
+	/** To which the disturbed link leads. */
+	readonly upstream?: string;
 	readonly fromMs: number;
 	readonly untilMs: number;
 };
@@ -42,6 +44,15 @@
 /** An upstream advertised a rate limit all this time, from the first whole answer that named it. */
 export type LimitMark = {readonly upstream: string; readonly requestsPerSecond: number; readonly fromMs: number; readonly untilMs: number};
 
+/** From here on all that an upstream answers says that it leaves. */
+export type LeavingMark = {readonly upstream: string; readonly atMs: number};
+
+/** A request reached an upstream, whether it ran there or not. */
+export type ArrivalRecord = {readonly id: string; readonly upstream: string; readonly atMs: number};
+
+/** An upstream turned a request away and asked its instance to back off. */
+export type BackOffRecord = ArrivalRecord & {readonly durationMs: number};
+
 export type StopRecord = {
 	readonly instance: string;
 	readonly exitCode: number | undefined;
@@ -56,6 +67,9 @@
 	readonly disturbances: readonly Disturbance[];
 	readonly drains: readonly DrainMark[];
 	readonly limits: readonly LimitMark[];
+	readonly leavings: readonly LeavingMark[];
+	readonly arrivals: readonly ArrivalRecord[];
+	readonly backOffs: readonly BackOffRecord[];
 	readonly stops: readonly StopRecord[];
 	/** Calls after the last fault, when all is to be served again. */
 	readonly afterwards: readonly CallRecord[];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -14,6 +14,10 @@
 	| {readonly type: 'reload'; readonly instance: number}
 	| {readonly type: 'configure'}
 	| {readonly type: 'drain'; readonly upstream: number}
+	/** It says so in its answers at once, and in its entry some time later. */
+	| {readonly type: 'leave'; readonly upstream: number; readonly entryAfterMs: number}
+	/** It turns requests away for a moment, and asks each instance to back off for longer. */
+	| {readonly type: 'back-off'; readonly upstream: number; readonly seconds: number; readonly forMs: number}
 	| {readonly type: 'misbehave'; readonly upstream: number; readonly behaviour: UpstreamBehaviour; readonly forMs: number}
 	| {readonly type: 'limit'; readonly upstream: number; readonly requestsPerSecond: number; readonly forMs: number}
 	| {readonly type: 'link'; readonly upstream: number; readonly fault: LinkFault; readonly forMs: number}
@@ -92,6 +96,10 @@
 		() => ({type: 'reload', instance}),
 		() => ({type: 'configure'}),
 		() => ({type: 'drain', upstream}),
+		() => ({type: 'leave', upstream, entryAfterMs: 2 * forMs}),
+		() => ({
+			type: 'back-off', upstream, seconds: 1 + random.below(5), forMs,
+		}),
 		() => ({
 			type: 'misbehave', upstream, behaviour: pick(random, behaviours), forMs,
 		}),
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -3,10 +3,10 @@
 import {createRandomSource} from '@cairnbank/core/random';
 import {paymentRoute, route, Site} from '@cairnbank/platform/spec-support/site';
 import type {StoreCopy} from '@cairnbank/platform/spec-support/store-stand-in';
-import {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
+import {UpstreamStandIn, type UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {waitFor} from '@cairnbank/testing/harness';
 import type {
-	CallRecord, Disturbance, DrainMark, History, LimitMark, RunRecord, StopRecord,
+	ArrivalRecord, BackOffRecord, CallRecord, Disturbance, DrainMark, History, LeavingMark, LimitMark, RunRecord, StopRecord,
 } from './history.js';
 import {LinkProxy} from './link-proxy.js';
 import type {Schedule, SoakEvent} from './schedule.js';
@@ -27,6 +27,7 @@
 	readonly #disturbances: Disturbance[] = [];
 	readonly #drains: DrainMark[] = [];
 	readonly #limits: LimitMark[] = [];
+	readonly #leavings: LeavingMark[] = [];
 	readonly #stops: StopRecord[] = [];
 	readonly #pending = new Set<Promise<void>>();
 	/** Instances that are ending or starting; further signals pass them by. */
@@ -177,12 +178,17 @@
 				return this.#drain(event.upstream);
 			}
 
+			case 'leave': {
+				return this.#leave(event.upstream, event.entryAfterMs);
+			}
+
+			case 'back-off': {
+				this.#upstreams[event.upstream]!.backOffSeconds = event.seconds;
+				return this.#misbehave(event.upstream, 'sheds', event.forMs);
+			}
+
 			case 'misbehave': {
-				const upstream = this.#upstreams[event.upstream]!;
-				upstream.behaviour = event.behaviour;
-				await delay(event.forMs);
-				upstream.behaviour = 'answers';
-				return;
+				return this.#misbehave(event.upstream, event.behaviour, event.forMs);
 			}
 
 			case 'limit': {
@@ -192,7 +198,7 @@
 			case 'link': {
 				const proxy = this.#proxies[event.upstream]!;
 				proxy.put(event.fault);
-				await this.#disturb({kind: 'link'}, async () => delay(event.forMs));
+				await this.#disturb({kind: 'link', upstream: this.#upstreams[event.upstream]!.id}, async () => delay(event.forMs));
 				proxy.put({type: 'none'});
 				return;
 			}
@@ -262,6 +268,26 @@
 		this.#drains.push({upstream: id, atMs: performance.now()});
 	}
 
+	async #leave(index: number, entryAfterMs: number): Promise<void> {
+		const upstream = this.#upstreams[index]!;
+		if (upstream.isLeaving) {
+			return;
+		}
+
+		upstream.isLeaving = true;
+		upstream.tellsLeavingInChecks = index % 2 === 0;
+		this.#leavings.push({upstream: upstream.id, atMs: performance.now()});
+		await delay(entryAfterMs);
+		await this.#drain(index);
+	}
+
+	async #misbehave(index: number, behaviour: UpstreamBehaviour, forMs: number): Promise<void> {
+		const upstream = this.#upstreams[index]!;
+		upstream.behaviour = behaviour;
+		await delay(forMs);
+		upstream.behaviour = 'answers';
+	}
+
 	async #limit(index: number, requestsPerSecond: number, forMs: number): Promise<void> {
 		const upstream = this.#upstreams[index]!;
 		if (upstream.rateLimit !== undefined) {
@@ -292,7 +318,7 @@
 		});
 	}
 
-	async #disturb(disturbance: Pick<Disturbance, 'kind' | 'instance'>, during: () => Promise<unknown>): Promise<void> {
+	async #disturb(disturbance: Pick<Disturbance, 'kind' | 'instance' | 'upstream'>, during: () => Promise<unknown>): Promise<void> {
 		const fromMs = performance.now();
 		await during();
 		this.#disturbances.push({...disturbance, fromMs, untilMs: performance.now()});
@@ -313,8 +339,19 @@
 
 	#history(calls: readonly CallRecord[], afterwards: readonly CallRecord[]): History {
 		const runs: RunRecord[] = this.#upstreams.flatMap(({id: upstream, ran, ranAtMs}) => ran.map((id, index) => ({id, upstream, atMs: ranAtMs[index]!})));
+		const arrivals: ArrivalRecord[] = this.#upstreams.flatMap(({id: upstream, arrivals: ofUpstream}) => ofUpstream.map(arrival => ({...arrival, upstream})));
+		const backOffs: BackOffRecord[] = this.#upstreams.flatMap(({id: upstream, backedOff}) => backedOff.map(backOff => ({...backOff, upstream})));
 		return {
-			calls, runs, disturbances: this.#disturbances, drains: this.#drains, limits: this.#limits, stops: this.#stops, afterwards,
+			calls,
+			runs,
+			arrivals,
+			backOffs,
+			disturbances: this.#disturbances,
+			drains: this.#drains,
+			limits: this.#limits,
+			leavings: this.#leavings,
+			stops: this.#stops,
+			afterwards,
 		};
 	}
 }
