Whether an upstream has crashed is asked on a connection of its own

What was seen: once beside load, whole-path.spec waited in vain for the blame for two crashes. Cause, found by reading and not traced in that run: the check took a kept connection where there was one; the crash resets it too, and where that was not yet noticed the check counted as broken off, so that nobody was blamed and a request that crashes upstreams went on. Change: the check opens a new connection. prober.spec was red without it.

--- a/packages/gateway/src/features/upstreams/connection-pool.ts
+++ b/packages/gateway/src/features/upstreams/connection-pool.ts
@@ -29,6 +29,11 @@
 			connection.close();
 		}
 
+		return this.open();
+	}
+
+	/** A new connection. */
+	open(): UpstreamConnection {
 		this.#options.onOpened();
 		const connection = new UpstreamConnection({
 			...this.#options,
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -11,6 +11,7 @@
 import type {Advisories} from './advisories.js';
 import type {Eligibility} from './eligibility.js';
 import type {RateLimits} from './rate-limits.js';
+import type {UpstreamConnection} from './upstream-connection.js';
 import type {Upstream} from './upstream.js';
 
 /** An upstream that has not answered a health check after this time is left alone for a moment. */
@@ -75,14 +76,17 @@
 		}
 	}
 
-	/** Whether an upstream that broke a connection refuses new ones; no part of the budget, as it comes once a crash. */
+	/**
+	 * Whether an upstream that broke a connection refuses new ones; no part of the budget, as it comes once a crash. A kept
+	 * connection says nothing of that: a crash resets it too, maybe unnoticed so far.
+	 */
 	async refusesConnections(upstream: Upstream): Promise<boolean> {
 		if (!this.#options.isInService(upstream)) {
 			return false;
 		}
 
 		const path = this.#options.healthPath(upstream.registered.service) ?? '/';
-		const result = await this.#ask(upstream, path);
+		const result = await this.#ask(upstream, path, upstream.pool.open());
 		return result.isErr() && result.error.type === 'not-connected' && !result.error.isTimeout;
 	}
 
@@ -97,7 +101,7 @@
 		const {logger, metrics} = this.#options.context;
 		const {condition, registered} = upstream;
 		condition.asked();
-		const result = await this.#ask(upstream, path);
+		const result = await this.#ask(upstream, path, upstream.pool.take());
 		if (result.isErr()) {
 			metrics.probes.inc({result: result.error.type});
 			this.#failed(condition, result.error);
@@ -109,8 +113,7 @@
 		return condition.report;
 	}
 
-	async #ask(upstream: Upstream, path: string): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
-		const connection = upstream.pool.take();
+	async #ask(upstream: Upstream, path: string, connection: UpstreamConnection): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
 		const {host, port} = upstream.registered;
 		const result = await connection.exchange({
 			method: 'GET',
