A whole state of another instance no longer takes upstreams away that are newer than it

Cause: the newest records of over 500 upstreams come in pages, and later pages hold records from beyond the end that the first one tells. A state from about that position lacks them, so they were taken for gone; their own records, read next, then counted as older than what had been seen, for 30 s. In that time each instance fetched the follower's whole state with each heartbeat, as their upstreams differed. Callers: an upstream that joins in that moment got nothing from such an instance for 30 s. Ruled out: heartbeats of upstreams as records (position 24 after 92 s with 24 upstreams).

--- a/packages/core/src/registry/upstream-registry.ts
+++ b/packages/core/src/registry/upstream-registry.ts
@@ -127,8 +127,9 @@
 		}
 
 		const present = new Set(snapshot.records.map(({key}) => key));
+		// A read of several pages also brings records from beyond its end, of which this snapshot can't know.
 		const removed = [...this.#entries.values()]
-			.filter(({upstream}) => !present.has(upstream.id))
+			.filter(({upstream, offset}) => !present.has(upstream.id) && offset < snapshot.endOffset)
 			.flatMap(({upstream}) => this.#remove(upstream.id, trust));
 		const changed = snapshot.records.flatMap(record => this.#apply(record, trust));
 		this.#isKnown = true;
