The soak plays builds that are broken on purpose; its callers no longer gather at one instance

Played while this was written: leaving, limit kept by each instance alone, attempts and a restarted instance that serves nothing went unnoticed at first. Traced: the first three had too little traffic where the fault was, as all callers kept their first connection and most had got the same instance (2,646 of 2,662 requests at one of three); the last mutation left requests held, not refused, and was replaced by one that refuses. Now every second caller asks for addresses again after 20 requests, and a run begins once all instances know each other.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -4,13 +4,26 @@
 import {cac} from 'cac';
 import {checks} from './checks.js';
 import type {History} from './history.js';
-import {drawSchedule, readSchedule, type Schedule} from './schedule.js';
+import {buildMutant} from './mutant.js';
+import {mutations, type Mutation} from './mutations.js';
+import {
+	drawSchedule, mutationSchedule, readSchedule, type Schedule,
+} from './schedule.js';
 import {SoakRun} from './soak-run.js';
 
 const findingsFolder = 'target/soak';
 const exitCodes = {sound: 0, breached: 1} as const;
 
-type Options = {readonly seed: number; readonly count: number; readonly instances?: number; readonly seconds: number; readonly program?: string; readonly file?: string};
+type Options = {
+	readonly seed: number;
+	readonly count: number;
+	readonly instances?: number;
+	readonly seconds: number;
+	readonly program?: string;
+	readonly file?: string;
+	readonly mutations?: boolean;
+	readonly mutation?: string;
+};
 
 function breachesOf(history: History): readonly string[] {
 	return checks.flatMap(({name, breaches}) => breaches(history).map(breach => `${name}: ${breach}`));
@@ -51,6 +64,31 @@
 	return breaches.length === 0;
 }
 
+/** @returns whether the check that has to notice the mutation does */
+async function playMutation(mutation: Mutation): Promise<boolean> {
+	const run = new SoakRun(mutationSchedule(mutation.events), buildMutant(mutation));
+	const history = await run.play();
+	const noticing = checks.filter(({breaches}) => breaches(history).length > 0).map(({name}) => name);
+	const isNoticed = noticing.includes(mutation.noticedBy);
+	console.log(`${mutation.name}: ${isNoticed ? 'noticed' : 'NOT noticed'} by "${mutation.noticedBy}"`);
+	for (const name of noticing.filter(other => other !== mutation.noticedBy)) {
+		console.log(`  also by "${name}"`);
+	}
+
+	return isNoticed;
+}
+
+async function playMutations(only: string | undefined): Promise<number> {
+	const played = mutations.filter(({name}) => only === undefined || name === only);
+	const missed: string[] = [];
+	for (const mutation of played) {
+		missed.push(...(await playMutation(mutation) ? [] : [mutation.name]));
+	}
+
+	console.log(missed.length === 0 ? `${played.length} mutations, all noticed` : `${played.length} mutations, not noticed: ${missed.join(' ')}`);
+	return missed.length === 0 ? exitCodes.sound : exitCodes.breached;
+}
+
 async function main(): Promise<number> {
 	const cli = cac('soak');
 	cli.option('--seed <number>', 'first seed', {default: 1});
@@ -59,14 +97,20 @@
 	cli.option('--seconds <number>', 'length of a schedule', {default: 10});
 	cli.option('--file <path>', 'plays this schedule alone, or the one of a kept run');
 	cli.option('--program <path>', 'program to play, as target/cairnbankd.cjs; the one that the build leaves unless given');
+	cli.option('--mutations', 'plays each build that is broken on purpose, and tells whether its check notices it');
+	cli.option('--mutation <name>', 'plays this one alone');
 	cli.help();
 	const {
-		seed, count, instances, seconds, program, file, help,
+		seed, count, instances, seconds, program, file, mutations: areMutationsPlayed, mutation, help,
 	} = cli.parse().options as unknown as Options & {readonly help?: boolean};
 	if (help) {
 		return exitCodes.sound;
 	}
 
+	if (areMutationsPlayed === true || mutation !== undefined) {
+		return playMutations(mutation);
+	}
+
 	if (file !== undefined) {
 		return await playOne(readSchedule(file), program) ? exitCodes.sound : exitCodes.breached;
 	}
--- /dev/null
+++ b/packages/soak/src/mutations.ts
@@ -0,0 +1,169 @@
+/** Builds that are broken on purpose: each breaks one promise, and one check of the soak has to notice it. */
+import type {ScheduledEvent, SoakEvent} from './schedule.js';
+
+export type Mutation = {
+	readonly name: string;
+	/** A compiled file, from the root of the repository. */
+	readonly file: string;
+	/** Stands in it exactly once. */
+	readonly find: string;
+	readonly replaceBy: string;
+	readonly events: readonly ScheduledEvent[];
+	/** Name of the check that has to notice it. */
+	readonly noticedBy: string;
+};
+
+const core = 'packages/core/dist';
+const gateway = 'packages/gateway/dist';
+const calls = `${gateway}/features/calls`;
+const availability = `${core}/advisories/availability.js`;
+const beginMs = 500;
+const longMs = 8000;
+const entryAfterMs = 20_000;
+
+const at = (event: SoakEvent, atMs = beginMs): ScheduledEvent => ({atMs, event});
+
+const misbehave = (behaviour: Extract<SoakEvent, {readonly type: 'misbehave'}>['behaviour'], ...upstreams: readonly number[]): readonly ScheduledEvent[] =>
+	upstreams.map(upstream => at({
+		type: 'misbehave', upstream, behaviour, forMs: longMs,
+	}, 2 * beginMs));
+
+const allUpstreams = [0, 1, 2, 3, 4];
+
+/** All others shed, so that whoever may still use upstream 2 does. */
+const onUpstream2 = (event: SoakEvent): readonly ScheduledEvent[] => [at(event), ...misbehave('sheds', ...allUpstreams.filter(upstream => upstream !== 2))];
+
+/** All of them, so that requests have to go to one that is limited. */
+const limited = (requestsPerSecond: number): readonly ScheduledEvent[] => allUpstreams.map(upstream => at({
+	type: 'limit', upstream, requestsPerSecond, forMs: longMs,
+}));
+
+const atMostOnce = 'a request that is not idempotent runs at most once';
+const notRunIsTrue = 'what a caller is told not to have run never runs';
+const ownAnswers = 'a success is the whole answer of an upstream that ran this very request';
+const limitIsKept = 'an upstream that advertises a rate limit gets no more from all instances together';
+
+export const mutations: readonly Mutation[] = [
+	{
+		name: 'leaving-ignored',
+		file: availability,
+		find: 'case \'available\': {',
+		replaceBy: 'case \'available\': case \'leaving\': {',
+		events: onUpstream2({type: 'leave', upstream: 2, entryAfterMs}),
+		noticedBy: 'an upstream gets nothing new from an instance that has passed on that it leaves, after its time to drain',
+	},
+	{
+		name: 'back-off-ignored',
+		file: availability,
+		find: 'case \'available\': {',
+		replaceBy: 'case \'available\': case \'backing-off\': {',
+		events: onUpstream2({
+			type: 'back-off', upstream: 2, seconds: 6, forMs: beginMs,
+		}),
+		noticedBy: 'an upstream that asks an instance to back off gets next to nothing from it in that time',
+	},
+	{
+		name: 'limit-ignored',
+		file: `${core}/limits/fleet-pace.js`,
+		find: 'return isUser && nowMs - usedAtMs >= pauseMs(upstream, users);',
+		replaceBy: 'return true;',
+		events: limited(1),
+		noticedBy: limitIsKept,
+	},
+	{
+		name: 'limit-kept-by-each-instance-alone',
+		file: `${gateway}/wire.js`,
+		find: 'others: () => fleet.others(),',
+		replaceBy: 'others: () => [],',
+		events: limited(2),
+		noticedBy: limitIsKept,
+	},
+	{
+		name: 'drain-ignored',
+		file: `${gateway}/features/upstreams/upstreams-task.js`,
+		find: ' && !upstream.registered.draining',
+		replaceBy: '',
+		events: onUpstream2({type: 'drain', upstream: 2}),
+		noticedBy: 'a leaving upstream gets nothing new after its time to drain',
+	},
+	{
+		name: 'payments-repeated',
+		file: `${calls}/call-run.js`,
+		find: 'verdict.type === \'not-run\' || this.#call.route.idempotent;',
+		replaceBy: 'true;',
+		events: misbehave('loses-answer', ...allUpstreams),
+		noticedBy: atMostOnce,
+	},
+	{
+		name: 'lost-answer-taken-for-not-run',
+		file: `${calls}/judge-exchange.js`,
+		find: 'return { type: \'unknown\', reason: failure.type };',
+		replaceBy: 'return { type: \'not-run\', reason: \'refused-by-upstreams\' };',
+		events: misbehave('loses-answer', ...allUpstreams),
+		noticedBy: atMostOnce,
+	},
+	{
+		name: 'lost-answer-told-as-not-run',
+		file: `${calls}/attempt-summary.js`,
+		find: 'if (this.#mayHaveRun === undefined) {',
+		replaceBy: 'if (true) {',
+		events: misbehave('loses-answer', ...allUpstreams),
+		noticedBy: notRunIsTrue,
+	},
+	{
+		name: 'answer-of-another-request-passed-on',
+		file: `${gateway}/features/upstreams/upstream-connection.js`,
+		find: '(answeredId !== undefined && answeredId !== waiting.request.requestId)',
+		replaceBy: 'false',
+		events: misbehave('answers-another', ...allUpstreams),
+		noticedBy: ownAnswers,
+	},
+	{
+		name: 'unsigned-answer-passed-on',
+		file: `${calls}/judge-exchange.js`,
+		find: 'headerOf(headers, dialect.signatureHeader) !== undefined;',
+		replaceBy: 'true;',
+		events: misbehave('unsigned', ...allUpstreams),
+		noticedBy: ownAnswers,
+	},
+	{
+		name: 'attempts-unbounded',
+		file: `${calls}/call-run.js`,
+		find: 'this.#attempts.sent < this.#call.route.maximumAttempts;',
+		replaceBy: 'true;',
+		events: misbehave('fails', ...allUpstreams),
+		noticedBy: 'a request runs on no more upstreams than its route allows',
+	},
+	{
+		name: 'budget-unbounded',
+		file: `${core}/retries/window-budget.js`,
+		find: 'if (this.left(nowMs, instances) < 1) {',
+		replaceBy: 'if (false) {',
+		events: misbehave('fails', ...allUpstreams),
+		noticedBy: 'repeats stay within the budget of all instances in each window',
+	},
+	{
+		name: 'stop-without-draining',
+		file: `${gateway}/gateway.js`,
+		find: 'await delay(graceMs * acceptingRatio);',
+		replaceBy: 'process.exit(0);',
+		events: [0, 1, 2].map(instance => at({type: 'stop', instance}, 2 * beginMs)),
+		noticedBy: 'no request that ran is cut at an instance that was neither killed nor paused',
+	},
+	{
+		name: 'stop-by-an-exception',
+		file: `${gateway}/gateway.js`,
+		find: 'logger.info(\'stopped\');',
+		replaceBy: 'throw new Error(\'broken on purpose\');',
+		events: [at({type: 'stop', instance: 1})],
+		noticedBy: 'an instance that is told to stop ends in order',
+	},
+	{
+		name: 'restarted-instance-serves-nothing',
+		file: `${gateway}/wire.js`,
+		find: 'routes: () => state.routes,',
+		replaceBy: 'routes: () => settings.isFirstStart ? state.routes : undefined,',
+		events: [at({type: 'kill', instance: 1})],
+		noticedBy: 'everything is served again after the last fault',
+	},
+];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -70,6 +70,13 @@
 	};
 }
 
+/** The schedule of a build that is broken on purpose. */
+export function mutationSchedule(events: readonly ScheduledEvent[]): Schedule {
+	return {
+		seed: 1, instances: 3, upstreams: 5, callers: 10, workMs: 10, durationMs: defaultDurationMs, events,
+	};
+}
+
 /** A schedule that a run has kept. */
 export function readSchedule(path: string): Schedule {
 	const kept = JSON.parse(readFileSync(path, 'utf8')) as Schedule | {readonly schedule: Schedule};
--- a/packages/soak/src/soak-caller.ts
+++ b/packages/soak/src/soak-caller.ts
@@ -17,12 +17,16 @@
 	/** Addresses of instances that take callers, `IP:port`. */
 	readonly resolve: () => Promise<readonly string[]>;
 	readonly stop: AbortSignal;
+	/** After so many requests it asks for addresses again; it keeps a connection until its instance ends it otherwise. */
+	readonly requestsPerConnection: number;
 };
 
 type Sent = {readonly id: string; readonly method: 'GET' | 'POST'; readonly path: string};
 
 /** Runs until it is stopped. */
-export async function runSoakCaller({name, random, resolve, stop}: SoakCallerOptions): Promise<CallRecord[]> {
+export async function runSoakCaller({
+	name, random, resolve, stop, requestsPerConnection,
+}: SoakCallerOptions): Promise<CallRecord[]> {
 	const records: CallRecord[] = [];
 	while (!stop.aborted) {
 		const addresses = await resolve();
@@ -33,7 +37,8 @@
 		}
 
 		const agent = new Agent({keepAlive: true, maxSockets: 1});
-		for (let isKept = true; isKept && !stop.aborted;) {
+		let isKept = true;
+		for (let sent = 0; isKept && sent < requestsPerConnection && !stop.aborted; sent++) {
 			const isPayment = random.below(paymentEvery) === 0;
 			const id = `${name}-${records.length}`;
 			const {record, keepsConnection} = await callOnce(address, {id, method: isPayment ? 'POST' : 'GET', path: isPayment ? `/pay/${id}` : `/read/${id}`}, agent);
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -18,6 +18,10 @@
 const stopWaitMs = 20_000;
 const copyIntervalMs = 1500;
 const callsAfterwards = 8;
+/** An answer of a large fleet names some of its instances only. */
+const enoughAddresses = 8;
+/** Of every second caller, so that each instance gets requests also where none ends. */
+const requestsPerConnection = 20;
 
 export class SoakRun {
 	readonly #schedule: Schedule;
@@ -91,6 +95,10 @@
 			await this.#site.addEntry();
 		}
 
+		await waitFor('all instances to know each other', async () => {
+			const offers = await Promise.all(this.#site.entries.map(async entry => entry.resolve()));
+			return offers.every(addresses => addresses.length >= Math.min(instances, enoughAddresses));
+		});
 		this.#copies = [this.#site.store.copy()];
 	}
 
@@ -114,7 +122,11 @@
 		return Array.from({length: this.#schedule.callers}, async (_, index) => {
 			const random = createRandomSource((this.#schedule.seed * 1000) + index);
 			return runSoakCaller({
-				name: `c${index}`, random, stop, resolve: async () => this.#resolve(random.below(this.#site.entries.length)),
+				name: `c${index}`,
+				random,
+				stop,
+				resolve: async () => this.#resolve(random.below(this.#site.entries.length)),
+				requestsPerConnection: index % 2 === 0 ? Number.POSITIVE_INFINITY : requestsPerConnection,
 			});
 		});
 	}
