--- /dev/null
+++ b/packages/soak/src/fault-injector.ts
@@ -0,0 +1,207 @@
+/** Injects the faults of a schedule into a site, and notes when each was in force. */
+import {setTimeout as delay} from 'node:timers/promises';
+import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
+import {waitFor} from '@cairnbank/testing/harness';
+import type {
+	Disturbance, DrainMark, LeavingMark, LimitMark, StopRecord,
+} from './history.js';
+import type {SoakEvent} from './schedule.js';
+import type {SoakSite} from './soak-site.js';
+
+/** An instance ends within its grace time, and some more on a busy machine. */
+const stopWaitMs = 20_000;
+/** Operators and upstreams write again after this time what a restored store has lost. */
+const rewrittenAfterMs = 750;
+/** Lines that an instance wrote beside its log before it ended. */
+const errorLinesKept = 20;
+
+export class FaultInjector {
+	readonly disturbances: Disturbance[] = [];
+	readonly drains: DrainMark[] = [];
+	readonly limits: LimitMark[] = [];
+	readonly leavings: LeavingMark[] = [];
+	readonly stops: StopRecord[] = [];
+	readonly #site: SoakSite;
+	/** Instances that are ending or starting; further signals pass them by. */
+	readonly #busy = new Set<number>();
+
+	constructor(site: SoakSite) {
+		this.#site = site;
+	}
+
+	/** Resolves once the fault is over. */
+	async inject(event: SoakEvent): Promise<void> {
+		switch (event.type) {
+			case 'stop': {
+				return this.#end(event.instance, 'SIGTERM');
+			}
+
+			case 'kill': {
+				return this.#end(event.instance, 'SIGKILL');
+			}
+
+			case 'pause': {
+				return this.#pause(event.instance, event.forMs);
+			}
+
+			case 'reload': {
+				if (!this.#busy.has(event.instance)) {
+					this.#site.entries[event.instance]!.process.kill('SIGHUP');
+				}
+
+				return;
+			}
+
+			case 'configure': {
+				this.#site.configure();
+				return;
+			}
+
+			case 'drain': {
+				return this.#drain(event.upstream);
+			}
+
+			case 'leave': {
+				return this.#leave(event.upstream, event.entryAfterMs);
+			}
+
+			case 'back-off': {
+				this.#site.upstreams[event.upstream]!.backOffSeconds = event.seconds;
+				return this.#misbehave(event.upstream, 'sheds', event.forMs);
+			}
+
+			case 'misbehave': {
+				return this.#misbehave(event.upstream, event.behaviour, event.forMs);
+			}
+
+			case 'limit': {
+				return this.#limit(event.upstream, event.requestsPerSecond, event.forMs);
+			}
+
+			case 'link': {
+				const proxy = this.#site.proxies[event.upstream]!;
+				proxy.put(event.fault);
+				await this.#disturb({kind: 'link', upstream: this.#site.upstreams[event.upstream]!.id}, async () => delay(event.forMs));
+				proxy.put({type: 'none'});
+				return;
+			}
+
+			case 'store': {
+				const door = this.#site.doorOf(event.instance);
+				door.fault = event.fault;
+				await this.#disturb({kind: 'store'}, async () => delay(event.forMs));
+				door.fault = {type: 'none'};
+				return;
+			}
+
+			case 'restore': {
+				return this.#restore();
+			}
+		}
+	}
+
+	/** Ends an instance and starts it again in its place. */
+	async #end(index: number, signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+		if (this.#busy.has(index)) {
+			return;
+		}
+
+		this.#busy.add(index);
+		const {process: ending, settings: {host}} = this.#site.entries[index]!;
+		const wasKilled = signal === 'SIGKILL';
+		const end = async () => {
+			ending.kill(signal);
+			await waitFor(`end of ${host}`, () => ending.exit !== undefined, stopWaitMs);
+			this.stops.push({
+				instance: host, exitCode: ending.exit?.code, wasKilled, errors: ending.otherLines.slice(-errorLinesKept),
+			});
+		};
+
+		await this.#disturb({kind: wasKilled ? 'instance' : 'restart', instance: host}, async () => {
+			await end();
+			await this.#site.restart(index);
+		});
+		this.#busy.delete(index);
+	}
+
+	async #pause(index: number, forMs: number): Promise<void> {
+		if (this.#busy.has(index)) {
+			return;
+		}
+
+		this.#busy.add(index);
+		const {process: paused, settings: {host}} = this.#site.entries[index]!;
+		await this.#disturb({kind: 'instance', instance: host}, async () => {
+			paused.kill('SIGSTOP');
+			await delay(forMs);
+			paused.kill('SIGCONT');
+		});
+		this.#busy.delete(index);
+	}
+
+	/** It says that it leaves, and serves what still comes. */
+	async #drain(index: number): Promise<void> {
+		const {id} = this.#site.upstreams[index]!;
+		if (this.drains.some(({upstream}) => upstream === id)) {
+			return;
+		}
+
+		this.#site.register(index, 'draining');
+		this.drains.push({upstream: id, atMs: performance.now()});
+	}
+
+	async #leave(index: number, entryAfterMs: number): Promise<void> {
+		const upstream = this.#site.upstreams[index]!;
+		if (upstream.isLeaving) {
+			return;
+		}
+
+		upstream.isLeaving = true;
+		upstream.tellsLeavingInChecks = index % 2 === 0;
+		this.leavings.push({upstream: upstream.id, atMs: performance.now()});
+		await delay(entryAfterMs);
+		await this.#drain(index);
+	}
+
+	async #misbehave(index: number, behaviour: UpstreamBehaviour, forMs: number): Promise<void> {
+		const upstream = this.#site.upstreams[index]!;
+		upstream.behaviour = behaviour;
+		await delay(forMs);
+		upstream.behaviour = 'answers';
+	}
+
+	async #limit(index: number, requestsPerSecond: number, forMs: number): Promise<void> {
+		const upstream = this.#site.upstreams[index]!;
+		if (upstream.rateLimit !== undefined) {
+			return;
+		}
+
+		upstream.limitNamedAtMs = undefined;
+		upstream.rateLimit = requestsPerSecond;
+		await delay(forMs);
+		upstream.rateLimit = undefined;
+		if (upstream.limitNamedAtMs !== undefined) {
+			this.limits.push({
+				upstream: upstream.id, requestsPerSecond, fromMs: upstream.limitNamedAtMs, untilMs: performance.now(),
+			});
+		}
+	}
+
+	/** The store comes back from its oldest copy; operators and upstreams write again what it lost. */
+	async #restore(): Promise<void> {
+		await this.#disturb({kind: 'store'}, async () => {
+			this.#site.restoreStore();
+			await delay(rewrittenAfterMs);
+			this.#site.configure();
+			for (const [index, {id}] of this.#site.upstreams.entries()) {
+				this.#site.register(index, this.drains.some(({upstream}) => upstream === id) ? 'draining' : 'ready');
+			}
+		});
+	}
+
+	async #disturb(disturbance: Pick<Disturbance, 'kind' | 'instance' | 'upstream'>, during: () => Promise<unknown>): Promise<void> {
+		const fromMs = performance.now();
+		await during();
+		this.disturbances.push({...disturbance, fromMs, untilMs: performance.now()});
+	}
+}
