--- a/packages/core/src/advisories/refusal.spec.ts
+++ b/packages/core/src/advisories/none-available.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {noneAvailable} from './refusal.js';
+import {noneAvailable} from './none-available.js';
 
 describe('noneAvailable', () => {
 	it('should name the soonest end of all back-offs', () => {
