Names: the subset of upstreams that an instance uses first, and its position

takeAperture, Seat and apertureWidth become takeSubset, SubsetPosition and subsetSize, the terms of the field (deterministic subsetting). No behaviour changed; specs of the two modules green.

--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,5 +1,5 @@
 export * from './admission.js';
-export * from './aperture.js';
+export * from './subset.js';
 export * from './light-load.js';
 export * from './expected-duration.js';
 export type * from './load-report.js';
--- a/packages/core/src/placement/aperture.spec.ts
+++ b/packages/core/src/placement/subset.spec.ts
@@ -2,8 +2,8 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	apertureWidth, ringOrder, seatOf, takeAperture,
-} from './aperture.js';
+	subsetSize, ringOrder, subsetPositionOf, takeSubset,
+} from './subset.js';
 
 const always = () => true;
 
@@ -15,7 +15,7 @@
 function turnedTo(upstreams: readonly string[], instances: number): readonly number[] {
 	const counts = new Map(upstreams.map(id => [id, 0]));
 	for (let index = 0; index < instances; index++) {
-		for (const id of takeAperture(upstreams, {index, count: instances}, always)) {
+		for (const id of takeSubset(upstreams, {index, count: instances}, always)) {
 			counts.set(id, counts.get(id)! + 1);
 		}
 	}
@@ -23,20 +23,20 @@
 	return [...counts.values()];
 }
 
-describe('seatOf', () => {
+describe('subsetPositionOf', () => {
 	it('should give each instance a place of its own, in the same order at all', () => {
 		const hosts = Array.from({length: 61}, (_, index) => `10.1.0.${index}`);
-		const seats = hosts.map(host => seatOf(host, hosts.filter(other => other !== host)));
-		assert.equal(new Set(seats.map(({index}) => index)).size, 61);
-		assert.ok(seats.every(({count}) => count === 61));
+		const positions = hosts.map(host => subsetPositionOf(host, hosts.filter(other => other !== host)));
+		assert.equal(new Set(positions.map(({index}) => index)).size, 61);
+		assert.ok(positions.every(({count}) => count === 61));
 	});
 });
 
-describe('takeAperture', () => {
+describe('takeSubset', () => {
 	it('should spread the instances of zones of any size evenly: the busiest upstream under 1.3 times the mean', () => {
 		for (const [instances, upstreams] of [[61, 87], [58, 61], [67, 64], [66, 111], [61, 49], [313, 503], [30, 503]] as const) {
 			const counts = turnedTo(ring(upstreams), instances);
-			const mean = instances * apertureWidth / upstreams;
+			const mean = instances * subsetSize / upstreams;
 			assert.ok(Math.max(...counts) <= Math.max(mean * 1.3, mean + 1), `${instances} on ${upstreams}: ${Math.max(...counts)} of ${mean}`);
 		}
 	});
@@ -52,24 +52,24 @@
 		const upstreams = ring(87);
 		let kept = 0;
 		for (let index = 0; index < 60; index++) {
-			const before = new Set(takeAperture(upstreams, {index, count: 61}, always));
-			kept += takeAperture(upstreams, {index, count: 60}, always).filter(id => before.has(id)).length;
+			const before = new Set(takeSubset(upstreams, {index, count: 61}, always));
+			kept += takeSubset(upstreams, {index, count: 60}, always).filter(id => before.has(id)).length;
 		}
 
-		assert.ok(kept / 60 > apertureWidth - 1, `${kept / 60} of ${apertureWidth}`);
+		assert.ok(kept / 60 > subsetSize - 1, `${kept / 60} of ${subsetSize}`);
 	});
 
 	it('should take the next ones for those that are not usable', () => {
 		const upstreams = ring(40);
-		const seat = {index: 7, count: 20};
-		const [first, ...others] = takeAperture(upstreams, seat, always);
-		const taken = takeAperture(upstreams, seat, id => id !== first);
+		const subsetPosition = {index: 7, count: 20};
+		const [first, ...others] = takeSubset(upstreams, subsetPosition, always);
+		const taken = takeSubset(upstreams, subsetPosition, id => id !== first);
 		assert.deepEqual(taken.slice(0, -1), others);
-		assert.equal(taken.length, apertureWidth);
+		assert.equal(taken.length, subsetSize);
 	});
 
 	it('should take all where there are few, and none where there are none', () => {
-		assert.equal(takeAperture(ring(5), {index: 2, count: 9}, always).length, 5);
-		assert.deepEqual(takeAperture([], {index: 0, count: 1}, always), []);
+		assert.equal(takeSubset(ring(5), {index: 2, count: 9}, always).length, 5);
+		assert.deepEqual(takeSubset([], {index: 0, count: 1}, always), []);
 	});
 });
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -1,7 +1,7 @@
 /** Owns the traffic between instances: membership, updates of the registry, the choice of who reads the store. */
 import type {AvailabilityZoneId} from '@cairnbank/core';
 import {followerRank} from '@cairnbank/core/fleet';
-import {seatOf, type Seat} from '@cairnbank/core/placement';
+import {subsetPositionOf, type SubsetPosition} from '@cairnbank/core/placement';
 import type {KeyedChanges, RegisteredUpstream, RemovalConfidence} from '@cairnbank/core/registry';
 import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
@@ -169,11 +169,11 @@
 	}
 
 	/** Place of this instance among the live ones, of its availability zone or of all. */
-	seat(among: 'zone' | 'fleet'): Seat {
+	subsetPosition(among: 'zone' | 'fleet'): SubsetPosition {
 		const {host, availabilityZone} = this.#options.context.settings;
 		const live = this.#membership.view.live();
 		const others = among === 'zone' ? live.filter(member => member.availabilityZone === availabilityZone) : live;
-		return seatOf(host, others.map(other => other.host));
+		return subsetPositionOf(host, others.map(other => other.host));
 	}
 
 	/** The other live instances that serve callers. */
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -6,7 +6,7 @@
 import {FleetPace} from '@cairnbank/core/limits';
 import {createRandomSource} from '@cairnbank/core/random';
 import {
-	apertureWidth, lastSlotSlowness, UpstreamCondition, type LoadReport,
+	subsetSize, lastSlotSlowness, UpstreamCondition, type LoadReport,
 } from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import {createMetrics} from '../../metrics/metrics.js';
@@ -46,7 +46,7 @@
 			context: {clock: this.clock, random: createRandomSource(3), settings: {availabilityZone: 'nasr'}} as unknown as Context,
 			prober: {probe: async (upstream: Upstream) => this.#probe(upstream)} as unknown as PlacerOptions['prober'],
 			ofService: (_service, zone) => [...this.#upstreams.values()].filter(({registered}) => zone === undefined || registered.availabilityZone === zone),
-			seat: () => ({index: 0, count: 1}),
+			subsetPosition: () => ({index: 0, count: 1}),
 			eligibility: new Eligibility({
 				pace: new FleetPace({clock: this.clock, self: {host: 'a', availabilityZone: 'nasr' as AvailabilityZoneId}, others: () => []}),
 				coldRequestsPerSecond: () => this.coldRequestsPerSecond,
@@ -139,7 +139,7 @@
 			}
 
 			assert.ok(world.asked.every(id => id.startsWith('near')));
-			assert.ok(new Set(world.asked).size <= apertureWidth, `${new Set(world.asked).size}`);
+			assert.ok(new Set(world.asked).size <= subsetSize, `${new Set(world.asked).size}`);
 		});
 
 		const fullNearby = Object.fromEntries(Object.keys(all).map(id => [id, id.startsWith('near') ? {...idle, running: slots, waiting: 2} : idle]));
@@ -154,7 +154,7 @@
 				assert.match(String(await world.place()), /^far/);
 			}
 
-			assert.ok(new Set(world.asked).size <= apertureWidth);
+			assert.ok(new Set(world.asked).size <= subsetSize);
 		});
 	});
 
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -2,7 +2,7 @@
 import type {AvailabilityZoneId, ServiceId, UpstreamId} from '@cairnbank/core';
 import {noneAvailable, type NoneAvailable} from '@cairnbank/core/advisories';
 import {
-	apertureWidth, expectedDurationMs, isLightlyLoaded, isWorthAsking, takeAperture, TypicalDurations, type Seat,
+	subsetSize, expectedDurationMs, isLightlyLoaded, isWorthAsking, takeSubset, TypicalDurations, type SubsetPosition,
 } from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import type {Eligibility} from './eligibility.js';
@@ -24,8 +24,8 @@
 const otherZoneRankingFactor = 1.3;
 /** A failed answer costs about this many times the work of a good one. */
 const failureWeight = 4;
-/** Up to this many upstreams of a service, every instance turns to all of them. */
-const smallService = 2 * apertureWidth;
+/** Up to this many upstreams of a service, every instance uses all of them. */
+const smallService = 2 * subsetSize;
 /** Rounds in which an instance of a large fleet asks only upstreams that it knows; then it looks further. */
 const roundsAtHand = 3;
 /** Upstreams that it draws from all others then. */
@@ -60,7 +60,7 @@
 	/** Upstreams that take new requests, of one availability zone or of all, in an order that is the same at all instances. */
 	readonly ofService: (service: ServiceId, zone?: AvailabilityZoneId) => readonly Upstream[];
 	/** Place of this instance among those of its availability zone or of the fleet. */
-	readonly seat: (among: 'zone' | 'fleet') => Seat;
+	readonly subsetPosition: (among: 'zone' | 'fleet') => SubsetPosition;
 };
 
 export class Placer {
@@ -122,17 +122,17 @@
 		}));
 	}
 
-	/** Upstreams that this instance turns to first. */
+	/** Upstreams that this instance uses first. */
 	#atHand({service}: PlacementRequest, usable: readonly Upstream[]): readonly Upstream[] {
 		if (usable.length <= smallService) {
 			return usable;
 		}
 
-		const {context, ofService, seat} = this.#options;
+		const {context, ofService, subsetPosition} = this.#options;
 		const near = ofService(service, context.settings.availabilityZone as AvailabilityZoneId);
-		const isEnough = near.length >= apertureWidth;
+		const isEnough = near.length >= subsetSize;
 		const isUsable = new Set(usable);
-		const taken = takeAperture(isEnough ? near : ofService(service), seat(isEnough ? 'zone' : 'fleet'), upstream => isUsable.has(upstream));
+		const taken = takeSubset(isEnough ? near : ofService(service), subsetPosition(isEnough ? 'zone' : 'fleet'), upstream => isUsable.has(upstream));
 		return taken.length > 0 ? taken : usable;
 	}
 
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -162,7 +162,7 @@
 		prober,
 		eligibility,
 		ofService: (service, zone) => upstreams.ofService(service, zone),
-		seat: among => fleet.seat(among),
+		subsetPosition: among => fleet.subsetPosition(among),
 	});
 	const windowMs = () => context.settings.bounds.retryWindowSeconds * millisecondsPerSecond;
 	// Unless the whole fleet starts for the first time, another process may have run in this place a moment ago.
