--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -8,4 +8,4 @@
 export * from './upstream-condition.js';
 export * from './warmth.js';
 export * from './work-estimate.js';
-export * from './worth-asking.js';
+export * from './should-probe.js';
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -2,7 +2,7 @@
 import type {AvailabilityZoneId, ServiceId, UpstreamId} from '@cairnbank/core';
 import {noneAvailable, type NoneAvailable} from '@cairnbank/core/advisories';
 import {
-	subsetSize, expectedDurationMs, isLightlyLoaded, isWorthAsking, takeSubset, TypicalDurations, type SubsetPosition,
+	subsetSize, expectedDurationMs, isLightlyLoaded, shouldProbe, takeSubset, TypicalDurations, type SubsetPosition,
 } from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import type {Eligibility} from './eligibility.js';
@@ -91,7 +91,7 @@
 			}
 
 			best = this.#best(considered, request.workMs);
-			isWorthwhile = queue.length > 0 && isWorthAsking({
+			isWorthwhile = queue.length > 0 && shouldProbe({
 				rounds,
 				isLightlyLoaded: best !== undefined && asked.some(upstream => isLight(upstream)),
 				bestRatio: best === undefined ? Number.POSITIVE_INFINITY : best.expectedMs / request.workMs,
--- a/packages/testing/src/placement-bench/placement-policies.ts
+++ b/packages/testing/src/placement-bench/placement-policies.ts
@@ -1,7 +1,7 @@
 /** Ways to choose an upstream that the bench compares. */
 import type {RandomSource, ServiceId} from '@cairnbank/core';
 import {
-	expectedDurationMs, isLightlyLoaded, isWorthAsking, type TypicalDurations, type UpstreamCondition,
+	expectedDurationMs, isLightlyLoaded, shouldProbe, type TypicalDurations, type UpstreamCondition,
 } from '@cairnbank/core/placement';
 import type {SimulatedUpstream} from './simulated-upstream.js';
 
@@ -55,12 +55,12 @@
 
 		case 'ask-first-and-learn': {
 			// As the gateway does.
-			return askFirst(choice, () => choice.typical.ratioOf(service), isWorthAsking);
+			return askFirst(choice, () => choice.typical.ratioOf(service), shouldProbe);
 		}
 	}
 }
 
-function askFirst({all, random, typical, workMs, ask}: Choice, unknownRatio: () => number, isWorthwhile: typeof isWorthAsking): Known {
+function askFirst({all, random, typical, workMs, ask}: Choice, unknownRatio: () => number, isWorthwhile: typeof shouldProbe): Known {
 	const ranked = all
 		.map(known => ({known, cost: expectedMs(known, workMs, unknownRatio()) * (1 + (random.next() / 2))}))
 		.toSorted((left, right) => left.cost - right.cost)
