The soak tells a caller that leaves from an instance that cuts, and notes when its own process stands still

Traced: all of four callers' requests at that instance ended within 3 ms after 12.9 s in which the process of the soak, with callers and stand-ins, stood still; the caller's own timeout of 8 s ended the request, the instance's log says 'abandoned' 1.3 s after it had come, and the upstream began it after the caller had left. So the case is allowed. The check still judges a caller that leaves without an answer, unless a stall of its own process is noted; checks.spec has both.

--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -80,6 +80,13 @@
 		assert.notDeepEqual(breached({...sound, disturbances: [{...disturbances[0]!, fromMs: 11}], calls: [call({type: 'cut'})]}), []);
 	});
 
+	it('should judge a request whose caller left without an answer, unless the caller itself stood still', () => {
+		const calls = [call({type: 'left'})];
+		assert.equal(breached({...sound, calls}).length, 1);
+		assert.deepEqual(breached({...sound, calls, disturbances: [{kind: 'stall', fromMs: 2, untilMs: 9}]}), []);
+		assert.equal(breached({...sound, calls: [call({type: 'cut'})], disturbances: [{kind: 'stall', fromMs: 2, untilMs: 9}]}).length, 1);
+	});
+
 	it('should not judge a limit by an instance that was started again, but by all others', () => {
 		const {limits} = broken['an upstream that advertises a rate limit gets no more from all instances together']!;
 		const runs = Array.from({length: 20}, (_, index) => run('u0', 4000 + index, `b${index}`));
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -203,8 +203,11 @@
 			kind === 'link' && fromMs <= endedAtMs && untilMs >= sentAtMs);
 		const isDisturbed = ({instance, sentAtMs, endedAtMs}: CallRecord) => disturbances.some(disturbance =>
 			disturbance.kind === 'instance' && disturbance.instance === instance && overlaps(disturbance, sentAtMs, endedAtMs));
+		const hasStalled = ({sentAtMs, endedAtMs}: CallRecord) => disturbances.some(disturbance => disturbance.kind === 'stall' && overlaps(disturbance, sentAtMs, endedAtMs));
+		// A caller whose own process stood still leaves with its timeout; one that leaves for any other reason was not answered.
+		const isEndedEarly = (call: CallRecord) => call.end.type === 'cut' || (call.end.type === 'left' && !hasStalled(call));
 		return calls
-			.filter(call => call.end.type === 'cut' && byId.has(call.id) && !isDisturbed(call) && !isHeldBack(call))
+			.filter(call => isEndedEarly(call) && byId.has(call.id) && !isDisturbed(call) && !isHeldBack(call))
 			.map(({id, instance}) => `${id} was cut at ${instance}`);
 	},
 };
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -14,6 +14,9 @@
 const rewrittenAfterMs = 750;
 /** Lines that an instance wrote beside its log before it ended. */
 const errorLinesKept = 20;
+const stallCheckMs = 250;
+/** A pause of this process that callers may take for one of the instances. */
+const stallMs = 2000;
 
 export class FaultInjector {
 	readonly disturbances: Disturbance[] = [];
@@ -29,6 +32,22 @@
 		this.#site = site;
 	}
 
+	/** Notes whenever this process has stood still. @returns stops it */
+	watchForStalls(): () => void {
+		let lastMs = performance.now();
+		const timer = setInterval(() => {
+			const nowMs = performance.now();
+			if (nowMs - lastMs >= stallMs) {
+				this.disturbances.push({kind: 'stall', fromMs: lastMs, untilMs: nowMs});
+			}
+
+			lastMs = nowMs;
+		}, stallCheckMs);
+		return () => {
+			clearInterval(timer);
+		};
+	}
+
 	/** Resolves once the fault is over. */
 	async inject(event: SoakEvent): Promise<void> {
 		switch (event.type) {
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -4,6 +4,8 @@
 	| {readonly type: 'answered'; readonly status: number; readonly requestId: string; readonly signature: string; readonly body: string}
 	/** The connection ended without a whole answer. */
 	| {readonly type: 'cut'}
+	/** The caller left after its own timeout. */
+	| {readonly type: 'left'}
 	/** Nobody listened: nothing was sent. */
 	| {readonly type: 'refused'};
 
@@ -30,7 +32,9 @@
 		/** Told to stop and started again. */
 		| 'restart'
 		| 'store'
-		| 'link';
+		| 'link'
+		/** The process of the soak itself, with its callers and stand-ins, stood still. */
+		| 'stall';
 	/** Host of the instance that is disturbed; nothing where all may be. */
 	readonly instance?: string;
 	/** To which the disturbed link leads. */
--- a/packages/soak/src/soak-caller.ts
+++ b/packages/soak/src/soak-caller.ts
@@ -87,11 +87,14 @@
 			});
 		});
 		// A paused instance answers nobody; its callers leave after their deadline.
+		let hasLeft = false;
 		outgoing.setTimeout(2 * deadlineMs, () => {
+			hasLeft = true;
 			outgoing.destroy(new Error('no answer'));
 		});
 		outgoing.on('error', (error: NodeJS.ErrnoException) => {
-			resolve({end: {type: error.code === 'ECONNREFUSED' ? 'refused' : 'cut'}, keepsConnection: false});
+			const type = error.code === 'ECONNREFUSED' ? 'refused' : 'cut';
+			resolve({end: {type: hasLeft ? 'left' : type}, keepsConnection: false});
 		});
 		outgoing.end(method === 'POST' ? 'pay 5' : undefined);
 	});
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -36,6 +36,7 @@
 
 	async play(): Promise<History> {
 		const stopCallers = new AbortController();
+		const stopWatching = this.#injector.watchForStalls();
 		try {
 			await this.#site.start(this.#schedule);
 			const callers = this.#startCallers(stopCallers.signal);
@@ -47,6 +48,7 @@
 			return this.#history([...records.flat(), ...afterwards], afterwards);
 		} finally {
 			stopCallers.abort();
+			stopWatching();
 			await this.#site.stop();
 		}
 	}
