--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -22,7 +22,7 @@
 /** One broken promise each, by the name of the check that is to notice it. */
 const broken: Readonly<Record<string, Partial<History>>> = {
 	'a request that is not idempotent runs at most once': {calls: [call(answered(200), {idempotent: false})], runs: [run('u0'), run('u1')]},
-	'what a caller is told not to have run never runs': {calls: [call(answered(503))]},
+	'a request reported as not run never runs': {calls: [call(answered(503))]},
 	'a success is the whole answer of an upstream that ran this very request': {calls: [call(answered(200, 'u0', '/read/2'))]},
 	'a request runs on no more upstreams than its route allows': {runs: [run('u0'), run('u1'), run('u2')]},
 	'repeats stay within the budget of all instances in each window': {runs: Array.from({length: 60}, (_, index) => run('u0', index))},
@@ -47,7 +47,7 @@
 		}],
 	},
 	'no request that ran is cut at an instance that was neither killed nor paused': {calls: [call({type: 'cut'})]},
-	'an instance that is told to stop ends in order': {
+	'an instance that gets SIGTERM ends in order': {
 		stops: [{
 			instance: '127.0.0.2', exitCode: 1, wasKilled: false, errors: [],
 		}],
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -67,7 +67,7 @@
 };
 
 const notRunIsTrue: Check = {
-	name: 'what a caller is told not to have run never runs',
+	name: 'a request reported as not run never runs',
 	breaches({calls, runs}) {
 		const byId = runsOf(runs);
 		const isPromised = ({end}: CallRecord) => end.type === 'refused' || (end.type === 'answered' && notRunStatuses.has(end.status));
@@ -157,17 +157,17 @@
 		const byId = runsOf(runs);
 		return leavings.flatMap(({upstream, atMs: leavingAtMs}) => {
 			/** When each instance first passed on an answer of the upstream that says so. */
-			const toldAtMs = new Map<string, number>();
+			const reportedAtMs = new Map<string, number>();
 			for (const {id, end, instance, endedAtMs} of calls) {
-				const isTold = end.type === 'answered' && end.signature === `signed-by-${upstream}`
+				const isReported = end.type === 'answered' && end.signature === `signed-by-${upstream}`
 					&& byId.get(id)?.some(run => run.upstream === upstream && run.atMs >= leavingAtMs);
-				if (isTold) {
-					toldAtMs.set(instance, Math.min(endedAtMs, toldAtMs.get(instance) ?? Number.POSITIVE_INFINITY));
+				if (isReported) {
+					reportedAtMs.set(instance, Math.min(endedAtMs, reportedAtMs.get(instance) ?? Number.POSITIVE_INFINITY));
 				}
 			}
 
 			const isLate = ({id, instance, sentAtMs}: CallRecord) => {
-				const atMs = toldAtMs.get(instance) ?? Number.POSITIVE_INFINITY;
+				const atMs = reportedAtMs.get(instance) ?? Number.POSITIVE_INFINITY;
 				const isExcused = disturbances.filter(isOfInstance(instance)).some(({fromMs, untilMs}) => fromMs <= sentAtMs + drainMs && untilMs >= atMs);
 				return !isExcused && sentAtMs > atMs + drainMs && byId.get(id)?.some(run => run.upstream === upstream);
 			};
@@ -213,7 +213,7 @@
 };
 
 const stopsInOrder: Check = {
-	name: 'an instance that is told to stop ends in order',
+	name: 'an instance that gets SIGTERM ends in order',
 	breaches: ({stops}) => stops
 		.filter(({exitCode, wasKilled}) => !wasKilled && exitCode !== 0)
 		.map(({instance, exitCode, errors}) => `${instance} ended with ${exitCode ?? 'a signal'}: ${errors.join(' ')}`),
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -97,7 +97,7 @@
 	cli.option('--seconds <number>', 'length of a schedule', {default: 10});
 	cli.option('--file <path>', 'plays this schedule alone, or the one of a kept run');
 	cli.option('--program <path>', 'program to play, as target/cairnbankd.cjs; the one that the build leaves unless given');
-	cli.option('--mutations', 'plays each build that is broken on purpose, and tells whether its check notices it');
+	cli.option('--mutations', 'plays each build that is broken on purpose, and reports whether its check notices it');
 	cli.option('--mutation <name>', 'plays this one alone');
 	cli.help();
 	const {
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -39,7 +39,7 @@
 }));
 
 const atMostOnce = 'a request that is not idempotent runs at most once';
-const notRunIsTrue = 'what a caller is told not to have run never runs';
+const notRunIsTrue = 'a request reported as not run never runs';
 const ownAnswers = 'a success is the whole answer of an upstream that ran this very request';
 const limitIsKept = 'an upstream that advertises a rate limit gets no more from all instances together';
 
@@ -103,7 +103,7 @@
 		noticedBy: atMostOnce,
 	},
 	{
-		name: 'lost-answer-told-as-not-run',
+		name: 'lost-answer-reported-as-not-run',
 		file: `${calls}/attempt-summary.js`,
 		find: 'if (this.#mayHaveRun === undefined) {',
 		replaceBy: 'if (true) {',
@@ -156,7 +156,7 @@
 		find: 'logger.info(\'stopped\');',
 		replaceBy: 'throw new Error(\'broken on purpose\');',
 		events: [at({type: 'stop', instance: 1})],
-		noticedBy: 'an instance that is told to stop ends in order',
+		noticedBy: 'an instance that gets SIGTERM ends in order',
 	},
 	{
 		name: 'restarted-instance-serves-nothing',
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -14,7 +14,7 @@
 const callsAfterwards = 8;
 /** Of every second caller, so that each instance gets requests also where none ends. */
 const requestsPerConnection = 20;
-/** Tells the random numbers of callers of neighbouring seeds apart. */
+/** Separates the random numbers of callers of neighbouring seeds. */
 const callersPerSeed = 1000;
 
 export class SoakRun {
