Log and metrics say by which fleet size a repeat was granted, whether it was free, and how old the grant is

What callers saw is in docs/incidents/retry-budget.md; the logs could not tell a part of the budget that is too large from a late arrival or a repeat that no budget granted. No decision changed.

--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -29,6 +29,8 @@
 	#resolve!: (outcome: Outcome) => void;
 	#isOver = false;
 	#placing = 0;
+	/** When the budget granted the attempt that is being placed, if it had to. */
+	#grantedAtMs: number | undefined;
 	#deadlineTimer: NodeJS.Timeout | undefined;
 	readonly #hedgeTimer = new HedgeTimer(async () => this.#hedge());
 
@@ -150,6 +152,7 @@
 		this.#running.add(attempt);
 		this.#attempts.sentTo(placement.upstream.registered.id);
 		this.#decisions.push(attempt.describe());
+		this.#noteGrantAge();
 		if (kind === 'first') {
 			this.#planHedge(placement);
 		}
@@ -197,20 +200,45 @@
 			return false;
 		}
 
-		return this.#attempts.sent === 0 || this.#takeRepeat();
+		if (this.#attempts.sent > 0) {
+			return this.#takeRepeat();
+		}
+
+		this.#decisions.push('repeat-free:nothing-sent');
+		this.#dependencies.metrics.repeats.inc({service: this.#call.service, grant: 'free'});
+		return true;
 	}
 
 	#takeRepeat(): boolean {
+		const {budget, instances, metrics} = this.#dependencies;
 		const {service} = this.#call;
-		const isGranted = this.#dependencies.budget(service).tryTake(this.#now(), this.#dependencies.instances());
-		if (!isGranted) {
-			this.#decisions.push('repeat-denied:budget');
-			this.#dependencies.metrics.repeatsDenied.inc({service});
+		const nowMs = this.#now();
+		const isGranted = budget(service).tryTake(nowMs, instances());
+		const state = `instances=${instances()}:left=${budget(service).left(nowMs, instances()).toFixed(1)}`;
+		if (isGranted) {
+			this.#grantedAtMs = nowMs;
+			this.#decisions.push(`repeat-granted:${state}`);
+			metrics.repeats.inc({service, grant: 'budget'});
+		} else {
+			this.#decisions.push(`repeat-denied:budget:${state}`);
+			metrics.repeatsDenied.inc({service});
 		}
 
 		return isGranted;
 	}
 
+	/** A repeat that is sent long after its grant may arrive in a window that did not grant it. */
+	#noteGrantAge(): void {
+		if (this.#grantedAtMs === undefined) {
+			return;
+		}
+
+		const ageMs = this.#now() - this.#grantedAtMs;
+		this.#grantedAtMs = undefined;
+		this.#decisions.push(`granted:${Math.round(ageMs)}ms-ago`);
+		this.#dependencies.metrics.repeatGrantSeconds.observe(ageMs / 1000);
+	}
+
 	#planHedge({expectedMs}: Placement): void {
 		if (this.#call.route.idempotent) {
 			this.#hedgeTimer.start(Math.max(minimumHedgeDelayMs, expectedMs * hedgeFactor));
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -50,6 +50,7 @@
 	readonly #word = new OwnWord();
 	readonly #startedAtMs: number;
 	#askedForMembersAtMs = Number.NEGATIVE_INFINITY;
+	#notedSize = 0;
 	#askedSeedsAtMs: number;
 
 	constructor(options: MembershipOptions) {
@@ -80,6 +81,7 @@
 		}
 
 		metrics.liveInstances.set(this.view.live().length + 1);
+		this.#noteSize();
 		const asks = new Set([...this.#asked(), ...this.view.candidates(), ...this.#forgottenSeeds()]);
 		this.#noteOwnWord();
 		this.#tell([...asks], {wantsReply: true});
@@ -208,6 +210,17 @@
 		return this.view.live().filter(member => member.availabilityZone === availabilityZone).map(({host}) => host);
 	}
 
+	/** What the fleet shares is divided by this size. */
+	#noteSize(): void {
+		const {logger, metrics} = this.#options.context;
+		const {greatestSize} = this.view;
+		if (greatestSize !== this.#notedSize) {
+			this.#notedSize = greatestSize;
+			metrics.fleetSize.set(greatestSize);
+			logger.info('fleet size', {instances: greatestSize});
+		}
+	}
+
 	#announceState(): void {
 		if (this.isBeatingToAll) {
 			this.#tellAll(new Set());
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -19,6 +19,10 @@
 		requests: counter('cairnbank_requests_total', 'Requests of callers, by what they were told and why', ['outcome', 'reason']),
 		attempts: counter('cairnbank_attempts_total', 'Requests sent to upstreams, by why they were sent and how they ended', ['kind', 'result']),
 		probes: counter('cairnbank_probes_total', 'Health checks of upstreams, by result', ['result']),
+		repeats: counter('cairnbank_repeats_total', 'Further attempts of requests, by whether the shared budget granted them or nothing had been sent before', ['service', 'grant']),
+		repeatGrantSeconds: new Histogram({
+			name: 'cairnbank_repeat_grant_seconds', help: 'Time from the grant of a further attempt until it is sent', buckets: latencyBuckets, registers,
+		}),
 		repeatsDenied: counter('cairnbank_repeats_denied_total', 'Repeats that the shared budget did not allow', ['service']),
 		storeCalls: counter('cairnbank_store_calls_total', 'Calls to the store, by call and result', ['call', 'result']),
 		peerMessages: counter('cairnbank_peer_messages_total', 'Messages from other instances, by type', ['type']),
@@ -39,6 +43,7 @@
 		unreadableRecords: new Gauge({
 			name: 'cairnbank_unreadable_records', help: 'Newest records of the store that can\'t be read, by topic', labelNames: ['topic'], registers,
 		}),
+		fleetSize: new Gauge({name: 'cairnbank_fleet_size', help: 'Number of instances by which this one divides what the fleet shares', registers}),
 		liveInstances: new Gauge({name: 'cairnbank_live_instances', help: 'Instances heard lately, this one among them', registers}),
 		droppedLogLines: new Gauge({name: 'cairnbank_log_lines_dropped', help: 'Log lines lost since the start as their reader stalled', registers}),
 	};
