--- a/packages/core/src/retries/window-budget.spec.ts
+++ b/packages/core/src/retries/window-budget.spec.ts
@@ -7,6 +7,16 @@
 
 const atOnce = () => 0;
 
+/** Takes all repeats that are left. @returns their number */
+function takeAll(budget: WindowBudget, nowMs: number, instances: number): number {
+	let taken = 0;
+	while (budget.tryTake(nowMs, instances)) {
+		taken += 1;
+	}
+
+	return taken;
+}
+
 function countAfter(times: readonly number[], fromMs: number): number {
 	return times.filter(atMs => atMs > fromMs).length;
 }
@@ -83,4 +93,56 @@
 			}
 		}), {seed: 12, numRuns: 200});
 	});
+
+	it('should keep the fleet within its bound where repeats arrive long after they were granted', () => {
+		const standstill = fc.record({fromMs: fc.nat(30_000), forMs: fc.integer({min: 500, max: 3000})});
+		fc.assert(fc.property(fc.array(standstill, {maxLength: 8}), standstills => {
+			const instances = 5;
+			const fleet = Array.from({length: instances}, () => new WindowBudget(() => settings, atOnce));
+			const arrivedAtMs: number[] = [];
+			for (let nowMs = 0; nowMs < 40_000; nowMs += 100) {
+				const resumesAtMs = Math.max(nowMs, ...standstills.filter(({fromMs, forMs}) => nowMs >= fromMs && nowMs < fromMs + forMs).map(({fromMs, forMs}) => fromMs + forMs));
+				for (const budget of fleet) {
+					arrivedAtMs.push(...Array.from({length: takeAll(budget, nowMs, instances)}, () => resumesAtMs));
+				}
+			}
+
+			for (const atMs of arrivedAtMs) {
+				assert.ok(arrivedAtMs.filter(other => other > atMs - settings.windowMs && other <= atMs).length <= settings.slack);
+			}
+		}), {seed: 13, numRuns: 50});
+	});
+
+	it('should keep the fleet within its bound where a rush of requests is over before their repeats are', () => {
+		const rush = fc.record({
+			startMs: fc.integer({min: 20_000, max: 30_000}), durationMs: fc.integer({min: 1000, max: 12_000}),
+			requestsPerSecond: fc.integer({min: 20, max: 100}), failsAfterMs: fc.nat(12_000),
+		});
+		fc.assert(fc.property(rush, ({startMs, durationMs, requestsPerSecond, failsAfterMs}) => {
+			const instances = 5;
+			const fleet = Array.from({length: instances}, () => new WindowBudget(() => settings, atOnce));
+			const sentAtMs: number[] = [];
+			const repeatedAtMs: number[] = [];
+			for (let nowMs = 0; nowMs < 60_000; nowMs += 100) {
+				const perSecond = nowMs >= startMs && nowMs < startMs + durationMs ? requestsPerSecond : 2;
+				const isDue = Math.floor((nowMs + 100) * perSecond / 1000) - Math.floor(nowMs * perSecond / 1000);
+				for (const budget of fleet) {
+					for (let index = 0; index < isDue; index++) {
+						budget.first(nowMs);
+						sentAtMs.push(nowMs);
+					}
+
+					if (nowMs >= startMs + failsAfterMs) {
+						repeatedAtMs.push(...Array.from({length: takeAll(budget, nowMs, instances)}, () => nowMs));
+					}
+				}
+			}
+
+			for (let endMs = startMs; endMs < 60_000; endMs += 100) {
+				const count = (times: readonly number[], untilMs: number) => times.filter(atMs => atMs > untilMs - settings.windowMs && atMs <= untilMs).length;
+				const requests = Math.max(...[0, 0.5, 1].map(earlier => count(sentAtMs, endMs - (earlier * settings.windowMs))));
+				assert.ok(count(repeatedAtMs, endMs) <= (requests * settings.ratio) + settings.slack);
+			}
+		}), {seed: 14, numRuns: 50});
+	});
 });
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -1,15 +1,15 @@
 /** The one module that wires the parts of an entry instance. */
 import {randomBytes} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {AvailabilityZoneId, InstanceId, ServiceId} from '@cairnbank/core';
+import type {AvailabilityZoneId, InstanceId} from '@cairnbank/core';
 import {systemClock} from '@cairnbank/core/clock';
 import {createRandomSource} from '@cairnbank/core/random';
 import {createIncarnation} from '@cairnbank/core/fleet';
 import {FleetPace} from '@cairnbank/core/limits';
 import {Admission, WorkEstimates} from '@cairnbank/core/placement';
-import {WindowBudget} from '@cairnbank/core/window-budget';
 import {CallersTask} from './features/calls/callers-task.js';
 import {PoisonGuard} from './features/calls/poison-guard.js';
+import {RetryBudgets} from './features/calls/retry-budgets.js';
 import {StartupGate} from './features/calls/startup-gate.js';
 import {DirectoryTask} from './features/directory/directory-task.js';
 import {FleetTask} from './features/fleet/fleet-task.js';
@@ -36,7 +36,6 @@
 const standardOutput = 1;
 /** How long the end of the process waits for the reader of its log; well within the rest of the time for a stop. */
 const lastLinesMs = 200;
-const millisecondsPerSecond = 1000;
 /** Until others are heard, the fleet is taken to be at least this large, so that a start never overdraws a budget. */
 const leastAssumedInstances = 8;
 
@@ -164,19 +163,11 @@
 		ofService: (service, zone) => upstreams.ofService(service, zone),
 		subsetPosition: among => fleet.subsetPosition(among),
 	});
-	const windowMs = () => context.settings.bounds.retryWindowSeconds * millisecondsPerSecond;
-	// Unless the whole fleet starts for the first time, another process may have run in this place a moment ago.
-	const slackFromMs = settings.isFirstStart ? Number.NEGATIVE_INFINITY : context.clock.monotonicMs() + windowMs();
-	const budgets = new Map<ServiceId, WindowBudget>();
-	const budget = (service: ServiceId) => {
-		const known = budgets.get(service) ?? new WindowBudget(() => {
-			const {bounds} = context.settings;
-			return {ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: windowMs()};
-		}, () => slackFromMs);
-		budgets.set(service, known);
-		return known;
-	};
-
+	const budgets = new RetryBudgets({
+		clock: context.clock,
+		bounds: () => context.settings.bounds,
+		isFirstStart: settings.isFirstStart,
+	});
 	const callers: CallersTask = new CallersTask({
 		context,
 		routes: () => state.routes,
@@ -194,7 +185,7 @@
 			admission: new Admission(context.clock),
 			advisories,
 			rateLimits,
-			budget,
+			budget: service => budgets.of(service),
 			instances,
 			place: async request => placer.place(request),
 			whyNone(service) {
