An instance has a share of the retry budget's slack only once it can know the fleet's size

What callers saw: nothing; upstreams that refuse or fail got more repeats than the fleet may send. Cause: each instance divided the slack by what it had seen so far, eight at least, from its first moment on at a first start; views differ while a fleet starts or grows, or after a start while cut off. Why it works: whoever has no share yet waits until what others used by larger shares has left the window and all have learnt of it; sizes seen by others come with heartbeats, so that a part of a fleet that starts again behind a cut goes by the whole.

--- a/packages/core/src/fleet/fleet-view.spec.ts
+++ b/packages/core/src/fleet/fleet-view.spec.ts
@@ -4,6 +4,7 @@
 import type {AvailabilityZoneId, IncarnationId} from '../model/ids.js';
 import {unknownEpoch} from '../registry/store-epoch.js';
 import type {FleetMember} from './fleet-member.js';
+import {unknownFleetSize} from './fleet-size.js';
 import {defaultFleetTiming, FleetView} from './fleet-view.js';
 
 function member(host: string, changes: Partial<FleetMember> = {}): FleetMember {
@@ -15,6 +16,7 @@
 		leaving: false,
 		revision: 0,
 		membersDigest: 0,
+		fleetSize: unknownFleetSize,
 		configurationVersion: 1,
 		storeEpoch: unknownEpoch, evacuations: {revision: 0, zones: [], takenBack: []},
 		registryOffset: 0,
@@ -62,7 +64,7 @@
 		clock.advance(60_000);
 		view.sweep();
 		assert.equal(view.live().length, 0);
-		assert.equal(view.greatestSize, 4);
+		assert.equal(view.size.greatest, 4);
 	});
 
 	it('should send heartbeats to candidates until they have been silent for long', () => {
--- a/packages/core/src/fleet/fleet-view.ts
+++ b/packages/core/src/fleet/fleet-view.ts
@@ -4,6 +4,7 @@
 import {unknownEpoch} from '../registry/store-epoch.js';
 import {hashText} from '../routing/hash-text.js';
 import type {FleetMember} from './fleet-member.js';
+import {FleetSize, unknownFleetSize} from './fleet-size.js';
 import {isNewer, type MemberUpdate} from './member-update.js';
 
 export type FleetTiming = {
@@ -52,17 +53,19 @@
 
 /** Members by address: a process that starts anew at an address takes the place of the one before. */
 export class FleetView {
+	/** What divides bounds that the fleet shares. */
+	readonly size: FleetSize;
 	readonly #clock: Clock;
 	readonly #timing: FleetTiming;
 	readonly #peers = new Map<string, Peer>();
 	/** Addresses that are only known by name, with the time at which they were told. */
 	readonly #candidates = new Map<string, number>();
-	#greatestSize = 1;
 	#digest = 0;
 	/** When anything last came from any other instance. */
 	#heardAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(clock: Clock, timing: FleetTiming = defaultFleetTiming) {
+		this.size = new FleetSize(clock);
 		this.#clock = clock;
 		this.#timing = timing;
 	}
@@ -77,6 +80,7 @@
 		const update = this.#updateOf(member, known);
 		this.#heardAtMs = this.#clock.monotonicMs();
 		this.#put(member, isBeating, undefined);
+		this.size.receive(member.fleetSize);
 		if (update !== 'nothing') {
 			this.#noteSize();
 		}
@@ -193,13 +197,14 @@
 		return [...this.#peers.keys(), ...this.#candidates.keys()];
 	}
 
-	/** Greatest number of live instances seen, this one among them; what divides shared budgets. */
-	get greatestSize(): number {
-		return this.#greatestSize;
+	/** Whether an instance at this address was heard, or another has heard it. */
+	isKnown(host: string): boolean {
+		return this.#peers.has(host);
 	}
 
 	/** Forgets what has been silent for long. @returns the hosts that are forgotten */
 	sweep(): readonly string[] {
+		this.#noteSize();
 		const oldestMs = this.#clock.monotonicMs() - this.#timing.forgetAfterMs;
 		const silent = [...this.#peers].filter(([, peer]) => this.#isSilent(peer) && (peer.lostAtMs ?? peer.heardAtMs) < oldestMs).map(([host]) => host);
 		const unheard = [...this.#candidates].filter(([, toldAtMs]) => toldAtMs < oldestMs).map(([host]) => host);
@@ -261,7 +266,7 @@
 	}
 
 	#noteSize(): void {
-		this.#greatestSize = Math.max(this.#greatestSize, this.live().length + 1);
+		this.size.note(this.live().length + 1);
 	}
 
 	#isSilent({isBeating, heardAtMs, lostAtMs}: Peer): boolean {
@@ -273,6 +278,7 @@
 /** What is taken of a member of which another instance has told, until it is heard itself. */
 const unknownState = {
 	membersDigest: 0,
+	fleetSize: unknownFleetSize,
 	configurationVersion: 0,
 	storeEpoch: unknownEpoch,
 	evacuations: {revision: 0, zones: [], takenBack: []},
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,5 +1,7 @@
 export * from './address-choice.js';
 export type * from './fleet-member.js';
+export * from './fleet-share.js';
+export * from './fleet-size.js';
 export * from './fleet-view.js';
 export * from './contradictions.js';
 export * from './hand-over-limit.js';
--- a/packages/core/src/retries/window-budget.spec.ts
+++ b/packages/core/src/retries/window-budget.spec.ts
@@ -1,16 +1,18 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
+import type {FleetShare} from '../fleet/fleet-share.js';
 import {WindowBudget} from './window-budget.js';
 
 const settings = {ratio: 0.2, slack: 56, windowMs: 10_000};
 
-const atOnce = () => 0;
+const held = (instances: number): FleetShare => ({type: 'held', instances});
+const none: FleetShare = {type: 'none', reason: 'learning'};
 
 /** Takes all repeats that are left. @returns their number */
 function takeAll(budget: WindowBudget, nowMs: number, instances: number): number {
 	let taken = 0;
-	while (budget.tryTake(nowMs, instances)) {
+	while (budget.tryTake(nowMs, held(instances))) {
 		taken += 1;
 	}
 
@@ -23,32 +25,32 @@
 
 describe('WindowBudget', () => {
 	it('should grant the slack of one instance without any first attempt', () => {
-		const budget = new WindowBudget(() => settings, atOnce);
-		const granted = Array.from({length: 20}, () => budget.tryTake(0, 13)).filter(Boolean).length;
+		const budget = new WindowBudget(() => settings);
+		const granted = Array.from({length: 20}, () => budget.tryTake(0, held(13))).filter(Boolean).length;
 		assert.equal(granted, 3);
 	});
 
-	it('should grant no slack before its time, as the process before may have used it', () => {
-		const budget = new WindowBudget(() => settings, () => settings.windowMs);
-		assert.equal(budget.tryTake(settings.windowMs - 1, 13), false);
-		assert.equal(budget.tryTake(settings.windowMs, 13), true);
+	it('should grant no slack without a share, as the process before may have used it', () => {
+		const budget = new WindowBudget(() => settings);
+		assert.equal(budget.tryTake(settings.windowMs, none), false);
+		assert.equal(budget.tryTake(settings.windowMs, held(13)), true);
 	});
 
 	it('should grant a share of the first attempts of the window', () => {
-		const budget = new WindowBudget(() => ({...settings, slack: 0}), atOnce);
+		const budget = new WindowBudget(() => ({...settings, slack: 0}));
 		for (let index = 0; index < 100; index++) {
 			budget.first(index);
 		}
 
-		assert.equal(Array.from({length: 40}, () => budget.tryTake(100, 13)).filter(Boolean).length, 17);
-		assert.equal(budget.tryTake(20_000, 13), false);
+		assert.equal(Array.from({length: 40}, () => budget.tryTake(100, held(13))).filter(Boolean).length, 17);
+		assert.equal(budget.tryTake(20_000, held(13)), false);
 	});
 
 	it('should keep the whole fleet within its bound in every window, however requests fall on instances', () => {
 		const event = fc.record({instance: fc.nat(4), gapMs: fc.nat(300), wantsRepeat: fc.boolean()});
 		fc.assert(fc.property(fc.array(event, {maxLength: 300}), events => {
 			const instances = 5;
-			const fleet = Array.from({length: instances}, () => new WindowBudget(() => settings, atOnce));
+			const fleet = Array.from({length: instances}, () => new WindowBudget(() => settings));
 			const firstAtMs: number[] = [];
 			const repeatAtMs: number[] = [];
 			let nowMs = 0;
@@ -56,7 +58,7 @@
 				nowMs += gapMs;
 				fleet[instance]!.first(nowMs);
 				firstAtMs.push(nowMs);
-				if (wantsRepeat && fleet[instance]!.tryTake(nowMs, instances)) {
+				if (wantsRepeat && fleet[instance]!.tryTake(nowMs, held(instances))) {
 					repeatAtMs.push(nowMs);
 				}
 
@@ -75,16 +77,16 @@
 		fc.assert(fc.property(fc.array(event, {minLength: 100, maxLength: 400}), events => {
 			const instances = 5;
 			// Without first attempts only the slack is granted, and every instance wants all of it.
-			const fleet = Array.from({length: instances}, () => new WindowBudget(() => settings, atOnce));
+			const fleet = Array.from({length: instances}, () => ({budget: new WindowBudget(() => settings), shareFromMs: 0}));
 			const repeatAtMs: number[] = [];
 			let nowMs = 0;
 			for (const {instance, gapMs, what} of events) {
 				nowMs += gapMs;
 				if (what === 'kill') {
-					const slackFromMs = nowMs + settings.windowMs;
-					fleet[instance] = new WindowBudget(() => settings, () => slackFromMs);
+					fleet[instance] = {budget: new WindowBudget(() => settings), shareFromMs: nowMs + settings.windowMs};
 				} else {
-					while (fleet[instance]!.tryTake(nowMs, instances)) {
+					const {budget, shareFromMs} = fleet[instance]!;
+					while (budget.tryTake(nowMs, nowMs < shareFromMs ? none : held(instances))) {
 						repeatAtMs.push(nowMs);
 					}
 				}
@@ -98,7 +100,7 @@
 		const standstill = fc.record({fromMs: fc.nat(30_000), forMs: fc.integer({min: 500, max: 3000})});
 		fc.assert(fc.property(fc.array(standstill, {maxLength: 8}), standstills => {
 			const instances = 5;
-			const fleet = Array.from({length: instances}, () => new WindowBudget(() => settings, atOnce));
+			const fleet = Array.from({length: instances}, () => new WindowBudget(() => settings));
 			const arrivedAtMs: number[] = [];
 			for (let nowMs = 0; nowMs < 40_000; nowMs += 100) {
 				const resumesAtMs = Math.max(nowMs, ...standstills.filter(({fromMs, forMs}) => nowMs >= fromMs && nowMs < fromMs + forMs).map(({fromMs, forMs}) => fromMs + forMs));
@@ -120,7 +122,7 @@
 		});
 		fc.assert(fc.property(rush, ({startMs, durationMs, requestsPerSecond, failsAfterMs}) => {
 			const instances = 5;
-			const fleet = Array.from({length: instances}, () => new WindowBudget(() => settings, atOnce));
+			const fleet = Array.from({length: instances}, () => new WindowBudget(() => settings));
 			const sentAtMs: number[] = [];
 			const repeatedAtMs: number[] = [];
 			for (let nowMs = 0; nowMs < 60_000; nowMs += 100) {
--- a/packages/core/src/retries/window-budget.ts
+++ b/packages/core/src/retries/window-budget.ts
@@ -1,4 +1,5 @@
 /** One instance's part of a budget of repeated attempts that the whole fleet shares in any window of time. */
+import type {FleetShare} from '../fleet/fleet-share.js';
 
 export type WindowBudgetSettings = {
 	/** Repeats as a share of first attempts. */
@@ -13,24 +14,17 @@
 const usedShare = 0.85;
 
 /**
- * Repeats are granted from the first attempts of the window that ends now, plus this instance's part of the slack.
- * Each sum over instances then stays within the fleet's bound, whatever window is counted, as long as the number of
- * instances that divides the slack is not below the real one; also while instances are killed and start anew.
+ * Repeats are granted from the first attempts of the window that ends now, plus this instance's share of the slack.
+ * All instances together then stay within the fleet's bound, as their shares of the slack do.
  */
 export class WindowBudget {
 	readonly #settings: () => WindowBudgetSettings;
-	readonly #slackFromMs: () => number;
 	readonly #firstAtMs: number[] = [];
 	readonly #repeatAtMs: number[] = [];
 
-	/**
-	 * @param settings - asked for each time, as they may change while the process runs
-	 * @param slackFromMs - asked for each time: when this process may begin to use its part of the slack. Where another
-	 * process ran in its place before, that one may have used it up to a window ago.
-	 */
-	constructor(settings: () => WindowBudgetSettings, slackFromMs: () => number) {
+	/** @param settings - asked for each time, as they may change while the process runs */
+	constructor(settings: () => WindowBudgetSettings) {
 		this.#settings = settings;
-		this.#slackFromMs = slackFromMs;
 	}
 
 	/** Notes a first attempt. */
@@ -42,10 +36,10 @@
 	/**
 	 * Takes one repeat, if there is one left.
 	 *
-	 * @param instances - greatest number of instances that may draw on the budget now
+	 * @param share - of this instance in what the fleet shares
 	 */
-	tryTake(nowMs: number, instances: number): boolean {
-		if (this.left(nowMs, instances) < 1) {
+	tryTake(nowMs: number, share: FleetShare): boolean {
+		if (this.left(nowMs, share) < 1) {
 			return false;
 		}
 
@@ -54,10 +48,10 @@
 	}
 
 	/** Repeats left in the window that ends now; may be a fraction. */
-	left(nowMs: number, instances: number): number {
+	left(nowMs: number, share: FleetShare): number {
 		this.#forget(nowMs);
 		const {ratio, slack} = this.#settings();
-		const ownSlack = nowMs < this.#slackFromMs() ? 0 : slack / Math.max(1, instances);
+		const ownSlack = share.type === 'held' ? slack / share.instances : 0;
 		const granted = ((this.#firstAtMs.length * ratio) + ownSlack) * usedShare;
 		return granted - this.#repeatAtMs.length;
 	}
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -1,5 +1,6 @@
 /** What a call needs of the rest of the process. */
 import type {Clock, ServiceId} from '@cairnbank/core';
+import type {FleetShare} from '@cairnbank/core/fleet';
 import type {Admission, WorkEstimates} from '@cairnbank/core/placement';
 import type {WindowBudget} from '@cairnbank/core/retries';
 import type {Metrics} from '../../metrics/metrics.js';
@@ -21,8 +22,8 @@
 	readonly rateLimits: Pick<RateLimits, 'answered'>;
 	/** This instance's part of the repeats that a service may get. */
 	readonly budget: (service: ServiceId) => WindowBudget;
-	/** Greatest number of instances that may share the budget. */
-	readonly instances: () => number;
+	/** Of this instance in what the fleet shares. */
+	readonly share: () => FleetShare;
 	/** Asked where no upstream was found. */
 	readonly whyNone: (service: ServiceId) => NoUpstream;
 	readonly place: (request: PlacementRequest) => Promise<Placement | undefined>;
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -67,7 +67,7 @@
 			receivedAtMs: 0,
 			deadlineAtMs: 1000,
 		};
-		const budget = new WindowBudget(() => ({ratio: 0, slack, windowMs: 10_000}), () => 0);
+		const budget = new WindowBudget(() => ({ratio: 0, slack, windowMs: 10_000}));
 		this.run = new CallRun({
 			clock: this.clock,
 			dialect: plainDialect,
@@ -77,7 +77,7 @@
 			advisories: {received: () => undefined},
 			rateLimits: {answered: () => undefined},
 			budget: () => budget,
-			instances: () => 1,
+			share: () => ({type: 'held', instances: 1}),
 			onBroken: () => undefined,
 			pause: async durationMs => {
 				this.clock.advance(durationMs);
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -1,4 +1,5 @@
 /** Leads one call to its one outcome: attempts, repeats, an early second attempt, the deadline. */
+import {describeShare} from '@cairnbank/core/fleet';
 import type {Placement} from '../upstreams/placer.js';
 import {Attempt, type AttemptKind} from './attempt.js';
 import {AttemptSummary} from './attempt-summary.js';
@@ -210,11 +211,11 @@
 	}
 
 	#takeRepeat(): boolean {
-		const {budget, instances, metrics} = this.#dependencies;
+		const {budget, share, metrics} = this.#dependencies;
 		const {service} = this.#call;
 		const nowMs = this.#now();
-		const isGranted = budget(service).tryTake(nowMs, instances());
-		const state = `instances=${instances()}:left=${budget(service).left(nowMs, instances()).toFixed(1)}`;
+		const isGranted = budget(service).tryTake(nowMs, share());
+		const state = `${describeShare(share())}:left=${budget(service).left(nowMs, share()).toFixed(1)}`;
 		if (isGranted) {
 			this.#grantedAtMs = nowMs;
 			this.#decisions.push(`repeat-granted:${state}`);
--- a/packages/gateway/src/features/fleet/budgeted-fleet.ts
+++ b/packages/gateway/src/features/fleet/budgeted-fleet.ts
@@ -2,13 +2,11 @@
 import assert from 'node:assert/strict';
 import type {ServiceId} from '@cairnbank/core';
 import {RetryBudgets} from '../calls/retry-budgets.js';
-import {SimulatedFleet, type SimulatedInstance} from './simulated-fleet.js';
+import {retryWindowSeconds, SimulatedFleet, type SimulatedInstance} from './simulated-fleet.js';
 
 const service = 'ledger' as ServiceId;
 const stepMs = 100;
-/** Shorter than in use, so that many windows pass in little time. */
-export const windowMs = 5000;
-const leastAssumedInstances = 8;
+export const windowMs = retryWindowSeconds * 1000;
 /** A part of it is left unused by rounding down. */
 const slackPerInstance = 10;
 
@@ -28,10 +26,10 @@
 	constructor(size: number, {isFirstStart, isUp}: BudgetedFleetOptions) {
 		this.#size = size;
 		this.#isFirstStart = isFirstStart;
-		this.#fleet = new SimulatedFleet({size, seed: size});
+		this.#fleet = new SimulatedFleet({size, seed: size, isFirstStart});
 		for (const instance of this.#fleet.instances) {
 			instance.isUp = isUp;
-			this.#enter(instance, isFirstStart);
+			this.#enter(instance);
 		}
 	}
 
@@ -46,8 +44,8 @@
 	/** A new process in this place; the one before ends. */
 	start(index: number): void {
 		const isFirstStart = this.#isFirstStart && !this.#fleet.instances[index]!.isUp;
-		this.#fleet.restart(index);
-		this.#enter(this.#fleet.instances[index]!, isFirstStart);
+		this.#fleet.restart(index, isFirstStart);
+		this.#enter(this.#fleet.instances[index]!);
 	}
 
 	cutOff(index: number): void {
@@ -97,11 +95,9 @@
 		return this.#takenAtMs.filter(atMs => atMs > endMs - windowMs && atMs <= endMs).length;
 	}
 
-	#enter(instance: SimulatedInstance, isFirstStart: boolean): void {
+	#enter(instance: SimulatedInstance): void {
 		const budgets = new RetryBudgets({
-			clock: this.#fleet.clock,
-			bounds: () => ({retryRatio: 0, retrySlack: this.slack, retryWindowSeconds: windowMs / 1000}),
-			isFirstStart,
+			bounds: () => ({retryRatio: 0, retrySlack: this.slack, retryWindowSeconds}),
 		});
 		this.#budgets.set(instance, budgets);
 	}
@@ -110,7 +106,7 @@
 		const nowMs = this.#fleet.clock.monotonicMs();
 		for (const instance of this.#fleet.instances.filter(({isUp}) => isUp)) {
 			const budget = this.#budgets.get(instance)!.of(service);
-			while (budget.tryTake(nowMs, Math.max(leastAssumedInstances, instance.membership.view.greatestSize))) {
+			while (budget.tryTake(nowMs, instance.membership.shares.current)) {
 				this.#takenAtMs.push(nowMs);
 			}
 		}
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -21,6 +21,7 @@
 		leaving: false,
 		revision: 3,
 		membersDigest: 4_294_967_295,
+		fleetSize: {instances: 132, ageMs: 3000},
 		configurationVersion: 4,
 		storeEpoch: 3 as StoreEpoch,
 		evacuations: {revision: 12, zones: ['nasr' as AvailabilityZoneId], takenBack: ['giza' as AvailabilityZoneId]},
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -51,6 +51,7 @@
 		readonly isForZone: boolean;
 	};
 
+const millisecondsPerSecond = 1000;
 const readyFlag = 1;
 const leavingFlag = 2;
 const reachesStoreFlag = 4;
@@ -79,6 +80,8 @@
 	v.array(v.string()),
 	v.array(v.string()),
 	v.number(),
+	v.pipe(v.number(), v.integer(), v.minValue(0)),
+	v.pipe(v.number(), v.minValue(0)),
 ]);
 /** By availability zone: host, incarnation, flags, revision. */
 const membersSchema = v.tuple([
@@ -137,6 +140,8 @@
 				member.evacuations.zones,
 				member.evacuations.takenBack,
 				member.storeEpoch,
+				member.fleetSize.instances,
+				Math.ceil(member.fleetSize.ageMs / millisecondsPerSecond),
 			];
 		}
 
@@ -168,7 +173,8 @@
 	switch (array[0]) {
 		case 'b': {
 			const [
-				, incarnation, host, zone, flags, revision, membersDigest, configurationVersion, registryOffset, registryDigest, stateAgeMs, evacuationRevision, emptied, takenBack, storeEpoch,
+				, incarnation, host, zone, flags, revision, membersDigest, configurationVersion, registryOffset, registryDigest, stateAgeMs,
+				evacuationRevision, emptied, takenBack, storeEpoch, fleetInstances, fleetAgeSeconds,
 			] = array;
 			return {
 				type: 'heartbeat',
@@ -183,6 +189,7 @@
 					membersDigest,
 					configurationVersion,
 					storeEpoch: storeEpoch as StoreEpoch,
+					fleetSize: {instances: fleetInstances, ageMs: fleetAgeSeconds * millisecondsPerSecond},
 					evacuations: {revision: evacuationRevision, zones: emptied as AvailabilityZoneId[], takenBack: takenBack as AvailabilityZoneId[]},
 					registryOffset,
 					registryDigest,
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -1,6 +1,6 @@
 /** Owns the traffic between instances: membership, updates of the registry, the choice of who reads the store. */
 import type {AvailabilityZoneId} from '@cairnbank/core';
-import {followerRank} from '@cairnbank/core/fleet';
+import {followerRank, type FleetShares} from '@cairnbank/core/fleet';
 import {subsetPositionOf, type SubsetPosition} from '@cairnbank/core/placement';
 import type {KeyedChanges, RegisteredUpstream, RemovalConfidence} from '@cairnbank/core/registry';
 import {ok, type Result} from 'neverthrow';
@@ -95,7 +95,7 @@
 			context: options.context,
 			store: options.store,
 			hasSeeds: this.#hasSeeds,
-			hasHeardOthers: () => this.#membership.view.greatestSize > 1,
+			hasHeardOthers: () => this.#membership.view.size.greatest > 1,
 			rank: () => followerRank(this.self.incarnation, this.#membership.view.live()),
 			onOthers: hosts => {
 				this.#membership.view.addCandidates(hosts);
@@ -181,9 +181,9 @@
 		return this.#membership.view.offered();
 	}
 
-	/** Greatest number of instances that may share a budget. */
-	get greatestSize(): number {
-		return this.#membership.view.greatestSize;
+	/** What this instance may use of the bounds that all share. */
+	get shares(): FleetShares {
+		return this.#membership.shares;
 	}
 
 	/** Tells others what changed in the registry, where it fits into a message; what they miss they ask for. */
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -4,7 +4,7 @@
  * learns of a member is passed on from instance to instance.
  */
 import {
-	chooseUpdateTargets, chooseRelays, Contradictions, defaultFleetTiming, FleetView, OwnWord, type FleetMember, type MemberUpdate,
+	chooseUpdateTargets, chooseRelays, Contradictions, defaultFleetTiming, FleetShares, FleetView, OwnWord, unknownFleetSize, type FleetMember, type MemberUpdate,
 } from '@cairnbank/core/fleet';
 import type {Context} from '../../kernel/context.js';
 import {splitAddress} from '../../kernel/listen.js';
@@ -23,6 +23,7 @@
 const updatesUnderWayMs = 300;
 /** How often instances that were named at the start, and aren't known to be alive, are asked: two parts of a fleet that forgot each other meet there. */
 const seedAskMs = 5000;
+const millisecondsPerSecond = 1000;
 
 export type MembershipOptions = {
 	readonly context: Pick<Context, 'clock' | 'incarnation' | 'logger' | 'metrics' | 'random' | 'settings'>;
@@ -36,13 +37,14 @@
 };
 
 /** What this instance says of itself, but for what its membership adds. */
-export type OwnState = Omit<FleetMember, 'revision' | 'membersDigest'>;
+export type OwnState = Omit<FleetMember, 'revision' | 'membersDigest' | 'fleetSize'>;
 
 /** What is asked of those that get a heartbeat. */
 type Wants = {readonly wantsReply?: boolean; readonly wantsMembers?: boolean; readonly isForZone?: boolean};
 
 export class Membership {
 	readonly view: FleetView;
+	readonly shares: FleetShares;
 	readonly #options: MembershipOptions;
 	readonly #watch: MemberWatch;
 	readonly #update: UpdateQueue;
@@ -50,7 +52,7 @@
 	readonly #word = new OwnWord();
 	readonly #startedAtMs: number;
 	#askedForMembersAtMs = Number.NEGATIVE_INFINITY;
-	#notedSize = 0;
+	#notedShare = '';
 	#askedSeedsAtMs: number;
 
 	constructor(options: MembershipOptions) {
@@ -59,6 +61,7 @@
 		this.#startedAtMs = clock.monotonicMs();
 		this.#askedSeedsAtMs = this.#startedAtMs;
 		this.view = new FleetView(clock);
+		this.shares = this.#createShares();
 		this.#watch = new MemberWatch(this.view, random);
 		this.#update = new UpdateQueue(clock, options.onUpdate);
 		this.#contradictions = new Contradictions(clock);
@@ -81,7 +84,7 @@
 		}
 
 		metrics.liveInstances.set(this.view.live().length + 1);
-		this.#noteSize();
+		this.#noteShare();
 		const asks = new Set([...this.#asked(), ...this.view.candidates(), ...this.#forgottenSeeds()]);
 		this.#noteOwnWord();
 		this.#tell([...asks], {wantsReply: true});
@@ -210,17 +213,29 @@
 		return this.view.live().filter(member => member.availabilityZone === availabilityZone).map(({host}) => host);
 	}
 
-	/** What the fleet shares is divided by this size. */
-	#noteSize(): void {
+	#noteShare(): void {
 		const {logger, metrics} = this.#options.context;
-		const {greatestSize} = this.view;
-		if (greatestSize !== this.#notedSize) {
-			this.#notedSize = greatestSize;
-			metrics.fleetSize.set(greatestSize);
-			logger.info('fleet size', {instances: greatestSize});
+		const share = this.shares.current;
+		const noted = JSON.stringify(share);
+		if (noted !== this.#notedShare) {
+			this.#notedShare = noted;
+			metrics.fleetSize.set(share.type === 'held' ? share.instances : 0);
+			logger.info('fleet share', {...share});
 		}
 	}
 
+	#createShares(): FleetShares {
+		const {clock, settings} = this.#options.context;
+		const seeds = settings.seeds.map(seed => splitAddress(seed).host).filter(host => host !== settings.host);
+		return new FleetShares({
+			clock,
+			isFirstStart: settings.isFirstStart,
+			windowMs: () => settings.bounds.retryWindowSeconds * millisecondsPerSecond,
+			size: this.view.size,
+			hasHeardNamed: () => this.view.candidates().length === 0 && seeds.every(host => this.view.isKnown(host)),
+		});
+	}
+
 	#announceState(): void {
 		if (this.isBeatingToAll) {
 			this.#tellAll(new Set());
@@ -391,7 +406,8 @@
 	}
 
 	#heartbeat({wantsReply = false, wantsMembers = false, isForZone = false}: Wants): FleetMessage {
-		const member = {...this.#options.self(), revision: this.#word.revision};
+		const fleetSize = this.shares.current.type === 'held' ? this.view.size.seen : unknownFleetSize;
+		const member = {...this.#options.self(), fleetSize, revision: this.#word.revision};
 		return {
 			type: 'heartbeat',
 			member: {...member, membersDigest: this.view.digestWith(member)},
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -14,6 +14,8 @@
 const followerChoiceMs = 100;
 const zones = ['nasr', 'giza', 'maadi'] as const;
 const seedCount = 3;
+/** Shorter than in use, so that many windows pass in little time. */
+export const retryWindowSeconds = 5;
 /** Enough for names that sort by their number. */
 const lifeDigits = 6;
 
@@ -22,6 +24,8 @@
 	/** Share of the datagrams that are lost. */
 	readonly lossShare?: number;
 	readonly seed?: number;
+	/** Whether the whole fleet starts for the first time. */
+	readonly isFirstStart?: boolean;
 };
 
 type InstanceOptions = {
@@ -32,6 +36,7 @@
 	readonly clock: ManualClock;
 	readonly random: RandomSource;
 	readonly seeds: readonly string[];
+	readonly isFirstStart: boolean;
 	readonly send: MembershipOptions['send'];
 };
 
@@ -52,7 +57,7 @@
 	#follower: IncarnationId | undefined;
 	#followerChosenAtMs = Number.NEGATIVE_INFINITY;
 
-	constructor({index, life, startMs, clock, random, seeds, send}: InstanceOptions) {
+	constructor({index, life, startMs, clock, random, seeds, isFirstStart, send}: InstanceOptions) {
 		this.#index = index;
 		this.#clock = clock;
 		this.host = hostOf(index);
@@ -65,7 +70,9 @@
 				incarnation: this.incarnation,
 				metrics: createMetrics(),
 				logger: {info: () => undefined},
-				settings: {host: this.host, seeds: seeds.map(host => `${host}:1`)},
+				settings: {
+					host: this.host, seeds: seeds.map(host => `${host}:1`), isFirstStart, bounds: {retryWindowSeconds},
+				},
 			} as unknown as MembershipOptions['context'],
 			send,
 			self: () => this.member,
@@ -131,15 +138,15 @@
 	readonly #underWay: Datagram[] = [];
 	#lives = 0;
 
-	constructor({size, lossShare = 0, seed = 1}: FleetOptions) {
+	constructor({size, lossShare = 0, seed = 1, isFirstStart = true}: FleetOptions) {
 		this.#random = createRandomSource(seed);
 		this.lossShare = lossShare;
-		this.instances = Array.from({length: size}, (_, index) => this.#create(index));
+		this.instances = Array.from({length: size}, (_, index) => this.#create(index, isFirstStart));
 	}
 
 	/** A new process in this place. */
-	restart(index: number): void {
-		this.instances[index] = this.#create(index);
+	restart(index: number, isFirstStart = false): void {
+		this.instances[index] = this.#create(index, isFirstStart);
 	}
 
 	pass(durationMs: number): void {
@@ -163,7 +170,7 @@
 		return this.instances.filter(({isUp, isCut}) => isUp && !isCut).map(({host}) => host);
 	}
 
-	#create(index: number): SimulatedInstance {
+	#create(index: number, isFirstStart: boolean): SimulatedInstance {
 		this.#lives += 1;
 		const startMs = this.clock.monotonicMs() + this.#random.below(400);
 		const seeds = Array.from({length: seedCount}, (_, seed) => hostOf(seed));
@@ -174,6 +181,7 @@
 			clock: this.clock,
 			random: this.#random,
 			seeds,
+			isFirstStart,
 			send: (message, hosts) => {
 				const {length: bytes} = encodeMessage(message, this.clock.monotonicMs());
 				this.#underWay.push(...hosts.map(host => ({
--- a/packages/gateway/src/features/fleet/state-asker.spec.ts
+++ b/packages/gateway/src/features/fleet/state-asker.spec.ts
@@ -18,6 +18,7 @@
 		leaving: false,
 		revision: 0,
 		membersDigest: 0,
+		fleetSize: {instances: 0, ageMs: 0},
 		configurationVersion: 5,
 		storeEpoch: unknownEpoch, evacuations: {revision: 0, zones: [], takenBack: []},
 		registryOffset: 0,
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -43,7 +43,7 @@
 		unreadableRecords: new Gauge({
 			name: 'cairnbank_unreadable_records', help: 'Newest records of the store that can\'t be read, by topic', labelNames: ['topic'], registers,
 		}),
-		fleetSize: new Gauge({name: 'cairnbank_fleet_size', help: 'Number of instances by which this one divides what the fleet shares', registers}),
+		fleetSize: new Gauge({name: 'cairnbank_fleet_size', help: 'Number of instances by which this one divides what the fleet shares; 0 while it has no share', registers}),
 		liveInstances: new Gauge({name: 'cairnbank_live_instances', help: 'Instances heard lately, this one among them', registers}),
 		droppedLogLines: new Gauge({name: 'cairnbank_log_lines_dropped', help: 'Log lines lost since the start as their reader stalled', registers}),
 	};
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -36,8 +36,6 @@
 const standardOutput = 1;
 /** How long the end of the process waits for the reader of its log; well within the rest of the time for a stop. */
 const lastLinesMs = 200;
-/** Until others are heard, the fleet is taken to be at least this large, so that a start never overdraws a budget. */
-const leastAssumedInstances = 8;
 
 export type Ports = {
 	readonly store: StateStore;
@@ -65,7 +63,6 @@
 	const upstreams: UpstreamsTask = new UpstreamsTask(context, ports.requests, () => {
 		recheck.wake();
 	});
-	const instances = () => Math.max(leastAssumedInstances, fleet.greatestSize);
 	const state: StateTask = new StateTask({
 		context,
 		store: ports.store,
@@ -142,7 +139,7 @@
 		rateLimits,
 		healthPath: service => state.routes?.service(service)?.healthPath,
 		isInService: upstream => upstreams.isInService(upstream),
-		instances,
+		instances: () => fleet.shares.instances,
 		// Entries of services that no configuration names must not raise what the others are checked.
 		upstreams: () => upstreams.count(service => state.routes?.service(service) !== undefined),
 	});
@@ -163,11 +160,7 @@
 		ofService: (service, zone) => upstreams.ofService(service, zone),
 		subsetPosition: among => fleet.subsetPosition(among),
 	});
-	const budgets = new RetryBudgets({
-		clock: context.clock,
-		bounds: () => context.settings.bounds,
-		isFirstStart: settings.isFirstStart,
-	});
+	const budgets = new RetryBudgets({bounds: () => context.settings.bounds});
 	const callers: CallersTask = new CallersTask({
 		context,
 		routes: () => state.routes,
@@ -186,7 +179,7 @@
 			advisories,
 			rateLimits,
 			budget: service => budgets.of(service),
-			instances,
+			share: () => fleet.shares.current,
 			place: async request => placer.place(request),
 			whyNone(service) {
 				return placer.whyHeldBack(service) ?? {reason: upstreams.hasEmptied(service) ? 'zones-emptied' : 'no-upstream'};
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -137,7 +137,7 @@
 	{
 		name: 'budget-unbounded',
 		file: `${core}/retries/window-budget.js`,
-		find: 'if (this.left(nowMs, instances) < 1) {',
+		find: 'if (this.left(nowMs, share) < 1) {',
 		replaceBy: 'if (false) {',
 		events: misbehave('fails', ...allUpstreams),
 		noticedBy: 'repeats stay within the budget of all instances in each window',
