Requests back a repeat only as far as they do in every window that may count it

What callers saw: nothing. Cause: repeats were granted from the requests of the window that ends with the grant; the bound counts a repeat in all windows that hold it, up to ten seconds later, when a rush that granted it is partly outside. No run on real processes has shown it. Why it works: the least of what the bound allows over all these windows is granted.

--- a/packages/core/src/retries/request-windows.ts
+++ b/packages/core/src/retries/request-windows.ts
@@ -1,5 +1,8 @@
 /** Requests for one service, counted as the bound on its repeats counts them. */
 
+/** Moments within a window at which a later count is looked at. */
+const steps = 20;
+
 /** First index whose time is later. */
 function indexAfter(timesMs: readonly number[], atMs: number): number {
 	let low = 0;
@@ -25,9 +28,23 @@
 		this.#atMs.splice(0, indexAfter(this.#atMs, nowMs - (2 * windowMs)));
 	}
 
-	/** Requests that back a repeat sent now. */
+	/**
+	 * Requests that back a repeat sent now in whichever window it is counted. A window that holds the repeat ends up to its
+	 * length later; the requests in it, in the one before or in the one half a window before back it, whichever has most.
+	 */
 	backing(nowMs: number, windowMs: number): number {
-		return this.#count(nowMs - windowMs, nowMs);
+		let least = Number.POSITIVE_INFINITY;
+		for (let step = 0; step <= steps; step += 1) {
+			const endMs = nowMs + (windowMs * step / steps);
+			least = Math.min(least, this.#most(endMs, windowMs));
+		}
+
+		return least;
+	}
+
+	#most(endMs: number, windowMs: number): number {
+		const counts = [0, windowMs / 2, windowMs].map(earlierMs => this.#count(endMs - earlierMs - windowMs, endMs - earlierMs));
+		return Math.max(...counts);
 	}
 
 	#count(afterMs: number, untilMs: number): number {
