--- a/packages/core/src/retries/window-budget.spec.ts
+++ b/packages/core/src/retries/window-budget.spec.ts
@@ -191,4 +191,34 @@
 			}
 		}), {seed: 14, numRuns: 50});
 	});
+
+	it('should keep the fleet within its bound where all callers move from some instances to others', () => {
+		const move = fc.record({failsBeforeMs: fc.nat(10_000), requestsPerSecond: fc.integer({min: 5, max: 40})});
+		fc.assert(fc.property(move, ({failsBeforeMs, requestsPerSecond}) => {
+			const instances = 10;
+			const movesAtMs = 30_000;
+			const fleet = Array.from({length: instances}, () => new WindowBudget(() => settings));
+			const sentAtMs: number[] = [];
+			const repeatedAtMs: number[] = [];
+			for (let nowMs = 0; nowMs < 60_000; nowMs += 100) {
+				const isDue = Math.floor((nowMs + 100) * requestsPerSecond / 1000) - Math.floor(nowMs * requestsPerSecond / 1000);
+				const isFailing = nowMs >= movesAtMs - failsBeforeMs;
+				const inUse = nowMs < movesAtMs ? fleet.slice(0, instances / 2) : fleet.slice(instances / 2);
+				for (const budget of inUse) {
+					for (let index = 0; index < isDue; index++) {
+						budget.first(nowMs);
+						sentAtMs.push(nowMs);
+						// Each failed request wants one repeat.
+						if (isFailing && takesOne(budget, nowMs, held(instances))) {
+							repeatedAtMs.push(nowMs);
+						}
+					}
+				}
+			}
+
+			for (let endMs = 20_000; endMs < 60_000; endMs += 100) {
+				assert.ok(countWithin(repeatedAtMs, endMs) <= allowedAt(sentAtMs, endMs), `${countWithin(repeatedAtMs, endMs)} of ${allowedAt(sentAtMs, endMs)}`);
+			}
+		}), {seed: 15, numRuns: 50});
+	});
 });
