The soak counts repeats as the bound does: arrivals, window by window, against the requests near it

Cause: the check counted runs, though what an upstream refuses counts too, and held the fullest window of repeats against the fullest window of requests of another time; it could hardly fail.

--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -25,7 +25,7 @@
 	'a request reported as not run never runs': {calls: [call(answered(503))]},
 	'a success is the whole answer of an upstream that ran this very request': {calls: [call(answered(200, 'u0', '/read/2'))]},
 	'a request runs on no more upstreams than its route allows': {runs: [run('u0'), run('u1'), run('u2')]},
-	'repeats stay within the budget of all instances in each window': {runs: Array.from({length: 60}, (_, index) => run('u0', index))},
+	'repeats stay within the budget of all instances in each window': {arrivals: Array.from({length: 60}, (_, index) => ({id: 'a', upstream: 'u0', atMs: index}))},
 	'a leaving upstream gets nothing new after its time to drain': {drains: [{upstream: 'u0', atMs: 0}], runs: [run(), run('u0', 2001, 'b')]},
 	'an upstream that advertises a rate limit gets no more from all instances together': {
 		limits: [{
@@ -87,6 +87,16 @@
 		assert.equal(breached({...sound, calls: [call({type: 'cut'})], disturbances: [{kind: 'stall', fromMs: 2, untilMs: 9}]}).length, 1);
 	});
 
+	it('should count arrivals, not runs, against the requests of windows near them', () => {
+		const calls = Array.from({length: 500}, (_, index) => call({type: 'cut'}, {id: `c${index}`, sentAtMs: index}));
+		const arrivals = (count: number, atMs: number) => Array.from({length: count + 1}, () => ({id: 'c0', upstream: 'u0', atMs}));
+		const history = {...sound, calls, runs: []};
+		// A fifth of 500 requests, and the slack.
+		assert.deepEqual(breached({...history, arrivals: arrivals(156, 600)}), []);
+		assert.equal(breached({...history, arrivals: arrivals(157, 600)}).length, 1);
+		assert.equal(breached({...history, arrivals: arrivals(156, 40_000)}).length, 1);
+	});
+
 	it('should not judge a limit by an instance that was started again, but by all others', () => {
 		const {limits} = broken['an upstream that advertises a rate limit gets no more from all instances together']!;
 		const runs = Array.from({length: 20}, (_, index) => run('u0', 4000 + index, `b${index}`));
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -1,4 +1,5 @@
 /** The promises, each checked on a whole history; a check gives one line for each breach. */
+import {fullestWindow, siteRepeatBound} from '@cairnbank/platform/spec-support/repeat-bound';
 import type {
 	CallRecord, Disturbance, History, RunRecord,
 } from './history.js';
@@ -16,10 +17,6 @@
 const limitWindowMs = 4000;
 const limitFactor = 1.5;
 const limitSlack = 5;
-const retryWindowMs = 10_000;
-/** As in the settings of each instance. */
-const retryRatio = 0.2;
-const retrySlack = 56;
 /** Of the routes of a site. */
 const maximumAttempts = 2;
 /** Statuses that promise that a request has not run and never will. */
@@ -102,12 +99,11 @@
 
 const repeatsWithinBudget: Check = {
 	name: 'repeats stay within the budget of all instances in each window',
-	breaches({calls, runs}) {
-		const repeatsMs = [...runsOf(runs).values()].flatMap(records => records.slice(1).map(({atMs}) => atMs));
-		const requests = mostInWindow(calls.map(({sentAtMs}) => sentAtMs), retryWindowMs);
-		const most = mostInWindow(repeatsMs, retryWindowMs);
-		const allowed = (requests * retryRatio) + retrySlack;
-		return most > allowed ? [`${most} repeats in ${retryWindowMs} ms, ${allowed} allowed`] : [];
+	breaches({calls, arrivals}) {
+		const fullest = fullestWindow(calls.map(({sentAtMs}) => sentAtMs), arrivals, siteRepeatBound);
+		return fullest !== undefined && fullest.repeats > fullest.allowed
+			? [`${fullest.repeats} repeats in the window that ends at ${Math.round(fullest.endMs)} ms, ${fullest.allowed} allowed`]
+			: [];
 	},
 };
 
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -41,6 +41,7 @@
 const atMostOnce = 'a request that is not idempotent runs at most once';
 const notRunIsTrue = 'a request reported as not run never runs';
 const ownAnswers = 'a success is the whole answer of an upstream that ran this very request';
+const repeatsWithinBudget = 'repeats stay within the budget of all instances in each window';
 const limitIsKept = 'an upstream that advertises a rate limit gets no more from all instances together';
 
 export const mutations: readonly Mutation[] = [
@@ -140,7 +141,31 @@
 		find: 'if (this.left(nowMs, share) < 1) {',
 		replaceBy: 'if (false) {',
 		events: misbehave('fails', ...allUpstreams),
-		noticedBy: 'repeats stay within the budget of all instances in each window',
+		noticedBy: repeatsWithinBudget,
+	},
+	{
+		name: 'budget-exceeded-by-a-fifth',
+		file: `${core}/retries/window-budget.js`,
+		find: 'const usedShare = 0.9;',
+		replaceBy: 'const usedShare = 1.2;',
+		events: misbehave('sheds', ...allUpstreams),
+		noticedBy: repeatsWithinBudget,
+	},
+	{
+		name: 'repeat-not-counted',
+		file: `${core}/retries/window-budget.js`,
+		find: 'this.#endedAtMs.push(endedAtMs);',
+		replaceBy: '',
+		events: misbehave('sheds', ...allUpstreams),
+		noticedBy: repeatsWithinBudget,
+	},
+	{
+		name: 'repeat-taken-for-unsent',
+		file: `${calls}/call-run.js`,
+		find: 'if (this.#attempts.sent > 0) {',
+		replaceBy: 'if (false) {',
+		events: misbehave('sheds', ...allUpstreams),
+		noticedBy: repeatsWithinBudget,
 	},
 	{
 		name: 'stop-without-draining',
