An instance that knows others by name only sends nothing to upstreams that bear a rate

What callers saw: nothing; an upstream that advertises a limit gets it once more from each instance that started while it was cut off, which takes itself for the only user. Not seen on real processes. Why it works: whoever has heard nobody, though others are known by name, leaves such upstreams to them.

--- a/packages/core/src/fleet/fleet-share.spec.ts
+++ b/packages/core/src/fleet/fleet-share.spec.ts
@@ -53,6 +53,7 @@
 		it('should hold no share as long as it hears none of the instances that it knows by name', () => {
 			const start = new Start({isFirstStart: false});
 			start.clock.advance(600 * secondMs);
+			assert.ok(start.shares.isCutOff);
 			assert.deepEqual(start.shares.current, {type: 'none', reason: 'cut-off'});
 		});
 
--- a/packages/core/src/fleet/fleet-share.ts
+++ b/packages/core/src/fleet/fleet-share.ts
@@ -67,6 +67,12 @@
 		return Math.max(leastInstances, this.#options.size.greatest);
 	}
 
+	/** Whether others are known by name and none was heard. */
+	get isCutOff(): boolean {
+		const {size, hasHeardNamed} = this.#options;
+		return size.greatest === 1 && !hasHeardNamed();
+	}
+
 	get current(): FleetShare {
 		this.#isSizeKnown ||= this.#knowsSize();
 		if (this.#isSizeKnown) {
--- a/packages/core/src/limits/fleet-pace.spec.ts
+++ b/packages/core/src/limits/fleet-pace.spec.ts
@@ -25,11 +25,15 @@
 	readonly views: PaceUser[][];
 	readonly arrivalsMs: number[] = [];
 	readonly limits: FleetPace[];
+	/** Hosts that know the others by name only. */
+	readonly cutOff = new Set<string>();
 
 	constructor(readonly size: number, readonly upstream: PacedUpstream = cold) {
 		const members = membersOf(size);
 		this.views = members.map(self => members.filter(other => other !== self));
-		this.limits = members.map((self, index) => new FleetPace({clock: this.clock, self, others: () => this.views[index]!}));
+		this.limits = members.map((self, index) => new FleetPace({
+			clock: this.clock, self, others: () => this.views[index]!, isCutOff: () => this.cutOff.has(self.host),
+		}));
 		this.clock.advance(settledMs);
 	}
 
@@ -67,7 +71,9 @@
 	it('should divide many cold upstreams among the instances', () => {
 		const members = membersOf(99);
 		const clock = new ManualClock();
-		const limits = members.map(self => new FleetPace({clock, self, others: () => members.filter(other => other !== self)}));
+		const limits = members.map(self => new FleetPace({
+			clock, self, others: () => members.filter(other => other !== self), isCutOff: () => false,
+		}));
 		clock.advance(settledMs);
 		const upstreams = Array.from({length: 99}, (_, index) => ({...cold, id: `u${index}` as UpstreamId, availabilityZone: zones[index % zones.length]!}));
 		const used = limits.map(limit => upstreams.filter(each => limit.mayUse(each)).length);
@@ -79,7 +85,9 @@
 		const members = membersOf(6);
 		const clock = new ManualClock();
 		const far = members[1]!;
-		const limit = (others: readonly PaceUser[]) => new FleetPace({clock, self: far, others: () => others});
+		const limit = (others: readonly PaceUser[]) => new FleetPace({
+			clock, self: far, others: () => others, isCutOff: () => false,
+		});
 		const [withNear, alone] = [limit(members.filter(({host}) => host !== far.host)), limit([])];
 		clock.advance(settledMs);
 		assert.deepEqual([withNear.mayUse(cold), alone.mayUse(cold)], [false, true]);
@@ -87,16 +95,33 @@
 
 	it('should send nothing to cold upstreams right after a start, when it knows no others yet', () => {
 		const clock = new ManualClock();
-		const limit = new FleetPace({clock, self: membersOf(1)[0]!, others: () => []});
+		const limit = new FleetPace({
+			clock, self: membersOf(1)[0]!, others: () => [], isCutOff: () => false,
+		});
 		clock.advance(settledMs - 1);
 		assert.equal(limit.mayUse(cold), false);
 		clock.advance(1);
 		assert.equal(limit.mayUse(cold), true);
 	});
 
+	it('should send nothing from an instance that knows others by name and has heard none of them', () => {
+		const fleet = new PressingFleet(13, {...cold, requestsPerSecond: 20, isMeanRate: true});
+		for (const [index, {host}] of membersOf(13).entries()) {
+			if (index % 4 === 1) {
+				fleet.views[index] = [];
+				fleet.cutOff.add(host);
+			}
+		}
+
+		fleet.press(8000);
+		assert.ok(fleet.mostIn(4000) <= (20 * 1.5 * 4) + 5, `${fleet.mostIn(4000)}`);
+	});
+
 	it('should wait longer between two requests where an upstream bears less than one a second', () => {
 		const clock = new ManualClock();
-		const limit = new FleetPace({clock, self: membersOf(1)[0]!, others: () => []});
+		const limit = new FleetPace({
+			clock, self: membersOf(1)[0]!, others: () => [], isCutOff: () => false,
+		});
 		clock.advance(settledMs);
 		const slow = {...cold, requestsPerSecond: 0.5};
 		limit.used(slow);
--- a/packages/core/src/limits/fleet-pace.ts
+++ b/packages/core/src/limits/fleet-pace.ts
@@ -34,6 +34,8 @@
 	readonly clock: Clock;
 	readonly self: PaceUser;
 	readonly others: () => readonly PaceUser[];
+	/** Whether others are known by name and none was ever heard: they use the upstreams, in numbers that nobody here knows. */
+	readonly isCutOff: () => boolean;
 };
 
 type Turn = {
@@ -59,7 +61,7 @@
 	/** Whether this instance may send it a request now. */
 	mayUse(upstream: PacedUpstream): boolean {
 		const nowMs = this.#options.clock.monotonicMs();
-		if (nowMs < this.#settledAtMs) {
+		if (nowMs < this.#settledAtMs || this.#options.isCutOff()) {
 			return false;
 		}
 
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -48,7 +48,9 @@
 			ofService: (_service, zone) => [...this.#upstreams.values()].filter(({registered}) => zone === undefined || registered.availabilityZone === zone),
 			subsetPosition: () => ({index: 0, count: 1}),
 			eligibility: new Eligibility({
-				pace: new FleetPace({clock: this.clock, self: {host: 'a', availabilityZone: 'nasr' as AvailabilityZoneId}, others: () => []}),
+				pace: new FleetPace({
+					clock: this.clock, self: {host: 'a', availabilityZone: 'nasr' as AvailabilityZoneId}, others: () => [], isCutOff: () => false,
+				}),
 				coldRequestsPerSecond: () => this.coldRequestsPerSecond,
 				metrics: createMetrics(),
 			}),
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -127,6 +127,7 @@
 			clock: context.clock,
 			self: {host: settings.host, availabilityZone: settings.availabilityZone as AvailabilityZoneId},
 			others: () => fleet.others(),
+			isCutOff: () => fleet.shares.isCutOff,
 		}),
 		coldRequestsPerSecond: service => state.routes?.service(service)?.coldRequestsPerSecond,
 		metrics: context.metrics,
