A stopping instance answers what is still under way before it ends, in place of closing its connections

What callers saw: a connection that closed without an answer. Cause: as the time to stop was over, requests that had not ended were left to the end of the process. Why it works: the call ends with what its attempts have shown, 504 where it may have run and 503 where it was never sent, before the sockets close.

--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -68,6 +68,11 @@
 		this.#end({type: 'abandoned'});
 	}
 
+	/** The instance ends before the call: its caller is told what is known of it. */
+	expire(): void {
+		this.#end(this.#attempts.outcomeAtDeadline());
+	}
+
 	/** @returns whether something was sent, known once that has ended */
 	async #attempt(kind: AttemptKind): Promise<boolean> {
 		const placement = await this.#placeInTime(kind);
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -38,6 +38,7 @@
 	readonly #server: Server;
 	readonly #requestHeaders: HeaderFilter;
 	#isLeaving = false;
+	readonly #running = new Set<CallRun>();
 	#inFlight = 0;
 	#uneventful = 0;
 	#whenIdle: (() => void) | undefined;
@@ -75,7 +76,12 @@
 		}
 	}
 
+	/** Whatever is still under way has used up the time to stop. */
 	stop(): void {
+		for (const run of this.#running) {
+			run.expire();
+		}
+
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
@@ -128,7 +134,9 @@
 		};
 
 		response.on('close', abandon);
+		this.#running.add(run);
 		const outcome = await run.run();
+		this.#running.delete(run);
 		if (outcome.type === 'answered') {
 			this.#options.guard.endedWell(call);
 		}
