Callers that move between instances do not bring their repeats along twice

What callers saw: nothing; where callers leave some instances for others while a service fails, its upstreams get more repeats than the fleet may send. Cause: each instance grants from its own requests, and those that callers come to grant at once what those they left had granted already. Why it works: no more requests back repeats than came in the window before, which at an instance that has just got its callers is nothing. Cost: after a start or a sudden rise the share of the requests is granted a window later.

--- a/packages/core/src/retries/request-windows.ts
+++ b/packages/core/src/retries/request-windows.ts
@@ -31,9 +31,11 @@
 	/**
 	 * Requests that back a repeat sent now in whichever window it is counted. A window that holds the repeat ends up to its
 	 * length later; the requests in it, in the one before or in the one half a window before back it, whichever has most.
+	 * Callers may have come from another instance, which has granted repeats from their requests: those of the window before
+	 * this one bound what they back here.
 	 */
 	backing(nowMs: number, windowMs: number): number {
-		let least = Number.POSITIVE_INFINITY;
+		let least = this.#count(nowMs - (2 * windowMs), nowMs - windowMs);
 		for (let step = 0; step <= steps; step += 1) {
 			const endMs = nowMs + (windowMs * step / steps);
 			least = Math.min(least, this.#most(endMs, windowMs));
