--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -8,7 +8,7 @@
 export * from './incarnation.js';
 export * from './member-update.js';
 export * from './update-targets.js';
-export * from './own-word.js';
+export * from './local-state.js';
 export * from './store-entry-plan.js';
 export * from './store-follower.js';
 export * from './member-checks.js';
--- a/packages/core/src/fleet/own-word.ts
+++ b/packages/core/src/fleet/local-state.ts
@@ -1,27 +1,27 @@
-/** What an instance says of itself, and how urgently others must know. */
+/** What an instance reports of itself, and how urgently others must know. */
 import type {FleetMember} from './fleet-member.js';
 
 /** What the others keep of an instance beside its place. */
-export type OwnFlags = Pick<FleetMember, 'ready' | 'leaving' | 'reachesStore'>;
+export type LocalFlags = Pick<FleetMember, 'ready' | 'leaving' | 'reachesStore'>;
 
-export type WordChange =
+export type LocalStateChange =
 	| 'unchanged'
 	/** Callers must not be sent here any more. */
 	| 'withdrawn'
 	/** Anything else. */
 	| 'changed';
 
-/** Counts the changes: of two words of one process the one with the higher revision holds. */
-export class OwnWord {
+/** Counts the changes: of two states of one process the one with the higher revision holds. */
+export class LocalState {
 	#revision = 0;
-	#flags: OwnFlags | undefined;
+	#flags: LocalFlags | undefined;
 
 	get revision(): number {
 		return this.#revision;
 	}
 
 	/** Takes note of what it says now. */
-	note(flags: OwnFlags): WordChange {
+	note(flags: LocalFlags): LocalStateChange {
 		const before = this.#flags;
 		if (before !== undefined && isSame(before, flags)) {
 			return 'unchanged';
@@ -35,10 +35,10 @@
 	/**
 	 * Another instance holds this one for lost.
 	 *
-	 * @param revision - of the word that it knew
+	 * @param revision - of the state that it knew
 	 * @returns whether the revision was raised, so that others believe that it lives
 	 */
-	contradict(revision: number): boolean {
+	refute(revision: number): boolean {
 		if (revision < this.#revision) {
 			return false;
 		}
@@ -48,10 +48,10 @@
 	}
 }
 
-function isOffered({ready, leaving}: OwnFlags): boolean {
+function isOffered({ready, leaving}: LocalFlags): boolean {
 	return ready && !leaving;
 }
 
-function isSame(left: OwnFlags, right: OwnFlags): boolean {
+function isSame(left: LocalFlags, right: LocalFlags): boolean {
 	return left.ready === right.ready && left.leaving === right.leaving && left.reachesStore === right.reachesStore;
 }
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -4,7 +4,7 @@
  * learns of a member is passed on from instance to instance.
  */
 import {
-	chooseUpdateTargets, chooseRelays, Contradictions, defaultFleetTiming, FleetShares, FleetView, OwnWord, unknownFleetSize, type FleetMember, type MemberUpdate,
+	chooseUpdateTargets, chooseRelays, Contradictions, defaultFleetTiming, FleetShares, FleetView, LocalState, unknownFleetSize, type FleetMember, type MemberUpdate,
 } from '@cairnbank/core/fleet';
 import type {Context} from '../../kernel/context.js';
 import {splitAddress} from '../../kernel/listen.js';
@@ -49,7 +49,7 @@
 	readonly #watch: MemberWatch;
 	readonly #update: UpdateQueue;
 	readonly #contradictions: Contradictions;
-	readonly #word = new OwnWord();
+	readonly #localState = new LocalState();
 	readonly #startedAtMs: number;
 	#askedForMembersAtMs = Number.NEGATIVE_INFINITY;
 	#notedShare = '';
@@ -86,7 +86,7 @@
 		metrics.liveInstances.set(this.view.live().length + 1);
 		this.#noteShare();
 		const asks = new Set([...this.#asked(), ...this.view.candidates(), ...this.#forgottenSeeds()]);
-		this.#noteOwnWord();
+		this.#noteLocalState();
 		this.#tell([...asks], {wantsReply: true});
 		if (this.isBeatingToAll) {
 			this.#tellAll(asks);
@@ -95,14 +95,14 @@
 
 	/** Tells others of this instance now: all of them where callers must leave it, a few of newer state, who ask for it and tell others. */
 	announce(): void {
-		if (!this.#noteOwnWord()) {
+		if (!this.#noteLocalState()) {
 			this.#announceState();
 		}
 	}
 
 	/** Tells all others of this instance now. */
 	announceToAll(): void {
-		this.#noteOwnWord();
+		this.#noteLocalState();
 		this.#tellAll(new Set());
 	}
 
@@ -156,7 +156,7 @@
 
 			case 'returned': {
 				this.#logAppeared([member]);
-				this.#tellDoubt(member, before);
+				this.#reportSuspicion(member, before);
 			}
 		}
 
@@ -182,7 +182,7 @@
 			if (member.host === host) {
 				this.#heardOfSelf(member);
 			} else if (member.isLost && this.view.isHeardNow(member.host, member.incarnation)) {
-				// It lives, and only its own word takes back what others hold.
+				// It lives, and only a higher revision of its own refutes what others hold.
 				this.#options.send({type: 'members', members: [member]}, [member.host]);
 			}
 		}
@@ -279,8 +279,8 @@
 		}
 	}
 
-	/** A member that was held for lost is heard: only its own word takes that back at the others. */
-	#tellDoubt(member: FleetMember, before: MemberUpdate | undefined): void {
+	/** A member that was held for lost is heard: only a higher revision of its own refutes that at the others. */
+	#reportSuspicion(member: FleetMember, before: MemberUpdate | undefined): void {
 		if (before?.incarnation === member.incarnation && before.revision >= member.revision) {
 			this.#options.send({type: 'members', members: [before]}, [member.host]);
 		} else {
@@ -289,19 +289,19 @@
 	}
 
 	#heardOfSelf({incarnation, revision, isLost}: MemberUpdate): void {
-		if (isLost && incarnation === this.#options.context.incarnation && this.#word.contradict(revision)) {
+		if (isLost && incarnation === this.#options.context.incarnation && this.#localState.refute(revision)) {
 			this.#passOnSelf();
 		}
 	}
 
 	/**
-	 * Tells of changes in what this instance says of itself: all at once where callers must leave it; of the rest the others
-	 * of a large fleet learn from each other.
+	 * Reports changes in the state of this instance: to all at once where callers must leave it; the rest spreads from member to
+	 * member in a large fleet.
 	 *
-	 * @returns whether all have been told
+	 * @returns whether all others were sent it
 	 */
-	#noteOwnWord(): boolean {
-		const change = this.#word.note(this.#options.self());
+	#noteLocalState(): boolean {
+		const change = this.#localState.note(this.#options.self());
 		switch (change) {
 			case 'unchanged': {
 				return false;
@@ -329,7 +329,7 @@
 			host, incarnation, availabilityZone, ready, leaving, reachesStore,
 		} = this.#options.self();
 		const update = {
-			host, incarnation, availabilityZone, ready, leaving, reachesStore, revision: this.#word.revision, isLost: false,
+			host, incarnation, availabilityZone, ready, leaving, reachesStore, revision: this.#localState.revision, isLost: false,
 		};
 		if (this.view.isSmall) {
 			this.#options.send({type: 'members', members: [update]}, this.view.targets());
@@ -354,7 +354,7 @@
 		const {context: {clock}, self} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const own = self();
-		if (membersDigest === this.view.digestWith({...own, revision: this.#word.revision}) || nowMs - this.#askedForMembersAtMs < membersAskMs) {
+		if (membersDigest === this.view.digestWith({...own, revision: this.#localState.revision}) || nowMs - this.#askedForMembersAtMs < membersAskMs) {
 			return false;
 		}
 
@@ -407,7 +407,7 @@
 
 	#heartbeat({wantsReply = false, wantsMembers = false, isForZone = false}: Wants): FleetMessage {
 		const fleetSize = this.shares.current.type === 'held' ? this.view.size.seen : unknownFleetSize;
-		const member = {...this.#options.self(), fleetSize, revision: this.#word.revision};
+		const member = {...this.#options.self(), fleetSize, revision: this.#localState.revision};
 		return {
 			type: 'heartbeat',
 			member: {...member, membersDigest: this.view.digestWith(member)},
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -116,6 +116,15 @@
 			case 'restore': {
 				return this.#restore();
 			}
+
+			case 'outage': {
+				await Promise.all(this.#site.upstreams.map(async (_, index) => this.#misbehave(index, event.behaviour, event.forMs)));
+				return;
+			}
+
+			case 'herd': {
+				await Promise.all(event.instances.map(async index => this.#end(index, 'SIGKILL')));
+			}
 		}
 	}
 
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -2,12 +2,13 @@
 import process from 'node:process';
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {cac} from 'cac';
+import {fullestWindow, siteRepeatBound} from '@cairnbank/platform/spec-support/repeat-bound';
 import {checks} from './checks.js';
 import type {History} from './history.js';
 import {buildMutant} from './mutant.js';
 import {mutations, type Mutation} from './mutations.js';
 import {
-	drawSchedule, mutationSchedule, readSchedule, type Schedule,
+	drawFleetSchedule, drawSchedule, mutationSchedule, readSchedule, type Schedule,
 } from './schedule.js';
 import {SoakRun} from './soak-run.js';
 
@@ -18,9 +19,10 @@
 	readonly seed: number;
 	readonly count: number;
 	readonly instances?: number;
-	readonly seconds: number;
+	readonly seconds?: number;
 	readonly program?: string;
 	readonly file?: string;
+	readonly fleet?: boolean;
 	readonly mutations?: boolean;
 	readonly mutation?: string;
 };
@@ -44,6 +46,7 @@
 	const history = await run.play();
 	const breaches = breachesOf(history);
 	const {instances, upstreams, events} = schedule;
+	const fullest = fullestWindow(history.calls.map(({sentAtMs}) => sentAtMs), history.arrivals, siteRepeatBound);
 	const served = history.calls.filter(({end}) => end.type === 'answered' && end.status === 200).length;
 	console.log([
 		`seed ${schedule.seed}: ${breaches.length === 0 ? 'sound' : `${breaches.length} breaches`}`,
@@ -52,6 +55,7 @@
 		`${events.length} events`,
 		`${history.calls.length} requests`,
 		`${served} served`,
+		`${fullest?.repeats ?? 0} repeats in their fullest window, ${fullest?.allowed.toFixed(1) ?? siteRepeatBound.slack} allowed`,
 	].join(', '));
 	for (const breach of breaches.slice(0, 10)) {
 		console.log(`  ${breach}`);
@@ -94,14 +98,15 @@
 	cli.option('--seed <number>', 'first seed', {default: 1});
 	cli.option('--count <number>', 'schedules to play, with consecutive seeds', {default: 1});
 	cli.option('--instances <number>', 'instances, drawn where it is not given');
-	cli.option('--seconds <number>', 'length of a schedule', {default: 10});
+	cli.option('--seconds <number>', 'length of a schedule, 10 where it is not given');
 	cli.option('--file <path>', 'plays this schedule alone, or the one of a kept run');
 	cli.option('--program <path>', 'program to play, as target/cairnbankd.cjs; the one that the build leaves unless given');
+	cli.option('--fleet', 'plays a whole fleet through outages of all upstreams, with few requests for each instance; 19 instances and 60 seconds unless given');
 	cli.option('--mutations', 'plays each build that is broken on purpose, and reports whether its check notices it');
 	cli.option('--mutation <name>', 'plays this one alone');
 	cli.help();
 	const {
-		seed, count, instances, seconds, program, file, mutations: areMutationsPlayed, mutation, help,
+		seed, count, instances, seconds, program, file, fleet: isFleet, mutations: areMutationsPlayed, mutation, help,
 	} = cli.parse().options as unknown as Options & {readonly help?: boolean};
 	if (help) {
 		return exitCodes.sound;
@@ -117,8 +122,11 @@
 
 	const breached: number[] = [];
 	for (let next = Number(seed); next < Number(seed) + Number(count); next++) {
-		const bounds = {durationMs: Number(seconds) * 1000, ...(instances === undefined ? {} : {instances: Number(instances)})};
-		const isSound = await playOne(drawSchedule(next, bounds), program);
+		const bounds = {
+			...(seconds === undefined ? {} : {durationMs: Number(seconds) * 1000}),
+			...(instances === undefined ? {} : {instances: Number(instances)}),
+		};
+		const isSound = await playOne(isFleet === true ? drawFleetSchedule(next, bounds) : drawSchedule(next, bounds), program);
 		breached.push(...(isSound ? [] : [next]));
 	}
 
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -22,7 +22,11 @@
 	| {readonly type: 'limit'; readonly upstream: number; readonly requestsPerSecond: number; readonly forMs: number}
 	| {readonly type: 'link'; readonly upstream: number; readonly fault: LinkFault; readonly forMs: number}
 	| {readonly type: 'store'; readonly instance: number; readonly fault: StoreFault; readonly forMs: number}
-	| {readonly type: 'restore'};
+	| {readonly type: 'restore'}
+	/** All upstreams fail in the same way. */
+	| {readonly type: 'outage'; readonly behaviour: UpstreamBehaviour; readonly forMs: number}
+	/** Many instances are killed at one moment and start again. */
+	| {readonly type: 'herd'; readonly instances: readonly number[]};
 
 export type ScheduledEvent = {readonly atMs: number; readonly event: SoakEvent};
 
@@ -31,6 +35,10 @@
 	readonly instances: number;
 	readonly upstreams: number;
 	readonly callers: number;
+	/** Time from an answer to the next request of a caller. */
+	readonly callerPauseMs?: number;
+	/** Callers come as soon as the first instance is ready, in place of when all know each other. */
+	readonly isUsedFromStart?: boolean;
 	/** Work of each request at an upstream. */
 	readonly workMs: number;
 	readonly durationMs: number;
@@ -48,6 +56,14 @@
 const defaultDurationMs = 10_000;
 /** Mean time between two events: with faults of 0.3 to 3 s several are in force at a time. */
 const meanPauseMs = 350;
+const fleetInstances = 19;
+const fleetDurationMs = 60_000;
+const fleetUpstreams = 12;
+const callersPerInstance = 2;
+const fleetCallerPauseMs = 400;
+const fleetPauseMs = 3000;
+const outageEveryMs = 20_000;
+const outageBehaviours: readonly UpstreamBehaviour[] = ['sheds', 'fails', 'unsigned', 'loses-answer'];
 const behaviours: readonly UpstreamBehaviour[] = [
 	'sheds', 'hangs', 'loses-answer', 'fails', 'is-another', 'cuts-answer', 'cuts-unframed-answer', 'answers-twice', 'answers-another', 'unsigned',
 ];
@@ -70,6 +86,35 @@
 	};
 }
 
+/**
+ * A whole fleet through outages of all upstreams, with few requests for each instance: what instances share among each
+ * other decides there what they may send. Instances start, end and start again meanwhile, alone and many at once.
+ */
+export function drawFleetSchedule(seed: number, {instances = fleetInstances, durationMs = fleetDurationMs}: ScheduleBounds = {}): Schedule {
+	const random = createRandomSource(Math.imul(seed, seedSpread));
+	const events: ScheduledEvent[] = [];
+	for (let atMs = 0; atMs < durationMs; atMs += outageEveryMs) {
+		const event: SoakEvent = {type: 'outage', behaviour: pick(random, outageBehaviours), forMs: 4000 + random.below(8000)};
+		events.push({atMs: atMs + random.below(4000), event});
+	}
+
+	for (let atMs = pauseMs(random, fleetPauseMs); atMs < durationMs; atMs += pauseMs(random, fleetPauseMs)) {
+		events.push({atMs, event: drawFleetEvent(random, instances)});
+	}
+
+	return {
+		seed,
+		instances,
+		upstreams: fleetUpstreams,
+		callers: callersPerInstance * instances,
+		callerPauseMs: fleetCallerPauseMs,
+		isUsedFromStart: true,
+		workMs: 5 + random.below(40),
+		durationMs,
+		events: events.toSorted((left, right) => left.atMs - right.atMs),
+	};
+}
+
 /** The schedule of a build that is broken on purpose. */
 export function mutationSchedule(events: readonly ScheduledEvent[]): Schedule {
 	return {
@@ -83,8 +128,23 @@
 	return 'schedule' in kept ? kept.schedule : kept;
 }
 
-function pauseMs(random: RandomSource): number {
-	return Math.round(-Math.log(1 - random.next()) * meanPauseMs);
+function pauseMs(random: RandomSource, meanMs = meanPauseMs): number {
+	return Math.round(-Math.log(1 - random.next()) * meanMs);
+}
+
+function drawFleetEvent(random: RandomSource, instances: number): SoakEvent {
+	const instance = random.below(instances);
+	const half = Array.from({length: instances}, (_, index) => index).filter(() => random.next() < 0.5);
+	const draws: ReadonlyArray<() => SoakEvent> = [
+		() => ({type: 'herd', instances: half}),
+		() => ({type: 'kill', instance}),
+		() => ({type: 'stop', instance}),
+		() => ({type: 'pause', instance, forMs: 300 + random.below(2700)}),
+		() => ({type: 'reload', instance}),
+		() => ({type: 'configure'}),
+		() => ({type: 'restore'}),
+	];
+	return pick(random, draws)();
 }
 
 function pick<Value>(random: RandomSource, values: readonly Value[]): Value {
--- a/packages/soak/src/soak-caller.ts
+++ b/packages/soak/src/soak-caller.ts
@@ -5,7 +5,6 @@
 import {answerMarks, callerHeaders} from '@cairnbank/platform/spec-support/caller-request';
 import type {CallEnd, CallRecord} from './history.js';
 
-const pauseMs = 15;
 const deadlineMs = 4000;
 const refusedPauseMs = 100;
 /** One request in this many must not run twice. */
@@ -17,6 +16,8 @@
 	/** Addresses of instances that take callers, `IP:port`. */
 	readonly resolve: () => Promise<readonly string[]>;
 	readonly stop: AbortSignal;
+	/** Time from an answer to the next request. */
+	readonly pauseMs: number;
 	/** After so many requests it asks for addresses again; it keeps a connection until its instance ends it otherwise. */
 	readonly requestsPerConnection: number;
 };
@@ -25,7 +26,7 @@
 
 /** Runs until it is stopped. */
 export async function runSoakCaller({
-	name, random, resolve, stop, requestsPerConnection,
+	name, random, resolve, stop, pauseMs, requestsPerConnection,
 }: SoakCallerOptions): Promise<CallRecord[]> {
 	const records: CallRecord[] = [];
 	while (!stop.aborted) {
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -12,6 +12,8 @@
 /** After the last fault, before everything is to be served again; long enough for all promises to be judged at its end. */
 const settleMs = 7000;
 const callsAfterwards = 8;
+/** Of callers whose schedule names none. */
+const callerPauseMs = 15;
 /** Of every second caller, so that each instance gets requests also where none ends. */
 const requestsPerConnection = 20;
 /** Separates the random numbers of callers of neighbouring seeds. */
@@ -38,8 +40,11 @@
 		const stopCallers = new AbortController();
 		const stopWatching = this.#injector.watchForStalls();
 		try {
-			await this.#site.start(this.#schedule);
-			const callers = this.#startCallers(stopCallers.signal);
+			let callers: Array<Promise<CallRecord[]>> = [];
+			await this.#site.start(this.#schedule, () => {
+				callers = this.#schedule.isUsedFromStart === true ? this.#startCallers(stopCallers.signal) : [];
+			});
+			callers = callers.length === 0 ? this.#startCallers(stopCallers.signal) : callers;
 			await this.#injectAll();
 			await delay(settleMs);
 			const afterwards = await this.#callAfterwards();
@@ -61,6 +66,7 @@
 				random,
 				stop,
 				resolve: async () => this.#site.resolve(random.below(this.#site.entries.length)),
+				pauseMs: this.#schedule.callerPauseMs ?? callerPauseMs,
 				requestsPerConnection: index % 2 === 0 ? Number.POSITIVE_INFINITY : requestsPerConnection,
 			});
 		});
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -33,8 +33,12 @@
 		return this.#site.entries;
 	}
 
-	/** Resolves once all instances are ready and know each other. */
-	async start({instances, upstreams, workMs}: Pick<Schedule, 'instances' | 'upstreams' | 'workMs'>): Promise<void> {
+	/**
+	 * Resolves once all instances are ready and know each other.
+	 *
+	 * @param onFirstReady - called as the first instance is ready
+	 */
+	async start({instances, upstreams, workMs}: Pick<Schedule, 'instances' | 'upstreams' | 'workMs'>, onFirstReady: () => void): Promise<void> {
 		await this.#site.start(0, 0);
 		this.configure();
 		for (let index = 0; index < upstreams; index++) {
@@ -43,6 +47,9 @@
 
 		for (let index = 0; index < instances; index++) {
 			await this.#site.addEntry();
+			if (index === 0) {
+				onFirstReady();
+			}
 		}
 
 		await waitFor('all instances to know each other', async () => {
