Repeats of a call in a module of their own; the soak's fleet schedules begin with an outage now and then

No decision changed, specs of calls, checks, contracts and mutations green. The fleet schedules have fewer requests for each instance (one caller, a pause of a second), so that the slack counts for more of what is allowed, and about half of them an outage of all upstreams while instances start.

--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -1,11 +1,10 @@
 /** Leads one call to its one outcome: attempts, repeats, an early second attempt, the deadline. */
-import {describeShare} from '@cairnbank/core/fleet';
-import type {RepeatGrant} from '@cairnbank/core/retries';
 import type {Placement} from '../upstreams/placer.js';
 import {Attempt, type AttemptKind} from './attempt.js';
 import {AttemptSummary} from './attempt-summary.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
+import {CallRepeats} from './call-repeats.js';
 import {HedgeTimer, type HedgeCheck} from './hedge-timer.js';
 import {describeVerdict, hasReachedNothing, type Verdict} from './judge-exchange.js';
 import type {Outcome} from './outcome.js';
@@ -27,18 +26,24 @@
 	readonly #running = new Set<Attempt>();
 	readonly #attempts = new AttemptSummary();
 	readonly #decisions: string[] = [];
+	readonly #repeats: CallRepeats;
 	readonly #outcome: Promise<Outcome>;
 	#resolve!: (outcome: Outcome) => void;
 	#isOver = false;
 	#placing = 0;
-	/** Of the attempt that is being placed, if it needs one. */
-	#grant: {readonly grant: RepeatGrant; readonly atMs: number} | undefined;
 	#deadlineTimer: NodeJS.Timeout | undefined;
 	readonly #hedgeTimer = new HedgeTimer(async () => this.#hedge());
 
 	constructor(dependencies: CallDependencies, call: Call) {
 		this.#dependencies = dependencies;
 		this.#call = call;
+		this.#repeats = new CallRepeats({
+			dependencies,
+			service: call.service,
+			note: decision => {
+				this.#decisions.push(decision);
+			},
+		});
 		this.#outcome = new Promise(resolve => {
 			this.#resolve = resolve;
 		});
@@ -68,7 +73,7 @@
 		this.#end({type: 'abandoned'});
 	}
 
-	/** The instance ends before the call: its caller is told what is known of it. */
+	/** The instance ends before the call, whose caller gets what the attempts have shown so far. */
 	expire(): void {
 		this.#end(this.#attempts.outcomeAtDeadline());
 	}
@@ -78,7 +83,7 @@
 		const placement = await this.#placeInTime(kind);
 		const remainingMs = Math.floor(this.#remainingMs);
 		if (placement === undefined || remainingMs <= 0) {
-			this.#returnGrant();
+			this.#repeats.giveBack();
 			return false;
 		}
 
@@ -128,7 +133,7 @@
 					this.#decisions.push('hedge-skipped:all-busy');
 				}
 
-				return placement.isLightlyLoaded && this.#takeRepeat();
+				return placement.isLightlyLoaded && this.#repeats.take();
 			}
 
 			case 'repeat': {
@@ -158,7 +163,7 @@
 	}
 
 	async #send(kind: AttemptKind, placement: Placement, remainingMs: number): Promise<boolean> {
-		const grant = this.#useGrant();
+		const grant = this.#repeats.use();
 		const attempt = new Attempt(this.#dependencies, this.#call, kind, placement);
 		this.#running.add(attempt);
 		this.#attempts.sentTo(placement.upstream.registered.id);
@@ -217,52 +222,13 @@
 		}
 
 		if (this.#attempts.sent > 0) {
-			return this.#takeRepeat();
-		}
-
-		this.#decisions.push('repeat-free:nothing-sent');
-		this.#dependencies.metrics.repeats.inc({service: this.#call.service, grant: 'free'});
-		return true;
-	}
-
-	#takeRepeat(): boolean {
-		const {budget, share, metrics} = this.#dependencies;
-		const {service} = this.#call;
-		const nowMs = this.#now();
-		const grant = budget(service).tryTake(nowMs, share());
-		const state = `${describeShare(share())}:left=${budget(service).left(nowMs, share()).toFixed(1)}`;
-		if (grant === undefined) {
-			this.#decisions.push(`repeat-denied:budget:${state}`);
-			metrics.repeatsDenied.inc({service});
-			return false;
+			return this.#repeats.take();
 		}
 
-		this.#grant = {grant, atMs: nowMs};
-		this.#decisions.push(`repeat-granted:${state}`);
-		metrics.repeats.inc({service, grant: 'budget'});
+		this.#repeats.takeFree();
 		return true;
 	}
 
-	/** The grant of an attempt that is sent now. */
-	#useGrant(): RepeatGrant | undefined {
-		if (this.#grant === undefined) {
-			return undefined;
-		}
-
-		const {grant, atMs} = this.#grant;
-		this.#grant = undefined;
-		const ageMs = this.#now() - atMs;
-		this.#decisions.push(`granted:${Math.round(ageMs)}ms-ago`);
-		this.#dependencies.metrics.repeatGrantSeconds.observe(ageMs / 1000);
-		return grant;
-	}
-
-	/** The attempt is not sent. */
-	#returnGrant(): void {
-		this.#grant?.grant.unused();
-		this.#grant = undefined;
-	}
-
 	#planHedge({expectedMs}: Placement): void {
 		if (this.#call.route.idempotent) {
 			this.#hedgeTimer.start(Math.max(minimumHedgeDelayMs, expectedMs * hedgeFactor));
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -37,8 +37,8 @@
 	readonly callers: number;
 	/** Time from an answer to the next request of a caller. */
 	readonly callerPauseMs?: number;
-	/** Callers come as soon as the first instance is ready, in place of when all know each other. */
-	readonly isUsedFromStart?: boolean;
+	/** Callers come, and these happen, as soon as the first instance is ready, in place of when all know each other. */
+	readonly duringStart?: readonly SoakEvent[];
 	/** Work of each request at an upstream. */
 	readonly workMs: number;
 	readonly durationMs: number;
@@ -59,10 +59,12 @@
 const fleetInstances = 19;
 const fleetDurationMs = 60_000;
 const fleetUpstreams = 12;
-const callersPerInstance = 2;
-const fleetCallerPauseMs = 400;
+const callersPerInstance = 1;
+const fleetCallerPauseMs = 1000;
 const fleetPauseMs = 3000;
 const outageEveryMs = 20_000;
+/** About as long as the instances of a fleet take to start one after the other. */
+const startOutageMs = 12_000;
 const outageBehaviours: readonly UpstreamBehaviour[] = ['sheds', 'fails', 'unsigned', 'loses-answer'];
 const behaviours: readonly UpstreamBehaviour[] = [
 	'sheds', 'hangs', 'loses-answer', 'fails', 'is-another', 'cuts-answer', 'cuts-unframed-answer', 'answers-twice', 'answers-another', 'unsigned',
@@ -108,7 +110,7 @@
 		upstreams: fleetUpstreams,
 		callers: callersPerInstance * instances,
 		callerPauseMs: fleetCallerPauseMs,
-		isUsedFromStart: true,
+		duringStart: random.next() < 0.5 ? [{type: 'outage', behaviour: pick(random, outageBehaviours), forMs: startOutageMs}] : [],
 		workMs: 5 + random.below(40),
 		durationMs,
 		events: events.toSorted((left, right) => left.atMs - right.atMs),
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -40,11 +40,15 @@
 		const stopCallers = new AbortController();
 		const stopWatching = this.#injector.watchForStalls();
 		try {
+			const {duringStart} = this.#schedule;
 			let callers: Array<Promise<CallRecord[]>> = [];
+			const starting: Array<Promise<void>> = [];
 			await this.#site.start(this.#schedule, () => {
-				callers = this.#schedule.isUsedFromStart === true ? this.#startCallers(stopCallers.signal) : [];
+				callers = duringStart === undefined ? [] : this.#startCallers(stopCallers.signal);
+				starting.push(...(duringStart ?? []).map(async event => this.#injector.inject(event)));
 			});
-			callers = callers.length === 0 ? this.#startCallers(stopCallers.signal) : callers;
+			await Promise.all(starting);
+			callers = duringStart === undefined ? this.#startCallers(stopCallers.signal) : callers;
 			await this.#injectAll();
 			await delay(settleMs);
 			const afterwards = await this.#callAfterwards();
