--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -30,13 +30,15 @@
 
 export type ScheduledEvent = {readonly atMs: number; readonly event: SoakEvent};
 
+export type RequestBursts = {readonly requests: number; readonly pauseMs: number};
+
 export type Schedule = {
 	readonly seed: number;
 	readonly instances: number;
 	readonly upstreams: number;
 	readonly callers: number;
-	/** Time from an answer to the next request of a caller. */
-	readonly callerPauseMs?: number;
+	/** Each caller sends so many requests one after the other and then pauses; all the time where it isn't given. */
+	readonly bursts?: RequestBursts;
 	/** Callers come, and these happen, as soon as the first instance is ready, in place of when all know each other. */
 	readonly duringStart?: readonly SoakEvent[];
 	/** Work of each request at an upstream. */
@@ -60,7 +62,8 @@
 const fleetDurationMs = 60_000;
 const fleetUpstreams = 12;
 const callersPerInstance = 1;
-const fleetCallerPauseMs = 1000;
+/** So few requests in a window that the slack is most of what is allowed, and so many at a time that all of it is wanted. */
+const fleetBursts: RequestBursts = {requests: 12, pauseMs: 9000};
 const fleetPauseMs = 3000;
 const outageEveryMs = 20_000;
 /** About as long as the instances of a fleet take to start one after the other. */
@@ -109,7 +112,7 @@
 		instances,
 		upstreams: fleetUpstreams,
 		callers: callersPerInstance * instances,
-		callerPauseMs: fleetCallerPauseMs,
+		bursts: fleetBursts,
 		duringStart: random.next() < 0.5 ? [{type: 'outage', behaviour: pick(random, outageBehaviours), forMs: startOutageMs}] : [],
 		workMs: 5 + random.below(40),
 		durationMs,
--- a/packages/soak/src/soak-caller.ts
+++ b/packages/soak/src/soak-caller.ts
@@ -4,7 +4,9 @@
 import type {RandomSource} from '@cairnbank/core';
 import {answerMarks, callerHeaders} from '@cairnbank/platform/spec-support/caller-request';
 import type {CallEnd, CallRecord} from './history.js';
+import type {RequestBursts} from './schedule.js';
 
+const pauseMs = 15;
 const deadlineMs = 4000;
 const refusedPauseMs = 100;
 /** One request in this many must not run twice. */
@@ -16,17 +18,21 @@
 	/** Addresses of instances that take callers, `IP:port`. */
 	readonly resolve: () => Promise<readonly string[]>;
 	readonly stop: AbortSignal;
-	/** Time from an answer to the next request. */
-	readonly pauseMs: number;
+	/** Nothing where requests follow each other all the time. */
+	readonly bursts: RequestBursts | undefined;
 	/** After so many requests it asks for addresses again; it keeps a connection until its instance ends it otherwise. */
 	readonly requestsPerConnection: number;
 };
 
 type Sent = {readonly id: string; readonly method: 'GET' | 'POST'; readonly path: string};
 
+function pauseAfter(sent: number, bursts: RequestBursts | undefined): number {
+	return bursts !== undefined && sent % bursts.requests === 0 ? bursts.pauseMs : pauseMs;
+}
+
 /** Runs until it is stopped. */
 export async function runSoakCaller({
-	name, random, resolve, stop, pauseMs, requestsPerConnection,
+	name, random, resolve, stop, bursts, requestsPerConnection,
 }: SoakCallerOptions): Promise<CallRecord[]> {
 	const records: CallRecord[] = [];
 	while (!stop.aborted) {
@@ -45,7 +51,7 @@
 			const {record, keepsConnection} = await callOnce(address, {id, method: isPayment ? 'POST' : 'GET', path: isPayment ? `/pay/${id}` : `/read/${id}`}, agent);
 			records.push(record);
 			isKept = keepsConnection;
-			await delay(isKept ? pauseMs : refusedPauseMs);
+			await delay(isKept ? pauseAfter(records.length, bursts) : refusedPauseMs, undefined, {signal: stop}).catch(() => undefined); // eslint-disable-line promise/prefer-await-to-then
 		}
 
 		agent.destroy();
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -12,8 +12,6 @@
 /** After the last fault, before everything is to be served again; long enough for all promises to be judged at its end. */
 const settleMs = 7000;
 const callsAfterwards = 8;
-/** Of callers whose schedule names none. */
-const callerPauseMs = 15;
 /** Of every second caller, so that each instance gets requests also where none ends. */
 const requestsPerConnection = 20;
 /** Separates the random numbers of callers of neighbouring seeds. */
@@ -70,7 +68,7 @@
 				random,
 				stop,
 				resolve: async () => this.#site.resolve(random.below(this.#site.entries.length)),
-				pauseMs: this.#schedule.callerPauseMs ?? callerPauseMs,
+				bursts: this.#schedule.bursts,
 				requestsPerConnection: index % 2 === 0 ? Number.POSITIVE_INFINITY : requestsPerConnection,
 			});
 		});
