--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -1,4 +1,5 @@
 /** Plays one schedule on the real program and resolves with what callers and upstreams saw. */
+import {setMaxListeners} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandomSource} from '@cairnbank/core/random';
 import {FaultInjector} from './fault-injector.js';
@@ -36,6 +37,7 @@
 
 	async play(): Promise<History> {
 		const stopCallers = new AbortController();
+		setMaxListeners(this.#schedule.callers + 1, stopCallers.signal);
 		const stopWatching = this.#injector.watchForStalls();
 		try {
 			const {duringStart} = this.#schedule;
