An answer that its caller reads slowly is sent to its end before a stopping instance ends

What callers saw: 3.9 of 24 MB of an answer, then the end of the connection, though the instance had most of its time to stop left. Cause: a call counted as ended once its answer was handed to the response, so nothing was waited for; and a server that closes destroys the connection of a response that has ended, whatever is still to be sent on it. Evidence: graceful-stop.spec, red before (3,919,661 of 24,000,018 bytes). Ruled out: the end of the process alone, as the cut came with the close of the listener. Why it works: the response ends once its body has left the process, and a call counts as under way until then.

--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -101,6 +101,7 @@
 			await this.#lead(request, response, head.value);
 		}
 
+		await whenSent(response);
 		this.#inFlight -= 1;
 		context.metrics.inFlight.set(this.#inFlight);
 		if (this.#inFlight === 0) {
@@ -163,3 +164,14 @@
 		writeOutcome(response, outcome, this.#isLeaving);
 	}
 }
+
+/** Resolves once the answer has left this process, or its caller has gone. */
+async function whenSent(response: ServerResponse): Promise<void> {
+	if (response.writableFinished || response.destroyed) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		response.once('close', resolve);
+	});
+}
--- a/packages/gateway/src/features/calls/write-outcome.ts
+++ b/packages/gateway/src/features/calls/write-outcome.ts
@@ -30,7 +30,7 @@
 			const {status, headers, body} = outcome.answer;
 			const length = response.req.method === 'HEAD' ? [] : ['Content-Length', String(body.length)];
 			response.writeHead(status, [...answerHeaders.passOn(headers), ...length]);
-			response.end(body);
+			endWith(response, body);
 			return;
 		}
 
@@ -60,8 +60,18 @@
 	}
 }
 
+/**
+ * Ends the response once its body has left this process: a server that closes takes the connection of a response that has
+ * ended for idle, whatever is still to be sent on it.
+ */
+function endWith(response: ServerResponse, body: Uint8Array): void {
+	response.write(body, () => {
+		response.end();
+	});
+}
+
 function fail(response: ServerResponse, status: number, reason: string, headers: readonly string[] = []): void {
 	const body = JSON.stringify({reason});
 	response.writeHead(status, ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body)), ...headers]);
-	response.end(body);
+	endWith(response, Buffer.from(body));
 }
