A request that never left is reported as not run when its time ends

What callers saw: 504, "may have run", for a payment whose connection was still being opened, or that all upstreams tried had refused while another one was looked for; a caller must not send such a payment again. Cause: as the time ended, any attempt counted as one that may run, also one that had been proven not to have. Why it works: nothing is written before a connection is open and a connection that was given up never opens, so only attempts on an open connection may run; without one, the outcome is that of the attempts that have ended.

--- a/packages/gateway/src/features/calls/attempt-summary.ts
+++ b/packages/gateway/src/features/calls/attempt-summary.ts
@@ -85,9 +85,13 @@
 		return this.#mayHaveRun === 'timed-out' ? {type: 'timed-out'} : {type: 'unknown', reason: this.#mayHaveRun};
 	}
 
-	/** The time is over; an attempt that is still under way may run. */
-	outcomeAtDeadline(): Outcome {
-		return this.#sent > 0 ? {type: 'timed-out'} : this.#notRunOutcome();
+	/**
+	 * The time is over.
+	 *
+	 * @param mayStillRun - whether an attempt that has not ended may have reached its upstream
+	 */
+	outcomeAtDeadline(mayStillRun: boolean): Outcome {
+		return mayStillRun ? {type: 'timed-out'} : this.outcome();
 	}
 
 	#notRunOutcome(): Outcome {
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -74,6 +74,11 @@
 		return this.#kind;
 	}
 
+	/** Nothing is sent before the connection is open, so that what was given up until then never arrives. */
+	get mayHaveReachedUpstream(): boolean {
+		return this.#connection.isConnected;
+	}
+
 	/** Gives the request up; most upstreams then stop working on it. */
 	cancel(): void {
 		this.#connection.cancel();
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -27,11 +27,16 @@
 export const cancelled = err({type: 'cancelled'} as const);
 export const notConnected = err({type: 'not-connected', message: 'refused', isTimeout: false} as const);
 
+const share = {type: 'held', instances: 1} as const;
+const never = new Promise<never>(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+
 export type CallWorldOptions = {
 	readonly idempotent: boolean;
 	readonly maximumAttempts?: number;
 	readonly slack?: number;
 	readonly upstreams?: number;
+	/** Whether connections to upstreams are open from the start; so unless said otherwise. */
+	readonly isConnected?: boolean;
 	/** Why there is none where none is left. */
 	readonly noUpstream?: NoUpstream;
 };
@@ -44,14 +49,19 @@
 	readonly conditions: UpstreamCondition[] = [];
 	outcome: Outcome | undefined;
 	isLightlyLoaded = true;
+	/** Whether no upstream is found for now, however long it takes. */
+	isPlacingHeld = false;
 	expectedMs = 40;
 	readonly run: CallRun;
+	readonly budget: WindowBudget;
+	readonly #isConnected: boolean;
 	#next = 0;
 
 	constructor(options: CallWorldOptions) {
 		const {
-			idempotent, maximumAttempts = 2, slack = 50, upstreams = 9, noUpstream = {reason: 'no-upstream'},
+			idempotent, maximumAttempts = 2, slack = 50, upstreams = 9, isConnected = true, noUpstream = {reason: 'no-upstream'},
 		} = options;
+		this.#isConnected = isConnected;
 		const call: Call = {
 			requestId: 'r1',
 			caller: '10.9.0.1',
@@ -67,7 +77,7 @@
 			receivedAtMs: 0,
 			deadlineAtMs: 1000,
 		};
-		const budget = new WindowBudget(() => ({ratio: 0, slack, windowMs: 10_000}));
+		this.budget = new WindowBudget(() => ({ratio: 0, slack, windowMs: 10_000}));
 		this.run = new CallRun({
 			clock: this.clock,
 			dialect: plainDialect,
@@ -76,17 +86,22 @@
 			admission: new Admission(this.clock),
 			advisories: {received: () => undefined},
 			rateLimits: {answered: () => undefined},
-			budget: () => budget,
-			share: () => ({type: 'held', instances: 1}),
+			budget: () => this.budget,
+			share: () => share,
 			onBroken: () => undefined,
 			pause: async durationMs => {
 				this.clock.advance(durationMs);
 			},
 			whyNone: () => noUpstream,
-			place: async ({excluded}) => this.#place(excluded, upstreams),
+			place: async ({excluded}) => this.isPlacingHeld ? never : this.#place(excluded, upstreams),
 		}, call);
 	}
 
+	/** Repeats that the budget still grants. */
+	get repeatsLeft(): number {
+		return this.budget.left(this.clock.monotonicMs(), share);
+	}
+
 	async start(): Promise<void> {
 		void this.run.run().then(outcome => { // eslint-disable-line promise/prefer-await-to-then
 			this.outcome = outcome;
@@ -113,6 +128,7 @@
 		this.#next += 1;
 		const id = `u${this.#next}` as UpstreamId;
 		const connection = {
+			isConnected: this.#isConnected,
 			exchange: async (request: OutgoingRequest) => new Promise<Result<UpstreamAnswer, ExchangeFailure>>(resolve => {
 				this.exchanges.push({upstream: id, request, settle: resolve});
 			}),
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -226,6 +226,34 @@
 			assert.equal(world.outcome?.type, 'timed-out');
 		});
 
+		inWorld('should end a request as not run that was refused and for which no other upstream is found yet', {idempotent: false}, async world => {
+			world.isPlacingHeld = true;
+			await world.answer(0, refusal);
+			await world.pass(1000);
+			assert.deepEqual(world.outcome, {type: 'not-run', reason: 'refused-by-upstreams', retryAfterMs: 60});
+		});
+
+		inWorld('should end a request as timed out that was refused and is under way at another upstream', {idempotent: false}, async world => {
+			await world.answer(0, refusal);
+			await world.pass(1000);
+			assert.equal(world.outcome?.type, 'timed-out');
+		});
+
+		inWorld('should end a request as not run whose connection was still being opened', {idempotent: false, isConnected: false}, async world => {
+			await world.pass(1000);
+			assert.equal(world.outcome?.type, 'not-run');
+			assert.deepEqual(world.cancelled, ['u1']);
+		});
+
+		inWorld('should not count a repeat whose connection was still being opened', {idempotent: false, isConnected: false}, async world => {
+			const before = world.repeatsLeft;
+			await world.answer(0, refusal);
+			assert.equal(world.repeatsLeft, before - 1);
+			await world.pass(1000);
+			await world.answer(1, cancelled);
+			assert.equal(world.repeatsLeft, before);
+		});
+
 		inWorld('should end at once where the caller has gone', {idempotent: true}, async world => {
 			world.run.abandon();
 			await settled();
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -60,7 +60,7 @@
 
 	async run(): Promise<Outcome> {
 		this.#deadlineTimer = setTimeout(() => {
-			this.#end(this.#attempts.outcomeAtDeadline());
+			this.expire();
 		}, Math.max(0, this.#remainingMs));
 		this.#dependencies.admission.arrived(this.#call);
 		this.#dependencies.budget(this.#call.service).first(this.#now());
@@ -73,9 +73,10 @@
 		this.#end({type: 'abandoned'});
 	}
 
-	/** The instance ends before the call, whose caller gets what the attempts have shown so far. */
+	/** Its time is over, or the instance's: the caller gets what the attempts have shown so far. */
 	expire(): void {
-		this.#end(this.#attempts.outcomeAtDeadline());
+		const mayStillRun = [...this.#running].some(attempt => attempt.mayHaveReachedUpstream);
+		this.#end(this.#attempts.outcomeAtDeadline(mayStillRun));
 	}
 
 	/** @returns whether something was sent, known once that has ended */
@@ -175,7 +176,7 @@
 		const sentAtMs = this.#now();
 		const verdict = await attempt.run(remainingMs);
 		this.#running.delete(attempt);
-		if (hasReachedNothing(verdict)) {
+		if (hasReachedNothing(verdict) || !attempt.mayHaveReachedUpstream) {
 			grant?.unused();
 		} else {
 			grant?.ended(this.#now());
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -61,6 +61,11 @@
 		return !this.#isClosed && !this.#isSpent && this.#isConnected && this.#waiting === undefined && this.#options.now() < this.#idleUntilMs;
 	}
 
+	/** Whether it was ever open; nothing is sent on it before. */
+	get isConnected(): boolean {
+		return this.#isConnected;
+	}
+
 	/** Sends one request; resolves once its answer is whole or it has failed. */
 	async exchange(request: OutgoingRequest): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
 		return new Promise(resolve => {
