A payment whose connection is still being opened at its deadline is reported as not run, also where the timer fires early

What callers saw: "unknown (deadline-exceeded)", so that the payment must not be sent again, though nothing had been sent; the known failure "log slow at connecting: a payment under way". Cause: the timer may fire a fraction of a millisecond before the deadline; the clock was read twice, and where the deadline passed between the readings, the outcome was formed without giving up the running attempt, which would have said that it never started. Ruled out: room in the stalled listener's queue (90 starts beside connections on loopback), and the HTTP library's start of a request before its connection is open.

--- a/packages/daemon/src/features/calls/attempt-loop.ts
+++ b/packages/daemon/src/features/calls/attempt-loop.ts
@@ -148,6 +148,11 @@
 
 	#step(): void {
 		const nowMs = this.#parts.clock.monotonicMs();
+		if (nowMs >= this.#call.deadlineAtMs) {
+			this.#giveUp('deadline-exceeded');
+			return;
+		}
+
 		const step = nextStep(this.#attempts, this.#policy, nowMs);
 		switch (step.type) {
 			case 'finish': {
@@ -187,19 +192,12 @@
 		this.#armedAtMs = atMs;
 		clearTimeout(this.#timer);
 		this.#timer = setTimeout(() => {
-			this.#onTimer();
-		}, Math.max(1, Math.ceil(atMs - nowMs)));
-	}
-
-	#onTimer(): void {
-		this.#armedAtMs = undefined;
-		if (this.#parts.clock.monotonicMs() >= this.#call.deadlineAtMs) {
-			this.#giveUp('deadline-exceeded');
-		} else {
+			this.#armedAtMs = undefined;
 			this.#step();
-		}
+		}, Math.max(1, Math.ceil(atMs - nowMs)));
 	}
 
+	/** Attempts that are still running say whether anything was sent before the outcome is formed. */
 	#giveUp(reason: CancelReason): void {
 		const resolve = this.#resolve;
 		this.#resolve = undefined;
