--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -17,6 +17,7 @@
 const gateway = 'packages/gateway/dist';
 const calls = `${gateway}/features/calls`;
 const availability = `${core}/advisories/availability.js`;
+const advisoryRecord = `${core}/advisories/advisory-record.js`;
 const beginMs = 500;
 const longMs = 8000;
 const entryAfterMs = 20_000;
@@ -38,12 +39,18 @@
 	type: 'limit', upstream, requestsPerSecond, forMs: longMs,
 }));
 
-/** Requests are at upstreams that never answer them as their instances are told to stop. */
+/** Instances get SIGTERM while requests are at upstreams that never answer them. */
 const stopsUnderWay: readonly ScheduledEvent[] = [
 	at({type: 'outage', behaviour: 'answers-another', forMs: 1500}),
 	...[0, 1, 2].map(instance => at({type: 'stop', instance}, 2 * beginMs)),
 ];
 
+/** A fifth over the time in which leaving upstreams may still get requests. */
+const heededLate = (since: string, now: string) => `${now} - (${since} ??= ${now}) > 2400`;
+
+const leavingIsHeeded = 'an upstream gets nothing new from an instance that has passed on that it leaves, after its time to drain';
+const backOffIsKept = 'an upstream that asks an instance to back off gets next to nothing from it in that time';
+const drainedGetsNothing = 'a leaving upstream gets nothing new after its time to drain';
 const atMostOnce = 'a request that is not idempotent runs at most once';
 const notRunIsTrue = 'a request reported as not run never runs';
 const ownAnswers = 'a success is the whole answer of an upstream that ran this very request';
@@ -58,7 +65,15 @@
 		find: 'case \'available\': {',
 		replaceBy: 'case \'available\': case \'leaving\': {',
 		events: onUpstream2({type: 'leave', upstream: 2, entryAfterMs}),
-		noticedBy: 'an upstream gets nothing new from an instance that has passed on that it leaves, after its time to drain',
+		noticedBy: leavingIsHeeded,
+	},
+	{
+		name: 'leaving-heeded-a-fifth-late',
+		file: advisoryRecord,
+		find: 'if (this.#isLeaving) {',
+		replaceBy: `if (this.#isLeaving && ${heededLate('this.leavingSinceMs', 'this.#clock.monotonicMs()')}) {`,
+		events: onUpstream2({type: 'leave', upstream: 2, entryAfterMs}),
+		noticedBy: leavingIsHeeded,
 	},
 	{
 		name: 'back-off-ignored',
@@ -68,7 +83,17 @@
 		events: onUpstream2({
 			type: 'back-off', upstream: 2, seconds: 6, forMs: beginMs,
 		}),
-		noticedBy: 'an upstream that asks an instance to back off gets next to nothing from it in that time',
+		noticedBy: backOffIsKept,
+	},
+	{
+		name: 'back-off-ended-a-fifth-early',
+		file: advisoryRecord,
+		find: 'Math.min(advisory.durationMs, maximumBackOffMs)',
+		replaceBy: 'Math.min(0.8 * advisory.durationMs, maximumBackOffMs)',
+		events: onUpstream2({
+			type: 'back-off', upstream: 2, seconds: 6, forMs: beginMs,
+		}),
+		noticedBy: backOffIsKept,
 	},
 	{
 		name: 'limit-ignored',
@@ -86,13 +111,29 @@
 		events: limited(2),
 		noticedBy: limitIsKept,
 	},
+	{
+		name: 'limit-exceeded-by-a-fifth',
+		file: `${core}/limits/fleet-pace.js`,
+		find: 'return millisecondsPerSecond / perUser;',
+		replaceBy: 'return millisecondsPerSecond / (perUser * 2.55);',
+		events: limited(2),
+		noticedBy: limitIsKept,
+	},
 	{
 		name: 'drain-ignored',
 		file: `${gateway}/features/upstreams/upstreams-task.js`,
 		find: ' && !upstream.registered.draining',
 		replaceBy: '',
 		events: onUpstream2({type: 'drain', upstream: 2}),
-		noticedBy: 'a leaving upstream gets nothing new after its time to drain',
+		noticedBy: drainedGetsNothing,
+	},
+	{
+		name: 'drain-heeded-a-fifth-late',
+		file: `${gateway}/features/upstreams/upstreams-task.js`,
+		find: ' && !upstream.registered.draining',
+		replaceBy: ` && !(upstream.registered.draining && ${heededLate('upstream.drainingSinceMs', 'performance.now()')})`,
+		events: onUpstream2({type: 'drain', upstream: 2}),
+		noticedBy: drainedGetsNothing,
 	},
 	{
 		name: 'payments-repeated',
