A stopping instance waits until its last answers have left, also where it logs nothing

What callers would have seen: a hang-up in place of 504 as the time to stop ends, at an instance whose log level leaves out the line "stopped". Cause: since an answer leaves one turn of the event loop after its call has ended, and the process ended without waiting for it; only the write of a log line bridged that. Why it works: what is still in flight is ended first, and the sockets close once the same wait for an idle listener is over, bounded by 0.95 of the time to stop.

--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -76,12 +76,13 @@
 		}
 	}
 
-	/** Whatever is still under way has used up the time to stop. */
-	stop(): void {
+	expire(): void {
 		for (const run of this.#running) {
 			run.expire();
 		}
+	}
 
+	stop(): void {
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,8 +13,10 @@
  * times their time to live.
  */
 const acceptingRatio = 0.6;
-/** Part of the time given in which requests under way must have ended; the rest closes sockets and ends the process. */
+/** Part of the time given in which requests under way may end by themselves. */
 const drainRatio = 0.93;
+/** Part of the time given by which the answers to all others must have left; the rest closes sockets and ends the process. */
+const answerRatio = 0.95;
 
 export class Gateway {
 	readonly #context: Context;
@@ -73,6 +75,11 @@
 		await delay(graceMs * acceptingRatio);
 		const drained = Promise.all(this.#tasks.map(async task => task.drain?.()));
 		await Promise.race([drained, delay(graceMs * (drainRatio - acceptingRatio))]);
+		for (const task of this.#tasks) {
+			task.expire?.();
+		}
+
+		await Promise.race([drained, delay(graceMs * (answerRatio - drainRatio))]);
 		for (const task of this.#tasks.toReversed()) {
 			task.stop();
 		}
--- a/packages/gateway/src/kernel/task.ts
+++ b/packages/gateway/src/kernel/task.ts
@@ -10,6 +10,8 @@
 	leave?(): void;
 	/** Takes nothing new; resolves once nothing is in flight. */
 	drain?(): Promise<void>;
+	/** The time to drain is over: ends what is still in flight. */
+	expire?(): void;
 	/** Closes sockets and timers. */
 	stop(): void;
 };
