Crash reports are logged with what their fingerprint covers, and counted

Change: the line of a crash names service, method, target, address of the caller and size of the body, and how many crashes are counted now; a report of another instance has a line; cairnbank_crashes_total{source}. No logic is changed.

--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -1,12 +1,11 @@
 /** Blocks requests that crash upstreams. Crashes are shared, so that all instances block the same requests. */
-import type {
-	Clock, Fingerprint, InstanceId, UpstreamId,
-} from '@cairnbank/core';
+import type {Fingerprint, InstanceId, UpstreamId} from '@cairnbank/core';
+import {countCrashes} from '@cairnbank/core/count-crashes';
 import {defaultPoisonSettings} from '@cairnbank/core/poison-settings';
 import {fingerprintOf} from '@cairnbank/core/request-fingerprint';
 import {startIdOf} from '@cairnbank/core/registry';
 import {SuspectTable} from '@cairnbank/core/suspect-table';
-import type {Logger} from '../../logging/create-logger.js';
+import type {Context} from '../../kernel/context.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import type {Call} from './call.js';
 
@@ -24,8 +23,7 @@
 };
 
 export type PoisonGuardOptions = {
-	readonly clock: Clock;
-	readonly logger: Logger;
+	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics'>;
 	readonly instance: InstanceId;
 	/** Whether an upstream that broke a connection refuses new connections. */
 	readonly hasCrashed: (upstream: Upstream) => Promise<boolean>;
@@ -38,7 +36,7 @@
 
 	constructor(options: PoisonGuardOptions) {
 		this.#options = options;
-		this.#suspects = new SuspectTable(options.clock, options.instance, {...defaultPoisonSettings, crashesBeforeRefusal});
+		this.#suspects = new SuspectTable(options.context.clock, options.instance, {...defaultPoisonSettings, crashesBeforeRefusal});
 	}
 
 	/** @returns the delay after which a refused request may be retried; undefined if the request may run */
@@ -58,14 +56,17 @@
 		}
 
 		const crash = {fingerprint: fingerprint(call), upstream: startIdOf(upstream.registered)};
-		this.#options.logger.warn('upstream crashed under a request', {id: call.requestId, ...crash});
-		this.recordCrash(crash);
+		const crashes = this.#record(crash, 'own');
+		this.#options.context.logger.warn('upstream crashed under a request', {
+			id: call.requestId, ...crash, crashes, ...describeFingerprinted(call),
+		});
 		this.#options.onCrash(crash);
 	}
 
-	/** Records a crash that this instance or another one detected. */
-	recordCrash({fingerprint: suspect, upstream}: Crash): void {
-		this.#suspects.recordCrash(suspect, upstream);
+	/** Records a crash that another instance reported. */
+	receiveReport(crash: Crash): void {
+		const crashes = this.#record(crash, 'instance');
+		this.#options.context.logger.info('crash reported by another instance', {...crash, crashes});
 	}
 
 	recordSuccess(call: Call): void {
@@ -73,6 +74,19 @@
 			this.#suspects.recordSuccess(fingerprint(call));
 		}
 	}
+
+	/** @returns the number of crashes that are now attributed to the request */
+	#record({fingerprint: suspect, upstream}: Crash, source: 'own' | 'instance'): number {
+		this.#options.context.metrics.crashes.inc({source});
+		return countCrashes(this.#suspects.recordCrash(suspect, upstream));
+	}
+}
+
+/** The parts of a request that its fingerprint covers, for the log: they tell whether the same request comes again under another fingerprint. */
+function describeFingerprinted({service, method, target, caller, body}: Call): Readonly<Record<string, unknown>> {
+	return {
+		service, method, target, caller, bodyBytes: body?.length ?? 0,
+	};
 }
 
 function fingerprint({service, method, target, caller, body}: Call): Fingerprint {
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -104,7 +104,7 @@
 		store: ports.store,
 		state: () => state,
 		onCrash(crash) {
-			guard.recordCrash(crash);
+			guard.receiveReport(crash);
 		},
 		onRateReport(report) {
 			rateLimits.receiveReport(report);
@@ -146,8 +146,7 @@
 	});
 	const recheck: RecheckTask = new RecheckTask({upstreams: () => upstreams.inService(), probe: async upstream => prober.probe(upstream)});
 	const guard: PoisonGuard = new PoisonGuard({
-		clock: context.clock,
-		logger: context.logger,
+		context,
 		instance: settings.instanceId as InstanceId,
 		hasCrashed: async upstream => prober.refusesConnections(upstream),
 		onCrash(crash) {
