The same request has one fingerprint, whatever address it comes from

Cause: the fingerprint by which crashes are counted contained the address of the caller's socket. The request was sent again from another address each time, so each sending was counted for itself; it took up to four upstreams (two attempts of two sendings) before that one address was refused. Evidence: in the record of the incident no fingerprint has more than four crashes; 11 of them, recomputed, are one target sent from 11 addresses, and 34 upstreams ended under it in 11 s. Why this works: method, service, target and body stay the same when the request comes again, wherever it comes from.

--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -58,7 +58,7 @@
 		const crash = {fingerprint: fingerprint(call), upstream: startIdOf(upstream.registered)};
 		const crashes = this.#record(crash, 'own');
 		this.#options.context.logger.warn('upstream crashed under a request', {
-			id: call.requestId, ...crash, crashes, ...describeFingerprinted(call),
+			id: call.requestId, ...crash, crashes, ...describeRequest(call),
 		});
 		this.#options.onCrash(crash);
 	}
@@ -82,15 +82,16 @@
 	}
 }
 
-/** The parts of a request that its fingerprint covers, for the log: they tell whether the same request comes again under another fingerprint. */
-function describeFingerprinted({service, method, target, caller, body}: Call): Readonly<Record<string, unknown>> {
+/** Describes a request for the log, so that requests can be told apart if they have the same fingerprint, and compared if they don't. */
+function describeRequest({service, method, target, caller, body}: Call): Readonly<Record<string, unknown>> {
 	return {
 		service, method, target, caller, bodyBytes: body?.length ?? 0,
 	};
 }
 
-function fingerprint({service, method, target, caller, body}: Call): Fingerprint {
+/** Leaves out the caller's address: a caller may send a request again from any of its addresses. */
+function fingerprint({service, method, target, body}: Call): Fingerprint {
 	return fingerprintOf({
-		service, method, path: target, tenant: caller, ...(body === undefined ? {} : {body}),
+		service, method, path: target, ...(body === undefined ? {} : {body}),
 	});
 }
