A request that only ran where upstreams crashed is served again within a second

Callers saw: once equal requests of all callers share one fingerprint, a popular harmless request that was running at three upstreams that crashed for another reason, such as an availability zone that loses its upstreams at once, was refused to everybody for 60 s; a run that ended well cleared it at one instance only, and while it was refused nothing could end well. Cause: crashes were reported to all instances, runs that ended well were not, and nobody tried a refused request again. Change: CrashTable replaces the daemon's table of suspects in the gateway. A run that ends well is reported like a crash. A second after the last crash one instance (rendezvous hashing over those that serve callers) tries the request again; a crash in that trial refuses it for 60 s, a success clears it everywhere; trials without a result follow after 4, 16 and 60 s; 120 s after the last change any instance may try it. Crashes count by process, times are exchanged as ages, each report carries the whole record of the request. What it costs: a request that does crash upstreams takes one more about 1 s after its third, and one a minute after that while it is sent.

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -6,6 +6,7 @@
 export * from './refutations.js';
 export * from './hand-over-limit.js';
 export * from './incarnation.js';
+export * from './is-first-by-hash.js';
 export * from './member-update.js';
 export * from './update-targets.js';
 export * from './local-state.js';
--- /dev/null
+++ b/packages/core/src/poison/crash-table.ts
@@ -0,0 +1,178 @@
+/**
+ * Decides which requests are refused because upstreams crashed under them, from the crashes that this and other instances have
+ * detected. Upstreams also crash for other reasons, so a refused request is tried again, by one instance at a time.
+ */
+import type {Clock} from '../model/clock.js';
+import type {Fingerprint} from '../model/fingerprint-schema.js';
+import type {UpstreamId} from '../model/ids.js';
+import {hashText} from '../routing/hash-text.js';
+import {lastChangeMs, mergeCrashRecords, type CrashRecord} from './crash-record.js';
+
+/** Upstreams crash for other reasons too, and then every request that they were running is suspected. */
+export const crashesBeforeRefusal = 3;
+/** A request that was running at a single crash is its neighbour more often than its cause, so it is not worth comparing between instances. */
+const crashesBeforeExchange = 2;
+/** Time from the last crash to the first trial. A request that is not the cause is refused for little longer than this. */
+const trialDelayMs = 1000;
+/** Each trial without a result multiplies the time to the next one, as an undetected crash has no result either. */
+const trialBackOffFactor = 4;
+/** Time from the crash in a failed trial to the next trial. */
+const refusalMs = 60_000;
+/** Time after the last crash or trial from which every instance may try the request, as a rare request may never reach the one that owns the trial. */
+const openTrialAfterMs = 120_000;
+/** Time after its last change for which a record is kept. */
+const retentionMs = 600_000;
+/** The least suspicious records are removed first. */
+const maximumRecords = 512;
+/** Limits the bytes of one answer to another instance to a few datagrams. */
+const maximumSharedRecords = 32;
+const digestRange = 4_294_967_296;
+
+export type CrashDecision =
+	| {readonly type: 'run'}
+	/** The request may run once, to find out whether it still crashes upstreams; its start must be recorded. */
+	| {readonly type: 'trial'}
+	| {readonly type: 'refuse'; readonly retryAfterMs: number};
+
+export class CrashTable {
+	readonly #clock: Clock;
+	/** Whether this instance is the one that may try a request first. */
+	readonly #ownsTrial: (fingerprint: Fingerprint) => boolean;
+	readonly #records = new Map<Fingerprint, CrashRecord>();
+	#suspectedCount = 0;
+
+	constructor(clock: Clock, ownsTrial: (fingerprint: Fingerprint) => boolean) {
+		this.#clock = clock;
+		this.#ownsTrial = ownsTrial;
+	}
+
+	/** Whether any request has crashes attributed to it. Requests need a fingerprint only then. */
+	get hasSuspects(): boolean {
+		return this.#suspectedCount > 0;
+	}
+
+	/** Number of requests that are refused but for trials. */
+	get refusedCount(): number {
+		return [...this.#records.values()].filter(({crashes}) => crashes.length >= crashesBeforeRefusal).length;
+	}
+
+	/** Differs between instances of which one lacks crashes or successful runs that the other knows; 0 while nothing is worth comparing. */
+	get digest(): number {
+		this.#removeExpired();
+		return [...this.#records.values()].filter(({crashes}) => crashes.length >= crashesBeforeExchange)
+			.reduce((sum, {fingerprint, crashes}) => (sum + hashText(`${fingerprint} ${Math.min(crashes.length, crashesBeforeRefusal)}`)) % digestRange, 0);
+	}
+
+	crashesOf(fingerprint: Fingerprint): number {
+		return this.#records.get(fingerprint)?.crashes.length ?? 0;
+	}
+
+	decide(fingerprint: Fingerprint): CrashDecision {
+		const record = this.#records.get(fingerprint);
+		if (record === undefined || record.crashes.length < crashesBeforeRefusal) {
+			return {type: 'run'};
+		}
+
+		const nowMs = this.#clock.monotonicMs();
+		const trialAtMs = nextTrialMs(record);
+		if (nowMs < trialAtMs) {
+			return {type: 'refuse', retryAfterMs: trialAtMs - nowMs};
+		}
+
+		const isOpen = nowMs >= lastChangeMs(record) + openTrialAfterMs;
+		return isOpen || this.#ownsTrial(fingerprint) ? {type: 'trial'} : {type: 'refuse', retryAfterMs: trialDelayMs};
+	}
+
+	/** @returns the record, which must be sent to all other instances */
+	recordCrash(fingerprint: Fingerprint, upstream: UpstreamId): CrashRecord {
+		return this.#merge({fingerprint, crashes: [{upstream, atMs: this.#clock.monotonicMs()}]});
+	}
+
+	/** @returns the record, which must be sent to all other instances before the request is sent */
+	beginTrial(fingerprint: Fingerprint): CrashRecord {
+		const count = (this.#records.get(fingerprint)?.trial?.count ?? 0) + 1;
+		return this.#merge({fingerprint, crashes: [], trial: {startedAtMs: this.#clock.monotonicMs(), count}});
+	}
+
+	/** @returns the record, which must be sent to all other instances; undefined if they need not know that the request is no longer suspected */
+	recordSuccess(fingerprint: Fingerprint): CrashRecord | undefined {
+		const crashes = this.crashesOf(fingerprint);
+		if (crashes === 0) {
+			return undefined;
+		}
+
+		const record = this.#merge({fingerprint, crashes: [], clearedAtMs: this.#clock.monotonicMs()});
+		return crashes >= crashesBeforeExchange ? record : undefined;
+	}
+
+	/** Takes in a record of another instance. @returns the crashes that this instance did not know */
+	receive(record: CrashRecord): readonly UpstreamId[] {
+		if (lastChangeMs(record) < this.#clock.monotonicMs() - retentionMs) {
+			return [];
+		}
+
+		const known = new Set(this.#records.get(record.fingerprint)?.crashes.map(({upstream}) => upstream));
+		const merged = this.#merge(record);
+		return merged.crashes.map(({upstream}) => upstream).filter(upstream => !known.has(upstream));
+	}
+
+	/** Records for an instance whose digest differs, the most suspicious first. */
+	shared(): readonly CrashRecord[] {
+		this.#removeExpired();
+		const records = [...this.#records.values()].filter(({crashes, clearedAtMs}) => crashes.length >= crashesBeforeExchange || clearedAtMs !== undefined);
+		return records.toSorted(compareSuspicion).toReversed().slice(0, maximumSharedRecords);
+	}
+
+	#merge(record: CrashRecord): CrashRecord {
+		const {fingerprint} = record;
+		const known = this.#records.get(fingerprint);
+		const merged = mergeCrashRecords(known ?? {fingerprint, crashes: []}, record);
+		this.#remove(fingerprint);
+		this.#records.set(fingerprint, merged);
+		this.#suspectedCount += merged.crashes.length > 0 ? 1 : 0;
+		if (this.#records.size > maximumRecords) {
+			this.#removeExpired();
+			this.#removeExcess();
+		}
+
+		return merged;
+	}
+
+	#remove(fingerprint: Fingerprint): void {
+		this.#suspectedCount -= this.crashesOf(fingerprint) > 0 ? 1 : 0;
+		this.#records.delete(fingerprint);
+	}
+
+	#removeExpired(): void {
+		const oldestMs = this.#clock.monotonicMs() - retentionMs;
+		for (const record of this.#records.values()) {
+			if (lastChangeMs(record) < oldestMs) {
+				this.#remove(record.fingerprint);
+			}
+		}
+	}
+
+	#removeExcess(): void {
+		const excess = Math.max(0, this.#records.size - maximumRecords);
+		for (const {fingerprint} of [...this.#records.values()].toSorted(compareSuspicion).slice(0, excess)) {
+			this.#remove(fingerprint);
+		}
+	}
+}
+
+/** Time from which the owner of the trial may run the request. */
+function nextTrialMs({crashes, trial}: CrashRecord): number {
+	const lastCrashMs = crashes.at(-1)!.atMs;
+	if (trial === undefined) {
+		return lastCrashMs + trialDelayMs;
+	}
+
+	const hasFailed = lastCrashMs >= trial.startedAtMs;
+	return hasFailed
+		? lastCrashMs + refusalMs
+		: trial.startedAtMs + Math.min(refusalMs, trialDelayMs * (trialBackOffFactor ** trial.count));
+}
+
+function compareSuspicion(left: CrashRecord, right: CrashRecord): number {
+	return left.crashes.length - right.crashes.length || lastChangeMs(left) - lastChangeMs(right);
+}
--- a/packages/gateway/src/features/calls/attempt-summary.ts
+++ b/packages/gateway/src/features/calls/attempt-summary.ts
@@ -42,6 +42,12 @@
 		this.#retryAfterMs = availableInMs ?? defaultRetryAfterMs;
 	}
 
+	/** Records that the request is refused because upstreams crashed under it. */
+	recordSuspected(retryAfterMs: number): void {
+		this.recordRefusal('suspected-poison');
+		this.#retryAfterMs = retryAfterMs;
+	}
+
 	/** Records an attempt that ended without a success. */
 	recordFailure(verdict: Exclude<ExchangeVerdict, {readonly type: 'success'}>): void {
 		switch (verdict.type) {
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -11,6 +11,7 @@
 import type {Upstream} from '../upstreams/upstream.js';
 import type {Call} from './call.js';
 import type {NoUpstream} from './outcome.js';
+import type {PoisonGuard} from './poison-guard.js';
 
 export type CallDependencies = {
 	readonly clock: Clock;
@@ -27,6 +28,8 @@
 	/** Returns the reason that no upstream of a service takes a request; called when none was found. */
 	readonly explainNoUpstream: (service: ServiceId) => NoUpstream;
 	readonly place: (request: PlacementRequest) => Promise<Placement | undefined>;
+	/** Decides whether requests that may crash upstreams are sent. */
+	readonly poisonGuard: Pick<PoisonGuard, 'admit'>;
 	/** Called when a connection broke while the upstream was processing the call. */
 	readonly onConnectionBroken: (call: Call, upstream: Upstream) => void;
 	readonly pause: (durationMs: number) => Promise<void>;
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -52,6 +52,8 @@
 	/** Whether placement never resolves. */
 	isPlacementBlocked = false;
 	expectedMs = 40;
+	/** Retry delay with which the call is refused because upstreams crashed under it; not refused if undefined. */
+	refusedForMs: number | undefined;
 	readonly run: CallRun;
 	readonly budget: WindowBudget;
 	readonly #isConnected: boolean;
@@ -88,6 +90,7 @@
 			rateLimits: {answered: () => undefined},
 			budget: () => this.budget,
 			share: () => share,
+			poisonGuard: {admit: () => this.refusedForMs},
 			onConnectionBroken: () => undefined,
 			pause: async durationMs => {
 				this.clock.advance(durationMs);
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -126,7 +126,7 @@
 					this.#decisions.push(`too-busy:expected=${Math.round(placement.expectedMs)}`);
 				}
 
-				return isAdmitted;
+				return isAdmitted && this.#isAllowedAfterCrashes();
 			}
 
 			case 'hedge': {
@@ -143,6 +143,17 @@
 		}
 	}
 
+	/** Whether the request may run in spite of upstreams that crashed under it; more may have crashed since it was received. */
+	#isAllowedAfterCrashes(): boolean {
+		const retryAfterMs = this.#dependencies.poisonGuard.admit(this.#call);
+		if (retryAfterMs !== undefined) {
+			this.#attempts.recordSuspected(retryAfterMs);
+			this.#decisions.push('refused:suspected-poison');
+		}
+
+		return retryAfterMs === undefined;
+	}
+
 	async #placeWhenAvailable(kind: AttemptKind): Promise<Placement | undefined> {
 		const {route} = this.#call;
 		const request = {service: this.#call.service, workMs: this.#workMs, excluded: this.#attempts.tried};
--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -1,84 +1,118 @@
 /** Blocks requests that crash upstreams. Crashes are shared, so that all instances block the same requests. */
-import type {Fingerprint, InstanceId, UpstreamId} from '@cairnbank/core';
-import {countCrashes} from '@cairnbank/core/count-crashes';
-import {defaultPoisonSettings} from '@cairnbank/core/poison-settings';
+import type {Fingerprint} from '@cairnbank/core';
+import type {CrashRecord} from '@cairnbank/core/crash-record';
+import {CrashTable} from '@cairnbank/core/crash-table';
 import {fingerprintOf} from '@cairnbank/core/request-fingerprint';
 import {startIdOf} from '@cairnbank/core/registry';
-import {SuspectTable} from '@cairnbank/core/suspect-table';
 import type {Context} from '../../kernel/context.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import type {Call} from './call.js';
 
-/**
- * Upstreams also crash for other reasons, and then every request that they were running is suspected. A request that was
- * running at three crashes of different upstreams is considered their cause.
- */
-const crashesBeforeRefusal = 3;
-
-/** A crash during a request, reported to all instances. */
-export type Crash = {
-	readonly fingerprint: Fingerprint;
-	/** Identifies the process that crashed, as an upstream may crash again after a restart. */
-	readonly upstream: UpstreamId;
-};
-
 export type PoisonGuardOptions = {
 	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics'>;
-	readonly instance: InstanceId;
 	/** Whether an upstream that broke a connection refuses new connections. */
 	readonly hasCrashed: (upstream: Upstream) => Promise<boolean>;
-	readonly onCrash: (crash: Crash) => void;
+	/** Whether this instance is the one that first tries a refused request again. */
+	readonly ownsTrial: (fingerprint: Fingerprint) => boolean;
+	/** Sends a record to all other instances. */
+	readonly announce: (record: CrashRecord) => void;
 };
 
 export class PoisonGuard {
 	readonly #options: PoisonGuardOptions;
-	readonly #suspects: SuspectTable;
+	readonly #table: CrashTable;
 
 	constructor(options: PoisonGuardOptions) {
 		this.#options = options;
-		this.#suspects = new SuspectTable(options.context.clock, options.instance, {...defaultPoisonSettings, crashesBeforeRefusal});
+		this.#table = new CrashTable(options.context.clock, options.ownsTrial);
 	}
 
-	/** @returns the delay after which a refused request may be retried; undefined if the request may run */
+	/** @returns the delay after which a refused request may be retried; undefined if the request may be sent to an upstream */
 	refusalRetryAfterMs(call: Call): number | undefined {
-		if (!this.#suspects.hasActiveSuspects) {
+		if (!this.#table.hasSuspects) {
 			return undefined;
 		}
 
-		const decision = this.#suspects.decide(fingerprint(call));
+		const decision = this.#table.decide(fingerprint(call));
 		return decision.type === 'refuse' ? decision.retryAfterMs : undefined;
 	}
 
+	/**
+	 * Admits a request that is about to be sent to an upstream, and reports its trial to all instances if it is one.
+	 *
+	 * @returns the delay after which a refused request may be retried; undefined if the request may be sent
+	 */
+	admit(call: Call): number | undefined {
+		if (!this.#table.hasSuspects) {
+			return undefined;
+		}
+
+		const suspect = fingerprint(call);
+		const decision = this.#table.decide(suspect);
+		switch (decision.type) {
+			case 'run': {
+				return undefined;
+			}
+
+			case 'trial': {
+				this.#options.context.logger.info('request tried again after crashes', {id: call.requestId, fingerprint: suspect});
+				this.#options.announce(this.#table.beginTrial(suspect));
+				return undefined;
+			}
+
+			case 'refuse': {
+				return decision.retryAfterMs;
+			}
+		}
+	}
+
 	/** Handles a connection that broke during a request: records and shares a crash if the upstream has crashed. */
 	async handleBrokenConnection(call: Call, upstream: Upstream): Promise<void> {
 		if (!await this.#options.hasCrashed(upstream)) {
 			return;
 		}
 
-		const crash = {fingerprint: fingerprint(call), upstream: startIdOf(upstream.registered)};
-		const crashes = this.#record(crash, 'own');
-		this.#options.context.logger.warn('upstream crashed under a request', {
-			id: call.requestId, ...crash, crashes, ...describeRequest(call),
+		const {context: {logger, metrics}, announce} = this.#options;
+		const record = this.#table.recordCrash(fingerprint(call), startIdOf(upstream.registered));
+		metrics.crashes.inc({source: 'own'});
+		logger.warn('upstream crashed under a request', {
+			id: call.requestId, fingerprint: record.fingerprint, upstream: startIdOf(upstream.registered), crashes: record.crashes.length, ...describeRequest(call),
 		});
-		this.#options.onCrash(crash);
+		this.#updateMetrics();
+		announce(record);
 	}
 
-	/** Records a crash that another instance reported. */
-	receiveReport(crash: Crash): void {
-		const crashes = this.#record(crash, 'instance');
-		this.#options.context.logger.info('crash reported by another instance', {...crash, crashes});
+	/** Clears a request that ended well, on all instances if they may refuse it. */
+	recordSuccess(call: Call): void {
+		if (!this.#table.hasSuspects) {
+			return;
+		}
+
+		const record = this.#table.recordSuccess(fingerprint(call));
+		if (record !== undefined) {
+			this.#options.context.logger.info('request no longer suspected', {id: call.requestId, fingerprint: record.fingerprint});
+			this.#updateMetrics();
+			this.#options.announce(record);
+		}
 	}
 
-	recordSuccess(call: Call): void {
-		if (this.#suspects.hasActiveSuspects) {
-			this.#suspects.recordSuccess(fingerprint(call));
+	/** Takes in what other instances know of requests under which upstreams crashed. */
+	receive(records: readonly CrashRecord[]): void {
+		const {logger, metrics} = this.#options.context;
+		for (const record of records) {
+			const {fingerprint: suspect} = record;
+			const newCrashes = this.#table.receive(record);
+			for (const upstream of newCrashes) {
+				metrics.crashes.inc({source: 'instance'});
+				logger.info('crash reported by another instance', {fingerprint: suspect, upstream, crashes: this.#table.crashesOf(suspect)});
+			}
 		}
+
+		this.#updateMetrics();
 	}
 
-	/** @returns the number of crashes that are now attributed to the request */
-	#record({fingerprint: suspect, upstream}: Crash, source: 'own' | 'instance'): number {
-		this.#options.context.metrics.crashes.inc({source});
-		return countCrashes(this.#suspects.recordCrash(suspect, upstream));
+	#updateMetrics(): void {
+		this.#options.context.metrics.refusedRequests.set(this.#table.refusedCount);
 	}
 }
 
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -10,6 +10,7 @@
 import {
 	decodeMessage, encodeMessage, maximumDatagramBytes, membersPerMessage, type FleetMessage,
 } from './datagrams.js';
+import {splitSuspects} from './suspects-codec.js';
 
 const heartbeat: FleetMessage = {
 	type: 'heartbeat',
@@ -84,7 +85,17 @@
 	},
 };
 
-const crash: FleetMessage = {type: 'crash', crash: {fingerprint: 'f'.repeat(22) as Fingerprint, upstream: 'u1' as UpstreamId}};
+const suspects: FleetMessage = {
+	type: 'suspects',
+	records: [
+		{
+			fingerprint: 'f'.repeat(22) as Fingerprint,
+			crashes: [{upstream: 'u1' as UpstreamId, atMs: 100}, {upstream: 'u2' as UpstreamId, atMs: 300}],
+			trial: {startedAtMs: 200, count: 2},
+		},
+		{fingerprint: 'g'.repeat(22) as Fingerprint, crashes: [], clearedAtMs: 400},
+	],
+};
 
 const rate: FleetMessage = {
 	type: 'rate',
@@ -99,7 +110,7 @@
 describe('datagrams', () => {
 	for (const message of [heartbeat, {
 		...heartbeat, isPeriodic: false, requestsReply: true, requestsMembers: true, shouldRelayInZone: true,
-	}, changes, crash, members, rate, withoutLimit] satisfies FleetMessage[]) {
+	}, changes, members, suspects, rate, withoutLimit] satisfies FleetMessage[]) {
 		it(`should encode and decode a message of type ${message.type} without a change`, () => {
 			assert.deepEqual(decodeMessage(encodeMessage(message, 1000), 1000)._unsafeUnwrap(), message);
 		});
@@ -121,6 +132,31 @@
 		assert.deepEqual(received.type === 'changes' && received.confidence, {type: 'after-outage', returnedAtMs: 8500});
 	});
 
+	for (const [fault, suspect] of Object.entries({
+		'a fingerprint of another length': ['f', [], null, null, 0],
+		'a crash in the future': ['f'.repeat(22), [['u1', -1]], null, null, 0],
+		'a time that is no number': ['f'.repeat(22), [['u1', 'now']], null, null, 0],
+		'too many crashes': ['f'.repeat(22), Array.from({length: 500}, (_, index) => [`u${index}`, 0]), null, null, 0],
+		'an upstream with a huge name': ['f'.repeat(22), [['u'.repeat(100_000), 0]], null, null, 0],
+		'a missing field': ['f'.repeat(22), []],
+	})) {
+		it(`should reject suspects with ${fault}`, () => {
+			assert.ok(decodeMessage(Buffer.from(JSON.stringify(['s', [suspect]])), 0).isErr());
+		});
+	}
+
+	it('should split a full table of suspects into messages that each fit into a datagram', () => {
+		const records = Array.from({length: 512}, (_, index) => ({
+			fingerprint: String(index).padStart(22, 'f') as Fingerprint,
+			crashes: Array.from({length: 4}, (_, crash) => ({upstream: `upstream-${index}-${crash}@1790000000123` as UpstreamId, atMs: 0.25})),
+		}));
+		const groups = splitSuspects(records, maximumDatagramBytes);
+		assert.deepEqual(groups.flat(), records);
+		for (const group of groups) {
+			assert.ok(encodeMessage({type: 'suspects', records: group}, 600_000).length <= maximumDatagramBytes);
+		}
+	});
+
 	it('should reject anything that is not a message, and never throw', () => {
 		fc.assert(fc.property(fc.oneof(fc.string(), fc.json()), text => {
 			assert.ok(decodeMessage(Buffer.from(text), 0).isErr());
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -1,8 +1,7 @@
 /** Encodes messages between instances as JSON arrays, which are short: traffic between availability zones costs money. */
 import {Buffer} from 'node:buffer';
-import type {
-	AvailabilityZoneId, Fingerprint, IncarnationId, UpstreamId,
-} from '@cairnbank/core';
+import type {AvailabilityZoneId, IncarnationId, UpstreamId} from '@cairnbank/core';
+import type {CrashRecord} from '@cairnbank/core/crash-record';
 import type {FleetMember, MemberUpdate} from '@cairnbank/core/fleet';
 import type {AdvertisedLimit} from '@cairnbank/core/limits';
 import type {
@@ -10,8 +9,8 @@
 } from '@cairnbank/core/registry';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
-import type {Crash} from '../calls/poison-guard.js';
 import type {RateReport} from '../upstreams/rate-limits.js';
+import {decodeSuspect, encodeSuspect, suspectSchema} from './suspects-codec.js';
 import {entrySchema, encodeEntry, decodeEntry} from './upstream-codec.js';
 
 /** Larger datagrams may be fragmented, and are lost as a whole with any fragment. Receivers fetch state that they miss. */
@@ -32,8 +31,8 @@
 	}
 	/** Updates about some members. */
 	| {readonly type: 'members'; readonly members: readonly MemberUpdate[]}
-	/** A request was running at an upstream that crashed. */
-	| {readonly type: 'crash'; readonly crash: Crash}
+	/** Requests that were running at upstreams that crashed. */
+	| {readonly type: 'suspects'; readonly records: readonly CrashRecord[]}
 	/** The rate limit that an upstream advertises. */
 	| {
 		readonly type: 'rate';
@@ -97,12 +96,12 @@
 	v.boolean(),
 	v.number(),
 ]);
-const crashSchema = v.tuple([v.literal('x'), v.string(), v.string()]);
+const suspectsSchema = v.tuple([v.literal('s'), v.array(suspectSchema)]);
 /** Upstream, time of its start, requests per second or `null` for no limit, age of the advertisement, whether it is relayed. */
 const rateSchema = v.tuple([
 	v.literal('r'), v.string(), v.number(), v.nullable(v.pipe(v.number(), v.minValue(0))), v.pipe(v.number(), v.minValue(0)), v.boolean(),
 ]);
-const messageSchema = v.union([heartbeatSchema, membersSchema, changesSchema, crashSchema, rateSchema]);
+const messageSchema = v.union([heartbeatSchema, membersSchema, changesSchema, suspectsSchema, rateSchema]);
 
 export function encodeMessage(message: FleetMessage, nowMs: number): Uint8Array {
 	return Buffer.from(JSON.stringify(encodeArray(message, nowMs)));
@@ -150,8 +149,8 @@
 			return ['m', encodeMembers(message.members)];
 		}
 
-		case 'crash': {
-			return ['x', message.crash.fingerprint, message.crash.upstream];
+		case 'suspects': {
+			return ['s', message.records.map(record => encodeSuspect(record, nowMs))];
 		}
 
 		case 'rate': {
@@ -221,8 +220,8 @@
 			return {type: 'members', members: decodeMembers(array)};
 		}
 
-		case 'x': {
-			return {type: 'crash', crash: {fingerprint: array[1] as Fingerprint, upstream: array[2] as UpstreamId}};
+		case 's': {
+			return {type: 'suspects', records: array[1].map(record => decodeSuspect(record, nowMs))};
 		}
 
 		case 'r': {
--- a/packages/gateway/src/features/fleet/fleet-socket.spec.ts
+++ b/packages/gateway/src/features/fleet/fleet-socket.spec.ts
@@ -2,12 +2,12 @@
 import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
 import {describe, it} from 'node:test';
-import {ManualClock, type Fingerprint, type UpstreamId} from '@cairnbank/core';
+import {ManualClock} from '@cairnbank/core';
 import type {Context} from '../../kernel/context.js';
 import type {FleetMessage} from './datagrams.js';
 import {FleetSocket} from './fleet-socket.js';
 
-const message: FleetMessage = {type: 'crash', crash: {fingerprint: 'f'.repeat(22) as Fingerprint, upstream: 'u1' as UpstreamId}};
+const message: FleetMessage = {type: 'suspects', records: []};
 
 async function freePort(): Promise<number> {
 	const socket = createSocket('udp4');
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -1,6 +1,7 @@
 /** Runs the communication between instances: membership, changes of the registry, and the choice of the instance that reads the store. */
-import type {AvailabilityZoneId} from '@cairnbank/core';
-import {followerRank, type FleetShareTracker} from '@cairnbank/core/fleet';
+import type {AvailabilityZoneId, Fingerprint} from '@cairnbank/core';
+import type {CrashRecord} from '@cairnbank/core/crash-record';
+import {followerRank, isFirstByHash, type FleetShareTracker} from '@cairnbank/core/fleet';
 import {subsetPositionOf, type SubsetPosition} from '@cairnbank/core/placement';
 import type {KeyedChanges, RegisteredUpstream, RemovalConfidence} from '@cairnbank/core/registry';
 import {ok, type Result} from 'neverthrow';
@@ -9,7 +10,6 @@
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {StateStore} from '../../ports/index.js';
-import type {Crash} from '../calls/poison-guard.js';
 import type {RateReport} from '../upstreams/rate-limits.js';
 import type {StateTask} from '../state/state-task.js';
 import type {StoreReaderRole} from '../state/topic-reader.js';
@@ -26,8 +26,8 @@
 	readonly context: Context;
 	readonly store: StateStore;
 	readonly state: () => StateTask;
-	/** Called when another instance reports that an upstream crashed while it ran a request. */
-	readonly onCrash: (crash: Crash) => void;
+	/** Called when another instance reports upstreams that crashed under requests, or that a request is no longer suspected. */
+	readonly onSuspects: (records: readonly CrashRecord[]) => void;
 	/** Called when another instance reports the rate limit that an upstream advertises. */
 	readonly onRateReport: (report: RateReport) => void;
 	/** Called when the role of this instance as a reader of the store has changed. */
@@ -209,8 +209,14 @@
 		this.#membership.sendToAll(shouldRelayInZone => ({type: 'rate', report, shouldRelayInZone}));
 	}
 
-	announceCrash(crash: Crash): void {
-		this.#socket.send({type: 'crash', crash}, this.#membership.view.targets());
+	/** Reports to all others what this instance has learned of a request under which upstreams crashed. */
+	announceSuspect(record: CrashRecord): void {
+		this.#socket.send({type: 'suspects', records: [record]}, this.#membership.view.targets());
+	}
+
+	/** Whether this instance comes first of all that serve callers in an order that differs for each request (rendezvous hashing). */
+	isFirstFor(fingerprint: Fingerprint): boolean {
+		return isFirstByHash(fingerprint, this.#options.context.settings.host, this.others().map(({host}) => host));
 	}
 
 	/** Reports the state of this instance to others at once. */
@@ -235,7 +241,7 @@
 	}
 
 	#dispatch(message: FleetMessage): void {
-		const {context, state, onCrash, onRateReport} = this.#options;
+		const {context, state, onSuspects, onRateReport} = this.#options;
 		switch (message.type) {
 			case 'heartbeat': {
 				if (message.member.incarnation !== context.incarnation) {
@@ -251,8 +257,8 @@
 				return;
 			}
 
-			case 'crash': {
-				onCrash(message.crash);
+			case 'suspects': {
+				onSuspects(message.records);
 				return;
 			}
 
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -222,7 +222,7 @@
 				break;
 			}
 
-			case 'crash':
+			case 'suspects':
 			case 'rate':
 			case 'changes': {
 				break;
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -1,7 +1,7 @@
 /** Creates the parts of an entry instance and connects them; no other module does. */
 import {randomBytes} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {AvailabilityZoneId, InstanceId} from '@cairnbank/core';
+import type {AvailabilityZoneId} from '@cairnbank/core';
 import {systemClock} from '@cairnbank/core/clock';
 import {createRandomSource} from '@cairnbank/core/random';
 import {createIncarnation} from '@cairnbank/core/fleet';
@@ -103,8 +103,8 @@
 		context,
 		store: ports.store,
 		state: () => state,
-		onCrash(crash) {
-			guard.receiveReport(crash);
+		onSuspects(records) {
+			guard.receive(records);
 		},
 		onRateReport(report) {
 			rateLimits.receiveReport(report);
@@ -147,10 +147,10 @@
 	const recheck: RecheckTask = new RecheckTask({upstreams: () => upstreams.inService(), probe: async upstream => prober.probe(upstream)});
 	const guard: PoisonGuard = new PoisonGuard({
 		context,
-		instance: settings.instanceId as InstanceId,
 		hasCrashed: async upstream => prober.refusesConnections(upstream),
-		onCrash(crash) {
-			fleet.announceCrash(crash);
+		ownsTrial: fingerprint => fleet.isFirstFor(fingerprint),
+		announce(record) {
+			fleet.announceSuspect(record);
 		},
 	});
 	const placer = new Placer({
@@ -187,6 +187,7 @@
 			onConnectionBroken(call, upstream) {
 				void guard.handleBrokenConnection(call, upstream);
 			},
+			poisonGuard: guard,
 			pause: async durationMs => delay(durationMs),
 		},
 	});
