A request is not sent again by a call under way once it is refused

Cause: a request was compared with the suspects when it was received, not before it was sent. Figures: call-run.spec, 'requests under which upstreams crash': a retry and a hedge were sent before (2 of its 3 cases red), green now.

--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -56,6 +56,31 @@
 		});
 	});
 
+	describe('requests under which upstreams crash', () => {
+		itRuns('should not be retried once as many have crashed as lead to a refusal', {idempotent: true}, async harness => {
+			const left = harness.retriesLeft;
+			harness.refusedForMs = 1000;
+			await harness.answer(0, broken);
+			assert.equal(harness.exchanges.length, 1);
+			assert.deepEqual(harness.outcome, {type: 'unknown', reason: 'broken'});
+			assert.equal(harness.retriesLeft, left);
+		});
+
+		itRuns('should not be hedged then', {idempotent: true}, async harness => {
+			harness.refusedForMs = 1000;
+			await harness.advance(60);
+			assert.equal(harness.exchanges.length, 1);
+		});
+
+		it('should be refused as not run if that becomes known while they wait for an upstream', async () => {
+			const harness = new CallHarness({idempotent: false});
+			harness.refusedForMs = 700;
+			await harness.start();
+			assert.deepEqual(harness.outcome, {type: 'not-run', reason: 'suspected-poison', retryAfterMs: 700});
+			assert.equal(harness.exchanges.length, 0);
+		});
+	});
+
 	describe('idempotent requests', () => {
 		itRuns('should be retried at another upstream after a failure', {idempotent: true}, async harness => {
 			await harness.answer(0, broken);
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -134,11 +134,11 @@
 					this.#decisions.push('hedge-skipped:all-busy');
 				}
 
-				return placement.isLightlyLoaded && this.#retries.tryTake();
+				return placement.isLightlyLoaded && this.#isAllowedAfterCrashes() && this.#retries.tryTake();
 			}
 
 			case 'repeat': {
-				return true;
+				return this.#isAllowedAfterCrashes();
 			}
 		}
 	}
