A crash also counts if another upstream has taken the address at once

Callers saw: nothing yet; found on going through what a crash looks like (refused, no answer in time, accepted by a successor). Cause: after a connection broke under a request, only a refused connection counted as a crash. Where another upstream listens at the address by then, its answer was taken for that of the first, and the request was not blamed. Change: an answer that names another upstream counts like a refusal; one of the upstream itself, and no answer in time, don't. Figures: prober.spec, 'whose address another upstream has taken': red without the change. A successor under the same id is told apart by its entry only.

--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -11,7 +11,7 @@
 export type PoisonGuardOptions = {
 	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics'>;
 	readonly table: CrashTable;
-	/** Whether an upstream that broke a connection refuses new connections. */
+	/** Whether an upstream that broke a connection is gone. */
 	readonly hasCrashed: (upstream: Upstream) => Promise<boolean>;
 	/** Sends a record to all other instances. */
 	readonly announce: (record: CrashRecord) => void;
--- a/packages/gateway/src/features/upstreams/prober.spec.ts
+++ b/packages/gateway/src/features/upstreams/prober.spec.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {describe, it} from 'node:test';
 import {ManualClock} from '@cairnbank/core';
 import {UpstreamCondition} from '@cairnbank/core/placement';
-import {err, type Result} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
 import type {ExchangeFailure, UpstreamAnswer} from './exchange.js';
@@ -11,11 +12,16 @@
 
 const refused: ExchangeFailure = {type: 'not-connected', message: 'refused', isTimeout: false};
 const reset: ExchangeFailure = {type: 'broken', message: 'reset'};
+const noAnswerInTime: ExchangeFailure = {type: 'not-connected', message: 'no answer in time', isTimeout: true};
 
-/** Creates an upstream whose pooled connections fail in one way and whose new connections fail in another. */
-function createUpstream(ends: {readonly pooled: ExchangeFailure; readonly opened: ExchangeFailure}): Upstream {
-	const connection = (failure: ExchangeFailure) => ({
-		exchange: async (): Promise<Result<UpstreamAnswer, ExchangeFailure>> => err(failure),
+function answerOf(id: string): UpstreamAnswer {
+	return {status: 200, headers: [plainDialect.upstreamIdHeader, id], body: Buffer.alloc(0)};
+}
+
+/** Creates an upstream whose pooled connections fail in one way and whose new connections end in another. */
+function createUpstream(ends: {readonly pooled: ExchangeFailure; readonly opened: ExchangeFailure | UpstreamAnswer}): Upstream {
+	const connection = (end: ExchangeFailure | UpstreamAnswer) => ({
+		exchange: async (): Promise<Result<UpstreamAnswer, ExchangeFailure>> => 'status' in end ? ok(end) : err(end),
 	});
 	return {
 		registered: {
@@ -42,10 +48,22 @@
 
 describe('Prober', () => {
 	it('should detect a crashed upstream whose pooled connections are reset one by one', async () => {
-		assert.equal(await createProber().refusesConnections(createUpstream({pooled: reset, opened: refused})), true);
+		assert.equal(await createProber().hasEnded(createUpstream({pooled: reset, opened: refused})), true);
+	});
+
+	it('should detect a crashed upstream whose address another upstream has taken', async () => {
+		assert.equal(await createProber().hasEnded(createUpstream({pooled: reset, opened: answerOf('u2')})), true);
+	});
+
+	it('should not consider an upstream crashed that answers itself', async () => {
+		assert.equal(await createProber().hasEnded(createUpstream({pooled: reset, opened: answerOf('u1')})), false);
+	});
+
+	it('should not consider an upstream crashed to which no connection is established in time', async () => {
+		assert.equal(await createProber().hasEnded(createUpstream({pooled: reset, opened: noAnswerInTime})), false);
 	});
 
 	it('should not consider an upstream crashed if it accepts a connection and resets it', async () => {
-		assert.equal(await createProber().refusesConnections(createUpstream({pooled: refused, opened: reset})), false);
+		assert.equal(await createProber().hasEnded(createUpstream({pooled: refused, opened: reset})), false);
 	});
 });
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -77,17 +77,20 @@
 	}
 
 	/**
-	 * Whether an upstream that broke a connection refuses new ones. Doesn't count against the probe allowance, as it runs only
+	 * Whether an upstream that broke a connection is gone: its address refuses new ones, or another upstream answers there. Doesn't count against the probe allowance, as it runs only
 	 * once per crash. Opens a new connection, as a crash also resets the pooled ones, perhaps unnoticed so far.
 	 */
-	async refusesConnections(upstream: Upstream): Promise<boolean> {
+	async hasEnded(upstream: Upstream): Promise<boolean> {
 		if (!this.#options.isInService(upstream)) {
 			return false;
 		}
 
 		const path = this.#options.healthPath(upstream.registered.service) ?? '/';
 		const result = await this.#sendCheck(upstream, path, upstream.pool.open());
-		return result.isErr() && result.error.type === 'not-connected' && !result.error.isTimeout;
+		return result.match(
+			answer => this.#isFromOther(upstream, answer),
+			failure => failure.type === 'not-connected' && !failure.isTimeout,
+		);
 	}
 
 	#tryTakeAllowance(): boolean {
@@ -127,6 +130,11 @@
 		return result;
 	}
 
+	#isFromOther({registered}: Upstream, {headers}: UpstreamAnswer): boolean {
+		const answeredBy = headerOf(headers, this.#options.dialect.upstreamIdHeader);
+		return answeredBy !== undefined && answeredBy !== registered.id;
+	}
+
 	#recordFailure(condition: UpstreamCondition, failure: ExchangeFailure): void {
 		switch (failure.type) {
 			case 'not-connected':
@@ -148,8 +156,7 @@
 		const {
 			context: {metrics}, dialect, advisories, rateLimits,
 		} = this.#options;
-		const answeredBy = headerOf(answer.headers, dialect.upstreamIdHeader);
-		if (answeredBy !== undefined && answeredBy !== registered.id) {
+		if (this.#isFromOther(upstream, answer)) {
 			metrics.probes.inc({result: 'other-upstream'});
 			condition.recordUnreachable();
 			return;
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -151,7 +151,7 @@
 	const guard: PoisonGuard = new PoisonGuard({
 		context,
 		table: crashes,
-		hasCrashed: async upstream => prober.refusesConnections(upstream),
+		hasCrashed: async upstream => prober.hasEnded(upstream),
 		announce(record) {
 			fleet.announceSuspect(record);
 		},
