The soak sends a request that crashes upstreams, from changing addresses, around restarts

Why the soak missed the incident: no upstream crashed in it, and all its callers have one address. Change: a service of its own whose upstreams crash under a request and start again as new processes; the event crash; two checks from what callers and upstreams saw: at most three runs later than 3 s after the third crash at undisturbed instances, and a harmless request beside it is served once no more upstreams crash. Each seed's other events stay the same.

--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -16,7 +16,7 @@
 const run = (upstream = 'u0', atMs = 5, id = 'a'): RunRecord => ({id, upstream, atMs});
 
 const validHistory: History = {
-	calls: [call(answered(200))], runs: [run()], disturbances: [], arrivals: [], backOffs: [], drains: [], limits: [], leavings: [], stops: [], afterwards: [],
+	calls: [call(answered(200))], runs: [run()], disturbances: [], arrivals: [], backOffs: [], drains: [], limits: [], leavings: [], stops: [], crashes: [], afterwards: [],
 };
 
 /** Histories with one breach each, by the name of the check that should notice it. */
@@ -47,6 +47,14 @@
 		}],
 	},
 	'no request that ran is cut at an instance that was neither killed nor paused': {calls: [call({type: 'cut'})]},
+	'a request that crashes upstreams reaches next to none once three have crashed': {
+		crashes: [{
+			calls: [call(answered(502), {id: 'x'})], harmlessCalls: [], runs: [0, 1, 2, 4000, 5000, 6000, 7000].map((atMs, index) => run(`u${index}`, atMs, 'x')),
+		}],
+	},
+	'a harmless request is served beside one that crashes upstreams, once that one is refused': {
+		crashes: [{calls: [], harmlessCalls: [call(answered(503), {sentAtMs: 4000, endedAtMs: 4010})], runs: [run('u0', 5, 'x')]}],
+	},
 	'an instance that gets SIGTERM ends in order': {
 		stops: [{
 			instance: '127.0.0.2', exitCode: 1, wasKilled: false, errors: [],
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -15,6 +15,10 @@
 const inFlightGraceMs = 500;
 /** Requests from one instance that may still reach an upstream while the instance should back off. */
 const backOffSlack = 2;
+/** Crashes after which a request is refused. */
+const crashesBeforeRefusal = 3;
+/** Runs of a refused request that are allowed, as instances try it again from time to time. */
+const lateRunSlack = 3;
 const limitWindowMs = 4000;
 const limitFactor = 1.5;
 const limitSlack = 5;
@@ -209,6 +213,29 @@
 	},
 };
 
+const crashesAreContained: Check = {
+	name: 'a request that crashes upstreams reaches next to none once three have crashed',
+	findBreaches: ({crashes, disturbances}) => crashes.flatMap(({calls, runs}) => {
+		const isExcused = isInstanceDisturbed({calls, disturbances});
+		const thirdCrashMs = runs.map(({atMs}) => atMs).toSorted((left, right) => left - right)[crashesBeforeRefusal - 1] ?? Number.POSITIVE_INFINITY;
+		const late = runs.filter(run => run.atMs > thirdCrashMs + recoveryMs && !isExcused(run, run.atMs - recoveryMs));
+		return late.length > lateRunSlack ? [`${calls[0]!.path} ran ${late.length} times later than ${recoveryMs} ms after it had crashed three upstreams`] : [];
+	}),
+};
+
+const harmlessIsServed: Check = {
+	name: 'a harmless request is served beside one that crashes upstreams, once that one is refused',
+	findBreaches: ({crashes, disturbances}) => crashes.flatMap(({runs, harmlessCalls}) => {
+		const lastCrashMs = Math.max(...runs.map(({atMs}) => atMs));
+		const isDisturbed = ({instance, sentAtMs, endedAtMs}: CallRecord) => disturbances.some(disturbance =>
+			(disturbance.instance ?? instance) === instance && overlaps(disturbance, sentAtMs, endedAtMs));
+		return harmlessCalls
+			.filter(call => call.sentAtMs > lastCrashMs + recoveryMs && !isDisturbed(call))
+			.filter(({end}) => end.type !== 'answered' || end.status !== okStatus)
+			.map(({id, instance, end}) => `${id} at ${instance}: ${JSON.stringify(end)}`);
+	}),
+};
+
 const stopsCleanly: Check = {
 	name: 'an instance that gets SIGTERM ends in order',
 	findBreaches: ({stops}) => stops
@@ -234,6 +261,8 @@
 	leavingIsRespected,
 	backOffIsRespected,
 	requestsAreNotCut,
+	crashesAreContained,
+	harmlessIsServed,
 	stopsCleanly,
 	recovers,
 ];
--- a/packages/soak/src/contracts.spec.ts
+++ b/packages/soak/src/contracts.spec.ts
@@ -47,7 +47,7 @@
 	limit: true,
 	link: true,
 	store: true,
-	restore: true, outage: true, herd: true,
+	restore: true, crash: true, outage: true, herd: true,
 };
 
 type Row = {readonly statement: string; readonly files: readonly string[]; readonly check: string; readonly players: string};
--- /dev/null
+++ b/packages/soak/src/crashing-upstreams.ts
@@ -0,0 +1,70 @@
+/** A service whose upstreams crash under certain requests and start again as new processes. */
+import type {StoreStandIn} from '@cairnbank/platform/spec-support/store-stand-in';
+import {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
+
+export const crashingService = 'portal';
+const upstreamCount = 8;
+const slots = 50;
+const workMs = 40;
+const restartMs = 1500;
+
+export class CrashingUpstreams {
+	readonly upstreams: UpstreamStandIn[] = [];
+	readonly #store: StoreStandIn;
+	/** Start time of each upstream's process, in Unix milliseconds. */
+	readonly #startedAtMs = new Map<string, number>();
+	readonly #restarts = new Set<NodeJS.Timeout>();
+	#sequence = 0;
+
+	constructor(store: StoreStandIn) {
+		this.#store = store;
+	}
+
+	async start(): Promise<void> {
+		for (let index = 0; index < upstreamCount; index++) {
+			const upstream = new UpstreamStandIn(`p${index}`, crashingService, slots);
+			upstream.workMs = workMs;
+			upstream.behaviour = 'crashes';
+			upstream.onCrash = () => {
+				this.#scheduleRestart(upstream);
+			};
+
+			this.upstreams.push(upstream);
+			await this.#startProcess(upstream);
+		}
+	}
+
+	/** Writes the registry entries of all upstreams. */
+	register(): void {
+		for (const upstream of this.upstreams) {
+			this.#register(upstream);
+		}
+	}
+
+	async stop(): Promise<void> {
+		for (const timer of this.#restarts) {
+			clearTimeout(timer);
+		}
+
+		await Promise.all(this.upstreams.map(async upstream => upstream.stop()));
+	}
+
+	#scheduleRestart(upstream: UpstreamStandIn): void {
+		const timer = setTimeout(() => {
+			this.#restarts.delete(timer);
+			void this.#startProcess(upstream);
+		}, restartMs);
+		this.#restarts.add(timer);
+	}
+
+	async #startProcess(upstream: UpstreamStandIn): Promise<void> {
+		await upstream.start();
+		this.#startedAtMs.set(upstream.id, Date.now());
+		this.#register(upstream);
+	}
+
+	#register(upstream: UpstreamStandIn): void {
+		this.#sequence += 1;
+		this.#store.put('keyed.servers', upstream.id, upstream.registryEntry('ready', this.#startedAtMs.get(upstream.id), this.#sequence));
+	}
+}
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -2,6 +2,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {waitFor} from '@cairnbank/testing/harness';
+import {runCrashingCaller, type CrashingCalls} from './crashing-caller.js';
 import type {
 	Disturbance, DrainRecord, LeavingRecord, LimitRecord, StopRecord,
 } from './history.js';
@@ -24,7 +25,10 @@
 	readonly limits: LimitRecord[] = [];
 	readonly leavings: LeavingRecord[] = [];
 	readonly stops: StopRecord[] = [];
+	readonly crashing: CrashingCalls[] = [];
 	readonly #site: SoakSite;
+	/** Number of requests that crash upstreams so far. */
+	#crashes = 0;
 	/** Instances that are stopping, starting or paused. Further signals to them are skipped. */
 	readonly #unavailableInstances = new Set<number>();
 
@@ -117,6 +121,14 @@
 				return this.#restore();
 			}
 
+			case 'crash': {
+				this.#crashes += 1;
+				this.crashing.push(await runCrashingCaller({
+					request: event.request, name: `${event.request}-${this.#crashes}`, addresses: this.#site.entries.map(entry => entry.settings.listen.callers), durationMs: event.forMs,
+				}));
+				return;
+			}
+
 			case 'outage': {
 				await Promise.all(this.#site.upstreams.map(async (_, index) => this.#misbehave(index, event.behaviour, event.forMs)));
 				return;
@@ -221,6 +233,7 @@
 			this.#site.restoreStore();
 			await delay(rewriteDelayMs);
 			this.#site.configure();
+			this.#site.crashing.register();
 			for (const [index, {id}] of this.#site.upstreams.entries()) {
 				this.#site.register(index, this.drains.some(({upstream}) => upstream === id) ? 'draining' : 'ready');
 			}
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -57,6 +57,14 @@
 /** An upstream rejected a request and asked the sending instance to back off. */
 export type BackOffRecord = ArrivalRecord & {readonly durationMs: number};
 
+/** One request that crashes each upstream that runs it, and a harmless one that was sent beside it. */
+export type CrashRecord = {
+	readonly calls: readonly CallRecord[];
+	/** Its starts at upstreams. */
+	readonly runs: readonly RunRecord[];
+	readonly harmlessCalls: readonly CallRecord[];
+};
+
 export type StopRecord = {
 	readonly instance: string;
 	readonly exitCode: number | undefined;
@@ -75,6 +83,7 @@
 	readonly arrivals: readonly ArrivalRecord[];
 	readonly backOffs: readonly BackOffRecord[];
 	readonly stops: readonly StopRecord[];
+	readonly crashes: readonly CrashRecord[];
 	/** Calls after the last fault, all of which should succeed. */
 	readonly afterwards: readonly CallRecord[];
 };
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -45,6 +45,13 @@
 	...[0, 1, 2].map(instance => at({type: 'stop', instance}, 2 * firstEventMs)),
 ];
 
+/** Instances start again after a request has crashed upstreams, and get it when they have been back for long. */
+const crashesAroundRestarts: readonly ScheduledEvent[] = [
+	at({type: 'crash', request: 0, forMs: 1500}),
+	...[0, 1, 2].map(instance => at({type: 'kill', instance}, (6 + instance) * firstEventMs)),
+	at({type: 'crash', request: 0, forMs: 4000}, 20 * firstEventMs),
+];
+
 /** Condition that holds only a fifth later than the time for which leaving upstreams may still get requests. */
 const respectedLate = (since: string, now: string) => `${now} - (${since} ??= ${now}) > 2400`;
 
@@ -56,6 +63,8 @@
 const answersMatchRequests = 'a success is the whole answer of an upstream that ran this very request';
 const retriesWithinBudget = 'repeats stay within the budget of all instances in each window';
 const requestsAreNotCut = 'no request that ran is cut at an instance that was neither killed nor paused';
+const crashesAreContained = 'a request that crashes upstreams reaches next to none once three have crashed';
+const harmlessIsServed = 'a harmless request is served beside one that crashes upstreams, once that one is refused';
 const limitIsRespected = 'an upstream that advertises a rate limit gets no more from all instances together';
 
 export const mutations: readonly Mutation[] = [
@@ -255,4 +264,28 @@
 		events: [at({type: 'kill', instance: 1})],
 		noticedBy: 'everything is served again after the last fault',
 	},
+	{
+		name: 'crashes-not-handed-over',
+		file: `${gateway}/features/fleet/suspect-exchange.js`,
+		find: 'suspectsDigest !== digest()',
+		replaceBy: 'false',
+		events: crashesAroundRestarts,
+		noticedBy: crashesAreContained,
+	},
+	{
+		name: 'crashes-counted-by-address',
+		file: `${calls}/poison-guard.js`,
+		find: 'service, method, path: target,',
+		replaceBy: 'service, method, path: target, tenant: arguments[0].caller,',
+		events: crashesAroundRestarts,
+		noticedBy: crashesAreContained,
+	},
+	{
+		name: 'all-requests-refused-beside-one-that-crashes-upstreams',
+		file: `${core}/poison/crash-table.js`,
+		find: 'if (record === undefined || record.crashes.length < crashesBeforeRefusal) {',
+		replaceBy: 'if (this.refusedCount > 0) return { type: \'refuse\', retryAfterMs: 1000 };\nif (record === undefined || record.crashes.length < crashesBeforeRefusal) {',
+		events: crashesAroundRestarts,
+		noticedBy: harmlessIsServed,
+	},
 ];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -23,6 +23,8 @@
 	| {readonly type: 'link'; readonly upstream: number; readonly fault: LinkFault; readonly forMs: number}
 	| {readonly type: 'store'; readonly instance: number; readonly fault: StoreFault; readonly forMs: number}
 	| {readonly type: 'restore'}
+	/** A caller sends one request that crashes each upstream that runs it to one instance after the other. */
+	| {readonly type: 'crash'; readonly request: number; readonly forMs: number}
 	/** All upstreams misbehave in the same way. */
 	| {readonly type: 'outage'; readonly behaviour: UpstreamBehaviour; readonly forMs: number}
 	/** Many instances are killed at the same time and start again. */
@@ -55,6 +57,8 @@
 
 /** Spreads consecutive seeds, which would otherwise give similar first random numbers. */
 const seedMultiplier = 0x9E_37_79_B1;
+const crashSeedOffset = 100_000;
+const crashMs = 2000;
 const defaultDurationMs = 10_000;
 /** Mean time between two events. As faults last 0.3 to 3 s, several overlap at a time. */
 const meanPauseMs = 350;
@@ -86,8 +90,9 @@
 		events.push({atMs, event: generateEvent(random, instances, upstreams)});
 	}
 
+	events.push(...generateCrashes(seed, durationMs));
 	return {
-		seed, instances, upstreams, callers: 6 + random.nextInteger(10), workMs: 5 + random.nextInteger(40), durationMs, events,
+		seed, instances, upstreams, callers: 6 + random.nextInteger(10), workMs: 5 + random.nextInteger(40), durationMs, events: events.toSorted((left, right) => left.atMs - right.atMs),
 	};
 }
 
@@ -133,6 +138,20 @@
 	return 'schedule' in parsed ? parsed.schedule : parsed;
 }
 
+/** Uses a random source of its own, so that the other events of a seed stay the same. */
+function generateCrashes(seed: number, durationMs: number): ScheduledEvent[] {
+	const random = createRandomSource(Math.imul(seed + crashSeedOffset, seedMultiplier));
+	const crash = (request: number, atMs: number, untilMs: number): ScheduledEvent => ({atMs, event: {type: 'crash', request, forMs: untilMs - atMs}});
+	const firstMs = random.nextInteger(durationMs / 4);
+	const secondMs = random.nextInteger(durationMs / 2);
+	return [
+		crash(0, firstMs, firstMs + crashMs),
+		// Comes again when instances that were started or paused meanwhile have been back for long.
+		crash(0, durationMs + crashMs, durationMs + (3 * crashMs)),
+		crash(1, secondMs, durationMs),
+	];
+}
+
 function drawPauseMs(random: RandomSource, meanMs = meanPauseMs): number {
 	return Math.round(-Math.log(1 - random.next()) * meanMs);
 }
--- a/packages/soak/src/soak-caller.ts
+++ b/packages/soak/src/soak-caller.ts
@@ -24,7 +24,7 @@
 	readonly requestsPerConnection: number;
 };
 
-type CallerRequest = {readonly id: string; readonly method: 'GET' | 'POST'; readonly path: string};
+type CallerRequest = {readonly id: string; readonly method: 'GET' | 'POST'; readonly path: string; readonly from?: string};
 
 function pauseAfter(sent: number, bursts: RequestBursts | undefined): number {
 	return bursts !== undefined && sent % bursts.requests === 0 ? bursts.pauseMs : pauseMs;
@@ -61,20 +61,21 @@
 }
 
 /** Sends one request. Resolves with its record and whether the connection can be reused. */
-export async function callOnce(address: string, {id, method, path}: CallerRequest, agent?: Agent): Promise<{record: CallRecord; keepsConnection: boolean}> {
+export async function callOnce(address: string, callerRequest: CallerRequest, agent?: Agent): Promise<{record: CallRecord; keepsConnection: boolean}> {
 	const sentAtMs = performance.now();
-	const {end, keepsConnection} = await exchange(address, {id, method, path}, agent);
+	const {id, method, path} = callerRequest;
+	const {end, keepsConnection} = await exchange(address, callerRequest, agent);
 	const record: CallRecord = {
 		id, method, path, idempotent: method === 'GET', instance: address.split(':')[0]!, sentAtMs, endedAtMs: performance.now(), end,
 	};
 	return {record, keepsConnection};
 }
 
-async function exchange(address: string, {id, method, path}: CallerRequest, agent?: Agent): Promise<{end: CallEnd; keepsConnection: boolean}> {
+async function exchange(address: string, {id, method, path, from}: CallerRequest, agent?: Agent): Promise<{end: CallEnd; keepsConnection: boolean}> {
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const outgoing = request({
-			host, port, method, path, agent: agent ?? false, headers: callerHeaders(id, deadlineMs),
+			host, port, localAddress: from, method, path, agent: agent ?? false, headers: callerHeaders(id, deadlineMs),
 		}, response => {
 			let body = '';
 			response.on('data', chunk => {
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -1,10 +1,11 @@
 /** Runs one schedule against the real program and resolves with what callers and upstreams observed. */
 import {setMaxListeners} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
+import type {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {createRandomSource} from '@cairnbank/core/random';
 import {FaultInjector} from './fault-injector.js';
 import type {
-	ArrivalRecord, BackOffRecord, CallRecord, History, RunRecord,
+	ArrivalRecord, BackOffRecord, CallRecord, CrashRecord, History, RunRecord,
 } from './history.js';
 import type {Schedule} from './schedule.js';
 import {callOnce, runSoakCaller} from './soak-caller.js';
@@ -103,17 +104,28 @@
 	}
 
 	#history(calls: readonly CallRecord[], afterwards: readonly CallRecord[]): History {
-		const runs: RunRecord[] = this.#site.upstreams.flatMap(({id: upstream, executedIds: ran, executedAtMs: ranAtMs}) => ran.map((id, index) => ({id, upstream, atMs: ranAtMs[index]!})));
+		const runs: RunRecord[] = this.#site.upstreams.flatMap(upstream => runsOf(upstream));
 		const arrivals: ArrivalRecord[] = this.#site.upstreams.flatMap(({id: upstream, arrivals: ofUpstream}) => ofUpstream.map(arrival => ({...arrival, upstream})));
 		const backOffs: BackOffRecord[] = this.#site.upstreams.flatMap(({id: upstream, backOffs: backedOff}) => backedOff.map(backOff => ({...backOff, upstream})));
-		const {disturbances, drains, limits, leavings, stops} = this.#injector;
+		const {disturbances, drains, limits, leavings, stops, crashing} = this.#injector;
+		const crashRuns = this.#site.crashing.upstreams.flatMap(upstream => runsOf(upstream));
+		const crashes: CrashRecord[] = [...new Set(crashing.map(({path}) => path))].map(path => {
+			const ofPath = crashing.filter(other => other.path === path);
+			const crashCalls = ofPath.flatMap(other => other.calls);
+			const ids = new Set(crashCalls.map(({id}) => id));
+			return {calls: crashCalls, harmlessCalls: ofPath.flatMap(({harmlessCalls}) => harmlessCalls), runs: crashRuns.filter(({id}) => ids.has(id))};
+		});
 		return {
 			calls,
 			runs,
 			arrivals,
 			backOffs,
-			disturbances, drains, limits, leavings, stops,
+			disturbances, drains, limits, leavings, stops, crashes,
 			afterwards,
 		};
 	}
 }
+
+function runsOf({id: upstream, executedIds, executedAtMs}: UpstreamStandIn): readonly RunRecord[] {
+	return executedIds.map((id, index) => ({id, upstream, atMs: executedAtMs[index]!}));
+}
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -5,6 +5,7 @@
 import type {StoreCopy, StoreStandIn} from '@cairnbank/platform/spec-support/store-stand-in';
 import {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {waitFor} from '@cairnbank/testing/harness';
+import {CrashingUpstreams, crashingService} from './crashing-upstreams.js';
 import {LinkProxy} from './link-proxy.js';
 import type {Schedule} from './schedule.js';
 
@@ -21,6 +22,7 @@
 export class SoakSite {
 	readonly upstreams: UpstreamStandIn[] = [];
 	readonly proxies: LinkProxy[] = [];
+	readonly crashing: CrashingUpstreams;
 	readonly #site: Site;
 	readonly #sequences = new Map<string, number>();
 	#copies: StoreCopy[] = [];
@@ -30,6 +32,7 @@
 	/** @param program - path of the program to test; defaults to the compiled program */
 	constructor(program?: string) {
 		this.#site = new Site({logging: {level: 'info', sampleOneIn: 1}, retryBound: soakRetryBound, ...(program === undefined ? {} : {program})});
+		this.crashing = new CrashingUpstreams(this.#site.store);
 	}
 
 	get entries(): readonly InstanceProcess[] {
@@ -48,6 +51,7 @@
 			await this.#addUpstream(index, workMs);
 		}
 
+		await this.crashing.start();
 		for (let index = 0; index < instances; index++) {
 			await this.#site.addInstance();
 			if (index === 0) {
@@ -73,7 +77,7 @@
 			proxy.stop();
 		}
 
-		await Promise.all(this.upstreams.map(async upstream => upstream.stop()));
+		await Promise.all([this.crashing, ...this.upstreams].map(async upstreams => upstreams.stop()));
 	}
 
 	/** Publishes the next version of the configuration. */
@@ -82,6 +86,7 @@
 		this.#site.configure(`r${this.#version}`, [
 			route('read', '/read/'),
 			paymentRoute('pay', '/pay/'),
+			route('crash', '/crash/', {service: crashingService}),
 			route('new', `/new-${this.#version}/`),
 		]);
 	}
