The fingerprint of a request has the caller's host in place of the service that is picked

Cause: the fingerprint covered the service. Where a route is split among services or moves to another, the same request has one fingerprint for each, and crashes three upstreams of each before it is refused. Change: host, method, target and body make it, which is what a caller repeats. The description of a crash in the log names the host as well.

--- a/packages/core/src/model/request-fingerprint.ts
+++ b/packages/core/src/model/request-fingerprint.ts
@@ -6,6 +6,7 @@
 const noTenant = '';
 
 export type FingerprintedRequest = {
+	/** The service or host that the caller named. */
 	readonly service: string;
 	readonly method: string;
 	/** Path and query, as sent to the upstream. */
--- a/packages/core/src/routes/route-table.ts
+++ b/packages/core/src/routes/route-table.ts
@@ -22,11 +22,15 @@
 	 * @param path - with or without a query
 	 */
 	match(host: string, path: string): Route | undefined {
-		const name = host.replace(/:\d+$/, '').toLowerCase();
-		return this.#routesByHost.get(name)?.find(route => path.startsWith(route.pathPrefix));
+		return this.#routesByHost.get(hostNameOf(host))?.find(route => path.startsWith(route.pathPrefix));
 	}
 
 	service(id: string): ServiceSettings | undefined {
 		return this.#services.get(id);
 	}
 }
+
+/** @param host - value of a Host header */
+export function hostNameOf(host: string): string {
+	return host.replace(/:\d+$/, '').toLowerCase();
+}
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -67,6 +67,7 @@
 		const call: Call = {
 			requestId: 'r1',
 			caller: '10.9.0.1',
+			host: 'h',
 			method: 'GET',
 			target: '/',
 			headers: ['Host', 'h'],
--- a/packages/gateway/src/features/calls/call.ts
+++ b/packages/gateway/src/features/calls/call.ts
@@ -7,6 +7,8 @@
 	readonly requestId: string;
 	/** Address of the caller, without its port. */
 	readonly caller: string;
+	/** Host that the caller named, without a port and in lower case. */
+	readonly host: string;
 	readonly method: string;
 	/** Path and query. */
 	readonly target: string;
--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -116,15 +116,15 @@
 }
 
 /** Describes a request for the log, so that requests can be told apart if they have the same fingerprint, and compared if they don't. */
-function describeRequest({service, method, target, caller, body}: Call): Readonly<Record<string, unknown>> {
+function describeRequest({host, service, method, target, caller, body}: Call): Readonly<Record<string, unknown>> {
 	return {
-		service, method, target, caller, bodyBytes: body?.length ?? 0,
+		host, service, method, target, caller, bodyBytes: body?.length ?? 0,
 	};
 }
 
-/** Leaves out the caller's address: a caller may send a request again from any of its addresses. */
-function fingerprint({service, method, target, body}: Call): Fingerprint {
+/** Contains only what the caller repeats: its address may be another each time, and so may the service that is picked for the request. */
+function fingerprint({host, method, target, body}: Call): Fingerprint {
 	return fingerprintOf({
-		service, method, path: target, ...(body === undefined ? {} : {body}),
+		service: host, method, path: target, ...(body === undefined ? {} : {body}),
 	});
 }
--- a/packages/gateway/src/features/calls/read-call.ts
+++ b/packages/gateway/src/features/calls/read-call.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {Clock, RandomSource} from '@cairnbank/core';
 import type {HeaderFilter} from '@cairnbank/core/headers';
-import {pickService, type RouteTable} from '@cairnbank/core/routes';
+import {hostNameOf, pickService, type RouteTable} from '@cairnbank/core/routes';
 import {err, ok, type Result} from 'neverthrow';
 import type {RequestDialect} from '../../ports/index.js';
 import type {Call} from './call.js';
@@ -61,6 +61,7 @@
 	return ok({
 		requestId,
 		caller: request.socket.remoteAddress ?? '',
+		host: hostNameOf(request.headers.host ?? ''),
 		method: request.method ?? 'GET',
 		target,
 		headers: requestHeaders.apply(request.rawHeaders),
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -275,8 +275,8 @@
 	{
 		name: 'crashes-counted-by-address',
 		file: `${calls}/poison-guard.js`,
-		find: 'service, method, path: target,',
-		replaceBy: 'service, method, path: target, tenant: arguments[0].caller,',
+		find: 'service: host, method, path: target,',
+		replaceBy: 'service: host, method, path: target, tenant: arguments[0].caller,',
 		events: crashesAroundRestarts,
 		noticedBy: crashesAreContained,
 	},
