--- a/packages/core/src/poison/crash-table.ts
+++ b/packages/core/src/poison/crash-table.ts
@@ -34,6 +34,7 @@
 	| {readonly type: 'trial'}
 	| {readonly type: 'refuse'; readonly retryAfterMs: number};
 
+/** A table of crash records with a maximum size. While it is empty, which is the normal case, requests need no fingerprint. */
 export class CrashTable {
 	readonly #clock: Clock;
 	/** Whether this instance is the one that may try a request first. */
--- a/packages/gateway/src/features/fleet/suspect-exchange.ts
+++ b/packages/gateway/src/features/fleet/suspect-exchange.ts
@@ -1,6 +1,7 @@
 /**
- * Repairs differences between what instances know of requests that crash upstreams. Reports go to all instances once, so one that was starting, cut off or paused
- * misses them. Heartbeats carry a digest, and an instance whose digest differs requests the records of the other.
+ * Repairs differences between what instances know of requests that crash upstreams. Reports go to all instances once, so one
+ * that was starting or cut off misses them. Heartbeats carry a digest, and an instance whose digest differs requests the
+ * records of the other.
  */
 import type {CrashRecord} from '@cairnbank/core/crash-record';
 import type {FleetMember} from '@cairnbank/core/fleet';
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -58,7 +58,7 @@
 export type BackOffRecord = ArrivalRecord & {readonly durationMs: number};
 
 /** One request that crashes each upstream that runs it, and a harmless one that was sent beside it. */
-export type CrashRecord = {
+export type CrashingRequestRecord = {
 	readonly calls: readonly CallRecord[];
 	/** Its starts at upstreams. */
 	readonly runs: readonly RunRecord[];
@@ -83,7 +83,7 @@
 	readonly arrivals: readonly ArrivalRecord[];
 	readonly backOffs: readonly BackOffRecord[];
 	readonly stops: readonly StopRecord[];
-	readonly crashes: readonly CrashRecord[];
+	readonly crashes: readonly CrashingRequestRecord[];
 	/** Calls after the last fault, all of which should succeed. */
 	readonly afterwards: readonly CallRecord[];
 };
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -5,7 +5,7 @@
 import {createRandomSource} from '@cairnbank/core/random';
 import {FaultInjector} from './fault-injector.js';
 import type {
-	ArrivalRecord, BackOffRecord, CallRecord, CrashRecord, History, RunRecord,
+	ArrivalRecord, BackOffRecord, CallRecord, CrashingRequestRecord, History, RunRecord,
 } from './history.js';
 import type {Schedule} from './schedule.js';
 import {callOnce, runSoakCaller} from './soak-caller.js';
@@ -109,7 +109,7 @@
 		const backOffs: BackOffRecord[] = this.#site.upstreams.flatMap(({id: upstream, backOffs: backedOff}) => backedOff.map(backOff => ({...backOff, upstream})));
 		const {disturbances, drains, limits, leavings, stops, crashing} = this.#injector;
 		const crashRuns = this.#site.crashing.upstreams.flatMap(upstream => runsOf(upstream));
-		const crashes: CrashRecord[] = [...new Set(crashing.map(({path}) => path))].map(path => {
+		const crashes: CrashingRequestRecord[] = [...new Set(crashing.map(({path}) => path))].map(path => {
 			const ofPath = crashing.filter(other => other.path === path);
 			const crashCalls = ofPath.flatMap(other => other.calls);
 			const ids = new Set(crashCalls.map(({id}) => id));
