--- a/packages/gateway/src/features/state/registry-state.ts
+++ b/packages/gateway/src/features/state/registry-state.ts
@@ -108,8 +108,12 @@
 		}
 	}
 
-	/** Emits the events of a snapshot. All upstreams that join share one log line: otherwise each start of an instance would write 500 lines. */
+	/**
+	 * Emits the events of a snapshot. All upstreams that join share one log line: otherwise each start of an instance would write
+	 * 500 lines. They come last, as an upstream that has started again under its id is gone and joins.
+	 */
 	#emitSnapshotEvents(events: readonly RegistryEvent[]): void {
+		this.#emit(events.filter(({type}) => type !== 'joined'));
 		const joined = events.filter(({type}) => type === 'joined');
 		for (const event of joined) {
 			this.#options.onUpstream(event);
@@ -119,8 +123,6 @@
 			const upstreams = joined.map(({upstream: {id, host, port}}) => `${id}=${host}:${port}`).join(' ');
 			this.#options.context.logger.info('upstreams joined', {count: joined.length, registryOffset: this.endOffset, upstreams});
 		}
-
-		this.#emit(events.filter(({type}) => type !== 'joined'));
 	}
 
 	#emit(events: readonly RegistryEvent[]): void {
