--- a/packages/soak/src/crashing-upstreams.ts
+++ b/packages/soak/src/crashing-upstreams.ts
@@ -1,5 +1,5 @@
 /** A service whose upstreams crash under certain requests and start again as new processes. */
-import type {StoreStandIn} from '@cairnbank/platform/spec-support/store-stand-in';
+import type {Site} from '@cairnbank/platform/spec-support/site';
 import {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 
 export const crashingService = 'portal';
@@ -10,14 +10,14 @@
 
 export class CrashingUpstreams {
 	readonly upstreams: UpstreamStandIn[] = [];
-	readonly #store: StoreStandIn;
+	readonly #site: Site;
 	/** Start time of each upstream's process, in Unix milliseconds. */
 	readonly #startedAtMs = new Map<string, number>();
 	readonly #restarts = new Set<NodeJS.Timeout>();
 	#sequence = 0;
 
-	constructor(store: StoreStandIn) {
-		this.#store = store;
+	constructor(site: Site) {
+		this.#site = site;
 	}
 
 	async start(): Promise<void> {
@@ -65,6 +65,6 @@
 
 	#register(upstream: UpstreamStandIn): void {
 		this.#sequence += 1;
-		this.#store.put('keyed.servers', upstream.id, upstream.registryEntry('ready', this.#startedAtMs.get(upstream.id), this.#sequence));
+		this.#site.registerStart(upstream, this.#startedAtMs.get(upstream.id)!, this.#sequence);
 	}
 }
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -33,7 +33,7 @@
 	/** @param program - path of the program to test; defaults to the compiled program */
 	constructor(program?: string) {
 		this.#site = new Site({logging: {level: 'info', sampleOneIn: 1}, retryBound: soakRetryBound, ...(program === undefined ? {} : {program})});
-		this.crashing = new CrashingUpstreams(this.#site.store);
+		this.crashing = new CrashingUpstreams(this.#site);
 	}
 
 	get entries(): readonly InstanceProcess[] {
