Log when an instance loses and regains its links to the upstreams of a service

Change: LinkHealth judges from an instance's own connections whether the links to a service are lost: four upstreams fail with no answer of any other for 40 ms. The lines name what was compared. Nothing is decided by it yet.

--- /dev/null
+++ b/packages/core/src/reachability/index.ts
@@ -0,0 +1,2 @@
+/** Decides whether this instance reaches upstreams itself, and through which other instances it reaches them if not. */
+export * from './link-health.js';
--- /dev/null
+++ b/packages/core/src/reachability/link-health.ts
@@ -0,0 +1,96 @@
+/** Judges from the results of one instance's own connections whether it has lost its links to the upstreams of a service. */
+import type {Clock} from '../model/clock.js';
+import type {UpstreamId} from '../model/ids.js';
+
+/** Upstreams that have to fail without an answer of any other in between; fewer may well have crashed at the same time. */
+const minimumFailures = 4;
+/** Shortest time without any answer. An instance that gets no processor time reads answers late, but then all of them at once. */
+const minimumSilenceMs = 40;
+/** Upstreams that have to answer before the links count as regained. */
+const minimumAnswers = 2;
+
+export class LinkHealth {
+	readonly #clock: Clock;
+	/** Time of the first failure of each upstream that has not answered since. */
+	readonly #failingSinceMs = new Map<UpstreamId, number>();
+	/** Upstreams that have answered since the links were lost. */
+	readonly #answering = new Set<UpstreamId>();
+	#answeredAtMs = Number.NEGATIVE_INFINITY;
+	#lostAtMs: number | undefined;
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	/** Time at which the links were lost; undefined while they are not. */
+	get lostAtMs(): number | undefined {
+		return this.#lostAtMs;
+	}
+
+	/** Time of the last answer of any upstream. */
+	get answeredAtMs(): number {
+		return this.#answeredAtMs;
+	}
+
+	/** Number of upstreams that have begun to fail since the last answer of any upstream. Those that failed before it may have crashed. */
+	get failures(): number {
+		return [...this.#failingSinceMs.values()].filter(sinceMs => sinceMs >= this.#answeredAtMs).length;
+	}
+
+	recordAnswer(upstream: UpstreamId): void {
+		this.#failingSinceMs.delete(upstream);
+		this.#answeredAtMs = this.#clock.monotonicMs();
+		if (this.#lostAtMs !== undefined) {
+			this.#answering.add(upstream);
+		}
+	}
+
+	/** Records that no connection could be made or that a health check got no answer in time. */
+	recordFailure(upstream: UpstreamId): void {
+		this.#answering.delete(upstream);
+		if (!this.#failingSinceMs.has(upstream)) {
+			this.#failingSinceMs.set(upstream, this.#clock.monotonicMs());
+		}
+	}
+
+	/** Forgets an upstream that has left. */
+	forget(upstream: UpstreamId): void {
+		this.#failingSinceMs.delete(upstream);
+		this.#answering.delete(upstream);
+	}
+
+	/** Whether an upstream has answered since the links were lost and has not failed again. */
+	hasAnsweredSinceLoss(upstream: UpstreamId): boolean {
+		return this.#answering.has(upstream);
+	}
+
+	/**
+	 * Judges the links anew.
+	 *
+	 * @param upstreams - number of upstreams of the service
+	 * @returns whether the links were lost or regained just now
+	 */
+	evaluate(upstreams: number): 'lost' | 'regained' | 'unchanged' {
+		if (this.#lostAtMs === undefined) {
+			return this.#detectLoss(upstreams);
+		}
+
+		if (this.#answering.size < Math.min(minimumAnswers, upstreams)) {
+			return 'unchanged';
+		}
+
+		this.#lostAtMs = undefined;
+		this.#answering.clear();
+		return 'regained';
+	}
+
+	#detectLoss(upstreams: number): 'lost' | 'unchanged' {
+		const nowMs = this.#clock.monotonicMs();
+		if (upstreams === 0 || this.failures < Math.min(minimumFailures, upstreams) || nowMs - this.#answeredAtMs < minimumSilenceMs) {
+			return 'unchanged';
+		}
+
+		this.#lostAtMs = nowMs;
+		return 'lost';
+	}
+}
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -1,6 +1,6 @@
 /** Probes upstreams for their load with health checks. */
 import type {UpstreamId} from '@cairnbank/core';
-import type {LoadReport, UpstreamCondition} from '@cairnbank/core/placement';
+import type {LoadReport} from '@cairnbank/core/placement';
 import {ProbeRateLimiter} from '@cairnbank/core/measurement';
 import type {Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
@@ -10,6 +10,7 @@
 } from './exchange.js';
 import type {Advisories} from './advisories.js';
 import type {Eligibility} from './eligibility.js';
+import type {LinkMonitor} from './link-monitor.js';
 import type {RateLimits} from './rate-limits.js';
 import type {UpstreamConnection} from './upstream-connection.js';
 import type {Upstream} from './upstream.js';
@@ -24,6 +25,7 @@
 	readonly advisories: Pick<Advisories, 'received'>;
 	readonly eligibility: Pick<Eligibility, 'mayCheck'>;
 	readonly rateLimits: Pick<RateLimits, 'checked'>;
+	readonly links: Pick<LinkMonitor, 'recordFailure'>;
 	/** Returns the path of a service's health check; undefined for an unknown service. */
 	readonly healthPath: (service: string) => string | undefined;
 	/** Whether anything may be sent to an upstream, including health checks. */
@@ -107,7 +109,7 @@
 		const result = await this.#sendCheck(upstream, path, upstream.pool.take());
 		if (result.isErr()) {
 			metrics.probes.inc({result: result.error.type});
-			this.#recordFailure(condition, result.error);
+			this.#recordFailure(upstream, result.error);
 			logger.debug('probe failed', {upstream: registered.id, ...result.error});
 			return undefined;
 		}
@@ -135,10 +137,15 @@
 		return answeredBy !== undefined && answeredBy !== registered.id;
 	}
 
-	#recordFailure(condition: UpstreamCondition, failure: ExchangeFailure): void {
+	#recordFailure({condition, registered}: Upstream, failure: ExchangeFailure): void {
 		switch (failure.type) {
+			case 'timed-out': {
+				this.#options.links.recordFailure(registered);
+				condition.recordUnreachable();
+				break;
+			}
+
 			case 'not-connected':
-			case 'timed-out':
 			case 'cancelled': {
 				condition.recordUnreachable();
 				break;
--- a/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
@@ -33,6 +33,8 @@
 		requestIdHeader: 'x-request-id',
 		connectTimeoutMs: longMs,
 		now: () => performance.now(),
+		onAnswered: () => undefined,
+		onNotConnected: () => undefined,
 		onClosed: () => undefined,
 	});
 }
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -20,6 +20,10 @@
 	readonly requestIdHeader: string;
 	readonly connectTimeoutMs: number;
 	readonly now: () => number;
+	/** Called when the upstream has answered a request. */
+	readonly onAnswered: () => void;
+	/** Called when the connection could not be opened. */
+	readonly onNotConnected: () => void;
 	readonly onClosed: (connection: UpstreamConnection) => void;
 };
 
@@ -173,6 +177,7 @@
 		}
 
 		clearTimeout(pending.timer);
+		this.#options.onAnswered();
 		this.#pending = undefined;
 		this.#idleUntilMs = this.#options.now() + idleTimeMs(answer);
 		if (!keepAlive || this.#socket.writableLength > 0) {
@@ -192,6 +197,10 @@
 		const pending = this.#pending;
 		this.#pending = undefined;
 		if (pending !== undefined) {
+			if (failure.type === 'not-connected') {
+				this.#options.onNotConnected();
+			}
+
 			clearTimeout(pending.timer);
 			pending.settle(err(failure));
 		}
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -9,6 +9,7 @@
 import type {Task} from '../../kernel/task.js';
 import type {RequestDialect} from '../../ports/index.js';
 import {ConnectionPool} from './connection-pool.js';
+import type {LinkMonitor} from './link-monitor.js';
 import type {Upstream} from './upstream.js';
 
 /**
@@ -23,6 +24,7 @@
 	readonly name = 'upstreams';
 	readonly #context: Context;
 	readonly #dialect: RequestDialect;
+	readonly #links: LinkMonitor;
 	readonly #onUnreachable: () => void;
 	readonly #upstreams = new Map<UpstreamId, Upstream>();
 	readonly #advisories: AdvisoryCache;
@@ -33,8 +35,9 @@
 	#sweepTimer: NodeJS.Timeout | undefined;
 
 	/** @param onUnreachable - called when an upstream could not be reached */
-	constructor(context: Context, dialect: RequestDialect, onUnreachable: () => void) {
+	constructor(context: Context, dialect: RequestDialect, links: LinkMonitor, onUnreachable: () => void) {
 		this.#context = context;
+		this.#links = links;
 		this.#dialect = dialect;
 		this.#onUnreachable = onUnreachable;
 		this.#advisories = new AdvisoryCache(context.clock);
@@ -79,13 +82,25 @@
 				onOpened() {
 					metrics.upstreamConnections.inc();
 				},
+				onAnswered: () => {
+					this.#links.recordAnswer(registered);
+				},
+				onNotConnected: () => {
+					this.#links.recordFailure(registered);
+				},
 			}),
 		});
 	}
 
 	/** Removes an upstream that has left; its running requests finish on their own. */
 	remove(id: UpstreamId): void {
-		this.#upstreams.get(id)?.pool.close();
+		const known = this.#upstreams.get(id);
+		if (known === undefined) {
+			return;
+		}
+
+		known.pool.close();
+		this.#links.forget(known.registered);
 		this.#upstreams.delete(id);
 		this.#rings.clear();
 	}
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -18,6 +18,7 @@
 import {StateTask} from './features/state/state-task.js';
 import {Advisories} from './features/upstreams/advisories.js';
 import {Eligibility} from './features/upstreams/eligibility.js';
+import {LinkMonitor} from './features/upstreams/link-monitor.js';
 import {Placer} from './features/upstreams/placer.js';
 import {Prober} from './features/upstreams/prober.js';
 import {RateLimits} from './features/upstreams/rate-limits.js';
@@ -61,7 +62,15 @@
 		}),
 		metrics: createMetrics(),
 	};
-	const upstreams: UpstreamsTask = new UpstreamsTask(context, ports.requests, () => {
+	const links = new LinkMonitor({
+		context,
+		countUpstreams: service => upstreams.ofService(service).length,
+		peers() {
+			const others = fleet.others();
+			return {live: others.length, reaching: others.length};
+		},
+	});
+	const upstreams: UpstreamsTask = new UpstreamsTask(context, ports.requests, links, () => {
 		recheck.schedule();
 	});
 	const state: StateTask = new StateTask({
@@ -140,6 +149,7 @@
 		advisories,
 		eligibility,
 		rateLimits,
+		links,
 		healthPath: service => state.routes?.service(service)?.healthPath,
 		isInService: upstream => upstreams.isInService(upstream),
 		instances: () => fleet.shares.instances,
