--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -4,7 +4,7 @@
 import type {RandomSource} from '@cairnbank/core';
 import type {StoreFault} from '@cairnbank/platform/spec-support/store-stand-in';
 import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
-import type {LinkFault} from './link-proxy.js';
+import type {LinkFault} from '@cairnbank/platform/spec-support/link-proxy';
 
 /** Instances and upstreams are given by their index in the order in which they were started. */
 export type SoakEvent =
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -1,12 +1,12 @@
 /** The site of a soak: instances of the real program, a store, and upstreams, each behind its own proxy. */
 import type {InstanceProcess} from '@cairnbank/platform/spec-support/instance-process';
+import {LinkProxy} from '@cairnbank/platform/spec-support/link-proxy';
 import {defaultRetryBound, type RetryBound} from '@cairnbank/platform/spec-support/retry-bound';
 import {paymentRoute, route, Site} from '@cairnbank/platform/spec-support/site';
 import type {StoreCopy, StoreStandIn} from '@cairnbank/platform/spec-support/store-stand-in';
 import {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {waitFor} from '@cairnbank/testing/harness';
 import {CrashingUpstreams, crashingService} from './crashing-upstreams.js';
-import {LinkProxy} from './link-proxy.js';
 import type {Schedule} from './schedule.js';
 
 /** Interval between copies of the store. A restored copy is up to three intervals old. */
