--- a/packages/core/src/advisories/service-unavailability.ts
+++ b/packages/core/src/advisories/service-unavailability.ts
@@ -7,9 +7,11 @@
 	/** It advertises a rate limit, and other instances use it up or this instance has just sent a request. */
 	| {readonly type: 'rate-limited'}
 	/** It is cold, and the rate that it can handle is used up in the same way. */
-	| {readonly type: 'warming-up'};
+	| {readonly type: 'warming-up'}
+	/** It could not be reached, and is checked again after this time. */
+	| {readonly type: 'unreachable'; readonly remainingMs: number};
 
-export type ServiceUnavailableReason = 'upstreams-leaving' | 'upstreams-backing-off' | 'rate-limited' | 'warming-up';
+export type ServiceUnavailableReason = 'upstreams-leaving' | 'upstreams-backing-off' | 'upstreams-unreachable' | 'rate-limited' | 'warming-up';
 
 export type ServiceUnavailability = {
 	readonly reason: ServiceUnavailableReason;
@@ -18,7 +20,7 @@
 };
 
 /** Reasons in the order in which they are expected to end; the first that applies to any upstream is reported. */
-const typesByExpectedEnd: ReadonlyArray<UpstreamUnavailability['type']> = ['rate-limited', 'warming-up', 'backing-off', 'leaving'];
+const typesByExpectedEnd: ReadonlyArray<UpstreamUnavailability['type']> = ['rate-limited', 'warming-up', 'unreachable', 'backing-off', 'leaving'];
 
 /**
  * Combines the reasons of a service's upstreams into the one that is expected to end first.
@@ -33,9 +35,12 @@
 			return {reason: type};
 		}
 
+		case 'unreachable': {
+			return {reason: 'upstreams-unreachable', availableInMs: leastRemainingMs(unavailabilities, type)};
+		}
+
 		case 'backing-off': {
-			const remainingMs = unavailabilities.flatMap(upstream => upstream.type === 'backing-off' ? [upstream.remainingMs] : []);
-			return {reason: 'upstreams-backing-off', availableInMs: Math.min(...remainingMs)};
+			return {reason: 'upstreams-backing-off', availableInMs: leastRemainingMs(unavailabilities, type)};
 		}
 
 		case 'leaving': {
@@ -43,3 +48,7 @@
 		}
 	}
 }
+
+function leastRemainingMs(unavailabilities: readonly UpstreamUnavailability[], type: 'unreachable' | 'backing-off'): number {
+	return Math.min(...unavailabilities.flatMap(upstream => upstream.type === type ? [upstream.remainingMs] : []));
+}
--- a/packages/core/src/fleet/address-choice.ts
+++ b/packages/core/src/fleet/address-choice.ts
@@ -9,6 +9,12 @@
  */
 const minimumZoneInstances = 12;
 
+/**
+ * Instances that have lost their links to upstreams are offered unless at least this share of all has links: fewer could not take all
+ * callers, while passing on a request takes them less than serving it.
+ */
+const minimumReachingRatio = 0.5;
+
 export type Addressable = Pick<FleetMember, 'host' | 'availabilityZone'>;
 
 /**
@@ -29,3 +35,9 @@
 	const ordered = eligible.map(member => ({member, order: hashText(`${callerZone} ${member.host}`)}));
 	return ordered.sort((left, right) => left.order - right.order).slice(0, maximum).map(({member}) => member);
 }
+
+/** Leaves out the instances that have lost their links to upstreams, if enough others remain. */
+export function withoutLostLinks<Member extends Pick<FleetMember, 'reachesUpstreams'>>(offered: readonly Member[]): readonly Member[] {
+	const reaching = offered.filter(({reachesUpstreams}) => reachesUpstreams);
+	return reaching.length >= offered.length * minimumReachingRatio ? reaching : offered;
+}
--- a/packages/core/src/fleet/fleet-member.ts
+++ b/packages/core/src/fleet/fleet-member.ts
@@ -34,6 +34,8 @@
 	readonly stateAgeMs: number;
 	/** Its last call to the store succeeded, or it has not called the store yet. */
 	readonly reachesStore: boolean;
+	/** It reaches upstreams on connections of its own; otherwise others pass on its requests. */
+	readonly reachesUpstreams: boolean;
 	/** Hash of what it knows of requests that crash upstreams, see `CrashTable.digest`; 0 if there are none. */
 	readonly suspectsDigest: number;
 };
--- a/packages/core/src/fleet/fleet-view.spec.ts
+++ b/packages/core/src/fleet/fleet-view.spec.ts
@@ -24,6 +24,7 @@
 		stateAgeMs: 0,
 		suspectsDigest: 0,
 		reachesStore: true,
+		reachesUpstreams: true,
 		...changes,
 	};
 }
--- a/packages/core/src/fleet/fleet-view.ts
+++ b/packages/core/src/fleet/fleet-view.ts
@@ -299,10 +299,10 @@
 
 function updateOf({member, lostAtMs}: Peer): MemberUpdate {
 	const {
-		host, incarnation, availabilityZone, ready, leaving, reachesStore, revision,
+		host, incarnation, availabilityZone, ready, leaving, reachesStore, reachesUpstreams, revision,
 	} = member;
 	return {
-		host, incarnation, availabilityZone, ready, leaving, reachesStore, revision, isLost: lostAtMs !== undefined,
+		host, incarnation, availabilityZone, ready, leaving, reachesStore, reachesUpstreams, revision, isLost: lostAtMs !== undefined,
 	};
 }
 
--- a/packages/core/src/fleet/local-state.spec.ts
+++ b/packages/core/src/fleet/local-state.spec.ts
@@ -2,7 +2,9 @@
 import {describe, it} from 'node:test';
 import {LocalState, type LocalFlags} from './local-state.js';
 
-const ready: LocalFlags = {ready: true, leaving: false, reachesStore: true};
+const ready: LocalFlags = {
+	ready: true, leaving: false, reachesStore: true, reachesUpstreams: true,
+};
 
 describe('LocalState', () => {
 	it('should increment the revision only if something changed', () => {
--- a/packages/core/src/fleet/local-state.ts
+++ b/packages/core/src/fleet/local-state.ts
@@ -2,7 +2,7 @@
 import type {FleetMember} from './fleet-member.js';
 
 /** The part of the state of an instance, besides its address and zone, that others pass on. */
-export type LocalFlags = Pick<FleetMember, 'ready' | 'leaving' | 'reachesStore'>;
+export type LocalFlags = Pick<FleetMember, 'ready' | 'leaving' | 'reachesStore' | 'reachesUpstreams'>;
 
 export type LocalStateChange =
 	| 'unchanged'
@@ -27,7 +27,9 @@
 			return 'unchanged';
 		}
 
-		this.#flags = {ready: flags.ready, leaving: flags.leaving, reachesStore: flags.reachesStore};
+		this.#flags = {
+			ready: flags.ready, leaving: flags.leaving, reachesStore: flags.reachesStore, reachesUpstreams: flags.reachesUpstreams,
+		};
 		this.#revision += 1;
 		return before !== undefined && isOffered(before) && !isOffered(flags) ? 'withdrawn' : 'changed';
 	}
@@ -48,10 +50,11 @@
 	}
 }
 
-function isOffered({ready, leaving}: LocalFlags): boolean {
-	return ready && !leaving;
+function isOffered({ready, leaving, reachesUpstreams}: LocalFlags): boolean {
+	return ready && !leaving && reachesUpstreams;
 }
 
 function isSame(left: LocalFlags, right: LocalFlags): boolean {
-	return left.ready === right.ready && left.leaving === right.leaving && left.reachesStore === right.reachesStore;
+	return left.ready === right.ready && left.leaving === right.leaving && left.reachesStore === right.reachesStore
+		&& left.reachesUpstreams === right.reachesUpstreams;
 }
--- a/packages/core/src/fleet/member-update.ts
+++ b/packages/core/src/fleet/member-update.ts
@@ -10,6 +10,7 @@
 	readonly ready: boolean;
 	readonly leaving: boolean;
 	readonly reachesStore: boolean;
+	readonly reachesUpstreams: boolean;
 	/** Incremented by the member itself with each change of its reported state, and raised to refute that it is lost. */
 	readonly revision: number;
 	/** The member did not answer when it was asked whether it is alive. */
--- a/packages/core/src/placement/upstream-condition.ts
+++ b/packages/core/src/placement/upstream-condition.ts
@@ -101,6 +101,16 @@
 		return this.isUnreachable && this.#checkSentAtMs === undefined && this.#clock.monotonicMs() >= this.#checkDueAtMs;
 	}
 
+	/** Makes the next check of an unreachable upstream due at once. */
+	recheckAtOnce(): void {
+		this.#checkDueAtMs = this.#clock.monotonicMs();
+	}
+
+	/** Time until an unreachable upstream is checked again; 0 if that is due. */
+	get checkDueInMs(): number {
+		return Math.max(0, this.#checkDueAtMs - this.#clock.monotonicMs());
+	}
+
 	/** Whether a health check or a request of this instance has been in flight there for longer than one normally takes. */
 	get isUnresponsive(): boolean {
 		const isCheckLate = this.#checkSentAtMs !== undefined && this.#clock.monotonicMs() - this.#checkSentAtMs >= maximumCheckMs;
--- a/packages/core/src/reachability/link-health.spec.ts
+++ b/packages/core/src/reachability/link-health.spec.ts
@@ -50,6 +50,12 @@
 			assert.equal(health.evaluate(upstreams), 'unchanged');
 		});
 
+		it('should not detect one at the first failures, before any upstream could answer', () => {
+			health = new LinkHealth(clock);
+			fail('u1', 'u2', 'u3', 'u4');
+			assert.equal(health.evaluate(upstreams), 'unchanged');
+		});
+
 		it('should not count upstreams that failed before the last answer', () => {
 			fail('u1', 'u2', 'u3', 'u4');
 			clock.advance(1);
@@ -59,6 +65,16 @@
 			assert.equal(health.evaluate(upstreams), 'unchanged');
 		});
 
+		it('should detect a loss although half of the upstreams failed before the last answer', () => {
+			fail('u1', 'u2', 'u3', 'u4');
+			clock.advance(1);
+			answer('u5');
+			clock.advance(silenceMs);
+			fail('u1', 'u2', 'u3', 'u4', 'u5', 'u6', 'u7');
+			clock.advance(silenceMs);
+			assert.equal(health.evaluate(upstreams), 'lost');
+		});
+
 		it('should detect a loss of fewer upstreams where the service has no more', () => {
 			fail('u1', 'u2');
 			clock.advance(silenceMs);
--- a/packages/core/src/reachability/link-health.ts
+++ b/packages/core/src/reachability/link-health.ts
@@ -9,10 +9,17 @@
 /** Upstreams that have to answer before the links count as regained. */
 const minimumAnswers = 2;
 
+type Failing = {
+	/** Time of the first failure. */
+	readonly sinceMs: number;
+	/** Time of the last failure. */
+	readonly lastMs: number;
+};
+
 export class LinkHealth {
 	readonly #clock: Clock;
-	/** Time of the first failure of each upstream that has not answered since. */
-	readonly #failingSinceMs = new Map<UpstreamId, number>();
+	/** Upstreams that have not answered since they began to fail. */
+	readonly #failing = new Map<UpstreamId, Failing>();
 	/** Upstreams that have answered since the links were lost. */
 	readonly #answering = new Set<UpstreamId>();
 	#answeredAtMs = Number.NEGATIVE_INFINITY;
@@ -32,13 +39,13 @@
 		return this.#answeredAtMs;
 	}
 
-	/** Number of upstreams that have begun to fail since the last answer of any upstream. Those that failed before it may have crashed. */
+	/** Number of upstreams that have failed since the last answer of any upstream. */
 	get failures(): number {
-		return [...this.#failingSinceMs.values()].filter(sinceMs => sinceMs >= this.#answeredAtMs).length;
+		return this.#count(({lastMs}) => lastMs >= this.#answeredAtMs);
 	}
 
 	recordAnswer(upstream: UpstreamId): void {
-		this.#failingSinceMs.delete(upstream);
+		this.#failing.delete(upstream);
 		this.#answeredAtMs = this.#clock.monotonicMs();
 		if (this.#lostAtMs !== undefined) {
 			this.#answering.add(upstream);
@@ -48,14 +55,13 @@
 	/** Records that no connection could be made or that a health check got no answer in time. */
 	recordFailure(upstream: UpstreamId): void {
 		this.#answering.delete(upstream);
-		if (!this.#failingSinceMs.has(upstream)) {
-			this.#failingSinceMs.set(upstream, this.#clock.monotonicMs());
-		}
+		const nowMs = this.#clock.monotonicMs();
+		this.#failing.set(upstream, {sinceMs: this.#failing.get(upstream)?.sinceMs ?? nowMs, lastMs: nowMs});
 	}
 
 	/** Forgets an upstream that has left. */
 	forget(upstream: UpstreamId): void {
-		this.#failingSinceMs.delete(upstream);
+		this.#failing.delete(upstream);
 		this.#answering.delete(upstream);
 	}
 
@@ -84,13 +90,26 @@
 		return 'regained';
 	}
 
+	/**
+	 * Detects a loss by upstreams that have begun to fail since the last answer, as others may have crashed before; or by failures of at
+	 * least half of all upstreams.
+	 */
 	#detectLoss(upstreams: number): 'lost' | 'unchanged' {
 		const nowMs = this.#clock.monotonicMs();
-		if (upstreams === 0 || this.failures < Math.min(minimumFailures, upstreams) || nowMs - this.#answeredAtMs < minimumSilenceMs) {
+		const needed = Math.min(minimumFailures, upstreams);
+		const isNew = ({sinceMs}: Failing) => sinceMs >= this.#answeredAtMs;
+		const hasFailures = this.#count(isNew) >= needed || this.failures >= Math.max(needed, upstreams / 2);
+		const firstFailureMs = Math.min(...[...this.#failing.values()].filter(failing => isNew(failing)).map(({sinceMs}) => sinceMs));
+		const isSilent = nowMs - Math.max(this.#answeredAtMs, Number.isFinite(firstFailureMs) ? firstFailureMs : this.#answeredAtMs) >= minimumSilenceMs;
+		if (upstreams === 0 || !hasFailures || !isSilent) {
 			return 'unchanged';
 		}
 
 		this.#lostAtMs = nowMs;
 		return 'lost';
 	}
+
+	#count(isCounted: (failing: Failing) => boolean): number {
+		return [...this.#failing.values()].filter(failing => isCounted(failing)).length;
+	}
 }
--- a/packages/gateway/src/features/calls/attempt-summary.ts
+++ b/packages/gateway/src/features/calls/attempt-summary.ts
@@ -1,6 +1,6 @@
 /** Collects the results of a call's attempts and derives the outcome that its caller gets if no further attempt follows. */
 import type {UpstreamId} from '@cairnbank/core';
-import type {ExchangeVerdict} from './judge-exchange.js';
+import {wasNeverSent, type ExchangeVerdict} from './judge-exchange.js';
 import type {
 	NotRunReason, NoUpstream, Outcome, UnknownReason,
 } from './outcome.js';
@@ -10,6 +10,7 @@
 
 export class AttemptSummary {
 	readonly #tried = new Set<UpstreamId>();
+	readonly #notReached = new Set<UpstreamId>();
 	#sent = 0;
 	#mayHaveRun: UnknownReason | undefined;
 	#notRunReason: NotRunReason = 'never-sent';
@@ -21,6 +22,11 @@
 		return this.#tried;
 	}
 
+	/** Upstreams that an attempt did not reach; another instance may pass on a further one. */
+	get notReached(): ReadonlySet<UpstreamId> {
+		return this.#notReached;
+	}
+
 	/** Number of attempts that reached an upstream or may have reached it. */
 	get sent(): number {
 		return this.#sent;
@@ -49,7 +55,7 @@
 	}
 
 	/** Records an attempt that ended without a success. */
-	recordFailure(verdict: Exclude<ExchangeVerdict, {readonly type: 'success'}>): void {
+	recordFailure(upstream: UpstreamId, verdict: Exclude<ExchangeVerdict, {readonly type: 'success'}>): void {
 		switch (verdict.type) {
 			case 'upstream-failure': {
 				this.#upstreamFailure = {type: 'answered', answer: verdict.answer};
@@ -63,9 +69,10 @@
 
 			case 'not-run': {
 				this.#notRunReason = verdict.reason;
-				if (verdict.reason === 'not-connected') {
+				if (wasNeverSent(verdict)) {
 					// Nothing reached an upstream, so it counts neither as an attempt nor as a retry.
 					this.#sent -= 1;
+					this.#notReached.add(upstream);
 				}
 
 				break;
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -1,7 +1,8 @@
 /** Sends a call to one upstream and updates the condition of the upstream from the result. */
+import type {UpstreamId} from '@cairnbank/core';
 import {loadOf} from '../upstreams/exchange.js';
 import type {Placement} from '../upstreams/placer.js';
-import type {UpstreamConnection} from '../upstreams/upstream-connection.js';
+import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
 import {classifyExchange, type ExchangeVerdict} from './judge-exchange.js';
@@ -13,7 +14,7 @@
 	readonly #call: Call;
 	readonly #kind: AttemptKind;
 	readonly #placement: Placement;
-	readonly #connection: UpstreamConnection;
+	readonly #channel: UpstreamChannel;
 	#isSuperseded = false;
 
 	constructor(dependencies: CallDependencies, call: Call, kind: AttemptKind, placement: Placement) {
@@ -21,7 +22,7 @@
 		this.#call = call;
 		this.#kind = kind;
 		this.#placement = placement;
-		this.#connection = placement.upstream.pool.take();
+		this.#channel = placement.upstream.pool.take();
 	}
 
 	/**
@@ -41,7 +42,7 @@
 		}
 
 		const sentRequest = condition.recordRequestSent(this.#placement.workMs, this.#placement.expectedMs);
-		const result = await this.#connection.exchange({
+		const result = await this.#channel.exchange({
 			method: this.#call.method,
 			target: this.#call.target,
 			headers: this.#headers(remainingMs),
@@ -49,7 +50,7 @@
 			requestId: this.#call.requestId,
 			timeoutMs: remainingMs,
 		});
-		pool.release(this.#connection);
+		pool.release(this.#channel);
 		const verdict = classifyExchange(result, dialect);
 		condition.recordRequestEnd(sentRequest, verdict.type === 'success');
 		if (this.#isSuperseded) {
@@ -70,18 +71,22 @@
 		return verdict;
 	}
 
+	get upstream(): UpstreamId {
+		return this.#placement.upstream.registered.id;
+	}
+
 	get kind(): AttemptKind {
 		return this.#kind;
 	}
 
-	/** Whether the connection was opened: nothing is sent before, so an attempt that is cancelled earlier never reaches the upstream. */
+	/** Whether the request may have left this instance; an attempt that is cancelled earlier never reaches the upstream. */
 	get mayHaveReachedUpstream(): boolean {
-		return this.#connection.isConnected;
+		return this.#channel.isConnected;
 	}
 
-	/** Cancels the request by closing its connection; most upstreams then stop processing it. */
+	/** Cancels the request; most upstreams then stop processing it. */
 	cancel(): void {
-		this.#connection.cancel();
+		this.#channel.cancel();
 	}
 
 	/** Records that a later attempt at another upstream was answered first; this attempt is cancelled next. */
@@ -98,7 +103,8 @@
 		const limitText = requestsPerSecond === undefined ? '' : `:limit=${requestsPerSecond}/s`;
 		const {type: availability} = condition.advisories.availability;
 		const advisoryText = availability === 'available' ? '' : `:${availability}`;
-		return `${this.#kind}:${registered.id}:expected=${Math.round(expectedMs)}ms:slowness=${slowness ?? 'unknown'}:${loadText}${limitText}${advisoryText}`;
+		const relayText = this.#channel.relay === undefined ? '' : `:via=${this.#channel.relay}`;
+		return `${this.#kind}:${registered.id}${relayText}:expected=${Math.round(expectedMs)}ms:slowness=${slowness ?? 'unknown'}:${loadText}${limitText}${advisoryText}`;
 	}
 
 	#headers(remainingMs: number): readonly string[] {
@@ -114,6 +120,13 @@
 		];
 	}
 
+	/** A failure on the way through another instance says nothing of the upstream. */
+	#recordUnknown(): void {
+		if (this.#channel.relay === undefined) {
+			this.#placement.upstream.condition.recordFailure();
+		}
+	}
+
 	#recordVerdict(verdict: ExchangeVerdict, tookMs: number): void {
 		const {upstream, durationRatio} = this.#placement;
 		const {condition} = upstream;
@@ -127,7 +140,7 @@
 			case 'not-run': {
 				if (verdict.reason === 'refused-by-upstreams') {
 					condition.recordRefusal(upstream.registered.slots);
-				} else {
+				} else if (verdict.reason !== 'no-relay') {
 					// Nothing listens at its address, or another upstream does, so it gets no request until a health check reaches it.
 					condition.recordUnreachable();
 				}
@@ -141,7 +154,7 @@
 			}
 
 			case 'unknown': {
-				condition.recordFailure();
+				this.#recordUnknown();
 				if (verdict.reason === 'broken') {
 					this.#dependencies.onConnectionBroken(this.#call, upstream);
 				}
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -156,7 +156,10 @@
 
 	async #placeWhenAvailable(kind: AttemptKind): Promise<Placement | undefined> {
 		const {route} = this.#call;
-		const request = {service: this.#call.service, workMs: this.#workMs, excluded: this.#attempts.tried};
+		const {tried: excluded, notReached} = this.#attempts;
+		const request = {
+			service: this.#call.service, workMs: this.#workMs, excluded, notReached,
+		};
 		const waitMs = kind === 'first' ? route.targetLatencyMs * placementWaitRatio : 0;
 		const waitUntilMs = this.#call.receivedAtMs + waitMs;
 		let placement = await this.#dependencies.place(request);
@@ -201,7 +204,7 @@
 		return true;
 	}
 
-	#handleFinishedAttempt({kind}: Attempt, verdict: ExchangeVerdict): void {
+	#handleFinishedAttempt({kind, upstream}: Attempt, verdict: ExchangeVerdict): void {
 		if (verdict.type === 'success') {
 			if (kind === 'hedge') {
 				this.#markOthersSuperseded();
@@ -211,7 +214,7 @@
 			return;
 		}
 
-		this.#attempts.recordFailure(verdict);
+		this.#attempts.recordFailure(upstream, verdict);
 		const isNothingPending = this.#runningAttempts.size === 0 && this.#pendingPlacements === 0;
 		if (isNothingPending && this.#mayRetry(verdict)) {
 			void this.#attempt('repeat');
--- a/packages/gateway/src/features/calls/judge-exchange.ts
+++ b/packages/gateway/src/features/calls/judge-exchange.ts
@@ -56,8 +56,9 @@
 
 function classifyFailure(failure: ExchangeFailure): ExchangeVerdict {
 	switch (failure.type) {
-		case 'not-connected': {
-			return {type: 'not-run', reason: 'not-connected'};
+		case 'not-connected':
+		case 'no-relay': {
+			return {type: 'not-run', reason: failure.type};
 		}
 
 		case 'timed-out':
@@ -74,7 +75,7 @@
 
 /** Whether no byte of the request can have reached an upstream. */
 export function wasNeverSent(verdict: ExchangeVerdict): boolean {
-	return verdict.type === 'not-run' && verdict.reason === 'not-connected';
+	return verdict.type === 'not-run' && (verdict.reason === 'not-connected' || verdict.reason === 'no-relay');
 }
 
 /** Formats a verdict for the log. */
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -17,7 +17,7 @@
 };
 
 export type NotRunReason =
-	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'never-sent' | 'too-busy' | 'suspected-poison';
+	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | 'too-busy' | 'suspected-poison';
 
 export type UnknownReason = 'broken' | 'malformed' | 'timed-out' | 'unsigned' | 'unproven-refusal';
 
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -30,6 +30,7 @@
 		registryDigest: 99,
 		stateAgeMs: 120,
 		reachesStore: true,
+		reachesUpstreams: true,
 		suspectsDigest: 4_294_967_295,
 	},
 	isPeriodic: true,
@@ -45,6 +46,7 @@
 	ready: true,
 	leaving: false,
 	reachesStore: true,
+	reachesUpstreams: true,
 	revision: 2,
 	isLost: false,
 };
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -62,6 +62,8 @@
 const requestsMembersFlag = 32;
 const lostFlag = 64;
 const relayInZoneFlag = 128;
+/** Set while an instance has lost its links, so that the flags of the others keep their length. */
+const noUpstreamsFlag = 256;
 
 /** Maximum number of members in one message: it fits into a datagram even with five availability zones of long names. */
 export const membersPerMessage = 22;
@@ -209,6 +211,7 @@
 					ready: hasFlag(flags, readyFlag),
 					leaving: hasFlag(flags, leavingFlag),
 					reachesStore: hasFlag(flags, reachesStoreFlag),
+					reachesUpstreams: !hasFlag(flags, noUpstreamsFlag),
 					revision,
 					membersDigest,
 					configurationVersion,
@@ -270,8 +273,8 @@
 		+ (shouldRelayInZone ? relayInZoneFlag : 0);
 }
 
-function memberFlags({ready, leaving, reachesStore}: Pick<MemberUpdate, 'ready' | 'leaving' | 'reachesStore'>): number {
-	return (ready ? readyFlag : 0) + (leaving ? leavingFlag : 0) + (reachesStore ? reachesStoreFlag : 0);
+function memberFlags({ready, leaving, reachesStore, reachesUpstreams}: Pick<MemberUpdate, 'ready' | 'leaving' | 'reachesStore' | 'reachesUpstreams'>): number {
+	return (ready ? readyFlag : 0) + (leaving ? leavingFlag : 0) + (reachesStore ? reachesStoreFlag : 0) + (reachesUpstreams ? 0 : noUpstreamsFlag);
 }
 
 function encodeMembers(members: readonly MemberUpdate[]): Array<v.InferInput<typeof membersSchema>[1][number]> {
@@ -293,6 +296,7 @@
 		ready: hasFlag(flags, readyFlag),
 		leaving: hasFlag(flags, leavingFlag),
 		reachesStore: hasFlag(flags, reachesStoreFlag),
+		reachesUpstreams: !hasFlag(flags, noUpstreamsFlag),
 		isLost: hasFlag(flags, lostFlag),
 		revision,
 	})));
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -11,6 +11,7 @@
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {StateStore} from '../../ports/index.js';
+import {maximumRelayHeaderBytes, relayPath} from '../relay/relay-codec.js';
 import type {RateReport} from '../upstreams/rate-limits.js';
 import type {StateTask} from '../state/state-task.js';
 import type {StoreReaderRole} from '../state/topic-reader.js';
@@ -18,7 +19,8 @@
 import {FleetSocket} from './fleet-socket.js';
 import {Membership, type OwnState} from './membership.js';
 import {updateDelayMs} from './update-queue.js';
-import {fetchState, StateExchange} from './state-exchange.js';
+import {PeerServer, type PeerHandler} from './peer-server.js';
+import {fetchState, StateExchange, statePath} from './state-exchange.js';
 import {StateFetcher} from './state-fetcher.js';
 import {StoreEntry} from './store-entry.js';
 import {SuspectExchange} from './suspect-exchange.js';
@@ -34,6 +36,10 @@
 	readonly onSuspects: (records: readonly CrashRecord[]) => void;
 	/** Called when another instance reports the rate limit that an upstream advertises. */
 	readonly onRateReport: (report: RateReport) => void;
+	/** Whether this instance reaches upstreams on connections of its own. */
+	readonly reachesUpstreams: () => boolean;
+	/** Handles requests that other instances ask this one to pass on. */
+	readonly relay: PeerHandler;
 	/** Called when the role of this instance as a reader of the store has changed. */
 	readonly onRoleChanged: () => void;
 };
@@ -42,7 +48,7 @@
 	readonly name = 'fleet';
 	readonly #options: FleetTaskOptions;
 	readonly #membership: Membership;
-	readonly #stateExchange: StateExchange;
+	readonly #peerServer: PeerServer;
 	readonly #socket: FleetSocket;
 	readonly #suspectExchange: SuspectExchange;
 	readonly #storeEntry: StoreEntry;
@@ -60,11 +66,18 @@
 		const {settings} = options.context;
 		const seeds = settings.seeds.map(seed => splitAddress(seed).host);
 		this.#hasSeeds = seeds.length > 0 && !seeds.includes(settings.host);
-		this.#stateExchange = new StateExchange({
+		const stateExchange = new StateExchange({
 			context: options.context,
 			answerQuery: query => options.state().answerQuery(query),
 			revisionKey: () => options.state().revisionKey,
 		});
+		this.#peerServer = new PeerServer({
+			maximumHeaderBytes: maximumRelayHeaderBytes,
+			handlers: {
+				[statePath]: async (request, response) => stateExchange.answer(request, response),
+				[relayPath]: options.relay,
+			},
+		});
 		this.#socket = new FleetSocket(options.context, (message, from) => {
 			this.#dispatch(message, from);
 		});
@@ -118,7 +131,7 @@
 
 	async start(): Promise<Result<void, StartError>> {
 		const {settings} = this.#options.context;
-		const exchange = await this.#stateExchange.start(`${settings.host}:${settings.peers.statePort}`);
+		const exchange = await this.#peerServer.start(`${settings.host}:${settings.peers.statePort}`);
 		if (exchange.isErr()) {
 			return exchange;
 		}
@@ -146,7 +159,7 @@
 		this.#storeEntry.stop();
 		this.#stateFetcher.stop();
 		this.#socket.stop();
-		this.#stateExchange.stop();
+		this.#peerServer.stop();
 	}
 
 	/** The state that this instance reports to others. */
@@ -160,6 +173,7 @@
 			ready: state.canServe && !this.#isLeaving,
 			leaving: this.#isLeaving,
 			...state.describe(),
+			reachesUpstreams: this.#options.reachesUpstreams(),
 			suspectsDigest: this.#options.suspects().digest,
 		};
 	}
@@ -195,6 +209,11 @@
 		return this.#membership.view.offered();
 	}
 
+	/** Whether a live instance runs at this address. */
+	isMember(host: string): boolean {
+		return this.#membership.view.live().some(member => member.host === host);
+	}
+
 	/** The share of fleet-wide limits that this instance may use. */
 	get shares(): FleetShareTracker {
 		return this.#membership.shares;
--- a/packages/gateway/src/features/fleet/membership.ts
+++ b/packages/gateway/src/features/fleet/membership.ts
@@ -341,10 +341,10 @@
 
 	#publishOwnUpdate(): void {
 		const {
-			host, incarnation, availabilityZone, ready, leaving, reachesStore,
+			host, incarnation, availabilityZone, ready, leaving, reachesStore, reachesUpstreams,
 		} = this.#options.self();
 		const update = {
-			host, incarnation, availabilityZone, ready, leaving, reachesStore, revision: this.#localState.revision, isLost: false,
+			host, incarnation, availabilityZone, ready, leaving, reachesStore, reachesUpstreams, revision: this.#localState.revision, isLost: false,
 		};
 		if (this.view.isSmall) {
 			this.#options.send({type: 'members', members: [update]}, this.view.targets());
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -110,6 +110,7 @@
 			registryDigest: 1,
 			stateAgeMs: 0,
 			reachesStore: true,
+			reachesUpstreams: true,
 			suspectsDigest: this.crashes.digest,
 		};
 	}
--- a/packages/gateway/src/features/fleet/state-exchange.ts
+++ b/packages/gateway/src/features/fleet/state-exchange.ts
@@ -1,19 +1,15 @@
-/** Serves the state of this instance to others over TCP, and fetches the state of others. */
+/** Answers other instances' requests for the state of this one, and fetches the state of others. */
 import {Buffer} from 'node:buffer';
-import {
-	createServer, get, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {get, type IncomingMessage, type ServerResponse} from 'node:http';
 import {HandOverLimit} from '@cairnbank/core/fleet';
 import {unknownEpoch, type StoreEpoch} from '@cairnbank/core/registry';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
 import type {Context} from '../../kernel/context.js';
-import {listen} from '../../kernel/listen.js';
-import type {StartError} from '../../kernel/start-error.js';
 import type {SharedState, StateQuery} from '../state/shared-state.js';
 import {decodeState, encodeState} from './state-body.js';
 
-const statePath = '/state';
+export const statePath = '/state';
 /** A peer that doesn't answer within this time is queried again after its next heartbeat. */
 const queryTimeoutMs = 800;
 const busyStatus = 503;
@@ -38,27 +34,15 @@
 export class StateExchange {
 	readonly #options: StateExchangeOptions;
 	readonly #limit: HandOverLimit;
-	readonly #server: Server;
 	#encoded: EncodedState | undefined;
 
 	constructor(options: StateExchangeOptions) {
 		this.#options = options;
 		this.#limit = new HandOverLimit(options.context.clock);
-		this.#server = createServer((request, response) => {
-			void this.#answer(request, response);
-		});
-	}
-
-	async start(address: string): Promise<Result<void, StartError>> {
-		return listen(this.#server, 'state', address);
-	}
-
-	stop(): void {
-		this.#server.close();
-		this.#server.closeAllConnections();
 	}
 
-	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	/** Answers a request of another instance. */
+	async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const host = request.socket.remoteAddress ?? '';
 		const isServed = this.#limit.tryServe(host);
 		const hosts = this.#limit.recentlyServed(host);
--- a/packages/gateway/src/features/fleet/state-fetcher.spec.ts
+++ b/packages/gateway/src/features/fleet/state-fetcher.spec.ts
@@ -26,6 +26,7 @@
 		stateAgeMs: 0,
 		suspectsDigest: 0,
 		reachesStore: true,
+		reachesUpstreams: true,
 	};
 }
 
--- /dev/null
+++ b/packages/gateway/src/features/relay/relay-client.ts
@@ -0,0 +1,59 @@
+/** Opens channels to upstreams through other instances, while this instance has lost its own links. */
+import {Agent} from 'node:http';
+import type {UpstreamId} from '@cairnbank/core';
+import type {RelayPeers} from '@cairnbank/core/reachability';
+import {ok, type Result} from 'neverthrow';
+import type {Context} from '../../kernel/context.js';
+import type {StartError} from '../../kernel/start-error.js';
+import type {Task} from '../../kernel/task.js';
+import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
+import {RelayedExchange} from './relayed-exchange.js';
+
+/** Idle connections to one instance; more requests at a time than this are rare. */
+const maximumIdleConnections = 8;
+
+export type RelayClientOptions = {
+	readonly context: Pick<Context, 'metrics' | 'settings'>;
+	readonly peers: RelayPeers;
+};
+
+export class RelayClient implements Task {
+	readonly name = 'relay-client';
+	readonly #options: RelayClientOptions;
+	readonly #agent = new Agent({keepAlive: true, maxFreeSockets: maximumIdleConnections, noDelay: true});
+
+	constructor(options: RelayClientOptions) {
+		this.#options = options;
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		return ok(undefined);
+	}
+
+	open(upstream: UpstreamId): UpstreamChannel {
+		const {context: {metrics, settings}, peers} = this.#options;
+		const peer = peers.choose();
+		return new RelayedExchange({
+			upstream,
+			peer,
+			agent: this.#agent,
+			port: settings.peers.statePort,
+			localAddress: settings.host,
+			onStart() {
+				if (peer !== undefined) {
+					peers.recordSent(peer);
+				}
+			},
+			onEnd(hasFailed) {
+				if (peer !== undefined) {
+					peers.recordEnd(peer, hasFailed);
+					metrics.relayed.inc({side: 'sent', result: hasFailed ? 'failed' : 'passed-on'});
+				}
+			},
+		});
+	}
+
+	stop(): void {
+		this.#agent.destroy();
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -0,0 +1,184 @@
+/**
+ * Passes on requests of other instances that have lost their links to upstreams. The other instance has chosen the upstream, and
+ * counts attempts, retries and rates; this one makes a single exchange on a connection of its own and never passes it on again.
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {UpstreamId} from '@cairnbank/core';
+import {err, ok, type Result} from 'neverthrow';
+import type {Context} from '../../kernel/context.js';
+import type {StartError} from '../../kernel/start-error.js';
+import type {Task} from '../../kernel/task.js';
+import type {ExchangeFailure, UpstreamAnswer} from '../upstreams/exchange.js';
+import type {Upstream} from '../upstreams/upstream.js';
+import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
+import {
+	decodeHead, encodeResult, relayHeadHeader, type RelayHead,
+} from './relay-codec.js';
+
+/** Requests of other instances that are passed on at a time; more would take the place of this instance's own callers. */
+const maximumRequests = 64;
+/** Largest body of one request, and of all that are passed on at a time. */
+const maximumBodyBytes = 8_388_608;
+const maximumTotalBodyBytes = 16_777_216;
+/** Longest time for which a request is passed on. */
+const maximumTimeoutMs = 60_000;
+const refusalLogIntervalMs = 1000;
+
+/** Reasons for which a request of another instance is refused; each proves that it has not run. */
+type Refusal = 'unknown-instance' | 'unreadable' | 'too-large' | 'busy' | 'unknown-upstream';
+
+const statusOfRefusal: Readonly<Record<Refusal, number>> = {
+	'unknown-instance': 403, unreadable: 400, 'too-large': 413, busy: 503, 'unknown-upstream': 404,
+};
+
+export type RelayTaskOptions = {
+	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics'>;
+	/** Whether a host is a live member of the fleet. */
+	readonly isMember: (host: string) => boolean;
+	/** Returns an upstream that takes new requests; undefined if it is not registered, leaves, or its zone is evacuated. */
+	readonly upstreamOf: (id: UpstreamId) => Upstream | undefined;
+	/** Whether this instance has lost its own links to the upstream. */
+	readonly hasLostLink: (upstream: Upstream) => boolean;
+};
+
+export class RelayTask implements Task {
+	readonly name = 'relay';
+	readonly #options: RelayTaskOptions;
+	readonly #running = new Set<UpstreamChannel>();
+	#reservedBodyBytes = 0;
+	#requests = 0;
+	#isDraining = false;
+	#onIdle: (() => void) | undefined;
+	#refusalLoggedAtMs = Number.NEGATIVE_INFINITY;
+
+	constructor(options: RelayTaskOptions) {
+		this.#options = options;
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		return ok(undefined);
+	}
+
+	async drain(): Promise<void> {
+		this.#isDraining = true;
+		if (this.#requests > 0) {
+			await new Promise<void>(resolve => {
+				this.#onIdle = resolve;
+			});
+		}
+	}
+
+	expire(): void {
+		for (const channel of this.#running) {
+			channel.cancel();
+		}
+	}
+
+	stop(): void {
+		this.expire();
+	}
+
+	/** Handles one request of another instance. */
+	async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const bodyBytes = Number(request.headers['content-length']);
+		const head = this.#admit(request, bodyBytes);
+		if (head.isErr()) {
+			this.#refuse(request, response, head.error);
+			return;
+		}
+
+		this.#requests += 1;
+		this.#reservedBodyBytes += bodyBytes;
+		await this.#passOn(request, response, head.value);
+		this.#reservedBodyBytes -= bodyBytes;
+		this.#requests -= 1;
+		if (this.#requests === 0) {
+			this.#onIdle?.();
+		}
+	}
+
+	#admit({headers, socket}: IncomingMessage, bodyBytes: number): Result<{readonly head: RelayHead; readonly upstream: Upstream}, Refusal> {
+		const {isMember, upstreamOf} = this.#options;
+		if (!isMember(socket.remoteAddress ?? '')) {
+			return err('unknown-instance');
+		}
+
+		const head = decodeHead(String(headers[relayHeadHeader] ?? ''));
+		if (head.isErr() || !Number.isInteger(bodyBytes)) {
+			return err('unreadable');
+		}
+
+		if (bodyBytes > maximumBodyBytes) {
+			return err('too-large');
+		}
+
+		if (this.#isDraining || this.#requests >= maximumRequests || this.#reservedBodyBytes + bodyBytes > maximumTotalBodyBytes) {
+			return err('busy');
+		}
+
+		const upstream = upstreamOf(head.value.upstream);
+		return upstream === undefined ? err('unknown-upstream') : ok({head: head.value, upstream});
+	}
+
+	async #passOn(request: IncomingMessage, response: ServerResponse, {head, upstream}: {readonly head: RelayHead; readonly upstream: Upstream}): Promise<void> {
+		const {hasLostLink, context: {metrics}} = this.#options;
+		const body = await readAll(request);
+		if (body === undefined) {
+			return;
+		}
+
+		if (hasLostLink(upstream)) {
+			metrics.relayed.inc({side: 'received', result: 'no-link'});
+			writeResult(response, err({type: 'not-connected', message: 'no link to the upstream', isTimeout: true}));
+			return;
+		}
+
+		const channel = upstream.pool.takeOwn();
+		this.#running.add(channel);
+		response.on('close', () => {
+			if (!response.writableFinished) {
+				channel.cancel();
+			}
+		});
+		const {upstream: _, ...outgoing} = head;
+		const result = await channel.exchange({...outgoing, timeoutMs: Math.min(maximumTimeoutMs, head.timeoutMs), body: body.length === 0 ? undefined : body});
+		this.#running.delete(channel);
+		upstream.pool.release(channel);
+		metrics.relayed.inc({side: 'received', result: result.isOk() ? 'passed-on' : result.error.type});
+		writeResult(response, result);
+	}
+
+	#refuse(request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
+		const {clock, logger, metrics} = this.#options.context;
+		metrics.relayed.inc({side: 'received', result: refusal});
+		const nowMs = clock.monotonicMs();
+		if (nowMs - this.#refusalLoggedAtMs >= refusalLogIntervalMs) {
+			this.#refusalLoggedAtMs = nowMs;
+			logger.warn('request of an instance refused', {reason: refusal, from: request.socket.remoteAddress});
+		}
+
+		response.shouldKeepAlive = false;
+		response.writeHead(statusOfRefusal[refusal]).end(refusal);
+		request.resume();
+	}
+}
+
+/** @returns undefined if the connection ended before the whole body arrived */
+async function readAll(request: IncomingMessage): Promise<Uint8Array | undefined> {
+	const chunks: Uint8Array[] = [];
+	try {
+		for await (const chunk of request) {
+			chunks.push(chunk as Uint8Array);
+		}
+	} catch {
+		return undefined;
+	}
+
+	return Buffer.concat(chunks);
+}
+
+function writeResult(response: ServerResponse, result: Result<UpstreamAnswer, ExchangeFailure>): void {
+	const body = result.isOk() ? result.value.body : Buffer.alloc(0);
+	response.writeHead(200, {[relayHeadHeader]: encodeResult(result), 'Content-Length': body.length}).end(body);
+}
--- /dev/null
+++ b/packages/gateway/src/features/upstreams/channel-pool.ts
@@ -0,0 +1,71 @@
+/** Gives out the channels to one upstream: pooled connections, or other instances while this one has lost its own links. */
+import type {PathState} from '@cairnbank/core/reachability';
+import type {ConnectionPool} from './connection-pool.js';
+import type {UpstreamChannel} from './upstream-channel.js';
+import {UpstreamConnection} from './upstream-connection.js';
+
+export type ChannelPoolOptions = {
+	readonly connections: ConnectionPool;
+	readonly path: PathState;
+	/** Opens a channel through another instance. */
+	readonly openRelayed: () => UpstreamChannel;
+};
+
+export class ChannelPool {
+	readonly #options: ChannelPoolOptions;
+
+	constructor(options: ChannelPoolOptions) {
+		this.#options = options;
+	}
+
+	get path(): PathState {
+		return this.#options.path;
+	}
+
+	/** Returns a channel on the path that is in use. */
+	take(): UpstreamChannel {
+		return this.path.isRelayed ? this.openRelayed() : this.takeOwn();
+	}
+
+	/** Returns an idle connection of this instance, or a new one if none is idle. */
+	takeOwn(): UpstreamChannel {
+		return this.#options.connections.take();
+	}
+
+	/** Opens a channel through another instance. */
+	openRelayed(): UpstreamChannel {
+		return this.#options.openRelayed();
+	}
+
+	/** Sends further requests through another instance; idle connections of this one may have fallen silent. */
+	useRelay(): void {
+		if (!this.path.isRelayed) {
+			this.path.recordRelayed();
+			this.#options.connections.close();
+		}
+	}
+
+	/** Opens a new connection of this instance. */
+	open(): UpstreamChannel {
+		return this.#options.connections.open();
+	}
+
+	/** Returns a channel after its exchange. */
+	release(channel: UpstreamChannel): void {
+		if (channel instanceof UpstreamConnection) {
+			this.#options.connections.release(channel);
+		} else {
+			channel.close();
+		}
+	}
+
+	/** Closes idle connections that have expired. */
+	sweep(): void {
+		this.#options.connections.sweep();
+	}
+
+	/** Closes the idle connections; those in use end with their exchange. */
+	close(): void {
+		this.#options.connections.close();
+	}
+}
--- a/packages/gateway/src/features/upstreams/exchange.ts
+++ b/packages/gateway/src/features/upstreams/exchange.ts
@@ -16,6 +16,8 @@
 export type ExchangeFailure =
 	/** No connection was opened, so nothing was sent. */
 	| {readonly type: 'not-connected'; readonly message: string; readonly isTimeout: boolean}
+	/** No other instance took the request to pass it on, so nothing was sent. */
+	| {readonly type: 'no-relay'; readonly message: string}
 	/** The connection ended before the answer was complete; the request may have run. */
 	| {readonly type: 'broken'; readonly message: string}
 	/** The received bytes are not a valid answer; the request may have run. */
--- a/packages/gateway/src/features/upstreams/link-monitor.ts
+++ b/packages/gateway/src/features/upstreams/link-monitor.ts
@@ -3,6 +3,7 @@
 import {LinkHealth} from '@cairnbank/core/reachability';
 import type {RegisteredUpstream} from '@cairnbank/core/registry';
 import type {Context} from '../../kernel/context.js';
+import type {Upstream} from './upstream.js';
 
 /** What other instances report of their own links. */
 export type PeerLinks = {
@@ -16,11 +17,19 @@
 	/** Returns the number of upstreams of a service that take requests. */
 	readonly countUpstreams: (service: ServiceId) => number;
 	readonly peers: () => PeerLinks;
+	/** Whether another instance can be asked to pass on a request. */
+	readonly hasRelay: () => boolean;
+	/** Called when links to a service were lost or regained. */
+	readonly onChanged: (service: ServiceId, change: 'lost' | 'regained') => void;
 };
 
+/** After links are regained, this instance is offered to callers again only if they stay for this time. */
+const regainedForMs = 3000;
+
 export class LinkMonitor {
 	readonly #options: LinkMonitorOptions;
 	readonly #services = new Map<ServiceId, LinkHealth>();
+	#lostAllUntilMs = Number.NEGATIVE_INFINITY;
 
 	constructor(options: LinkMonitorOptions) {
 		this.#options = options;
@@ -48,6 +57,43 @@
 		return this.#services.get(service)?.lostAtMs !== undefined;
 	}
 
+	/** Whether this instance reaches upstreams itself, and has done so for a while. */
+	get reachesUpstreams(): boolean {
+		const nowMs = this.#options.context.clock.monotonicMs();
+		if (this.#hasLostAll) {
+			this.#lostAllUntilMs = nowMs + regainedForMs;
+		}
+
+		return nowMs >= this.#lostAllUntilMs;
+	}
+
+	/** Whether another instance can pass on requests. */
+	get hasRelay(): boolean {
+		return this.#options.hasRelay();
+	}
+
+	/** Whether a request may be sent to the upstream on the path that is in use. */
+	mayUse({registered: {id, service}, pool}: Upstream): boolean {
+		return pool.path.isRelayed || !this.isLost(service) || this.#healthOf(service).hasAnsweredSinceLoss(id);
+	}
+
+	/** Whether the next health check of the upstream goes through another instance, to find out whether that one reaches it. */
+	shouldTryRelay(upstream: Upstream): boolean {
+		return !this.mayUse(upstream) && upstream.pool.path.isRelayTurn && this.hasRelay;
+	}
+
+	/** Whether this instance can't reach the upstream itself. */
+	hasLostLink(upstream: Upstream): boolean {
+		return upstream.pool.path.isRelayed || upstream.condition.isUnreachable || !this.mayUse(upstream);
+	}
+
+	/** Whether links to a service are lost and no upstream has answered on a connection of this instance since. */
+	get #hasLostAll(): boolean {
+		const services = [...this.#services.values()];
+		const lostAtMs = services.flatMap(health => health.lostAtMs ?? []);
+		return lostAtMs.length > 0 && services.every(health => health.lostAtMs !== undefined || health.answeredAtMs < Math.min(...lostAtMs));
+	}
+
 	#healthOf(service: ServiceId): LinkHealth {
 		const known = this.#services.get(service);
 		if (known !== undefined) {
@@ -65,7 +111,8 @@
 		const {failures, answeredAtMs, lostAtMs} = health;
 		const upstreams = countUpstreams(service);
 		const nowMs = clock.monotonicMs();
-		switch (health.evaluate(upstreams)) {
+		const change = health.evaluate(upstreams);
+		switch (change) {
 			case 'lost': {
 				const {live, reaching} = peers();
 				logger.warn('links to upstreams lost', {
@@ -84,6 +131,7 @@
 			}
 		}
 
+		this.#options.onChanged(service, change);
 		metrics.lostServices.set([...this.#services.values()].filter(({lostAtMs: sinceMs}) => sinceMs !== undefined).length);
 	}
 }
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -8,6 +8,7 @@
 import {
 	subsetSize, lastSlotSlowness, UpstreamCondition, type LoadReport,
 } from '@cairnbank/core/placement';
+import {PathState} from '@cairnbank/core/reachability';
 import type {Context} from '../../kernel/context.js';
 import {createMetrics} from '../../metrics/metrics.js';
 import {Eligibility} from './eligibility.js';
@@ -39,6 +40,7 @@
 			this.#upstreams.set(id, {
 				registered: {id: id as UpstreamId, slots, availabilityZone: id.startsWith('far') ? 'giza' : 'nasr'},
 				condition: new UpstreamCondition(this.clock),
+				pool: {path: new PathState(this.clock)},
 			} as unknown as Upstream);
 		}
 
@@ -47,6 +49,7 @@
 			prober: {probe: async (upstream: Upstream) => this.#probe(upstream)} as unknown as PlacerOptions['prober'],
 			ofService: (_service, zone) => [...this.#upstreams.values()].filter(({registered}) => zone === undefined || registered.availabilityZone === zone),
 			subsetPosition: () => ({index: 0, count: 1}),
+			links: {mayUse: () => true, recordFailure: () => undefined, shouldTryRelay: () => false},
 			eligibility: new Eligibility({
 				pace: new FleetPace({
 					clock: this.clock, self: {host: 'a', availabilityZone: 'nasr' as AvailabilityZoneId}, others: () => [], isCutOff: () => false,
@@ -81,7 +84,9 @@
 	}
 
 	async #placed(excluded: readonly string[]): Promise<Placement | undefined> {
-		const placement = this.#placer.place({service: 'ledger' as ServiceId, workMs: 100, excluded: new Set(excluded as UpstreamId[])});
+		const placement = this.#placer.place({
+			service: 'ledger' as ServiceId, workMs: 100, excluded: new Set(excluded as UpstreamId[]), notReached: new Set(),
+		});
 		for (let round = 0; round < rounds; round++) {
 			await runPendingPromises();
 			this.clock.advance(roundMs);
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -6,6 +6,7 @@
 } from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import type {Eligibility} from './eligibility.js';
+import type {LinkMonitor} from './link-monitor.js';
 import type {Prober} from './prober.js';
 import type {Upstream} from './upstream.js';
 
@@ -37,7 +38,10 @@
 	readonly service: ServiceId;
 	/** Work of the request at an upstream of usual speed. */
 	readonly workMs: number;
+	/** Upstreams that got an attempt already. */
 	readonly excluded: ReadonlySet<UpstreamId>;
+	/** Those of them that the attempt did not reach; they may be tried again through another instance. */
+	readonly notReached: ReadonlySet<UpstreamId>;
 };
 
 export type Placement = {
@@ -57,6 +61,7 @@
 	readonly context: Context;
 	readonly prober: Prober;
 	readonly eligibility: Eligibility;
+	readonly links: Pick<LinkMonitor, 'mayUse' | 'recordFailure' | 'shouldTryRelay'>;
 	/** Returns the upstreams that take new requests, of one availability zone or of all, in the same order on all instances. */
 	readonly ofService: (service: ServiceId, zone?: AvailabilityZoneId) => readonly Upstream[];
 	/** Returns the position of this instance among those of its availability zone or of the fleet. */
@@ -82,6 +87,7 @@
 		while (isWorthwhile) {
 			const probed = queue.splice(0, probesPerRound);
 			await this.#probeRound(probed);
+			this.#recordSilence(probed);
 			this.#recordDurations(probed, request.workMs);
 			rounds += 1;
 			if (rounds === subsetRounds && considered.length < usable.length) {
@@ -108,16 +114,21 @@
 	/** Returns the reason that no upstream of a service takes a request from this instance now; undefined if one does, or if there are no upstreams. */
 	explainNoneEligible(service: ServiceId): ServiceUnavailability | undefined {
 		const upstreams = this.#options.ofService(service);
-		if (upstreams.length === 0 || upstreams.some(upstream => this.#options.eligibility.maySendRequest(upstream))) {
+		if (upstreams.length === 0 || upstreams.some(upstream => this.#isReachable(upstream) && this.#options.eligibility.maySendRequest(upstream))) {
 			return undefined;
 		}
 
-		return summarizeUnavailability(upstreams.map(({condition}) => {
+		return summarizeUnavailability(upstreams.map(upstream => {
+			const {condition} = upstream;
 			const {availability} = condition.advisories;
 			if (availability.type !== 'available') {
 				return availability;
 			}
 
+			if (!this.#isReachable(upstream)) {
+				return {type: 'unreachable', remainingMs: condition.checkDueInMs};
+			}
+
 			return {type: condition.advertisedRate.requestsPerSecond === undefined ? 'warming-up' : 'rate-limited'};
 		}));
 	}
@@ -160,7 +171,7 @@
 	}
 
 	#cheapest(considered: readonly Upstream[], workMs: number): Placement | undefined {
-		const candidates = preferResponsive(considered.filter(upstream => this.#options.eligibility.maySendRequest(upstream)));
+		const candidates = preferResponsive(considered.filter(upstream => this.#isReachable(upstream) && this.#options.eligibility.maySendRequest(upstream)));
 		if (candidates.length === 0) {
 			return undefined;
 		}
@@ -179,9 +190,33 @@
 		};
 	}
 
-	#usable({service, excluded}: PlacementRequest): readonly Upstream[] {
-		const untried = this.#options.ofService(service).filter(({registered}) => !excluded.has(registered.id));
-		return preferResponsive(untried.filter(upstream => this.#options.eligibility.mayConsider(upstream)));
+	#usable({service, excluded, notReached}: PlacementRequest): readonly Upstream[] {
+		const untried = this.#options.ofService(service).filter(upstream => {
+			const {registered: {id}, pool: {path}} = upstream;
+			return !excluded.has(id) || (notReached.has(id) && (path.isRelayed || this.#options.links.shouldTryRelay(upstream)));
+		});
+		const considered = untried.filter(upstream => this.#options.eligibility.mayConsider(upstream));
+		const reachable = considered.filter(upstream => this.#isReachable(upstream));
+		return reachable.length > 0 ? preferResponsive(reachable) : considered.filter(upstream => this.#isWorthChecking(upstream));
+	}
+
+	#isReachable(upstream: Upstream): boolean {
+		return !upstream.condition.isUnreachable && this.#options.links.mayUse(upstream);
+	}
+
+	/** Whether a health check may show that an upstream can be reached again; not just after one that has failed. */
+	#isWorthChecking(upstream: Upstream): boolean {
+		const {condition} = upstream;
+		return this.#options.links.shouldTryRelay(upstream) || condition.isHealthCheckDue || !condition.isUnreachable;
+	}
+
+	/** Reports the upstreams that have let the time of a health check pass, as this instance may have lost its links to all of them. */
+	#recordSilence(probed: readonly Upstream[]): void {
+		for (const {registered, condition, pool} of probed) {
+			if (condition.isUnresponsive && !pool.path.isRelayed) {
+				this.#options.links.recordFailure(registered);
+			}
+		}
 	}
 
 	/** Probes all concurrently; resolves once one in this zone is lightly loaded, all have answered, or the round times out. */
@@ -243,9 +278,8 @@
 	return isLightlyLoaded({report: condition.report, unreportedInFlight: condition.unreportedInFlight, slots: registered.slots});
 }
 
-/** Keeps the reachable upstreams that answer probes; if there are none, all reachable ones; if none is reachable, all. */
+/** Keeps the upstreams that answer probes; all if there are none. */
 function preferResponsive(upstreams: readonly Upstream[]): readonly Upstream[] {
-	const reachable = upstreams.filter(({condition}) => !condition.isUnreachable);
-	const answering = reachable.filter(({condition}) => !condition.isUnresponsive);
-	return [answering, reachable, upstreams].find(candidates => candidates.length > 0) ?? [];
+	const answering = upstreams.filter(({condition}) => !condition.isUnresponsive);
+	return answering.length > 0 ? answering : upstreams;
 }
--- a/packages/gateway/src/features/upstreams/prober.spec.ts
+++ b/packages/gateway/src/features/upstreams/prober.spec.ts
@@ -3,6 +3,7 @@
 import {describe, it} from 'node:test';
 import {ManualClock} from '@cairnbank/core';
 import {UpstreamCondition} from '@cairnbank/core/placement';
+import {PathState} from '@cairnbank/core/reachability';
 import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
@@ -28,7 +29,9 @@
 			id: 'u1', service: 'ledger', host: '10.0.0.1', port: 80, slots: 4,
 		},
 		condition: new UpstreamCondition(new ManualClock()),
-		pool: {take: () => connection(ends.pooled), open: () => connection(ends.opened), release: () => undefined},
+		pool: {
+			path: new PathState(new ManualClock()), take: () => connection(ends.pooled), open: () => connection(ends.opened), release: () => undefined,
+		},
 	} as unknown as Upstream;
 }
 
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -12,7 +12,7 @@
 import type {Eligibility} from './eligibility.js';
 import type {LinkMonitor} from './link-monitor.js';
 import type {RateLimits} from './rate-limits.js';
-import type {UpstreamConnection} from './upstream-connection.js';
+import type {UpstreamChannel} from './upstream-channel.js';
 import type {Upstream} from './upstream.js';
 
 /** An upstream that has not answered a health check after this time is considered unreachable for a while. */
@@ -25,7 +25,7 @@
 	readonly advisories: Pick<Advisories, 'received'>;
 	readonly eligibility: Pick<Eligibility, 'mayCheck'>;
 	readonly rateLimits: Pick<RateLimits, 'checked'>;
-	readonly links: Pick<LinkMonitor, 'recordFailure'>;
+	readonly links: Pick<LinkMonitor, 'recordFailure' | 'shouldTryRelay' | 'hasRelay' | 'isLost'>;
 	/** Returns the path of a service's health check; undefined for an unknown service. */
 	readonly healthPath: (service: string) => string | undefined;
 	/** Whether anything may be sent to an upstream, including health checks. */
@@ -69,7 +69,7 @@
 			return undefined;
 		}
 
-		const probe = this.#check(upstream, path);
+		const probe = this.#check(upstream);
 		this.#inFlight.set(id, probe);
 		try {
 			return await probe;
@@ -87,12 +87,25 @@
 			return false;
 		}
 
-		const path = this.#options.healthPath(upstream.registered.service) ?? '/';
-		const result = await this.#sendCheck(upstream, path, upstream.pool.open());
-		return result.match(
+		const channel = upstream.pool.path.isRelayed ? upstream.pool.openRelayed() : upstream.pool.open();
+		const result = await this.#sendCheck(upstream, channel);
+		const seemsEnded: boolean = result.match(
 			answer => this.#isFromOther(upstream, answer),
 			failure => failure.type === 'not-connected' && !failure.isTimeout,
 		);
+		return seemsEnded;
+	}
+
+	/** Checks the own link to an upstream that is reached through another instance, with a new connection. */
+	async checkOwnLink(upstream: Upstream): Promise<void> {
+		if (!this.#options.isInService(upstream) || !this.#options.eligibility.mayCheck(upstream) || !this.#tryTakeAllowance()) {
+			return;
+		}
+
+		const result = await this.#sendCheck(upstream, upstream.pool.open());
+		if (result.isErr()) {
+			upstream.pool.path.recordOwnLinkFailure();
+		}
 	}
 
 	#tryTakeAllowance(): boolean {
@@ -102,33 +115,38 @@
 		});
 	}
 
-	async #check(upstream: Upstream, path: string): Promise<LoadReport | undefined> {
+	async #check(upstream: Upstream): Promise<LoadReport | undefined> {
 		const {logger, metrics} = this.#options.context;
 		const {condition, registered} = upstream;
 		condition.recordHealthCheckSent();
-		const result = await this.#sendCheck(upstream, path, upstream.pool.take());
+		const channel = this.#options.links.shouldTryRelay(upstream) ? upstream.pool.openRelayed() : upstream.pool.take();
+		const result = await this.#sendCheck(upstream, channel);
 		if (result.isErr()) {
 			metrics.probes.inc({result: result.error.type});
-			this.#recordFailure(upstream, result.error);
+			this.#recordFailure(upstream, channel, result.error);
 			logger.debug('probe failed', {upstream: registered.id, ...result.error});
 			return undefined;
 		}
 
+		if (channel.relay !== undefined) {
+			upstream.pool.useRelay();
+		}
+
 		this.#recordAnswer(upstream, result.value);
 		return condition.report;
 	}
 
-	async #sendCheck(upstream: Upstream, path: string, connection: UpstreamConnection): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
-		const {host, port} = upstream.registered;
-		const result = await connection.exchange({
+	async #sendCheck(upstream: Upstream, channel: UpstreamChannel): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
+		const {host, port, service} = upstream.registered;
+		const result = await channel.exchange({
 			method: 'GET',
-			target: path,
+			target: this.#options.healthPath(service) ?? '/',
 			headers: ['Host', `${host}:${port}`],
 			body: undefined,
 			requestId: undefined,
 			timeoutMs: probeTimeoutMs,
 		});
-		upstream.pool.release(connection);
+		upstream.pool.release(channel);
 		return result;
 	}
 
@@ -137,9 +155,26 @@
 		return answeredBy !== undefined && answeredBy !== registered.id;
 	}
 
-	#recordFailure({condition, registered}: Upstream, failure: ExchangeFailure): void {
+	#recordFailure(upstream: Upstream, channel: UpstreamChannel, failure: ExchangeFailure): void {
+		if (failure.type !== 'no-relay' && channel.relay === undefined) {
+			this.#recordOwnFailure(upstream, failure);
+			return;
+		}
+
+		const {condition, pool: {path}} = upstream;
+		if (failure.type === 'not-connected' || !this.#options.links.hasRelay) {
+			path.recordRelayFailure();
+			condition.recordUnreachable();
+		} else {
+			// The other instance failed, which says nothing of the upstream; the next check goes through a third one.
+			condition.recordHealthCheckAborted();
+		}
+	}
+
+	#recordOwnFailure({condition, registered, pool}: Upstream, failure: Exclude<ExchangeFailure, {readonly type: 'no-relay'}>): void {
 		switch (failure.type) {
 			case 'timed-out': {
+				pool.path.recordOwnLinkFailure();
 				this.#options.links.recordFailure(registered);
 				condition.recordUnreachable();
 				break;
--- a/packages/gateway/src/features/upstreams/recheck-task.ts
+++ b/packages/gateway/src/features/upstreams/recheck-task.ts
@@ -11,12 +11,17 @@
 	/** Returns the upstreams that may be probed. */
 	readonly upstreams: () => readonly Upstream[];
 	readonly probe: (upstream: Upstream) => Promise<unknown>;
+	/** Whether this instance has lost its links to all upstreams of the same service. */
+	readonly isLinkLost: (upstream: Upstream) => boolean;
+	/** Checks the own link to an upstream that is reached through another instance. */
+	readonly checkOwnLink: (upstream: Upstream) => Promise<unknown>;
 };
 
 export class RecheckTask implements Task {
 	readonly name = 'recheck';
 	readonly #options: RecheckTaskOptions;
 	#timer: NodeJS.Timeout | undefined;
+	#turn = 0;
 
 	constructor(options: RecheckTaskOptions) {
 		this.#options = options;
@@ -40,12 +45,25 @@
 
 	#probeDueUpstreams(): void {
 		const avoided = this.#options.upstreams().filter(({condition}) => condition.isUnreachable && condition.advisories.availability.type !== 'leaving');
-		for (const upstream of avoided.filter(({condition}) => condition.isHealthCheckDue)) {
+		const due = avoided.filter(({condition}) => condition.isHealthCheckDue);
+		for (const upstream of new Set([...due, ...this.#nextOfLost(avoided)])) {
 			void this.#options.probe(upstream);
 		}
 
-		if (avoided.length > 0) {
+		const relayed = this.#options.upstreams().filter(({pool}) => pool.path.isRelayed);
+		for (const upstream of relayed.filter(({pool}) => pool.path.isOwnLinkCheckDue)) {
+			void this.#options.checkOwnLink(upstream);
+		}
+
+		if (avoided.length + relayed.length > 0) {
 			this.schedule();
 		}
 	}
+
+	/** Returns one upstream to which the link is lost, in turn: while no link works, waiting for longer and longer times would delay the first request served. */
+	#nextOfLost(avoided: readonly Upstream[]): readonly Upstream[] {
+		const lost = avoided.filter(upstream => this.#options.isLinkLost(upstream));
+		this.#turn += 1;
+		return lost.slice(this.#turn % Math.max(1, lost.length)).slice(0, 1);
+	}
 }
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -2,15 +2,18 @@
 import type {AvailabilityZoneId, ServiceId, UpstreamId} from '@cairnbank/core';
 import {AdvisoryCache} from '@cairnbank/core/advisories';
 import {ringOrder, UpstreamCondition} from '@cairnbank/core/placement';
+import {PathState} from '@cairnbank/core/reachability';
 import type {RegisteredUpstream} from '@cairnbank/core/registry';
 import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {RequestDialect} from '../../ports/index.js';
+import {ChannelPool} from './channel-pool.js';
 import {ConnectionPool} from './connection-pool.js';
 import type {LinkMonitor} from './link-monitor.js';
 import type {Upstream} from './upstream.js';
+import type {UpstreamChannel} from './upstream-channel.js';
 
 /**
  * Longest wait for a connection. The slowest link has a round trip of a few milliseconds, a powered-off host never answers,
@@ -20,12 +23,19 @@
 /** Expired connections are never used; this limits how long they stay open. */
 const sweepIntervalMs = 2000;
 
+export type UpstreamsTaskOptions = {
+	readonly context: Context;
+	readonly dialect: RequestDialect;
+	readonly links: LinkMonitor;
+	/** Opens a channel to an upstream through another instance. */
+	readonly openRelayed: (id: UpstreamId) => UpstreamChannel;
+	/** Called when an upstream could not be reached. */
+	readonly onUnreachable: () => void;
+};
+
 export class UpstreamsTask implements Task {
 	readonly name = 'upstreams';
-	readonly #context: Context;
-	readonly #dialect: RequestDialect;
-	readonly #links: LinkMonitor;
-	readonly #onUnreachable: () => void;
+	readonly #options: UpstreamsTaskOptions;
 	readonly #upstreams = new Map<UpstreamId, Upstream>();
 	readonly #advisories: AdvisoryCache;
 	/** Availability zones that operators have emptied, so that their upstreams get nothing. */
@@ -34,13 +44,9 @@
 	readonly #rings = new Map<string, readonly Upstream[]>();
 	#sweepTimer: NodeJS.Timeout | undefined;
 
-	/** @param onUnreachable - called when an upstream could not be reached */
-	constructor(context: Context, dialect: RequestDialect, links: LinkMonitor, onUnreachable: () => void) {
-		this.#context = context;
-		this.#links = links;
-		this.#dialect = dialect;
-		this.#onUnreachable = onUnreachable;
-		this.#advisories = new AdvisoryCache(context.clock);
+	constructor(options: UpstreamsTaskOptions) {
+		this.#options = options;
+		this.#advisories = new AdvisoryCache(options.context.clock);
 	}
 
 	async start(): Promise<Result<void, StartError>> {
@@ -68,27 +74,12 @@
 		}
 
 		this.#rings.clear();
-		const {clock, metrics} = this.#context;
 		known?.condition.warmup.recordRegistryEntry(registered.warmupMs);
+		const {context: {clock}, onUnreachable} = this.#options;
 		this.#upstreams.set(registered.id, {
 			registered,
-			condition: known?.condition ?? new UpstreamCondition(clock, this.#onUnreachable, registered.warmupMs, this.#advisories.recordFor(registered)),
-			pool: known?.pool ?? new ConnectionPool({
-				host: registered.host,
-				port: registered.port,
-				requestIdHeader: this.#dialect.requestIdHeader,
-				connectTimeoutMs,
-				now: () => clock.monotonicMs(),
-				onOpened() {
-					metrics.upstreamConnections.inc();
-				},
-				onAnswered: () => {
-					this.#links.recordAnswer(registered);
-				},
-				onNotConnected: () => {
-					this.#links.recordFailure(registered);
-				},
-			}),
+			condition: known?.condition ?? new UpstreamCondition(clock, onUnreachable, registered.warmupMs, this.#advisories.recordFor(registered)),
+			pool: known?.pool ?? this.#createPool(registered),
 		});
 	}
 
@@ -100,7 +91,7 @@
 		}
 
 		known.pool.close();
-		this.#links.forget(known.registered);
+		this.#options.links.forget(known.registered);
 		this.#upstreams.delete(id);
 		this.#rings.clear();
 	}
@@ -120,6 +111,13 @@
 		}
 	}
 
+	/** Makes the checks of a service's unreachable upstreams due at once. */
+	recheckAtOnce(service: ServiceId): void {
+		for (const {condition} of this.ofService(service)) {
+			condition.recheckAtOnce();
+		}
+	}
+
 	/** Whether anything may be sent to the upstream, including health checks. */
 	isInService({registered}: Upstream): boolean {
 		return !this.#emptied.has(registered.availabilityZone);
@@ -134,6 +132,12 @@
 		return [...this.#upstreams.values()].filter(({registered}) => isCounted(registered.service)).length;
 	}
 
+	/** Returns the upstream if it takes new requests. */
+	receiving(id: UpstreamId): Upstream | undefined {
+		const upstream = this.#upstreams.get(id);
+		return upstream !== undefined && !upstream.registered.draining && this.isInService(upstream) ? upstream : undefined;
+	}
+
 	get(id: UpstreamId): Upstream | undefined {
 		return this.#upstreams.get(id);
 	}
@@ -163,6 +167,30 @@
 		return ring;
 	}
 
+	#createPool(registered: RegisteredUpstream): ChannelPool {
+		const {context: {clock, metrics}, dialect, links, openRelayed} = this.#options;
+		const path = new PathState(clock);
+		const connections = new ConnectionPool({
+			host: registered.host,
+			port: registered.port,
+			requestIdHeader: dialect.requestIdHeader,
+			connectTimeoutMs,
+			now: () => clock.monotonicMs(),
+			onOpened() {
+				metrics.upstreamConnections.inc();
+			},
+			onAnswered() {
+				path.recordOwnLinkAnswer();
+				links.recordAnswer(registered);
+			},
+			onNotConnected() {
+				path.recordOwnLinkFailure();
+				links.recordFailure(registered);
+			},
+		});
+		return new ChannelPool({connections, path, openRelayed: () => openRelayed(registered.id)});
+	}
+
 	#ofZone(zone: AvailabilityZoneId): readonly Upstream[] {
 		return [...this.#upstreams.values()].filter(({registered}) => registered.availabilityZone === zone);
 	}
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -5,9 +5,10 @@
 import {systemClock} from '@cairnbank/core/clock';
 import {CrashTable} from '@cairnbank/core/crash-table';
 import {createRandomSource} from '@cairnbank/core/random';
-import {createIncarnation} from '@cairnbank/core/fleet';
+import {createIncarnation, withoutLostLinks} from '@cairnbank/core/fleet';
 import {FleetPace} from '@cairnbank/core/limits';
 import {Admission, WorkEstimates} from '@cairnbank/core/placement';
+import {RelayPeers} from '@cairnbank/core/reachability';
 import {CallersTask} from './features/calls/callers-task.js';
 import {PoisonGuard} from './features/calls/poison-guard.js';
 import {RetryBudgets} from './features/calls/retry-budgets.js';
@@ -15,6 +16,8 @@
 import {DirectoryTask} from './features/directory/directory-task.js';
 import {FleetTask} from './features/fleet/fleet-task.js';
 import {MetricsTask} from './features/metrics/metrics-task.js';
+import {RelayClient} from './features/relay/relay-client.js';
+import {RelayTask} from './features/relay/relay-task.js';
 import {StateTask} from './features/state/state-task.js';
 import {Advisories} from './features/upstreams/advisories.js';
 import {Eligibility} from './features/upstreams/eligibility.js';
@@ -67,11 +70,41 @@
 		countUpstreams: service => upstreams.ofService(service).length,
 		peers() {
 			const others = fleet.others();
-			return {live: others.length, reaching: others.length};
+			return {live: others.length, reaching: others.filter(({reachesUpstreams}) => reachesUpstreams).length};
+		},
+		hasRelay: () => relayPeers.hasCandidates,
+		onChanged(service, change) {
+			if (change === 'regained') {
+				upstreams.recheckAtOnce(service);
+			}
+
+			fleet.announce();
+		},
+	});
+	const relayPeers: RelayPeers = new RelayPeers({
+		clock: context.clock,
+		random: context.random,
+		availabilityZone: settings.availabilityZone as AvailabilityZoneId,
+		candidates: () => fleet.others().filter(({reachesUpstreams}) => reachesUpstreams),
+	});
+	const relayClient = new RelayClient({context, peers: relayPeers});
+	const upstreams: UpstreamsTask = new UpstreamsTask({
+		context,
+		dialect: ports.requests,
+		links,
+		openRelayed(id) {
+			recheck.schedule();
+			return relayClient.open(id);
+		},
+		onUnreachable() {
+			recheck.schedule();
 		},
 	});
-	const upstreams: UpstreamsTask = new UpstreamsTask(context, ports.requests, links, () => {
-		recheck.schedule();
+	const relay = new RelayTask({
+		context,
+		isMember: host => fleet.isMember(host),
+		upstreamOf: id => upstreams.receiving(id),
+		hasLostLink: upstream => links.hasLostLink(upstream),
 	});
 	const state: StateTask = new StateTask({
 		context,
@@ -114,6 +147,8 @@
 		store: ports.store,
 		state: () => state,
 		suspects: () => crashes,
+		reachesUpstreams: () => links.reachesUpstreams,
+		relay: async (request, response) => relay.handle(request, response),
 		onSuspects(records) {
 			guard.receive(records);
 		},
@@ -156,7 +191,12 @@
 		// Upstreams of services that aren't in the configuration must not increase the health checks of the others.
 		upstreams: () => upstreams.count(service => state.routes?.service(service) !== undefined),
 	});
-	const recheck: RecheckTask = new RecheckTask({upstreams: () => upstreams.inService(), probe: async upstream => prober.probe(upstream)});
+	const recheck: RecheckTask = new RecheckTask({
+		upstreams: () => upstreams.inService(),
+		probe: async upstream => prober.probe(upstream),
+		isLinkLost: upstream => links.isLost(upstream.registered.service),
+		checkOwnLink: async upstream => prober.checkOwnLink(upstream),
+	});
 	const crashes = new CrashTable(context.clock, fingerprint => fleet.isFirstFor(fingerprint));
 	const guard: PoisonGuard = new PoisonGuard({
 		context,
@@ -170,6 +210,7 @@
 		context,
 		prober,
 		eligibility,
+		links,
 		ofService: (service, zone) => upstreams.ofService(service, zone),
 		subsetPosition: among => fleet.subsetPosition(among),
 	});
@@ -208,8 +249,8 @@
 		context,
 		dialect: ports.directory,
 		isReady: () => fleet.self.ready,
-		offered: () => fleet.offered(),
+		offered: () => withoutLostLinks(fleet.offered()),
 	});
 	const metrics = new MetricsTask(context, () => lines.droppedLines);
-	return new Gateway(context, [upstreams, recheck, fleet, state, callers, directory, metrics], async () => lines.waitUntilFlushed(logFlushTimeoutMs));
+	return new Gateway(context, [upstreams, recheck, relayClient, fleet, relay, state, callers, directory, metrics], async () => lines.waitUntilFlushed(logFlushTimeoutMs));
 }
