A refused connection counts as a crash only if another upstream can be reached

Cause: an upstream that broke a connection and refused the next one counted as crashed. Where the instance's own links are reset, every upstream does.

Change: before a crash is counted, up to six other upstreams are asked on new connections; if none answers, the own link is lost. A relayed upstream is asked through another instance.

Evidence: prober.spec, 'refuses connections while all others do', fails without the comparison.

--- a/packages/gateway/src/features/upstreams/prober.spec.ts
+++ b/packages/gateway/src/features/upstreams/prober.spec.ts
@@ -35,13 +35,15 @@
 	} as unknown as Upstream;
 }
 
-function createProber(): Prober {
+/** @param others - other upstreams of this instance */
+function createProber(others: readonly Upstream[] = []): Prober {
 	return new Prober({
 		context: {clock: new ManualClock(), metrics: createMetrics(), settings: {bounds: {probesPerSecond: 10}}},
 		dialect: plainDialect,
 		advisories: {received: () => undefined},
 		eligibility: {mayCheck: () => true},
 		rateLimits: {checked: () => undefined},
+		sampleOthers: () => others,
 		healthPath: () => '/healthz',
 		isInService: () => true,
 		instances: () => 1,
@@ -62,6 +64,16 @@
 		assert.equal(await createProber().hasEnded(createUpstream({pooled: reset, opened: answerOf('u1')})), false);
 	});
 
+	it('should not consider an upstream crashed that refuses connections while all others do', async () => {
+		const others = [createUpstream({pooled: reset, opened: refused}), createUpstream({pooled: reset, opened: refused})];
+		assert.equal(await createProber(others).hasEnded(createUpstream({pooled: reset, opened: refused})), false);
+	});
+
+	it('should detect a crashed upstream while any other can be reached', async () => {
+		const others = [createUpstream({pooled: reset, opened: refused}), createUpstream({pooled: reset, opened: answerOf('u1')})];
+		assert.equal(await createProber(others).hasEnded(createUpstream({pooled: reset, opened: refused})), true);
+	});
+
 	it('should not consider an upstream crashed to which no connection is established in time', async () => {
 		assert.equal(await createProber().hasEnded(createUpstream({pooled: reset, opened: noAnswerInTime})), false);
 	});
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -17,6 +17,8 @@
 
 /** An upstream that has not answered a health check after this time is considered unreachable for a while. */
 const probeTimeoutMs = 200;
+/** Other upstreams to which connections are made to tell a lost link from an upstream that has ended; several may end at once. */
+const comparedUpstreams = 6;
 const okStatus = 200;
 
 export type ProberOptions = {
@@ -26,6 +28,8 @@
 	readonly eligibility: Pick<Eligibility, 'mayCheck'>;
 	readonly rateLimits: Pick<RateLimits, 'checked'>;
 	readonly links: Pick<LinkMonitor, 'recordFailure' | 'shouldTryRelay' | 'hasRelay' | 'isLost'>;
+	/** Returns up to `count` other upstreams at random, by which a lost link is told from an upstream that has ended. */
+	readonly sampleOthers: (upstream: Upstream, count: number) => readonly Upstream[];
 	/** Returns the path of a service's health check; undefined for an unknown service. */
 	readonly healthPath: (service: string) => string | undefined;
 	/** Whether anything may be sent to an upstream, including health checks. */
@@ -89,11 +93,11 @@
 
 		const channel = upstream.pool.path.isRelayed ? upstream.pool.openRelayed() : upstream.pool.open();
 		const result = await this.#sendCheck(upstream, channel);
-		const seemsEnded: boolean = result.match(
+		const seemsEnded = result.match(
 			answer => this.#isFromOther(upstream, answer),
 			failure => failure.type === 'not-connected' && !failure.isTimeout,
 		);
-		return seemsEnded;
+		return seemsEnded && (channel.relay !== undefined || result.isOk() || this.#reachesOthers(upstream));
 	}
 
 	/** Checks the own link to an upstream that is reached through another instance, with a new connection. */
@@ -108,6 +112,16 @@
 		}
 	}
 
+	/**
+	 * Whether this instance can connect to any other upstream. If it can't, its links are lost, and a refused connection doesn't show
+	 * that an upstream has ended.
+	 */
+	async #reachesOthers(upstream: Upstream): Promise<boolean> {
+		const others = this.#options.sampleOthers(upstream, comparedUpstreams);
+		const results = await Promise.all(others.map(async other => this.#sendCheck(other, other.pool.open())));
+		return others.length === 0 || results.some(result => result.isOk());
+	}
+
 	#tryTakeAllowance(): boolean {
 		const {context, instances, upstreams} = this.#options;
 		return this.#allowance.tryTake(context.clock.monotonicMs(), {
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -142,6 +142,13 @@
 		return this.#upstreams.get(id);
 	}
 
+	/** Returns up to `count` upstreams other than this one at random, without those that are known to be unreachable. */
+	sampleOthers(upstream: Upstream, count: number): readonly Upstream[] {
+		const {random} = this.#options.context;
+		const others = [...this.inService()].filter(other => other !== upstream && !other.condition.isUnreachable);
+		return Array.from({length: Math.min(count, others.length)}, () => others.splice(random.nextInteger(others.length), 1)[0]!);
+	}
+
 	/** Returns the upstreams to which anything may be sent. */
 	inService(): readonly Upstream[] {
 		return [...this.#upstreams.values()].filter(upstream => this.isInService(upstream));
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -185,6 +185,7 @@
 		eligibility,
 		rateLimits,
 		links,
+		sampleOthers: (upstream, count) => upstreams.sampleOthers(upstream, count),
 		healthPath: service => state.routes?.service(service)?.healthPath,
 		isInService: upstream => upstreams.isInService(upstream),
 		instances: () => fleet.shares.instances,
