The way through another instance is taken off the deadline, and crashes are judged by upstreams of one service

Cause: an upstream reached through another instance got the deadline without the hop; and an instance that loses its links to one service alone would compare a refused connection with another service's upstreams and count a crash.

Change: 4 ms less for the upstream and the passing instance; upstreams of the same service are compared, others only if there are none.

Evidence: read in the code; prober.spec and relayed-requests.spec pass.

--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -113,7 +113,7 @@
 		return [
 			...headers,
 			dialect.deadlineHeader,
-			String(remainingMs),
+			String(Math.max(1, remainingMs - (this.#channel.hopMs ?? 0))),
 			dialect.expectedUpstreamHeader,
 			this.#placement.upstream.registered.id,
 			...(body === undefined ? [] : ['Content-Length', String(body.length)]),
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -14,8 +14,8 @@
 
 /** Longest wait for a connection to another instance; a healthy one accepts within a few milliseconds. */
 const connectTimeoutMs = 60;
-/** The passing instance gives up this much earlier, so that its result still arrives in time. */
-const hopMs = 4;
+/** The other instance and the upstream give up this much earlier, so that the result still arrives in time. */
+const relayHopMs = 4;
 const okStatus = 200;
 
 type ExchangeResult = Result<UpstreamAnswer, ExchangeFailure>;
@@ -35,6 +35,7 @@
 
 export class RelayedExchange implements UpstreamChannel {
 	readonly isReusable = false;
+	readonly hopMs = relayHopMs;
 	readonly #options: RelayedExchangeOptions;
 	#request: ClientRequest | undefined;
 	#isConnected = false;
@@ -82,7 +83,7 @@
 		const request = httpRequest({
 			agent, host: peer.host, port, localAddress, method: 'POST', path: relayPath, maxHeaderSize: maximumRelayHeaderBytes,
 			headers: {
-				[relayHeadHeader]: encodeHead({...head, upstream, timeoutMs: Math.max(1, timeoutMs - hopMs)}),
+				[relayHeadHeader]: encodeHead({...head, upstream, timeoutMs: Math.max(1, timeoutMs - relayHopMs)}),
 				'Content-Length': body?.length ?? 0,
 			},
 		});
--- a/packages/gateway/src/features/upstreams/upstream-channel.ts
+++ b/packages/gateway/src/features/upstreams/upstream-channel.ts
@@ -9,6 +9,8 @@
 	readonly isReusable: boolean;
 	/** Host of the instance that passes the request on; undefined for a connection of this instance. */
 	readonly relay?: string | undefined;
+	/** Time that the way through another instance takes from the upstream's; undefined for a connection of this instance. */
+	readonly hopMs?: number;
 	/** Sends one request; resolves once its answer is complete or the exchange has failed. */
 	exchange(request: OutgoingRequest): Promise<Result<UpstreamAnswer, ExchangeFailure>>;
 	/** Cancels the running request; most upstreams then stop processing it. */
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -142,10 +142,15 @@
 		return this.#upstreams.get(id);
 	}
 
-	/** Returns up to `count` upstreams other than this one at random, without those that are known to be unreachable. */
+	/**
+	 * Returns up to `count` upstreams other than this one at random, of its service if there are any, as links may be lost to one service
+	 * alone. Those that are known to be unreachable are left out.
+	 */
 	sampleOthers(upstream: Upstream, count: number): readonly Upstream[] {
 		const {random} = this.#options.context;
-		const others = [...this.inService()].filter(other => other !== upstream && !other.condition.isUnreachable);
+		const reachable = this.inService().filter(other => other !== upstream && !other.condition.isUnreachable);
+		const ofService = reachable.filter(({registered}) => registered.service === upstream.registered.service);
+		const others = [...(ofService.length > 0 ? ofService : reachable)];
 		return Array.from({length: Math.min(count, others.length)}, () => others.splice(random.nextInteger(others.length), 1)[0]!);
 	}
 
