The soak cuts links of instances to all upstreams, and checks how their callers are served

Four ways of cutting, some instances at a time, beside all other faults, from a random source of its own, so that the other events of a seed stay the same. The check has the bounds of the users' rule. Two mutations: requests that are not passed on, and payments passed on twice.

--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -16,7 +16,7 @@
 const run = (upstream = 'u0', atMs = 5, id = 'a'): RunRecord => ({id, upstream, atMs});
 
 const validHistory: History = {
-	calls: [call(answered(200))], runs: [run()], disturbances: [], arrivals: [], backOffs: [], drains: [], limits: [], leavings: [], stops: [], crashes: [], afterwards: [],
+	calls: [call(answered(200))], runs: [run()], disturbances: [], arrivals: [], backOffs: [], drains: [], limits: [], leavings: [], stops: [], cuts: [], crashes: [], afterwards: [],
 };
 
 /** Histories with one breach each, by the name of the check that should notice it. */
@@ -57,6 +57,16 @@
 			calls: [], harmlessCalls: [4000, 5000].map(sentAtMs => call(answered(503), {sentAtMs, endedAtMs: sentAtMs + 10})), runs: [run('u0', 5, 'x')],
 		}],
 	},
+	'instances without links to upstreams serve callers through others': {
+		cuts: [{instances: ['127.0.0.2'], fromMs: 0, untilMs: 9000}],
+		calls: [
+			call(answered(200, 'u0', '/read/1', 'b'), {
+				id: 'b', instance: '127.0.0.3', sentAtMs: 4000, endedAtMs: 4010,
+			}),
+			...Array.from({length: 12}, () => call(answered(502), {sentAtMs: 4000, endedAtMs: 4010})),
+		],
+		runs: [run('u0', 4005, 'b')],
+	},
 	'an instance that gets SIGTERM ends in order': {
 		stops: [{
 			instance: '127.0.0.2', exitCode: 1, wasKilled: false, errors: [],
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -19,6 +19,10 @@
 const crashesBeforeRefusal = 3;
 /** Runs of a refused request that are allowed, as instances try it again from time to time. */
 const lateRunSlack = 3;
+/** Least share of requests served at instances without links, relative to the others, and the failures that are allowed all the same. */
+const linklessShare = 2 / 3;
+const linklessSlack = 10;
+const linklessSlackOneIn = 50;
 const limitWindowMs = 4000;
 const limitFactor = 1.5;
 const limitSlack = 5;
@@ -246,6 +250,24 @@
 	},
 };
 
+const isServed = ({end}: CallRecord): boolean => end.type === 'answered' && end.status === okStatus;
+
+const linklessServe: Check = {
+	name: 'instances without links to upstreams serve callers through others',
+	findBreaches: ({calls, cuts, disturbances}) => cuts.flatMap(({instances, fromMs, untilMs}) => {
+		const isDisturbed = ({instance, sentAtMs, endedAtMs}: CallRecord) => disturbances.some(disturbance =>
+			(disturbance.instance === instance || disturbance.kind === 'stall') && overlaps(disturbance, sentAtMs, endedAtMs));
+		const observed = calls.filter(call => call.sentAtMs >= fromMs + recoveryMs && call.endedAtMs <= untilMs && !isDisturbed(call));
+		const there = observed.filter(({instance}) => instances.includes(instance));
+		const elsewhere = observed.filter(({instance}) => !instances.includes(instance));
+		const served = there.filter(call => isServed(call)).length;
+		const servedElsewhere = elsewhere.filter(call => isServed(call)).length;
+		const isTooFew = served * elsewhere.length < linklessShare * servedElsewhere * there.length;
+		const isBeyondSlack = there.length - served > linklessSlack + (there.length / linklessSlackOneIn);
+		return isTooFew && isBeyondSlack ? [`${served} of ${there.length} requests served at ${instances.join(' ')}, ${servedElsewhere} of ${elsewhere.length} elsewhere`] : [];
+	}),
+};
+
 const stopsCleanly: Check = {
 	name: 'an instance that gets SIGTERM ends in order',
 	findBreaches: ({stops}) => stops
@@ -273,6 +295,7 @@
 	requestsAreNotCut,
 	crashesAreContained,
 	harmlessIsServed,
+	linklessServe,
 	stopsCleanly,
 	recovers,
 ];
--- a/packages/soak/src/contracts.spec.ts
+++ b/packages/soak/src/contracts.spec.ts
@@ -35,6 +35,7 @@
 	none: true, silent: true, busy: true, reset: true, slow: true, 'lost-answers': true, 'late-writes': true,
 };
 const events: Readonly<Record<SoakEvent['type'], true>> = {
+	cut: true,
 	stop: true,
 	kill: true,
 	pause: true,
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -4,7 +4,7 @@
 import {waitFor} from '@cairnbank/testing/harness';
 import {runCrashingCaller, type CrashingCalls} from './crashing-caller.js';
 import type {
-	Disturbance, DrainRecord, LeavingRecord, LimitRecord, StopRecord,
+	CutRecord, Disturbance, DrainRecord, LeavingRecord, LimitRecord, StopRecord,
 } from './history.js';
 import type {SoakEvent} from './schedule.js';
 import type {SoakSite} from './soak-site.js';
@@ -25,6 +25,7 @@
 	readonly limits: LimitRecord[] = [];
 	readonly leavings: LeavingRecord[] = [];
 	readonly stops: StopRecord[] = [];
+	readonly cuts: CutRecord[] = [];
 	readonly crashing: CrashingCalls[] = [];
 	readonly #site: SoakSite;
 	/** Number of requests that crash upstreams so far. */
@@ -121,6 +122,10 @@
 				return this.#restore();
 			}
 
+			case 'cut': {
+				return this.#cut(event);
+			}
+
 			case 'crash': {
 				this.#crashes += 1;
 				this.crashing.push(await runCrashingCaller({
@@ -227,6 +232,21 @@
 		}
 	}
 
+	/** Cuts the links of instances. One that starts meanwhile has none either. */
+	async #cut({instances, cut, forMs}: Extract<SoakEvent, {readonly type: 'cut'}>): Promise<void> {
+		const fromMs = performance.now();
+		for (const index of instances) {
+			this.#site.cut(index, cut);
+		}
+
+		await delay(forMs);
+		for (const index of instances) {
+			this.#site.heal(index);
+		}
+
+		this.cuts.push({instances: instances.map(index => this.#site.entries[index]!.settings.host), fromMs, untilMs: performance.now()});
+	}
+
 	/** Restores the store from its oldest copy. Operators and upstreams then rewrite the lost records. */
 	async #restore(): Promise<void> {
 		await this.#recordDisturbance({kind: 'store'}, async () => {
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -65,6 +65,9 @@
 	readonly harmlessCalls: readonly CallRecord[];
 };
 
+/** A period in which some instances had no links to upstreams. */
+export type CutRecord = {readonly instances: readonly string[]; readonly fromMs: number; readonly untilMs: number};
+
 export type StopRecord = {
 	readonly instance: string;
 	readonly exitCode: number | undefined;
@@ -83,6 +86,7 @@
 	readonly arrivals: readonly ArrivalRecord[];
 	readonly backOffs: readonly BackOffRecord[];
 	readonly stops: readonly StopRecord[];
+	readonly cuts: readonly CutRecord[];
 	readonly crashes: readonly CrashingRequestRecord[];
 	/** Calls after the last fault, all of which should succeed. */
 	readonly afterwards: readonly CallRecord[];
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -52,6 +52,11 @@
 	at({type: 'crash', request: 0, forMs: 4000}, 20 * firstEventMs),
 ];
 
+/** Two of the three instances lose their links. */
+const linksCut: readonly ScheduledEvent[] = [at({
+	type: 'cut', instances: [0, 1], cut: {open: 'reset', opening: 'hang'}, forMs: faultDurationMs,
+})];
+
 /** Condition that holds only a fifth later than the time for which leaving upstreams may still get requests. */
 const respectedLate = (since: string, now: string) => `${now} - (${since} ??= ${now}) > 2400`;
 
@@ -65,6 +70,7 @@
 const requestsAreNotCut = 'no request that ran is cut at an instance that was neither killed nor paused';
 const crashesAreContained = 'a request that crashes upstreams reaches next to none once three have crashed';
 const harmlessIsServed = 'a harmless request is served beside one that crashes upstreams, once that one is refused';
+const linklessServe = 'instances without links to upstreams serve callers through others';
 const limitIsRespected = 'an upstream that advertises a rate limit gets no more from all instances together';
 
 export const mutations: readonly Mutation[] = [
@@ -288,4 +294,20 @@
 		events: crashesAroundRestarts,
 		noticedBy: harmlessIsServed,
 	},
+	{
+		name: 'requests-not-passed-on',
+		file: `${gateway}/features/upstreams/link-monitor.js`,
+		find: 'return this.#options.hasRelay();',
+		replaceBy: 'return false;',
+		events: linksCut,
+		noticedBy: linklessServe,
+	},
+	{
+		name: 'requests-passed-on-twice',
+		file: `${gateway}/features/relay/relay-task.js`,
+		find: 'this.#running.delete(channel);',
+		replaceBy: 'this.#running.delete(channel);\nif (head.method === "POST") await upstream.pool.open().exchange({ ...outgoing, body });',
+		events: linksCut,
+		noticedBy: atMostOnce,
+	},
 ];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -2,6 +2,7 @@
 import {readFileSync} from 'node:fs';
 import {createRandomSource} from '@cairnbank/core/random';
 import type {RandomSource} from '@cairnbank/core';
+import type {LinkCut} from '@cairnbank/platform/spec-support/linked-site';
 import type {StoreFault} from '@cairnbank/platform/spec-support/store-stand-in';
 import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import type {LinkFault} from '@cairnbank/platform/spec-support/link-proxy';
@@ -23,6 +24,8 @@
 	| {readonly type: 'link'; readonly upstream: number; readonly fault: LinkFault; readonly forMs: number}
 	| {readonly type: 'store'; readonly instance: number; readonly fault: StoreFault; readonly forMs: number}
 	| {readonly type: 'restore'}
+	/** Instances lose their links to all upstreams. */
+	| {readonly type: 'cut'; readonly instances: readonly number[]; readonly cut: LinkCut; readonly forMs: number}
 	/** A caller sends one request that crashes each upstream that runs it to one instance after the other. */
 	| {readonly type: 'crash'; readonly request: number; readonly forMs: number}
 	/** All upstreams misbehave in the same way. */
@@ -58,6 +61,7 @@
 /** Spreads consecutive seeds, which would otherwise give similar first random numbers. */
 const seedMultiplier = 0x9E_37_79_B1;
 const crashSeedOffset = 100_000;
+const cutSeedOffset = 200_000;
 const crashMs = 2000;
 const defaultDurationMs = 10_000;
 /** Mean time between two events. As faults last 0.3 to 3 s, several overlap at a time. */
@@ -77,6 +81,9 @@
 	'sheds', 'hangs', 'loses-answer', 'fails', 'is-another', 'cuts-answer', 'cuts-unframed-answer', 'answers-twice', 'answers-another', 'unsigned',
 ];
 const linkFaults: readonly LinkFault[] = [{type: 'delay', delayMs: 60}, {type: 'silent'}, {type: 'answers-silent'}, {type: 'reset'}];
+const linkCuts: readonly LinkCut[] = [
+	{open: 'silent', opening: 'hang'}, {open: 'reset', opening: 'refused'}, {open: 'reset', opening: 'hang'}, {open: 'live', opening: 'refused'},
+];
 const storeFaults: readonly StoreFault[] = [
 	{type: 'silent'}, {type: 'busy', status: 503}, {type: 'busy', status: 429}, {type: 'reset'}, {type: 'slow', delayMs: 200}, {type: 'lost-answers'},
 ];
@@ -90,7 +97,7 @@
 		events.push({atMs, event: generateEvent(random, instances, upstreams)});
 	}
 
-	events.push(...generateCrashes(seed, durationMs));
+	events.push(...generateCrashes(seed, durationMs), generateCut(seed, durationMs, instances));
 	return {
 		seed, instances, upstreams, callers: 6 + random.nextInteger(10), workMs: 5 + random.nextInteger(40), durationMs, events: events.toSorted((left, right) => left.atMs - right.atMs),
 	};
@@ -152,6 +159,20 @@
 	];
 }
 
+/** Cuts off some instances, but not all, for long enough to check how callers are served there. Uses a random source of its own as well. */
+function generateCut(seed: number, durationMs: number, instances: number): ScheduledEvent {
+	const random = createRandomSource(Math.imul(seed + cutSeedOffset, seedMultiplier));
+	const count = 1 + random.nextInteger(instances - 1);
+	const first = random.nextInteger(instances);
+	return {
+		atMs: random.nextInteger(Math.max(1, durationMs - 4000)),
+		event: {
+			type: 'cut', cut: pick(random, linkCuts), forMs: 4500 + random.nextInteger(2500),
+			instances: Array.from({length: count}, (_, index) => (first + index) % instances),
+		},
+	};
+}
+
 function drawPauseMs(random: RandomSource, meanMs = meanPauseMs): number {
 	return Math.round(-Math.log(1 - random.next()) * meanMs);
 }
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -107,7 +107,9 @@
 		const runs: RunRecord[] = this.#site.upstreams.flatMap(upstream => runsOf(upstream));
 		const arrivals: ArrivalRecord[] = this.#site.upstreams.flatMap(({id: upstream, arrivals: ofUpstream}) => ofUpstream.map(arrival => ({...arrival, upstream})));
 		const backOffs: BackOffRecord[] = this.#site.upstreams.flatMap(({id: upstream, backOffs: backedOff}) => backedOff.map(backOff => ({...backOff, upstream})));
-		const {disturbances, drains, limits, leavings, stops, crashing} = this.#injector;
+		const {
+			disturbances, drains, limits, leavings, stops, cuts, crashing,
+		} = this.#injector;
 		const crashRuns = this.#site.crashing.upstreams.flatMap(upstream => runsOf(upstream));
 		const crashes: CrashingRequestRecord[] = [...new Set(crashing.map(({path}) => path))].map(path => {
 			const ofPath = crashing.filter(other => other.path === path);
@@ -120,7 +122,7 @@
 			runs,
 			arrivals,
 			backOffs,
-			disturbances, drains, limits, leavings, stops, crashes,
+			disturbances, drains, limits, leavings, stops, cuts, crashes,
 			afterwards,
 		};
 	}
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -2,7 +2,8 @@
 import type {InstanceProcess} from '@cairnbank/platform/spec-support/instance-process';
 import {LinkProxy} from '@cairnbank/platform/spec-support/link-proxy';
 import {defaultRetryBound, type RetryBound} from '@cairnbank/platform/spec-support/retry-bound';
-import {paymentRoute, route, Site} from '@cairnbank/platform/spec-support/site';
+import {LinkedSite, type LinkCut} from '@cairnbank/platform/spec-support/linked-site';
+import {paymentRoute, route} from '@cairnbank/platform/spec-support/site';
 import type {StoreCopy, StoreStandIn} from '@cairnbank/platform/spec-support/store-stand-in';
 import {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {waitFor} from '@cairnbank/testing/harness';
@@ -23,7 +24,7 @@
 	readonly upstreams: UpstreamStandIn[] = [];
 	readonly proxies: LinkProxy[] = [];
 	readonly crashing: CrashingUpstreams;
-	readonly #site: Site;
+	readonly #site: LinkedSite;
 	readonly #sequences = new Map<string, number>();
 	#copies: StoreCopy[] = [];
 	#copyTimer: NodeJS.Timeout | undefined;
@@ -32,7 +33,7 @@
 
 	/** @param program - path of the program to test; defaults to the compiled program */
 	constructor(program?: string) {
-		this.#site = new Site({logging: {level: 'info', sampleOneIn: 1}, retryBound: soakRetryBound, ...(program === undefined ? {} : {program})});
+		this.#site = new LinkedSite({logging: {level: 'info', sampleOneIn: 1}, retryBound: soakRetryBound, ...(program === undefined ? {} : {program})});
 		this.crashing = new CrashingUpstreams(this.#site);
 	}
 
@@ -112,6 +113,16 @@
 		await entry.waitUntilReady();
 	}
 
+	/** Cuts the links of an instance to all upstreams but those that crash. */
+	cut(index: number, cut: LinkCut): void {
+		this.#site.cut(this.entries[index]!, cut, this.proxies);
+	}
+
+	/** Restores the links of an instance. */
+	heal(index: number): void {
+		this.#site.heal(this.entries[index]!, this.proxies);
+	}
+
 	/** Returns the endpoint through which one instance reaches the store, for faults that only this instance sees. */
 	storeSeenBy(index: number): StoreStandIn {
 		return this.#site.storeEndpointOf(index);
