An instance without links to one service alone says so when it is asked to pass on a request

Cause: instances that had lost the links to one service still offered themselves for it. They answered that the upstream could not be reached, which counted as the upstream's failure; and an upstream that was reached through others stayed in use while none of them took requests, so that a call tried it again and again.

Change: such an instance refuses, and the next one is asked; failures pause an instance for one service, once for all requests in flight at the time, for 0.4 s at most. A request goes through the instance through which the upstream has just answered its health check. A call that did not reach an upstream tries it once more at most.

--- a/packages/core/src/fleet/address-choice.spec.ts
+++ b/packages/core/src/fleet/address-choice.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import type {AvailabilityZoneId} from '../model/ids.js';
-import {chooseAddresses, type Addressable} from './address-choice.js';
+import {chooseAddresses, withoutLostLinks, type Addressable} from './address-choice.js';
 
 const maximum = 64;
 const nasr = 'nasr' as AvailabilityZoneId;
@@ -42,3 +42,19 @@
 		assert.ok([...left!].filter(member => right!.has(member)).length < maximum / 2);
 	});
 });
+
+describe('withoutLostLinks', () => {
+	const members = (reaching: number, lost: number) => [
+		...Array.from({length: reaching}, () => ({reachesUpstreams: true})),
+		...Array.from({length: lost}, () => ({reachesUpstreams: false})),
+	];
+
+	it('should leave out instances without links while half of all have some', () => {
+		assert.equal(withoutLostLinks(members(3, 3)).length, 3);
+	});
+
+	it('should offer all instances where fewer have links', () => {
+		assert.equal(withoutLostLinks(members(2, 3)).length, 5);
+		assert.equal(withoutLostLinks(members(0, 3)).length, 3);
+	});
+});
--- a/packages/core/src/reachability/relay-peers.ts
+++ b/packages/core/src/reachability/relay-peers.ts
@@ -1,11 +1,11 @@
 /** Chooses the instance that passes on a request to an upstream that this instance can't reach itself. */
 import type {Clock} from '../model/clock.js';
-import type {AvailabilityZoneId} from '../model/ids.js';
+import type {AvailabilityZoneId, ServiceId} from '../model/ids.js';
 import type {RandomSource} from '../model/random-source.js';
 
 /** Time for which an instance that failed to pass on a request is not chosen; doubles with each further failure up to `maximumPauseMs`. */
 const firstPauseMs = 100;
-const maximumPauseMs = 1600;
+const maximumPauseMs = 400;
 /** Requests in flight at one instance above which instances of other availability zones are chosen too. */
 const busyRequests = 8;
 
@@ -14,7 +14,7 @@
 	readonly availabilityZone: AvailabilityZoneId;
 };
 
-type PeerRecord = {inFlight: number; failures: number; pausedUntilMs: number};
+type Failures = {readonly count: number; readonly pausedUntilMs: number};
 
 export type RelayPeersOptions = {
 	readonly clock: Clock;
@@ -26,58 +26,73 @@
 
 export class RelayPeers {
 	readonly #options: RelayPeersOptions;
-	readonly #records = new Map<string, PeerRecord>();
+	/** Requests in flight by host. */
+	readonly #inFlight = new Map<string, number>();
+	/** Failures in a row by service and host, as an instance may have lost its links to one service alone. */
+	readonly #failures = new Map<string, Failures>();
 
 	constructor(options: RelayPeersOptions) {
 		this.#options = options;
 	}
 
-	/** Whether any instance can be chosen now. */
-	get hasCandidates(): boolean {
-		return this.#usable().length > 0;
+	/** Whether any instance can be chosen for a service now. */
+	hasCandidates(service: ServiceId): boolean {
+		return this.#usable(service).length > 0;
 	}
 
-	/** Chooses the less busy of two random instances, of the own availability zone if one there has room. */
-	choose(): RelayPeer | undefined {
-		const usable = this.#usable();
+	/**
+	 * Chooses the preferred instance if it has room, or the less busy of two random ones, of the own availability zone if one there has
+	 * room.
+	 *
+	 * @param preferredHost - the instance through which the upstream answered last
+	 */
+	choose(service: ServiceId, preferredHost?: string): RelayPeer | undefined {
+		const usable = this.#usable(service);
+		const preferred = usable.find(({host}) => host === preferredHost);
+		if (preferred !== undefined && this.#inFlightAt(preferred) < busyRequests) {
+			return preferred;
+		}
+
 		const near = this.#lessBusy(usable.filter(({availabilityZone}) => availabilityZone === this.#options.availabilityZone));
-		return near !== undefined && this.#inFlight(near) < busyRequests ? near : this.#lessBusy(usable);
+		return near !== undefined && this.#inFlightAt(near) < busyRequests ? near : this.#lessBusy(usable);
 	}
 
-	recordSent({host}: RelayPeer): void {
-		this.#recordOf(host).inFlight += 1;
+	recordSent(peer: RelayPeer): void {
+		this.#inFlight.set(peer.host, this.#inFlightAt(peer) + 1);
 	}
 
 	/** @param hasFailed - whether the instance did not pass on the request, or was lost under it */
-	recordEnd({host}: RelayPeer, hasFailed: boolean): void {
-		const record = this.#recordOf(host);
-		record.inFlight -= 1;
-		if (hasFailed) {
-			record.pausedUntilMs = this.#options.clock.monotonicMs() + Math.min(maximumPauseMs, firstPauseMs * (2 ** record.failures));
-			record.failures += 1;
-		} else {
-			record.failures = 0;
+	recordEnd(peer: RelayPeer, service: ServiceId, hasFailed: boolean): void {
+		this.#inFlight.set(peer.host, this.#inFlightAt(peer) - 1);
+		const key = keyOf(peer, service);
+		if (!hasFailed) {
+			this.#failures.delete(key);
+			return;
+		}
+
+		const nowMs = this.#options.clock.monotonicMs();
+		const {count, pausedUntilMs} = this.#failures.get(key) ?? {count: 0, pausedUntilMs: 0};
+		if (nowMs >= pausedUntilMs) {
+			this.#failures.set(key, {count: count + 1, pausedUntilMs: nowMs + Math.min(maximumPauseMs, firstPauseMs * (2 ** count))});
 		}
 	}
 
-	#usable(): readonly RelayPeer[] {
+	#usable(service: ServiceId): readonly RelayPeer[] {
 		const nowMs = this.#options.clock.monotonicMs();
-		return this.#options.candidates().filter(({host}) => (this.#records.get(host)?.pausedUntilMs ?? 0) <= nowMs);
+		return this.#options.candidates().filter(peer => (this.#failures.get(keyOf(peer, service))?.pausedUntilMs ?? 0) <= nowMs);
 	}
 
 	#lessBusy(peers: readonly RelayPeer[]): RelayPeer | undefined {
 		const {random} = this.#options;
 		const [first, second] = [0, 1].map(() => peers[random.nextInteger(Math.max(1, peers.length))]);
-		return first !== undefined && second !== undefined && this.#inFlight(second) < this.#inFlight(first) ? second : first;
+		return first !== undefined && second !== undefined && this.#inFlightAt(second) < this.#inFlightAt(first) ? second : first;
 	}
 
-	#inFlight({host}: RelayPeer): number {
-		return this.#records.get(host)?.inFlight ?? 0;
+	#inFlightAt({host}: RelayPeer): number {
+		return this.#inFlight.get(host) ?? 0;
 	}
+}
 
-	#recordOf(host: string): PeerRecord {
-		const known = this.#records.get(host) ?? {inFlight: 0, failures: 0, pausedUntilMs: 0};
-		this.#records.set(host, known);
-		return known;
-	}
+function keyOf({host}: RelayPeer, service: ServiceId): string {
+	return `${service} ${host}`;
 }
--- a/packages/gateway/src/features/calls/attempt-summary.ts
+++ b/packages/gateway/src/features/calls/attempt-summary.ts
@@ -7,10 +7,13 @@
 
 /** Default retry delay for the caller of a request that has not run: by then some upstream usually has a free slot. */
 const defaultRetryAfterMs = 60;
+/** Attempts that may fail to reach the same upstream; each may go through another instance. */
+const maximumNotReached = 2;
 
 export class AttemptSummary {
 	readonly #tried = new Set<UpstreamId>();
-	readonly #notReached = new Set<UpstreamId>();
+	/** Attempts that did not reach their upstream, by upstream. */
+	readonly #notReached = new Map<UpstreamId, number>();
 	#sent = 0;
 	#mayHaveRun: UnknownReason | undefined;
 	#notRunReason: NotRunReason = 'never-sent';
@@ -24,7 +27,7 @@
 
 	/** Upstreams that an attempt did not reach; another instance may pass on a further one. */
 	get notReached(): ReadonlySet<UpstreamId> {
-		return this.#notReached;
+		return new Set([...this.#notReached].filter(([, attempts]) => attempts < maximumNotReached).map(([id]) => id));
 	}
 
 	/** Number of attempts that reached an upstream or may have reached it. */
@@ -72,7 +75,7 @@
 				if (wasNeverSent(verdict)) {
 					// Nothing reached an upstream, so it counts neither as an attempt nor as a retry.
 					this.#sent -= 1;
-					this.#notReached.add(upstream);
+					this.#notReached.set(upstream, (this.#notReached.get(upstream) ?? 0) + 1);
 				}
 
 				break;
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -54,7 +54,7 @@
 const members: FleetMessage = {
 	type: 'members',
 	members: [update, {
-		...update, host: '10.0.0.2', isLost: true, ready: false,
+		...update, host: '10.0.0.2', isLost: true, ready: false, reachesUpstreams: false,
 	}, {...update, host: '10.1.0.1', availabilityZone: 'giza' as AvailabilityZoneId}],
 };
 
@@ -125,6 +125,7 @@
 			host: `255.255.255.${100 + index}`,
 			incarnation: '0mhq3x1k2abc' as IncarnationId,
 			availabilityZone: `rakiraki-substation-control-${index % 5}` as AvailabilityZoneId,
+			reachesUpstreams: false,
 			revision: 10_000,
 		}));
 		assert.ok(encodeMessage({type: 'members', members: many}, 0).length <= maximumDatagramBytes);
--- a/packages/gateway/src/features/relay/relay-client.ts
+++ b/packages/gateway/src/features/relay/relay-client.ts
@@ -1,7 +1,7 @@
 /** Opens channels to upstreams through other instances, while this instance has lost its own links. */
 import {Agent} from 'node:http';
-import type {UpstreamId} from '@cairnbank/core';
 import type {RelayPeers} from '@cairnbank/core/reachability';
+import type {RegisteredUpstream} from '@cairnbank/core/registry';
 import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import type {StartError} from '../../kernel/start-error.js';
@@ -30,11 +30,12 @@
 		return ok(undefined);
 	}
 
-	open(upstream: UpstreamId): UpstreamChannel {
+	/** @param preferredHost - the instance through which the upstream answered last */
+	open({id, service}: RegisteredUpstream, preferredHost?: string): UpstreamChannel {
 		const {context: {metrics, settings}, peers} = this.#options;
-		const peer = peers.choose();
+		const peer = peers.choose(service, preferredHost);
 		return new RelayedExchange({
-			upstream,
+			upstream: id,
 			peer,
 			agent: this.#agent,
 			port: settings.peers.statePort,
@@ -46,7 +47,7 @@
 			},
 			onEnd(hasFailed) {
 				if (peer !== undefined) {
-					peers.recordEnd(peer, hasFailed);
+					peers.recordEnd(peer, service, hasFailed);
 					metrics.relayed.inc({side: 'sent', result: hasFailed ? 'failed' : 'passed-on'});
 				}
 			},
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -26,10 +26,10 @@
 const refusalLogIntervalMs = 1000;
 
 /** Reasons for which a request of another instance is refused; each proves that it has not run. */
-type Refusal = 'unknown-instance' | 'unreadable' | 'too-large' | 'busy' | 'unknown-upstream';
+type Refusal = 'unknown-instance' | 'unreadable' | 'too-large' | 'busy' | 'unknown-upstream' | 'no-link';
 
 const statusOfRefusal: Readonly<Record<Refusal, number>> = {
-	'unknown-instance': 403, unreadable: 400, 'too-large': 413, busy: 503, 'unknown-upstream': 404,
+	'unknown-instance': 403, unreadable: 400, 'too-large': 413, busy: 503, 'unknown-upstream': 404, 'no-link': 503,
 };
 
 export type RelayTaskOptions = {
@@ -99,7 +99,7 @@
 	}
 
 	#admit({headers, socket}: IncomingMessage, bodyBytes: number): Result<{readonly head: RelayHead; readonly upstream: Upstream}, Refusal> {
-		const {isMember, upstreamOf} = this.#options;
+		const {hasLostLink, isMember, upstreamOf} = this.#options;
 		if (!isMember(socket.remoteAddress ?? '')) {
 			return err('unknown-instance');
 		}
@@ -118,19 +118,23 @@
 		}
 
 		const upstream = upstreamOf(head.value.upstream);
-		return upstream === undefined ? err('unknown-upstream') : ok({head: head.value, upstream});
+		if (upstream === undefined) {
+			return err('unknown-upstream');
+		}
+
+		return hasLostLink(upstream) ? err('no-link') : ok({head: head.value, upstream});
 	}
 
 	async #passOn(request: IncomingMessage, response: ServerResponse, {head, upstream}: {readonly head: RelayHead; readonly upstream: Upstream}): Promise<void> {
-		const {hasLostLink, context: {metrics}} = this.#options;
+		const {metrics} = this.#options.context;
 		const body = await readAll(request);
 		if (body === undefined) {
 			return;
 		}
 
-		if (hasLostLink(upstream)) {
-			metrics.relayed.inc({side: 'received', result: 'no-link'});
-			writeResult(response, err({type: 'not-connected', message: 'no link to the upstream', isTimeout: true}));
+		if (upstream.condition.isUnreachable) {
+			metrics.relayed.inc({side: 'received', result: 'not-connected'});
+			writeResult(response, err({type: 'not-connected', message: 'unreachable here too', isTimeout: true}));
 			return;
 		}
 
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -13,7 +13,7 @@
 } from './relay-codec.js';
 
 /** Longest wait for a connection to another instance; a healthy one accepts within a few milliseconds. */
-const connectTimeoutMs = 60;
+const connectTimeoutMs = 100;
 /** The other instance and the upstream give up this much earlier, so that the result still arrives in time. */
 const relayHopMs = 4;
 const okStatus = 200;
--- a/packages/gateway/src/features/upstreams/channel-pool.ts
+++ b/packages/gateway/src/features/upstreams/channel-pool.ts
@@ -7,12 +7,14 @@
 export type ChannelPoolOptions = {
 	readonly connections: ConnectionPool;
 	readonly path: PathState;
-	/** Opens a channel through another instance. */
-	readonly openRelayed: () => UpstreamChannel;
+	/** Opens a channel through another instance, the preferred one if possible. */
+	readonly openRelayed: (preferredHost?: string) => UpstreamChannel;
 };
 
 export class ChannelPool {
 	readonly #options: ChannelPoolOptions;
+	/** The instance through which the upstream answered last. */
+	#relay: string | undefined;
 
 	constructor(options: ChannelPoolOptions) {
 		this.#options = options;
@@ -22,8 +24,13 @@
 		return this.#options.path;
 	}
 
-	/** Returns a channel on the path that is in use. */
+	/** Returns a channel on the path that is in use, through the instance that has just shown that it reaches the upstream. */
 	take(): UpstreamChannel {
+		return this.path.isRelayed ? this.#options.openRelayed(this.#relay) : this.takeOwn();
+	}
+
+	/** Returns a channel for a health check, through any other instance if the path leads through one. */
+	takeForCheck(): UpstreamChannel {
 		return this.path.isRelayed ? this.openRelayed() : this.takeOwn();
 	}
 
@@ -38,7 +45,8 @@
 	}
 
 	/** Sends further requests through another instance; idle connections of this one may have fallen silent. */
-	useRelay(): void {
+	useRelay(host: string): void {
+		this.#relay = host;
 		if (!this.path.isRelayed) {
 			this.path.recordRelayed();
 			this.#options.connections.close();
--- a/packages/gateway/src/features/upstreams/link-monitor.ts
+++ b/packages/gateway/src/features/upstreams/link-monitor.ts
@@ -17,8 +17,8 @@
 	/** Returns the number of upstreams of a service that take requests. */
 	readonly countUpstreams: (service: ServiceId) => number;
 	readonly peers: () => PeerLinks;
-	/** Whether another instance can be asked to pass on a request. */
-	readonly hasRelay: () => boolean;
+	/** Whether another instance can be asked to pass on a request to a service. */
+	readonly hasRelay: (service: ServiceId) => boolean;
 	/** Called when links to a service were lost or regained. */
 	readonly onChanged: (service: ServiceId, change: 'lost' | 'regained') => void;
 };
@@ -67,24 +67,24 @@
 		return nowMs >= this.#lostAllUntilMs;
 	}
 
-	/** Whether another instance can pass on requests. */
-	get hasRelay(): boolean {
-		return this.#options.hasRelay();
+	/** Whether another instance can pass on requests to a service. */
+	hasRelay(service: ServiceId): boolean {
+		return this.#options.hasRelay(service);
 	}
 
 	/** Whether a request may be sent to the upstream on the path that is in use. */
 	mayUse({registered: {id, service}, pool}: Upstream): boolean {
-		return pool.path.isRelayed || !this.isLost(service) || this.#healthOf(service).hasAnsweredSinceLoss(id);
+		return pool.path.isRelayed ? this.hasRelay(service) : !this.isLost(service) || this.#healthOf(service).hasAnsweredSinceLoss(id);
 	}
 
 	/** Whether the next health check of the upstream goes through another instance, to find out whether that one reaches it. */
 	shouldTryRelay(upstream: Upstream): boolean {
-		return !this.mayUse(upstream) && upstream.pool.path.isRelayTurn && this.hasRelay;
+		return !this.mayUse(upstream) && upstream.pool.path.isRelayTurn && this.hasRelay(upstream.registered.service);
 	}
 
-	/** Whether this instance can't reach the upstream itself. */
+	/** Whether this instance has lost its own link to the upstream, which may work for others. */
 	hasLostLink(upstream: Upstream): boolean {
-		return upstream.pool.path.isRelayed || upstream.condition.isUnreachable || !this.mayUse(upstream);
+		return upstream.pool.path.isRelayed || !this.mayUse(upstream);
 	}
 
 	/** Whether links to a service are lost and no upstream has answered on a connection of this instance since. */
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -133,7 +133,7 @@
 		const {logger, metrics} = this.#options.context;
 		const {condition, registered} = upstream;
 		condition.recordHealthCheckSent();
-		const channel = this.#options.links.shouldTryRelay(upstream) ? upstream.pool.openRelayed() : upstream.pool.take();
+		const channel = this.#options.links.shouldTryRelay(upstream) ? upstream.pool.openRelayed() : upstream.pool.takeForCheck();
 		const result = await this.#sendCheck(upstream, channel);
 		if (result.isErr()) {
 			metrics.probes.inc({result: result.error.type});
@@ -143,7 +143,7 @@
 		}
 
 		if (channel.relay !== undefined) {
-			upstream.pool.useRelay();
+			upstream.pool.useRelay(channel.relay);
 		}
 
 		this.#recordAnswer(upstream, result.value);
@@ -175,8 +175,8 @@
 			return;
 		}
 
-		const {condition, pool: {path}} = upstream;
-		if (failure.type === 'not-connected' || !this.#options.links.hasRelay) {
+		const {condition, pool: {path}, registered: {service}} = upstream;
+		if (failure.type === 'not-connected' || !this.#options.links.hasRelay(service)) {
 			path.recordRelayFailure();
 			condition.recordUnreachable();
 		} else {
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -27,8 +27,8 @@
 	readonly context: Context;
 	readonly dialect: RequestDialect;
 	readonly links: LinkMonitor;
-	/** Opens a channel to an upstream through another instance. */
-	readonly openRelayed: (id: UpstreamId) => UpstreamChannel;
+	/** Opens a channel to an upstream through another instance, the preferred one if possible. */
+	readonly openRelayed: (upstream: RegisteredUpstream, preferredHost?: string) => UpstreamChannel;
 	/** Called when an upstream could not be reached. */
 	readonly onUnreachable: () => void;
 };
@@ -200,7 +200,7 @@
 				links.recordFailure(registered);
 			},
 		});
-		return new ChannelPool({connections, path, openRelayed: () => openRelayed(registered.id)});
+		return new ChannelPool({connections, path, openRelayed: preferredHost => openRelayed(registered, preferredHost)});
 	}
 
 	#ofZone(zone: AvailabilityZoneId): readonly Upstream[] {
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -72,7 +72,7 @@
 			const others = fleet.others();
 			return {live: others.length, reaching: others.filter(({reachesUpstreams}) => reachesUpstreams).length};
 		},
-		hasRelay: () => relayPeers.hasCandidates,
+		hasRelay: service => relayPeers.hasCandidates(service),
 		onChanged(service, change) {
 			if (change === 'regained') {
 				upstreams.recheckAtOnce(service);
@@ -92,9 +92,9 @@
 		context,
 		dialect: ports.requests,
 		links,
-		openRelayed(id) {
+		openRelayed(upstream, preferredHost) {
 			recheck.schedule();
-			return relayClient.open(id);
+			return relayClient.open(upstream, preferredHost);
 		},
 		onUnreachable() {
 			recheck.schedule();
