A passed-on request that has ended no longer cancels the next one on its connection

Cause: an instance that passed on a request cancelled its connection whenever the asking instance's connection closed, also after the exchange had ended and the connection carried another request. The call whose attempt was cancelled that way counted it as never sent.

Change: only a running exchange is cancelled, and an attempt that something else than its call has cancelled may have run.

Evidence: relay-task.spec, 'after its own request has ended', fails without the check.

--- a/packages/gateway/src/features/calls/attempt-summary.ts
+++ b/packages/gateway/src/features/calls/attempt-summary.ts
@@ -82,6 +82,8 @@
 			}
 
 			case 'cancelled': {
+				// The call itself ends with the attempts that it cancels, so this one was cancelled otherwise.
+				this.#mayHaveRun = 'broken';
 				break;
 			}
 		}
--- /dev/null
+++ b/packages/gateway/src/features/relay/relay-task.spec.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {EventEmitter} from 'node:events';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {Readable} from 'node:stream';
+import {beforeEach, describe, it} from 'node:test';
+import {ManualClock, type UpstreamId} from '@cairnbank/core';
+import {err, ok, type Result} from 'neverthrow';
+import {createMetrics} from '../../metrics/metrics.js';
+import type {ExchangeFailure, UpstreamAnswer} from '../upstreams/exchange.js';
+import type {Upstream} from '../upstreams/upstream.js';
+import {encodeHead, relayHeadHeader} from './relay-codec.js';
+import {RelayTask, type RelayTaskOptions} from './relay-task.js';
+
+const maximumRequests = 64;
+const busyStatus = 503;
+
+class FakeResponse extends EventEmitter {
+	status: number | undefined;
+
+	writeHead(status: number): this {
+		this.status = status;
+		return this;
+	}
+
+	end(): this {
+		return this;
+	}
+}
+
+describe('RelayTask', () => {
+	let task: RelayTask;
+	let cancelled: number;
+	let settle: Array<(result: Result<UpstreamAnswer, ExchangeFailure>) => void>;
+	let hasLostLink: boolean;
+
+	async function pause(): Promise<void> {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	function createRequest(): IncomingMessage {
+		const head = encodeHead({
+			upstream: 'u1' as UpstreamId, method: 'GET', target: '/', headers: [], requestId: 'a', timeoutMs: 100,
+		});
+		return Object.assign(Readable.from([]), {headers: {[relayHeadHeader]: head, 'content-length': '0'}, socket: {remoteAddress: '10.0.0.2'}}) as unknown as IncomingMessage;
+	}
+
+	/** Starts a request of another instance. */
+	async function start(): Promise<FakeResponse> {
+		const response = new FakeResponse();
+		void task.handle(createRequest(), response as unknown as ServerResponse);
+		await pause();
+		return response;
+	}
+
+	beforeEach(() => {
+		cancelled = 0;
+		settle = [];
+		hasLostLink = false;
+		const channel = {
+			exchange: async () => new Promise<Result<UpstreamAnswer, ExchangeFailure>>(resolve => {
+				settle.push(resolve);
+			}),
+			cancel() {
+				cancelled += 1;
+			},
+		};
+		const upstream = {condition: {isUnreachable: false}, pool: {takeOwn: () => channel, release: () => undefined}} as unknown as Upstream;
+		task = new RelayTask({
+			context: {clock: new ManualClock(), metrics: createMetrics(), logger: {warn: () => undefined}},
+			isMember: () => true,
+			upstreamOf: () => upstream,
+			hasLostLink: () => hasLostLink,
+		} as unknown as RelayTaskOptions);
+	});
+
+	it('should cancel a request when the instance that sent it disconnects', async () => {
+		const response = await start();
+		response.emit('close');
+		assert.equal(cancelled, 1);
+	});
+
+	it('should not cancel what runs on a connection after its own request has ended', async () => {
+		const response = await start();
+		settle[0]!(ok({status: 200, headers: [], body: Buffer.alloc(0)}));
+		await pause();
+		response.emit('close');
+		assert.equal(cancelled, 0);
+	});
+
+	it('should refuse more requests than it passes on at a time', async () => {
+		for (let count = 0; count < maximumRequests; count++) {
+			await start();
+		}
+
+		const response = await start();
+		assert.equal(response.status, busyStatus);
+		settle[0]!(err({type: 'timed-out'}));
+		await pause();
+		const next = await start();
+		assert.equal(next.status, undefined);
+	});
+
+	it('should refuse requests while its own link is lost', async () => {
+		hasLostLink = true;
+		const response = await start();
+		assert.equal(response.status, busyStatus);
+		assert.equal(settle.length, 0);
+	});
+
+	it('should take no more requests while it stops, and end once none is left', async () => {
+		await start();
+		let isDrained = false;
+		const drained = (async () => {
+			await task.drain();
+			isDrained = true;
+		})();
+		const refused = await start();
+		assert.equal(refused.status, busyStatus);
+		assert.ok(!isDrained);
+		settle[0]!(err({type: 'timed-out'}));
+		await drained;
+	});
+});
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -140,17 +140,20 @@
 
 		const channel = upstream.pool.takeOwn();
 		this.#running.add(channel);
+		let isRunning = true;
 		response.on('close', () => {
-			if (!response.writableFinished) {
+			// Once the exchange has ended, its connection may carry another request.
+			if (isRunning) {
 				channel.cancel();
 			}
 		});
 		const {upstream: _, ...outgoing} = head;
 		const result = await channel.exchange({...outgoing, timeoutMs: Math.min(maximumTimeoutMs, head.timeoutMs), body: body.length === 0 ? undefined : body});
+		isRunning = false;
 		this.#running.delete(channel);
 		upstream.pool.release(channel);
 		metrics.relayed.inc({side: 'received', result: result.isOk() ? 'passed-on' : result.error.type});
-		writeResult(response, result);
+		writeResult(response, result.mapErr(failure => failure.type === 'cancelled' ? {type: 'broken', message: 'cancelled by the passing instance'} : failure));
 	}
 
 	#refuse(request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
