Links count as lost only after 150 ms of silence, and others are told after a second

Cause: 40 ms without an answer is common where processor time is short. Instances that had their links took them for lost and said so for 3 s, so that nobody was left to pass requests on, and their checks through others took more processor time.

Change: 40 ms hold where all connections are refused, 150 ms where answers are late; the directory and those who look for an instance to pass a request on hear of a loss that has lasted a second.

--- a/packages/core/src/reachability/link-health.ts
+++ b/packages/core/src/reachability/link-health.ts
@@ -4,8 +4,10 @@
 
 /** Upstreams that have to fail without an answer of any other in between; fewer may well have crashed at the same time. */
 const minimumFailures = 4;
-/** Shortest time without any answer. An instance that gets no processor time reads answers late, but then all of them at once. */
-const minimumSilenceMs = 40;
+/** Shortest time without any answer where all connections were refused. */
+const minimumRefusedMs = 40;
+/** Shortest time without any answer otherwise. Instances and upstreams that are short of processor time answer late. */
+const minimumSilenceMs = 150;
 /** Upstreams that have to answer before the links count as regained. */
 const minimumAnswers = 2;
 
@@ -14,6 +16,8 @@
 	readonly sinceMs: number;
 	/** Time of the last failure. */
 	readonly lastMs: number;
+	/** Whether the last failure was that nothing came back in time. */
+	readonly isSilent: boolean;
 };
 
 export class LinkHealth {
@@ -52,11 +56,15 @@
 		}
 	}
 
-	/** Records that no connection could be made or that a health check got no answer in time. */
-	recordFailure(upstream: UpstreamId): void {
+	/**
+	 * Records that no connection could be made or that a health check got no answer in time.
+	 *
+	 * @param isSilent - whether nothing came back; otherwise the connection was refused
+	 */
+	recordFailure(upstream: UpstreamId, isSilent: boolean): void {
 		this.#answering.delete(upstream);
 		const nowMs = this.#clock.monotonicMs();
-		this.#failing.set(upstream, {sinceMs: this.#failing.get(upstream)?.sinceMs ?? nowMs, lastMs: nowMs});
+		this.#failing.set(upstream, {sinceMs: this.#failing.get(upstream)?.sinceMs ?? nowMs, lastMs: nowMs, isSilent});
 	}
 
 	/** Forgets an upstream that has left. */
@@ -100,7 +108,8 @@
 		const isNew = ({sinceMs}: Failing) => sinceMs >= this.#answeredAtMs;
 		const hasFailures = this.#count(isNew) >= needed || this.failures >= Math.max(needed, upstreams / 2);
 		const firstFailureMs = Math.min(...[...this.#failing.values()].filter(failing => isNew(failing)).map(({sinceMs}) => sinceMs));
-		const isSilent = nowMs - Math.max(this.#answeredAtMs, Number.isFinite(firstFailureMs) ? firstFailureMs : this.#answeredAtMs) >= minimumSilenceMs;
+		const silenceMs = this.#count(failing => failing.isSilent && failing.lastMs >= this.#answeredAtMs) > 0 ? minimumSilenceMs : minimumRefusedMs;
+		const isSilent = nowMs - Math.max(this.#answeredAtMs, Number.isFinite(firstFailureMs) ? firstFailureMs : this.#answeredAtMs) >= silenceMs;
 		if (upstreams === 0 || !hasFailures || !isSilent) {
 			return 'unchanged';
 		}
--- a/packages/gateway/src/features/upstreams/link-monitor.ts
+++ b/packages/gateway/src/features/upstreams/link-monitor.ts
@@ -25,6 +25,8 @@
 
 /** After links are regained, this instance is offered to callers again only if they stay for this time. */
 const regainedForMs = 3000;
+/** Links that are lost for a shorter time don't change who is offered to callers or asked to pass on requests. */
+const lostForMs = 1000;
 
 export class LinkMonitor {
 	readonly #options: LinkMonitorOptions;
@@ -41,9 +43,13 @@
 		this.#evaluate(service);
 	}
 
-	/** Records that this instance could not connect, or that a health check got no answer in time. */
-	recordFailure({id, service}: RegisteredUpstream): void {
-		this.#healthOf(service).recordFailure(id);
+	/**
+	 * Records that this instance could not connect, or that a health check got no answer in time.
+	 *
+	 * @param isSilent - whether nothing came back; otherwise the connection was refused
+	 */
+	recordFailure({id, service}: RegisteredUpstream, isSilent: boolean): void {
+		this.#healthOf(service).recordFailure(id, isSilent);
 		this.#evaluate(service);
 	}
 
@@ -87,11 +93,12 @@
 		return upstream.pool.path.isRelayed || !this.mayUse(upstream);
 	}
 
-	/** Whether links to a service are lost and no upstream has answered on a connection of this instance since. */
+	/** Whether links to a service have been lost for a while and no upstream has answered on a connection of this instance since. */
 	get #hasLostAll(): boolean {
 		const services = [...this.#services.values()];
 		const lostAtMs = services.flatMap(health => health.lostAtMs ?? []);
-		return lostAtMs.length > 0 && services.every(health => health.lostAtMs !== undefined || health.answeredAtMs < Math.min(...lostAtMs));
+		const isLongAgo = lostAtMs.some(sinceMs => this.#options.context.clock.monotonicMs() - sinceMs >= lostForMs);
+		return isLongAgo && services.every(health => health.lostAtMs !== undefined || health.answeredAtMs < Math.min(...lostAtMs));
 	}
 
 	#healthOf(service: ServiceId): LinkHealth {
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -214,7 +214,7 @@
 	#recordSilence(probed: readonly Upstream[]): void {
 		for (const {registered, condition, pool} of probed) {
 			if (condition.isUnresponsive && !pool.path.isRelayed) {
-				this.#options.links.recordFailure(registered);
+				this.#options.links.recordFailure(registered, true);
 			}
 		}
 	}
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -189,7 +189,7 @@
 		switch (failure.type) {
 			case 'timed-out': {
 				pool.path.recordOwnLinkFailure();
-				this.#options.links.recordFailure(registered);
+				this.#options.links.recordFailure(registered, true);
 				condition.recordUnreachable();
 				break;
 			}
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -23,7 +23,7 @@
 	/** Called when the upstream has answered a request. */
 	readonly onAnswered: () => void;
 	/** Called when the connection could not be opened. */
-	readonly onNotConnected: () => void;
+	readonly onNotConnected: (isTimeout: boolean) => void;
 	readonly onClosed: (connection: UpstreamConnection) => void;
 };
 
@@ -198,7 +198,7 @@
 		this.#pending = undefined;
 		if (pending !== undefined) {
 			if (failure.type === 'not-connected') {
-				this.#options.onNotConnected();
+				this.#options.onNotConnected(failure.isTimeout);
 			}
 
 			clearTimeout(pending.timer);
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -195,9 +195,9 @@
 				path.recordOwnLinkAnswer();
 				links.recordAnswer(registered);
 			},
-			onNotConnected() {
+			onNotConnected(isTimeout) {
 				path.recordOwnLinkFailure();
-				links.recordFailure(registered);
+				links.recordFailure(registered, isTimeout);
 			},
 		});
 		return new ChannelPool({connections, path, openRelayed: preferredHost => openRelayed(registered, preferredHost)});
