An instance is asked to pass on requests again if nobody else is left, and health checks through it are reused for 100 ms

Cause: a single failure paused the only instance that had links, and each request had up to two health checks passed on.

Change: pauses only matter while another instance can be chosen, but for an instance that has said that it has lost its own links; a load report that came through another instance is used for 100 ms instead of 5.

--- a/packages/core/src/reachability/relay-peers.spec.ts
+++ b/packages/core/src/reachability/relay-peers.spec.ts
@@ -68,11 +68,20 @@
 		assert.ok(!peers.hasCandidates(service));
 	});
 
-	describe('after an instance has failed', () => {
+	describe('after an instance had no link', () => {
 		beforeEach(() => {
 			candidates = [peer('near1', 'nasr')];
 			peers.recordSent(candidates[0]!);
-			peers.recordEnd(candidates[0]!, service, true);
+			peers.recordEnd(candidates[0]!, service, 'no-link');
+		});
+
+		it('should choose it all the same if it has links and nobody else is left', () => {
+			clock.advance(firstPauseMs);
+			peers.recordSent(candidates[0]!);
+			peers.recordEnd(candidates[0]!, service, 'failed');
+			assert.equal(peers.choose(service)?.host, 'near1');
+			candidates = [...candidates, peer('near2', 'nasr')];
+			assert.equal(peers.choose(service)?.host, 'near2');
 		});
 
 		it('should not choose it for a while', () => {
@@ -83,7 +92,7 @@
 
 		it('should count failures of requests in flight at the same time once', () => {
 			peers.recordSent(candidates[0]!);
-			peers.recordEnd(candidates[0]!, service, true);
+			peers.recordEnd(candidates[0]!, service, 'no-link');
 			clock.advance(firstPauseMs);
 			assert.equal(peers.choose(service)?.host, 'near1');
 		});
@@ -95,7 +104,7 @@
 		it('should not choose it for twice that time after a second failure', () => {
 			clock.advance(firstPauseMs);
 			peers.recordSent(candidates[0]!);
-			peers.recordEnd(candidates[0]!, service, true);
+			peers.recordEnd(candidates[0]!, service, 'no-link');
 			clock.advance(firstPauseMs);
 			assert.equal(peers.choose(service), undefined);
 			clock.advance(firstPauseMs);
--- a/packages/core/src/reachability/relay-peers.ts
+++ b/packages/core/src/reachability/relay-peers.ts
@@ -14,7 +14,15 @@
 	readonly availabilityZone: AvailabilityZoneId;
 };
 
-type Failures = {readonly count: number; readonly pausedUntilMs: number};
+/** How an instance handled a request that it was asked to pass on. */
+export type RelayOutcome =
+	| 'passed-on'
+	/** It has lost its own links to the service. */
+	| 'no-link'
+	/** It did not take the request for another reason, or was lost under it. */
+	| 'failed';
+
+type Failures = {readonly count: number; readonly pausedUntilMs: number; readonly outcome: RelayOutcome};
 
 export type RelayPeersOptions = {
 	readonly clock: Clock;
@@ -61,11 +69,10 @@
 		this.#inFlight.set(peer.host, this.#inFlightAt(peer) + 1);
 	}
 
-	/** @param hasFailed - whether the instance did not pass on the request, or was lost under it */
-	recordEnd(peer: RelayPeer, service: ServiceId, hasFailed: boolean): void {
+	recordEnd(peer: RelayPeer, service: ServiceId, outcome: RelayOutcome): void {
 		this.#inFlight.set(peer.host, this.#inFlightAt(peer) - 1);
 		const key = keyOf(peer, service);
-		if (!hasFailed) {
+		if (outcome === 'passed-on') {
 			this.#failures.delete(key);
 			return;
 		}
@@ -73,13 +80,22 @@
 		const nowMs = this.#options.clock.monotonicMs();
 		const {count, pausedUntilMs} = this.#failures.get(key) ?? {count: 0, pausedUntilMs: 0};
 		if (nowMs >= pausedUntilMs) {
-			this.#failures.set(key, {count: count + 1, pausedUntilMs: nowMs + Math.min(maximumPauseMs, firstPauseMs * (2 ** count))});
+			const pauseMs = Math.min(maximumPauseMs, firstPauseMs * (2 ** count));
+			this.#failures.set(key, {count: count + 1, pausedUntilMs: nowMs + pauseMs, outcome});
 		}
 	}
 
+	/** Returns the instances that are not paused; if all are, those that have links, as there is no better choice. */
 	#usable(service: ServiceId): readonly RelayPeer[] {
 		const nowMs = this.#options.clock.monotonicMs();
-		return this.#options.candidates().filter(peer => (this.#failures.get(keyOf(peer, service))?.pausedUntilMs ?? 0) <= nowMs);
+		const candidates = this.#options.candidates();
+		const pauseOf = (peer: RelayPeer) => {
+			const failures = this.#failures.get(keyOf(peer, service));
+			return failures !== undefined && failures.pausedUntilMs > nowMs ? failures.outcome : undefined;
+		};
+
+		const free = candidates.filter(peer => pauseOf(peer) === undefined);
+		return free.length > 0 ? free : candidates.filter(peer => pauseOf(peer) !== 'no-link');
 	}
 
 	#lessBusy(peers: readonly RelayPeer[]): RelayPeer | undefined {
--- a/packages/gateway/src/features/relay/relay-client.ts
+++ b/packages/gateway/src/features/relay/relay-client.ts
@@ -45,10 +45,10 @@
 					peers.recordSent(peer);
 				}
 			},
-			onEnd(hasFailed) {
+			onEnd(outcome) {
 				if (peer !== undefined) {
-					peers.recordEnd(peer, service, hasFailed);
-					metrics.relayed.inc({side: 'sent', result: hasFailed ? 'failed' : 'passed-on'});
+					peers.recordEnd(peer, service, outcome);
+					metrics.relayed.inc({side: 'sent', result: outcome});
 				}
 			},
 		});
--- a/packages/gateway/src/features/relay/relay-codec.ts
+++ b/packages/gateway/src/features/relay/relay-codec.ts
@@ -10,6 +10,8 @@
 
 export const relayPath = '/relay';
 export const relayHeadHeader = 'x-relay-head';
+/** Refusal of an instance that has lost its own links. */
+export const noLink = 'no-link';
 /** Largest header of the hop: callers' headers of 64 KB, a third more in base64, and the rest of the head. */
 export const maximumRelayHeaderBytes = 131_072;
 
--- a/packages/gateway/src/features/relay/relay-task.spec.ts
+++ b/packages/gateway/src/features/relay/relay-task.spec.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
-import {EventEmitter} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import {beforeEach, describe, it} from 'node:test';
@@ -15,8 +14,20 @@
 const maximumRequests = 64;
 const busyStatus = 503;
 
-class FakeResponse extends EventEmitter {
+class FakeResponse {
 	status: number | undefined;
+	readonly #closeListeners: Array<() => void> = [];
+
+	on(_event: 'close', listener: () => void): this {
+		this.#closeListeners.push(listener);
+		return this;
+	}
+
+	close(): void {
+		for (const listener of this.#closeListeners) {
+			listener();
+		}
+	}
 
 	writeHead(status: number): this {
 		this.status = status;
@@ -78,7 +89,7 @@
 
 	it('should cancel a request when the instance that sent it disconnects', async () => {
 		const response = await start();
-		response.emit('close');
+		response.close();
 		assert.equal(cancelled, 1);
 	});
 
@@ -86,7 +97,7 @@
 		const response = await start();
 		settle[0]!(ok({status: 200, headers: [], body: Buffer.alloc(0)}));
 		await pause();
-		response.emit('close');
+		response.close();
 		assert.equal(cancelled, 0);
 	});
 
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -13,7 +13,7 @@
 import type {Upstream} from '../upstreams/upstream.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import {
-	decodeHead, encodeResult, relayHeadHeader, type RelayHead,
+	decodeHead, encodeResult, noLink, relayHeadHeader, type RelayHead,
 } from './relay-codec.js';
 
 /** Requests of other instances that are passed on at a time; more would take the place of this instance's own callers. */
@@ -26,10 +26,10 @@
 const refusalLogIntervalMs = 1000;
 
 /** Reasons for which a request of another instance is refused; each proves that it has not run. */
-type Refusal = 'unknown-instance' | 'unreadable' | 'too-large' | 'busy' | 'unknown-upstream' | 'no-link';
+type Refusal = 'unknown-instance' | 'unreadable' | 'too-large' | 'busy' | 'unknown-upstream' | typeof noLink;
 
 const statusOfRefusal: Readonly<Record<Refusal, number>> = {
-	'unknown-instance': 403, unreadable: 400, 'too-large': 413, busy: 503, 'unknown-upstream': 404, 'no-link': 503,
+	'unknown-instance': 403, unreadable: 400, 'too-large': 413, busy: 503, 'unknown-upstream': 404, [noLink]: 503,
 };
 
 export type RelayTaskOptions = {
@@ -122,7 +122,7 @@
 			return err('unknown-upstream');
 		}
 
-		return hasLostLink(upstream) ? err('no-link') : ok({head: head.value, upstream});
+		return hasLostLink(upstream) ? err(noLink) : ok({head: head.value, upstream});
 	}
 
 	async #passOn(request: IncomingMessage, response: ServerResponse, {head, upstream}: {readonly head: RelayHead; readonly upstream: Upstream}): Promise<void> {
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -4,12 +4,12 @@
 	type Agent, type ClientRequest, type IncomingMessage, request as httpRequest,
 } from 'node:http';
 import type {UpstreamId} from '@cairnbank/core';
-import type {RelayPeer} from '@cairnbank/core/reachability';
+import type {RelayOutcome, RelayPeer} from '@cairnbank/core/reachability';
 import {err, type Result} from 'neverthrow';
 import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from '../upstreams/exchange.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import {
-	decodeResult, encodeHead, maximumRelayHeaderBytes, relayHeadHeader, relayPath,
+	decodeResult, encodeHead, maximumRelayHeaderBytes, noLink, relayHeadHeader, relayPath,
 } from './relay-codec.js';
 
 /** Longest wait for a connection to another instance; a healthy one accepts within a few milliseconds. */
@@ -29,8 +29,7 @@
 	/** Address of this instance, by which the other one recognises it. */
 	readonly localAddress: string;
 	readonly onStart: () => void;
-	/** @param hasFailed - whether the other instance did not pass on the request, or was lost under it */
-	readonly onEnd: (hasFailed: boolean) => void;
+	readonly onEnd: (outcome: RelayOutcome) => void;
 };
 
 export class RelayedExchange implements UpstreamChannel {
@@ -69,7 +68,7 @@
 	}
 
 	cancel(): void {
-		this.#abort({type: 'cancelled'}, false);
+		this.#abort({type: 'cancelled'}, 'passed-on');
 	}
 
 	close(): void {
@@ -124,7 +123,8 @@
 			if (response.statusCode === okStatus) {
 				this.#decode(response, Buffer.concat(chunks));
 			} else {
-				this.#end(err({type: 'no-relay', message: `refused with ${response.statusCode}: ${Buffer.concat(chunks).toString()}`}), true);
+				const reason = Buffer.concat(chunks).toString();
+				this.#end(err({type: 'no-relay', message: reason}), reason === noLink ? 'no-link' : 'failed');
 			}
 		});
 	}
@@ -132,32 +132,32 @@
 	#decode({headers}: IncomingMessage, body: Uint8Array): void {
 		const decoded = decodeResult(String(headers[relayHeadHeader] ?? ''));
 		if (decoded.isErr()) {
-			this.#end(err({type: 'malformed', message: decoded.error}), true);
+			this.#end(err({type: 'malformed', message: decoded.error}), 'failed');
 			return;
 		}
 
-		this.#end(decoded.value.map(answer => ({...answer, body})), false);
+		this.#end(decoded.value.map(answer => ({...answer, body})), 'passed-on');
 	}
 
 	/** Handles the loss of the other instance: once connected, it may have passed the request on. */
 	#fail(message: string): void {
-		this.#abort(this.#isConnected ? {type: 'broken', message} : {type: 'no-relay', message}, true);
+		this.#abort(this.#isConnected ? {type: 'broken', message} : {type: 'no-relay', message}, 'failed');
 	}
 
 	#setTimer(durationMs: number, failure: ExchangeFailure): void {
 		clearTimeout(this.#timer);
 		this.#timer = setTimeout(() => {
-			this.#abort(failure, true);
+			this.#abort(failure, 'failed');
 		}, durationMs);
 	}
 
 	/** Closes the connection, so that the other instance cancels the request. */
-	#abort(failure: ExchangeFailure, hasFailed: boolean): void {
-		this.#end(err(failure), hasFailed);
+	#abort(failure: ExchangeFailure, outcome: RelayOutcome): void {
+		this.#end(err(failure), outcome);
 		this.#request?.destroy();
 	}
 
-	#end(result: ExchangeResult, hasFailed: boolean): void {
+	#end(result: ExchangeResult, outcome: RelayOutcome): void {
 		const settle = this.#settle;
 		if (settle === undefined) {
 			return;
@@ -165,7 +165,7 @@
 
 		this.#settle = undefined;
 		clearTimeout(this.#timer);
-		this.#options.onEnd(hasFailed);
+		this.#options.onEnd(outcome);
 		settle(result);
 	}
 }
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -16,6 +16,8 @@
 const roundTimeoutMs = 25;
 /** An upstream with a load report at most this old needs no probe. */
 const freshReportMs = 5;
+/** The same of an upstream that is reached through another instance, which would otherwise pass on several health checks for each request. */
+const freshRelayedReportMs = 100;
 /** Traffic between availability zones costs money: an upstream in another zone must be this much faster to be chosen. */
 const otherZoneCostFactor = 1.25;
 /**
@@ -221,7 +223,7 @@
 
 	/** Probes all concurrently; resolves once one in this zone is lightly loaded, all have answered, or the round times out. */
 	async #probeRound(upstreams: readonly Upstream[]): Promise<void> {
-		const stale = upstreams.filter(({condition}) => condition.reportAgeMs > freshReportMs);
+		const stale = upstreams.filter(({condition, pool}) => condition.reportAgeMs > (pool.path.isRelayed ? freshRelayedReportMs : freshReportMs));
 		if (stale.length === 0) {
 			return;
 		}
