--- a/packages/core/src/reachability/link-health.ts
+++ b/packages/core/src/reachability/link-health.ts
@@ -45,7 +45,7 @@
 
 	/** Number of upstreams that have failed since the last answer of any upstream. */
 	get failures(): number {
-		return this.#count(({lastMs}) => lastMs >= this.#answeredAtMs);
+		return this.#failuresSinceAnswer.length;
 	}
 
 	recordAnswer(upstream: UpstreamId): void {
@@ -103,22 +103,29 @@
 	 * least half of all upstreams.
 	 */
 	#detectLoss(upstreams: number): 'lost' | 'unchanged' {
-		const nowMs = this.#clock.monotonicMs();
-		const needed = Math.min(minimumFailures, upstreams);
-		const isNew = ({sinceMs}: Failing) => sinceMs >= this.#answeredAtMs;
-		const hasFailures = this.#count(isNew) >= needed || this.failures >= Math.max(needed, upstreams / 2);
-		const firstFailureMs = Math.min(...[...this.#failing.values()].filter(failing => isNew(failing)).map(({sinceMs}) => sinceMs));
-		const silenceMs = this.#count(failing => failing.isSilent && failing.lastMs >= this.#answeredAtMs) > 0 ? minimumSilenceMs : minimumRefusedMs;
-		const isSilent = nowMs - Math.max(this.#answeredAtMs, Number.isFinite(firstFailureMs) ? firstFailureMs : this.#answeredAtMs) >= silenceMs;
-		if (upstreams === 0 || !hasFailures || !isSilent) {
+		if (upstreams === 0 || !this.#hasEnoughFailures(upstreams) || !this.#isSilent) {
 			return 'unchanged';
 		}
 
-		this.#lostAtMs = nowMs;
+		this.#lostAtMs = this.#clock.monotonicMs();
 		return 'lost';
 	}
 
-	#count(isCounted: (failing: Failing) => boolean): number {
-		return [...this.#failing.values()].filter(failing => isCounted(failing)).length;
+	#hasEnoughFailures(upstreams: number): boolean {
+		const needed = Math.min(minimumFailures, upstreams);
+		const newFailures = this.#failuresSinceAnswer.filter(({sinceMs}) => sinceMs >= this.#answeredAtMs).length;
+		return newFailures >= needed || this.failures >= Math.max(needed, upstreams / 2);
+	}
+
+	/** Whether no upstream has answered for long enough, counted from the last answer or the first failure. */
+	get #isSilent(): boolean {
+		const failures = this.#failuresSinceAnswer;
+		const requiredMs = failures.some(({isSilent}) => isSilent) ? minimumSilenceMs : minimumRefusedMs;
+		const silentSinceMs = Math.min(...failures.map(({sinceMs}) => Math.max(sinceMs, this.#answeredAtMs)));
+		return this.#clock.monotonicMs() - silentSinceMs >= requiredMs;
+	}
+
+	get #failuresSinceAnswer(): readonly Failing[] {
+		return [...this.#failing.values()].filter(({lastMs}) => lastMs >= this.#answeredAtMs);
 	}
 }
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -135,7 +135,7 @@
 	/** Returns the upstream if it takes new requests. */
 	receiving(id: UpstreamId): Upstream | undefined {
 		const upstream = this.#upstreams.get(id);
-		return upstream !== undefined && !upstream.registered.draining && this.isInService(upstream) ? upstream : undefined;
+		return upstream !== undefined && this.ofService(upstream.registered.service).includes(upstream) ? upstream : undefined;
 	}
 
 	get(id: UpstreamId): Upstream | undefined {
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -297,7 +297,7 @@
 	{
 		name: 'requests-not-passed-on',
 		file: `${gateway}/features/upstreams/link-monitor.js`,
-		find: 'return this.#options.hasRelay();',
+		find: 'return this.#options.hasRelay(service);',
 		replaceBy: 'return false;',
 		events: linksCut,
 		noticedBy: linklessServe,
