--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -17,7 +17,7 @@
 
 /** An upstream that has not answered a health check after this time is considered unreachable for a while. */
 const probeTimeoutMs = 200;
-/** Other upstreams to which connections are made to tell a lost link from an upstream that has ended; several may end at once. */
+/** Other upstreams to which connections are made to distinguish a lost link from an upstream that has ended; several may end at once. */
 const comparedUpstreams = 6;
 const okStatus = 200;
 
@@ -28,7 +28,7 @@
 	readonly eligibility: Pick<Eligibility, 'mayCheck'>;
 	readonly rateLimits: Pick<RateLimits, 'checked'>;
 	readonly links: Pick<LinkMonitor, 'recordFailure' | 'shouldTryRelay' | 'hasRelay' | 'isLost'>;
-	/** Returns up to `count` other upstreams at random, by which a lost link is told from an upstream that has ended. */
+	/** Samples up to `count` other upstreams, to distinguish a lost link from an upstream that has ended. */
 	readonly sampleOthers: (upstream: Upstream, count: number) => readonly Upstream[];
 	/** Returns the path of a service's health check; undefined for an unknown service. */
 	readonly healthPath: (service: string) => string | undefined;
