--- /dev/null
+++ b/packages/core/src/accounts/index.ts
@@ -0,0 +1,2 @@
+export type * from './client-account.js';
+export * from './key-digest.js';
--- a/packages/core/src/model/ids.ts
+++ b/packages/core/src/model/ids.ts
@@ -29,6 +29,10 @@
 export const tenantIdSchema = idSchema.brand<'TenantId'>();
 export type TenantId = z.infer<typeof tenantIdSchema>;
 
+/** Name of a client account of the operators' configuration. */
+export const clientAccountIdSchema = idSchema.brand<'ClientAccountId'>();
+export type ClientAccountId = z.infer<typeof clientAccountIdSchema>;
+
 /** Name of a request class in the rules. */
 export const requestClassIdSchema = idSchema.brand<'RequestClassId'>();
 export type RequestClassId = z.infer<typeof requestClassIdSchema>;
--- a/packages/core/src/routes/route.ts
+++ b/packages/core/src/routes/route.ts
@@ -1,4 +1,5 @@
 /** The configuration that operators publish for the gateway: services, routes by host and path, and limits on callers. */
+import type {ClientAccount} from '../accounts/client-account.js';
 import type {ServiceId} from '../model/ids.js';
 
 /** A target service of a route, with its share of the route's requests. */
@@ -24,6 +25,8 @@
 	/** Greatest number of upstreams to which one request may be sent. */
 	readonly maximumAttempts: number;
 	readonly services: readonly WeightedService[];
+	/** Whether callers need no account, even where accounts are configured. */
+	readonly isPublic?: boolean;
 };
 
 /** Routes of one host name. */
@@ -55,4 +58,6 @@
 	readonly services: readonly ServiceSettings[];
 	readonly hosts: readonly HostRoutes[];
 	readonly limits: CallerLimits;
+	/** Absent where callers need no account. */
+	readonly accounts?: readonly ClientAccount[];
 };
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -72,6 +72,8 @@
 			target: '/',
 			headers: ['Host', 'h'],
 			body: undefined,
+			account: undefined,
+			priority: 0,
 			route: {
 				id: 'route', pathPrefix: '/', idempotent, timeoutMs: 1000, targetLatencyMs: 100, priority: 0, maximumAttempts, services: [],
 			},
--- a/packages/gateway/src/features/calls/call.ts
+++ b/packages/gateway/src/features/calls/call.ts
@@ -1,5 +1,6 @@
 /** One request of a caller, with its whole body. */
 import type {ServiceId} from '@cairnbank/core';
+import type {ClientAccount} from '@cairnbank/core/accounts';
 import type {Route} from '@cairnbank/core/routes';
 import type {RawHeaders} from '../upstreams/exchange.js';
 
@@ -15,6 +16,10 @@
 	/** As the caller sent them, without hop-by-hop headers and those that the gateway sets itself. */
 	readonly headers: RawHeaders;
 	readonly body: Uint8Array | undefined;
+	/** Account that the caller has authenticated as; undefined on a public route and where no accounts are configured. */
+	readonly account: ClientAccount | undefined;
+	/** Priority of the account if it has one, else of the route; 0 is the most urgent. */
+	readonly priority: number;
 	readonly route: Route;
 	/** Service of the route that was picked for this request. */
 	readonly service: ServiceId;
--- a/packages/gateway/src/features/calls/read-call.ts
+++ b/packages/gateway/src/features/calls/read-call.ts
@@ -66,6 +66,8 @@
 		target,
 		headers: requestHeaders.apply(request.rawHeaders),
 		route,
+		account: undefined,
+		priority: route.priority,
 		service,
 		configurationVersion: version,
 		receivedAtMs,
