Core path of client accounts: callers are authenticated, and keys that are taken away stop requests that wait

Cause: every request ran whoever asked, its key and the account that it named went on to upstreams, and nothing stopped a key that was taken away.

- core/accounts: an index from digest to account, built once per configuration; one Bearer header in RFC 6750 syntax selects the account. 401 with WWW-Authenticate otherwise; 503 as not run for an unknown key while the store has not confirmed the configuration for 3 s.
- Where accounts are configured, credentials and any named account are removed and the account of the key is set; without accounts, headers pass as before.
- Call.priority decides on admission; the poison fingerprint contains the account.
- Before each attempt (first, repeat, hedge) the key is checked against the configuration in force.
SendCheck is split off from CallRun.
- A key or name in two accounts refuses the configuration as a whole.
A handed-over configuration that does not say whether it has accounts is refused, and the store read instead.

--- a/packages/core/src/placement/admission-load.spec.ts
+++ b/packages/core/src/placement/admission-load.spec.ts
@@ -68,9 +68,9 @@
 		clock.advance(-Math.log(1 - random.next()) * meanIntervalMs);
 		const nowMs = clock.monotonicMs();
 		const kind: Kind = random.next() < 0.5 ? 'urgent' : 'lessUrgent';
-		const {workMs, ...route} = kinds[kind];
+		const {workMs, priority, ...route} = kinds[kind];
 		const request = {
-			service, route, receivedAtMs: nowMs, deadlineAtMs: nowMs + 2000,
+			service, priority, route, receivedAtMs: nowMs, deadlineAtMs: nowMs + 2000,
 		};
 		const expected = upstreams.map(upstream => expectedDurationMs({
 			workMs, report: upstream.report(nowMs), reportAgeMs: 0, typicalRatio: 1, unreportedInFlight: 0, slots, warmingUp: false,
--- a/packages/core/src/placement/admission.spec.ts
+++ b/packages/core/src/placement/admission.spec.ts
@@ -10,7 +10,7 @@
 
 function request(service: ServiceId, priority: number, deadlineAtMs = 1000): AdmissionRequest {
 	return {
-		service, route: {priority, targetLatencyMs: 200}, receivedAtMs: 0, deadlineAtMs,
+		service, priority, route: {targetLatencyMs: 200}, receivedAtMs: 0, deadlineAtMs,
 	};
 }
 
--- a/packages/core/src/placement/admission.ts
+++ b/packages/core/src/placement/admission.ts
@@ -29,9 +29,9 @@
 
 export type AdmissionRequest = {
 	readonly service: ServiceId;
+	/** 0 is the most urgent. */
+	readonly priority: number;
 	readonly route: {
-		/** 0 is the most urgent. */
-		readonly priority: number;
 		/** Time within which an answer has its full value for the caller. */
 		readonly targetLatencyMs: number;
 	};
@@ -51,12 +51,12 @@
 		this.#clock = clock;
 	}
 
-	recordArrival({service, route: {priority}}: Pick<AdmissionRequest, 'service' | 'route'>): void {
+	recordArrival({service, priority}: Pick<AdmissionRequest, 'service' | 'priority'>): void {
 		this.#recordTime(this.#seenAtMs, service, priority);
 	}
 
 	/** Records that a request was refused for lack of capacity. */
-	recordRefusal({service, route: {priority}}: Pick<AdmissionRequest, 'service' | 'route'>): void {
+	recordRefusal({service, priority}: Pick<AdmissionRequest, 'service' | 'priority'>): void {
 		this.#recordTime(this.#refusedAtMs, service, priority);
 	}
 
@@ -76,7 +76,7 @@
 	 * answer has little value and occupies a slot that another request could use in time; it is earlier while more urgent requests
 	 * use the same service.
 	 */
-	latestEndMs({service, route: {priority, targetLatencyMs}, receivedAtMs, deadlineAtMs}: AdmissionRequest): number {
+	latestEndMs({service, priority, route: {targetLatencyMs}, receivedAtMs, deadlineAtMs}: AdmissionRequest): number {
 		const timeRatio = priorityTimeRatio ** this.#countMoreUrgent(service, priority);
 		return Math.min(deadlineAtMs, receivedAtMs + (targetLatencyMs * timeRatio));
 	}
@@ -92,7 +92,7 @@
 		return [...this.#seenAtMs.get(service) ?? []].filter(([other, atMs]) => other < priority && atMs >= oldestMs).length;
 	}
 
-	#isOutranked({service, route: {priority}}: AdmissionRequest): boolean {
+	#isOutranked({service, priority}: AdmissionRequest): boolean {
 		return this.#recentlyRefused(service).some(other => other < priority);
 	}
 
--- a/packages/core/src/routes/route-table.ts
+++ b/packages/core/src/routes/route-table.ts
@@ -1,8 +1,11 @@
 /** Finds the route of a request by host and path. */
+import {AccountIndex} from '../accounts/account-index.js';
 import type {GatewayConfiguration, Route, ServiceSettings} from './route.js';
 
 /** Lookup index over one configuration, built once when that takes effect. */
 export class RouteTable {
+	/** Undefined where callers need no account. */
+	readonly accounts: AccountIndex | undefined;
 	/** The routes of each host, longest prefix first. */
 	readonly #routesByHost: ReadonlyMap<string, readonly Route[]>;
 	readonly #services: ReadonlyMap<string, ServiceSettings>;
@@ -13,6 +16,7 @@
 			routes.toSorted((left, right) => right.pathPrefix.length - left.pathPrefix.length),
 		]));
 		this.#services = new Map(configuration.services.map(service => [service.id, service]));
+		this.accounts = configuration.accounts === undefined ? undefined : new AccountIndex(configuration.accounts);
 	}
 
 	/**
--- a/packages/gateway/src/features/calls/attempt-summary.ts
+++ b/packages/gateway/src/features/calls/attempt-summary.ts
@@ -19,6 +19,7 @@
 	#notRunReason: NotRunReason = 'never-sent';
 	#retryAfterMs = defaultRetryAfterMs;
 	#upstreamFailure: Outcome | undefined;
+	#authenticationRefusal: Outcome | undefined;
 
 	/** Upstreams that got an attempt already, and get no further one. */
 	get tried(): ReadonlySet<UpstreamId> {
@@ -57,6 +58,11 @@
 		this.#retryAfterMs = retryAfterMs;
 	}
 
+	/** Records that the caller's credentials have become invalid; ignored once an attempt counts as sent. */
+	recordAuthenticationRefusal(refusal: Outcome): void {
+		this.#authenticationRefusal = this.#sent > 0 ? undefined : refusal;
+	}
+
 	/** Records an attempt that ended without a success. */
 	recordFailure(upstream: UpstreamId, verdict: Exclude<ExchangeVerdict, {readonly type: 'success'}>): void {
 		switch (verdict.type) {
@@ -113,6 +119,6 @@
 	}
 
 	#notRunOutcome(): Outcome {
-		return {type: 'not-run', reason: this.#notRunReason, retryAfterMs: this.#retryAfterMs};
+		return this.#authenticationRefusal ?? {type: 'not-run', reason: this.#notRunReason, retryAfterMs: this.#retryAfterMs};
 	}
 }
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -9,6 +9,7 @@
 import type {Placement, PlacementRequest} from '../upstreams/placer.js';
 import type {RateLimits} from '../upstreams/rate-limits.js';
 import type {Upstream} from '../upstreams/upstream.js';
+import type {Authenticator} from './authenticator.js';
 import type {Call} from './call.js';
 import type {NoUpstream} from './outcome.js';
 import type {PoisonGuard} from './poison-guard.js';
@@ -28,6 +29,8 @@
 	/** Returns the reason that no upstream of a service takes a request; called when none was found. */
 	readonly explainNoUpstream: (service: ServiceId) => NoUpstream;
 	readonly place: (request: PlacementRequest) => Promise<Placement | undefined>;
+	/** Checks whether requests that have waited may still be sent. */
+	readonly authenticator: Pick<Authenticator, 'recheck'>;
 	/** Decides whether requests that may crash upstreams are sent. */
 	readonly poisonGuard: Pick<PoisonGuard, 'admit'>;
 	/** Called when a connection broke while the upstream was processing the call. */
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -9,6 +9,7 @@
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
 import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from '../upstreams/exchange.js';
 import type {Placement} from '../upstreams/placer.js';
+import type {Authenticator} from './authenticator.js';
 import type {Call} from './call.js';
 import {CallRun} from './call-run.js';
 import type {NoUpstream, Outcome} from './outcome.js';
@@ -54,6 +55,8 @@
 	expectedMs = 40;
 	/** Retry delay with which the call is refused because upstreams crashed under it; not refused if undefined. */
 	refusedForMs: number | undefined;
+	/** Outcome with which the call must not be sent any more, as its credentials have become invalid. */
+	authenticationRefusal: ReturnType<Authenticator['recheck']>;
 	readonly run: CallRun;
 	readonly budget: WindowBudget;
 	readonly #isConnected: boolean;
@@ -73,6 +76,7 @@
 			headers: ['Host', 'h'],
 			body: undefined,
 			account: undefined,
+			accountKey: undefined,
 			priority: 0,
 			route: {
 				id: 'route', pathPrefix: '/', idempotent, timeoutMs: 1000, targetLatencyMs: 100, priority: 0, maximumAttempts, services: [],
@@ -93,6 +97,7 @@
 			rateLimits: {answered: () => undefined},
 			budget: () => this.budget,
 			share: () => share,
+			authenticator: {recheck: () => this.authenticationRefusal},
 			poisonGuard: {admit: () => this.refusedForMs},
 			onConnectionBroken: () => undefined,
 			pause: async durationMs => {
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -81,6 +81,42 @@
 		});
 	});
 
+	describe('requests whose credentials become invalid', () => {
+		const keyRemoved = {type: 'unauthenticated', reason: 'key-removed'} as const;
+
+		it('should be refused if that becomes known while they wait for an upstream', async () => {
+			const harness = new CallHarness({idempotent: false});
+			harness.authenticationRefusal = keyRemoved;
+			await harness.start();
+			assert.deepEqual(harness.outcome, keyRemoved);
+			assert.equal(harness.exchanges.length, 0);
+		});
+
+		itRuns('should be refused if no attempt has reached an upstream', {idempotent: false, isConnected: false}, async harness => {
+			harness.authenticationRefusal = keyRemoved;
+			await harness.answer(0, notConnected);
+			assert.deepEqual(harness.outcome, keyRemoved);
+			assert.equal(harness.exchanges.length, 1);
+		});
+
+		itRuns('should not be retried, and end as the attempt that was sent', {idempotent: true}, async harness => {
+			const left = harness.retriesLeft;
+			harness.authenticationRefusal = keyRemoved;
+			await harness.answer(0, broken);
+			assert.equal(harness.exchanges.length, 1);
+			assert.deepEqual(harness.outcome, {type: 'unknown', reason: 'broken'});
+			assert.equal(harness.retriesLeft, left);
+		});
+
+		itRuns('should not be hedged, and pass on the answer to the attempt that was sent', {idempotent: true}, async harness => {
+			harness.authenticationRefusal = keyRemoved;
+			await harness.advance(60);
+			assert.equal(harness.exchanges.length, 1);
+			await harness.answer(0, success);
+			assert.equal(harness.outcome?.type, 'answered');
+		});
+	});
+
 	describe('idempotent requests', () => {
 		itRuns('should be retried at another upstream after a failure', {idempotent: true}, async harness => {
 			await harness.answer(0, broken);
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -8,6 +8,7 @@
 import {HedgeTimer, type HedgeResult} from './hedge-timer.js';
 import {describeVerdict, wasNeverSent, type ExchangeVerdict} from './judge-exchange.js';
 import type {Outcome} from './outcome.js';
+import {SendCheck} from './send-check.js';
 
 /** A hedge starts once the first attempt has taken this many times its expected duration; a later start would leave part of the retry budget unused. */
 const hedgeFactor = 1.25;
@@ -27,6 +28,7 @@
 	readonly #attempts = new AttemptSummary();
 	readonly #decisions: string[] = [];
 	readonly #retries: CallRetries;
+	readonly #sendCheck: SendCheck;
 	readonly #outcome: Promise<Outcome>;
 	#resolve!: (outcome: Outcome) => void;
 	#isOver = false;
@@ -37,12 +39,13 @@
 	constructor(dependencies: CallDependencies, call: Call) {
 		this.#dependencies = dependencies;
 		this.#call = call;
-		this.#retries = new CallRetries({
-			dependencies,
-			service: call.service,
-			onDecision: decision => {
-				this.#decisions.push(decision);
-			},
+		const onDecision = (decision: string) => {
+			this.#decisions.push(decision);
+		};
+
+		this.#retries = new CallRetries({dependencies, service: call.service, onDecision});
+		this.#sendCheck = new SendCheck({
+			dependencies, call, attempts: this.#attempts, retries: this.#retries, onDecision,
 		});
 		this.#outcome = new Promise(resolve => {
 			this.#resolve = resolve;
@@ -104,7 +107,7 @@
 
 		if (placement === undefined) {
 			this.#attempts.recordNoUpstream(this.#dependencies.explainNoUpstream(this.#call.service));
-		} else if (this.#shouldSend(kind, placement)) {
+		} else if (this.#sendCheck.shouldSend(kind, placement)) {
 			return placement;
 		}
 
@@ -112,48 +115,6 @@
 		return undefined;
 	}
 
-	/**
-	 * Refuses a first attempt that cannot end in time, before it takes a slot from one that can. Skips a hedge while all
-	 * upstreams are busy, as it would only take slots from first attempts.
-	 */
-	#shouldSend(kind: AttemptKind, placement: Placement): boolean {
-		switch (kind) {
-			case 'first': {
-				const isAdmitted = this.#dependencies.admission.admits(this.#call, placement);
-				if (!isAdmitted) {
-					this.#dependencies.admission.recordRefusal(this.#call);
-					this.#attempts.recordRefusal('too-busy');
-					this.#decisions.push(`too-busy:expected=${Math.round(placement.expectedMs)}`);
-				}
-
-				return isAdmitted && this.#isAllowedAfterCrashes();
-			}
-
-			case 'hedge': {
-				if (!placement.isLightlyLoaded) {
-					this.#decisions.push('hedge-skipped:all-busy');
-				}
-
-				return placement.isLightlyLoaded && this.#isAllowedAfterCrashes() && this.#retries.tryTake();
-			}
-
-			case 'repeat': {
-				return this.#isAllowedAfterCrashes();
-			}
-		}
-	}
-
-	/** Whether the request may run in spite of upstreams that crashed under it; more may have crashed since it was received. */
-	#isAllowedAfterCrashes(): boolean {
-		const retryAfterMs = this.#dependencies.poisonGuard.admit(this.#call);
-		if (retryAfterMs !== undefined) {
-			this.#attempts.recordSuspected(retryAfterMs);
-			this.#decisions.push('refused:suspected-poison');
-		}
-
-		return retryAfterMs === undefined;
-	}
-
 	async #placeWhenAvailable(kind: AttemptKind): Promise<Placement | undefined> {
 		const {route} = this.#call;
 		const {tried: excluded, notReached} = this.#attempts;
--- a/packages/gateway/src/features/calls/call.ts
+++ b/packages/gateway/src/features/calls/call.ts
@@ -1,6 +1,6 @@
 /** One request of a caller, with its whole body. */
 import type {ServiceId} from '@cairnbank/core';
-import type {ClientAccount} from '@cairnbank/core/accounts';
+import type {ClientAccount, KeyDigest} from '@cairnbank/core/accounts';
 import type {Route} from '@cairnbank/core/routes';
 import type {RawHeaders} from '../upstreams/exchange.js';
 
@@ -18,6 +18,8 @@
 	readonly body: Uint8Array | undefined;
 	/** Account that the caller has authenticated as; undefined on a public route and where no accounts are configured. */
 	readonly account: ClientAccount | undefined;
+	/** Digest of the key by which the caller has authenticated; undefined if `account` is. */
+	readonly accountKey: KeyDigest | undefined;
 	/** Priority of the account if it has one, else of the route; 0 is the most urgent. */
 	readonly priority: number;
 	readonly route: Route;
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -9,6 +9,7 @@
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import type {Authenticator} from './authenticator.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
 import {CallRun} from './call-run.js';
@@ -28,6 +29,7 @@
 	readonly context: Context;
 	readonly callDependencies: CallDependencies;
 	readonly poisonGuard: PoisonGuard;
+	readonly authenticator: Authenticator;
 	readonly startupGate: StartupGate;
 	readonly routes: () => RouteTable | undefined;
 };
@@ -37,6 +39,8 @@
 	readonly #options: CallersTaskOptions;
 	readonly #server: Server;
 	readonly #requestHeaders: HeaderFilter;
+	/** The same where accounts are configured. */
+	readonly #accountRequestHeaders: HeaderFilter;
 	#isLeaving = false;
 	readonly #runningCalls = new Set<CallRun>();
 	#inFlight = 0;
@@ -45,8 +49,9 @@
 
 	constructor(options: CallersTaskOptions) {
 		this.#options = options;
-		const {deadlineHeader, expectedUpstreamHeader} = options.callDependencies.dialect;
+		const {deadlineHeader, expectedUpstreamHeader, credentialsHeader, accountHeader} = options.callDependencies.dialect;
 		this.#requestHeaders = new HeaderFilter([deadlineHeader, expectedUpstreamHeader]);
+		this.#accountRequestHeaders = new HeaderFilter([deadlineHeader, expectedUpstreamHeader, credentialsHeader, accountHeader, withUnderscores(accountHeader)]);
 		this.#server = createServer({maxHeaderSize: maximumParsedHeaderBytes, noDelay: true}, (request, response) => {
 			void this.#handle(request, response);
 		});
@@ -88,12 +93,18 @@
 	}
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const {context, callDependencies, routes} = this.#options;
+		const {context, callDependencies, authenticator} = this.#options;
 		this.#inFlight += 1;
 		context.metrics.inFlight.set(this.#inFlight);
 		await this.#options.startupGate.waitUntilReady();
+		const routes = this.#options.routes();
 		const head = readCallHead(request, {
-			routes: routes(), dialect: callDependencies.dialect, requestHeaders: this.#requestHeaders, clock: context.clock, random: context.random,
+			routes,
+			dialect: callDependencies.dialect,
+			requestHeaders: routes?.accounts === undefined ? this.#requestHeaders : this.#accountRequestHeaders,
+			authenticator,
+			clock: context.clock,
+			random: context.random,
 		});
 		if (head.isErr()) {
 			request.resume();
@@ -114,7 +125,7 @@
 		const maximumBodyBytes = Math.min(maximumBufferedBodyBytes, this.#options.routes()?.configuration.limits.maximumBodyBytes ?? maximumBufferedBodyBytes);
 		const body = await readBody(request, maximumBodyBytes);
 		const fields = {
-			id: head.requestId, route: head.route.id, configuration: head.configurationVersion, service: head.service,
+			id: head.requestId, route: head.route.id, account: head.account?.id, configuration: head.configurationVersion, service: head.service,
 		};
 		if (body.isErr()) {
 			this.#respond(response, body.error === 'too-large' ? {type: 'bad-request', reason: 'body-too-large'} : {type: 'abandoned'}, fields);
@@ -166,6 +177,11 @@
 	}
 }
 
+/** Returns a header name as servers may read it that take hyphens and underscores for the same character. */
+function withUnderscores(name: string): string {
+	return name.replaceAll('-', '_');
+}
+
 /** Resolves once the response has been written to the socket, or the caller has disconnected. */
 async function untilClosed(response: ServerResponse): Promise<void> {
 	if (response.writableFinished || response.destroyed) {
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -1,4 +1,5 @@
 /** Outcomes of a call; each request ends with exactly one of them. */
+import type {AuthenticationFault} from '@cairnbank/core/accounts';
 import type {ServiceUnavailableReason} from '@cairnbank/core/advisories';
 import type {UpstreamAnswer} from '../upstreams/exchange.js';
 
@@ -17,12 +18,19 @@
 };
 
 export type NotRunReason =
-	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | 'too-busy' | 'suspected-poison';
+	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | 'too-busy' | 'suspected-poison'
+	/** The key is unknown, but may be newer than the known configuration. */
+	| 'unconfirmed-key'
+	/** Accounts were configured after the request had been read without one. */
+	| 'accounts-introduced';
 
 export type UnknownReason = 'broken' | 'malformed' | 'timed-out' | 'unsigned' | 'unproven-refusal';
 
 export type BadRequestReason = 'no-route' | 'no-request-id' | 'body-too-large' | 'header-too-large' | 'bad-deadline';
 
+/** `key-removed`: the key was taken away while the request waited. */
+export type UnauthenticatedReason = AuthenticationFault | 'key-removed';
+
 export type Outcome =
 	/** The complete answer of an upstream. */
 	| {readonly type: 'answered'; readonly answer: UpstreamAnswer}
@@ -33,5 +41,7 @@
 	/** The route's timeout or the caller's deadline has passed; the request may have run. */
 	| {readonly type: 'timed-out'}
 	| {readonly type: 'bad-request'; readonly reason: BadRequestReason}
+	/** The request proves no client account; it has not run and will not run. */
+	| {readonly type: 'unauthenticated'; readonly reason: UnauthenticatedReason}
 	/** The caller has disconnected. */
 	| {readonly type: 'abandoned'};
--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -122,9 +122,12 @@
 	};
 }
 
-/** Contains only what the caller repeats: its address may be another each time, and so may the service that is picked for the request. */
-function fingerprint({host, method, target, body}: Call): Fingerprint {
+/**
+ * Contains only what the caller repeats: its address may be another each time, and so may the service that is picked for the request.
+ * Contains the account, so that none can have equal requests of another blocked; a further key of the account is no way around.
+ */
+function fingerprint({host, method, target, account, body}: Call): Fingerprint {
 	return fingerprintOf({
-		service: host, method, path: target, ...(body === undefined ? {} : {body}),
+		service: host, method, path: target, ...(account === undefined ? {} : {tenant: account.id}), ...(body === undefined ? {} : {body}),
 	});
 }
--- a/packages/gateway/src/features/calls/read-call.ts
+++ b/packages/gateway/src/features/calls/read-call.ts
@@ -3,11 +3,14 @@
 import type {IncomingMessage} from 'node:http';
 import type {Clock, RandomSource} from '@cairnbank/core';
 import type {HeaderFilter} from '@cairnbank/core/headers';
-import {hostNameOf, pickService, type RouteTable} from '@cairnbank/core/routes';
+import {
+	hostNameOf, pickService, type CallerLimits, type Route, type RouteTable,
+} from '@cairnbank/core/routes';
 import {err, ok, type Result} from 'neverthrow';
 import type {RequestDialect} from '../../ports/index.js';
+import type {Authenticator} from './authenticator.js';
 import type {Call} from './call.js';
-import type {Outcome} from './outcome.js';
+import type {BadRequestReason, Outcome} from './outcome.js';
 
 /** Retry delay for callers of an instance that has no configuration yet. */
 const startingRetryAfterMs = 200;
@@ -17,6 +20,7 @@
 	readonly dialect: RequestDialect;
 	/** Removes the headers that the gateway sets itself on requests to upstreams. */
 	readonly requestHeaders: HeaderFilter;
+	readonly authenticator: Pick<Authenticator, 'authenticate'>;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
@@ -24,19 +28,16 @@
 type CallHead = Omit<Call, 'body'>;
 
 /** Reads everything but the body. */
-export function readCallHead(request: IncomingMessage, {routes, dialect, requestHeaders, clock, random}: ReadCallOptions): Result<CallHead, Outcome> {
+export function readCallHead(request: IncomingMessage, options: ReadCallOptions): Result<CallHead, Outcome> {
+	const {routes, dialect, requestHeaders, authenticator, clock, random} = options;
 	if (routes === undefined) {
 		return err({type: 'not-run', reason: 'no-configuration', retryAfterMs: startingRetryAfterMs});
 	}
 
 	const {limits, version} = routes.configuration;
-	const headerBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
-	if (headerBytes > limits.maximumHeaderBytes) {
-		return err({type: 'bad-request', reason: 'header-too-large'});
-	}
-
-	if (Number(request.headers['content-length'] ?? 0) > limits.maximumBodyBytes) {
-		return err({type: 'bad-request', reason: 'body-too-large'});
+	const oversize = findOversize(request, limits);
+	if (oversize !== undefined) {
+		return err({type: 'bad-request', reason: oversize});
 	}
 
 	const target = request.url ?? '/';
@@ -46,14 +47,19 @@
 		return err({type: 'bad-request', reason: 'no-route'});
 	}
 
+	const authenticated = authenticator.authenticate(request.headersDistinct[dialect.credentialsHeader] ?? [], route, routes);
+	if (authenticated.isErr()) {
+		return err(authenticated.error);
+	}
+
+	const {account, accountKey} = authenticated.value;
 	const requestId = request.headers[dialect.requestIdHeader];
 	if (typeof requestId !== 'string' || requestId === '') {
 		return err({type: 'bad-request', reason: 'no-request-id'});
 	}
 
-	const deadlineHeader = request.headers[dialect.deadlineHeader];
-	const waitMs = deadlineHeader === undefined ? route.timeoutMs : Number(deadlineHeader);
-	if (!Number.isFinite(waitMs) || waitMs <= 0) {
+	const waitMs = readWaitMs(request.headers[dialect.deadlineHeader], route);
+	if (waitMs === undefined) {
 		return err({type: 'bad-request', reason: 'bad-deadline'});
 	}
 
@@ -64,10 +70,11 @@
 		host: hostNameOf(request.headers.host ?? ''),
 		method: request.method ?? 'GET',
 		target,
-		headers: requestHeaders.apply(request.rawHeaders),
+		headers: [...requestHeaders.apply(request.rawHeaders), ...(account === undefined ? [] : [dialect.accountHeader, account.id])],
 		route,
-		account: undefined,
-		priority: route.priority,
+		account,
+		accountKey,
+		priority: account?.priority ?? route.priority,
 		service,
 		configurationVersion: version,
 		receivedAtMs,
@@ -75,6 +82,21 @@
 	});
 }
 
+function findOversize({rawHeaders, headers}: IncomingMessage, {maximumHeaderBytes, maximumBodyBytes}: CallerLimits): BadRequestReason | undefined {
+	const headerBytes = rawHeaders.reduce((sum, text) => sum + text.length, 0);
+	if (headerBytes > maximumHeaderBytes) {
+		return 'header-too-large';
+	}
+
+	return Number(headers['content-length'] ?? 0) > maximumBodyBytes ? 'body-too-large' : undefined;
+}
+
+/** @returns the time for which the caller waits; undefined if the header is invalid */
+function readWaitMs(deadlineHeader: string | string[] | undefined, {timeoutMs}: Route): number | undefined {
+	const waitMs = deadlineHeader === undefined ? timeoutMs : Number(deadlineHeader);
+	return Number.isFinite(waitMs) && waitMs > 0 ? waitMs : undefined;
+}
+
 /** Reads the whole body; undefined if the request has none, an error if the caller disconnected or the body is too large. */
 export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Result<Uint8Array | undefined, 'too-large' | 'broken-off'>> {
 	return new Promise(resolve => {
--- a/packages/gateway/src/features/calls/write-outcome.ts
+++ b/packages/gateway/src/features/calls/write-outcome.ts
@@ -54,6 +54,11 @@
 			return;
 		}
 
+		case 'unauthenticated': {
+			writeError(response, 401, outcome.reason, ['WWW-Authenticate', 'Bearer']);
+			return;
+		}
+
 		case 'abandoned': {
 			response.destroy();
 		}
--- a/packages/gateway/src/features/fleet/state-body.ts
+++ b/packages/gateway/src/features/fleet/state-body.ts
@@ -22,7 +22,9 @@
 	epoch: v.number(),
 	configuration: v.optional(v.object({
 		version: v.number(), hosts: v.array(v.unknown()), services: v.array(v.unknown()), limits: v.object({}),
+		accounts: v.optional(v.array(v.object({id: v.string(), keys: v.array(v.string())}))),
 	})),
+	hasNoAccounts: v.optional(v.literal(true)),
 	registry: v.optional(v.object({endOffset: v.number(), records: recordsSchema})),
 	changes: v.optional(v.object({fromOffset: v.number(), endOffset: v.number(), records: recordsSchema})),
 });
--- a/packages/gateway/src/features/state/operator-state.ts
+++ b/packages/gateway/src/features/state/operator-state.ts
@@ -1,4 +1,5 @@
 /** Holds the state that operators have published: the configuration in force and the evacuated availability zones. */
+import {findAccountFault} from '@cairnbank/core/accounts';
 import {Evacuations, type EvacuationEvent, type EvacuationOrders} from '@cairnbank/core/evacuation';
 import type {KeyedChanges, KeyedSnapshot} from '@cairnbank/core/registry';
 import {RouteTable, type GatewayConfiguration} from '@cairnbank/core/routes';
@@ -21,6 +22,8 @@
 	readonly #evacuations = new Evacuations();
 	#routes: RouteTable | undefined;
 	#readOffset: number | undefined;
+	/** Newest version that was refused; each is logged once. */
+	#refusedVersion = 0;
 
 	constructor(options: OperatorStateOptions) {
 		this.#options = options;
@@ -76,12 +79,34 @@
 		this.#emitEvacuations(this.#evacuations.adopt(orders), 'instance');
 	}
 
-	/** Puts a configuration in force if its version is greater than the current one. Versions never go back. */
+	/**
+	 * Applies a configuration that another instance has handed over.
+	 *
+	 * @param hasKnownAccounts - whether it is certain if callers need an account
+	 * @returns whether the instance may rely on what it was handed over
+	 */
+	adoptConfiguration(configuration: GatewayConfiguration, hasKnownAccounts: boolean): boolean {
+		if (hasKnownAccounts || configuration.version <= this.version) {
+			this.applyConfiguration(configuration, 'instance');
+			return true;
+		}
+
+		this.#refuse(configuration, 'instance', 'it was handed over without saying whether callers need an account');
+		return false;
+	}
+
+	/** Puts a configuration in force if its version is greater than the current one and its accounts are valid. Versions never go back. */
 	applyConfiguration(configuration: GatewayConfiguration, source: Source): void {
 		if (configuration.version <= this.version) {
 			return;
 		}
 
+		const fault = findAccountFault(configuration.accounts ?? []);
+		if (fault !== undefined) {
+			this.#refuse(configuration, source, fault);
+			return;
+		}
+
 		this.#routes = new RouteTable(configuration);
 		const {logger, metrics} = this.#options.context;
 		metrics.configurationVersion.set(configuration.version);
@@ -90,6 +115,18 @@
 		this.#options.onUpdate();
 	}
 
+	/** Keeps the configuration in force instead of a newer one. */
+	#refuse({version}: GatewayConfiguration, source: Source, message: string): void {
+		if (version > this.#refusedVersion) {
+			this.#refusedVersion = version;
+			const {logger, metrics} = this.#options.context;
+			metrics.refusedConfigurationVersion.set(version);
+			logger.error('configuration refused', {
+				version, versionInForce: this.version, source, message,
+			});
+		}
+	}
+
 	#applyConfigurations(values: ReadonlyArray<OperatorRecord | undefined>): void {
 		for (const value of values) {
 			if (value?.type === 'configuration') {
--- a/packages/gateway/src/features/state/registry-state.ts
+++ b/packages/gateway/src/features/state/registry-state.ts
@@ -3,6 +3,7 @@
 	UpstreamRegistry, type KeyedChanges, type KeyedSnapshot, type RegisteredUpstream, type RegistryEvent, type RemovalConfidence,
 } from '@cairnbank/core/registry';
 import type {Context} from '../../kernel/context.js';
+import type {SharedState} from './shared-state.js';
 
 const sweepIntervalMs = 200;
 
@@ -61,6 +62,12 @@
 		return this.#registry.changesSince(fromOffset);
 	}
 
+	/** The changes since an offset if they are known, else the whole registry. While thousands of upstreams register, each step would otherwise transfer the whole registry. */
+	share(fromOffset: number | undefined): Pick<SharedState, 'registry' | 'changes'> {
+		const changes = fromOffset === undefined ? undefined : this.changesSince(fromOffset);
+		return changes === undefined ? {registry: this.toSnapshot()} : {changes};
+	}
+
 	/** Advances the end offset, as another instance knows the same upstreams and has applied more records. */
 	advanceTo(endOffset: number): void {
 		this.#registry.advanceTo(endOffset);
--- a/packages/gateway/src/features/state/shared-state.ts
+++ b/packages/gateway/src/features/state/shared-state.ts
@@ -19,6 +19,8 @@
 	/** Epoch of the store to which all offsets in it belong. */
 	readonly epoch: StoreEpoch;
 	readonly configuration?: GatewayConfiguration;
+	/** Set if `configuration` needs no accounts. Instances that don't know of accounts leave out both, whatever operators have published. */
+	readonly hasNoAccounts?: true;
 	/** Changes of the registry since the queried offset, instead of the whole `registry`. */
 	readonly changes?: KeyedChanges<RegisteredUpstream>;
 	readonly registry?: {
@@ -26,3 +28,12 @@
 		readonly records: ReadonlyArray<KeyedChange<RegisteredUpstream>>;
 	};
 };
+
+export function shareConfiguration(configuration: GatewayConfiguration): Pick<SharedState, 'configuration' | 'hasNoAccounts'> {
+	return configuration.accounts === undefined ? {configuration, hasNoAccounts: true} : {configuration};
+}
+
+/** Whether it is certain if callers need an account; otherwise an instance would serve everyone without one. */
+export function hasKnownAccounts({configuration, hasNoAccounts}: SharedState): boolean {
+	return configuration?.accounts !== undefined || hasNoAccounts === true;
+}
--- a/packages/gateway/src/features/state/state-task.ts
+++ b/packages/gateway/src/features/state/state-task.ts
@@ -13,7 +13,9 @@
 import {EpochTracker} from './epoch-tracker.js';
 import {OperatorState} from './operator-state.js';
 import {RegistryState} from './registry-state.js';
-import type {SharedState, StateQuery} from './shared-state.js';
+import {
+	hasKnownAccounts, shareConfiguration, type SharedState, type StateQuery,
+} from './shared-state.js';
 import {TopicReader, type StoreReaderRole} from './topic-reader.js';
 
 const millisecondsPerSecond = 1000;
@@ -117,6 +119,11 @@
 		return this.routes !== undefined && this.#registry.isKnown;
 	}
 
+	/** Time since the store last confirmed the configuration, directly or through other instances. */
+	get configurationAgeMs(): number {
+		return this.#ageMs('operators');
+	}
+
 	/** The fields of a heartbeat that describe the state of this instance. */
 	describe(): Pick<FleetMember, 'configurationVersion' | 'storeEpoch' | 'evacuations' | 'registryOffset' | 'registryDigest' | 'stateAgeMs' | 'reachesStore'> {
 		return {
@@ -141,8 +148,8 @@
 		const fromOffset = epoch === this.#epoch.current ? registryOffset : undefined;
 		return {
 			epoch: this.#epoch.current,
-			...(routes !== undefined && version > configurationVersion ? {configuration: routes.configuration} : {}),
-			...(wantsRegistry && this.#registry.endOffset >= 0 ? this.#shareRegistry(fromOffset) : {}),
+			...(routes !== undefined && version > configurationVersion ? shareConfiguration(routes.configuration) : {}),
+			...(wantsRegistry && this.#registry.endOffset >= 0 ? this.#registry.share(fromOffset) : {}),
 		};
 	}
 
@@ -188,9 +195,13 @@
 	}
 
 	/** Applies the state that another instance has handed over. */
-	adopt({epoch, configuration, registry, changes}: SharedState): void {
+	adopt(shared: SharedState): void {
+		const {epoch, configuration, registry, changes} = shared;
 		if (configuration !== undefined) {
-			this.#operators.applyConfiguration(configuration, 'instance');
+			const isUsable = this.#operators.adoptConfiguration(configuration, hasKnownAccounts(shared));
+			if (!isUsable) {
+				this.#readOperatorsAgain();
+			}
 		}
 
 		if (this.#epoch.observe(epoch, 'instance') === 'earlier') {
@@ -218,6 +229,12 @@
 		return this.#storeHealth.currentConfidence();
 	}
 
+	/** Reads what operators have published from the store, as another instance has newer state that can't be used. */
+	#readOperatorsAgain(): void {
+		this.#confirmedAtMs = {...this.#confirmedAtMs, operators: Number.NEGATIVE_INFINITY};
+		this.handleRoleChange();
+	}
+
 	#query(wantsRegistry: boolean): StateQuery {
 		return {configurationVersion: this.#operators.version, wantsRegistry, epoch: this.#epoch.current};
 	}
@@ -232,12 +249,6 @@
 		this.#options.onUpdate(undefined);
 	}
 
-	/** The changes since an offset if they are known, else the whole registry. While thousands of upstreams register, each step would otherwise transfer the whole registry. */
-	#shareRegistry(fromOffset: number | undefined): Pick<SharedState, 'registry' | 'changes'> {
-		const changes = fromOffset === undefined ? undefined : this.#registry.changesSince(fromOffset);
-		return changes === undefined ? {registry: this.#registry.toSnapshot()} : {changes};
-	}
-
 	#operatorReader(): TopicReader<OperatorRecord> {
 		const {store} = this.#options;
 		return new TopicReader<OperatorRecord>({
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -17,6 +17,7 @@
 	return {
 		registry,
 		requests: counter('cairnbank_requests_total', 'Requests of callers, by outcome and its reason', ['outcome', 'reason']),
+		authentications: counter('cairnbank_authentications_total', 'Requests whose caller was authenticated or refused where accounts are configured, by result', ['result']),
 		attempts: counter('cairnbank_attempts_total', 'Attempts sent to upstreams, by kind and result', ['kind', 'result']),
 		probes: counter('cairnbank_probes_total', 'Health checks of upstreams, by result', ['result']),
 		retries: counter('cairnbank_repeats_total', 'Retries of requests, by whether the shared budget granted them or they are free because nothing had been sent before', ['service', 'grant']),
@@ -34,6 +35,7 @@
 		}),
 		inFlight: new Gauge({name: 'cairnbank_requests_in_flight', help: 'Requests without an answer yet', registers}),
 		configurationVersion: new Gauge({name: 'cairnbank_configuration_version', help: 'Version of the configuration in force', registers}),
+		refusedConfigurationVersion: new Gauge({name: 'cairnbank_refused_configuration_version', help: 'Newest version of the configuration that was refused as a whole; 0 if none', registers}),
 		emptiedZones: new Gauge({name: 'cairnbank_emptied_zones', help: 'Availability zones that operators have evacuated, so that their upstreams get no requests', registers}),
 		coldRequests: counter('cairnbank_cold_requests_total', 'Requests sent to upstreams that were cold or not known to be warm', ['service']),
 		crashes: counter('cairnbank_crashes_total', 'Crashes of upstreams attributed to a request, by whether this or another instance detected them', ['source']),
--- a/packages/gateway/src/ports/request-dialect-fixture.ts
+++ b/packages/gateway/src/ports/request-dialect-fixture.ts
@@ -6,6 +6,8 @@
 export const plainDialect: RequestDialect = {
 	requestIdHeader: 'id',
 	deadlineHeader: 'deadline',
+	credentialsHeader: 'authorization',
+	accountHeader: 'account',
 	expectedUpstreamHeader: 'expect',
 	upstreamIdHeader: 'upstream',
 	signatureHeader: 'signature',
--- a/packages/gateway/src/ports/request-dialect.ts
+++ b/packages/gateway/src/ports/request-dialect.ts
@@ -7,6 +7,10 @@
 	readonly requestIdHeader: string;
 	/** Milliseconds for which the sender still waits. */
 	readonly deadlineHeader: string;
+	/** Contains the caller's credentials; never passed on where accounts are configured. */
+	readonly credentialsHeader: string;
+	/** Tells the upstream the client account that the request is made for. */
+	readonly accountHeader: string;
 	/** Identifies the upstream that the request is meant for; any other refuses it. */
 	readonly expectedUpstreamHeader: string;
 	/** Identifies the upstream that answered a health check. */
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -9,6 +9,7 @@
 import {FleetPace} from '@cairnbank/core/limits';
 import {Admission, WorkEstimates} from '@cairnbank/core/placement';
 import {RelayPeers} from '@cairnbank/core/reachability';
+import {Authenticator} from './features/calls/authenticator.js';
 import {CallersTask} from './features/calls/callers-task.js';
 import {PoisonGuard} from './features/calls/poison-guard.js';
 import {RetryBudgets} from './features/calls/retry-budgets.js';
@@ -216,10 +217,12 @@
 		subsetPosition: among => fleet.subsetPosition(among),
 	});
 	const budgets = new RetryBudgets({bounds: () => context.settings.bounds});
+	const authenticator = new Authenticator({metrics: context.metrics, routes: () => state.routes, configurationAgeMs: () => state.configurationAgeMs});
 	const callers: CallersTask = new CallersTask({
 		context,
 		routes: () => state.routes,
 		poisonGuard: guard,
+		authenticator,
 		startupGate: new StartupGate({
 			clock: context.clock,
 			canServe: () => state.canServe,
@@ -242,6 +245,7 @@
 			onConnectionBroken(call, upstream) {
 				void guard.handleBrokenConnection(call, upstream);
 			},
+			authenticator,
 			poisonGuard: guard,
 			pause: async durationMs => delay(durationMs),
 		},
