Requests sent ahead on one connection: answers in order, none lost behind a close, all cancelled as their caller leaves

Cause: Node.js starts pipelined requests at once and tells only the response whose answer comes next that its connection closed; a parser fault, a missing host or an answer that closes cut the requests that had been passed on; nothing bounded how many ran. Change: core/connections decides which requests start and which answer closes, and bounds the bytes of answers held; caller-connection.ts writes each answer at its turn. Deadlines count from the arrival of a request's head.

--- /dev/null
+++ b/packages/core/src/connections/index.ts
@@ -0,0 +1,2 @@
+export * from './held-answers.js';
+export * from './request-sequence.js';
--- /dev/null
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -0,0 +1,97 @@
+/** The connections of all callers, and the memory of the answers that they have not read yet. */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Clock} from '@cairnbank/core';
+import {HeldAnswers} from '@cairnbank/core/connections';
+import type {Metrics} from '../../metrics/metrics.js';
+import {CallerConnection, type CallerConnectionOptions} from './caller-connection.js';
+import type {Outcome} from './outcome.js';
+import {writeOutcome} from './write-outcome.js';
+
+/** Time in which a link of 10 Mbit/s sends a few long answers. */
+const heldRetryAfterMs = 500;
+
+export type CallerConnectionsOptions = {
+	readonly server: Server;
+	readonly clock: Clock;
+	readonly metrics: Metrics;
+	/** Whether the instance leaves, so that connections close once nothing is lost by it. */
+	readonly isLeaving: () => boolean;
+	readonly onStart: CallerConnectionOptions['onStart'];
+};
+
+export class CallerConnections {
+	readonly #options: CallerConnectionsOptions;
+	readonly #connections = new WeakMap<Socket, CallerConnection>();
+	readonly #owners = new WeakMap<ServerResponse, CallerConnection>();
+	readonly #held: HeldAnswers<CallerConnection>;
+
+	constructor(options: CallerConnectionsOptions) {
+		this.#options = options;
+		const {server, clock, metrics, onStart} = options;
+		this.#held = new HeldAnswers(clock);
+		server.on('connection', (socket: Socket) => {
+			this.#connections.set(socket, new CallerConnection({
+				socket,
+				onStart,
+				onSentAhead() {
+					metrics.requestsSentAhead.inc();
+				},
+				onIgnored() {
+					metrics.requestsBehindClose.inc();
+				},
+			}));
+		});
+		server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+			const connection = this.#connections.get(request.socket)!;
+			this.#owners.set(response, connection);
+			connection.receive(request, response, clock.monotonicMs());
+		});
+		server.on('clientError', ({code}: NodeJS.ErrnoException, socket: Socket) => {
+			if (code === 'ECONNRESET' || !socket.writable) {
+				socket.destroy();
+			} else {
+				this.#connections.get(socket)?.fail(code ?? '');
+			}
+		});
+	}
+
+	/** Returns the outcome of a request whose answer could not be held; undefined if there is room. */
+	refusal(): Outcome | undefined {
+		for (const connection of this.#held.stalled()) {
+			connection.disconnect();
+		}
+
+		return this.#held.isFull ? {type: 'not-run', reason: 'answers-held', retryAfterMs: heldRetryAfterMs} : undefined;
+	}
+
+	/** Writes the outcome of a request in the order of its connection. */
+	respond(response: ServerResponse, outcome: Outcome): void {
+		const connection = this.#owners.get(response)!;
+		const bytes = outcome.type === 'answered' ? outcome.answer.body.length : 0;
+		if (bytes > 0 && !response.destroyed) {
+			this.#hold(connection, response, bytes);
+		}
+
+		connection.answer(response, this.#options.isLeaving, isLast => {
+			this.#held.progressed(connection);
+			writeOutcome(response, outcome, {
+				isLast,
+				faultStatus: connection.faultStatus,
+				onProgress: () => {
+					this.#held.progressed(connection);
+				},
+			});
+		});
+	}
+
+	#hold(connection: CallerConnection, response: ServerResponse, bytes: number): void {
+		const {heldAnswerBytes} = this.#options.metrics;
+		this.#held.hold(connection, bytes);
+		heldAnswerBytes.set(this.#held.bytes);
+		response.once('close', () => {
+			this.#held.release(connection, bytes);
+			heldAnswerBytes.set(this.#held.bytes);
+		});
+	}
+}
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -9,6 +9,7 @@
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import {CallerConnections} from './caller-connections.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
 import {CallRun} from './call-run.js';
@@ -16,7 +17,6 @@
 import type {PoisonGuard} from './poison-guard.js';
 import {readBody, readCallHead} from './read-call.js';
 import type {StartupGate} from './startup-gate.js';
-import {writeOutcome} from './write-outcome.js';
 
 /** Largest header that the HTTP parser accepts; the configured limit is checked on the parsed header. */
 const maximumParsedHeaderBytes = 65_536;
@@ -36,6 +36,7 @@
 	readonly name = 'callers';
 	readonly #options: CallersTaskOptions;
 	readonly #server: Server;
+	readonly #connections: CallerConnections;
 	readonly #requestHeaders: HeaderFilter;
 	#isLeaving = false;
 	readonly #runningCalls = new Set<CallRun>();
@@ -47,8 +48,16 @@
 		this.#options = options;
 		const {deadlineHeader, expectedUpstreamHeader} = options.callDependencies.dialect;
 		this.#requestHeaders = new HeaderFilter([deadlineHeader, expectedUpstreamHeader]);
-		this.#server = createServer({maxHeaderSize: maximumParsedHeaderBytes, noDelay: true}, (request, response) => {
-			void this.#handle(request, response);
+		// A response of the server itself to a request without a host would close the connection before others are answered.
+		this.#server = createServer({maxHeaderSize: maximumParsedHeaderBytes, noDelay: true, requireHostHeader: false});
+		this.#connections = new CallerConnections({
+			server: this.#server,
+			clock: options.context.clock,
+			metrics: options.context.metrics,
+			isLeaving: () => this.#isLeaving,
+			onStart: (request, response, receivedAtMs) => {
+				void this.#handle(request, response, receivedAtMs);
+			},
 		});
 	}
 
@@ -87,13 +96,13 @@
 		this.#server.closeIdleConnections();
 	}
 
-	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	async #handle(request: IncomingMessage, response: ServerResponse, receivedAtMs: number): Promise<void> {
 		const {context, callDependencies, routes} = this.#options;
 		this.#inFlight += 1;
 		context.metrics.inFlight.set(this.#inFlight);
 		await this.#options.startupGate.waitUntilReady();
 		const head = readCallHead(request, {
-			routes: routes(), dialect: callDependencies.dialect, requestHeaders: this.#requestHeaders, clock: context.clock, random: context.random,
+			routes: routes(), dialect: callDependencies.dialect, requestHeaders: this.#requestHeaders, receivedAtMs, random: context.random,
 		});
 		if (head.isErr()) {
 			request.resume();
@@ -122,6 +131,12 @@
 		}
 
 		const call = {...head, body: body.value};
+		const refusal = this.#connections.refusal();
+		if (refusal !== undefined) {
+			this.#respond(response, refusal, fields);
+			return;
+		}
+
 		const refusalRetryAfterMs = this.#options.poisonGuard.refusalRetryAfterMs(call);
 		if (refusalRetryAfterMs !== undefined) {
 			this.#respond(response, {type: 'not-run', reason: 'suspected-poison', retryAfterMs: refusalRetryAfterMs}, fields);
@@ -162,7 +177,7 @@
 			});
 		}
 
-		writeOutcome(response, outcome, this.#isLeaving);
+		this.#connections.respond(response, outcome);
 	}
 }
 
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -17,7 +17,9 @@
 };
 
 export type NotRunReason =
-	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | 'too-busy' | 'suspected-poison';
+	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | 'too-busy' | 'suspected-poison'
+	/** Callers have not yet read the answers that fill the memory set aside for them. */
+	| 'answers-held';
 
 export type UnknownReason = 'broken' | 'malformed' | 'timed-out' | 'unsigned' | 'unproven-refusal';
 
--- a/packages/gateway/src/features/calls/read-call.ts
+++ b/packages/gateway/src/features/calls/read-call.ts
@@ -1,7 +1,7 @@
 /** Parses an incoming request into a call, or returns the outcome of an invalid request. */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import type {Clock, RandomSource} from '@cairnbank/core';
+import type {RandomSource} from '@cairnbank/core';
 import type {HeaderFilter} from '@cairnbank/core/headers';
 import {hostNameOf, pickService, type RouteTable} from '@cairnbank/core/routes';
 import {err, ok, type Result} from 'neverthrow';
@@ -17,14 +17,15 @@
 	readonly dialect: RequestDialect;
 	/** Removes the headers that the gateway sets itself on requests to upstreams. */
 	readonly requestHeaders: HeaderFilter;
-	readonly clock: Clock;
+	/** Time of the monotonic clock at which the head was read. */
+	readonly receivedAtMs: number;
 	readonly random: RandomSource;
 };
 
 type CallHead = Omit<Call, 'body'>;
 
 /** Reads everything but the body. */
-export function readCallHead(request: IncomingMessage, {routes, dialect, requestHeaders, clock, random}: ReadCallOptions): Result<CallHead, Outcome> {
+export function readCallHead(request: IncomingMessage, {routes, dialect, requestHeaders, receivedAtMs, random}: ReadCallOptions): Result<CallHead, Outcome> {
 	if (routes === undefined) {
 		return err({type: 'not-run', reason: 'no-configuration', retryAfterMs: startingRetryAfterMs});
 	}
@@ -57,7 +58,6 @@
 		return err({type: 'bad-request', reason: 'bad-deadline'});
 	}
 
-	const receivedAtMs = clock.monotonicMs();
 	return ok({
 		requestId,
 		caller: request.socket.remoteAddress ?? '',
@@ -75,11 +75,20 @@
 	});
 }
 
+/** Requests whose remaining bytes will not come, though their connection is open. */
+const brokenRequests = new WeakSet<IncomingMessage>();
+
+/** Ends the reading of a body whose remaining bytes cannot be parsed; its connection stays open. */
+export function breakOff(request: IncomingMessage): void {
+	brokenRequests.add(request);
+	request.emit('close');
+}
+
 /** Reads the whole body; undefined if the request has none, an error if the caller disconnected or the body is too large. */
 export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Result<Uint8Array | undefined, 'too-large' | 'broken-off'>> {
 	return new Promise(resolve => {
-		if (request.destroyed) {
-			// The caller disconnected while the request was held, so the stream emits no further event.
+		if (request.destroyed || brokenRequests.has(request)) {
+			// The caller disconnected, or its body broke off, while the request was held, so the stream emits no further event.
 			resolve(err('broken-off'));
 			return;
 		}
--- a/packages/gateway/src/features/calls/write-outcome.ts
+++ b/packages/gateway/src/features/calls/write-outcome.ts
@@ -6,6 +6,8 @@
 
 const answerHeaders = new HeaderFilter();
 const millisecondsPerSecond = 1000;
+/** Long bodies are written in parts of this size, so that it is seen whether their callers read on. */
+const partBytes = 65_536;
 
 const badRequestStatus: Readonly<Record<BadRequestReason, number>> = {
 	'no-route': 404,
@@ -15,8 +17,16 @@
 	'header-too-large': 431,
 };
 
-/** @param isLast - whether to close the connection after this response */
-export function writeOutcome(response: ServerResponse, outcome: Outcome, isLast: boolean): void {
+export type WriteOptions = {
+	/** Whether to close the connection after this response. */
+	readonly isLast: boolean;
+	/** Status if the request could not be read whole because its bytes are malformed. */
+	readonly faultStatus: number | undefined;
+	/** Called when the caller has taken a part of the body. */
+	readonly onProgress: () => void;
+};
+
+export function writeOutcome(response: ServerResponse, outcome: Outcome, {isLast, faultStatus, onProgress}: WriteOptions): void {
 	if (response.writableEnded || response.destroyed) {
 		return;
 	}
@@ -30,7 +40,7 @@
 			const {status, headers, body} = outcome.answer;
 			const length = response.req.method === 'HEAD' ? [] : ['Content-Length', String(body.length)];
 			response.writeHead(status, [...answerHeaders.apply(headers), ...length]);
-			endAfterWrite(response, body);
+			endAfterWrite(response, body, onProgress);
 			return;
 		}
 
@@ -55,7 +65,11 @@
 		}
 
 		case 'abandoned': {
-			response.destroy();
+			if (faultStatus === undefined) {
+				response.destroy();
+			} else {
+				writeError(response, faultStatus, 'malformed');
+			}
 		}
 	}
 }
@@ -64,10 +78,24 @@
  * Ends the response only once its body has been written to the socket: a closing server treats the connection of an ended
  * response as idle and closes it, even with data left to send.
  */
-function endAfterWrite(response: ServerResponse, body: Uint8Array): void {
-	response.write(body, () => {
-		response.end();
-	});
+function endAfterWrite(response: ServerResponse, body: Uint8Array, onProgress?: () => void): void {
+	const writeFrom = (start: number) => {
+		const end = start + partBytes;
+		response.write(body.subarray(start, end), error => {
+			if (error) {
+				return;
+			}
+
+			onProgress?.();
+			if (end < body.length) {
+				writeFrom(end);
+			} else {
+				response.end();
+			}
+		});
+	};
+
+	writeFrom(0);
 }
 
 function writeError(response: ServerResponse, status: number, reason: string, headers: readonly string[] = []): void {
