--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -10,6 +10,7 @@
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {Authenticator} from './authenticator.js';
+import {CallerConnections} from './caller-connections.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
 import {CallRun} from './call-run.js';
@@ -17,7 +18,6 @@
 import type {PoisonGuard} from './poison-guard.js';
 import {readBody, readCallHead} from './read-call.js';
 import type {StartupGate} from './startup-gate.js';
-import {writeOutcome} from './write-outcome.js';
 
 /** Largest header that the HTTP parser accepts; the configured limit is checked on the parsed header. */
 const maximumParsedHeaderBytes = 65_536;
@@ -38,6 +38,7 @@
 	readonly name = 'callers';
 	readonly #options: CallersTaskOptions;
 	readonly #server: Server;
+	readonly #connections: CallerConnections;
 	readonly #requestHeaders: HeaderFilter;
 	/** The same where accounts are configured. */
 	readonly #accountRequestHeaders: HeaderFilter;
@@ -52,8 +53,16 @@
 		const {deadlineHeader, expectedUpstreamHeader, credentialsHeader, accountHeader} = options.callDependencies.dialect;
 		this.#requestHeaders = new HeaderFilter([deadlineHeader, expectedUpstreamHeader]);
 		this.#accountRequestHeaders = new HeaderFilter([deadlineHeader, expectedUpstreamHeader, credentialsHeader, accountHeader, withUnderscores(accountHeader)]);
-		this.#server = createServer({maxHeaderSize: maximumParsedHeaderBytes, noDelay: true}, (request, response) => {
-			void this.#handle(request, response);
+		// A response of the server itself to a request without a host would close the connection before others are answered.
+		this.#server = createServer({maxHeaderSize: maximumParsedHeaderBytes, noDelay: true, requireHostHeader: false});
+		this.#connections = new CallerConnections({
+			server: this.#server,
+			clock: options.context.clock,
+			metrics: options.context.metrics,
+			isLeaving: () => this.#isLeaving,
+			onStart: (request, response, receivedAtMs) => {
+				void this.#handle(request, response, receivedAtMs);
+			},
 		});
 	}
 
@@ -92,7 +101,7 @@
 		this.#server.closeIdleConnections();
 	}
 
-	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	async #handle(request: IncomingMessage, response: ServerResponse, receivedAtMs: number): Promise<void> {
 		const {context, callDependencies, authenticator} = this.#options;
 		this.#inFlight += 1;
 		context.metrics.inFlight.set(this.#inFlight);
@@ -103,7 +112,7 @@
 			dialect: callDependencies.dialect,
 			requestHeaders: routes?.accounts === undefined ? this.#requestHeaders : this.#accountRequestHeaders,
 			authenticator,
-			clock: context.clock,
+			receivedAtMs,
 			random: context.random,
 		});
 		if (head.isErr()) {
@@ -133,6 +142,12 @@
 		}
 
 		const call = {...head, body: body.value};
+		const refusal = this.#connections.refusal();
+		if (refusal !== undefined) {
+			this.#respond(response, refusal, fields);
+			return;
+		}
+
 		const refusalRetryAfterMs = this.#options.poisonGuard.refusalRetryAfterMs(call);
 		if (refusalRetryAfterMs !== undefined) {
 			this.#respond(response, {type: 'not-run', reason: 'suspected-poison', retryAfterMs: refusalRetryAfterMs}, fields);
@@ -173,7 +188,7 @@
 			});
 		}
 
-		writeOutcome(response, outcome, this.#isLeaving);
+		this.#connections.respond(response, outcome);
 	}
 }
 
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -22,7 +22,9 @@
 	/** The key is unknown, but may be newer than the known configuration. */
 	| 'unconfirmed-key'
 	/** Accounts were configured after the request had been read without one. */
-	| 'accounts-introduced';
+	| 'accounts-introduced'
+	/** Callers have not yet read the answers that fill the memory set aside for them. */
+	| 'answers-held';
 
 export type UnknownReason = 'broken' | 'malformed' | 'timed-out' | 'unsigned' | 'unproven-refusal';
 
--- a/packages/gateway/src/features/calls/read-call.spec.ts
+++ b/packages/gateway/src/features/calls/read-call.spec.ts
@@ -3,14 +3,14 @@
 import {IncomingMessage} from 'node:http';
 import {Socket} from 'node:net';
 import {describe, it} from 'node:test';
-import {ManualClock, type ClientAccountId, type ServiceId} from '@cairnbank/core';
+import {type ClientAccountId, type ServiceId} from '@cairnbank/core';
 import {digestKey, type ClientAccount} from '@cairnbank/core/accounts';
 import {HeaderFilter} from '@cairnbank/core/headers';
 import {RouteTable, type Route} from '@cairnbank/core/routes';
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
 import {Authenticator} from './authenticator.js';
-import {readBody, readCallHead} from './read-call.js';
+import {breakOff, readBody, readCallHead} from './read-call.js';
 
 const school: ClientAccount = {id: 'school' as ClientAccountId, keys: [digestKey('k1'), digestKey('k2')], priority: 0};
 const plainRoute: Route = {
@@ -53,7 +53,7 @@
 		dialect: plainDialect,
 		requestHeaders: new HeaderFilter(accounts === undefined ? [] : ['authorization', 'account']),
 		authenticator: new Authenticator({metrics: createMetrics(), routes: () => routes, configurationAgeMs: () => configurationAgeMs}),
-		clock: new ManualClock(),
+		receivedAtMs: 0,
 		random: {next: () => 0, nextInteger: () => 0},
 	});
 }
@@ -132,6 +132,13 @@
 		assert.equal(body._unsafeUnwrapErr(), 'broken-off');
 	});
 
+	it('should fail if the body broke off while its request was held', async () => {
+		const request = new IncomingMessage(new Socket());
+		breakOff(request);
+		const body = await readBody(request, 100);
+		assert.equal(body._unsafeUnwrapErr(), 'broken-off');
+	});
+
 	it('should refuse a body that is too large', async () => {
 		const request = new IncomingMessage(new Socket());
 		const reading = readBody(request, 2);
