--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -265,8 +265,8 @@
 	{
 		name: 'restarted-instance-serves-nothing',
 		file: `${gateway}/wire.js`,
-		find: 'routes: () => state.routes,',
-		replaceBy: 'routes: () => settings.isFirstStart ? state.routes : undefined,',
+		find: 'routes: () => state.routes,\n',
+		replaceBy: 'routes: () => settings.isFirstStart ? state.routes : undefined,\n',
 		events: [at({type: 'kill', instance: 1})],
 		noticedBy: 'everything is served again after the last fault',
 	},
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -105,7 +105,7 @@
 
 	#history(calls: readonly CallRecord[], afterwards: readonly CallRecord[]): History {
 		const runs: RunRecord[] = this.#site.upstreams.flatMap(upstream => runsOf(upstream));
-		const arrivals: ArrivalRecord[] = this.#site.upstreams.flatMap(({id: upstream, arrivals: ofUpstream}) => ofUpstream.map(arrival => ({...arrival, upstream})));
+		const arrivals: ArrivalRecord[] = this.#site.upstreams.flatMap(({id: upstream, arrivals: ofUpstream}) => ofUpstream.map(({id, atMs}) => ({id, atMs, upstream})));
 		const backOffs: BackOffRecord[] = this.#site.upstreams.flatMap(({id: upstream, backOffs: backedOff}) => backedOff.map(backOff => ({...backOff, upstream})));
 		const {
 			disturbances, drains, limits, leavings, stops, cuts, crashing,
