Requests that wait on their connection are not started once the grace period ends

Cause: a request that waits for an earlier one would start as that one is ended, and be cut as the process ends. Change: CallersTask.expire drops those that wait; specs of header timeouts, a missing host and a stop with more ahead than run at once.

--- a/packages/core/src/connections/request-sequence.spec.ts
+++ b/packages/core/src/connections/request-sequence.spec.ts
@@ -74,6 +74,20 @@
 		});
 	});
 
+	describe('closeBehindStarted', () => {
+		it('should return those that wait, and start none of them', () => {
+			const sequence = sequenceOf(maximumStarted + 2);
+			assert.deepEqual(sequence.closeBehindStarted(), [maximumStarted, maximumStarted + 1]);
+			assert.equal(sequence.ended(0), undefined);
+		});
+
+		it('should close with the last answer of those that were started', () => {
+			const sequence = sequenceOf(maximumStarted + 2);
+			sequence.closeBehindStarted();
+			assert.equal(sequence.closesWith(maximumStarted - 1, false), true);
+		});
+	});
+
 	describe('with a request that closes the connection', () => {
 		it('should ignore those behind it', () => {
 			const sequence = new RequestSequence<number>();
--- a/packages/core/src/connections/request-sequence.ts
+++ b/packages/core/src/connections/request-sequence.ts
@@ -50,6 +50,12 @@
 		this.#isClosing = true;
 	}
 
+	/** Starts no further request: those that wait are dropped and returned, and the last one that was started closes the connection. */
+	closeBehindStarted(): Request[] {
+		this.#isClosing = true;
+		return this.#waiting.splice(0);
+	}
+
 	/** Whether it is this request's turn to be answered. */
 	isFirst(request: Request): boolean {
 		return this.#started[0] === request;
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -113,6 +113,14 @@
 		this.#endIfOver();
 	}
 
+	/** Starts no further request, also none of those that were read. */
+	stopStarting(): void {
+		for (const response of this.#sequence.closeBehindStarted()) {
+			this.#arrived.delete(response);
+			this.#options.onIgnored();
+		}
+	}
+
 	/** Disconnects a caller, so that its answers need no memory. */
 	disconnect(): void {
 		this.#options.socket.destroy();
--- /dev/null
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {afterEach, describe, it} from 'node:test';
+import {ManualClock} from '@cairnbank/core';
+import {createMetrics} from '../../metrics/metrics.js';
+import {CallerConnections} from './caller-connections.js';
+
+const answer = {type: 'answered', answer: {status: 200, headers: [], body: new Uint8Array(2)}} as const;
+const headerTimeoutMs = 100;
+const servers: Server[] = [];
+
+/** Starts a server that leaves its requests to the spec, and sends it bytes. */
+async function send(bytes: string): Promise<{connections: CallerConnections; started: ServerResponse[]; received: () => string; socket: Socket}> {
+	const server = createServer({requireHostHeader: false, headersTimeout: headerTimeoutMs, connectionsCheckingInterval: headerTimeoutMs / 2});
+	servers.push(server);
+	const started: ServerResponse[] = [];
+	const connections = new CallerConnections({
+		server,
+		clock: new ManualClock(),
+		metrics: createMetrics(),
+		isLeaving: () => false,
+		onStart(_, response) {
+			started.push(response);
+		},
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	let text = '';
+	socket.on('data', chunk => {
+		text += chunk.toString('latin1');
+	});
+	socket.write(bytes);
+	await once(server, 'request');
+	return {
+		connections, started, received: () => text, socket,
+	};
+}
+
+describe('CallerConnections', () => {
+	afterEach(() => {
+		for (const server of servers.splice(0)) {
+			server.closeAllConnections();
+			server.close();
+		}
+	});
+
+	it('should answer a request before it closes for a header that is not completed in time', async () => {
+		const {connections, started, received, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\n');
+		setTimeout(() => {
+			connections.respond(started[0]!, answer);
+		}, 4 * headerTimeoutMs);
+		await once(socket, 'close');
+		assert.match(received(), /^HTTP\/1\.1 200 OK[^]*Connection: close/);
+	});
+
+	it('should answer 408 to a header that is not completed in time', async () => {
+		const {connections, started, received, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\n');
+		connections.respond(started[0]!, answer);
+		await once(socket, 'close');
+		assert.match(received(), /^HTTP\/1\.1 200 OK[^]*HTTP\/1\.1 408 /);
+	});
+
+	it('should answer 400 to a request without a host', async () => {
+		const {started, received, socket} = await send('GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n');
+		await once(socket, 'close');
+		assert.match(received(), /^HTTP\/1\.1 400 /);
+		assert.equal(started.length, 0);
+	});
+});
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -22,7 +22,7 @@
 
 export class CallerConnections {
 	readonly #options: CallerConnectionsOptions;
-	readonly #connections = new WeakMap<Socket, CallerConnection>();
+	readonly #connections = new Map<Socket, CallerConnection>();
 	readonly #owners = new WeakMap<ServerResponse, CallerConnection>();
 	readonly #held: HeldAnswers<CallerConnection>;
 
@@ -41,6 +41,9 @@
 					metrics.requestsBehindClose.inc();
 				},
 			}));
+			socket.once('close', () => {
+				this.#connections.delete(socket);
+			});
 		});
 		server.on('request', (request: IncomingMessage, response: ServerResponse) => {
 			const connection = this.#connections.get(request.socket)!;
@@ -56,6 +59,13 @@
 		});
 	}
 
+	/** Starts none of the requests that wait on their connections, as the instance stops before they could end. */
+	stopStarting(): void {
+		for (const connection of this.#connections.values()) {
+			connection.stopStarting();
+		}
+	}
+
 	/** Returns the outcome of a request whose answer could not be held; undefined if there is room. */
 	refusal(): Outcome | undefined {
 		for (const connection of this.#held.stalled()) {
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -86,6 +86,7 @@
 	}
 
 	expire(): void {
+		this.#connections.stopStarting();
 		for (const run of this.#runningCalls) {
 			run.expire();
 		}
