--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -91,6 +91,7 @@
 	}
 
 	expire(): void {
+		this.#connections.stopStarting();
 		for (const run of this.#runningCalls) {
 			run.expire();
 		}
