--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -8,6 +8,7 @@
 	ArrivalRecord, BackOffRecord, CallRecord, CrashingRequestRecord, History, RunRecord,
 } from './history.js';
 import type {Schedule} from './schedule.js';
+import {runSendingAheadCaller} from './sending-ahead-caller.js';
 import {callOnce, runSoakCaller} from './soak-caller.js';
 import {SoakSite} from './soak-site.js';
 
@@ -38,7 +39,7 @@
 
 	async execute(): Promise<History> {
 		const stopCallers = new AbortController();
-		setMaxListeners(this.#schedule.callers + 1, stopCallers.signal);
+		setMaxListeners(this.#schedule.callers + 2, stopCallers.signal);
 		const stopWatching = this.#injector.watchForStalls();
 		try {
 			const {duringStart} = this.#schedule;
@@ -64,7 +65,7 @@
 	}
 
 	#startCallers(stop: AbortSignal): Array<Promise<CallRecord[]>> {
-		return Array.from({length: this.#schedule.callers}, async (_, index) => {
+		const callers = Array.from({length: this.#schedule.callers}, async (_, index) => {
 			const random = createRandomSource((this.#schedule.seed * callerSeedsPerSchedule) + index);
 			return runSoakCaller({
 				name: `c${index}`,
@@ -75,6 +76,20 @@
 				requestsPerConnection: index % 2 === 0 ? Number.POSITIVE_INFINITY : requestsPerConnection,
 			});
 		});
+		return [...callers, this.#startSendingAhead(stop)];
+	}
+
+	/** Starts one more caller, with a random source of its own, so that the others do the same with a seed as without it. */
+	async #startSendingAhead(stop: AbortSignal): Promise<CallRecord[]> {
+		const random = createRandomSource((this.#schedule.seed * callerSeedsPerSchedule) + this.#schedule.callers);
+		return runSendingAheadCaller({
+			name: 'ahead',
+			stop,
+			resolve: async () => {
+				const addresses = await this.#site.resolve(random.nextInteger(this.#site.entries.length));
+				return addresses[random.nextInteger(Math.max(1, addresses.length))];
+			},
+		});
 	}
 
 	/** Resolves once all faults are over. */
