--- /dev/null
+++ b/packages/core/src/account-limits/simulated-limiters.ts
@@ -0,0 +1,212 @@
+/** Limiters of a fleet in simulated time, with messages that are delayed and lost, and views of the fleet that lag behind. */
+import type {AccountRateLimit} from '../accounts/client-account.js';
+import type {ClientAccountId} from '../model/ids.js';
+import {ManualClock} from '../model/manual-clock.js';
+import {createRandomSource, type RandomSource} from '../model/random-source.js';
+import {defaultAccountBound} from './account-bound.js';
+import {AccountLimiter} from './account-limiter.js';
+
+type Event = {readonly atMs: number; readonly action: () => void};
+type Instance = {
+	limiter: AccountLimiter; host: string; group: number; isRunning: boolean; startedAtMs: number; others: string[]; heardAtMs: number;
+};
+
+export type Load = {readonly requestsPerSecond: number; readonly from: (random: RandomSource) => number};
+export type Served = {asked: number; granted: number; limited: number; unknown: number; readonly grantedAtMs: number[]};
+
+const tickMs = 100;
+const settlingMs = 500;
+const heardLimitMs = 800;
+const account = 'account' as ClientAccountId;
+
+export class SimulatedLimiters {
+	readonly clock = new ManualClock();
+	readonly instances: Instance[] = [];
+	readonly served: Served = {
+		asked: 0, granted: 0, limited: 0, unknown: 0, grantedAtMs: [],
+	};
+
+	lossRatio = 0;
+	messages = 0;
+	readonly #random: RandomSource;
+	/** By time; those of one millisecond in the order in which they were added. */
+	readonly #events = new Map<number, Event[]>();
+
+	constructor(size: number, public limit: AccountRateLimit, seed: number) {
+		this.#random = createRandomSource(seed);
+		for (let index = 0; index < size; index++) {
+			this.instances.push(this.#create(index, -10_000));
+		}
+
+		for (const instance of this.instances) {
+			instance.others = this.#hostsExcept(instance);
+		}
+	}
+
+	/** Sends requests with random gaps for a time, and runs whatever happens meanwhile. */
+	run(durationMs: number, {requestsPerSecond, from}: Load): void {
+		const endMs = this.clock.monotonicMs() + durationMs;
+		while (this.clock.monotonicMs() < endMs) {
+			if (this.clock.monotonicMs() % tickMs === 0) {
+				this.#tick();
+			}
+
+			for (const {action} of this.#takeDue()) {
+				action();
+			}
+
+			for (let due = this.#poisson(requestsPerSecond / 1000); due > 0; due--) {
+				this.#request(from(this.#random));
+			}
+
+			this.clock.advance(1);
+		}
+	}
+
+	/** Ends an instance; the others learn of it within `noticedMs`. */
+	kill(index: number, noticedMs = 2000): void {
+		this.instances[index]!.isRunning = false;
+		this.#spreadViews(noticedMs / 2, noticedMs);
+	}
+
+	/** Starts an instance anew, or one more; the others learn of it within `noticedMs`. */
+	start(index: number, noticedMs = 700): void {
+		this.instances[index]!.isRunning = false;
+		this.instances[index] = this.#create(index, this.clock.monotonicMs());
+		this.#spreadViews(0, noticedMs);
+	}
+
+	/** Divides the fleet; both sides notice within `noticedMs`. */
+	divide(groupOf: (index: number) => number, noticedMs = 2000): void {
+		for (const [index, instance] of this.instances.entries()) {
+			instance.group = groupOf(index);
+		}
+
+		this.#spreadViews(noticedMs / 2, noticedMs);
+	}
+
+	/** The largest number of requests granted in one window. */
+	busiestWindow(): number {
+		const {grantedAtMs} = this.served;
+		let first = 0;
+		let highest = 0;
+		for (const [index, atMs] of grantedAtMs.entries()) {
+			while (atMs - grantedAtMs[first]! > defaultAccountBound.windowMs) {
+				first += 1;
+			}
+
+			highest = Math.max(highest, index - first + 1);
+		}
+
+		return highest;
+	}
+
+	indexOf(host: string): number {
+		return this.instances.findIndex(instance => instance.host === host);
+	}
+
+	#create(index: number, startedAtMs: number): Instance {
+		const host = `10.0.${Math.floor(index / 250)}.${index % 250}`;
+		const instance: Instance = {
+			limiter: undefined as unknown as AccountLimiter, host, group: 0, isRunning: true, startedAtMs, others: [], heardAtMs: startedAtMs,
+		};
+		instance.limiter = new AccountLimiter({
+			clock: this.clock,
+			random: this.#random,
+			host,
+			bound: () => defaultAccountBound,
+			limitOf: () => this.limit,
+			fleet: () => ({
+				others: instance.others,
+				instances: this.instances.length,
+				isKnown: this.clock.monotonicMs() - instance.startedAtMs >= settlingMs,
+				hasHeardOthers: this.clock.monotonicMs() - instance.heardAtMs < heardLimitMs,
+			}),
+			send: (message, to) => {
+				const receiver = this.instances[this.indexOf(to)];
+				this.messages += 1;
+				if (receiver !== undefined && this.#random.next() >= this.lossRatio) {
+					this.#at(1 + (this.#random.next() * 8), () => {
+						if (this.instances.includes(receiver) && this.#areInTouch(instance, receiver)) {
+							receiver.limiter.receive(message, host);
+						}
+					});
+				}
+			},
+			schedule: (delayMs, action) => {
+				let isCancelled = false;
+				this.#at(delayMs, () => {
+					if (!isCancelled && instance.isRunning) {
+						action();
+					}
+				});
+				return () => {
+					isCancelled = true;
+				};
+			},
+		});
+		return instance;
+	}
+
+	#request(index: number): void {
+		const instance = this.instances[index]!;
+		if (!instance.isRunning) {
+			return;
+		}
+
+		this.served.asked += 1;
+		instance.limiter.admit(account, this.limit, ({type}) => {
+			this.served[type] += 1;
+			if (type === 'granted') {
+				this.served.grantedAtMs.push(this.clock.monotonicMs());
+			}
+		});
+	}
+
+	#tick(): void {
+		for (const instance of this.instances.filter(({isRunning}) => isRunning)) {
+			instance.limiter.tick();
+			if (this.instances.some(other => other !== instance && this.#areInTouch(instance, other))) {
+				instance.heardAtMs = this.clock.monotonicMs();
+			}
+		}
+	}
+
+	/** Each instance takes in who is in touch with it, at some time of its own. */
+	#spreadViews(earliestMs: number, latestMs: number): void {
+		for (const instance of this.instances) {
+			this.#at(earliestMs + (this.#random.next() * (latestMs - earliestMs)), () => {
+				instance.others = this.#hostsExcept(instance);
+			});
+		}
+	}
+
+	#hostsExcept(instance: Instance): string[] {
+		return this.instances.filter(other => other !== instance && this.#areInTouch(instance, other)).map(({host}) => host);
+	}
+
+	#areInTouch(left: Instance, right: Instance): boolean {
+		return left.isRunning && right.isRunning && left.group === right.group;
+	}
+
+	#at(delayMs: number, action: () => void): void {
+		const atMs = Math.ceil(this.clock.monotonicMs() + Math.max(1, delayMs));
+		this.#events.set(atMs, [...this.#events.get(atMs) ?? [], {atMs, action}]);
+	}
+
+	#takeDue(): readonly Event[] {
+		const due = this.#events.get(this.clock.monotonicMs()) ?? [];
+		this.#events.delete(this.clock.monotonicMs());
+		return due;
+	}
+
+	#poisson(mean: number): number {
+		const limit = Math.exp(-mean);
+		let count = 0;
+		for (let product = this.#random.next(); product > limit; product *= this.#random.next()) {
+			count += 1;
+		}
+
+		return count;
+	}
+}
