Rate limits of accounts are kept by the whole fleet

Cause: requests of a limited account were all served, whatever its limit. Change: the callers' task asks the account limits before a request is placed; over the limit it answers 429 with Retry-After, where no owner was reached 503. Messages of the limiter travel as fleet datagrams with a codec of their own; member flags move into member-codec.ts. The bound is an optional section of the settings.

--- /dev/null
+++ b/packages/gateway/src/features/account-limits/account-limits-task.ts
@@ -0,0 +1,128 @@
+/** Keeps requests of accounts within the limits that hold for all instances together. */
+import type {ClientAccountId} from '@cairnbank/core';
+import type {AccountRateLimit, ClientAccount} from '@cairnbank/core/accounts';
+import {
+	AccountLimiter, type Admittance, type LimiterFleet, type LimitMessage,
+} from '@cairnbank/core/account-limits';
+import type {RouteTable} from '@cairnbank/core/routes';
+import {ok, type Result} from 'neverthrow';
+import type {Context} from '../../kernel/context.js';
+import type {StartError} from '../../kernel/start-error.js';
+import type {Task} from '../../kernel/task.js';
+import type {Call} from '../calls/call.js';
+import type {Outcome} from '../calls/outcome.js';
+import {LimitedAccounts} from './limited-accounts.js';
+
+const tickMs = 100;
+const millisecondsPerSecond = 1000;
+/** A token that was granted longer ago isn't returned: together with those added since, it would exceed the burst. */
+const maximumReturnAgeMs = 300;
+/** A caller waits for at most this part of the time that it has left. */
+const maximumWaitRatio = 1 / 3;
+
+export type AccountLimitsOptions = {
+	readonly context: Context;
+	readonly fleet: () => LimiterFleet;
+	readonly send: (message: LimitMessage, host: string) => void;
+};
+
+export type RefusedOutcome = Extract<Outcome, {type: 'limited' | 'not-run'}>;
+
+/** Result of the admission of a call. */
+export type CallAdmittance =
+	| {readonly type: 'unlimited'}
+	| {readonly type: 'granted'; readonly account: ClientAccountId; readonly atMs: number}
+	| {readonly type: 'refused'; readonly outcome: RefusedOutcome};
+
+export class AccountLimitsTask implements Task {
+	readonly name = 'account-limits';
+	readonly #options: AccountLimitsOptions;
+	readonly #limiter: AccountLimiter;
+	readonly #reports: LimitedAccounts;
+	#limits: ReadonlyMap<ClientAccountId, AccountRateLimit> = new Map();
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(options: AccountLimitsOptions) {
+		const {context, fleet, send} = options;
+		this.#options = options;
+		this.#reports = new LimitedAccounts(context);
+		this.#limiter = new AccountLimiter({
+			clock: context.clock,
+			random: context.random,
+			host: context.settings.host,
+			bound() {
+				const {windowSeconds, excessRatio, slackRequests} = context.settings.accountLimits;
+				return {windowMs: windowSeconds * millisecondsPerSecond, excessRatio, slackRequests};
+			},
+			fleet,
+			limitOf: account => this.#limits.get(account),
+			send,
+			schedule(delayMs, action) {
+				const timer = setTimeout(action, delayMs);
+				return () => {
+					clearTimeout(timer);
+				};
+			},
+		});
+	}
+
+	async start(): Promise<Result<void, StartError>> {
+		this.#timer = setInterval(() => {
+			this.#limiter.tick();
+			this.#reports.sweep();
+		}, tickMs);
+		return ok(undefined);
+	}
+
+	stop(): void {
+		clearInterval(this.#timer);
+	}
+
+	/** Applies the limits of a configuration that has come into force. */
+	applyConfiguration({configuration: {accounts = []}}: RouteTable): void {
+		this.#limits = new Map(accounts.flatMap(({id, rateLimit}) => rateLimit === undefined ? [] : [[id, rateLimit]]));
+		this.#limiter.applyConfiguration();
+		this.#reports.applyAccounts(accounts);
+	}
+
+	/** Decides whether a call may run now; one without a limited account always may. */
+	async admit({account, deadlineAtMs}: Pick<Call, 'account' | 'deadlineAtMs'>): Promise<CallAdmittance> {
+		if (account?.rateLimit === undefined) {
+			return {type: 'unlimited'};
+		}
+
+		const admittance = await this.#ask(account, account.rateLimit);
+		this.#reports.record(account, admittance);
+		const nowMs = this.#options.context.clock.monotonicMs();
+		if (admittance.type === 'granted') {
+			return {type: 'granted', account: account.id, atMs: nowMs};
+		}
+
+		const usefulMs = Math.max(0, (deadlineAtMs - nowMs) * maximumWaitRatio);
+		const retryAfterMs = Math.ceil(Math.min(admittance.retryAfterMs, usefulMs));
+		const outcome: RefusedOutcome = admittance.type === 'limited'
+			? {type: 'limited', retryAfterMs}
+			: {type: 'not-run', reason: 'account-use-unknown', retryAfterMs};
+		return {type: 'refused', outcome};
+	}
+
+	/** Returns the token of a call that did not run. */
+	complete(admittance: CallAdmittance, outcome: Outcome): void {
+		const {clock} = this.#options.context;
+		if (admittance.type === 'granted' && outcome.type === 'not-run' && clock.monotonicMs() - admittance.atMs <= maximumReturnAgeMs) {
+			this.#limiter.giveBack(admittance.account, 1);
+			this.#reports.recordGivenBack(admittance.account);
+		}
+	}
+
+	/** Handles a message of another instance. */
+	receive(message: LimitMessage, from: string): void {
+		this.#limiter.receive(message, from);
+	}
+
+	async #ask(account: ClientAccount, limit: AccountRateLimit): Promise<Admittance> {
+		return new Promise(resolve => {
+			this.#limiter.admit(account.id, limit, resolve);
+		});
+	}
+}
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -9,6 +9,7 @@
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import type {AccountLimitsTask} from '../account-limits/account-limits-task.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
 import {CallRun} from './call-run.js';
@@ -28,6 +29,7 @@
 	readonly context: Context;
 	readonly callDependencies: CallDependencies;
 	readonly poisonGuard: PoisonGuard;
+	readonly accountLimits: Pick<AccountLimitsTask, 'admit' | 'complete'>;
 	readonly startupGate: StartupGate;
 	readonly routes: () => RouteTable | undefined;
 };
@@ -128,6 +130,12 @@
 			return;
 		}
 
+		const admittance = await this.#options.accountLimits.admit(call);
+		if (admittance.type === 'refused') {
+			this.#respond(response, admittance.outcome, {...fields, account: call.account?.id});
+			return;
+		}
+
 		const run = new CallRun(this.#options.callDependencies, call);
 		const abandon = () => {
 			if (!response.writableFinished) {
@@ -139,6 +147,7 @@
 		this.#runningCalls.add(run);
 		const outcome = await run.run();
 		this.#runningCalls.delete(run);
+		this.#options.accountLimits.complete(admittance, outcome);
 		if (outcome.type === 'answered') {
 			this.#options.poisonGuard.recordSuccess(call);
 		}
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -17,7 +17,9 @@
 };
 
 export type NotRunReason =
-	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | 'too-busy' | 'suspected-poison';
+	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | 'too-busy' | 'suspected-poison'
+	/** No instance was reached that knows how much of its limit the account has used. */
+	| 'account-use-unknown';
 
 export type UnknownReason = 'broken' | 'malformed' | 'timed-out' | 'unsigned' | 'unproven-refusal';
 
@@ -28,6 +30,8 @@
 	| {readonly type: 'answered'; readonly answer: UpstreamAnswer}
 	/** The request has not run and will not run. */
 	| {readonly type: 'not-run'; readonly reason: NotRunReason; readonly retryAfterMs: number}
+	/** The client account is over its rate limit. The request has not run and will not run. */
+	| {readonly type: 'limited'; readonly retryAfterMs: number}
 	/** The request may have run. */
 	| {readonly type: 'unknown'; readonly reason: UnknownReason}
 	/** The route's timeout or the caller's deadline has passed; the request may have run. */
--- a/packages/gateway/src/features/calls/read-call.ts
+++ b/packages/gateway/src/features/calls/read-call.ts
@@ -1,6 +1,7 @@
 /** Parses an incoming request into a call, or returns the outcome of an invalid request. */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
+import {digestKey, type ClientAccount} from '@cairnbank/core/accounts';
 import type {Clock, RandomSource} from '@cairnbank/core';
 import type {HeaderFilter} from '@cairnbank/core/headers';
 import {hostNameOf, pickService, type RouteTable} from '@cairnbank/core/routes';
@@ -66,7 +67,7 @@
 		target,
 		headers: requestHeaders.apply(request.rawHeaders),
 		route,
-		account: undefined,
+		account: findAccount(routes, request.headers.authorization),
 		priority: route.priority,
 		service,
 		configurationVersion: version,
@@ -75,6 +76,12 @@
 	});
 }
 
+/** Finds the account of a key that the caller sends. */
+function findAccount({configuration: {accounts}}: RouteTable, authorization: string | undefined): ClientAccount | undefined {
+	const digest = digestKey(authorization?.replace(/^Bearer /, '') ?? '');
+	return accounts?.find(({keys}) => keys.includes(digest));
+}
+
 /** Reads the whole body; undefined if the request has none, an error if the caller disconnected or the body is too large. */
 export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Result<Uint8Array | undefined, 'too-large' | 'broken-off'>> {
 	return new Promise(resolve => {
--- a/packages/gateway/src/features/calls/write-outcome.ts
+++ b/packages/gateway/src/features/calls/write-outcome.ts
@@ -39,6 +39,11 @@
 			return;
 		}
 
+		case 'limited': {
+			writeError(response, 429, outcome.type, ['Retry-After', String(outcome.retryAfterMs / millisecondsPerSecond)]);
+			return;
+		}
+
 		case 'unknown': {
 			writeError(response, 502, outcome.reason);
 			return;
--- a/packages/gateway/src/features/fleet/datagrams.ts
+++ b/packages/gateway/src/features/fleet/datagrams.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {AvailabilityZoneId, IncarnationId, UpstreamId} from '@cairnbank/core';
 import type {CrashRecord} from '@cairnbank/core/crash-record';
+import type {LimitMessage} from '@cairnbank/core/account-limits';
 import type {FleetMember, MemberUpdate} from '@cairnbank/core/fleet';
 import type {AdvertisedLimit} from '@cairnbank/core/limits';
 import type {
@@ -9,7 +10,13 @@
 } from '@cairnbank/core/registry';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
+import {
+	decodeLimitMessage, encodeLimitMessage, limitSchema,
+} from '../account-limits/limit-codec.js';
 import type {RateReport} from '../upstreams/rate-limits.js';
+import {
+	decodeMemberFlags, decodeMembers, encodeMembers, hasFlag, memberFlags, membersSchema,
+} from './member-codec.js';
 import {decodeSuspect, encodeSuspect, suspectSchema} from './suspects-codec.js';
 import {entrySchema, encodeEntry, decodeEntry} from './upstream-codec.js';
 
@@ -17,6 +24,8 @@
 export const maximumDatagramBytes = 1200;
 
 export type FleetMessage =
+	/** About the limits of client accounts. */
+	| {readonly type: 'limit'; readonly message: LimitMessage}
 	| {
 		readonly type: 'heartbeat';
 		readonly member: FleetMember;
@@ -54,16 +63,10 @@
 	};
 
 const millisecondsPerSecond = 1000;
-const readyFlag = 1;
-const leavingFlag = 2;
-const reachesStoreFlag = 4;
 const periodicFlag = 8;
 const requestsReplyFlag = 16;
 const requestsMembersFlag = 32;
-const lostFlag = 64;
 const relayInZoneFlag = 128;
-/** Set while an instance has lost its links, so that the flags of the others keep their length. */
-const noUpstreamsFlag = 256;
 
 /** Maximum number of members in one message: it fits into a datagram even with five availability zones of long names. */
 export const membersPerMessage = 22;
@@ -88,10 +91,6 @@
 	v.pipe(v.number(), v.minValue(0)),
 	v.optional(v.number(), 0),
 ]);
-/** Members by availability zone, each with host, incarnation, flags and revision. */
-const membersSchema = v.tuple([
-	v.literal('m'), v.array(v.tuple([v.string(), v.array(v.tuple([v.string(), v.string(), v.number(), v.number()]))])),
-]);
 const changesSchema = v.tuple([
 	v.literal('c'),
 	v.number(),
@@ -107,7 +106,7 @@
 	v.literal('r'), v.string(), v.number(), v.nullable(v.pipe(v.number(), v.minValue(0))), v.pipe(v.number(), v.minValue(0)), v.boolean(),
 ]);
 const suspectsRequestSchema = v.tuple([v.literal('q')]);
-const messageSchema = v.union([heartbeatSchema, membersSchema, changesSchema, suspectsSchema, suspectsRequestSchema, rateSchema]);
+const messageSchema = v.union([heartbeatSchema, membersSchema, changesSchema, suspectsSchema, suspectsRequestSchema, rateSchema, v.tuple([v.literal('l'), limitSchema])]);
 
 export function encodeMessage(message: FleetMessage, nowMs: number): Uint8Array {
 	return Buffer.from(JSON.stringify(encodeArray(message, nowMs)));
@@ -126,7 +125,7 @@
 	return parsed.success ? ok(decodeArray(parsed.output, nowMs)) : err(parsed.issues[0].message);
 }
 
-function encodeArray(message: FleetMessage, nowMs: number): unknown[] {
+function encodeArray(message: FleetMessage, nowMs: number): readonly unknown[] {
 	switch (message.type) {
 		case 'heartbeat': {
 			const {member} = message;
@@ -177,6 +176,10 @@
 				offset, key, encodeEntry({value, fault}),
 			]), message.shouldRelayInZone, epoch];
 		}
+
+		case 'limit': {
+			return ['l', encodeLimitMessage(message.message)];
+		}
 	}
 }
 
@@ -208,10 +211,7 @@
 					incarnation: incarnation as IncarnationId,
 					host,
 					availabilityZone: zone as AvailabilityZoneId,
-					ready: hasFlag(flags, readyFlag),
-					leaving: hasFlag(flags, leavingFlag),
-					reachesStore: hasFlag(flags, reachesStoreFlag),
-					reachesUpstreams: !hasFlag(flags, noUpstreamsFlag),
+					...decodeMemberFlags(flags),
 					revision,
 					membersDigest,
 					configurationVersion,
@@ -262,6 +262,10 @@
 				},
 			};
 		}
+
+		case 'l': {
+			return {type: 'limit', message: decodeLimitMessage(array[1])};
+		}
 	}
 }
 
@@ -272,36 +276,3 @@
 		+ (requestsMembers ? requestsMembersFlag : 0)
 		+ (shouldRelayInZone ? relayInZoneFlag : 0);
 }
-
-function memberFlags({ready, leaving, reachesStore, reachesUpstreams}: Pick<MemberUpdate, 'ready' | 'leaving' | 'reachesStore' | 'reachesUpstreams'>): number {
-	return (ready ? readyFlag : 0) + (leaving ? leavingFlag : 0) + (reachesStore ? reachesStoreFlag : 0) + (reachesUpstreams ? 0 : noUpstreamsFlag);
-}
-
-function encodeMembers(members: readonly MemberUpdate[]): Array<v.InferInput<typeof membersSchema>[1][number]> {
-	const byZone = new Map<string, Array<[string, string, number, number]>>();
-	for (const member of members) {
-		const ofZone = byZone.get(member.availabilityZone) ?? [];
-		ofZone.push([member.host, member.incarnation, memberFlags(member) + (member.isLost ? lostFlag : 0), member.revision]);
-		byZone.set(member.availabilityZone, ofZone);
-	}
-
-	return [...byZone];
-}
-
-function decodeMembers([, byZone]: v.InferOutput<typeof membersSchema>): readonly MemberUpdate[] {
-	return byZone.flatMap(([zone, members]) => members.map(([host, incarnation, flags, revision]) => ({
-		host,
-		incarnation: incarnation as IncarnationId,
-		availabilityZone: zone as AvailabilityZoneId,
-		ready: hasFlag(flags, readyFlag),
-		leaving: hasFlag(flags, leavingFlag),
-		reachesStore: hasFlag(flags, reachesStoreFlag),
-		reachesUpstreams: !hasFlag(flags, noUpstreamsFlag),
-		isLost: hasFlag(flags, lostFlag),
-		revision,
-	})));
-}
-
-function hasFlag(flags: number, flag: number): boolean {
-	return Math.floor(flags / flag) % 2 === 1;
-}
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -1,5 +1,6 @@
 /** Runs the communication between instances: membership, changes of the registry, and the choice of the instance that reads the store. */
 import type {AvailabilityZoneId, Fingerprint} from '@cairnbank/core';
+import type {LimiterFleet, LimitMessage} from '@cairnbank/core/account-limits';
 import type {CrashRecord} from '@cairnbank/core/crash-record';
 import type {CrashTable} from '@cairnbank/core/crash-table';
 import {followerRank, isFirstByHash, type FleetShareTracker} from '@cairnbank/core/fleet';
@@ -11,6 +12,7 @@
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {StateStore} from '../../ports/index.js';
+import {describeFleet} from '../account-limits/known-fleet.js';
 import {maximumRelayHeaderBytes, relayPath} from '../relay/relay-codec.js';
 import type {RateReport} from '../upstreams/rate-limits.js';
 import type {StateTask} from '../state/state-task.js';
@@ -36,6 +38,8 @@
 	readonly onSuspects: (records: readonly CrashRecord[]) => void;
 	/** Called when another instance reports the rate limit that an upstream advertises. */
 	readonly onRateReport: (report: RateReport) => void;
+	/** Called for each message of another instance about the limits of accounts. */
+	readonly onLimitMessage: (message: LimitMessage, from: string) => void;
 	/** Whether this instance reaches upstreams on connections of its own. */
 	readonly reachesUpstreams: () => boolean;
 	/** Handles requests that other instances ask this one to pass on. */
@@ -56,6 +60,9 @@
 	readonly #readerRoles: ReaderRoleTracker;
 	/** Whether the settings name other instances as seeds, and not this one. */
 	readonly #hasSeeds: boolean;
+	/** Hosts of the other instances that the settings name. */
+	readonly #seeds: readonly string[];
+	readonly #startedAtMs: number;
 	#roundTimer: NodeJS.Timeout | undefined;
 	#updateTimer: NodeJS.Timeout | undefined;
 	#isLeaving = false;
@@ -66,6 +73,8 @@
 		const {settings} = options.context;
 		const seeds = settings.seeds.map(seed => splitAddress(seed).host);
 		this.#hasSeeds = seeds.length > 0 && !seeds.includes(settings.host);
+		this.#seeds = seeds.filter(seed => seed !== settings.host);
+		this.#startedAtMs = options.context.clock.monotonicMs();
 		const stateExchange = new StateExchange({
 			context: options.context,
 			answerQuery: query => options.state().answerQuery(query),
@@ -141,7 +150,7 @@
 			return bound;
 		}
 
-		this.#membership.view.addCandidates(settings.seeds.map(seed => splitAddress(seed).host).filter(host => host !== settings.host));
+		this.#membership.view.addCandidates(this.#seeds);
 		this.#runRound();
 		this.#storeEntry.start();
 		return ok(undefined);
@@ -209,6 +218,22 @@
 		return this.#membership.view.offered();
 	}
 
+	/** What this instance knows of the fleet, for the limits of accounts. */
+	get limiterFleet(): LimiterFleet {
+		return describeFleet({
+			view: this.#membership.view,
+			others: this.others().map(({host}) => host),
+			seeds: this.#seeds,
+			sinceStartMs: this.#options.context.clock.monotonicMs() - this.#startedAtMs,
+			isLeaving: this.#isLeaving,
+		});
+	}
+
+	/** Sends a message about the limits of accounts to another instance. */
+	sendLimitMessage(message: LimitMessage, host: string): void {
+		this.#socket.send({type: 'limit', message}, [host]);
+	}
+
 	/** Whether a live instance runs at this address. */
 	isMember(host: string): boolean {
 		return this.#membership.view.live().some(member => member.host === host);
@@ -315,6 +340,12 @@
 				if (message.shouldRelayInZone) {
 					this.#membership.relayInZone({...message, shouldRelayInZone: false}, '');
 				}
+
+				return;
+			}
+
+			case 'limit': {
+				this.#options.onLimitMessage(message.message, from);
 			}
 		}
 	}
--- a/packages/gateway/src/features/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/features/fleet/simulated-fleet.ts
@@ -262,6 +262,7 @@
 			}
 
 			case 'rate':
+			case 'limit':
 			case 'changes': {
 				break;
 			}
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -29,6 +29,7 @@
 		upstreamConnections: counter('cairnbank_upstream_connections_total', 'Connections opened to upstreams'),
 		relayed: counter('cairnbank_relayed_requests_total', 'Requests and health checks that one instance passed on for another, by side and result', ['side', 'result']),
 		lostServices: new Gauge({name: 'cairnbank_services_without_links', help: 'Services to whose upstreams this instance has lost its links', registers}),
+		accountRequests: counter('cairnbank_account_requests_total', 'Requests of limited accounts, by account (the others together) and result', ['account', 'result']),
 		requestSeconds: new Histogram({
 			name: 'cairnbank_request_seconds', help: 'Time from the last byte of a request to its answer', labelNames: ['outcome'], buckets: latencyBuckets, registers,
 		}),
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -56,6 +56,13 @@
 		/** Maximum number of health checks per second that the whole fleet may send to an upstream. */
 		probesPerSecond: notNegative,
 	}),
+	/** Bound on the requests of an account with a rate limit: (rate x window + burst) x (1 + excess) + slack in any window. */
+	accountLimits: v.optional(v.strictObject({
+		windowSeconds: v.optional(positive, 5),
+		excessRatio: v.optional(notNegative, 0.1),
+		/** Further requests in a window. */
+		slackRequests: v.optional(notNegative, 20),
+	}), {}),
 	logging: v.optional(v.strictObject({
 		level: v.optional(v.picklist(logLevels), 'info'),
 		/** One in this number of requests without anything notable is logged; 0 logs none of them. */
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -9,6 +9,7 @@
 import {FleetPace} from '@cairnbank/core/limits';
 import {Admission, WorkEstimates} from '@cairnbank/core/placement';
 import {RelayPeers} from '@cairnbank/core/reachability';
+import {AccountLimitsTask} from './features/account-limits/account-limits-task.js';
 import {CallersTask} from './features/calls/callers-task.js';
 import {PoisonGuard} from './features/calls/poison-guard.js';
 import {RetryBudgets} from './features/calls/retry-budgets.js';
@@ -112,6 +113,7 @@
 		readerRole: () => fleet.readerRole,
 		onConfiguration(routes) {
 			callers.applyConfiguration(routes);
+			accountLimits.applyConfiguration(routes);
 		},
 		onEvacuation({type, zone}) {
 			if (type === 'emptied') {
@@ -155,6 +157,9 @@
 		onRateReport(report) {
 			rateLimits.receiveReport(report);
 		},
+		onLimitMessage(message, from) {
+			accountLimits.receive(message, from);
+		},
 		onRoleChanged() {
 			state.handleRoleChange();
 		},
@@ -167,6 +172,13 @@
 			fleet.announceRate(report);
 		},
 	});
+	const accountLimits: AccountLimitsTask = new AccountLimitsTask({
+		context,
+		fleet: () => fleet.limiterFleet,
+		send(message, host) {
+			fleet.sendLimitMessage(message, host);
+		},
+	});
 	const advisories = new Advisories({context, dialect: ports.requests});
 	const eligibility = new Eligibility({
 		pace: new FleetPace({
@@ -220,6 +232,7 @@
 		context,
 		routes: () => state.routes,
 		poisonGuard: guard,
+		accountLimits,
 		startupGate: new StartupGate({
 			clock: context.clock,
 			canServe: () => state.canServe,
@@ -253,5 +266,5 @@
 		offered: () => withoutLostLinks(fleet.offered()),
 	});
 	const metrics = new MetricsTask(context, () => lines.droppedLines);
-	return new Gateway(context, [upstreams, recheck, relayClient, fleet, relay, state, callers, directory, metrics], async () => lines.waitUntilFlushed(logFlushTimeoutMs));
+	return new Gateway(context, [upstreams, recheck, relayClient, fleet, relay, state, accountLimits, callers, directory, metrics], async () => lines.waitUntilFlushed(logFlushTimeoutMs));
 }
