--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -2,8 +2,9 @@
 import {Buffer} from 'node:buffer';
 import {describe, it} from 'node:test';
 import type {
-	AvailabilityZoneId, Fingerprint, IncarnationId, ServiceId, UpstreamId,
+	AvailabilityZoneId, ClientAccountId, Fingerprint, IncarnationId, ServiceId, UpstreamId,
 } from '@cairnbank/core';
+import type {LimitMessage} from '@cairnbank/core/account-limits';
 import type {FleetMember, MemberUpdate} from '@cairnbank/core/fleet';
 import type {StoreEpoch} from '@cairnbank/core/registry';
 import fc from 'fast-check';
@@ -119,6 +120,46 @@
 		});
 	}
 
+	for (const message of [
+		{
+			type: 'limit-ask', account: 'shop' as ClientAccountId, sequence: 7, count: 3,
+		},
+		{
+			type: 'limit-answer', sequence: 7, answer: {
+				granted: 2, tokenInMs: 15, retryAfterMs: 120, isCertain: true,
+			},
+		},
+		{type: 'limit-answer', sequence: 7, answer: undefined},
+		{type: 'limit-working', sequence: 7},
+		{type: 'limit-take-over', account: 'shop' as ClientAccountId, sequence: 8},
+		{type: 'limit-level', sequence: 8, level: 12.5},
+		{type: 'limit-level', sequence: 8, level: undefined},
+		{type: 'limit-check', sequence: 9},
+		{type: 'limit-checked', sequence: 9},
+		{type: 'limit-return', account: 'shop' as ClientAccountId, count: 2},
+	] satisfies LimitMessage[]) {
+		it(`should encode and decode a message of type ${message.type} without a change`, () => {
+			assert.deepEqual(decodeMessage(encodeMessage({type: 'limit', message}, 0), 0)._unsafeUnwrap(), {type: 'limit', message});
+		});
+	}
+
+	for (const [fault, message] of Object.entries({
+		'a negative count': ['a', 'shop', 1, -1],
+		'a count beyond what an instance can hold': ['a', 'shop', 1, 1e9],
+		'part of a request': ['a', 'shop', 1, 0.5],
+		'an account with a huge name': ['a', 's'.repeat(100_000), 1, 1],
+		'an account without a name': ['a', '', 1, 1],
+		'more granted than can be asked for': ['r', 1, [1e9, 0, 0, true]],
+		'a token in the past': ['r', 1, [0, -1, 0, true]],
+		'a negative level': ['l', 1, -5],
+		'an unknown kind': ['x', 1],
+		'a missing field': ['b', 'shop'],
+	})) {
+		it(`should reject a message about limits with ${fault}`, () => {
+			assert.ok(decodeMessage(Buffer.from(JSON.stringify(['l', message])), 0).isErr());
+		});
+	}
+
 	it('should fit the maximum number of members into one datagram, whatever their names', () => {
 		const many = Array.from({length: membersPerMessage}, (_, index) => ({
 			...update,
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -18,6 +18,7 @@
 import type {StateTask} from '../state/state-task.js';
 import type {StoreReaderRole} from '../state/topic-reader.js';
 import type {FleetMessage} from './datagrams.js';
+import {dispatchMessage, type MessageHandlers} from './dispatch-message.js';
 import {FleetSocket} from './fleet-socket.js';
 import {Membership, type OwnState} from './membership.js';
 import {updateDelayMs} from './update-queue.js';
@@ -51,6 +52,7 @@
 export class FleetTask implements Task {
 	readonly name = 'fleet';
 	readonly #options: FleetTaskOptions;
+	readonly #handlers: MessageHandlers;
 	readonly #membership: Membership;
 	readonly #peerServer: PeerServer;
 	readonly #socket: FleetSocket;
@@ -70,6 +72,7 @@
 
 	constructor(options: FleetTaskOptions) {
 		this.#options = options;
+		this.#handlers = this.#createHandlers();
 		const {settings} = options.context;
 		const seeds = settings.seeds.map(seed => splitAddress(seed).host);
 		this.#hasSeeds = seeds.length > 0 && !seeds.includes(settings.host);
@@ -88,7 +91,7 @@
 			},
 		});
 		this.#socket = new FleetSocket(options.context, (message, from) => {
-			this.#dispatch(message, from);
+			dispatchMessage(message, from, this.#handlers);
 		});
 		this.#suspectExchange = new SuspectExchange({
 			context: options.context,
@@ -298,55 +301,31 @@
 		}, this.#membership.roundIntervalMs);
 	}
 
-	#dispatch(message: FleetMessage, from: string): void {
-		const {context, state, onSuspects, onRateReport} = this.#options;
-		switch (message.type) {
-			case 'heartbeat': {
+	#createHandlers(): MessageHandlers {
+		const {context, state, onSuspects, onRateReport, onLimitMessage} = this.#options;
+		return {
+			onHeartbeat: message => {
 				if (message.member.incarnation !== context.incarnation) {
 					this.#membership.receiveHeartbeat(message);
 					this.#stateFetcher.receiveHeartbeat(message.member);
 					this.#suspectExchange.receiveHeartbeat(message.member);
 				}
-
-				return;
-			}
-
-			case 'members': {
+			},
+			onMembers: message => {
 				this.#membership.receiveUpdates(message);
-				return;
-			}
-
-			case 'suspects': {
-				onSuspects(message.records);
-				return;
-			}
-
-			case 'suspects-request': {
+			},
+			onSuspects,
+			onSuspectsRequest: from => {
 				this.#suspectExchange.receiveRequest(from);
-				return;
-			}
-
-			case 'rate': {
-				onRateReport(message.report);
-				if (message.shouldRelayInZone) {
-					this.#membership.relayInZone({...message, shouldRelayInZone: false}, '');
-				}
-
-				return;
-			}
-
-			case 'changes': {
+			},
+			onRateReport,
+			onChanges(message) {
 				state().receiveChanges(message);
-				if (message.shouldRelayInZone) {
-					this.#membership.relayInZone({...message, shouldRelayInZone: false}, '');
-				}
-
-				return;
-			}
-
-			case 'limit': {
-				this.#options.onLimitMessage(message.message, from);
-			}
-		}
+			},
+			onLimitMessage,
+			relayInZone: message => {
+				this.#membership.relayInZone(message, '');
+			},
+		};
 	}
 }
