--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -9,6 +9,7 @@
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import type {AccountLimitsTask} from '../account-limits/account-limits-task.js';
 import type {Authenticator} from './authenticator.js';
 import {CallerConnections} from './caller-connections.js';
 import type {Call} from './call.js';
@@ -30,6 +31,7 @@
 	readonly callDependencies: CallDependencies;
 	readonly poisonGuard: PoisonGuard;
 	readonly authenticator: Authenticator;
+	readonly accountLimits: Pick<AccountLimitsTask, 'admit' | 'complete'>;
 	readonly startupGate: StartupGate;
 	readonly routes: () => RouteTable | undefined;
 };
@@ -155,6 +157,19 @@
 			return;
 		}
 
+		const admittance = await this.#options.accountLimits.admit(call);
+		if (admittance.type === 'refused') {
+			this.#respond(response, admittance.outcome, fields);
+			return;
+		}
+
+		if (response.destroyed) {
+			// The caller disconnected while its account was asked for, so no event follows that would end the call.
+			this.#options.accountLimits.complete(admittance, {type: 'not-run', reason: 'never-sent', retryAfterMs: 0});
+			this.#respond(response, {type: 'abandoned'}, fields);
+			return;
+		}
+
 		const run = new CallRun(this.#options.callDependencies, call);
 		const abandon = () => {
 			if (!response.writableFinished) {
@@ -166,6 +181,7 @@
 		this.#runningCalls.add(run);
 		const outcome = await run.run();
 		this.#runningCalls.delete(run);
+		this.#options.accountLimits.complete(admittance, outcome);
 		if (outcome.type === 'answered') {
 			this.#options.poisonGuard.recordSuccess(call);
 		}
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -24,7 +24,9 @@
 	/** Accounts were configured after the request had been read without one. */
 	| 'accounts-introduced'
 	/** Callers have not yet read the answers that fill the memory set aside for them. */
-	| 'answers-held';
+	| 'answers-held'
+	/** No instance was reached that knows how much of its limit the account has used. */
+	| 'account-use-unknown';
 
 export type UnknownReason = 'broken' | 'malformed' | 'timed-out' | 'unsigned' | 'unproven-refusal';
 
@@ -38,6 +40,8 @@
 	| {readonly type: 'answered'; readonly answer: UpstreamAnswer}
 	/** The request has not run and will not run. */
 	| {readonly type: 'not-run'; readonly reason: NotRunReason; readonly retryAfterMs: number}
+	/** The client account is over its rate limit. The request has not run and will not run. */
+	| {readonly type: 'limited'; readonly retryAfterMs: number}
 	/** The request may have run. */
 	| {readonly type: 'unknown'; readonly reason: UnknownReason}
 	/** The route's timeout or the caller's deadline has passed; the request may have run. */
