The soak takes a key away under callers that use it

Cause: no play had client accounts.

- Event remove-key: accounts are introduced, one key is taken away while a caller uses it at one instance after the other, with a forged name.
- Checks from what callers sent and upstreams got: a request runs only under the account of its key and no upstream gets the key; none arrives 5 s after its key was taken away.

--- /dev/null
+++ b/packages/soak/src/all-checks.ts
@@ -0,0 +1,5 @@
+/** All checks of the soak. */
+import {accountChecks} from './account-checks.js';
+import {checks as serviceChecks, type Check} from './checks.js';
+
+export const checks: readonly Check[] = [...serviceChecks, ...accountChecks];
--- /dev/null
+++ b/packages/soak/src/all-mutations.ts
@@ -0,0 +1,5 @@
+/** All mutations of the soak. */
+import {accountMutations} from './account-mutations.js';
+import {mutations as serviceMutations, type Mutation} from './mutations.js';
+
+export const mutations: readonly Mutation[] = [...serviceMutations, ...accountMutations];
--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {checks} from './checks.js';
+import {checks} from './all-checks.js';
 import type {
 	CallEnd, CallRecord, History, RunRecord,
 } from './history.js';
@@ -16,7 +16,8 @@
 const run = (upstream = 'u0', atMs = 5, id = 'a'): RunRecord => ({id, upstream, atMs});
 
 const validHistory: History = {
-	calls: [call(answered(200))], runs: [run()], disturbances: [], arrivals: [], backOffs: [], drains: [], limits: [], leavings: [], stops: [], cuts: [], crashes: [], afterwards: [],
+	calls: [call(answered(200))], runs: [run()], disturbances: [], arrivals: [], backOffs: [], drains: [], limits: [], leavings: [], stops: [], cuts: [],
+	crashes: [], accounts: [], accountArrivals: [], afterwards: [],
 };
 
 /** Histories with one breach each, by the name of the check that should notice it. */
@@ -73,6 +74,18 @@
 		}],
 	},
 	'everything is served again after the last fault': {afterwards: [call(answered(504))]},
+	'a request runs only under the account of its key, and its key reaches no upstream': {
+		accounts: [{calls: [{record: call(answered(200)), account: 'shop', usesRemovedKey: false}], removedAtMs: 0}],
+		accountArrivals: [{
+			id: 'a', upstream: 'u0', atMs: 5, accounts: ['forged', 'shop'], hasKey: false,
+		}],
+	},
+	'no request reaches an upstream later than the bound after its key was taken away': {
+		accounts: [{calls: [{record: call(answered(200)), account: 'shop', usesRemovedKey: true}], removedAtMs: 0}],
+		accountArrivals: [{
+			id: 'a', upstream: 'u0', atMs: 5001, accounts: ['shop'], hasKey: false,
+		}],
+	},
 };
 
 function breachedChecks(history: History): string[] {
@@ -100,6 +113,14 @@
 		assert.notDeepEqual(breachedChecks({...validHistory, disturbances: [{...disturbances[0]!, fromMs: 11}], calls: [call({type: 'cut'})]}), []);
 	});
 
+	it('should notice a key that reaches an upstream', () => {
+		const name = 'a request runs only under the account of its key, and its key reaches no upstream';
+		const {accounts, accountArrivals} = breachingHistories[name]!;
+		const arrival = {...accountArrivals![0]!, accounts: ['shop']};
+		assert.deepEqual(breachedChecks({...validHistory, accounts: accounts!, accountArrivals: [arrival]}), []);
+		assert.deepEqual(breachedChecks({...validHistory, accounts: accounts!, accountArrivals: [{...arrival, hasKey: true}]}), [name]);
+	});
+
 	it('should report a request whose caller gave up without an answer, unless the process of the caller stalled', () => {
 		const calls = [call({type: 'left'})];
 		assert.equal(breachedChecks({...validHistory, calls}).length, 1);
--- a/packages/soak/src/contracts.spec.ts
+++ b/packages/soak/src/contracts.spec.ts
@@ -6,7 +6,7 @@
 import type {UpstreamAdvisory} from '@cairnbank/core/advisories';
 import type {StoreFault} from '@cairnbank/platform/spec-support/store-stand-in';
 import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
-import {checks} from './checks.js';
+import {checks} from './all-checks.js';
 import type {SoakEvent} from './schedule.js';
 
 const root = fileURLToPath(new URL('../../../', import.meta.url));
@@ -48,7 +48,7 @@
 	limit: true,
 	link: true,
 	store: true,
-	restore: true, crash: true, outage: true, herd: true,
+	restore: true, crash: true, outage: true, herd: true, 'remove-key': true,
 };
 
 type Row = {readonly statement: string; readonly files: readonly string[]; readonly check: string; readonly players: string};
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -2,12 +2,14 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {waitFor} from '@cairnbank/testing/harness';
+import {runAccountCaller} from './account-caller.js';
 import {runCrashingCaller, type CrashingCalls} from './crashing-caller.js';
 import type {
-	CutRecord, Disturbance, DrainRecord, LeavingRecord, LimitRecord, StopRecord,
+	AccountCalls, CutRecord, Disturbance, DrainRecord, LeavingRecord, LimitRecord, StopRecord,
 } from './history.js';
 import type {SoakEvent} from './schedule.js';
 import type {SoakSite} from './soak-site.js';
+import {watchForStalls} from './stall-watch.js';
 
 /** Longer than the grace period of an instance, because stopping takes longer on a busy machine. */
 const stopWaitMs = 20_000;
@@ -15,9 +17,6 @@
 const rewriteDelayMs = 750;
 /** Maximum number of lines outside the log that are recorded when an instance ends. The last ones are recorded. */
 const maximumErrorLines = 20;
-const stallCheckMs = 250;
-/** Shortest stall of this process that callers could mistake for a stall of an instance. */
-const stallMs = 2000;
 
 export class FaultInjector {
 	readonly disturbances: Disturbance[] = [];
@@ -27,6 +26,7 @@
 	readonly stops: StopRecord[] = [];
 	readonly cuts: CutRecord[] = [];
 	readonly crashing: CrashingCalls[] = [];
+	readonly accounts: AccountCalls[] = [];
 	readonly #site: SoakSite;
 	/** Number of requests that crash upstreams so far. */
 	#crashes = 0;
@@ -39,18 +39,9 @@
 
 	/** Records each stall of this process. @returns a function that stops the recording */
 	watchForStalls(): () => void {
-		let lastMs = performance.now();
-		const timer = setInterval(() => {
-			const nowMs = performance.now();
-			if (nowMs - lastMs >= stallMs) {
-				this.disturbances.push({kind: 'stall', fromMs: lastMs, untilMs: nowMs});
-			}
-
-			lastMs = nowMs;
-		}, stallCheckMs);
-		return () => {
-			clearInterval(timer);
-		};
+		return watchForStalls((fromMs, untilMs) => {
+			this.disturbances.push({kind: 'stall', fromMs, untilMs});
+		});
 	}
 
 	/** Resolves once the fault is over. */
@@ -134,6 +125,11 @@
 				return;
 			}
 
+			case 'remove-key': {
+				this.accounts.push(await runAccountCaller(this.#site, `account-${this.accounts.length}`, event.forMs));
+				return;
+			}
+
 			case 'outage': {
 				await Promise.all(this.#site.upstreams.map(async (_, index) => this.#misbehave(index, event.behaviour, event.forMs)));
 				return;
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -68,6 +68,15 @@
 /** A period in which some instances had no links to upstreams. */
 export type CutRecord = {readonly instances: readonly string[]; readonly fromMs: number; readonly untilMs: number};
 
+/** Requests with keys of client accounts, one of which was taken away meanwhile. */
+export type AccountCalls = {
+	readonly calls: ReadonlyArray<{readonly record: CallRecord; readonly account: string; readonly usesRemovedKey: boolean}>;
+	readonly removedAtMs: number;
+};
+
+/** A request that reached an upstream, with the accounts that its headers named and whether they contained a key. */
+export type AccountArrivalRecord = ArrivalRecord & {readonly accounts: readonly string[]; readonly hasKey: boolean};
+
 export type StopRecord = {
 	readonly instance: string;
 	readonly exitCode: number | undefined;
@@ -88,6 +97,8 @@
 	readonly stops: readonly StopRecord[];
 	readonly cuts: readonly CutRecord[];
 	readonly crashes: readonly CrashingRequestRecord[];
+	readonly accounts: readonly AccountCalls[];
+	readonly accountArrivals: readonly AccountArrivalRecord[];
 	/** Calls after the last fault, all of which should succeed. */
 	readonly afterwards: readonly CallRecord[];
 };
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -3,10 +3,11 @@
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {cac} from 'cac';
 import {worstRetryWindow} from '@cairnbank/platform/spec-support/retry-bound';
-import {checks} from './checks.js';
+import {checks} from './all-checks.js';
 import type {History} from './history.js';
 import {buildMutant} from './mutant.js';
-import {mutations, type Mutation} from './mutations.js';
+import {mutations} from './all-mutations.js';
+import type {Mutation} from './mutations.js';
 import {
 	generateFleetSchedule, generateSchedule, mutationSchedule, readSchedule, type Schedule,
 } from './schedule.js';
--- a/packages/soak/src/mutations.spec.ts
+++ b/packages/soak/src/mutations.spec.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {checks} from './checks.js';
+import {checks} from './all-checks.js';
 import {countOccurrences} from './mutant.js';
-import {mutations} from './mutations.js';
+import {mutations} from './all-mutations.js';
 
 describe('mutations of the soak', () => {
 	for (const mutation of mutations) {
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -28,6 +28,8 @@
 	| {readonly type: 'cut'; readonly instances: readonly number[]; readonly cut: LinkCut; readonly forMs: number}
 	/** A caller sends one request that crashes each upstream that runs it to one instance after the other. */
 	| {readonly type: 'crash'; readonly request: number; readonly forMs: number}
+	/** Client accounts are introduced, and one of their keys is taken away while callers use it. */
+	| {readonly type: 'remove-key'; readonly forMs: number}
 	/** All upstreams misbehave in the same way. */
 	| {readonly type: 'outage'; readonly behaviour: UpstreamBehaviour; readonly forMs: number}
 	/** Many instances are killed at the same time and start again. */
@@ -62,6 +64,8 @@
 const seedMultiplier = 0x9E_37_79_B1;
 const crashSeedOffset = 100_000;
 const cutSeedOffset = 200_000;
+const removalSeedOffset = 300_000;
+const removalMs = 9000;
 const crashMs = 2000;
 const defaultDurationMs = 10_000;
 /** Mean time between two events. As faults last 0.3 to 3 s, several overlap at a time. */
@@ -97,7 +101,7 @@
 		events.push({atMs, event: generateEvent(random, instances, upstreams)});
 	}
 
-	events.push(...generateCrashes(seed, durationMs), generateCut(seed, durationMs, instances));
+	events.push(...generateCrashes(seed, durationMs), generateCut(seed, durationMs, instances), generateRemoval(seed, durationMs));
 	return {
 		seed, instances, upstreams, callers: 6 + random.nextInteger(10), workMs: 5 + random.nextInteger(40), durationMs, events: events.toSorted((left, right) => left.atMs - right.atMs),
 	};
@@ -173,6 +177,12 @@
 	};
 }
 
+/** Uses a random source of its own as well. */
+function generateRemoval(seed: number, durationMs: number): ScheduledEvent {
+	const random = createRandomSource(Math.imul(seed + removalSeedOffset, seedMultiplier));
+	return {atMs: random.nextInteger(durationMs / 2), event: {type: 'remove-key', forMs: removalMs}};
+}
+
 function drawPauseMs(random: RandomSource, meanMs = meanPauseMs): number {
 	return Math.round(-Math.log(1 - random.next()) * meanMs);
 }
--- a/packages/soak/src/soak-caller.ts
+++ b/packages/soak/src/soak-caller.ts
@@ -24,7 +24,7 @@
 	readonly requestsPerConnection: number;
 };
 
-type CallerRequest = {readonly id: string; readonly method: 'GET' | 'POST'; readonly path: string; readonly from?: string};
+type CallerRequest = {readonly id: string; readonly method: 'GET' | 'POST'; readonly path: string; readonly from?: string; readonly headers?: Readonly<Record<string, string>>};
 
 function pauseAfter(sent: number, bursts: RequestBursts | undefined): number {
 	return bursts !== undefined && sent % bursts.requests === 0 ? bursts.pauseMs : pauseMs;
@@ -71,11 +71,11 @@
 	return {record, keepsConnection};
 }
 
-async function exchange(address: string, {id, method, path, from}: CallerRequest, agent?: Agent): Promise<{end: CallEnd; keepsConnection: boolean}> {
+async function exchange(address: string, {id, method, path, from, headers}: CallerRequest, agent?: Agent): Promise<{end: CallEnd; keepsConnection: boolean}> {
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const outgoing = request({
-			host, port, localAddress: from, method, path, agent: agent ?? false, headers: callerHeaders(id, deadlineMs),
+			host, port, localAddress: from, method, path, agent: agent ?? false, headers: {...callerHeaders(id, deadlineMs), ...headers},
 		}, response => {
 			let body = '';
 			response.on('data', chunk => {
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -5,7 +5,7 @@
 import {createRandomSource} from '@cairnbank/core/random';
 import {FaultInjector} from './fault-injector.js';
 import type {
-	ArrivalRecord, BackOffRecord, CallRecord, CrashingRequestRecord, History, RunRecord,
+	AccountArrivalRecord, ArrivalRecord, BackOffRecord, CallRecord, CrashingRequestRecord, History, RunRecord,
 } from './history.js';
 import type {Schedule} from './schedule.js';
 import {callOnce, runSoakCaller} from './soak-caller.js';
@@ -108,7 +108,7 @@
 		const arrivals: ArrivalRecord[] = this.#site.upstreams.flatMap(({id: upstream, arrivals: ofUpstream}) => ofUpstream.map(({id, atMs}) => ({id, atMs, upstream})));
 		const backOffs: BackOffRecord[] = this.#site.upstreams.flatMap(({id: upstream, backOffs: backedOff}) => backedOff.map(backOff => ({...backOff, upstream})));
 		const {
-			disturbances, drains, limits, leavings, stops, cuts, crashing,
+			disturbances, drains, limits, leavings, stops, cuts, crashing, accounts,
 		} = this.#injector;
 		const crashRuns = this.#site.crashing.upstreams.flatMap(upstream => runsOf(upstream));
 		const crashes: CrashingRequestRecord[] = [...new Set(crashing.map(({path}) => path))].map(path => {
@@ -118,16 +118,27 @@
 			return {calls: crashCalls, harmlessCalls: ofPath.flatMap(({harmlessCalls}) => harmlessCalls), runs: crashRuns.filter(({id}) => ids.has(id))};
 		});
 		return {
-			calls,
+			calls: [...calls, ...accounts.flatMap(({calls: ofAccounts}) => ofAccounts.map(({record}) => record))],
 			runs,
 			arrivals,
 			backOffs,
-			disturbances, drains, limits, leavings, stops, cuts, crashes,
+			disturbances, drains, limits, leavings, stops, cuts, crashes, accounts,
+			accountArrivals: this.#site.upstreams.flatMap(upstream => accountArrivalsOf(upstream)),
 			afterwards,
 		};
 	}
 }
 
+/** Returns the requests on the route that needs an account. */
+function accountArrivalsOf({id: upstream, arrivals}: UpstreamStandIn): readonly AccountArrivalRecord[] {
+	return arrivals.filter(({id}) => id.startsWith('account-')).map(({id, atMs, rawHeaders}) => {
+		const valuesOf = (header: string) => rawHeaders.filter((_, index) => index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === header);
+		return {
+			id, upstream, atMs, accounts: valuesOf('x-tenant'), hasKey: valuesOf('authorization').length > 0,
+		};
+	});
+}
+
 function runsOf({id: upstream, executedIds, executedAtMs}: UpstreamStandIn): readonly RunRecord[] {
 	return executedIds.map((id, index) => ({id, upstream, atMs: executedAtMs[index]!}));
 }
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -20,6 +20,10 @@
 /** In a large fleet, an address list contains only some of the instances. */
 const maximumExpectedAddresses = 8;
 
+/** The first key is taken away in a run. */
+export const removedKey = 'shop-key';
+export const soakAccounts = [{name: 'shop', apiKeys: [removedKey]}, {name: 'bank', apiKeys: ['bank-key']}] as const;
+
 export class SoakSite {
 	readonly upstreams: UpstreamStandIn[] = [];
 	readonly proxies: LinkProxy[] = [];
@@ -29,6 +33,8 @@
 	#copies: StoreCopy[] = [];
 	#copyTimer: NodeJS.Timeout | undefined;
 	#version = 1;
+	/** Undefined until accounts are introduced; all other routes are public from then on. */
+	#accounts: ReadonlyArray<{readonly name: string; readonly apiKeys: readonly string[]}> | undefined;
 	readonly #endedLines: Array<Readonly<Record<string, unknown>>> = [];
 
 	/** @param program - path of the program to test; defaults to the compiled program */
@@ -85,12 +91,24 @@
 	/** Publishes the next version of the configuration. */
 	configure(): void {
 		this.#version += 1;
-		this.#site.configure(`r${this.#version}`, [
+		const routes = [
 			route('read', '/read/'),
 			paymentRoute('pay', '/pay/'),
 			route('crash', '/crash/', {service: crashingService}),
 			route('new', `/new-${this.#version}/`),
-		]);
+		];
+		const published = this.#accounts === undefined ? routes : [...routes.map(each => ({...each, public: true})), route('account', '/account/')];
+		this.#site.configure(`r${this.#version}`, published, this.#accounts);
+	}
+
+	introduceAccounts(): void {
+		this.#accounts = soakAccounts;
+		this.configure();
+	}
+
+	removeKey(): void {
+		this.#accounts = soakAccounts.map(({name, apiKeys}) => ({name, apiKeys: apiKeys.filter(key => key !== removedKey)}));
+		this.configure();
 	}
 
 	/** Writes the next registry entry of an upstream. */
