--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -161,7 +161,9 @@
 		const {metrics, logger, settings} = this.#options.context;
 		const reason = 'reason' in outcome ? outcome.reason : '';
 		metrics.requests.inc({outcome: outcome.type, reason});
-		const isUneventful = hasSingleAttempt && outcome.type === 'answered' && outcome.answer.status < firstServerErrorStatus;
+		const isServed = hasSingleAttempt && outcome.type === 'answered' && outcome.answer.status < firstServerErrorStatus;
+		// An account that is limited has a line of its own where that begins and ends.
+		const isUneventful = isServed || outcome.type === 'limited';
 		const {sampleOneIn} = settings.logging;
 		this.#uneventfulRequests += isUneventful ? 1 : 0;
 		if (!isUneventful || (sampleOneIn > 0 && this.#uneventfulRequests % sampleOneIn === 0)) {
