The answer to a cancelled attempt is still read for 100 ms, so that a back-off or a leave in it counts

Cause, by reading: the answer of one attempt cancels the other by destroying its connection; an answer to that one which is on its way, or received and not yet read, is lost with the advisories, the rate limit and the load report in it.

Change: a connection whose request was sent ends its sending side only when the request is cancelled. The upstream notices the same at the same moment (a FIN); an answer that arrives within 100 ms is handed to the attempt, which takes in what it says of its upstream and nothing else. Requests that were not wholly sent, and those that an instance passes on for another, are cut as before.

--- a/packages/gateway/src/features/calls/attempt.spec.ts
+++ b/packages/gateway/src/features/calls/attempt.spec.ts
@@ -5,7 +5,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
 import type {RequestDialect} from '../../ports/index.js';
-import type {ExchangeFailure, UpstreamAnswer} from '../upstreams/exchange.js';
+import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from '../upstreams/exchange.js';
 import type {Placement} from '../upstreams/placer.js';
 import {Attempt} from './attempt.js';
 import type {Call} from './call.js';
@@ -22,13 +22,17 @@
 
 const expectedMs = 10;
 
-/** Sends one attempt that ends with `result` after `tookMs`, and returns the condition of its upstream. */
-async function conditionAfterEnd(result: Result<UpstreamAnswer, ExchangeFailure>, tookMs: number): Promise<UpstreamCondition> {
+/** Sends one attempt that ends with `result` after `tookMs`, which `late` follows if given, and returns the condition of its upstream. */
+async function conditionAfterEnd(result: Result<UpstreamAnswer, ExchangeFailure>, tookMs: number, late?: UpstreamAnswer): Promise<UpstreamCondition> {
 	const clock = new ManualClock();
 	const condition = new UpstreamCondition(clock);
 	const connection = {
-		async exchange() {
+		async exchange({onLateAnswer}: OutgoingRequest) {
 			clock.advance(tookMs);
+			if (late !== undefined) {
+				queueMicrotask(() => onLateAnswer?.(late));
+			}
+
 			return result;
 		},
 	};
@@ -85,5 +89,12 @@
 			const condition = await conditionAfterEnd(cancelled, expectedMs);
 			assert.equal(condition.failureRatio, 0);
 		});
+
+		it('should still take in what an answer says that arrives just afterwards, but not that of another upstream', async () => {
+			for (const [status, report] of [[503, idle], [421, undefined]] as const) {
+				const condition = await conditionAfterEnd(cancelled, expectedMs, {status, headers: ['not-run', '1', 'load', 'idle'], body: new Uint8Array(0)});
+				assert.equal(condition.report, report);
+			}
+		});
 	});
 });
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -1,6 +1,7 @@
 /** Sends a call to one upstream and updates the condition of the upstream from the result. */
 import type {UpstreamId} from '@cairnbank/core';
-import {loadOf} from '../upstreams/exchange.js';
+import {ok} from 'neverthrow';
+import {loadOf, type UpstreamAnswer} from '../upstreams/exchange.js';
 import type {Placement} from '../upstreams/placer.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import type {Call} from './call.js';
@@ -31,9 +32,7 @@
 	 * @param remainingMs - time until the call's deadline
 	 */
 	async run(remainingMs: number): Promise<ExchangeVerdict> {
-		const {
-			dialect, clock, metrics, rateLimits, advisories,
-		} = this.#dependencies;
+		const {dialect, clock, metrics} = this.#dependencies;
 		const {upstream} = this.#placement;
 		const {condition, pool} = upstream;
 		const sentAtMs = clock.monotonicMs();
@@ -49,6 +48,9 @@
 			body: this.#call.body,
 			requestId: this.#call.requestId,
 			timeoutMs: remainingMs,
+			onLateAnswer: answer => {
+				this.#learn(answer, sentAtMs);
+			},
 		});
 		pool.release(this.#channel);
 		const verdict = classifyExchange(result, dialect);
@@ -58,13 +60,8 @@
 		}
 
 		metrics.attempts.inc({kind: this.#kind, result: verdict.type});
-		if (result.isOk() && !isFromOtherUpstream(verdict)) {
-			advisories.received(upstream, result.value, 'answer');
-			rateLimits.answered(upstream, {answer: result.value, sentAtMs, isSuccess: verdict.type === 'success'});
-			const report = loadOf(result.value, dialect);
-			if (report !== undefined) {
-				condition.recordLoadReport(report);
-			}
+		if (result.isOk()) {
+			this.#learn(result.value, sentAtMs);
 		}
 
 		this.#recordVerdict(verdict, clock.monotonicMs() - sentAtMs);
@@ -120,6 +117,23 @@
 		];
 	}
 
+	/** Takes in what an answer says of its upstream, also if the call no longer waits for it. */
+	#learn(answer: UpstreamAnswer, sentAtMs: number): void {
+		const {dialect, rateLimits, advisories} = this.#dependencies;
+		const {upstream} = this.#placement;
+		const verdict = classifyExchange(ok(answer), dialect);
+		if (isFromOtherUpstream(verdict)) {
+			return;
+		}
+
+		advisories.received(upstream, answer, 'answer');
+		rateLimits.answered(upstream, {answer, sentAtMs, isSuccess: verdict.type === 'success'});
+		const report = loadOf(answer, dialect);
+		if (report !== undefined) {
+			upstream.condition.recordLoadReport(report);
+		}
+	}
+
 	/** A failure on the way through another instance says nothing of the upstream. */
 	#recordUnknown(): void {
 		if (this.#channel.relay === undefined) {
--- a/packages/gateway/src/features/relay/relay-codec.ts
+++ b/packages/gateway/src/features/relay/relay-codec.ts
@@ -15,8 +15,8 @@
 /** Largest header of the hop: callers' headers of 64 KB, a third more in base64, and the rest of the head. */
 export const maximumRelayHeaderBytes = 131_072;
 
-/** A request without its body, and the upstream that gets it. */
-export type RelayHead = Omit<OutgoingRequest, 'body'> & {readonly upstream: UpstreamId};
+/** What is passed on of a request besides its body, and the upstream that gets it. */
+export type RelayHead = Omit<OutgoingRequest, 'body' | 'onLateAnswer'> & {readonly upstream: UpstreamId};
 
 export type RelayResult = Result<Omit<UpstreamAnswer, 'body'>, ExchangeFailure>;
 
--- a/packages/gateway/src/features/upstreams/exchange.ts
+++ b/packages/gateway/src/features/upstreams/exchange.ts
@@ -36,6 +36,8 @@
 	/** An answer with another id belongs to an earlier request and is ignored. */
 	readonly requestId: string | undefined;
 	readonly timeoutMs: number;
+	/** Called with the answer if it arrives just after the request was cancelled; its upstream may ask for a back-off in it. */
+	readonly onLateAnswer?: ((answer: UpstreamAnswer) => void) | undefined;
 };
 
 /** Returns the value of a header; `name` is in lower case and matches any case. */
--- a/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
@@ -14,8 +14,11 @@
 const sockets: Socket[] = [];
 
 /** Starts an upstream that handles each request with `onRequest`, and connects to it. */
-async function connectToUpstream(onRequest: (socket: Socket, index: number) => void): Promise<UpstreamConnection> {
-	const server = createServer(socket => {
+async function connectToUpstream(
+	onRequest: (socket: Socket, index: number) => void,
+	{allowHalfOpen = false, onClosed = () => undefined}: {readonly allowHalfOpen?: boolean; readonly onClosed?: () => void} = {},
+): Promise<UpstreamConnection> {
+	const server = createServer({allowHalfOpen}, socket => {
 		sockets.push(socket);
 		let index = 0;
 		socket.on('data', () => {
@@ -35,7 +38,7 @@
 		now: () => performance.now(),
 		onAnswered: () => undefined,
 		onNotConnected: () => undefined,
-		onClosed: () => undefined,
+		onClosed,
 	});
 }
 
@@ -171,4 +174,51 @@
 			await once(sockets[0]!, 'close');
 		});
 	});
+
+	describe('whose request is cancelled after it was sent', () => {
+		/** Cancels a request once it has arrived; the upstream does `onEnd` once it notices that. Resolves once the connection is closed. */
+		async function cancelSent(onEnd: (socket: Socket) => void): Promise<{readonly connection: UpstreamConnection; readonly lateAnswers: UpstreamAnswer[]}> {
+			const lateAnswers: UpstreamAnswer[] = [];
+			let onRequest!: (socket: Socket) => void;
+			let onClosed!: () => void;
+			const received = new Promise<Socket>(resolve => {
+				onRequest = resolve;
+			});
+			const closed = new Promise<void>(resolve => {
+				onClosed = resolve;
+			});
+			const connection = await connectToUpstream(onRequest, {allowHalfOpen: true, onClosed});
+			const exchange = connection.exchange({
+				...request('own'), onLateAnswer(late) {
+					lateAnswers.push(late);
+				},
+			});
+			const socket = await received;
+			socket.once('end', () => {
+				onEnd(socket);
+			});
+			connection.cancel();
+			const result = await exchange;
+			assert.equal(result._unsafeUnwrapErr().type, 'cancelled');
+			connection.close();
+			await closed;
+			return {connection, lateAnswers};
+		}
+
+		it('should report the answer that was already on its way', async () => {
+			const {connection, lateAnswers} = await cancelSent(socket => socket.end(answer('own', 'late')));
+			assert.deepEqual(lateAnswers.map(({body}) => Buffer.from(body).toString()), ['late']);
+			assert.equal(connection.isReusable, false);
+		});
+
+		it('should not report the answer to another request', async () => {
+			const {lateAnswers} = await cancelSent(socket => socket.end(answer('earlier', 'wrong')));
+			assert.deepEqual(lateAnswers, []);
+		});
+
+		it('should be closed soon although the upstream keeps its side open', async () => {
+			const {lateAnswers} = await cancelSent(() => undefined);
+			assert.deepEqual(lateAnswers, []);
+		});
+	});
 });
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -12,6 +12,8 @@
 const defaultIdleMs = 4000;
 /** Connections expire this much before the upstream's idle timeout, so that no request is sent while the upstream closes. */
 const idleMarginMs = 1000;
+/** Time for which the answer to a cancelled request is still read; it may be on its way. */
+const lateAnswerMs = 100;
 
 export type UpstreamConnectionOptions = {
 	readonly host: string;
@@ -42,6 +44,8 @@
 	#isClosed = false;
 	/** No further request may be sent, as later bytes could not be matched to it reliably, or the connection won't be kept open. */
 	#isRetired = false;
+	/** Reads the answer to a cancelled request and then closes itself. */
+	#awaitsLateAnswer = false;
 	#pending: PendingExchange | undefined;
 	#idleUntilMs = 0;
 
@@ -90,14 +94,45 @@
 
 	/** Cancels the running request by closing the connection; most upstreams then stop processing it. */
 	cancel(): void {
-		this.#fail({type: 'cancelled'});
+		const pending = this.#pending;
+		const {onLateAnswer} = pending?.request ?? {};
+		const isSent = this.#isConnected && !this.#isClosed && this.#socket.writableLength === 0;
+		if (pending !== undefined && onLateAnswer !== undefined && isSent) {
+			this.#awaitLateAnswer(pending, onLateAnswer);
+		} else {
+			this.#fail({type: 'cancelled'});
+		}
 	}
 
 	close(): void {
+		if (!this.#awaitsLateAnswer) {
+			this.#destroy();
+		}
+	}
+
+	#destroy(): void {
 		this.#isClosed = true;
 		this.#socket.destroy();
 	}
 
+	/** Ends the sending side only: the upstream notices the same as from a close, and what it has answered meanwhile is still read. */
+	#awaitLateAnswer({request, timer, settle}: PendingExchange, onLateAnswer: (answer: UpstreamAnswer) => void): void {
+		clearTimeout(timer);
+		this.#awaitsLateAnswer = true;
+		this.#isRetired = true;
+		this.#pending = {
+			request,
+			timer: setTimeout(() => {
+				this.#fail({type: 'cancelled'});
+			}, lateAnswerMs),
+			settle(result) {
+				result.map(onLateAnswer); // eslint-disable-line unicorn/no-array-callback-reference -- a result, not an array
+			},
+		};
+		this.#socket.end();
+		settle(err({type: 'cancelled'}));
+	}
+
 	#addListeners(): void {
 		this.#socket.on('connect', () => {
 			this.#connected();
@@ -146,7 +181,7 @@
 	#received(chunk: Uint8Array): void {
 		if (this.#pending === undefined) {
 			this.#isRetired = true;
-			this.close();
+			this.#destroy();
 			return;
 		}
 
@@ -186,14 +221,14 @@
 		}
 
 		if (this.#isRetired) {
-			this.close();
+			this.#destroy();
 		}
 
 		pending.settle(ok(answer));
 	}
 
 	#fail(failure: ExchangeFailure): void {
-		this.close();
+		this.#destroy();
 		const pending = this.#pending;
 		this.#pending = undefined;
 		if (pending !== undefined) {
