When refused callers return, and who yields while most are refused

Cause: in a rush every refusal named 60 ms, so callers used up two retries within 200 ms, and late ones took the slots of those that could still be in time; less urgent requests yielded only for 300 ms after a refusal of more urgent ones. Change: core/overload measures the share of refused requests, estimates from the deadline how long a caller has waited, lets those return first that can be in time, plans the others one after the other, and lets the least urgent leave all but lightly loaded upstreams while more than half of the requests at least as urgent are refused. Not wired yet.

--- /dev/null
+++ b/packages/core/src/overload/index.ts
@@ -0,0 +1,1 @@
+export * from './overload-control.js';
--- /dev/null
+++ b/packages/core/src/overload/overload-control.ts
@@ -0,0 +1,131 @@
+/** Decides during an overload which requests are sent and when refused callers return; outside of one it decides as {@link Admission} alone. */
+import type {Clock} from '../model/clock.js';
+import type {ServiceId} from '../model/ids.js';
+import type {RandomSource} from '../model/random-source.js';
+import type {Admission, AdmissionRequest} from '../placement/admission.js';
+import {judgeLateRequest} from './late-requests.js';
+import {OverloadMeter} from './overload-meter.js';
+import {ReturnTimes} from './return-times.js';
+import {WaitedTimes} from './waited-times.js';
+
+export type OverloadRequest = AdmissionRequest & {
+	readonly route: AdmissionRequest['route'] & {readonly id: string};
+};
+
+/** Best place that was found for a request. */
+export type OfferedPlace = {
+	readonly expectedMs: number;
+	/** Work of the request at an upstream of usual speed. */
+	readonly workMs: number;
+	readonly isLightlyLoaded: boolean;
+};
+
+export type RefusalReason =
+	/** No upstream would answer within the target latency. */
+	| 'too-busy'
+	/** The request can't be in time any more, and the slots go to those that can. */
+	| 'late'
+	/** No upstream would answer before the deadline. */
+	| 'deadline-too-near';
+
+export type OverloadVerdict =
+	| {readonly type: 'admitted'}
+	| {readonly type: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number};
+
+export type OverloadControlOptions = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly admission: Admission;
+};
+
+export class OverloadControl {
+	readonly #options: OverloadControlOptions;
+	readonly #meter: OverloadMeter;
+	readonly #returnTimes: ReturnTimes;
+	readonly #waitedTimes = new WaitedTimes();
+
+	constructor(options: OverloadControlOptions) {
+		this.#options = options;
+		this.#meter = new OverloadMeter(options.clock);
+		this.#returnTimes = new ReturnTimes({...options, meter: this.#meter});
+	}
+
+	recordArrival(request: OverloadRequest): void {
+		this.#options.admission.recordArrival(request);
+		this.#waitedTimes.recordArrival(request, this.#meter.isOverloaded(request.service));
+	}
+
+	/** Decides whether a request is sent to the best place found for it, and records the decision. */
+	decide(request: OverloadRequest, place: OfferedPlace): OverloadVerdict {
+		const reason = this.#refusalReason(request, place);
+		if (reason === undefined) {
+			this.#meter.recordAdmitted(counted(request));
+			return {type: 'admitted'};
+		}
+
+		if (reason === 'too-busy') {
+			this.#options.admission.recordRefusal(request);
+		}
+
+		this.#meter.recordRefused(counted(request));
+		return {type: 'refused', reason, retryAfterMs: this.retryAfterMs(request, place.workMs)};
+	}
+
+	/** Returns the retry delay of a request that is refused for lack of capacity. */
+	retryAfterMs(request: OverloadRequest, workMs: number): number {
+		const {service, deadlineAtMs, route: {targetLatencyMs}} = request;
+		return this.#returnTimes.delayMs({
+			service, workMs, deadlineAtMs, targetAtMs: this.#askedAtMs(request) + targetLatencyMs, hasReturned: this.#waitedTimes.waitedMs(request) > 0,
+		});
+	}
+
+	#refusalReason(request: OverloadRequest, place: OfferedPlace): RefusalReason | undefined {
+		const {admission, clock} = this.#options;
+		const isOverloaded = this.#meter.isOverloaded(request.service);
+		const askedAtMs = this.#askedAtMs(request);
+		const isAdmitted = admission.admits(isOverloaded ? {...request, receivedAtMs: askedAtMs} : request, place);
+		if (!isOverloaded) {
+			return isAdmitted ? undefined : 'too-busy';
+		}
+
+		const {deadlineAtMs, route: {targetLatencyMs}} = request;
+		const verdict = judgeLateRequest({
+			...place, nowMs: clock.monotonicMs(), askedAtMs, targetLatencyMs, deadlineAtMs,
+		});
+		switch (verdict) {
+			case 'in-time': {
+				return isAdmitted && !this.#yields(request, place) ? undefined : 'too-busy';
+			}
+
+			case 'send': {
+				return undefined;
+			}
+
+			case 'wait': {
+				return 'late';
+			}
+
+			case 'hopeless': {
+				return 'deadline-too-near';
+			}
+		}
+	}
+
+	/**
+	 * While most requests at least as urgent as this one are refused, it leaves the slots to more urgent ones, except at lightly loaded
+	 * upstreams: the least urgent yield first.
+	 */
+	#yields(request: OverloadRequest, {isLightlyLoaded}: OfferedPlace): boolean {
+		const {admission} = this.#options;
+		return !isLightlyLoaded && this.#meter.refusesMost(counted(request)) && admission.hasMoreUrgent(request);
+	}
+
+	/** Returns when the caller asked for the first time, as far as its deadline tells. */
+	#askedAtMs(request: OverloadRequest): number {
+		return request.receivedAtMs - this.#waitedTimes.waitedMs(request);
+	}
+}
+
+function counted({service, route: {priority}}: OverloadRequest): {readonly service: ServiceId; readonly priority: number} {
+	return {service, priority};
+}
--- /dev/null
+++ b/packages/core/src/overload/waited-times.spec.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {WaitedTimes} from './waited-times.js';
+
+const granted = (deadlineAtMs: number) => ({route: {id: 'route'}, receivedAtMs: 0, deadlineAtMs});
+
+describe('WaitedTimes', () => {
+	it('should conclude from a closer deadline how long a caller has waited', () => {
+		const times = new WaitedTimes();
+		times.recordArrival(granted(3600), false);
+		times.recordArrival(granted(3600), false);
+		assert.equal(times.waitedMs(granted(3595)), 0);
+		assert.equal(times.waitedMs(granted(2400)), 1200);
+	});
+
+	it('should still do so when many callers return during an overload', () => {
+		const times = new WaitedTimes();
+		times.recordArrival(granted(3600), false);
+		for (let count = 0; count < 50; count++) {
+			times.recordArrival(granted(2400), true);
+		}
+
+		assert.ok(times.waitedMs(granted(2400)) > 1100);
+	});
+
+	it('should conclude nothing where callers tell different deadlines', () => {
+		const times = new WaitedTimes();
+		for (let count = 0; count < 50; count++) {
+			times.recordArrival(granted(count % 2 === 0 ? 3600 : 1500), false);
+		}
+
+		assert.equal(times.waitedMs(granted(1500)), 0);
+	});
+});
--- a/packages/core/src/placement/admission.ts
+++ b/packages/core/src/placement/admission.ts
@@ -87,6 +87,11 @@
 		return this.#clock.monotonicMs() + (expectedMs * ratio) <= this.latestEndMs(request);
 	}
 
+	/** Returns whether more urgent requests have used the service lately. */
+	hasMoreUrgent({service, route: {priority}}: Pick<AdmissionRequest, 'service' | 'route'>): boolean {
+		return this.#countMoreUrgent(service, priority) > 0;
+	}
+
 	#countMoreUrgent(service: ServiceId, priority: number): number {
 		const oldestMs = this.#clock.monotonicMs() - priorityLifetimeMs;
 		return [...this.#seenAtMs.get(service) ?? []].filter(([other, atMs]) => other < priority && atMs >= oldestMs).length;
