Overload decisions are wired: attempts pass a gate, refusals name their reason and return time

A request that yields to more urgent ones counted as a sign of an overload, so that requests went on to yield when there was room again. Deadlines are learnt only outside of overloads; a planned return keeps a quarter of what the caller would wait.

--- a/packages/core/src/overload/overload-control.spec.ts
+++ b/packages/core/src/overload/overload-control.spec.ts
@@ -20,7 +20,7 @@
 		id: 'status', priority: 2, share: 0.58, workMs: 249, targetLatencyMs: 651, deadlineMs: 6500, worth: 0.83, lateWorth: 0.083,
 	},
 ];
-const seeds = [21, 22, 23];
+const seeds = [21, 22, 23, 24, 25, 26];
 /** Operators accept at most this much less of one thing for more of another. */
 const acceptedLoss = 0.03;
 /** No kind may be served less than this part as often as all. */
--- a/packages/core/src/overload/overload-control.ts
+++ b/packages/core/src/overload/overload-control.ts
@@ -23,6 +23,8 @@
 export type RefusalReason =
 	/** No upstream would answer within the target latency. */
 	| 'too-busy'
+	/** Most requests are refused, and the slots are left to more urgent ones. */
+	| 'outranked'
 	/** The request can't be in time any more, and the slots go to those that can. */
 	| 'late'
 	/** No upstream would answer before the deadline. */
@@ -63,16 +65,32 @@
 			return {type: 'admitted'};
 		}
 
-		if (reason === 'too-busy') {
+		this.#recordRefusal(request, reason);
+		return {type: 'refused', reason, retryAfterMs: this.#retryAfterMs(request, place.workMs)};
+	}
+
+	/**
+	 * Records that an upstream refused a request because it was full.
+	 *
+	 * @returns the retry delay in milliseconds, in case the request is not sent to another upstream
+	 */
+	recordUpstreamRefusal(request: OverloadRequest, workMs: number): number {
+		this.#meter.recordRefused(counted(request));
+		return this.#retryAfterMs(request, workMs);
+	}
+
+	/** A request that yields says nothing about room; if it were counted, requests would go on to yield once there is room again. */
+	#recordRefusal(request: OverloadRequest, reason: RefusalReason): void {
+		if (reason === 'too-busy' || reason === 'outranked') {
 			this.#options.admission.recordRefusal(request);
 		}
 
-		this.#meter.recordRefused(counted(request));
-		return {type: 'refused', reason, retryAfterMs: this.retryAfterMs(request, place.workMs)};
+		if (reason !== 'outranked') {
+			this.#meter.recordRefused(counted(request));
+		}
 	}
 
-	/** Returns the retry delay of a request that is refused for lack of capacity. */
-	retryAfterMs(request: OverloadRequest, workMs: number): number {
+	#retryAfterMs(request: OverloadRequest, workMs: number): number {
 		const {service, deadlineAtMs, route: {targetLatencyMs}} = request;
 		return this.#returnTimes.delayMs({
 			service, workMs, deadlineAtMs, targetAtMs: this.#askedAtMs(request) + targetLatencyMs, hasReturned: this.#waitedTimes.waitedMs(request) > 0,
@@ -94,7 +112,11 @@
 		});
 		switch (verdict) {
 			case 'in-time': {
-				return isAdmitted && !this.#yields(request, place) ? undefined : 'too-busy';
+				if (!isAdmitted) {
+					return 'too-busy';
+				}
+
+				return this.#yields(request, place) ? 'outranked' : undefined;
 			}
 
 			case 'send': {
--- a/packages/core/src/overload/return-times.ts
+++ b/packages/core/src/overload/return-times.ts
@@ -13,6 +13,8 @@
 const honouredShare = 1 / 3;
 /** Part of what an instance sends to upstreams that it plans for callers that can't be in time any more; the rest is for those that can. */
 const plannedShare = 1 / 4;
+/** A planned return comes after this part of what its caller would wait at least: it loses little by that, and keeps its last retry. */
+const leastPlannedPart = 1 / 4;
 const millisecondsPerSecond = 1000;
 
 export type RefusedRequest = {
@@ -48,6 +50,10 @@
 	 * gets the next place in a plan that spreads returns over the time until its caller would return anyway.
 	 */
 	delayMs(request: RefusedRequest): number {
+		return Math.floor(this.#exactDelayMs(request));
+	}
+
+	#exactDelayMs(request: RefusedRequest): number {
 		const {clock, meter} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const honouredMs = Math.max(0, request.deadlineAtMs - nowMs) * honouredShare;
@@ -75,7 +81,7 @@
 		}
 
 		this.#plannedUntilMs.set(service, plannedMs);
-		return Math.max(delayMs, Math.min(shortDelayMs, honouredMs));
+		return Math.max(delayMs, honouredMs * leastPlannedPart);
 	}
 
 	#between(fromMs: number, toMs: number): number {
--- a/packages/core/src/overload/waited-times.ts
+++ b/packages/core/src/overload/waited-times.ts
@@ -28,13 +28,13 @@
 export class WaitedTimes {
 	readonly #byRoute = new Map<string, Granted>();
 
-	/** @param isOverloaded - during an overload many callers return, so the share of usual deadlines isn't learnt then */
+	/** @param isOverloaded - during an overload many callers return, so nothing but a longer deadline is learnt then */
 	recordArrival({route, receivedAtMs, deadlineAtMs}: DeadlineTimes, isOverloaded: boolean): void {
 		const grantedMs = deadlineAtMs - receivedAtMs;
 		const {longestMs, usualShare} = this.#byRoute.get(route.id) ?? {longestMs: grantedMs, usualShare: 1};
 		const isUsual = grantedMs > longestMs - toleranceMs;
 		this.#byRoute.set(route.id, {
-			longestMs: Math.max(grantedMs, longestMs - ((longestMs - grantedMs) * forgettingRatio)),
+			longestMs: Math.max(grantedMs, isOverloaded ? longestMs : longestMs - ((longestMs - grantedMs) * forgettingRatio)),
 			usualShare: isOverloaded ? usualShare : usualShare + (((isUsual ? 1 : 0) - usualShare) * learningRate),
 		});
 	}
--- /dev/null
+++ b/packages/gateway/src/features/calls/attempt-gate.ts
@@ -0,0 +1,82 @@
+/** Decides whether an attempt of a call is sent to the place that was found for it. */
+import type {Placement} from '../upstreams/placer.js';
+import type {AttemptKind} from './attempt.js';
+import type {AttemptSummary} from './attempt-summary.js';
+import type {Call} from './call.js';
+import type {CallDependencies} from './call-dependencies.js';
+import type {CallRetries} from './call-retries.js';
+
+export type AttemptGateOptions = {
+	readonly dependencies: Pick<CallDependencies, 'metrics' | 'overload' | 'poisonGuard'>;
+	readonly call: Call;
+	readonly attempts: AttemptSummary;
+	readonly retries: CallRetries;
+	/** Receives a short text for each decision, which goes into the log. */
+	readonly onDecision: (decision: string) => void;
+};
+
+export class AttemptGate {
+	readonly #options: AttemptGateOptions;
+
+	constructor(options: AttemptGateOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Refuses a first attempt that should not take a slot from others. Skips a hedge while all upstreams are busy, as it would only take
+	 * slots from first attempts.
+	 */
+	shouldSend(kind: AttemptKind, placement: Placement): boolean {
+		switch (kind) {
+			case 'first': {
+				return this.#isAdmitted(placement) && this.#isAllowedAfterCrashes();
+			}
+
+			case 'hedge': {
+				if (!placement.isLightlyLoaded) {
+					this.#options.onDecision('hedge-skipped:all-busy');
+				}
+
+				return placement.isLightlyLoaded && this.#isAllowedAfterCrashes() && this.#options.retries.tryTake();
+			}
+
+			case 'repeat': {
+				return this.#isAllowedAfterCrashes();
+			}
+		}
+	}
+
+	/** Records that an upstream refused an attempt, which is a sign of an overload too. */
+	recordUpstreamRefusal(workMs: number): void {
+		const {dependencies: {overload}, call, attempts} = this.#options;
+		attempts.recordRetryAfter(overload.recordUpstreamRefusal(call, workMs));
+	}
+
+	#isAdmitted(placement: Placement): boolean {
+		const {dependencies: {metrics, overload}, call, attempts, onDecision} = this.#options;
+		const verdict = overload.decide(call, placement);
+		if (verdict.type === 'admitted') {
+			return true;
+		}
+
+		const {reason, retryAfterMs} = verdict;
+		attempts.recordRefusal(reason);
+		attempts.recordRetryAfter(retryAfterMs);
+		metrics.overloadRefusals.inc({service: call.service, reason});
+		metrics.retryAfterSeconds.observe(retryAfterMs / 1000);
+		onDecision(`${reason}:expected=${Math.round(placement.expectedMs)}:return=${retryAfterMs}`);
+		return false;
+	}
+
+	/** Whether the request may run in spite of upstreams that crashed under it; more may have crashed since it was received. */
+	#isAllowedAfterCrashes(): boolean {
+		const {dependencies: {poisonGuard}, call, attempts, onDecision} = this.#options;
+		const retryAfterMs = poisonGuard.admit(call);
+		if (retryAfterMs !== undefined) {
+			attempts.recordSuspected(retryAfterMs);
+			onDecision('refused:suspected-poison');
+		}
+
+		return retryAfterMs === undefined;
+	}
+}
--- a/packages/gateway/src/features/calls/attempt-summary.ts
+++ b/packages/gateway/src/features/calls/attempt-summary.ts
@@ -45,10 +45,15 @@
 		this.#notRunReason = this.#sent > 0 ? this.#notRunReason : reason;
 	}
 
+	/** Records when the caller should return if the request ends as not run. */
+	recordRetryAfter(retryAfterMs: number): void {
+		this.#retryAfterMs = retryAfterMs;
+	}
+
 	/** Records that no upstream takes an attempt now. */
 	recordNoUpstream({reason, availableInMs}: NoUpstream): void {
 		this.recordRefusal(reason);
-		this.#retryAfterMs = availableInMs ?? defaultRetryAfterMs;
+		this.#retryAfterMs = availableInMs ?? this.#retryAfterMs;
 	}
 
 	/** Records that the request is refused because upstreams crashed under it. */
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -1,7 +1,8 @@
 /** Services of the process that a call uses. */
 import type {Clock, ServiceId} from '@cairnbank/core';
 import type {FleetShare} from '@cairnbank/core/fleet';
-import type {Admission, WorkEstimates} from '@cairnbank/core/placement';
+import type {OverloadControl} from '@cairnbank/core/overload';
+import type {WorkEstimates} from '@cairnbank/core/placement';
 import type {WindowBudget} from '@cairnbank/core/retries';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {RequestDialect} from '../../ports/index.js';
@@ -18,7 +19,7 @@
 	readonly dialect: RequestDialect;
 	readonly metrics: Metrics;
 	readonly workEstimates: WorkEstimates;
-	readonly admission: Admission;
+	readonly overload: OverloadControl;
 	readonly advisories: Pick<Advisories, 'received'>;
 	readonly rateLimits: Pick<RateLimits, 'answered'>;
 	/** Returns the retry budget of a service on this instance. */
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -2,6 +2,8 @@
 import {Buffer} from 'node:buffer';
 import {mock} from 'node:test';
 import {ManualClock, type ServiceId, type UpstreamId} from '@cairnbank/core';
+import {OverloadControl} from '@cairnbank/core/overload';
+import {createRandomSource} from '@cairnbank/core/random';
 import {Admission, UpstreamCondition, WorkEstimates} from '@cairnbank/core/placement';
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {err, ok, type Result} from 'neverthrow';
@@ -88,7 +90,7 @@
 			dialect: plainDialect,
 			metrics: createMetrics(),
 			workEstimates: new WorkEstimates(),
-			admission: new Admission(this.clock),
+			overload: new OverloadControl({clock: this.clock, random: createRandomSource(1), admission: new Admission(this.clock)}),
 			advisories: {received: () => undefined},
 			rateLimits: {answered: () => undefined},
 			budget: () => this.budget,
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -1,6 +1,7 @@
 /** Runs one call to its single outcome: the first attempt, retries, a hedge, and the deadline. */
 import type {Placement} from '../upstreams/placer.js';
 import {Attempt, type AttemptKind} from './attempt.js';
+import {AttemptGate} from './attempt-gate.js';
 import {AttemptSummary} from './attempt-summary.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
@@ -8,6 +9,7 @@
 import {HedgeTimer, type HedgeResult} from './hedge-timer.js';
 import {describeVerdict, wasNeverSent, type ExchangeVerdict} from './judge-exchange.js';
 import type {Outcome} from './outcome.js';
+import {PlacementSearch} from './placement-search.js';
 
 /** A hedge starts once the first attempt has taken this many times its expected duration; a later start would leave part of the retry budget unused. */
 const hedgeFactor = 1.25;
@@ -15,10 +17,6 @@
 const minimumHedgeDelayMs = 15;
 /** An attempt with less time left than this part of its expected work cannot end in time. */
 const minimumRemainingTimeRatio = 0.5;
-/** Interval at which placement is retried while a service has no available upstream. */
-const placementRetryIntervalMs = 20;
-/** Part of the target latency for which a request waits for an available upstream. */
-const placementWaitRatio = 0.12;
 
 export class CallRun {
 	readonly #dependencies: CallDependencies;
@@ -27,6 +25,8 @@
 	readonly #attempts = new AttemptSummary();
 	readonly #decisions: string[] = [];
 	readonly #retries: CallRetries;
+	readonly #gate: AttemptGate;
+	readonly #search: PlacementSearch;
 	readonly #outcome: Promise<Outcome>;
 	#resolve!: (outcome: Outcome) => void;
 	#isOver = false;
@@ -37,13 +37,15 @@
 	constructor(dependencies: CallDependencies, call: Call) {
 		this.#dependencies = dependencies;
 		this.#call = call;
-		this.#retries = new CallRetries({
-			dependencies,
-			service: call.service,
-			onDecision: decision => {
-				this.#decisions.push(decision);
-			},
+		const onDecision = (decision: string) => {
+			this.#decisions.push(decision);
+		};
+
+		this.#retries = new CallRetries({dependencies, service: call.service, onDecision});
+		this.#gate = new AttemptGate({
+			dependencies, call, attempts: this.#attempts, retries: this.#retries, onDecision,
 		});
+		this.#search = new PlacementSearch({dependencies, call, isOver: () => this.#isOver});
 		this.#outcome = new Promise(resolve => {
 			this.#resolve = resolve;
 		});
@@ -62,7 +64,7 @@
 		this.#deadlineTimer = setTimeout(() => {
 			this.expire();
 		}, Math.max(0, this.#remainingMs));
-		this.#dependencies.admission.recordArrival(this.#call);
+		this.#dependencies.overload.recordArrival(this.#call);
 		this.#dependencies.budget(this.#call.service).recordFirstAttempt(this.#now());
 		void this.#attempt('first');
 		return this.#outcome;
@@ -95,7 +97,10 @@
 	async #findPlacement(kind: AttemptKind): Promise<Placement | undefined> {
 		this.#pendingPlacements += 1;
 		const placementStartMs = this.#now();
-		const placement = await this.#placeWhenAvailable(kind);
+		const {tried: excluded, notReached} = this.#attempts;
+		const placement = await this.#search.findPlace(kind, {
+			service: this.#call.service, workMs: this.#workMs, excluded, notReached,
+		});
 		this.#decisions.push(`asked:${Math.round(this.#now() - placementStartMs)}ms`);
 		this.#pendingPlacements -= 1;
 		if (this.#isOver) {
@@ -104,7 +109,7 @@
 
 		if (placement === undefined) {
 			this.#attempts.recordNoUpstream(this.#dependencies.explainNoUpstream(this.#call.service));
-		} else if (this.#shouldSend(kind, placement)) {
+		} else if (this.#gate.shouldSend(kind, placement)) {
 			return placement;
 		}
 
@@ -112,71 +117,6 @@
 		return undefined;
 	}
 
-	/**
-	 * Refuses a first attempt that cannot end in time, before it takes a slot from one that can. Skips a hedge while all
-	 * upstreams are busy, as it would only take slots from first attempts.
-	 */
-	#shouldSend(kind: AttemptKind, placement: Placement): boolean {
-		switch (kind) {
-			case 'first': {
-				const isAdmitted = this.#dependencies.admission.admits(this.#call, placement);
-				if (!isAdmitted) {
-					this.#dependencies.admission.recordRefusal(this.#call);
-					this.#attempts.recordRefusal('too-busy');
-					this.#decisions.push(`too-busy:expected=${Math.round(placement.expectedMs)}`);
-				}
-
-				return isAdmitted && this.#isAllowedAfterCrashes();
-			}
-
-			case 'hedge': {
-				if (!placement.isLightlyLoaded) {
-					this.#decisions.push('hedge-skipped:all-busy');
-				}
-
-				return placement.isLightlyLoaded && this.#isAllowedAfterCrashes() && this.#retries.tryTake();
-			}
-
-			case 'repeat': {
-				return this.#isAllowedAfterCrashes();
-			}
-		}
-	}
-
-	/** Whether the request may run in spite of upstreams that crashed under it; more may have crashed since it was received. */
-	#isAllowedAfterCrashes(): boolean {
-		const retryAfterMs = this.#dependencies.poisonGuard.admit(this.#call);
-		if (retryAfterMs !== undefined) {
-			this.#attempts.recordSuspected(retryAfterMs);
-			this.#decisions.push('refused:suspected-poison');
-		}
-
-		return retryAfterMs === undefined;
-	}
-
-	async #placeWhenAvailable(kind: AttemptKind): Promise<Placement | undefined> {
-		const {route} = this.#call;
-		const {tried: excluded, notReached} = this.#attempts;
-		const request = {
-			service: this.#call.service, workMs: this.#workMs, excluded, notReached,
-		};
-		const waitMs = kind === 'first' ? route.targetLatencyMs * placementWaitRatio : 0;
-		const waitUntilMs = this.#call.receivedAtMs + waitMs;
-		let placement = await this.#dependencies.place(request);
-		while (placement === undefined && this.#shouldKeepWaiting(waitUntilMs)) {
-			await this.#dependencies.pause(placementRetryIntervalMs);
-			placement = await this.#dependencies.place(request);
-		}
-
-		return placement;
-	}
-
-	/** Whether to go on waiting for an upstream; not if it is known that none becomes available before `waitUntilMs`. */
-	#shouldKeepWaiting(waitUntilMs: number): boolean {
-		const {availableInMs = 0} = this.#dependencies.explainNoUpstream(this.#call.service);
-		return !this.#isOver && this.#now() + availableInMs < waitUntilMs;
-	}
-
 	async #send(kind: AttemptKind, placement: Placement, remainingMs: number): Promise<boolean> {
 		const grant = this.#retries.useGrant();
 		const attempt = new Attempt(this.#dependencies, this.#call, kind, placement);
@@ -215,6 +155,10 @@
 		}
 
 		this.#attempts.recordFailure(upstream, verdict);
+		if (verdict.type === 'not-run' && verdict.reason === 'refused-by-upstreams') {
+			this.#gate.recordUpstreamRefusal(this.#workMs);
+		}
+
 		const isNothingPending = this.#runningAttempts.size === 0 && this.#pendingPlacements === 0;
 		if (isNothingPending && this.#mayRetry(verdict)) {
 			void this.#attempt('repeat');
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -1,5 +1,6 @@
 /** Outcomes of a call; each request ends with exactly one of them. */
 import type {ServiceUnavailableReason} from '@cairnbank/core/advisories';
+import type {RefusalReason} from '@cairnbank/core/overload';
 import type {UpstreamAnswer} from '../upstreams/exchange.js';
 
 /** Reason that no upstream may get a request. */
@@ -17,7 +18,7 @@
 };
 
 export type NotRunReason =
-	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | 'too-busy' | 'suspected-poison';
+	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | RefusalReason | 'suspected-poison';
 
 export type UnknownReason = 'broken' | 'malformed' | 'timed-out' | 'unsigned' | 'unproven-refusal';
 
--- /dev/null
+++ b/packages/gateway/src/features/calls/placement-search.ts
@@ -0,0 +1,45 @@
+/** Looks for the place of an attempt, and for a short time again while no upstream is available to a first attempt. */
+import type {Placement, PlacementRequest} from '../upstreams/placer.js';
+import type {AttemptKind} from './attempt.js';
+import type {Call} from './call.js';
+import type {CallDependencies} from './call-dependencies.js';
+
+/** Interval at which placement is retried while a service has no available upstream. */
+const placementRetryIntervalMs = 20;
+/** Part of the target latency for which a request waits for an available upstream. */
+const placementWaitRatio = 0.12;
+
+export type PlacementSearchOptions = {
+	readonly dependencies: Pick<CallDependencies, 'clock' | 'explainNoUpstream' | 'pause' | 'place'>;
+	readonly call: Call;
+	/** Whether the call has ended, so that nothing more is placed. */
+	readonly isOver: () => boolean;
+};
+
+export class PlacementSearch {
+	readonly #options: PlacementSearchOptions;
+
+	constructor(options: PlacementSearchOptions) {
+		this.#options = options;
+	}
+
+	/** @returns undefined if no upstream is available in time */
+	async findPlace(kind: AttemptKind, request: PlacementRequest): Promise<Placement | undefined> {
+		const {dependencies: {pause, place}, call: {receivedAtMs, route}} = this.#options;
+		const waitUntilMs = receivedAtMs + (kind === 'first' ? route.targetLatencyMs * placementWaitRatio : 0);
+		let placement = await place(request);
+		while (placement === undefined && this.#shouldKeepWaiting(waitUntilMs)) {
+			await pause(placementRetryIntervalMs);
+			placement = await place(request);
+		}
+
+		return placement;
+	}
+
+	/** Whether to go on waiting for an upstream; not if it is known that none becomes available before `waitUntilMs`. */
+	#shouldKeepWaiting(waitUntilMs: number): boolean {
+		const {dependencies: {clock, explainNoUpstream}, call, isOver} = this.#options;
+		const {availableInMs = 0} = explainNoUpstream(call.service);
+		return !isOver() && clock.monotonicMs() + availableInMs < waitUntilMs;
+	}
+}
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -38,6 +38,10 @@
 		coldRequests: counter('cairnbank_cold_requests_total', 'Requests sent to upstreams that were cold or not known to be warm', ['service']),
 		crashes: counter('cairnbank_crashes_total', 'Crashes of upstreams attributed to a request, by whether this or another instance detected them', ['source']),
 		refusedRequests: new Gauge({name: 'cairnbank_refused_requests', help: 'Different requests that are refused because upstreams crashed under them', registers}),
+		overloadRefusals: counter('cairnbank_overload_refusals_total', 'Requests refused for lack of capacity, by the reason that callers get', ['service', 'reason']),
+		retryAfterSeconds: new Histogram({
+			name: 'cairnbank_retry_after_seconds', help: 'Retry delays of requests refused for lack of capacity', buckets: latencyBuckets, registers,
+		}),
 		rateLimitedRequests: counter('cairnbank_rate_limited_requests_total', 'Requests sent to upstreams that advertise a rate limit, by kind', ['kind']),
 		advisories: counter('cairnbank_upstream_advisories_total', 'Advisories in answers of upstreams, by type and by whether the answer was to a request or a health check', ['type', 'source']),
 		unreadableAdvisories: counter('cairnbank_unreadable_advisories_total', 'Advisory headers of answers that can\'t be parsed, by header', ['header']),
