Accounts that ask for more than their share are refused first

Cause: where there isn't room for all, the requests of each account were refused alike, so that one account's rush took the room of all others. Change: AccountShares counts demand and served work by account, service and priority (2 s), shares what is served max-min fairly, and lets accounts that are surely over their share yield while others are refused or the service is overloaded (reason account-over-share); a quarter of the overall share is passed on all the same. An instance judges by its own traffic. Without accounts nothing changes.

--- a/packages/core/src/overload/overload-control.ts
+++ b/packages/core/src/overload/overload-control.ts
@@ -1,8 +1,9 @@
 /** Decides during an overload which requests are sent and when refused callers return; outside of one it decides as {@link Admission} alone. */
 import type {Clock} from '../model/clock.js';
-import type {ServiceId} from '../model/ids.js';
+import type {ClientAccountId, ServiceId} from '../model/ids.js';
 import type {RandomSource} from '../model/random-source.js';
 import type {Admission, AdmissionRequest} from '../placement/admission.js';
+import {AccountShares, type AccountRequest} from './account-shares.js';
 import {judgeLateRequest} from './late-requests.js';
 import {OverloadMeter} from './overload-meter.js';
 import {ReturnTimes} from './return-times.js';
@@ -10,6 +11,8 @@
 
 export type OverloadRequest = AdmissionRequest & {
 	readonly route: AdmissionRequest['route'] & {readonly id: string};
+	/** Account that the caller has authenticated as, if any. */
+	readonly account?: {readonly id: ClientAccountId} | undefined;
 };
 
 /** Best place that was found for a request. */
@@ -25,6 +28,8 @@
 	| 'too-busy'
 	/** Most requests are refused, and the slots are left to more urgent ones. */
 	| 'outranked'
+	/** Its account asks for more than its share, and others are refused. */
+	| 'account-over-share'
 	/** The request can't be in time any more, and the slots go to those that can. */
 	| 'late'
 	/** No upstream would answer before the deadline. */
@@ -44,11 +49,13 @@
 	readonly #options: OverloadControlOptions;
 	readonly #meter: OverloadMeter;
 	readonly #returnTimes: ReturnTimes;
+	readonly #accountShares: AccountShares;
 	readonly #waitedTimes = new WaitedTimes();
 
 	constructor(options: OverloadControlOptions) {
 		this.#options = options;
 		this.#meter = new OverloadMeter(options.clock);
+		this.#accountShares = new AccountShares(options);
 		this.#returnTimes = new ReturnTimes({...options, meter: this.#meter});
 	}
 
@@ -59,7 +66,12 @@
 
 	/** Decides whether a request is sent to the best place found for it, and records the decision. */
 	decide(request: OverloadRequest, place: OfferedPlace): OverloadVerdict {
-		const reason = this.#refusalReason(request, place);
+		const accountRequest = toAccountRequest(request, place);
+		this.#accountShares.recordArrival(accountRequest);
+		const isShort = !place.isLightlyLoaded && this.#meter.isOverloaded(request.service);
+		const mustYield = this.#accountShares.mustYield(accountRequest, isShort);
+		const reason = mustYield ? 'account-over-share' : this.#refusalReason(request, place);
+		this.#accountShares.recordDecision(accountRequest, reason === undefined);
 		if (reason === undefined) {
 			this.#meter.recordAdmitted(counted(request));
 			return {type: 'admitted'};
@@ -79,13 +91,13 @@
 		return this.#retryAfterMs(request, workMs);
 	}
 
-	/** A request that yields says nothing about room; if it were counted, requests would go on to yield once there is room again. */
+	/** A request that yields to others says nothing about room; if it were counted, requests would go on to yield once there is room again. */
 	#recordRefusal(request: OverloadRequest, reason: RefusalReason): void {
 		if (reason === 'too-busy' || reason === 'outranked') {
 			this.#options.admission.recordRefusal(request);
 		}
 
-		if (reason !== 'outranked') {
+		if (reason !== 'outranked' && reason !== 'account-over-share') {
 			this.#meter.recordRefused(counted(request));
 		}
 	}
@@ -151,3 +163,9 @@
 function counted({service, route: {priority}}: OverloadRequest): {readonly service: ServiceId; readonly priority: number} {
 	return {service, priority};
 }
+
+function toAccountRequest({service, account, route: {priority}}: OverloadRequest, {workMs}: OfferedPlace): AccountRequest {
+	return {
+		service, account: account?.id, priority, workMs,
+	};
+}
--- a/packages/core/src/overload/simulated-rush.ts
+++ b/packages/core/src/overload/simulated-rush.ts
@@ -1,5 +1,5 @@
 /** Plays a rush in simulated time: callers that return, a third of whom don't wait, and upstreams with slow neighbours, a part of which is lost and returns cold. */
-import type {ServiceId} from '../model/ids.js';
+import type {ClientAccountId, ServiceId} from '../model/ids.js';
 import {ManualClock} from '../model/manual-clock.js';
 import {createRandomSource} from '../model/random-source.js';
 import {expectedDurationMs, lastSlotSlowness} from '../placement/expected-duration.js';
@@ -168,8 +168,7 @@
 		const nowMs = clock.monotonicMs();
 		const request = {
 			service: 'desk' as ServiceId,
-			account,
-			priority: kind.priority,
+			account: account === undefined ? undefined : {id: account as ClientAccountId},
 			route: kind,
 			receivedAtMs: nowMs,
 			deadlineAtMs: askedAtMs + kind.deadlineMs,
