Requests that may run only once go where room is known, at services whose upstreams reset when full

Cause: a full upstream that resets its connections leaves a request that may have run: 502, and its caller can't repeat it. Placement sent such requests on old reports or guesses. Change: FullResets notices the service after two connections that broke without known room (within a minute), and learns from reports how many requests upstreams queue; a request that may run only once then goes to a place with a fresh report of room, is looked for again while others would wait for an upstream, and else refused as not run (no-known-room).

--- a/packages/core/src/overload/index.ts
+++ b/packages/core/src/overload/index.ts
@@ -1,1 +1,2 @@
+export * from './full-resets.js';
 export * from './overload-control.js';
--- a/packages/core/src/overload/simulated-rush.ts
+++ b/packages/core/src/overload/simulated-rush.ts
@@ -2,13 +2,12 @@
 import type {ClientAccountId, ServiceId} from '../model/ids.js';
 import {ManualClock} from '../model/manual-clock.js';
 import {createRandomSource} from '../model/random-source.js';
-import {expectedDurationMs, lastSlotSlowness} from '../placement/expected-duration.js';
+import {expectedDurationMs} from '../placement/expected-duration.js';
 import {isLightlyLoaded} from '../placement/light-load.js';
-import type {LoadReport} from '../placement/load-report.js';
+import {SimulatedUpstream, slots} from './simulated-upstream.js';
 import type {OfferedPlace, OverloadRequest, OverloadVerdict} from './overload-control.js';
 
 const upstreamCount = 30;
-const slots = 6;
 const instanceCount = 20;
 /** Upstreams that an instance looks at for a request. */
 const lookedAt = 8;
@@ -74,36 +73,6 @@
 	bestWorth: number;
 };
 
-class SimulatedUpstream {
-	slowness = 1;
-	isLost = false;
-	coldUntilMs = 0;
-	readonly #freeAtMs = Array.from({length: slots}, () => 0);
-	#endsAtMs: readonly number[] = [];
-
-	report(nowMs: number): LoadReport {
-		const inFlight = this.#endsAtMs.filter(atMs => atMs > nowMs).length;
-		return {
-			running: Math.min(slots, inFlight), waiting: Math.max(0, inFlight - slots), slots, slowness: this.slowness * (nowMs < this.coldUntilMs ? 2 : 1),
-		};
-	}
-
-	serve(nowMs: number, workMs: number): number {
-		const slot = this.#freeAtMs.indexOf(Math.min(...this.#freeAtMs));
-		const {running, slowness} = this.report(nowMs);
-		const endsAtMs = Math.max(nowMs, this.#freeAtMs[slot]!) + (workMs * slowness * (running + 1 >= slots ? lastSlotSlowness : 1));
-		this.#freeAtMs[slot] = endsAtMs;
-		this.#endsAtMs = [...this.#endsAtMs.filter(atMs => atMs > nowMs), endsAtMs];
-		return endsAtMs;
-	}
-
-	lose(): void {
-		this.isLost = true;
-		this.#freeAtMs.fill(0);
-		this.#endsAtMs = [];
-	}
-}
-
 class Agenda {
 	readonly #entries: Array<{readonly atMs: number; readonly run: () => void}> = [];
 
--- a/packages/gateway/src/features/calls/attempt-gate.ts
+++ b/packages/gateway/src/features/calls/attempt-gate.ts
@@ -1,14 +1,16 @@
 /** Decides whether an attempt of a call is sent to the place that was found for it. */
-import type {Placement} from '../upstreams/placer.js';
+import type {Placement} from '../upstreams/placement.js';
 import type {AttemptKind} from './attempt.js';
 import type {AttemptSummary} from './attempt-summary.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
 import type {CallRetries} from './call-retries.js';
+import type {PlacementSearch} from './placement-search.js';
 
 export type AttemptGateOptions = {
 	readonly dependencies: Pick<CallDependencies, 'metrics' | 'overload' | 'poisonGuard'>;
 	readonly call: Call;
+	readonly search: Pick<PlacementSearch, 'hasEnoughRoom'>;
 	readonly attempts: AttemptSummary;
 	readonly retries: CallRetries;
 	/** Receives a short text for each decision, which goes into the log. */
@@ -29,7 +31,7 @@
 	shouldSend(kind: AttemptKind, placement: Placement): boolean {
 		switch (kind) {
 			case 'first': {
-				return this.#isAdmitted(placement) && this.#isAllowedAfterCrashes();
+				return this.#hasEnoughRoom(placement) && this.#isAdmitted(placement) && this.#isAllowedAfterCrashes();
 			}
 
 			case 'hedge': {
@@ -41,17 +43,30 @@
 			}
 
 			case 'repeat': {
-				return this.#isAllowedAfterCrashes();
+				return this.#hasEnoughRoom(placement) && this.#isAllowedAfterCrashes();
 			}
 		}
 	}
 
-	/** Records that an upstream refused an attempt, which is a sign of an overload too. */
+	/** Records that an upstream refused an attempt or is likely to, which is a sign of an overload too. */
 	recordUpstreamRefusal(workMs: number): void {
 		const {dependencies: {overload}, call, attempts} = this.#options;
 		attempts.recordRetryAfter(overload.recordUpstreamRefusal(call, workMs));
 	}
 
+	#hasEnoughRoom(placement: Placement): boolean {
+		const {call, search, attempts, onDecision} = this.#options;
+		const hasEnoughRoom = search.hasEnoughRoom(placement);
+		if (!hasEnoughRoom) {
+			this.recordUpstreamRefusal(placement.workMs);
+			attempts.recordRefusal('no-known-room');
+			this.#options.dependencies.metrics.overloadRefusals.inc({service: call.service, reason: 'no-known-room'});
+			onDecision('refused:no-known-room');
+		}
+
+		return hasEnoughRoom;
+	}
+
 	#isAdmitted(placement: Placement): boolean {
 		const {dependencies: {metrics, overload}, call, attempts, onDecision} = this.#options;
 		const verdict = overload.decide(call, placement);
--- a/packages/gateway/src/features/calls/attempt.spec.ts
+++ b/packages/gateway/src/features/calls/attempt.spec.ts
@@ -1,12 +1,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {ManualClock} from '@cairnbank/core';
+import {FullResets} from '@cairnbank/core/overload';
 import {UpstreamCondition, type LoadReport} from '@cairnbank/core/placement';
 import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
 import type {RequestDialect} from '../../ports/index.js';
 import type {ExchangeFailure, UpstreamAnswer} from '../upstreams/exchange.js';
-import type {Placement} from '../upstreams/placer.js';
+import type {Placement} from '../upstreams/placement.js';
 import {Attempt} from './attempt.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
@@ -39,9 +40,13 @@
 		slowness: 1,
 		durationRatio: 1,
 		isLightlyLoaded: true,
+		room: {
+			report: undefined, reportAgeMs: 0, unreportedInFlight: 0, slots: 4,
+		},
 	} as unknown as Placement;
 	const dependencies = {
-		clock, dialect, metrics: createMetrics(), workEstimates: {update: () => undefined}, advisories: {received: () => undefined}, rateLimits: {answered: () => undefined},
+		clock, dialect, metrics: createMetrics(), workEstimates: {update: () => undefined},
+		fullResets: new FullResets(clock), advisories: {received: () => undefined}, rateLimits: {answered: () => undefined},
 	} as unknown as CallDependencies;
 	const call = {
 		method: 'GET', target: '/', headers: [], route: {id: 'r'},
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -1,7 +1,7 @@
 /** Sends a call to one upstream and updates the condition of the upstream from the result. */
 import type {UpstreamId} from '@cairnbank/core';
 import {loadOf} from '../upstreams/exchange.js';
-import type {Placement} from '../upstreams/placer.js';
+import type {Placement} from '../upstreams/placement.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
@@ -64,6 +64,7 @@
 			const report = loadOf(result.value, dialect);
 			if (report !== undefined) {
 				condition.recordLoadReport(report);
+				this.#dependencies.fullResets.recordLoad(upstream.registered.service, report);
 			}
 		}
 
@@ -127,6 +128,14 @@
 		}
 	}
 
+	#recordBroken(): void {
+		const {fullResets} = this.#dependencies;
+		const {upstream: {registered: {service}}, room} = this.#placement;
+		if (!fullResets.hasKnownRoom(service, room)) {
+			fullResets.recordReset(service);
+		}
+	}
+
 	#recordVerdict(verdict: ExchangeVerdict, tookMs: number): void {
 		const {upstream, durationRatio} = this.#placement;
 		const {condition} = upstream;
@@ -156,6 +165,7 @@
 			case 'unknown': {
 				this.#recordUnknown();
 				if (verdict.reason === 'broken') {
+					this.#recordBroken();
 					this.#dependencies.onConnectionBroken(this.#call, upstream);
 				}
 
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -1,13 +1,13 @@
 /** Services of the process that a call uses. */
 import type {Clock, ServiceId} from '@cairnbank/core';
 import type {FleetShare} from '@cairnbank/core/fleet';
-import type {OverloadControl} from '@cairnbank/core/overload';
+import type {FullResets, OverloadControl} from '@cairnbank/core/overload';
 import type {WorkEstimates} from '@cairnbank/core/placement';
 import type {WindowBudget} from '@cairnbank/core/retries';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {RequestDialect} from '../../ports/index.js';
 import type {Advisories} from '../upstreams/advisories.js';
-import type {Placement, PlacementRequest} from '../upstreams/placer.js';
+import type {Placement, PlacementRequest} from '../upstreams/placement.js';
 import type {RateLimits} from '../upstreams/rate-limits.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import type {Call} from './call.js';
@@ -20,6 +20,7 @@
 	readonly metrics: Metrics;
 	readonly workEstimates: WorkEstimates;
 	readonly overload: OverloadControl;
+	readonly fullResets: FullResets;
 	readonly advisories: Pick<Advisories, 'received'>;
 	readonly rateLimits: Pick<RateLimits, 'answered'>;
 	/** Returns the retry budget of a service on this instance. */
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {mock} from 'node:test';
 import {ManualClock, type ServiceId, type UpstreamId} from '@cairnbank/core';
-import {OverloadControl} from '@cairnbank/core/overload';
+import {FullResets, OverloadControl} from '@cairnbank/core/overload';
 import {createRandomSource} from '@cairnbank/core/random';
 import {Admission, UpstreamCondition, WorkEstimates} from '@cairnbank/core/placement';
 import {WindowBudget} from '@cairnbank/core/window-budget';
@@ -10,7 +10,7 @@
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
 import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from '../upstreams/exchange.js';
-import type {Placement} from '../upstreams/placer.js';
+import type {Placement} from '../upstreams/placement.js';
 import type {Call} from './call.js';
 import {CallRun} from './call-run.js';
 import type {NoUpstream, Outcome} from './outcome.js';
@@ -49,6 +49,7 @@
 	readonly cancelled: string[] = [];
 	/** Conditions of the placed upstreams, in the order of the exchanges. */
 	readonly conditions: UpstreamCondition[] = [];
+	readonly fullResets = new FullResets(this.clock);
 	outcome: Outcome | undefined;
 	isLightlyLoaded = true;
 	/** Whether placement never resolves. */
@@ -91,6 +92,7 @@
 			metrics: createMetrics(),
 			workEstimates: new WorkEstimates(),
 			overload: new OverloadControl({clock: this.clock, random: createRandomSource(1), admission: new Admission(this.clock)}),
+			fullResets: this.fullResets,
 			advisories: {received: () => undefined},
 			rateLimits: {answered: () => undefined},
 			budget: () => this.budget,
@@ -148,13 +150,16 @@
 		this.conditions.push(condition);
 		return {
 			upstream: {
-				registered: {id}, condition, pool: {take: () => connection, release: () => undefined},
+				registered: {id, service: 'ledger' as ServiceId}, condition, pool: {take: () => connection, release: () => undefined},
 			},
 			expectedMs: this.expectedMs,
 			workMs: this.expectedMs,
 			slowness: 1,
 			durationRatio: 1,
 			isLightlyLoaded: this.isLightlyLoaded,
+			room: {
+				report: undefined, reportAgeMs: 0, unreportedInFlight: 0, slots: 4,
+			},
 		} as unknown as Placement;
 	}
 }
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it, mock} from 'node:test';
+import type {ServiceId} from '@cairnbank/core';
 import {err} from 'neverthrow';
 import {
 	broken, CallHarness, cancelled, failure, notConnected, refusal, runPendingPromises, success,
@@ -187,6 +188,32 @@
 		});
 	});
 
+	describe('upstreams that reset connections when they are full', () => {
+		const startAfterResets = async (idempotent: boolean, resets: number) => {
+			const harness = new CallHarness({idempotent});
+			for (let count = 0; count < resets; count++) {
+				harness.fullResets.recordReset('ledger' as ServiceId);
+			}
+
+			await harness.start();
+			return harness;
+		};
+
+		it('should get no request that may run only once while none is known to have room', async () => {
+			const harness = await startAfterResets(false, 2);
+			assert.equal(harness.outcome?.type === 'not-run' && harness.outcome.reason, 'no-known-room');
+			assert.equal(harness.exchanges.length, 0);
+			assert.equal(harness.clock.monotonicMs(), 20, 'looked again');
+		});
+
+		it('should get others, and all before two resets', async () => {
+			for (const harness of [await startAfterResets(true, 2), await startAfterResets(false, 1)]) {
+				assert.equal(harness.exchanges.length, 1);
+				harness.run.abandon();
+			}
+		});
+	});
+
 	describe('upstreams that are all too busy', () => {
 		it('should refuse at once, as not run, a request that cannot end in time', async () => {
 			const harness = new CallHarness({idempotent: false});
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -1,5 +1,5 @@
 /** Runs one call to its single outcome: the first attempt, retries, a hedge, and the deadline. */
-import type {Placement} from '../upstreams/placer.js';
+import type {Placement} from '../upstreams/placement.js';
 import {Attempt, type AttemptKind} from './attempt.js';
 import {AttemptGate} from './attempt-gate.js';
 import {AttemptSummary} from './attempt-summary.js';
@@ -42,10 +42,10 @@
 		};
 
 		this.#retries = new CallRetries({dependencies, service: call.service, onDecision});
+		this.#search = new PlacementSearch({dependencies, call, isOver: () => this.#isOver});
 		this.#gate = new AttemptGate({
-			dependencies, call, attempts: this.#attempts, retries: this.#retries, onDecision,
+			dependencies, call, search: this.#search, attempts: this.#attempts, retries: this.#retries, onDecision,
 		});
-		this.#search = new PlacementSearch({dependencies, call, isOver: () => this.#isOver});
 		this.#outcome = new Promise(resolve => {
 			this.#resolve = resolve;
 		});
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -18,7 +18,10 @@
 };
 
 export type NotRunReason =
-	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | RefusalReason | 'suspected-poison';
+	| 'no-configuration' | NoUpstreamReason
+	/** The request may run only once, its upstreams reset connections when they are full, and none is known to have room. */
+	| 'no-known-room'
+	| 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | RefusalReason | 'suspected-poison';
 
 export type UnknownReason = 'broken' | 'malformed' | 'timed-out' | 'unsigned' | 'unproven-refusal';
 
--- a/packages/gateway/src/features/calls/placement-search.ts
+++ b/packages/gateway/src/features/calls/placement-search.ts
@@ -1,5 +1,5 @@
-/** Looks for the place of an attempt, and for a short time again while no upstream is available to a first attempt. */
-import type {Placement, PlacementRequest} from '../upstreams/placer.js';
+/** Looks for the place of an attempt, and for a short time again while no upstream is available to a first attempt, or none with the room that it needs. */
+import type {Placement, PlacementRequest} from '../upstreams/placement.js';
 import type {AttemptKind} from './attempt.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
@@ -10,7 +10,7 @@
 const placementWaitRatio = 0.12;
 
 export type PlacementSearchOptions = {
-	readonly dependencies: Pick<CallDependencies, 'clock' | 'explainNoUpstream' | 'pause' | 'place'>;
+	readonly dependencies: Pick<CallDependencies, 'clock' | 'explainNoUpstream' | 'fullResets' | 'pause' | 'place'>;
 	readonly call: Call;
 	/** Whether the call has ended, so that nothing more is placed. */
 	readonly isOver: () => boolean;
@@ -23,12 +23,14 @@
 		this.#options = options;
 	}
 
-	/** @returns undefined if no upstream is available in time */
+	/**
+	 * @returns undefined if no upstream is available in time; the last place found if none has enough room in time, see {@link hasEnoughRoom}
+	 */
 	async findPlace(kind: AttemptKind, request: PlacementRequest): Promise<Placement | undefined> {
 		const {dependencies: {pause, place}, call: {receivedAtMs, route}} = this.#options;
 		const waitUntilMs = receivedAtMs + (kind === 'first' ? route.targetLatencyMs * placementWaitRatio : 0);
 		let placement = await place(request);
-		while (placement === undefined && this.#shouldKeepWaiting(waitUntilMs)) {
+		while ((placement === undefined || !this.hasEnoughRoom(placement)) && this.#shouldKeepWaiting(waitUntilMs)) {
 			await pause(placementRetryIntervalMs);
 			placement = await place(request);
 		}
@@ -36,6 +38,12 @@
 		return placement;
 	}
 
+	/** Whether the call may be sent there even if the upstream resets connections when it is full. */
+	hasEnoughRoom({room}: Placement): boolean {
+		const {dependencies: {fullResets}, call: {route, service}} = this.#options;
+		return route.idempotent || !fullResets.needsKnownRoom(service) || fullResets.hasKnownRoom(service, room);
+	}
+
 	/** Whether to go on waiting for an upstream; not if it is known that none becomes available before `waitUntilMs`. */
 	#shouldKeepWaiting(waitUntilMs: number): boolean {
 		const {dependencies: {clock, explainNoUpstream}, call, isOver} = this.#options;
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -12,7 +12,8 @@
 import type {Context} from '../../kernel/context.js';
 import {createMetrics} from '../../metrics/metrics.js';
 import {Eligibility} from './eligibility.js';
-import {Placer, type Placement, type PlacerOptions} from './placer.js';
+import type {Placement} from './placement.js';
+import {Placer, type PlacerOptions} from './placer.js';
 import type {Upstream} from './upstream.js';
 
 const slots = 4;
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -1,5 +1,6 @@
 /** Chooses the upstream of an attempt: ranks upstreams by their known condition, probes the load of the best ones, and takes the best. */
-import type {AvailabilityZoneId, ServiceId, UpstreamId} from '@cairnbank/core';
+import type {AvailabilityZoneId, ServiceId} from '@cairnbank/core';
+import type {RoomInputs} from '@cairnbank/core/overload';
 import {summarizeUnavailability, type ServiceUnavailability} from '@cairnbank/core/advisories';
 import {
 	subsetSize, expectedDurationMs, isLightlyLoaded, shouldProbe, takeSubset, TypicalDurations, type SubsetPosition,
@@ -7,6 +8,7 @@
 import type {Context} from '../../kernel/context.js';
 import type {Eligibility} from './eligibility.js';
 import type {LinkMonitor} from './link-monitor.js';
+import type {Placement, PlacementRequest} from './placement.js';
 import type {Prober} from './prober.js';
 import type {Upstream} from './upstream.js';
 
@@ -36,29 +38,6 @@
 /** Random spread of the ranking, so that instances without any load reports don't all probe the same upstreams. */
 const rankingSpread = 0.5;
 
-export type PlacementRequest = {
-	readonly service: ServiceId;
-	/** Work of the request at an upstream of usual speed. */
-	readonly workMs: number;
-	/** Upstreams that got an attempt already. */
-	readonly excluded: ReadonlySet<UpstreamId>;
-	/** Those of them that the attempt did not reach; they may be tried again through another instance. */
-	readonly notReached: ReadonlySet<UpstreamId>;
-};
-
-export type Placement = {
-	readonly upstream: Upstream;
-	readonly expectedMs: number;
-	/** Work of the request at an upstream of usual speed. */
-	readonly workMs: number;
-	/** Slowness from the upstream's last load report; undefined if there is none. */
-	readonly slowness: number | undefined;
-	/** Expected duration divided by the work, from the upstream's load report; undefined if there is none. */
-	readonly durationRatio: number | undefined;
-	/** Whether the upstream runs at its usual speed and has a free slot. */
-	readonly isLightlyLoaded: boolean;
-};
-
 export type PlacerOptions = {
 	readonly context: Context;
 	readonly prober: Prober;
@@ -189,6 +168,7 @@
 			slowness: reportsLoad ? report?.slowness : undefined,
 			durationRatio: reportsLoad && report !== undefined ? expectedMs / workMs : undefined,
 			isLightlyLoaded: isUpstreamLightlyLoaded(upstream),
+			room: roomOf(upstream),
 		};
 	}
 
@@ -280,6 +260,12 @@
 	return isLightlyLoaded({report: condition.report, unreportedInFlight: condition.unreportedInFlight, slots: registered.slots});
 }
 
+function roomOf({registered, condition: {report, reportAgeMs, unreportedInFlight}}: Upstream): RoomInputs {
+	return {
+		report, reportAgeMs, unreportedInFlight, slots: registered.slots,
+	};
+}
+
 /** Keeps the upstreams that answer probes; all if there are none. */
 function preferResponsive(upstreams: readonly Upstream[]): readonly Upstream[] {
 	const answering = upstreams.filter(({condition}) => !condition.isUnresponsive);
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -7,7 +7,7 @@
 import {createRandomSource} from '@cairnbank/core/random';
 import {createIncarnation, withoutLostLinks} from '@cairnbank/core/fleet';
 import {FleetPace} from '@cairnbank/core/limits';
-import {OverloadControl} from '@cairnbank/core/overload';
+import {FullResets, OverloadControl} from '@cairnbank/core/overload';
 import {Admission, WorkEstimates} from '@cairnbank/core/placement';
 import {RelayPeers} from '@cairnbank/core/reachability';
 import {CallersTask} from './features/calls/callers-task.js';
@@ -231,6 +231,7 @@
 			dialect: ports.requests,
 			metrics: context.metrics,
 			workEstimates: new WorkEstimates(),
+			fullResets: new FullResets(context.clock),
 			overload: new OverloadControl({clock: context.clock, random: context.random, admission: new Admission(context.clock)}),
 			advisories,
 			rateLimits,
