--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -2,7 +2,7 @@
 import type {UpstreamId} from '@cairnbank/core';
 import {ok} from 'neverthrow';
 import {loadOf, type UpstreamAnswer} from '../upstreams/exchange.js';
-import type {Placement} from '../upstreams/placer.js';
+import type {Placement} from '../upstreams/placement.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
@@ -131,6 +131,7 @@
 		const report = loadOf(answer, dialect);
 		if (report !== undefined) {
 			upstream.condition.recordLoadReport(report);
+			this.#dependencies.fullResets.recordLoad(upstream.registered.service, report);
 		}
 	}
 
@@ -141,6 +142,14 @@
 		}
 	}
 
+	#recordBroken(): void {
+		const {fullResets} = this.#dependencies;
+		const {upstream: {registered: {service}}, room} = this.#placement;
+		if (!fullResets.hasKnownRoom(service, room)) {
+			fullResets.recordReset(service);
+		}
+	}
+
 	#recordVerdict(verdict: ExchangeVerdict, tookMs: number): void {
 		const {upstream, durationRatio} = this.#placement;
 		const {condition} = upstream;
@@ -170,6 +179,7 @@
 			case 'unknown': {
 				this.#recordUnknown();
 				if (verdict.reason === 'broken') {
+					this.#recordBroken();
 					this.#dependencies.onConnectionBroken(this.#call, upstream);
 				}
 
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -1,6 +1,7 @@
 /** Outcomes of a call; each request ends with exactly one of them. */
 import type {AuthenticationFault} from '@cairnbank/core/accounts';
 import type {ServiceUnavailableReason} from '@cairnbank/core/advisories';
+import type {RefusalReason} from '@cairnbank/core/overload';
 import type {UpstreamAnswer} from '../upstreams/exchange.js';
 
 /** Reason that no upstream may get a request. */
@@ -18,7 +19,10 @@
 };
 
 export type NotRunReason =
-	| 'no-configuration' | NoUpstreamReason | 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | 'too-busy' | 'suspected-poison'
+	| 'no-configuration' | NoUpstreamReason
+	/** The request may run only once, its upstreams reset connections when they are full, and none is known to have room. */
+	| 'no-known-room'
+	| 'refused-by-upstreams' | 'wrong-upstream' | 'not-connected' | 'no-relay' | 'never-sent' | RefusalReason | 'suspected-poison'
 	/** The key is unknown, but may be newer than the known configuration. */
 	| 'unconfirmed-key'
 	/** Accounts were configured after the request had been read without one. */
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -7,6 +7,7 @@
 import {createRandomSource} from '@cairnbank/core/random';
 import {createIncarnation, withoutLostLinks} from '@cairnbank/core/fleet';
 import {FleetPace} from '@cairnbank/core/limits';
+import {FullResets, OverloadControl} from '@cairnbank/core/overload';
 import {Admission, WorkEstimates} from '@cairnbank/core/placement';
 import {RelayPeers} from '@cairnbank/core/reachability';
 import {AccountLimitsTask} from './features/account-limits/account-limits-task.js';
@@ -246,7 +247,8 @@
 			dialect: ports.requests,
 			metrics: context.metrics,
 			workEstimates: new WorkEstimates(),
-			admission: new Admission(context.clock),
+			fullResets: new FullResets(context.clock),
+			overload: new OverloadControl({clock: context.clock, random: context.random, admission: new Admission(context.clock)}),
 			advisories,
 			rateLimits,
 			budget: service => budgets.forService(service),
