--- a/packages/core/src/account-limits/account-limiter.spec.ts
+++ b/packages/core/src/account-limits/account-limiter.spec.ts
@@ -110,6 +110,21 @@
 		});
 	});
 
+	describe('when its owner stands still', () => {
+		for (const pauseMs of [300, 1000, 3000]) {
+			it(`should stay within the bound before and after a pause of ${pauseMs} ms`, () => {
+				forAll((fleet, size, rate, what) => {
+					const [owner] = orderOf(fleet);
+					fleet.run(3000, {requestsPerSecond: rate * 0.1, from: anyOf(size)});
+					fleet.run(2000, {requestsPerSecond: rate * flood, from: anyOf(size)});
+					fleet.pause(owner!, pauseMs);
+					fleet.run(pauseMs + 6000, {requestsPerSecond: rate * flood, from: anyOf(size)});
+					assertBound(fleet, rate, what);
+				});
+			});
+		}
+	});
+
 	describe('when instances restart', () => {
 		it('should stay within the bound where the first six in the order do so in turn', () => {
 			forAll((fleet, size, rate, what) => {
--- a/packages/core/src/account-limits/simulated-limiters.ts
+++ b/packages/core/src/account-limits/simulated-limiters.ts
@@ -8,7 +8,7 @@
 
 type Event = {readonly atMs: number; readonly action: () => void};
 type Instance = {
-	limiter: AccountLimiter; host: string; group: number; isRunning: boolean; startedAtMs: number; others: string[]; heardAtMs: number;
+	limiter: AccountLimiter; host: string; group: number; isRunning: boolean; startedAtMs: number; others: string[]; heardAtMs: number; pausedUntilMs: number;
 };
 
 export type Load = {readonly requestsPerSecond: number; readonly from: (random: RandomSource) => number};
@@ -76,6 +76,11 @@
 		this.#spreadViews(0, noticedMs);
 	}
 
+	/** Stops an instance for a time; it handles messages and timers afterwards. */
+	pause(index: number, durationMs: number): void {
+		this.instances[index]!.pausedUntilMs = this.clock.monotonicMs() + durationMs;
+	}
+
 	/** Divides the fleet; both sides notice within `noticedMs`. */
 	divide(groupOf: (index: number) => number, noticedMs = 2000): void {
 		for (const [index, instance] of this.instances.entries()) {
@@ -108,7 +113,7 @@
 	#create(index: number, startedAtMs: number): Instance {
 		const host = `10.0.${Math.floor(index / 250)}.${index % 250}`;
 		const instance: Instance = {
-			limiter: undefined as unknown as AccountLimiter, host, group: 0, isRunning: true, startedAtMs, others: [], heardAtMs: startedAtMs,
+			limiter: undefined as unknown as AccountLimiter, host, group: 0, isRunning: true, startedAtMs, others: [], heardAtMs: startedAtMs, pausedUntilMs: 0,
 		};
 		instance.limiter = new AccountLimiter({
 			clock: this.clock,
@@ -128,7 +133,9 @@
 				if (receiver !== undefined && this.#random.next() >= this.lossRatio) {
 					this.#at(1 + (this.#random.next() * 8), () => {
 						if (this.instances.includes(receiver) && this.#areInTouch(instance, receiver)) {
-							receiver.limiter.receive(message, host);
+							this.#whenAwake(receiver, () => {
+								receiver.limiter.receive(message, host);
+							});
 						}
 					});
 				}
@@ -136,9 +143,11 @@
 			schedule: (delayMs, action) => {
 				let isCancelled = false;
 				this.#at(delayMs, () => {
-					if (!isCancelled && instance.isRunning) {
-						action();
-					}
+					this.#whenAwake(instance, () => {
+						if (!isCancelled && instance.isRunning) {
+							action();
+						}
+					});
 				});
 				return () => {
 					isCancelled = true;
@@ -150,7 +159,7 @@
 
 	#request(index: number): void {
 		const instance = this.instances[index]!;
-		if (!instance.isRunning) {
+		if (!instance.isRunning || this.#isPaused(instance)) {
 			return;
 		}
 
@@ -164,7 +173,7 @@
 	}
 
 	#tick(): void {
-		for (const instance of this.instances.filter(({isRunning}) => isRunning)) {
+		for (const instance of this.instances.filter(instance => instance.isRunning && !this.#isPaused(instance))) {
 			instance.limiter.tick();
 			if (this.instances.some(other => other !== instance && this.#areInTouch(instance, other))) {
 				instance.heardAtMs = this.clock.monotonicMs();
@@ -185,6 +194,18 @@
 		return this.instances.filter(other => other !== instance && this.#areInTouch(instance, other)).map(({host}) => host);
 	}
 
+	#isPaused({pausedUntilMs}: Instance): boolean {
+		return this.clock.monotonicMs() < pausedUntilMs;
+	}
+
+	#whenAwake(instance: Instance, action: () => void): void {
+		if (this.#isPaused(instance)) {
+			this.#at(instance.pausedUntilMs - this.clock.monotonicMs(), action);
+		} else {
+			action();
+		}
+	}
+
 	#areInTouch(left: Instance, right: Instance): boolean {
 		return left.isRunning && right.isRunning && left.group === right.group;
 	}
