--- a/packages/core/src/account-limits/account-limiter.ts
+++ b/packages/core/src/account-limits/account-limiter.ts
@@ -6,6 +6,7 @@
  */
 import type {AccountRateLimit} from '../accounts/client-account.js';
 import type {ClientAccountId} from '../model/ids.js';
+import {AccountOrders} from './account-orders.js';
 import {AccountOwner} from './account-owner.js';
 import type {LimitAnswer, LimitMessage} from './limit-message.js';
 import type {LimiterEnvironment} from './limiter-environment.js';
@@ -25,12 +26,9 @@
 const checkTiming: CallTiming = {intervalMs: 40, attempts: 2};
 /** Time for which an instance that can't decide yet isn't asked again. */
 const unreadyMs = 300;
-/** Time for which an order is kept; an instance that ends meanwhile doesn't answer and is skipped. */
-const orderLifetimeMs = 250;
 /** Instances that are checked at a time once the first in the order doesn't answer: in a division many of the next ones don't. */
 const checkedAtOnce = 8;
 
-type Order = {readonly ahead: readonly string[]; readonly behind: readonly string[]; readonly madeAtMs: number};
 type OnAnswer = (answer: LimitAnswer | undefined) => void;
 
 export class AccountLimiter {
@@ -40,12 +38,13 @@
 	readonly #silent: SilentHosts;
 	readonly #received: ReceivedAsks;
 	readonly #waiting: WaitingRequests;
-	readonly #orders = new Map<ClientAccountId, Order>();
+	readonly #orders: AccountOrders;
 	/** Instance that granted the latest tokens of an account. */
 	readonly #grantedBy = new Map<ClientAccountId, string>();
 
 	constructor(environment: LimiterEnvironment) {
 		this.#environment = environment;
+		this.#orders = new AccountOrders(environment);
 		this.#calls = new MessageCalls(environment);
 		this.#silent = new SilentHosts(environment, this.#calls);
 		this.#owner = new AccountOwner(environment, this.#calls, host => this.#silent.isSilent(host));
@@ -80,8 +79,8 @@
 		const isLimited = (account: ClientAccountId) => this.#environment.limitOf(account) !== undefined;
 		this.#owner.retain(isLimited);
 		this.#waiting.retain(isLimited);
-		for (const account of [...this.#orders.keys(), ...this.#grantedBy.keys()].filter(account => !isLimited(account))) {
-			this.#orders.delete(account);
+		this.#orders.retain(isLimited);
+		for (const account of [...this.#grantedBy.keys()].filter(account => !isLimited(account))) {
 			this.#grantedBy.delete(account);
 		}
 	}
@@ -149,7 +148,7 @@
 
 	/** Gets tokens from the first instance in the order that answers, or from this one if none before it does. */
 	#obtain(account: ClientAccountId, count: number, timing: CallTiming, done: OnAnswer): void {
-		const {ahead, behind} = this.#order(account);
+		const {ahead, behind} = this.#orders.of(account);
 		const {isKnown} = this.#environment.fleet();
 		const candidates = isKnown ? ahead : [...ahead, ...behind];
 		const question = {
@@ -219,21 +218,6 @@
 		});
 	}
 
-	#order(account: ClientAccountId): Order {
-		const nowMs = this.#environment.clock.monotonicMs();
-		const known = this.#orders.get(account);
-		if (known !== undefined && nowMs - known.madeAtMs < orderLifetimeMs) {
-			return known;
-		}
-
-		const {fleet, host} = this.#environment;
-		const hosts = ownerOrder(account, [...fleet().others, host]);
-		const index = hosts.indexOf(host);
-		const order = {ahead: hosts.slice(0, index), behind: hosts.slice(index + 1), madeAtMs: nowMs};
-		this.#orders.set(account, order);
-		return order;
-	}
-
 	#comesBefore(other: string, account: ClientAccountId): boolean {
 		return ownerOrder(account, [other, this.#environment.host])[0] === other;
 	}
