An account that goes on asking gets what its limit allows in each window

Change: once a bucket knows its own last window it adds the burst of each window evenly, and counts what it has handed out; the rest is owed to the next owner. Nothing of the excess or slack is used.

--- a/packages/core/src/account-limits/account-bucket.spec.ts
+++ b/packages/core/src/account-limits/account-bucket.spec.ts
@@ -29,6 +29,34 @@
 		}));
 	});
 
+	it('should use what the limit allows in a window while an account goes on asking for more', () => {
+		const {clock, bucket} = createBucket();
+		clock.advance(60_000);
+		const grants: number[] = [];
+		for (let atMs = 0; atMs < 30_000; atMs += 20) {
+			clock.advance(20);
+			grants.push(bucket.take(4));
+		}
+
+		const allowed = (limit.requestsPerSecond * 5) + limit.burst;
+		const perWindow = grants.map((_count, index) => grants.slice(index, index + 250)).filter(({length}) => length === 250)
+			.map(window => window.reduce((sum, count) => sum + count, 0));
+		assert.ok(Math.max(...perWindow) <= allowed, `${Math.max(...perWindow)}`);
+		assert.ok(Math.min(...perWindow) >= allowed * 0.9, `${Math.min(...perWindow)}`);
+	});
+
+	it('should pass on as owed what was handed out beyond the rate', () => {
+		const {clock, bucket} = createBucket();
+		clock.advance(60_000);
+		bucket.take(100);
+		for (let atMs = 0; atMs < 3000; atMs += 20) {
+			clock.advance(20);
+			bucket.take(4);
+		}
+
+		assert.ok(bucket.transferable < -20, `${bucket.transferable}`);
+	});
+
 	it('should take a lower limit at once, also from saved tokens', () => {
 		const {clock, bucket} = createBucket();
 		clock.advance(60_000);
--- a/packages/gateway/src/features/account-limits/limit-codec.ts
+++ b/packages/gateway/src/features/account-limits/limit-codec.ts
@@ -12,6 +12,8 @@
 const count = v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(maximumCount));
 const durationMs = v.pipe(v.number(), v.minValue(0));
 const tokens = v.pipe(v.number(), v.minValue(0));
+/** Tokens that were handed out beyond the rate; only one of the two numbers is not 0. */
+const owed = v.optional(v.pipe(v.number(), v.minValue(0), v.maxValue(maximumCount)), 0);
 /** Granted requests, time until a token, time for those refused, whether the account is known to be over its limit. */
 const answer = v.tuple([count, durationMs, durationMs, v.boolean()]);
 
@@ -20,7 +22,7 @@
 	v.tuple([v.literal('r'), sequence, v.nullable(answer)]),
 	v.tuple([v.literal('w'), sequence]),
 	v.tuple([v.literal('t'), account, sequence]),
-	v.tuple([v.literal('l'), sequence, v.nullable(tokens)]),
+	v.tuple([v.literal('l'), sequence, v.nullable(tokens), owed]),
 	v.tuple([v.literal('c'), sequence]),
 	v.tuple([v.literal('d'), sequence]),
 	v.tuple([v.literal('b'), account, count]),
@@ -47,7 +49,8 @@
 		}
 
 		case 'limit-level': {
-			return ['l', message.sequence, message.level ?? null];
+			const {sequence: answered, level} = message;
+			return ['l', answered, level === undefined ? null : Math.max(0, level), Math.max(0, -(level ?? 0))];
 		}
 
 		case 'limit-check': {
@@ -85,7 +88,7 @@
 		}
 
 		case 'l': {
-			return {type: 'limit-level', sequence: array[1], level: array[2] ?? undefined};
+			return {type: 'limit-level', sequence: array[1], level: array[2] === null ? undefined : array[2] - array[3]};
 		}
 
 		case 'c': {
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -133,6 +133,7 @@
 		{type: 'limit-working', sequence: 7},
 		{type: 'limit-take-over', account: 'shop' as ClientAccountId, sequence: 8},
 		{type: 'limit-level', sequence: 8, level: 12.5},
+		{type: 'limit-level', sequence: 8, level: -3},
 		{type: 'limit-level', sequence: 8, level: undefined},
 		{type: 'limit-check', sequence: 9},
 		{type: 'limit-checked', sequence: 9},
