An instance that lost its links while it passed on requests finds out that they are back

Seen: relayed-requests.spec, "should not be reported as not run when the other instance is killed under it": an instance did not list exactly the two that have links within 20 s.

Cause: failures of connections for requests that it passes on count as lost links, but mark no upstream as unreachable, and only unreachable upstreams are checked again. With the links lost, no upstream may be used either, so nothing was ever sent that could show that they are back: the instance refused what it was asked to pass on and was not offered to callers, for good, or until its process was replaced. The same holds for connections that compare a lost link with an upstream that has ended.

Change: upstreams that can't be used because links are lost are checked like unreachable ones, and a loss starts the checks. Nothing changes for upstreams that are reached through another instance.

--- a/packages/gateway/src/features/upstreams/recheck-task.ts
+++ b/packages/gateway/src/features/upstreams/recheck-task.ts
@@ -1,7 +1,8 @@
-/** Probes unreachable upstreams until they answer, so that no request has to wait for one that is still unreachable. */
+/** Probes upstreams that can't be reached, or to which the links are lost, until they answer, so that no request has to wait for them. */
 import {ok, type Result} from 'neverthrow';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import type {LinkMonitor} from './link-monitor.js';
 import type {Upstream} from './upstream.js';
 
 /** Half of the shortest pause before an upstream is checked again. */
@@ -10,11 +11,9 @@
 export type RecheckTaskOptions = {
 	/** Returns the upstreams that may be probed. */
 	readonly upstreams: () => readonly Upstream[];
-	readonly probe: (upstream: Upstream) => Promise<unknown>;
-	/** Whether this instance has lost its links to all upstreams of the same service. */
-	readonly isLinkLost: (upstream: Upstream) => boolean;
-	/** Checks the own link to an upstream that is reached through another instance. */
-	readonly checkOwnLink: (upstream: Upstream) => Promise<unknown>;
+	readonly prober: Readonly<Record<'probe' | 'checkOwnLink', (upstream: Upstream) => Promise<unknown>>>;
+	/** Tells upstreams that can't be used because links are lost; no connection to one of them need have failed. */
+	readonly links: Pick<LinkMonitor, 'isLost' | 'mayUse'>;
 };
 
 export class RecheckTask implements Task {
@@ -44,15 +43,15 @@
 	}
 
 	#probeDueUpstreams(): void {
-		const avoided = this.#options.upstreams().filter(({condition}) => condition.isUnreachable && condition.advisories.availability.type !== 'leaving');
+		const avoided = this.#options.upstreams().filter(upstream => this.#isAvoided(upstream));
 		const due = avoided.filter(({condition}) => condition.isHealthCheckDue);
 		for (const upstream of new Set([...due, ...this.#nextOfLost(avoided)])) {
-			void this.#options.probe(upstream);
+			void this.#options.prober.probe(upstream);
 		}
 
 		const relayed = this.#options.upstreams().filter(({pool}) => pool.path.isRelayed);
 		for (const upstream of relayed.filter(({pool}) => pool.path.isOwnLinkCheckDue)) {
-			void this.#options.checkOwnLink(upstream);
+			void this.#options.prober.checkOwnLink(upstream);
 		}
 
 		if (avoided.length + relayed.length > 0) {
@@ -60,9 +59,14 @@
 		}
 	}
 
+	#isAvoided(upstream: Upstream): boolean {
+		const {condition} = upstream;
+		return condition.advisories.availability.type !== 'leaving' && (condition.isUnreachable || !this.#options.links.mayUse(upstream));
+	}
+
 	/** Returns one upstream to which the link is lost, in turn: while no link works, waiting for longer and longer times would delay the first request served. */
 	#nextOfLost(avoided: readonly Upstream[]): readonly Upstream[] {
-		const lost = avoided.filter(upstream => this.#options.isLinkLost(upstream));
+		const lost = avoided.filter(({registered}) => this.#options.links.isLost(registered.service));
 		this.#turn += 1;
 		return lost.slice(this.#turn % Math.max(1, lost.length)).slice(0, 1);
 	}
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -74,6 +74,7 @@
 		},
 		hasRelay: service => relayPeers.hasCandidates(service),
 		onChanged(service, change) {
+			recheck.schedule();
 			if (change === 'regained') {
 				upstreams.recheckAtOnce(service);
 			}
@@ -194,9 +195,8 @@
 	});
 	const recheck: RecheckTask = new RecheckTask({
 		upstreams: () => upstreams.inService(),
-		probe: async upstream => prober.probe(upstream),
-		isLinkLost: upstream => links.isLost(upstream.registered.service),
-		checkOwnLink: async upstream => prober.checkOwnLink(upstream),
+		prober,
+		links,
 	});
 	const crashes = new CrashTable(context.clock, fingerprint => fleet.isFirstFor(fingerprint));
 	const guard: PoisonGuard = new PoisonGuard({
