Requests of a flooded account that can't be in time leave the tokens to those that can

Change: core/account-limits/scarce-tokens; for a second after a refusal, requests of the account whose target can't be met are told to return later, until their last chance.

--- a/packages/core/src/overload/index.ts
+++ b/packages/core/src/overload/index.ts
@@ -1,2 +1,3 @@
 export * from './full-resets.js';
 export * from './overload-control.js';
+export * from './waited-times.js';
--- a/packages/gateway/src/features/account-limits/account-limits-task.ts
+++ b/packages/gateway/src/features/account-limits/account-limits-task.ts
@@ -2,9 +2,10 @@
 import type {ClientAccountId} from '@cairnbank/core';
 import type {AccountRateLimit, ClientAccount} from '@cairnbank/core/accounts';
 import {
-	AccountLimiter, type Admittance, type LimiterFleet, type LimitMessage,
+	AccountLimiter, ScarceTokens, type Admittance, type LimiterFleet, type LimitMessage,
 } from '@cairnbank/core/account-limits';
-import type {RouteTable} from '@cairnbank/core/routes';
+import {WaitedTimes} from '@cairnbank/core/overload';
+import type {Route, RouteTable} from '@cairnbank/core/routes';
 import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import type {StartError} from '../../kernel/start-error.js';
@@ -24,8 +25,18 @@
 	readonly context: Context;
 	readonly fleet: () => LimiterFleet;
 	readonly send: (message: LimitMessage, host: string) => void;
+	/** Work of a request of a route at an upstream of usual speed. */
+	readonly workMs: (route: Route) => number;
 };
 
+/** The fields of a call that decide on its tokens. */
+type LimitedCall = Pick<Call, 'account' | 'deadlineAtMs' | 'receivedAtMs' | 'route'>;
+
+type RefusedAdmittance = Exclude<Admittance, {readonly type: 'granted'}>;
+
+/** Sends a caller that yields to others away for as long as is of use to it. */
+const yieldingAdmittance: RefusedAdmittance = {type: 'limited', retryAfterMs: Number.POSITIVE_INFINITY};
+
 export type RefusedOutcome = Extract<Outcome, {type: 'limited' | 'not-run'}>;
 
 /** Result of the admission of a call. */
@@ -39,6 +50,8 @@
 	readonly #options: AccountLimitsOptions;
 	readonly #limiter: AccountLimiter;
 	readonly #reports: LimitedAccounts;
+	readonly #scarceTokens: ScarceTokens;
+	readonly #waitedTimes = new WaitedTimes();
 	#limits: ReadonlyMap<ClientAccountId, AccountRateLimit> = new Map();
 	#timer: NodeJS.Timeout | undefined;
 
@@ -46,6 +59,7 @@
 		const {context, fleet, send} = options;
 		this.#options = options;
 		this.#reports = new LimitedAccounts(context);
+		this.#scarceTokens = new ScarceTokens(context.clock);
 		this.#limiter = new AccountLimiter({
 			clock: context.clock,
 			random: context.random,
@@ -82,28 +96,24 @@
 	applyConfiguration({configuration: {accounts = []}}: RouteTable): void {
 		this.#limits = new Map(accounts.flatMap(({id, rateLimit}) => rateLimit === undefined ? [] : [[id, rateLimit]]));
 		this.#limiter.applyConfiguration();
+		this.#scarceTokens.retain(account => this.#limits.has(account));
 		this.#reports.applyAccounts(accounts);
 	}
 
 	/** Decides whether a call may run now; one without a limited account always may. */
-	async admit({account, deadlineAtMs}: Pick<Call, 'account' | 'deadlineAtMs'>): Promise<CallAdmittance> {
+	async admit(call: LimitedCall): Promise<CallAdmittance> {
+		const {account} = call;
 		if (account?.rateLimit === undefined) {
 			return {type: 'unlimited'};
 		}
 
-		const admittance = await this.#ask(account, account.rateLimit);
+		const admittance = this.#mustYield(account, call) ? yieldingAdmittance : await this.#ask(account, account.rateLimit);
 		this.#reports.record(account, admittance);
-		const nowMs = this.#options.context.clock.monotonicMs();
 		if (admittance.type === 'granted') {
-			return {type: 'granted', account: account.id, atMs: nowMs};
+			return {type: 'granted', account: account.id, atMs: this.#options.context.clock.monotonicMs()};
 		}
 
-		const usefulMs = Math.max(0, (deadlineAtMs - nowMs) * maximumWaitRatio);
-		const retryAfterMs = Math.ceil(Math.min(admittance.retryAfterMs, usefulMs));
-		const outcome: RefusedOutcome = admittance.type === 'limited'
-			? {type: 'limited', retryAfterMs}
-			: {type: 'not-run', reason: 'account-use-unknown', retryAfterMs};
-		return {type: 'refused', outcome};
+		return {type: 'refused', outcome: this.#refuse(call, admittance)};
 	}
 
 	/** Returns the token of a call that did not run. */
@@ -121,8 +131,39 @@
 	}
 
 	async #ask(account: ClientAccount, limit: AccountRateLimit): Promise<Admittance> {
-		return new Promise(resolve => {
+		const admittance = await new Promise<Admittance>(resolve => {
 			this.#limiter.admit(account.id, limit, resolve);
 		});
+		if (admittance.type === 'limited') {
+			this.#scarceTokens.recordRefusal(account.id);
+		}
+
+		return admittance;
+	}
+
+	/** Whether a call leaves the tokens to others of its account that can still be answered in time. */
+	#mustYield({id}: ClientAccount, call: LimitedCall): boolean {
+		const {route, receivedAtMs, deadlineAtMs} = call;
+		this.#waitedTimes.recordArrival(call, this.#scarceTokens.isScarce(id));
+		return this.#scarceTokens.mustYield(id, {
+			askedAtMs: receivedAtMs - this.#waitedTimes.waitedMs(call),
+			deadlineAtMs,
+			targetLatencyMs: route.targetLatencyMs,
+			workMs: this.#options.workMs(route),
+		});
+	}
+
+	#refuse({deadlineAtMs}: LimitedCall, {type, retryAfterMs: tokenInMs}: RefusedAdmittance): RefusedOutcome {
+		const usefulMs = Math.max(0, (deadlineAtMs - this.#options.context.clock.monotonicMs()) * maximumWaitRatio);
+		const retryAfterMs = Math.ceil(Math.min(tokenInMs, usefulMs));
+		switch (type) {
+			case 'limited': {
+				return {type: 'limited', retryAfterMs};
+			}
+
+			case 'unknown': {
+				return {type: 'not-run', reason: 'account-use-unknown', retryAfterMs};
+			}
+		}
 	}
 }
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -175,12 +175,14 @@
 			fleet.announceRate(report);
 		},
 	});
+	const workEstimates = new WorkEstimates();
 	const accountLimits: AccountLimitsTask = new AccountLimitsTask({
 		context,
 		fleet: () => fleet.limiterFleet,
 		send(message, host) {
 			fleet.sendLimitMessage(message, host);
 		},
+		workMs: ({id, targetLatencyMs}) => workEstimates.expectedMs(id, targetLatencyMs),
 	});
 	const advisories = new Advisories({context, dialect: ports.requests});
 	const eligibility = new Eligibility({
@@ -246,7 +248,7 @@
 			clock: context.clock,
 			dialect: ports.requests,
 			metrics: context.metrics,
-			workEstimates: new WorkEstimates(),
+			workEstimates,
 			fullResets: new FullResets(context.clock),
 			overload: new OverloadControl({clock: context.clock, random: context.random, admission: new Admission(context.clock)}),
 			advisories,
