Services that tell no load are never taken for ones that reset when full

Cause: any connection that broke under a request sent without known room counted as a reset at a full upstream, and where upstreams tell no load no room is ever known. Two crashes, or two broken links to instances that pass requests on, then had every request that may run only once refused with no-known-room until the resets were forgotten, without any overload. Change: only connections that go directly to an upstream that has told its load count.

--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -142,10 +142,12 @@
 		}
 	}
 
+	/** A broken connection tells that an upstream was full only if it goes there directly, and the upstream tells its load at all. */
 	#recordBroken(): void {
 		const {fullResets} = this.#dependencies;
 		const {upstream: {registered: {service}}, room} = this.#placement;
-		if (!fullResets.hasKnownRoom(service, room)) {
+		const tellsLoad = room.report !== undefined && this.#channel.relay === undefined;
+		if (tellsLoad && !fullResets.hasKnownRoom(service, room)) {
 			fullResets.recordReset(service);
 		}
 	}
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -235,6 +235,17 @@
 			return harness;
 		};
 
+		it('should not be taken for such as their connections break, if they tell no load', async () => {
+			const harness = new CallHarness({idempotent: true, maximumAttempts: 3});
+			await harness.start();
+			for (const index of [0, 1, 2]) {
+				await harness.answer(index, broken);
+			}
+
+			assert.equal(harness.outcome?.type, 'unknown');
+			assert.equal(harness.fullResets.needsKnownRoom('ledger' as ServiceId), false);
+		});
+
 		it('should get no request that may run only once while none is known to have room', async () => {
 			const harness = await startAfterResets(false, 2);
 			assert.equal(harness.outcome?.type === 'not-run' && harness.outcome.reason, 'no-known-room');
