One caller with a longer deadline doesn't make all others count as returned

Cause: the longest time that a route was granted rose with a single request, and during an overload the share of usual deadlines is frozen. One caller that told a longer deadline during an overload, or just before it, made all others count as callers that return late: they got lightly loaded upstreams only, for as long as the overload lasted, and their refusals kept it going.

--- a/packages/core/src/overload/waited-times.spec.ts
+++ b/packages/core/src/overload/waited-times.spec.ts
@@ -23,6 +23,43 @@
 		assert.ok(times.waitedMs(granted(2400)) > 1100);
 	});
 
+	it('should not take all others for returned when one caller tells a longer deadline during an overload', () => {
+		const times = new WaitedTimes();
+		for (let count = 0; count < 50; count++) {
+			times.recordArrival(granted(3600), false);
+		}
+
+		times.recordArrival(granted(10_000), true);
+		assert.equal(times.waitedMs(granted(3600)), 0);
+		for (let count = 0; count < 200; count++) {
+			times.recordArrival(granted(count % 50 === 0 ? 10_000 : 3600), true);
+		}
+
+		assert.equal(times.waitedMs(granted(3600)), 0);
+	});
+
+	it('should not do so either when that caller asked just before the overload', () => {
+		const times = new WaitedTimes();
+		for (let count = 0; count < 50; count++) {
+			times.recordArrival(granted(3600), false);
+		}
+
+		times.recordArrival(granted(10_000), false);
+		times.recordArrival(granted(3600), true);
+		assert.equal(times.waitedMs(granted(3600)), 0);
+	});
+
+	it('should learn within a few requests what first attempts tell if the first that it sees have returned', () => {
+		const times = new WaitedTimes();
+		times.recordArrival(granted(2400), true);
+		for (let count = 0; count < 30; count++) {
+			times.recordArrival(granted(count % 2 === 0 ? 3600 : 2400), true);
+		}
+
+		assert.ok(times.waitedMs(granted(2400)) > 1100);
+		assert.equal(times.waitedMs(granted(3600)), 0);
+	});
+
 	it('should conclude nothing where callers tell different deadlines', () => {
 		const times = new WaitedTimes();
 		for (let count = 0; count < 50; count++) {
