A request whose upstream has crashed isn't announced as on trial there

Cause: the call under which an upstream crashed still counted as running when its suspect was recorded, so the instance announced a trial of a run that had ended, and its end a moment later. A peer that had the first of these messages but not yet the trial of an instance that really ran the request took the end for permission to run it: a third run while one was on trial. Change: a crash removes that run before trials are begun. Runs of one call are kept by upstream, so that another attempt still is on trial.

--- a/packages/daemon/src/features/calls/poison-guard.ts
+++ b/packages/daemon/src/features/calls/poison-guard.ts
@@ -55,7 +55,7 @@
 
 	/** Records that a request is about to be sent to an upstream, and starts its trial if it is a suspect. */
 	recordStart(call: Call, upstream: UpstreamId): void {
-		this.#runningCalls.set(call, upstream);
+		this.#runningCalls.add(call, upstream);
 		call.trial?.begin(upstream);
 	}
 
@@ -83,6 +83,11 @@
 
 	/** Makes suspects of the request that was in flight at a crashed upstream and of the requests that were recently abandoned there. */
 	recordCrash(upstream: UpstreamId, call?: Call): void {
+		if (call !== undefined) {
+			// Otherwise the call would count as on trial there until it ends, and peers would take the end of that trial for the end of theirs.
+			this.#runningCalls.remove(call, upstream);
+		}
+
 		const inFlight = call === undefined ? [] : [fingerprintOfCall(call)];
 		for (const fingerprint of [...inFlight, ...this.#abandoned.take(upstream)]) {
 			this.#recordSuspect(fingerprint, upstream);
--- a/packages/daemon/src/features/calls/running-calls.ts
+++ b/packages/daemon/src/features/calls/running-calls.ts
@@ -7,11 +7,22 @@
 
 /** Computes fingerprints only when it searches for suspects, not for each call. */
 export class RunningCalls {
-	readonly #upstreams = new Map<Call, UpstreamId>();
+	/** Upstreams by call, the one that got the request last at the end. */
+	readonly #upstreams = new Map<Call, readonly UpstreamId[]>();
 
-	/** Records the upstream of a call; replaces an earlier upstream of the same call. */
-	set(call: Call, upstream: UpstreamId): void {
-		this.#upstreams.set(call, upstream);
+	/** Records that a call is sent to an upstream, maybe beside an earlier one. */
+	add(call: Call, upstream: UpstreamId): void {
+		this.#upstreams.set(call, [...this.#upstreams.get(call) ?? [], upstream]);
+	}
+
+	/** Records that a call no longer runs at an upstream, while it may still run at another. */
+	remove(call: Call, upstream: UpstreamId): void {
+		const left = (this.#upstreams.get(call) ?? []).filter(one => one !== upstream);
+		if (left.length === 0) {
+			this.#upstreams.delete(call);
+		} else {
+			this.#upstreams.set(call, left);
+		}
 	}
 
 	delete(call: Call): void {
@@ -20,7 +31,9 @@
 
 	/** Returns the running calls whose fingerprint is among the given ones. */
 	find(fingerprints: ReadonlySet<Fingerprint>): RunningCall[] {
-		const running = [...this.#upstreams].map(([call, upstream]) => ({fingerprint: fingerprintOfCall(call), upstream, deadlineAtMs: call.deadlineAtMs}));
+		const running = [...this.#upstreams].map(([call, upstreams]) => ({
+			fingerprint: fingerprintOfCall(call), upstream: upstreams.at(-1)!, deadlineAtMs: call.deadlineAtMs,
+		}));
 		return running.filter(({fingerprint}) => fingerprints.has(fingerprint));
 	}
 }
