A caller that takes nothing of an answer behind another is disconnected too while memory is short

Cause: as an answer ended, the next one on its connection was begun before the first was released, and the release erased the time from which progress counts. A caller that took nothing from then on was never found to stall, and its answers kept their memory; enough of them would have had every request refused as answers-held. Change: the memory of an answer is released before the next one is written.

--- a/packages/gateway/src/features/calls/caller-connections.spec.ts
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -3,7 +3,9 @@
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {ManualClock} from '@cairnbank/core';
+import {maximumHeldBytes, stallMs} from '@cairnbank/core/connections';
 import {createMetrics} from '../../metrics/metrics.js';
 import {CallerConnections} from './caller-connections.js';
 
@@ -12,13 +14,16 @@
 const servers: Server[] = [];
 
 /** Starts a server that leaves its requests to the spec, and sends it bytes. */
-async function send(bytes: string): Promise<{connections: CallerConnections; started: ServerResponse[]; received: () => string; socket: Socket}> {
+async function send(bytes: string): Promise<{
+	clock: ManualClock; connections: CallerConnections; started: ServerResponse[]; received: () => string; socket: Socket;
+}> {
 	const server = createServer({requireHostHeader: false, headersTimeout: headerTimeoutMs, connectionsCheckingInterval: headerTimeoutMs / 2});
 	servers.push(server);
 	const started: ServerResponse[] = [];
+	const clock = new ManualClock();
 	const connections = new CallerConnections({
 		server,
-		clock: new ManualClock(),
+		clock,
 		metrics: createMetrics(),
 		isLeaving: () => false,
 		onStart(_, response) {
@@ -35,7 +40,7 @@
 	socket.write(bytes);
 	await once(server, 'request');
 	return {
-		connections, started, received: () => text, socket,
+		clock, connections, started, received: () => text, socket,
 	};
 }
 
@@ -69,4 +74,20 @@
 		assert.match(received(), /^HTTP\/1\.1 400 /);
 		assert.equal(started.length, 0);
 	});
+
+	it('should disconnect a caller that takes nothing of an answer behind another while memory is short', async () => {
+		const {clock, connections, started, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n');
+		const [first, second] = started as [ServerResponse, ServerResponse];
+		second.write = () => false;
+		connections.respond(second, {...answer, answer: {...answer.answer, body: new Uint8Array(maximumHeldBytes)}});
+		connections.respond(first, answer);
+		await once(first, 'close');
+		await new Promise(setImmediate);
+		assert.equal(connections.refusal()?.type, 'not-run');
+		assert.equal(socket.destroyed, false);
+		clock.advance(stallMs);
+		connections.refusal();
+		await Promise.race([once(socket, 'close'), delay(1000)]);
+		assert.equal(socket.destroyed, true);
+	});
 });
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -99,7 +99,8 @@
 		const {heldAnswerBytes} = this.#options.metrics;
 		this.#held.hold(connection, bytes);
 		heldAnswerBytes.set(this.#held.bytes);
-		response.once('close', () => {
+		// Releases it before the next answer is written, as that one's progress counts from then.
+		response.prependOnceListener('close', () => {
 			this.#held.release(connection, bytes);
 			heldAnswerBytes.set(this.#held.bytes);
 		});
