--- a/packages/core/src/overload/late-requests.spec.ts
+++ b/packages/core/src/overload/late-requests.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {judgeLateRequest} from './late-requests.js';
+import {canReturnLater, judgeLateRequest} from './late-requests.js';
 
 /** A first attempt at an upstream whose last slot is free. */
 const inputs = {
@@ -26,3 +26,13 @@
 		assert.equal(judgeLateRequest({...inputs, nowMs: 3550}), 'hopeless');
 	});
 });
+
+describe('canReturnLater', () => {
+	it('should expect a caller back later if it waits for longer than its target', () => {
+		assert.equal(canReturnLater(inputs), true);
+	});
+
+	it('should not expect one back whose longest wait ends within its target', () => {
+		assert.equal(canReturnLater({...inputs, deadlineAtMs: 800}), false);
+	});
+});
--- a/packages/core/src/overload/late-requests.ts
+++ b/packages/core/src/overload/late-requests.ts
@@ -31,6 +31,17 @@
 	/** Can't be answered before its deadline. */
 	| 'hopeless';
 
+/** Callers wait for at most this part of the time that they have left before they return. */
+const honouredShare = 1 / 3;
+
+/**
+ * Returns whether a refused request can come back after the moment that it missed. A caller whose longest wait is shorter than its
+ * target latency returns into the same rush, so that a refusal in favour of others would be its last answer.
+ */
+export function canReturnLater({nowMs, deadlineAtMs, targetLatencyMs}: Pick<LateRequestInputs, 'nowMs' | 'deadlineAtMs' | 'targetLatencyMs'>): boolean {
+	return (deadlineAtMs - nowMs) * honouredShare >= targetLatencyMs;
+}
+
 /** Returns the verdict on a request during an overload; outside of one, late requests are judged as any other. */
 export function judgeLateRequest(inputs: LateRequestInputs): LateVerdict {
 	const {nowMs, expectedMs, workMs, isLightlyLoaded, askedAtMs, targetLatencyMs, deadlineAtMs} = inputs;
--- a/packages/core/src/overload/overload-control.ts
+++ b/packages/core/src/overload/overload-control.ts
@@ -4,7 +4,7 @@
 import type {RandomSource} from '../model/random-source.js';
 import type {Admission, AdmissionRequest} from '../placement/admission.js';
 import {AccountShares, type AccountRequest} from './account-shares.js';
-import {judgeLateRequest} from './late-requests.js';
+import {canReturnLater, judgeLateRequest} from './late-requests.js';
 import {OverloadMeter} from './overload-meter.js';
 import {ReturnTimes} from './return-times.js';
 import {WaitedTimes} from './waited-times.js';
@@ -111,16 +111,16 @@
 
 	#refusalReason(request: OverloadRequest, place: OfferedPlace): RefusalReason | undefined {
 		const {admission, clock} = this.#options;
-		const isOverloaded = this.#meter.isOverloaded(request.service);
-		const askedAtMs = this.#askedAtMs(request);
-		const isAdmitted = admission.admits(isOverloaded ? {...request, receivedAtMs: askedAtMs} : request, place);
-		if (!isOverloaded) {
-			return isAdmitted ? undefined : 'too-busy';
+		const nowMs = clock.monotonicMs();
+		const {deadlineAtMs, route: {targetLatencyMs}} = request;
+		if (!this.#meter.isOverloaded(request.service) || !canReturnLater({nowMs, deadlineAtMs, targetLatencyMs})) {
+			return admission.admits(request, place) ? undefined : 'too-busy';
 		}
 
-		const {deadlineAtMs, route: {targetLatencyMs}} = request;
+		const askedAtMs = this.#askedAtMs(request);
+		const isAdmitted = admission.admits({...request, receivedAtMs: askedAtMs}, place);
 		const verdict = judgeLateRequest({
-			...place, nowMs: clock.monotonicMs(), askedAtMs, targetLatencyMs, deadlineAtMs,
+			...place, nowMs, askedAtMs, targetLatencyMs, deadlineAtMs,
 		});
 		switch (verdict) {
 			case 'in-time': {
