Account limits: a bucket grants beyond its rate only where the rate alone could go on in every window

An account that began a rush with a saved burst had its window filled early by the tokens beyond the rate. What forgot the window (an owner that ended, a share, limit or pace that changed) then granted the rate on top. The bucket now hands out such a token only if the rate alone can go on in every window that holds it, so whoever goes on in its place needs no memory, and nothing is owed on a transfer: the spec of what is owed gives way to one that checks the bound itself for any time of the change. Returned tokens come off the part in which they were handed out.

--- a/packages/core/src/account-limits/account-bucket.spec.ts
+++ b/packages/core/src/account-limits/account-bucket.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
+import type {AccountRateLimit} from '../accounts/client-account.js';
 import {ManualClock} from '../model/manual-clock.js';
 import {AccountBucket} from './account-bucket.js';
 import {defaultAccountBound, maximumInWindow, reserveOf} from './account-bound.js';
@@ -12,6 +13,32 @@
 	return {clock, bucket: new AccountBucket(clock, defaultAccountBound, limit, level)};
 }
 
+/** Floods a bucket that begins with a saved burst, and from a time on one that goes on in its place. */
+function assertSuccession(limit: AccountRateLimit, changedMs: number, change: 'successor' | 'share' | 'limit' | 'pace'): void {
+	const clock = new ManualClock();
+	const stepMs = 50;
+	const {windowMs} = defaultAccountBound;
+	let bucket = new AccountBucket(clock, defaultAccountBound, limit, 0);
+	clock.advance(60_000);
+	const grants: number[] = [];
+	for (let atMs = 0; atMs < changedMs + (2 * windowMs); atMs += stepMs) {
+		clock.advance(stepMs);
+		if (atMs === changedMs) {
+			if (change === 'successor') {
+				bucket = new AccountBucket(clock, defaultAccountBound, limit, reserveOf(limit, defaultAccountBound));
+			}
+
+			bucket.setLimit(change === 'limit' ? {...limit, requestsPerSecond: limit.requestsPerSecond * 0.99} : limit, change === 'share' ? 0.99 : 1, change === 'pace' ? 0.9 : 1);
+		}
+
+		grants.push(bucket.take(limit.requestsPerSecond + limit.burst));
+	}
+
+	const busiest = Math.max(...grants.map((_count, index) => grants.slice(index, index + (windowMs / stepMs)).reduce((sum, count) => sum + count, 0)));
+	const allowed = maximumInWindow(limit, defaultAccountBound);
+	assert.ok(busiest <= allowed, `${limit.requestsPerSecond} a second, burst ${limit.burst}, ${change} after ${changedMs} ms: ${busiest} in a window, ${allowed} allowed`);
+}
+
 describe('account bucket', () => {
 	it('should grant no more in any window than the bound, for any order of pauses and requests', () => {
 		fc.assert(fc.property(fc.array(fc.tuple(fc.integer({min: 0, max: 3000}), fc.integer({min: 0, max: 200})), {maxLength: 60}), steps => {
@@ -45,16 +72,42 @@
 		assert.ok(Math.min(...perWindow) >= allowed * 0.9, `${Math.min(...perWindow)}`);
 	});
 
-	it('should pass on as owed what was handed out beyond the rate', () => {
+	it('should leave room for a successor that starts with a reserve, whenever it takes over from one that was flooded', () => {
+		for (const requestsPerSecond of [1, 3, 50, 333]) {
+			for (const burst of [requestsPerSecond, requestsPerSecond * 3, requestsPerSecond * 10]) {
+				for (let takenOverMs = 500; takenOverMs <= 10_000; takenOverMs += 250) {
+					assertSuccession({requestsPerSecond, burst}, takenOverMs, 'successor');
+				}
+			}
+		}
+	});
+
+	it('should stay within the bound if its share, limit or pace changes while it is flooded', () => {
+		for (const requestsPerSecond of [1, 3, 50, 333]) {
+			for (const burst of [requestsPerSecond, requestsPerSecond * 3, requestsPerSecond * 10]) {
+				for (let changedMs = 500; changedMs <= 10_000; changedMs += 250) {
+					assertSuccession({requestsPerSecond, burst}, changedMs, 'share');
+					assertSuccession({requestsPerSecond, burst}, changedMs, 'limit');
+					assertSuccession({requestsPerSecond, burst}, changedMs, 'pace');
+				}
+			}
+		}
+	});
+
+	it('should tell a time after which a token is there also while it hands out more than its rate', () => {
 		const {clock, bucket} = createBucket();
 		clock.advance(60_000);
-		bucket.take(100);
-		for (let atMs = 0; atMs < 3000; atMs += 20) {
-			clock.advance(20);
+		for (let atMs = 0; atMs < 12_000; atMs += 7) {
+			clock.advance(7);
 			bucket.take(4);
 		}
 
-		assert.ok(bucket.transferable < -20, `${bucket.transferable}`);
+		for (let repetition = 0; repetition < 50; repetition++) {
+			bucket.take(100);
+			assert.ok(bucket.tokenInMs > 0);
+			clock.advance(Math.ceil(bucket.tokenInMs));
+			assert.equal(bucket.take(1), 1);
+		}
 	});
 
 	it('should take a lower limit at once, also from saved tokens', () => {
--- a/packages/core/src/account-limits/account-bucket.ts
+++ b/packages/core/src/account-limits/account-bucket.ts
@@ -3,7 +3,8 @@
  *
  * The limit allows a burst in each window, not only after a pause. Answers the rush of an account that goes on for longer than
  * its burst lasts: once the bucket knows all that it handed out within a window, it adds what the burst allows for the window
- * evenly over it, and stops where the window is full.
+ * evenly over it. It hands out such a token only if the rate alone could go on afterwards in every window that holds it. So an
+ * owner that is replaced at any time, also by one that knows nothing of it, leaves room for a successor that grants the rate.
  */
 import type {AccountRateLimit} from '../accounts/client-account.js';
 import type {Clock} from '../model/clock.js';
@@ -13,8 +14,6 @@
 const millisecondsPerSecond = 1000;
 /** Longest time for which a caller is told to wait. A caller that waits longer than that has other work to do. */
 const maximumRetryMs = 2000;
-/** Part of the window for which tokens beyond the rate are saved, so that callers get them evenly. */
-const savedWindowRatio = 0.1;
 
 export class AccountBucket {
 	readonly #clock: Clock;
@@ -27,6 +26,8 @@
 	/** Tokens beyond the rate. */
 	#extraLevel = 0;
 	#filledAtMs: number;
+	/** Time of the latest refusal. */
+	#refusedAtMs = Number.NEGATIVE_INFINITY;
 	/** Time at which the callers refused so far have each got a token, if all of them return. */
 	#queueEndsAtMs = 0;
 
@@ -40,18 +41,12 @@
 		this.#filledAtMs = clock.monotonicMs();
 	}
 
-	/** Tokens at the latest use, without those that have been added since, for another instance that goes on with them. */
-	get transferableWhenFilled(): number {
-		return this.#level - this.#use.beyondRate;
-	}
-
-	/** Tokens with which another instance may go on; what was handed out beyond the rate is owed. */
-	get transferable(): number {
-		this.#fill();
-		return this.transferableWhenFilled;
+	/** Tokens at the latest use, without those that have been added since. */
+	get levelWhenFilled(): number {
+		return this.#level;
 	}
 
-	/** Tokens of the rate and the saved burst that can be taken now. */
+	/** Tokens of the rate and the saved burst that can be taken now; another instance may go on with them. */
 	get level(): number {
 		this.#fill();
 		return this.#level;
@@ -60,12 +55,10 @@
 	/** Time until one token can be taken; 0 if there is one. */
 	get tokenInMs(): number {
 		this.#fill();
-		if (this.#isWindowFull) {
-			return this.#use.freedInMs;
-		}
-
-		const available = Math.max(this.#level, 0) + this.#extraLevel;
-		return Math.max(0, (1 - available) / this.#tokensPerMs);
+		const roomInMs = this.#windowRoom < 1 ? this.#use.leftInMs(this.#windowCapacity - 1) : 0;
+		const ofRateInMs = (1 - this.#level) / this.#requestsPerMs;
+		const extraInMs = this.#extraPerMs > 0 && this.#roomBeyondRate >= 1 ? (1 - this.#extraLevel) / this.#extraPerMs : Number.POSITIVE_INFINITY;
+		return Math.max(0, roomInMs, Math.min(ofRateInMs, extraInMs));
 	}
 
 	/**
@@ -90,21 +83,23 @@
 	/** @returns the number of tokens taken, at most `count` */
 	take(count: number): number {
 		this.#fill();
-		const room = this.#use.beyondRate > 0 ? Math.max(0, Math.floor(this.#windowCapacity - this.#use.granted)) : count;
-		const allowed = Math.min(count, room);
-		const ofRate = Math.min(allowed, Math.max(0, Math.floor(this.#level)));
-		const windowRoom = Math.max(0, Math.floor(this.#windowCapacity - this.#use.granted - ofRate));
-		const beyondRate = Math.min(allowed - ofRate, Math.floor(this.#extraLevel), windowRoom);
+		const ofRate = Math.min(count, this.#windowRoom, Math.max(0, Math.floor(this.#level)));
 		this.#level -= ofRate;
+		this.#use.record(ofRate);
+		const beyondRate = ofRate < count ? Math.max(0, Math.min(count - ofRate, Math.floor(this.#extraLevel), this.#roomBeyondRate)) : 0;
 		this.#extraLevel -= beyondRate;
-		this.#use.record(ofRate + beyondRate, beyondRate);
+		this.#use.record(beyondRate);
+		if (ofRate + beyondRate < count) {
+			this.#refusedAtMs = this.#clock.monotonicMs();
+		}
+
 		return ofRate + beyondRate;
 	}
 
 	/** Returns tokens of requests that did not run. */
 	giveBack(count: number): void {
 		this.#level = Math.min(this.level + count, this.#capacity);
-		this.#use.record(-Math.min(count, this.#use.granted));
+		this.#use.giveBack(count);
 	}
 
 	/** Places refused callers in the order of those refused before. @returns time after which a token is there for the last of them */
@@ -139,8 +134,15 @@
 		return ((requestsPerSecond * this.#bound.windowMs / millisecondsPerSecond) + burst) * this.#share;
 	}
 
-	get #isWindowFull(): boolean {
-		return this.#use.beyondRate > 0 && this.#windowCapacity - this.#use.granted < 1;
+	/** An account that asks for more gets exactly what its limit allows; the reserve is for those that just reach it. */
+	get #windowRoom(): number {
+		const isOverLimit = this.#clock.monotonicMs() - this.#refusedAtMs < this.#bound.windowMs;
+		return isOverLimit && this.#use.isComplete ? Math.max(0, Math.floor(this.#windowCapacity - this.#use.granted)) : Number.POSITIVE_INFINITY;
+	}
+
+	/** Whole tokens beyond the rate that leave room for the rate, and for the tokens that are left, in every window from now on. */
+	get #roomBeyondRate(): number {
+		return Math.floor(this.#use.roomFor(this.#requestsPerMs, this.#windowCapacity) - Math.max(0, this.#level));
 	}
 
 	#fill(): void {
@@ -148,7 +150,7 @@
 		const elapsedMs = nowMs - this.#filledAtMs;
 		const extraPerMs = this.#extraPerMs;
 		this.#level = Math.min(this.#level + (elapsedMs * this.#requestsPerMs), this.#capacity);
-		this.#extraLevel = Math.min(this.#extraLevel + (elapsedMs * extraPerMs), Math.max(1, extraPerMs * this.#bound.windowMs * savedWindowRatio));
+		this.#extraLevel = Math.min(this.#extraLevel + (elapsedMs * extraPerMs), Math.max(1, extraPerMs * this.#bound.windowMs));
 		this.#filledAtMs = nowMs;
 	}
 }
--- a/packages/core/src/account-limits/account-owner.ts
+++ b/packages/core/src/account-limits/account-owner.ts
@@ -86,7 +86,7 @@
 		if (nowMs - this.#tickedAtMs > pauseMs) {
 			for (const ownership of this.#ownerships.values()) {
 				if (ownership.bucket !== undefined) {
-					ownership.levelBeforePause = ownership.bucket.transferableWhenFilled;
+					ownership.levelBeforePause = ownership.bucket.levelWhenFilled;
 					ownership.bucket = undefined;
 				}
 			}
@@ -110,7 +110,7 @@
 	/** Stops deciding on an account. @returns the tokens left; undefined if this instance did not decide on it */
 	release(account: ClientAccountId): number | undefined {
 		const ownership = this.#ownerships.get(account);
-		const level = ownership?.bucket?.transferable ?? ownership?.levelBeforePause;
+		const level = ownership?.bucket?.level ?? ownership?.levelBeforePause;
 		if (ownership !== undefined) {
 			ownership.bucket = undefined;
 			ownership.levelBeforePause = undefined;
--- a/packages/core/src/account-limits/window-use.spec.ts
+++ b/packages/core/src/account-limits/window-use.spec.ts
@@ -9,11 +9,35 @@
 	it('should count tokens until they have left the window', () => {
 		const clock = new ManualClock();
 		const use = new WindowUse(clock, windowMs);
-		use.record(3, 1);
+		use.record(3);
 		clock.advance(windowMs);
-		assert.deepEqual([use.granted, use.beyondRate], [3, 1]);
-		clock.advance(use.freedInMs);
-		assert.deepEqual([use.granted, use.beyondRate], [0, 0]);
+		assert.equal(use.granted, 3);
+		clock.advance(windowMs / 50);
+		assert.equal(use.granted, 0);
+	});
+
+	it('should count returned tokens as not handed out where they were, not later', () => {
+		const clock = new ManualClock();
+		const use = new WindowUse(clock, windowMs);
+		use.record(30);
+		clock.advance(300);
+		use.giveBack(30);
+		use.record(30);
+		assert.equal(use.granted, 30);
+		clock.advance(windowMs - 150);
+		assert.equal(use.granted, 30);
+	});
+
+	it('should leave room for the rate in all windows that hold what was handed out', () => {
+		const clock = new ManualClock();
+		const use = new WindowUse(clock, windowMs);
+		assert.equal(use.roomFor(0.05, 300), 50);
+		use.record(50);
+		clock.advance(2000);
+		use.record(20);
+		assert.equal(use.roomFor(0.05, 300), 30);
+		use.record(110);
+		assert.equal(use.roomFor(0.05, 300), -80);
 	});
 
 	it('should know the whole window only after one has passed', () => {
