Account limits: simulated specs of an owner that changes 3 to 5 s into a flood that begins with a saved burst

At 1, 3, 50 and 333 a second, by 6 and 110 instances; the owner ends, leaves, leaves and ends at once, or starts again.

--- a/packages/core/src/account-limits/account-limiter.spec.ts
+++ b/packages/core/src/account-limits/account-limiter.spec.ts
@@ -110,6 +110,43 @@
 		});
 	});
 
+	describe('when its owner changes under a flood that begins with a saved burst', () => {
+		for (const [title, change] of [
+			['ends', (fleet, owner) => {
+				fleet.kill(owner);
+			}],
+			['leaves', (fleet, owner) => {
+				fleet.leave(owner);
+			}],
+			['leaves and ends at once', (fleet, owner) => {
+				fleet.leave(owner);
+				fleet.run(100, {requestsPerSecond: 0, from: () => 0});
+				fleet.kill(owner, 100);
+			}],
+			['starts again', (fleet, owner) => {
+				fleet.start(owner);
+			}],
+		] as ReadonlyArray<readonly [string, (fleet: SimulatedLimiters, owner: number) => void]>) {
+			it(`should stay within the bound if it ${title} within the window`, () => {
+				for (const size of [6, 110]) {
+					for (const rate of [1, 3, 50, 333]) {
+						for (const changedMs of [3000, 3500, 4000, 4500, 5000]) {
+							const what = `${size} instances, ${rate} a second, ${title} after ${changedMs} ms`;
+							const fleet = new SimulatedLimiters(size, limitOf(rate), 1);
+							fleet.run(9000, {requestsPerSecond: Math.min(rate * 0.1, 1), from: anyOf(size)});
+							const [owner] = orderOf(fleet);
+							fleet.run(changedMs, {requestsPerSecond: rate * flood, from: anyOf(size)});
+							change(fleet, owner!);
+							fleet.run(7000, {requestsPerSecond: rate * flood, from: anyOf(size)});
+							assertBound(fleet, rate, what);
+							assert.ok(fleet.served.granted >= 0.9 * rate * (changedMs + 7000) / 1000, `${what}: ${fleet.served.granted} granted`);
+						}
+					}
+				}
+			});
+		}
+	});
+
 	describe('when its owner stands still', () => {
 		for (const pauseMs of [300, 1000, 3000]) {
 			it(`should stay within the bound before and after a pause of ${pauseMs} ms`, () => {
--- a/packages/core/src/account-limits/simulated-limiters.ts
+++ b/packages/core/src/account-limits/simulated-limiters.ts
@@ -8,7 +8,7 @@
 
 type Event = {readonly atMs: number; readonly action: () => void};
 type Instance = {
-	limiter: AccountLimiter; host: string; group: number; isRunning: boolean; startedAtMs: number; others: string[]; heardAtMs: number; pausedUntilMs: number;
+	limiter: AccountLimiter; host: string; group: number; isRunning: boolean; startedAtMs: number; others: string[]; heardAtMs: number; pausedUntilMs: number; isLeaving: boolean;
 };
 
 export type Load = {readonly requestsPerSecond: number; readonly from: (random: RandomSource) => number};
@@ -81,6 +81,12 @@
 		this.instances[index]!.pausedUntilMs = this.clock.monotonicMs() + durationMs;
 	}
 
+	/** Lets an instance leave; it no longer decides, and the others no longer ask it once they have learned of it. */
+	leave(index: number, noticedMs = 100): void {
+		this.instances[index]!.isLeaving = true;
+		this.#spreadViews(0, noticedMs);
+	}
+
 	/** Divides the fleet; both sides notice within `noticedMs`. */
 	divide(groupOf: (index: number) => number, noticedMs = 2000): void {
 		for (const [index, instance] of this.instances.entries()) {
@@ -113,7 +119,7 @@
 	#create(index: number, startedAtMs: number): Instance {
 		const host = `10.0.${Math.floor(index / 250)}.${index % 250}`;
 		const instance: Instance = {
-			limiter: undefined as unknown as AccountLimiter, host, group: 0, isRunning: true, startedAtMs, others: [], heardAtMs: startedAtMs, pausedUntilMs: 0,
+			limiter: undefined as unknown as AccountLimiter, host, group: 0, isRunning: true, startedAtMs, others: [], heardAtMs: startedAtMs, pausedUntilMs: 0, isLeaving: false,
 		};
 		instance.limiter = new AccountLimiter({
 			clock: this.clock,
@@ -124,7 +130,7 @@
 			fleet: () => ({
 				others: instance.others,
 				instances: this.instances.length,
-				isKnown: this.clock.monotonicMs() - instance.startedAtMs >= settlingMs,
+				isKnown: this.clock.monotonicMs() - instance.startedAtMs >= settlingMs && !instance.isLeaving,
 				hasHeardOthers: this.clock.monotonicMs() - instance.heardAtMs < heardLimitMs,
 			}),
 			send: (message, to) => {
@@ -191,7 +197,7 @@
 	}
 
 	#hostsExcept(instance: Instance): string[] {
-		return this.instances.filter(other => other !== instance && this.#areInTouch(instance, other)).map(({host}) => host);
+		return this.instances.filter(other => other !== instance && !other.isLeaving && this.#areInTouch(instance, other)).map(({host}) => host);
 	}
 
 	#isPaused({pausedUntilMs}: Instance): boolean {
