Account limits: waits end at the deadline, tokens of unsent calls return, no timer without limits, bounded series

Found in review. A call waited for tokens past its caller's deadline (up to five rounds of questions); it is now told at the deadline that it has not run, and a token that comes later is returned. Calls whose key was taken away, whose caller left or whose time ended before anything was sent kept their token. A call that got its token after the time to drain had ended was still sent. The timer ran without limited accounts. Series of accounts that no longer have a label stayed. A block of callers-task that could not be reached is gone. A request line says in accountLimit how the limit decided and after what time.

--- a/packages/gateway/src/features/account-limits/account-limits-task.ts
+++ b/packages/gateway/src/features/account-limits/account-limits-task.ts
@@ -41,6 +41,7 @@
 	readonly #reports: LimitedAccounts;
 	#limits: ReadonlyMap<ClientAccountId, AccountRateLimit> = new Map();
 	#timer: NodeJS.Timeout | undefined;
+	#isRunning = false;
 
 	constructor(options: AccountLimitsOptions) {
 		const {context, fleet, send} = options;
@@ -67,15 +68,14 @@
 	}
 
 	async start(): Promise<Result<void, StartError>> {
-		this.#timer = setInterval(() => {
-			this.#limiter.tick();
-			this.#reports.sweep();
-		}, tickMs);
+		this.#isRunning = true;
+		this.#updateTimer();
 		return ok(undefined);
 	}
 
 	stop(): void {
-		clearInterval(this.#timer);
+		this.#isRunning = false;
+		this.#updateTimer();
 	}
 
 	/** Applies the limits of a configuration that has come into force. */
@@ -83,15 +83,16 @@
 		this.#limits = new Map(accounts.flatMap(({id, rateLimit}) => rateLimit === undefined ? [] : [[id, rateLimit]]));
 		this.#limiter.applyConfiguration();
 		this.#reports.applyAccounts(accounts);
+		this.#updateTimer();
 	}
 
-	/** Decides whether a call may run now; one without a limited account always may. */
+	/** Decides whether a call may run now, at its deadline at the latest; one without a limited account always may. */
 	async admit({account, deadlineAtMs}: Pick<Call, 'account' | 'deadlineAtMs'>): Promise<CallAdmittance> {
 		if (account?.rateLimit === undefined) {
 			return {type: 'unlimited'};
 		}
 
-		const admittance = await this.#ask(account, account.rateLimit);
+		const admittance = await this.#ask(account, account.rateLimit, deadlineAtMs);
 		this.#reports.record(account, admittance);
 		const nowMs = this.#options.context.clock.monotonicMs();
 		if (admittance.type === 'granted') {
@@ -106,12 +107,15 @@
 		return {type: 'refused', outcome};
 	}
 
-	/** Returns the token of a call that did not run. */
-	complete(admittance: CallAdmittance, outcome: Outcome): void {
+	/**
+	 * Returns the token of a call that did not run.
+	 *
+	 * @param isSent - whether an attempt was sent to an upstream
+	 */
+	complete(admittance: CallAdmittance, outcome: Outcome, isSent: boolean): void {
 		const {clock} = this.#options.context;
-		if (admittance.type === 'granted' && outcome.type === 'not-run' && clock.monotonicMs() - admittance.atMs <= maximumReturnAgeMs) {
-			this.#limiter.giveBack(admittance.account, 1);
-			this.#reports.recordGivenBack(admittance.account);
+		if (admittance.type === 'granted' && hasNotRun(outcome, isSent) && clock.monotonicMs() - admittance.atMs <= maximumReturnAgeMs) {
+			this.#giveBack(admittance.account);
 		}
 	}
 
@@ -120,9 +124,60 @@
 		this.#limiter.receive(message, from);
 	}
 
-	async #ask(account: ClientAccount, limit: AccountRateLimit): Promise<Admittance> {
+	async #ask({id}: ClientAccount, limit: AccountRateLimit, deadlineAtMs: number): Promise<Admittance> {
 		return new Promise(resolve => {
-			this.#limiter.admit(account.id, limit, resolve);
+			let timer: NodeJS.Timeout | undefined;
+			let isDecided = false;
+			let isLate = false;
+			this.#limiter.admit(id, limit, admittance => {
+				isDecided = true;
+				clearTimeout(timer);
+				if (isLate && admittance.type === 'granted') {
+					this.#giveBack(id);
+				}
+
+				resolve(admittance);
+			});
+			if (!isDecided) {
+				timer = setTimeout(() => {
+					isLate = true;
+					resolve({type: 'unknown', retryAfterMs: 0});
+				}, Math.max(0, deadlineAtMs - this.#options.context.clock.monotonicMs()));
+			}
 		});
 	}
+
+	#giveBack(account: ClientAccountId): void {
+		this.#limiter.giveBack(account, 1);
+		this.#reports.recordGivenBack(account);
+	}
+
+	/** Nothing runs where no account is limited. */
+	#updateTimer(): void {
+		clearInterval(this.#timer);
+		this.#timer = this.#isRunning && this.#limits.size > 0
+			? setInterval(() => {
+				this.#limiter.tick();
+				this.#reports.sweep();
+			}, tickMs)
+			: undefined;
+	}
+}
+
+function hasNotRun({type}: Outcome, isSent: boolean): boolean {
+	switch (type) {
+		case 'not-run':
+		case 'limited':
+		case 'bad-request':
+		case 'unauthenticated': {
+			return true;
+		}
+
+		case 'abandoned':
+		case 'timed-out':
+		case 'unknown':
+		case 'answered': {
+			return !isSent;
+		}
+	}
 }
--- a/packages/gateway/src/features/account-limits/limited-accounts.ts
+++ b/packages/gateway/src/features/account-limits/limited-accounts.ts
@@ -7,6 +7,7 @@
 /** Accounts with the highest limits that have a metric of their own; the others share one. */
 const maximumLabels = 20;
 const otherLabel = 'other';
+const results = ['granted', 'limited', 'unknown', 'given-back'] as const;
 /** Time without a refusal after which an account counts as no longer limited. */
 const quietMs = 5000;
 
@@ -23,7 +24,14 @@
 
 	applyAccounts(accounts: readonly ClientAccount[]): void {
 		const byRate = accounts.toSorted((left, right) => rateOf(right) - rateOf(left));
-		this.#labels = new Set(byRate.slice(0, maximumLabels).map(({id}) => id));
+		const labels = new Set(byRate.slice(0, maximumLabels).map(({id}) => id));
+		for (const account of [...this.#labels].filter(account => !labels.has(account))) {
+			for (const result of results) {
+				this.#context.metrics.accountRequests.remove({account, result});
+			}
+		}
+
+		this.#labels = labels;
 	}
 
 	record({id, rateLimit}: ClientAccount, {type}: Admittance): void {
@@ -58,7 +66,7 @@
 		}
 	}
 
-	#count(account: ClientAccountId, result: Admittance['type'] | 'given-back'): void {
+	#count(account: ClientAccountId, result: typeof results[number]): void {
 		this.#context.metrics.accountRequests.inc({account: this.#labels.has(account) ? account : otherLabel, result});
 	}
 }
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -25,6 +25,8 @@
 /** Largest request body. Bodies are buffered whole, so that a refused request can be sent to another upstream. */
 const maximumBufferedBodyBytes = 8_388_608;
 const firstServerErrorStatus = 500;
+/** Retry delay for the caller of an instance that ends; the other instances take its request at once. */
+const expiredRetryAfterMs = 20;
 
 export type CallersTaskOptions = {
 	readonly context: Context;
@@ -45,6 +47,7 @@
 	/** The same where accounts are configured. */
 	readonly #accountRequestHeaders: HeaderFilter;
 	#isLeaving = false;
+	#isExpired = false;
 	readonly #runningCalls = new Set<CallRun>();
 	#inFlight = 0;
 	#uneventfulRequests = 0;
@@ -93,6 +96,7 @@
 	}
 
 	expire(): void {
+		this.#isExpired = true;
 		this.#connections.stopStarting();
 		for (const run of this.#runningCalls) {
 			run.expire();
@@ -136,7 +140,7 @@
 	async #processCall(request: IncomingMessage, response: ServerResponse, head: Omit<Call, 'body'>): Promise<void> {
 		const maximumBodyBytes = Math.min(maximumBufferedBodyBytes, this.#options.routes()?.configuration.limits.maximumBodyBytes ?? maximumBufferedBodyBytes);
 		const body = await readBody(request, maximumBodyBytes);
-		const fields = {
+		const fields: Record<string, unknown> = {
 			id: head.requestId, route: head.route.id, account: head.account?.id, configuration: head.configurationVersion, service: head.service,
 		};
 		if (body.isErr()) {
@@ -157,22 +161,22 @@
 			return;
 		}
 
+		const askedAtMs = this.#options.context.clock.monotonicMs();
 		const admittance = await this.#options.accountLimits.admit(call);
-		if (admittance.type === 'refused') {
-			this.#respond(response, admittance.outcome, fields);
-			return;
+		if (admittance.type !== 'unlimited') {
+			fields.accountLimit = `${admittance.type}:${Math.round(this.#options.context.clock.monotonicMs() - askedAtMs)}ms`;
 		}
 
-		if (response.destroyed) {
-			// The caller disconnected while its account was asked for, so no event follows that would end the call.
-			this.#options.accountLimits.complete(admittance, {type: 'not-run', reason: 'never-sent', retryAfterMs: 0});
-			this.#respond(response, {type: 'abandoned'}, fields);
+		if (admittance.type === 'refused') {
+			this.#respond(response, admittance.outcome, fields);
 			return;
 		}
 
-		if (admittance.type === 'granted' && response.destroyed) {
-			this.#options.accountLimits.complete(admittance, {type: 'not-run', reason: 'never-sent', retryAfterMs: 0});
-			this.#respond(response, {type: 'abandoned'}, fields);
+		if (response.destroyed || this.#isExpired) {
+			// The caller disconnected, or the time to drain ended, while the account was asked for, so no event follows that would end the call.
+			const outcome: Outcome = {type: 'not-run', reason: 'never-sent', retryAfterMs: expiredRetryAfterMs};
+			this.#options.accountLimits.complete(admittance, outcome, false);
+			this.#respond(response, response.destroyed ? {type: 'abandoned'} : outcome, fields);
 			return;
 		}
 
@@ -187,7 +191,7 @@
 		this.#runningCalls.add(run);
 		const outcome = await run.run();
 		this.#runningCalls.delete(run);
-		this.#options.accountLimits.complete(admittance, outcome);
+		this.#options.accountLimits.complete(admittance, outcome, run.attemptsSent > 0);
 		if (outcome.type === 'answered') {
 			this.#options.poisonGuard.recordSuccess(call);
 		}
