Account limits: an owner that has just begun to decide says 503, not 429, unless the account asked it for too much

Simulated with three instances that end and stand still in turn, the new spec fails before and passes now.

--- a/packages/core/src/account-limits/account-bucket.ts
+++ b/packages/core/src/account-limits/account-bucket.ts
@@ -26,6 +26,9 @@
 	/** Tokens beyond the rate. */
 	#extraLevel = 0;
 	#filledAtMs: number;
+	readonly #startedAtMs: number;
+	/** Tokens asked for since the start. */
+	#asked = 0;
 	/** Time of the latest refusal. */
 	#refusedAtMs = Number.NEGATIVE_INFINITY;
 	/** Time at which the callers refused so far have each got a token, if all of them return. */
@@ -38,7 +41,8 @@
 		this.#use = new WindowUse(clock, bound.windowMs);
 		this.#limit = limit;
 		this.#level = level;
-		this.#filledAtMs = clock.monotonicMs();
+		this.#startedAtMs = clock.monotonicMs();
+		this.#filledAtMs = this.#startedAtMs;
 	}
 
 	/** Tokens at the latest use, without those that have been added since. */
@@ -52,6 +56,16 @@
 		return this.#level;
 	}
 
+	/**
+	 * Whether an account that is refused is known to be over its limit. A bucket that has just started doesn't know what was
+	 * used before it; then the account is over its limit only if it has asked this bucket for more than that allows.
+	 */
+	get isOverLimit(): boolean {
+		const {requestsPerSecond, burst} = this.#limit;
+		const allowed = ((requestsPerSecond * (this.#clock.monotonicMs() - this.#startedAtMs) / millisecondsPerSecond) + burst) * this.#share;
+		return this.#use.isComplete || this.#asked > allowed;
+	}
+
 	/** Time until one token can be taken; 0 if there is one. */
 	get tokenInMs(): number {
 		this.#fill();
@@ -83,6 +97,7 @@
 	/** @returns the number of tokens taken, at most `count` */
 	take(count: number): number {
 		this.#fill();
+		this.#asked += count;
 		const ofRate = Math.min(count, this.#windowRoom, Math.max(0, Math.floor(this.#level)));
 		this.#level -= ofRate;
 		this.#use.record(ofRate);
--- a/packages/core/src/account-limits/account-limiter.spec.ts
+++ b/packages/core/src/account-limits/account-limiter.spec.ts
@@ -162,6 +162,31 @@
 		}
 	});
 
+	describe('when its use is not known', () => {
+		it('should not say that an account below its limit is over it, whichever instances end and stand still', () => {
+			for (const seed of [1, 2, 3, 4, 5, 6]) {
+				const fleet = new SimulatedLimiters(3, limitOf(20), seed);
+				const load = {requestsPerSecond: 8, from: anyOf(3)};
+				for (const [first, second] of [[0, 1], [1, 2], [2, 0], [0, 2], [2, 1], [1, 0]] as const) {
+					fleet.run(1000, load);
+					fleet.kill(first);
+					fleet.run(700, load);
+					fleet.start(first);
+					fleet.pause(second, 1500);
+					fleet.run(1800, load);
+				}
+
+				assert.equal(fleet.served.limited, 0, `seed ${seed}: ${fleet.served.limited} of ${fleet.served.asked}, ${fleet.served.unknown} unknown`);
+			}
+		});
+
+		it('should say so where an account asks for more than its limit', () => {
+			const fleet = new SimulatedLimiters(3, limitOf(20), 1);
+			fleet.run(8000, {requestsPerSecond: 80, from: anyOf(3)});
+			assert.ok(fleet.served.limited > fleet.served.unknown * 5, `${fleet.served.limited} over the limit, ${fleet.served.unknown} unknown`);
+		});
+	});
+
 	describe('when instances restart', () => {
 		it('should stay within the bound where the first six in the order do so in turn', () => {
 			forAll((fleet, size, rate, what) => {
