The soak floods an account with a rate limit by all instances and lowers its limit

Two checks, from what upstreams and callers saw: the bound in any 5 s, from 5 s after the lower limit that of the lower one; and no 429 for an account at a fifth of its limit. Requests refused as over the limit do not count in the checks of repeats and of shares served, unless they ran, so that they ease neither. soak.spec used the checks without those of accounts; it now uses all.

--- a/packages/soak/src/account-checks.ts
+++ b/packages/soak/src/account-checks.ts
@@ -1,5 +1,7 @@
 /** Checks of client accounts, from what callers sent and upstreams received. */
-import type {Check} from './checks.js';
+import {maximumInWindow, type Check} from './checks.js';
+import type {RunRecord} from './history.js';
+import {limitedAccounts, loweredLimit} from './soak-site.js';
 
 /** Time after which no request with a key that was taken away may reach an upstream. */
 const removalMs = 5000;
@@ -24,4 +26,44 @@
 	}),
 };
 
-export const accountChecks: readonly Check[] = [runsUnderItsAccount, removalIsRespected];
+type Limit = {readonly ratePerS: number; readonly burst: number};
+
+const limitWindowMs = 5000;
+const limitExcess = 0.1;
+const limitSlack = 20;
+/** Time after which no window may exceed the bound of a limit that was lowered, if it begins later. */
+const lowerLimitMs = 5000;
+const limitedStatus = 429;
+
+const allowedInWindow = ({ratePerS, burst}: Limit) => (((ratePerS * limitWindowMs / 1000) + burst) * (1 + limitExcess)) + limitSlack;
+
+/** Returns when requests first ran. A request that ran again counts once. */
+function firstRunsOf(ids: ReadonlySet<string>, runs: readonly RunRecord[]): readonly number[] {
+	const first = new Map<string, number>();
+	for (const {id, atMs} of runs.filter(run => ids.has(run.id))) {
+		first.set(id, Math.min(first.get(id) ?? atMs, atMs));
+	}
+
+	return [...first.values()];
+}
+
+const accountLimitIsKept: Check = {
+	name: 'an account with a rate limit runs no more than its bound in any 5 s, by all instances together',
+	findBreaches({floods, runs, limitLoweredAtMs}) {
+		const ids = new Set(floods.flatMap(({calls}) => calls.filter(({isFlooding}) => isFlooding).map(({record: {id}}) => id)));
+		const times = firstRunsOf(ids, runs);
+		return [
+			{limit: limitedAccounts[0], most: maximumInWindow(times, limitWindowMs)},
+			{limit: loweredLimit, most: maximumInWindow(times.filter(atMs => atMs > limitLoweredAtMs + lowerLimitMs), limitWindowMs)},
+		].filter(({limit, most}) => most > allowedInWindow(limit)).map(({limit, most}) => `${most} requests in 5 s, ${allowedInWindow(limit)} allowed at ${limit.ratePerS} a second`);
+	},
+};
+
+const belowItsLimitIsNotRefused: Check = {
+	name: 'an account below its rate limit is never told that it is over it',
+	findBreaches: ({floods}) => floods.flatMap(({calls}) => calls
+		.filter(({record: {end}, isFlooding}) => !isFlooding && end.type === 'answered' && end.status === limitedStatus)
+		.map(({record: {id, instance}}) => `${id} was refused at ${instance}`)),
+};
+
+export const accountChecks: readonly Check[] = [runsUnderItsAccount, removalIsRespected, accountLimitIsKept, belowItsLimitIsNotRefused];
--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -17,7 +17,7 @@
 
 const validHistory: History = {
 	calls: [call(answered(200))], runs: [run()], disturbances: [], arrivals: [], backOffs: [], drains: [], limits: [], leavings: [], stops: [], cuts: [],
-	crashes: [], accounts: [], accountArrivals: [], afterwards: [],
+	crashes: [], accounts: [], floods: [], limitLoweredAtMs: Number.POSITIVE_INFINITY, accountArrivals: [], afterwards: [],
 };
 
 /** Histories with one breach each, by the name of the check that should notice it. */
@@ -86,6 +86,13 @@
 			id: 'a', upstream: 'u0', atMs: 5001, accounts: ['shop'], hasKey: false,
 		}],
 	},
+	'an account with a rate limit runs no more than its bound in any 5 s, by all instances together': {
+		floods: [{calls: Array.from({length: 285}, (_, index) => ({record: call(answered(200), {id: `f${index}`}), isFlooding: true}))}],
+		runs: [run(), ...Array.from({length: 285}, (_, index) => run('u0', index * 17, `f${index}`))],
+	},
+	'an account below its rate limit is never told that it is over it': {
+		floods: [{calls: [{record: call(answered(429)), isFlooding: false}, {record: call(answered(429)), isFlooding: true}]}],
+	},
 };
 
 function breachedChecks(history: History): string[] {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -48,7 +48,7 @@
 
 const overlaps = ({fromMs, untilMs}: Disturbance, startMs: number, endMs: number): boolean => fromMs <= endMs && untilMs + recoveryMs >= startMs;
 
-function maximumInWindow(timesMs: readonly number[], windowMs: number): number {
+export function maximumInWindow(timesMs: readonly number[], windowMs: number): number {
 	const sorted = timesMs.toSorted((left, right) => left - right);
 	let first = 0;
 	let most = 0;
--- a/packages/soak/src/contracts.spec.ts
+++ b/packages/soak/src/contracts.spec.ts
@@ -48,7 +48,7 @@
 	limit: true,
 	link: true,
 	store: true,
-	restore: true, crash: true, outage: true, herd: true, 'remove-key': true,
+	restore: true, crash: true, outage: true, herd: true, 'remove-key': true, 'flood-account': true, 'lower-limit': true,
 };
 
 type Row = {readonly statement: string; readonly files: readonly string[]; readonly check: string; readonly players: string};
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -2,10 +2,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {waitFor} from '@cairnbank/testing/harness';
-import {runAccountCaller} from './account-caller.js';
+import type {AccountEvent} from './account-events.js';
 import {runCrashingCaller, type CrashingCalls} from './crashing-caller.js';
 import type {
-	AccountCalls, CutRecord, Disturbance, DrainRecord, LeavingRecord, LimitRecord, StopRecord,
+	CutRecord, Disturbance, DrainRecord, LeavingRecord, LimitRecord, StopRecord,
 } from './history.js';
 import type {SoakEvent} from './schedule.js';
 import type {SoakSite} from './soak-site.js';
@@ -26,7 +26,6 @@
 	readonly stops: StopRecord[] = [];
 	readonly cuts: CutRecord[] = [];
 	readonly crashing: CrashingCalls[] = [];
-	readonly accounts: AccountCalls[] = [];
 	readonly #site: SoakSite;
 	/** Number of requests that crash upstreams so far. */
 	#crashes = 0;
@@ -45,7 +44,7 @@
 	}
 
 	/** Resolves once the fault is over. */
-	async inject(event: SoakEvent): Promise<void> {
+	async inject(event: Exclude<SoakEvent, AccountEvent>): Promise<void> {
 		switch (event.type) {
 			case 'stop': {
 				return this.#terminateAndRestart(event.instance, 'SIGTERM');
@@ -125,11 +124,6 @@
 				return;
 			}
 
-			case 'remove-key': {
-				this.accounts.push(await runAccountCaller(this.#site, `account-${this.accounts.length}`, event.forMs));
-				return;
-			}
-
 			case 'outage': {
 				await Promise.all(this.#site.upstreams.map(async (_, index) => this.#misbehave(index, event.behaviour, event.forMs)));
 				return;
--- /dev/null
+++ b/packages/soak/src/further-events.ts
@@ -0,0 +1,75 @@
+/** Generates events of kinds that each use a random source of their own, so that the other events of a seed stay the same. */
+import {createRandomSource} from '@cairnbank/core/random';
+import type {RandomSource} from '@cairnbank/core';
+import type {LinkCut} from '@cairnbank/platform/spec-support/linked-site';
+import type {ScheduledEvent} from './schedule.js';
+
+/** Spreads consecutive seeds, which would otherwise give similar first random numbers. */
+const seedMultiplier = 0x9E_37_79_B1;
+const crashSeedOffset = 100_000;
+const cutSeedOffset = 200_000;
+const removalSeedOffset = 300_000;
+const floodSeedOffset = 400_000;
+const removalMs = 9000;
+/** Long enough for windows that lie wholly after the lower limit is in force. */
+const floodMs = 14_000;
+const floodBeforeLowerLimitMs = 3000;
+const crashMs = 2000;
+const linkCuts: readonly LinkCut[] = [
+	{open: 'silent', opening: 'hang'}, {open: 'reset', opening: 'refused'}, {open: 'reset', opening: 'hang'}, {open: 'live', opening: 'refused'},
+];
+
+export function generateFurtherEvents(seed: number, durationMs: number, instances: number): readonly ScheduledEvent[] {
+	return [...generateCrashes(seed, durationMs), generateCut(seed, durationMs, instances), generateRemoval(seed, durationMs), ...generateFlood(seed, durationMs)];
+}
+
+export function randomSourceOf(seed: number): RandomSource {
+	return createRandomSource(Math.imul(seed, seedMultiplier));
+}
+
+export function pick<Value>(random: RandomSource, values: readonly Value[]): Value {
+	return values[random.nextInteger(values.length)]!;
+}
+
+function generateCrashes(seed: number, durationMs: number): ScheduledEvent[] {
+	const random = randomSourceOf(seed + crashSeedOffset);
+	const crash = (request: number, atMs: number, untilMs: number): ScheduledEvent => ({atMs, event: {type: 'crash', request, forMs: untilMs - atMs}});
+	const firstMs = random.nextInteger(durationMs / 4);
+	const secondMs = random.nextInteger(durationMs / 2);
+	return [
+		crash(0, firstMs, firstMs + crashMs),
+		// Comes again when instances that were started or paused meanwhile have been back for long.
+		crash(0, durationMs + crashMs, durationMs + (3 * crashMs)),
+		crash(1, secondMs, durationMs),
+	];
+}
+
+/** Cuts off some instances, but not all, for long enough to check how callers are served there. */
+function generateCut(seed: number, durationMs: number, instances: number): ScheduledEvent {
+	const random = randomSourceOf(seed + cutSeedOffset);
+	const count = 1 + random.nextInteger(instances - 1);
+	const first = random.nextInteger(instances);
+	return {
+		atMs: random.nextInteger(Math.max(1, durationMs - 4000)),
+		event: {
+			type: 'cut', cut: pick(random, linkCuts), forMs: 4500 + random.nextInteger(2500),
+			instances: Array.from({length: count}, (_, index) => (first + index) % instances),
+		},
+	};
+}
+
+/** */
+function generateRemoval(seed: number, durationMs: number): ScheduledEvent {
+	const random = randomSourceOf(seed + removalSeedOffset);
+	return {atMs: random.nextInteger(durationMs / 2), event: {type: 'remove-key', forMs: removalMs}};
+}
+
+/** */
+function generateFlood(seed: number, durationMs: number): ScheduledEvent[] {
+	const random = randomSourceOf(seed + floodSeedOffset);
+	const atMs = random.nextInteger(durationMs / 5);
+	return [
+		{atMs, event: {type: 'flood-account', forMs: floodMs}},
+		{atMs: atMs + floodBeforeLowerLimitMs + random.nextInteger(1000), event: {type: 'lower-limit'}},
+	];
+}
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -74,6 +74,11 @@
 	readonly removedAtMs: number;
 };
 
+/** Requests with keys of two client accounts with a rate limit, one of which asks for much more than that. */
+export type FloodCalls = {
+	readonly calls: ReadonlyArray<{readonly record: CallRecord; readonly isFlooding: boolean}>;
+};
+
 /** A request that reached an upstream, with the accounts that its headers named and whether they contained a key. */
 export type AccountArrivalRecord = ArrivalRecord & {readonly accounts: readonly string[]; readonly hasKey: boolean};
 
@@ -98,6 +103,9 @@
 	readonly cuts: readonly CutRecord[];
 	readonly crashes: readonly CrashingRequestRecord[];
 	readonly accounts: readonly AccountCalls[];
+	readonly floods: readonly FloodCalls[];
+	/** Time at which the limit of the flooded account was lowered; infinity if it was not. */
+	readonly limitLoweredAtMs: number;
 	readonly accountArrivals: readonly AccountArrivalRecord[];
 	/** Calls after the last fault, all of which should succeed. */
 	readonly afterwards: readonly CallRecord[];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -1,11 +1,11 @@
 /** Generates the schedule of a run from a seed. The same seed gives the same schedule. */
 import {readFileSync} from 'node:fs';
-import {createRandomSource} from '@cairnbank/core/random';
 import type {RandomSource} from '@cairnbank/core';
 import type {LinkCut} from '@cairnbank/platform/spec-support/linked-site';
 import type {StoreFault} from '@cairnbank/platform/spec-support/store-stand-in';
 import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import type {LinkFault} from '@cairnbank/platform/spec-support/link-proxy';
+import {generateFurtherEvents, pick, randomSourceOf} from './further-events.js';
 
 /** Instances and upstreams are given by their index in the order in which they were started. */
 export type SoakEvent =
@@ -30,6 +30,10 @@
 	| {readonly type: 'crash'; readonly request: number; readonly forMs: number}
 	/** Client accounts are introduced, and one of their keys is taken away while callers use it. */
 	| {readonly type: 'remove-key'; readonly forMs: number}
+	/** Requests of one account with a rate limit come by all instances, many more than it allows; those of another stay below its limit. */
+	| {readonly type: 'flood-account'; readonly forMs: number}
+	/** A lower limit of the flooded account is published. */
+	| {readonly type: 'lower-limit'}
 	/** All upstreams misbehave in the same way. */
 	| {readonly type: 'outage'; readonly behaviour: UpstreamBehaviour; readonly forMs: number}
 	/** Many instances are killed at the same time and start again. */
@@ -60,13 +64,6 @@
 	readonly durationMs?: number;
 };
 
-/** Spreads consecutive seeds, which would otherwise give similar first random numbers. */
-const seedMultiplier = 0x9E_37_79_B1;
-const crashSeedOffset = 100_000;
-const cutSeedOffset = 200_000;
-const removalSeedOffset = 300_000;
-const removalMs = 9000;
-const crashMs = 2000;
 const defaultDurationMs = 10_000;
 /** Mean time between two events. As faults last 0.3 to 3 s, several overlap at a time. */
 const meanPauseMs = 350;
@@ -85,15 +82,12 @@
 	'sheds', 'hangs', 'loses-answer', 'fails', 'is-another', 'cuts-answer', 'cuts-unframed-answer', 'answers-twice', 'answers-another', 'unsigned',
 ];
 const linkFaults: readonly LinkFault[] = [{type: 'delay', delayMs: 60}, {type: 'silent'}, {type: 'answers-silent'}, {type: 'reset'}];
-const linkCuts: readonly LinkCut[] = [
-	{open: 'silent', opening: 'hang'}, {open: 'reset', opening: 'refused'}, {open: 'reset', opening: 'hang'}, {open: 'live', opening: 'refused'},
-];
 const storeFaults: readonly StoreFault[] = [
 	{type: 'silent'}, {type: 'busy', status: 503}, {type: 'busy', status: 429}, {type: 'reset'}, {type: 'slow', delayMs: 200}, {type: 'lost-answers'},
 ];
 
 export function generateSchedule(seed: number, {instances: givenInstances, durationMs = defaultDurationMs}: ScheduleBounds = {}): Schedule {
-	const random = createRandomSource(Math.imul(seed, seedMultiplier));
+	const random = randomSourceOf(seed);
 	const instances = givenInstances ?? 3 + random.nextInteger(5);
 	const upstreams = 5 + random.nextInteger(6);
 	const events: ScheduledEvent[] = [];
@@ -101,7 +95,7 @@
 		events.push({atMs, event: generateEvent(random, instances, upstreams)});
 	}
 
-	events.push(...generateCrashes(seed, durationMs), generateCut(seed, durationMs, instances), generateRemoval(seed, durationMs));
+	events.push(...generateFurtherEvents(seed, durationMs, instances));
 	return {
 		seed, instances, upstreams, callers: 6 + random.nextInteger(10), workMs: 5 + random.nextInteger(40), durationMs, events: events.toSorted((left, right) => left.atMs - right.atMs),
 	};
@@ -112,7 +106,7 @@
  * send depends on what the instances share with each other. Meanwhile instances stop, fail and restart, singly and many at once.
  */
 export function generateFleetSchedule(seed: number, {instances = fleetInstances, durationMs = fleetDurationMs}: ScheduleBounds = {}): Schedule {
-	const random = createRandomSource(Math.imul(seed, seedMultiplier));
+	const random = randomSourceOf(seed);
 	const events: ScheduledEvent[] = [];
 	for (let atMs = 0; atMs < durationMs; atMs += outageEveryMs) {
 		const event: SoakEvent = {type: 'outage', behaviour: pick(random, outageBehaviours), forMs: 4000 + random.nextInteger(8000)};
@@ -149,40 +143,6 @@
 	return 'schedule' in parsed ? parsed.schedule : parsed;
 }
 
-/** Uses a random source of its own, so that the other events of a seed stay the same. */
-function generateCrashes(seed: number, durationMs: number): ScheduledEvent[] {
-	const random = createRandomSource(Math.imul(seed + crashSeedOffset, seedMultiplier));
-	const crash = (request: number, atMs: number, untilMs: number): ScheduledEvent => ({atMs, event: {type: 'crash', request, forMs: untilMs - atMs}});
-	const firstMs = random.nextInteger(durationMs / 4);
-	const secondMs = random.nextInteger(durationMs / 2);
-	return [
-		crash(0, firstMs, firstMs + crashMs),
-		// Comes again when instances that were started or paused meanwhile have been back for long.
-		crash(0, durationMs + crashMs, durationMs + (3 * crashMs)),
-		crash(1, secondMs, durationMs),
-	];
-}
-
-/** Cuts off some instances, but not all, for long enough to check how callers are served there. Uses a random source of its own as well. */
-function generateCut(seed: number, durationMs: number, instances: number): ScheduledEvent {
-	const random = createRandomSource(Math.imul(seed + cutSeedOffset, seedMultiplier));
-	const count = 1 + random.nextInteger(instances - 1);
-	const first = random.nextInteger(instances);
-	return {
-		atMs: random.nextInteger(Math.max(1, durationMs - 4000)),
-		event: {
-			type: 'cut', cut: pick(random, linkCuts), forMs: 4500 + random.nextInteger(2500),
-			instances: Array.from({length: count}, (_, index) => (first + index) % instances),
-		},
-	};
-}
-
-/** Uses a random source of its own as well. */
-function generateRemoval(seed: number, durationMs: number): ScheduledEvent {
-	const random = createRandomSource(Math.imul(seed + removalSeedOffset, seedMultiplier));
-	return {atMs: random.nextInteger(durationMs / 2), event: {type: 'remove-key', forMs: removalMs}};
-}
-
 function drawPauseMs(random: RandomSource, meanMs = meanPauseMs): number {
 	return Math.round(-Math.log(1 - random.next()) * meanMs);
 }
@@ -202,10 +162,6 @@
 	return pick(random, candidates)();
 }
 
-function pick<Value>(random: RandomSource, values: readonly Value[]): Value {
-	return values[random.nextInteger(values.length)]!;
-}
-
 /** Generates a random event. The first two upstreams neither drain nor misbehave, so that one can always serve. */
 function generateEvent(random: RandomSource, instances: number, upstreams: number): SoakEvent {
 	const instance = random.nextInteger(instances);
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -3,11 +3,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {createRandomSource} from '@cairnbank/core/random';
+import {AccountEvents, isAccountEvent} from './account-events.js';
 import {FaultInjector} from './fault-injector.js';
 import type {
-	AccountArrivalRecord, ArrivalRecord, BackOffRecord, CallRecord, CrashingRequestRecord, History, RunRecord,
+	AccountArrivalRecord, ArrivalRecord, BackOffRecord, CallRecord, CrashingRequestRecord, FloodCalls, History, RunRecord,
 } from './history.js';
-import type {Schedule} from './schedule.js';
+import type {Schedule, SoakEvent} from './schedule.js';
 import {runSendingAheadCaller} from './sending-ahead-caller.js';
 import {callOnce, runSoakCaller} from './soak-caller.js';
 import {SoakSite} from './soak-site.js';
@@ -15,6 +16,7 @@
 /** Time after the last fault, before all requests should succeed again. It is long enough for all guarantees to be checked again at its end. */
 const settleMs = 7000;
 const finalCallsPerInstance = 8;
+const limitedStatus = 429;
 /** Applies to every second caller, so that each instance gets requests even if no instance ends. */
 const requestsPerConnection = 20;
 /** Number of seeds for callers per schedule, so that schedules with consecutive seeds share none. */
@@ -24,12 +26,14 @@
 	readonly #schedule: Schedule;
 	readonly #site: SoakSite;
 	readonly #injector: FaultInjector;
+	readonly #accountEvents: AccountEvents;
 
 	/** @param program - path of the program to test; defaults to the compiled program */
 	constructor(schedule: Schedule, program?: string) {
 		this.#schedule = schedule;
 		this.#site = new SoakSite(program);
 		this.#injector = new FaultInjector(this.#site);
+		this.#accountEvents = new AccountEvents(this.#site);
 	}
 
 	/** Log lines of all instances, to analyse a breach. */
@@ -47,7 +51,7 @@
 			const starting: Array<Promise<void>> = [];
 			await this.#site.start(this.#schedule, () => {
 				callers = duringStart === undefined ? [] : this.#startCallers(stopCallers.signal);
-				starting.push(...(duringStart ?? []).map(async event => this.#injector.inject(event)));
+				starting.push(...(duringStart ?? []).map(async event => this.#inject(event)));
 			});
 			await Promise.all(starting);
 			callers = duringStart === undefined ? this.#startCallers(stopCallers.signal) : callers;
@@ -98,13 +102,17 @@
 		const pending: Array<Promise<void>> = [];
 		for (const {atMs, event} of this.#schedule.events) {
 			await delay(Math.max(0, startMs + atMs - performance.now()));
-			pending.push(this.#injector.inject(event));
+			pending.push(this.#inject(event));
 		}
 
 		await delay(Math.max(0, startMs + this.#schedule.durationMs - performance.now()));
 		await Promise.all(pending);
 	}
 
+	async #inject(event: SoakEvent): Promise<void> {
+		return isAccountEvent(event) ? this.#accountEvents.inject(event) : this.#injector.inject(event);
+	}
+
 	async #callAfterwards(): Promise<CallRecord[]> {
 		const records: CallRecord[] = [];
 		for (const {settings} of this.#site.entries) {
@@ -123,8 +131,9 @@
 		const arrivals: ArrivalRecord[] = this.#site.upstreams.flatMap(({id: upstream, arrivals: ofUpstream}) => ofUpstream.map(({id, atMs}) => ({id, atMs, upstream})));
 		const backOffs: BackOffRecord[] = this.#site.upstreams.flatMap(({id: upstream, backOffs: backedOff}) => backedOff.map(backOff => ({...backOff, upstream})));
 		const {
-			disturbances, drains, limits, leavings, stops, cuts, crashing, accounts,
+			disturbances, drains, limits, leavings, stops, cuts, crashing,
 		} = this.#injector;
+		const {accounts, floods, limitLoweredAtMs} = this.#accountEvents;
 		const crashRuns = this.#site.crashing.upstreams.flatMap(upstream => runsOf(upstream));
 		const crashes: CrashingRequestRecord[] = [...new Set(crashing.map(({path}) => path))].map(path => {
 			const ofPath = crashing.filter(other => other.path === path);
@@ -133,17 +142,24 @@
 			return {calls: crashCalls, harmlessCalls: ofPath.flatMap(({harmlessCalls}) => harmlessCalls), runs: crashRuns.filter(({id}) => ids.has(id))};
 		});
 		return {
-			calls: [...calls, ...accounts.flatMap(({calls: ofAccounts}) => ofAccounts.map(({record}) => record))],
+			calls: [...calls, ...accounts.flatMap(({calls: ofAccounts}) => ofAccounts.map(({record}) => record)), ...observedOf(floods, runs)],
 			runs,
 			arrivals,
 			backOffs,
-			disturbances, drains, limits, leavings, stops, cuts, crashes, accounts,
+			disturbances, drains, limits, leavings, stops, cuts, crashes, accounts, floods, limitLoweredAtMs,
 			accountArrivals: this.#site.upstreams.flatMap(upstream => accountArrivalsOf(upstream)),
 			afterwards,
 		};
 	}
 }
 
+/** Leaves out what was refused as over the limit, unless it ran: it would make room for repeats and change the shares that are served. */
+function observedOf(floods: readonly FloodCalls[], runs: readonly RunRecord[]): readonly CallRecord[] {
+	const ran = new Set(runs.map(({id}) => id));
+	return floods.flatMap(({calls}) => calls.map(({record}) => record))
+		.filter(({id, end}) => end.type !== 'answered' || end.status !== limitedStatus || ran.has(id));
+}
+
 /** Returns the requests on the route that needs an account. */
 function accountArrivalsOf({id: upstream, arrivals}: UpstreamStandIn): readonly AccountArrivalRecord[] {
 	return arrivals.filter(({id}) => id.startsWith('account-')).map(({id, atMs, rawHeaders}) => {
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -24,6 +24,18 @@
 export const removedKey = 'shop-key';
 export const soakAccounts = [{name: 'shop', apiKeys: [removedKey]}, {name: 'bank', apiKeys: ['bank-key']}] as const;
 
+/** The first one is flooded. */
+export const limitedAccounts = [
+	{
+		name: 'flood', apiKeys: ['flood-key'], ratePerS: 40, burst: 40,
+	},
+	{
+		name: 'modest', apiKeys: ['modest-key'], ratePerS: 20, burst: 20,
+	},
+] as const;
+/** Limit of the flooded account once it was lowered. */
+export const loweredLimit = {ratePerS: 15, burst: 15} as const;
+
 export class SoakSite {
 	readonly upstreams: UpstreamStandIn[] = [];
 	readonly proxies: LinkProxy[] = [];
@@ -33,8 +45,10 @@
 	#copies: StoreCopy[] = [];
 	#copyTimer: NodeJS.Timeout | undefined;
 	#version = 1;
-	/** Undefined until accounts are introduced; all other routes are public from then on. */
-	#accounts: ReadonlyArray<{readonly name: string; readonly apiKeys: readonly string[]}> | undefined;
+	/** All other routes are public once there are accounts. */
+	#hasAccounts = false;
+	#isKeyRemoved = false;
+	#isLimitLowered = false;
 	readonly #endedLines: Array<Readonly<Record<string, unknown>>> = [];
 
 	/** @param program - path of the program to test; defaults to the compiled program */
@@ -97,17 +111,22 @@
 			route('crash', '/crash/', {service: crashingService}),
 			route('new', `/new-${this.#version}/`),
 		];
-		const published = this.#accounts === undefined ? routes : [...routes.map(each => ({...each, public: true})), route('account', '/account/')];
-		this.#site.configure(`r${this.#version}`, published, this.#accounts);
+		const published = this.#hasAccounts ? [...routes.map(each => ({...each, public: true})), route('account', '/account/')] : routes;
+		this.#site.configure(`r${this.#version}`, published, this.#hasAccounts ? this.#accounts : undefined);
 	}
 
 	introduceAccounts(): void {
-		this.#accounts = soakAccounts;
+		this.#hasAccounts = true;
 		this.configure();
 	}
 
 	removeKey(): void {
-		this.#accounts = soakAccounts.map(({name, apiKeys}) => ({name, apiKeys: apiKeys.filter(key => key !== removedKey)}));
+		this.#isKeyRemoved = true;
+		this.configure();
+	}
+
+	lowerLimit(): void {
+		this.#isLimitLowered = true;
 		this.configure();
 	}
 
@@ -168,6 +187,15 @@
 		return [];
 	}
 
+	get #accounts() {
+		const [flooded, modest] = limitedAccounts;
+		return [
+			...soakAccounts.map(({name, apiKeys}) => ({name, apiKeys: apiKeys.filter(key => !this.#isKeyRemoved || key !== removedKey)})),
+			this.#isLimitLowered ? {...flooded, ...loweredLimit} : flooded,
+			modest,
+		];
+	}
+
 	async #addUpstream(index: number, workMs: number): Promise<void> {
 		const upstream = await new UpstreamStandIn(`u${index}`, 'ledger', slots).start();
 		upstream.workMs = workMs;
--- a/packages/soak/src/soak.spec.ts
+++ b/packages/soak/src/soak.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {fileURLToPath} from 'node:url';
-import {checks} from './checks.js';
+import {checks} from './all-checks.js';
 import {generateSchedule, readSchedule} from './schedule.js';
 import {SoakRun} from './soak-run.js';
 
