Red spec: after a moment without room the largest account is refused on for seconds at lightly loaded upstreams

Cause: whether others are refused is a share over two seconds, of which 0.05 is enough, and it is asked for also where the service isn't overloaded; what yields counts as not served, so the account stays over its share.

--- a/packages/core/src/overload/account-shares.spec.ts
+++ b/packages/core/src/overload/account-shares.spec.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import type {Clock} from '../model/clock.js';
+import type {ClientAccountId, ServiceId} from '../model/ids.js';
+import {ManualClock} from '../model/manual-clock.js';
 import {createRandomSource} from '../model/random-source.js';
 import {Admission} from '../placement/admission.js';
 import {OverloadControl} from './overload-control.js';
@@ -38,6 +40,34 @@
 	return {rushing, others, all};
 }
 
+/** Plays 60 requests a second, of which one account sends 0.3, and 0.2 s in which all upstreams are full. Returns the refusals from 2 s later on. */
+function playMoment(seed: number): number {
+	const clock = new ManualClock();
+	const random = createRandomSource(seed);
+	const control = new OverloadControl({clock, random, admission: new Admission(clock)});
+	const [fromMs, untilMs] = [8000, 8200];
+	let refused = 0;
+	while (clock.monotonicMs() < 2 * fromMs) {
+		clock.advance(-Math.log(1 - random.next()) * 1000 / 60);
+		const nowMs = clock.monotonicMs();
+		const account = random.next() < 0.3 ? 'largest' : `account ${random.nextInteger(accountCount)}`;
+		const request = {
+			service: 'desk' as ServiceId,
+			account: {id: account as ClientAccountId},
+			priority: kind.priority,
+			route: kind,
+			receivedAtMs: nowMs,
+			deadlineAtMs: nowMs + kind.deadlineMs,
+		};
+		control.recordArrival(request);
+		const isFull = nowMs >= fromMs && nowMs < untilMs;
+		const {type} = control.decide(request, {expectedMs: isFull ? 2 * kind.targetLatencyMs : kind.workMs, workMs: kind.workMs, isLightlyLoaded: !isFull});
+		refused += type === 'refused' && nowMs > untilMs + 2000 ? 1 : 0;
+	}
+
+	return refused;
+}
+
 const served = ({inTime, late, asked}: Tally) => (inTime + late) / asked;
 
 describe('AccountShares', () => {
@@ -60,4 +90,9 @@
 			});
 		});
 	}
+
+	it('should refuse nobody where upstreams are lightly loaded, two seconds after a moment in which all were full', () => {
+		const refused = Array.from({length: 20}, (_, index) => playMoment(index + 1));
+		assert.deepEqual(refused.filter(count => count > 0), []);
+	});
 });
