--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -170,12 +170,6 @@
 			return;
 		}
 
-		if (admittance.type === 'granted' && response.destroyed) {
-			this.#options.accountLimits.complete(admittance, {type: 'not-run', reason: 'never-sent', retryAfterMs: 0});
-			this.#respond(response, {type: 'abandoned'}, fields);
-			return;
-		}
-
 		const run = new CallRun(this.#options.callDependencies, call);
 		const abandon = () => {
 			if (!response.writableFinished) {
