Upstreams with an idle connection in the core of an instance's subset are probed first

Cause: reports expire within 400 ms, and an instance of a large fleet gets few requests, so that the ranking was random over the whole subset: each request met other upstreams, and half of them opened a connection.

Change: probeRank (core/placement) ranks by expected cost, connection and core; coreSize gives how many upstreams of the subset suffice, by instances and upstreams.

--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -9,3 +9,4 @@
 export * from './warmup-state.js';
 export * from './work-estimates.js';
 export * from './should-probe.js';
+export * from './probe-order.js';
--- a/packages/gateway/src/features/upstreams/channel-pool.ts
+++ b/packages/gateway/src/features/upstreams/channel-pool.ts
@@ -1,4 +1,5 @@
 /** Gives out the channels to one upstream: pooled connections, or other instances while this one has lost its own links. */
+import type {ConnectionState} from '@cairnbank/core/placement';
 import type {PathState} from '@cairnbank/core/reachability';
 import type {ConnectionPool} from './connection-pool.js';
 import type {UpstreamChannel} from './upstream-channel.js';
@@ -24,6 +25,11 @@
 		return this.#options.path;
 	}
 
+	/** Whether a request could be sent without opening a connection. */
+	get connectionState(): ConnectionState {
+		return this.path.isRelayed ? 'none' : this.#options.connections.state;
+	}
+
 	/** Returns a channel on the path that is in use, through the instance that has just shown that it reaches the upstream. */
 	take(): UpstreamChannel {
 		return this.path.isRelayed ? this.#options.openRelayed(this.#relay) : this.takeOwn();
--- a/packages/gateway/src/features/upstreams/connection-pool.ts
+++ b/packages/gateway/src/features/upstreams/connection-pool.ts
@@ -1,4 +1,5 @@
 /** Pool of the keep-alive connections to one upstream. */
+import type {ConnectionState} from '@cairnbank/core/placement';
 import {UpstreamConnection, type UpstreamConnectionOptions} from './upstream-connection.js';
 
 export type ConnectionPoolOptions = Omit<UpstreamConnectionOptions, 'onClosed'> & {
@@ -19,6 +20,15 @@
 		return this.#open.size;
 	}
 
+	/** Whether a request could be sent without opening a connection. */
+	get state(): ConnectionState {
+		if (this.#idle.some(connection => connection.isReusable)) {
+			return 'idle';
+		}
+
+		return this.#open.size > this.#idle.length ? 'occupied' : 'none';
+	}
+
 	/** Returns the most recently used idle connection, as it is the least likely to expire soon, or a new one if none is idle. */
 	take(): UpstreamConnection {
 		for (let connection = this.#idle.pop(); connection !== undefined; connection = this.#idle.pop()) {
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -40,7 +40,7 @@
 			this.#upstreams.set(id, {
 				registered: {id: id as UpstreamId, slots, availabilityZone: id.startsWith('far') ? 'giza' : 'nasr'},
 				condition: new UpstreamCondition(this.clock),
-				pool: {path: new PathState(this.clock)},
+				pool: {path: new PathState(this.clock), connectionState: 'none'},
 			} as unknown as Upstream);
 		}
 
