--- a/packages/core/src/placement/should-probe.spec.ts
+++ b/packages/core/src/placement/should-probe.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {lastSlotSlowness} from './expected-duration.js';
-import {shouldProbe} from './should-probe.js';
+import {nextProbes, probeRounds, shouldProbe} from './should-probe.js';
 
 const inputs = {rounds: 1, isLightlyLoaded: false, bestRatio: lastSlotSlowness};
 
@@ -20,3 +20,19 @@
 		assert.equal(shouldProbe({...inputs, rounds: 5, bestRatio: 2.4}), false);
 	});
 });
+
+describe('nextProbes', () => {
+	it('should probe near upstreams of the first round one after the other, and two at a time from then on', () => {
+		assert.deepEqual([0, 1, 2, 4].map(probes => nextProbes(probes, true)), [1, 1, 2, 2]);
+	});
+
+	it('should probe upstreams of other zones two at a time, as their answers take longer', () => {
+		assert.deepEqual([0, 1, 2, 4].map(probes => nextProbes(probes, false)), [2, 2, 2, 2]);
+	});
+});
+
+describe('probeRounds', () => {
+	it('should count a round once its two upstreams are probed', () => {
+		assert.deepEqual([0, 1, 2, 3, 4].map(probes => probeRounds(probes)), [0, 0, 1, 1, 2]);
+	});
+});
--- a/packages/core/src/placement/should-probe.ts
+++ b/packages/core/src/placement/should-probe.ts
@@ -8,8 +8,27 @@
 /** With a best ratio of at most this after the first rounds, the request most likely ends in time. */
 const acceptableRatio = lastSlotSlowness * 1.03;
 
+/** Upstreams probed in one round, at the same time unless their answers come fast. */
+const probesPerRound = 2;
+
+/**
+ * Returns how many upstreams to probe at the same time next. Those of the first round are probed one after the other if that costs little
+ * time, because one that is lightly loaded is enough.
+ *
+ * @param probes - number of probes so far
+ * @param isNear - whether the next upstream is in the own availability zone
+ */
+export function nextProbes(probes: number, isNear: boolean): number {
+	return probes < probesPerRound && isNear ? 1 : probesPerRound;
+}
+
+/** Returns the number of full rounds that a number of probes makes. */
+export function probeRounds(probes: number): number {
+	return Math.floor(probes / probesPerRound);
+}
+
 export type ProbeRounds = {
-	/** Number of probe rounds so far. */
+	/** Number of full probe rounds so far; see {@link probeRounds}. */
 	readonly rounds: number;
 	/** Whether a probed upstream is lightly loaded: it runs at its usual speed with a slot to spare. */
 	readonly isLightlyLoaded: boolean;
--- /dev/null
+++ b/packages/gateway/src/features/upstreams/connection-pool.spec.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {ConnectionPool, type OpeningReason} from './connection-pool.js';
+import type {UpstreamConnection} from './upstream-connection.js';
+
+const idleMs = 4000;
+
+describe('ConnectionPool', () => {
+	let server: Server;
+	let pool: ConnectionPool;
+	let nowMs = 0;
+	const reasons: OpeningReason[] = [];
+
+	beforeEach(async () => {
+		server = createServer((_request, response) => {
+			response.setHeader('Keep-Alive', 'timeout=5').end('answer');
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		reasons.length = 0;
+		nowMs = 0;
+		pool = new ConnectionPool({
+			host: '127.0.0.1',
+			port: (server.address() as AddressInfo).port,
+			requestIdHeader: 'x-request-id',
+			connectTimeoutMs: 1000,
+			now: () => nowMs,
+			onOpened(reason) {
+				reasons.push(reason);
+			},
+			onAnswered: () => undefined,
+			onNotConnected: () => undefined,
+		});
+	});
+
+	afterEach(() => {
+		pool.close();
+		server.closeAllConnections();
+		server.close();
+	});
+
+	const exchange = async (connection: UpstreamConnection) => {
+		const result = await connection.exchange({
+			method: 'GET', target: '/', headers: ['Host', 'upstream'], body: undefined, requestId: undefined, timeoutMs: 1000,
+		});
+		assert.ok(result.isOk());
+	};
+
+	it('should use an idle connection again', async () => {
+		const connection = pool.take();
+		assert.equal(pool.state, 'occupied');
+		await exchange(connection);
+		pool.release(connection);
+		assert.equal(pool.state, 'idle');
+		assert.equal(pool.take(), connection);
+		assert.deepEqual(reasons, ['first']);
+		connection.close();
+	});
+
+	it('should open another one while all are in use', async () => {
+		const connections = [pool.take(), pool.take()];
+		assert.deepEqual(reasons, ['first', 'occupied']);
+		await Promise.all(connections.map(async connection => exchange(connection)));
+		for (const connection of connections) {
+			connection.close();
+		}
+	});
+
+	it('should open another one if the idle one has expired', async () => {
+		const connection = pool.take();
+		await exchange(connection);
+		pool.release(connection);
+		nowMs = idleMs;
+		assert.equal(pool.state, 'none');
+		pool.take().close();
+		assert.deepEqual(reasons, ['first', 'expired']);
+	});
+
+	it('should say that none was left once expired ones are closed, and that a check asks for a new one', async () => {
+		const connection = pool.take();
+		await exchange(connection);
+		pool.release(connection);
+		nowMs = idleMs;
+		pool.sweep();
+		await new Promise(resolve => {
+			setTimeout(resolve, 50);
+		});
+		pool.take().close();
+		pool.open().close();
+		assert.deepEqual(reasons, ['first', 'closed', 'check']);
+	});
+});
--- a/packages/gateway/src/features/upstreams/connection-pool.ts
+++ b/packages/gateway/src/features/upstreams/connection-pool.ts
@@ -2,8 +2,14 @@
 import type {ConnectionState} from '@cairnbank/core/placement';
 import {UpstreamConnection, type UpstreamConnectionOptions} from './upstream-connection.js';
 
+/**
+ * Why a connection is opened: none was open before, all were in use, the idle ones had expired, all had been closed, or a check needs a
+ * new one.
+ */
+export type OpeningReason = 'first' | 'occupied' | 'expired' | 'closed' | 'check';
+
 export type ConnectionPoolOptions = Omit<UpstreamConnectionOptions, 'onClosed'> & {
-	readonly onOpened: () => void;
+	readonly onOpened: (reason: OpeningReason) => void;
 };
 
 export class ConnectionPool {
@@ -11,6 +17,7 @@
 	readonly #open = new Set<UpstreamConnection>();
 	/** In the order of last use, most recently used last. */
 	#idle: UpstreamConnection[] = [];
+	#hasOpened = false;
 
 	constructor(options: ConnectionPoolOptions) {
 		this.#options = options;
@@ -31,28 +38,22 @@
 
 	/** Returns the most recently used idle connection, as it is the least likely to expire soon, or a new one if none is idle. */
 	take(): UpstreamConnection {
+		let hasExpired = false;
 		for (let connection = this.#idle.pop(); connection !== undefined; connection = this.#idle.pop()) {
 			if (connection.isReusable) {
 				return connection;
 			}
 
 			connection.close();
+			hasExpired = true;
 		}
 
-		return this.open();
+		return this.#connect(hasExpired ? 'expired' : this.#reasonNoneIdle());
 	}
 
-	/** Opens a new connection. */
+	/** Opens a new connection, although another may be idle. */
 	open(): UpstreamConnection {
-		this.#options.onOpened();
-		const connection = new UpstreamConnection({
-			...this.#options,
-			onClosed: closed => {
-				this.#open.delete(closed);
-			},
-		});
-		this.#open.add(connection);
-		return connection;
+		return this.#connect('check');
 	}
 
 	/** Returns a connection to the pool after its exchange, or closes it if it is not reusable. */
@@ -85,6 +86,27 @@
 
 		this.#idle = [];
 	}
+
+	#reasonNoneIdle(): OpeningReason {
+		if (!this.#hasOpened) {
+			return 'first';
+		}
+
+		return this.#open.size > 0 ? 'occupied' : 'closed';
+	}
+
+	#connect(reason: OpeningReason): UpstreamConnection {
+		this.#options.onOpened(reason);
+		this.#hasOpened = true;
+		const connection = new UpstreamConnection({
+			...this.#options,
+			onClosed: closed => {
+				this.#open.delete(closed);
+			},
+		});
+		this.#open.add(connection);
+		return connection;
+	}
 }
 
 function partition<Item>(items: readonly Item[], test: (item: Item) => boolean): [Item[], Item[]] {
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -1,7 +1,7 @@
 /** Chooses the upstream of an attempt: ranks upstreams by their known condition, probes the load of the best ones, and takes the best. */
 import type {ServiceId, UpstreamId} from '@cairnbank/core';
 import {summarizeUnavailability, type ServiceUnavailability} from '@cairnbank/core/advisories';
-import {shouldProbe} from '@cairnbank/core/placement';
+import {nextProbes, probeRounds, shouldProbe} from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import type {Eligibility} from './eligibility.js';
 import type {LinkMonitor} from './link-monitor.js';
@@ -10,12 +10,13 @@
 import type {Prober} from './prober.js';
 import type {Upstream} from './upstream.js';
 
-/** Upstreams probed at the same time before an attempt. */
-const probesPerRound = 2;
 /** Longest wait for the answers to one round of probes. */
 const roundTimeoutMs = 25;
-/** The same of an upstream that is reached through another instance, which would otherwise pass on several health checks for each request. */
-const freshRelayedReportMs = 100;
+/**
+ * The same of an upstream whose health check costs more than that: one that is reached through another instance, which would otherwise
+ * pass on several for each request, or one to which a second connection would be opened beside a running request.
+ */
+const freshCostlyReportMs = 100;
 /** Rounds in which only the preferred upstreams of a large service are probed; then others are added. */
 const subsetRounds = 3;
 
@@ -67,14 +68,15 @@
 		const considered = this.#costs.ranked(preferred.upstreams, request.workMs, preferred.isInCore);
 		const queue = [...considered];
 		let best: Placement | undefined;
-		let rounds = 0;
+		let probes = 0;
 		let isWorthwhile = queue.length > 0;
 		while (isWorthwhile) {
-			const probed = queue.splice(0, probesPerRound);
+			const probed = queue.splice(0, nextProbes(probes, this.#costs.isInOwnZone(queue[0]!)));
 			await this.#probeRound(probed);
 			this.#recordSilence(probed);
 			this.#costs.recordDurations(probed, request.workMs);
-			rounds += 1;
+			probes += probed.length;
+			const rounds = probeRounds(probes);
 			if (rounds === subsetRounds && considered.length < usable.length) {
 				const others = this.#preferred.sampleOthers(usable, new Set(considered));
 				considered.push(...others);
@@ -169,7 +171,7 @@
 
 	/** Probes all concurrently; resolves once one in this zone is lightly loaded, all have answered, or the round times out. */
 	async #probeRound(upstreams: readonly Upstream[]): Promise<void> {
-		const stale = upstreams.filter(({condition, pool}) => condition.reportAgeMs > (pool.path.isRelayed ? freshRelayedReportMs : freshReportMs));
+		const stale = upstreams.filter(({condition, pool}) => condition.reportAgeMs > (isCheckCostly(pool) ? freshCostlyReportMs : freshReportMs));
 		if (stale.length === 0) {
 			return;
 		}
@@ -197,6 +199,10 @@
 	}
 }
 
+function isCheckCostly({path, connectionState}: Upstream['pool']): boolean {
+	return path.isRelayed || connectionState === 'occupied';
+}
+
 /** Keeps the upstreams that answer probes; all if there are none. */
 function preferResponsive(upstreams: readonly Upstream[]): readonly Upstream[] {
 	const answering = upstreams.filter(({condition}) => !condition.isUnresponsive);
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -188,8 +188,8 @@
 			requestIdHeader: dialect.requestIdHeader,
 			connectTimeoutMs,
 			now: () => clock.monotonicMs(),
-			onOpened() {
-				metrics.upstreamConnections.inc();
+			onOpened(reason) {
+				metrics.upstreamConnections.inc({reason});
 			},
 			onAnswered() {
 				path.recordOwnLinkAnswer();
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -27,7 +27,7 @@
 		retriesDenied: counter('cairnbank_repeats_denied_total', 'Retries that the shared budget denied', ['service']),
 		storeCalls: counter('cairnbank_store_calls_total', 'Calls to the store, by call and result', ['call', 'result']),
 		peerMessages: counter('cairnbank_peer_messages_total', 'Messages from other instances, by type', ['type']),
-		upstreamConnections: counter('cairnbank_upstream_connections_total', 'Connections opened to upstreams'),
+		upstreamConnections: counter('cairnbank_upstream_connections_total', 'Connections opened to upstreams, by reason', ['reason']),
 		relayed: counter('cairnbank_relayed_requests_total', 'Requests and health checks that one instance passed on for another, by side and result', ['side', 'result']),
 		lostServices: new Gauge({name: 'cairnbank_services_without_links', help: 'Services to whose upstreams this instance has lost its links', registers}),
 		accountRequests: counter('cairnbank_account_requests_total', 'Requests of limited accounts, by account (the others together) and result', ['account', 'result']),
