--- a/packages/core/src/placement/probe-order.spec.ts
+++ b/packages/core/src/placement/probe-order.spec.ts
@@ -76,6 +76,26 @@
 	}
 }
 
+describe('an upstream that joins the core of some instances', () => {
+	const requestsPerSecondOfInstance = 2;
+	const instancesOfCore = 5;
+
+	for (const size of [4, 7]) {
+		it(`should be probed first by one of them within seconds, in a core of ${size} whose others have connections`, () => {
+			const random = createRandomSource(size);
+			const requests = 20_000;
+			let first = 0;
+			for (let request = 0; request < requests; request++) {
+				const others = Array.from({length: size - 1}, () => probeRank(usual, random.next()));
+				first += probeRank({...usual, connection: 'none'}, random.next()) < Math.min(...others) ? 1 : 0;
+			}
+
+			const secondsUntilFirst = requests / first / requestsPerSecondOfInstance / instancesOfCore;
+			assert.ok(secondsUntilFirst < 5, `${secondsUntilFirst}`);
+		});
+	}
+});
+
 describe('110 instances with 140 equal upstreams', () => {
 	const requestsPerInstance = 2000;
 	const fleet = new EqualUpstreams(110, 140);
--- a/packages/testing/src/placement-bench/main.ts
+++ b/packages/testing/src/placement-bench/main.ts
@@ -12,6 +12,10 @@
 	seed: 5, instances: 16, upstreams: 20, slots: 2, requestsPerSecond: 70, durationMs: 20_000, meanWorkMs: 120, targetMs: 300,
 };
 const twoSlotSeeds = 4;
+/** A large fleet, each instance of which gets few requests. */
+const large: PlacementScenario = {
+	seed: 9, instances: 110, upstreams: 140, slots: 4, requestsPerSecond: 480, durationMs: 60_000, meanWorkMs: 100, targetMs: 300,
+};
 const scenarios: Readonly<Record<string, {readonly scenario: PlacementScenario; readonly seeds: number}>> = {
 	'160 requests/s': {scenario: base, seeds: 1},
 	'320 requests/s': {scenario: {...base, requestsPerSecond: 320}, seeds: 1},
@@ -19,6 +23,9 @@
 	'two slots, 70 requests/s': {scenario: twoSlots, seeds: twoSlotSeeds},
 	'two slots, 95 requests/s': {scenario: {...twoSlots, requestsPerSecond: 95}, seeds: twoSlotSeeds},
 	'two slots, 110 requests/s': {scenario: {...twoSlots, requestsPerSecond: 110}, seeds: twoSlotSeeds},
+	'large, 240 requests/s': {scenario: {...large, requestsPerSecond: 240}, seeds: 1},
+	'large, 480 requests/s': {scenario: large, seeds: 1},
+	'large, 1400 requests/s': {scenario: {...large, requestsPerSecond: 1400, durationMs: 20_000}, seeds: 1},
 };
 
 /** Averages the results over several seeds, each of which gives other upstream speeds and arrivals. */
@@ -30,14 +37,15 @@
 		p99Ms: meanOf(({p99Ms}) => p99Ms),
 		inTimeRatio: meanOf(({inTimeRatio}) => inTimeRatio),
 		probesPerRequest: meanOf(({probesPerRequest}) => probesPerRequest),
+		connectionsPerRequest: meanOf(({connectionsPerRequest}) => connectionsPerRequest),
 	};
 }
 
-const table = new Table({head: ['load', 'policy', 'p50 ms', 'p99 ms', 'in time', 'probes per request']});
+const table = new Table({head: ['load', 'policy', 'p50 ms', 'p99 ms', 'in time', 'probes per request', 'new connections per request']});
 for (const [name, {scenario, seeds}] of Object.entries(scenarios)) {
 	for (const policy of placementPolicies) {
-		const {p50Ms, p99Ms, inTimeRatio, probesPerRequest} = averageOverSeeds(policy, scenario, seeds);
-		table.push([name, policy, p50Ms.toFixed(0), p99Ms.toFixed(0), inTimeRatio.toFixed(3), probesPerRequest.toFixed(1)]);
+		const {p50Ms, p99Ms, inTimeRatio, probesPerRequest, connectionsPerRequest} = averageOverSeeds(policy, scenario, seeds);
+		table.push([name, policy, p50Ms.toFixed(0), p99Ms.toFixed(0), inTimeRatio.toFixed(3), probesPerRequest.toFixed(1), connectionsPerRequest.toFixed(2)]);
 	}
 }
 
--- a/packages/testing/src/placement-bench/placement-policies.ts
+++ b/packages/testing/src/placement-bench/placement-policies.ts
@@ -1,20 +1,25 @@
 /** The placement policies that the bench compares. */
 import type {RandomSource, ServiceId} from '@cairnbank/core';
 import {
-	expectedDurationMs, isLightlyLoaded, nextProbes, probeRounds, shouldProbe, type TypicalDurations, type UpstreamCondition,
+	coreSize, expectedDurationMs, isLightlyLoaded, nextProbes, probeRank, probeRounds, shouldProbe, subsetSize, takeSubset, type SubsetPosition, type TypicalDurations, type UpstreamCondition,
 } from '@cairnbank/core/placement';
+import type {SimulatedConnections} from './simulated-connections.js';
 import type {SimulatedUpstream} from './simulated-upstream.js';
 
 /** What one instance knows about one upstream. */
 export type UpstreamView = {
 	readonly upstream: SimulatedUpstream;
 	readonly condition: UpstreamCondition;
+	readonly connections: SimulatedConnections;
 	/** Requests that this instance has in flight there. */
 	inFlight: number;
 };
 
 export type PlacementContext = {
 	readonly views: readonly UpstreamView[];
+	/** Position of the instance among all. */
+	readonly position: SubsetPosition;
+	readonly nowMs: number;
 	readonly random: RandomSource;
 	/** Slowness ratios that this instance's probes have found so far. */
 	readonly typical: TypicalDurations;
@@ -50,27 +55,64 @@
 		}
 
 		case 'ask-first': {
-			return probeFirst(context, () => fixedSlownessRatio, () => probesPerRound, ({rounds, isLightlyLoaded}) => !isLightlyLoaded && rounds < maximumRounds);
+			const ranked = rankedBy(context, fixedSlownessRatio);
+			return probeFirst(context, {
+				ranked,
+				considered: context.views,
+				unknownRatio: () => fixedSlownessRatio,
+				batchSize: () => probesPerRound,
+				shouldContinue: ({rounds, isLightlyLoaded}) => !isLightlyLoaded && rounds < maximumRounds,
+			});
 		}
 
 		case 'ask-first-and-learn': {
 			// This is the gateway's own policy.
-			return probeFirst(context, () => context.typical.ratioOf(service), probes => nextProbes(probes, true), shouldProbe);
+			const unknownRatio = () => context.typical.ratioOf(service);
+			const ranked = rankedByConnection(context, unknownRatio());
+			return probeFirst(context, {
+				ranked, considered: ranked, unknownRatio, batchSize: probes => nextProbes(probes, true), shouldContinue: shouldProbe,
+			});
 		}
 	}
 }
 
-function probeFirst(
-	{views, random, typical, workMs, probe}: PlacementContext,
-	unknownRatio: () => number,
-	batchSize: (probes: number) => number,
-	shouldContinue: typeof shouldProbe,
-): UpstreamView {
-	const ranked = views
-		.map(view => ({view, cost: expectedRequestMs(view, workMs, unknownRatio()) * (1 + (random.next() / 2))}))
+function rankedBy({views, random, workMs}: PlacementContext, unknownRatio: number): readonly UpstreamView[] {
+	return sortedBy(views, view => expectedRequestMs(view, workMs, unknownRatio) * (1 + (random.next() / 2)));
+}
+
+/** Ranks as the gateway does, which keeps to a subset of a large service. */
+function rankedByConnection({
+	views, random, workMs, position, nowMs,
+}: PlacementContext, unknownRatio: number): readonly UpstreamView[] {
+	const hasSubset = views.length > 2 * subsetSize;
+	const preferred = hasSubset ? takeSubset(views, position, () => true) : views;
+	const core = hasSubset ? coreSize({instances: position.count, upstreams: views.length}) : views.length;
+	const inCore = new Set(preferred.slice(0, core));
+	return sortedBy(preferred, view => probeRank({
+		costMs: expectedRequestMs(view, workMs, unknownRatio), connection: view.connections.state(nowMs), isInCore: inCore.has(view),
+	}, random.next()));
+}
+
+function sortedBy(views: readonly UpstreamView[], costOf: (view: UpstreamView) => number): readonly UpstreamView[] {
+	return views
+		.map(view => ({view, cost: costOf(view)}))
 		.toSorted((left, right) => left.cost - right.cost)
 		.map(({view}) => view);
-	const best = () => lowestCost(views, view => expectedRequestMs(view, workMs, unknownRatio()));
+}
+
+type Search = {
+	readonly ranked: readonly UpstreamView[];
+	/** Those of which the best is chosen; the first of them among equals. */
+	readonly considered: readonly UpstreamView[];
+	readonly unknownRatio: () => number;
+	readonly batchSize: (probes: number) => number;
+	readonly shouldContinue: typeof shouldProbe;
+};
+
+function probeFirst({typical, workMs, probe}: PlacementContext, {
+	ranked, considered, unknownRatio, batchSize, shouldContinue,
+}: Search): UpstreamView {
+	const best = () => lowestCost(considered, view => expectedRequestMs(view, workMs, unknownRatio()));
 	for (let probes = 0; probes < ranked.length;) {
 		const probed = ranked.slice(probes, probes + batchSize(probes));
 		probes += probed.length;
--- a/packages/testing/src/placement-bench/placement-run.spec.ts
+++ b/packages/testing/src/placement-bench/placement-run.spec.ts
@@ -49,3 +49,22 @@
 		}
 	});
 });
+
+describe('a large fleet, each instance of which gets a few requests a second, with a third of the upstreams slow', () => {
+	const calm: PlacementScenario = {
+		seed: 9, instances: 110, upstreams: 140, slots: 4, requestsPerSecond: 480, durationMs: 30_000, meanWorkMs: 100, targetMs: 300,
+	};
+	const learned = runPlacement('ask-first-and-learn', calm);
+
+	it('should keep connections: few are opened for each request', () => {
+		assert.ok(learned.connectionsPerRequest <= 0.15, `${learned.connectionsPerRequest}`);
+	});
+
+	it('should send few health checks', () => {
+		assert.ok(learned.probesPerRequest <= 1.5, `${learned.probesPerRequest}`);
+	});
+
+	it('should have no more late requests than with connections to any upstream', () => {
+		assert.ok(learned.inTimeRatio >= runPlacement('ask-first', calm).inTimeRatio - 0.001, `${learned.inTimeRatio}`);
+	});
+});
--- a/packages/testing/src/placement-bench/placement-run.ts
+++ b/packages/testing/src/placement-bench/placement-run.ts
@@ -3,6 +3,7 @@
 import {TypicalDurations, UpstreamCondition} from '@cairnbank/core/placement';
 import {createRandomSource} from '@cairnbank/core/random';
 import {chooseUpstream, type UpstreamView, type PlacementPolicy} from './placement-policies.js';
+import {SimulatedConnections} from './simulated-connections.js';
 import {SimulatedUpstream} from './simulated-upstream.js';
 
 export type PlacementScenario = {
@@ -24,6 +25,7 @@
 	readonly p99Ms: number;
 	readonly inTimeRatio: number;
 	readonly probesPerRequest: number;
+	readonly connectionsPerRequest: number;
 };
 
 type RunningRequest = {readonly endMs: number; readonly view: UpstreamView; readonly inFlightRequest: ReturnType<UpstreamCondition['recordRequestSent']>};
@@ -37,14 +39,16 @@
 	const clock = new ManualClock();
 	const upstreams = Array.from({length: scenario.upstreams}, (_, index) => new SimulatedUpstream(scenario.seed + index, scenario.slots, scenario.durationMs));
 	const instances = Array.from({length: scenario.instances}, () => upstreams.map((upstream): UpstreamView => ({
-		upstream, condition: new UpstreamCondition(clock), inFlight: 0,
+		upstream, condition: new UpstreamCondition(clock), connections: new SimulatedConnections(), inFlight: 0,
 	})));
 	const typical = instances.map(() => new TypicalDurations());
 	const durationsMs: number[] = [];
 	let running: RunningRequest[] = [];
 	let probes = 0;
-	const probe = ({upstream, condition}: UpstreamView) => {
+	const probe = ({upstream, condition, connections}: UpstreamView) => {
 		probes += 1;
+		connections.take(clock.monotonicMs());
+		connections.release(clock.monotonicMs());
 		condition.recordLoadReport(upstream.report(clock.monotonicMs()));
 	};
 
@@ -53,6 +57,7 @@
 		const nowMs = clock.monotonicMs();
 		for (const {view, inFlightRequest, endMs} of running.filter(({endMs}) => endMs <= nowMs)) {
 			view.inFlight -= 1;
+			view.connections.release(endMs);
 			view.condition.recordRequestEnd(inFlightRequest, true);
 			view.condition.recordLoadReport(view.upstream.report(endMs));
 		}
@@ -62,15 +67,17 @@
 		const instance = Math.floor(random.next() * instances.length);
 		const views = instances[instance]!;
 		const view = chooseUpstream(policy, {
-			views, random, typical: typical[instance]!, workMs: scenario.meanWorkMs, probe,
+			views, position: {index: instance, count: instances.length}, nowMs, random, typical: typical[instance]!, workMs: scenario.meanWorkMs, probe,
 		});
 		const inFlightRequest = view.condition.recordRequestSent(scenario.meanWorkMs);
 		view.inFlight += 1;
+		view.connections.take(nowMs);
 		const endMs = view.upstream.run(nowMs, workMs);
 		running.push({endMs, view, inFlightRequest});
 		durationsMs.push(endMs - nowMs);
 	}
 
+	const opened = instances.flat().reduce((sum, {connections}) => sum + connections.opened, 0);
 	const sorted = durationsMs.toSorted((left, right) => left - right);
 	const quantile = (ratio: number) => sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * ratio))]!;
 	return {
@@ -80,5 +87,6 @@
 		p99Ms: quantile(0.99),
 		inTimeRatio: sorted.filter(requestMs => requestMs <= scenario.targetMs).length / sorted.length,
 		probesPerRequest: probes / sorted.length,
+		connectionsPerRequest: opened / sorted.length,
 	};
 }
