--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -12,11 +12,8 @@
 
 /** Longest wait for the answers to one round of probes. */
 const roundTimeoutMs = 25;
-/**
- * The same of an upstream whose health check costs more than that: one that is reached through another instance, which would otherwise
- * pass on several for each request, or one to which a second connection would be opened beside a running request.
- */
-const freshCostlyReportMs = 100;
+/** The same of an upstream that is reached through another instance, which would otherwise pass on several health checks for each request. */
+const freshRelayedReportMs = 100;
 /** Rounds in which only the preferred upstreams of a large service are probed; then others are added. */
 const subsetRounds = 3;
 
@@ -171,7 +168,7 @@
 
 	/** Probes all concurrently; resolves once one in this zone is lightly loaded, all have answered, or the round times out. */
 	async #probeRound(upstreams: readonly Upstream[]): Promise<void> {
-		const stale = upstreams.filter(({condition, pool}) => condition.reportAgeMs > (isCheckCostly(pool) ? freshCostlyReportMs : freshReportMs));
+		const stale = upstreams.filter(({condition, pool}) => condition.reportAgeMs > (pool.path.isRelayed ? freshRelayedReportMs : freshReportMs));
 		if (stale.length === 0) {
 			return;
 		}
@@ -199,10 +196,6 @@
 	}
 }
 
-function isCheckCostly({path, connectionState}: Upstream['pool']): boolean {
-	return path.isRelayed || connectionState === 'occupied';
-}
-
 /** Keeps the upstreams that answer probes; all if there are none. */
 function preferResponsive(upstreams: readonly Upstream[]): readonly Upstream[] {
 	const answering = upstreams.filter(({condition}) => !condition.isUnresponsive);
