Account limits: an owner that leaves hands its level over to the next instance

Its successor began with the reserve, so an account that had saved its burst got a quarter of what the bound leaves.

--- a/packages/core/src/account-limits/account-limiter.spec.ts
+++ b/packages/core/src/account-limits/account-limiter.spec.ts
@@ -162,6 +162,23 @@
 		}
 	});
 
+	describe('when its owner leaves', () => {
+		it('should grant the burst that an account has saved, at the next instance', () => {
+			for (const size of fleetSizes) {
+				const fleet = new SimulatedLimiters(size, limitOf(50), 1);
+				const [owner, next] = orderOf(fleet);
+				const from = () => next!;
+				fleet.run(8000, {requestsPerSecond: 2, from});
+				fleet.leave(owner!);
+				fleet.run(300, {requestsPerSecond: 0, from});
+				fleet.kill(owner!);
+				fleet.served.granted = 0;
+				fleet.run(200, {requestsPerSecond: 250, from});
+				assert.ok(fleet.served.granted >= 40, `${size} instances: ${fleet.served.granted} granted`);
+			}
+		});
+	});
+
 	describe('when its use is not known', () => {
 		it('should not say that an account below its limit is over it, whichever instances end and stand still', () => {
 			for (const seed of [1, 2, 3, 4, 5, 6]) {
--- a/packages/core/src/account-limits/account-limiter.ts
+++ b/packages/core/src/account-limits/account-limiter.ts
@@ -74,6 +74,18 @@
 		this.#owner.tick();
 	}
 
+	/** Hands over the accounts on which this instance decides, as it leaves. Called when `fleet` no longer counts it as known. */
+	leave(): void {
+		for (const [account, level] of this.#owner.releaseAll()) {
+			const [successor] = this.#orders.of(account).behind;
+			if (successor !== undefined) {
+				this.#calls.call(successor, sequence => ({
+					type: 'limit-hand-over', account, sequence, level,
+				}), checkTiming, () => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+			}
+		}
+	}
+
 	/** Forgets accounts that the configuration in force no longer limits. */
 	applyConfiguration(): void {
 		const isLimited = (account: ClientAccountId) => this.#environment.limitOf(account) !== undefined;
@@ -102,6 +114,12 @@
 				return;
 			}
 
+			case 'limit-hand-over': {
+				this.#owner.handedOver.record(message.account, message.level);
+				send({type: 'limit-checked', sequence: message.sequence}, from);
+				return;
+			}
+
 			case 'limit-check': {
 				send({type: 'limit-checked', sequence: message.sequence}, from);
 				return;
--- a/packages/core/src/account-limits/account-owner.ts
+++ b/packages/core/src/account-limits/account-owner.ts
@@ -10,6 +10,7 @@
 import type {ClientAccountId} from '../model/ids.js';
 import {AccountBucket} from './account-bucket.js';
 import {reserveOf} from './account-bound.js';
+import {HandedOverLevels} from './handed-over-levels.js';
 import type {LimitAnswer} from './limit-message.js';
 import type {LimiterEnvironment} from './limiter-environment.js';
 import type {MessageCalls} from './message-calls.js';
@@ -66,6 +67,7 @@
 };
 
 export class AccountOwner {
+	readonly handedOver: HandedOverLevels;
 	readonly #environment: LimiterEnvironment;
 	readonly #calls: MessageCalls;
 	readonly #ownerships = new Map<ClientAccountId, Ownership>();
@@ -75,6 +77,7 @@
 	/** @param isSilent - whether an instance doesn't answer */
 	constructor(environment: LimiterEnvironment, calls: MessageCalls, isSilent: (host: string) => boolean) {
 		this.#environment = environment;
+		this.handedOver = new HandedOverLevels(environment);
 		this.#calls = calls;
 		this.#isSilent = isSilent;
 		this.#tickedAtMs = environment.clock.monotonicMs();
@@ -119,12 +122,21 @@
 		return level;
 	}
 
+	/** Stops deciding on all accounts. @returns the tokens left of each */
+	releaseAll(): ReadonlyArray<readonly [ClientAccountId, number]> {
+		return [...this.#ownerships.keys()].flatMap(account => {
+			const level = this.release(account);
+			return level === undefined ? [] : [[account, level] as const];
+		});
+	}
+
 	giveBack(account: ClientAccountId, count: number): void {
 		this.#ownerships.get(account)?.bucket?.giveBack(count);
 	}
 
 	/** Forgets accounts that the configuration no longer limits. */
 	retain(isLimited: (account: ClientAccountId) => boolean): void {
+		this.handedOver.retain(isLimited);
 		for (const account of this.#ownerships.keys()) {
 			if (!isLimited(account)) {
 				this.#ownerships.delete(account);
@@ -152,9 +164,9 @@
 			const reached = checked.filter(reply => reply !== undefined).length;
 			const reachedRatio = (reached + 1) / (sample.length + 1);
 			this.#calls.callAll(behind.slice(0, askedForLevel), sequence => ({type: 'limit-take-over', account, sequence}), callTiming, replies => {
-				const own = ownership.levelBeforePause;
+				const own = [ownership.levelBeforePause, this.handedOver.take(account, this.#share)].filter(level => level !== undefined);
 				const levels = replies.flatMap(reply => reply?.type === 'limit-level' && reply.level !== undefined ? [reply.level] : []);
-				this.#finishPreparing(account, ownership, {levels: own === undefined ? levels : [...levels, own], reachedRatio, isTakeOver: hasSilentAhead});
+				this.#finishPreparing(account, ownership, {levels: [...levels, ...own], reachedRatio, isTakeOver: hasSilentAhead});
 			});
 		});
 	}
--- a/packages/core/src/account-limits/simulated-limiters.ts
+++ b/packages/core/src/account-limits/simulated-limiters.ts
@@ -84,6 +84,7 @@
 	/** Lets an instance leave; it no longer decides, and the others no longer ask it once they have learned of it. */
 	leave(index: number, noticedMs = 100): void {
 		this.instances[index]!.isLeaving = true;
+		this.instances[index]!.limiter.leave();
 		this.#spreadViews(0, noticedMs);
 	}
 
--- a/packages/gateway/src/features/account-limits/account-limits-task.ts
+++ b/packages/gateway/src/features/account-limits/account-limits-task.ts
@@ -73,6 +73,10 @@
 		return ok(undefined);
 	}
 
+	leave(): void {
+		this.#limiter.leave();
+	}
+
 	stop(): void {
 		this.#isRunning = false;
 		this.#updateTimer();
--- a/packages/gateway/src/features/account-limits/limit-codec.ts
+++ b/packages/gateway/src/features/account-limits/limit-codec.ts
@@ -23,6 +23,7 @@
 	v.tuple([v.literal('w'), sequence]),
 	v.tuple([v.literal('t'), account, sequence]),
 	v.tuple([v.literal('l'), sequence, v.nullable(tokens), owed]),
+	v.tuple([v.literal('h'), account, sequence, tokens, owed]),
 	v.tuple([v.literal('c'), sequence]),
 	v.tuple([v.literal('d'), sequence]),
 	v.tuple([v.literal('b'), account, count]),
@@ -53,6 +54,10 @@
 			return ['l', answered, level === undefined ? null : Math.max(0, level), Math.max(0, -(level ?? 0))];
 		}
 
+		case 'limit-hand-over': {
+			return ['h', message.account, message.sequence, Math.max(0, message.level), Math.max(0, -message.level)];
+		}
+
 		case 'limit-check': {
 			return ['c', message.sequence];
 		}
@@ -91,6 +96,12 @@
 			return {type: 'limit-level', sequence: array[1], level: array[2] === null ? undefined : array[2] - array[3]};
 		}
 
+		case 'h': {
+			return {
+				type: 'limit-hand-over', account: array[1] as ClientAccountId, sequence: array[2], level: array[3] - array[4],
+			};
+		}
+
 		case 'c': {
 			return {type: 'limit-check', sequence: array[1]};
 		}
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -134,6 +134,9 @@
 		{type: 'limit-take-over', account: 'shop' as ClientAccountId, sequence: 8},
 		{type: 'limit-level', sequence: 8, level: 12.5},
 		{type: 'limit-level', sequence: 8, level: -3},
+		{
+			type: 'limit-hand-over', account: 'shop' as ClientAccountId, sequence: 9, level: 4.5,
+		},
 		{type: 'limit-level', sequence: 8, level: undefined},
 		{type: 'limit-check', sequence: 9},
 		{type: 'limit-checked', sequence: 9},
