--- a/packages/core/src/account-limits/account-limiter.spec.ts
+++ b/packages/core/src/account-limits/account-limiter.spec.ts
@@ -110,6 +110,83 @@
 		});
 	});
 
+	describe('when its owner changes under a flood that begins with a saved burst', () => {
+		for (const [title, change] of [
+			['ends', (fleet, owner) => {
+				fleet.kill(owner);
+			}],
+			['leaves', (fleet, owner) => {
+				fleet.leave(owner);
+			}],
+			['leaves and ends at once', (fleet, owner) => {
+				fleet.leave(owner);
+				fleet.run(100, {requestsPerSecond: 0, from: () => 0});
+				fleet.kill(owner, 100);
+			}],
+			['starts again', (fleet, owner) => {
+				fleet.start(owner);
+			}],
+		] as ReadonlyArray<readonly [string, (fleet: SimulatedLimiters, owner: number) => void]>) {
+			it(`should stay within the bound if it ${title} within the window`, () => {
+				for (const size of [6, 110]) {
+					for (const rate of [1, 3, 50, 333]) {
+						for (const changedMs of [3000, 3500, 4000, 4500, 5000]) {
+							const what = `${size} instances, ${rate} a second, ${title} after ${changedMs} ms`;
+							const fleet = new SimulatedLimiters(size, limitOf(rate), 1);
+							fleet.run(9000, {requestsPerSecond: Math.min(rate * 0.1, 1), from: anyOf(size)});
+							const [owner] = orderOf(fleet);
+							fleet.run(changedMs, {requestsPerSecond: rate * flood, from: anyOf(size)});
+							change(fleet, owner!);
+							fleet.run(7000, {requestsPerSecond: rate * flood, from: anyOf(size)});
+							assertBound(fleet, rate, what);
+							assert.ok(fleet.served.granted >= 0.9 * rate * (changedMs + 7000) / 1000, `${what}: ${fleet.served.granted} granted`);
+						}
+					}
+				}
+			});
+		}
+	});
+
+	describe('when its owner stands still', () => {
+		for (const pauseMs of [300, 1000, 3000]) {
+			it(`should stay within the bound before and after a pause of ${pauseMs} ms`, () => {
+				forAll((fleet, size, rate, what) => {
+					const [owner] = orderOf(fleet);
+					fleet.run(3000, {requestsPerSecond: rate * 0.1, from: anyOf(size)});
+					fleet.run(2000, {requestsPerSecond: rate * flood, from: anyOf(size)});
+					fleet.pause(owner!, pauseMs);
+					fleet.run(pauseMs + 6000, {requestsPerSecond: rate * flood, from: anyOf(size)});
+					assertBound(fleet, rate, what);
+				});
+			});
+		}
+	});
+
+	describe('when its use is not known', () => {
+		it('should not say that an account below its limit is over it, whichever instances end and stand still', () => {
+			for (const seed of [1, 2, 3, 4, 5, 6]) {
+				const fleet = new SimulatedLimiters(3, limitOf(20), seed);
+				const load = {requestsPerSecond: 8, from: anyOf(3)};
+				for (const [first, second] of [[0, 1], [1, 2], [2, 0], [0, 2], [2, 1], [1, 0]] as const) {
+					fleet.run(1000, load);
+					fleet.kill(first);
+					fleet.run(700, load);
+					fleet.start(first);
+					fleet.pause(second, 1500);
+					fleet.run(1800, load);
+				}
+
+				assert.equal(fleet.served.limited, 0, `seed ${seed}: ${fleet.served.limited} of ${fleet.served.asked}, ${fleet.served.unknown} unknown`);
+			}
+		});
+
+		it('should say so where an account asks for more than its limit', () => {
+			const fleet = new SimulatedLimiters(3, limitOf(20), 1);
+			fleet.run(8000, {requestsPerSecond: 80, from: anyOf(3)});
+			assert.ok(fleet.served.limited > fleet.served.unknown * 5, `${fleet.served.limited} over the limit, ${fleet.served.unknown} unknown`);
+		});
+	});
+
 	describe('when instances restart', () => {
 		it('should stay within the bound where the first six in the order do so in turn', () => {
 			forAll((fleet, size, rate, what) => {
--- a/packages/core/src/account-limits/simulated-limiters.ts
+++ b/packages/core/src/account-limits/simulated-limiters.ts
@@ -8,7 +8,7 @@
 
 type Event = {readonly atMs: number; readonly action: () => void};
 type Instance = {
-	limiter: AccountLimiter; host: string; group: number; isRunning: boolean; startedAtMs: number; others: string[]; heardAtMs: number;
+	limiter: AccountLimiter; host: string; group: number; isRunning: boolean; startedAtMs: number; others: string[]; heardAtMs: number; pausedUntilMs: number; isLeaving: boolean;
 };
 
 export type Load = {readonly requestsPerSecond: number; readonly from: (random: RandomSource) => number};
@@ -76,6 +76,17 @@
 		this.#spreadViews(0, noticedMs);
 	}
 
+	/** Stops an instance for a time; it handles messages and timers afterwards. */
+	pause(index: number, durationMs: number): void {
+		this.instances[index]!.pausedUntilMs = this.clock.monotonicMs() + durationMs;
+	}
+
+	/** Lets an instance leave; it no longer decides, and the others no longer ask it once they have learned of it. */
+	leave(index: number, noticedMs = 100): void {
+		this.instances[index]!.isLeaving = true;
+		this.#spreadViews(0, noticedMs);
+	}
+
 	/** Divides the fleet; both sides notice within `noticedMs`. */
 	divide(groupOf: (index: number) => number, noticedMs = 2000): void {
 		for (const [index, instance] of this.instances.entries()) {
@@ -108,7 +119,7 @@
 	#create(index: number, startedAtMs: number): Instance {
 		const host = `10.0.${Math.floor(index / 250)}.${index % 250}`;
 		const instance: Instance = {
-			limiter: undefined as unknown as AccountLimiter, host, group: 0, isRunning: true, startedAtMs, others: [], heardAtMs: startedAtMs,
+			limiter: undefined as unknown as AccountLimiter, host, group: 0, isRunning: true, startedAtMs, others: [], heardAtMs: startedAtMs, pausedUntilMs: 0, isLeaving: false,
 		};
 		instance.limiter = new AccountLimiter({
 			clock: this.clock,
@@ -119,7 +130,7 @@
 			fleet: () => ({
 				others: instance.others,
 				instances: this.instances.length,
-				isKnown: this.clock.monotonicMs() - instance.startedAtMs >= settlingMs,
+				isKnown: this.clock.monotonicMs() - instance.startedAtMs >= settlingMs && !instance.isLeaving,
 				hasHeardOthers: this.clock.monotonicMs() - instance.heardAtMs < heardLimitMs,
 			}),
 			send: (message, to) => {
@@ -128,7 +139,9 @@
 				if (receiver !== undefined && this.#random.next() >= this.lossRatio) {
 					this.#at(1 + (this.#random.next() * 8), () => {
 						if (this.instances.includes(receiver) && this.#areInTouch(instance, receiver)) {
-							receiver.limiter.receive(message, host);
+							this.#whenAwake(receiver, () => {
+								receiver.limiter.receive(message, host);
+							});
 						}
 					});
 				}
@@ -136,9 +149,11 @@
 			schedule: (delayMs, action) => {
 				let isCancelled = false;
 				this.#at(delayMs, () => {
-					if (!isCancelled && instance.isRunning) {
-						action();
-					}
+					this.#whenAwake(instance, () => {
+						if (!isCancelled && instance.isRunning) {
+							action();
+						}
+					});
 				});
 				return () => {
 					isCancelled = true;
@@ -150,7 +165,7 @@
 
 	#request(index: number): void {
 		const instance = this.instances[index]!;
-		if (!instance.isRunning) {
+		if (!instance.isRunning || this.#isPaused(instance)) {
 			return;
 		}
 
@@ -164,7 +179,7 @@
 	}
 
 	#tick(): void {
-		for (const instance of this.instances.filter(({isRunning}) => isRunning)) {
+		for (const instance of this.instances.filter(instance => instance.isRunning && !this.#isPaused(instance))) {
 			instance.limiter.tick();
 			if (this.instances.some(other => other !== instance && this.#areInTouch(instance, other))) {
 				instance.heardAtMs = this.clock.monotonicMs();
@@ -182,7 +197,19 @@
 	}
 
 	#hostsExcept(instance: Instance): string[] {
-		return this.instances.filter(other => other !== instance && this.#areInTouch(instance, other)).map(({host}) => host);
+		return this.instances.filter(other => other !== instance && !other.isLeaving && this.#areInTouch(instance, other)).map(({host}) => host);
+	}
+
+	#isPaused({pausedUntilMs}: Instance): boolean {
+		return this.clock.monotonicMs() < pausedUntilMs;
+	}
+
+	#whenAwake(instance: Instance, action: () => void): void {
+		if (this.#isPaused(instance)) {
+			this.#at(instance.pausedUntilMs - this.clock.monotonicMs(), action);
+		} else {
+			action();
+		}
 	}
 
 	#areInTouch(left: Instance, right: Instance): boolean {
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -13,7 +13,8 @@
 import {createMetrics} from '../../metrics/metrics.js';
 import type {ChannelPool} from './channel-pool.js';
 import {Eligibility} from './eligibility.js';
-import {Placer, type Placement, type PlacerOptions} from './placer.js';
+import type {Placement} from './placement.js';
+import {Placer, type PlacerOptions} from './placer.js';
 import type {Upstream} from './upstream.js';
 
 const slots = 4;
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -1,10 +1,12 @@
 /** Chooses the upstream of an attempt: ranks upstreams by their known condition, probes the load of the best ones, and takes the best. */
-import type {ServiceId, UpstreamId} from '@cairnbank/core';
+import type {ServiceId} from '@cairnbank/core';
+import type {RoomInputs} from '@cairnbank/core/overload';
 import {summarizeUnavailability, type ServiceUnavailability} from '@cairnbank/core/advisories';
 import {nextProbes, probeRounds, shouldProbe} from '@cairnbank/core/placement';
 import type {Context} from '../../kernel/context.js';
 import type {Eligibility} from './eligibility.js';
 import type {LinkMonitor} from './link-monitor.js';
+import type {Placement, PlacementRequest} from './placement.js';
 import {freshReportMs, isUpstreamLightlyLoaded, PlacementCosts} from './placement-costs.js';
 import {PreferredUpstreams, type PreferredUpstreamsOptions} from './preferred-upstreams.js';
 import type {Prober} from './prober.js';
@@ -17,29 +19,6 @@
 /** Rounds in which only the preferred upstreams of a large service are probed; then others are added. */
 const subsetRounds = 3;
 
-export type PlacementRequest = {
-	readonly service: ServiceId;
-	/** Work of the request at an upstream of usual speed. */
-	readonly workMs: number;
-	/** Upstreams that got an attempt already. */
-	readonly excluded: ReadonlySet<UpstreamId>;
-	/** Those of them that the attempt did not reach; they may be tried again through another instance. */
-	readonly notReached: ReadonlySet<UpstreamId>;
-};
-
-export type Placement = {
-	readonly upstream: Upstream;
-	readonly expectedMs: number;
-	/** Work of the request at an upstream of usual speed. */
-	readonly workMs: number;
-	/** Slowness from the upstream's last load report; undefined if there is none. */
-	readonly slowness: number | undefined;
-	/** Expected duration divided by the work, from the upstream's load report; undefined if there is none. */
-	readonly durationRatio: number | undefined;
-	/** Whether the upstream runs at its usual speed and has a free slot. */
-	readonly isLightlyLoaded: boolean;
-};
-
 export type PlacerOptions = PreferredUpstreamsOptions & {
 	readonly context: Context;
 	readonly prober: Prober;
@@ -134,6 +113,7 @@
 			slowness: reportsLoad ? report?.slowness : undefined,
 			durationRatio: reportsLoad && report !== undefined ? expectedMs / workMs : undefined,
 			isLightlyLoaded: isUpstreamLightlyLoaded(upstream),
+			room: roomOf(upstream),
 		};
 	}
 
@@ -196,6 +176,12 @@
 	}
 }
 
+function roomOf({registered, condition: {report, reportAgeMs, unreportedInFlight}}: Upstream): RoomInputs {
+	return {
+		report, reportAgeMs, unreportedInFlight, slots: registered.slots,
+	};
+}
+
 /** Keeps the upstreams that answer probes; all if there are none. */
 function preferResponsive(upstreams: readonly Upstream[]): readonly Upstream[] {
 	const answering = upstreams.filter(({condition}) => !condition.isUnresponsive);
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -7,6 +7,7 @@
 import {createRandomSource} from '@cairnbank/core/random';
 import {createIncarnation, withoutLostLinks} from '@cairnbank/core/fleet';
 import {FleetPace} from '@cairnbank/core/limits';
+import {FullResets, OverloadControl} from '@cairnbank/core/overload';
 import {Admission, WorkEstimates} from '@cairnbank/core/placement';
 import {RelayPeers} from '@cairnbank/core/reachability';
 import {AccountLimitsTask} from './features/account-limits/account-limits-task.js';
@@ -76,6 +77,7 @@
 		},
 		hasRelay: service => relayPeers.hasCandidates(service),
 		onChanged(service, change) {
+			recheck.schedule();
 			if (change === 'regained') {
 				upstreams.recheckAtOnce(service);
 			}
@@ -173,12 +175,14 @@
 			fleet.announceRate(report);
 		},
 	});
+	const workEstimates = new WorkEstimates();
 	const accountLimits: AccountLimitsTask = new AccountLimitsTask({
 		context,
 		fleet: () => fleet.limiterFleet,
 		send(message, host) {
 			fleet.sendLimitMessage(message, host);
 		},
+		workMs: ({id, targetLatencyMs}) => workEstimates.expectedMs(id, targetLatencyMs),
 	});
 	const advisories = new Advisories({context, dialect: ports.requests});
 	const eligibility = new Eligibility({
@@ -207,9 +211,8 @@
 	});
 	const recheck: RecheckTask = new RecheckTask({
 		upstreams: () => upstreams.inService(),
-		probe: async upstream => prober.probe(upstream),
-		isLinkLost: upstream => links.isLost(upstream.registered.service),
-		checkOwnLink: async upstream => prober.checkOwnLink(upstream),
+		prober,
+		links,
 	});
 	const crashes = new CrashTable(context.clock, fingerprint => fleet.isFirstFor(fingerprint));
 	const guard: PoisonGuard = new PoisonGuard({
@@ -245,8 +248,9 @@
 			clock: context.clock,
 			dialect: ports.requests,
 			metrics: context.metrics,
-			workEstimates: new WorkEstimates(),
-			admission: new Admission(context.clock),
+			workEstimates,
+			fullResets: new FullResets(context.clock),
+			overload: new OverloadControl({clock: context.clock, random: context.random, admission: new Admission(context.clock)}),
 			advisories,
 			rateLimits,
 			budget: service => budgets.forService(service),
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -20,6 +20,22 @@
 /** In a large fleet, an address list contains only some of the instances. */
 const maximumExpectedAddresses = 8;
 
+/** The first key is taken away in a run. */
+export const removedKey = 'shop-key';
+export const soakAccounts = [{name: 'shop', apiKeys: [removedKey]}, {name: 'bank', apiKeys: ['bank-key']}] as const;
+
+/** The first one is flooded. */
+export const limitedAccounts = [
+	{
+		name: 'flood', apiKeys: ['flood-key'], ratePerS: 40, burst: 40,
+	},
+	{
+		name: 'modest', apiKeys: ['modest-key'], ratePerS: 20, burst: 20,
+	},
+] as const;
+/** Limit of the flooded account once it was lowered. */
+export const loweredLimit = {ratePerS: 15, burst: 15} as const;
+
 export class SoakSite {
 	readonly upstreams: UpstreamStandIn[] = [];
 	readonly proxies: LinkProxy[] = [];
@@ -29,6 +45,10 @@
 	#copies: StoreCopy[] = [];
 	#copyTimer: NodeJS.Timeout | undefined;
 	#version = 1;
+	/** All other routes are public once there are accounts. */
+	#hasAccounts = false;
+	#isKeyRemoved = false;
+	#isLimitLowered = false;
 	readonly #endedLines: Array<Readonly<Record<string, unknown>>> = [];
 
 	/** @param program - path of the program to test; defaults to the compiled program */
@@ -85,12 +105,29 @@
 	/** Publishes the next version of the configuration. */
 	configure(): void {
 		this.#version += 1;
-		this.#site.configure(`r${this.#version}`, [
+		const routes = [
 			route('read', '/read/'),
 			paymentRoute('pay', '/pay/'),
 			route('crash', '/crash/', {service: crashingService}),
 			route('new', `/new-${this.#version}/`),
-		]);
+		];
+		const published = this.#hasAccounts ? [...routes.map(each => ({...each, public: true})), route('account', '/account/')] : routes;
+		this.#site.configure(`r${this.#version}`, published, this.#hasAccounts ? this.#accounts : undefined);
+	}
+
+	introduceAccounts(): void {
+		this.#hasAccounts = true;
+		this.configure();
+	}
+
+	removeKey(): void {
+		this.#isKeyRemoved = true;
+		this.configure();
+	}
+
+	lowerLimit(): void {
+		this.#isLimitLowered = true;
+		this.configure();
 	}
 
 	/** Writes the next registry entry of an upstream. */
@@ -150,6 +187,15 @@
 		return [];
 	}
 
+	get #accounts() {
+		const [flooded, modest] = limitedAccounts;
+		return [
+			...soakAccounts.map(({name, apiKeys}) => ({name, apiKeys: apiKeys.filter(key => !this.#isKeyRemoved || key !== removedKey)})),
+			this.#isLimitLowered ? {...flooded, ...loweredLimit} : flooded,
+			modest,
+		];
+	}
+
 	async #addUpstream(index: number, workMs: number): Promise<void> {
 		const upstream = await new UpstreamStandIn(`u${index}`, 'ledger', slots).start();
 		upstream.workMs = workMs;
