--- a/packages/core/src/account-limits/silent-hosts.ts
+++ b/packages/core/src/account-limits/silent-hosts.ts
@@ -26,7 +26,14 @@
 	}
 
 	markUnready(host: string, durationMs: number): void {
-		this.#unready.set(host, this.#environment.clock.monotonicMs() + durationMs);
+		const nowMs = this.#environment.clock.monotonicMs();
+		for (const [other, untilMs] of this.#unready) {
+			if (untilMs <= nowMs) {
+				this.#unready.delete(other);
+			}
+		}
+
+		this.#unready.set(host, nowMs + durationMs);
 	}
 
 	markSilent(host: string): void {
--- a/packages/gateway/src/features/account-limits/limit-codec.ts
+++ b/packages/gateway/src/features/account-limits/limit-codec.ts
@@ -3,7 +3,8 @@
 import type {LimitAnswer, LimitMessage} from '@cairnbank/core/account-limits';
 import * as v from 'valibot';
 
-const maximumAccountLength = 128;
+/** Longer names than that do not fit into a datagram together with the rest. */
+const maximumAccountLength = 1024;
 /** More requests than one instance can hold. */
 const maximumCount = 100_000;
 
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -130,6 +130,9 @@
 			},
 		},
 		{type: 'limit-answer', sequence: 7, answer: undefined},
+		{
+			type: 'limit-ask', account: 'a'.repeat(1000) as ClientAccountId, sequence: 7, count: 3,
+		},
 		{type: 'limit-working', sequence: 7},
 		{type: 'limit-take-over', account: 'shop' as ClientAccountId, sequence: 8},
 		{type: 'limit-level', sequence: 8, level: 12.5},
