--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -16,7 +16,8 @@
 /** Time after the last fault, before all requests should succeed again. It is long enough for all guarantees to be checked again at its end. */
 const settleMs = 7000;
 const finalCallsPerInstance = 8;
-const limitedStatus = 429;
+/** Over the limit, also as seen by an owner that does not know yet what was used before it. */
+const refusalStatuses = new Set([429, 503]);
 /** Applies to every second caller, so that each instance gets requests even if no instance ends. */
 const requestsPerConnection = 20;
 /** Number of seeds for callers per schedule, so that schedules with consecutive seeds share none. */
@@ -153,11 +154,12 @@
 	}
 }
 
-/** Leaves out what was refused as over the limit, unless it ran: it would make room for repeats and change the shares that are served. */
+/** Leaves out what was refused of the flooded account, unless it ran: it would make room for repeats and change the shares that are served. */
 function observedOf(floods: readonly FloodCalls[], runs: readonly RunRecord[]): readonly CallRecord[] {
 	const ran = new Set(runs.map(({id}) => id));
-	return floods.flatMap(({calls}) => calls.map(({record}) => record))
-		.filter(({id, end}) => end.type !== 'answered' || end.status !== limitedStatus || ran.has(id));
+	return floods.flatMap(({calls}) => calls)
+		.filter(({record: {id, end}, isFlooding}) => !isFlooding || end.type !== 'answered' || !refusalStatuses.has(end.status) || ran.has(id))
+		.map(({record}) => record);
 }
 
 /** Returns the requests on the route that needs an account. */
