--- a/packages/core/src/overload/overload-control.ts
+++ b/packages/core/src/overload/overload-control.ts
@@ -105,7 +105,12 @@
 	#retryAfterMs(request: OverloadRequest, workMs: number): number {
 		const {service, deadlineAtMs, route: {targetLatencyMs}} = request;
 		return this.#returnTimes.delayMs({
-			service, workMs, deadlineAtMs, targetAtMs: this.#askedAtMs(request) + targetLatencyMs, hasReturned: this.#waitedTimes.waitedMs(request) > 0,
+			service,
+			workMs,
+			deadlineAtMs,
+			targetAtMs: this.#askedAtMs(request) + targetLatencyMs,
+			hasReturned: this.#waitedTimes.waitedMs(request) > 0,
+			canReturnLater: canReturnLater({nowMs: this.#options.clock.monotonicMs(), deadlineAtMs, targetLatencyMs}),
 		});
 	}
 
--- a/packages/core/src/overload/return-times.spec.ts
+++ b/packages/core/src/overload/return-times.spec.ts
@@ -8,7 +8,7 @@
 
 const service = 'desk' as ServiceId;
 const request: RefusedRequest = {
-	service, workMs: 100, targetAtMs: 300, deadlineAtMs: 3600, hasReturned: false,
+	service, workMs: 100, targetAtMs: 300, deadlineAtMs: 3600, hasReturned: false, canReturnLater: true,
 };
 
 function create({admitted, refused}: {readonly admitted: number; readonly refused: number}): ReturnTimes {
@@ -49,6 +49,10 @@
 			assert.ok(planned.slice(3).every(delayMs => delayMs >= 600 && delayMs <= 1200), planned.join(' '));
 		});
 
+		it('should send callers that return into the same rush back as soon as outside of one', () => {
+			assert.deepEqual(new Set(delays({deadlineAtMs: 720, canReturnLater: false})), new Set([shortDelayMs]));
+		});
+
 		it('should never tell a time that callers do not honour, nor one after the deadline', () => {
 			for (const deadlineAtMs of [0, 30, 300, 3600]) {
 				for (const hasReturned of [true, false]) {
--- a/packages/core/src/overload/return-times.ts
+++ b/packages/core/src/overload/return-times.ts
@@ -26,6 +26,8 @@
 	readonly deadlineAtMs: number;
 	/** Whether the caller was refused before. */
 	readonly hasReturned: boolean;
+	/** Whether the caller would wait until after the moment that it missed; any other returns into the same rush, so the sooner the better. */
+	readonly canReturnLater: boolean;
 };
 
 export type ReturnTimesOptions = {
@@ -57,6 +59,10 @@
 		const {clock, meter} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const honouredMs = Math.max(0, request.deadlineAtMs - nowMs) * honouredShare;
+		if (!request.canReturnLater) {
+			return Math.min(shortDelayMs, honouredMs);
+		}
+
 		if (request.hasReturned) {
 			return this.#plan(request.service, nowMs, honouredMs);
 		}
