--- a/packages/core/src/account-limits/account-bucket.ts
+++ b/packages/core/src/account-limits/account-bucket.ts
@@ -34,7 +34,7 @@
 	/** Time at which the callers refused so far have each got a token, if all of them return. */
 	#queueEndsAtMs = 0;
 
-	/** @param level - tokens at the start; negative if more was handed out than the rate allows */
+	/** @param level - tokens at the start */
 	constructor(clock: Clock, bound: AccountBound, limit: AccountRateLimit, level: number) {
 		this.#clock = clock;
 		this.#bound = bound;
--- a/packages/gateway/src/features/account-limits/limit-codec.ts
+++ b/packages/gateway/src/features/account-limits/limit-codec.ts
@@ -13,8 +13,6 @@
 const count = v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(maximumCount));
 const durationMs = v.pipe(v.number(), v.minValue(0));
 const tokens = v.pipe(v.number(), v.minValue(0));
-/** Tokens that were handed out beyond the rate; only one of the two numbers is not 0. */
-const owed = v.optional(v.pipe(v.number(), v.minValue(0), v.maxValue(maximumCount)), 0);
 /** Granted requests, time until a token, time for those refused, whether the account is known to be over its limit. */
 const answer = v.tuple([count, durationMs, durationMs, v.boolean()]);
 
@@ -23,8 +21,8 @@
 	v.tuple([v.literal('r'), sequence, v.nullable(answer)]),
 	v.tuple([v.literal('w'), sequence]),
 	v.tuple([v.literal('t'), account, sequence]),
-	v.tuple([v.literal('l'), sequence, v.nullable(tokens), owed]),
-	v.tuple([v.literal('h'), account, sequence, tokens, owed]),
+	v.tuple([v.literal('l'), sequence, v.nullable(tokens)]),
+	v.tuple([v.literal('h'), account, sequence, tokens]),
 	v.tuple([v.literal('c'), sequence]),
 	v.tuple([v.literal('d'), sequence]),
 	v.tuple([v.literal('b'), account, count]),
@@ -51,12 +49,11 @@
 		}
 
 		case 'limit-level': {
-			const {sequence: answered, level} = message;
-			return ['l', answered, level === undefined ? null : Math.max(0, level), Math.max(0, -(level ?? 0))];
+			return ['l', message.sequence, message.level ?? null];
 		}
 
 		case 'limit-hand-over': {
-			return ['h', message.account, message.sequence, Math.max(0, message.level), Math.max(0, -message.level)];
+			return ['h', message.account, message.sequence, message.level];
 		}
 
 		case 'limit-check': {
@@ -94,12 +91,12 @@
 		}
 
 		case 'l': {
-			return {type: 'limit-level', sequence: array[1], level: array[2] === null ? undefined : array[2] - array[3]};
+			return {type: 'limit-level', sequence: array[1], level: array[2] ?? undefined};
 		}
 
 		case 'h': {
 			return {
-				type: 'limit-hand-over', account: array[1] as ClientAccountId, sequence: array[2], level: array[3] - array[4],
+				type: 'limit-hand-over', account: array[1] as ClientAccountId, sequence: array[2], level: array[3],
 			};
 		}
 
