--- a/packages/core/src/account-limits/account-owner.ts
+++ b/packages/core/src/account-limits/account-owner.ts
@@ -225,7 +225,7 @@
 				granted,
 				tokenInMs: bucket.tokenInMs,
 				retryAfterMs: refused === 0 ? 0 : bucket.queue(refused),
-				isCertain: share >= certainShare && bucket.isOverLimit,
+				isCertain: share >= certainShare,
 			});
 		}
 	}
