--- a/packages/core/src/account-limits/limit-message.ts
+++ b/packages/core/src/account-limits/limit-message.ts
@@ -24,7 +24,7 @@
 	| {readonly type: 'limit-take-over'; readonly account: ClientAccountId; readonly sequence: number}
 	/** `level` is undefined if the instance has not decided on the account. */
 	| {readonly type: 'limit-level'; readonly sequence: number; readonly level: number | undefined}
-	/** Tells the next instance in the order the tokens that are left, as the sender leaves. Answered like a check. */
+	/** Hands the remaining tokens over to the next instance in the order, as the sender leaves. Answered like a check. */
 	| {readonly type: 'limit-hand-over'; readonly account: ClientAccountId; readonly sequence: number; readonly level: number}
 	/** Asks whether the receiver is reachable. */
 	| {readonly type: 'limit-check'; readonly sequence: number}
--- a/packages/core/src/placement/probe-order.ts
+++ b/packages/core/src/placement/probe-order.ts
@@ -7,7 +7,7 @@
 const rankingSpread = 0.5;
 /** Small in the core, so that an upstream that joins it is met within seconds. */
 const noConnectionFactor = {core: 1.1, outside: 1 + rankingSpread} as const;
-/** A probe would need a second connection, although the upstream told its load when it got the running request. */
+/** A probe would need a second connection, although the upstream reported its load when it was chosen for the running request. */
 const occupiedFactor = 1 + rankingSpread;
 /** Beyond the spread, so that connections outside of the core expire once the core is enough again. */
 const outsideCoreFactor = 1 + rankingSpread;
