Observability: how abandoned attempts end, and which answer clears a request under which upstreams crashed

Now a cancelled attempt reports its end if it comes within the 100 ms for which its answer is read (cairnbank_late_ends_total), and a clearing names the status and the request (cairnbank_cleared_requests_total).

--- a/packages/gateway/src/features/calls/attempt.spec.ts
+++ b/packages/gateway/src/features/calls/attempt.spec.ts
@@ -28,10 +28,10 @@
 	const clock = new ManualClock();
 	const condition = new UpstreamCondition(clock);
 	const connection = {
-		async exchange({onLateAnswer}: OutgoingRequest) {
+		async exchange({onLateEnd}: OutgoingRequest) {
 			clock.advance(tookMs);
 			if (late !== undefined) {
-				queueMicrotask(() => onLateAnswer?.(late));
+				queueMicrotask(() => onLateEnd?.(ok(late)));
 			}
 
 			return result;
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -1,7 +1,7 @@
 /** Sends a call to one upstream and updates the condition of the upstream from the result. */
 import type {UpstreamId} from '@cairnbank/core';
-import {ok} from 'neverthrow';
-import {loadOf, type UpstreamAnswer} from '../upstreams/exchange.js';
+import {ok, type Result} from 'neverthrow';
+import {loadOf, type ExchangeFailure, type UpstreamAnswer} from '../upstreams/exchange.js';
 import type {Placement} from '../upstreams/placement.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import type {Call} from './call.js';
@@ -48,8 +48,8 @@
 			body: this.#call.body,
 			requestId: this.#call.requestId,
 			timeoutMs: remainingMs,
-			onLateAnswer: answer => {
-				this.#learn(answer, sentAtMs);
+			onLateEnd: result => {
+				this.#handleLateEnd(result, sentAtMs);
 			},
 		});
 		pool.release(this.#channel);
@@ -135,6 +135,14 @@
 		}
 	}
 
+	/** Handles the end of an attempt that was cancelled or timed out before. */
+	#handleLateEnd(result: Result<UpstreamAnswer, ExchangeFailure>, sentAtMs: number): void {
+		this.#dependencies.metrics.lateEnds.inc({result: result.isOk() ? 'answered' : result.error.type});
+		if (result.isOk()) {
+			this.#learn(result.value, sentAtMs);
+		}
+	}
+
 	/** A failure on the way through another instance says nothing of the upstream. */
 	#recordUnknown(): void {
 		if (this.#channel.relay === undefined) {
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -193,7 +193,7 @@
 		this.#runningCalls.delete(run);
 		this.#options.accountLimits.complete(admittance, outcome, run.attemptsSent > 0);
 		if (outcome.type === 'answered') {
-			this.#options.poisonGuard.recordSuccess(call);
+			this.#options.poisonGuard.recordSuccess(call, outcome.answer.status);
 		}
 
 		const tookMs = this.#options.context.clock.monotonicMs() - head.receivedAtMs;
--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -82,14 +82,18 @@
 	}
 
 	/** Clears a request that ended well, on all instances if they may refuse it. */
-	recordSuccess(call: Call): void {
+	recordSuccess(call: Call, status: number): void {
 		if (!this.#table.hasSuspects) {
 			return;
 		}
 
 		const record = this.#table.recordSuccess(fingerprint(call));
 		if (record !== undefined) {
-			this.#options.context.logger.info('request no longer suspected', {id: call.requestId, fingerprint: record.fingerprint});
+			const {logger, metrics} = this.#options.context;
+			metrics.clearedRequests.inc({status});
+			logger.info('request no longer suspected', {
+				id: call.requestId, fingerprint: record.fingerprint, status, ...describeRequest(call),
+			});
 			this.#updateMetrics();
 			this.#options.announce(record);
 		}
--- a/packages/gateway/src/features/relay/relay-codec.ts
+++ b/packages/gateway/src/features/relay/relay-codec.ts
@@ -16,7 +16,7 @@
 export const maximumRelayHeaderBytes = 131_072;
 
 /** What is passed on of a request besides its body, and the upstream that gets it. */
-export type RelayHead = Omit<OutgoingRequest, 'body' | 'onLateAnswer'> & {readonly upstream: UpstreamId};
+export type RelayHead = Omit<OutgoingRequest, 'body' | 'onLateEnd'> & {readonly upstream: UpstreamId};
 
 export type RelayResult = Result<Omit<UpstreamAnswer, 'body'>, ExchangeFailure>;
 
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -77,7 +77,7 @@
 		}
 	}
 
-	#send(peer: RelayPeer, {body, timeoutMs, onLateAnswer: _, ...head}: OutgoingRequest): void {
+	#send(peer: RelayPeer, {body, timeoutMs, onLateEnd: _, ...head}: OutgoingRequest): void {
 		const {agent, port, localAddress, upstream} = this.#options;
 		const request = httpRequest({
 			agent, host: peer.host, port, localAddress, method: 'POST', path: relayPath, maxHeaderSize: maximumRelayHeaderBytes,
--- a/packages/gateway/src/features/upstreams/exchange.ts
+++ b/packages/gateway/src/features/upstreams/exchange.ts
@@ -2,6 +2,7 @@
 import type {UpstreamAdvisory} from '@cairnbank/core/advisories';
 import type {AdvertisedLimit} from '@cairnbank/core/limits';
 import type {LoadReport} from '@cairnbank/core/placement';
+import type {Result} from 'neverthrow';
 import type {RequestDialect} from '../../ports/index.js';
 
 /** Alternating header names and values, as received. */
@@ -36,8 +37,8 @@
 	/** An answer with another id belongs to an earlier request and is ignored. */
 	readonly requestId: string | undefined;
 	readonly timeoutMs: number;
-	/** Called with the answer if it arrives just after the request was cancelled; its upstream may ask for a back-off in it. */
-	readonly onLateAnswer?: ((answer: UpstreamAnswer) => void) | undefined;
+	/** Called if a request that was cancelled or timed out ends shortly afterwards: its answer may ask for a back-off, and a broken connection may show a crash. */
+	readonly onLateEnd?: ((result: Result<UpstreamAnswer, ExchangeFailure>) => void) | undefined;
 };
 
 /** Returns the value of a header; `name` is in lower case and matches any case. */
--- a/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
@@ -189,8 +189,10 @@
 			});
 			const connection = await connectToUpstream(onRequest, {allowHalfOpen: true, onClosed});
 			const exchange = connection.exchange({
-				...request('own'), onLateAnswer(late) {
-					lateAnswers.push(late);
+				...request('own'), onLateEnd(result) {
+					if (result.isOk()) {
+						lateAnswers.push(result.value);
+					}
 				},
 			});
 			const socket = await received;
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -44,8 +44,8 @@
 	#isClosed = false;
 	/** No further request may be sent, as later bytes could not be matched to it reliably, or the connection won't be kept open. */
 	#isRetired = false;
-	/** Reads the answer to a cancelled request and then closes itself. */
-	#awaitsLateAnswer = false;
+	/** Waits for the end of a request that nobody waits for any more, and then closes itself. */
+	#awaitsLateEnd = false;
 	#pending: PendingExchange | undefined;
 	#idleUntilMs = 0;
 
@@ -95,17 +95,17 @@
 	/** Cancels the running request by closing the connection; most upstreams then stop processing it. */
 	cancel(): void {
 		const pending = this.#pending;
-		const {onLateAnswer} = pending?.request ?? {};
+		const {onLateEnd} = pending?.request ?? {};
 		const isSent = this.#isConnected && !this.#isClosed && this.#socket.writableLength === 0;
-		if (pending !== undefined && onLateAnswer !== undefined && isSent) {
-			this.#awaitLateAnswer(pending, onLateAnswer);
+		if (pending !== undefined && onLateEnd !== undefined && isSent) {
+			this.#awaitLateEnd(pending, onLateEnd);
 		} else {
 			this.#fail({type: 'cancelled'});
 		}
 	}
 
 	close(): void {
-		if (!this.#awaitsLateAnswer) {
+		if (!this.#awaitsLateEnd) {
 			this.#destroy();
 		}
 	}
@@ -116,9 +116,9 @@
 	}
 
 	/** Ends the sending side only: the upstream notices the same as from a close, and what it has answered meanwhile is still read. */
-	#awaitLateAnswer({request, timer, settle}: PendingExchange, onLateAnswer: (answer: UpstreamAnswer) => void): void {
+	#awaitLateEnd({request, timer, settle}: PendingExchange, onLateEnd: NonNullable<OutgoingRequest['onLateEnd']>): void {
 		clearTimeout(timer);
-		this.#awaitsLateAnswer = true;
+		this.#awaitsLateEnd = true;
 		this.#isRetired = true;
 		this.#pending = {
 			request,
@@ -126,7 +126,9 @@
 				this.#fail({type: 'cancelled'});
 			}, lateAnswerMs),
 			settle(result) {
-				result.map(onLateAnswer); // eslint-disable-line unicorn/no-array-callback-reference -- a result, not an array
+				if (result.isOk() || result.error.type !== 'cancelled') {
+					onLateEnd(result);
+				}
 			},
 		};
 		this.#socket.end();
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -42,6 +42,8 @@
 		refusedConfigurationVersion: new Gauge({name: 'cairnbank_refused_configuration_version', help: 'Newest version of the configuration that was refused as a whole; 0 if none', registers}),
 		emptiedZones: new Gauge({name: 'cairnbank_emptied_zones', help: 'Availability zones that operators have evacuated, so that their upstreams get no requests', registers}),
 		coldRequests: counter('cairnbank_cold_requests_total', 'Requests sent to upstreams that were cold or not known to be warm', ['service']),
+		lateEnds: counter('cairnbank_late_ends_total', 'Attempts that were cancelled or timed out and ended shortly afterwards, by their end', ['result']),
+		clearedRequests: counter('cairnbank_cleared_requests_total', 'Requests under which upstreams had crashed, cleared by a later answer, by its status', ['status']),
 		crashes: counter('cairnbank_crashes_total', 'Crashes of upstreams attributed to a request, by whether this or another instance detected them', ['source']),
 		refusedRequests: new Gauge({name: 'cairnbank_refused_requests', help: 'Different requests that are refused because upstreams crashed under them', registers}),
 		overloadRefusals: counter('cairnbank_overload_refusals_total', 'Requests refused for lack of capacity, by the reason that callers get', ['service', 'reason']),
