Crashes count though no attempt waits any more: callers that left, deadlines that passed, requests passed on

Cause: a crash was counted only if an attempt that was waited for lost its connection. Fix: an instance remembers for a second which requests it abandoned at which process of an upstream, and keeps one connection to that upstream open (the next request uses it). If that connection is lost, or any other evidence of the process's end comes up (an attempt that breaks, a refused connection, another instance's report), the remembered requests count as running at the crash. An instance that passes a request on is given its fingerprint and does the same. Attempts that lose against another one are remembered, but not watched. A connection that is not reusable no longer counts as one of its pool while its late answer is awaited.

--- a/packages/core/src/poison/crash-table.ts
+++ b/packages/core/src/poison/crash-table.ts
@@ -68,6 +68,11 @@
 		return this.#records.get(fingerprint)?.crashes.length ?? 0;
 	}
 
+	/** Whether this crash is known and counts. */
+	hasCrash(fingerprint: Fingerprint, upstream: UpstreamId): boolean {
+		return this.#records.get(fingerprint)?.crashes.some(crash => crash.upstream === upstream) ?? false;
+	}
+
 	decide(fingerprint: Fingerprint): CrashDecision {
 		const record = this.#records.get(fingerprint);
 		if (record === undefined || record.crashes.length < crashesBeforeRefusal) {
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -7,6 +7,7 @@
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
 import {classifyExchange, type ExchangeVerdict} from './judge-exchange.js';
+import {fingerprintOfCall} from './suspect-request.js';
 
 export type AttemptKind = 'first' | 'repeat' | 'hedge';
 
@@ -17,6 +18,8 @@
 	readonly #placement: Placement;
 	readonly #channel: UpstreamChannel;
 	#isSuperseded = false;
+	/** Whether another attempt has answered the call. */
+	#isAnswered = false;
 
 	constructor(dependencies: CallDependencies, call: Call, kind: AttemptKind, placement: Placement) {
 		this.#dependencies = dependencies;
@@ -47,6 +50,7 @@
 			headers: this.#headers(remainingMs),
 			body: this.#call.body,
 			requestId: this.#call.requestId,
+			fingerprint: () => fingerprintOfCall(this.#call),
 			timeoutMs: remainingMs,
 			onLateEnd: result => {
 				this.#handleLateEnd(result, sentAtMs);
@@ -81,8 +85,13 @@
 		return this.#channel.isConnected;
 	}
 
-	/** Cancels the request; most upstreams then stop processing it. */
-	cancel(): void {
+	/**
+	 * Cancels the request; most upstreams then stop processing it.
+	 *
+	 * @param isAnswered - whether another attempt has answered the call
+	 */
+	cancel(isAnswered: boolean): void {
+		this.#isAnswered = isAnswered;
 		this.#channel.cancel();
 	}
 
@@ -140,6 +149,14 @@
 		this.#dependencies.metrics.lateEnds.inc({result: result.isOk() ? 'answered' : result.error.type});
 		if (result.isOk()) {
 			this.#learn(result.value, sentAtMs);
+			this.#dependencies.onAbandonedAnswered(this.#call, this.#placement.upstream);
+		}
+	}
+
+	/** An instance that passes a request on watches the upstream itself. */
+	#recordAbandoned(): void {
+		if (this.#channel.relay === undefined && this.#channel.isConnected) {
+			this.#dependencies.onAbandoned(this.#call, this.#placement.upstream, {isAnswered: this.#isAnswered});
 		}
 	}
 
@@ -188,6 +205,10 @@
 
 			case 'unknown': {
 				this.#recordUnknown();
+				if (verdict.reason === 'timed-out') {
+					this.#recordAbandoned();
+				}
+
 				if (verdict.reason === 'broken') {
 					this.#recordBroken();
 					this.#dependencies.onConnectionBroken(this.#call, upstream);
@@ -197,6 +218,7 @@
 			}
 
 			case 'cancelled': {
+				this.#recordAbandoned();
 				break;
 			}
 		}
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -13,7 +13,7 @@
 import type {Authenticator} from './authenticator.js';
 import type {Call} from './call.js';
 import type {NoUpstream} from './outcome.js';
-import type {PoisonGuard} from './poison-guard.js';
+import type {Abandonment, PoisonGuard} from './poison-guard.js';
 
 export type CallDependencies = {
 	readonly clock: Clock;
@@ -37,5 +37,9 @@
 	readonly poisonGuard: Pick<PoisonGuard, 'admit'>;
 	/** Called when a connection broke while the upstream was processing the call. */
 	readonly onConnectionBroken: (call: Call, upstream: Upstream) => void;
+	/** Called when an attempt was cancelled or has timed out while the upstream was processing the call. */
+	readonly onAbandoned: (call: Call, upstream: Upstream, abandonment: Abandonment) => void;
+	/** Called when the upstream has answered an attempt that was abandoned before. */
+	readonly onAbandonedAnswered: (call: Call, upstream: Upstream) => void;
 	readonly pause: (durationMs: number) => Promise<void>;
 };
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -104,6 +104,8 @@
 			authenticator: {recheck: () => this.authenticationRefusal},
 			poisonGuard: {admit: () => this.refusedForMs},
 			onConnectionBroken: () => undefined,
+			onAbandoned: () => undefined,
+			onAbandonedAnswered: () => undefined,
 			pause: async durationMs => {
 				this.clock.advance(durationMs);
 			},
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -219,7 +219,7 @@
 		clearTimeout(this.#deadlineTimer);
 		this.#hedgeTimer.stop();
 		for (const attempt of this.#runningAttempts) {
-			attempt.cancel();
+			attempt.cancel(outcome.type === 'answered');
 		}
 
 		this.#resolve(outcome);
--- a/packages/gateway/src/features/calls/poison-guard.spec.ts
+++ b/packages/gateway/src/features/calls/poison-guard.spec.ts
@@ -1,12 +1,16 @@
 import assert from 'node:assert/strict';
-import {describe, it} from 'node:test';
-import {ManualClock, type ClientAccountId} from '@cairnbank/core';
+import {beforeEach, describe, it} from 'node:test';
+import {
+	ManualClock, type ClientAccountId, type Fingerprint, type UpstreamId,
+} from '@cairnbank/core';
 import {digestKey} from '@cairnbank/core/accounts';
+import type {CrashRecord} from '@cairnbank/core/crash-record';
 import {CrashTable} from '@cairnbank/core/crash-table';
 import {createMetrics} from '../../metrics/metrics.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import type {Call} from './call.js';
 import {PoisonGuard, type PoisonGuardOptions} from './poison-guard.js';
+import {suspectOf} from './suspect-request.js';
 
 const crashesBeforeRefusal = 3;
 
@@ -17,6 +21,10 @@
 	} as unknown as Call;
 }
 
+function upstreamOf(id: string): Upstream {
+	return {registered: {id, startedAtMs: 0}} as unknown as Upstream;
+}
+
 /** Returns a guard that has seen a request crash as many upstreams as lead to a refusal. */
 async function guardAfterCrashes(call: Call): Promise<PoisonGuard> {
 	const clock = new ManualClock();
@@ -27,7 +35,7 @@
 		announce: () => undefined,
 	} as unknown as PoisonGuardOptions);
 	for (let index = 0; index < crashesBeforeRefusal; index++) {
-		await guard.handleBrokenConnection(call, {registered: {id: `u${index}`, startedAtMs: 0}} as unknown as Upstream);
+		await guard.handleBrokenConnection(call, upstreamOf(`u${index}`));
 	}
 
 	return guard;
@@ -49,4 +57,91 @@
 		const guard = await guardAfterCrashes(callOf(undefined));
 		assert.notEqual(guard.admit(callOf(undefined)), undefined);
 	});
+
+	describe('with requests that were abandoned while an upstream was running them', () => {
+		const upstream = upstreamOf('u1');
+		let hasCrashed: boolean;
+		let checks: number;
+		let announced: CrashRecord[];
+		let watched: Upstream[];
+		let guard: PoisonGuard;
+
+		beforeEach(() => {
+			hasCrashed = true;
+			checks = 0;
+			announced = [];
+			watched = [];
+			const clock = new ManualClock();
+			guard = new PoisonGuard({
+				context: {clock, logger: {info: () => undefined, warn: () => undefined}, metrics: createMetrics()},
+				table: new CrashTable(clock, () => false),
+				async hasCrashed() {
+					checks += 1;
+					return hasCrashed;
+				},
+				watch(watchedUpstream: Upstream) {
+					watched.push(watchedUpstream);
+				},
+				announce(record: CrashRecord) {
+					announced.push(record);
+				},
+			} as unknown as PoisonGuardOptions);
+		});
+
+		function abandon(call = callOf(undefined), isAnswered = false): void {
+			guard.recordAbandoned(suspectOf(call), upstream, {isAnswered});
+		}
+
+		it('should count and report a crash that only the loss of another connection shows', async () => {
+			abandon();
+			await guard.handleLostConnection(upstream);
+			assert.deepEqual(announced.map(({crashes}) => crashes.map(crash => crash.upstream)), [['u1']]);
+		});
+
+		it('should check the upstream once if it loses several connections', async () => {
+			abandon();
+			await Promise.all([guard.handleLostConnection(upstream), guard.handleLostConnection(upstream)]);
+			assert.deepEqual([checks, announced.length], [1, 1]);
+		});
+
+		it('should count no crash if the upstream has only closed a connection', async () => {
+			hasCrashed = false;
+			abandon();
+			await guard.handleLostConnection(upstream);
+			assert.deepEqual(announced, []);
+		});
+
+		it('should not check an upstream that was running none', async () => {
+			abandon();
+			await guard.handleLostConnection(upstreamOf('u2'));
+			assert.equal(checks, 0);
+		});
+
+		it('should count no crash for one that the upstream has answered', async () => {
+			abandon();
+			guard.forgetAbandoned('r', upstream);
+			await guard.handleLostConnection(upstream);
+			assert.deepEqual(announced, []);
+		});
+
+		it('should count a crash that another instance reports for another request', () => {
+			abandon();
+			guard.receive([{fingerprint: 'another-another-anothe' as Fingerprint, crashes: [{upstream: 'u1' as UpstreamId, atMs: 0}]}]);
+			assert.equal(announced.length, 1);
+		});
+
+		it('should count a crash that an attempt of another request shows, and each crash once', async () => {
+			abandon();
+			await guard.handleBrokenConnection(callOf('shop'), upstream);
+			await guard.handleLostConnection(upstream);
+			assert.equal(announced.length, 2);
+		});
+
+		it('should watch the upstream of one that has no answer, and not of one that another attempt has answered', () => {
+			abandon(callOf(undefined), true);
+			assert.deepEqual(watched, []);
+			abandon();
+			assert.deepEqual(watched, [upstream]);
+		});
+	});
 });
--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -1,29 +1,44 @@
 /** Blocks requests that crash upstreams. Crashes are shared, so that all instances block the same requests. */
-import type {Fingerprint} from '@cairnbank/core';
+import type {UpstreamId} from '@cairnbank/core';
 import type {CrashRecord} from '@cairnbank/core/crash-record';
 import type {CrashTable} from '@cairnbank/core/crash-table';
-import {fingerprintOf} from '@cairnbank/core/request-fingerprint';
 import {startIdOf} from '@cairnbank/core/registry';
 import type {Context} from '../../kernel/context.js';
 import type {Upstream} from '../upstreams/upstream.js';
+import {AbandonedRequests} from './abandoned-requests.js';
 import type {Call} from './call.js';
+import {fingerprintOfCall, suspectOf, type SuspectRequest} from './suspect-request.js';
 
 export type PoisonGuardOptions = {
 	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics'>;
 	readonly table: CrashTable;
 	/** Whether an upstream that broke a connection is gone. */
 	readonly hasCrashed: (upstream: Upstream) => Promise<boolean>;
+	/** Keeps a connection to an upstream open, so that it shows if the upstream ends. */
+	readonly watch: (upstream: Upstream) => void;
 	/** Sends a record to all other instances. */
 	readonly announce: (record: CrashRecord) => void;
 };
 
+/** How a crash became known: by an attempt that was waited for, after it was abandoned, or from another instance. */
+type CrashSource = 'own' | 'abandoned' | 'instance';
+
+export type Abandonment = {
+	/** Whether another attempt has answered the request, which then is no likely cause of a crash. */
+	readonly isAnswered: boolean;
+};
+
 export class PoisonGuard {
 	readonly #options: PoisonGuardOptions;
 	readonly #table: CrashTable;
+	readonly #abandoned: AbandonedRequests;
+	/** Start ids of upstreams that are being checked because a connection without a request was lost. */
+	readonly #checked = new Set<UpstreamId>();
 
 	constructor(options: PoisonGuardOptions) {
 		this.#options = options;
 		this.#table = options.table;
+		this.#abandoned = new AbandonedRequests(options.context.clock);
 	}
 
 	/** @returns the delay after which a refused request may be retried; undefined if the request may be sent to an upstream */
@@ -32,7 +47,7 @@
 			return undefined;
 		}
 
-		const decision = this.#table.decide(fingerprint(call));
+		const decision = this.#table.decide(fingerprintOfCall(call));
 		return decision.type === 'refuse' ? decision.retryAfterMs : undefined;
 	}
 
@@ -46,7 +61,7 @@
 			return undefined;
 		}
 
-		const suspect = fingerprint(call);
+		const suspect = fingerprintOfCall(call);
 		const decision = this.#table.decide(suspect);
 		switch (decision.type) {
 			case 'run': {
@@ -71,14 +86,43 @@
 			return;
 		}
 
-		const {context: {logger, metrics}, announce} = this.#options;
-		const record = this.#table.recordCrash(fingerprint(call), startIdOf(upstream.registered));
-		metrics.crashes.inc({source: 'own'});
-		logger.warn('upstream crashed under a request', {
-			id: call.requestId, fingerprint: record.fingerprint, upstream: startIdOf(upstream.registered), crashes: record.crashes.length, ...describeRequest(call),
-		});
-		this.#updateMetrics();
-		announce(record);
+		const process = startIdOf(upstream.registered);
+		this.#recordCrash(suspectOf(call), process, 'own');
+		this.#blameAbandoned(process);
+	}
+
+	/**
+	 * Remembers a request that was cancelled or timed out while an upstream was running it. Watches the upstream unless the request was
+	 * answered otherwise.
+	 */
+	recordAbandoned(suspect: SuspectRequest, upstream: Upstream, {isAnswered}: Abandonment): void {
+		this.#abandoned.record(startIdOf(upstream.registered), suspect);
+		if (!isAnswered) {
+			this.#options.watch(upstream);
+		}
+	}
+
+	/** Forgets an abandoned request whose run has ended with an answer after all. */
+	forgetAbandoned(requestId: string | undefined, upstream: Upstream): void {
+		this.#abandoned.forget(startIdOf(upstream.registered), requestId);
+	}
+
+	/** Handles a connection that an upstream refused or closed while it carried no request: the upstream may have crashed under an abandoned one. */
+	async handleLostConnection(upstream: Upstream): Promise<void> {
+		const process = startIdOf(upstream.registered);
+		if (this.#checked.has(process) || this.#abandoned.at(process).length === 0) {
+			return;
+		}
+
+		this.#checked.add(process);
+		const suspects = this.#abandoned.at(process);
+		if (await this.#options.hasCrashed(upstream)) {
+			for (const suspect of suspects) {
+				this.#recordCrash(suspect, process, 'abandoned');
+			}
+		}
+
+		this.#checked.delete(process);
 	}
 
 	/** Clears a request that ended well, on all instances if they may refuse it. */
@@ -87,12 +131,12 @@
 			return;
 		}
 
-		const record = this.#table.recordSuccess(fingerprint(call));
+		const record = this.#table.recordSuccess(fingerprintOfCall(call));
 		if (record !== undefined) {
 			const {logger, metrics} = this.#options.context;
 			metrics.clearedRequests.inc({status});
 			logger.info('request no longer suspected', {
-				id: call.requestId, fingerprint: record.fingerprint, status, ...describeRequest(call),
+				id: call.requestId, fingerprint: record.fingerprint, status, ...suspectOf(call).description,
 			});
 			this.#updateMetrics();
 			this.#options.announce(record);
@@ -108,30 +152,38 @@
 			for (const upstream of newCrashes) {
 				metrics.crashes.inc({source: 'instance'});
 				logger.info('crash reported by another instance', {fingerprint: suspect, upstream, crashes: this.#table.crashesOf(suspect)});
+				this.#blameAbandoned(upstream);
 			}
 		}
 
 		this.#updateMetrics();
 	}
 
-	#updateMetrics(): void {
-		this.#options.context.metrics.refusedRequests.set(this.#table.refusedCount);
+	/** Records and shares a crash, unless it is known. */
+	#recordCrash(suspect: SuspectRequest, process: UpstreamId, source: CrashSource): void {
+		const {context: {logger, metrics}, announce} = this.#options;
+		const fingerprint = suspect.fingerprint();
+		if (this.#table.hasCrash(fingerprint, process)) {
+			return;
+		}
+
+		const record = this.#table.recordCrash(fingerprint, process);
+		metrics.crashes.inc({source});
+		logger.warn('upstream crashed under a request', {
+			id: suspect.requestId, fingerprint, upstream: process, crashes: record.crashes.length, source, ...suspect.description,
+		});
+		this.#updateMetrics();
+		announce(record);
 	}
-}
 
-/** Describes a request for the log, so that requests can be told apart if they have the same fingerprint, and compared if they don't. */
-function describeRequest({host, service, method, target, caller, body}: Call): Readonly<Record<string, unknown>> {
-	return {
-		host, service, method, target, caller, bodyBytes: body?.length ?? 0,
-	};
-}
+	/** Attributes a crash to the abandoned requests that the upstream may still have been running. */
+	#blameAbandoned(process: UpstreamId): void {
+		for (const suspect of this.#abandoned.at(process)) {
+			this.#recordCrash(suspect, process, 'abandoned');
+		}
+	}
 
-/**
- * Contains only what the caller repeats: its address may be another each time, and so may the service that is picked for the request.
- * Contains the account, so that none can have equal requests of another blocked; a further key of the account is no way around.
- */
-function fingerprint({host, method, target, account, body}: Call): Fingerprint {
-	return fingerprintOf({
-		service: host, method, path: target, ...(account === undefined ? {} : {tenant: account.id}), ...(body === undefined ? {} : {body}),
-	});
+	#updateMetrics(): void {
+		this.#options.context.metrics.refusedRequests.set(this.#table.refusedCount);
+	}
 }
--- /dev/null
+++ b/packages/gateway/src/features/calls/suspect-request.ts
@@ -0,0 +1,35 @@
+/** Identifies requests under which upstreams may crash, and describes them for the log. */
+import type {Fingerprint} from '@cairnbank/core';
+import {fingerprintOf} from '@cairnbank/core/request-fingerprint';
+import type {Call} from './call.js';
+
+export type SuspectRequest = {
+	readonly requestId: string | undefined;
+	/** Computed on demand, as most requests never need one. */
+	readonly fingerprint: () => Fingerprint;
+	/** Fields by which requests can be told apart if they have the same fingerprint, and compared if they don't. */
+	readonly description: Readonly<Record<string, unknown>>;
+};
+
+export function suspectOf(call: Call): SuspectRequest {
+	const {
+		host, service, method, target, caller, body,
+	} = call;
+	return {
+		requestId: call.requestId,
+		fingerprint: () => fingerprintOfCall(call),
+		description: {
+			host, service, method, target, caller, bodyBytes: body?.length ?? 0,
+		},
+	};
+}
+
+/**
+ * Contains only what the caller repeats: its address may be another each time, and so may the service that is picked for the request.
+ * Contains the account, so that none can have equal requests of another blocked; a further key of the account is no way around.
+ */
+export function fingerprintOfCall({host, method, target, account, body}: Call): Fingerprint {
+	return fingerprintOf({
+		service: host, method, path: target, ...(account === undefined ? {} : {tenant: account.id}), ...(body === undefined ? {} : {body}),
+	});
+}
--- a/packages/gateway/src/features/fleet/suspects-codec.ts
+++ b/packages/gateway/src/features/fleet/suspects-codec.ts
@@ -6,7 +6,7 @@
 
 /** The identifier of a process consists of that of its upstream and its start. */
 const maximumProcessIdLength = 200;
-const fingerprintPattern = /^[\w-]{22}$/;
+export const fingerprintPattern = /^[\w-]{22}$/;
 /** Bytes of a message around its records, and room for ages that gain a digit until the message is sent. */
 const reservedBytes = 100;
 
--- a/packages/gateway/src/features/relay/relay-codec.ts
+++ b/packages/gateway/src/features/relay/relay-codec.ts
@@ -3,9 +3,10 @@
  * keeps the headers of callers and upstreams apart from those of the hop; bodies travel as they are, framed by HTTP.
  */
 import {Buffer} from 'node:buffer';
-import type {UpstreamId} from '@cairnbank/core';
+import type {Fingerprint, UpstreamId} from '@cairnbank/core';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
+import {fingerprintPattern} from '../fleet/suspects-codec.js';
 import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from '../upstreams/exchange.js';
 
 export const relayPath = '/relay';
@@ -16,7 +17,11 @@
 export const maximumRelayHeaderBytes = 131_072;
 
 /** What is passed on of a request besides its body, and the upstream that gets it. */
-export type RelayHead = Omit<OutgoingRequest, 'body' | 'onLateEnd'> & {readonly upstream: UpstreamId};
+export type RelayHead = Omit<OutgoingRequest, 'body' | 'fingerprint' | 'onLateEnd'> & {
+	readonly upstream: UpstreamId;
+	/** Undefined if the other instance doesn't send it, and for health checks. */
+	readonly fingerprint?: Fingerprint | undefined;
+};
 
 export type RelayResult = Result<Omit<UpstreamAnswer, 'body'>, ExchangeFailure>;
 
@@ -32,6 +37,7 @@
 	target,
 	headers,
 	requestId: v.optional(v.string()),
+	fingerprint: v.optional(v.pipe(v.string(), v.regex(fingerprintPattern))),
 	timeoutMs: v.pipe(v.number(), v.gtValue(0)),
 });
 
@@ -52,7 +58,12 @@
 	return decode(text).andThen(json => {
 		const parsed = v.safeParse(headSchema, json);
 		return parsed.success
-			? ok({...parsed.output, upstream: parsed.output.upstream as UpstreamId, requestId: parsed.output.requestId})
+			? ok({
+				...parsed.output,
+				upstream: parsed.output.upstream as UpstreamId,
+				requestId: parsed.output.requestId,
+				fingerprint: parsed.output.fingerprint as Fingerprint | undefined,
+			})
 			: err(parsed.issues[0].message);
 	});
 }
--- a/packages/gateway/src/features/relay/relay-task.spec.ts
+++ b/packages/gateway/src/features/relay/relay-task.spec.ts
@@ -3,9 +3,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import {beforeEach, describe, it} from 'node:test';
-import {ManualClock, type UpstreamId} from '@cairnbank/core';
+import {ManualClock, type Fingerprint, type UpstreamId} from '@cairnbank/core';
 import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
+import type {SuspectRequest} from '../calls/suspect-request.js';
 import type {ExchangeFailure, UpstreamAnswer} from '../upstreams/exchange.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import {encodeHead, relayHeadHeader} from './relay-codec.js';
@@ -13,6 +14,7 @@
 
 const maximumRequests = 64;
 const busyStatus = 503;
+const fingerprint = 'request-request-reques' as Fingerprint;
 
 class FakeResponse {
 	status: number | undefined;
@@ -44,6 +46,8 @@
 	let cancelled: number;
 	let settle: Array<(result: Result<UpstreamAnswer, ExchangeFailure>) => void>;
 	let hasLostLink: boolean;
+	/** Fingerprints of the requests that were abandoned while an upstream was running them. */
+	let abandoned: Fingerprint[];
 
 	async function pause(): Promise<void> {
 		await new Promise(resolve => {
@@ -53,7 +57,7 @@
 
 	function createRequest(): IncomingMessage {
 		const head = encodeHead({
-			upstream: 'u1' as UpstreamId, method: 'GET', target: '/', headers: [], requestId: 'a', timeoutMs: 100,
+			upstream: 'u1' as UpstreamId, method: 'GET', target: '/', headers: [], requestId: 'a', fingerprint, timeoutMs: 100,
 		});
 		return Object.assign(Readable.from([]), {headers: {[relayHeadHeader]: head, 'content-length': '0'}, socket: {remoteAddress: '10.0.0.2'}}) as unknown as IncomingMessage;
 	}
@@ -70,7 +74,9 @@
 		cancelled = 0;
 		settle = [];
 		hasLostLink = false;
+		abandoned = [];
 		const channel = {
+			isConnected: true,
 			exchange: async () => new Promise<Result<UpstreamAnswer, ExchangeFailure>>(resolve => {
 				settle.push(resolve);
 			}),
@@ -84,6 +90,12 @@
 			isMember: () => true,
 			upstreamOf: () => upstream,
 			hasLostLink: () => hasLostLink,
+			poisonGuard: () => ({
+				recordAbandoned({fingerprint: fingerprintOf}: SuspectRequest) {
+					abandoned.push(fingerprintOf());
+				},
+				forgetAbandoned: () => undefined,
+			}),
 		} as unknown as RelayTaskOptions);
 	});
 
@@ -93,6 +105,17 @@
 		assert.equal(cancelled, 1);
 	});
 
+	it('should remember a request that is cancelled or times out, as its upstream may still crash under it', async () => {
+		await start();
+		settle[0]!(err({type: 'cancelled'}));
+		await start();
+		settle[1]!(err({type: 'timed-out'}));
+		await start();
+		settle[2]!(err({type: 'broken', message: 'reset'}));
+		await pause();
+		assert.deepEqual(abandoned, [fingerprint, fingerprint]);
+	});
+
 	it('should not cancel what runs on a connection after its own request has ended', async () => {
 		const response = await start();
 		settle[0]!(ok({status: 200, headers: [], body: Buffer.alloc(0)}));
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -4,11 +4,13 @@
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {UpstreamId} from '@cairnbank/core';
+import type {Fingerprint, UpstreamId} from '@cairnbank/core';
 import {err, ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import type {PoisonGuard} from '../calls/poison-guard.js';
+import type {SuspectRequest} from '../calls/suspect-request.js';
 import type {ExchangeFailure, UpstreamAnswer} from '../upstreams/exchange.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
@@ -38,6 +40,8 @@
 	readonly isMember: (host: string) => boolean;
 	/** Returns an upstream that takes new requests; undefined if it is not registered, leaves, or its zone is evacuated. */
 	readonly upstreamOf: (id: UpstreamId) => Upstream | undefined;
+	/** Counts crashes of upstreams under requests that are passed on. */
+	readonly poisonGuard: () => Pick<PoisonGuard, 'forgetAbandoned' | 'recordAbandoned'>;
 	/** Whether this instance has lost its own links to the upstream. */
 	readonly hasLostLink: (upstream: Upstream) => boolean;
 };
@@ -126,7 +130,7 @@
 	}
 
 	async #passOn(request: IncomingMessage, response: ServerResponse, {head, upstream}: {readonly head: RelayHead; readonly upstream: Upstream}): Promise<void> {
-		const {metrics} = this.#options.context;
+		const {context: {metrics}, poisonGuard} = this.#options;
 		const body = await readAll(request);
 		if (body === undefined) {
 			return;
@@ -147,11 +151,25 @@
 				channel.cancel();
 			}
 		});
-		const {upstream: _, ...outgoing} = head;
-		const result = await channel.exchange({...outgoing, timeoutMs: Math.min(maximumTimeoutMs, head.timeoutMs), body: body.length === 0 ? undefined : body});
+		const {upstream: _, fingerprint, ...outgoing} = head;
+		const result = await channel.exchange({
+			...outgoing,
+			timeoutMs: Math.min(maximumTimeoutMs, head.timeoutMs),
+			body: body.length === 0 ? undefined : body,
+			onLateEnd(late) {
+				if (late.isOk()) {
+					poisonGuard().forgetAbandoned(head.requestId, upstream);
+				}
+			},
+		});
 		isRunning = false;
 		this.#running.delete(channel);
 		upstream.pool.release(channel);
+		const isAbandoned = result.isErr() && (result.error.type === 'cancelled' || result.error.type === 'timed-out');
+		if (fingerprint !== undefined && isAbandoned && channel.isConnected) {
+			poisonGuard().recordAbandoned(suspectOfRelayed(head, fingerprint), upstream, {isAnswered: false});
+		}
+
 		metrics.relayed.inc({side: 'received', result: result.isOk() ? 'passed-on' : result.error.type});
 		writeResult(response, result.mapErr(failure => failure.type === 'cancelled' ? {type: 'broken', message: 'cancelled by the passing instance'} : failure));
 	}
@@ -171,6 +189,10 @@
 	}
 }
 
+function suspectOfRelayed({requestId, method, target}: RelayHead, fingerprint: Fingerprint): SuspectRequest {
+	return {requestId, fingerprint: () => fingerprint, description: {method, target, isRelayed: true}};
+}
+
 /** @returns undefined if the connection ended before the whole body arrived */
 async function readAll(request: IncomingMessage): Promise<Uint8Array | undefined> {
 	const chunks: Uint8Array[] = [];
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -77,12 +77,14 @@
 		}
 	}
 
-	#send(peer: RelayPeer, {body, timeoutMs, onLateEnd: _, ...head}: OutgoingRequest): void {
+	#send(peer: RelayPeer, {body, timeoutMs, fingerprint, onLateEnd: _, ...head}: OutgoingRequest): void {
 		const {agent, port, localAddress, upstream} = this.#options;
 		const request = httpRequest({
 			agent, host: peer.host, port, localAddress, method: 'POST', path: relayPath, maxHeaderSize: maximumRelayHeaderBytes,
 			headers: {
-				[relayHeadHeader]: encodeHead({...head, upstream, timeoutMs: Math.max(1, timeoutMs - relayHopMs)}),
+				[relayHeadHeader]: encodeHead({
+					...head, upstream, fingerprint: fingerprint?.(), timeoutMs: Math.max(1, timeoutMs - relayHopMs),
+				}),
 				'Content-Length': body?.length ?? 0,
 			},
 		});
--- a/packages/gateway/src/features/upstreams/channel-pool.ts
+++ b/packages/gateway/src/features/upstreams/channel-pool.ts
@@ -64,6 +64,13 @@
 		return this.#options.connections.open();
 	}
 
+	/** Opens a connection of this instance if there is none and it has a link to the upstream. */
+	ensureOpen(): void {
+		if (!this.path.isRelayed) {
+			this.#options.connections.ensureOpen();
+		}
+	}
+
 	/** Returns a channel after its exchange. */
 	release(channel: UpstreamChannel): void {
 		if (channel instanceof UpstreamConnection) {
--- a/packages/gateway/src/features/upstreams/connection-pool.spec.ts
+++ b/packages/gateway/src/features/upstreams/connection-pool.spec.ts
@@ -5,15 +5,26 @@
 import {
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {ConnectionPool, type OpeningReason} from './connection-pool.js';
 import type {UpstreamConnection} from './upstream-connection.js';
 
 const idleMs = 4000;
+const maximumTurns = 100_000;
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+	for (let turn = 0; turn < maximumTurns && !condition(); turn++) {
+		await nextTurn();
+	}
+
+	assert.ok(condition());
+}
 
 describe('ConnectionPool', () => {
 	let server: Server;
 	let pool: ConnectionPool;
 	let nowMs = 0;
+	let losses: number;
 	const reasons: OpeningReason[] = [];
 
 	beforeEach(async () => {
@@ -24,6 +35,7 @@
 		await once(server, 'listening');
 		reasons.length = 0;
 		nowMs = 0;
+		losses = 0;
 		pool = new ConnectionPool({
 			host: '127.0.0.1',
 			port: (server.address() as AddressInfo).port,
@@ -35,6 +47,9 @@
 			},
 			onAnswered: () => undefined,
 			onNotConnected: () => undefined,
+			onLost() {
+				losses += 1;
+			},
 		});
 	});
 
@@ -94,4 +109,30 @@
 		pool.open().close();
 		assert.deepEqual(reasons, ['first', 'closed', 'check']);
 	});
+
+	describe('watching an upstream', () => {
+		it('should open a connection if none is open, and use it for the next request', async () => {
+			pool.ensureOpen();
+			pool.ensureOpen();
+			assert.deepEqual(reasons, ['watch']);
+			await waitUntil(() => pool.state === 'idle');
+			await exchange(pool.take());
+			assert.deepEqual(reasons, ['watch']);
+		});
+
+		it('should not count a connection that is closed because its request was cancelled', async () => {
+			const connection = pool.take();
+			connection.cancel();
+			pool.release(connection);
+			pool.ensureOpen();
+			assert.deepEqual(reasons, ['first', 'watch']);
+		});
+
+		it('should report that the upstream has ended while no request was running', async () => {
+			pool.ensureOpen();
+			await waitUntil(() => pool.state === 'idle');
+			server.closeAllConnections();
+			await waitUntil(() => losses === 1);
+		});
+	});
 });
--- a/packages/gateway/src/features/upstreams/connection-pool.ts
+++ b/packages/gateway/src/features/upstreams/connection-pool.ts
@@ -3,12 +3,12 @@
 import {UpstreamConnection, type UpstreamConnectionOptions} from './upstream-connection.js';
 
 /**
- * Why a connection is opened: none was open before, all were in use, the idle ones had expired, all had been closed, or a check needs a
- * new one.
+ * Reason for which a connection is opened: none was open before, all were in use, the idle ones had expired, all had been closed, a check
+ * needs a new one, or the upstream is watched.
  */
-export type OpeningReason = 'first' | 'occupied' | 'expired' | 'closed' | 'check';
+export type OpeningReason = 'first' | 'occupied' | 'expired' | 'closed' | 'check' | 'watch';
 
-export type ConnectionPoolOptions = Omit<UpstreamConnectionOptions, 'onClosed'> & {
+export type ConnectionPoolOptions = Omit<UpstreamConnectionOptions, 'onClosed' | 'onIdle'> & {
 	readonly onOpened: (reason: OpeningReason) => void;
 };
 
@@ -56,11 +56,19 @@
 		return this.#connect('check');
 	}
 
+	/** Opens a connection if there is none, so that the end of the upstream shows; later requests use it. */
+	ensureOpen(): void {
+		if (this.#open.size === 0) {
+			this.#connect('watch');
+		}
+	}
+
 	/** Returns a connection to the pool after its exchange, or closes it if it is not reusable. */
 	release(connection: UpstreamConnection): void {
 		if (connection.isReusable) {
 			this.#idle.push(connection);
 		} else {
+			this.#open.delete(connection);
 			connection.close();
 		}
 	}
@@ -100,6 +108,9 @@
 		this.#hasOpened = true;
 		const connection = new UpstreamConnection({
 			...this.#options,
+			onIdle: idle => {
+				this.#idle.push(idle);
+			},
 			onClosed: closed => {
 				this.#open.delete(closed);
 			},
--- a/packages/gateway/src/features/upstreams/exchange.ts
+++ b/packages/gateway/src/features/upstreams/exchange.ts
@@ -1,4 +1,5 @@
 /** Types of one request to one upstream and its result, and readers for the headers of answers. */
+import type {Fingerprint} from '@cairnbank/core';
 import type {UpstreamAdvisory} from '@cairnbank/core/advisories';
 import type {AdvertisedLimit} from '@cairnbank/core/limits';
 import type {LoadReport} from '@cairnbank/core/placement';
@@ -36,6 +37,8 @@
 	readonly body: Uint8Array | undefined;
 	/** An answer with another id belongs to an earlier request and is ignored. */
 	readonly requestId: string | undefined;
+	/** Identifies the request if upstreams crash under it; undefined for health checks. */
+	readonly fingerprint?: (() => Fingerprint) | undefined;
 	readonly timeoutMs: number;
 	/** Called if a request that was cancelled or timed out ends shortly afterwards: its answer may ask for a back-off, and a broken connection may show a crash. */
 	readonly onLateEnd?: ((result: Result<UpstreamAnswer, ExchangeFailure>) => void) | undefined;
--- a/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
@@ -38,6 +38,8 @@
 		now: () => performance.now(),
 		onAnswered: () => undefined,
 		onNotConnected: () => undefined,
+		onIdle: () => undefined,
+		onLost: () => undefined,
 		onClosed,
 	});
 }
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -26,6 +26,10 @@
 	readonly onAnswered: () => void;
 	/** Called when the connection could not be opened. */
 	readonly onNotConnected: (isTimeout: boolean) => void;
+	/** Called when the connection is open and carries no request yet. */
+	readonly onIdle: (connection: UpstreamConnection) => void;
+	/** Called when the upstream has refused or closed the connection while it carried no request. */
+	readonly onLost: () => void;
 	readonly onClosed: (connection: UpstreamConnection) => void;
 };
 
@@ -159,6 +163,7 @@
 		const pending = this.#pending;
 		if (pending === undefined) {
 			this.#idleUntilMs = this.#options.now() + defaultIdleMs;
+			this.#options.onIdle(this);
 			return;
 		}
 
@@ -230,8 +235,12 @@
 	}
 
 	#fail(failure: ExchangeFailure): void {
-		this.#destroy();
 		const pending = this.#pending;
+		if (pending === undefined && !this.#isClosed) {
+			this.#options.onLost();
+		}
+
+		this.#destroy();
 		this.#pending = undefined;
 		if (pending !== undefined) {
 			if (failure.type === 'not-connected') {
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -31,6 +31,8 @@
 	readonly openRelayed: (upstream: RegisteredUpstream, preferredHost?: string) => UpstreamChannel;
 	/** Called when an upstream could not be reached. */
 	readonly onUnreachable: () => void;
+	/** Called when an upstream has refused a connection, or closed one that carried no request. */
+	readonly onConnectionLost: (upstream: RegisteredUpstream) => void;
 };
 
 export class UpstreamsTask implements Task {
@@ -118,6 +120,13 @@
 		}
 	}
 
+	/** Keeps a connection to an upstream open, so that it shows if the upstream ends. */
+	watch(upstream: Upstream): void {
+		if (this.#upstreams.get(upstream.registered.id) === upstream && this.isInService(upstream)) {
+			upstream.pool.ensureOpen();
+		}
+	}
+
 	/** Whether anything may be sent to the upstream, including health checks. */
 	isInService({registered}: Upstream): boolean {
 		return !this.#emptied.has(registered.availabilityZone);
@@ -180,7 +189,9 @@
 	}
 
 	#createPool(registered: RegisteredUpstream): ChannelPool {
-		const {context: {clock, metrics}, dialect, links, openRelayed} = this.#options;
+		const {
+			context: {clock, metrics}, dialect, links, onConnectionLost, openRelayed,
+		} = this.#options;
 		const path = new PathState(clock);
 		const connections = new ConnectionPool({
 			host: registered.host,
@@ -198,6 +209,12 @@
 			onNotConnected(isTimeout) {
 				path.recordOwnLinkFailure();
 				links.recordFailure(registered, isTimeout);
+				if (!isTimeout) {
+					onConnectionLost(registered);
+				}
+			},
+			onLost() {
+				onConnectionLost(registered);
 			},
 		});
 		return new ChannelPool({connections, path, openRelayed: preferredHost => openRelayed(registered, preferredHost)});
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -14,6 +14,7 @@
 import {Authenticator} from './features/calls/authenticator.js';
 import {CallersTask} from './features/calls/callers-task.js';
 import {PoisonGuard} from './features/calls/poison-guard.js';
+import {suspectOf} from './features/calls/suspect-request.js';
 import {RetryBudgets} from './features/calls/retry-budgets.js';
 import {StartupGate} from './features/calls/startup-gate.js';
 import {DirectoryTask} from './features/directory/directory-task.js';
@@ -103,9 +104,16 @@
 		onUnreachable() {
 			recheck.schedule();
 		},
+		onConnectionLost({id, startedAtMs}) {
+			const upstream = upstreams.get(id);
+			if (upstream?.registered.startedAtMs === startedAtMs) {
+				void guard.handleLostConnection(upstream);
+			}
+		},
 	});
 	const relay = new RelayTask({
 		context,
+		poisonGuard: () => guard,
 		isMember: host => fleet.isMember(host),
 		upstreamOf: id => upstreams.receiving(id),
 		hasLostLink: upstream => links.hasLostLink(upstream),
@@ -219,6 +227,9 @@
 		context,
 		table: crashes,
 		hasCrashed: async upstream => prober.hasEnded(upstream),
+		watch(upstream) {
+			upstreams.watch(upstream);
+		},
 		announce(record) {
 			fleet.announceSuspect(record);
 		},
@@ -262,6 +273,12 @@
 			onConnectionBroken(call, upstream) {
 				void guard.handleBrokenConnection(call, upstream);
 			},
+			onAbandoned(call, upstream, abandonment) {
+				guard.recordAbandoned(suspectOf(call), upstream, abandonment);
+			},
+			onAbandonedAnswered({requestId}, upstream) {
+				guard.forgetAbandoned(requestId, upstream);
+			},
 			authenticator,
 			poisonGuard: guard,
 			pause: async durationMs => delay(durationMs),
