--- a/packages/gateway/src/features/upstreams/connection-pool.spec.ts
+++ b/packages/gateway/src/features/upstreams/connection-pool.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
@@ -129,9 +129,11 @@
 		});
 
 		it('should report that the upstream has ended while no request was running', async () => {
+			const accepted = once(server, 'connection');
 			pool.ensureOpen();
+			const [socket] = await accepted as [Socket];
 			await waitUntil(() => pool.state === 'idle');
-			server.closeAllConnections();
+			socket.destroy();
 			await waitUntil(() => losses === 1);
 		});
 	});
--- a/packages/gateway/src/features/upstreams/connection-pool.ts
+++ b/packages/gateway/src/features/upstreams/connection-pool.ts
@@ -17,6 +17,8 @@
 	readonly #open = new Set<UpstreamConnection>();
 	/** In the order of last use, most recently used last. */
 	#idle: UpstreamConnection[] = [];
+	/** The connection that is being opened to watch the upstream. */
+	#watching: UpstreamConnection | undefined;
 	#hasOpened = false;
 
 	constructor(options: ConnectionPoolOptions) {
@@ -59,7 +61,7 @@
 	/** Opens a connection if there is none, so that the end of the upstream shows; later requests use it. */
 	ensureOpen(): void {
 		if (this.#open.size === 0) {
-			this.#connect('watch');
+			this.#watching = this.#connect('watch');
 		}
 	}
 
@@ -88,6 +90,8 @@
 
 	/** Closes the idle connections; those in use end with their exchange. */
 	close(): void {
+		this.#watching?.close();
+		this.#watching = undefined;
 		for (const connection of this.#idle) {
 			connection.close();
 		}
@@ -109,6 +113,7 @@
 		const connection = new UpstreamConnection({
 			...this.#options,
 			onIdle: idle => {
+				this.#watching = undefined;
 				this.#idle.push(idle);
 			},
 			onClosed: closed => {
