A run that ends well clears a request only where the same software runs, and only of crashes before it began

Callers saw: of a route that is split among two services, or while two versions of one run, the request that crashes one of them went on crashing it: each run at the other cleared it everywhere. Cause: a crash record knew neither service nor version, so an answer of any upstream counted as proof about all; and it counted from its end, so that a run that had begun before a crash cleared that crash. Fix: crashes, successful runs and trials are kept by the build of the upstream (service and version, from the registry). A run clears crashes at its own build up to its start. A request with three crashes runs on at a build where it has run well since, is refused or tried at the others, and is refused on arrival only if no build of its service may run it. Instances of the build before this one read what they read so far; what they report counts for all builds.

--- a/packages/core/src/poison/crash-table.ts
+++ b/packages/core/src/poison/crash-table.ts
@@ -6,7 +6,10 @@
 import type {Fingerprint} from '../model/fingerprint-schema.js';
 import type {UpstreamId} from '../model/ids.js';
 import {hashText} from '../routing/hash-text.js';
-import {lastChangeMs, mergeCrashRecords, type CrashRecord} from './crash-record.js';
+import {
+	lastChangeMs, mergeCrashRecords, type BuildRuns, type CrashRecord,
+} from './crash-record.js';
+import {unknownBuild, type UpstreamBuild} from './upstream-build.js';
 
 /** Upstreams crash for other reasons too, and then every request that they were running is suspected. */
 export const crashesBeforeRefusal = 3;
@@ -61,7 +64,7 @@
 	get digest(): number {
 		this.#removeExpired();
 		return [...this.#records.values()].filter(({crashes}) => crashes.length >= crashesBeforeExchange)
-			.reduce((sum, {fingerprint, crashes}) => (sum + hashText(`${fingerprint} ${Math.min(crashes.length, crashesBeforeRefusal)}`)) % digestRange, 0);
+			.reduce((sum, record) => (sum + hashText(summaryOf(record))) % digestRange, 0);
 	}
 
 	crashesOf(fingerprint: Fingerprint): number {
@@ -73,14 +76,15 @@
 		return this.#records.get(fingerprint)?.crashes.some(crash => crash.upstream === upstream) ?? false;
 	}
 
-	decide(fingerprint: Fingerprint): CrashDecision {
+	/** Decides whether a request may run at an upstream of this build. */
+	decide(fingerprint: Fingerprint, build: UpstreamBuild): CrashDecision {
 		const record = this.#records.get(fingerprint);
-		if (record === undefined || record.crashes.length < crashesBeforeRefusal) {
+		if (record === undefined || record.crashes.length < crashesBeforeRefusal || isProven(record, build)) {
 			return {type: 'run'};
 		}
 
 		const nowMs = this.#clock.monotonicMs();
-		const trialAtMs = nextTrialMs(record);
+		const trialAtMs = nextTrialMs(record, build);
 		if (nowMs < trialAtMs) {
 			return {type: 'refuse', retryAfterMs: trialAtMs - nowMs};
 		}
@@ -90,25 +94,30 @@
 	}
 
 	/** @returns the record, which must be sent to all other instances */
-	recordCrash(fingerprint: Fingerprint, upstream: UpstreamId): CrashRecord {
-		return this.#merge({fingerprint, crashes: [{upstream, atMs: this.#clock.monotonicMs()}]});
+	recordCrash(fingerprint: Fingerprint, upstream: UpstreamId, build: UpstreamBuild): CrashRecord {
+		return this.#merge({fingerprint, crashes: [{upstream, build, atMs: this.#clock.monotonicMs()}], runs: []});
 	}
 
 	/** @returns the record, which must be sent to all other instances before the request is sent */
-	beginTrial(fingerprint: Fingerprint): CrashRecord {
-		const count = (this.#records.get(fingerprint)?.trial?.count ?? 0) + 1;
-		return this.#merge({fingerprint, crashes: [], trial: {startedAtMs: this.#clock.monotonicMs(), count}});
+	beginTrial(fingerprint: Fingerprint, build: UpstreamBuild): CrashRecord {
+		const count = (runsOf(this.#records.get(fingerprint), build)?.trial?.count ?? 0) + 1;
+		return this.#merge({fingerprint, crashes: [], runs: [{build, trial: {startedAtMs: this.#clock.monotonicMs(), count}}]});
 	}
 
-	/** @returns the record, which must be sent to all other instances; undefined if they need not know that the request is no longer suspected */
-	recordSuccess(fingerprint: Fingerprint): CrashRecord | undefined {
-		const crashes = this.crashesOf(fingerprint);
-		if (crashes === 0) {
+	/**
+	 * Records a run that ended well. It says nothing about upstreams of another build, nor about crashes after it had begun.
+	 *
+	 * @returns the record, which must be sent to all other instances; undefined if they need not know of the run
+	 */
+	recordSuccess(fingerprint: Fingerprint, build: UpstreamBuild, startedAtMs: number): CrashRecord | undefined {
+		const known = this.#records.get(fingerprint);
+		if (known === undefined || known.crashes.length === 0) {
 			return undefined;
 		}
 
-		const record = this.#merge({fingerprint, crashes: [], clearedAtMs: this.#clock.monotonicMs()});
-		return crashes >= crashesBeforeExchange ? record : undefined;
+		const record = this.#merge({fingerprint, crashes: [], runs: [{build, clearedAtMs: startedAtMs}]});
+		const isWorthReporting = known.crashes.length >= crashesBeforeExchange && summaryOf(record) !== summaryOf(known);
+		return isWorthReporting ? record : undefined;
 	}
 
 	/** Takes in a record of another instance. @returns the crashes that this instance did not know */
@@ -125,14 +134,14 @@
 	/** Records for an instance whose digest differs, the most suspicious first. */
 	shared(): readonly CrashRecord[] {
 		this.#removeExpired();
-		const records = [...this.#records.values()].filter(({crashes, clearedAtMs}) => crashes.length >= crashesBeforeExchange || clearedAtMs !== undefined);
+		const records = [...this.#records.values()].filter(({crashes, runs}) => crashes.length >= crashesBeforeExchange || runs.some(({clearedAtMs}) => clearedAtMs !== undefined));
 		return records.toSorted(compareSuspicion).toReversed().slice(0, maximumSharedRecords);
 	}
 
 	#merge(record: CrashRecord): CrashRecord {
 		const {fingerprint} = record;
 		const known = this.#records.get(fingerprint);
-		const merged = mergeCrashRecords(known ?? {fingerprint, crashes: []}, record);
+		const merged = mergeCrashRecords(known ?? {fingerprint, crashes: [], runs: []}, record);
 		this.#remove(fingerprint);
 		this.#records.set(fingerprint, merged);
 		this.#suspectedCount += merged.crashes.length > 0 ? 1 : 0;
@@ -166,9 +175,29 @@
 	}
 }
 
-/** Time from which the owner of the trial may run the request. */
-function nextTrialMs({crashes, trial}: CrashRecord): number {
-	const lastCrashMs = crashes.at(-1)!.atMs;
+function runsOf(record: CrashRecord | undefined, build: UpstreamBuild): BuildRuns | undefined {
+	return record?.runs.find(each => each.build === build);
+}
+
+function crashesAt({crashes}: CrashRecord, build: UpstreamBuild) {
+	return crashes.filter(crash => crash.build === build || crash.build === unknownBuild);
+}
+
+/** Whether the request has run well at this build, and crashed none of its upstreams since. */
+function isProven(record: CrashRecord, build: UpstreamBuild): boolean {
+	return runsOf(record, build)?.clearedAtMs !== undefined && crashesAt(record, build).length === 0;
+}
+
+/** Describes what decides about a request; equal for instances that know the same. */
+function summaryOf(record: CrashRecord): string {
+	const proven = record.runs.map(({build}) => build).filter(build => isProven(record, build));
+	return [record.fingerprint, Math.min(record.crashes.length, crashesBeforeRefusal), ...proven].join(' ');
+}
+
+/** Time from which the owner of the trial may run the request at an upstream of this build. */
+function nextTrialMs(record: CrashRecord, build: UpstreamBuild): number {
+	const trial = runsOf(record, build)?.trial;
+	const lastCrashMs = (crashesAt(record, build).at(-1) ?? record.crashes.at(-1)!).atMs;
 	if (trial === undefined) {
 		return lastCrashMs + trialDelayMs;
 	}
--- a/packages/core/src/registry/registered-upstream.ts
+++ b/packages/core/src/registry/registered-upstream.ts
@@ -10,6 +10,8 @@
 	/** Increases with each entry that the upstream writes after one start. */
 	readonly sequence: number;
 	readonly service: ServiceId;
+	/** Version of its software; undefined if it was learned from an instance that doesn't report versions. */
+	readonly version?: string | undefined;
 	readonly host: string;
 	readonly port: number;
 	readonly availabilityZone: AvailabilityZoneId;
--- a/packages/gateway/src/features/calls/abandoned-requests.ts
+++ b/packages/gateway/src/features/calls/abandoned-requests.ts
@@ -3,49 +3,48 @@
  * also if it has closed the connection at once.
  */
 import type {Clock, UpstreamId} from '@cairnbank/core';
+import type {UpstreamBuild} from '@cairnbank/core/upstream-build';
 import type {SuspectRequest} from './suspect-request.js';
 
 /** Time after which an upstream has stopped working on an abandoned request. */
 const retentionMs = 1000;
 const maximumRequests = 512;
 
-type AbandonedRequest = {
-	/** Start id of the upstream that was running the request. */
-	readonly upstream: UpstreamId;
-	readonly requestId: string | undefined;
+/** A request at one process of an upstream. */
+export type SuspectRun = {
 	readonly suspect: SuspectRequest;
-	readonly atMs: number;
+	/** Start id of the upstream. */
+	readonly upstream: UpstreamId;
+	readonly build: UpstreamBuild;
 };
 
+type AbandonedRun = SuspectRun & {readonly atMs: number};
+
 export class AbandonedRequests {
 	readonly #clock: Clock;
 	/** The oldest first. */
-	#requests: readonly AbandonedRequest[] = [];
+	#runs: readonly AbandonedRun[] = [];
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
 	}
 
-	record(upstream: UpstreamId, suspect: SuspectRequest): void {
-		const atMs = this.#clock.monotonicMs();
-		const {requestId} = suspect;
-		this.#requests = [...this.#recent().slice(1 - maximumRequests), {
-			upstream, requestId, suspect, atMs,
-		}];
+	record(run: SuspectRun): void {
+		this.#runs = [...this.#recent().slice(1 - maximumRequests), {...run, atMs: this.#clock.monotonicMs()}];
 	}
 
 	/** Forgets a request whose run has ended with an answer. */
 	forget(upstream: UpstreamId, requestId: string | undefined): void {
-		this.#requests = this.#requests.filter(request => request.upstream !== upstream || request.requestId !== requestId);
+		this.#runs = this.#runs.filter(run => run.upstream !== upstream || run.suspect.requestId !== requestId);
 	}
 
 	/** Returns the requests that the upstream may still be running. */
-	at(upstream: UpstreamId): readonly SuspectRequest[] {
-		return this.#recent().filter(request => request.upstream === upstream).map(({suspect}) => suspect);
+	at(upstream: UpstreamId): readonly SuspectRun[] {
+		return this.#recent().filter(run => run.upstream === upstream);
 	}
 
-	#recent(): readonly AbandonedRequest[] {
+	#recent(): readonly AbandonedRun[] {
 		const oldestMs = this.#clock.monotonicMs() - retentionMs;
-		return this.#requests.filter(({atMs}) => atMs >= oldestMs);
+		return this.#runs.filter(({atMs}) => atMs >= oldestMs);
 	}
 }
--- a/packages/gateway/src/features/calls/attempt-gate.ts
+++ b/packages/gateway/src/features/calls/attempt-gate.ts
@@ -35,7 +35,7 @@
 
 		switch (kind) {
 			case 'first': {
-				return this.#hasEnoughRoom(placement) && this.#isAdmitted(placement) && this.#isAllowedAfterCrashes();
+				return this.#hasEnoughRoom(placement) && this.#isAdmitted(placement) && this.#isAllowedAfterCrashes(placement);
 			}
 
 			case 'hedge': {
@@ -43,11 +43,11 @@
 					this.#options.onDecision('hedge-skipped:all-busy');
 				}
 
-				return placement.isLightlyLoaded && this.#isAllowedAfterCrashes() && this.#options.retries.tryTake();
+				return placement.isLightlyLoaded && this.#isAllowedAfterCrashes(placement) && this.#options.retries.tryTake();
 			}
 
 			case 'repeat': {
-				return this.#hasEnoughRoom(placement) && this.#isAllowedAfterCrashes();
+				return this.#hasEnoughRoom(placement) && this.#isAllowedAfterCrashes(placement);
 			}
 		}
 	}
@@ -99,10 +99,10 @@
 		return refusal === undefined;
 	}
 
-	/** Whether the request may run in spite of upstreams that crashed under it; more may have crashed since it was received. */
-	#isAllowedAfterCrashes(): boolean {
+	/** Returns whether the request may run there in spite of upstreams that crashed under it; more may have crashed since it was received. */
+	#isAllowedAfterCrashes({upstream}: Placement): boolean {
 		const {dependencies: {poisonGuard}, call, attempts, onDecision} = this.#options;
-		const retryAfterMs = poisonGuard.admit(call);
+		const retryAfterMs = poisonGuard.admit(call, upstream);
 		if (retryAfterMs !== undefined) {
 			attempts.recordSuspected(retryAfterMs);
 			onDecision('refused:suspected-poison');
--- a/packages/gateway/src/features/calls/attempt.spec.ts
+++ b/packages/gateway/src/features/calls/attempt.spec.ts
@@ -51,7 +51,7 @@
 	const dependencies = {
 		clock, dialect, metrics: createMetrics(), workEstimates: {update: () => undefined},
 		fullResets: new FullResets(clock), advisories: {received: () => undefined}, rateLimits: {answered: () => undefined},
-		onAbandoned: () => undefined, onAbandonedAnswered: () => undefined,
+		poisonGuard: {recordAnswer: () => undefined}, onAbandoned: () => undefined, onAbandonedAnswered: () => undefined,
 	} as unknown as CallDependencies;
 	const call = {
 		method: 'GET', target: '/', headers: [], route: {id: 'r'},
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -68,7 +68,7 @@
 			this.#learn(result.value, sentAtMs);
 		}
 
-		this.#recordVerdict(verdict, clock.monotonicMs() - sentAtMs);
+		this.#recordVerdict(verdict, sentAtMs);
 		return verdict;
 	}
 
@@ -126,6 +126,10 @@
 		];
 	}
 
+	#recordAnswer({status}: UpstreamAnswer, sentAtMs: number): void {
+		this.#dependencies.poisonGuard.recordAnswer(this.#call, this.#placement.upstream, {status, sentAtMs});
+	}
+
 	/** Takes in what an answer says of its upstream, also if the call no longer waits for it. */
 	#learn(answer: UpstreamAnswer, sentAtMs: number): void {
 		const {dialect, rateLimits, advisories} = this.#dependencies;
@@ -177,12 +181,14 @@
 		}
 	}
 
-	#recordVerdict(verdict: ExchangeVerdict, tookMs: number): void {
+	#recordVerdict(verdict: ExchangeVerdict, sentAtMs: number): void {
 		const {upstream, durationRatio} = this.#placement;
+		const tookMs = this.#dependencies.clock.monotonicMs() - sentAtMs;
 		const {condition} = upstream;
 		switch (verdict.type) {
 			case 'success': {
 				condition.recordSuccess();
+				this.#recordAnswer(verdict.answer, sentAtMs);
 				this.#dependencies.workEstimates.update(this.#call.route.id, tookMs, durationRatio);
 				break;
 			}
@@ -200,6 +206,7 @@
 
 			case 'upstream-failure': {
 				condition.recordFailure();
+				this.#recordAnswer(verdict.answer, sentAtMs);
 				break;
 			}
 
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -33,8 +33,8 @@
 	readonly place: (request: PlacementRequest) => Promise<Placement | undefined>;
 	/** Checks whether requests that have waited may still be sent. */
 	readonly authenticator: Pick<Authenticator, 'recheck'>;
-	/** Decides whether requests that may crash upstreams are sent. */
-	readonly poisonGuard: Pick<PoisonGuard, 'admit'>;
+	/** Decides whether requests that may crash upstreams are sent, and learns from their runs. */
+	readonly poisonGuard: Pick<PoisonGuard, 'admit' | 'recordAnswer'>;
 	/** Called when a connection broke while the upstream was processing the call. */
 	readonly onConnectionBroken: (call: Call, upstream: Upstream) => void;
 	/** Called when an attempt was cancelled or has timed out while the upstream was processing the call. */
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -102,7 +102,7 @@
 			budget: () => this.budget,
 			share: () => share,
 			authenticator: {recheck: () => this.authenticationRefusal},
-			poisonGuard: {admit: () => this.refusedForMs},
+			poisonGuard: {admit: () => this.refusedForMs, recordAnswer: () => undefined},
 			onConnectionBroken: () => undefined,
 			onAbandoned: () => undefined,
 			onAbandonedAnswered: () => undefined,
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -192,10 +192,6 @@
 		const outcome = await run.run();
 		this.#runningCalls.delete(run);
 		this.#options.accountLimits.complete(admittance, outcome, run.attemptsSent > 0);
-		if (outcome.type === 'answered') {
-			this.#options.poisonGuard.recordSuccess(call, outcome.answer.status);
-		}
-
 		const tookMs = this.#options.context.clock.monotonicMs() - head.receivedAtMs;
 		this.#respond(response, outcome, {...fields, tookMs: Math.round(tookMs), decisions: run.decisions.join(' ')}, run.attemptsSent === 1);
 		this.#options.context.metrics.requestSeconds.observe({outcome: outcome.type}, tookMs / 1000);
--- a/packages/gateway/src/features/calls/poison-guard.spec.ts
+++ b/packages/gateway/src/features/calls/poison-guard.spec.ts
@@ -6,6 +6,7 @@
 import {digestKey} from '@cairnbank/core/accounts';
 import type {CrashRecord} from '@cairnbank/core/crash-record';
 import {CrashTable} from '@cairnbank/core/crash-table';
+import {unknownBuild} from '@cairnbank/core/upstream-build';
 import {createMetrics} from '../../metrics/metrics.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import type {Call} from './call.js';
@@ -22,7 +23,10 @@
 }
 
 function upstreamOf(id: string): Upstream {
-	return {registered: {id, startedAtMs: 0}} as unknown as Upstream;
+	const registered = {
+		id, startedAtMs: 0, service: 'ledger', version: 'v1',
+	};
+	return {registered} as unknown as Upstream;
 }
 
 /** Returns a guard that has seen a request crash as many upstreams as lead to a refusal. */
@@ -44,18 +48,18 @@
 describe('PoisonGuard', () => {
 	it('should refuse a request of an account that crashes upstreams, whichever of its keys it comes with', async () => {
 		const guard = await guardAfterCrashes(callOf('shop', 'first'));
-		assert.notEqual(guard.admit(callOf('shop', 'second')), undefined);
+		assert.notEqual(guard.admit(callOf('shop', 'second'), upstreamOf('next')), undefined);
 	});
 
 	it('should not refuse equal requests of other accounts', async () => {
 		const guard = await guardAfterCrashes(callOf('shop'));
-		assert.equal(guard.admit(callOf('bank')), undefined);
-		assert.equal(guard.admit(callOf(undefined)), undefined);
+		assert.equal(guard.admit(callOf('bank'), upstreamOf('next')), undefined);
+		assert.equal(guard.admit(callOf(undefined), upstreamOf('next')), undefined);
 	});
 
 	it('should take all requests without an account together', async () => {
 		const guard = await guardAfterCrashes(callOf(undefined));
-		assert.notEqual(guard.admit(callOf(undefined)), undefined);
+		assert.notEqual(guard.admit(callOf(undefined), upstreamOf('next')), undefined);
 	});
 
 	describe('with requests that were abandoned while an upstream was running them', () => {
@@ -126,7 +130,7 @@
 
 		it('should count a crash that another instance reports for another request', () => {
 			abandon();
-			guard.receive([{fingerprint: 'another-another-anothe' as Fingerprint, crashes: [{upstream: 'u1' as UpstreamId, atMs: 0}]}]);
+			guard.receive([{fingerprint: 'another-another-anothe' as Fingerprint, crashes: [{upstream: 'u1' as UpstreamId, build: unknownBuild, atMs: 0}], runs: []}]);
 			assert.equal(announced.length, 1);
 		});
 
--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -1,11 +1,12 @@
 /** Blocks requests that crash upstreams. Crashes are shared, so that all instances block the same requests. */
-import type {UpstreamId} from '@cairnbank/core';
+import type {ServiceId, UpstreamId} from '@cairnbank/core';
 import type {CrashRecord} from '@cairnbank/core/crash-record';
-import type {CrashTable} from '@cairnbank/core/crash-table';
+import type {CrashDecision, CrashTable} from '@cairnbank/core/crash-table';
 import {startIdOf} from '@cairnbank/core/registry';
+import {buildOf, type UpstreamBuild} from '@cairnbank/core/upstream-build';
 import type {Context} from '../../kernel/context.js';
 import type {Upstream} from '../upstreams/upstream.js';
-import {AbandonedRequests} from './abandoned-requests.js';
+import {AbandonedRequests, type SuspectRun} from './abandoned-requests.js';
 import type {Call} from './call.js';
 import {fingerprintOfCall, suspectOf, type SuspectRequest} from './suspect-request.js';
 
@@ -14,6 +15,8 @@
 	readonly table: CrashTable;
 	/** Whether an upstream that broke a connection is gone. */
 	readonly hasCrashed: (upstream: Upstream) => Promise<boolean>;
+	/** Returns the builds of the upstreams that take requests for a service. */
+	readonly buildsOf: (service: ServiceId) => ReadonlySet<UpstreamBuild>;
 	/** Keeps a connection to an upstream open, so that it shows if the upstream ends. */
 	readonly watch: (upstream: Upstream) => void;
 	/** Sends a record to all other instances. */
@@ -23,6 +26,12 @@
 /** How a crash became known: by an attempt that was waited for, after it was abandoned, or from another instance. */
 type CrashSource = 'own' | 'abandoned' | 'instance';
 
+export type AnsweredRun = {
+	readonly status: number;
+	/** Time at which the request was sent to the upstream. */
+	readonly sentAtMs: number;
+};
+
 export type Abandonment = {
 	/** Whether another attempt has answered the request, which then is no likely cause of a crash. */
 	readonly isAnswered: boolean;
@@ -41,28 +50,31 @@
 		this.#abandoned = new AbandonedRequests(options.context.clock);
 	}
 
-	/** @returns the delay after which a refused request may be retried; undefined if the request may be sent to an upstream */
+	/** @returns the delay after which a refused request may be retried; undefined if the request may be sent to some upstream of its service */
 	refusalRetryAfterMs(call: Call): number | undefined {
 		if (!this.#table.hasSuspects) {
 			return undefined;
 		}
 
-		const decision = this.#table.decide(fingerprintOfCall(call));
-		return decision.type === 'refuse' ? decision.retryAfterMs : undefined;
+		const fingerprint = fingerprintOfCall(call);
+		const decisions = [...this.#options.buildsOf(call.service)].map(build => this.#table.decide(fingerprint, build));
+		const refusals = decisions.filter(decision => decision.type === 'refuse');
+		return refusals.length === 0 || refusals.length < decisions.length ? undefined : Math.min(...refusals.map(({retryAfterMs}) => retryAfterMs));
 	}
 
 	/**
-	 * Admits a request that is about to be sent to an upstream, and reports its trial to all instances if it is one.
+	 * Admits a request that is about to be sent to this upstream, and reports its trial to all instances if it is one.
 	 *
 	 * @returns the delay after which a refused request may be retried; undefined if the request may be sent
 	 */
-	admit(call: Call): number | undefined {
+	admit(call: Call, {registered}: Pick<Upstream, 'registered'>): number | undefined {
 		if (!this.#table.hasSuspects) {
 			return undefined;
 		}
 
 		const suspect = fingerprintOfCall(call);
-		const decision = this.#table.decide(suspect);
+		const build = buildOf(registered);
+		const decision: CrashDecision = this.#table.decide(suspect, build);
 		switch (decision.type) {
 			case 'run': {
 				return undefined;
@@ -70,7 +82,7 @@
 
 			case 'trial': {
 				this.#options.context.logger.info('request tried again after crashes', {id: call.requestId, fingerprint: suspect});
-				this.#options.announce(this.#table.beginTrial(suspect));
+				this.#options.announce(this.#table.beginTrial(suspect, build));
 				return undefined;
 			}
 
@@ -86,9 +98,8 @@
 			return;
 		}
 
-		const process = startIdOf(upstream.registered);
-		this.#recordCrash(suspectOf(call), process, 'own');
-		this.#blameAbandoned(process);
+		this.#recordCrash({suspect: suspectOf(call), ...runOf(upstream)}, 'own');
+		this.#blameAbandoned(startIdOf(upstream.registered));
 	}
 
 	/**
@@ -96,7 +107,7 @@
 	 * answered otherwise.
 	 */
 	recordAbandoned(suspect: SuspectRequest, upstream: Upstream, {isAnswered}: Abandonment): void {
-		this.#abandoned.record(startIdOf(upstream.registered), suspect);
+		this.#abandoned.record({suspect, ...runOf(upstream)});
 		if (!isAnswered) {
 			this.#options.watch(upstream);
 		}
@@ -110,28 +121,28 @@
 	/** Handles a connection that an upstream refused or closed while it carried no request: the upstream may have crashed under an abandoned one. */
 	async handleLostConnection(upstream: Upstream): Promise<void> {
 		const process = startIdOf(upstream.registered);
-		if (this.#checked.has(process) || this.#abandoned.at(process).length === 0) {
+		const runs = this.#abandoned.at(process);
+		if (this.#checked.has(process) || runs.length === 0) {
 			return;
 		}
 
 		this.#checked.add(process);
-		const suspects = this.#abandoned.at(process);
 		if (await this.#options.hasCrashed(upstream)) {
-			for (const suspect of suspects) {
-				this.#recordCrash(suspect, process, 'abandoned');
+			for (const run of runs) {
+				this.#recordCrash(run, 'abandoned');
 			}
 		}
 
 		this.#checked.delete(process);
 	}
 
-	/** Clears a request that ended well, on all instances if they may refuse it. */
-	recordSuccess(call: Call, status: number): void {
+	/** Clears a request that ended well at an upstream, on all instances if they may refuse it at others like that one. */
+	recordAnswer(call: Call, {registered}: Upstream, {status, sentAtMs}: AnsweredRun): void {
 		if (!this.#table.hasSuspects) {
 			return;
 		}
 
-		const record = this.#table.recordSuccess(fingerprintOfCall(call));
+		const record = this.#table.recordSuccess(fingerprintOfCall(call), buildOf(registered), sentAtMs);
 		if (record !== undefined) {
 			const {logger, metrics} = this.#options.context;
 			metrics.clearedRequests.inc({status});
@@ -160,14 +171,14 @@
 	}
 
 	/** Records and shares a crash, unless it is known. */
-	#recordCrash(suspect: SuspectRequest, process: UpstreamId, source: CrashSource): void {
+	#recordCrash({suspect, upstream: process, build}: SuspectRun, source: CrashSource): void {
 		const {context: {logger, metrics}, announce} = this.#options;
 		const fingerprint = suspect.fingerprint();
 		if (this.#table.hasCrash(fingerprint, process)) {
 			return;
 		}
 
-		const record = this.#table.recordCrash(fingerprint, process);
+		const record = this.#table.recordCrash(fingerprint, process, build);
 		metrics.crashes.inc({source});
 		logger.warn('upstream crashed under a request', {
 			id: suspect.requestId, fingerprint, upstream: process, crashes: record.crashes.length, source, ...suspect.description,
@@ -178,8 +189,8 @@
 
 	/** Attributes a crash to the abandoned requests that the upstream may still have been running. */
 	#blameAbandoned(process: UpstreamId): void {
-		for (const suspect of this.#abandoned.at(process)) {
-			this.#recordCrash(suspect, process, 'abandoned');
+		for (const run of this.#abandoned.at(process)) {
+			this.#recordCrash(run, 'abandoned');
 		}
 	}
 
@@ -187,3 +198,7 @@
 		this.#options.context.metrics.refusedRequests.set(this.#table.refusedCount);
 	}
 }
+
+function runOf({registered}: Upstream): Omit<SuspectRun, 'suspect'> {
+	return {upstream: startIdOf(registered), build: buildOf(registered)};
+}
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -7,6 +7,7 @@
 import type {LimitMessage} from '@cairnbank/core/account-limits';
 import type {FleetMember, MemberUpdate} from '@cairnbank/core/fleet';
 import type {StoreEpoch} from '@cairnbank/core/registry';
+import {buildOf, unknownBuild} from '@cairnbank/core/upstream-build';
 import fc from 'fast-check';
 import {
 	decodeMessage, encodeMessage, maximumDatagramBytes, membersPerMessage, type FleetMessage,
@@ -89,15 +90,18 @@
 	},
 };
 
+const build = buildOf({service: 'ledger' as ServiceId, version: 'v1'});
+const otherBuild = buildOf({service: 'ledger' as ServiceId, version: 'v2'});
+
 const suspects: FleetMessage = {
 	type: 'suspects',
 	records: [
 		{
 			fingerprint: 'f'.repeat(22) as Fingerprint,
-			crashes: [{upstream: 'u1' as UpstreamId, atMs: 100}, {upstream: 'u2' as UpstreamId, atMs: 300}],
-			trial: {startedAtMs: 200, count: 2},
+			crashes: [{upstream: 'u1' as UpstreamId, build, atMs: 100}, {upstream: 'u2' as UpstreamId, build: unknownBuild, atMs: 300}],
+			runs: [{build, trial: {startedAtMs: 200, count: 2}}, {build: otherBuild, clearedAtMs: 100, trial: {startedAtMs: 200, count: 1}}],
 		},
-		{fingerprint: 'g'.repeat(22) as Fingerprint, crashes: [], clearedAtMs: 400},
+		{fingerprint: 'g'.repeat(22) as Fingerprint, crashes: [], runs: [{build, clearedAtMs: 400}]},
 	],
 };
 
@@ -212,7 +216,8 @@
 	it('should split a full table of suspects into messages that each fit into a datagram', () => {
 		const records = Array.from({length: 512}, (_, index) => ({
 			fingerprint: String(index).padStart(22, 'f') as Fingerprint,
-			crashes: Array.from({length: 4}, (_, crash) => ({upstream: `upstream-${index}-${crash}@1790000000123` as UpstreamId, atMs: 0.25})),
+			crashes: Array.from({length: 4}, (_, crash) => ({upstream: `upstream-${index}-${crash}@1790000000123` as UpstreamId, build, atMs: 0.25})),
+			runs: [{build, trial: {startedAtMs: 0.25, count: 3}}, {build: otherBuild, clearedAtMs: 0.25}],
 		}));
 		const groups = splitSuspects(records, maximumDatagramBytes);
 		assert.deepEqual(groups.flat(), records);
--- a/packages/gateway/src/features/fleet/suspect-exchange.spec.ts
+++ b/packages/gateway/src/features/fleet/suspect-exchange.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import type {Fingerprint, UpstreamId} from '@cairnbank/core';
+import type {Fingerprint, ServiceId, UpstreamId} from '@cairnbank/core';
+import {buildOf} from '@cairnbank/core/upstream-build';
 import {SimulatedFleet, type SimulatedInstance} from './simulated-fleet.js';
 
 const settleMs = 3000;
@@ -10,6 +11,7 @@
 /** Time after which instances that were cut off know each other again. */
 const rejoinMs = 2000;
 const request = 'f'.repeat(22) as Fingerprint;
+const build = buildOf({service: 'ledger' as ServiceId, version: 'v1'});
 const upstreams = ['u1', 'u2', 'u3'] as UpstreamId[];
 
 function settledFleet(size: number): SimulatedFleet {
@@ -23,7 +25,7 @@
 	const [detector] = fleet.instances;
 	const others = detector!.membership.view.targets();
 	for (const upstream of upstreams) {
-		detector!.announce({type: 'suspects', records: [detector!.crashes.recordCrash(request, upstream)]}, others);
+		detector!.announce({type: 'suspects', records: [detector!.crashes.recordCrash(request, upstream, build)]}, others);
 		fleet.advance(100);
 	}
 }
@@ -100,7 +102,7 @@
 				const fleet = settledFleet(size);
 				crashThree(fleet);
 				assert.equal(knowing(fleet), size);
-				fleet.instances[2]!.crashes.recordSuccess(request);
+				fleet.instances[2]!.crashes.recordSuccess(request, build, fleet.clock.monotonicMs());
 				fleet.advance(stabilityWindowMs + rejoinMs);
 				assert.equal(knowing(fleet), 0);
 			});
--- a/packages/gateway/src/features/fleet/suspects-codec.ts
+++ b/packages/gateway/src/features/fleet/suspects-codec.ts
@@ -1,43 +1,83 @@
 /** Encodes the crashes under requests for messages between instances. Times are sent as ages, as the clocks of instances differ. */
 import {Buffer} from 'node:buffer';
 import type {Fingerprint, UpstreamId} from '@cairnbank/core';
-import {maximumCrashesPerRecord, type CrashRecord} from '@cairnbank/core/crash-record';
+import {
+	maximumBuildsPerRecord, maximumCrashesPerRecord, type BuildRuns, type CrashRecord,
+} from '@cairnbank/core/crash-record';
+import {unknownBuild, type UpstreamBuild} from '@cairnbank/core/upstream-build';
 import * as v from 'valibot';
 
 /** The identifier of a process consists of that of its upstream and its start. */
 const maximumProcessIdLength = 200;
 export const fingerprintPattern = /^[\w-]{22}$/;
+const maximumBuildLength = 20;
 /** Bytes of a message around its records, and room for ages that gain a digit until the message is sent. */
 const reservedBytes = 100;
 
 const ageSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
 
-/** Fingerprint, crashed upstreams each with the age of the crash, age of the latest successful run, age of the latest trial, number of trials. */
+const buildSchema = v.pipe(v.string(), v.maxLength(maximumBuildLength));
+/** Build, age of the latest successful run, age of the latest trial, number of trials. */
+const runsSchema = v.tuple([buildSchema, v.nullable(ageSchema), v.nullable(ageSchema), ageSchema]);
+
+/**
+ * Fingerprint, crashed upstreams each with the age of the crash and the build, age of the latest successful run, age of the latest
+ * trial, number of trials, runs by build. Instances that don't tell builds apart read neither builds nor the last element.
+ */
 export const suspectSchema = v.tuple([
 	v.pipe(v.string(), v.regex(fingerprintPattern)),
-	v.pipe(v.array(v.tuple([v.pipe(v.string(), v.maxLength(maximumProcessIdLength)), ageSchema])), v.maxLength(maximumCrashesPerRecord)),
+	v.pipe(
+		v.array(v.tuple([v.pipe(v.string(), v.maxLength(maximumProcessIdLength)), ageSchema, v.optional(buildSchema, unknownBuild)])),
+		v.maxLength(maximumCrashesPerRecord),
+	),
 	v.nullable(ageSchema),
 	v.nullable(ageSchema),
 	ageSchema,
+	v.optional(v.pipe(v.array(runsSchema), v.maxLength(maximumBuildsPerRecord))),
 ]);
 
 export type EncodedSuspect = v.InferOutput<typeof suspectSchema>;
+type EncodedRuns = v.InferOutput<typeof runsSchema>;
 
-export function encodeSuspect({fingerprint, crashes, clearedAtMs, trial}: CrashRecord, nowMs: number): EncodedSuspect {
-	const ageOf = (atMs: number) => Math.max(0, Math.round(nowMs - atMs));
+export function encodeSuspect({fingerprint, crashes, runs}: CrashRecord, nowMs: number): EncodedSuspect {
+	const clearedAtMs = runs.flatMap(each => each.clearedAtMs ?? []);
+	const trials = runs.flatMap(({trial}) => trial ?? []);
 	return [
 		fingerprint,
-		crashes.map(({upstream, atMs}) => [upstream, ageOf(atMs)]),
-		clearedAtMs === undefined ? null : ageOf(clearedAtMs),
-		trial === undefined ? null : ageOf(trial.startedAtMs),
-		trial?.count ?? 0,
+		crashes.map(({upstream, build, atMs}) => [upstream, ageOf(atMs, nowMs), build]),
+		clearedAtMs.length === 0 ? null : ageOf(Math.max(...clearedAtMs), nowMs),
+		trials.length === 0 ? null : ageOf(Math.max(...trials.map(({startedAtMs}) => startedAtMs)), nowMs),
+		Math.max(0, ...trials.map(({count}) => count)),
+		runs.map(each => encodeRuns(each, nowMs)),
 	];
 }
 
-export function decodeSuspect([fingerprint, crashes, clearedAgeMs, trialAgeMs, trials]: EncodedSuspect, nowMs: number): CrashRecord {
+export function decodeSuspect([fingerprint, crashes, clearedAgeMs, trialAgeMs, trials, runs]: EncodedSuspect, nowMs: number): CrashRecord {
+	const ofUnknownBuild: EncodedRuns = [unknownBuild, clearedAgeMs, trialAgeMs, trials];
+	const hasRun = clearedAgeMs !== null || trialAgeMs !== null;
 	return {
 		fingerprint: fingerprint as Fingerprint,
-		crashes: crashes.map(([upstream, ageMs]) => ({upstream: upstream as UpstreamId, atMs: nowMs - ageMs})),
+		crashes: crashes.map(([upstream, ageMs, build]) => ({upstream: upstream as UpstreamId, build: build as UpstreamBuild, atMs: nowMs - ageMs})),
+		runs: (runs ?? (hasRun ? [ofUnknownBuild] : [])).map(each => decodeRuns(each, nowMs)),
+	};
+}
+
+function ageOf(atMs: number, nowMs: number): number {
+	return Math.max(0, Math.round(nowMs - atMs));
+}
+
+function encodeRuns({build, clearedAtMs, trial}: BuildRuns, nowMs: number): EncodedRuns {
+	return [
+		build,
+		clearedAtMs === undefined ? null : ageOf(clearedAtMs, nowMs),
+		trial === undefined ? null : ageOf(trial.startedAtMs, nowMs),
+		trial?.count ?? 0,
+	];
+}
+
+function decodeRuns([build, clearedAgeMs, trialAgeMs, trials]: EncodedRuns, nowMs: number): BuildRuns {
+	return {
+		build: build as UpstreamBuild,
 		...(clearedAgeMs === null ? {} : {clearedAtMs: nowMs - clearedAgeMs}),
 		...(trialAgeMs === null ? {} : {trial: {startedAtMs: nowMs - trialAgeMs, count: trials}}),
 	};
--- a/packages/gateway/src/features/fleet/upstream-codec.ts
+++ b/packages/gateway/src/features/fleet/upstream-codec.ts
@@ -4,7 +4,7 @@
 import * as v from 'valibot';
 
 const upstreamSchema = v.tuple([
-	v.string(), v.string(), v.string(), v.number(), v.string(), v.number(), v.boolean(), v.number(), v.number(), v.number(),
+	v.string(), v.string(), v.string(), v.number(), v.string(), v.number(), v.boolean(), v.number(), v.number(), v.number(), v.nullish(v.string()),
 ]);
 /** An upstream, `null` for one that was removed, or the reason why its entry can't be read. */
 export const entrySchema = v.union([upstreamSchema, v.null(), v.string()]);
@@ -24,13 +24,13 @@
 }
 
 function fromUpstream({
-	service, host, availabilityZone, port, id, slots, draining, warmupMs, startedAtMs, sequence,
+	service, host, availabilityZone, port, id, slots, draining, warmupMs, startedAtMs, sequence, version,
 }: RegisteredUpstream): v.InferInput<typeof upstreamSchema> {
-	return [service, host, availabilityZone, port, id, slots, draining, warmupMs, startedAtMs, sequence];
+	return [service, host, availabilityZone, port, id, slots, draining, warmupMs, startedAtMs, sequence, version];
 }
 
 function toUpstream([
-	service, host, zone, port, id, slots, draining, warmupMs, startedAtMs, sequence,
+	service, host, zone, port, id, slots, draining, warmupMs, startedAtMs, sequence, version,
 ]: v.InferOutput<typeof upstreamSchema
 >): RegisteredUpstream {
 	return {
@@ -44,5 +44,6 @@
 		warmupMs,
 		startedAtMs,
 		sequence,
+		...(typeof version === 'string' ? {version} : {}),
 	};
 }
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -4,6 +4,7 @@
 import {ringOrder, UpstreamCondition} from '@cairnbank/core/placement';
 import {PathState} from '@cairnbank/core/reachability';
 import type {RegisteredUpstream} from '@cairnbank/core/registry';
+import {buildOf, type UpstreamBuild} from '@cairnbank/core/upstream-build';
 import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import type {StartError} from '../../kernel/start-error.js';
@@ -188,6 +189,11 @@
 		return ring;
 	}
 
+	/** Returns the builds of the upstreams of a service that take new requests. */
+	buildsOf(service: ServiceId): ReadonlySet<UpstreamBuild> {
+		return new Set(this.ofService(service).map(({registered}) => buildOf(registered)));
+	}
+
 	#createPool(registered: RegisteredUpstream): ChannelPool {
 		const {
 			context: {clock, metrics}, dialect, links, onConnectionLost, openRelayed,
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -227,6 +227,7 @@
 		context,
 		table: crashes,
 		hasCrashed: async upstream => prober.hasEnded(upstream),
+		buildsOf: service => upstreams.buildsOf(service),
 		watch(upstream) {
 			upstreams.watch(upstream);
 		},
