An error answer no longer clears a request under which upstreams crashed

Callers saw: where upstreams fail a part of all requests, or one passes health checks and fails everything, the request that crashes the others went on to 13 to 21 of them. Cause: each answer that reached the caller cleared the request on all instances, one of status 500 too. An upstream may give such an answer without having run the request, so it proves nothing about those that ran it. Fix: answers from 400 on clear nothing. An error answer to a trial shows that this trial crashed nothing, so the next trial follows at once; after three in a row the request runs again, and a single crash refuses it again.

--- a/packages/core/src/poison/crash-record.ts
+++ b/packages/core/src/poison/crash-record.ts
@@ -21,6 +21,12 @@
 	readonly count: number;
 };
 
+/** Trials that ended with an error answer, one after the other and without a crash. */
+export type ErrorRuns = {
+	readonly lastAtMs: number;
+	readonly count: number;
+};
+
 /** Runs of the request at upstreams of one build. */
 export type BuildRuns = {
 	readonly build: UpstreamBuild;
@@ -28,6 +34,8 @@
 	readonly clearedAtMs?: number;
 	/** The latest run that was allowed in spite of the crashes. */
 	readonly trial?: CrashTrial;
+	/** Undefined if there was none since the latest successful run. */
+	readonly errors?: ErrorRuns;
 };
 
 /** All times are on the monotonic clock of the instance that holds the record. */
@@ -69,18 +77,28 @@
 	return {startedAtMs: Math.max(left.startedAtMs, right.startedAtMs), count: Math.max(left.count, right.count)};
 }
 
+function laterErrors(left: ErrorRuns | undefined, right: ErrorRuns | undefined): ErrorRuns | undefined {
+	if (left === undefined || right === undefined) {
+		return left ?? right;
+	}
+
+	return left.lastAtMs > right.lastAtMs || (left.lastAtMs === right.lastAtMs && left.count > right.count) ? left : right;
+}
+
 function mergeRunsOfBuild(left: BuildRuns, right: BuildRuns): BuildRuns {
 	const clearedAtMs = Math.max(left.clearedAtMs ?? Number.NEGATIVE_INFINITY, right.clearedAtMs ?? Number.NEGATIVE_INFINITY);
 	const trial = laterTrial(left.trial, right.trial);
+	const errors = laterErrors(left.errors, right.errors);
 	return {
 		build: left.build,
 		...(Number.isFinite(clearedAtMs) ? {clearedAtMs} : {}),
 		...(trial === undefined || trial.startedAtMs <= clearedAtMs ? {} : {trial}),
+		...(errors === undefined || errors.lastAtMs <= clearedAtMs ? {} : {errors}),
 	};
 }
 
-function lastRunMs({clearedAtMs = Number.NEGATIVE_INFINITY, trial}: BuildRuns): number {
-	return Math.max(clearedAtMs, trial?.startedAtMs ?? Number.NEGATIVE_INFINITY);
+function lastRunMs({clearedAtMs = Number.NEGATIVE_INFINITY, trial, errors}: BuildRuns): number {
+	return Math.max(clearedAtMs, trial?.startedAtMs ?? Number.NEGATIVE_INFINITY, errors?.lastAtMs ?? Number.NEGATIVE_INFINITY);
 }
 
 function mergeRuns(runs: readonly BuildRuns[]): readonly BuildRuns[] {
@@ -101,7 +119,7 @@
 	return {fingerprint: left.fingerprint, crashes: mergeCrashes([...left.crashes, ...right.crashes], runs), runs};
 }
 
-/** Time of the latest crash, trial or successful run. */
+/** Time of the latest crash, trial or run that ended. */
 export function lastChangeMs({crashes, runs}: CrashRecord): number {
 	return Math.max(crashes.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY, ...runs.map(each => lastRunMs(each)));
 }
--- a/packages/core/src/poison/crash-table.spec.ts
+++ b/packages/core/src/poison/crash-table.spec.ts
@@ -6,6 +6,7 @@
 import {ManualClock} from '../model/manual-clock.js';
 import type {CrashRecord} from './crash-record.js';
 import {CrashTable} from './crash-table.js';
+import {crashesBeforeRefusal} from './crash-evidence.js';
 import {buildOf} from './upstream-build.js';
 
 const request = 'request-request-reques' as Fingerprint;
@@ -176,6 +177,54 @@
 		});
 	});
 
+	describe('a request that is answered with an error', () => {
+		/** Runs a trial that ends with an error answer. */
+		function tryWithError(): void {
+			share(owner.beginTrial(request, build));
+			const startedAtMs = clock.monotonicMs();
+			clock.advance(10);
+			share(owner.recordError(request, build, startedAtMs));
+		}
+
+		beforeEach(() => {
+			crash(3);
+			clock.advance(1000);
+		});
+
+		it('should not be cleared by an error answer, which an upstream may give without having run it', () => {
+			assert.equal(owner.recordError(request, build, clock.monotonicMs()), undefined);
+			tryWithError();
+			assert.deepEqual([owner.decide(request, build).type, peer.decide(request, build).type], ['trial', 'refuse']);
+		});
+
+		it('should run again after three trials that crashed no upstream', () => {
+			for (let trial = 0; trial < 3; trial++) {
+				assert.equal(owner.decide(request, build).type, 'trial');
+				tryWithError();
+			}
+
+			assert.deepEqual([owner.decide(request, build).type, peer.decide(request, build).type], ['run', 'run']);
+		});
+
+		it('should be refused for a minute by a crash in a later trial', () => {
+			tryWithError();
+			tryWithError();
+			share(owner.beginTrial(request, build));
+			clock.advance(10);
+			crash(1, 3);
+			assert.deepEqual(owner.decide(request, build), {type: 'refuse', retryAfterMs: refusalMs});
+		});
+
+		it('should be refused again by a single crash after that', () => {
+			tryWithError();
+			tryWithError();
+			tryWithError();
+			crash(1, 3);
+			assert.deepEqual(owner.decide(request, build), {type: 'refuse', retryAfterMs: 1000});
+			assert.equal(peer.decide(request, build).type, 'refuse');
+		});
+	});
+
 	it('should not clear a request by a run that had begun before its crash', () => {
 		const startedAtMs = clock.monotonicMs();
 		clock.advance(10);
@@ -187,7 +236,7 @@
 
 	describe('instances that compare what they know', () => {
 		const events = fc.array(fc.record({
-			at: fc.integer({min: 0, max: 1}), type: fc.constantFrom('crash', 'crash', 'crash', 'success'), upstream: fc.nat(8), isOther: fc.boolean(), isOtherBuild: fc.boolean(),
+			at: fc.integer({min: 0, max: 1}), type: fc.constantFrom('crash', 'crash', 'crash', 'success', 'trial', 'error'), upstream: fc.nat(8), isOther: fc.boolean(), isOtherBuild: fc.boolean(),
 		}), {maxLength: 20});
 
 		it('should decide alike and have the same digest once each has received the records of the other', () => {
@@ -198,10 +247,30 @@
 					now.advance(10);
 					const fingerprint = isOther ? other : request;
 					const ranAt = isOtherBuild ? otherBuild : build;
-					if (type === 'crash') {
-						tables[at as 0 | 1].recordCrash(fingerprint, `${upstream}-${now.monotonicMs()}` as UpstreamId, ranAt);
-					} else {
-						tables[at as 0 | 1].recordSuccess(fingerprint, ranAt, now.monotonicMs());
+					const table = tables[at as 0 | 1];
+					switch (type) {
+						case 'crash': {
+							table.recordCrash(fingerprint, `${upstream}-${now.monotonicMs()}` as UpstreamId, ranAt);
+							break;
+						}
+
+						case 'trial': {
+							if (table.crashesOf(fingerprint) >= crashesBeforeRefusal) {
+								table.beginTrial(fingerprint, ranAt);
+							}
+
+							break;
+						}
+
+						case 'error': {
+							table.recordError(fingerprint, ranAt, now.monotonicMs());
+							break;
+						}
+
+						case 'success': {
+							table.recordSuccess(fingerprint, ranAt, now.monotonicMs());
+							break;
+						}
 					}
 				}
 
--- a/packages/core/src/poison/crash-table.ts
+++ b/packages/core/src/poison/crash-table.ts
@@ -7,20 +7,13 @@
 import type {UpstreamId} from '../model/ids.js';
 import {hashText} from '../routing/hash-text.js';
 import {
-	lastChangeMs, mergeCrashRecords, type BuildRuns, type CrashRecord,
-} from './crash-record.js';
-import {unknownBuild, type UpstreamBuild} from './upstream-build.js';
+	crashesBeforeRefusal, currentErrors, currentTrial, hasCrashedSince, isProven, nextTrialMs, runsOf, summaryOf, trialDelayMs,
+} from './crash-evidence.js';
+import {lastChangeMs, mergeCrashRecords, type CrashRecord} from './crash-record.js';
+import type {UpstreamBuild} from './upstream-build.js';
 
-/** Upstreams crash for other reasons too, and then every request that they were running is suspected. */
-export const crashesBeforeRefusal = 3;
 /** A request that was running at a single crash is its neighbour more often than its cause, so it is not worth comparing between instances. */
 const crashesBeforeExchange = 2;
-/** Time from the last crash to the first trial. A request that is not the cause is refused for little longer than this. */
-const trialDelayMs = 1000;
-/** Each trial without a result multiplies the time to the next one, as an undetected crash has no result either. */
-const trialBackOffFactor = 4;
-/** Time from the crash in a failed trial to the next trial. */
-const refusalMs = 60_000;
 /** Time after the last crash or trial from which every instance may try the request, as a rare request may never reach the one that owns the trial. */
 const openTrialAfterMs = 120_000;
 /** Time after its last change for which a record is kept. */
@@ -120,6 +113,23 @@
 		return isWorthReporting ? record : undefined;
 	}
 
+	/**
+	 * Records a run that ended with an error answer. An upstream may fail a request before it runs it, so this shows only that a trial crashed
+	 * no upstream.
+	 *
+	 * @returns the record, which must be sent to all other instances; undefined if they need not know of the run
+	 */
+	recordError(fingerprint: Fingerprint, build: UpstreamBuild, startedAtMs: number): CrashRecord | undefined {
+		const record = this.#records.get(fingerprint);
+		const trial = record === undefined ? undefined : currentTrial(record, build);
+		if (record === undefined || trial === undefined || startedAtMs < trial.startedAtMs || hasCrashedSince(record, build, trial.startedAtMs)) {
+			return undefined;
+		}
+
+		const count = (currentErrors(record, build)?.count ?? 0) + 1;
+		return this.#merge({fingerprint, crashes: [], runs: [{build, errors: {lastAtMs: this.#clock.monotonicMs(), count}}]});
+	}
+
 	/** Takes in a record of another instance. @returns the crashes that this instance did not know */
 	receive(record: CrashRecord): readonly UpstreamId[] {
 		if (lastChangeMs(record) < this.#clock.monotonicMs() - retentionMs) {
@@ -175,39 +185,6 @@
 	}
 }
 
-function runsOf(record: CrashRecord | undefined, build: UpstreamBuild): BuildRuns | undefined {
-	return record?.runs.find(each => each.build === build);
-}
-
-function crashesAt({crashes}: CrashRecord, build: UpstreamBuild) {
-	return crashes.filter(crash => crash.build === build || crash.build === unknownBuild);
-}
-
-/** Whether the request has run well at this build, and crashed none of its upstreams since. */
-function isProven(record: CrashRecord, build: UpstreamBuild): boolean {
-	return runsOf(record, build)?.clearedAtMs !== undefined && crashesAt(record, build).length === 0;
-}
-
-/** Describes what decides about a request; equal for instances that know the same. */
-function summaryOf(record: CrashRecord): string {
-	const proven = record.runs.map(({build}) => build).filter(build => isProven(record, build));
-	return [record.fingerprint, Math.min(record.crashes.length, crashesBeforeRefusal), ...proven].join(' ');
-}
-
-/** Time from which the owner of the trial may run the request at an upstream of this build. */
-function nextTrialMs(record: CrashRecord, build: UpstreamBuild): number {
-	const trial = runsOf(record, build)?.trial;
-	const lastCrashMs = (crashesAt(record, build).at(-1) ?? record.crashes.at(-1)!).atMs;
-	if (trial === undefined) {
-		return lastCrashMs + trialDelayMs;
-	}
-
-	const hasFailed = lastCrashMs >= trial.startedAtMs;
-	return hasFailed
-		? lastCrashMs + refusalMs
-		: trial.startedAtMs + Math.min(refusalMs, trialDelayMs * (trialBackOffFactor ** trial.count));
-}
-
 function compareSuspicion(left: CrashRecord, right: CrashRecord): number {
 	return left.crashes.length - right.crashes.length || lastChangeMs(left) - lastChangeMs(right);
 }
--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -10,6 +10,9 @@
 import type {Call} from './call.js';
 import {fingerprintOfCall, suspectOf, type SuspectRequest} from './suspect-request.js';
 
+/** An upstream may give an answer of this status or above without having run the request. */
+const firstErrorStatus = 400;
+
 export type PoisonGuardOptions = {
 	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics'>;
 	readonly table: CrashTable;
@@ -136,13 +139,24 @@
 		this.#checked.delete(process);
 	}
 
-	/** Clears a request that ended well at an upstream, on all instances if they may refuse it at others like that one. */
+	/** Learns from an answer. A request that ended well is cleared, on all instances if they may refuse it at upstreams like that one. */
 	recordAnswer(call: Call, {registered}: Upstream, {status, sentAtMs}: AnsweredRun): void {
 		if (!this.#table.hasSuspects) {
 			return;
 		}
 
-		const record = this.#table.recordSuccess(fingerprintOfCall(call), buildOf(registered), sentAtMs);
+		const fingerprint = fingerprintOfCall(call);
+		const build = buildOf(registered);
+		if (status >= firstErrorStatus) {
+			const record = this.#table.recordError(fingerprint, build, sentAtMs);
+			if (record !== undefined) {
+				this.#options.announce(record);
+			}
+
+			return;
+		}
+
+		const record = this.#table.recordSuccess(fingerprint, build, sentAtMs);
 		if (record !== undefined) {
 			const {logger, metrics} = this.#options.context;
 			metrics.clearedRequests.inc({status});
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -99,7 +99,9 @@
 		{
 			fingerprint: 'f'.repeat(22) as Fingerprint,
 			crashes: [{upstream: 'u1' as UpstreamId, build, atMs: 100}, {upstream: 'u2' as UpstreamId, build: unknownBuild, atMs: 300}],
-			runs: [{build, trial: {startedAtMs: 200, count: 2}}, {build: otherBuild, clearedAtMs: 100, trial: {startedAtMs: 200, count: 1}}],
+			runs: [{build, trial: {startedAtMs: 200, count: 2}}, {
+				build: otherBuild, clearedAtMs: 100, trial: {startedAtMs: 200, count: 1}, errors: {lastAtMs: 250, count: 1},
+			}],
 		},
 		{fingerprint: 'g'.repeat(22) as Fingerprint, crashes: [], runs: [{build, clearedAtMs: 400}]},
 	],
--- a/packages/gateway/src/features/fleet/suspects-codec.ts
+++ b/packages/gateway/src/features/fleet/suspects-codec.ts
@@ -17,8 +17,8 @@
 const ageSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
 
 const buildSchema = v.pipe(v.string(), v.maxLength(maximumBuildLength));
-/** Build, age of the latest successful run, age of the latest trial, number of trials. */
-const runsSchema = v.tuple([buildSchema, v.nullable(ageSchema), v.nullable(ageSchema), ageSchema]);
+/** Build, age of the latest successful run, age of the latest trial, number of trials, age of the latest error answer, number of these. */
+const runsSchema = v.tuple([buildSchema, v.nullable(ageSchema), v.nullable(ageSchema), ageSchema, v.nullable(ageSchema), ageSchema]);
 
 /**
  * Fingerprint, crashed upstreams each with the age of the crash and the build, age of the latest successful run, age of the latest
@@ -53,7 +53,7 @@
 }
 
 export function decodeSuspect([fingerprint, crashes, clearedAgeMs, trialAgeMs, trials, runs]: EncodedSuspect, nowMs: number): CrashRecord {
-	const ofUnknownBuild: EncodedRuns = [unknownBuild, clearedAgeMs, trialAgeMs, trials];
+	const ofUnknownBuild: EncodedRuns = [unknownBuild, clearedAgeMs, trialAgeMs, trials, null, 0];
 	const hasRun = clearedAgeMs !== null || trialAgeMs !== null;
 	return {
 		fingerprint: fingerprint as Fingerprint,
@@ -66,20 +66,25 @@
 	return Math.max(0, Math.round(nowMs - atMs));
 }
 
-function encodeRuns({build, clearedAtMs, trial}: BuildRuns, nowMs: number): EncodedRuns {
+function encodeRuns({
+	build, clearedAtMs, trial, errors,
+}: BuildRuns, nowMs: number): EncodedRuns {
 	return [
 		build,
 		clearedAtMs === undefined ? null : ageOf(clearedAtMs, nowMs),
 		trial === undefined ? null : ageOf(trial.startedAtMs, nowMs),
 		trial?.count ?? 0,
+		errors === undefined ? null : ageOf(errors.lastAtMs, nowMs),
+		errors?.count ?? 0,
 	];
 }
 
-function decodeRuns([build, clearedAgeMs, trialAgeMs, trials]: EncodedRuns, nowMs: number): BuildRuns {
+function decodeRuns([build, clearedAgeMs, trialAgeMs, trials, errorAgeMs, errors]: EncodedRuns, nowMs: number): BuildRuns {
 	return {
 		build: build as UpstreamBuild,
 		...(clearedAgeMs === null ? {} : {clearedAtMs: nowMs - clearedAgeMs}),
 		...(trialAgeMs === null ? {} : {trial: {startedAtMs: nowMs - trialAgeMs, count: trials}}),
+		...(errorAgeMs === null ? {} : {errors: {lastAtMs: nowMs - errorAgeMs, count: errors}}),
 	};
 }
 
