--- a/packages/soak/src/crashing-caller.ts
+++ b/packages/soak/src/crashing-caller.ts
@@ -1,9 +1,12 @@
 /** A caller that sends one request that crashes upstreams to one instance after the other, and a harmless one of the same route beside it. */
 import {setTimeout as delay} from 'node:timers/promises';
+import {requestOfLeavingCallers} from './crashing-upstreams.js';
 import type {CallRecord} from './history.js';
 import {callOnce} from './soak-caller.js';
 
 const pauseMs = 100;
+/** Time after which callers leave, before an upstream crashes. */
+const leavesAfterMs = 25;
 /** The request comes from another address each time. */
 const addressCount = 50;
 
@@ -14,7 +17,7 @@
 };
 
 export type CrashingCallerOptions = {
-	/** The same number gives the same request. */
+	/** The same number gives the same request; for some, callers leave or upstreams fail a part. */
 	readonly request: number;
 	/** Part of the ids of all its calls. */
 	readonly name: string;
@@ -25,6 +28,7 @@
 
 export async function runCrashingCaller({request, name, addresses, durationMs}: CrashingCallerOptions): Promise<CrashingCalls> {
 	const path = `/crash/poison-${request}`;
+	const leaving = request === requestOfLeavingCallers ? {leavesAfterMs} : {};
 	const pending: Array<Promise<{readonly record: CallRecord}>> = [];
 	const pendingHarmless: Array<Promise<{readonly record: CallRecord}>> = [];
 	for (const endMs = performance.now() + durationMs; performance.now() < endMs;) {
@@ -32,7 +36,7 @@
 		const address = addresses[index % addresses.length]!;
 		const from = `127.0.1.${1 + (index % addressCount)}`;
 		pending.push(callOnce(address, {
-			id: `x${name}-${index}`, method: 'GET', path, from,
+			id: `x${name}-${index}`, method: 'GET', path, from, ...leaving,
 		}));
 		pendingHarmless.push(callOnce(address, {
 			id: `h${name}-${index}`, method: 'GET', path: `/crash/harmless-${request}`, from,
--- a/packages/soak/src/crashing-upstreams.ts
+++ b/packages/soak/src/crashing-upstreams.ts
@@ -7,6 +7,11 @@
 const slots = 50;
 const workMs = 40;
 const restartMs = 1500;
+/** The request whose callers leave before an upstream crashes. */
+export const requestOfLeavingCallers = 1;
+/** The request of which upstreams fail a part without running it: one in `callsPerFailure`. */
+export const requestThatFails = 2;
+const callsPerFailure = 3;
 
 export class CrashingUpstreams {
 	readonly upstreams: UpstreamStandIn[] = [];
@@ -15,6 +20,7 @@
 	readonly #startedAtMs = new Map<string, number>();
 	readonly #restarts = new Set<NodeJS.Timeout>();
 	#sequence = 0;
+	#failingCalls = 0;
 
 	constructor(site: Site) {
 		this.#site = site;
@@ -25,6 +31,7 @@
 			const upstream = new UpstreamStandIn(`p${index}`, crashingService, slots);
 			upstream.workMs = workMs;
 			upstream.behaviour = 'crashes';
+			upstream.failsRequest = target => this.#failsRequest(target);
 			upstream.onCrash = () => {
 				this.#scheduleRestart(upstream);
 			};
@@ -49,6 +56,15 @@
 		await Promise.all(this.upstreams.map(async upstream => upstream.stop()));
 	}
 
+	#failsRequest(target: string): boolean {
+		if (!target.endsWith(`poison-${requestThatFails}`)) {
+			return false;
+		}
+
+		this.#failingCalls += 1;
+		return this.#failingCalls % callsPerFailure === 0;
+	}
+
 	#scheduleRestart(upstream: UpstreamStandIn): void {
 		const timer = setTimeout(() => {
 			this.#restarts.delete(timer);
--- a/packages/soak/src/further-events.ts
+++ b/packages/soak/src/further-events.ts
@@ -2,6 +2,7 @@
 import {createRandomSource} from '@cairnbank/core/random';
 import type {RandomSource} from '@cairnbank/core';
 import type {LinkCut} from '@cairnbank/platform/spec-support/linked-site';
+import {requestOfLeavingCallers, requestThatFails} from './crashing-upstreams.js';
 import type {ScheduledEvent} from './schedule.js';
 
 /** Spreads consecutive seeds, which would otherwise give similar first random numbers. */
@@ -40,7 +41,8 @@
 		crash(0, firstMs, firstMs + crashMs),
 		// Comes again when instances that were started or paused meanwhile have been back for long.
 		crash(0, durationMs + crashMs, durationMs + (3 * crashMs)),
-		crash(1, secondMs, durationMs),
+		crash(requestOfLeavingCallers, secondMs, durationMs),
+		crash(requestThatFails, secondMs, durationMs),
 	];
 }
 
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -1,4 +1,5 @@
 /** Intentionally broken builds. Each breaks one guarantee, and one check of the soak has to notice it. */
+import {requestOfLeavingCallers, requestThatFails} from './crashing-upstreams.js';
 import type {ScheduledEvent, SoakEvent} from './schedule.js';
 
 export type Mutation = {
@@ -52,6 +53,12 @@
 	at({type: 'crash', request: 0, forMs: 4000}, 20 * firstEventMs),
 ];
 
+/** A request crashes upstreams after each of its callers has left. */
+const crashesAfterCallersLeft: readonly ScheduledEvent[] = [at({type: 'crash', request: requestOfLeavingCallers, forMs: faultDurationMs})];
+
+/** Upstreams that a request crashes fail a part of its calls. */
+const crashesBesideFailures: readonly ScheduledEvent[] = [at({type: 'crash', request: requestThatFails, forMs: faultDurationMs})];
+
 /** Two of the three instances lose their links. */
 const linksCut: readonly ScheduledEvent[] = [at({
 	type: 'cut', instances: [0, 1], cut: {open: 'reset', opening: 'hang'}, forMs: faultDurationMs,
@@ -280,16 +287,32 @@
 	},
 	{
 		name: 'crashes-counted-by-address',
-		file: `${calls}/poison-guard.js`,
+		file: `${calls}/suspect-request.js`,
 		find: 'service: host, method, path: target,',
 		replaceBy: 'service: host, method, path: target, tenant: arguments[0].caller,',
 		events: crashesAroundRestarts,
 		noticedBy: crashesAreContained,
 	},
+	{
+		name: 'crashes-cleared-by-error-answers',
+		file: `${calls}/poison-guard.js`,
+		find: 'if (status >= firstErrorStatus) {',
+		replaceBy: 'if (false) {',
+		events: crashesBesideFailures,
+		noticedBy: crashesAreContained,
+	},
+	{
+		name: 'crashes-not-counted-once-callers-have-left',
+		file: `${calls}/poison-guard.js`,
+		find: 'this.#abandoned.record({',
+		replaceBy: 'void ({',
+		events: crashesAfterCallersLeft,
+		noticedBy: crashesAreContained,
+	},
 	{
 		name: 'all-requests-refused-beside-one-that-crashes-upstreams',
 		file: `${core}/poison/crash-table.js`,
-		find: 'if (record === undefined || record.crashes.length < crashesBeforeRefusal) {',
+		find: 'if (record === undefined || record.crashes.length < crashesBeforeRefusal || isProven(record, build)) {',
 		replaceBy: 'if (this.refusedCount > 0) return { type: \'refuse\', retryAfterMs: 1000 };\nif (record === undefined || record.crashes.length < crashesBeforeRefusal) {',
 		events: crashesAroundRestarts,
 		noticedBy: harmlessIsServed,
--- a/packages/soak/src/soak-caller.ts
+++ b/packages/soak/src/soak-caller.ts
@@ -24,7 +24,15 @@
 	readonly requestsPerConnection: number;
 };
 
-type CallerRequest = {readonly id: string; readonly method: 'GET' | 'POST'; readonly path: string; readonly from?: string; readonly headers?: Readonly<Record<string, string>>};
+type CallerRequest = {
+	readonly id: string;
+	readonly method: 'GET' | 'POST';
+	readonly path: string;
+	readonly from?: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	/** Time after which the caller leaves although the instance may still answer. */
+	readonly leavesAfterMs?: number;
+};
 
 function pauseAfter(sent: number, bursts: RequestBursts | undefined): number {
 	return bursts !== undefined && sent % bursts.requests === 0 ? bursts.pauseMs : pauseMs;
@@ -71,7 +79,10 @@
 	return {record, keepsConnection};
 }
 
-async function exchange(address: string, {id, method, path, from, headers}: CallerRequest, agent?: Agent): Promise<{end: CallEnd; keepsConnection: boolean}> {
+async function exchange(address: string, callerRequest: CallerRequest, agent?: Agent): Promise<{end: CallEnd; keepsConnection: boolean}> {
+	const {
+		id, method, path, from, headers, leavesAfterMs = 2 * deadlineMs,
+	} = callerRequest;
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const outgoing = request({
@@ -96,7 +107,7 @@
 		});
 		// A paused instance does not answer, so its callers give up after twice their deadline.
 		let hasLeft = false;
-		outgoing.setTimeout(2 * deadlineMs, () => {
+		outgoing.setTimeout(leavesAfterMs, () => {
 			hasLeft = true;
 			outgoing.destroy(new Error('no answer'));
 		});
