The answer of a timed-out attempt is still read for a moment, as that of a cancelled one

Only cancelled attempts were read on. Spec: should report the answer that arrives just after its request has timed out (before, nothing was reported).

--- a/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
@@ -215,6 +215,25 @@
 			assert.equal(connection.isReusable, false);
 		});
 
+		it('should report the answer that arrives just after its request has timed out', async () => {
+			const lateAnswers: UpstreamAnswer[] = [];
+			let onClosed!: () => void;
+			const closed = new Promise<void>(resolve => {
+				onClosed = resolve;
+			});
+			const connection = await connectToUpstream(socket => {
+				socket.once('end', () => socket.end(answer('own', 'late')));
+			}, {allowHalfOpen: true, onClosed});
+			const outgoing: OutgoingRequest = {
+				...request('own', 30), onLateEnd(result) {
+					lateAnswers.push(result._unsafeUnwrap());
+				},
+			};
+			assert.equal(await failureTypeOf(connection, outgoing), 'timed-out');
+			await closed;
+			assert.deepEqual(lateAnswers.map(({body}) => Buffer.from(body).toString()), ['late']);
+		});
+
 		it('should not report the answer to another request', async () => {
 			const {lateAnswers} = await cancelSent(socket => socket.end(answer('earlier', 'wrong')));
 			assert.deepEqual(lateAnswers, []);
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -6,12 +6,8 @@
 import {
 	headerOf, type ExchangeFailure, type OutgoingRequest, type UpstreamAnswer,
 } from './exchange.js';
+import {defaultIdleMs, idleTimeMs} from './idle-time.js';
 
-const millisecondsPerSecond = 1000;
-/** Idle timeout of a connection if the upstream advertises none. */
-const defaultIdleMs = 4000;
-/** Connections expire this much before the upstream's idle timeout, so that no request is sent while the upstream closes. */
-const idleMarginMs = 1000;
 /** Time for which the answer to a cancelled request is still read; it may be on its way. */
 const lateAnswerMs = 100;
 
@@ -87,7 +83,11 @@
 			}
 
 			const timer = setTimeout(() => {
-				this.#fail(this.#isConnected ? {type: 'timed-out'} : {type: 'not-connected', message: 'connect timeout', isTimeout: true});
+				if (this.#isConnected) {
+					this.#giveUp({type: 'timed-out'});
+				} else {
+					this.#fail({type: 'not-connected', message: 'connect timeout', isTimeout: true});
+				}
 			}, Math.max(1, this.#isConnected ? request.timeoutMs : Math.min(request.timeoutMs, this.#options.connectTimeoutMs)));
 			this.#pending = {request, timer, settle: resolve};
 			if (this.#isConnected) {
@@ -98,14 +98,7 @@
 
 	/** Cancels the running request by closing the connection; most upstreams then stop processing it. */
 	cancel(): void {
-		const pending = this.#pending;
-		const {onLateEnd} = pending?.request ?? {};
-		const isSent = this.#isConnected && !this.#isClosed && this.#socket.writableLength === 0;
-		if (pending !== undefined && onLateEnd !== undefined && isSent) {
-			this.#awaitLateEnd(pending, onLateEnd);
-		} else {
-			this.#fail({type: 'cancelled'});
-		}
+		this.#giveUp({type: 'cancelled'});
 	}
 
 	close(): void {
@@ -114,13 +107,25 @@
 		}
 	}
 
+	/** Ends the running request without its answer, which is still read for a moment if something is to be learned from it. */
+	#giveUp(failure: ExchangeFailure): void {
+		const pending = this.#pending;
+		const {onLateEnd} = pending?.request ?? {};
+		const isSent = this.#isConnected && !this.#isClosed && this.#socket.writableLength === 0;
+		if (pending !== undefined && onLateEnd !== undefined && isSent) {
+			this.#awaitLateEnd(pending, onLateEnd, failure);
+		} else {
+			this.#fail(failure);
+		}
+	}
+
 	#destroy(): void {
 		this.#isClosed = true;
 		this.#socket.destroy();
 	}
 
 	/** Ends the sending side only: the upstream notices the same as from a close, and what it has answered meanwhile is still read. */
-	#awaitLateEnd({request, timer, settle}: PendingExchange, onLateEnd: NonNullable<OutgoingRequest['onLateEnd']>): void {
+	#awaitLateEnd({request, timer, settle}: PendingExchange, onLateEnd: NonNullable<OutgoingRequest['onLateEnd']>, failure: ExchangeFailure): void {
 		clearTimeout(timer);
 		this.#awaitsLateEnd = true;
 		this.#isRetired = true;
@@ -136,7 +141,7 @@
 			},
 		};
 		this.#socket.end();
-		settle(err({type: 'cancelled'}));
+		settle(err(failure));
 	}
 
 	#addListeners(): void {
@@ -169,7 +174,7 @@
 
 		clearTimeout(pending.timer);
 		const timer = setTimeout(() => {
-			this.#fail({type: 'timed-out'});
+			this.#giveUp({type: 'timed-out'});
 		}, Math.max(1, pending.request.timeoutMs));
 		this.#pending = {...pending, timer};
 		this.#send(pending.request);
@@ -252,9 +257,3 @@
 		}
 	}
 }
-
-function idleTimeMs(answer: UpstreamAnswer): number {
-	const advertised = /timeout=(\d+)/.exec(headerOf(answer.headers, 'keep-alive') ?? '')?.[1];
-	const idleMs = advertised === undefined ? defaultIdleMs : Number(advertised) * millisecondsPerSecond;
-	return Math.max(0, idleMs - idleMarginMs);
-}
