A crashed upstream is no longer taken for one that resets connections when it is full

Now a broken connection counts only once the check has shown that the upstream lives. call-run.spec: should be recognised by broken connections, but not by those of upstreams that have crashed (red without the change in attempt.ts).

--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -171,12 +171,16 @@
 		}
 	}
 
-	/** A broken connection tells that an upstream was full only if it goes there directly, and the upstream tells its load at all. */
-	#recordBroken(): void {
+	/**
+	 * Handles a broken connection. It shows that an upstream was full only if it went there directly, the upstream reports its load at all
+	 * and has not crashed.
+	 */
+	async #recordBroken(): Promise<void> {
 		const {fullResets} = this.#dependencies;
 		const {upstream: {registered: {service}}, room} = this.#placement;
-		const tellsLoad = room.report !== undefined && this.#channel.relay === undefined;
-		if (tellsLoad && !fullResets.hasKnownRoom(service, room)) {
+		const mayHaveBeenFull = room.report !== undefined && this.#channel.relay === undefined && !fullResets.hasKnownRoom(service, room);
+		const hasCrashed = await this.#dependencies.onConnectionBroken(this.#call, this.#placement.upstream);
+		if (mayHaveBeenFull && !hasCrashed) {
 			fullResets.recordReset(service);
 		}
 	}
@@ -217,8 +221,7 @@
 				}
 
 				if (verdict.reason === 'broken') {
-					this.#recordBroken();
-					this.#dependencies.onConnectionBroken(this.#call, upstream);
+					void this.#recordBroken();
 				}
 
 				break;
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -35,8 +35,8 @@
 	readonly authenticator: Pick<Authenticator, 'recheck'>;
 	/** Decides whether requests that may crash upstreams are sent, and learns from their runs. */
 	readonly poisonGuard: Pick<PoisonGuard, 'admit' | 'recordAnswer'>;
-	/** Called when a connection broke while the upstream was processing the call. */
-	readonly onConnectionBroken: (call: Call, upstream: Upstream) => void;
+	/** Called when a connection broke while the upstream was processing the call. Resolves with whether the upstream has crashed. */
+	readonly onConnectionBroken: (call: Call, upstream: Upstream) => Promise<boolean>;
 	/** Called when an attempt was cancelled or has timed out while the upstream was processing the call. */
 	readonly onAbandoned: (call: Call, upstream: Upstream, abandonment: Abandonment) => void;
 	/** Called when the upstream has answered an attempt that was abandoned before. */
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -4,7 +4,9 @@
 import {ManualClock, type ServiceId, type UpstreamId} from '@cairnbank/core';
 import {FullResets, OverloadControl} from '@cairnbank/core/overload';
 import {createRandomSource} from '@cairnbank/core/random';
-import {Admission, UpstreamCondition, WorkEstimates} from '@cairnbank/core/placement';
+import {
+	Admission, UpstreamCondition, WorkEstimates, type LoadReport,
+} from '@cairnbank/core/placement';
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
@@ -30,6 +32,7 @@
 export const cancelled = err({type: 'cancelled'} as const);
 export const notConnected = err({type: 'not-connected', message: 'refused', isTimeout: false} as const);
 
+const outdatedReportMs = 1000;
 const share = {type: 'held', instances: 1} as const;
 const neverSettles = new Promise<never>(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
 
@@ -53,6 +56,10 @@
 	readonly fullResets = new FullResets(this.clock);
 	outcome: Outcome | undefined;
 	isLightlyLoaded = true;
+	/** Load that upstreams have reported a while ago; undefined if they report none. */
+	report: LoadReport | undefined;
+	/** Whether upstreams whose connections break have crashed. */
+	hasCrashed = false;
 	/** Whether placement never resolves. */
 	isPlacementBlocked = false;
 	expectedMs = 40;
@@ -103,7 +110,7 @@
 			share: () => share,
 			authenticator: {recheck: () => this.authenticationRefusal},
 			poisonGuard: {admit: () => this.refusedForMs, recordAnswer: () => undefined},
-			onConnectionBroken: () => undefined,
+			onConnectionBroken: async () => this.hasCrashed,
 			onAbandoned: () => undefined,
 			onAbandonedAnswered: () => undefined,
 			pause: async durationMs => {
@@ -165,7 +172,7 @@
 			durationRatio: 1,
 			isLightlyLoaded: this.isLightlyLoaded,
 			room: {
-				report: undefined, reportAgeMs: 0, unreportedInFlight: 0, slots: 4,
+				report: this.report, reportAgeMs: outdatedReportMs, unreportedInFlight: 0, slots: 4,
 			},
 		} as unknown as Placement;
 	}
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -246,6 +246,22 @@
 			assert.equal(harness.fullResets.needsKnownRoom('ledger' as ServiceId), false);
 		});
 
+		it('should be recognised by broken connections, but not by those of upstreams that have crashed', async () => {
+			for (const hasCrashed of [false, true]) {
+				const harness = new CallHarness({idempotent: true, maximumAttempts: 3});
+				harness.hasCrashed = hasCrashed;
+				harness.report = {
+					running: 3, waiting: 0, slots: 4, slowness: 1,
+				};
+				await harness.start();
+				for (const index of [0, 1, 2]) {
+					await harness.answer(index, broken);
+				}
+
+				assert.equal(harness.fullResets.needsKnownRoom('ledger' as ServiceId), !hasCrashed);
+			}
+		});
+
 		it('should get no request that may run only once while none is known to have room', async () => {
 			const harness = await startAfterResets(false, 2);
 			assert.equal(harness.outcome?.type === 'not-run' && harness.outcome.reason, 'no-known-room');
--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -95,14 +95,15 @@
 		}
 	}
 
-	/** Handles a connection that broke during a request: records and shares a crash if the upstream has crashed. */
-	async handleBrokenConnection(call: Call, upstream: Upstream): Promise<void> {
+	/** Handles a connection that broke during a request: records and shares a crash if the upstream has crashed. @returns whether it has */
+	async handleBrokenConnection(call: Call, upstream: Upstream): Promise<boolean> {
 		if (!await this.#options.hasCrashed(upstream)) {
-			return;
+			return false;
 		}
 
 		this.#recordCrash({suspect: suspectOf(call), ...runOf(upstream)}, 'own');
 		this.#blameAbandoned(startIdOf(upstream.registered));
+		return true;
 	}
 
 	/**
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -271,9 +271,7 @@
 			explainNoUpstream(service) {
 				return placer.explainNoneEligible(service) ?? {reason: upstreams.hasUpstreamsInEmptiedZones(service) ? 'zones-emptied' : 'no-upstream'};
 			},
-			onConnectionBroken(call, upstream) {
-				void guard.handleBrokenConnection(call, upstream);
-			},
+			onConnectionBroken: async (call, upstream) => guard.handleBrokenConnection(call, upstream),
 			onAbandoned(call, upstream, abandonment) {
 				guard.recordAbandoned(suspectOf(call), upstream, abandonment);
 			},
