--- a/packages/core/src/poison/crash-evidence.ts
+++ b/packages/core/src/poison/crash-evidence.ts
@@ -15,6 +15,7 @@
 /** Time from the crash in a failed trial to the next trial. */
 const refusalMs = 60_000;
 
+/** Returns the runs at this build; undefined if there was none. */
 export function runsOf(record: CrashRecord | undefined, build: UpstreamBuild): BuildRuns | undefined {
 	return record?.runs.find(each => each.build === build);
 }
@@ -23,12 +24,13 @@
 	return crashes.filter(crash => crash.build === build || crash.build === unknownBuild);
 }
 
-/** Whether the request has run at this build, well or with several error answers, and crashed none of its upstreams since. */
+/** Returns whether the request has run at this build, well or with several error answers, and crashed none of its upstreams since. */
 export function isProven(record: CrashRecord, build: UpstreamBuild): boolean {
 	const clearedAtMs = runsOf(record, build)?.clearedAtMs;
 	return (clearedAtMs !== undefined && crashesAt(record, build).length === 0) || (currentErrors(record, build)?.count ?? 0) >= errorsBeforeRuns;
 }
 
+/** Returns whether an upstream of this build has crashed under the request at this time or later. */
 export function hasCrashedSince(record: CrashRecord, build: UpstreamBuild, sinceMs: number): boolean {
 	return crashesAt(record, build).some(({atMs}) => atMs >= sinceMs);
 }
--- a/packages/core/src/poison/crash-record.ts
+++ b/packages/core/src/poison/crash-record.ts
@@ -51,7 +51,7 @@
 	return left.atMs - right.atMs || left.upstream.localeCompare(right.upstream);
 }
 
-/** Whether a run of one build says something about the other; an older instance reports no builds. */
+/** Returns whether a run at one build shows something about the other; an older instance reports no builds. */
 function concerns(left: UpstreamBuild, right: UpstreamBuild): boolean {
 	return left === right || left === unknownBuild || right === unknownBuild;
 }
--- a/packages/core/src/poison/crash-table.ts
+++ b/packages/core/src/poison/crash-table.ts
@@ -33,7 +33,7 @@
 /** A table of crash records with a maximum size. While it is empty, which is the normal case, requests need no fingerprint. */
 export class CrashTable {
 	readonly #clock: Clock;
-	/** Whether this instance is the one that may try a request first. */
+	/** Returns whether this instance is the one that may try a request first. */
 	readonly #ownsTrial: (fingerprint: Fingerprint) => boolean;
 	readonly #records = new Map<Fingerprint, CrashRecord>();
 	#suspectedCount = 0;
@@ -43,7 +43,7 @@
 		this.#ownsTrial = ownsTrial;
 	}
 
-	/** Whether any request has crashes attributed to it. Requests need a fingerprint only then. */
+	/** True if any request has crashes attributed to it. Requests need a fingerprint only then. */
 	get hasSuspects(): boolean {
 		return this.#suspectedCount > 0;
 	}
@@ -64,7 +64,7 @@
 		return this.#records.get(fingerprint)?.crashes.length ?? 0;
 	}
 
-	/** Whether this crash is known and counts. */
+	/** Returns whether this crash is known and counts. */
 	hasCrash(fingerprint: Fingerprint, upstream: UpstreamId): boolean {
 		return this.#records.get(fingerprint)?.crashes.some(crash => crash.upstream === upstream) ?? false;
 	}
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -18,7 +18,7 @@
 	readonly #placement: Placement;
 	readonly #channel: UpstreamChannel;
 	#isSuperseded = false;
-	/** Whether another attempt has answered the call. */
+	/** True once another attempt has answered the call. */
 	#isAnswered = false;
 
 	constructor(dependencies: CallDependencies, call: Call, kind: AttemptKind, placement: Placement) {
@@ -80,7 +80,7 @@
 		return this.#kind;
 	}
 
-	/** Whether the request may have left this instance; an attempt that is cancelled earlier never reaches the upstream. */
+	/** True if the request may have left this instance; an attempt that is cancelled earlier never reaches the upstream. */
 	get mayHaveReachedUpstream(): boolean {
 		return this.#channel.isConnected;
 	}
@@ -235,7 +235,7 @@
 	}
 }
 
-/** Whether another upstream answered at this address; its load report does not apply to the intended upstream. */
+/** Returns whether another upstream answered at this address; its load report does not apply to the intended upstream. */
 function isFromOtherUpstream(verdict: ExchangeVerdict): boolean {
 	return verdict.type === 'not-run' && verdict.reason === 'wrong-upstream';
 }
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -58,7 +58,7 @@
 	isLightlyLoaded = true;
 	/** Load that upstreams have reported a while ago; undefined if they report none. */
 	report: LoadReport | undefined;
-	/** Whether upstreams whose connections break have crashed. */
+	/** True if upstreams whose connections break have crashed. */
 	hasCrashed = false;
 	/** Whether placement never resolves. */
 	isPlacementBlocked = false;
--- a/packages/gateway/src/features/calls/poison-guard.ts
+++ b/packages/gateway/src/features/calls/poison-guard.ts
@@ -16,7 +16,7 @@
 export type PoisonGuardOptions = {
 	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics'>;
 	readonly table: CrashTable;
-	/** Whether an upstream that broke a connection is gone. */
+	/** Finds out whether an upstream that broke a connection is gone. */
 	readonly hasCrashed: (upstream: Upstream) => Promise<boolean>;
 	/** Returns the builds of the upstreams that take requests for a service. */
 	readonly buildsOf: (service: ServiceId) => ReadonlySet<UpstreamBuild>;
@@ -26,7 +26,7 @@
 	readonly announce: (record: CrashRecord) => void;
 };
 
-/** How a crash became known: by an attempt that was waited for, after it was abandoned, or from another instance. */
+/** Source of the knowledge of a crash: an attempt that was waited for, one that was abandoned, or another instance. */
 type CrashSource = 'own' | 'abandoned' | 'instance';
 
 export type AnsweredRun = {
@@ -36,7 +36,7 @@
 };
 
 export type Abandonment = {
-	/** Whether another attempt has answered the request, which then is no likely cause of a crash. */
+	/** True if another attempt has answered the request, which then is no likely cause of a crash. */
 	readonly isAnswered: boolean;
 };
 
--- a/packages/gateway/src/features/calls/suspect-request.ts
+++ b/packages/gateway/src/features/calls/suspect-request.ts
@@ -7,7 +7,7 @@
 	readonly requestId: string | undefined;
 	/** Computed on demand, as most requests never need one. */
 	readonly fingerprint: () => Fingerprint;
-	/** Fields by which requests can be told apart if they have the same fingerprint, and compared if they don't. */
+	/** Fields that distinguish requests with the same fingerprint, and by which others can be compared. */
 	readonly description: Readonly<Record<string, unknown>>;
 };
 
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -36,13 +36,13 @@
 
 export type RelayTaskOptions = {
 	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics'>;
-	/** Whether a host is a live member of the fleet. */
+	/** Returns whether a host is a live member of the fleet. */
 	readonly isMember: (host: string) => boolean;
 	/** Returns an upstream that takes new requests; undefined if it is not registered, leaves, or its zone is evacuated. */
 	readonly upstreamOf: (id: UpstreamId) => Upstream | undefined;
 	/** Counts crashes of upstreams under requests that are passed on. */
 	readonly poisonGuard: () => Pick<PoisonGuard, 'forgetAbandoned' | 'recordAbandoned'>;
-	/** Whether this instance has lost its own links to the upstream. */
+	/** Returns whether this instance has lost its own links to the upstream. */
 	readonly hasLostLink: (upstream: Upstream) => boolean;
 };
 
--- a/packages/gateway/src/features/upstreams/connection-pool.ts
+++ b/packages/gateway/src/features/upstreams/connection-pool.ts
@@ -29,7 +29,7 @@
 		return this.#open.size;
 	}
 
-	/** Whether a request could be sent without opening a connection. */
+	/** State of the connections, by which a request may need a new one. */
 	get state(): ConnectionState {
 		if (this.#idle.some(connection => connection.isReusable)) {
 			return 'idle';
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -83,8 +83,9 @@
 	}
 
 	/**
-	 * Whether an upstream that broke a connection is gone: its address refuses new ones, or another upstream answers there. Doesn't count against the probe allowance, as it runs only
-	 * once per crash. Opens a new connection, as a crash also resets the pooled ones, perhaps unnoticed so far.
+	 * Finds out whether an upstream that broke a connection is gone: its address refuses new ones, or another upstream answers there.
+	 * Doesn't count against the probe allowance, as it runs only once per crash. Opens a new connection, as a crash also resets the
+	 * pooled ones, perhaps unnoticed so far.
 	 */
 	async hasEnded(upstream: Upstream): Promise<boolean> {
 		if (!this.#options.isInService(upstream)) {
@@ -113,7 +114,7 @@
 	}
 
 	/**
-	 * Whether this instance can connect to any other upstream. If it can't, its links are lost, and a refused connection doesn't show
+	 * Finds out whether this instance can connect to any other upstream. If it can't, its links are lost, and a refused connection doesn't show
 	 * that an upstream has ended.
 	 */
 	async #reachesOthers(upstream: Upstream): Promise<boolean> {
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -44,7 +44,7 @@
 	#isClosed = false;
 	/** No further request may be sent, as later bytes could not be matched to it reliably, or the connection won't be kept open. */
 	#isRetired = false;
-	/** Waits for the end of a request that nobody waits for any more, and then closes itself. */
+	/** Set while only the late end of an abandoned request is awaited, after which the connection closes. */
 	#awaitsLateEnd = false;
 	#pending: PendingExchange | undefined;
 	#idleUntilMs = 0;
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -128,12 +128,12 @@
 		}
 	}
 
-	/** Whether anything may be sent to the upstream, including health checks. */
+	/** Returns whether anything may be sent to the upstream, including health checks. */
 	isInService({registered}: Upstream): boolean {
 		return !this.#emptied.has(registered.availabilityZone);
 	}
 
-	/** Whether a service has upstreams in availability zones that operators have emptied. */
+	/** Returns whether a service has upstreams in availability zones that operators have emptied. */
 	hasUpstreamsInEmptiedZones(service: ServiceId): boolean {
 		return [...this.#upstreams.values()].some(upstream => upstream.registered.service === service && !this.isInService(upstream));
 	}
@@ -231,7 +231,7 @@
 	}
 }
 
-/** Whether both entries are of the same process. A restart loses its connections and state, so its recorded condition no longer applies. */
+/** Returns whether both entries are of the same process. A restart loses its connections and state, so its recorded condition no longer applies. */
 function isSameStart(left: RegisteredUpstream, right: RegisteredUpstream): boolean {
 	return left.startedAtMs === right.startedAtMs && left.host === right.host && left.port === right.port;
 }
