Account limits: 429 only to an account that was seen to ask for more than its limit

Cause: an owner without knowledge of the past starts with few tokens, and took an empty bucket for an account over its limit. Fix: the owner counts what the account asks for since it began, with a whole burst saved; it says 429 once that is exceeded, and 503 (account-use-unknown) before. Grants are as before.

--- a/packages/core/src/account-limits/account-owner.ts
+++ b/packages/core/src/account-limits/account-owner.ts
@@ -9,6 +9,7 @@
  */
 import type {ClientAccountId} from '../model/ids.js';
 import {AccountBucket} from './account-bucket.js';
+import {AccountDemand} from './account-demand.js';
 import {reserveOf} from './account-bound.js';
 import {HandedOverLevels} from './handed-over-levels.js';
 import type {LimitAnswer} from './limit-message.js';
@@ -39,6 +40,8 @@
 
 type Ownership = {
 	bucket: AccountBucket | undefined;
+	/** Defined if `bucket` is. */
+	demand: AccountDemand | undefined;
 	/** Decisions that wait for the bucket. */
 	readonly waiting: Decision[];
 	isPreparing: boolean;
@@ -147,6 +150,7 @@
 	#ownership(account: ClientAccountId): Ownership {
 		const ownership = this.#ownerships.get(account) ?? {
 			bucket: undefined,
+			demand: undefined,
 			waiting: [],
 			isPreparing: false,
 			levelBeforePause: undefined,
@@ -186,6 +190,7 @@
 				? {ratio: reachedRatio * cautiousRatio, untilMs: nowMs + divisionNoticedMs}
 				: {ratio: takeOverRatio, untilMs: hasUnknownPast ? nowMs + isolationNoticedMs : 0};
 			ownership.bucket = new AccountBucket(clock, bound(), limit, level);
+			ownership.demand = new AccountDemand(clock, limit);
 		}
 
 		this.#decideWaiting(account, ownership);
@@ -204,9 +209,9 @@
 
 	#decideWaiting(account: ClientAccountId, ownership: Ownership): void {
 		const limit = this.#environment.limitOf(account);
-		const {bucket} = ownership;
+		const {bucket, demand} = ownership;
 		const waiting = ownership.waiting.splice(0);
-		if (limit === undefined || bucket === undefined) {
+		if (limit === undefined || bucket === undefined || demand === undefined) {
 			for (const {done} of waiting) {
 				done(undefined);
 			}
@@ -218,14 +223,16 @@
 		const share = this.#share;
 		const isCautious = this.#environment.clock.monotonicMs() < caution.untilMs;
 		bucket.setLimit(limit, share, isCautious ? caution.ratio : 1);
+		demand.setLimit(limit);
 		for (const {count, done} of waiting) {
+			const isOverLimit = demand.record(count);
 			const granted = bucket.take(count);
 			const refused = count - granted;
 			done({
 				granted,
 				tokenInMs: bucket.tokenInMs,
 				retryAfterMs: refused === 0 ? 0 : bucket.queue(refused),
-				isCertain: share >= certainShare,
+				isCertain: isOverLimit && share >= certainShare,
 			});
 		}
 	}
--- a/packages/core/src/account-limits/limit-message.ts
+++ b/packages/core/src/account-limits/limit-message.ts
@@ -9,7 +9,7 @@
 	readonly tokenInMs: number;
 	/** Time after which a token is there for the callers refused. */
 	readonly retryAfterMs: number;
-	/** Whether the account is known to be over its limit. Otherwise the one that decides reaches only a part of the fleet. */
+	/** True if the account is known to be over its limit. Otherwise the one that decides reaches only a part of the fleet, or has not seen the account ask for too much. */
 	readonly isCertain: boolean;
 };
 
