--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -67,10 +67,8 @@
 			...spoiled.map(run => `spoiled: ${describeRun(run)}`),
 			...ends.map(({ip, atMs, code, signal, lastLines}) => `process at ${ip} ended at ${Math.round(atMs)} ms, code ${code}, signal ${signal}: ${lastLines.join(' | ')}`),
 			...cut.flatMap(request => [describeSeen(request), describeRun(soundRuns.get(request.id))]),
-			'',
-			'all requests:',
-			...seen.map(request => describeSeen(request)),
 		],
+		seen,
 	};
 });
 
--- a/review/support/run-case.mjs
+++ b/review/support/run-case.mjs
@@ -9,10 +9,12 @@
 const broken = 1;
 const notRun = 2;
 const limitMs = 110_000;
+/** Lines of the record that are also printed. */
+const shownLines = 20;
 
 /**
  * @param folder - URL of the case's folder, where `record.txt` is written
- * @param play - plays the case on a site with a client and returns `{isBroken, lines}`; throws if the case can't run
+ * @param play - plays the case on a site with a client and returns `{isBroken, lines, seen}`, with all that the client saw; throws if the case can't run
  */
 export async function runCase(folder, play) {
 	const hasTrouble = process.env.TROUBLE !== '0';
@@ -24,7 +26,7 @@
 		const verdict = {[held]: 'the rule held', [broken]: 'the rule was broken', [notRun]: 'the case could not run'}[exitCode];
 		const text = [`disruption: ${hasTrouble ? 'yes' : 'no'}`, `result: ${verdict}`, ...lines].join('\n');
 		writeFileSync(fileURLToPath(new URL('record.txt', folder)), `${text}\n`);
-		console.log(text.split('\n').slice(0, 20).join('\n'));
+		console.log(text.split('\n').slice(0, shownLines).join('\n'));
 		process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit -- a command whose exit code is its result
 	};
 
@@ -38,8 +40,16 @@
 		end(notRun, [`no result after ${limitMs} ms`]);
 	}, limitMs).unref();
 	try {
-		const {isBroken, lines} = await play({site, client, hasTrouble});
-		end(isBroken ? broken : held, lines);
+		const {isBroken, lines, seen} = await play({site, client, hasTrouble});
+		end(isBroken ? broken : held, [
+			...lines,
+			'',
+			'all requests that clients sent:',
+			...seen.map(request => describeSeen(request)),
+			'',
+			'all requests that backends ran:',
+			...site.runs.toSorted((left, right) => left.startedAt - right.startedAt).map(run => describeRun(run)),
+		]);
 	} catch (error) {
 		end(notRun, [error.stack]);
 	}
