--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -78,9 +78,7 @@
 				`sent ${sinceSignal(request.sentAt)}, ended ${sinceSignal(request.endedAt)}, ${leftMs(request)} ms before its deadline: ${describeSeen(request)}`,
 				describeRun(runs.get(request.id)),
 			]),
-			'',
-			'all requests:',
-			...seen.map(request => describeSeen(request)),
 		],
+		seen,
 	};
 });
