--- a/packages/gateway/src/features/calls/attempt.spec.ts
+++ b/packages/gateway/src/features/calls/attempt.spec.ts
@@ -6,7 +6,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
 import type {RequestDialect} from '../../ports/index.js';
-import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from '../upstreams/exchange.js';
+import type {ExchangeFailure, OutgoingRequest} from '../upstreams/exchange.js';
+import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
+import {answerOf} from '../upstreams/upstream-answer-fixture.js';
 import type {Placement} from '../upstreams/placement.js';
 import {Attempt} from './attempt.js';
 import type {Call} from './call.js';
@@ -62,7 +64,7 @@
 
 /** Sends one attempt that gets this answer with a load report, and returns the condition of its upstream. */
 async function conditionAfter(status: number, ...headers: string[]): Promise<UpstreamCondition> {
-	return conditionAfterEnd(ok({status, headers: [...headers, 'load', 'idle'], body: new Uint8Array(0)}), 0);
+	return conditionAfterEnd(ok(answerOf(status, [...headers, 'load', 'idle'])), 0);
 }
 
 describe('Attempt', () => {
@@ -98,7 +100,7 @@
 
 		it('should still take in what an answer says that arrives just afterwards, but not that of another upstream', async () => {
 			for (const [status, report] of [[503, idle], [421, undefined]] as const) {
-				const condition = await conditionAfterEnd(cancelled, expectedMs, {status, headers: ['not-run', '1', 'load', 'idle'], body: new Uint8Array(0)});
+				const condition = await conditionAfterEnd(cancelled, expectedMs, answerOf(status, ['not-run', '1', 'load', 'idle']));
 				assert.equal(condition.report, report);
 			}
 		});
--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -1,7 +1,8 @@
 /** Sends a call to one upstream and updates the condition of the upstream from the result. */
 import type {UpstreamId} from '@cairnbank/core';
 import {ok, type Result} from 'neverthrow';
-import {loadOf, type ExchangeFailure, type UpstreamAnswer} from '../upstreams/exchange.js';
+import {loadOf, type ExchangeFailure} from '../upstreams/exchange.js';
+import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {Placement} from '../upstreams/placement.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import type {Call} from './call.js';
@@ -37,26 +38,16 @@
 	async run(remainingMs: number): Promise<ExchangeVerdict> {
 		const {dialect, clock, metrics} = this.#dependencies;
 		const {upstream} = this.#placement;
-		const {condition, pool} = upstream;
+		const {condition} = upstream;
 		const sentAtMs = clock.monotonicMs();
 		if (condition.advertisedRate.requestsPerSecond !== undefined) {
 			metrics.rateLimitedRequests.inc({kind: this.#kind});
 		}
 
 		const sentRequest = condition.recordRequestSent(this.#placement.workMs, this.#placement.expectedMs);
-		const result = await this.#channel.exchange({
-			method: this.#call.method,
-			target: this.#call.target,
-			headers: this.#headers(remainingMs),
-			body: this.#call.body,
-			requestId: this.#call.requestId,
-			fingerprint: () => fingerprintOfCall(this.#call),
-			timeoutMs: remainingMs,
-			onLateEnd: result => {
-				this.#handleLateEnd(result, sentAtMs);
-			},
+		const result = await this.#exchange(remainingMs, sentAtMs, () => {
+			condition.recordRequestEnd(sentRequest, false);
 		});
-		pool.release(this.#channel);
 		const verdict = classifyExchange(result, dialect);
 		condition.recordRequestEnd(sentRequest, verdict.type === 'success');
 		if (this.#isSuperseded) {
@@ -113,6 +104,30 @@
 		return `${this.#kind}:${registered.id}${relayText}:expected=${Math.round(expectedMs)}ms:slowness=${slowness ?? 'unknown'}:${loadText}${limitText}${advisoryText}`;
 	}
 
+	/** @param onFault - called if the exchange fails by a fault of the program, so that nothing counts it as running any more */
+	async #exchange(remainingMs: number, sentAtMs: number, onFault: () => void): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
+		try {
+			return await this.#channel.exchange({
+				method: this.#call.method,
+				target: this.#call.target,
+				headers: this.#headers(remainingMs),
+				body: this.#call.body,
+				requestId: this.#call.requestId,
+				fingerprint: () => fingerprintOfCall(this.#call),
+				timeoutMs: remainingMs,
+				onLateEnd: result => {
+					this.#handleLateEnd(result, sentAtMs);
+				},
+			});
+		} catch (error) {
+			this.#channel.cancel();
+			onFault();
+			throw error;
+		} finally {
+			this.#placement.upstream.pool.release(this.#channel);
+		}
+	}
+
 	#headers(remainingMs: number): readonly string[] {
 		const {dialect} = this.#dependencies;
 		const {headers, body} = this.#call;
@@ -176,12 +191,16 @@
 	 * and has not crashed.
 	 */
 	async #recordBroken(): Promise<void> {
-		const {fullResets} = this.#dependencies;
+		const {fullResets, onConnectionBroken, onLateFault} = this.#dependencies;
 		const {upstream: {registered: {service}}, room} = this.#placement;
 		const mayHaveBeenFull = room.report !== undefined && this.#channel.relay === undefined && !fullResets.hasKnownRoom(service, room);
-		const hasCrashed = await this.#dependencies.onConnectionBroken(this.#call, this.#placement.upstream);
-		if (mayHaveBeenFull && !hasCrashed) {
-			fullResets.recordReset(service);
+		try {
+			const hasCrashed = await onConnectionBroken(this.#call, this.#placement.upstream);
+			if (mayHaveBeenFull && !hasCrashed) {
+				fullResets.recordReset(service);
+			}
+		} catch (error) {
+			onLateFault(error);
 		}
 	}
 
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -41,5 +41,7 @@
 	readonly onAbandoned: (call: Call, upstream: Upstream, abandonment: Abandonment) => void;
 	/** Called when the upstream has answered an attempt that was abandoned before. */
 	readonly onAbandonedAnswered: (call: Call, upstream: Upstream) => void;
+	/** Called with a fault of the program in an attempt whose call has ended already. */
+	readonly onLateFault: (error: unknown) => void;
 	readonly pause: (durationMs: number) => Promise<void>;
 };
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -11,7 +11,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
-import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from '../upstreams/exchange.js';
+import type {ExchangeFailure, OutgoingRequest} from '../upstreams/exchange.js';
+import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
+import {answerOf} from '../upstreams/upstream-answer-fixture.js';
 import type {Placement} from '../upstreams/placement.js';
 import type {Authenticator} from './authenticator.js';
 import type {Call} from './call.js';
@@ -22,9 +24,11 @@
 	readonly upstream: string;
 	readonly request: OutgoingRequest;
 	readonly settle: (result: Result<UpstreamAnswer, ExchangeFailure>) => void;
+	/** Ends the exchange with a fault of the program. */
+	readonly fail: (fault: Error) => void;
 };
 
-const answered = (status: number, ...headers: string[]) => ok({status, headers, body: Buffer.from('body')});
+const answered = (status: number, ...headers: string[]) => ok(answerOf(status, headers, Buffer.from('body')));
 export const success = answered(200, 'signature', 's');
 export const failure = answered(500, 'signature', 's');
 export const refusal = answered(503, 'not-run', '1');
@@ -60,6 +64,10 @@
 	report: LoadReport | undefined;
 	/** True if upstreams whose connections break have crashed. */
 	hasCrashed = false;
+	/** Fault of the program that placement raises; none if undefined. */
+	placementFault: Error | undefined;
+	/** Fault with which the call ended. */
+	fault: unknown;
 	/** Whether placement never resolves. */
 	isPlacementBlocked = false;
 	expectedMs = 40;
@@ -113,6 +121,7 @@
 			onConnectionBroken: async () => this.hasCrashed,
 			onAbandoned: () => undefined,
 			onAbandonedAnswered: () => undefined,
+			onLateFault: () => undefined,
 			pause: async durationMs => {
 				this.clock.advance(durationMs);
 			},
@@ -127,9 +136,7 @@
 	}
 
 	async start(): Promise<void> {
-		void this.run.run().then(outcome => { // eslint-disable-line promise/prefer-await-to-then
-			this.outcome = outcome;
-		});
+		void this.#recordEnd();
 		await runPendingPromises();
 	}
 
@@ -144,7 +151,19 @@
 		await runPendingPromises();
 	}
 
+	async #recordEnd(): Promise<void> {
+		try {
+			this.outcome = await this.run.run();
+		} catch (error) {
+			this.fault = error;
+		}
+	}
+
 	#place(excluded: ReadonlySet<UpstreamId>, upstreams: number): Placement | undefined {
+		if (this.placementFault !== undefined) {
+			throw this.placementFault;
+		}
+
 		if (excluded.size >= upstreams) {
 			return undefined;
 		}
@@ -153,8 +172,10 @@
 		const id = `u${this.#placements}` as UpstreamId;
 		const connection = {
 			isConnected: this.#isConnected,
-			exchange: async (request: OutgoingRequest) => new Promise<Result<UpstreamAnswer, ExchangeFailure>>(resolve => {
-				this.exchanges.push({upstream: id, request, settle: resolve});
+			exchange: async (request: OutgoingRequest) => new Promise<Result<UpstreamAnswer, ExchangeFailure>>((resolve, reject) => {
+				this.exchanges.push({
+					upstream: id, request, settle: resolve, fail: reject,
+				});
 			}),
 			cancel: () => {
 				this.cancelled.push(id);
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -33,6 +33,25 @@
 		assert.equal(headers[headers.indexOf('expect') + 1], 'u1');
 	});
 
+	describe('faults of the program', () => {
+		const fault = new Error('a fault of the program');
+
+		// Guards against calls that never end, and attempts that count as running for ever, after a fault.
+		itRuns('should end the call and count its attempt as ended', {idempotent: true}, async harness => {
+			harness.exchanges[0]!.fail(fault);
+			await runPendingPromises();
+			assert.equal(harness.fault, fault);
+			assert.equal(harness.conditions[0]!.unreportedInFlight, 0);
+		});
+
+		itRuns('should end the call if they come with a further attempt, and cancel those that run', {idempotent: true}, async harness => {
+			harness.placementFault = fault;
+			await harness.advance(200);
+			assert.equal(harness.fault, fault);
+			assert.deepEqual(harness.cancelled, ['u1']);
+		});
+	});
+
 	describe('requests without an available upstream', () => {
 		const backingOff = (availableInMs: number) => ({reason: 'upstreams-backing-off', availableInMs}) as const;
 		itRuns('should be refused at once if none becomes available within the waiting time', {
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -29,6 +29,7 @@
 	readonly #search: PlacementSearch;
 	readonly #outcome: Promise<Outcome>;
 	#resolve!: (outcome: Outcome) => void;
+	#reject!: (reason: unknown) => void;
 	#isOver = false;
 	#pendingPlacements = 0;
 	#deadlineTimer: NodeJS.Timeout | undefined;
@@ -46,8 +47,9 @@
 		this.#gate = new AttemptGate({
 			dependencies, call, search: this.#search, attempts: this.#attempts, retries: this.#retries, onDecision,
 		});
-		this.#outcome = new Promise(resolve => {
+		this.#outcome = new Promise((resolve, reject) => {
 			this.#resolve = resolve;
+			this.#reject = reject;
 		});
 	}
 
@@ -60,13 +62,14 @@
 		return this.#attempts.sent;
 	}
 
+	/** @returns the outcome; rejects if a fault of the program ends the call */
 	async run(): Promise<Outcome> {
 		this.#deadlineTimer = setTimeout(() => {
 			this.expire();
 		}, Math.max(0, this.#remainingMs));
 		this.#dependencies.overload.recordArrival(this.#call);
 		this.#dependencies.budget(this.#call.service).recordFirstAttempt(this.#now());
-		void this.#attempt('first');
+		void this.#start('first');
 		return this.#outcome;
 	}
 
@@ -81,6 +84,16 @@
 		this.#end(this.#attempts.outcomeAtDeadline(mayStillRun));
 	}
 
+	/** Makes an attempt whose end nothing waits for; a fault in it ends the call. */
+	async #start(kind: AttemptKind): Promise<boolean> {
+		try {
+			return await this.#attempt(kind);
+		} catch (error) {
+			this.#fail(error);
+			return false;
+		}
+	}
+
 	/** @returns whether an attempt was sent; resolves once that attempt has ended */
 	async #attempt(kind: AttemptKind): Promise<boolean> {
 		const placement = await this.#findPlacement(kind);
@@ -128,8 +141,16 @@
 		}
 
 		const sentAtMs = this.#now();
-		const verdict = await attempt.run(remainingMs);
-		this.#runningAttempts.delete(attempt);
+		let verdict: ExchangeVerdict;
+		try {
+			verdict = await attempt.run(remainingMs);
+		} catch (error) {
+			grant?.complete(this.#now());
+			throw error;
+		} finally {
+			this.#runningAttempts.delete(attempt);
+		}
+
 		if (wasNeverSent(verdict) || !attempt.mayHaveReachedUpstream) {
 			grant?.cancel();
 		} else {
@@ -161,7 +182,7 @@
 
 		const isNothingPending = this.#runningAttempts.size === 0 && this.#pendingPlacements === 0;
 		if (isNothingPending && this.#mayRetry(verdict)) {
-			void this.#attempt('repeat');
+			void this.#start('repeat');
 			return;
 		}
 
@@ -200,7 +221,7 @@
 			return 'not-needed';
 		}
 
-		const isSent = await this.#attempt('hedge');
+		const isSent = await this.#start('hedge');
 		return isSent ? 'sent' : 'none-found';
 	}
 
@@ -215,14 +236,27 @@
 			return;
 		}
 
+		this.#close(outcome.type === 'answered');
+		this.#resolve(outcome);
+	}
+
+	/** Handles a fault of the program: it rejects the outcome, or is recorded if the call has one. */
+	#fail(error: unknown): void {
+		if (this.#isOver) {
+			this.#dependencies.onLateFault(error);
+		} else {
+			this.#close(false);
+			this.#reject(error);
+		}
+	}
+
+	#close(isAnswered: boolean): void {
 		this.#isOver = true;
 		clearTimeout(this.#deadlineTimer);
 		this.#hedgeTimer.stop();
 		for (const attempt of this.#runningAttempts) {
-			attempt.cancel(outcome.type === 'answered');
+			attempt.cancel(isAnswered);
 		}
-
-		this.#resolve(outcome);
 	}
 
 	/** Whether one more attempt is allowed and can end in time. */
--- a/packages/gateway/src/features/calls/call.ts
+++ b/packages/gateway/src/features/calls/call.ts
@@ -2,7 +2,7 @@
 import type {ServiceId} from '@cairnbank/core';
 import type {ClientAccount, KeyDigest} from '@cairnbank/core/accounts';
 import type {Route} from '@cairnbank/core/routes';
-import type {RawHeaders} from '../upstreams/exchange.js';
+import type {RawHeaders} from '../upstreams/upstream-answer.js';
 
 export type Call = {
 	readonly requestId: string;
--- a/packages/gateway/src/features/calls/caller-connections.spec.ts
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -7,25 +7,31 @@
 import {ManualClock} from '@cairnbank/core';
 import {maximumHeldBytes, stallMs} from '@cairnbank/core/connections';
 import {createMetrics} from '../../metrics/metrics.js';
+import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
+import {answerOf} from '../upstreams/upstream-answer-fixture.js';
 import {CallerConnections} from './caller-connections.js';
 
-const answer = {type: 'answered', answer: {status: 200, headers: [], body: new Uint8Array(2)}} as const;
+const answer = {type: 'answered', answer: answerOf(200, [], new Uint8Array(2))} as const;
 const headerTimeoutMs = 100;
 const servers: Server[] = [];
 
 /** Starts a server that leaves its requests to the spec, and sends it bytes. */
 async function send(bytes: string): Promise<{
-	clock: ManualClock; connections: CallerConnections; started: ServerResponse[]; received: () => string; socket: Socket;
+	clock: ManualClock; connections: CallerConnections; started: ServerResponse[]; received: () => string; socket: Socket; writeFaults: unknown[];
 }> {
 	const server = createServer({requireHostHeader: false, headersTimeout: headerTimeoutMs, connectionsCheckingInterval: headerTimeoutMs / 2});
 	servers.push(server);
 	const started: ServerResponse[] = [];
+	const writeFaults: unknown[] = [];
 	const clock = new ManualClock();
 	const connections = new CallerConnections({
 		server,
 		clock,
 		metrics: createMetrics(),
 		isLeaving: () => false,
+		onWriteFault(error) {
+			writeFaults.push(error);
+		},
 		onStart(_, response) {
 			started.push(response);
 		},
@@ -40,7 +46,7 @@
 	socket.write(bytes);
 	await once(server, 'request');
 	return {
-		clock, connections, started, received: () => text, socket,
+		clock, connections, started, received: () => text, socket, writeFaults,
 	};
 }
 
@@ -75,6 +81,17 @@
 		assert.equal(started.length, 0);
 	});
 
+	// Guards against an exception in the writer that ends the process.
+	it('should answer 502 if an answer cannot be written, and go on with the connection', async () => {
+		const {connections, started, received, socket, writeFaults} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n');
+		const unwritable = {status: 200, headers: ['X-A', 'a\0b'], body: new Uint8Array(0)} as unknown as UpstreamAnswer;
+		connections.respond(started[0]!, {type: 'answered', answer: unwritable});
+		connections.respond(started[1]!, answer);
+		await once(socket, 'close');
+		assert.match(received(), /^HTTP\/1\.1 502 [^]*HTTP\/1\.1 200 OK/);
+		assert.equal(writeFaults.length, 1);
+	});
+
 	it('should disconnect a caller that takes nothing of an answer behind another while memory is short', async () => {
 		const {clock, connections, started, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n');
 		const [first, second] = started as [ServerResponse, ServerResponse];
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -6,7 +6,7 @@
 import type {Metrics} from '../../metrics/metrics.js';
 import {CallerConnection, type CallerConnectionOptions} from './caller-connection.js';
 import type {Outcome} from './outcome.js';
-import {writeOutcome} from './write-outcome.js';
+import {writeOutcome, type WriteOptions} from './write-outcome.js';
 
 /** Time in which a link of 10 Mbit/s sends a few long answers. */
 const heldRetryAfterMs = 500;
@@ -18,6 +18,8 @@
 	/** Whether the instance leaves, so that connections close once nothing is lost by it. */
 	readonly isLeaving: () => boolean;
 	readonly onStart: CallerConnectionOptions['onStart'];
+	/** Called if an outcome could not be written; its caller gets another one, or is disconnected. */
+	readonly onWriteFault: (error: unknown) => void;
 };
 
 export class CallerConnections {
@@ -85,7 +87,7 @@
 
 		connection.answer(response, this.#options.isLeaving, isLast => {
 			this.#held.progressed(connection);
-			writeOutcome(response, outcome, {
+			this.#write(response, outcome, {
 				isLast,
 				faultStatus: connection.faultStatus,
 				onProgress: () => {
@@ -95,6 +97,19 @@
 		});
 	}
 
+	#write(response: ServerResponse, outcome: Outcome, options: WriteOptions): void {
+		try {
+			writeOutcome(response, outcome, options);
+		} catch (error) {
+			this.#options.onWriteFault(error);
+			if (response.headersSent) {
+				response.destroy();
+			} else {
+				writeOutcome(response, {type: 'unknown', reason: 'internal-error'}, options);
+			}
+		}
+	}
+
 	#hold(connection: CallerConnection, response: ServerResponse, bytes: number): void {
 		const {heldAnswerBytes} = this.#options.metrics;
 		this.#held.hold(connection, bytes);
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -9,7 +9,8 @@
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
-import type {AccountLimitsTask} from '../account-limits/account-limits-task.js';
+import {recordUnexpectedFault} from '../../kernel/unexpected-fault.js';
+import type {AccountLimitsTask, CallAdmittance} from '../account-limits/account-limits-task.js';
 import type {Authenticator} from './authenticator.js';
 import {CallerConnections} from './caller-connections.js';
 import type {Call} from './call.js';
@@ -68,6 +69,9 @@
 			onStart: (request, response, receivedAtMs) => {
 				void this.#handle(request, response, receivedAtMs);
 			},
+			onWriteFault(error) {
+				recordUnexpectedFault(options.context, 'answer', error);
+			},
 		});
 	}
 
@@ -109,9 +113,28 @@
 	}
 
 	async #handle(request: IncomingMessage, response: ServerResponse, receivedAtMs: number): Promise<void> {
-		const {context, callDependencies, authenticator} = this.#options;
+		const {metrics} = this.#options.context;
 		this.#inFlight += 1;
-		context.metrics.inFlight.set(this.#inFlight);
+		metrics.inFlight.set(this.#inFlight);
+		try {
+			await this.#answer(request, response, receivedAtMs);
+		} catch (error) {
+			const id = request.headers[this.#options.callDependencies.dialect.requestIdHeader];
+			recordUnexpectedFault(this.#options.context, 'call', error, {id, target: request.url});
+			request.resume();
+			this.#respond(response, {type: 'unknown', reason: 'internal-error'}, {id, target: request.url});
+		}
+
+		await untilClosed(response);
+		this.#inFlight -= 1;
+		metrics.inFlight.set(this.#inFlight);
+		if (this.#inFlight === 0) {
+			this.#onIdle?.();
+		}
+	}
+
+	async #answer(request: IncomingMessage, response: ServerResponse, receivedAtMs: number): Promise<void> {
+		const {context, callDependencies, authenticator} = this.#options;
 		await this.#options.startupGate.waitUntilReady();
 		const routes = this.#options.routes();
 		const head = readCallHead(request, {
@@ -128,13 +151,6 @@
 		} else {
 			await this.#processCall(request, response, head.value);
 		}
-
-		await untilClosed(response);
-		this.#inFlight -= 1;
-		context.metrics.inFlight.set(this.#inFlight);
-		if (this.#inFlight === 0) {
-			this.#onIdle?.();
-		}
 	}
 
 	async #processCall(request: IncomingMessage, response: ServerResponse, head: Omit<Call, 'body'>): Promise<void> {
@@ -188,15 +204,26 @@
 		};
 
 		response.on('close', abandon);
-		this.#runningCalls.add(run);
-		const outcome = await run.run();
-		this.#runningCalls.delete(run);
-		this.#options.accountLimits.complete(admittance, outcome, run.attemptsSent > 0);
+		const outcome = await this.#run(run, admittance);
 		const tookMs = this.#options.context.clock.monotonicMs() - head.receivedAtMs;
 		this.#respond(response, outcome, {...fields, tookMs: Math.round(tookMs), decisions: run.decisions.join(' ')}, run.attemptsSent === 1);
 		this.#options.context.metrics.requestSeconds.observe({outcome: outcome.type}, tookMs / 1000);
 	}
 
+	/** Runs an admitted call; its account gets back what the call did not use, also if a fault ends it. */
+	async #run(run: CallRun, admittance: Exclude<CallAdmittance, {readonly type: 'refused'}>): Promise<Outcome> {
+		let outcome: Outcome = {type: 'unknown', reason: 'internal-error'};
+		this.#runningCalls.add(run);
+		try {
+			outcome = await run.run();
+		} finally {
+			this.#runningCalls.delete(run);
+			this.#options.accountLimits.complete(admittance, outcome, run.attemptsSent > 0);
+		}
+
+		return outcome;
+	}
+
 	#respond(response: ServerResponse, outcome: Outcome, fields: Readonly<Record<string, unknown>>, hasSingleAttempt = false): void {
 		const {metrics, logger, settings} = this.#options.context;
 		const reason = 'reason' in outcome ? outcome.reason : '';
--- a/packages/gateway/src/features/calls/judge-exchange.spec.ts
+++ b/packages/gateway/src/features/calls/judge-exchange.spec.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
-import {Buffer} from 'node:buffer';
 import {describe, it} from 'node:test';
 import {err, ok} from 'neverthrow';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
 import type {ExchangeFailure} from '../upstreams/exchange.js';
+import {answerOf} from '../upstreams/upstream-answer-fixture.js';
 import {classifyExchange} from './judge-exchange.js';
 
 function classify(status: number, ...headers: string[]): string {
-	const verdict = classifyExchange(ok({status, headers, body: Buffer.alloc(0)}), plainDialect);
+	const verdict = classifyExchange(ok(answerOf(status, headers)), plainDialect);
 	return 'reason' in verdict ? `${verdict.type}:${verdict.reason}` : verdict.type;
 }
 
--- a/packages/gateway/src/features/calls/judge-exchange.ts
+++ b/packages/gateway/src/features/calls/judge-exchange.ts
@@ -1,7 +1,8 @@
 /** Classifies the result of one exchange. Whether a request provably has not run is decided only here. */
 import type {Result} from 'neverthrow';
 import type {RequestDialect} from '../../ports/index.js';
-import {headerOf, type ExchangeFailure, type UpstreamAnswer} from '../upstreams/exchange.js';
+import {headerOf, type ExchangeFailure} from '../upstreams/exchange.js';
+import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {NotRunReason, UnknownReason} from './outcome.js';
 
 export type ExchangeVerdict =
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -2,7 +2,7 @@
 import type {AuthenticationFault} from '@cairnbank/core/accounts';
 import type {ServiceUnavailableReason} from '@cairnbank/core/advisories';
 import type {RefusalReason} from '@cairnbank/core/overload';
-import type {UpstreamAnswer} from '../upstreams/exchange.js';
+import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 
 /** Reason that no upstream may get a request. */
 export type NoUpstreamReason =
@@ -32,7 +32,10 @@
 	/** No instance was reached that knows how much of its limit the account has used. */
 	| 'account-use-unknown';
 
-export type UnknownReason = 'broken' | 'malformed' | 'timed-out' | 'unsigned' | 'unproven-refusal';
+export type UnknownReason =
+	| 'broken' | 'malformed' | 'timed-out' | 'unsigned' | 'unproven-refusal'
+	/** A fault of this program ended the call; attempts that were sent may have run. */
+	| 'internal-error';
 
 export type BadRequestReason = 'no-route' | 'no-request-id' | 'body-too-large' | 'header-too-large' | 'bad-deadline';
 
--- a/packages/gateway/src/features/calls/write-outcome.ts
+++ b/packages/gateway/src/features/calls/write-outcome.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {HeaderFilter} from '@cairnbank/core/headers';
+import {bodylessStatuses} from '../upstreams/upstream-answer.js';
 import type {BadRequestReason, Outcome} from './outcome.js';
 
 const answerHeaders = new HeaderFilter();
@@ -38,7 +39,7 @@
 	switch (outcome.type) {
 		case 'answered': {
 			const {status, headers, body} = outcome.answer;
-			const length = response.req.method === 'HEAD' ? [] : ['Content-Length', String(body.length)];
+			const length = response.req.method === 'HEAD' || bodylessStatuses.has(status) ? [] : ['Content-Length', String(body.length)];
 			response.writeHead(status, [...answerHeaders.apply(headers), ...length]);
 			endAfterWrite(response, body, onProgress);
 			return;
--- a/packages/gateway/src/features/directory/directory-task.ts
+++ b/packages/gateway/src/features/directory/directory-task.ts
@@ -9,6 +9,8 @@
 import {listen, splitAddress} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import {pathOf} from '../../kernel/target.js';
+import {containFaults} from '../../kernel/unexpected-fault.js';
 import type {DirectoryDialect} from '../../ports/index.js';
 
 /**
@@ -36,9 +38,9 @@
 		this.#options = options;
 		const {directory, readiness, control} = options.context.settings.listen;
 		for (const address of new Set([directory, readiness, ...(control === undefined ? [] : [control])])) {
-			this.#servers.set(address, createServer({keepAliveTimeout: keepAliveMs}, (request, response) => {
+			this.#servers.set(address, createServer({keepAliveTimeout: keepAliveMs}, containFaults(options.context, 'directory', async (request, response) => {
 				this.#answer(request, response);
-			}));
+			})));
 		}
 	}
 
@@ -64,7 +66,7 @@
 		const {dialect, isReady} = this.#options;
 		const url = request.url ?? '/';
 		request.resume();
-		if (url.split('?')[0] === dialect.readinessPath) {
+		if (pathOf(url) === dialect.readinessPath) {
 			response.statusCode = isReady() ? 200 : 503;
 			response.end();
 			return;
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -84,6 +84,7 @@
 			revisionKey: () => options.state().revisionKey,
 		});
 		this.#peerServer = new PeerServer({
+			context: options.context,
 			maximumHeaderBytes: maximumRelayHeaderBytes,
 			handlers: {
 				[statePath]: async (request, response) => stateExchange.answer(request, response),
--- a/packages/gateway/src/features/fleet/peer-server.ts
+++ b/packages/gateway/src/features/fleet/peer-server.ts
@@ -3,8 +3,11 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {Result} from 'neverthrow';
+import type {Context} from '../../kernel/context.js';
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
+import {pathOf} from '../../kernel/target.js';
+import {containFaults} from '../../kernel/unexpected-fault.js';
 
 /** Keeps a connection open between two requests that an instance passes on for another. */
 const keepAliveMs = 15_000;
@@ -16,21 +19,22 @@
 	/** Handlers by path. */
 	readonly handlers: Readonly<Record<string, PeerHandler>>;
 	readonly maximumHeaderBytes: number;
+	readonly context: Pick<Context, 'logger' | 'metrics'>;
 };
 
 export class PeerServer {
 	readonly #server: Server;
 
-	constructor({handlers, maximumHeaderBytes}: PeerServerOptions) {
-		this.#server = createServer({maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: keepAliveMs, noDelay: true}, (request, response) => {
-			const handler = handlers[request.url?.split('?')[0] ?? ''];
+	constructor({context, handlers, maximumHeaderBytes}: PeerServerOptions) {
+		this.#server = createServer({maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: keepAliveMs, noDelay: true}, containFaults(context, 'peer', async (request, response) => {
+			const handler = handlers[pathOf(request.url ?? '')];
 			if (handler === undefined) {
 				request.resume();
 				response.writeHead(notFoundStatus).end();
 			} else {
-				void handler(request, response);
+				await handler(request, response);
 			}
-		});
+		}));
 	}
 
 	async start(address: string): Promise<Result<void, StartError>> {
--- a/packages/gateway/src/features/fleet/state-exchange.ts
+++ b/packages/gateway/src/features/fleet/state-exchange.ts
@@ -6,6 +6,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
 import type {Context} from '../../kernel/context.js';
+import {queryOf} from '../../kernel/target.js';
 import type {SharedState, StateQuery} from '../state/shared-state.js';
 import {decodeState, encodeState} from './state-body.js';
 
@@ -52,7 +53,7 @@
 			return;
 		}
 
-		const {searchParams} = new URL(request.url ?? '/', 'http://peer');
+		const searchParams = queryOf(request.url ?? '');
 		const body = await this.#encode({
 			configurationVersion: Number(searchParams.get('configuration') ?? 0),
 			wantsRegistry: searchParams.get('registry') === '1',
--- a/packages/gateway/src/features/metrics/metrics-task.ts
+++ b/packages/gateway/src/features/metrics/metrics-task.ts
@@ -5,6 +5,7 @@
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import {containFaults} from '../../kernel/unexpected-fault.js';
 
 export class MetricsTask implements Task {
 	readonly name = 'metrics';
@@ -13,10 +14,10 @@
 
 	constructor(context: Context, droppedLogLines: () => number) {
 		this.#context = context;
-		this.#server = createServer((_request, response) => {
+		this.#server = createServer(containFaults(context, 'metrics', async (_request, response) => {
 			context.metrics.droppedLogLines.set(droppedLogLines());
-			void this.#answer(response);
-		});
+			await this.#answer(response);
+		}));
 	}
 
 	async start(): Promise<Result<void, StartError>> {
--- a/packages/gateway/src/features/relay/relay-codec.ts
+++ b/packages/gateway/src/features/relay/relay-codec.ts
@@ -7,7 +7,8 @@
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
 import {fingerprintPattern} from '../fleet/suspects-codec.js';
-import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from '../upstreams/exchange.js';
+import type {ExchangeFailure, OutgoingRequest} from '../upstreams/exchange.js';
+import type {AnswerParts} from '../upstreams/upstream-answer.js';
 
 export const relayPath = '/relay';
 export const relayHeadHeader = 'x-relay-head';
@@ -23,7 +24,7 @@
 	readonly fingerprint?: Fingerprint | undefined;
 };
 
-export type RelayResult = Result<Omit<UpstreamAnswer, 'body'>, ExchangeFailure>;
+export type RelayResult = Result<Omit<AnswerParts, 'body'>, ExchangeFailure>;
 
 // eslint-disable-next-line no-control-regex -- control characters would end the header line or the request
 const headerText = v.pipe(v.string(), v.regex(/^[^\u0000-\u0008\u000A-\u001F\u007F]*$/, 'control character'));
--- a/packages/gateway/src/features/relay/relay-task.spec.ts
+++ b/packages/gateway/src/features/relay/relay-task.spec.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import {beforeEach, describe, it} from 'node:test';
@@ -7,7 +6,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
 import type {SuspectRequest} from '../calls/suspect-request.js';
-import type {ExchangeFailure, UpstreamAnswer} from '../upstreams/exchange.js';
+import type {ExchangeFailure} from '../upstreams/exchange.js';
+import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
+import {answerOf} from '../upstreams/upstream-answer-fixture.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import {encodeHead, relayHeadHeader} from './relay-codec.js';
 import {RelayTask, type RelayTaskOptions} from './relay-task.js';
@@ -118,7 +119,7 @@
 
 	it('should not cancel what runs on a connection after its own request has ended', async () => {
 		const response = await start();
-		settle[0]!(ok({status: 200, headers: [], body: Buffer.alloc(0)}));
+		settle[0]!(ok(answerOf(200)));
 		await pause();
 		response.close();
 		assert.equal(cancelled, 0);
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -11,7 +11,8 @@
 import type {Task} from '../../kernel/task.js';
 import type {PoisonGuard} from '../calls/poison-guard.js';
 import type {SuspectRequest} from '../calls/suspect-request.js';
-import type {ExchangeFailure, UpstreamAnswer} from '../upstreams/exchange.js';
+import type {ExchangeFailure} from '../upstreams/exchange.js';
+import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import {
@@ -94,11 +95,14 @@
 
 		this.#requests += 1;
 		this.#reservedBodyBytes += bodyBytes;
-		await this.#passOn(request, response, head.value);
-		this.#reservedBodyBytes -= bodyBytes;
-		this.#requests -= 1;
-		if (this.#requests === 0) {
-			this.#onIdle?.();
+		try {
+			await this.#passOn(request, response, head.value);
+		} finally {
+			this.#reservedBodyBytes -= bodyBytes;
+			this.#requests -= 1;
+			if (this.#requests === 0) {
+				this.#onIdle?.();
+			}
 		}
 	}
 
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -6,7 +6,8 @@
 import type {UpstreamId} from '@cairnbank/core';
 import type {RelayOutcome, RelayPeer} from '@cairnbank/core/reachability';
 import {err, type Result} from 'neverthrow';
-import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from '../upstreams/exchange.js';
+import type {ExchangeFailure, OutgoingRequest} from '../upstreams/exchange.js';
+import {createAnswer, type UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import {
 	decodeResult, encodeHead, maximumRelayHeaderBytes, noLink, relayHeadHeader, relayPath,
@@ -138,7 +139,8 @@
 			return;
 		}
 
-		this.#end(decoded.value.map(answer => ({...answer, body})), 'passed-on');
+		const answer = decoded.value.andThen(head => createAnswer({...head, body}).mapErr((message): ExchangeFailure => ({type: 'malformed', message})));
+		this.#end(answer, 'passed-on');
 	}
 
 	/** Handles the loss of the other instance: once connected, it may have passed the request on. */
--- a/packages/gateway/src/features/upstreams/advisories.spec.ts
+++ b/packages/gateway/src/features/upstreams/advisories.spec.ts
@@ -5,6 +5,7 @@
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
 import {Advisories, type AdvisoriesOptions, type AdvisorySource} from './advisories.js';
+import {answerOf} from './upstream-answer-fixture.js';
 import type {Upstream} from './upstream.js';
 
 /** Harness with one instance and one upstream. */
@@ -19,7 +20,7 @@
 	});
 
 	received(status: number, headers: readonly string[], source: AdvisorySource = 'answer'): void {
-		this.advisories.received(this.upstream, {status, headers, body: new Uint8Array(0)}, source);
+		this.advisories.received(this.upstream, answerOf(status, headers), source);
 	}
 
 	get availability(): string {
--- a/packages/gateway/src/features/upstreams/advisories.ts
+++ b/packages/gateway/src/features/upstreams/advisories.ts
@@ -2,7 +2,8 @@
 import type {UpstreamAdvisory} from '@cairnbank/core/advisories';
 import type {Context} from '../../kernel/context.js';
 import type {RequestDialect} from '../../ports/index.js';
-import {advisoriesOf, type UpstreamAnswer} from './exchange.js';
+import {advisoriesOf} from './exchange.js';
+import type {UpstreamAnswer} from './upstream-answer.js';
 import type {Upstream} from './upstream.js';
 
 export type AdvisorySource = 'answer' | 'health-check';
--- a/packages/gateway/src/features/upstreams/answer-parser.spec.ts
+++ b/packages/gateway/src/features/upstreams/answer-parser.spec.ts
@@ -3,7 +3,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {AnswerParser, maximumAnswerBytes} from './answer-parser.js';
-import type {UpstreamAnswer} from './exchange.js';
+import type {UpstreamAnswer} from './upstream-answer.js';
 
 type Parsed = {answers: UpstreamAnswer[]; fault: string | undefined; endFault: string | undefined};
 
--- a/packages/gateway/src/features/upstreams/answer-parser.ts
+++ b/packages/gateway/src/features/upstreams/answer-parser.ts
@@ -1,51 +1,42 @@
 /** Parses the bytes of one connection into answers. */
 import {Buffer} from 'node:buffer';
-import {HTTPParser, type HTTPParserJS} from 'http-parser-js';
-import {type RawHeaders, type UpstreamAnswer, headerOf} from './exchange.js';
+import {StrictParser, type AfterHead, type ResponseInfo} from './strict-parser.js';
+import {
+	bodylessStatuses, createAnswer, type RawHeaders, type UpstreamAnswer,
+} from './upstream-answer.js';
 
 /** Answers are buffered whole; a longer one is rejected, so that a faulty upstream cannot exhaust the memory. */
 export const maximumAnswerBytes = 33_554_432;
+const switchingProtocolsStatus = 101;
+const firstInterimStatus = 100;
 const firstFinalStatus = 200;
-/** Return value that tells the parser that the answer has no body, whatever its headers say. */
-const skipBody = 1;
 
 export type AnswerParserOptions = {
-	/** Whether the request whose answer comes next was a HEAD request. */
+	/** Returns whether the request whose answer comes next was a HEAD request. */
 	readonly expectsNoBody: () => boolean;
 	readonly onAnswer: (answer: UpstreamAnswer, keepAlive: boolean) => void;
 };
 
-/**
- * The parser library treats a content length or chunk size that is not a number as the end of the body. An answer that was
- * truncated or corrupted there must not look complete, so both are checked here.
- */
 export class AnswerParser {
-	readonly #parser: HTTPParserJS;
 	readonly #options: AnswerParserOptions;
-	#status = 0;
-	#headers: RawHeaders = [];
-	#keepAlive = false;
+	readonly #parser = new StrictParser({
+		onHead: info => this.#readHead(info),
+		onBody: bytes => {
+			this.#readBody(bytes);
+		},
+		onComplete: () => {
+			this.#complete();
+			return false;
+		},
+	});
+
+	#head: ResponseInfo | undefined;
 	#chunks: Uint8Array[] = [];
 	#bodyBytes = 0;
 	#fault: string | undefined;
 
 	constructor(options: AnswerParserOptions) {
 		this.#options = options;
-		this.#parser = new HTTPParser(HTTPParser.RESPONSE);
-		this.#parser[HTTPParser.kOnHeadersComplete] = info => this.#onHeadersComplete(info);
-		this.#parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
-			this.#bodyBytes += length;
-			if (this.#bodyBytes > maximumAnswerBytes) {
-				this.#fault ??= 'answer too long';
-				return;
-			}
-
-			this.#chunks.push(Buffer.from(chunk.subarray(offset, offset + length)));
-		};
-
-		this.#parser[HTTPParser.kOnMessageComplete] = () => {
-			this.#onMessageComplete();
-		};
 	}
 
 	/** @returns the reason why the bytes are not a valid answer, if any */
@@ -56,37 +47,69 @@
 
 	/** Handles the orderly end of the connection. @returns the reason why the last answer is incomplete or invalid, if any */
 	finish(): string | undefined {
-		const result = this.#parser.finish() as unknown;
-		return this.#fault ?? (result instanceof Error ? result.message : undefined);
+		const result = this.#parser.finish();
+		return this.#fault ?? result?.message;
 	}
 
-	#onHeadersComplete({statusCode, headers, shouldKeepAlive}: {statusCode: number; headers: string[]; shouldKeepAlive: boolean}): number | undefined {
-		this.#status = statusCode;
-		this.#headers = headers;
-		this.#keepAlive = shouldKeepAlive;
+	/** @returns how the parser goes on behind the head */
+	#readHead(info: ResponseInfo): AfterHead {
+		this.#head = info;
 		this.#chunks = [];
 		this.#bodyBytes = 0;
-		const length = headerOf(headers, 'content-length');
-		const transferCoding = headerOf(headers, 'transfer-encoding');
-		if (length !== undefined && (!/^\d+$/.test(length) || transferCoding !== undefined)) {
-			this.#fault = 'ambiguous or invalid content length';
+		this.#fault ??= findFramingFault(info);
+		if (this.#fault !== undefined) {
+			return 'stop';
 		}
 
-		if (transferCoding !== undefined && transferCoding.toLowerCase() !== 'chunked') {
-			this.#fault = 'unknown transfer coding';
+		const hasNoBody = isInterim(info) || bodylessStatuses.has(info.statusCode) || this.#options.expectsNoBody();
+		return hasNoBody ? 'no-body' : 'body';
+	}
+
+	#readBody(bytes: Uint8Array): void {
+		this.#bodyBytes += bytes.length;
+		if (this.#bodyBytes > maximumAnswerBytes) {
+			this.#fault ??= 'answer too long';
+			return;
 		}
 
-		return this.#options.expectsNoBody() ? skipBody : undefined;
+		this.#chunks.push(Buffer.from(bytes));
 	}
 
-	#onMessageComplete(): void {
-		const {body_bytes: remainingBytes} = this.#parser as unknown as {body_bytes: number | undefined};
-		if (Number.isNaN(remainingBytes)) {
-			this.#fault = 'invalid chunk size';
+	#complete(): void {
+		const head = this.#head;
+		if (head === undefined || this.#fault !== undefined || isInterim(head)) {
+			return;
 		}
 
-		if (this.#fault === undefined && this.#status >= firstFinalStatus) {
-			this.#options.onAnswer({status: this.#status, headers: this.#headers, body: Buffer.concat(this.#chunks)}, this.#keepAlive);
+		const answer = createAnswer({status: head.statusCode, headers: head.headers, body: Buffer.concat(this.#chunks)});
+		if (answer.isErr()) {
+			this.#fault = answer.error;
+		} else {
+			this.#options.onAnswer(answer.value, head.shouldKeepAlive);
 		}
 	}
 }
+
+function isInterim({statusCode}: ResponseInfo): boolean {
+	return statusCode >= firstInterimStatus && statusCode < firstFinalStatus;
+}
+
+/** @returns the reason why the length of the message is ambiguous or invalid, if it is */
+function findFramingFault({statusCode, headers}: ResponseInfo): string | undefined {
+	const lengths = valuesOf(headers, 'content-length');
+	const codings = valuesOf(headers, 'transfer-encoding');
+	if (statusCode === switchingProtocolsStatus) {
+		return 'unrequested change of protocol';
+	}
+
+	if (codings.length > 1 || (codings.length === 1 && codings[0]!.toLowerCase() !== 'chunked')) {
+		return 'unknown transfer coding';
+	}
+
+	const isAmbiguous = lengths.length > 0 && codings.length > 0;
+	return isAmbiguous || lengths.some(length => !/^\d+$/.test(length)) ? 'ambiguous or invalid content length' : undefined;
+}
+
+function valuesOf(headers: RawHeaders, name: string): string[] {
+	return headers.filter((_, index) => index % 2 === 1 && headers[index - 1]!.toLowerCase() === name);
+}
--- a/packages/gateway/src/features/upstreams/exchange.ts
+++ b/packages/gateway/src/features/upstreams/exchange.ts
@@ -5,15 +5,7 @@
 import type {LoadReport} from '@cairnbank/core/placement';
 import type {Result} from 'neverthrow';
 import type {RequestDialect} from '../../ports/index.js';
-
-/** Alternating header names and values, as received. */
-export type RawHeaders = readonly string[];
-
-export type UpstreamAnswer = {
-	readonly status: number;
-	readonly headers: RawHeaders;
-	readonly body: Uint8Array;
-};
+import type {RawHeaders, UpstreamAnswer} from './upstream-answer.js';
 
 export type ExchangeFailure =
 	/** No connection was opened, so nothing was sent. */
--- a/packages/gateway/src/features/upstreams/idle-time.ts
+++ b/packages/gateway/src/features/upstreams/idle-time.ts
@@ -1,5 +1,6 @@
 /** Reads how long a connection to an upstream may stay idle. */
-import {headerOf, type UpstreamAnswer} from './exchange.js';
+import {headerOf} from './exchange.js';
+import type {UpstreamAnswer} from './upstream-answer.js';
 
 const millisecondsPerSecond = 1000;
 /** Idle timeout of a connection if the upstream advertises none. */
--- a/packages/gateway/src/features/upstreams/prober.spec.ts
+++ b/packages/gateway/src/features/upstreams/prober.spec.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import {Buffer} from 'node:buffer';
 import {describe, it} from 'node:test';
 import {ManualClock} from '@cairnbank/core';
 import {UpstreamCondition} from '@cairnbank/core/placement';
@@ -7,7 +6,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
-import type {ExchangeFailure, UpstreamAnswer} from './exchange.js';
+import type {ExchangeFailure} from './exchange.js';
+import type {UpstreamAnswer} from './upstream-answer.js';
+import {answerOf} from './upstream-answer-fixture.js';
 import {Prober, type ProberOptions} from './prober.js';
 import type {Upstream} from './upstream.js';
 
@@ -15,8 +16,8 @@
 const reset: ExchangeFailure = {type: 'broken', message: 'reset'};
 const noAnswerInTime: ExchangeFailure = {type: 'not-connected', message: 'no answer in time', isTimeout: true};
 
-function answerOf(id: string): UpstreamAnswer {
-	return {status: 200, headers: [plainDialect.upstreamIdHeader, id], body: Buffer.alloc(0)};
+function healthAnswerOf(id: string): UpstreamAnswer {
+	return answerOf(200, [plainDialect.upstreamIdHeader, id]);
 }
 
 /** Creates an upstream whose pooled connections fail in one way and whose new connections end in another. */
@@ -57,11 +58,11 @@
 	});
 
 	it('should detect a crashed upstream whose address another upstream has taken', async () => {
-		assert.equal(await createProber().hasEnded(createUpstream({pooled: reset, opened: answerOf('u2')})), true);
+		assert.equal(await createProber().hasEnded(createUpstream({pooled: reset, opened: healthAnswerOf('u2')})), true);
 	});
 
 	it('should not consider an upstream crashed that answers itself', async () => {
-		assert.equal(await createProber().hasEnded(createUpstream({pooled: reset, opened: answerOf('u1')})), false);
+		assert.equal(await createProber().hasEnded(createUpstream({pooled: reset, opened: healthAnswerOf('u1')})), false);
 	});
 
 	it('should not consider an upstream crashed that refuses connections while all others do', async () => {
@@ -70,7 +71,7 @@
 	});
 
 	it('should detect a crashed upstream while any other can be reached', async () => {
-		const others = [createUpstream({pooled: reset, opened: refused}), createUpstream({pooled: reset, opened: answerOf('u1')})];
+		const others = [createUpstream({pooled: reset, opened: refused}), createUpstream({pooled: reset, opened: healthAnswerOf('u1')})];
 		assert.equal(await createProber(others).hasEnded(createUpstream({pooled: reset, opened: refused})), true);
 	});
 
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -5,9 +5,8 @@
 import type {Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import type {RequestDialect} from '../../ports/index.js';
-import {
-	headerOf, loadOf, type ExchangeFailure, type UpstreamAnswer,
-} from './exchange.js';
+import {headerOf, loadOf, type ExchangeFailure} from './exchange.js';
+import type {UpstreamAnswer} from './upstream-answer.js';
 import type {Advisories} from './advisories.js';
 import type {Eligibility} from './eligibility.js';
 import type {LinkMonitor} from './link-monitor.js';
--- a/packages/gateway/src/features/upstreams/rate-limits.spec.ts
+++ b/packages/gateway/src/features/upstreams/rate-limits.spec.ts
@@ -4,7 +4,8 @@
 import type {AdvertisedLimit} from '@cairnbank/core/limits';
 import {UpstreamCondition} from '@cairnbank/core/placement';
 import type {RequestDialect} from '../../ports/index.js';
-import type {UpstreamAnswer} from './exchange.js';
+import type {UpstreamAnswer} from './upstream-answer.js';
+import {answerOf} from './upstream-answer-fixture.js';
 import {RateLimits, type RateLimitsOptions, type RateReport} from './rate-limits.js';
 import type {Upstream} from './upstream.js';
 
@@ -14,7 +15,7 @@
 } as unknown as RequestDialect;
 
 function answer(limit?: string): UpstreamAnswer {
-	return {status: 200, headers: limit === undefined ? [] : ['Limit', limit], body: new Uint8Array(0)};
+	return answerOf(200, limit === undefined ? [] : ['Limit', limit]);
 }
 
 /** Harness with one instance and one upstream, whose process started at 7. */
--- a/packages/gateway/src/features/upstreams/rate-limits.ts
+++ b/packages/gateway/src/features/upstreams/rate-limits.ts
@@ -3,7 +3,8 @@
 import type {RateAdvertisement} from '@cairnbank/core/limits';
 import type {Context} from '../../kernel/context.js';
 import type {RequestDialect} from '../../ports/index.js';
-import {rateLimitOf, type UpstreamAnswer} from './exchange.js';
+import {rateLimitOf} from './exchange.js';
+import type {UpstreamAnswer} from './upstream-answer.js';
 import type {Upstream} from './upstream.js';
 
 /** The latest rate limit advertisement of one upstream process, as exchanged between instances. */
--- /dev/null
+++ b/packages/gateway/src/features/upstreams/strict-parser.ts
@@ -0,0 +1,98 @@
+/** The HTTP parser of the library, without the leniency that lets an invalid answer look valid. */
+import {HTTPParser} from 'http-parser-js';
+
+/** Header lines keep all eight bits of each byte. */
+const lineEncoding = 'latin1';
+const headerLine = /^[\w!#$%&'*+.^`|~-]+:/;
+const continuationLine = /^[ \t]/;
+const chunkSizeLine = /^[\da-f]{1,8}[ \t]*(?:;.*)?$/i;
+const stopParsing = true;
+
+/** How the parser goes on behind a head: it reads a body or the next head, or stops. */
+export type AfterHead = 'body' | 'no-body' | 'stop';
+
+/** Codes of {@link AfterHead} in the library. */
+const codeAfterHead: Readonly<Record<AfterHead, number>> = {body: 0, 'no-body': 1, stop: 2};
+
+export type ResponseInfo = {
+	readonly statusCode: number;
+	readonly statusMessage: string;
+	readonly headers: string[];
+	readonly shouldKeepAlive: boolean;
+};
+
+/** The parts of the library that {@link StrictParser} uses; its own types make some of them private. */
+declare class LibraryParser {
+	state: string;
+	body_bytes: number | null; // eslint-disable-line @typescript-eslint/no-restricted-types -- a type of the library
+	constructor(type: string);
+	initialize(type: string): void;
+	execute(chunk: Uint8Array): number | Error;
+	finish(): Error | undefined;
+	parseHeader(line: string, headers: string[]): void;
+	consumeLine(): string | undefined;
+	RESPONSE_LINE(): boolean | undefined;
+	BODY_CHUNKHEAD(): void;
+}
+
+HTTPParser.encoding = lineEncoding;
+
+export type StrictParserOptions = {
+	readonly onHead: (info: ResponseInfo) => AfterHead;
+	readonly onBody: (bytes: Uint8Array) => void;
+	/** Returns whether to stop, so that bytes behind the message stay unread. */
+	readonly onComplete: () => boolean;
+};
+
+const LooseParser = HTTPParser as unknown as typeof LibraryParser;
+
+export class StrictParser extends LooseParser {
+	#isStopped = false;
+
+	constructor({onHead, onBody, onComplete}: StrictParserOptions) {
+		super(HTTPParser.RESPONSE);
+		const handlers = this as unknown as Record<number, (...values: never[]) => unknown>;
+		handlers[HTTPParser.kOnHeadersComplete] = (info: ResponseInfo) => codeAfterHead[onHead(info)];
+		handlers[HTTPParser.kOnBody] = (chunk: Uint8Array, offset: number, length: number) => {
+			onBody(chunk.subarray(offset, offset + length));
+		};
+
+		handlers[HTTPParser.kOnMessageComplete] = () => {
+			this.#isStopped = onComplete();
+		};
+	}
+
+	/** Starts at the head of a message again. */
+	restart(): void {
+		this.#isStopped = false;
+		this.initialize(HTTPParser.RESPONSE);
+	}
+
+	/** Rejects lines that the library would skip. */
+	override parseHeader(line: string, headers: string[]): void {
+		if (!headerLine.test(line) && !(continuationLine.test(line) && headers.length > 0)) {
+			throw new Error('invalid header line');
+		}
+
+		super.parseHeader(line, headers);
+	}
+
+	override RESPONSE_LINE(): boolean | undefined {
+		return this.#isStopped ? stopParsing : super.RESPONSE_LINE(); // eslint-disable-line new-cap -- a method of the library
+	}
+
+	/** Rejects sizes from which the library reads a part, among them negative ones, at which it would loop for ever. */
+	override BODY_CHUNKHEAD(): void {
+		const line = this.consumeLine();
+		if (line === undefined) {
+			return;
+		}
+
+		if (!chunkSizeLine.test(line)) {
+			throw new Error('invalid chunk size');
+		}
+
+		this.body_bytes = Number.parseInt(line, 16);
+		this.state = this.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK';
+	}
+}
--- a/packages/gateway/src/features/upstreams/upstream-channel.ts
+++ b/packages/gateway/src/features/upstreams/upstream-channel.ts
@@ -1,6 +1,7 @@
 /** A way to send one request at a time to an upstream: a connection of this instance, or another instance that passes it on. */
 import type {Result} from 'neverthrow';
-import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from './exchange.js';
+import type {ExchangeFailure, OutgoingRequest} from './exchange.js';
+import type {UpstreamAnswer} from './upstream-answer.js';
 
 export type UpstreamChannel = {
 	/** Whether the request may have left this instance; nothing is sent before. */
--- a/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
@@ -6,7 +6,8 @@
 import {once} from 'node:events';
 import {afterEach, describe, it} from 'node:test';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import type {ExchangeFailure, OutgoingRequest, UpstreamAnswer} from './exchange.js';
+import type {ExchangeFailure, OutgoingRequest} from './exchange.js';
+import type {UpstreamAnswer} from './upstream-answer.js';
 import {UpstreamConnection} from './upstream-connection.js';
 
 const longMs = 60_000;
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -3,9 +3,8 @@
 import {connect, type Socket} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 import {AnswerParser} from './answer-parser.js';
-import {
-	headerOf, type ExchangeFailure, type OutgoingRequest, type UpstreamAnswer,
-} from './exchange.js';
+import {headerOf, type ExchangeFailure, type OutgoingRequest} from './exchange.js';
+import type {UpstreamAnswer} from './upstream-answer.js';
 import {defaultIdleMs, idleTimeMs} from './idle-time.js';
 
 /** Time for which the answer to a cancelled request is still read; it may be on its way. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import type {Context} from './kernel/context.js';
 import type {StartError} from './kernel/start-error.js';
 import type {Task} from './kernel/task.js';
+import {recordUnexpectedFault} from './kernel/unexpected-fault.js';
 import type {SettingsError} from './settings/read-settings.js';
 import type {Settings} from './settings/settings.js';
 
@@ -46,6 +47,12 @@
 		return ok(undefined);
 	}
 
+	/** Records a fault that nothing has handled, before the process ends by it. */
+	async recordFatalFault(error: unknown): Promise<void> {
+		recordUnexpectedFault(this.#context, 'process', error);
+		await this.#flushLogs();
+	}
+
 	/** Applies changed settings, except those of the instance's id, address and sockets, which change only with a restart. */
 	reload(result: Result<Settings, SettingsError>): void {
 		const {logger, settings: before} = this.#context;
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -61,6 +61,7 @@
 		}),
 		fleetSize: new Gauge({name: 'cairnbank_fleet_size', help: 'Number of instances by which this one divides fleet-wide limits; 0 while it has no share', registers}),
 		liveInstances: new Gauge({name: 'cairnbank_live_instances', help: 'Instances that count as alive, including this one', registers}),
+		unexpectedFaults: counter('cairnbank_unexpected_faults_total', 'Faults of the program itself, by the part that raised them', ['place']),
 		droppedLogLines: new Gauge({name: 'cairnbank_log_lines_dropped', help: 'Log lines dropped since the start because the reader stalled', registers}),
 	};
 }
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -33,6 +33,7 @@
 import {UpstreamsTask} from './features/upstreams/upstreams-task.js';
 import {Gateway} from './gateway.js';
 import type {Context} from './kernel/context.js';
+import {recordUnexpectedFault} from './kernel/unexpected-fault.js';
 import {createLogger} from './logging/create-logger.js';
 import {descriptorSink, LineWriter} from './logging/line-writer.js';
 import {createMetrics} from './metrics/metrics.js';
@@ -278,6 +279,9 @@
 			onAbandonedAnswered({requestId}, upstream) {
 				guard.forgetAbandoned(requestId, upstream);
 			},
+			onLateFault(error) {
+				recordUnexpectedFault(context, 'call', error);
+			},
 			authenticator,
 			poisonGuard: guard,
 			pause: async durationMs => delay(durationMs),
