A stopping instance takes no request that its stop could cut

Cause: whether a request is taken, sent, repeated or hedged was decided by its deadline and its route alone; nothing there knew by when the instance has to have answered. Connections are taken for 0.6 of the grace period whatever their requests may last.

Change: the stop sets one time, 0.93 of the grace period, in `StopDeadline`. From then on a request whose earlier of deadline and timeout lies behind it is refused as not run, once its body is read, with a retry delay of 20 ms: its caller goes to another instance. Calls that wait for a place or an account, and repeats, pass the same check; a hedge has to be expected to end in time; a request of another instance is refused, and that one asks a third. Requests sent before the signal go on.

--- a/packages/gateway/src/features/calls/attempt-gate.ts
+++ b/packages/gateway/src/features/calls/attempt-gate.ts
@@ -7,8 +7,11 @@
 import type {CallRetries} from './call-retries.js';
 import type {PlacementSearch} from './placement-search.js';
 
+/** Retry delay for the caller of an instance that stops; the other instances take its request at once. */
+export const leavingRetryAfterMs = 20;
+
 export type AttemptGateOptions = {
-	readonly dependencies: Pick<CallDependencies, 'authenticator' | 'metrics' | 'overload' | 'poisonGuard'>;
+	readonly dependencies: Pick<CallDependencies, 'authenticator' | 'clock' | 'metrics' | 'overload' | 'poisonGuard' | 'stop'>;
 	readonly call: Call;
 	readonly search: Pick<PlacementSearch, 'hasEnoughRoom'>;
 	readonly attempts: AttemptSummary;
@@ -35,7 +38,7 @@
 
 		switch (kind) {
 			case 'first': {
-				return this.#hasEnoughRoom(placement) && this.#isAdmitted(placement) && this.#isAllowedAfterCrashes(placement);
+				return this.#endsBeforeStop() && this.#hasEnoughRoom(placement) && this.#isAdmitted(placement) && this.#isAllowedAfterCrashes(placement);
 			}
 
 			case 'hedge': {
@@ -43,11 +46,11 @@
 					this.#options.onDecision('hedge-skipped:all-busy');
 				}
 
-				return placement.isLightlyLoaded && this.#isAllowedAfterCrashes(placement) && this.#options.retries.tryTake();
+				return this.#mayEndBeforeStop(placement) && placement.isLightlyLoaded && this.#isAllowedAfterCrashes(placement) && this.#options.retries.tryTake();
 			}
 
 			case 'repeat': {
-				return this.#hasEnoughRoom(placement) && this.#isAllowedAfterCrashes(placement);
+				return this.#endsBeforeStop() && this.#hasEnoughRoom(placement) && this.#isAllowedAfterCrashes(placement);
 			}
 		}
 	}
@@ -58,6 +61,25 @@
 		attempts.recordRetryAfter(overload.recordUpstreamRefusal(call, workMs));
 	}
 
+	/** Refuses an attempt that a stop of this instance could cut, as nothing but its deadline bounds it. */
+	#endsBeforeStop(): boolean {
+		const {dependencies: {stop}, call, attempts, onDecision} = this.#options;
+		const isAllowed = stop.allows(call.deadlineAtMs);
+		if (!isAllowed) {
+			attempts.recordRefusal('leaving');
+			attempts.recordRetryAfter(leavingRetryAfterMs);
+			onDecision('refused:leaving');
+		}
+
+		return isAllowed;
+	}
+
+	/** Whether a hedge is of use: the call that it serves was taken before the stop, and ends with it at the latest. */
+	#mayEndBeforeStop({expectedMs}: Placement): boolean {
+		const {clock, stop} = this.#options.dependencies;
+		return stop.allows(clock.monotonicMs() + expectedMs);
+	}
+
 	#hasEnoughRoom(placement: Placement): boolean {
 		const {call, search, attempts, onDecision} = this.#options;
 		const hasEnoughRoom = search.hasEnoughRoom(placement);
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -4,6 +4,7 @@
 import type {FullResets, OverloadControl} from '@cairnbank/core/overload';
 import type {WorkEstimates} from '@cairnbank/core/placement';
 import type {WindowBudget} from '@cairnbank/core/retries';
+import type {StopDeadline} from '../../kernel/stop-deadline.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {RequestDialect} from '../../ports/index.js';
 import type {Advisories} from '../upstreams/advisories.js';
@@ -26,6 +27,8 @@
 	readonly rateLimits: Pick<RateLimits, 'answered'>;
 	/** Returns the retry budget of a service on this instance. */
 	readonly budget: (service: ServiceId) => WindowBudget;
+	/** Decides whether a call can still be answered while the instance stops. */
+	readonly stop: Pick<StopDeadline, 'allows'>;
 	/** Returns this instance's share of the limits that the fleet divides among its instances. */
 	readonly share: () => FleetShare;
 	/** Returns the reason that no upstream of a service takes a request; called when none was found. */
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -9,6 +9,7 @@
 } from '@cairnbank/core/placement';
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {err, ok, type Result} from 'neverthrow';
+import {StopDeadline} from '../../kernel/stop-deadline.js';
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
 import type {ExchangeFailure, OutgoingRequest} from '../upstreams/exchange.js';
@@ -75,6 +76,7 @@
 	refusedForMs: number | undefined;
 	/** Outcome with which the call must not be sent any more, as its credentials have become invalid. */
 	authenticationRefusal: ReturnType<Authenticator['recheck']>;
+	readonly stop = new StopDeadline();
 	readonly run: CallRun;
 	readonly budget: WindowBudget;
 	readonly #isConnected: boolean;
@@ -115,6 +117,7 @@
 			advisories: {received: () => undefined},
 			rateLimits: {answered: () => undefined},
 			budget: () => this.budget,
+			stop: this.stop,
 			share: () => share,
 			authenticator: {recheck: () => this.authenticationRefusal},
 			poisonGuard: {admit: () => this.refusedForMs, recordAnswer: () => undefined},
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -33,6 +33,35 @@
 		assert.equal(headers[headers.indexOf('expect') + 1], 'u1');
 	});
 
+	describe('calls that may end after the stop of the instance', () => {
+		// Guards against a call that waited while the stop began, and is sent although the stop may cut it.
+		it('should be refused with a short retry delay and sent nowhere', async () => {
+			const harness = new CallHarness({idempotent: false});
+			harness.stop.begin(999);
+			await harness.start();
+			assert.deepEqual(harness.outcome, {type: 'not-run', reason: 'leaving', retryAfterMs: 20});
+			assert.equal(harness.exchanges.length, 0);
+		});
+
+		itRuns('should not be sent to a second upstream once one has refused them', {idempotent: true}, async harness => {
+			harness.stop.begin(500);
+			await harness.answer(0, refusal);
+			assert.deepEqual([harness.outcome?.type, harness.exchanges.length], ['not-run', 1]);
+		});
+
+		itRuns('should get a hedge that is expected to end before it, and no other', {idempotent: true}, async harness => {
+			harness.stop.begin(500);
+			await harness.advance(50);
+			assert.equal(harness.exchanges.length, 2);
+		});
+
+		itRuns('should get no hedge that is expected to end after it', {idempotent: true}, async harness => {
+			harness.stop.begin(80);
+			await harness.advance(50);
+			assert.equal(harness.exchanges.length, 1);
+		});
+	});
+
 	describe('faults of the program', () => {
 		const fault = new Error('a fault of the program');
 
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -11,6 +11,7 @@
 import type {Task} from '../../kernel/task.js';
 import {recordUnexpectedFault} from '../../kernel/unexpected-fault.js';
 import type {AccountLimitsTask, CallAdmittance} from '../account-limits/account-limits-task.js';
+import {leavingRetryAfterMs} from './attempt-gate.js';
 import type {Authenticator} from './authenticator.js';
 import {CallerConnections} from './caller-connections.js';
 import type {Call} from './call.js';
@@ -26,8 +27,6 @@
 /** Largest request body. Bodies are buffered whole, so that a refused request can be sent to another upstream. */
 const maximumBufferedBodyBytes = 8_388_608;
 const firstServerErrorStatus = 500;
-/** Retry delay for the caller of an instance that ends; the other instances take its request at once. */
-const expiredRetryAfterMs = 20;
 
 export type CallersTaskOptions = {
 	readonly context: Context;
@@ -165,7 +164,7 @@
 		}
 
 		const call = {...head, body: body.value};
-		const refusal = this.#connections.refusal();
+		const refusal = this.#refusalWhileLeaving(call) ?? this.#connections.refusal();
 		if (refusal !== undefined) {
 			this.#respond(response, refusal, fields);
 			return;
@@ -190,7 +189,7 @@
 
 		if (response.destroyed || this.#isExpired) {
 			// The caller disconnected, or the time to drain ended, while the account was asked for, so no event follows that would end the call.
-			const outcome: Outcome = {type: 'not-run', reason: 'never-sent', retryAfterMs: expiredRetryAfterMs};
+			const outcome: Outcome = {type: 'not-run', reason: 'never-sent', retryAfterMs: leavingRetryAfterMs};
 			this.#options.accountLimits.complete(admittance, outcome, false);
 			this.#respond(response, response.destroyed ? {type: 'abandoned'} : outcome, fields);
 			return;
@@ -210,6 +209,14 @@
 		this.#options.context.metrics.requestSeconds.observe({outcome: outcome.type}, tookMs / 1000);
 	}
 
+	/**
+	 * Refuses a request that the stop of this instance could cut. Its body has been read by then: a connection that closes with unread
+	 * bytes is reset, and the caller would not learn of the refusal.
+	 */
+	#refusalWhileLeaving({deadlineAtMs}: Call): Outcome | undefined {
+		return this.#options.context.stop.allows(deadlineAtMs) ? undefined : {type: 'not-run', reason: 'leaving', retryAfterMs: leavingRetryAfterMs};
+	}
+
 	/** Runs an admitted call; its account gets back what the call did not use, also if a fault ends it. */
 	async #run(run: CallRun, admittance: Exclude<CallAdmittance, {readonly type: 'refused'}>): Promise<Outcome> {
 		let outcome: Outcome = {type: 'unknown', reason: 'internal-error'};
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -27,6 +27,8 @@
 	| 'unconfirmed-key'
 	/** Accounts were configured after the request had been read without one. */
 	| 'accounts-introduced'
+	/** The instance stops and could not wait for the answer until the deadline of the request. */
+	| 'leaving'
 	/** Callers have not yet read the answers that fill the memory set aside for them. */
 	| 'answers-held'
 	/** No instance was reached that knows how much of its limit the account has used. */
--- a/packages/gateway/src/features/relay/relay-task.spec.ts
+++ b/packages/gateway/src/features/relay/relay-task.spec.ts
@@ -4,6 +4,7 @@
 import {beforeEach, describe, it} from 'node:test';
 import {ManualClock, type Fingerprint, type UpstreamId} from '@cairnbank/core';
 import {err, ok, type Result} from 'neverthrow';
+import {StopDeadline} from '../../kernel/stop-deadline.js';
 import {createMetrics} from '../../metrics/metrics.js';
 import type {SuspectRequest} from '../calls/suspect-request.js';
 import type {ExchangeFailure} from '../upstreams/exchange.js';
@@ -44,6 +45,7 @@
 
 describe('RelayTask', () => {
 	let task: RelayTask;
+	let stop: StopDeadline;
 	let cancelled: number;
 	let settle: Array<(result: Result<UpstreamAnswer, ExchangeFailure>) => void>;
 	let hasLostLink: boolean;
@@ -72,6 +74,7 @@
 	}
 
 	beforeEach(() => {
+		stop = new StopDeadline();
 		cancelled = 0;
 		settle = [];
 		hasLostLink = false;
@@ -87,7 +90,9 @@
 		};
 		const upstream = {condition: {isUnreachable: false}, pool: {takeOwn: () => channel, release: () => undefined}} as unknown as Upstream;
 		task = new RelayTask({
-			context: {clock: new ManualClock(), metrics: createMetrics(), logger: {warn: () => undefined}},
+			context: {
+				clock: new ManualClock(), metrics: createMetrics(), logger: {warn: () => undefined}, stop,
+			},
 			isMember: () => true,
 			upstreamOf: () => upstream,
 			hasLostLink: () => hasLostLink,
@@ -117,6 +122,14 @@
 		assert.deepEqual(abandoned, [fingerprint, fingerprint]);
 	});
 
+	// Guards against a request of another instance that the stop of this one cuts.
+	it('should refuse what may end after its own stop', async () => {
+		stop.begin(50);
+		const response = await start();
+		assert.equal(response.status, 503);
+		assert.equal(settle.length, 0);
+	});
+
 	it('should not cancel what runs on a connection after its own request has ended', async () => {
 		const response = await start();
 		settle[0]!(ok(answerOf(200)));
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -29,14 +29,14 @@
 const refusalLogIntervalMs = 1000;
 
 /** Reasons for which a request of another instance is refused; each proves that it has not run. */
-type Refusal = 'unknown-instance' | 'unreadable' | 'too-large' | 'busy' | 'unknown-upstream' | typeof noLink;
+type Refusal = 'unknown-instance' | 'unreadable' | 'too-large' | 'busy' | 'leaving' | 'unknown-upstream' | typeof noLink;
 
 const statusOfRefusal: Readonly<Record<Refusal, number>> = {
-	'unknown-instance': 403, unreadable: 400, 'too-large': 413, busy: 503, 'unknown-upstream': 404, [noLink]: 503,
+	'unknown-instance': 403, unreadable: 400, 'too-large': 413, busy: 503, leaving: 503, 'unknown-upstream': 404, [noLink]: 503,
 };
 
 export type RelayTaskOptions = {
-	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics'>;
+	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics' | 'stop'>;
 	/** Returns whether a host is a live member of the fleet. */
 	readonly isMember: (host: string) => boolean;
 	/** Returns an upstream that takes new requests; undefined if it is not registered, leaves, or its zone is evacuated. */
@@ -107,7 +107,7 @@
 	}
 
 	#admit({headers, socket}: IncomingMessage, bodyBytes: number): Result<{readonly head: RelayHead; readonly upstream: Upstream}, Refusal> {
-		const {hasLostLink, isMember, upstreamOf} = this.#options;
+		const {context: {clock, stop}, hasLostLink, isMember, upstreamOf} = this.#options;
 		if (!isMember(socket.remoteAddress ?? '')) {
 			return err('unknown-instance');
 		}
@@ -125,6 +125,10 @@
 			return err('busy');
 		}
 
+		if (!stop.allows(clock.monotonicMs() + head.value.timeoutMs)) {
+			return err('leaving');
+		}
+
 		const upstream = upstreamOf(head.value.upstream);
 		if (upstream === undefined) {
 			return err('unknown-upstream');
--- a/packages/gateway/src/features/upstreams/answer-parser.spec.ts
+++ b/packages/gateway/src/features/upstreams/answer-parser.spec.ts
@@ -84,7 +84,7 @@
 
 		// Guards against a failure that is taken for a success, as its status line looks like a part of an earlier line.
 		it('should not get the status of that part, wherever it ends', () => {
-			const part = 'HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n';
+			const part = 'HTTP/1.1 200 OK\r\nSignature: s\r\n';
 			for (let length = 1; length <= part.length; length++) {
 				const {answers} = parse(first + part.slice(0, length) + second);
 				assert.deepEqual(answers.map(({status}) => status), [200], `after ${JSON.stringify(part.slice(0, length))}`);
--- a/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
@@ -70,7 +70,7 @@
 
 function drawnAnswerText(index: number, status: number): string {
 	const body = `answer ${index}`;
-	return `HTTP/1.1 ${status} Drawn\r\nX-Request-Id: ${index}\r\nX-Response-Signature: s${index}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+	return `HTTP/1.1 ${status} Drawn\r\nX-Request-Id: ${index}\r\nSignature: s${index}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
 }
 
 /** Draws an answer, a part of a further one, and whether that comes in the same bytes, while the connection is idle, or just before the next answer. */
@@ -81,7 +81,7 @@
 	extra: fc.tuple(
 		fc.constantFrom('200 OK', '500 Internal Server Error', '503 Service Unavailable'),
 		fc.constantFrom('', 'X-Request-Id: extra\r\n'),
-		fc.constantFrom('', 'X-Not-Executed: 1\r\n', 'X-Response-Signature: extra\r\n'),
+		fc.constantFrom('', 'Not-Run: 1\r\n', 'Signature: extra\r\n'),
 		fc.constantFrom('Content-Length: 0\r\n\r\n', 'Content-Length: 5\r\n\r\nextra', 'Transfer-Encoding: chunked\r\n\r\n5\r\nextra\r\n0\r\n\r\n'),
 		fc.nat(120),
 	).map(([status, id, header, rest, length]) => `HTTP/1.1 ${status}\r\n${id}${header}${rest}`.slice(0, length)),
@@ -143,7 +143,7 @@
 
 		// Guards against a request that is told as not run, and sent again, because of an additional answer to an earlier one.
 		it('should prove nothing of a later request if they name no request', async () => {
-			const refusal = 'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n';
+			const refusal = 'HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n';
 			const connection = await connectToUpstream((socket, index) => socket.write((index === 0 ? '' : refusal) + answer(String(index), 'right')));
 			await answerOf(connection, request('0'));
 			assert.equal(await failureTypeOf(connection, request('1')), 'malformed');
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,7 +14,7 @@
  * time to live.
  */
 const acceptingRatio = 0.6;
-/** Fraction of the grace period in which requests in flight may end by themselves. */
+/** Fraction of the grace period in which requests in flight may end by themselves, and before whose end those taken later have their deadlines. */
 const drainRatio = 0.93;
 /** Fraction of the grace period by which the remaining requests must be answered; the rest is for closing sockets and ending the process. */
 const answerRatio = 0.95;
@@ -70,11 +70,12 @@
 		logger.info('settings reloaded', {changed: JSON.stringify(before) !== JSON.stringify(after), needsRestart});
 	}
 
-	/** Stops gracefully: requests that can end within the grace period are not interrupted. */
+	/** Stops gracefully: takes only requests that end within the grace period whatever happens, and interrupts none of those in flight before it is over. */
 	async stop(): Promise<void> {
-		const {logger, settings} = this.#context;
+		const {clock, logger, settings, stop} = this.#context;
 		const graceMs = settings.bounds.graceSeconds * millisecondsPerSecond;
 		logger.info('leaving', {graceMs});
+		stop.begin(clock.monotonicMs() + (graceMs * drainRatio));
 		for (const task of this.#tasks) {
 			task.leave?.();
 		}
--- a/packages/gateway/src/kernel/context.ts
+++ b/packages/gateway/src/kernel/context.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '../logging/create-logger.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {Settings} from '../settings/settings.js';
+import type {StopDeadline} from './stop-deadline.js';
 
 export type Context = {
 	/** Replaced by a reload, except for values that are bound to sockets; those change only with a restart. */
@@ -12,4 +13,5 @@
 	readonly random: RandomSource;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
+	readonly stop: StopDeadline;
 };
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -33,6 +33,7 @@
 import {UpstreamsTask} from './features/upstreams/upstreams-task.js';
 import {Gateway} from './gateway.js';
 import type {Context} from './kernel/context.js';
+import {StopDeadline} from './kernel/stop-deadline.js';
 import {recordUnexpectedFault} from './kernel/unexpected-fault.js';
 import {createLogger} from './logging/create-logger.js';
 import {descriptorSink, LineWriter} from './logging/line-writer.js';
@@ -69,6 +70,7 @@
 			},
 		}),
 		metrics: createMetrics(),
+		stop: new StopDeadline(),
 	};
 	const links = new LinkMonitor({
 		context,
@@ -267,6 +269,7 @@
 			advisories,
 			rateLimits,
 			budget: service => budgets.forService(service),
+			stop: context.stop,
 			share: () => fleet.shares.current,
 			place: async request => placer.place(request),
 			explainNoUpstream(service) {
