Soak: spoiled bytes, parts of other answers, and requests of seconds around stops

New: the event `spoil` (a zero byte in a head, a part of another answer behind an answer or 3 ms later), a caller whose requests take 0.1 to 1.5 s and that keeps its addresses for 15 s, in half of the schedules, and the check "a request that comes after SIGTERM is refused or gets the answer of its upstream".

--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -48,6 +48,12 @@
 		}],
 	},
 	'no request that ran is cut at an instance that was neither killed nor paused': {calls: [call({type: 'cut'})]},
+	'a request that comes after SIGTERM is refused or gets the answer of its upstream': {
+		calls: [call(answered(504), {sentAtMs: 100, endedAtMs: 1800})],
+		stops: [{
+			instance: '127.0.0.2', exitCode: 0, wasKilled: false, errors: [], signalledAtMs: 0, endedAtMs: 2000,
+		}],
+	},
 	'a request that crashes upstreams reaches next to none once three have crashed': {
 		crashes: [{
 			calls: [call(answered(502), {id: 'x'})], harmlessCalls: [], runs: [0, 1, 2, 4000, 5000, 6000, 7000].map((atMs, index) => run(`u${index}`, atMs, 'x')),
@@ -70,7 +76,7 @@
 	},
 	'an instance that gets SIGTERM ends in order': {
 		stops: [{
-			instance: '127.0.0.2', exitCode: 1, wasKilled: false, errors: [],
+			instance: '127.0.0.2', exitCode: 1, wasKilled: false, errors: [], signalledAtMs: 0, endedAtMs: 2000,
 		}],
 	},
 	'everything is served again after the last fault': {afterwards: [call(answered(504))]},
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -3,6 +3,7 @@
 import type {
 	CallRecord, Disturbance, History, RunRecord,
 } from './history.js';
+import {deadlineMs} from './soak-caller.js';
 import {soakRetryBound} from './soak-site.js';
 
 /** Time for which a leaving upstream may still get requests. */
@@ -32,6 +33,9 @@
 const notRunStatuses = new Set([408, 421, 429, 503]);
 const okStatus = 200;
 const refusalStatus = 503;
+const timeoutStatus = 504;
+/** A request that ends within this time of its deadline may have timed out. */
+const deadlineSlackMs = 500;
 
 export type Check = {readonly name: string; readonly findBreaches: (history: History) => readonly string[]};
 
@@ -218,6 +222,21 @@
 	},
 };
 
+const stoppingTakesNoMoreThanItEnds: Check = {
+	name: 'a request that comes after SIGTERM is refused or gets the answer of its upstream',
+	findBreaches({calls, runs, stops, disturbances}) {
+		const runsById = groupRunsById(runs);
+		const hasStalled = ({sentAtMs, endedAtMs}: CallRecord) => disturbances.some(disturbance => disturbance.kind === 'stall' && overlaps(disturbance, sentAtMs, endedAtMs));
+		const isBrokenOff = ({sentAtMs, endedAtMs, end}: CallRecord) =>
+			end.type === 'answered' && end.status === timeoutStatus && endedAtMs - sentAtMs < deadlineMs - deadlineSlackMs;
+		return stops.filter(({wasKilled}) => !wasKilled).flatMap(({instance, signalledAtMs, endedAtMs: stoppedAtMs}) => calls
+			.filter(call => call.instance === instance && call.sentAtMs >= signalledAtMs && call.endedAtMs <= stoppedAtMs)
+			.filter(call => isBrokenOff(call) && runsById.has(call.id) && !hasStalled(call))
+			.map(({id, sentAtMs, endedAtMs}) =>
+				`${id} came ${Math.round(sentAtMs - signalledAtMs)} ms after SIGTERM to ${instance} and was broken off after ${Math.round(endedAtMs - sentAtMs)} ms`));
+	},
+};
+
 const crashesAreContained: Check = {
 	name: 'a request that crashes upstreams reaches next to none once three have crashed',
 	findBreaches: ({crashes, disturbances}) => crashes.flatMap(({calls, runs}) => {
@@ -293,6 +312,7 @@
 	leavingIsRespected,
 	backOffIsRespected,
 	requestsAreNotCut,
+	stoppingTakesNoMoreThanItEnds,
 	crashesAreContained,
 	harmlessIsServed,
 	linklessServe,
--- a/packages/soak/src/contracts.spec.ts
+++ b/packages/soak/src/contracts.spec.ts
@@ -48,6 +48,7 @@
 	limit: true,
 	link: true,
 	store: true,
+	spoil: true,
 	restore: true, crash: true, outage: true, herd: true, 'remove-key': true, 'flood-account': true, 'lower-limit': true,
 };
 
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -1,6 +1,6 @@
 /** Injects the faults of a schedule into a site and records the period of each. */
 import {setTimeout as delay} from 'node:timers/promises';
-import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
+import type {UpstreamBehaviour, UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {waitFor} from '@cairnbank/testing/harness';
 import type {AccountEvent} from './account-events.js';
 import {runCrashingCaller, type CrashingCalls} from './crashing-caller.js';
@@ -9,6 +9,7 @@
 } from './history.js';
 import type {SoakEvent} from './schedule.js';
 import type {SoakSite} from './soak-site.js';
+import {spoil} from './spoiled-bytes.js';
 import {watchForStalls} from './stall-watch.js';
 
 /** Longer than the grace period of an instance, because stopping takes longer on a busy machine. */
@@ -88,6 +89,10 @@
 				return this.#misbehave(event.upstream, event.behaviour, event.forMs);
 			}
 
+			case 'spoil': {
+				return this.#spoil(event);
+			}
+
 			case 'limit': {
 				return this.#limit(event.upstream, event.requestsPerSecond, event.forMs);
 			}
@@ -145,10 +150,11 @@
 		const {process: ending, settings: {host}} = this.#site.entries[index]!;
 		const wasKilled = signal === 'SIGKILL';
 		const end = async () => {
+			const signalledAtMs = performance.now();
 			ending.kill(signal);
 			await waitFor(`end of ${host}`, () => ending.exit !== undefined, stopWaitMs);
 			this.stops.push({
-				instance: host, exitCode: ending.exit?.code, wasKilled, errors: ending.otherLines.slice(-maximumErrorLines),
+				instance: host, exitCode: ending.exit?.code, wasKilled, errors: ending.otherLines.slice(-maximumErrorLines), signalledAtMs, endedAtMs: performance.now(),
 			});
 		};
 
@@ -205,6 +211,22 @@
 		upstream.behaviour = 'answers';
 	}
 
+	async #spoil({upstream: index, spoiling, oneIn, forMs}: Extract<SoakEvent, {readonly type: 'spoil'}>): Promise<void> {
+		const upstream = this.#site.upstreams[index]!;
+		let answers = 0;
+		const rewrites: UpstreamStandIn['rewritesAnswer'] = answer => {
+			answers += 1;
+			return answers % oneIn === 0 ? spoil(answer, spoiling, answers / oneIn) : undefined;
+		};
+
+		upstream.rewritesAnswer = rewrites;
+		await delay(forMs);
+		// Another event may have taken its place meanwhile.
+		if (upstream.rewritesAnswer === rewrites) {
+			upstream.rewritesAnswer = undefined;
+		}
+	}
+
 	async #limit(index: number, requestsPerSecond: number, forMs: number): Promise<void> {
 		const upstream = this.#site.upstreams[index]!;
 		if (upstream.rateLimit !== undefined) {
--- a/packages/soak/src/further-events.ts
+++ b/packages/soak/src/further-events.ts
@@ -4,6 +4,7 @@
 import type {LinkCut} from '@cairnbank/platform/spec-support/linked-site';
 import {requestOfLeavingCallers, requestThatFails} from './crashing-upstreams.js';
 import type {ScheduledEvent} from './schedule.js';
+import type {Spoiling} from './spoiled-bytes.js';
 
 /** Spreads consecutive seeds, which would otherwise give similar first random numbers. */
 const seedMultiplier = 0x9E_37_79_B1;
@@ -11,6 +12,10 @@
 const cutSeedOffset = 200_000;
 const removalSeedOffset = 300_000;
 const floodSeedOffset = 400_000;
+const spoilingSeedOffset = 500_000;
+const longRequestsSeedOffset = 600_000;
+const spoilings: readonly Spoiling[] = ['head', 'behind', 'later'];
+const spoilingEvents = 4;
 const removalMs = 9000;
 /** Long enough for windows that lie wholly after the lower limit is in force. */
 const floodMs = 14_000;
@@ -24,6 +29,22 @@
 	return [...generateCrashes(seed, durationMs), generateCut(seed, durationMs, instances), generateRemoval(seed, durationMs), ...generateFlood(seed, durationMs)];
 }
 
+/** Spoils answers of all but the first two upstreams, as no other event reaches those. */
+export function generateSpoilings(seed: number, durationMs: number, upstreams: number): ScheduledEvent[] {
+	const random = randomSourceOf(seed + spoilingSeedOffset);
+	return Array.from({length: spoilingEvents}, () => ({
+		atMs: random.nextInteger(durationMs),
+		event: {
+			type: 'spoil', upstream: 2 + random.nextInteger(upstreams - 2), spoiling: pick(random, spoilings), oneIn: 2 + random.nextInteger(10), forMs: 500 + random.nextInteger(4000),
+		},
+	}));
+}
+
+/** @returns whether a schedule has requests that take up to seconds, as half of them do */
+export function drawsLongRequests(seed: number): boolean {
+	return randomSourceOf(seed + longRequestsSeedOffset).next() < 0.5;
+}
+
 export function randomSourceOf(seed: number): RandomSource {
 	return createRandomSource(Math.imul(seed, seedMultiplier));
 }
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -86,6 +86,8 @@
 	readonly instance: string;
 	readonly exitCode: number | undefined;
 	readonly wasKilled: boolean;
+	readonly signalledAtMs: number;
+	readonly endedAtMs: number;
 	/** The last lines that it wrote outside its log. */
 	readonly errors: readonly string[];
 };
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -72,7 +72,7 @@
 
 /** @returns whether the check that should notice the mutation does */
 async function runMutation(mutation: Mutation): Promise<boolean> {
-	const run = new SoakRun(mutationSchedule(mutation.events), buildMutant(mutation));
+	const run = new SoakRun(mutationSchedule(mutation), buildMutant(mutation));
 	const history = await run.execute();
 	const noticing = checks.filter(({findBreaches}) => findBreaches(history).length > 0).map(({name}) => name);
 	const isNoticed = noticing.includes(mutation.noticedBy);
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -10,6 +10,8 @@
 	readonly find: string;
 	readonly replaceBy: string;
 	readonly events: readonly ScheduledEvent[];
+	/** Whether some requests take up to seconds; not if absent. */
+	readonly hasLongRequests?: boolean;
 	/** Name of the check that has to notice the mutation. */
 	readonly noticedBy: string;
 };
@@ -46,6 +48,14 @@
 	...[0, 1, 2].map(instance => at({type: 'stop', instance}, 2 * firstEventMs)),
 ];
 
+/** Instances stop one after the other under requests that take up to seconds. */
+const stopsUnderLongRequests: readonly ScheduledEvent[] = [0, 1, 2].map(instance => at({type: 'stop', instance}, (1 + (5 * instance)) * firstEventMs));
+
+/** All upstreams send a part of another answer shortly after every second one. */
+const partsAfterAnswers: readonly ScheduledEvent[] = allUpstreams.map(upstream => at({
+	type: 'spoil', upstream, spoiling: 'later', oneIn: 2, forMs: faultDurationMs,
+}));
+
 /** Instances start again after a request has crashed upstreams, and get it when they have been back for long. */
 const crashesAroundRestarts: readonly ScheduledEvent[] = [
 	at({type: 'crash', request: 0, forMs: 1500}),
@@ -269,6 +279,23 @@
 		events: [at({type: 'stop', instance: 1})],
 		noticedBy: 'an instance that gets SIGTERM ends in order',
 	},
+	{
+		name: 'stopping-instance-takes-all-requests',
+		file: `${gateway}/kernel/stop-deadline.js`,
+		find: 'return endAtMs <= this.#answerByMs;',
+		replaceBy: 'return true;',
+		events: stopsUnderLongRequests,
+		hasLongRequests: true,
+		noticedBy: 'a request that comes after SIGTERM is refused or gets the answer of its upstream',
+	},
+	{
+		name: 'invalid-header-lines-skipped',
+		file: `${gateway}/features/upstreams/strict-parser.js`,
+		find: 'throw new Error(\'invalid header line\');',
+		replaceBy: 'return;',
+		events: partsAfterAnswers,
+		noticedBy: notRunIsCorrect,
+	},
 	{
 		name: 'restarted-instance-serves-nothing',
 		file: `${gateway}/wire.js`,
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -5,7 +5,10 @@
 import type {StoreFault} from '@cairnbank/platform/spec-support/store-stand-in';
 import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import type {LinkFault} from '@cairnbank/platform/spec-support/link-proxy';
-import {generateFurtherEvents, pick, randomSourceOf} from './further-events.js';
+import {
+	drawsLongRequests, generateFurtherEvents, generateSpoilings, pick, randomSourceOf,
+} from './further-events.js';
+import type {Spoiling} from './spoiled-bytes.js';
 
 /** Instances and upstreams are given by their index in the order in which they were started. */
 export type SoakEvent =
@@ -34,6 +37,8 @@
 	| {readonly type: 'flood-account'; readonly forMs: number}
 	/** A lower limit of the flooded account is published. */
 	| {readonly type: 'lower-limit'}
+	/** The upstream spoils one in `oneIn` of its answers. */
+	| {readonly type: 'spoil'; readonly upstream: number; readonly spoiling: Spoiling; readonly oneIn: number; readonly forMs: number}
 	/** All upstreams misbehave in the same way. */
 	| {readonly type: 'outage'; readonly behaviour: UpstreamBehaviour; readonly forMs: number}
 	/** Many instances are killed at the same time and start again. */
@@ -52,7 +57,9 @@
 	readonly bursts?: RequestBursts;
 	/** If given, callers start and these events happen as soon as the first instance is ready, instead of once all instances know each other. */
 	readonly duringStart?: readonly SoakEvent[];
-	/** Processing time of each request at an upstream. */
+	/** Whether one more caller sends requests that take up to seconds; not if absent. */
+	readonly hasLongRequests?: boolean;
+	/** Processing time of each request at an upstream that states none itself. */
 	readonly workMs: number;
 	readonly durationMs: number;
 	readonly events: readonly ScheduledEvent[];
@@ -95,9 +102,9 @@
 		events.push({atMs, event: generateEvent(random, instances, upstreams)});
 	}
 
-	events.push(...generateFurtherEvents(seed, durationMs, instances));
+	events.push(...generateFurtherEvents(seed, durationMs, instances), ...generateSpoilings(seed, durationMs, upstreams));
 	return {
-		seed, instances, upstreams, callers: 6 + random.nextInteger(10), workMs: 5 + random.nextInteger(40), durationMs, events: events.toSorted((left, right) => left.atMs - right.atMs),
+		seed, instances, upstreams, hasLongRequests: drawsLongRequests(seed), callers: 6 + random.nextInteger(10), workMs: 5 + random.nextInteger(40), durationMs, events: events.toSorted((left, right) => left.atMs - right.atMs),
 	};
 }
 
@@ -131,9 +138,9 @@
 }
 
 /** Returns the schedule for an intentionally broken build. */
-export function mutationSchedule(events: readonly ScheduledEvent[]): Schedule {
+export function mutationSchedule({events, hasLongRequests = false}: Pick<Schedule, 'events' | 'hasLongRequests'>): Schedule {
 	return {
-		seed: 1, instances: 3, upstreams: 5, callers: 10, workMs: 10, durationMs: defaultDurationMs, events,
+		hasLongRequests, seed: 1, instances: 3, upstreams: 5, callers: 10, workMs: 10, durationMs: defaultDurationMs, events,
 	};
 }
 
--- a/packages/soak/src/soak-caller.ts
+++ b/packages/soak/src/soak-caller.ts
@@ -7,7 +7,8 @@
 import type {RequestBursts} from './schedule.js';
 
 const pauseMs = 15;
-const deadlineMs = 4000;
+/** Deadline of each request. */
+export const deadlineMs = 4000;
 const reconnectPauseMs = 100;
 /** One request in this many is a payment, which must not run twice. */
 const requestsPerPayment = 3;
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -8,6 +8,7 @@
 import type {
 	AccountArrivalRecord, ArrivalRecord, BackOffRecord, CallRecord, CrashingRequestRecord, FloodCalls, History, RunRecord,
 } from './history.js';
+import {runLongRequestCaller} from './long-request-caller.js';
 import type {Schedule, SoakEvent} from './schedule.js';
 import {runSendingAheadCaller} from './sending-ahead-caller.js';
 import {callOnce, runSoakCaller} from './soak-caller.js';
@@ -81,7 +82,7 @@
 				requestsPerConnection: index % 2 === 0 ? Number.POSITIVE_INFINITY : requestsPerConnection,
 			});
 		});
-		return [...callers, this.#startSendingAhead(stop)];
+		return [...callers, this.#startSendingAhead(stop), ...(this.#schedule.hasLongRequests ? [this.#startLongRequests(stop)] : [])];
 	}
 
 	/** Starts one more caller, with a random source of its own, so that the others do the same with a seed as without it. */
@@ -97,6 +98,17 @@
 		});
 	}
 
+	/** Starts one more caller, like the one that sends ahead. */
+	async #startLongRequests(stop: AbortSignal): Promise<CallRecord[]> {
+		const random = createRandomSource((this.#schedule.seed * callerSeedsPerSchedule) + this.#schedule.callers + 1);
+		return runLongRequestCaller({
+			name: 'long',
+			random,
+			stop,
+			resolve: async () => this.#site.resolve(random.nextInteger(this.#site.entries.length)),
+		});
+	}
+
 	/** Resolves once all faults are over. */
 	async #injectAll(): Promise<void> {
 		const startMs = performance.now();
