Accounts over their share yield only while there is too little room

Cause: an account yields by the share of others' requests that were refused, which is remembered for 2 s, and by how much is served of what is asked, which its own refusals lower. Nothing looked at whether there is room now.

Change: of the places that are found for a service's requests, the share that is not lightly loaded is known with a memory of 0.5 s; below 0.05 of them nobody yields.

--- a/packages/core/src/overload/account-shares.ts
+++ b/packages/core/src/overload/account-shares.ts
@@ -17,6 +17,10 @@
 const standardErrors = 1.5;
 /** The more of the requests of all others are refused, up to this share, the less of what accounts over their share ask for is passed on. */
 const acceptedRefusedShare = 0.05;
+/** Time constant of what is known of room; it is there again within a fraction of a second after a moment without it. */
+const roomMemoryMs = 500;
+/** While fewer of the places found than this share are loaded, there is room for all, and nobody yields. */
+const leastLoadedShare = 0.05;
 /** Nobody is served less than this part as often as all. */
 const leastPart = 1 / 4;
 
@@ -30,6 +34,14 @@
 	readonly workMs: number;
 };
 
+/** Room for a request as it is decided. */
+export type Room = {
+	/** Whether the best place found for it is lightly loaded. */
+	readonly isLightlyLoaded: boolean;
+	/** Whether its service is overloaded. */
+	readonly isOverloaded: boolean;
+};
+
 type Demand = {readonly work: DecayingSum; readonly requests: DecayingSum};
 
 type Group = {
@@ -38,6 +50,9 @@
 	/** Requests of accounts within their share. */
 	readonly othersServed: DecayingSum;
 	readonly othersRefused: DecayingSum;
+	/** Places that were found for requests, and those of them that were not lightly loaded. */
+	readonly places: DecayingSum;
+	readonly loadedPlaces: DecayingSum;
 };
 
 export class AccountShares {
@@ -51,17 +66,22 @@
 	}
 
 	/**
-	 * @param isShort - whether the service is overloaded and the best upstream found is not lightly loaded
 	 * @returns whether the request is refused in favour of accounts that ask for less
 	 */
-	mustYield(request: AccountRequest, isShort: boolean): boolean {
+	mustYield(request: AccountRequest, {isLightlyLoaded, isOverloaded}: Room): boolean {
 		const group = this.#groupOf(request);
-		if (request.account === undefined || group === undefined || !isOverShare(group, request.account)) {
+		if (request.account === undefined || group === undefined) {
+			return false;
+		}
+
+		group.places.add(1);
+		group.loadedPlaces.add(isLightlyLoaded ? 0 : 1);
+		if (group.loadedPlaces.value < leastLoadedShare * group.places.value || !isOverShare(group, request.account)) {
 			return false;
 		}
 
 		const leastShare = leastPart * Math.min(1, group.servedWork.value / totalDemandMs(group));
-		const passedShare = isShort ? leastShare : Math.max(leastShare, 1 - (othersRefusedShare(group) / acceptedRefusedShare));
+		const passedShare = isOverloaded && !isLightlyLoaded ? leastShare : Math.max(leastShare, 1 - (othersRefusedShare(group) / acceptedRefusedShare));
 		return this.#random.next() >= passedShare;
 	}
 
@@ -100,6 +120,7 @@
 	#addGroup({service, priority}: Pick<AccountRequest, 'service' | 'priority'>): Group {
 		const group = {
 			demands: new Map<ClientAccountId, Demand>(), servedWork: this.#sum(), othersServed: this.#sum(), othersRefused: this.#sum(),
+			places: new DecayingSum(this.#clock, roomMemoryMs), loadedPlaces: new DecayingSum(this.#clock, roomMemoryMs),
 		};
 		this.#groups.set(`${priority} ${service}`, group);
 		return group;
--- a/packages/core/src/overload/overload-control.ts
+++ b/packages/core/src/overload/overload-control.ts
@@ -68,8 +68,8 @@
 	decide(request: OverloadRequest, place: OfferedPlace): OverloadVerdict {
 		const accountRequest = toAccountRequest(request, place);
 		this.#accountShares.recordArrival(accountRequest);
-		const isShort = !place.isLightlyLoaded && this.#meter.isOverloaded(request.service);
-		const mustYield = this.#accountShares.mustYield(accountRequest, isShort);
+		const room = {isLightlyLoaded: place.isLightlyLoaded, isOverloaded: this.#meter.isOverloaded(request.service)};
+		const mustYield = this.#accountShares.mustYield(accountRequest, room);
 		const reason = mustYield ? 'account-over-share' : this.#refusalReason(request, place);
 		this.#accountShares.recordDecision(accountRequest, reason === undefined);
 		if (reason === undefined) {
