--- a/packages/core/src/overload/account-shares.ts
+++ b/packages/core/src/overload/account-shares.ts
@@ -36,9 +36,9 @@
 
 /** Room for a request as it is decided. */
 export type Room = {
-	/** Whether the best place found for it is lightly loaded. */
+	/** True if the best place found for it is lightly loaded. */
 	readonly isLightlyLoaded: boolean;
-	/** Whether its service is overloaded. */
+	/** True if its service is overloaded. */
 	readonly isOverloaded: boolean;
 };
 
--- a/packages/gateway/src/features/calls/attempt-gate.ts
+++ b/packages/gateway/src/features/calls/attempt-gate.ts
@@ -74,7 +74,7 @@
 		return isAllowed;
 	}
 
-	/** Whether a hedge is of use: the call that it serves was taken before the stop, and ends with it at the latest. */
+	/** Returns whether a hedge is expected to end before the stop; its call ends with the stop at the latest. */
 	#mayEndBeforeStop({expectedMs}: Placement): boolean {
 		const {clock, stop} = this.#options.dependencies;
 		return stop.allows(clock.monotonicMs() + expectedMs);
@@ -109,7 +109,7 @@
 		return false;
 	}
 
-	/** Whether the key of the caller is still valid; it may have been taken away since the request was received. */
+	/** Returns whether the key of the caller is still valid; it may have been taken away since the request was received. */
 	#isStillAuthenticated(): boolean {
 		const {dependencies: {authenticator}, call, attempts, onDecision} = this.#options;
 		const refusal = authenticator.recheck(call);
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -46,7 +46,7 @@
 	readonly maximumAttempts?: number;
 	readonly slack?: number;
 	readonly upstreams?: number;
-	/** Whether connections to upstreams are open from the start; true by default. */
+	/** True, which is the default, if connections to upstreams are open from the start. */
 	readonly isConnected?: boolean;
 	/** Reason reported when no upstream is left. */
 	readonly noUpstream?: NoUpstream;
@@ -69,7 +69,7 @@
 	placementFault: Error | undefined;
 	/** Fault with which the call ended. */
 	fault: unknown;
-	/** Whether placement never resolves. */
+	/** True if placement never resolves. */
 	isPlacementBlocked = false;
 	expectedMs = 40;
 	/** Retry delay with which the call is refused because upstreams crashed under it; not refused if undefined. */
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -259,7 +259,7 @@
 		}
 	}
 
-	/** Whether one more attempt is allowed and can end in time. */
+	/** Returns whether one more attempt is allowed and can end in time. */
 	get #canStartAttempt(): boolean {
 		const hasTime = this.#remainingMs > this.#workMs * minimumRemainingTimeRatio;
 		return hasTime && this.#attempts.sent < this.#call.route.maximumAttempts;
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -15,7 +15,7 @@
 	readonly server: Server;
 	readonly clock: Clock;
 	readonly metrics: Metrics;
-	/** Whether the instance leaves, so that connections close once nothing is lost by it. */
+	/** Returns whether the instance leaves, so that connections close once nothing is lost by it. */
 	readonly isLeaving: () => boolean;
 	readonly onStart: CallerConnectionOptions['onStart'];
 	/** Called if an outcome could not be written; its caller gets another one, or is disconnected. */
--- a/packages/gateway/src/features/calls/judge-exchange.ts
+++ b/packages/gateway/src/features/calls/judge-exchange.ts
@@ -74,7 +74,7 @@
 	}
 }
 
-/** Whether no byte of the request can have reached an upstream. */
+/** Returns whether no byte of the request can have reached an upstream. */
 export function wasNeverSent(verdict: ExchangeVerdict): boolean {
 	return verdict.type === 'not-run' && (verdict.reason === 'not-connected' || verdict.reason === 'no-relay');
 }
--- a/packages/gateway/src/features/calls/write-outcome.ts
+++ b/packages/gateway/src/features/calls/write-outcome.ts
@@ -19,7 +19,7 @@
 };
 
 export type WriteOptions = {
-	/** Whether to close the connection after this response. */
+	/** True if the connection closes after this response. */
 	readonly isLast: boolean;
 	/** Status if the request could not be read whole because its bytes are malformed. */
 	readonly faultStatus: number | undefined;
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -33,7 +33,7 @@
 	readonly context: Context;
 	readonly store: StateStore;
 	readonly state: () => StateTask;
-	/** What this instance knows of requests under which upstreams crashed. */
+	/** Returns the records of requests under which upstreams crashed. */
 	readonly suspects: () => Pick<CrashTable, 'digest' | 'shared'>;
 	/** Called when another instance reports upstreams that crashed under requests, or that a request is no longer suspected. */
 	readonly onSuspects: (records: readonly CrashRecord[]) => void;
@@ -41,7 +41,7 @@
 	readonly onRateReport: (report: RateReport) => void;
 	/** Called for each message of another instance about the limits of accounts. */
 	readonly onLimitMessage: (message: LimitMessage, from: string) => void;
-	/** Whether this instance reaches upstreams on connections of its own. */
+	/** Returns whether this instance reaches upstreams on connections of its own. */
 	readonly reachesUpstreams: () => boolean;
 	/** Handles requests that other instances ask this one to pass on. */
 	readonly relay: PeerHandler;
@@ -60,7 +60,7 @@
 	readonly #storeEntry: StoreEntry;
 	readonly #stateFetcher: StateFetcher;
 	readonly #readerRoles: ReaderRoleTracker;
-	/** Whether the settings name other instances as seeds, and not this one. */
+	/** True if the settings name other instances as seeds, and not this one. */
 	readonly #hasSeeds: boolean;
 	/** Hosts of the other instances that the settings name. */
 	readonly #seeds: readonly string[];
@@ -222,7 +222,7 @@
 		return this.#membership.view.offered();
 	}
 
-	/** What this instance knows of the fleet, for the limits of accounts. */
+	/** Returns the known part of the fleet, for the limits of accounts. */
 	get limiterFleet(): LimiterFleet {
 		return describeFleet({
 			view: this.#membership.view,
@@ -238,7 +238,7 @@
 		this.#socket.send({type: 'limit', message}, [host]);
 	}
 
-	/** Whether a live instance runs at this address. */
+	/** Returns whether a live instance runs at this address. */
 	isMember(host: string): boolean {
 		return this.#membership.view.live().some(member => member.host === host);
 	}
@@ -276,7 +276,7 @@
 		this.#socket.send({type: 'suspects', records: [record]}, this.#membership.view.targets());
 	}
 
-	/** Whether this instance comes first of all that serve callers in an order that differs for each request (rendezvous hashing). */
+	/** Returns whether this instance comes first of all that serve callers in an order that differs for each request (rendezvous hashing). */
 	isFirstFor(fingerprint: Fingerprint): boolean {
 		return isFirstByHash(fingerprint, this.#options.context.settings.host, this.others().map(({host}) => host));
 	}
--- a/packages/gateway/src/features/relay/relay-codec.ts
+++ b/packages/gateway/src/features/relay/relay-codec.ts
@@ -17,7 +17,7 @@
 /** Largest header of the hop: callers' headers of 64 KB, a third more in base64, and the rest of the head. */
 export const maximumRelayHeaderBytes = 131_072;
 
-/** What is passed on of a request besides its body, and the upstream that gets it. */
+/** The parts of a request that are passed on besides its body, and the upstream that gets it. */
 export type RelayHead = Omit<OutgoingRequest, 'body' | 'fingerprint' | 'onLateEnd'> & {
 	readonly upstream: UpstreamId;
 	/** Undefined if the other instance doesn't send it, and for health checks. */
--- a/packages/gateway/src/features/upstreams/prober.ts
+++ b/packages/gateway/src/features/upstreams/prober.ts
@@ -31,7 +31,7 @@
 	readonly sampleOthers: (upstream: Upstream, count: number) => readonly Upstream[];
 	/** Returns the path of a service's health check; undefined for an unknown service. */
 	readonly healthPath: (service: string) => string | undefined;
-	/** Whether anything may be sent to an upstream, including health checks. */
+	/** Returns whether anything may be sent to an upstream, including health checks. */
 	readonly isInService: (upstream: Upstream) => boolean;
 	readonly instances: () => number;
 	readonly upstreams: () => number;
--- a/packages/gateway/src/features/upstreams/rate-limits.ts
+++ b/packages/gateway/src/features/upstreams/rate-limits.ts
@@ -27,7 +27,7 @@
 export type AnsweredRequest = {
 	readonly answer: UpstreamAnswer;
 	readonly sentAtMs: number;
-	/** Whether the answer is complete and the upstream's own, so that no limit is in force if it advertises none. */
+	/** True if the answer is complete and the upstream's own, so that no limit is in force if it advertises none. */
 	readonly isSuccess: boolean;
 };
 
--- a/packages/gateway/src/features/upstreams/strict-parser.ts
+++ b/packages/gateway/src/features/upstreams/strict-parser.ts
@@ -8,7 +8,7 @@
 const chunkSizeLine = /^[\da-f]{1,8}[ \t]*(?:;.*)?$/i;
 const stopParsing = true;
 
-/** How the parser goes on behind a head: it reads a body or the next head, or stops. */
+/** The next step of the parser behind a head: a body, the head of another message, or none. */
 export type AfterHead = 'body' | 'no-body' | 'stop';
 
 /** Codes of {@link AfterHead} in the library. */
--- a/packages/gateway/src/features/upstreams/upstream-channel.ts
+++ b/packages/gateway/src/features/upstreams/upstream-channel.ts
@@ -4,9 +4,9 @@
 import type {UpstreamAnswer} from './upstream-answer.js';
 
 export type UpstreamChannel = {
-	/** Whether the request may have left this instance; nothing is sent before. */
+	/** True if the request may have left this instance; nothing is sent before. */
 	readonly isConnected: boolean;
-	/** Whether a further request may be sent on the channel now. */
+	/** True if a further request may be sent on the channel now. */
 	readonly isReusable: boolean;
 	/** Host of the instance that passes the request on; undefined for a connection of this instance. */
 	readonly relay?: string | undefined;
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -46,7 +46,7 @@
 	/** Set while only the late end of an abandoned request is awaited, after which the connection closes. */
 	#awaitsLateEnd = false;
 	#pending: PendingExchange | undefined;
-	/** Whether the connection has carried an answer, behind which bytes of another one may come. */
+	/** True once the connection has carried an answer, behind which bytes of another one may come. */
 	#hasAnswered = false;
 	#idleUntilMs = 0;
 
@@ -60,12 +60,12 @@
 		this.#addListeners();
 	}
 
-	/** Whether a further request may be sent on the connection now. */
+	/** True if a further request may be sent on the connection now. */
 	get isReusable(): boolean {
 		return !this.#isClosed && !this.#isRetired && this.#isConnected && this.#pending === undefined && this.#options.now() < this.#idleUntilMs;
 	}
 
-	/** Whether the connection was ever open; nothing is sent before. */
+	/** True if the connection was ever open; nothing is sent before. */
 	get isConnected(): boolean {
 		return this.#isConnected;
 	}
--- a/packages/soak/src/further-events.ts
+++ b/packages/soak/src/further-events.ts
@@ -81,13 +81,13 @@
 	};
 }
 
-/** */
+/** Generates the removal of a key that callers use. */
 function generateRemoval(seed: number, durationMs: number): ScheduledEvent {
 	const random = randomSourceOf(seed + removalSeedOffset);
 	return {atMs: random.nextInteger(durationMs / 2), event: {type: 'remove-key', forMs: removalMs}};
 }
 
-/** */
+/** Generates a flood of one account, and a lower limit of it while that lasts. */
 function generateFlood(seed: number, durationMs: number): ScheduledEvent[] {
 	const random = randomSourceOf(seed + floodSeedOffset);
 	const atMs = random.nextInteger(durationMs / 5);
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -10,7 +10,7 @@
 	readonly find: string;
 	readonly replaceBy: string;
 	readonly events: readonly ScheduledEvent[];
-	/** Whether some requests take up to seconds; not if absent. */
+	/** True if some requests take up to seconds; false if absent. */
 	readonly hasLongRequests?: boolean;
 	/** Name of the check that has to notice the mutation. */
 	readonly noticedBy: string;
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -57,7 +57,7 @@
 	readonly bursts?: RequestBursts;
 	/** If given, callers start and these events happen as soon as the first instance is ready, instead of once all instances know each other. */
 	readonly duringStart?: readonly SoakEvent[];
-	/** Whether one more caller sends requests that take up to seconds; not if absent. */
+	/** True if one more caller sends requests that take up to seconds; false if absent. */
 	readonly hasLongRequests?: boolean;
 	/** Processing time of each request at an upstream that states none itself. */
 	readonly workMs: number;
