--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -3,8 +3,9 @@
 import {connect, type Socket} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 import {AnswerParser} from './answer-parser.js';
-import {headerOf, type ExchangeFailure, type OutgoingRequest} from './exchange.js';
+import type {ExchangeFailure, OutgoingRequest} from './exchange.js';
 import type {UpstreamAnswer} from './upstream-answer.js';
+import {matchAnswer} from './match-answer.js';
 import {defaultIdleMs, idleTimeMs} from './idle-time.js';
 
 /** Time for which the answer to a cancelled request is still read; it may be on its way. */
@@ -233,23 +234,28 @@
 	}
 
 	#answered(answer: UpstreamAnswer, keepAlive: boolean): void {
-		const pending = this.#pending;
-		const answeredId = headerOf(answer.headers, this.#options.requestIdHeader);
-		const wasUsed = this.#hasAnswered;
+		const {requestIdHeader} = this.#options;
+		const match = matchAnswer(answer, {request: this.#pending?.request, requestIdHeader, wasUsed: this.#hasAnswered});
 		this.#hasAnswered = true;
-		if (pending === undefined || (answeredId !== undefined && answeredId !== pending.request.requestId)) {
-			// The answer to an earlier request, or a duplicate: the answer to this request may still follow.
-			this.#isRetired = true;
-			return;
-		}
+		switch (match) {
+			case 'own': {
+				this.#settleAnswered(this.#pending!, answer, keepAlive);
+				break;
+			}
 
-		if (answeredId === undefined && pending.request.requestId !== undefined && wasUsed) {
-			// It may be an additional answer to an earlier request, which proves nothing of this one.
-			this.#isRetired = true;
-			this.#fail({type: 'malformed', message: 'answer without a request id on a connection that was used before'});
-			return;
+			case 'another': {
+				this.#isRetired = true;
+				break;
+			}
+
+			case 'unproven': {
+				this.#isRetired = true;
+				this.#fail({type: 'malformed', message: 'answer without a request id on a connection that was used before'});
+			}
 		}
+	}
 
+	#settleAnswered(pending: PendingExchange, answer: UpstreamAnswer, keepAlive: boolean): void {
 		clearTimeout(pending.timer);
 		this.#options.onAnswered();
 		this.#pending = undefined;
