A fault of a passing instance doesn't prove that a request was not sent

What callers could have seen: a payment that runs twice. Since an unexpected fault while one instance passes a request on for another is answered with 500 in place of ending the process, and the asking instance took every answer without a result for a refusal, which proves that nothing was sent.

Change: only the known refusals prove it, by their text; anything else is a broken exchange, which may have run.

Test: relayed-exchange.spec, "the other instance fails under it": 'no-relay' before, 'broken' now.

--- a/packages/gateway/src/features/relay/relay-codec.ts
+++ b/packages/gateway/src/features/relay/relay-codec.ts
@@ -14,6 +14,13 @@
 export const relayHeadHeader = 'x-relay-head';
 /** Refusal of an instance that has lost its own links. */
 export const noLink = 'no-link';
+/** Reasons for which an instance refuses to pass a request on, with the status of each; they alone prove that it was not sent. */
+export const relayRefusalStatuses = {
+	'unknown-instance': 403, unreadable: 400, 'too-large': 413, busy: 503, leaving: 503, 'unknown-upstream': 404, [noLink]: 503,
+} as const;
+
+export type RelayRefusal = keyof typeof relayRefusalStatuses;
+
 /** Largest header of the hop: callers' headers of 64 KB, a third more in base64, and the rest of the head. */
 export const maximumRelayHeaderBytes = 131_072;
 
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -16,7 +16,7 @@
 import type {Upstream} from '../upstreams/upstream.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import {
-	decodeHead, encodeResult, noLink, relayHeadHeader, type RelayHead,
+	decodeHead, encodeResult, noLink, relayHeadHeader, relayRefusalStatuses, type RelayHead, type RelayRefusal,
 } from './relay-codec.js';
 
 /** Requests of other instances that are passed on at a time; more would take the place of this instance's own callers. */
@@ -28,12 +28,8 @@
 const maximumTimeoutMs = 60_000;
 const refusalLogIntervalMs = 1000;
 
-/** Reasons for which a request of another instance is refused; each proves that it has not run. */
-type Refusal = 'unknown-instance' | 'unreadable' | 'too-large' | 'busy' | 'leaving' | 'unknown-upstream' | typeof noLink;
-
-const statusOfRefusal: Readonly<Record<Refusal, number>> = {
-	'unknown-instance': 403, unreadable: 400, 'too-large': 413, busy: 503, leaving: 503, 'unknown-upstream': 404, [noLink]: 503,
-};
+/** A request that is passed on, and the upstream that gets it. */
+type Admitted = {readonly head: RelayHead; readonly upstream: Upstream};
 
 export type RelayTaskOptions = {
 	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics' | 'stop'>;
@@ -106,7 +102,7 @@
 		}
 	}
 
-	#admit({headers, socket}: IncomingMessage, bodyBytes: number): Result<{readonly head: RelayHead; readonly upstream: Upstream}, Refusal> {
+	#admit({headers, socket}: IncomingMessage, bodyBytes: number): Result<Admitted, RelayRefusal> {
 		const {context: {clock, stop}, hasLostLink, isMember, upstreamOf} = this.#options;
 		if (!isMember(socket.remoteAddress ?? '')) {
 			return err('unknown-instance');
@@ -134,10 +130,14 @@
 			return err('unknown-upstream');
 		}
 
-		return hasLostLink(upstream) ? err(noLink) : ok({head: head.value, upstream});
+		if (hasLostLink(upstream)) {
+			return err(noLink);
+		}
+
+		return ok<Admitted, RelayRefusal>({head: head.value, upstream});
 	}
 
-	async #passOn(request: IncomingMessage, response: ServerResponse, {head, upstream}: {readonly head: RelayHead; readonly upstream: Upstream}): Promise<void> {
+	async #passOn(request: IncomingMessage, response: ServerResponse, {head, upstream}: Admitted): Promise<void> {
 		const {context: {metrics}, poisonGuard} = this.#options;
 		const body = await readAll(request);
 		if (body === undefined) {
@@ -182,7 +182,7 @@
 		writeResult(response, result.mapErr(failure => failure.type === 'cancelled' ? {type: 'broken', message: 'cancelled by the passing instance'} : failure));
 	}
 
-	#refuse(request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
+	#refuse(request: IncomingMessage, response: ServerResponse, refusal: RelayRefusal): void {
 		const {clock, logger, metrics} = this.#options.context;
 		metrics.relayed.inc({side: 'received', result: refusal});
 		const nowMs = clock.monotonicMs();
@@ -192,7 +192,7 @@
 		}
 
 		response.shouldKeepAlive = false;
-		response.writeHead(statusOfRefusal[refusal]).end(refusal);
+		response.writeHead(relayRefusalStatuses[refusal]).end(refusal);
 		request.resume();
 	}
 }
--- /dev/null
+++ b/packages/gateway/src/features/relay/relayed-exchange.spec.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {Agent, createServer, type RequestListener} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {describe, it} from 'node:test';
+import type {UpstreamId} from '@cairnbank/core';
+import type {RelayPeer} from '@cairnbank/core/reachability';
+import {createMetrics} from '../../metrics/metrics.js';
+import type {Context} from '../../kernel/context.js';
+import {containFaults} from '../../kernel/unexpected-fault.js';
+import {RelayedExchange} from './relayed-exchange.js';
+
+/** Sends one request through an instance that handles it so, and returns the type of its failure. */
+async function failureThrough(handler: RequestListener): Promise<string> {
+	const server = createServer(handler);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const peer: Partial<RelayPeer> = {host: '127.0.0.1'};
+	const exchange = new RelayedExchange({
+		upstream: 'u1' as UpstreamId,
+		peer: peer as RelayPeer,
+		agent: new Agent(),
+		port: (server.address() as AddressInfo).port,
+		localAddress: '127.0.0.1',
+		onStart: () => undefined,
+		onEnd: () => undefined,
+	});
+	const result = await exchange.exchange({
+		method: 'POST', target: '/', headers: [], body: undefined, requestId: 'a', timeoutMs: 1000,
+	});
+	server.close();
+	return result._unsafeUnwrapErr().type;
+}
+
+describe('RelayedExchange', () => {
+	it('should prove that nothing was sent if the other instance refuses to pass the request on', async () => {
+		assert.equal(await failureThrough((_, response) => {
+			response.writeHead(503).end('leaving');
+		}), 'no-relay');
+	});
+
+	// Guards against a payment that runs twice, as the other instance failed after it had sent it.
+	it('should report that the request may have run if the other instance fails under it', async () => {
+		const context = {metrics: createMetrics(), logger: {error: () => undefined} as unknown as Context['logger']};
+		assert.equal(await failureThrough(containFaults(context, 'peer', async () => {
+			throw new Error('a fault of the program');
+		})), 'broken');
+	});
+});
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -10,7 +10,7 @@
 import {createAnswer, type UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import {
-	decodeResult, encodeHead, maximumRelayHeaderBytes, noLink, relayHeadHeader, relayPath,
+	decodeResult, encodeHead, maximumRelayHeaderBytes, noLink, relayHeadHeader, relayPath, relayRefusalStatuses,
 } from './relay-codec.js';
 
 /** Longest wait for a connection to another instance; a healthy one accepts within a few milliseconds. */
@@ -126,12 +126,20 @@
 			if (response.statusCode === okStatus) {
 				this.#decode(response, Buffer.concat(chunks));
 			} else {
-				const reason = Buffer.concat(chunks).toString();
-				this.#end(err({type: 'no-relay', message: reason}), reason === noLink ? 'no-link' : 'failed');
+				this.#refused(Buffer.concat(chunks).toString());
 			}
 		});
 	}
 
+	/** Handles an answer without a result. Anything but a known refusal, such as a fault of the other instance, may have come after the request was sent. */
+	#refused(reason: string): void {
+		if (Object.hasOwn(relayRefusalStatuses, reason)) {
+			this.#end(err({type: 'no-relay', message: reason}), reason === noLink ? 'no-link' : 'failed');
+		} else {
+			this.#fail('failed at the passing instance');
+		}
+	}
+
 	#decode({headers}: IncomingMessage, body: Uint8Array): void {
 		const decoded = decodeResult(String(headers[relayHeadHeader] ?? ''));
 		if (decoded.isErr()) {
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -1,6 +1,7 @@
 /** Injects the faults of a schedule into a site and records the period of each. */
 import {setTimeout as delay} from 'node:timers/promises';
 import type {UpstreamBehaviour, UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
+import {spoil} from '@cairnbank/platform/spec-support/spoiled-bytes';
 import {waitFor} from '@cairnbank/testing/harness';
 import type {AccountEvent} from './account-events.js';
 import {runCrashingCaller, type CrashingCalls} from './crashing-caller.js';
@@ -9,7 +10,6 @@
 } from './history.js';
 import type {SoakEvent} from './schedule.js';
 import type {SoakSite} from './soak-site.js';
-import {spoil} from './spoiled-bytes.js';
 import {watchForStalls} from './stall-watch.js';
 
 /** Longer than the grace period of an instance, because stopping takes longer on a busy machine. */
--- a/packages/soak/src/further-events.ts
+++ b/packages/soak/src/further-events.ts
@@ -2,9 +2,9 @@
 import {createRandomSource} from '@cairnbank/core/random';
 import type {RandomSource} from '@cairnbank/core';
 import type {LinkCut} from '@cairnbank/platform/spec-support/linked-site';
+import type {Spoiling} from '@cairnbank/platform/spec-support/spoiled-bytes';
 import {requestOfLeavingCallers, requestThatFails} from './crashing-upstreams.js';
 import type {ScheduledEvent} from './schedule.js';
-import type {Spoiling} from './spoiled-bytes.js';
 
 /** Spreads consecutive seeds, which would otherwise give similar first random numbers. */
 const seedMultiplier = 0x9E_37_79_B1;
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -3,12 +3,12 @@
 import type {RandomSource} from '@cairnbank/core';
 import type {LinkCut} from '@cairnbank/platform/spec-support/linked-site';
 import type {StoreFault} from '@cairnbank/platform/spec-support/store-stand-in';
+import type {Spoiling} from '@cairnbank/platform/spec-support/spoiled-bytes';
 import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import type {LinkFault} from '@cairnbank/platform/spec-support/link-proxy';
 import {
 	drawsLongRequests, generateFurtherEvents, generateSpoilings, pick, randomSourceOf,
 } from './further-events.js';
-import type {Spoiling} from './spoiled-bytes.js';
 
 /** Instances and upstreams are given by their index in the order in which they were started. */
 export type SoakEvent =
@@ -104,7 +104,14 @@
 
 	events.push(...generateFurtherEvents(seed, durationMs, instances), ...generateSpoilings(seed, durationMs, upstreams));
 	return {
-		seed, instances, upstreams, hasLongRequests: drawsLongRequests(seed), callers: 6 + random.nextInteger(10), workMs: 5 + random.nextInteger(40), durationMs, events: events.toSorted((left, right) => left.atMs - right.atMs),
+		seed,
+		instances,
+		upstreams,
+		hasLongRequests: drawsLongRequests(seed),
+		callers: 6 + random.nextInteger(10),
+		workMs: 5 + random.nextInteger(40),
+		durationMs,
+		events: events.toSorted((left, right) => left.atMs - right.atMs),
 	};
 }
 
