--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -193,8 +193,8 @@
 	},
 	{
 		name: 'answer-of-another-request-passed-on',
-		file: `${gateway}/features/upstreams/upstream-connection.js`,
-		find: '(answeredId !== undefined && answeredId !== pending.request.requestId)',
+		file: `${gateway}/features/upstreams/match-answer.js`,
+		find: '(answeredId !== undefined && answeredId !== request.requestId)',
 		replaceBy: 'false',
 		events: misbehave('answers-another', ...allUpstreams),
 		noticedBy: answersMatchRequests,
