--- a/packages/core/src/overload/account-shares.ts
+++ b/packages/core/src/overload/account-shares.ts
@@ -17,7 +17,7 @@
 const standardErrors = 1.5;
 /** The more of the requests of all others are refused, up to this share, the less of what accounts over their share ask for is passed on. */
 const acceptedRefusedShare = 0.05;
-/** Time constant of what is known of room; it is there again within a fraction of a second after a moment without it. */
+/** Time constant of the observed room; after a moment without room there is some again within a fraction of a second. */
 const roomMemoryMs = 500;
 /** While fewer of the places found than this share are loaded, there is room for all, and nobody yields. */
 const leastLoadedShare = 0.05;
--- a/packages/gateway/src/features/upstreams/strict-parser.ts
+++ b/packages/gateway/src/features/upstreams/strict-parser.ts
@@ -81,7 +81,7 @@
 		return this.#isStopped ? stopParsing : super.RESPONSE_LINE(); // eslint-disable-line new-cap -- a method of the library
 	}
 
-	/** Rejects sizes from which the library reads a part, among them negative ones, at which it would loop for ever. */
+	/** Rejects sizes that the library would read in part or as negative numbers, with which it loops for ever. */
 	override BODY_CHUNKHEAD(): void {
 		const line = this.consumeLine();
 		if (line === undefined) {
