Soak: the back-off check knows the instances of a flooded account's requests

The check looks up which instance sent a request among the recorded calls, and these leave out the refused requests of the flooded account. Their instances were undefined, and undefined is equal to undefined: requests of several instances counted as those of one. It looks them up among all requests now, which also lets it notice requests that it couldn't attribute before.

The spec of it fails with the check before.

--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -110,6 +110,21 @@
 		assert.deepEqual(breachedChecks(validHistory), []);
 	});
 
+	it('should know the instances of requests of a flooded account that ask an upstream for a back-off', () => {
+		const flooding = ['a', 'b', 'c', 'd'].map((id, index) => ({record: call(answered(503), {id, instance: `127.0.0.${2 + index}`}), isFlooding: true}));
+		const backOffs = [{
+			id: 'a', upstream: 'u0', atMs: 100, durationMs: 3000,
+		}];
+		const arrivals = ['b', 'c', 'd'].map(id => ({id, upstream: 'u0', atMs: 2000}));
+		assert.deepEqual(breachedChecks({
+			...validHistory, floods: [{calls: flooding}], backOffs, arrivals,
+		}), []);
+		const ofOneInstance = flooding.map(({record, isFlooding}) => ({record: {...record, instance: '127.0.0.2'}, isFlooding}));
+		assert.deepEqual(breachedChecks({
+			...validHistory, floods: [{calls: ofOneInstance}], backOffs, arrivals,
+		}), ['an upstream that asks an instance to back off gets next to nothing from it in that time']);
+	});
+
 	it('should each have a history with a breach that only it notices', () => {
 		assert.deepEqual(checks.map(({name}) => name), Object.keys(breachingHistories));
 	});
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -189,8 +189,10 @@
 
 const backOffIsRespected: Check = {
 	name: 'an upstream that asks an instance to back off gets next to nothing from it in that time',
-	findBreaches({calls, arrivals, backOffs, disturbances}) {
-		const instances = mapInstancesByRequestId(calls);
+	findBreaches({calls, floods, arrivals, backOffs, disturbances}) {
+		// Calls leave out the refused requests of a flooded account, which reach upstreams too.
+		const flooding = floods.flatMap(flood => flood.calls.map(({record}) => record));
+		const instances = mapInstancesByRequestId([...calls, ...flooding]);
 		return backOffs.flatMap(({id: askedBy, upstream, atMs, durationMs}) => {
 			const instance = instances.get(askedBy);
 			const isExcused = disturbances.some(disturbance =>
