Test runner: a spec file that hangs is ended and named after 5 minutes

Change: each file has 300 s. One that takes longer is ended (its child processes end with it), counts as failed, and the tests that it was at are printed.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -7,6 +7,8 @@
 import {spec as SpecReporter} from 'node:test/reporters';
 
 const concurrency = 6;
+/** Ends a spec file that hangs. It leaves time for the scenarios within the 8 minutes of a whole run. */
+const specFileTimeoutMs = 300_000;
 const scenarioModules = ['packages/testing', 'platform'].map(folder => new URL(`../${folder}/dist/fault-matrix/run-scenarios.js`, import.meta.url));
 
 /** Whether the source of a compiled file exists. The build keeps the output of renamed and deleted sources. */
@@ -33,9 +35,25 @@
 	return new Set(text.split('\n').filter(line => line.trim() !== '').map(line => line.split(' | ')[0].trim()));
 }
 
+/** Records which tests are running, by their files. */
+function trackRunning(stream) {
+	const running = new Map();
+	stream.on('test:dequeue', ({file, name}) => {
+		running.set(file, (running.get(file) ?? new Set()).add(name));
+	});
+	for (const event of ['test:pass', 'test:fail']) {
+		stream.on(event, ({file, name}) => {
+			running.get(file)?.delete(name);
+		});
+	}
+
+	return running;
+}
+
 async function runSpecs(files) {
 	const counts = {passed: 0, failed: 0, failures: []};
-	const stream = run({files, concurrency});
+	const stream = run({files, concurrency, timeout: specFileTimeoutMs});
+	const running = trackRunning(stream);
 	stream.on('test:pass', data => {
 		counts.passed += data.details.type === 'suite' ? 0 : 1;
 	});
@@ -44,6 +62,10 @@
 			counts.failed += 1;
 			counts.failures.push(data.name);
 		}
+
+		if (data.details.error?.failureType === 'testTimeoutFailure') {
+			console.log(`ended after ${specFileTimeoutMs} ms, at: ${[...running.get(data.file) ?? []].join(', ')}`);
+		}
 	});
 	const report = stream.compose(new SpecReporter());
 	report.pipe(process.stdout);
