Header lines, chunk sizes and trailers of an answer that never end are rejected

What callers saw: nothing yet; found by reading for the class of the invalid answers. One faulty upstream could fill the memory of an entry instance, whose limit ends the process and with it the requests of all callers.

Cause: the library's limit on heads is counted per head and in its header states only. Lines behind the head (chunk sizes, chunk extensions, trailers) and heads of interim answers could grow until the request timed out.

Change: StrictParser bounds an unfinished line, and the characters of all header lines of one answer, its interim answers and trailers included, at the 80 KiB that the library allows one head.

--- a/packages/gateway/src/features/upstreams/answer-parser.spec.ts
+++ b/packages/gateway/src/features/upstreams/answer-parser.spec.ts
@@ -3,6 +3,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {AnswerParser, maximumAnswerBytes} from './answer-parser.js';
+import {maximumHeaderCharacters} from './strict-parser.js';
 import type {UpstreamAnswer} from './upstream-answer.js';
 
 type Parsed = {answers: UpstreamAnswer[]; fault: string | undefined; endFault: string | undefined};
@@ -120,6 +121,32 @@
 		});
 	});
 
+	describe('bytes that go on without end', () => {
+		const part = 10_000;
+		const chunked = `${head}Transfer-Encoding: chunked\r\n\r\n`;
+
+		// Guards against an instance whose memory is filled by one answer until its request times out.
+		for (const [name, start, repeated] of [
+			['a line of a head', head, 'a'.repeat(part)],
+			['a chunk size', chunked, '0'.repeat(part)],
+			['a chunk extension', `${chunked}1;`, 'a'.repeat(part)],
+			['a line behind a chunk', `${chunked}1\r\na`, 'a'.repeat(part)],
+			['a line of a trailer', `${chunked}0\r\nX-A: `, 'a'.repeat(part)],
+			['lines of a trailer', `${chunked}0\r\n`, `X-A: ${'a'.repeat(part)}\r\n`],
+			['interim answers', '', `HTTP/1.1 102 Processing\r\nX-A: ${'a'.repeat(part)}\r\n\r\n`],
+		] as const) {
+			it(`should be rejected: ${name}`, () => {
+				const parser = new AnswerParser(() => false);
+				let fault = feed(parser, Buffer.from(start), []);
+				for (let characters = 0; characters <= maximumHeaderCharacters && fault === undefined; characters += part) {
+					fault = feed(parser, Buffer.from(repeated), []);
+				}
+
+				assert.notEqual(fault, undefined);
+			});
+		}
+	});
+
 	it('should reject an answer longer than the limit', () => {
 		const answers: UpstreamAnswer[] = [];
 		const parser = new AnswerParser(() => false);
--- a/packages/gateway/src/features/upstreams/strict-parser.ts
+++ b/packages/gateway/src/features/upstreams/strict-parser.ts
@@ -7,6 +7,8 @@
 const continuationLine = /^[ \t]/;
 const chunkSizeLine = /^[\da-f]{1,8}[ \t]*(?:;.*)?$/i;
 const stopParsing = true;
+/** Most characters that the header lines of one answer may have, with its trailers and the heads of interim answers, and the most of any line. */
+export const maximumHeaderCharacters = 81_920;
 
 /** The next step of the parser behind a head: a body, the head of another message, or none. */
 export type AfterHead = 'body' | 'no-body' | 'stop';
@@ -24,6 +26,8 @@
 /** The parts of the library that {@link StrictParser} uses; its own types make some of them private. */
 declare class LibraryParser {
 	state: string;
+	/** The part of an unfinished line that was read. */
+	line: string;
 	body_bytes: number | null; // eslint-disable-line @typescript-eslint/no-restricted-types -- a type of the library
 	constructor(type: string);
 	initialize(type: string): void;
@@ -48,6 +52,7 @@
 
 export class StrictParser extends LooseParser {
 	#isStopped = false;
+	#headerCharacters = 0;
 
 	constructor({onHead, onBody, onComplete}: StrictParserOptions) {
 		super(HTTPParser.RESPONSE);
@@ -65,6 +70,7 @@
 	/** Starts at the head of a message again. */
 	restart(): void {
 		this.#isStopped = false;
+		this.#headerCharacters = 0;
 		this.initialize(HTTPParser.RESPONSE);
 	}
 
@@ -74,9 +80,24 @@
 			throw new Error('invalid header line');
 		}
 
+		this.#headerCharacters += line.length;
+		if (this.#headerCharacters > maximumHeaderCharacters) {
+			throw new Error('too many header lines');
+		}
+
 		super.parseHeader(line, headers);
 	}
 
+	/** Rejects lines without an end, which the library would collect in memory. */
+	override consumeLine(): string | undefined {
+		const line = super.consumeLine();
+		if (line === undefined && this.line.length > maximumHeaderCharacters) {
+			throw new Error('line too long');
+		}
+
+		return line;
+	}
+
 	override RESPONSE_LINE(): boolean | undefined {
 		return this.#isStopped ? stopParsing : super.RESPONSE_LINE(); // eslint-disable-line new-cap -- a method of the library
 	}
