Bodies may have the configured length, within a bound on all that are held

Cause: a constant of this program stood beside the configured limit, as the only bound on the memory of bodies.

Change: the configured limit decides. One that doesn't fit is refused as not run, reason bodies-held, as soon as its announced length is read, or once its parts don't fit. Long bodies are copied to one place as they arrive and written to the upstream without another copy, which would have taken twice their memory. A body over 8 MiB isn't passed on through another instance: that one would close the connection under it, and a payment that was never sent would be told as unknown.

--- a/packages/core/src/connections/index.ts
+++ b/packages/core/src/connections/index.ts
@@ -1,2 +1,3 @@
 export * from './held-answers.js';
+export * from './held-bodies.js';
 export * from './request-sequence.js';
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -2,7 +2,7 @@
 import {STATUS_CODES, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {RequestSequence} from '@cairnbank/core/connections';
-import {breakOff} from './read-call.js';
+import {breakOff} from './body-reader.js';
 
 export type CallerConnectionOptions = {
 	readonly socket: Socket;
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -13,21 +13,28 @@
 import type {AccountLimitsTask, CallAdmittance} from '../account-limits/account-limits-task.js';
 import {leavingRetryAfterMs} from './attempt-gate.js';
 import type {Authenticator} from './authenticator.js';
+import {BodyReader, type UnreadBodyReason} from './body-reader.js';
 import {CallerConnections} from './caller-connections.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
 import {CallRun} from './call-run.js';
 import type {Outcome} from './outcome.js';
 import type {PoisonGuard} from './poison-guard.js';
-import {readBody, readCallHead} from './read-call.js';
+import {readCallHead} from './read-call.js';
 import type {StartupGate} from './startup-gate.js';
 
 /** Largest header that the HTTP parser accepts; the configured limit is checked on the parsed header. */
 const maximumParsedHeaderBytes = 65_536;
-/** Largest request body. Bodies are buffered whole, so that a refused request can be sent to another upstream. */
-const maximumBufferedBodyBytes = 8_388_608;
+/** Time in which several long bodies are sent to their upstreams. */
+const bodiesHeldRetryAfterMs = 200;
 const firstServerErrorStatus = 500;
 
+const outcomesOfUnreadBodies: Readonly<Record<UnreadBodyReason, Outcome>> = {
+	'too-large': {type: 'bad-request', reason: 'body-too-large'},
+	'no-room': {type: 'not-run', reason: 'bodies-held', retryAfterMs: bodiesHeldRetryAfterMs},
+	'broken-off': {type: 'abandoned'},
+};
+
 export type CallersTaskOptions = {
 	readonly context: Context;
 	readonly callDependencies: CallDependencies;
@@ -43,6 +50,7 @@
 	readonly #options: CallersTaskOptions;
 	readonly #server: Server;
 	readonly #connections: CallerConnections;
+	readonly #bodies: BodyReader;
 	readonly #requestHeaders: HeaderFilter;
 	/** The same where accounts are configured. */
 	readonly #accountRequestHeaders: HeaderFilter;
@@ -55,6 +63,7 @@
 
 	constructor(options: CallersTaskOptions) {
 		this.#options = options;
+		this.#bodies = new BodyReader(options.context.metrics);
 		const {deadlineHeader, expectedUpstreamHeader, credentialsHeader, accountHeader} = options.callDependencies.dialect;
 		this.#requestHeaders = new HeaderFilter([deadlineHeader, expectedUpstreamHeader]);
 		this.#accountRequestHeaders = new HeaderFilter([deadlineHeader, expectedUpstreamHeader, credentialsHeader, accountHeader, withUnderscores(accountHeader)]);
@@ -148,22 +157,28 @@
 			request.resume();
 			this.#respond(response, head.error, {id: request.headers[callDependencies.dialect.requestIdHeader], target: request.url});
 		} else {
-			await this.#processCall(request, response, head.value);
+			await this.#processCall(request, response, head.value, routes?.configuration.limits.maximumBodyBytes ?? 0);
 		}
 	}
 
-	async #processCall(request: IncomingMessage, response: ServerResponse, head: Omit<Call, 'body'>): Promise<void> {
-		const maximumBodyBytes = Math.min(maximumBufferedBodyBytes, this.#options.routes()?.configuration.limits.maximumBodyBytes ?? maximumBufferedBodyBytes);
-		const body = await readBody(request, maximumBodyBytes);
-		const fields: Record<string, unknown> = {
+	async #processCall(request: IncomingMessage, response: ServerResponse, head: Omit<Call, 'body'>, maximumBodyBytes: number): Promise<void> {
+		const fields = {
 			id: head.requestId, route: head.route.id, account: head.account?.id, configuration: head.configurationVersion, service: head.service,
 		};
+		const body = await this.#bodies.read(request, maximumBodyBytes);
 		if (body.isErr()) {
-			this.#respond(response, body.error === 'too-large' ? {type: 'bad-request', reason: 'body-too-large'} : {type: 'abandoned'}, fields);
+			this.#respond(response, outcomesOfUnreadBodies[body.error], fields);
 			return;
 		}
 
-		const call = {...head, body: body.value};
+		try {
+			await this.#admitCall(response, {...head, body: body.value.bytes}, fields);
+		} finally {
+			body.value.release();
+		}
+	}
+
+	async #admitCall(response: ServerResponse, call: Call, fields: Record<string, unknown>): Promise<void> {
 		const refusal = this.#refusalWhileLeaving(call) ?? this.#connections.refusal();
 		if (refusal !== undefined) {
 			this.#respond(response, refusal, fields);
@@ -204,7 +219,7 @@
 
 		response.on('close', abandon);
 		const outcome = await this.#run(run, admittance);
-		const tookMs = this.#options.context.clock.monotonicMs() - head.receivedAtMs;
+		const tookMs = this.#options.context.clock.monotonicMs() - call.receivedAtMs;
 		this.#respond(response, outcome, {...fields, tookMs: Math.round(tookMs), decisions: run.decisions.join(' ')}, run.attemptsSent === 1);
 		this.#options.context.metrics.requestSeconds.observe({outcome: outcome.type}, tookMs / 1000);
 	}
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -31,6 +31,8 @@
 	| 'leaving'
 	/** Callers have not yet read the answers that fill the memory set aside for them. */
 	| 'answers-held'
+	/** The bodies of other requests fill the memory set aside for them. */
+	| 'bodies-held'
 	/** No instance was reached that knows how much of its limit the account has used. */
 	| 'account-use-unknown';
 
--- a/packages/gateway/src/features/calls/read-call.spec.ts
+++ b/packages/gateway/src/features/calls/read-call.spec.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import {once} from 'node:events';
 import {IncomingMessage} from 'node:http';
 import {Socket} from 'node:net';
 import {describe, it} from 'node:test';
@@ -10,7 +9,7 @@
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
 import {Authenticator} from './authenticator.js';
-import {breakOff, readBody, readCallHead} from './read-call.js';
+import {readCallHead} from './read-call.js';
 
 const school: ClientAccount = {id: 'school' as ClientAccountId, keys: [digestKey('k1'), digestKey('k2')], priority: 0};
 const plainRoute: Route = {
@@ -113,37 +112,3 @@
 		assert.deepEqual(readHead(headers)._unsafeUnwrap().headers, ['Host', 'h', 'Id', 'r1', ...headers]);
 	});
 });
-
-describe('readBody', () => {
-	it('should fail if the caller disconnected while its request was held', async () => {
-		const request = new IncomingMessage(new Socket());
-		request.destroy();
-		await once(request, 'close');
-		const body = await readBody(request, 100);
-		assert.equal(body._unsafeUnwrapErr(), 'broken-off');
-	});
-
-	it('should fail if the caller disconnects in the middle of its body', async () => {
-		const request = new IncomingMessage(new Socket());
-		const reading = readBody(request, 100);
-		request.push('pay');
-		request.destroy();
-		const body = await reading;
-		assert.equal(body._unsafeUnwrapErr(), 'broken-off');
-	});
-
-	it('should fail if the body broke off while its request was held', async () => {
-		const request = new IncomingMessage(new Socket());
-		breakOff(request);
-		const body = await readBody(request, 100);
-		assert.equal(body._unsafeUnwrapErr(), 'broken-off');
-	});
-
-	it('should refuse a body that is too large', async () => {
-		const request = new IncomingMessage(new Socket());
-		const reading = readBody(request, 2);
-		request.push('pay');
-		const body = await reading;
-		assert.equal(body._unsafeUnwrapErr(), 'too-large');
-	});
-});
--- a/packages/gateway/src/features/calls/read-call.ts
+++ b/packages/gateway/src/features/calls/read-call.ts
@@ -1,5 +1,4 @@
-/** Parses an incoming request into a call, or returns the outcome of an invalid request. */
-import {Buffer} from 'node:buffer';
+/** Parses the head of an incoming request into a call, or returns the outcome of an invalid request. */
 import type {IncomingMessage} from 'node:http';
 import type {RandomSource} from '@cairnbank/core';
 import type {HeaderFilter} from '@cairnbank/core/headers';
@@ -96,44 +95,3 @@
 	const waitMs = deadlineHeader === undefined ? timeoutMs : Number(deadlineHeader);
 	return Number.isFinite(waitMs) && waitMs > 0 ? waitMs : undefined;
 }
-
-/** Requests whose remaining bytes will not come, though their connection is open. */
-const brokenRequests = new WeakSet<IncomingMessage>();
-
-/** Ends the reading of a body whose remaining bytes cannot be parsed; its connection stays open. */
-export function breakOff(request: IncomingMessage): void {
-	brokenRequests.add(request);
-	request.emit('close');
-}
-
-/** Reads the whole body; undefined if the request has none, an error if the caller disconnected or the body is too large. */
-export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Result<Uint8Array | undefined, 'too-large' | 'broken-off'>> {
-	return new Promise(resolve => {
-		if (request.destroyed || brokenRequests.has(request)) {
-			// The caller disconnected, or its body broke off, while the request was held, so the stream emits no further event.
-			resolve(err('broken-off'));
-			return;
-		}
-
-		const chunks: Uint8Array[] = [];
-		let bytes = 0;
-		request.on('data', (chunk: Uint8Array) => {
-			bytes += chunk.length;
-			if (bytes > maximumBytes) {
-				request.removeAllListeners('data');
-				request.resume();
-				resolve(err('too-large'));
-				return;
-			}
-
-			chunks.push(chunk);
-		});
-		request.on('end', () => {
-			const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
-			resolve(ok(hasBody ? Buffer.concat(chunks) : undefined));
-		});
-		request.on('close', () => {
-			resolve(err('broken-off'));
-		});
-	});
-}
--- a/packages/gateway/src/features/relay/relay-codec.ts
+++ b/packages/gateway/src/features/relay/relay-codec.ts
@@ -19,6 +19,9 @@
 	'unknown-instance': 403, unreadable: 400, 'too-large': 413, busy: 503, leaving: 503, 'unknown-upstream': 404, [noLink]: 503,
 } as const;
 
+/** Largest body of a request that is passed on. */
+export const maximumRelayBodyBytes = 8_388_608;
+
 export type RelayRefusal = keyof typeof relayRefusalStatuses;
 
 /** Largest header of the hop: callers' headers of 64 KB, a third more in base64, and the rest of the head. */
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -16,13 +16,12 @@
 import type {Upstream} from '../upstreams/upstream.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import {
-	decodeHead, encodeResult, noLink, relayHeadHeader, relayRefusalStatuses, type RelayHead, type RelayRefusal,
+	decodeHead, encodeResult, maximumRelayBodyBytes, noLink, relayHeadHeader, relayRefusalStatuses, type RelayHead, type RelayRefusal,
 } from './relay-codec.js';
 
 /** Requests of other instances that are passed on at a time; more would take the place of this instance's own callers. */
 const maximumRequests = 64;
-/** Largest body of one request, and of all that are passed on at a time. */
-const maximumBodyBytes = 8_388_608;
+/** Largest size of the bodies of all requests that are passed on at a time. */
 const maximumTotalBodyBytes = 16_777_216;
 /** Longest time for which a request is passed on. */
 const maximumTimeoutMs = 60_000;
@@ -113,7 +112,7 @@
 			return err('unreadable');
 		}
 
-		if (bodyBytes > maximumBodyBytes) {
+		if (bodyBytes > maximumRelayBodyBytes) {
 			return err('too-large');
 		}
 
--- a/packages/gateway/src/features/relay/relayed-exchange.spec.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.spec.ts
@@ -8,10 +8,11 @@
 import {createMetrics} from '../../metrics/metrics.js';
 import type {Context} from '../../kernel/context.js';
 import {containFaults} from '../../kernel/unexpected-fault.js';
+import {maximumRelayBodyBytes} from './relay-codec.js';
 import {RelayedExchange} from './relayed-exchange.js';
 
 /** Sends one request through an instance that handles it so, and returns the type of its failure. */
-async function failureThrough(handler: RequestListener): Promise<string> {
+async function failureThrough(handler: RequestListener, body?: Uint8Array): Promise<string> {
 	const server = createServer(handler);
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -26,7 +27,7 @@
 		onEnd: () => undefined,
 	});
 	const result = await exchange.exchange({
-		method: 'POST', target: '/', headers: [], body: undefined, requestId: 'a', timeoutMs: 1000,
+		method: 'POST', target: '/', headers: [], body, requestId: 'a', timeoutMs: 1000,
 	});
 	server.close();
 	return result._unsafeUnwrapErr().type;
@@ -39,6 +40,15 @@
 		}), 'no-relay');
 	});
 
+	// Guards against a payment that is told as unknown, as the other instance closes the connection under its long body.
+	it('should send nothing if the body is longer than other instances pass on', async () => {
+		let requests = 0;
+		assert.equal(await failureThrough(() => {
+			requests += 1;
+		}, new Uint8Array(maximumRelayBodyBytes + 1)), 'no-relay');
+		assert.equal(requests, 0);
+	});
+
 	// Guards against a payment that runs twice, as the other instance failed after it had sent it.
 	it('should report that the request may have run if the other instance fails under it', async () => {
 		const context = {metrics: createMetrics(), logger: {error: () => undefined} as unknown as Context['logger']};
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -10,7 +10,7 @@
 import {createAnswer, type UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import {
-	decodeResult, encodeHead, maximumRelayHeaderBytes, noLink, relayHeadHeader, relayPath, relayRefusalStatuses,
+	decodeResult, encodeHead, maximumRelayBodyBytes, maximumRelayHeaderBytes, noLink, relayHeadHeader, relayPath, relayRefusalStatuses,
 } from './relay-codec.js';
 
 /** Longest wait for a connection to another instance; a healthy one accepts within a few milliseconds. */
@@ -60,6 +60,11 @@
 			return err({type: 'no-relay', message: 'no other instance has links'});
 		}
 
+		if ((request.body?.length ?? 0) > maximumRelayBodyBytes) {
+			// The other instance would close the connection under the body, which proves nothing.
+			return err({type: 'no-relay', message: 'too-large'});
+		}
+
 		this.#options.onStart();
 		return new Promise(resolve => {
 			this.#settle = resolve;
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -184,7 +184,16 @@
 		}
 
 		const headBytes = Buffer.from(`${head}\r\n`, 'latin1');
-		this.#socket.write(body === undefined ? headBytes : Buffer.concat([headBytes, body]));
+		if (body === undefined) {
+			this.#socket.write(headBytes);
+			return;
+		}
+
+		// Both leave in one packet where they fit, and a long body isn't copied.
+		this.#socket.cork();
+		this.#socket.write(headBytes);
+		this.#socket.write(body);
+		this.#socket.uncork();
 	}
 
 	#received(chunk: Uint8Array): void {
