Body reader: no metric for requests without a body; wording

Reading the diff: a request without a body set the gauge of held bodies at its end, on the path of every request.

--- a/packages/core/src/connections/held-bodies.ts
+++ b/packages/core/src/connections/held-bodies.ts
@@ -1,6 +1,6 @@
 /** Bounds the memory of request bodies, which are held until their calls end. */
 
-/** Holds the largest body that the platform's limits name, and several of usual size beside it. */
+/** Room for a body of 64 MiB, the longest that operators allow, beside several of usual size. */
 export const maximumHeldBodyBytes = 100_663_296;
 
 export class HeldBodies {
--- a/packages/gateway/src/features/calls/body-reader.ts
+++ b/packages/gateway/src/features/calls/body-reader.ts
@@ -35,7 +35,7 @@
 		this.#metrics = metrics;
 	}
 
-	/** Reads the whole body. One whose announced length doesn't fit is rejected before its bytes arrive; the remaining bytes of a rejected one are dropped. */
+	/** Reads the whole body. One whose announced length doesn't fit is rejected before its bytes arrive; what arrives of a rejected one is dropped. */
 	async read(request: IncomingMessage, maximumBytes: number): Promise<Result<HeldBody, UnreadBodyReason>> {
 		if (request.destroyed || brokenRequests.has(request)) {
 			// The caller disconnected, or its body broke off, while the request was held, so the stream emits no further event.
@@ -61,8 +61,10 @@
 		};
 
 		const release = (): void => {
-			this.#held.release(reserved);
-			this.#metrics.heldBodyBytes.set(this.#held.bytes);
+			if (reserved > 0) {
+				this.#held.release(reserved);
+				this.#metrics.heldBodyBytes.set(this.#held.bytes);
+			}
 		};
 
 		const refusal = announced === undefined ? undefined : reserve(Number(announced));
