--- a/packages/core/src/connections/held-answers.ts
+++ b/packages/core/src/connections/held-answers.ts
@@ -21,7 +21,7 @@
 		return this.#bytes;
 	}
 
-	/** Whether requests are to be refused before they run, as their answers could not be held. */
+	/** True if requests are to be refused before they run, as their answers could not be held. */
 	get isFull(): boolean {
 		return this.#bytes >= maximumHeldBytes;
 	}
--- a/packages/core/src/connections/request-sequence.ts
+++ b/packages/core/src/connections/request-sequence.ts
@@ -18,7 +18,7 @@
 	readonly #waiting: Request[] = [];
 	#isClosing = false;
 
-	/** Whether no request is left and none will start. */
+	/** True if no request is left and none will start. */
 	get isOver(): boolean {
 		return this.#isClosing && this.#started.length === 0;
 	}
@@ -56,7 +56,7 @@
 		return this.#waiting.splice(0);
 	}
 
-	/** Whether it is this request's turn to be answered. */
+	/** Returns whether it is this request's turn to be answered. */
 	isFirst(request: Request): boolean {
 		return this.#started[0] === request;
 	}
--- a/packages/gateway/src/features/calls/placement-search.ts
+++ b/packages/gateway/src/features/calls/placement-search.ts
@@ -12,7 +12,7 @@
 export type PlacementSearchOptions = {
 	readonly dependencies: Pick<CallDependencies, 'clock' | 'explainNoUpstream' | 'fullResets' | 'pause' | 'place'>;
 	readonly call: Call;
-	/** Whether the call has ended, so that nothing more is placed. */
+	/** Returns whether the call has ended, so that nothing more is placed. */
 	readonly isOver: () => boolean;
 };
 
@@ -38,13 +38,13 @@
 		return placement;
 	}
 
-	/** Whether the call may be sent there even if the upstream resets connections when it is full. */
+	/** Returns whether the call may be sent there even if the upstream resets connections when it is full. */
 	hasEnoughRoom({room}: Placement): boolean {
 		const {dependencies: {fullResets}, call: {route, service}} = this.#options;
 		return route.idempotent || !fullResets.needsKnownRoom(service) || fullResets.hasKnownRoom(service, room);
 	}
 
-	/** Whether to go on waiting for an upstream; not if it is known that none becomes available before `waitUntilMs`. */
+	/** Returns whether to go on waiting for an upstream; not if it is known that none becomes available before `waitUntilMs`. */
 	#shouldKeepWaiting(waitUntilMs: number): boolean {
 		const {dependencies: {clock, explainNoUpstream}, call, isOver} = this.#options;
 		const {availableInMs = 0} = explainNoUpstream(call.service);
--- a/packages/gateway/src/features/calls/startup-gate.ts
+++ b/packages/gateway/src/features/calls/startup-gate.ts
@@ -10,7 +10,7 @@
 
 export type StartupGateOptions = {
 	readonly clock: Clock;
-	/** Whether requests can be served. */
+	/** Returns whether requests can be served. */
 	readonly canServe: () => boolean;
 	readonly pause: (durationMs: number) => Promise<void>;
 };
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -11,7 +11,7 @@
 const specFileTimeoutMs = 300_000;
 const scenarioModules = ['packages/testing', 'platform'].map(folder => new URL(`../${folder}/dist/fault-matrix/run-scenarios.js`, import.meta.url));
 
-/** Whether the source of a compiled file exists. The build keeps the output of renamed and deleted sources. */
+/** Returns whether the source of a compiled file exists. The build keeps the output of renamed and deleted sources. */
 function hasSource(folder, entry) {
 	return existsSync(path.join(folder, 'src', entry.replace(/\.js$/, '.ts')));
 }
