--- a/packages/gateway/src/features/relay/relayed-exchange.spec.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.spec.ts
@@ -40,7 +40,7 @@
 		}), 'no-relay');
 	});
 
-	// Guards against a payment that is told as unknown, as the other instance closes the connection under its long body.
+	// Guards against a payment that was never sent but is reported as unknown, as the other instance closes the connection during its long body.
 	it('should send nothing if the body is longer than other instances pass on', async () => {
 		let requests = 0;
 		assert.equal(await failureThrough(() => {
