Open requests: state, log lines and a metric for each request without a complete answer

Nothing showed where a request was that a stop left without an answer: the logs have a line only for what has an outcome, and a counter for what was dropped behind others.

Each request of a caller has a state now, from its arrival to the last byte of its answer. The end of the grace period logs the number in each state, the end of the stop one line for each that is left (id, state, age, bytes not yet written), and a request that is never started has a line too. cairnbank_open_requests has the numbers. What is answered, and when, is unchanged; responses of requests that wait are closed with their connection, so that they leave the list.

The specs of caller connections get the request in place of its response; their checks are the same.

--- a/packages/core/src/connections/request-sequence.ts
+++ b/packages/core/src/connections/request-sequence.ts
@@ -28,6 +28,11 @@
 		return this.#started;
 	}
 
+	/** Requests that were started or wait, in order. */
+	get unanswered(): readonly Request[] {
+		return [...this.#started, ...this.#waiting];
+	}
+
 	/** @param closesBehind - whether the caller reads no answer after that of this request */
 	arrived(request: Request, closesBehind: boolean): Arrival {
 		if (this.#isClosing) {
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -1,20 +1,20 @@
 /** One connection of a caller: starts its requests, returns the answers in their order and closes it with the last one. */
-import {STATUS_CODES, type IncomingMessage, type ServerResponse} from 'node:http';
+import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
 import {RequestSequence} from '@cairnbank/core/connections';
 import {breakOff} from './body-reader.js';
+import type {OpenRequest} from './open-request.js';
 
 export type CallerConnectionOptions = {
 	readonly socket: Socket;
-	/** Starts a request that was read at a time of the monotonic clock. */
-	readonly onStart: (request: IncomingMessage, response: ServerResponse, receivedAtMs: number) => void;
+	/** Called for each request that will be answered. */
+	readonly onOpened: (request: OpenRequest) => void;
+	readonly onStart: (request: OpenRequest) => void;
 	readonly onSentAhead: () => void;
-	/** Called for each request that is never started. */
-	readonly onIgnored: () => void;
+	/** Called for each request that is never started, as the connection closes before its turn. */
+	readonly onIgnored: (request: OpenRequest, isFirst: boolean) => void;
 };
 
-type Arrived = {readonly request: IncomingMessage; readonly receivedAtMs: number};
-
 const badRequestStatus = 400;
 /** Statuses for faults of the HTTP parser; all others are bad requests. */
 const faultStatuses: Readonly<Record<string, number>> = {
@@ -25,13 +25,13 @@
 
 export class CallerConnection {
 	readonly #options: CallerConnectionOptions;
-	readonly #sequence = new RequestSequence<ServerResponse>();
-	readonly #arrived = new Map<ServerResponse, Arrived>();
+	readonly #sequence = new RequestSequence<OpenRequest>();
 	/** Writes answers that are ready and wait for those before them. */
-	readonly #pendingWrites = new Map<ServerResponse, (isLast: boolean) => void>();
-	#newest: ServerResponse | undefined;
+	readonly #pendingWrites = new Map<OpenRequest, () => void>();
+	#newest: OpenRequest | undefined;
 	#faultStatus: number | undefined;
 	#isClosed = false;
+	#hasIgnored = false;
 	#isDiscarding = false;
 	#hasAnnouncedClose = false;
 
@@ -53,15 +53,17 @@
 		return this.#faultStatus;
 	}
 
-	receive(request: IncomingMessage, response: ServerResponse, receivedAtMs: number): void {
+	receive(open: OpenRequest): void {
+		const {request, response} = open;
 		if (request.headers.host === undefined && request.httpVersion === '1.1') {
 			this.fail('no host');
 		}
 
 		const isSentAhead = this.#sequence.started.length > 0;
-		const arrival = this.#sequence.arrived(response, !response.shouldKeepAlive);
+		const arrival = this.#sequence.arrived(open, !response.shouldKeepAlive);
 		if (arrival === 'ignored') {
-			this.#options.onIgnored();
+			this.#options.onIgnored(open, !this.#hasIgnored);
+			this.#hasIgnored = true;
 			this.#discardFurtherBytes();
 			return;
 		}
@@ -70,13 +72,13 @@
 			this.#options.onSentAhead();
 		}
 
-		this.#newest = response;
-		this.#arrived.set(response, {request, receivedAtMs});
+		this.#newest = open;
+		this.#options.onOpened(open);
 		response.once('close', () => {
-			this.#ended(response);
+			this.#ended(open);
 		});
 		if (arrival === 'started') {
-			this.#start(response);
+			this.#options.onStart(open);
 		}
 	}
 
@@ -86,17 +88,19 @@
 	 * @param write - gets whether the connection closes after the answer
 	 * @param wantsClose - whether the connection should close as soon as no request is lost
 	 */
-	answer(response: ServerResponse, wantsClose: () => boolean, write: (isLast: boolean) => void): void {
+	answer(open: OpenRequest, wantsClose: () => boolean, write: (isLast: boolean) => void): void {
 		const writeNow = () => {
-			const isLast = this.#sequence.closesWith(response, wantsClose());
+			const isLast = this.#sequence.closesWith(open, wantsClose());
 			this.#hasAnnouncedClose ||= isLast;
+			open.state = 'writing';
 			write(isLast);
 		};
 
-		if (this.#sequence.isFirst(response) || this.#isClosed) {
+		if (this.#sequence.isFirst(open) || this.#isClosed) {
 			writeNow();
 		} else {
-			this.#pendingWrites.set(response, writeNow);
+			open.state = 'answered';
+			this.#pendingWrites.set(open, writeNow);
 		}
 	}
 
@@ -115,9 +119,8 @@
 
 	/** Starts no further request, also none of those that were read. */
 	stopStarting(): void {
-		for (const response of this.#sequence.closeBehindStarted()) {
-			this.#arrived.delete(response);
-			this.#options.onIgnored();
+		for (const open of this.#sequence.closeBehindStarted()) {
+			this.#options.onIgnored(open, true);
 		}
 	}
 
@@ -129,38 +132,33 @@
 	/** Ends the newest request if its body has not been read whole. */
 	#endIncomplete(): void {
 		const newest = this.#newest;
-		const request = newest === undefined ? undefined : this.#arrived.get(newest)?.request;
-		if (newest === undefined || request === undefined || request.complete) {
+		if (newest === undefined || newest.request.complete) {
 			return;
 		}
 
-		if (!this.#sequence.withdraw(newest)) {
-			breakOff(request);
+		if (this.#sequence.withdraw(newest)) {
+			newest.response.emit('close');
+		} else {
+			breakOff(newest.request);
 		}
 	}
 
-	#start(response: ServerResponse): void {
-		const {request, receivedAtMs} = this.#arrived.get(response)!;
-		this.#options.onStart(request, response, receivedAtMs);
-	}
-
-	#ended(response: ServerResponse): void {
-		this.#arrived.delete(response);
-		this.#pendingWrites.delete(response);
-		const next = this.#sequence.ended(response);
+	#ended(open: OpenRequest): void {
+		this.#pendingWrites.delete(open);
+		const next = this.#sequence.ended(open);
 		if (this.#isClosed) {
 			return;
 		}
 
 		if (next !== undefined) {
-			this.#start(next);
+			this.#options.onStart(next);
 		}
 
 		const first = this.#sequence.started[0];
 		const write = first === undefined ? undefined : this.#pendingWrites.get(first);
 		if (first !== undefined && write !== undefined) {
 			this.#pendingWrites.delete(first);
-			write(false);
+			write();
 		}
 
 		this.#endIfOver();
@@ -182,10 +180,10 @@
 		socket.destroySoon();
 	}
 
-	/** Ends the requests that have no socket yet; Node.js tells only the one whose answer comes next. */
+	/** Closes the responses that have no socket yet; Node.js closes only the one whose answer comes next. */
 	#closed(): void {
 		this.#isClosed = true;
-		for (const response of this.#sequence.started.filter(({socket}) => socket === null)) {
+		for (const {response} of this.#sequence.unanswered.filter(({response: {socket}}) => socket === null)) {
 			response.destroy();
 			response.emit('close');
 		}
--- a/packages/gateway/src/features/calls/caller-connections.spec.ts
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -10,6 +10,7 @@
 import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import {answerOf} from '../upstreams/upstream-answer-fixture.js';
 import {CallerConnections} from './caller-connections.js';
+import type {OpenRequest} from './open-request.js';
 
 const answer = {type: 'answered', answer: answerOf(200, [], new Uint8Array(2))} as const;
 const headerTimeoutMs = 100;
@@ -17,11 +18,11 @@
 
 /** Starts a server that leaves its requests to the spec, and sends it bytes. */
 async function send(bytes: string): Promise<{
-	clock: ManualClock; connections: CallerConnections; started: ServerResponse[]; received: () => string; socket: Socket; writeFaults: unknown[];
+	clock: ManualClock; connections: CallerConnections; started: OpenRequest[]; received: () => string; socket: Socket; writeFaults: unknown[];
 }> {
 	const server = createServer({requireHostHeader: false, headersTimeout: headerTimeoutMs, connectionsCheckingInterval: headerTimeoutMs / 2});
 	servers.push(server);
-	const started: ServerResponse[] = [];
+	const started: OpenRequest[] = [];
 	const writeFaults: unknown[] = [];
 	const clock = new ManualClock();
 	const connections = new CallerConnections({
@@ -32,9 +33,10 @@
 		onWriteFault(error) {
 			writeFaults.push(error);
 		},
-		onStart(_, response) {
-			started.push(response);
+		onStart(request) {
+			started.push(request);
 		},
+		onIgnored: () => undefined,
 	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -94,11 +96,11 @@
 
 	it('should disconnect a caller that takes nothing of an answer behind another while memory is short', async () => {
 		const {clock, connections, started, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n');
-		const [first, second] = started as [ServerResponse, ServerResponse];
-		second.write = () => false;
+		const [first, second] = started as [OpenRequest, OpenRequest];
+		second.response.write = () => false;
 		connections.respond(second, {...answer, answer: {...answer.answer, body: new Uint8Array(maximumHeldBytes)}});
 		connections.respond(first, answer);
-		await once(first, 'close');
+		await once(first.response, 'close');
 		await new Promise(setImmediate);
 		assert.equal(connections.refusal()?.type, 'not-run');
 		assert.equal(socket.destroyed, false);
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -5,6 +5,8 @@
 import {HeldAnswers} from '@cairnbank/core/connections';
 import type {Metrics} from '../../metrics/metrics.js';
 import {CallerConnection, type CallerConnectionOptions} from './caller-connection.js';
+import {OpenRequest} from './open-request.js';
+import {OpenRequests} from './open-requests.js';
 import type {Outcome} from './outcome.js';
 import {writeOutcome, type WriteOptions} from './write-outcome.js';
 
@@ -18,29 +20,36 @@
 	/** Returns whether the instance leaves, so that connections close once nothing is lost by it. */
 	readonly isLeaving: () => boolean;
 	readonly onStart: CallerConnectionOptions['onStart'];
+	readonly onIgnored: CallerConnectionOptions['onIgnored'];
 	/** Called if an outcome could not be written; its caller gets another one, or is disconnected. */
 	readonly onWriteFault: (error: unknown) => void;
 };
 
 export class CallerConnections {
+	/** Requests that will be answered and whose answers are not complete. */
+	readonly open = new OpenRequests();
 	readonly #options: CallerConnectionsOptions;
 	readonly #connections = new Map<Socket, CallerConnection>();
-	readonly #owners = new WeakMap<ServerResponse, CallerConnection>();
+	readonly #owners = new WeakMap<OpenRequest, CallerConnection>();
 	readonly #held: HeldAnswers<CallerConnection>;
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
-		const {server, clock, metrics, onStart} = options;
+		const {server, clock, metrics, onStart, onIgnored} = options;
 		this.#held = new HeldAnswers(clock);
 		server.on('connection', (socket: Socket) => {
 			this.#connections.set(socket, new CallerConnection({
 				socket,
+				onOpened: request => {
+					this.open.add(request);
+				},
 				onStart,
 				onSentAhead() {
 					metrics.requestsSentAhead.inc();
 				},
-				onIgnored() {
+				onIgnored(request, isFirst) {
 					metrics.requestsBehindClose.inc();
+					onIgnored(request, isFirst);
 				},
 			}));
 			socket.once('close', () => {
@@ -49,8 +58,9 @@
 		});
 		server.on('request', (request: IncomingMessage, response: ServerResponse) => {
 			const connection = this.#connections.get(request.socket)!;
-			this.#owners.set(response, connection);
-			connection.receive(request, response, clock.monotonicMs());
+			const open = new OpenRequest(request, response, clock.monotonicMs());
+			this.#owners.set(open, connection);
+			connection.receive(open);
 		});
 		server.on('clientError', ({code}: NodeJS.ErrnoException, socket: Socket) => {
 			if (code === 'ECONNRESET' || !socket.writable) {
@@ -78,19 +88,22 @@
 	}
 
 	/** Writes the outcome of a request in the order of its connection. */
-	respond(response: ServerResponse, outcome: Outcome): void {
-		const connection = this.#owners.get(response)!;
+	respond(open: OpenRequest, outcome: Outcome): void {
+		const connection = this.#owners.get(open)!;
+		const {response} = open;
 		const bytes = outcome.type === 'answered' ? outcome.answer.body.length : 0;
 		if (bytes > 0 && !response.destroyed) {
 			this.#hold(connection, response, bytes);
 		}
 
-		connection.answer(response, this.#options.isLeaving, isLast => {
+		open.unwrittenBytes = bytes;
+		connection.answer(open, this.#options.isLeaving, isLast => {
 			this.#held.progressed(connection);
 			this.#write(response, outcome, {
 				isLast,
 				faultStatus: connection.faultStatus,
-				onProgress: () => {
+				onProgress: writtenBytes => {
+					open.unwrittenBytes = Math.max(0, bytes - writtenBytes);
 					this.#held.progressed(connection);
 				},
 			});
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -1,7 +1,6 @@
 /** Serves the port for callers: reads requests, runs each as a call and writes its outcome. */
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import type {RequestState} from '@cairnbank/core/connections';
 import {HeaderFilter} from '@cairnbank/core/headers';
 import type {RouteTable} from '@cairnbank/core/routes';
 import type {Result} from 'neverthrow';
@@ -10,6 +9,7 @@
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import {recordUnexpectedFault} from '../../kernel/unexpected-fault.js';
+import type {LogFields} from '../../logging/create-logger.js';
 import type {AccountLimitsTask, CallAdmittance} from '../account-limits/account-limits-task.js';
 import {leavingRetryAfterMs} from './attempt-gate.js';
 import type {Authenticator} from './authenticator.js';
@@ -18,6 +18,7 @@
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
 import {CallRun} from './call-run.js';
+import type {OpenRequest} from './open-request.js';
 import type {Outcome} from './outcome.js';
 import type {PoisonGuard} from './poison-guard.js';
 import {readCallHead} from './read-call.js';
@@ -74,8 +75,12 @@
 			clock: options.context.clock,
 			metrics: options.context.metrics,
 			isLeaving: () => this.#isLeaving,
-			onStart: (request, response, receivedAtMs) => {
-				void this.#handle(request, response, receivedAtMs);
+			onStart: request => {
+				void this.#handle(request);
+			},
+			onIgnored: (request, isFirst) => {
+				// A caller may send thousands; the first one of a connection shows the cause.
+				options.context.logger[isFirst ? 'info' : 'debug']('request not started, as its connection closes', this.#describe(request));
 			},
 			onWriteFault(error) {
 				recordUnexpectedFault(options.context, 'answer', error);
@@ -93,6 +98,11 @@
 		this.#server.headersTimeout = limits.headerTimeoutMs;
 	}
 
+	/** Returns the number of requests in each state. */
+	countOpenRequests(): ReadonlyMap<RequestState, number> {
+		return this.#connections.open.countByState();
+	}
+
 	leave(): void {
 		this.#isLeaving = true;
 	}
@@ -108,6 +118,8 @@
 	}
 
 	expire(): void {
+		const {logger} = this.#options.context;
+		logger.info('grace period over', {openRequests: Object.fromEntries(this.#connections.open.countByState())});
 		this.#isExpired = true;
 		this.#connections.stopStarting();
 		for (const run of this.#runningCalls) {
@@ -116,24 +128,25 @@
 	}
 
 	stop(): void {
+		this.#logOpenRequests();
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
 
-	async #handle(request: IncomingMessage, response: ServerResponse, receivedAtMs: number): Promise<void> {
+	async #handle(open: OpenRequest): Promise<void> {
 		const {metrics} = this.#options.context;
 		this.#inFlight += 1;
 		metrics.inFlight.set(this.#inFlight);
 		try {
-			await this.#answer(request, response, receivedAtMs);
+			await this.#answer(open);
 		} catch (error) {
-			const id = request.headers[this.#options.callDependencies.dialect.requestIdHeader];
-			recordUnexpectedFault(this.#options.context, 'call', error, {id, target: request.url});
-			request.resume();
-			this.#respond(response, {type: 'unknown', reason: 'internal-error'}, {id, target: request.url});
+			const fields = this.#identify(open);
+			recordUnexpectedFault(this.#options.context, 'call', error, fields);
+			open.request.resume();
+			this.#respond(open, {type: 'unknown', reason: 'internal-error'}, fields);
 		}
 
-		await untilClosed(response);
+		await untilClosed(open.response);
 		this.#inFlight -= 1;
 		metrics.inFlight.set(this.#inFlight);
 		if (this.#inFlight === 0) {
@@ -141,56 +154,59 @@
 		}
 	}
 
-	async #answer(request: IncomingMessage, response: ServerResponse, receivedAtMs: number): Promise<void> {
+	async #answer(open: OpenRequest): Promise<void> {
 		const {context, callDependencies, authenticator} = this.#options;
+		open.state = 'starting';
 		await this.#options.startupGate.waitUntilReady();
 		const routes = this.#options.routes();
-		const head = readCallHead(request, {
+		const head = readCallHead(open.request, {
 			routes,
 			dialect: callDependencies.dialect,
 			requestHeaders: routes?.accounts === undefined ? this.#requestHeaders : this.#accountRequestHeaders,
 			authenticator,
-			receivedAtMs,
+			receivedAtMs: open.receivedAtMs,
 			random: context.random,
 		});
 		if (head.isErr()) {
-			request.resume();
-			this.#respond(response, head.error, {id: request.headers[callDependencies.dialect.requestIdHeader], target: request.url});
+			open.request.resume();
+			this.#respond(open, head.error, this.#identify(open));
 		} else {
-			await this.#processCall(request, response, head.value, routes?.configuration.limits.maximumBodyBytes ?? 0);
+			await this.#processCall(open, head.value, routes?.configuration.limits.maximumBodyBytes ?? 0);
 		}
 	}
 
-	async #processCall(request: IncomingMessage, response: ServerResponse, head: Omit<Call, 'body'>, maximumBodyBytes: number): Promise<void> {
+	async #processCall(open: OpenRequest, head: Omit<Call, 'body'>, maximumBodyBytes: number): Promise<void> {
 		const fields = {
 			id: head.requestId, route: head.route.id, account: head.account?.id, configuration: head.configurationVersion, service: head.service,
 		};
-		const body = await this.#bodies.read(request, maximumBodyBytes);
+		open.state = 'reading-body';
+		const body = await this.#bodies.read(open.request, maximumBodyBytes);
 		if (body.isErr()) {
-			this.#respond(response, outcomesOfUnreadBodies[body.error], fields);
+			this.#respond(open, outcomesOfUnreadBodies[body.error], fields);
 			return;
 		}
 
 		try {
-			await this.#admitCall(response, {...head, body: body.value.bytes}, fields);
+			await this.#admitCall(open, {...head, body: body.value.bytes}, fields);
 		} finally {
 			body.value.release();
 		}
 	}
 
-	async #admitCall(response: ServerResponse, call: Call, fields: Record<string, unknown>): Promise<void> {
+	async #admitCall(open: OpenRequest, call: Call, fields: Record<string, unknown>): Promise<void> {
 		const refusal = this.#refusalWhileLeaving(call) ?? this.#connections.refusal();
 		if (refusal !== undefined) {
-			this.#respond(response, refusal, fields);
+			this.#respond(open, refusal, fields);
 			return;
 		}
 
 		const refusalRetryAfterMs = this.#options.poisonGuard.refusalRetryAfterMs(call);
 		if (refusalRetryAfterMs !== undefined) {
-			this.#respond(response, {type: 'not-run', reason: 'suspected-poison', retryAfterMs: refusalRetryAfterMs}, fields);
+			this.#respond(open, {type: 'not-run', reason: 'suspected-poison', retryAfterMs: refusalRetryAfterMs}, fields);
 			return;
 		}
 
+		open.state = 'admission';
 		const askedAtMs = this.#options.context.clock.monotonicMs();
 		const admittance = await this.#options.accountLimits.admit(call);
 		if (admittance.type !== 'unlimited') {
@@ -198,15 +214,16 @@
 		}
 
 		if (admittance.type === 'refused') {
-			this.#respond(response, admittance.outcome, fields);
+			this.#respond(open, admittance.outcome, fields);
 			return;
 		}
 
+		const {response} = open;
 		if (response.destroyed || this.#isExpired) {
 			// The caller disconnected, or the time to drain ended, while the account was asked for, so no event follows that would end the call.
 			const outcome: Outcome = {type: 'not-run', reason: 'never-sent', retryAfterMs: leavingRetryAfterMs};
 			this.#options.accountLimits.complete(admittance, outcome, false);
-			this.#respond(response, response.destroyed ? {type: 'abandoned'} : outcome, fields);
+			this.#respond(open, response.destroyed ? {type: 'abandoned'} : outcome, fields);
 			return;
 		}
 
@@ -217,10 +234,11 @@
 			}
 		};
 
+		open.state = 'running';
 		response.on('close', abandon);
 		const outcome = await this.#run(run, admittance);
 		const tookMs = this.#options.context.clock.monotonicMs() - call.receivedAtMs;
-		this.#respond(response, outcome, {...fields, tookMs: Math.round(tookMs), decisions: run.decisions.join(' ')}, run.attemptsSent === 1);
+		this.#respond(open, outcome, {...fields, tookMs: Math.round(tookMs), decisions: run.decisions.join(' ')}, run.attemptsSent === 1);
 		this.#options.context.metrics.requestSeconds.observe({outcome: outcome.type}, tookMs / 1000);
 	}
 
@@ -246,7 +264,7 @@
 		return outcome;
 	}
 
-	#respond(response: ServerResponse, outcome: Outcome, fields: Readonly<Record<string, unknown>>, hasSingleAttempt = false): void {
+	#respond(open: OpenRequest, outcome: Outcome, fields: Readonly<Record<string, unknown>>, hasSingleAttempt = false): void {
 		const {metrics, logger, settings} = this.#options.context;
 		const reason = 'reason' in outcome ? outcome.reason : '';
 		metrics.requests.inc({outcome: outcome.type, reason});
@@ -262,7 +280,23 @@
 			});
 		}
 
-		this.#connections.respond(response, outcome);
+		this.#connections.respond(open, outcome);
+	}
+
+	#identify({request}: OpenRequest): LogFields {
+		return {id: request.headers[this.#options.callDependencies.dialect.requestIdHeader], target: request.url};
+	}
+
+	/** Describes a request in the log by its state. */
+	#describe(open: OpenRequest): LogFields {
+		return {...this.#identify(open), ...open.describe(this.#options.context.clock.monotonicMs())};
+	}
+
+	#logOpenRequests(): void {
+		const {logger} = this.#options.context;
+		for (const open of this.#connections.open) {
+			logger.warn('request without a complete answer as the instance stops', this.#describe(open));
+		}
 	}
 }
 
--- /dev/null
+++ b/packages/gateway/src/features/calls/open-request.ts
@@ -0,0 +1,18 @@
+/** One request of a caller, from its arrival to the end of its answer. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {RequestState} from '@cairnbank/core/connections';
+import type {LogFields} from '../../logging/create-logger.js';
+
+export class OpenRequest {
+	state: RequestState = 'waiting';
+	/** Bytes of the answer's body that the socket has not taken yet. */
+	unwrittenBytes = 0;
+
+	/** @param receivedAtMs - time of the monotonic clock at which its head was read */
+	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, readonly receivedAtMs: number) {}
+
+	/** Describes its state for the log. */
+	describe(nowMs: number): LogFields {
+		return {state: this.state, ageMs: Math.round(nowMs - this.receivedAtMs), unwrittenBytes: this.unwrittenBytes};
+	}
+}
--- a/packages/gateway/src/features/calls/write-outcome.ts
+++ b/packages/gateway/src/features/calls/write-outcome.ts
@@ -23,8 +23,8 @@
 	readonly isLast: boolean;
 	/** Status if the request could not be read whole because its bytes are malformed. */
 	readonly faultStatus: number | undefined;
-	/** Called when the caller has taken a part of the body. */
-	readonly onProgress: () => void;
+	/** Called when the socket has taken a part of the body, with all that it has taken so far. */
+	readonly onProgress: (writtenBytes: number) => void;
 };
 
 export function writeOutcome(response: ServerResponse, outcome: Outcome, {isLast, faultStatus, onProgress}: WriteOptions): void {
@@ -89,7 +89,7 @@
  * Ends the response only once its body has been written to the socket: a closing server treats the connection of an ended
  * response as idle and closes it, even with data left to send.
  */
-function endAfterWrite(response: ServerResponse, body: Uint8Array, onProgress?: () => void): void {
+function endAfterWrite(response: ServerResponse, body: Uint8Array, onProgress?: (writtenBytes: number) => void): void {
 	const writeFrom = (start: number) => {
 		const end = start + partBytes;
 		response.write(body.subarray(start, end), error => {
@@ -97,7 +97,7 @@
 				return;
 			}
 
-			onProgress?.();
+			onProgress?.(Math.min(end, body.length));
 			if (end < body.length) {
 				writeFrom(end);
 			} else {
--- a/packages/gateway/src/features/metrics/metrics-task.ts
+++ b/packages/gateway/src/features/metrics/metrics-task.ts
@@ -1,5 +1,6 @@
 /** Serves the metrics over HTTP. */
 import {createServer, type Server, type ServerResponse} from 'node:http';
+import type {RequestState} from '@cairnbank/core/connections';
 import type {Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import {listen} from '../../kernel/listen.js';
@@ -7,15 +8,25 @@
 import type {Task} from '../../kernel/task.js';
 import {containFaults} from '../../kernel/unexpected-fault.js';
 
+/** Values that are read as the metrics are served. */
+export type MetricsSources = {
+	readonly droppedLogLines: () => number;
+	readonly countOpenRequests: () => ReadonlyMap<RequestState, number>;
+};
+
 export class MetricsTask implements Task {
 	readonly name = 'metrics';
 	readonly #context: Context;
 	readonly #server: Server;
 
-	constructor(context: Context, droppedLogLines: () => number) {
+	constructor(context: Context, {droppedLogLines, countOpenRequests}: MetricsSources) {
 		this.#context = context;
 		this.#server = createServer(containFaults(context, 'metrics', async (_request, response) => {
 			context.metrics.droppedLogLines.set(droppedLogLines());
+			for (const [state, count] of countOpenRequests()) {
+				context.metrics.openRequests.set({state}, count);
+			}
+
 			await this.#answer(response);
 		}));
 	}
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -35,6 +35,9 @@
 			name: 'cairnbank_request_seconds', help: 'Time from the last byte of a request to its answer', labelNames: ['outcome'], buckets: latencyBuckets, registers,
 		}),
 		inFlight: new Gauge({name: 'cairnbank_requests_in_flight', help: 'Requests without an answer yet', registers}),
+		openRequests: new Gauge({
+			name: 'cairnbank_open_requests', help: 'Requests of callers without a complete answer, by state', labelNames: ['state'], registers,
+		}),
 		requestsSentAhead: counter('cairnbank_requests_sent_ahead_total', 'Requests that arrived on a connection before an earlier one was answered'),
 		requestsBehindClose: counter('cairnbank_requests_behind_close_total', 'Requests that were not started, as their connection closes before them'),
 		heldAnswerBytes: new Gauge({name: 'cairnbank_held_answer_bytes', help: 'Bytes of answers that their callers have not yet read', registers}),
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -296,6 +296,6 @@
 		isReady: () => fleet.self.ready,
 		offered: () => withoutLostLinks(fleet.offered()),
 	});
-	const metrics = new MetricsTask(context, () => lines.droppedLines);
+	const metrics = new MetricsTask(context, {droppedLogLines: () => lines.droppedLines, countOpenRequests: () => callers.countOpenRequests()});
 	return new Gateway(context, [upstreams, recheck, relayClient, fleet, relay, state, accountLimits, callers, directory, metrics], async () => lines.waitUntilFlushed(logFlushTimeoutMs));
 }
