Stop: every open request ends with an answer that is true of its state

Cause: the end of the grace period ended what was in the set of running calls. A request in any other state had no owner: those that wait on their connection were dropped (RequestSequence.closeBehindStarted), those whose body was being read, whose account was being asked for or that were held at the start of the instance were left to the end of the process. Class: an end that works on a list of some of the states in which work can be.

Now one list (OpenRequests) holds each request from its arrival to the last byte of its answer, with its state, and the stop works on that list alone: core decides for each state (finalStepOf) whether the request is refused as not run with a Retry-After, its run is ended with what its attempts have shown, or its answer is delivered. What waits on a connection is started and refused at once, as is what arrives later, so answers keep their order and the last one closes the connection. The first outcome of a request counts; a later one is ignored. A fault in the end of one request ends that request alone. Draining waits for the list to be empty, not for the first moment without a running request.

--- a/packages/core/src/connections/request-sequence.ts
+++ b/packages/core/src/connections/request-sequence.ts
@@ -17,6 +17,7 @@
 	readonly #started: Request[] = [];
 	readonly #waiting: Request[] = [];
 	#isClosing = false;
+	#startsAtOnce = false;
 
 	/** True if no request is left and none will start. */
 	get isOver(): boolean {
@@ -39,15 +40,10 @@
 			return 'ignored';
 		}
 
-		this.#isClosing = closesBehind;
-		if (this.#started.length < maximumStarted) {
-			this.#started.push(request);
-			return 'started';
-		}
-
-		this.#waiting.push(request);
-		this.#isClosing ||= this.#waiting.length === maximumWaiting;
-		return 'waiting';
+		const mayStart = this.#startsAtOnce || this.#started.length < maximumStarted;
+		(mayStart ? this.#started : this.#waiting).push(request);
+		this.#isClosing = closesBehind || this.#started.length + this.#waiting.length >= maximumStarted + maximumWaiting;
+		return mayStart ? 'started' : 'waiting';
 	}
 
 	/** Ignores requests that arrive from now on; the last one that arrived before closes the connection. */
@@ -55,10 +51,12 @@
 		this.#isClosing = true;
 	}
 
-	/** Starts no further request: those that wait are dropped and returned, and the last one that was started closes the connection. */
-	closeBehindStarted(): Request[] {
-		this.#isClosing = true;
-		return this.#waiting.splice(0);
+	/** Starts all requests at once from now on, as each is refused. @returns those that waited and start now */
+	startAtOnce(): Request[] {
+		this.#startsAtOnce = true;
+		const waited = this.#waiting.splice(0);
+		this.#started.push(...waited);
+		return waited;
 	}
 
 	/** Returns whether it is this request's turn to be answered. */
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -117,10 +117,10 @@
 		this.#endIfOver();
 	}
 
-	/** Starts no further request, also none of those that were read. */
-	stopStarting(): void {
-		for (const open of this.#sequence.closeBehindStarted()) {
-			this.#options.onIgnored(open, true);
+	/** Starts all requests that wait, and those that arrive from now on, as none of them will run. */
+	startAtOnce(): void {
+		for (const open of this.#sequence.startAtOnce()) {
+			this.#options.onStart(open);
 		}
 	}
 
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -27,7 +27,7 @@
 
 export class CallerConnections {
 	/** Requests that will be answered and whose answers are not complete. */
-	readonly open = new OpenRequests();
+	readonly open: OpenRequests;
 	readonly #options: CallerConnectionsOptions;
 	readonly #connections = new Map<Socket, CallerConnection>();
 	readonly #owners = new WeakMap<OpenRequest, CallerConnection>();
@@ -36,6 +36,7 @@
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
 		const {server, clock, metrics, onStart, onIgnored} = options;
+		this.open = new OpenRequests(metrics);
 		this.#held = new HeldAnswers(clock);
 		server.on('connection', (socket: Socket) => {
 			this.#connections.set(socket, new CallerConnection({
@@ -71,10 +72,10 @@
 		});
 	}
 
-	/** Starts none of the requests that wait on their connections, as the instance stops before they could end. */
-	stopStarting(): void {
+	/** Starts all requests that wait on their connections, and those that arrive from now on, as none of them will run. */
+	startAtOnce(): void {
 		for (const connection of this.#connections.values()) {
-			connection.stopStarting();
+			connection.startAtOnce();
 		}
 	}
 
--- a/packages/gateway/src/features/calls/open-request.ts
+++ b/packages/gateway/src/features/calls/open-request.ts
@@ -2,9 +2,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestState} from '@cairnbank/core/connections';
 import type {LogFields} from '../../logging/create-logger.js';
+import type {CallRun} from './call-run.js';
 
 export class OpenRequest {
 	state: RequestState = 'waiting';
+	/** True once its outcome is decided; a later one is ignored. */
+	hasOutcome = false;
+	/** Its run, in the state `running`. */
+	run: Pick<CallRun, 'expire'> | undefined;
 	/** Bytes of the answer's body that the socket has not taken yet. */
 	unwrittenBytes = 0;
 
