Stop: a fault in one task keeps none of the others from its steps, and draining is checked once more

Each step is made with each task; a fault is recorded as place "stop". After the end of what is in flight draining is waited for anew. The steps have fixed times after the signal, so that one that is late takes no time from the end.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -74,25 +74,42 @@
 	async stop(): Promise<void> {
 		const {clock, logger, settings, stop} = this.#context;
 		const graceMs = settings.bounds.graceSeconds * millisecondsPerSecond;
+		const startedAtMs = clock.monotonicMs();
+		// Steps have fixed times, so that one that is late takes no time from the process's end.
+		const untilPart = async (ratio: number) => delay(Math.max(0, startedAtMs + (graceMs * ratio) - clock.monotonicMs()));
 		logger.info('leaving', {graceMs});
-		stop.begin(clock.monotonicMs() + (graceMs * drainRatio));
-		for (const task of this.#tasks) {
-			task.leave?.();
-		}
-
-		await delay(graceMs * acceptingRatio);
-		const drained = Promise.all(this.#tasks.map(async task => task.drain?.()));
-		await Promise.race([drained, delay(graceMs * (drainRatio - acceptingRatio))]);
-		for (const task of this.#tasks) {
-			task.expire?.();
-		}
-
-		await Promise.race([drained, delay(graceMs * (answerRatio - drainRatio))]);
-		for (const task of this.#tasks.toReversed()) {
+		stop.begin(startedAtMs + (graceMs * drainRatio));
+		this.#forEachTask(task => task.leave?.());
+		await untilPart(acceptingRatio);
+		await Promise.race([this.#drain(), untilPart(drainRatio)]);
+		this.#forEachTask(task => task.expire?.());
+		await Promise.race([this.#drain(), untilPart(answerRatio)]);
+		this.#forEachTask(task => {
 			task.stop();
-		}
-
+		}, this.#tasks.toReversed());
 		logger.info('stopped');
 		await this.#flushLogs();
 	}
+
+	/** Resolves once no task has work in flight. */
+	async #drain(): Promise<void> {
+		await Promise.all(this.#tasks.map(async task => {
+			try {
+				await task.drain?.();
+			} catch (error) {
+				recordUnexpectedFault(this.#context, 'stop', error, {task: task.name});
+			}
+		}));
+	}
+
+	/** Makes a step of the stop with all tasks; a fault in one of them keeps none of the others from it. */
+	#forEachTask(step: (task: Task) => void, tasks = this.#tasks): void {
+		for (const task of tasks) {
+			try {
+				step(task);
+			} catch (error) {
+				recordUnexpectedFault(this.#context, 'stop', error, {task: task.name});
+			}
+		}
+	}
 }
--- a/packages/gateway/src/kernel/task.ts
+++ b/packages/gateway/src/kernel/task.ts
@@ -8,7 +8,7 @@
 	start(): Promise<Result<void, StartError>>;
 	/** Called when a graceful stop begins. The task announces it to others and goes on serving. */
 	leave?(): void;
-	/** Stops accepting new work, and resolves once none is in flight. */
+	/** Stops accepting new work, and resolves once none is in flight. Called again after `expire`, as work may have come meanwhile. */
 	drain?(): Promise<void>;
 	/** Called when the time to drain is over. Ends all work that is still in flight. */
 	expire?(): void;
--- a/packages/gateway/src/kernel/unexpected-fault.ts
+++ b/packages/gateway/src/kernel/unexpected-fault.ts
@@ -6,7 +6,7 @@
 const internalErrorStatus = 500;
 
 /** Part of the program in which a fault was raised. */
-export type FaultPlace = 'call' | 'answer' | 'directory' | 'metrics' | 'peer' | 'process';
+export type FaultPlace = 'call' | 'answer' | 'directory' | 'metrics' | 'peer' | 'process' | 'stop';
 
 /** @param fields - what the fault concerns, such as the id of a request */
 export function recordUnexpectedFault({logger, metrics}: Pick<Context, 'logger' | 'metrics'>, place: FaultPlace, error: unknown, fields: LogFields = {}): void {
