Stop: three times as long for the answers at the end of the grace period

The answers to all that is in flight as the grace period ends had 0.02 of it: 120 ms of 6 s, 60 ms of 3 s. Measured on the real program at a load of 16 to 20 on 8 processors, from the end of the grace period to the last step of the stop: 55 and 61 ms for 192 running requests, 80 and 66 ms for 384, 98 and 168 ms for 960 of which 192 run. An instance with a quarter of a processor needs a multiple of that.

The grace period of requests ends at 0.9 of the whole, answers are written until 0.96: 360 ms of 6 s. The rest, 240 ms, is for log lines (200 ms at most) and the end of the process. Weighed: ending with the last answer only, whatever it takes (a caller that reads slowly would hold the process until it is killed). Cost: a request that needs between 0.9 and 0.93 of the grace period after the signal is cut or refused now; 180 ms of 6 s.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,9 +15,9 @@
  */
 const acceptingRatio = 0.6;
 /** Fraction of the grace period in which requests in flight may end by themselves, and before whose end those taken later have their deadlines. */
-const drainRatio = 0.93;
+const drainRatio = 0.9;
 /** Fraction of the grace period by which the remaining requests must be answered; the rest is for closing sockets and ending the process. */
-const answerRatio = 0.95;
+const answerRatio = 0.96;
 
 export class Gateway {
 	readonly #context: Context;
