Connections of callers close gracefully: a reset lost answers that had been written

What callers saw: no answer, or a part of one, from a connection that closes with it, if they sent on meanwhile.

Cause: the server closed the socket as soon as the last answer was handed to it. This is a way in which any last answer of a stop can be lost, not only behind others. Class: an answer counted as delivered when it is written.

A connection ends its sending side, reads on without parsing until its caller closes too, for 1 s at most, and the stop waits for that beside the open requests (within its own end). Weighed: SO_LINGER and a wait without reading (bytes that come still reset the connection); waiting without a bound (a caller could hold its connection for ever).

--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -1,7 +1,9 @@
 /** Harness that runs one call against fake upstreams, whose answers and clock the spec controls. */
 import {Buffer} from 'node:buffer';
 import {mock} from 'node:test';
-import {ManualClock, type ServiceId, type UpstreamId} from '@cairnbank/core';
+import {
+	ManualClock, type Clock, type ServiceId, type UpstreamId,
+} from '@cairnbank/core';
 import {FullResets, OverloadControl} from '@cairnbank/core/overload';
 import {createRandomSource} from '@cairnbank/core/random';
 import {
@@ -16,8 +18,10 @@
 import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import {answerOf} from '../upstreams/upstream-answer-fixture.js';
 import type {Placement} from '../upstreams/placement.js';
+import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import type {Authenticator} from './authenticator.js';
 import type {Call} from './call.js';
+import type {CallDependencies} from './call-dependencies.js';
 import {CallRun} from './call-run.js';
 import type {NoUpstream, Outcome} from './outcome.js';
 
@@ -108,23 +112,13 @@
 		};
 		this.budget = new WindowBudget(() => ({ratio: 0, slack, windowMs: 10_000}));
 		this.run = new CallRun({
-			clock: this.clock,
-			dialect: plainDialect,
-			metrics: createMetrics(),
-			workEstimates: new WorkEstimates(),
-			overload: new OverloadControl({clock: this.clock, random: createRandomSource(1), admission: new Admission(this.clock)}),
+			...fakeCallDependencies(this.clock),
 			fullResets: this.fullResets,
-			advisories: {received: () => undefined},
-			rateLimits: {answered: () => undefined},
 			budget: () => this.budget,
 			stop: this.stop,
-			share: () => share,
 			authenticator: {recheck: () => this.authenticationRefusal},
 			poisonGuard: {admit: () => this.refusedForMs, recordAnswer: () => undefined},
 			onConnectionBroken: async () => this.hasCrashed,
-			onAbandoned: () => undefined,
-			onAbandonedAnswered: () => undefined,
-			onLateFault: () => undefined,
 			pause: async durationMs => {
 				this.clock.advance(durationMs);
 			},
@@ -186,22 +180,57 @@
 		};
 		const condition = new UpstreamCondition(this.clock);
 		this.conditions.push(condition);
+		const placement = idlePlacement(id, connection, condition);
 		return {
-			upstream: {
-				registered: {id, service: 'ledger' as ServiceId}, condition, pool: {take: () => connection, release: () => undefined},
-			},
-			expectedMs: this.expectedMs,
-			workMs: this.expectedMs,
-			slowness: 1,
-			durationRatio: 1,
-			isLightlyLoaded: this.isLightlyLoaded,
-			room: {
-				report: this.report, reportAgeMs: outdatedReportMs, unreportedInFlight: 0, slots: 4,
-			},
-		} as unknown as Placement;
+			...placement, expectedMs: this.expectedMs, workMs: this.expectedMs, isLightlyLoaded: this.isLightlyLoaded, room: {...placement.room, report: this.report},
+		};
 	}
 }
 
+/** Returns dependencies with which every call is placed nowhere and nothing else is refused. */
+export function fakeCallDependencies(clock: Clock): CallDependencies {
+	const budget = new WindowBudget(() => ({ratio: 0, slack: 50, windowMs: 10_000}));
+	return {
+		clock,
+		dialect: plainDialect,
+		metrics: createMetrics(),
+		workEstimates: new WorkEstimates(),
+		overload: new OverloadControl({clock, random: createRandomSource(1), admission: new Admission(clock)}),
+		fullResets: new FullResets(clock),
+		advisories: {received: () => undefined},
+		rateLimits: {answered: () => undefined},
+		budget: () => budget,
+		stop: new StopDeadline(),
+		share: () => share,
+		authenticator: {recheck: () => undefined},
+		poisonGuard: {admit: () => undefined, recordAnswer: () => undefined},
+		onConnectionBroken: async () => false,
+		onAbandoned: () => undefined,
+		onAbandonedAnswered: () => undefined,
+		onLateFault: () => undefined,
+		pause: async () => undefined,
+		explainNoUpstream: () => ({reason: 'no-upstream'}),
+		place: async () => neverSettles,
+	};
+}
+
+/** Returns a place at an upstream that is idle. */
+export function idlePlacement(id: UpstreamId, connection: Pick<UpstreamChannel, 'cancel' | 'exchange' | 'isConnected'>, condition: UpstreamCondition): Placement {
+	return {
+		upstream: {
+			registered: {id, service: 'ledger' as ServiceId}, condition, pool: {take: () => connection, release: () => undefined},
+		},
+		expectedMs: 40,
+		workMs: 40,
+		slowness: 1,
+		durationRatio: 1,
+		isLightlyLoaded: true,
+		room: {
+			report: undefined, reportAgeMs: outdatedReportMs, unreportedInFlight: 0, slots: 4,
+		},
+	} as unknown as Placement;
+}
+
 /** Runs the pending promise callbacks. */
 export async function runPendingPromises(): Promise<void> {
 	for (let turn = 0; turn < 20; turn++) {
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -11,11 +11,15 @@
 	readonly onOpened: (request: OpenRequest) => void;
 	readonly onStart: (request: OpenRequest) => void;
 	readonly onSentAhead: () => void;
+	/** Called when the last answer is written and only the caller's end of the connection is awaited. */
+	readonly onClosing: () => void;
 	/** Called for each request that is never started, as the connection closes before its turn. */
 	readonly onIgnored: (request: OpenRequest, isFirst: boolean) => void;
 };
 
 const badRequestStatus = 400;
+/** Time for which the caller's end of a closing connection is awaited after the last answer has been handed to the socket. */
+const lingerMs = 1000;
 /** Statuses for faults of the HTTP parser; all others are bad requests. */
 const faultStatuses: Readonly<Record<string, number>> = {
 	HPE_HEADER_OVERFLOW: 431,
@@ -40,6 +44,11 @@
 		options.socket.on('close', () => {
 			this.#closed();
 		});
+		// The server calls it once the last answer is written.
+		options.socket.destroySoon = () => {
+			this.#closeGracefully();
+		};
+
 		// An orderly end cannot be told from a caller that has left, so its requests are cancelled.
 		options.socket.on('end', () => {
 			if (this.#sequence.started.length > 0) {
@@ -180,6 +189,27 @@
 		socket.destroySoon();
 	}
 
+	/**
+	 * Ends the sending side, and reads on until the caller closes its side too: closing with unread bytes resets the connection, and the
+	 * caller loses answers that it has not read.
+	 */
+	#closeGracefully(): void {
+		const {socket, onClosing} = this.#options;
+		if (socket.destroyed || socket.writableEnded) {
+			return;
+		}
+
+		onClosing();
+		this.#discardFurtherBytes();
+		socket.end();
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, lingerMs);
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
+	}
+
 	/** Closes the responses that have no socket yet; Node.js closes only the one whose answer comes next. */
 	#closed(): void {
 		this.#isClosed = true;
--- a/packages/gateway/src/features/calls/caller-connections.spec.ts
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -14,10 +14,12 @@
 
 const answer = {type: 'answered', answer: answerOf(200, [], new Uint8Array(2))} as const;
 const headerTimeoutMs = 100;
+/** Fits into the buffers between a server and its caller. */
+const longAnswerBytes = 200_000;
 const servers: Server[] = [];
 
 /** Starts a server that leaves its requests to the spec, and sends it bytes. */
-async function send(bytes: string): Promise<{
+async function send(bytes: string, isLeaving = false): Promise<{
 	clock: ManualClock; connections: CallerConnections; started: OpenRequest[]; received: () => string; socket: Socket; writeFaults: unknown[];
 }> {
 	const server = createServer({requireHostHeader: false, headersTimeout: headerTimeoutMs, connectionsCheckingInterval: headerTimeoutMs / 2});
@@ -29,7 +31,7 @@
 		server,
 		clock,
 		metrics: createMetrics(),
-		isLeaving: () => false,
+		isLeaving: () => isLeaving,
 		onWriteFault(error) {
 			writeFaults.push(error);
 		},
@@ -109,4 +111,29 @@
 		await Promise.race([once(socket, 'close'), delay(1000)]);
 		assert.equal(socket.destroyed, true);
 	});
+
+	// Guards against a connection that is reset under its last answer because the caller sends on.
+	it('should deliver the last answer whole to a caller that reads slowly and sends on as the connection closes', async () => {
+		const body = new Uint8Array(longAnswerBytes);
+		const {connections, started, received, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\n', true);
+		socket.pause();
+		connections.respond(started[0]!, {type: 'answered', answer: answerOf(200, [], body)});
+		await once(started[0]!.response, 'close');
+		socket.write('GET /2 HTTP/1.1\r\nHost: h\r\n\r\n');
+		await delay(20);
+		socket.on('error', () => undefined);
+		socket.resume();
+		await once(socket, 'close');
+		assert.match(received(), /^HTTP\/1\.1 200 [^]*Connection: close/);
+		assert.equal(received().split('\r\n\r\n')[1]?.length, longAnswerBytes);
+	});
+
+	it('should close a connection whose caller does not close it, and report itself idle then', async () => {
+		const {connections, started, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\n', true);
+		socket.allowHalfOpen = true;
+		connections.respond(started[0]!, answer);
+		await once(socket, 'end');
+		await connections.untilIdle();
+		socket.destroy();
+	});
 });
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -3,6 +3,7 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '@cairnbank/core';
 import {HeldAnswers} from '@cairnbank/core/connections';
+import {InFlight} from '../../kernel/in-flight.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import {CallerConnection, type CallerConnectionOptions} from './caller-connection.js';
 import {OpenRequest} from './open-request.js';
@@ -30,13 +31,17 @@
 	readonly open: OpenRequests;
 	readonly #options: CallerConnectionsOptions;
 	readonly #connections = new Map<Socket, CallerConnection>();
+	/** Connections whose last answer is written and which their callers have not closed yet. */
+	readonly #closing = new InFlight<Socket>();
 	readonly #owners = new WeakMap<OpenRequest, CallerConnection>();
 	readonly #held: HeldAnswers<CallerConnection>;
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
 		const {server, clock, metrics, onStart, onIgnored} = options;
-		this.open = new OpenRequests(metrics);
+		this.open = new OpenRequests(size => {
+			metrics.inFlight.set(size);
+		});
 		this.#held = new HeldAnswers(clock);
 		server.on('connection', (socket: Socket) => {
 			this.#connections.set(socket, new CallerConnection({
@@ -45,6 +50,9 @@
 					this.open.add(request);
 				},
 				onStart,
+				onClosing: () => {
+					this.#closing.add(socket);
+				},
 				onSentAhead() {
 					metrics.requestsSentAhead.inc();
 				},
@@ -55,6 +63,7 @@
 			}));
 			socket.once('close', () => {
 				this.#connections.delete(socket);
+				this.#closing.delete(socket);
 			});
 		});
 		server.on('request', (request: IncomingMessage, response: ServerResponse) => {
@@ -72,6 +81,12 @@
 		});
 	}
 
+	/** Resolves once every request has its complete answer, and the connections that closed with it are closed by their callers too. */
+	async untilIdle(): Promise<void> {
+		await this.open.untilEmpty();
+		await this.#closing.untilEmpty();
+	}
+
 	/** Starts all requests that wait on their connections, and those that arrive from now on, as none of them will run. */
 	startAtOnce(): void {
 		for (const connection of this.#connections.values()) {
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -71,7 +71,7 @@
 	async drain(): Promise<void> {
 		this.#server.close();
 		this.#server.closeIdleConnections();
-		await this.#connections.open.untilEmpty();
+		await this.#connections.untilIdle();
 	}
 
 	expire(): void {
