Soak: callers that keep using a stopping instance, and a check that each whole request is answered

Callers of the soak reuse connections one request at a time or send three ahead, so no request ever waited behind others as a grace period ended, and no check asked what became of one that never ran: "no request that ran is cut" leaves it out.

New event stop-in-use, three or four in each schedule, drawn by a random source of its own: SIGTERM to one instance, perhaps more signals until it ends, while callers use its connections until the process is gone. They send one request at a time or 9 to 64 ahead, some read slowly; two in five plans have upstreams that don't answer before the end of the grace period. The history holds connection and time of the last byte of each request, and when the soak's own process did not run. Check: a request sent whole to an instance that stops has an answer, or its connection ends within 0.2 s of its last byte. Not counted: callers that left, deadlines reached, instances killed or paused meanwhile.

--- a/packages/soak/src/all-checks.ts
+++ b/packages/soak/src/all-checks.ts
@@ -1,5 +1,6 @@
 /** All checks of the soak. */
 import {accountChecks} from './account-checks.js';
 import {checks as serviceChecks, type Check} from './checks.js';
+import {stopChecks} from './stop-checks.js';
 
-export const checks: readonly Check[] = [...serviceChecks, ...accountChecks];
+export const checks: readonly Check[] = [...serviceChecks, ...accountChecks, ...stopChecks];
--- a/packages/soak/src/all-mutations.ts
+++ b/packages/soak/src/all-mutations.ts
@@ -1,5 +1,6 @@
 /** All mutations of the soak. */
 import {accountMutations} from './account-mutations.js';
 import {mutations as serviceMutations, type Mutation} from './mutations.js';
+import {stopMutations} from './stop-mutations.js';
 
-export const mutations: readonly Mutation[] = [...serviceMutations, ...accountMutations];
+export const mutations: readonly Mutation[] = [...serviceMutations, ...accountMutations, ...stopMutations];
--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {checks} from './all-checks.js';
 import type {
-	CallEnd, CallRecord, History, RunRecord,
+	CallEnd, CallRecord, History, RunRecord, StopRecord,
 } from './history.js';
 
 const answered = (status: number, upstream = 'u0', path = '/read/1', requestId = 'a'): CallEnd => ({
@@ -16,10 +16,19 @@
 const run = (upstream = 'u0', atMs = 5, id = 'a'): RunRecord => ({id, upstream, atMs});
 
 const validHistory: History = {
-	calls: [call(answered(200))], runs: [run()], disturbances: [], arrivals: [], backOffs: [], drains: [], limits: [], leavings: [], stops: [], cuts: [],
+	calls: [call(answered(200))], runs: [run()], disturbances: [], lags: [], arrivals: [], backOffs: [], drains: [], limits: [], leavings: [], stops: [], cuts: [],
 	crashes: [], accounts: [], floods: [], limitLoweredAtMs: Number.POSITIVE_INFINITY, accountArrivals: [], afterwards: [],
 };
 
+const stop: StopRecord = {
+	instance: '127.0.0.2', exitCode: 0, wasKilled: false, errors: [], signalledAtMs: 0, endedAtMs: 2000,
+};
+
+/** A request that was sent whole while its instance stopped, and not answered. */
+const unanswered = (overrides: Partial<CallRecord> = {}): CallRecord => call({type: 'cut'}, {
+	sentAtMs: 283, sent: {connection: 'c#0', lastByteAtMs: 283}, endedAtMs: 1910, ...overrides,
+});
+
 /** Histories with one breach each, by the name of the check that should notice it. */
 const breachingHistories: Readonly<Record<string, Partial<History>>> = {
 	'a request that is not idempotent runs at most once': {calls: [call(answered(200), {idempotent: false})], runs: [run('u0'), run('u1')]},
@@ -99,6 +108,9 @@
 	'an account below its rate limit is never told that it is over it': {
 		floods: [{calls: [{record: call(answered(429)), isFlooding: false}, {record: call(answered(429)), isFlooding: true}]}],
 	},
+	'a request that was sent whole to a stopping instance is answered or refused, or its connection ends within 0.2 s': {
+		calls: [unanswered()], runs: [], stops: [stop],
+	},
 };
 
 function breachedChecks(history: History): string[] {
@@ -141,6 +153,63 @@
 		assert.notDeepEqual(breachedChecks({...validHistory, disturbances: [{...disturbances[0]!, fromMs: 11}], calls: [call({type: 'cut'})]}), []);
 	});
 
+	describe('of whole requests to a stopping instance', () => {
+		const name = 'a request that was sent whole to a stopping instance is answered or refused, or its connection ends within 0.2 s';
+		const breaches = (change: Partial<History>) => breachedChecks({
+			...validHistory, runs: [], stops: [stop], ...change,
+		});
+
+		it('should notice one that was sent before the signal', () => {
+			assert.deepEqual(breaches({calls: [unanswered({sentAtMs: -1000, sent: {connection: 'c#0', lastByteAtMs: -1000}})]}), [name]);
+		});
+
+		it('should notice one whose connection ends a moment more than 0.2 s after its last byte, and none that ends before', () => {
+			assert.deepEqual(breaches({calls: [unanswered({endedAtMs: 484})]}), [name]);
+			assert.deepEqual(breaches({calls: [unanswered({endedAtMs: 483})]}), []);
+		});
+
+		it('should count from the last byte', () => {
+			assert.deepEqual(breaches({calls: [unanswered({sent: {connection: 'c#0', lastByteAtMs: 1800}})]}), []);
+		});
+
+		it('should notice a crashing request and a harmless one beside it', () => {
+			const crash = {calls: [], harmlessCalls: [], runs: []};
+			assert.deepEqual(breaches({calls: [], crashes: [{...crash, calls: [unanswered()]}]}), [name]);
+			assert.ok(breaches({calls: [], crashes: [{...crash, harmlessCalls: [unanswered()]}]}).includes(name));
+		});
+
+		it('should ignore one that was not sent whole, whose caller left, or whose deadline had passed', () => {
+			const {sent, ...notWhole} = unanswered();
+			assert.ok(sent !== undefined);
+			assert.deepEqual(breaches({calls: [notWhole]}), []);
+			assert.deepEqual(breaches({calls: [unanswered({end: {type: 'left'}})]}), []);
+			assert.deepEqual(breaches({calls: [unanswered({sentAtMs: -2090})]}), []);
+			assert.deepEqual(breaches({calls: [unanswered({sentAtMs: -2089})]}), [name]);
+		});
+
+		it('should ignore one at an instance that was killed, or paused meanwhile', () => {
+			assert.deepEqual(breaches({calls: [unanswered()], stops: [{...stop, wasKilled: true}]}), []);
+			const paused = {
+				kind: 'instance' as const, instance: '127.0.0.2', fromMs: 300, untilMs: 400,
+			};
+			assert.deepEqual(breaches({calls: [unanswered()], disturbances: [paused]}), []);
+			assert.deepEqual(breaches({calls: [unanswered()], disturbances: [{...paused, fromMs: 100, untilMs: 200}]}), [name]);
+			assert.deepEqual(breaches({calls: [unanswered()], disturbances: [{...paused, instance: '127.0.0.3'}]}), [name]);
+		});
+
+		it('should ignore one at an instance that does not stop at that time', () => {
+			assert.deepEqual(breaches({calls: [unanswered({instance: '127.0.0.3'})]}), []);
+			assert.deepEqual(breaches({calls: [unanswered({endedAtMs: -1, sentAtMs: -500, sent: {connection: 'c#0', lastByteAtMs: -500}})]}), []);
+		});
+
+		it('should not count time in which the process of the soak did not run', () => {
+			const call = unanswered({endedAtMs: 683});
+			assert.deepEqual(breaches({calls: [call], lags: [{fromMs: 400, untilMs: 600}]}), []);
+			assert.deepEqual(breaches({calls: [call], lags: [{fromMs: 400, untilMs: 599}]}), [name]);
+			assert.deepEqual(breaches({calls: [call], lags: [{fromMs: 100, untilMs: 300}, {fromMs: 600, untilMs: 800}]}), [name]);
+		});
+	});
+
 	it('should notice a key that reaches an upstream', () => {
 		const name = 'a request runs only under the account of its key, and its key reaches no upstream';
 		const {accounts, accountArrivals} = breachingHistories[name]!;
--- a/packages/soak/src/contracts.spec.ts
+++ b/packages/soak/src/contracts.spec.ts
@@ -37,6 +37,7 @@
 const events: Readonly<Record<SoakEvent['type'], true>> = {
 	cut: true,
 	stop: true,
+	'stop-in-use': true,
 	kill: true,
 	pause: true,
 	reload: true,
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -2,71 +2,50 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {UpstreamBehaviour, UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {spoil} from '@cairnbank/platform/spec-support/spoiled-bytes';
-import {waitFor} from '@cairnbank/testing/harness';
 import type {AccountEvent} from './account-events.js';
 import {runCrashingCaller, type CrashingCalls} from './crashing-caller.js';
 import type {
-	CutRecord, Disturbance, DrainRecord, LeavingRecord, LimitRecord, StopRecord,
+	CutRecord, Disturbance, DrainRecord, Lag, LeavingRecord, LimitRecord,
 } from './history.js';
+import type {InstanceEvent} from './instance-events.js';
 import type {SoakEvent} from './schedule.js';
 import type {SoakSite} from './soak-site.js';
-import {watchForStalls} from './stall-watch.js';
+import {watchForPauses} from './stall-watch.js';
 
-/** Longer than the grace period of an instance, because stopping takes longer on a busy machine. */
-const stopWaitMs = 20_000;
 /** Delay after which operators and upstreams rewrite the records that a restored store has lost. */
 const rewriteDelayMs = 750;
-/** Maximum number of lines outside the log that are recorded when an instance ends. The last ones are recorded. */
-const maximumErrorLines = 20;
 
 export class FaultInjector {
 	readonly disturbances: Disturbance[] = [];
+	readonly lags: Lag[] = [];
 	readonly drains: DrainRecord[] = [];
 	readonly limits: LimitRecord[] = [];
 	readonly leavings: LeavingRecord[] = [];
-	readonly stops: StopRecord[] = [];
 	readonly cuts: CutRecord[] = [];
 	readonly crashing: CrashingCalls[] = [];
 	readonly #site: SoakSite;
 	/** Number of requests that crash upstreams so far. */
 	#crashes = 0;
-	/** Instances that are stopping, starting or paused. Further signals to them are skipped. */
-	readonly #unavailableInstances = new Set<number>();
 
 	constructor(site: SoakSite) {
 		this.#site = site;
 	}
 
-	/** Records each stall of this process. @returns a function that stops the recording */
-	watchForStalls(): () => void {
-		return watchForStalls((fromMs, untilMs) => {
-			this.disturbances.push({kind: 'stall', fromMs, untilMs});
+	/** Records each pause of this process. @returns a function that stops the recording */
+	watchForPauses(): () => void {
+		return watchForPauses({
+			onLag: lag => {
+				this.lags.push(lag);
+			},
+			onStall: (fromMs, untilMs) => {
+				this.disturbances.push({kind: 'stall', fromMs, untilMs});
+			},
 		});
 	}
 
 	/** Resolves once the fault is over. */
-	async inject(event: Exclude<SoakEvent, AccountEvent>): Promise<void> {
+	async inject(event: Exclude<SoakEvent, AccountEvent | InstanceEvent>): Promise<void> {
 		switch (event.type) {
-			case 'stop': {
-				return this.#terminateAndRestart(event.instance, 'SIGTERM');
-			}
-
-			case 'kill': {
-				return this.#terminateAndRestart(event.instance, 'SIGKILL');
-			}
-
-			case 'pause': {
-				return this.#pause(event.instance, event.forMs);
-			}
-
-			case 'reload': {
-				if (!this.#unavailableInstances.has(event.instance)) {
-					this.#site.entries[event.instance]!.process.kill('SIGHUP');
-				}
-
-				return;
-			}
-
 			case 'configure': {
 				this.#site.configure();
 				return;
@@ -131,53 +110,8 @@
 
 			case 'outage': {
 				await Promise.all(this.#site.upstreams.map(async (_, index) => this.#misbehave(index, event.behaviour, event.forMs)));
-				return;
 			}
-
-			case 'herd': {
-				await Promise.all(event.instances.map(async index => this.#terminateAndRestart(index, 'SIGKILL')));
-			}
-		}
-	}
-
-	/** Ends an instance and starts it again at the same addresses. */
-	async #terminateAndRestart(index: number, signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
-		if (this.#unavailableInstances.has(index)) {
-			return;
-		}
-
-		this.#unavailableInstances.add(index);
-		const {process: ending, settings: {host}} = this.#site.entries[index]!;
-		const wasKilled = signal === 'SIGKILL';
-		const end = async () => {
-			const signalledAtMs = performance.now();
-			ending.kill(signal);
-			await waitFor(`end of ${host}`, () => ending.exit !== undefined, stopWaitMs);
-			this.stops.push({
-				instance: host, exitCode: ending.exit?.code, wasKilled, errors: ending.otherLines.slice(-maximumErrorLines), signalledAtMs, endedAtMs: performance.now(),
-			});
-		};
-
-		await this.#recordDisturbance({kind: wasKilled ? 'instance' : 'restart', instance: host}, async () => {
-			await end();
-			await this.#site.restart(index);
-		});
-		this.#unavailableInstances.delete(index);
-	}
-
-	async #pause(index: number, forMs: number): Promise<void> {
-		if (this.#unavailableInstances.has(index)) {
-			return;
 		}
-
-		this.#unavailableInstances.add(index);
-		const {process: paused, settings: {host}} = this.#site.entries[index]!;
-		await this.#recordDisturbance({kind: 'instance', instance: host}, async () => {
-			paused.kill('SIGSTOP');
-			await delay(forMs);
-			paused.kill('SIGCONT');
-		});
-		this.#unavailableInstances.delete(index);
 	}
 
 	/** Marks the registry entry of an upstream as draining. It still serves the requests that it gets. */
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -9,6 +9,13 @@
 	/** The connection was refused, so nothing was sent. */
 	| {readonly type: 'refused'};
 
+/** A request whose last byte was sent on an open connection, and not behind an answer that announced the end of the connection. */
+export type SentRecord = {
+	/** Unique among the connections of a run. */
+	readonly connection: string;
+	readonly lastByteAtMs: number;
+};
+
 export type CallRecord = {
 	readonly id: string;
 	readonly method: 'GET' | 'POST';
@@ -17,6 +24,9 @@
 	/** Host of the instance that the request was sent to. */
 	readonly instance: string;
 	readonly sentAtMs: number;
+	/** Absent if it was not sent whole. */
+	readonly sent?: SentRecord;
+	/** Time of its complete answer, or of the end of its connection. */
 	readonly endedAtMs: number;
 	readonly end: CallEnd;
 };
@@ -43,6 +53,9 @@
 	readonly untilMs: number;
 };
 
+/** A period in which the process of the soak did not run, so that what callers observed is dated late. */
+export type Lag = {readonly fromMs: number; readonly untilMs: number};
+
 export type DrainRecord = {readonly upstream: string; readonly atMs: number};
 
 /** A period in which an upstream advertised a rate limit, from the first complete answer with that limit. */
@@ -96,6 +109,7 @@
 	readonly calls: readonly CallRecord[];
 	readonly runs: readonly RunRecord[];
 	readonly disturbances: readonly Disturbance[];
+	readonly lags: readonly Lag[];
 	readonly drains: readonly DrainRecord[];
 	readonly limits: readonly LimitRecord[];
 	readonly leavings: readonly LeavingRecord[];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -9,10 +9,21 @@
 import {
 	drawsLongRequests, generateFurtherEvents, generateSpoilings, pick, randomSourceOf,
 } from './further-events.js';
+import {generateStops} from './stop-events.js';
+import type {StopCallerPlan} from './stop-callers.js';
 
 /** Instances and upstreams are given by their index in the order in which they were started. */
 export type SoakEvent =
 	| {readonly type: 'stop'; readonly instance: number}
+	/** The instance gets SIGTERM, and perhaps further signals until it ends, while callers keep using connections to it. */
+	| {
+		readonly type: 'stop-in-use';
+		readonly instance: number;
+		readonly callers: readonly StopCallerPlan[];
+		/** Time from the start of the callers to SIGTERM. */
+		readonly signalMs: number;
+		readonly furtherSignals: readonly FurtherSignal[];
+	}
 	| {readonly type: 'kill'; readonly instance: number}
 	| {readonly type: 'pause'; readonly instance: number; readonly forMs: number}
 	| {readonly type: 'reload'; readonly instance: number}
@@ -44,6 +55,9 @@
 	/** Many instances are killed at the same time and start again. */
 	| {readonly type: 'herd'; readonly instances: readonly number[]};
 
+/** A signal to an instance that already got SIGTERM. */
+export type FurtherSignal = {readonly signal: 'SIGTERM' | 'SIGHUP'; readonly afterMs: number};
+
 export type ScheduledEvent = {readonly atMs: number; readonly event: SoakEvent};
 
 export type RequestBursts = {readonly requests: number; readonly pauseMs: number};
@@ -102,7 +116,7 @@
 		events.push({atMs, event: generateEvent(random, instances, upstreams)});
 	}
 
-	events.push(...generateFurtherEvents(seed, durationMs, instances), ...generateSpoilings(seed, durationMs, upstreams));
+	events.push(...generateFurtherEvents(seed, durationMs, instances), ...generateSpoilings(seed, durationMs, upstreams), ...generateStops(seed, durationMs, instances));
 	return {
 		seed,
 		instances,
--- a/packages/soak/src/soak-caller.ts
+++ b/packages/soak/src/soak-caller.ts
@@ -3,7 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {RandomSource} from '@cairnbank/core';
 import {readAnswerHeaders, callerHeaders} from '@cairnbank/platform/spec-support/caller-request';
-import type {CallEnd, CallRecord} from './history.js';
+import type {CallEnd, CallRecord, SentRecord} from './history.js';
 import type {RequestBursts} from './schedule.js';
 
 const pauseMs = 15;
@@ -73,18 +73,21 @@
 export async function callOnce(address: string, callerRequest: CallerRequest, agent?: Agent): Promise<{record: CallRecord; keepsConnection: boolean}> {
 	const sentAtMs = performance.now();
 	const {id, method, path} = callerRequest;
-	const {end, keepsConnection} = await exchange(address, callerRequest, agent);
+	const {end, keepsConnection, sent} = await exchange(address, callerRequest, agent);
 	const record: CallRecord = {
-		id, method, path, idempotent: method === 'GET', instance: address.split(':')[0]!, sentAtMs, endedAtMs: performance.now(), end,
+		id, method, path, idempotent: method === 'GET', instance: address.split(':')[0]!, sentAtMs, endedAtMs: performance.now(), end, ...(sent === undefined ? {} : {sent}),
 	};
 	return {record, keepsConnection};
 }
 
-async function exchange(address: string, callerRequest: CallerRequest, agent?: Agent): Promise<{end: CallEnd; keepsConnection: boolean}> {
+type Exchange = {readonly end: CallEnd; readonly keepsConnection: boolean; readonly sent?: SentRecord | undefined};
+
+async function exchange(address: string, callerRequest: CallerRequest, agent?: Agent): Promise<Exchange> {
 	const {
 		id, method, path, from, headers, leavesAfterMs = 2 * deadlineMs,
 	} = callerRequest;
 	const [host, port] = address.split(':');
+	let sent: SentRecord | undefined;
 	return new Promise(resolve => {
 		const outgoing = request({
 			host, port, localAddress: from, method, path, agent: agent ?? false, headers: {...callerHeaders(id, deadlineMs), ...headers},
@@ -100,12 +103,19 @@
 					...readAnswerHeaders(response.headers),
 					body,
 				};
-				resolve({end: response.complete ? end : {type: 'cut'}, keepsConnection: response.complete && response.headers.connection !== 'close'});
+				resolve({end: response.complete ? end : {type: 'cut'}, sent, keepsConnection: response.complete && response.headers.connection !== 'close'});
 			});
 			response.on('error', () => {
-				resolve({end: {type: 'cut'}, keepsConnection: false});
+				resolve({end: {type: 'cut'}, sent, keepsConnection: false});
 			});
 		});
+		// Emitted once the system has taken the last byte.
+		outgoing.on('finish', () => {
+			const {socket} = outgoing;
+			if (socket !== null) {
+				sent = {connection: `${socket.localAddress}:${socket.localPort}`, lastByteAtMs: performance.now()};
+			}
+		});
 		// A paused instance does not answer, so its callers give up after twice their deadline.
 		let hasLeft = false;
 		outgoing.setTimeout(leavesAfterMs, () => {
@@ -114,7 +124,7 @@
 		});
 		outgoing.on('error', (error: NodeJS.ErrnoException) => {
 			const type = error.code === 'ECONNREFUSED' ? 'refused' : 'cut';
-			resolve({end: {type: hasLeft ? 'left' : type}, keepsConnection: false});
+			resolve({end: {type: hasLeft ? 'left' : type}, sent, keepsConnection: false});
 		});
 		outgoing.end(method === 'POST' ? 'pay 5' : undefined);
 	});
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -8,6 +8,7 @@
 import type {
 	AccountArrivalRecord, ArrivalRecord, BackOffRecord, CallRecord, CrashingRequestRecord, FloodCalls, History, RunRecord,
 } from './history.js';
+import {InstanceEvents, isInstanceEvent} from './instance-events.js';
 import {runLongRequestCaller} from './long-request-caller.js';
 import type {Schedule, SoakEvent} from './schedule.js';
 import {runSendingAheadCaller} from './sending-ahead-caller.js';
@@ -29,6 +30,7 @@
 	readonly #site: SoakSite;
 	readonly #injector: FaultInjector;
 	readonly #accountEvents: AccountEvents;
+	readonly #instanceEvents: InstanceEvents;
 
 	/** @param program - path of the program to test; defaults to the compiled program */
 	constructor(schedule: Schedule, program?: string) {
@@ -36,6 +38,7 @@
 		this.#site = new SoakSite(program);
 		this.#injector = new FaultInjector(this.#site);
 		this.#accountEvents = new AccountEvents(this.#site);
+		this.#instanceEvents = new InstanceEvents(this.#site);
 	}
 
 	/** Log lines of all instances, to analyse a breach. */
@@ -46,7 +49,7 @@
 	async execute(): Promise<History> {
 		const stopCallers = new AbortController();
 		setMaxListeners(this.#schedule.callers + 2, stopCallers.signal);
-		const stopWatching = this.#injector.watchForStalls();
+		const stopWatching = this.#injector.watchForPauses();
 		try {
 			const {duringStart} = this.#schedule;
 			let callers: Array<Promise<CallRecord[]>> = [];
@@ -123,7 +126,11 @@
 	}
 
 	async #inject(event: SoakEvent): Promise<void> {
-		return isAccountEvent(event) ? this.#accountEvents.inject(event) : this.#injector.inject(event);
+		if (isAccountEvent(event)) {
+			return this.#accountEvents.inject(event);
+		}
+
+		return isInstanceEvent(event) ? this.#instanceEvents.inject(event) : this.#injector.inject(event);
 	}
 
 	async #callAfterwards(): Promise<CallRecord[]> {
@@ -144,8 +151,9 @@
 		const arrivals: ArrivalRecord[] = this.#site.upstreams.flatMap(({id: upstream, arrivals: ofUpstream}) => ofUpstream.map(({id, atMs}) => ({id, atMs, upstream})));
 		const backOffs: BackOffRecord[] = this.#site.upstreams.flatMap(({id: upstream, backOffs: backedOff}) => backedOff.map(backOff => ({...backOff, upstream})));
 		const {
-			disturbances, drains, limits, leavings, stops, cuts, crashing,
+			lags, drains, limits, leavings, cuts, crashing,
 		} = this.#injector;
+		const {stops, stopCalls} = this.#instanceEvents;
 		const {accounts, floods, limitLoweredAtMs} = this.#accountEvents;
 		const crashRuns = this.#site.crashing.upstreams.flatMap(upstream => runsOf(upstream));
 		const crashes: CrashingRequestRecord[] = [...new Set(crashing.map(({path}) => path))].map(path => {
@@ -155,23 +163,28 @@
 			return {calls: crashCalls, harmlessCalls: ofPath.flatMap(({harmlessCalls}) => harmlessCalls), runs: crashRuns.filter(({id}) => ids.has(id))};
 		});
 		return {
-			calls: [...calls, ...accounts.flatMap(({calls: ofAccounts}) => ofAccounts.map(({record}) => record)), ...observedOf(floods, runs)],
+			calls: [...calls, ...accounts.flatMap(({calls: ofAccounts}) => ofAccounts.map(({record}) => record)), ...observedOf(floods, runs), ...withoutRefused(stopCalls, runs)],
 			runs,
 			arrivals,
 			backOffs,
-			disturbances, drains, limits, leavings, stops, cuts, crashes, accounts, floods, limitLoweredAtMs,
+			disturbances: [...this.#injector.disturbances, ...this.#instanceEvents.disturbances],
+			lags, drains, limits, leavings, stops, cuts, crashes, accounts, floods, limitLoweredAtMs,
 			accountArrivals: this.#site.upstreams.flatMap(upstream => accountArrivalsOf(upstream)),
 			afterwards,
 		};
 	}
 }
 
-/** Leaves out what was refused of the flooded account, unless it ran: it would make room for repeats and change the shares that are served. */
 function observedOf(floods: readonly FloodCalls[], runs: readonly RunRecord[]): readonly CallRecord[] {
+	const calls = floods.flatMap(flood => flood.calls);
+	const recordsOf = (isFlooding: boolean) => calls.filter(call => call.isFlooding === isFlooding).map(({record}) => record);
+	return [...recordsOf(false), ...withoutRefused(recordsOf(true), runs)];
+}
+
+/** Leaves out requests that were refused, unless they ran: many of them would make room for repeats and change the shares that are served. */
+function withoutRefused(calls: readonly CallRecord[], runs: readonly RunRecord[]): readonly CallRecord[] {
 	const ran = new Set(runs.map(({id}) => id));
-	return floods.flatMap(({calls}) => calls)
-		.filter(({record: {id, end}, isFlooding}) => !isFlooding || end.type !== 'answered' || !refusalStatuses.has(end.status) || ran.has(id))
-		.map(({record}) => record);
+	return calls.filter(({id, end}) => end.type !== 'answered' || !refusalStatuses.has(end.status) || ran.has(id));
 }
 
 /** Returns the requests on the route that needs an account. */
