--- a/packages/soak/src/account-mutations.ts
+++ b/packages/soak/src/account-mutations.ts
@@ -15,7 +15,7 @@
 export const accountMutations: readonly Mutation[] = [
 	{
 		name: 'key-passed-on',
-		file: `${calls}/callers-task.js`,
+		file: `${calls}/request-headers.js`,
 		find: 'expectedUpstreamHeader, credentialsHeader, accountHeader,',
 		replaceBy: 'expectedUpstreamHeader, accountHeader,',
 		events,
@@ -23,7 +23,7 @@
 	},
 	{
 		name: 'account-forged-by-the-caller',
-		file: `${calls}/callers-task.js`,
+		file: `${calls}/request-headers.js`,
 		find: 'credentialsHeader, accountHeader, withUnderscores(accountHeader)',
 		replaceBy: 'credentialsHeader',
 		events,
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -257,8 +257,8 @@
 	},
 	{
 		name: 'stop-cuts-what-is-under-way',
-		file: `${calls}/callers-task.js`,
-		find: 'run.expire();',
+		file: `${calls}/request-handler.js`,
+		find: 'open.run?.expire();',
 		replaceBy: '',
 		events: stopsWithRequestsInFlight,
 		noticedBy: requestsAreNotCut,
--- a/packages/soak/src/stop-mutations.ts
+++ b/packages/soak/src/stop-mutations.ts
@@ -32,9 +32,9 @@
 export const stopMutations: readonly Mutation[] = [
 	{
 		name: 'refusals-of-a-stopping-instance-dropped',
-		file: `${calls}/callers-task.js`,
+		file: `${calls}/request-handler.js`,
 		find: 'this.#connections.respond(open, outcome);',
-		replaceBy: 'if (reason !== \'leaving\') this.#connections.respond(open, outcome);',
+		replaceBy: 'if (outcome.reason !== \'leaving\') this.#connections.respond(open, outcome);',
 		events: stopsInUse,
 		noticedBy: wholeRequestsAreAnswered,
 	},
