--- a/packages/soak/src/stop-mutations.ts
+++ b/packages/soak/src/stop-mutations.ts
@@ -38,4 +38,28 @@
 		events: stopsInUse,
 		noticedBy: wholeRequestsAreAnswered,
 	},
+	{
+		name: 'requests-behind-others-dropped-by-a-stop',
+		file: 'packages/core/dist/connections/request-sequence.js',
+		find: 'this.#started.push(...waited);',
+		replaceBy: '',
+		events: stopsInUse,
+		noticedBy: wholeRequestsAreAnswered,
+	},
+	{
+		name: 'running-requests-without-an-answer-at-the-end-of-a-stop',
+		file: `${calls}/request-handler.js`,
+		find: 'open.run?.expire();',
+		replaceBy: '',
+		events: stopsInUse,
+		noticedBy: wholeRequestsAreAnswered,
+	},
+	{
+		name: 'answers-behind-others-dropped-while-stopping',
+		file: `${calls}/caller-connection.js`,
+		find: 'this.#pendingWrites.set(open, writeNow);',
+		replaceBy: 'if (!wantsClose()) this.#pendingWrites.set(open, writeNow);',
+		events: stopsInUse,
+		noticedBy: wholeRequestsAreAnswered,
+	},
 ];
