Soak: long answers for callers that keep using a stopping instance

Answers of a few dozen bytes fit into the buffers of the system, so a slow reader left nothing unwritten in the instance. Records leave the padding out.

--- a/packages/soak/src/pipelined-requests.ts
+++ b/packages/soak/src/pipelined-requests.ts
@@ -17,7 +17,10 @@
 	readonly lastReadAtMs?: () => number;
 };
 
-export type AheadRequest = Pick<CallRecord, 'id' | 'method' | 'path'>;
+export type AheadRequest = Pick<CallRecord, 'id' | 'method' | 'path'> & {
+	/** Bytes that upstreams append to the text of the answer; the record leaves them out. */
+	readonly paddingBytes?: number;
+};
 
 export function isReusable({answers, isClosed}: PipelinedCaller): boolean {
 	return !isClosed && answers.at(-1)?.closes !== true;
@@ -46,22 +49,29 @@
 		caller.leave();
 	}
 
-	return requests.map((request, index) => ({
-		...request,
-		idempotent: request.method === 'GET',
+	return requests.map(({id, method, path, paddingBytes = 0}, index) => ({
+		id,
+		method,
+		path,
+		idempotent: method === 'GET',
 		instance: address.split(':')[0]!,
 		sentAtMs,
 		...(lastByteAtMs === undefined ? {} : {sent: {connection: name, lastByteAtMs}}),
 		endedAtMs: endedAtMs[index] ?? closedAtMs,
-		end: endOf(caller, firstIndex + index, hasLeft),
+		end: endOf(caller, firstIndex + index, hasLeft, paddingBytes),
 	}));
 }
 
-function endOf(caller: PipelinedCaller, index: number, hasLeft: boolean): CallEnd {
+function endOf(caller: PipelinedCaller, index: number, hasLeft: boolean, paddingBytes: number): CallEnd {
 	const answer = caller.answers[index];
 	if (answer !== undefined) {
+		const body = Buffer.from(answer.body).toString();
 		return {
-			type: 'answered', status: answer.status, requestId: answer.id ?? '', signature: answer.signature ?? '', body: Buffer.from(answer.body).toString(),
+			type: 'answered',
+			status: answer.status,
+			requestId: answer.id ?? '',
+			signature: answer.signature ?? '',
+			body: body.endsWith('.'.repeat(paddingBytes)) ? body.slice(0, body.length - paddingBytes) : body,
 		};
 	}
 
--- a/packages/soak/src/stop-callers.ts
+++ b/packages/soak/src/stop-callers.ts
@@ -7,11 +7,9 @@
 const pauseMs = 15;
 const pollMs = 2;
 const reconnectPauseMs = 50;
-/** A slow reader takes what has arrived, up to the size of one read, once in this time. */
-const readIntervalMs = 100;
+/** A slow reader takes what has arrived once in this time. */
+const readIntervalMs = 300;
 const readMs = 1;
-/** Makes the answers of slow readers longer than one read together, as upstreams repeat the path. */
-const slowPathBytes = 6000;
 
 export type StopCallerPlan = {
 	readonly pace: 'one-at-a-time' | 'ahead' | 'reads-slowly';
@@ -22,6 +20,8 @@
 	readonly method: 'GET' | 'POST';
 	/** Processing time of the requests that are sent before the signal; longer than a grace period if upstreams should not answer before its end. */
 	readonly workMs: number;
+	/** Bytes that upstreams append to the text of each answer. */
+	readonly paddingBytes: number;
 };
 
 export type StopCallerOptions = {
@@ -60,10 +60,12 @@
 }
 
 /** Requests that come after the signal take no long time, as one that arrives before the instance has noticed the signal would be cut. */
-function createRequest(id: string, {pace, method, workMs}: StopCallerPlan, isSignalled: boolean): AheadRequest {
+function createRequest(id: string, {method, workMs, paddingBytes}: StopCallerPlan, isSignalled: boolean): AheadRequest {
 	const work = isSignalled || workMs === 0 ? '' : `/work-${workMs}`;
-	const padding = pace === 'reads-slowly' ? `/${'p'.repeat(slowPathBytes)}` : '';
-	return {id, method, path: `/${method === 'POST' ? 'pay' : 'read'}${work}/${id}${padding}`};
+	const padding = paddingBytes === 0 ? '' : `/pad-${paddingBytes}`;
+	return {
+		id, method, path: `/${method === 'POST' ? 'pay' : 'read'}${work}${padding}/${id}`, paddingBytes,
+	};
 }
 
 /** Resolves once the connection is open, or was refused: what is sent on none is no request of the instance. */
--- a/packages/soak/src/stop-mutations.ts
+++ b/packages/soak/src/stop-mutations.ts
@@ -15,13 +15,13 @@
 	furtherSignals: [],
 	callers: [
 		{
-			pace: 'ahead', startMs: 100, requestsAhead: 40, method: 'POST', workMs,
+			pace: 'ahead', startMs: 100, requestsAhead: 40, method: 'POST', workMs, paddingBytes: 0,
 		},
 		{
-			pace: 'ahead', startMs: signalMs + 283, requestsAhead: 12, method: 'GET', workMs,
+			pace: 'ahead', startMs: signalMs + 283, requestsAhead: 12, method: 'GET', workMs, paddingBytes: 0,
 		},
 		{
-			pace: 'one-at-a-time', startMs: 100, requestsAhead: 1, method: 'GET', workMs: 0,
+			pace: 'one-at-a-time', startMs: 100, requestsAhead: 1, method: 'GET', workMs: 0, paddingBytes: 0,
 		},
 	],
 });
