--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -250,7 +250,7 @@
 	{
 		name: 'stop-without-draining',
 		file: `${gateway}/gateway.js`,
-		find: 'await delay(graceMs * acceptingRatio);',
+		find: 'await untilPart(acceptingRatio);',
 		replaceBy: 'process.exit(0);',
 		events: [0, 1, 2].map(instance => at({type: 'stop', instance}, 2 * firstEventMs)),
 		noticedBy: requestsAreNotCut,
