--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -250,15 +250,15 @@
 	{
 		name: 'stop-without-draining',
 		file: `${gateway}/gateway.js`,
-		find: 'await delay(graceMs * acceptingRatio);',
+		find: 'await untilPart(acceptingRatio);',
 		replaceBy: 'process.exit(0);',
 		events: [0, 1, 2].map(instance => at({type: 'stop', instance}, 2 * firstEventMs)),
 		noticedBy: requestsAreNotCut,
 	},
 	{
 		name: 'stop-cuts-what-is-under-way',
-		file: `${calls}/callers-task.js`,
-		find: 'run.expire();',
+		file: `${calls}/request-handler.js`,
+		find: 'open.run?.expire();',
 		replaceBy: '',
 		events: stopsWithRequestsInFlight,
 		noticedBy: requestsAreNotCut,
