Stop: what has arrived is read before a listener or a connection closes

What callers saw: whole requests that had arrived at a stopping instance, on new connections and on kept ones, were reset or dropped 0.2 to 0.5 s after their last byte, while the log said that no request was open.

Cause (class: the list of open requests begins when a head has been parsed, and an end that looks at the list does not see what is before it): 1. Timers run before sockets are read in a turn of the event loop, and the runtime takes one new connection in each turn. The timer that closes listener and idle connections reset what waited there: 4 of 5 new connections after the process had stood still for 0.7 s. 2. While an instance leaves, the answer to the last request that was read closes the connection; of requests in one write only 64 KiB were read by then, and those behind were dropped: 10 of 30 answered.

Before the listener closes, the event loop turns until three turns bring neither a connection nor a request, for 0.4 s at most. An answer that may close its connection while the instance leaves is written two turns later, and closes it only if nothing came meanwhile. Requests that are still in the system's buffers when the process ends can't be known to it.

--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -2,6 +2,7 @@
 import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
 import {RequestSequence} from '@cairnbank/core/connections';
+import {waitTurns} from '../../kernel/arrivals.js';
 import {breakOff} from './body-reader.js';
 import type {OpenRequest} from './open-request.js';
 
@@ -18,6 +19,8 @@
 };
 
 const badRequestStatus = 400;
+/** Turns of the event loop in which the rest of what has arrived on a connection is read; one reads it in parts. */
+const turnsToRead = 2;
 /** Time for which the caller's end of a closing connection is awaited after the last answer has been handed to the socket. */
 const lingerMs = 1000;
 /** Statuses for faults of the HTTP parser; all others are bad requests. */
@@ -105,11 +108,11 @@
 			write(isLast);
 		};
 
-		if (this.#sequence.isFirst(open) || this.#isClosed) {
-			writeNow();
+		open.state = 'answered';
+		if (wantsClose()) {
+			void this.#writeOnceRead(open, writeNow);
 		} else {
-			open.state = 'answered';
-			this.#pendingWrites.set(open, writeNow);
+			this.#writeInTurn(open, writeNow);
 		}
 	}
 
@@ -138,6 +141,20 @@
 		this.#options.socket.destroy();
 	}
 
+	/** Writes an answer that may close the connection. Requests behind it that have arrived are read before, as they would be dropped. */
+	async #writeOnceRead(open: OpenRequest, write: () => void): Promise<void> {
+		await waitTurns(turnsToRead);
+		this.#writeInTurn(open, write);
+	}
+
+	#writeInTurn(open: OpenRequest, write: () => void): void {
+		if (this.#sequence.isFirst(open) || this.#isClosed) {
+			write();
+		} else {
+			this.#pendingWrites.set(open, write);
+		}
+	}
+
 	/** Ends the newest request if its body has not been read whole. */
 	#endIncomplete(): void {
 		const newest = this.#newest;
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -3,6 +3,7 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '@cairnbank/core';
 import {HeldAnswers} from '@cairnbank/core/connections';
+import {untilArrivalsAreRead} from '../../kernel/arrivals.js';
 import {InFlight} from '../../kernel/in-flight.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import {CallerConnection, type CallerConnectionOptions} from './caller-connection.js';
@@ -13,6 +14,8 @@
 
 /** Time in which a link of 10 Mbit/s sends a few long answers. */
 const heldRetryAfterMs = 500;
+/** Bounds the wait for what has arrived, as callers may go on connecting. */
+const maximumArrivalsWaitMs = 400;
 
 export type CallerConnectionsOptions = {
 	readonly server: Server;
@@ -35,6 +38,7 @@
 	readonly #closing = new InFlight<Socket>();
 	readonly #owners = new WeakMap<OpenRequest, CallerConnection>();
 	readonly #held: HeldAnswers<CallerConnection>;
+	#arrivals = 0;
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
@@ -44,6 +48,7 @@
 		});
 		this.#held = new HeldAnswers(clock);
 		server.on('connection', (socket: Socket) => {
+			this.#arrivals += 1;
 			this.#connections.set(socket, new CallerConnection({
 				socket,
 				onOpened: request => {
@@ -67,6 +72,7 @@
 			});
 		});
 		server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+			this.#arrivals += 1;
 			const connection = this.#connections.get(request.socket)!;
 			const open = new OpenRequest(request, response, clock.monotonicMs());
 			this.#owners.set(open, connection);
@@ -81,6 +87,11 @@
 		});
 	}
 
+	/** Resolves once the connections and requests that have arrived are read; closing the listener or a connection before would reset them unread. */
+	async untilArrivalsAreRead(): Promise<void> {
+		await untilArrivalsAreRead(() => this.#arrivals, this.#options.clock, maximumArrivalsWaitMs);
+	}
+
 	/** Resolves once every request has its complete answer, and the connections that closed with it are closed by their callers too. */
 	async untilIdle(): Promise<void> {
 		await this.open.untilEmpty();
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -69,6 +69,7 @@
 	}
 
 	async drain(): Promise<void> {
+		await this.#connections.untilArrivalsAreRead();
 		this.#server.close();
 		this.#server.closeIdleConnections();
 		await this.#connections.untilIdle();
