Relay: the stop ends each relayed request by its state, and tells those never sent as not sent

What callers of the asking instance saw: a payment that another instance had not sent yet was told as one that may have run (502), or its connection ended.

Cause: the stop of the passing instance ended only the requests whose exchange was running (`#running`). One whose body was still being read had no owner: it kept the stop waiting until its last moment, and was sent to its upstream if its body ended meanwhile. Whether a request fits before the end of the stop was checked before its body was read only. A request that was cancelled before the connection to its upstream was open was reported as `broken`.

Change: one list of relayed requests (`RelayedRequest`), each from its head until its result is written; `expire` ends each by its state. What was not sent is refused as `leaving`, which proves to the asking instance that nothing was sent. The end of the stop is checked again once the body is read.

--- a/packages/gateway/src/features/fleet/peer-server.ts
+++ b/packages/gateway/src/features/fleet/peer-server.ts
@@ -37,6 +37,12 @@
 		}));
 	}
 
+	/** The port that is listened on; undefined before the start. */
+	get port(): number | undefined {
+		const address = this.#server.address();
+		return typeof address === 'object' ? address?.port : undefined;
+	}
+
 	async start(address: string): Promise<Result<void, StartError>> {
 		return listen(this.#server, 'state', address);
 	}
--- /dev/null
+++ b/packages/gateway/src/features/relay/relay-stop.spec.ts
@@ -0,0 +1,270 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {
+	Agent, request as httpRequest, type ClientRequest, type IncomingMessage,
+} from 'node:http';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {systemClock, type UpstreamId} from '@cairnbank/core';
+import {createRandomSource} from '@cairnbank/core/random';
+import type {RelayPeer} from '@cairnbank/core/reachability';
+import {err, type Result} from 'neverthrow';
+import type {Context} from '../../kernel/context.js';
+import {StopDeadline} from '../../kernel/stop-deadline.js';
+import {createMetrics} from '../../metrics/metrics.js';
+import {PeerServer} from '../fleet/peer-server.js';
+import type {ExchangeFailure} from '../upstreams/exchange.js';
+import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
+import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
+import type {Upstream} from '../upstreams/upstream.js';
+import {
+	encodeHead, maximumRelayHeaderBytes, relayHeadHeader, relayPath,
+} from './relay-codec.js';
+import {RelayTask} from './relay-task.js';
+import {RelayedExchange} from './relayed-exchange.js';
+
+const host = '127.0.0.1';
+const timeoutMs = 5000;
+const longStopMs = 2000;
+const requestsOfMix = 24;
+const seeds = [1, 2, 3, 4, 5, 6];
+
+/** How a channel to the upstream behaves. */
+type ChannelKind = 'connected' | 'connecting';
+
+/** States of requests, and the true result of each. */
+const mixedStates: ReadonlyArray<readonly [ChannelKind | 'reading-body', string]> = [
+	['connected', 'broken'], ['connecting', 'no-relay'], ['reading-body', 'leaving'],
+];
+
+/** A channel whose request never ends by itself. */
+class HeldChannel implements UpstreamChannel {
+	readonly isReusable = false;
+	isReleased = false;
+	isCancelled = false;
+	settle: ((result: Result<UpstreamAnswer, ExchangeFailure>) => void) | undefined;
+	readonly #kind: ChannelKind;
+
+	constructor(kind: ChannelKind) {
+		this.#kind = kind;
+	}
+
+	get isConnected(): boolean {
+		return this.#kind !== 'connecting';
+	}
+
+	async exchange(): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
+		return new Promise(resolve => {
+			this.settle = resolve;
+		});
+	}
+
+	cancel(): void {
+		this.isCancelled = true;
+		this.settle?.(err({type: 'cancelled'}));
+	}
+
+	close(): void {
+		this.isReleased = true;
+	}
+}
+
+describe('a relayed request as its instance stops', () => {
+	let task: RelayTask;
+	let server: PeerServer;
+	let port: number;
+	let stop: StopDeadline;
+	let channels: HeldChannel[];
+	let nextKind: ChannelKind;
+	let agent: Agent;
+
+	beforeEach(async () => {
+		stop = new StopDeadline();
+		channels = [];
+		nextKind = 'connected';
+		agent = new Agent({keepAlive: true});
+		const logger: Partial<Context['logger']> = {warn: () => undefined, error: () => undefined};
+		const context = {
+			clock: systemClock, metrics: createMetrics(), logger: logger as Context['logger'], stop,
+		};
+		const upstream = {
+			condition: {isUnreachable: false},
+			pool: {
+				takeOwn() {
+					const channel = new HeldChannel(nextKind);
+					channels.push(channel);
+					return channel;
+				},
+				release(channel: HeldChannel) {
+					channel.close();
+				},
+			},
+		} as unknown as Upstream;
+		task = new RelayTask({
+			context,
+			isMember: () => true,
+			upstreamOf: () => upstream,
+			hasLostLink: () => false,
+			poisonGuard: () => ({recordAbandoned: () => undefined, forgetAbandoned: () => undefined}),
+		});
+		server = new PeerServer({
+			context,
+			maximumHeaderBytes: maximumRelayHeaderBytes,
+			handlers: {[relayPath]: async (request, response) => task.handle(request, response)},
+		});
+		port = await startOnFreePort();
+	});
+
+	afterEach(() => {
+		agent.destroy();
+		server.stop();
+	});
+
+	async function startOnFreePort(): Promise<number> {
+		const started = await server.start(`${host}:0`);
+		assert.ok(started.isOk());
+		return server.port!;
+	}
+
+	/** Sends a request as an instance without links does, and returns what it learns: `answered`, or the type of the failure. */
+	async function pass(): Promise<string> {
+		const peer: Partial<RelayPeer> = {host};
+		const exchange = new RelayedExchange({
+			upstream: 'u1' as UpstreamId,
+			peer: peer as RelayPeer,
+			agent,
+			port,
+			localAddress: host,
+			onStart: () => undefined,
+			onEnd: () => undefined,
+		});
+		const result = await exchange.exchange({
+			method: 'POST', target: '/', headers: [], body: undefined, requestId: 'a', timeoutMs,
+		});
+		return result.match(() => 'answered', failure => failure.type);
+	}
+
+	/** Sends the head of a request, and the first byte of a body of two. */
+	async function sendHalf(): Promise<ClientRequest> {
+		const head = encodeHead({
+			upstream: 'u1' as UpstreamId, method: 'POST', target: '/', headers: [], requestId: 'a', timeoutMs,
+		});
+		const before = task.inFlight;
+		const outgoing = httpRequest({
+			agent, host, port, localAddress: host, method: 'POST', path: relayPath, headers: {[relayHeadHeader]: head, 'Content-Length': 2},
+		});
+		outgoing.on('error', () => undefined);
+		outgoing.write('a');
+		await untilInFlight(before + 1);
+		return outgoing;
+	}
+
+	async function untilCounted(isReached: () => boolean): Promise<void> {
+		for (let turns = 0; turns < longStopMs && !isReached(); turns++) {
+			await delay(1);
+		}
+
+		assert.ok(isReached());
+	}
+
+	async function untilInFlight(count: number): Promise<void> {
+		await untilCounted(() => task.inFlight === count);
+	}
+
+	async function untilRunning(count: number): Promise<void> {
+		await untilCounted(() => channels.length === count && channels.every(({settle}) => settle !== undefined));
+	}
+
+	/** Returns the text of a refusal, or `none` if there is no answer in time. */
+	async function refusalOf(outgoing: ClientRequest): Promise<string> {
+		try {
+			const [response] = await once(outgoing, 'response', {signal: AbortSignal.timeout(longStopMs)}) as [IncomingMessage];
+			let text = '';
+			for await (const chunk of response) {
+				text += String(chunk);
+			}
+
+			return text;
+		} catch {
+			return 'none';
+		}
+	}
+
+	/** Ends what is in flight, and closes the sockets once that is done, as an instance does at the end of its grace period. */
+	async function end(): Promise<void> {
+		const drained = task.drain();
+		task.expire();
+		await Promise.race([drained, delay(longStopMs, undefined, {ref: false})]);
+		task.stop();
+		server.stop();
+	}
+
+	// Guards against a payment that is sent to its upstream after all requests were ended, and cut by the end of the process.
+	it('should be refused as not sent if its body is still being read', async () => {
+		const outgoing = await sendHalf();
+		const refusal = refusalOf(outgoing);
+		await end();
+		assert.equal(await refusal, 'leaving');
+		assert.deepEqual(channels, []);
+	});
+
+	it('should be refused as not sent if its body ends so late that the stop could cut it', async () => {
+		const outgoing = await sendHalf();
+		stop.begin(systemClock.monotonicMs() + (timeoutMs / 2));
+		outgoing.end('b');
+		assert.equal(await refusalOf(outgoing), 'leaving');
+		assert.deepEqual(channels, []);
+	});
+
+	it('should be reported as one that may have run if its upstream has it', async () => {
+		const result = pass();
+		await untilRunning(1);
+		await end();
+		assert.equal(await result, 'broken');
+		assert.ok(channels[0]!.isCancelled && channels[0]!.isReleased);
+	});
+
+	// Guards against a payment that is reported as unknown although the connection to its upstream was never open.
+	it('should be reported as not sent if the connection to its upstream is not open yet', async () => {
+		nextKind = 'connecting';
+		const result = pass();
+		await untilRunning(1);
+		await end();
+		assert.equal(await result, 'no-relay');
+	});
+
+	it('should be refused as not sent once the instance has drained', async () => {
+		await task.drain();
+		assert.equal(await pass(), 'no-relay');
+	});
+
+	/** Passes requests that are in drawn states once this resolves; each has its true result at the same place of `expected`. */
+	async function passMix(seed: number): Promise<{results: ReadonlyArray<Promise<string>>; expected: readonly string[]}> {
+		const random = createRandomSource(seed);
+		const results: Array<Promise<string>> = [];
+		const expected: string[] = [];
+		for (let count = 1; count <= requestsOfMix; count++) {
+			const [kind, result] = mixedStates[random.nextInteger(mixedStates.length)]!;
+			expected.push(result);
+			if (kind === 'reading-body') {
+				results.push(refusalOf(await sendHalf()));
+			} else {
+				nextKind = kind;
+				results.push(pass());
+				await untilInFlight(count);
+			}
+		}
+
+		return {results, expected};
+	}
+
+	for (const seed of seeds) {
+		it(`should get a true result in whatever state it is (seed ${seed})`, async () => {
+			const {results, expected} = await passMix(seed);
+			await end();
+			assert.deepEqual(await Promise.all(results), expected);
+		});
+	}
+});
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -4,27 +4,24 @@
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Fingerprint, UpstreamId} from '@cairnbank/core';
+import type {UpstreamId} from '@cairnbank/core';
 import {err, ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {PoisonGuard} from '../calls/poison-guard.js';
-import type {SuspectRequest} from '../calls/suspect-request.js';
 import type {ExchangeFailure} from '../upstreams/exchange.js';
 import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {Upstream} from '../upstreams/upstream.js';
-import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import {
 	decodeHead, encodeResult, maximumRelayBodyBytes, noLink, relayHeadHeader, relayRefusalStatuses, type RelayHead, type RelayRefusal,
 } from './relay-codec.js';
+import {RelayedRequest, type RelayEnd} from './relayed-request.js';
 
 /** Requests of other instances that are passed on at a time; more would take the place of this instance's own callers. */
 const maximumRequests = 64;
 /** Largest size of the bodies of all requests that are passed on at a time. */
 const maximumTotalBodyBytes = 16_777_216;
-/** Longest time for which a request is passed on. */
-const maximumTimeoutMs = 60_000;
 const refusalLogIntervalMs = 1000;
 
 /** A request that is passed on, and the upstream that gets it. */
@@ -45,9 +42,9 @@
 export class RelayTask implements Task {
 	readonly name = 'relay';
 	readonly #options: RelayTaskOptions;
-	readonly #running = new Set<UpstreamChannel>();
+	/** Requests whose result is not written yet; the stop ends each of them. */
+	readonly #requests = new Set<RelayedRequest>();
 	#reservedBodyBytes = 0;
-	#requests = 0;
 	#isDraining = false;
 	#onIdle: (() => void) | undefined;
 	#refusalLoggedAtMs = Number.NEGATIVE_INFINITY;
@@ -56,13 +53,18 @@
 		this.#options = options;
 	}
 
+	/** Number of requests whose result is not written yet. */
+	get inFlight(): number {
+		return this.#requests.size;
+	}
+
 	async start(): Promise<Result<void, StartError>> {
 		return ok(undefined);
 	}
 
 	async drain(): Promise<void> {
 		this.#isDraining = true;
-		if (this.#requests > 0) {
+		if (this.#requests.size > 0) {
 			await new Promise<void>(resolve => {
 				this.#onIdle = resolve;
 			});
@@ -70,8 +72,8 @@
 	}
 
 	expire(): void {
-		for (const channel of this.#running) {
-			channel.cancel();
+		for (const request of this.#requests) {
+			request.expire();
 		}
 	}
 
@@ -82,25 +84,37 @@
 	/** Handles one request of another instance. */
 	async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const bodyBytes = Number(request.headers['content-length']);
-		const head = this.#admit(request, bodyBytes);
-		if (head.isErr()) {
-			this.#refuse(request, response, head.error);
+		const admitted = this.#admit(request, bodyBytes);
+		if (admitted.isErr()) {
+			this.#refuse(request, response, admitted.error);
 			return;
 		}
 
-		this.#requests += 1;
+		const relayed = this.#createRequest(request, response, admitted.value);
+		this.#requests.add(relayed);
 		this.#reservedBodyBytes += bodyBytes;
+		response.on('close', () => {
+			relayed.cancel();
+		});
 		try {
-			await this.#passOn(request, response, head.value);
+			this.#write(request, response, await relayed.run());
 		} finally {
 			this.#reservedBodyBytes -= bodyBytes;
-			this.#requests -= 1;
-			if (this.#requests === 0) {
+			this.#requests.delete(relayed);
+			if (this.#requests.size === 0) {
 				this.#onIdle?.();
 			}
 		}
 	}
 
+	#createRequest(request: IncomingMessage, response: ServerResponse, admitted: Admitted): RelayedRequest {
+		const {context: {clock, stop}, poisonGuard} = this.#options;
+		return new RelayedRequest({
+			...admitted, request, response, poisonGuard,
+			mayStart: () => stop.allows(clock.monotonicMs() + admitted.head.timeoutMs),
+		});
+	}
+
 	#admit({headers, socket}: IncomingMessage, bodyBytes: number): Result<Admitted, RelayRefusal> {
 		const {context: {clock, stop}, hasLostLink, isMember, upstreamOf} = this.#options;
 		if (!isMember(socket.remoteAddress ?? '')) {
@@ -116,7 +130,7 @@
 			return err('too-large');
 		}
 
-		if (this.#isDraining || this.#requests >= maximumRequests || this.#reservedBodyBytes + bodyBytes > maximumTotalBodyBytes) {
+		if (this.#isDraining || this.#requests.size >= maximumRequests || this.#reservedBodyBytes + bodyBytes > maximumTotalBodyBytes) {
 			return err('busy');
 		}
 
@@ -136,49 +150,24 @@
 		return ok<Admitted, RelayRefusal>({head: head.value, upstream});
 	}
 
-	async #passOn(request: IncomingMessage, response: ServerResponse, {head, upstream}: Admitted): Promise<void> {
-		const {context: {metrics}, poisonGuard} = this.#options;
-		const body = await readAll(request);
-		if (body === undefined) {
-			return;
-		}
+	#write(request: IncomingMessage, response: ServerResponse, end: RelayEnd): void {
+		switch (end.type) {
+			case 'exchanged': {
+				const {result} = end;
+				this.#options.context.metrics.relayed.inc({side: 'received', result: result.isOk() ? 'passed-on' : result.error.type});
+				writeResult(response, result.mapErr(failure => failure.type === 'cancelled' ? {type: 'broken', message: 'cancelled by the passing instance'} : failure));
+				break;
+			}
 
-		if (upstream.condition.isUnreachable) {
-			metrics.relayed.inc({side: 'received', result: 'not-connected'});
-			writeResult(response, err({type: 'not-connected', message: 'unreachable here too', isTimeout: true}));
-			return;
-		}
+			case 'refused': {
+				this.#refuse(request, response, end.reason);
+				break;
+			}
 
-		const channel = upstream.pool.takeOwn();
-		this.#running.add(channel);
-		let isRunning = true;
-		response.on('close', () => {
-			// Once the exchange has ended, its connection may carry another request.
-			if (isRunning) {
-				channel.cancel();
+			case 'gone': {
+				break;
 			}
-		});
-		const {upstream: _, fingerprint, ...outgoing} = head;
-		const result = await channel.exchange({
-			...outgoing,
-			timeoutMs: Math.min(maximumTimeoutMs, head.timeoutMs),
-			body: body.length === 0 ? undefined : body,
-			onLateEnd(late) {
-				if (late.isOk()) {
-					poisonGuard().forgetAbandoned(head.requestId, upstream);
-				}
-			},
-		});
-		isRunning = false;
-		this.#running.delete(channel);
-		upstream.pool.release(channel);
-		const isAbandoned = result.isErr() && (result.error.type === 'cancelled' || result.error.type === 'timed-out');
-		if (fingerprint !== undefined && isAbandoned && channel.isConnected) {
-			poisonGuard().recordAbandoned(suspectOfRelayed(head, fingerprint), upstream, {isAnswered: false});
 		}
-
-		metrics.relayed.inc({side: 'received', result: result.isOk() ? 'passed-on' : result.error.type});
-		writeResult(response, result.mapErr(failure => failure.type === 'cancelled' ? {type: 'broken', message: 'cancelled by the passing instance'} : failure));
 	}
 
 	#refuse(request: IncomingMessage, response: ServerResponse, refusal: RelayRefusal): void {
@@ -196,24 +185,6 @@
 	}
 }
 
-function suspectOfRelayed({requestId, method, target}: RelayHead, fingerprint: Fingerprint): SuspectRequest {
-	return {requestId, fingerprint: () => fingerprint, description: {method, target, isRelayed: true}};
-}
-
-/** @returns undefined if the connection ended before the whole body arrived */
-async function readAll(request: IncomingMessage): Promise<Uint8Array | undefined> {
-	const chunks: Uint8Array[] = [];
-	try {
-		for await (const chunk of request) {
-			chunks.push(chunk as Uint8Array);
-		}
-	} catch {
-		return undefined;
-	}
-
-	return Buffer.concat(chunks);
-}
-
 function writeResult(response: ServerResponse, result: Result<UpstreamAnswer, ExchangeFailure>): void {
 	const body = result.isOk() ? result.value.body : Buffer.alloc(0);
 	response.writeHead(200, {[relayHeadHeader]: encodeResult(result), 'Content-Length': body.length}).end(body);
