Relay: a fault in one relayed request leaves the others their results

What was seen: by reading; an exception while one exchange was cancelled ended the loop over the others and the whole stop, and raised from the close of the other instance's connection it ended the process, each with every request that was open. An exchange that failed by a fault kept its connection and its place in the list for ever.

Change: a fault in a cancellation is recorded and concerns its request alone, which ends with its state all the same; the connection is given back in every case.

--- a/packages/gateway/src/features/relay/relay-stop.spec.ts
+++ b/packages/gateway/src/features/relay/relay-stop.spec.ts
@@ -20,23 +20,24 @@
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import {
-	encodeHead, maximumRelayHeaderBytes, relayHeadHeader, relayPath,
+	encodeHead, maximumRelayBodyBytes, maximumRelayHeaderBytes, relayHeadHeader, relayPath,
 } from './relay-codec.js';
 import {RelayTask} from './relay-task.js';
 import {RelayedExchange} from './relayed-exchange.js';
 
 const host = '127.0.0.1';
 const timeoutMs = 5000;
+const longBodies = 10;
 const longStopMs = 2000;
 const requestsOfMix = 24;
 const seeds = [1, 2, 3, 4, 5, 6];
 
 /** How a channel to the upstream behaves. */
-type ChannelKind = 'connected' | 'connecting';
+type ChannelKind = 'connected' | 'connecting' | 'throws-on-cancel' | 'throws-on-exchange';
 
 /** States of requests, and the true result of each. */
 const mixedStates: ReadonlyArray<readonly [ChannelKind | 'reading-body', string]> = [
-	['connected', 'broken'], ['connecting', 'no-relay'], ['reading-body', 'leaving'],
+	['connected', 'broken'], ['connecting', 'no-relay'], ['throws-on-cancel', 'broken'], ['reading-body', 'leaving'],
 ];
 
 /** A channel whose request never ends by itself. */
@@ -56,6 +57,10 @@
 	}
 
 	async exchange(): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
+		if (this.#kind === 'throws-on-exchange') {
+			throw new Error('a fault of the program');
+		}
+
 		return new Promise(resolve => {
 			this.settle = resolve;
 		});
@@ -63,6 +68,10 @@
 
 	cancel(): void {
 		this.isCancelled = true;
+		if (this.#kind === 'throws-on-cancel') {
+			throw new Error('a fault of the program');
+		}
+
 		this.settle?.(err({type: 'cancelled'}));
 	}
 
@@ -129,7 +138,7 @@
 	}
 
 	/** Sends a request as an instance without links does, and returns what it learns: `answered`, or the type of the failure. */
-	async function pass(): Promise<string> {
+	async function pass(body?: Uint8Array): Promise<string> {
 		const peer: Partial<RelayPeer> = {host};
 		const exchange = new RelayedExchange({
 			upstream: 'u1' as UpstreamId,
@@ -141,7 +150,7 @@
 			onEnd: () => undefined,
 		});
 		const result = await exchange.exchange({
-			method: 'POST', target: '/', headers: [], body: undefined, requestId: 'a', timeoutMs,
+			method: 'POST', target: '/', headers: [], body, requestId: 'a', timeoutMs,
 		});
 		return result.match(() => 'answered', failure => failure.type);
 	}
@@ -235,11 +244,39 @@
 		assert.equal(await result, 'no-relay');
 	});
 
+	// Guards against a fault in the ending of one request that leaves the others without a result.
+	it('should get its result although the ending of another one fails', async () => {
+		nextKind = 'throws-on-cancel';
+		const failing = pass();
+		await untilRunning(1);
+		nextKind = 'connected';
+		const other = pass();
+		await untilRunning(2);
+		await end();
+		assert.deepEqual(await Promise.all([failing, other]), ['broken', 'broken']);
+		assert.ok(channels.every(({isReleased}) => isReleased));
+	});
+
+	it('should give its connection back if its exchange fails by a fault', async () => {
+		nextKind = 'throws-on-exchange';
+		assert.equal(await pass(), 'broken');
+		await task.drain();
+		assert.ok(channels[0]!.isReleased);
+		assert.equal(task.inFlight, 0);
+	});
+
 	it('should be refused as not sent once the instance has drained', async () => {
 		await task.drain();
 		assert.equal(await pass(), 'no-relay');
 	});
 
+	// Guards against a payment that is reported as unknown, as the connection is reset under its body before its refusal is read.
+	it('should be refused as not sent while its long body is on its way', async () => {
+		await task.drain();
+		const results = await Promise.all(Array.from({length: longBodies}, async () => pass(new Uint8Array(maximumRelayBodyBytes))));
+		assert.deepEqual(results, results.map(() => 'no-relay'));
+	});
+
 	/** Passes requests that are in drawn states once this resolves; each has its true result at the same place of `expected`. */
 	async function passMix(seed: number): Promise<{results: ReadonlyArray<Promise<string>>; expected: readonly string[]}> {
 		const random = createRandomSource(seed);
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -9,6 +9,7 @@
 import type {Context} from '../../kernel/context.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import {recordUnexpectedFault} from '../../kernel/unexpected-fault.js';
 import type {PoisonGuard} from '../calls/poison-guard.js';
 import type {ExchangeFailure} from '../upstreams/exchange.js';
 import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
@@ -108,10 +109,14 @@
 	}
 
 	#createRequest(request: IncomingMessage, response: ServerResponse, admitted: Admitted): RelayedRequest {
-		const {context: {clock, stop}, poisonGuard} = this.#options;
+		const {context, poisonGuard} = this.#options;
+		const {clock, stop} = context;
 		return new RelayedRequest({
 			...admitted, request, response, poisonGuard,
 			mayStart: () => stop.allows(clock.monotonicMs() + admitted.head.timeoutMs),
+			onFault(error) {
+				recordUnexpectedFault(context, 'peer', error, {id: admitted.head.requestId});
+			},
 		});
 	}
 
--- a/packages/gateway/src/features/relay/relayed-request.ts
+++ b/packages/gateway/src/features/relay/relayed-request.ts
@@ -31,6 +31,8 @@
 	readonly mayStart: () => boolean;
 	/** Counts crashes of upstreams under requests that are passed on. */
 	readonly poisonGuard: () => Pick<PoisonGuard, 'forgetAbandoned' | 'recordAbandoned'>;
+	/** Called if a fault of the program keeps the exchange from being cancelled. */
+	readonly onFault: (error: unknown) => void;
 };
 
 export class RelayedRequest {
@@ -66,7 +68,11 @@
 
 	/** Cancels the exchange, as the other instance no longer waits for it. */
 	cancel(): void {
-		this.#channel?.cancel();
+		try {
+			this.#channel?.cancel();
+		} catch (error) {
+			this.#options.onFault(error);
+		}
 	}
 
 	/** Ends the request, as the instance stops. */
@@ -79,12 +85,18 @@
 		const {response, upstream} = this.#options;
 		const channel = upstream.pool.takeOwn();
 		this.#channel = channel;
-		const result = await this.#send(channel, body);
-		this.#channel = undefined;
-		upstream.pool.release(channel);
-		this.#recordAbandoned(result, channel);
-		const wasNeverSent = result.isErr() && result.error.type === 'cancelled' && !channel.isConnected;
-		return wasNeverSent && !response.destroyed ? {type: 'refused', reason: 'leaving'} : {type: 'exchanged', result};
+		try {
+			const result = await this.#send(channel, body);
+			this.#recordAbandoned(result, channel);
+			const wasNeverSent = result.isErr() && result.error.type === 'cancelled' && !channel.isConnected;
+			return wasNeverSent && !response.destroyed ? {type: 'refused', reason: 'leaving'} : {type: 'exchanged', result};
+		} catch (error) {
+			this.cancel();
+			throw error;
+		} finally {
+			this.#channel = undefined;
+			upstream.pool.release(channel);
+		}
 	}
 
 	async #send(channel: UpstreamChannel, body: Uint8Array): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
