Relay: a request is in flight until its answer has left the process

What was seen: an answer of 24 MB that was being written as its instance had drained was cut (`aborted`); the asking instance tells its caller that the request may have run, although its answer was ready.

Cause: a relayed request left the list once its answer was handed to the response, so that the stop did not wait for its bytes and closed the connection.

Change: it leaves the list once its response has left the process or its connection has closed. The memory of its body is given back before, as its exchange has ended.

The fake response of relay-task.spec closes as it ends now, as a real one does; its checks are unchanged.

--- a/packages/gateway/src/features/relay/relay-stop.spec.ts
+++ b/packages/gateway/src/features/relay/relay-stop.spec.ts
@@ -6,16 +6,17 @@
 import {
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
-import {setTimeout as delay} from 'node:timers/promises';
+import {setImmediate as turn, setTimeout as delay} from 'node:timers/promises';
 import {systemClock, type UpstreamId} from '@cairnbank/core';
 import {createRandomSource} from '@cairnbank/core/random';
 import type {RelayPeer} from '@cairnbank/core/reachability';
-import {err, type Result} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import {StopDeadline} from '../../kernel/stop-deadline.js';
 import {createMetrics} from '../../metrics/metrics.js';
 import {PeerServer} from '../fleet/peer-server.js';
 import type {ExchangeFailure} from '../upstreams/exchange.js';
+import {answerOf} from '../upstreams/upstream-answer-fixture.js';
 import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import type {Upstream} from '../upstreams/upstream.js';
@@ -27,6 +28,8 @@
 
 const host = '127.0.0.1';
 const timeoutMs = 5000;
+/** An answer that no socket buffer holds as a whole. */
+const longAnswerBytes = 24_000_000;
 const longBodies = 10;
 const longStopMs = 2000;
 const requestsOfMix = 24;
@@ -265,6 +268,25 @@
 		assert.equal(task.inFlight, 0);
 	});
 
+	// Guards against an answer that is cut because the request counts as ended before its bytes have left the process.
+	it('should count as in flight until its answer is written', async () => {
+		const outgoing = await sendHalf();
+		outgoing.end('b');
+		await untilRunning(1);
+		const arrived = once(outgoing, 'response') as Promise<[IncomingMessage]>;
+		channels[0]!.settle!(ok(answerOf(200, [], new Uint8Array(longAnswerBytes))));
+		const [response] = await arrived;
+		const ended = end();
+		await turn();
+		let bytes = 0;
+		for await (const chunk of response) {
+			bytes += (chunk as Uint8Array).length;
+		}
+
+		await ended;
+		assert.equal(bytes, longAnswerBytes);
+	});
+
 	it('should be refused as not sent once the instance has drained', async () => {
 		await task.drain();
 		assert.equal(await pass(), 'no-relay');
--- a/packages/gateway/src/features/relay/relay-task.spec.ts
+++ b/packages/gateway/src/features/relay/relay-task.spec.ts
@@ -20,6 +20,7 @@
 
 class FakeResponse {
 	status: number | undefined;
+	writableFinished = false;
 	readonly #closeListeners: Array<() => void> = [];
 
 	on(_event: 'close', listener: () => void): this {
@@ -39,6 +40,8 @@
 	}
 
 	end(): this {
+		this.writableFinished = true;
+		this.close();
 		return this;
 	}
 }
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -93,14 +93,14 @@
 
 		const relayed = this.#createRequest(request, response, admitted.value);
 		this.#requests.add(relayed);
-		this.#reservedBodyBytes += bodyBytes;
 		response.on('close', () => {
 			relayed.cancel();
 		});
 		try {
-			this.#write(request, response, await relayed.run());
+			const end = await this.#run(relayed, bodyBytes);
+			this.#write(request, response, end);
+			await untilClosed(response);
 		} finally {
-			this.#reservedBodyBytes -= bodyBytes;
 			this.#requests.delete(relayed);
 			if (this.#requests.size === 0) {
 				this.#onIdle?.();
@@ -108,6 +108,15 @@
 		}
 	}
 
+	async #run(relayed: RelayedRequest, bodyBytes: number): Promise<RelayEnd> {
+		this.#reservedBodyBytes += bodyBytes;
+		try {
+			return await relayed.run();
+		} finally {
+			this.#reservedBodyBytes -= bodyBytes;
+		}
+	}
+
 	#createRequest(request: IncomingMessage, response: ServerResponse, admitted: Admitted): RelayedRequest {
 		const {context, poisonGuard} = this.#options;
 		const {clock, stop} = context;
@@ -194,3 +203,14 @@
 	const body = result.isOk() ? result.value.body : Buffer.alloc(0);
 	response.writeHead(200, {[relayHeadHeader]: encodeResult(result), 'Content-Length': body.length}).end(body);
 }
+
+/** Resolves once the response has left the process, or the other instance has disconnected. */
+async function untilClosed(response: ServerResponse): Promise<void> {
+	if (response.writableFinished || response.destroyed) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		response.on('close', resolve);
+	});
+}
