Peer port: the next answer on each connection of a leaving instance is its last

What was seen: an instance kept the connections of others open to its end. A request that another one sent on such a connection as the process ended was told as one that may have run (`broken`), although nobody had read it.

Cause: the port had no part in the stop but its end, which closes all connections at once.

Change: from the start of the stop each answer closes its connection, and idle ones are closed as the instance drains, after what has already arrived on them was read. Later requests need a new connection, which is refused: proof that nothing was sent.

--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -162,9 +162,14 @@
 
 	leave(): void {
 		this.#isLeaving = true;
+		this.#peerServer.leave();
 		this.announce();
 	}
 
+	async drain(): Promise<void> {
+		await this.#peerServer.drain();
+	}
+
 	stop(): void {
 		this.#isStopped = true;
 		clearTimeout(this.#roundTimer);
--- a/packages/gateway/src/features/fleet/peer-server.ts
+++ b/packages/gateway/src/features/fleet/peer-server.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import type {Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
+import {LastAnswers} from '../../kernel/last-answers.js';
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import {pathOf} from '../../kernel/target.js';
@@ -24,6 +25,7 @@
 
 export class PeerServer {
 	readonly #server: Server;
+	readonly #lastAnswers: LastAnswers;
 
 	constructor({context, handlers, maximumHeaderBytes}: PeerServerOptions) {
 		this.#server = createServer({maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: keepAliveMs, noDelay: true}, containFaults(context, 'peer', async (request, response) => {
@@ -35,6 +37,7 @@
 				await handler(request, response);
 			}
 		}));
+		this.#lastAnswers = new LastAnswers(this.#server);
 	}
 
 	/** The port that is listened on; undefined before the start. */
@@ -47,6 +50,16 @@
 		return listen(this.#server, 'state', address);
 	}
 
+	/** Called when a graceful stop begins. */
+	leave(): void {
+		this.#lastAnswers.leave();
+	}
+
+	/** Closes idle connections. */
+	async drain(): Promise<void> {
+		await this.#lastAnswers.closeIdle();
+	}
+
 	stop(): void {
 		this.#server.close();
 		this.#server.closeAllConnections();
--- a/packages/gateway/src/features/relay/relay-stop.spec.ts
+++ b/packages/gateway/src/features/relay/relay-stop.spec.ts
@@ -287,6 +287,17 @@
 		assert.equal(bytes, longAnswerBytes);
 	});
 
+	// Guards against a payment that is reported as unknown, as it is sent on a connection that the end of the instance closes.
+	it('should be the last on its connection once the instance leaves', async () => {
+		const first = pass();
+		await untilRunning(1);
+		server.leave();
+		channels[0]!.settle!(ok(answerOf(200)));
+		assert.equal(await first, 'answered');
+		server.stop();
+		assert.equal(await pass(), 'no-relay');
+	});
+
 	it('should be refused as not sent once the instance has drained', async () => {
 		await task.drain();
 		assert.equal(await pass(), 'no-relay');
