Directory: the next answer on each connection of a leaving instance is its last

What callers saw: a lookup that was sent on a kept connection as an instance ended was reset. Callers keep these connections for 20 s, longer than a stop lasts.

Cause: the ports of directory, readiness and control had no part in the stop but its end, which destroys all connections, also those on which a request has just arrived.

Change: as on the peer port. From the start of the stop each answer closes its connection; as the instance drains, idle ones are closed after what has already arrived on them was read. Lookups on new connections are answered until the end.

--- a/packages/gateway/src/features/directory/directory-task.ts
+++ b/packages/gateway/src/features/directory/directory-task.ts
@@ -6,6 +6,7 @@
 import {chooseAddresses, type Addressable} from '@cairnbank/core/fleet';
 import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
+import {LastAnswers} from '../../kernel/last-answers.js';
 import {listen, splitAddress} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
@@ -33,14 +34,17 @@
 	readonly name = 'directory';
 	readonly #options: DirectoryTaskOptions;
 	readonly #servers = new Map<string, Server>();
+	readonly #lastAnswers: LastAnswers[] = [];
 
 	constructor(options: DirectoryTaskOptions) {
 		this.#options = options;
 		const {directory, readiness, control} = options.context.settings.listen;
 		for (const address of new Set([directory, readiness, ...(control === undefined ? [] : [control])])) {
-			this.#servers.set(address, createServer({keepAliveTimeout: keepAliveMs}, containFaults(options.context, 'directory', async (request, response) => {
+			const server = createServer({keepAliveTimeout: keepAliveMs}, containFaults(options.context, 'directory', async (request, response) => {
 				this.#answer(request, response);
-			})));
+			}));
+			this.#servers.set(address, server);
+			this.#lastAnswers.push(new LastAnswers(server));
 		}
 	}
 
@@ -55,6 +59,17 @@
 		return ok(undefined);
 	}
 
+	leave(): void {
+		for (const answers of this.#lastAnswers) {
+			answers.leave();
+		}
+	}
+
+	/** Closes idle connections; lookups on new ones are answered until the end. */
+	async drain(): Promise<void> {
+		await Promise.all(this.#lastAnswers.map(async answers => answers.closeIdle()));
+	}
+
 	stop(): void {
 		for (const server of this.#servers.values()) {
 			server.close();
