Daemon: the end of the time to drain answers the calls that are still open

What callers saw: a call that was open as `maximumDrainMs` was over kept its connection for the read timeout, then the connection closed without an answer, whether the call ran, waited for its upstream or was still being read.

`drain` waited for calls in flight, and nobody ended them after it: the tasks were stopped, which closes connections. A call under a ticket could not be ended at all, as its run is detached from its caller.

Change: each call has an owner from its head until its response has closed (`OpenCall`). Tasks have `expire`, called once the time to drain is over: the admission refuses what waits, then each call is cancelled for the reason `stopping`, which detached runs follow too and which gives the true outcome: not run or unknown. A call whose request has not been read is refused; one that has no outcome a turn later, as it waits for a claim or for another instance, is told as unknown. Calls that other instances forwarded are cancelled in the same way. `stopping` is a reason for an unknown outcome now.

One call in admission-stage.spec passes the reason that `cancel` asks for now; its checks are unchanged.

--- a/packages/core/src/outcomes/unknown-reason.ts
+++ b/packages/core/src/outcomes/unknown-reason.ts
@@ -13,6 +13,7 @@
 	/** The records that would show whether the key was claimed are no longer in the log. */
 	'key-too-old',
 	'caller-gone',
+	'stopping',
 ] as const;
 
 export type UnknownReason = typeof unknownReasons[number];
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -80,6 +80,10 @@
 
 		const drained = Promise.all(this.#started.map(async task => task.drain?.()));
 		await Promise.race([drained, delay(settings.stopping.maximumDrainMs)]);
+		for (const task of this.#started) {
+			task.expire?.();
+		}
+
 		for (const task of this.#started.toReversed()) {
 			await task.stop();
 		}
--- a/packages/daemon/src/features/at-most-once/at-most-once-stage.ts
+++ b/packages/daemon/src/features/at-most-once/at-most-once-stage.ts
@@ -62,9 +62,13 @@
 		const decision = binding.type === 'ticket'
 			? this.#parts.ticketRunner.handle(boundCall, binding.ticket, this.#next)
 			: this.#parts.keyRunner.handleOwnedKey(boundCall, binding.key, owner, this.#next);
-		const answer = await this.#answerForwarded(decision);
-		call.trace.end(answer.type);
-		return answer;
+		try {
+			const answer = await this.#answerForwarded(decision);
+			call.trace.end(answer.type);
+			return answer;
+		} finally {
+			this.#parts.forwardedCalls.end(call);
+		}
 	}
 
 	async #handle(call: Call): Promise<Outcome> {
--- a/packages/daemon/src/features/at-most-once/at-most-once-task.ts
+++ b/packages/daemon/src/features/at-most-once/at-most-once-task.ts
@@ -37,6 +37,7 @@
 	readonly #tables: AtMostOnceTables;
 	readonly #runs = new RunsInFlight();
 	readonly #claimLog: ClaimLog;
+	readonly #forwardedCalls: ForwardedCalls;
 	readonly #receiver: HandOverReceiver;
 	readonly #handOverResult: Promise<HandOverResult>;
 	#resolveHandOver!: (result: HandOverResult) => void;
@@ -55,6 +56,7 @@
 		this.#handOverResult = new Promise(resolve => {
 			this.#resolveHandOver = resolve;
 		});
+		this.#forwardedCalls = new ForwardedCalls(context);
 		this.stage = this.#createStage(metrics);
 		metrics.registerTableSizes(context.metrics, () => this.#tableSizes());
 	}
@@ -92,6 +94,10 @@
 		this.#resolveHandOver(result);
 	}
 
+	expire(): void {
+		this.#forwardedCalls.expire();
+	}
+
 	async stop(): Promise<void> {
 		await this.#claimLog.stop();
 	}
@@ -110,7 +116,7 @@
 				owner: incarnation, clock, keyTable, adoptedKeyRuns, claimLog: this.#claimLog, runs, forward: async (boundCall, owner) => forwarder.forward(boundCall, owner),
 			}),
 			forwarder,
-			forwardedCalls: new ForwardedCalls(this.#context),
+			forwardedCalls: this.#forwardedCalls,
 			metrics,
 			handOverResult: this.#handOverResult,
 		});
--- a/packages/daemon/src/features/at-most-once/forwarded-calls.ts
+++ b/packages/daemon/src/features/at-most-once/forwarded-calls.ts
@@ -8,6 +8,8 @@
 
 export class ForwardedCalls {
 	readonly #context: DaemonContext;
+	/** Cancellations of the calls that are not answered yet. */
+	readonly #open = new Set<Cancellation>();
 	#configuration: ConfigurationInForce | undefined;
 
 	constructor(context: DaemonContext) {
@@ -25,6 +27,8 @@
 		}
 
 		const {method, path, headers, tenant, previousAttempts, binding, traceparent, tracestate} = message;
+		const cancellation = new Cancellation();
+		this.#open.add(cancellation);
 		const {requestClass} = this.#configuration.classifier.classify(service.id, method, path);
 		return {
 			serviceId: service.id,
@@ -42,8 +46,20 @@
 			idempotencyKey: binding.type === 'key' ? binding.key : undefined,
 			previousAttempts,
 			trace: this.#context.tracing.startEntry({traceparent, tracestate}, {service: service.id, class: requestClass.id}),
-			cancellation: new Cancellation(),
+			cancellation,
 			sink: undefined,
 		};
 	}
+
+	/** Must be called once a call has been answered. */
+	end({cancellation}: Call): void {
+		this.#open.delete(cancellation);
+	}
+
+	/** Ends all calls that are not answered yet, as the time to drain is over. */
+	expire(): void {
+		for (const cancellation of this.#open) {
+			cancellation.cancel('stopping');
+		}
+	}
 }
--- a/packages/daemon/src/features/calls/attempt-loop.ts
+++ b/packages/daemon/src/features/calls/attempt-loop.ts
@@ -39,8 +39,9 @@
 			return {type: 'not-run', reason: 'answers-held-full'};
 		}
 
-		if (this.#call.cancellation.cancelled) {
-			return {type: 'not-run', reason: 'caller-gone'};
+		const {reason} = this.#call.cancellation;
+		if (reason !== undefined) {
+			return {type: 'not-run', reason};
 		}
 
 		if (remainingMs(this.#call.deadlineAtMs, this.#dependencies.clock.monotonicMs()) === undefined) {
@@ -57,8 +58,8 @@
 		const nowMs = this.#dependencies.clock.monotonicMs();
 		this.#policy.retryBudget.deposit(nowMs);
 		this.#hedging?.budget.deposit(nowMs);
-		this.#unsubscribe = this.#call.cancellation.onCancel(() => {
-			this.#cancelCall('caller-gone');
+		this.#unsubscribe = this.#call.cancellation.onCancel(reason => {
+			this.#cancelCall(reason);
 		});
 		this.#setTimer(this.#call.deadlineAtMs, nowMs);
 		const refusal = this.#dependencies.poisonGuard.refusal(this.#call);
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -14,11 +14,11 @@
 import type {Task} from '../../kernel/task.js';
 import type {CallHandler} from './call-handler.js';
 import {CallsInFlight} from './calls-in-flight.js';
-import {Cancellation} from './cancellation.js';
 import type {HeldAnswers} from './held-answers.js';
 import {prepareConfiguration, type ConfigurationInForce} from './configuration-in-force.js';
 import {toRefusalProblem, type Refusal} from './refusal-problem.js';
 import {writeProblem} from './problem.js';
+import {OpenCall} from './open-call.js';
 import {readCall, type CallReaderOptions} from './read-call.js';
 import {refuseUnreadable} from './refuse-unreadable.js';
 import {ResponseSink} from './response-sink.js';
@@ -65,6 +65,8 @@
 	readonly #server: Server;
 	readonly #callsInFlight: CallsInFlight;
 	readonly #unansweredRequests = new UnansweredRequests();
+	/** Calls whose response has not closed. */
+	readonly #openCalls = new Set<OpenCall>();
 	#configuration: ConfigurationInForce | undefined;
 	#leaving = false;
 	#refusing = false;
@@ -109,6 +111,16 @@
 		await this.#callsInFlight.waitUntilIdle();
 	}
 
+	expire(): void {
+		for (const open of this.#openCalls) {
+			try {
+				open.expire();
+			} catch (error) {
+				this.#context.logger.error('call not cancelled as the instance stops', {detail: String(error)});
+			}
+		}
+	}
+
 	async stop(): Promise<void> {
 		await closeServer(this.#server, this.#context.settings.calls.readTimeoutMs);
 	}
@@ -166,24 +178,31 @@
 		}
 
 		this.#unansweredRequests.begin(request);
-		const cancellation = new Cancellation();
+		const open = new OpenCall();
+		this.#openCalls.add(open);
 		let heldBytes = 0;
 		response.once('close', () => {
 			this.#callsInFlight.end();
 			this.#unansweredRequests.end(request);
 			this.#heldAnswers.remove(heldBytes);
-			cancellation.cancel();
+			this.#openCalls.delete(open);
+			open.cancellation.cancel('caller-gone');
 		});
-		const call = await readCall({
-			request, configuration: this.#configuration, cancellation, sink: new ResponseSink(response),
-		}, this.#readerOptions);
+		const call = await open.untilRead(readCall({
+			request, configuration: this.#configuration, cancellation: open.cancellation, sink: new ResponseSink(response),
+		}, this.#readerOptions));
+		if (call === 'expired') {
+			writeProblem(response, toRefusalProblem(request, stoppingRefusal));
+			return;
+		}
+
 		if (call.isErr()) {
 			response.setHeader('connection', 'close');
 			writeProblem(response, toRefusalProblem(request, call.error));
 			return;
 		}
 
-		const outcome = await this.#handler(call.value);
+		const outcome = await open.untilRun(this.#handler(call.value));
 		if (outcome.type === 'answered' && !response.closed) {
 			// An answer that a slow caller has not fully received yet still occupies memory.
 			heldBytes = outcome.answer.body.length;
--- a/packages/daemon/src/features/calls/cancellation.ts
+++ b/packages/daemon/src/features/calls/cancellation.ts
@@ -1,13 +1,21 @@
-/** Notifies the code that handles a call when the caller no longer waits for it. Cheaper than an AbortSignal per call. */
+/** Notifies the code that handles a call when it has to end the call. Cheaper than an AbortSignal per call. */
 
-type Listener = () => void;
+/** The reason why a call ends before it has an outcome: its caller no longer waits, or the time of this instance to drain is over. */
+export type CancellationReason = 'caller-gone' | 'stopping';
+
+type Listener = (reason: CancellationReason) => void;
 
 export class Cancellation {
-	#cancelled = false;
+	#reason: CancellationReason | undefined;
 	#listeners: Listener[] = [];
 
 	get cancelled(): boolean {
-		return this.#cancelled;
+		return this.#reason !== undefined;
+	}
+
+	/** Undefined while the call is not cancelled. */
+	get reason(): CancellationReason | undefined {
+		return this.#reason;
 	}
 
 	/** @returns a function that removes the listener */
@@ -21,16 +29,16 @@
 		};
 	}
 
-	cancel(): void {
-		if (this.#cancelled) {
+	cancel(reason: CancellationReason): void {
+		if (this.#reason !== undefined) {
 			return;
 		}
 
-		this.#cancelled = true;
+		this.#reason = reason;
 		const listeners = this.#listeners;
 		this.#listeners = [];
 		for (const listener of listeners) {
-			listener();
+			listener(reason);
 		}
 	}
 }
--- a/packages/daemon/src/features/calls/crash-check.ts
+++ b/packages/daemon/src/features/calls/crash-check.ts
@@ -1,11 +1,12 @@
 /** Checks, after an attempt ended without an answer, whether its upstream crashed, and reports crashes to the poison guard. */
-import type {AttemptResult} from '@cairnbank/core/outcomes';
+import type {AttemptResult, UnknownReason} from '@cairnbank/core/outcomes';
 import type {ChosenUpstream} from '../upstreams/chosen-upstream.js';
 import type {Call} from './call.js';
 import type {CrashDetector} from './crash-detector.js';
 import type {PoisonGuard} from './poison-guard.js';
 
 const suspectRetryAfterMs = 1000;
+const abandonedReasons: ReadonlySet<UnknownReason> = new Set(['caller-gone', 'deadline-exceeded', 'stopping']);
 
 export type CrashCheckInput = {
 	readonly call: Call;
@@ -51,7 +52,7 @@
 }
 
 function isAbandoned(result: AttemptResult): boolean {
-	return result.type === 'unknown' && (result.reason === 'caller-gone' || result.reason === 'deadline-exceeded');
+	return result.type === 'unknown' && abandonedReasons.has(result.reason);
 }
 
 function isConnectionRefused(result: AttemptResult): boolean {
--- a/packages/daemon/src/features/calls/upstream-attempt.ts
+++ b/packages/daemon/src/features/calls/upstream-attempt.ts
@@ -13,6 +13,7 @@
 import {isDelimited, type AnswerHeaders} from './answer-framing.js';
 import {requestHeaders, toRawHeaders, type HeaderBytes} from './attempt-headers.js';
 import type {Call} from './call.js';
+import type {CancellationReason} from './cancellation.js';
 import type {HeldAnswers} from './held-answers.js';
 import {parseRetryAfterMs} from './retry-after.js';
 
@@ -20,7 +21,7 @@
 const firstFinalStatusCode = 200;
 
 /** The reason why an attempt is cancelled before the upstream has answered. */
-export type CancelReason = 'caller-gone' | 'deadline-exceeded';
+export type CancelReason = CancellationReason | 'deadline-exceeded';
 
 export type AttemptOptions = {
 	readonly call: Call;
--- a/packages/daemon/src/features/upstreams/admission-stage.spec.ts
+++ b/packages/daemon/src/features/upstreams/admission-stage.spec.ts
@@ -89,7 +89,7 @@
 		const {state, stage, handler, createCall} = setUp(10);
 		const call = createCall(5);
 		const outcome = handler(call);
-		call.cancellation.cancel();
+		call.cancellation.cancel('caller-gone');
 		assert.deepEqual(await outcome, {type: 'not-run', reason: 'caller-gone'});
 		state.freeSlots = 1;
 		stage.onSlotFreed(service);
--- a/packages/daemon/src/features/upstreams/admission-stage.ts
+++ b/packages/daemon/src/features/upstreams/admission-stage.ts
@@ -106,9 +106,9 @@
 			this.#refuse(result.evicted.payload, 'queue-full', result.retryAfterMs);
 		}
 
-		call.cancellation.onCancel(() => {
+		call.cancellation.onCancel(reason => {
 			if (queue.cancel(request)) {
-				waitingCall.end({type: 'not-run', reason: 'caller-gone'});
+				waitingCall.end({type: 'not-run', reason});
 			}
 		});
 		this.#dependencies.metrics.countQueued(call.serviceId);
--- a/packages/daemon/src/features/upstreams/upstreams-task.ts
+++ b/packages/daemon/src/features/upstreams/upstreams-task.ts
@@ -68,6 +68,11 @@
 		return ok(undefined);
 	}
 
+	/** Refuses the calls that wait, before the end of those that run would start them. */
+	expire(): void {
+		this.admission.stop();
+	}
+
 	async stop(): Promise<void> {
 		this.#prober.stop();
 		clearInterval(this.#instancesTimer);
--- a/packages/daemon/src/kernel/task.ts
+++ b/packages/daemon/src/kernel/task.ts
@@ -10,6 +10,8 @@
 	leave?(): Promise<void>;
 	/** Resolves once `stop` would interrupt no request in flight. */
 	drain?(): Promise<void>;
+	/** Called when the time to drain is over. Ends all requests that are still in flight, each with an answer. */
+	expire?(): void;
 	/** Closes sockets and timers. */
 	stop(): Promise<void>;
 };
