Daemon: calls behind others end with their connection

What was seen: an instance whose caller had sent three requests ahead and disconnected did not stop within 8 s, as it waited for calls in flight until `maximumDrainMs` (600 s). By reading: each such request also kept a place of `maximumInFlight` for ever, and its run was never cancelled.

Cause: when a connection closes, Node.js closes only the response whose answer comes next. The responses behind it have no socket yet and never emit `close`, by which the listener counts calls in flight, cancels runs and gives back memory.

Change: the listener closes the responses that wait behind others itself once their connection has closed.

--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -177,13 +177,12 @@
 			return;
 		}
 
-		this.#unansweredRequests.begin(request);
+		this.#unansweredRequests.begin(response);
 		const open = new OpenCall();
 		this.#openCalls.add(open);
 		let heldBytes = 0;
 		response.once('close', () => {
 			this.#callsInFlight.end();
-			this.#unansweredRequests.end(request);
 			this.#heldAnswers.remove(heldBytes);
 			this.#openCalls.delete(open);
 			open.cancellation.cancel('caller-gone');
@@ -203,7 +202,7 @@
 		}
 
 		const outcome = await open.untilRun(this.#handler(call.value));
-		if (outcome.type === 'answered' && !response.closed) {
+		if (outcome.type === 'answered' && !response.destroyed) {
 			// An answer that a slow caller has not fully received yet still occupies memory.
 			heldBytes = outcome.answer.body.length;
 			this.#heldAnswers.add(heldBytes);
--- a/packages/daemon/src/features/calls/unanswered-requests.ts
+++ b/packages/daemon/src/features/calls/unanswered-requests.ts
@@ -1,25 +1,42 @@
 /** Tracks the requests on each caller connection that are not answered yet. */
-import type {IncomingMessage} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
 export class UnansweredRequests {
-	readonly #byConnection = new WeakMap<Socket, Set<IncomingMessage>>();
+	readonly #byConnection = new WeakMap<Socket, Set<ServerResponse>>();
 
-	begin(request: IncomingMessage): void {
-		const requests = this.#byConnection.get(request.socket);
-		if (requests === undefined) {
-			this.#byConnection.set(request.socket, new Set([request]));
-		} else {
-			requests.add(request);
-		}
-	}
-
-	end(request: IncomingMessage): void {
-		this.#byConnection.get(request.socket)?.delete(request);
+	begin(response: ServerResponse): void {
+		const responses = this.#responsesOf(response.req.socket);
+		responses.add(response);
+		response.once('close', () => {
+			responses.delete(response);
+		});
 	}
 
 	/** Returns whether a fully received request of this connection may be running. */
 	mayBeRunning(connection: Socket): boolean {
-		return [...this.#byConnection.get(connection) ?? []].some(({complete}) => complete);
+		return [...this.#byConnection.get(connection) ?? []].some(({req}) => req.complete);
+	}
+
+	#responsesOf(connection: Socket): Set<ServerResponse> {
+		const known = this.#byConnection.get(connection);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const responses = new Set<ServerResponse>();
+		this.#byConnection.set(connection, responses);
+		connection.once('close', () => {
+			closeQueued(responses);
+		});
+		return responses;
+	}
+}
+
+/** Closes the responses that wait behind others; Node.js closes only the one whose answer comes next. */
+function closeQueued(responses: ReadonlySet<ServerResponse>): void {
+	for (const response of [...responses].filter(({socket}) => socket === null)) {
+		response.destroy();
+		response.emit('close');
 	}
 }
