Daemon: requests sent ahead are answered if they run, also while an instance leaves

What callers saw: of three payments sent ahead on one connection of a leaving instance all ran and one was answered; the connection closed under the others.

Cause: the listener marked each answer of a leaving instance as the last on its connection as its request arrived, though others behind it were running already. The same for the refusal of an unreadable request, whatever was running behind it.

Change: a request that arrives keeps the connection open for its own answer. It is not started if an answer before it has announced the end of the connection. A refusal ends the connection only if the body of its request has not been read.

--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -147,8 +147,13 @@
 		});
 		// Calls bypass hono, because it answers HEAD through GET with a response of its own and creates a web request object for each call.
 		server.on('request', (request, response) => {
+			if (!this.#unansweredRequests.tryBegin(response)) {
+				request.resume();
+				return;
+			}
+
 			if (this.#leaving) {
-				response.setHeader('connection', 'close');
+				response.shouldKeepAlive = false;
 			}
 
 			void (request.url!.startsWith(ownRoutesPrefix) ? serveOwnRoute(request, response) : this.#serveCall(request, response));
@@ -177,7 +182,6 @@
 			return;
 		}
 
-		this.#unansweredRequests.begin(response);
 		const open = new OpenCall();
 		this.#openCalls.add(open);
 		let heldBytes = 0;
@@ -196,7 +200,7 @@
 		}
 
 		if (call.isErr()) {
-			response.setHeader('connection', 'close');
+			response.shouldKeepAlive &&= request.complete;
 			writeProblem(response, toRefusalProblem(request, call.error));
 			return;
 		}
--- a/packages/daemon/src/features/calls/unanswered-requests.ts
+++ b/packages/daemon/src/features/calls/unanswered-requests.ts
@@ -5,12 +5,26 @@
 export class UnansweredRequests {
 	readonly #byConnection = new WeakMap<Socket, Set<ServerResponse>>();
 
-	begin(response: ServerResponse): void {
-		const responses = this.#responsesOf(response.req.socket);
+	/**
+	 * Records a request. The answers before it keep the connection open for its own.
+	 * @returns false if an answer before it has ended the connection already; the request must not run then
+	 */
+	tryBegin(response: ServerResponse): boolean {
+		const {socket} = response.req;
+		const responses = this.#responsesOf(socket);
+		if (socket.writableEnded || [...responses].some(earlier => earlier.headersSent && !earlier.shouldKeepAlive)) {
+			return false;
+		}
+
+		for (const earlier of responses) {
+			earlier.shouldKeepAlive = true;
+		}
+
 		responses.add(response);
 		response.once('close', () => {
 			responses.delete(response);
 		});
+		return true;
 	}
 
 	/** Returns whether a fully received request of this connection may be running. */
--- a/packages/testing/src/calls/sent-ahead.spec.ts
+++ b/packages/testing/src/calls/sent-ahead.spec.ts
@@ -9,11 +9,12 @@
 /** Time that the instance leaves in, long enough for requests to arrive and be answered within it. */
 const leavingMs = 1500;
 const serviceMs = '200';
+const answerMs = 1000;
 /** Shorter than the requests run. */
 const disconnectMs = 100;
 const maximumStopMs = 8000;
 
-describe('requests sent ahead on a connection', () => {
+describe('requests sent ahead on a connection of an instance that leaves', () => {
 	let deployment: Deployment;
 
 	beforeEach(async () => {
@@ -46,6 +47,14 @@
 		assert.ok(await Promise.race([stopped, delay(maximumStopMs, undefined, {ref: false})]), 'the instance has not stopped');
 	}
 
+	async function sendAheadWhileLeaving(heads: readonly string[]): Promise<string> {
+		const stopped = stopInTime();
+		await deployment.daemons[0]!.process.waitForLine('the instance leaves', ({event}) => event === 'leaving');
+		const received = await sendAhead(heads, answerMs);
+		await stopped;
+		return received;
+	}
+
 	function payment(id: string): string {
 		return `POST /ledger/x HTTP/1.1\r\nx-request-id: ${id}\r\nx-service-ms: ${serviceMs}`;
 	}
@@ -55,4 +64,17 @@
 		await sendAhead(['a', 'b', 'c'].map(id => payment(id)), disconnectMs);
 		await stopInTime();
 	});
+
+	// Guards against a payment that runs although the answer before it ends its connection.
+	it('should be answered if they run', async () => {
+		const received = await sendAheadWhileLeaving(['a', 'b', 'c'].map(id => payment(id)));
+		const runs = deployment.countRuns().size;
+		assert.ok(runs > 0);
+		assert.equal(received.split('HTTP/1.1 200').length - 1, runs);
+	});
+
+	it('should be answered if they run behind a request that is refused', async () => {
+		const received = await sendAheadWhileLeaving(['GET /unknown HTTP/1.1', payment('a')]);
+		assert.equal(received.split('HTTP/1.1 200').length - 1, deployment.countRuns().size);
+	});
 });
