Daemon: bytes that are no request leave earlier requests their answers

What callers saw: a payment ran and its connection was destroyed, as bytes that are no request, or a header that is too long, followed it on its connection.

Cause: the listener chose between two answers only, a refusal that the caller would have taken for the payment's, and none. The request that ran had no owner that would have kept the connection for it.

Change: the connection closes once the requests that were fully received on it are answered, and nothing that follows on it is started.

--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -163,14 +163,21 @@
 			writeProblem(response, toRefusalProblem(request, unsupportedExpectationRefusal));
 		});
 		server.on('connect', (_request, socket: Socket) => {
-			refuseUnreadable(socket, this.#unansweredRequests.mayBeRunning(socket));
+			this.#refuseUnreadable(socket);
 		});
 		server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			refuseUnreadable(socket, this.#unansweredRequests.mayBeRunning(socket), error.code);
+			this.#refuseUnreadable(socket, error.code);
 		});
 		return server;
 	}
 
+	/** Refuses bytes that are no request, unless the caller would take the refusal for the answer to an earlier one. */
+	#refuseUnreadable(socket: Socket, errorCode?: string): void {
+		if (!this.#unansweredRequests.closeAfterAnswers(socket)) {
+			refuseUnreadable(socket, errorCode);
+		}
+	}
+
 	async #serveCall(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		if (this.#refusing) {
 			writeProblem(response, toRefusalProblem(request, stoppingRefusal));
--- a/packages/daemon/src/features/calls/refuse-unreadable.ts
+++ b/packages/daemon/src/features/calls/refuse-unreadable.ts
@@ -11,13 +11,9 @@
 const badRequest = toRawResponse('400 Bad Request');
 const headersTooLarge = toRawResponse('431 Request Header Fields Too Large');
 
-/**
- * Refuses unreadable input and closes the connection.
- * @param mayBeRunning Whether an earlier request of the connection may be running. The caller would take the refusal for the answer to
- * that request, so the connection is destroyed without an answer.
- */
-export function refuseUnreadable(socket: Socket, mayBeRunning: boolean, errorCode?: string): void {
-	if (mayBeRunning || !socket.writable) {
+/** Refuses unreadable input and closes the connection. */
+export function refuseUnreadable(socket: Socket, errorCode?: string): void {
+	if (!socket.writable) {
 		socket.destroy();
 		return;
 	}
