--- a/packages/testing/src/calls/stopping.spec.ts
+++ b/packages/testing/src/calls/stopping.spec.ts
@@ -4,14 +4,20 @@
 import {
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {headerNames} from '@cairnbank/protocol';
 import {ticketPath, type IssuedTicketMessage} from '@cairnbank/protocol/at-most-once';
+import {v7 as uuid} from 'uuid';
 import {Deployment, waitFor, type DaemonProcess} from '../harness/index.js';
 import {RawUpstream} from '../stand-ins/raw-upstream.js';
 
 const slots = 10;
 const connections = 2;
 const waitingCalls = 6;
+/** Longer than an instance waits for a claim. */
+const logDelayMs = 10_000;
+/** Longer than a call takes to be read and to ask for its claim. */
+const admissionMs = 100;
 
 describe('calls at an instance whose time to drain is over', () => {
 	const silent = new RawUpstream([{text: '', end: 'keep'}]);
@@ -70,6 +76,15 @@
 		assert.equal(await result, 'unknown');
 	});
 
+	it('should be told as unknown, and not run, if they wait for the claim of a key', async () => {
+		await deployment.log.setFaults({delayMs: logDelayMs});
+		const result = call('POST', {[headerNames.idempotencyKey]: uuid()});
+		await delay(admissionMs);
+		await daemon.stop();
+		assert.equal(await result, 'unknown');
+		assert.equal(silent.requests, 0);
+	});
+
 	it('should be told as not run if they wait for the upstream', async () => {
 		const running = call('POST');
 		await waitFor('the request', () => silent.requests === 1);
