Daemon: requests that have arrived on kept connections are served before a port closes

What callers saw: a request sent on a kept connection as a daemon closed its ports was reset without an answer.

Cause: idle connections were destroyed at once, also those on which a request had arrived that the process had not read yet. The busier the process, the more there are.

Change: closing a port first lets the event loop read what has arrived. The gateway's ports for lookups and other instances do the same in two turns now, as one turn does not always include a poll of the sockets.

--- a/packages/daemon/src/kernel/listen.ts
+++ b/packages/daemon/src/kernel/listen.ts
@@ -1,6 +1,7 @@
 /** Opens and closes HTTP listeners. */
 import type {Server} from 'node:http';
 import {isIPv6, type AddressInfo, type Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {addressSchema, type Address} from '@cairnbank/core';
 import {err, ok, type Result} from 'neverthrow';
 import type {ListenAddress} from '../settings/listen-address.js';
@@ -29,7 +30,7 @@
 /**
  * Stops accepting connections and resolves once the last one has ended.
  *
- * Connections without a request in progress are closed immediately. A connection whose request has begun to arrive may complete it within
+ * Requests that have already arrived are served. Connections without a request in progress are closed immediately. A connection whose request has begun to arrive may complete it within
  * `graceMs` and is closed after that, because a closed server no longer enforces its own timeouts.
  */
 export async function closeServer(server: Server, graceMs: number): Promise<void> {
@@ -37,6 +38,8 @@
 		return;
 	}
 
+	await readArrived();
+
 	const closed = new Promise<void>(resolve => {
 		server.close(() => {
 			resolve();
@@ -51,6 +54,12 @@
 	clearTimeout(timer);
 }
 
+/** Resolves once what has already arrived on all connections is read: the event loop polls the sockets between the two turns. */
+async function readArrived(): Promise<void> {
+	await nextTurn();
+	await nextTurn();
+}
+
 /** Closes connections on which no byte was ever received, because `closeIdleConnections` treats them as active. */
 function closeUnusedConnections(server: Server): void {
 	for (const socket of openSockets.get(server) ?? []) {
--- a/packages/gateway/src/kernel/last-answers.ts
+++ b/packages/gateway/src/kernel/last-answers.ts
@@ -24,6 +24,8 @@
 
 	/** Closes idle connections, once the requests that have already arrived on them are read. */
 	async closeIdle(): Promise<void> {
+		// The event loop polls the sockets between the two turns.
+		await nextTurn();
 		await nextTurn();
 		this.#server.closeIdleConnections();
 	}
