Daemon: a fault in one call ends this call alone, as unknown

What callers see, by reading: an exception in a stage of a call was a rejection that nobody handles, by which Node.js ends the process, and every open call is without an answer. `RunsInFlight.join` throws such a one.

Cause: the listener starts each call and awaits none.

Change: the listener catches a fault, logs it, and answers the call as unknown, for the reason `internal-error`; an answer that has begun is aborted.

That the process ends was not played.

--- a/packages/core/src/outcomes/unknown-reason.ts
+++ b/packages/core/src/outcomes/unknown-reason.ts
@@ -14,6 +14,8 @@
 	'key-too-old',
 	'caller-gone',
 	'stopping',
+	/** A fault of the program ended the call. */
+	'internal-error',
 ] as const;
 
 export type UnknownReason = typeof unknownReasons[number];
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -12,12 +12,13 @@
 import {closeServer, listen, toAdvertisedAddress} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import {abortResponse} from './abort-response.js';
 import type {CallHandler} from './call-handler.js';
 import {CallsInFlight} from './calls-in-flight.js';
 import type {HeldAnswers} from './held-answers.js';
 import {prepareConfiguration, type ConfigurationInForce} from './configuration-in-force.js';
 import {toRefusalProblem, type Refusal} from './refusal-problem.js';
-import {writeProblem} from './problem.js';
+import {type Problem, writeProblem} from './problem.js';
 import {OpenCall} from './open-call.js';
 import {readCall, type CallReaderOptions} from './read-call.js';
 import {refuseUnreadable} from './refuse-unreadable.js';
@@ -56,6 +57,10 @@
 	statusCode: 503, reason: 'instance-busy', detail: 'not run: this instance has too many calls under way', retryAfterMs: 1000,
 };
 
+const internalError: Problem = {
+	statusCode: 502, outcome: 'unknown', reason: 'internal-error', detail: 'the request may have run: a fault of this instance ended the call',
+};
+
 export class CallerListenerTask implements Task {
 	readonly name = 'callers';
 	readonly #context: DaemonContext;
@@ -156,7 +161,7 @@
 				response.shouldKeepAlive = false;
 			}
 
-			void (request.url!.startsWith(ownRoutesPrefix) ? serveOwnRoute(request, response) : this.#serveCall(request, response));
+			void (request.url!.startsWith(ownRoutesPrefix) ? serveOwnRoute(request, response) : this.#serveContained(request, response));
 		});
 		server.maxConnections = maximumConnections;
 		server.on('checkExpectation', (request, response) => {
@@ -178,6 +183,20 @@
 		}
 	}
 
+	/** Keeps a fault in one call from ending the process, and with it all other calls. */
+	async #serveContained(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		try {
+			await this.#serveCall(request, response);
+		} catch (error) {
+			this.#context.logger.error('unexpected fault', {stack: error instanceof Error ? error.stack : String(error)});
+			if (response.headersSent) {
+				abortResponse(response);
+			} else {
+				writeProblem(response, internalError);
+			}
+		}
+	}
+
 	async #serveCall(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		if (this.#refusing) {
 			writeProblem(response, toRefusalProblem(request, stoppingRefusal));
