--- a/packages/gateway/src/features/metrics/metrics-task.ts
+++ b/packages/gateway/src/features/metrics/metrics-task.ts
@@ -3,6 +3,7 @@
 import type {RequestState} from '@cairnbank/core/connections';
 import type {Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
+import {LastAnswers} from '../../kernel/last-answers.js';
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
@@ -18,6 +19,7 @@
 	readonly name = 'metrics';
 	readonly #context: Context;
 	readonly #server: Server;
+	readonly #lastAnswers: LastAnswers;
 
 	constructor(context: Context, {droppedLogLines, countOpenRequests}: MetricsSources) {
 		this.#context = context;
@@ -29,6 +31,7 @@
 
 			await this.#answer(response);
 		}));
+		this.#lastAnswers = new LastAnswers(this.#server);
 	}
 
 	async start(): Promise<Result<void, StartError>> {
@@ -36,6 +39,15 @@
 		return listen(this.#server, this.name, `${host}:${peers.metricsPort}`);
 	}
 
+	leave(): void {
+		this.#lastAnswers.leave();
+	}
+
+	/** Closes idle connections; requests on new ones are answered until the end. */
+	async drain(): Promise<void> {
+		await this.#lastAnswers.closeIdle();
+	}
+
 	stop(): void {
 		this.#server.close();
 		this.#server.closeAllConnections();
