--- a/packages/core/src/outcomes/unknown-reason.ts
+++ b/packages/core/src/outcomes/unknown-reason.ts
@@ -13,6 +13,9 @@
 	/** The records that would show whether the key was claimed are no longer in the log. */
 	'key-too-old',
 	'caller-gone',
+	'stopping',
+	/** A fault of the program ended the call. */
+	'internal-error',
 ] as const;
 
 export type UnknownReason = typeof unknownReasons[number];
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -12,13 +12,14 @@
 import {closeServer, listen, toAdvertisedAddress} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
+import {abortResponse} from './abort-response.js';
 import type {CallHandler} from './call-handler.js';
 import {CallsInFlight} from './calls-in-flight.js';
-import {Cancellation} from './cancellation.js';
 import type {HeldAnswers} from './held-answers.js';
 import {prepareConfiguration, type ConfigurationInForce} from './configuration-in-force.js';
 import {toRefusalProblem, type Refusal} from './refusal-problem.js';
-import {writeProblem} from './problem.js';
+import {type Problem, writeProblem} from './problem.js';
+import {OpenCall} from './open-call.js';
 import {readCall, type CallReaderOptions} from './read-call.js';
 import {refuseUnreadable} from './refuse-unreadable.js';
 import {ResponseSink} from './response-sink.js';
@@ -56,6 +57,10 @@
 	statusCode: 503, reason: 'instance-busy', detail: 'not run: this instance has too many calls under way', retryAfterMs: 1000,
 };
 
+const internalError: Problem = {
+	statusCode: 502, outcome: 'unknown', reason: 'internal-error', detail: 'the request may have run: a fault of this instance ended the call',
+};
+
 export class CallerListenerTask implements Task {
 	readonly name = 'callers';
 	readonly #context: DaemonContext;
@@ -65,6 +70,8 @@
 	readonly #server: Server;
 	readonly #callsInFlight: CallsInFlight;
 	readonly #unansweredRequests = new UnansweredRequests();
+	/** Calls whose response has not closed. */
+	readonly #openCalls = new Set<OpenCall>();
 	#configuration: ConfigurationInForce | undefined;
 	#leaving = false;
 	#refusing = false;
@@ -109,6 +116,16 @@
 		await this.#callsInFlight.waitUntilIdle();
 	}
 
+	expire(): void {
+		for (const open of this.#openCalls) {
+			try {
+				open.expire();
+			} catch (error) {
+				this.#context.logger.error('call not cancelled as the instance stops', {detail: String(error)});
+			}
+		}
+	}
+
 	async stop(): Promise<void> {
 		await closeServer(this.#server, this.#context.settings.calls.readTimeoutMs);
 	}
@@ -135,25 +152,51 @@
 		});
 		// Calls bypass hono, because it answers HEAD through GET with a response of its own and creates a web request object for each call.
 		server.on('request', (request, response) => {
+			if (!this.#unansweredRequests.tryBegin(response)) {
+				request.resume();
+				return;
+			}
+
 			if (this.#leaving) {
-				response.setHeader('connection', 'close');
+				response.shouldKeepAlive = false;
 			}
 
-			void (request.url!.startsWith(ownRoutesPrefix) ? serveOwnRoute(request, response) : this.#serveCall(request, response));
+			void (request.url!.startsWith(ownRoutesPrefix) ? serveOwnRoute(request, response) : this.#serveContained(request, response));
 		});
 		server.maxConnections = maximumConnections;
 		server.on('checkExpectation', (request, response) => {
 			writeProblem(response, toRefusalProblem(request, unsupportedExpectationRefusal));
 		});
 		server.on('connect', (_request, socket: Socket) => {
-			refuseUnreadable(socket, this.#unansweredRequests.mayBeRunning(socket));
+			this.#refuseUnreadable(socket);
 		});
 		server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			refuseUnreadable(socket, this.#unansweredRequests.mayBeRunning(socket), error.code);
+			this.#refuseUnreadable(socket, error.code);
 		});
 		return server;
 	}
 
+	/** Refuses bytes that are no request, unless the caller would take the refusal for the answer to an earlier one. */
+	#refuseUnreadable(socket: Socket, errorCode?: string): void {
+		if (!this.#unansweredRequests.closeAfterAnswers(socket)) {
+			refuseUnreadable(socket, errorCode);
+		}
+	}
+
+	/** Keeps a fault in one call from ending the process, and with it all other calls. */
+	async #serveContained(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		try {
+			await this.#serveCall(request, response);
+		} catch (error) {
+			this.#context.logger.error('unexpected fault', {stack: error instanceof Error ? error.stack : String(error)});
+			if (response.headersSent) {
+				abortResponse(response);
+			} else {
+				writeProblem(response, internalError);
+			}
+		}
+	}
+
 	async #serveCall(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		if (this.#refusing) {
 			writeProblem(response, toRefusalProblem(request, stoppingRefusal));
@@ -165,26 +208,31 @@
 			return;
 		}
 
-		this.#unansweredRequests.begin(request);
-		const cancellation = new Cancellation();
+		const open = new OpenCall();
+		this.#openCalls.add(open);
 		let heldBytes = 0;
 		response.once('close', () => {
 			this.#callsInFlight.end();
-			this.#unansweredRequests.end(request);
 			this.#heldAnswers.remove(heldBytes);
-			cancellation.cancel();
+			this.#openCalls.delete(open);
+			open.cancellation.cancel('caller-gone');
 		});
-		const call = await readCall({
-			request, configuration: this.#configuration, cancellation, sink: new ResponseSink(response),
-		}, this.#readerOptions);
+		const call = await open.untilRead(readCall({
+			request, configuration: this.#configuration, cancellation: open.cancellation, sink: new ResponseSink(response),
+		}, this.#readerOptions));
+		if (call === 'expired') {
+			writeProblem(response, toRefusalProblem(request, stoppingRefusal));
+			return;
+		}
+
 		if (call.isErr()) {
-			response.setHeader('connection', 'close');
+			response.shouldKeepAlive &&= request.complete;
 			writeProblem(response, toRefusalProblem(request, call.error));
 			return;
 		}
 
-		const outcome = await this.#handler(call.value);
-		if (outcome.type === 'answered' && !response.closed) {
+		const outcome = await open.untilRun(this.#handler(call.value));
+		if (outcome.type === 'answered' && !response.destroyed) {
 			// An answer that a slow caller has not fully received yet still occupies memory.
 			heldBytes = outcome.answer.body.length;
 			this.#heldAnswers.add(heldBytes);
