Read one part of an answer at a time, into a buffer that connections share

The runtime reads up to 32 parts of 64 KiB of one socket before it turns to others or to timers. A part of chunks of one byte takes 5 ms to parse (trial), so that six such bodies held the loop for seconds: deadlines passed late and sound requests waited. After a full part the next one is read in the next turn.

--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -8,6 +8,8 @@
 import {matchAnswer} from './match-answer.js';
 import {defaultIdleMs, idleTimeMs} from './idle-time.js';
 
+/** Bytes of one read. All connections share it, as their parsers copy what they keep. */
+const readBuffer = Buffer.allocUnsafeSlow(65_536);
 /** Time for which the answer to a cancelled request is still read; it may be on its way. */
 const lateAnswerMs = 100;
 
@@ -56,7 +58,17 @@
 		this.#parser = new AnswerParser(() => this.#pending?.request.method === 'HEAD');
 		// Half-open, so that an orderly end can be distinguished from a reset before the handle is closed.
 		this.#socket = connect({
-			host: options.host, port: options.port, noDelay: true, allowHalfOpen: true,
+			host: options.host,
+			port: options.port,
+			noDelay: true,
+			allowHalfOpen: true,
+			onread: {
+				buffer: readBuffer,
+				callback: readBytes => {
+					this.#received(readBuffer.subarray(0, readBytes));
+					return readBytes < readBuffer.length || this.#readOnLater();
+				},
+			},
 		});
 		this.#addListeners();
 	}
@@ -146,9 +158,6 @@
 		this.#socket.on('connect', () => {
 			this.#connected();
 		});
-		this.#socket.on('data', chunk => {
-			this.#received(chunk);
-		});
 		this.#socket.on('end', () => {
 			this.#ended();
 		});
@@ -197,6 +206,16 @@
 		this.#socket.uncork();
 	}
 
+	/** Lets other connections and timers have their turn before more is read. Returns false, which pauses the socket. */
+	#readOnLater(): false {
+		setImmediate(() => {
+			if (!this.#isClosed) {
+				this.#socket.resume();
+			}
+		});
+		return false;
+	}
+
 	#received(chunk: Uint8Array): void {
 		if (this.#pending === undefined) {
 			this.#isRetired = true;
