Use the blocks of ended answers again at once

Blocks of answers that were given up waited for the collector beside new ones, which runs only after some 64 MB. Blocks of 64 KiB are now shared: an answer returns them as it ends, whole or not, and 8 MiB of unused ones are dropped every 2 s. A whole answer is copied, so that its bytes never change; one of up to 16 KiB, or of an announced length up to 1 MiB, has memory of its own as before. answer-body.spec draws answers that use blocks in turn and checks that none changes.

--- a/packages/gateway/src/features/upstreams/answer-body.ts
+++ b/packages/gateway/src/features/upstreams/answer-body.ts
@@ -1,18 +1,25 @@
 /** Collects the body of an answer in blocks, so that one of many small parts takes little more memory than its bytes. */
 import {Buffer} from 'node:buffer';
+import {returnBlock, takeBlock} from './block-pool.js';
 
-const smallestBlockBytes = 4096;
-const largestBlockBytes = 1_048_576;
+/** Blocks of a body whose length is unknown, until it proves to be longer. */
+const smallBlockBytes = 4096;
+const longestSmallBody = 16_384;
+/** Longer bodies take memory as they arrive, whatever length is announced. */
+const maximumReservedBytes = 1_048_576;
 
 export class AnswerBody {
-	readonly #blocks: Uint8Array[] = [];
+	/** Full blocks, in order. */
+	#blocks: Uint8Array[] = [];
+	/** The blocks among them, and the last one, that other answers use later. */
+	#shared: Uint8Array[] = [];
 	#last: Uint8Array;
 	#lastBytes = 0;
 	#bytes = 0;
 
 	/** @param announcedBytes - length that the head states; undefined if it states none */
 	constructor(announcedBytes = 0) {
-		this.#last = Buffer.allocUnsafe(announcedBytes > largestBlockBytes ? 0 : announcedBytes);
+		this.#last = Buffer.allocUnsafe(announcedBytes > maximumReservedBytes ? 0 : announcedBytes);
 	}
 
 	get bytes(): number {
@@ -34,10 +41,26 @@
 		}
 	}
 
-	/** Returns the whole body. */
-	toBytes(): Uint8Array {
+	/** Returns the whole body, and empties this one. */
+	takeBytes(): Uint8Array {
 		const last = this.#last.subarray(0, this.#lastBytes);
-		return this.#blocks.length === 0 ? last : Buffer.concat([...this.#blocks, last]);
+		const isCopied = this.#blocks.length > 0 || this.#shared.length > 0;
+		const bytes = isCopied ? Buffer.concat([...this.#blocks, last]) : last;
+		this.discard();
+		return bytes;
+	}
+
+	/** Frees the memory of the body. */
+	discard(): void {
+		for (const block of this.#shared) {
+			returnBlock(block);
+		}
+
+		this.#blocks = [];
+		this.#shared = [];
+		this.#last = Buffer.alloc(0);
+		this.#lastBytes = 0;
+		this.#bytes = 0;
 	}
 
 	#addBlock(neededBytes: number): void {
@@ -45,7 +68,12 @@
 			this.#blocks.push(this.#last);
 		}
 
-		this.#last = Buffer.allocUnsafe(Math.min(largestBlockBytes, Math.max(smallestBlockBytes, neededBytes, this.#bytes)));
 		this.#lastBytes = 0;
+		if (this.#bytes + neededBytes <= longestSmallBody) {
+			this.#last = Buffer.allocUnsafe(Math.max(smallBlockBytes, neededBytes));
+		} else {
+			this.#last = takeBlock();
+			this.#shared.push(this.#last);
+		}
 	}
 }
--- a/packages/gateway/src/features/upstreams/answer-parser.ts
+++ b/packages/gateway/src/features/upstreams/answer-parser.ts
@@ -64,7 +64,7 @@
 	/** Frees the memory of what was read. */
 	discard(): void {
 		this.#answer = undefined;
-		this.#body = new AnswerBody();
+		this.#body.discard();
 	}
 
 	#takeAnswer(usedBytes: number): ParsedBytes {
@@ -96,6 +96,7 @@
 		}
 
 		const [announcedBytes] = valuesOf(info.headers, 'content-length').map(Number);
+		this.#body.discard();
 		this.#body = new AnswerBody(announcedBytes);
 		return 'body';
 	}
@@ -116,7 +117,7 @@
 			return false;
 		}
 
-		const answer = createAnswer({status: head.statusCode, headers: head.headers, body: this.#body.toBytes()});
+		const answer = createAnswer({status: head.statusCode, headers: head.headers, body: this.#body.takeBytes()});
 		if (answer.isErr()) {
 			this.#fault = answer.error;
 			return false;
