--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -4,6 +4,7 @@
 import {
 	ManualClock, type Clock, type ServiceId, type UpstreamId,
 } from '@cairnbank/core';
+import {AnswerMemory} from '@cairnbank/core/connections';
 import {FullResets, OverloadControl} from '@cairnbank/core/overload';
 import {createRandomSource} from '@cairnbank/core/random';
 import {
@@ -11,6 +12,7 @@
 } from '@cairnbank/core/placement';
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {err, ok, type Result} from 'neverthrow';
+import type {AnswerReading} from '../../kernel/answer-reading.js';
 import {StopDeadline} from '../../kernel/stop-deadline.js';
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
@@ -81,6 +83,7 @@
 	/** Outcome with which the call must not be sent any more, as its credentials have become invalid. */
 	authenticationRefusal: ReturnType<Authenticator['recheck']>;
 	readonly stop = new StopDeadline();
+	readonly answerMemory = new AnswerMemory<AnswerReading>();
 	readonly run: CallRun;
 	readonly budget: WindowBudget;
 	readonly #isConnected: boolean;
@@ -116,6 +119,7 @@
 			fullResets: this.fullResets,
 			budget: () => this.budget,
 			stop: this.stop,
+			answerMemory: this.answerMemory,
 			authenticator: {recheck: () => this.authenticationRefusal},
 			poisonGuard: {admit: () => this.refusedForMs, recordAnswer: () => undefined},
 			onConnectionBroken: async () => this.hasCrashed,
@@ -201,6 +205,7 @@
 		rateLimits: {answered: () => undefined},
 		budget: () => budget,
 		stop: new StopDeadline(),
+		answerMemory: new AnswerMemory(),
 		share: () => share,
 		authenticator: {recheck: () => undefined},
 		poisonGuard: {admit: () => undefined, recordAnswer: () => undefined},
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@cairnbank/core';
-import {HeldAnswers} from '@cairnbank/core/connections';
+import {HeldAnswers, type AnswerMemory} from '@cairnbank/core/connections';
 import {untilArrivalsAreRead} from '../../kernel/arrivals.js';
 import {InFlight} from '../../kernel/in-flight.js';
 import type {Metrics} from '../../metrics/metrics.js';
@@ -21,6 +21,7 @@
 	readonly server: Server;
 	readonly clock: Clock;
 	readonly metrics: Metrics;
+	readonly answerMemory: Pick<AnswerMemory<unknown>, 'hold' | 'release' | 'isFull'>;
 	/** Returns whether the instance leaves, so that connections close once nothing is lost by it. */
 	readonly isLeaving: () => boolean;
 	readonly onStart: CallerConnectionOptions['onStart'];
@@ -42,11 +43,11 @@
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
-		const {server, clock, metrics, onStart, onIgnored} = options;
+		const {server, clock, metrics, answerMemory, onStart, onIgnored} = options;
 		this.open = new OpenRequests(size => {
 			metrics.inFlight.set(size);
 		});
-		this.#held = new HeldAnswers(clock);
+		this.#held = new HeldAnswers(clock, answerMemory);
 		server.on('connection', (socket: Socket) => {
 			this.#arrivals += 1;
 			this.#connections.set(socket, new CallerConnection({
--- a/packages/gateway/src/features/calls/callers-task-fixture.ts
+++ b/packages/gateway/src/features/calls/callers-task-fixture.ts
@@ -55,6 +55,7 @@
 				debug: noop, info: noop, warn: noop, error: noop,
 			},
 			metrics,
+			answerMemory: this.#dependencies.answerMemory,
 			random: {next: () => 0, nextInteger: () => 0},
 			settings: {listen: {callers: '127.0.0.1:0'}, logging: {sampleOneIn: 0}},
 			stop: this.#stop,
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -34,6 +34,7 @@
 			server: this.#server,
 			clock: context.clock,
 			metrics: context.metrics,
+			answerMemory: context.answerMemory,
 			isLeaving: () => this.#isLeaving,
 			onStart: request => {
 				void this.#handler.handle(request);
--- a/packages/gateway/src/features/metrics/metrics-task.ts
+++ b/packages/gateway/src/features/metrics/metrics-task.ts
@@ -13,6 +13,7 @@
 export type MetricsSources = {
 	readonly droppedLogLines: () => number;
 	readonly countOpenRequests: () => ReadonlyMap<RequestState, number>;
+	readonly unfinishedAnswerBytes: () => number;
 };
 
 export class MetricsTask implements Task {
@@ -21,10 +22,11 @@
 	readonly #server: Server;
 	readonly #lastAnswers: LastAnswers;
 
-	constructor(context: Context, {droppedLogLines, countOpenRequests}: MetricsSources) {
+	constructor(context: Context, {droppedLogLines, countOpenRequests, unfinishedAnswerBytes}: MetricsSources) {
 		this.#context = context;
 		this.#server = createServer(containFaults(context, 'metrics', async (_request, response) => {
 			context.metrics.droppedLogLines.set(droppedLogLines());
+			context.metrics.unfinishedAnswerBytes.set(unfinishedAnswerBytes());
 			for (const [state, count] of countOpenRequests()) {
 				context.metrics.openRequests.set({state}, count);
 			}
--- a/packages/gateway/src/features/relay/relay-stop.spec.ts
+++ b/packages/gateway/src/features/relay/relay-stop.spec.ts
@@ -8,9 +8,11 @@
 } from 'node:test';
 import {setImmediate as turn, setTimeout as delay} from 'node:timers/promises';
 import {systemClock, type UpstreamId} from '@cairnbank/core';
+import {AnswerMemory} from '@cairnbank/core/connections';
 import {createRandomSource} from '@cairnbank/core/random';
 import type {RelayPeer} from '@cairnbank/core/reachability';
 import {err, ok, type Result} from 'neverthrow';
+import type {AnswerReading} from '../../kernel/answer-reading.js';
 import type {Context} from '../../kernel/context.js';
 import {StopDeadline} from '../../kernel/stop-deadline.js';
 import {createMetrics} from '../../metrics/metrics.js';
@@ -99,7 +101,7 @@
 		agent = new Agent({keepAlive: true});
 		const logger: Partial<Context['logger']> = {warn: () => undefined, error: () => undefined};
 		const context = {
-			clock: systemClock, metrics: createMetrics(), logger: logger as Context['logger'], stop,
+			clock: systemClock, metrics: createMetrics(), logger: logger as Context['logger'], stop, answerMemory: new AnswerMemory<AnswerReading>(),
 		};
 		const upstream = {
 			condition: {isUnreachable: false},
@@ -149,6 +151,8 @@
 			agent,
 			port,
 			localAddress: host,
+			answerMemory: new AnswerMemory(),
+			onOutgrown: () => undefined,
 			onStart: () => undefined,
 			onEnd: () => undefined,
 		});
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -29,7 +29,7 @@
 type Admitted = {readonly head: RelayHead; readonly upstream: Upstream};
 
 export type RelayTaskOptions = {
-	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics' | 'stop'>;
+	readonly context: Pick<Context, 'answerMemory' | 'clock' | 'logger' | 'metrics' | 'stop'>;
 	/** Returns whether a host is a live member of the fleet. */
 	readonly isMember: (host: string) => boolean;
 	/** Returns an upstream that takes new requests; undefined if it is not registered, leaves, or its zone is evacuated. */
@@ -130,7 +130,7 @@
 	}
 
 	#admit({headers, socket}: IncomingMessage, bodyBytes: number): Result<Admitted, RelayRefusal> {
-		const {context: {clock, stop}, hasLostLink, isMember, upstreamOf} = this.#options;
+		const {context: {answerMemory, clock, stop}, hasLostLink, isMember, upstreamOf} = this.#options;
 		if (!isMember(socket.remoteAddress ?? '')) {
 			return err('unknown-instance');
 		}
@@ -144,7 +144,8 @@
 			return err('too-large');
 		}
 
-		if (this.#isDraining || this.#requests.size >= maximumRequests || this.#reservedBodyBytes + bodyBytes > maximumTotalBodyBytes) {
+		const hasRoom = this.#requests.size < maximumRequests && this.#reservedBodyBytes + bodyBytes <= maximumTotalBodyBytes && !answerMemory.isFull;
+		if (this.#isDraining || !hasRoom) {
 			return err('busy');
 		}
 
@@ -169,6 +170,10 @@
 			case 'exchanged': {
 				const {result} = end;
 				this.#options.context.metrics.relayed.inc({side: 'received', result: result.isOk() ? 'passed-on' : result.error.type});
+				if (result.isOk()) {
+					this.#holdUntilWritten(response, result.value.body.length);
+				}
+
 				writeResult(response, result.mapErr(failure => failure.type === 'cancelled' ? {type: 'broken', message: 'cancelled by the passing instance'} : failure));
 				break;
 			}
@@ -184,6 +189,16 @@
 		}
 	}
 
+	#holdUntilWritten(response: ServerResponse, bytes: number): void {
+		const {answerMemory} = this.#options.context;
+		if (!response.destroyed) {
+			answerMemory.hold(bytes);
+			response.on('close', () => {
+				answerMemory.release(bytes);
+			});
+		}
+	}
+
 	#refuse(request: IncomingMessage, response: ServerResponse, refusal: RelayRefusal): void {
 		const {clock, logger, metrics} = this.#options.context;
 		metrics.relayed.inc({side: 'received', result: refusal});
