Placement: no request is refused as too busy while no load is known

Cause: an upstream without a load report counts as 1.6 times the work (or what was learnt). For a new instance that is 192 ms of a target latency of 300 ms, so a request that found no report within 110 ms of its arrival was refused by that guess alone: traces have "asked:113ms too-busy:expected=192" at an upstream with 64 free slots. Three such refusals then made an overload, and the next requests were refused as late.

Change: outside of an overload and of a recent refusal of more urgent requests, the guess refuses nothing. A request that it would refuse looks again while a health check of the upstream found is running, so at most until that ends, and at most as long as an idle upstream could answer before the deadline. Where none is running it is sent at once, as is one whose place uses up a part of a rate limit. A place now tells whether any load is known; what is known to be full is refused at once, as before.

Evidence: the new cases of overload-control.spec (3 of 5) and call-run.spec (3 of 5) are red on the logic before, green now, with simulated time.

The inputs of account-shares.spec, attempt.spec and the simulated rush have the new field; their checks are the same.

--- a/packages/core/src/overload/account-shares.spec.ts
+++ b/packages/core/src/overload/account-shares.spec.ts
@@ -61,7 +61,9 @@
 		};
 		control.recordArrival(request);
 		const isFull = nowMs >= fromMs && nowMs < untilMs;
-		const {type} = control.decide(request, {expectedMs: isFull ? 2 * kind.targetLatencyMs : kind.workMs, workMs: kind.workMs, isLightlyLoaded: !isFull});
+		const {type} = control.decide(request, {
+			expectedMs: isFull ? 2 * kind.targetLatencyMs : kind.workMs, workMs: kind.workMs, isLightlyLoaded: !isFull, isLoadKnown: true,
+		});
 		refused += type === 'refused' && nowMs > untilMs + 2000 ? 1 : 0;
 	}
 
--- a/packages/core/src/overload/overload-control.spec.ts
+++ b/packages/core/src/overload/overload-control.spec.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import type {Clock} from '../model/clock.js';
+import type {ServiceId} from '../model/ids.js';
+import {ManualClock} from '../model/manual-clock.js';
 import {createRandomSource} from '../model/random-source.js';
 import {Admission} from '../placement/admission.js';
 import {OverloadControl} from './overload-control.js';
@@ -105,3 +107,55 @@
 		assert.deepEqual(after('all'), before('all'));
 	});
 });
+
+describe('OverloadControl for a service of which no load is known', () => {
+	const service = 'desk' as ServiceId;
+	const place = {
+		expectedMs: 160, workMs: 60, isLightlyLoaded: false, isLoadKnown: false,
+	};
+	const full = {...place, isLoadKnown: true};
+	const request = (priority: number, receivedAtMs: number) => ({
+		service, priority, receivedAtMs, deadlineAtMs: receivedAtMs + 1000, route: {id: 'read', targetLatencyMs: 100},
+	});
+	const create = () => {
+		const clock = new ManualClock();
+		return {clock, control: createControl(clock, 21)};
+	};
+
+	// Guards against refusals by idle upstreams whose load is not known.
+	it('should not take them for full', () => {
+		const {control} = create();
+		for (let count = 0; count < 8; count++) {
+			assert.equal(control.decide(request(1, 0), place).type, 'admitted');
+		}
+	});
+
+	it('should send a request however much of its target latency has passed, as long as an idle one could answer before the deadline', () => {
+		const {clock, control} = create();
+		clock.advance(940);
+		assert.equal(control.decide(request(1, 0), place).type, 'admitted');
+		clock.advance(1);
+		assert.equal(control.decide(request(1, 0), place).type, 'refused');
+	});
+
+	it('should refuse at once where they are known to be full', () => {
+		const {control} = create();
+		assert.equal(control.decide(request(1, 0), full).type, 'refused');
+	});
+
+	it('should go by what they count as during an overload, which is known from refusals', () => {
+		const {control} = create();
+		for (let count = 0; count < 2; count++) {
+			control.decide(request(1, 0), full);
+		}
+
+		assert.equal(control.decide(request(1, 0), place).type, 'refused');
+	});
+
+	it('should leave them to more urgent requests that were refused just before', () => {
+		const {control} = create();
+		control.decide(request(0, 0), full);
+		assert.equal(control.decide(request(0, 0), place).type, 'admitted');
+		assert.equal(control.decide(request(1, 0), place).type, 'refused');
+	});
+});
--- a/packages/core/src/overload/overload-control.ts
+++ b/packages/core/src/overload/overload-control.ts
@@ -21,6 +21,8 @@
 	/** Work of the request at an upstream of usual speed. */
 	readonly workMs: number;
 	readonly isLightlyLoaded: boolean;
+	/** Whether the load of any upstream that may take the request is known; otherwise the duration is a guess. */
+	readonly isLoadKnown: boolean;
 };
 
 export type RefusalReason =
@@ -64,6 +66,16 @@
 		this.#waitedTimes.recordArrival(request, this.#meter.isOverloaded(request.service));
 	}
 
+	/**
+	 * Returns whether nothing speaks against sending a request but what upstreams without a load report count as: no load is known, and no
+	 * recent refusal shows that there is none to spare. Such a request waits for a report, or is sent, as an idle upstream could answer it.
+	 */
+	isRefusedByGuess(request: OverloadRequest, place: OfferedPlace): boolean {
+		const {admission, clock} = this.#options;
+		const isGuess = !place.isLoadKnown && !this.#meter.isOverloaded(request.service) && !admission.isOutranked(request);
+		return isGuess && !admission.admits(request, place) && clock.monotonicMs() + place.workMs <= request.deadlineAtMs;
+	}
+
 	/** Decides whether a request is sent to the best place found for it, and records the decision. */
 	decide(request: OverloadRequest, place: OfferedPlace): OverloadVerdict {
 		const accountRequest = toAccountRequest(request, place);
@@ -119,7 +131,7 @@
 		const nowMs = clock.monotonicMs();
 		const {deadlineAtMs, route: {targetLatencyMs}} = request;
 		if (!this.#meter.isOverloaded(request.service) || !canReturnLater({nowMs, deadlineAtMs, targetLatencyMs})) {
-			return admission.admits(request, place) ? undefined : 'too-busy';
+			return admission.admits(request, place) || this.isRefusedByGuess(request, place) ? undefined : 'too-busy';
 		}
 
 		const askedAtMs = this.#askedAtMs(request);
--- a/packages/core/src/overload/simulated-rush.ts
+++ b/packages/core/src/overload/simulated-rush.ts
@@ -153,7 +153,7 @@
 		const expectedMs = Math.min(...expected);
 		const upstream = seen[expected.indexOf(expectedMs)]!;
 		const verdict = gate.decide(request, {
-			expectedMs, workMs: kind.workMs, isLightlyLoaded: isLightlyLoaded({report: upstream.report(nowMs), unreportedInFlight: 0, slots}),
+			expectedMs, workMs: kind.workMs, isLightlyLoaded: isLightlyLoaded({report: upstream.report(nowMs), unreportedInFlight: 0, slots}), isLoadKnown: true,
 		});
 		if (verdict.type === 'admitted') {
 			settle(caller, upstream.serve(nowMs, kind.workMs * (0.7 + (random.next() * 0.6))));
--- a/packages/core/src/placement/admission.ts
+++ b/packages/core/src/placement/admission.ts
@@ -68,7 +68,7 @@
 	 * would be refused equally often.
 	 */
 	admits(request: AdmissionRequest, {expectedMs, isLightlyLoaded}: {readonly expectedMs: number; readonly isLightlyLoaded: boolean}): boolean {
-		return isLightlyLoaded || (!this.#isOutranked(request) && this.mayEndInTime(request, expectedMs));
+		return isLightlyLoaded || (!this.isOutranked(request) && this.mayEndInTime(request, expectedMs));
 	}
 
 	/**
@@ -92,15 +92,16 @@
 		return this.#countMoreUrgent(service, priority) > 0;
 	}
 
+	/** Returns whether more urgent requests were recently refused for lack of capacity. */
+	isOutranked({service, priority}: Pick<AdmissionRequest, 'service' | 'priority'>): boolean {
+		return this.#recentlyRefused(service).some(other => other < priority);
+	}
+
 	#countMoreUrgent(service: ServiceId, priority: number): number {
 		const oldestMs = this.#clock.monotonicMs() - priorityLifetimeMs;
 		return [...this.#seenAtMs.get(service) ?? []].filter(([other, atMs]) => other < priority && atMs >= oldestMs).length;
 	}
 
-	#isOutranked({service, priority}: AdmissionRequest): boolean {
-		return this.#recentlyRefused(service).some(other => other < priority);
-	}
-
 	/** Returns the priorities of a service that were recently refused for lack of capacity. */
 	#recentlyRefused(service: ServiceId): readonly number[] {
 		const oldestMs = this.#clock.monotonicMs() - overloadLifetimeMs;
--- a/packages/core/src/placement/upstream-condition.ts
+++ b/packages/core/src/placement/upstream-condition.ts
@@ -101,6 +101,11 @@
 		return this.isUnreachable && this.#checkSentAtMs === undefined && this.#clock.monotonicMs() >= this.#checkDueAtMs;
 	}
 
+	/** Whether a health check is running. */
+	get isBeingChecked(): boolean {
+		return this.#checkSentAtMs !== undefined;
+	}
+
 	/** Makes the next check of an unreachable upstream due at once. */
 	recheckAtOnce(): void {
 		this.#checkDueAtMs = this.#clock.monotonicMs();
--- a/packages/gateway/src/features/calls/attempt.spec.ts
+++ b/packages/gateway/src/features/calls/attempt.spec.ts
@@ -46,6 +46,8 @@
 		slowness: 1,
 		durationRatio: 1,
 		isLightlyLoaded: true,
+		isLoadKnown: true,
+		isLoadAwaited: false,
 		room: {
 			report: undefined, reportAgeMs: 0, unreportedInFlight: 0, slots: 4,
 		},
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -61,6 +61,11 @@
 	readonly fullResets = new FullResets(this.clock);
 	outcome: Outcome | undefined;
 	isLightlyLoaded = true;
+	isLoadKnown = true;
+	/** Time at which a health check that is running tells the load of upstreams; none is running if undefined. */
+	loadKnownAtMs: number | undefined;
+	/** True if that load is more than they can bear, and not a light one. */
+	isFullOnceKnown = false;
 	/** Load that upstreams have reported a while ago; undefined if they report none. */
 	report: LoadReport | undefined;
 	/** True if upstreams whose connections break have crashed. */
@@ -171,6 +176,7 @@
 			return undefined;
 		}
 
+		const isLoadTold = this.loadKnownAtMs !== undefined && this.clock.monotonicMs() >= this.loadKnownAtMs;
 		this.#placements += 1;
 		const id = `u${this.#placements}` as UpstreamId;
 		const connection = {
@@ -194,7 +200,9 @@
 			workMs: this.expectedMs,
 			slowness: 1,
 			durationRatio: 1,
-			isLightlyLoaded: this.isLightlyLoaded,
+			isLightlyLoaded: this.isLightlyLoaded || (isLoadTold && !this.isFullOnceKnown),
+			isLoadKnown: this.isLoadKnown || isLoadTold,
+			isLoadAwaited: this.loadKnownAtMs !== undefined && !isLoadTold,
 			room: {
 				report: this.report, reportAgeMs: outdatedReportMs, unreportedInFlight: 0, slots: 4,
 			},
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -336,6 +336,72 @@
 		});
 	});
 
+	// Guards against refusals as too busy by idle upstreams whose health checks are answered late.
+	describe('upstreams of which no load is known', () => {
+		/** More than the placements of a call until its deadline. */
+		const placements = 60;
+		const start = async (harness: CallHarness) => {
+			await harness.start();
+			for (let placement = 0; placement < placements; placement++) {
+				await runPendingPromises();
+			}
+		};
+
+		const createHarness = (loadKnownAtMs: number | undefined) => {
+			const harness = new CallHarness({idempotent: false});
+			harness.expectedMs = 160;
+			harness.isLightlyLoaded = false;
+			harness.isLoadKnown = false;
+			harness.loadKnownAtMs = loadKnownAtMs;
+			return harness;
+		};
+
+		it('should get a request once they report a free slot, although it may then be late', async () => {
+			for (const loadKnownAtMs of [5, 110, 140, 300]) {
+				const harness = createHarness(loadKnownAtMs);
+				await start(harness);
+				assert.equal(harness.outcome, undefined);
+				assert.equal(harness.exchanges.length, 1);
+				assert.ok(harness.clock.monotonicMs() >= loadKnownAtMs);
+				harness.run.abandon();
+			}
+		});
+
+		it('should get a request at once if none of their health checks is running', async () => {
+			const harness = createHarness(undefined);
+			await start(harness);
+			assert.equal(harness.exchanges.length, 1);
+			assert.equal(harness.clock.monotonicMs(), 0);
+			harness.run.abandon();
+		});
+
+		it('should get a request at once that is likely to be in time wherever it is sent', async () => {
+			const harness = createHarness(300);
+			harness.expectedMs = 60;
+			await start(harness);
+			assert.equal(harness.exchanges.length, 1);
+			assert.equal(harness.clock.monotonicMs(), 0);
+			harness.run.abandon();
+		});
+
+		it('should refuse a request as not run once it is known that they are full', async () => {
+			const harness = createHarness(110);
+			harness.isFullOnceKnown = true;
+			await start(harness);
+			assert.equal(harness.outcome?.type === 'not-run' && harness.outcome.reason, 'too-busy');
+			assert.equal(harness.exchanges.length, 0);
+			assert.ok(harness.clock.monotonicMs() >= 110);
+		});
+
+		it('should not be waited for any longer than an idle one could answer before the deadline', async () => {
+			const harness = createHarness(5000);
+			await start(harness);
+			assert.equal(harness.outcome?.type, 'not-run');
+			assert.equal(harness.exchanges.length, 0);
+			assert.ok(harness.clock.monotonicMs() < 1000);
+		});
+	});
+
 	it('should refuse at once a request that is unlikely to meet its target latency, even if it would meet its deadline', async () => {
 		const harness = new CallHarness({idempotent: false});
 		harness.expectedMs = 118;
--- a/packages/gateway/src/features/upstreams/eligibility.ts
+++ b/packages/gateway/src/features/upstreams/eligibility.ts
@@ -32,6 +32,11 @@
 		return isPaced ? this.maySendRequest(upstream) : this.mayCheck(upstream);
 	}
 
+	/** Whether a limit bounds its requests, so that each place that is found there uses up a part of it. */
+	isPaced(upstream: Upstream): boolean {
+		return this.#rateBoundsOf(upstream).length > 0;
+	}
+
 	/** Whether it may get a health check. */
 	mayCheck({condition}: Upstream): boolean {
 		return mayReceive(condition.advisories.availability);
--- a/packages/gateway/src/features/upstreams/placement.ts
+++ b/packages/gateway/src/features/upstreams/placement.ts
@@ -24,6 +24,10 @@
 	readonly durationRatio: number | undefined;
 	/** Whether the upstream runs at its usual speed and has a free slot. */
 	readonly isLightlyLoaded: boolean;
+	/** Whether the load of any upstream that may take the request is known. */
+	readonly isLoadKnown: boolean;
+	/** Whether a health check of the upstream is running that will tell its load. */
+	readonly isLoadAwaited: boolean;
 	/** What was known of free slots when the upstream was chosen. */
 	readonly room: RoomInputs;
 };
--- a/packages/gateway/src/features/upstreams/placer.spec.ts
+++ b/packages/gateway/src/features/upstreams/placer.spec.ts
@@ -316,6 +316,28 @@
 		});
 	});
 
+	describe('the load of upstreams', () => {
+		const loadOf = async (harness: PlacerHarness) => {
+			const placement = await harness.placement(slots);
+			return [placement?.isLoadKnown, placement?.isLoadAwaited];
+		};
+
+		itPlaces('should be awaited while none is known and the health check of the one chosen is running', {dark: undefined}, async harness => {
+			assert.deepEqual(await loadOf(harness), [false, true]);
+		});
+
+		itPlaces('should be known once one of them has reported it', {full: {...idle, running: slots}}, async harness => {
+			assert.deepEqual(await loadOf(harness), [true, false]);
+		});
+
+		itPlaces('should not be awaited where each place that is found uses up a part of a limit', {dark: undefined}, async harness => {
+			harness.coldRequestsPerSecond = 1;
+			harness.clock.advance(3000);
+			harness.condition('dark').warmup.markUncertain();
+			assert.deepEqual(await loadOf(harness), [false, false]);
+		});
+	});
+
 	describe('upstreams that do not answer', () => {
 		const busy = {
 			...idle, running: slots, waiting: 2, slowness: 3,
--- a/packages/gateway/src/features/upstreams/placer.ts
+++ b/packages/gateway/src/features/upstreams/placer.ts
@@ -113,6 +113,8 @@
 			slowness: reportsLoad ? report?.slowness : undefined,
 			durationRatio: reportsLoad && report !== undefined ? expectedMs / workMs : undefined,
 			isLightlyLoaded: isUpstreamLightlyLoaded(upstream),
+			isLoadKnown: candidates.some(({condition}) => condition.report !== undefined),
+			isLoadAwaited: upstream.condition.isBeingChecked && !this.#options.eligibility.isPaced(upstream),
 			room: roomOf(upstream),
 		};
 	}
