Connections to upstreams: what has arrived is read before a time limit ends them

Cause: after a moment in which the process could not run, Node.js calls timers before it reads sockets.

Change: a time limit ends the exchange only after the sockets were read once more (`TimeLimit`). What has sent nothing is given up as before.

Evidence: two of three new cases of upstream-connection.spec are red on the code before, as the process stalls beyond the limit; the third (no answer is still given up) is green on both.

--- a/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
@@ -4,6 +4,7 @@
 	createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {once} from 'node:events';
+import process from 'node:process';
 import {afterEach, describe, it} from 'node:test';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import fc from 'fast-check';
@@ -17,10 +18,12 @@
 const servers: Server[] = [];
 const sockets: Socket[] = [];
 
+type ConnectOptions = {readonly allowHalfOpen?: boolean; readonly onClosed?: () => void; readonly connectTimeoutMs?: number};
+
 /** Starts an upstream that handles each request with `onRequest`, and connects to it. */
 async function connectToUpstream(
 	onRequest: (socket: Socket, index: number) => void,
-	{allowHalfOpen = false, onClosed = () => undefined}: {readonly allowHalfOpen?: boolean; readonly onClosed?: () => void} = {},
+	{allowHalfOpen = false, onClosed = () => undefined, connectTimeoutMs = longMs}: ConnectOptions = {},
 ): Promise<UpstreamConnection> {
 	const server = createServer({allowHalfOpen}, socket => {
 		sockets.push(socket);
@@ -38,7 +41,7 @@
 		host: '127.0.0.1',
 		port: (server.address() as AddressInfo).port,
 		requestIdHeader: 'x-request-id',
-		connectTimeoutMs: longMs,
+		connectTimeoutMs,
 		now: () => performance.now(),
 		onAnswered: () => undefined,
 		onNotConnected: () => undefined,
@@ -54,6 +57,14 @@
 	};
 }
 
+/** Keeps this process from reading anything for longer than `shortMs`, as if it were short of processor time. */
+function stall(): void {
+	const untilMs = performance.now() + (2 * shortMs);
+	while (performance.now() < untilMs) {
+		// Nothing is read meanwhile.
+	}
+}
+
 async function answerOf(connection: UpstreamConnection, outgoing: OutgoingRequest): Promise<UpstreamAnswer> {
 	const result = await connection.exchange(outgoing);
 	return result._unsafeUnwrap();
@@ -92,6 +103,36 @@
 }
 
 describe('UpstreamConnection', () => {
+	// Guards against upstreams that count as unreachable because this instance was short of processor time.
+	describe('in a process that has read nothing until after a time limit', () => {
+		it('should be open if it was accepted meanwhile', async () => {
+			const connection = await connectToUpstream(socket => {
+				socket.write(answer('a1', 'first'));
+			}, {connectTimeoutMs: shortMs});
+			const answered = answerOf(connection, request('a1'));
+			await new Promise<void>(resolve => {
+				process.nextTick(resolve);
+			});
+			stall();
+			const {body} = await answered;
+			assert.equal(String(body), 'first');
+		});
+
+		it('should take the answer that arrived meanwhile', async () => {
+			const connection = await connectToUpstream(socket => {
+				socket.write(answer('a1', 'first'));
+				stall();
+			});
+			const {body} = await answerOf(connection, request('a1', shortMs));
+			assert.equal(String(body), 'first');
+		});
+
+		it('should still give up an upstream that has answered nothing', async () => {
+			const connection = await connectToUpstream(stall);
+			assert.equal(await failureTypeOf(connection, request('a1', shortMs)), 'timed-out');
+		});
+	});
+
 	afterEach(() => {
 		for (const socket of sockets.splice(0)) {
 			socket.destroy();
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -7,6 +7,7 @@
 import type {UpstreamAnswer} from './upstream-answer.js';
 import {matchAnswer} from './match-answer.js';
 import {defaultIdleMs, idleTimeMs} from './idle-time.js';
+import {TimeLimit} from './time-limit.js';
 
 /** Time for which the answer to a cancelled request is still read; it may be on its way. */
 const lateAnswerMs = 100;
@@ -32,7 +33,7 @@
 type PendingExchange = {
 	readonly request: OutgoingRequest;
 	readonly settle: (result: Result<UpstreamAnswer, ExchangeFailure>) => void;
-	readonly timer: NodeJS.Timeout;
+	readonly limit: TimeLimit;
 };
 
 /** Owns its socket. Takes no further request after any protocol violation. */
@@ -79,14 +80,14 @@
 				return;
 			}
 
-			const timer = setTimeout(() => {
+			const limit = new TimeLimit(this.#isConnected ? request.timeoutMs : Math.min(request.timeoutMs, this.#options.connectTimeoutMs), () => {
 				if (this.#isConnected) {
 					this.#giveUp({type: 'timed-out'});
 				} else {
 					this.#fail({type: 'not-connected', message: 'connect timeout', isTimeout: true});
 				}
-			}, Math.max(1, this.#isConnected ? request.timeoutMs : Math.min(request.timeoutMs, this.#options.connectTimeoutMs)));
-			this.#pending = {request, timer, settle: resolve};
+			});
+			this.#pending = {request, limit, settle: resolve};
 			if (this.#isConnected) {
 				this.#send(request);
 			}
@@ -122,15 +123,15 @@
 	}
 
 	/** Ends the sending side only: the upstream notices the same as from a close, and what it has answered meanwhile is still read. */
-	#awaitLateEnd({request, timer, settle}: PendingExchange, onLateEnd: NonNullable<OutgoingRequest['onLateEnd']>, failure: ExchangeFailure): void {
-		clearTimeout(timer);
+	#awaitLateEnd({request, limit, settle}: PendingExchange, onLateEnd: NonNullable<OutgoingRequest['onLateEnd']>, failure: ExchangeFailure): void {
+		limit.clear();
 		this.#awaitsLateEnd = true;
 		this.#isRetired = true;
 		this.#pending = {
 			request,
-			timer: setTimeout(() => {
+			limit: new TimeLimit(lateAnswerMs, () => {
 				this.#fail({type: 'cancelled'});
-			}, lateAnswerMs),
+			}),
 			settle(result) {
 				if (result.isOk() || result.error.type !== 'cancelled') {
 					onLateEnd(result);
@@ -169,11 +170,11 @@
 			return;
 		}
 
-		clearTimeout(pending.timer);
-		const timer = setTimeout(() => {
+		pending.limit.clear();
+		const limit = new TimeLimit(pending.request.timeoutMs, () => {
 			this.#giveUp({type: 'timed-out'});
-		}, Math.max(1, pending.request.timeoutMs));
-		this.#pending = {...pending, timer};
+		});
+		this.#pending = {...pending, limit};
 		this.#send(pending.request);
 	}
 
@@ -265,7 +266,7 @@
 	}
 
 	#settleAnswered(pending: PendingExchange, answer: UpstreamAnswer, keepAlive: boolean): void {
-		clearTimeout(pending.timer);
+		pending.limit.clear();
 		this.#options.onAnswered();
 		this.#pending = undefined;
 		this.#idleUntilMs = this.#options.now() + idleTimeMs(answer);
@@ -294,7 +295,7 @@
 				this.#options.onNotConnected(failure.isTimeout);
 			}
 
-			clearTimeout(pending.timer);
+			pending.limit.clear();
 			pending.settle(err(failure));
 		}
 	}
