--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -67,6 +67,11 @@
 	readonly fullResets = new FullResets(this.clock);
 	outcome: Outcome | undefined;
 	isLightlyLoaded = true;
+	isLoadKnown = true;
+	/** Time at which a health check that is running tells the load of upstreams; none is running if undefined. */
+	loadKnownAtMs: number | undefined;
+	/** True if that load is more than they can bear, and not a light one. */
+	isFullOnceKnown = false;
 	/** Load that upstreams have reported a while ago; undefined if they report none. */
 	report: LoadReport | undefined;
 	/** True if upstreams whose connections break have crashed. */
@@ -169,6 +174,7 @@
 			return undefined;
 		}
 
+		const isLoadTold = this.loadKnownAtMs !== undefined && this.clock.monotonicMs() >= this.loadKnownAtMs;
 		this.#placements += 1;
 		const id = `u${this.#placements}` as UpstreamId;
 		const connection = {
@@ -186,7 +192,13 @@
 		this.conditions.push(condition);
 		const placement = idlePlacement(id, connection, condition);
 		return {
-			...placement, expectedMs: this.expectedMs, workMs: this.expectedMs, isLightlyLoaded: this.isLightlyLoaded, room: {...placement.room, report: this.report},
+			...placement,
+			expectedMs: this.expectedMs,
+			workMs: this.expectedMs,
+			isLightlyLoaded: this.isLightlyLoaded || (isLoadTold && !this.isFullOnceKnown),
+			isLoadKnown: this.isLoadKnown || isLoadTold,
+			isLoadAwaited: this.loadKnownAtMs !== undefined && !isLoadTold,
+			room: {...placement.room, report: this.report},
 		};
 	}
 }
@@ -230,6 +242,8 @@
 		slowness: 1,
 		durationRatio: 1,
 		isLightlyLoaded: true,
+		isLoadKnown: true,
+		isLoadAwaited: false,
 		room: {
 			report: undefined, reportAgeMs: outdatedReportMs, unreportedInFlight: 0, slots: 4,
 		},
