--- a/packages/soak/src/stop-mutations.ts
+++ b/packages/soak/src/stop-mutations.ts
@@ -57,8 +57,8 @@
 	{
 		name: 'answers-behind-others-dropped-while-stopping',
 		file: `${calls}/caller-connection.js`,
-		find: 'this.#pendingWrites.set(open, writeNow);',
-		replaceBy: 'if (!wantsClose()) this.#pendingWrites.set(open, writeNow);',
+		find: 'void this.#writeOnceRead(open, writeNow);',
+		replaceBy: 'if (this.#sequence.isFirst(open)) void this.#writeOnceRead(open, writeNow);',
 		events: stopsInUse,
 		noticedBy: wholeRequestsAreAnswered,
 	},
