--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -354,9 +354,9 @@
 	},
 	{
 		name: 'requests-passed-on-twice',
-		file: `${gateway}/features/relay/relay-task.js`,
-		find: 'this.#running.delete(channel);',
-		replaceBy: 'this.#running.delete(channel);\nif (head.method === "POST") await upstream.pool.open().exchange({ ...outgoing, body });',
+		file: `${gateway}/features/relay/relayed-request.js`,
+		find: 'this.#recordAbandoned(result, channel);',
+		replaceBy: 'if (this.#options.head.method === "POST") await this.#send(upstream.pool.open(), body);',
 		events: linksCut,
 		noticedBy: atMostOnce,
 	},
