--- a/packages/gateway/src/features/calls/callers-task-fixture.ts
+++ b/packages/gateway/src/features/calls/callers-task-fixture.ts
@@ -29,6 +29,8 @@
 export class CallersHarness {
 	/** Requests are held as if the instance had just started. */
 	isStarting = false;
+	/** Answer of all upstreams that answer. */
+	answer = success;
 	readonly task: CallersTask;
 	readonly #context: Context;
 	readonly #dependencies = fakeCallDependencies(systemClock);
@@ -100,7 +102,7 @@
 
 		return idlePlacement('u1' as UpstreamId, {
 			isConnected: true,
-			exchange: async () => stage === 'answers' ? success : never,
+			exchange: async () => stage === 'answers' ? this.answer : never,
 			cancel() {
 				if (stage === 'fault') {
 					throw new Error('a fault of the program');
@@ -132,6 +134,30 @@
 		return [...this.#received.matchAll(/HTTP\/1\.1 (\d+) /g)].map(([, status]) => Number(status));
 	}
 
+	/** Number of bytes of all answers so far. */
+	get receivedBytes(): number {
+		return this.#received.length;
+	}
+
+	/** Sends any bytes; resolves once they have left the process. */
+	async sendText(text: string): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#socket.write(text, () => {
+				resolve();
+			});
+		});
+	}
+
+	/** Reads no further answers. */
+	pause(): void {
+		this.#socket.pause();
+	}
+
+	/** Reads answers again. */
+	resume(): void {
+		this.#socket.resume();
+	}
+
 	/** Sends all requests in one write. */
 	send(stages: readonly Stage[]): void {
 		this.#socket.write(stages.map(stage => `POST /${stage}/1 HTTP/1.1\r\nHost: h\r\nId: r\r\nContent-Length: 2\r\n\r\nab`).join(''));
