Spec: a request whose outcome could not be logged gets no answer and outlives the stop (red)

RequestHandler marks the outcome as given before it logs and writes it, so a fault in between leaves the request to nobody: the fault's own outcome is ignored, and the end of the stop finds a run that is over.

--- a/packages/gateway/src/features/calls/callers-task-fixture.ts
+++ b/packages/gateway/src/features/calls/callers-task-fixture.ts
@@ -31,6 +31,10 @@
 	isStarting = false;
 	/** Answer of all upstreams that answer. */
 	answer = success;
+	readonly logger = {
+		debug: noop, info: noop, warn: noop, error: noop,
+	};
+
 	readonly task: CallersTask;
 	readonly #context: Context;
 	readonly #dependencies = fakeCallDependencies(systemClock);
@@ -53,9 +57,7 @@
 		});
 		this.#context = {
 			clock: systemClock,
-			logger: {
-				debug: noop, info: noop, warn: noop, error: noop,
-			},
+			logger: this.logger,
 			metrics,
 			answerMemory: this.#dependencies.answerMemory,
 			random: {next: () => 0, nextInteger: () => 0},
--- a/packages/gateway/src/features/calls/unanswered-on-closing-connections.spec.ts
+++ b/packages/gateway/src/features/calls/unanswered-on-closing-connections.spec.ts
@@ -123,4 +123,22 @@
 		await waitUntil(() => caller.isClosed);
 		assert.deepEqual(caller.statuses, [504, 417]);
 	});
+
+	// Guards against a request that nothing answers any more, as its outcome counts as given before it is.
+	it('should answer a request whose outcome could not be logged', async () => {
+		const harness = await startHarness();
+		const caller = connectCaller(harness);
+		harness.leave();
+		const {info} = harness.logger;
+		harness.logger.info = () => {
+			harness.logger.info = info;
+			throw new Error('a fault of the log');
+		};
+
+		await caller.sendText(requestText('answers'));
+		await delay(settleMs);
+		harness.task.expire();
+		await waitUntil(() => caller.isClosed);
+		assert.equal(caller.statuses.length, 1);
+	});
 });
