Connections of callers: six more ways in which a request got no answer

The runtime pauses a connection while a long answer isn't taken. The turns in which the rest is read passed during that pause, and the next answer closed the connection: 50 of 60 requests sent before the signal were answered. An answer is written from one place now, when it is its turn; only one that would close the connection waits until the rest is read. Closing idle connections took those for idle whose last answer was written: 193,720 to 194,744 of 200,200 bytes arrived. They stay open until their callers close them or their time is over. 3. A request that is refused with its body unread hid those behind it. Its body is read on, for 50 ms at most before the close. 4. CONNECT behind others made the runtime destroy the connection. It is bytes that are no request now. 5. An unknown Expect was refused by the runtime outside the order of the connection. It is a request with the outcome 417. 6. A fault between the decision on an outcome and its write left a request to nobody. The outcome counts once it is handed over, and a fault in the answer to a fault ends the connection.

--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -1,6 +1,8 @@
 /** One connection of a caller: starts its requests, returns the answers in their order and closes it with the last one. */
+import {once} from 'node:events';
 import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {RequestSequence} from '@cairnbank/core/connections';
 import {waitTurns} from '../../kernel/arrivals.js';
 import {breakOff} from './body-reader.js';
@@ -18,7 +20,11 @@
 	readonly onIgnored: (request: OpenRequest, isFirst: boolean) => void;
 };
 
+type ReadyAnswer = {readonly wantsClose: () => boolean; readonly write: (isLast: boolean) => void};
+
 const badRequestStatus = 400;
+/** Time for which the rest of a refused request's body is awaited before its answer closes the connection. */
+const maximumBodyWaitMs = 50;
 /** Turns of the event loop in which the rest of what has arrived on a connection is read; one reads it in parts. */
 const turnsToRead = 2;
 /** Time for which the caller's end of a closing connection is awaited after the last answer has been handed to the socket. */
@@ -33,8 +39,8 @@
 export class CallerConnection {
 	readonly #options: CallerConnectionOptions;
 	readonly #sequence = new RequestSequence<OpenRequest>();
-	/** Writes answers that are ready and wait for those before them. */
-	readonly #pendingWrites = new Map<OpenRequest, () => void>();
+	/** Answers that are ready and not being written yet. */
+	readonly #ready = new Map<OpenRequest, ReadyAnswer>();
 	#newest: OpenRequest | undefined;
 	#faultStatus: number | undefined;
 	#isClosed = false;
@@ -101,18 +107,12 @@
 	 * @param wantsClose - whether the connection should close as soon as no request is lost
 	 */
 	answer(open: OpenRequest, wantsClose: () => boolean, write: (isLast: boolean) => void): void {
-		const writeNow = () => {
-			const isLast = this.#sequence.closesWith(open, wantsClose());
-			this.#hasAnnouncedClose ||= isLast;
-			open.state = 'writing';
-			write(isLast);
-		};
-
 		open.state = 'answered';
-		if (wantsClose()) {
-			void this.#writeOnceRead(open, writeNow);
+		this.#ready.set(open, {wantsClose, write});
+		if (this.#isClosed) {
+			this.#write(open);
 		} else {
-			this.#writeInTurn(open, writeNow);
+			this.#writeFirst();
 		}
 	}
 
@@ -141,18 +141,42 @@
 		this.#options.socket.destroy();
 	}
 
+	/** Writes the answer whose turn it is, if it is ready. */
+	#writeFirst(): void {
+		const [first] = this.#sequence.started;
+		const ready = first === undefined ? undefined : this.#ready.get(first);
+		if (first === undefined || ready === undefined) {
+			return;
+		}
+
+		if (ready.wantsClose() && this.#sequence.unanswered.length === 1) {
+			void this.#writeOnceRead(first);
+		} else {
+			this.#write(first);
+		}
+	}
+
 	/** Writes an answer that may close the connection. Requests behind it that have arrived are read before, as they would be dropped. */
-	async #writeOnceRead(open: OpenRequest, write: () => void): Promise<void> {
+	async #writeOnceRead(open: OpenRequest): Promise<void> {
+		if (!open.request.complete) {
+			await Promise.race([once(open.request, 'close'), once(open.request, 'end'), delay(maximumBodyWaitMs)]);
+		}
+
 		await waitTurns(turnsToRead);
-		this.#writeInTurn(open, write);
+		this.#write(open);
 	}
 
-	#writeInTurn(open: OpenRequest, write: () => void): void {
-		if (this.#sequence.isFirst(open) || this.#isClosed) {
-			write();
-		} else {
-			this.#pendingWrites.set(open, write);
+	#write(open: OpenRequest): void {
+		const ready = this.#ready.get(open);
+		if (ready === undefined) {
+			return;
 		}
+
+		this.#ready.delete(open);
+		const isLast = this.#sequence.closesWith(open, ready.wantsClose());
+		this.#hasAnnouncedClose ||= isLast;
+		open.state = 'writing';
+		ready.write(isLast);
 	}
 
 	/** Ends the newest request if its body has not been read whole. */
@@ -170,7 +194,7 @@
 	}
 
 	#ended(open: OpenRequest): void {
-		this.#pendingWrites.delete(open);
+		this.#ready.delete(open);
 		const next = this.#sequence.ended(open);
 		if (this.#isClosed) {
 			return;
@@ -180,13 +204,7 @@
 			this.#options.onStart(next);
 		}
 
-		const first = this.#sequence.started[0];
-		const write = first === undefined ? undefined : this.#pendingWrites.get(first);
-		if (first !== undefined && write !== undefined) {
-			this.#pendingWrites.delete(first);
-			write();
-		}
-
+		this.#writeFirst();
 		this.#endIfOver();
 	}
 
@@ -219,12 +237,13 @@
 		onClosing();
 		this.#discardFurtherBytes();
 		socket.end();
-		const timer = setTimeout(() => {
-			socket.destroy();
-		}, lingerMs);
+		const destroy = socket.destroy.bind(socket);
+		const timer = setTimeout(destroy, lingerMs);
 		socket.once('close', () => {
 			clearTimeout(timer);
 		});
+		// The server takes the connection for idle and would destroy it as it closes.
+		socket.destroy = error => error === undefined && !socket.readableEnded ? socket : destroy(error);
 	}
 
 	/** Closes the responses that have no socket yet; Node.js closes only the one whose answer comes next. */
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -72,12 +72,14 @@
 				this.#closing.delete(socket);
 			});
 		});
-		server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-			this.#arrivals += 1;
-			const connection = this.#connections.get(request.socket)!;
-			const open = new OpenRequest(request, response, clock.monotonicMs());
-			this.#owners.set(open, connection);
-			connection.receive(open);
+		for (const event of ['request', 'checkExpectation']) {
+			server.on(event, (request: IncomingMessage, response: ServerResponse) => {
+				this.#receive(request, response);
+			});
+		}
+
+		server.on('connect', (_request: IncomingMessage, socket: Socket) => {
+			this.#connections.get(socket)?.fail('CONNECT');
 		});
 		server.on('clientError', ({code}: NodeJS.ErrnoException, socket: Socket) => {
 			if (code === 'ECONNRESET' || !socket.writable) {
@@ -138,6 +140,14 @@
 		});
 	}
 
+	#receive(request: IncomingMessage, response: ServerResponse): void {
+		this.#arrivals += 1;
+		const connection = this.#connections.get(request.socket)!;
+		const open = new OpenRequest(request, response, this.#options.clock.monotonicMs());
+		this.#owners.set(open, connection);
+		connection.receive(open);
+	}
+
 	#write(response: ServerResponse, outcome: Outcome, options: WriteOptions): void {
 		try {
 			writeOutcome(response, outcome, options);
--- a/packages/gateway/src/features/calls/read-call.ts
+++ b/packages/gateway/src/features/calls/read-call.ts
@@ -40,6 +40,11 @@
 		return err({type: 'bad-request', reason: oversize});
 	}
 
+	const {expect} = request.headers;
+	if (expect !== undefined && expect.toLowerCase() !== '100-continue') {
+		return err({type: 'bad-request', reason: 'unknown-expectation'});
+	}
+
 	const target = request.url ?? '/';
 	const route = routes.match(request.headers.host ?? '', target);
 	const service = route === undefined ? undefined : pickService(route, random);
--- a/packages/gateway/src/features/calls/request-handler.ts
+++ b/packages/gateway/src/features/calls/request-handler.ts
@@ -79,6 +79,7 @@
 		try {
 			switch (finalStepOf(open.state)) {
 				case 'refuse': {
+					open.request.resume();
 					this.#respond(open, leavingOutcome, this.identify(open));
 					break;
 				}
@@ -102,11 +103,16 @@
 		return {id: request.headers[this.#options.callDependencies.dialect.requestIdHeader], target: request.url};
 	}
 
+	/** Ends a request that a fault of the program has left without an outcome. */
 	#endByFault(open: OpenRequest, error: unknown): void {
 		const fields = this.identify(open);
-		recordUnexpectedFault(this.#options.context, 'call', error, fields);
-		open.request.resume();
-		this.#respond(open, {type: 'unknown', reason: 'internal-error'}, fields);
+		try {
+			recordUnexpectedFault(this.#options.context, 'call', error, fields);
+			open.request.resume();
+			this.#respond(open, {type: 'unknown', reason: 'internal-error'}, fields);
+		} catch {
+			open.response.destroy();
+		}
 	}
 
 	async #answer(open: OpenRequest): Promise<void> {
@@ -238,7 +244,13 @@
 		}
 
 		open.hasOutcome = true;
+		try {
+			this.#connections.respond(open, outcome);
+		} catch (error) {
+			open.hasOutcome = false;
+			throw error;
+		}
+
 		this.#log.record(outcome, fields, hasSingleAttempt);
-		this.#connections.respond(open, outcome);
 	}
 }
--- a/packages/gateway/src/features/calls/write-outcome.ts
+++ b/packages/gateway/src/features/calls/write-outcome.ts
@@ -16,6 +16,7 @@
 	'bad-deadline': 400,
 	'body-too-large': 413,
 	'header-too-large': 431,
+	'unknown-expectation': 417,
 };
 
 export type WriteOptions = {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,8 @@
 const drainRatio = 0.9;
 /** Fraction of the grace period by which the remaining requests must be answered; the rest is for closing sockets and ending the process. */
 const answerRatio = 0.96;
+/** Time for the remaining answers if the end of the grace period comes late, as the process could not run. */
+const minimumAnswerMs = 100;
 
 export class Gateway {
 	readonly #context: Context;
@@ -83,7 +85,7 @@
 		await untilPart(acceptingRatio);
 		await Promise.race([this.#drain(), untilPart(drainRatio)]);
 		this.#forEachTask(task => task.expire?.());
-		await Promise.race([this.#drain(), untilPart(answerRatio)]);
+		await Promise.race([this.#drain(), Promise.all([untilPart(answerRatio), delay(minimumAnswerMs)])]);
 		this.#forEachTask(task => {
 			task.stop();
 		}, this.#tasks.toReversed());
