Account limits: a request waits for the decision on its account for a second at most

Until a request that waited so as its instance stopped was in nobody's list: it outlived the stop.

Cause: the chain of questions (owner, checks of the next ones, repeats) has a bound for each step and none for the whole but the deadline of the request. A request whose account can't be decided on here is refused within a second now, and its caller comes back after 20 ms, mostly at another instance. A token that comes later is returned as before.

account-limits-task.spec, "within a second while no instance decides": red before (never decided within the second), green now.

--- a/packages/gateway/src/features/account-limits/account-limits-task.spec.ts
+++ b/packages/gateway/src/features/account-limits/account-limits-task.spec.ts
@@ -35,7 +35,7 @@
 	};
 }
 
-function createTask(host: string) {
+function createTask(host: string, others = [host === owner ? later : owner], isKnown = true) {
 	const clock = new ManualClock();
 	const sent: LimitMessage[] = [];
 	const metrics = createMetrics();
@@ -46,7 +46,7 @@
 	const task = new AccountLimitsTask({
 		context,
 		fleet: () => ({
-			others: [host === owner ? later : owner], instances: 2, isKnown: true, hasHeardOthers: true,
+			others, instances: others.length + 1, isKnown, hasHeardOthers: true,
 		}),
 		send(message) {
 			sent.push(message);
@@ -97,6 +97,24 @@
 		assert.deepEqual(sent.at(-1), {type: 'limit-return', account: account.id, count: 1});
 	});
 
+	// Guards against requests that wait for their deadline although nobody decides on their account.
+	it('should refuse a call within a second while no instance decides, long before its deadline', async () => {
+		const silent = Array.from({length: 100}, (_, index) => `10.1.0.${index}`);
+		const {clock, task} = createTask(later, silent, false);
+		task.applyConfiguration(configurationOf([account]));
+		let outcome: unknown;
+		const admitted = (async () => {
+			outcome = await task.admit(callOf(account, clock.monotonicMs() + 8000));
+		})();
+		for (let elapsedMs = 0; elapsedMs < 1000; elapsedMs += 10) {
+			clock.advance(10);
+			mock.timers.tick(10);
+		}
+
+		await admitted;
+		assert.deepEqual(outcome, {type: 'refused', outcome: {type: 'not-run', reason: 'account-use-unknown', retryAfterMs: 20}});
+	});
+
 	for (const [title, outcome, isSent, isReturned] of [
 		['whose key was taken away before it was sent', {type: 'unauthenticated', reason: 'key-removed'}, false, true],
 		['whose caller left before it was sent', {type: 'abandoned'}, false, true],
--- a/packages/gateway/src/features/account-limits/account-limits-task.ts
+++ b/packages/gateway/src/features/account-limits/account-limits-task.ts
@@ -18,6 +18,10 @@
 const millisecondsPerSecond = 1000;
 /** A token that was granted longer ago isn't returned: together with those added since, it would exceed the burst. */
 const maximumReturnAgeMs = 300;
+/** Longest wait for the instance that decides on an account. Another one is found within it if the first has ended. */
+const maximumAskMs = 1000;
+/** Retry delay for the caller of an instance that finds no decision; another instance may. */
+const unknownRetryAfterMs = 20;
 /** A caller waits for at most this part of the time that it has left. */
 const maximumWaitRatio = 1 / 3;
 
@@ -105,7 +109,7 @@
 		this.#updateTimer();
 	}
 
-	/** Decides whether a call may run now, at its deadline at the latest; one without a limited account always may. */
+	/** Decides whether a call may run now, within a bounded time and before its deadline; one without a limited account always may. */
 	async admit(call: LimitedCall): Promise<CallAdmittance> {
 		const {account} = call;
 		if (account?.rateLimit === undefined) {
@@ -155,8 +159,8 @@
 			if (!isDecided) {
 				timer = setTimeout(() => {
 					isLate = true;
-					resolve({type: 'unknown', retryAfterMs: 0});
-				}, Math.max(0, deadlineAtMs - this.#options.context.clock.monotonicMs()));
+					resolve({type: 'unknown', retryAfterMs: unknownRetryAfterMs});
+				}, Math.max(0, Math.min(maximumAskMs, deadlineAtMs - this.#options.context.clock.monotonicMs())));
 			}
 		});
 		if (admittance.type === 'limited') {
