Caller connections: graceful close in a module of its own; a body that breaks off ends no wait by an exception

The outcomes of bodies that are not read stand with their reader. No other change of behaviour.

Green: all specs of the folder, unread-while-stopping, unanswered-while-stopping and graceful-stop.

--- a/packages/gateway/src/features/calls/body-reader.ts
+++ b/packages/gateway/src/features/calls/body-reader.ts
@@ -4,6 +4,7 @@
 import {HeldBodies, maximumHeldBodyBytes} from '@cairnbank/core/connections';
 import {err, ok, type Result} from 'neverthrow';
 import type {Metrics} from '../../metrics/metrics.js';
+import type {Outcome} from './outcome.js';
 
 export type HeldBody = {
 	/** Undefined if the request has no body. */
@@ -15,6 +16,15 @@
 /** `no-room`: the bodies of other requests fill the memory set aside for them. `broken-off`: the caller disconnected, or the rest can't be parsed. */
 export type UnreadBodyReason = 'too-large' | 'no-room' | 'broken-off';
 
+/** Time in which several long bodies are sent to their upstreams. */
+const bodiesHeldRetryAfterMs = 200;
+
+export const outcomesOfUnreadBodies: Readonly<Record<UnreadBodyReason, Outcome>> = {
+	'too-large': {type: 'bad-request', reason: 'body-too-large'},
+	'no-room': {type: 'not-run', reason: 'bodies-held', retryAfterMs: bodiesHeldRetryAfterMs},
+	'broken-off': {type: 'abandoned'},
+};
+
 /** Bodies from this length on count as long. */
 const longBodyBytes = 1_048_576;
 
@@ -27,6 +37,19 @@
 	request.emit('close');
 }
 
+/** Resolves once the whole body has been read or no more of it comes, after `maximumMs` at the latest. */
+export async function untilBodyIsRead(request: IncomingMessage, maximumMs: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		const timer = setTimeout(resolve, maximumMs);
+		for (const event of ['close', 'end']) {
+			request.once(event, () => {
+				clearTimeout(timer);
+				resolve();
+			});
+		}
+	});
+}
+
 export class BodyReader {
 	readonly #held = new HeldBodies();
 	readonly #metrics: Pick<Metrics, 'heldBodyBytes'>;
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -1,11 +1,10 @@
 /** One connection of a caller: starts its requests, returns the answers in their order and closes it with the last one. */
-import {once} from 'node:events';
 import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
-import {setTimeout as delay} from 'node:timers/promises';
 import {RequestSequence} from '@cairnbank/core/connections';
 import {waitTurns} from '../../kernel/arrivals.js';
-import {breakOff} from './body-reader.js';
+import {breakOff, untilBodyIsRead} from './body-reader.js';
+import {closeGracefully, discardFurtherBytes} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
 
 export type CallerConnectionOptions = {
@@ -27,8 +26,6 @@
 const maximumBodyWaitMs = 50;
 /** Turns of the event loop in which the rest of what has arrived on a connection is read; one reads it in parts. */
 const turnsToRead = 2;
-/** Time for which the caller's end of a closing connection is awaited after the last answer has been handed to the socket. */
-const lingerMs = 1000;
 /** Statuses for faults of the HTTP parser; all others are bad requests. */
 const faultStatuses: Readonly<Record<string, number>> = {
 	HPE_HEADER_OVERFLOW: 431,
@@ -159,7 +156,7 @@
 	/** Writes an answer that may close the connection. Requests behind it that have arrived are read before, as they would be dropped. */
 	async #writeOnceRead(open: OpenRequest): Promise<void> {
 		if (!open.request.complete) {
-			await Promise.race([once(open.request, 'close'), once(open.request, 'end'), delay(maximumBodyWaitMs)]);
+			await untilBodyIsRead(open.request, maximumBodyWaitMs);
 		}
 
 		await waitTurns(turnsToRead);
@@ -224,26 +221,14 @@
 		socket.destroySoon();
 	}
 
-	/**
-	 * Ends the sending side, and reads on until the caller closes its side too: closing with unread bytes resets the connection, and the
-	 * caller loses answers that it has not read.
-	 */
+	/** Closes the connection behind its last answer. */
 	#closeGracefully(): void {
 		const {socket, onClosing} = this.#options;
-		if (socket.destroyed || socket.writableEnded) {
-			return;
+		if (!socket.destroyed && !socket.writableEnded) {
+			onClosing();
+			this.#discardFurtherBytes();
+			closeGracefully(socket);
 		}
-
-		onClosing();
-		this.#discardFurtherBytes();
-		socket.end();
-		const destroy = socket.destroy.bind(socket);
-		const timer = setTimeout(destroy, lingerMs);
-		socket.once('close', () => {
-			clearTimeout(timer);
-		});
-		// The server takes the connection for idle and would destroy it as it closes.
-		socket.destroy = error => error === undefined && !socket.readableEnded ? socket : destroy(error);
 	}
 
 	/** Closes the responses that have no socket yet; Node.js closes only the one whose answer comes next. */
@@ -255,21 +240,10 @@
 		}
 	}
 
-	/** Reads on without parsing, so that requests that never start need no memory and the caller's end is noticed. */
 	#discardFurtherBytes(): void {
-		if (this.#isDiscarding) {
-			return;
+		if (!this.#isDiscarding) {
+			this.#isDiscarding = true;
+			discardFurtherBytes(this.#options.socket);
 		}
-
-		this.#isDiscarding = true;
-		const {socket} = this.#options;
-		// The parser must not be detached while it runs.
-		setImmediate(() => {
-			// Adding a listener detaches the parser from the socket; removing all then also removes the parser's own.
-			socket.on('data', () => undefined);
-			socket.removeAllListeners('data');
-			socket.on('data', () => undefined);
-			socket.resume();
-		});
 	}
 }
--- a/packages/gateway/src/features/calls/request-handler.ts
+++ b/packages/gateway/src/features/calls/request-handler.ts
@@ -7,7 +7,7 @@
 import type {AccountLimitsTask, CallAdmittance} from '../account-limits/account-limits-task.js';
 import {leavingRetryAfterMs} from './attempt-gate.js';
 import type {Authenticator} from './authenticator.js';
-import {BodyReader, type UnreadBodyReason} from './body-reader.js';
+import {BodyReader, outcomesOfUnreadBodies} from './body-reader.js';
 import type {CallerConnections} from './caller-connections.js';
 import type {Call} from './call.js';
 import type {CallDependencies} from './call-dependencies.js';
@@ -20,15 +20,6 @@
 import {RequestLog} from './request-log.js';
 import type {StartupGate} from './startup-gate.js';
 
-/** Time in which several long bodies are sent to their upstreams. */
-const bodiesHeldRetryAfterMs = 200;
-
-const outcomesOfUnreadBodies: Readonly<Record<UnreadBodyReason, Outcome>> = {
-	'too-large': {type: 'bad-request', reason: 'body-too-large'},
-	'no-room': {type: 'not-run', reason: 'bodies-held', retryAfterMs: bodiesHeldRetryAfterMs},
-	'broken-off': {type: 'abandoned'},
-};
-
 /** The instance stops, and the request was never sent. */
 const leavingOutcome: Outcome = {type: 'not-run', reason: 'leaving', retryAfterMs: leavingRetryAfterMs};
 
