--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -68,7 +68,7 @@
 	outcome: Outcome | undefined;
 	isLightlyLoaded = true;
 	isLoadKnown = true;
-	/** Time at which a health check that is running tells the load of upstreams; none is running if undefined. */
+	/** Time at which a health check that is running reports the load of upstreams; none is running if undefined. */
 	loadKnownAtMs: number | undefined;
 	/** True if that load is more than they can bear, and not a light one. */
 	isFullOnceKnown = false;
@@ -174,7 +174,7 @@
 			return undefined;
 		}
 
-		const isLoadTold = this.loadKnownAtMs !== undefined && this.clock.monotonicMs() >= this.loadKnownAtMs;
+		const isLoadReported = this.loadKnownAtMs !== undefined && this.clock.monotonicMs() >= this.loadKnownAtMs;
 		this.#placements += 1;
 		const id = `u${this.#placements}` as UpstreamId;
 		const connection = {
@@ -195,9 +195,9 @@
 			...placement,
 			expectedMs: this.expectedMs,
 			workMs: this.expectedMs,
-			isLightlyLoaded: this.isLightlyLoaded || (isLoadTold && !this.isFullOnceKnown),
-			isLoadKnown: this.isLoadKnown || isLoadTold,
-			isLoadAwaited: this.loadKnownAtMs !== undefined && !isLoadTold,
+			isLightlyLoaded: this.isLightlyLoaded || (isLoadReported && !this.isFullOnceKnown),
+			isLoadKnown: this.isLoadKnown || isLoadReported,
+			isLoadAwaited: this.loadKnownAtMs !== undefined && !isLoadReported,
 			room: {...placement.room, report: this.report},
 		};
 	}
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -250,7 +250,7 @@
 		assert.equal(harness.answerMemory.bytes, 0);
 	});
 
-	itRuns('should try once more, and tell that it may have run, if an answer outgrows the memory', {idempotent: true}, async harness => {
+	itRuns('should try once more, and end as one that may have run, if an answer outgrows the memory', {idempotent: true}, async harness => {
 		await harness.answer(0, err({type: 'answer-outgrown'}));
 		await harness.answer(1, err({type: 'answer-outgrown'}));
 		assert.deepEqual(harness.outcome, {type: 'unknown', reason: 'answer-outgrown'});
--- a/packages/gateway/src/features/calls/placement-search.ts
+++ b/packages/gateway/src/features/calls/placement-search.ts
@@ -1,6 +1,6 @@
 /**
  * Looks for the place of an attempt, and for a short time again while no upstream is available to a first attempt, or none with the room
- * that it needs; and until health checks have told the load of upstreams, where a request would be refused only because none is known.
+ * that it needs; and until health checks have reported the load of upstreams, where a request would be refused only because none is known.
  */
 import type {Placement, PlacementRequest} from '../upstreams/placement.js';
 import type {AttemptKind} from './attempt.js';
--- a/packages/gateway/src/features/upstreams/placement.ts
+++ b/packages/gateway/src/features/upstreams/placement.ts
@@ -26,7 +26,7 @@
 	readonly isLightlyLoaded: boolean;
 	/** Whether the load of any upstream that may take the request is known. */
 	readonly isLoadKnown: boolean;
-	/** Whether a health check of the upstream is running that will tell its load. */
+	/** Whether a health check of the upstream is running that will report its load. */
 	readonly isLoadAwaited: boolean;
 	/** What was known of free slots when the upstream was chosen. */
 	readonly room: RoomInputs;
--- a/packages/testing/src/calls/stopping.spec.ts
+++ b/packages/testing/src/calls/stopping.spec.ts
@@ -62,21 +62,21 @@
 	}
 
 	// Guards against requests that get no answer, as the end of the time to drain only closes their connections.
-	it('should be told as unknown if their upstream has them', async () => {
+	it('should end as unknown if their upstream has them', async () => {
 		const result = call('GET');
 		await waitFor('the request', () => silent.requests === 1);
 		await daemon.stop();
 		assert.equal(await result, 'unknown');
 	});
 
-	it('should be told as unknown if they run under a ticket', async () => {
+	it('should end as unknown if they run under a ticket', async () => {
 		const result = call('POST', {[headerNames.ticket]: await takeTicket()});
 		await waitFor('the request', () => silent.requests === 1);
 		await daemon.stop();
 		assert.equal(await result, 'unknown');
 	});
 
-	it('should be told as unknown, and not run, if they wait for the claim of a key', async () => {
+	it('should end as unknown, and not run, if they wait for the claim of a key', async () => {
 		await deployment.log.setFaults({delayMs: logDelayMs});
 		const result = call('POST', {[headerNames.idempotencyKey]: uuid()});
 		await delay(admissionMs);
@@ -85,7 +85,7 @@
 		assert.equal(silent.requests, 0);
 	});
 
-	it('should be told as not run if they wait for the upstream', async () => {
+	it('should end as not run if they wait for the upstream', async () => {
 		const running = call('POST');
 		await waitFor('the request', () => silent.requests === 1);
 		const waiting = Array.from({length: waitingCalls}, async () => call('POST'));
@@ -95,7 +95,7 @@
 		assert.equal(silent.requests, 1);
 	});
 
-	it('should be told as not run if their bodies are being read', async () => {
+	it('should end as not run if their bodies are being read', async () => {
 		const socket = connect(Number(daemon.callersAddress.split(':')[1]), '127.0.0.1');
 		let received = '';
 		socket.on('data', data => {
