--- a/packages/soak/src/stop-mutations.ts
+++ b/packages/soak/src/stop-mutations.ts
@@ -57,8 +57,8 @@
 	{
 		name: 'answers-behind-others-dropped-while-stopping',
 		file: `${calls}/caller-connection.js`,
-		find: 'void this.#writeOnceRead(open, writeNow);',
-		replaceBy: 'if (this.#sequence.isFirst(open)) void this.#writeOnceRead(open, writeNow);',
+		find: 'this.#ready.set(open, { wantsClose, write });',
+		replaceBy: 'if (this.#sequence.isFirst(open)) this.#ready.set(open, { wantsClose, write });',
 		events: stopsInUse,
 		noticedBy: wholeRequestsAreAnswered,
 	},
