Callers' listener closes once nothing waits to be accepted, not after 0.4 s

Cause: the wait for what had arrived had a bound of its own. The runtime accepts one connection in each turn of its event loop; where turns are slow, the queue is not empty by then, and closing a listener resets all that waits in its queue.

Evidence: unread-while-stopping.spec, "that it accepts slowly": 70 connections with 60 requests sent ahead on each wait as the time to accept ends.

Change: the wait has the bounds of the stop itself. The listener closes after turns in which nothing arrived; what arrives until then is answered or refused.

--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -14,8 +14,6 @@
 
 /** Time in which a link of 10 Mbit/s sends a few long answers. */
 const heldRetryAfterMs = 500;
-/** Bounds the wait for what has arrived, as callers may go on connecting. */
-const maximumArrivalsWaitMs = 400;
 
 export type CallerConnectionsOptions = {
 	readonly server: Server;
@@ -90,9 +88,13 @@
 		});
 	}
 
-	/** Resolves once the connections and requests that have arrived are read; closing the listener or a connection before would reset them unread. */
-	async untilArrivalsAreRead(): Promise<void> {
-		await untilArrivalsAreRead(() => this.#arrivals, this.#options.clock, maximumArrivalsWaitMs);
+	/**
+	 * Resolves once the connections and requests that have arrived are read; closing the listener or a connection before would reset them unread.
+	 *
+	 * @param isOver - returns whether the instance has stopped
+	 */
+	async untilArrivalsAreRead(isOver: () => boolean): Promise<void> {
+		await untilArrivalsAreRead(() => this.#arrivals, isOver);
 	}
 
 	/** Resolves once every request has its complete answer, and the connections that closed with it are closed by their callers too. */
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -24,6 +24,7 @@
 	readonly #connections: CallerConnections;
 	readonly #handler: RequestHandler;
 	#isLeaving = false;
+	#isStopped = false;
 
 	constructor(options: CallersTaskOptions) {
 		const {context} = options;
@@ -69,8 +70,9 @@
 		this.#isLeaving = true;
 	}
 
+	/** Closes the listener once nothing waits to be accepted; until then, what arrives is answered or refused. */
 	async drain(): Promise<void> {
-		await this.#connections.untilArrivalsAreRead();
+		await this.#connections.untilArrivalsAreRead(() => this.#isStopped);
 		this.#server.close();
 		this.#server.closeIdleConnections();
 		await this.#connections.untilIdle();
@@ -87,6 +89,7 @@
 	}
 
 	stop(): void {
+		this.#isStopped = true;
 		this.#logOpenRequests();
 		this.#server.close();
 		this.#server.closeIdleConnections();
--- a/packages/gateway/src/kernel/arrivals.ts
+++ b/packages/gateway/src/kernel/arrivals.ts
@@ -1,6 +1,5 @@
 /** Waits for the event loop to read what has arrived on sockets. */
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import type {Clock} from '@cairnbank/core';
 
 /** Turns in which nothing came, after which nothing more is taken to have arrived. */
 const quietTurns = 3;
@@ -13,15 +12,14 @@
 }
 
 /**
- * Resolves once all that has arrived has been read. The runtime accepts one connection in each turn of its event loop.
+ * Resolves once all that has arrived has been read, however long that takes. The runtime accepts one connection in each turn of its event loop.
  *
  * @param arrivals - number of connections and requests so far
- * @param maximumMs - bound of the wait, as more may come all the time
+ * @param isOver - returns whether nothing is read any more
  */
-export async function untilArrivalsAreRead(arrivals: () => number, clock: Clock, maximumMs: number): Promise<void> {
-	const untilMs = clock.monotonicMs() + maximumMs;
+export async function untilArrivalsAreRead(arrivals: () => number, isOver: () => boolean): Promise<void> {
 	let before = arrivals();
-	for (let quiet = 0; quiet < quietTurns && clock.monotonicMs() < untilMs; quiet++) {
+	for (let quiet = 0; quiet < quietTurns && !isOver(); quiet++) {
 		await nextTurn();
 		if (arrivals() !== before) {
 			before = arrivals();
