Ports for peers, the directory, readiness and metrics answer all that has arrived before they stop

What callers saw: lookups, probes, scrapes and requests of other instances that had arrived whole were reset as a stopping instance ended its ports, and of two requests sent ahead on one connection the second was dropped.

Cause: the ports waited two turns of the event loop, in which two connections are accepted, and not for answers that were being made; every answer of a leaving instance closed its connection, whatever had been sent behind it.

Change: a port drains once nothing more arrives and all requests are answered, within the bounds of the stop. A request of a leaving instance is handled after the turns in which those behind it are read, and only the newest one of a connection closes it.

--- a/packages/gateway/src/features/directory/directory-task.ts
+++ b/packages/gateway/src/features/directory/directory-task.ts
@@ -34,17 +34,17 @@
 	readonly name = 'directory';
 	readonly #options: DirectoryTaskOptions;
 	readonly #servers = new Map<string, Server>();
-	readonly #lastAnswers: LastAnswers[] = [];
+	readonly #answers: LastAnswers[] = [];
 
 	constructor(options: DirectoryTaskOptions) {
 		this.#options = options;
 		const {directory, readiness, control} = options.context.settings.listen;
 		for (const address of new Set([directory, readiness, ...(control === undefined ? [] : [control])])) {
-			const server = createServer({keepAliveTimeout: keepAliveMs}, containFaults(options.context, 'directory', async (request, response) => {
-				this.#answer(request, response);
-			}));
+			const server = createServer({keepAliveTimeout: keepAliveMs});
 			this.#servers.set(address, server);
-			this.#lastAnswers.push(new LastAnswers(server));
+			this.#answers.push(new LastAnswers(server, containFaults(options.context, 'directory', async (request, response) => {
+				this.#answer(request, response);
+			})));
 		}
 	}
 
@@ -60,20 +60,19 @@
 	}
 
 	leave(): void {
-		for (const answers of this.#lastAnswers) {
+		for (const answers of this.#answers) {
 			answers.leave();
 		}
 	}
 
-	/** Closes idle connections; lookups on new ones are answered until the end. */
+	/** Resolves once all that has arrived is answered. */
 	async drain(): Promise<void> {
-		await Promise.all(this.#lastAnswers.map(async answers => answers.closeIdle()));
+		await Promise.all(this.#answers.map(async answers => answers.drain()));
 	}
 
 	stop(): void {
-		for (const server of this.#servers.values()) {
-			server.close();
-			server.closeAllConnections();
+		for (const answers of this.#answers) {
+			answers.stop();
 		}
 	}
 
--- a/packages/gateway/src/features/fleet/peer-server.ts
+++ b/packages/gateway/src/features/fleet/peer-server.ts
@@ -25,10 +25,11 @@
 
 export class PeerServer {
 	readonly #server: Server;
-	readonly #lastAnswers: LastAnswers;
+	readonly #answers: LastAnswers;
 
 	constructor({context, handlers, maximumHeaderBytes}: PeerServerOptions) {
-		this.#server = createServer({maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: keepAliveMs, noDelay: true}, containFaults(context, 'peer', async (request, response) => {
+		this.#server = createServer({maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: keepAliveMs, noDelay: true});
+		this.#answers = new LastAnswers(this.#server, containFaults(context, 'peer', async (request, response) => {
 			const handler = handlers[pathOf(request.url ?? '')];
 			if (handler === undefined) {
 				request.resume();
@@ -37,7 +38,6 @@
 				await handler(request, response);
 			}
 		}));
-		this.#lastAnswers = new LastAnswers(this.#server);
 	}
 
 	/** The port that is listened on; undefined before the start. */
@@ -52,16 +52,15 @@
 
 	/** Called when a graceful stop begins. */
 	leave(): void {
-		this.#lastAnswers.leave();
+		this.#answers.leave();
 	}
 
-	/** Closes idle connections. */
+	/** Resolves once all that has arrived is answered. */
 	async drain(): Promise<void> {
-		await this.#lastAnswers.closeIdle();
+		await this.#answers.drain();
 	}
 
 	stop(): void {
-		this.#server.close();
-		this.#server.closeAllConnections();
+		this.#answers.stop();
 	}
 }
--- a/packages/gateway/src/features/metrics/metrics-task.ts
+++ b/packages/gateway/src/features/metrics/metrics-task.ts
@@ -20,11 +20,12 @@
 	readonly name = 'metrics';
 	readonly #context: Context;
 	readonly #server: Server;
-	readonly #lastAnswers: LastAnswers;
+	readonly #answers: LastAnswers;
 
 	constructor(context: Context, {droppedLogLines, countOpenRequests, unfinishedAnswerBytes}: MetricsSources) {
 		this.#context = context;
-		this.#server = createServer(containFaults(context, 'metrics', async (_request, response) => {
+		this.#server = createServer();
+		this.#answers = new LastAnswers(this.#server, containFaults(context, 'metrics', async (_request, response) => {
 			context.metrics.droppedLogLines.set(droppedLogLines());
 			context.metrics.unfinishedAnswerBytes.set(unfinishedAnswerBytes());
 			for (const [state, count] of countOpenRequests()) {
@@ -33,7 +34,6 @@
 
 			await this.#answer(response);
 		}));
-		this.#lastAnswers = new LastAnswers(this.#server);
 	}
 
 	async start(): Promise<Result<void, StartError>> {
@@ -42,17 +42,16 @@
 	}
 
 	leave(): void {
-		this.#lastAnswers.leave();
+		this.#answers.leave();
 	}
 
-	/** Closes idle connections; requests on new ones are answered until the end. */
+	/** Resolves once all that has arrived is answered. */
 	async drain(): Promise<void> {
-		await this.#lastAnswers.closeIdle();
+		await this.#answers.drain();
 	}
 
 	stop(): void {
-		this.#server.close();
-		this.#server.closeAllConnections();
+		this.#answers.stop();
 	}
 
 	async #answer(response: ServerResponse): Promise<void> {
--- /dev/null
+++ b/packages/gateway/src/kernel/last-answers.spec.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {LastAnswers} from './last-answers.js';
+
+const host = '127.0.0.1';
+
+function requestFor(path: string): string {
+	return `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
+}
+
+describe('LastAnswers', () => {
+	let server: Server;
+	let answers: LastAnswers;
+	let socket: Socket;
+	let received: string;
+	let held: Map<string, ServerResponse>;
+
+	beforeEach(async () => {
+		server = createServer();
+		held = new Map();
+		answers = new LastAnswers(server, (request, response) => {
+			if (request.url!.startsWith('/held')) {
+				held.set(request.url!, response);
+			} else {
+				response.end(request.url);
+			}
+		});
+		server.listen(0, host);
+		await once(server, 'listening');
+		socket = connect((server.address() as AddressInfo).port, host);
+		received = '';
+		socket.on('data', chunk => {
+			received += chunk.toString('latin1');
+		});
+		socket.on('error', () => undefined);
+		await once(server, 'connection');
+	});
+
+	afterEach(() => {
+		socket.destroy();
+		answers.stop();
+	});
+
+	/** Returns the body and the `Connection` header of each answer. */
+	function receivedAnswers(): Array<string | undefined> {
+		return received.split('HTTP/1.1 ').slice(1).map(text => `${text.split('\r\n').at(-1)} ${/^connection: (\S+)/im.exec(text)?.[1]}`);
+	}
+
+	async function untilHeld(path: string): Promise<void> {
+		while (!held.has(path)) {
+			await nextTurn();
+		}
+	}
+
+	// Guards against requests that are dropped because the connection closes with the answer before theirs.
+	it('should answer all requests that are sent ahead while the instance leaves, and close with the last', async () => {
+		answers.leave();
+		socket.write(['/1', '/2', '/3'].map(path => requestFor(path)).join(''));
+		await once(socket, 'close');
+		assert.deepEqual(receivedAnswers().map(answer => answer!.endsWith('close')), [false, false, true]);
+		assert.equal(received.match(/200 OK/g)?.length, 3);
+	});
+
+	it('should answer a request that arrives while the one before it is being handled', async () => {
+		answers.leave();
+		socket.write(requestFor('/held1'));
+		await untilHeld('/held1');
+		socket.write(requestFor('/held2'));
+		await untilHeld('/held2');
+		held.get('/held1')!.end();
+		held.get('/held2')!.end();
+		await once(socket, 'close');
+		assert.deepEqual(receivedAnswers().map(answer => answer!.endsWith('close')), [false, true]);
+	});
+
+	it('should answer all requests that were sent ahead before the instance leaves', async () => {
+		socket.write(requestFor('/held1') + requestFor('/held2'));
+		await untilHeld('/held2');
+		answers.leave();
+		held.get('/held1')!.end();
+		held.get('/held2')!.end();
+		await once(socket, 'close');
+		assert.deepEqual(receivedAnswers().map(answer => answer!.endsWith('close')), [false, true]);
+	});
+
+	// Guards against answers that are cut because the port stops while they are made.
+	it('should drain once all requests are answered', async () => {
+		socket.write(requestFor('/held1'));
+		await untilHeld('/held1');
+		answers.leave();
+		let isDrained = false;
+		const drained = (async () => {
+			await answers.drain();
+			isDrained = true;
+		})();
+		socket.write(requestFor('/held2'));
+		await untilHeld('/held2');
+		held.get('/held1')!.end();
+		await nextTurn();
+		assert.equal(isDrained, false);
+		held.get('/held2')!.end();
+		await drained;
+		await once(socket, 'close');
+	});
+
+	it('should drain though a caller has disconnected before its answers', async () => {
+		socket.write(requestFor('/held1') + requestFor('/held2'));
+		await untilHeld('/held2');
+		answers.leave();
+		socket.destroy();
+		await answers.drain();
+	});
+
+	it('should end a drain as the port stops', async () => {
+		answers.leave();
+		const drained = answers.drain();
+		answers.stop();
+		await drained;
+	});
+});
--- a/packages/gateway/src/kernel/last-answers.ts
+++ b/packages/gateway/src/kernel/last-answers.ts
@@ -1,16 +1,36 @@
-/** Ends the connections of a port in order as its instance stops: the next answer on each is its last. */
-import type {Server, ServerResponse} from 'node:http';
-import {setImmediate as nextTurn} from 'node:timers/promises';
+/** Serves a port whose connections end in order as its instance stops: the last answer that is due on each closes it. */
+import type {
+	IncomingMessage, RequestListener, Server, ServerResponse,
+} from 'node:http';
+import type {Socket} from 'node:net';
+import {untilArrivalsAreRead, waitTurns} from './arrivals.js';
+import {InFlight} from './in-flight.js';
+
+/** Turns of the event loop in which the requests behind one are read. */
+const turnsToRead = 2;
 
 export class LastAnswers {
 	readonly #server: Server;
-	readonly #unanswered = new Set<ServerResponse>();
+	readonly #handle: RequestListener;
+	readonly #unanswered = new InFlight<ServerResponse>();
+	/** Response to the last request of each connection. */
+	readonly #newest = new WeakMap<Socket, ServerResponse>();
+	#arrivals = 0;
 	#isLeaving = false;
+	#isStopped = false;
 
-	constructor(server: Server) {
+	constructor(server: Server, handle: RequestListener) {
 		this.#server = server;
-		server.prependListener('request', (_request, response) => {
-			this.#track(response);
+		this.#handle = handle;
+		server.on('connection', (socket: Socket) => {
+			this.#arrivals += 1;
+			socket.once('close', () => {
+				this.#forget(socket);
+			});
+		});
+		server.on('request', (request, response) => {
+			this.#arrivals += 1;
+			void this.#receive(request, response);
 		});
 	}
 
@@ -18,27 +38,50 @@
 	leave(): void {
 		this.#isLeaving = true;
 		for (const response of this.#unanswered) {
-			response.shouldKeepAlive = false;
+			response.shouldKeepAlive &&= this.#newest.get(response.req.socket) !== response;
 		}
 	}
 
-	/** Closes idle connections, once the requests that have already arrived on them are read. */
-	async closeIdle(): Promise<void> {
-		// The event loop polls the sockets between the two turns.
-		await nextTurn();
-		await nextTurn();
+	/** Resolves once all that has arrived is answered; closes idle connections. What arrives later on new ones is answered too. */
+	async drain(): Promise<void> {
+		await untilArrivalsAreRead(() => this.#arrivals, () => this.#isStopped);
 		this.#server.closeIdleConnections();
+		await this.#unanswered.untilEmpty();
 	}
 
-	#track(response: ServerResponse): void {
-		if (this.#isLeaving) {
-			response.shouldKeepAlive = false;
-			return;
-		}
+	/** Closes the listener and all connections. */
+	stop(): void {
+		this.#isStopped = true;
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
 
+	async #receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const {socket} = request;
+		const previous = this.#newest.get(socket);
+		this.#newest.set(socket, response);
 		this.#unanswered.add(response);
 		response.once('close', () => {
 			this.#unanswered.delete(response);
 		});
+		if (this.#isLeaving) {
+			if (previous !== undefined && !previous.headersSent) {
+				previous.shouldKeepAlive = true;
+			}
+
+			response.shouldKeepAlive = false;
+			await waitTurns(turnsToRead);
+		}
+
+		this.#handle(request, response);
+	}
+
+	/** Node.js closes only the response whose turn it is when its connection closes. */
+	#forget(socket: Socket): void {
+		for (const response of this.#unanswered) {
+			if (response.req.socket === socket) {
+				this.#unanswered.delete(response);
+			}
+		}
 	}
 }
