A stopping instance accepts all connections that wait before it reads any, and then closes its listener

Cause: the runtime accepts one connection in each turn of its event loop, and a turn also reads and handles what has come on the connections before it, so that callers who connect faster than that are never all accepted.

Evidence: unread-while-stopping.spec, "though callers go on connecting": a connection with 60 requests every 5 ms.

Change: no connection is read while the waiting ones are accepted; then the listener alone is closed, as the HTTP server's own method closes kept connections with what has arrived on them; then a few connections are read again in each turn.

--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -1,9 +1,9 @@
 /** The connections of all callers, and the memory of the answers that they have not read yet. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import type {Clock} from '@cairnbank/core';
 import {HeldAnswers, type AnswerMemory} from '@cairnbank/core/connections';
-import {untilArrivalsAreRead} from '../../kernel/arrivals.js';
+import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
 import {InFlight} from '../../kernel/in-flight.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import {CallerConnection, type CallerConnectionOptions} from './caller-connection.js';
@@ -14,6 +14,8 @@
 
 /** Time in which a link of 10 Mbit/s sends a few long answers. */
 const heldRetryAfterMs = 500;
+/** Connections that are read again in one turn of the event loop. */
+const resumedInTurn = 4;
 
 export type CallerConnectionsOptions = {
 	readonly server: Server;
@@ -37,7 +39,9 @@
 	readonly #closing = new InFlight<Socket>();
 	readonly #owners = new WeakMap<OpenRequest, CallerConnection>();
 	readonly #held: HeldAnswers<CallerConnection>;
-	#arrivals = 0;
+	#acceptedConnections = 0;
+	#receivedRequests = 0;
+	#isAccepting = false;
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
@@ -47,7 +51,14 @@
 		});
 		this.#held = new HeldAnswers(clock, answerMemory);
 		server.on('connection', (socket: Socket) => {
-			this.#arrivals += 1;
+			this.#acceptedConnections += 1;
+			if (this.#isAccepting) {
+				// A new socket resumes by itself once this event is over.
+				queueMicrotask(() => {
+					socket.pause();
+				});
+			}
+
 			this.#connections.set(socket, new CallerConnection({
 				socket,
 				onOpened: request => {
@@ -89,12 +100,28 @@
 	}
 
 	/**
-	 * Resolves once the connections and requests that have arrived are read; closing the listener or a connection before would reset them unread.
+	 * Accepts the connections that wait and closes the listener, which resets those that are left. Nothing is read meanwhile: the runtime
+	 * accepts one connection in each turn of its event loop, and callers that go on connecting would outrun long turns.
+	 *
+	 * @param isOver - returns whether the instance has stopped
+	 */
+	async closeListener(isOver: () => boolean): Promise<void> {
+		this.#isAccepting = true;
+		this.#pauseReading();
+		await untilArrivalsAreRead(() => this.#acceptedConnections, isOver);
+		// The method of the HTTP server would close kept connections too, with what has arrived on them.
+		NetServer.prototype.close.call(this.#options.server);
+		this.#isAccepting = false;
+		await this.#resumeReading();
+	}
+
+	/**
+	 * Resolves once the requests that have arrived are read; closing their connections before would reset them.
 	 *
 	 * @param isOver - returns whether the instance has stopped
 	 */
 	async untilArrivalsAreRead(isOver: () => boolean): Promise<void> {
-		await untilArrivalsAreRead(() => this.#arrivals, isOver);
+		await untilArrivalsAreRead(() => this.#receivedRequests, isOver);
 	}
 
 	/** Resolves once every request has its complete answer, and the connections that closed with it are closed by their callers too. */
@@ -142,8 +169,26 @@
 		});
 	}
 
+	#pauseReading(): void {
+		for (const socket of this.#connections.keys()) {
+			socket.pause();
+		}
+	}
+
+	/** Reads a few connections in each turn, so that timers are not held up. */
+	async #resumeReading(): Promise<void> {
+		let resumed = 0;
+		for (const socket of this.#connections.keys()) {
+			socket.resume();
+			resumed += 1;
+			if (resumed % resumedInTurn === 0) {
+				await waitTurns(1);
+			}
+		}
+	}
+
 	#receive(request: IncomingMessage, response: ServerResponse): void {
-		this.#arrivals += 1;
+		this.#receivedRequests += 1;
 		const connection = this.#connections.get(request.socket)!;
 		const open = new OpenRequest(request, response, this.#options.clock.monotonicMs());
 		this.#owners.set(open, connection);
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -70,10 +70,12 @@
 		this.#isLeaving = true;
 	}
 
-	/** Closes the listener once nothing waits to be accepted; until then, what arrives is answered or refused. */
 	async drain(): Promise<void> {
+		if (this.#server.listening) {
+			await this.#connections.closeListener(() => this.#isStopped);
+		}
+
 		await this.#connections.untilArrivalsAreRead(() => this.#isStopped);
-		this.#server.close();
 		this.#server.closeIdleConnections();
 		await this.#connections.untilIdle();
 	}
