--- a/packages/gateway/src/kernel/last-answers.spec.ts
+++ b/packages/gateway/src/kernel/last-answers.spec.ts
@@ -79,6 +79,15 @@
 		assert.deepEqual(receivedAnswers().map(answer => answer!.endsWith('close')), [false, true]);
 	});
 
+	it('should close behind a request that asks for it, whatever follows', async () => {
+		answers.leave();
+		socket.write(`GET /held1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n${requestFor('/held2')}`);
+		await untilHeld('/held1');
+		held.get('/held1')!.end();
+		await once(socket, 'close');
+		assert.deepEqual(receivedAnswers().map(answer => answer!.endsWith('close')), [true]);
+	});
+
 	it('should answer all requests that were sent ahead before the instance leaves', async () => {
 		socket.write(requestFor('/held1') + requestFor('/held2'));
 		await untilHeld('/held2');
--- a/packages/gateway/src/kernel/last-answers.ts
+++ b/packages/gateway/src/kernel/last-answers.ts
@@ -15,6 +15,8 @@
 	readonly #unanswered = new InFlight<ServerResponse>();
 	/** Response to the last request of each connection. */
 	readonly #newest = new WeakMap<Socket, ServerResponse>();
+	/** Responses that close their connections only because the instance leaves. */
+	readonly #closing = new WeakSet<ServerResponse>();
 	#arrivals = 0;
 	#isLeaving = false;
 	#isStopped = false;
@@ -38,7 +40,9 @@
 	leave(): void {
 		this.#isLeaving = true;
 		for (const response of this.#unanswered) {
-			response.shouldKeepAlive &&= this.#newest.get(response.req.socket) !== response;
+			if (this.#newest.get(response.req.socket) === response) {
+				this.#close(response);
+			}
 		}
 	}
 
@@ -65,17 +69,28 @@
 			this.#unanswered.delete(response);
 		});
 		if (this.#isLeaving) {
-			if (previous !== undefined && !previous.headersSent) {
-				previous.shouldKeepAlive = true;
-			}
-
-			response.shouldKeepAlive = false;
+			this.#reopen(previous);
+			this.#close(response);
 			await waitTurns(turnsToRead);
 		}
 
 		this.#handle(request, response);
 	}
 
+	#close(response: ServerResponse): void {
+		if (response.shouldKeepAlive) {
+			this.#closing.add(response);
+			response.shouldKeepAlive = false;
+		}
+	}
+
+	/** Keeps the connection open behind a response, as a request has arrived behind its own. */
+	#reopen(response: ServerResponse | undefined): void {
+		if (response !== undefined && this.#closing.has(response) && !response.headersSent) {
+			response.shouldKeepAlive = true;
+		}
+	}
+
 	/** Node.js closes only the response whose turn it is when its connection closes. */
 	#forget(socket: Socket): void {
 		for (const response of this.#unanswered) {
