A stopping instance awaits the first request of each connection that it has accepted

What callers saw: connections that a stopping instance had accepted were reset as their first request was on its way: the process ended as soon as no request was open.

Cause: only connections with a request kept the process running.

Evidence: unread-while-stopping.spec, "that it accepted before": requests sent on 20 connections right after the listener closed.

Change: once the listener is closed, connections that have carried no request are awaited for a second, within the bounds of the stop, and then closed in order.

--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -1,6 +1,7 @@
 /** The connections of all callers, and the memory of the answers that they have not read yet. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock} from '@cairnbank/core';
 import {HeldAnswers, type AnswerMemory} from '@cairnbank/core/connections';
 import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
@@ -14,6 +15,8 @@
 
 /** Time in which a link of 10 Mbit/s sends a few long answers. */
 const heldRetryAfterMs = 500;
+/** Time in which the first request of a connection comes that its caller opened just before the listener closed. */
+const firstRequestWaitMs = 1000;
 /** Connections that are read again in one turn of the event loop. */
 const resumedInTurn = 4;
 
@@ -35,6 +38,8 @@
 	readonly open: OpenRequests;
 	readonly #options: CallerConnectionsOptions;
 	readonly #connections = new Map<Socket, CallerConnection>();
+	/** Connections that have not carried a request yet. */
+	readonly #unused = new InFlight<Socket>();
 	/** Connections whose last answer is written and which their callers have not closed yet. */
 	readonly #closing = new InFlight<Socket>();
 	readonly #owners = new WeakMap<OpenRequest, CallerConnection>();
@@ -59,6 +64,7 @@
 				});
 			}
 
+			this.#unused.add(socket);
 			this.#connections.set(socket, new CallerConnection({
 				socket,
 				onOpened: request => {
@@ -78,6 +84,7 @@
 			}));
 			socket.once('close', () => {
 				this.#connections.delete(socket);
+				this.#unused.delete(socket);
 				this.#closing.delete(socket);
 			});
 		});
@@ -115,6 +122,14 @@
 		await this.#resumeReading();
 	}
 
+	/** Resolves once each connection has carried a request; closes those on which none comes in time. */
+	async untilUsed(): Promise<void> {
+		await Promise.race([this.#unused.untilEmpty(), delay(firstRequestWaitMs, undefined, {ref: false})]);
+		for (const socket of this.#unused) {
+			socket.destroySoon();
+		}
+	}
+
 	/**
 	 * Resolves once the requests that have arrived are read; closing their connections before would reset them.
 	 *
@@ -189,6 +204,7 @@
 
 	#receive(request: IncomingMessage, response: ServerResponse): void {
 		this.#receivedRequests += 1;
+		this.#unused.delete(request.socket);
 		const connection = this.#connections.get(request.socket)!;
 		const open = new OpenRequest(request, response, this.#options.clock.monotonicMs());
 		this.#owners.set(open, connection);
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -73,6 +73,7 @@
 	async drain(): Promise<void> {
 		if (this.#server.listening) {
 			await this.#connections.closeListener(() => this.#isStopped);
+			await this.#connections.untilUsed();
 		}
 
 		await this.#connections.untilArrivalsAreRead(() => this.#isStopped);
