--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -24,6 +24,7 @@
 	readonly #connections: CallerConnections;
 	readonly #handler: RequestHandler;
 	#isLeaving = false;
+	#isStopped = false;
 
 	constructor(options: CallersTaskOptions) {
 		const {context} = options;
@@ -70,8 +71,12 @@
 	}
 
 	async drain(): Promise<void> {
-		await this.#connections.untilArrivalsAreRead();
-		this.#server.close();
+		if (this.#server.listening) {
+			await this.#connections.closeListener(() => this.#isStopped);
+			await this.#connections.untilUsed();
+		}
+
+		await this.#connections.untilArrivalsAreRead(() => this.#isStopped);
 		this.#server.closeIdleConnections();
 		await this.#connections.untilIdle();
 	}
@@ -87,6 +92,7 @@
 	}
 
 	stop(): void {
+		this.#isStopped = true;
 		this.#logOpenRequests();
 		this.#server.close();
 		this.#server.closeIdleConnections();
