Log and count the answers of a stopping instance whose callers are not known to have them

An answer counted as delivered once it had left the process. No log line or metric told which ones their callers may lack, so that an answer lost on its way could not be told from one that was never written. Each connection now keeps the answers written since its caller last sent a request without one being open. If it ends before its caller has closed, while the instance leaves, each gets a line with its id, status, bytes, bytes held, the time since it was written, and what ended the connection, and counts by that reason. The answers to bytes that are no request stand in a module of their own. No change of behaviour.

--- a/packages/gateway/src/features/calls/body-reader.spec.ts
+++ b/packages/gateway/src/features/calls/body-reader.spec.ts
@@ -72,7 +72,7 @@
 			requests[0]!.destroy();
 			await broken;
 			requests[1]!.push('pay');
-			requests[1]!.push(null); // eslint-disable-line unicorn/no-null -- ends the stream
+			requests[1]!.push(null);
 			const body = await whole!;
 			body._unsafeUnwrap().release();
 			const next = requestWithBody(maximumHeldBodyBytes);
--- /dev/null
+++ b/packages/gateway/src/features/calls/caller-connection-options.ts
@@ -0,0 +1,18 @@
+/** What a connection of a caller tells its owner. */
+import type {Socket} from 'node:net';
+import type {OpenRequest} from './open-request.js';
+import type {Undelivered} from './written-answers.js';
+
+export type CallerConnectionOptions = {
+	readonly socket: Socket;
+	/** Called for each request that will be answered. */
+	readonly onOpened: (request: OpenRequest) => void;
+	readonly onStart: (request: OpenRequest) => void;
+	readonly onSentAhead: () => void;
+	/** Called when the last answer is written and only the caller's end of the connection is awaited. */
+	readonly onClosing: () => void;
+	/** Called for each request that is never started, as the connection closes before its turn. */
+	readonly onIgnored: (request: OpenRequest, isFirst: boolean) => void;
+	/** Called as the connection ends before its caller is known to have all answers. */
+	readonly onUndelivered: (undelivered: Undelivered) => void;
+};
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -1,41 +1,24 @@
 /** One connection of a caller: starts its requests, returns the answers in their order and closes it with the last one. */
-import {STATUS_CODES} from 'node:http';
-import type {Socket} from 'node:net';
 import {RequestSequence} from '@cairnbank/core/connections';
 import {waitTurns} from '../../kernel/arrivals.js';
 import {breakOff, untilBodyIsRead} from './body-reader.js';
+import type {CallerConnectionOptions} from './caller-connection-options.js';
 import {closeGracefully, discardFurtherBytes} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
-
-export type CallerConnectionOptions = {
-	readonly socket: Socket;
-	/** Called for each request that will be answered. */
-	readonly onOpened: (request: OpenRequest) => void;
-	readonly onStart: (request: OpenRequest) => void;
-	readonly onSentAhead: () => void;
-	/** Called when the last answer is written and only the caller's end of the connection is awaited. */
-	readonly onClosing: () => void;
-	/** Called for each request that is never started, as the connection closes before its turn. */
-	readonly onIgnored: (request: OpenRequest, isFirst: boolean) => void;
-};
+import {answerToFault, statusOfFault} from './parser-faults.js';
+import {WrittenAnswers} from './written-answers.js';
 
 type ReadyAnswer = {readonly wantsClose: () => boolean; readonly write: (isLast: boolean) => void};
 
-const badRequestStatus = 400;
 /** Time for which the rest of a refused request's body is awaited before its answer closes the connection. */
 const maximumBodyWaitMs = 50;
 /** Turns of the event loop in which the rest of what has arrived on a connection is read; one reads it in parts. */
 const turnsToRead = 2;
-/** Statuses for faults of the HTTP parser; all others are bad requests. */
-const faultStatuses: Readonly<Record<string, number>> = {
-	HPE_HEADER_OVERFLOW: 431,
-	HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
-	ERR_HTTP_REQUEST_TIMEOUT: 408,
-};
 
 export class CallerConnection {
 	readonly #options: CallerConnectionOptions;
 	readonly #sequence = new RequestSequence<OpenRequest>();
+	readonly #written: WrittenAnswers;
 	/** Answers that are ready and not being written yet. */
 	readonly #ready = new Map<OpenRequest, ReadyAnswer>();
 	#newest: OpenRequest | undefined;
@@ -47,6 +30,7 @@
 
 	constructor(options: CallerConnectionOptions) {
 		this.#options = options;
+		this.#written = new WrittenAnswers(options.socket);
 		options.socket.on('close', () => {
 			this.#closed();
 		});
@@ -85,6 +69,8 @@
 
 		if (isSentAhead) {
 			this.#options.onSentAhead();
+		} else {
+			this.#written.callerHasAll();
 		}
 
 		this.#newest = open;
@@ -119,7 +105,7 @@
 			return;
 		}
 
-		this.#faultStatus = faultStatuses[code] ?? badRequestStatus;
+		this.#faultStatus = statusOfFault(code);
 		this.#sequence.closeBehind();
 		this.#discardFurtherBytes();
 		this.#endIncomplete();
@@ -138,6 +124,14 @@
 		this.#options.socket.destroy();
 	}
 
+	/** Reports the answers that the caller isn't known to have. */
+	reportUndelivered(): void {
+		const undelivered = this.#written.take();
+		if (undelivered.answers.length > 0) {
+			this.#options.onUndelivered(undelivered);
+		}
+	}
+
 	/** Writes the answer whose turn it is, if it is ready. */
 	#writeFirst(): void {
 		const [first] = this.#sequence.started;
@@ -192,6 +186,10 @@
 
 	#ended(open: OpenRequest): void {
 		this.#ready.delete(open);
+		if (open.response.writableFinished) {
+			this.#written.add(open);
+		}
+
 		const next = this.#sequence.ended(open);
 		if (this.#isClosed) {
 			return;
@@ -215,7 +213,7 @@
 		this.#hasAnnouncedClose = true;
 		const status = this.#faultStatus;
 		if (status !== undefined) {
-			socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			socket.write(answerToFault(status));
 		}
 
 		socket.destroySoon();
@@ -226,6 +224,7 @@
 		const {socket, onClosing} = this.#options;
 		if (!socket.destroyed && !socket.writableEnded) {
 			onClosing();
+			this.#written.closes();
 			this.#discardFurtherBytes();
 			closeGracefully(socket);
 		}
@@ -234,6 +233,7 @@
 	/** Closes the responses that have no socket yet; Node.js closes only the one whose answer comes next. */
 	#closed(): void {
 		this.#isClosed = true;
+		this.reportUndelivered();
 		for (const {response} of this.#sequence.unanswered.filter(({response: {socket}}) => socket === null)) {
 			response.destroy();
 			response.emit('close');
--- a/packages/gateway/src/features/calls/caller-connections.spec.ts
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -40,6 +40,7 @@
 			started.push(request);
 		},
 		onIgnored: () => undefined,
+		onUndelivered: () => undefined,
 	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -6,11 +6,13 @@
 import {untilArrivalsAreRead} from '../../kernel/arrivals.js';
 import {InFlight} from '../../kernel/in-flight.js';
 import type {Metrics} from '../../metrics/metrics.js';
-import {CallerConnection, type CallerConnectionOptions} from './caller-connection.js';
+import type {CallerConnectionOptions} from './caller-connection-options.js';
+import {CallerConnection} from './caller-connection.js';
 import {OpenRequest} from './open-request.js';
 import {OpenRequests} from './open-requests.js';
 import type {Outcome} from './outcome.js';
 import {writeOutcome, type WriteOptions} from './write-outcome.js';
+import type {Undelivered} from './written-answers.js';
 
 /** Time in which a link of 10 Mbit/s sends a few long answers. */
 const heldRetryAfterMs = 500;
@@ -26,6 +28,8 @@
 	readonly isLeaving: () => boolean;
 	readonly onStart: CallerConnectionOptions['onStart'];
 	readonly onIgnored: CallerConnectionOptions['onIgnored'];
+	/** Called for each connection that ends while the instance leaves, before its caller is known to have all answers. */
+	readonly onUndelivered: CallerConnectionOptions['onUndelivered'];
 	/** Called if an outcome could not be written; its caller gets another one, or is disconnected. */
 	readonly onWriteFault: (error: unknown) => void;
 };
@@ -52,6 +56,9 @@
 			this.#arrivals += 1;
 			this.#connections.set(socket, new CallerConnection({
 				socket,
+				onUndelivered: undelivered => {
+					this.#undelivered(undelivered);
+				},
 				onOpened: request => {
 					this.open.add(request);
 				},
@@ -101,6 +108,13 @@
 		await this.#closing.untilEmpty();
 	}
 
+	/** Reports the answers that callers are not known to have as the stop ends. */
+	reportUndelivered(): void {
+		for (const connection of this.#connections.values()) {
+			connection.reportUndelivered();
+		}
+	}
+
 	/** Starts all requests that wait on their connections, and those that arrive from now on, as none of them will run. */
 	startAtOnce(): void {
 		for (const connection of this.#connections.values()) {
@@ -127,6 +141,7 @@
 		}
 
 		open.unwrittenBytes = bytes;
+		open.answerBytes = bytes;
 		connection.answer(open, this.#options.isLeaving, isLast => {
 			this.#held.progressed(connection);
 			this.#write(response, outcome, {
@@ -148,6 +163,14 @@
 		connection.receive(open);
 	}
 
+	#undelivered(undelivered: Undelivered): void {
+		const {isLeaving, metrics, onUndelivered} = this.#options;
+		if (isLeaving()) {
+			metrics.undeliveredAnswers.inc({reason: undelivered.reason}, undelivered.answers.length);
+			onUndelivered(undelivered);
+		}
+	}
+
 	#write(response: ServerResponse, outcome: Outcome, options: WriteOptions): void {
 		try {
 			writeOutcome(response, outcome, options);
--- a/packages/gateway/src/features/calls/callers-task-fixture.ts
+++ b/packages/gateway/src/features/calls/callers-task-fixture.ts
@@ -9,6 +9,8 @@
 import {ok} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
 import {StopDeadline} from '../../kernel/stop-deadline.js';
+import type {LogFields} from '../../logging/create-logger.js';
+import type {Metrics} from '../../metrics/metrics.js';
 import type {Placement} from '../upstreams/placement.js';
 import {fakeCallDependencies, idlePlacement, success} from './call-run-fixture.js';
 import {CallersTask} from './callers-task.js';
@@ -31,7 +33,7 @@
 	isStarting = false;
 	/** Answer of all upstreams that answer. */
 	answer = success;
-	readonly logger = {
+	readonly logger: Record<'debug' | 'info' | 'warn' | 'error', (event: string, fields: LogFields) => void> = {
 		debug: noop, info: noop, warn: noop, error: noop,
 	};
 
@@ -86,6 +88,10 @@
 		return new HarnessCaller(connect(this.#port, '127.0.0.1'));
 	}
 
+	get metrics(): Metrics {
+		return this.#dependencies.metrics;
+	}
+
 	/** Number of requests without a complete answer. */
 	get openRequests(): number {
 		return [...this.task.countOpenRequests().values()].reduce((sum, count) => sum + count, 0);
@@ -173,6 +179,10 @@
 	leave(): void {
 		this.#socket.destroy();
 	}
+
+	reset(): void {
+		this.#socket.resetAndDestroy();
+	}
 }
 
 async function freePort(): Promise<number> {
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -43,6 +43,13 @@
 				// A caller may send thousands; the first one of a connection shows the cause.
 				context.logger[isFirst ? 'info' : 'debug']('request not started, as its connection closes', this.#describe(request));
 			},
+			onUndelivered: ({answers, reason, heldBytes}) => {
+				for (const answer of answers) {
+					context.logger.warn('answer not known to be delivered as the instance stops', {
+						...this.#handler.identify(answer), reason, heldBytes, ...answer.describeAnswer(context.clock.monotonicMs()),
+					});
+				}
+			},
 			onWriteFault(error) {
 				recordUnexpectedFault(context, 'answer', error);
 			},
@@ -88,6 +95,7 @@
 
 	stop(): void {
 		this.#logOpenRequests();
+		this.#connections.reportUndelivered();
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
--- a/packages/gateway/src/features/calls/open-request.ts
+++ b/packages/gateway/src/features/calls/open-request.ts
@@ -12,6 +12,10 @@
 	run: Pick<CallRun, 'expire'> | undefined;
 	/** Bytes of the answer's body that the socket has not taken yet. */
 	unwrittenBytes = 0;
+	/** Bytes of the answer's body. */
+	answerBytes = 0;
+	/** Time of the monotonic clock at which the whole answer had left the process. */
+	writtenAtMs = 0;
 
 	/** @param receivedAtMs - time of the monotonic clock at which its head was read */
 	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, readonly receivedAtMs: number) {}
@@ -20,4 +24,9 @@
 	describe(nowMs: number): LogFields {
 		return {state: this.state, ageMs: Math.round(nowMs - this.receivedAtMs), unwrittenBytes: this.unwrittenBytes};
 	}
+
+	/** Describes its answer for the log, once that has left the process. */
+	describeAnswer(nowMs: number): LogFields {
+		return {status: this.response.statusCode, answerBytes: this.answerBytes, writtenMsAgo: Math.round(nowMs - this.writtenAtMs)};
+	}
 }
--- /dev/null
+++ b/packages/gateway/src/features/calls/undelivered-answers.spec.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {afterEach, describe, it} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {ok} from 'neverthrow';
+import type {LogFields} from '../../logging/create-logger.js';
+import {success} from './call-run-fixture.js';
+import {CallersHarness, type HarnessCaller} from './callers-task-fixture.js';
+
+/** Fits into the buffers between a server and its caller. */
+const answerBytes = 200_000;
+const maximumWaitMs = 5000;
+const harnesses: CallersHarness[] = [];
+const callers: HarnessCaller[] = [];
+
+async function waitUntil(condition: () => boolean | Promise<boolean>): Promise<void> {
+	for (const startMs = performance.now(); !await condition() && performance.now() - startMs < maximumWaitMs;) {
+		await delay(5);
+	}
+}
+
+async function sum(counter: CallersHarness['metrics']['requests' | 'undeliveredAnswers']): Promise<number> {
+	const {values} = await counter.get();
+	return values.reduce((total, {value}) => total + value, 0);
+}
+
+/** Starts an instance that stops while an answer of it has left the process, and its caller has read nothing of it. */
+async function stopWithUnreadAnswer(): Promise<{harness: CallersHarness; caller: HarnessCaller; warnings: LogFields[]}> {
+	const harness = await new CallersHarness().start();
+	harnesses.push(harness);
+	const warnings: LogFields[] = [];
+	harness.logger.warn = (_event, fields) => {
+		warnings.push(fields);
+	};
+
+	harness.answer = ok({...success.value, body: Buffer.alloc(answerBytes)});
+	harness.task.leave();
+	const caller = harness.connect();
+	callers.push(caller);
+	caller.pause();
+	caller.send(['answers']);
+	await waitUntil(async () => await sum(harness.metrics.requests) === 1 && harness.openRequests === 0);
+	return {harness, caller, warnings};
+}
+
+describe('an instance that has written an answer', () => {
+	afterEach(() => {
+		for (const caller of callers.splice(0)) {
+			caller.leave();
+		}
+
+		for (const harness of harnesses.splice(0)) {
+			harness.task.stop();
+		}
+	});
+
+	it('should report it as the stop ends before the caller has closed', async () => {
+		const {harness, warnings} = await stopWithUnreadAnswer();
+		harness.task.stop();
+		assert.deepEqual(warnings.map(({id, reason, status, answerBytes: bytes, heldBytes}) => [id, reason, status, bytes, heldBytes]), [['r', 'stop-over', 200, answerBytes, 0]]);
+		assert.equal(await sum(harness.metrics.undeliveredAnswers), 1);
+	});
+
+	it('should report it as the caller resets the connection', async () => {
+		const {harness, caller, warnings} = await stopWithUnreadAnswer();
+		caller.reset();
+		await waitUntil(() => warnings.length > 0);
+		harness.task.stop();
+		assert.deepEqual(warnings.map(({reason}) => reason), ['caller-reset']);
+	});
+
+	it('should not report it once the caller has read it and closed', async () => {
+		const {harness, caller, warnings} = await stopWithUnreadAnswer();
+		caller.resume();
+		await waitUntil(() => caller.isClosed);
+		await harness.task.drain();
+		harness.task.stop();
+		assert.deepEqual(warnings, []);
+		assert.equal(await sum(harness.metrics.undeliveredAnswers), 0);
+	});
+});
