--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -24,6 +24,7 @@
 	readonly #connections: CallerConnections;
 	readonly #handler: RequestHandler;
 	#isLeaving = false;
+	#isStopped = false;
 
 	constructor(options: CallersTaskOptions) {
 		const {context} = options;
@@ -76,8 +77,9 @@
 		this.#isLeaving = true;
 	}
 
+	/** Closes the listener once nothing waits to be accepted; until then, what arrives is answered or refused. */
 	async drain(): Promise<void> {
-		await this.#connections.untilArrivalsAreRead();
+		await this.#connections.untilArrivalsAreRead(() => this.#isStopped);
 		this.#server.close();
 		this.#server.closeIdleConnections();
 		await this.#connections.untilIdle();
@@ -94,6 +96,7 @@
 	}
 
 	stop(): void {
+		this.#isStopped = true;
 		this.#logOpenRequests();
 		this.#connections.reportUndelivered();
 		this.#server.close();
