Stop: answers of upstreams that have arrived are read before the end of the grace period ends their requests

What callers saw: 504 of the instance's own, around SIGTERM, for requests that their upstreams had run and answered.

Cause: the end of the grace period is a timer, and the runtime calls timers before it reads sockets. An instance that did not run for a moment ended requests whose answers lay unread in its sockets.

Change: the stop turns the event loop until nothing more is read of any answer, until 0.93 of the grace period, or for 50 ms if it is late.

--- a/packages/core/src/connections/answer-memory.ts
+++ b/packages/core/src/connections/answer-memory.ts
@@ -14,6 +14,12 @@
 	#unfinishedBytes = 0;
 	#usualBytes = 0;
 	#wholeBytes = 0;
+	#readBytes = 0;
+
+	/** Bytes read of all answers since the start. */
+	get readBytes(): number {
+		return this.#readBytes;
+	}
 
 	get bytes(): number {
 		return this.#unfinishedBytes + this.#wholeBytes;
@@ -35,6 +41,7 @@
 
 	/** Records bytes of an unfinished answer. Returns the readers of the longest answers, which have to give them up, so that the others fit. */
 	read(reader: Reader, bytes: number): Reader[] {
+		this.#readBytes += bytes;
 		this.#set(reader, this.bytesOf(reader) + bytes);
 		const outgrown: Reader[] = [];
 		while (this.bytes > maximumAnswerMemoryBytes) {
--- a/packages/gateway/src/gateway.spec.ts
+++ b/packages/gateway/src/gateway.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {systemClock} from '@cairnbank/core';
+import {AnswerMemory} from '@cairnbank/core/connections';
 import {ok} from 'neverthrow';
 import {Gateway} from './gateway.js';
 import type {Context} from './kernel/context.js';
@@ -21,6 +22,7 @@
 		},
 		metrics: createMetrics(),
 		stop: new StopDeadline(),
+		answerMemory: new AnswerMemory(),
 	} as unknown as Context;
 	const complete = tasks.map((task, index): Task => {
 		const name = `t${index}`;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** Runs the tasks of an entry instance from its start to its graceful stop. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {ok, type Result} from 'neverthrow';
+import {untilArrivalsAreRead} from './kernel/arrivals.js';
 import type {Context} from './kernel/context.js';
 import type {StartError} from './kernel/start-error.js';
 import type {Task} from './kernel/task.js';
@@ -16,6 +17,10 @@
 const acceptingRatio = 0.6;
 /** Fraction of the grace period in which requests in flight may end by themselves, and before whose end those taken later have their deadlines. */
 const drainRatio = 0.9;
+/** Fraction of the grace period until which answers of upstreams that have arrived by its end are read; one that could not run reads late. */
+const readRatio = 0.93;
+/** Time for reading them if the end of the grace period comes late, as the process could not run. */
+const minimumReadMs = 50;
 /** Fraction of the grace period by which the remaining requests must be answered; the rest is for closing sockets and ending the process. */
 const answerRatio = 0.96;
 /** Time for the remaining answers if the end of the grace period comes late, as the process could not run. */
@@ -84,6 +89,7 @@
 		this.#forEachTask(task => task.leave?.());
 		await untilPart(acceptingRatio);
 		await Promise.race([this.#drain(), untilPart(drainRatio)]);
+		await this.#readAnswers(startedAtMs + (graceMs * readRatio));
 		this.#forEachTask(task => task.expire?.());
 		await Promise.race([this.#drain(), Promise.all([untilPart(answerRatio), delay(minimumAnswerMs)])]);
 		this.#forEachTask(task => {
@@ -93,6 +99,13 @@
 		await this.#flushLogs();
 	}
 
+	/** Reads the answers of upstreams that have arrived, as the runtime calls timers before it reads sockets. */
+	async #readAnswers(untilMs: number): Promise<void> {
+		const {answerMemory, clock} = this.#context;
+		const readUntilMs = Math.max(untilMs, clock.monotonicMs() + minimumReadMs);
+		await untilArrivalsAreRead(() => answerMemory.readBytes, () => clock.monotonicMs() >= readUntilMs);
+	}
+
 	/** Resolves once no task has work in flight. */
 	async #drain(): Promise<void> {
 		await Promise.all(this.#tasks.map(async task => {
