A deadline passes only once the answers that have arrived by then are read

What callers saw: 504 for a payment whose upstream had answered before the deadline, from an instance that did not run for a moment.

Cause: the same as of the stop: the deadline of a call, and the limits of a request that another instance passes on, are timers, which the runtime calls before it reads sockets.

Change: both are a TimeLimit, as on connections to upstreams: it ends after the turn in which sockets are read. TimeLimit moves to the kernel.

--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -1,6 +1,7 @@
 /** Harness that runs one call against fake upstreams, whose answers and clock the spec controls. */
 import {Buffer} from 'node:buffer';
 import {mock} from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
 	ManualClock, type Clock, type ServiceId, type UpstreamId,
 } from '@cairnbank/core';
@@ -151,10 +152,17 @@
 		await runPendingPromises();
 	}
 
+	/** Lets time pass, and one turn of the event loop in which sockets are read. */
 	async advance(durationMs: number): Promise<void> {
+		this.passTime(durationMs);
+		await nextTurn();
+		await runPendingPromises();
+	}
+
+	/** Lets time pass without a turn of the event loop. */
+	passTime(durationMs: number): void {
 		this.clock.advance(durationMs);
 		mock.timers.tick(durationMs);
-		await runPendingPromises();
 	}
 
 	async #recordEnd(): Promise<void> {
--- a/packages/gateway/src/features/calls/call-run.spec.ts
+++ b/packages/gateway/src/features/calls/call-run.spec.ts
@@ -474,6 +474,12 @@
 			assert.equal(harness.outcome?.type, 'timed-out');
 		});
 
+		itRuns('should return an answer that is read as the deadline passes', {idempotent: false}, async harness => {
+			harness.passTime(1000);
+			await harness.answer(0, success);
+			assert.equal(harness.outcome?.type, 'answered');
+		});
+
 		itRuns('should end a request as not run if it was refused and no other upstream is found yet', {idempotent: false}, async harness => {
 			harness.isPlacementBlocked = true;
 			await harness.answer(0, refusal);
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -1,4 +1,5 @@
 /** Runs one call to its single outcome: the first attempt, retries, a hedge, and the deadline. */
+import {TimeLimit} from '../../kernel/time-limit.js';
 import type {Placement} from '../upstreams/placement.js';
 import {Attempt, type AttemptKind} from './attempt.js';
 import {AttemptGate} from './attempt-gate.js';
@@ -33,7 +34,7 @@
 	#isOver = false;
 	#pendingPlacements = 0;
 	#keptAnswerBytes = 0;
-	#deadlineTimer: NodeJS.Timeout | undefined;
+	#deadline: TimeLimit | undefined;
 	readonly #hedgeTimer = new HedgeTimer(async () => this.#hedge());
 
 	constructor(dependencies: CallDependencies, call: Call) {
@@ -65,9 +66,9 @@
 
 	/** @returns the outcome; rejects if a fault of the program ends the call */
 	async run(): Promise<Outcome> {
-		this.#deadlineTimer = setTimeout(() => {
+		this.#deadline = new TimeLimit(this.#remainingMs, () => {
 			this.expire();
-		}, Math.max(0, this.#remainingMs));
+		});
 		this.#dependencies.overload.recordArrival(this.#call);
 		this.#dependencies.budget(this.#call.service).recordFirstAttempt(this.#now());
 		void this.#start('first');
@@ -265,7 +266,7 @@
 
 	#close(isAnswered: boolean): void {
 		this.#isOver = true;
-		clearTimeout(this.#deadlineTimer);
+		this.#deadline?.clear();
 		this.#hedgeTimer.stop();
 		this.#keepAnswer(0);
 		for (const attempt of this.#runningAttempts) {
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -7,6 +7,7 @@
 import type {RelayOutcome, RelayPeer} from '@cairnbank/core/reachability';
 import {err, type Result} from 'neverthrow';
 import {AnswerReading} from '../../kernel/answer-reading.js';
+import {TimeLimit} from '../../kernel/time-limit.js';
 import {AnswerBody} from '../upstreams/answer-body.js';
 import type {ExchangeFailure, OutgoingRequest} from '../upstreams/exchange.js';
 import {createAnswer, type UpstreamAnswer} from '../upstreams/upstream-answer.js';
@@ -45,7 +46,7 @@
 	readonly #reading: AnswerReading;
 	#request: ClientRequest | undefined;
 	#isConnected = false;
-	#timer: NodeJS.Timeout | undefined;
+	#limit: TimeLimit | undefined;
 	#settle: ((result: ExchangeResult) => void) | undefined;
 
 	constructor(options: RelayedExchangeOptions) {
@@ -81,7 +82,7 @@
 		this.#options.onStart();
 		return new Promise(resolve => {
 			this.#settle = resolve;
-			this.#setTimer(Math.min(connectTimeoutMs, request.timeoutMs), {type: 'no-relay', message: 'connect timeout'});
+			this.#setLimit(Math.min(connectTimeoutMs, request.timeoutMs), {type: 'no-relay', message: 'connect timeout'});
 			this.#send(peer, request);
 		});
 	}
@@ -111,7 +112,7 @@
 		request.on('socket', socket => {
 			const connected = () => {
 				this.#isConnected = true;
-				this.#setTimer(timeoutMs, {type: 'timed-out'});
+				this.#setLimit(timeoutMs, {type: 'timed-out'});
 			};
 
 			if (socket.connecting) {
@@ -179,11 +180,11 @@
 		this.#abort(this.#isConnected ? {type: 'broken', message} : {type: 'no-relay', message}, 'failed');
 	}
 
-	#setTimer(durationMs: number, failure: ExchangeFailure): void {
-		clearTimeout(this.#timer);
-		this.#timer = setTimeout(() => {
+	#setLimit(durationMs: number, failure: ExchangeFailure): void {
+		this.#limit?.clear();
+		this.#limit = new TimeLimit(durationMs, () => {
 			this.#abort(failure, 'failed');
-		}, durationMs);
+		});
 	}
 
 	/** Closes the connection, so that the other instance cancels the request. */
@@ -200,7 +201,7 @@
 
 		this.#settle = undefined;
 		this.#reading.end();
-		clearTimeout(this.#timer);
+		this.#limit?.clear();
 		this.#options.onEnd(outcome);
 		settle(result);
 	}
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -4,12 +4,12 @@
 import type {AnswerMemory} from '@cairnbank/core/connections';
 import {err, ok, type Result} from 'neverthrow';
 import {AnswerReading} from '../../kernel/answer-reading.js';
+import {TimeLimit} from '../../kernel/time-limit.js';
 import {AnswerParser} from './answer-parser.js';
 import type {ExchangeFailure, OutgoingRequest} from './exchange.js';
 import type {UpstreamAnswer} from './upstream-answer.js';
 import {matchAnswer} from './match-answer.js';
 import {defaultIdleMs, idleTimeMs} from './idle-time.js';
-import {TimeLimit} from './time-limit.js';
 
 /** Bytes of one read. All connections share it, as their parsers copy what they keep. */
 const readBuffer = Buffer.allocUnsafeSlow(65_536);
