Soak: callers of a fleet, planned stops, and a check that what runs gets its whole answer

What callers saw: in the users' record, requests that upstreams had run got no whole answer around SIGTERM, most of them on kept connections. The checks of the soak looked at closed connections, and of an instance's own answers only at 504 to requests that come after the signal.

Change: upstream stand-ins record how each run ends. A new check asks for the whole answer of an upstream for each request that one ran, from SIGTERM to 1 s after the grace period: a closed connection, a caller that waits in vain, and any answer of the instance's own are breaches. Excused are a reached deadline, an upstream that breaks off, work in the last sixth of the grace period on a request of its first half, and unplanned disturbances of the instance or the upstream's link. Deadlines of calls may differ; the two checks of stops go by that of the call.

--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import type {RunEnd} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {checks} from './all-checks.js';
 import type {
-	CallEnd, CallRecord, History, RunRecord, StopRecord,
+	CallEnd, CallRecord, Disturbance, History, RunRecord, StopRecord,
 } from './history.js';
 
 const answered = (status: number, upstream = 'u0', path = '/read/1', requestId = 'a'): CallEnd => ({
@@ -21,7 +22,7 @@
 };
 
 const stop: StopRecord = {
-	instance: '127.0.0.2', exitCode: 0, wasKilled: false, errors: [], signalledAtMs: 0, endedAtMs: 2000,
+	instance: '127.0.0.2', exitCode: 0, wasKilled: false, graceMs: 2000, errors: [], signalledAtMs: 0, endedAtMs: 2000,
 };
 
 /** A request that was sent whole while its instance stopped, and not answered. */
@@ -29,6 +30,13 @@
 	sentAtMs: 283, sent: {connection: 'c#0', lastByteAtMs: 283}, endedAtMs: 1910, ...overrides,
 });
 
+/** A request that was running when its instance was told to stop, and got an answer of the instance. */
+const brokenOff = (overrides: Partial<CallRecord> = {}): CallRecord => call({
+	type: 'answered', status: 504, requestId: 'a', signature: '', body: '',
+}, {sentAtMs: -100, endedAtMs: 20, ...overrides});
+
+const runThatEnds = (type: RunEnd['type'], atMs: number): RunRecord => ({...run(), end: {type, atMs}});
+
 /** Histories with one breach each, by the name of the check that should notice it. */
 const breachingHistories: Readonly<Record<string, Partial<History>>> = {
 	'a request that is not idempotent runs at most once': {calls: [call(answered(200), {idempotent: false})], runs: [run('u0'), run('u1')]},
@@ -60,7 +68,7 @@
 	'a request that comes after SIGTERM is refused or gets the answer of its upstream': {
 		calls: [call(answered(504), {sentAtMs: 100, endedAtMs: 1800})],
 		stops: [{
-			instance: '127.0.0.2', exitCode: 0, wasKilled: false, errors: [], signalledAtMs: 0, endedAtMs: 2000,
+			instance: '127.0.0.2', exitCode: 0, wasKilled: false, graceMs: 2000, errors: [], signalledAtMs: 0, endedAtMs: 2000,
 		}],
 	},
 	'a request that crashes upstreams reaches next to none once three have crashed': {
@@ -85,7 +93,7 @@
 	},
 	'an instance that gets SIGTERM ends in order': {
 		stops: [{
-			instance: '127.0.0.2', exitCode: 1, wasKilled: false, errors: [], signalledAtMs: 0, endedAtMs: 2000,
+			instance: '127.0.0.2', exitCode: 1, wasKilled: false, graceMs: 2000, errors: [], signalledAtMs: 0, endedAtMs: 2000,
 		}],
 	},
 	'everything is served again after the last fault': {afterwards: [call(answered(504))]},
@@ -111,6 +119,9 @@
 	'a request that was sent whole to a stopping instance is answered or refused, or its connection ends within 0.2 s': {
 		calls: [unanswered()], runs: [], stops: [stop],
 	},
+	'a request that runs gets the whole answer of its upstream, though its instance stops': {
+		calls: [brokenOff()], runs: [runThatEnds('dropped', 20)], stops: [stop],
+	},
 };
 
 function breachedChecks(history: History): string[] {
@@ -210,6 +221,72 @@
 		});
 	});
 
+	describe('of requests that run while their instance stops', () => {
+		const name = 'a request that runs gets the whole answer of its upstream, though its instance stops';
+		const breaches = (change: Partial<History>) => breachedChecks({
+			...validHistory, calls: [brokenOff()], runs: [runThatEnds('dropped', 20)], stops: [stop], ...change,
+		});
+
+		it('should notice a lost answer, whether its connection ends, its caller waits in vain, or it is told another outcome', () => {
+			const runs = [runThatEnds('answered', 15)];
+			assert.deepEqual(breaches({runs}), [name]);
+			assert.ok(breaches({runs, calls: [brokenOff({end: {type: 'cut'}})]}).includes(name));
+			assert.ok(breaches({runs, calls: [brokenOff({end: {type: 'left'}})]}).includes(name));
+			assert.deepEqual(breaches({runs, calls: [brokenOff({end: answered(500)})]}), []);
+			assert.deepEqual(breaches({runs: []}), []);
+		});
+
+		it('should notice one up to 1 s after the grace period, and none before the signal', () => {
+			assert.deepEqual(breaches({calls: [brokenOff({sentAtMs: 3000, endedAtMs: 3010})]}), [name]);
+			assert.deepEqual(breaches({calls: [brokenOff({sentAtMs: 3001, endedAtMs: 3010})]}), []);
+			assert.deepEqual(breaches({calls: [brokenOff({endedAtMs: -1})]}), []);
+			assert.deepEqual(breaches({calls: [brokenOff({instance: '127.0.0.3'})]}), []);
+		});
+
+		it('should excuse work in the last sixth of the grace period on a request of its first half, and no other', () => {
+			const atWork = [runThatEnds('dropped', 1700)];
+			assert.ok(!breaches({runs: atWork, calls: [brokenOff({sentAtMs: 1000, endedAtMs: 1700})]}).includes(name));
+			assert.ok(breaches({runs: atWork, calls: [brokenOff({sentAtMs: 1001, endedAtMs: 1700})]}).includes(name));
+			assert.ok(breaches({runs: [runThatEnds('dropped', 1666)], calls: [brokenOff({sentAtMs: 1000, endedAtMs: 1666})]}).includes(name));
+			assert.deepEqual(breaches({runs: [run()], calls: [brokenOff({sentAtMs: -100, endedAtMs: 1700})]}), []);
+		});
+
+		it('should excuse an upstream that breaks off and a deadline that was reached', () => {
+			assert.deepEqual(breaches({runs: [runThatEnds('breaks-off', 15)]}), []);
+			assert.deepEqual(breaches({calls: [brokenOff({deadlineMs: 120})]}), []);
+			assert.deepEqual(breaches({calls: [brokenOff({deadlineMs: 121})]}), [name]);
+		});
+
+		it('should excuse a kill or a pause of the instance, its lost links, and a link of the upstream, up to 3 s after them', () => {
+			const disturbance = (change: Partial<Disturbance>): Pick<History, 'disturbances'> => ({
+				disturbances: [{
+					kind: 'instance', instance: '127.0.0.2', fromMs: -4000, untilMs: -3100, ...change,
+				}],
+			});
+			assert.deepEqual(breaches(disturbance({})), []);
+			assert.deepEqual(breaches(disturbance({untilMs: -3101})), [name]);
+			assert.deepEqual(breaches(disturbance({instance: '127.0.0.3'})), [name]);
+			assert.deepEqual(breaches(disturbance({kind: 'store'})), [name]);
+			assert.deepEqual(breaches({
+				disturbances: [{
+					kind: 'link', upstream: 'u0', fromMs: 0, untilMs: 10,
+				}],
+			}), []);
+			assert.deepEqual(breaches({
+				disturbances: [{
+					kind: 'link', upstream: 'u1', fromMs: 0, untilMs: 10,
+				}],
+			}), [name]);
+			assert.deepEqual(breaches({cuts: [{instances: ['127.0.0.2'], fromMs: 0, untilMs: 10}]}), []);
+		});
+
+		it('should excuse a late answer by a stall of the callers and upstreams, but no closed connection', () => {
+			const disturbances = [{kind: 'stall' as const, fromMs: -50, untilMs: 10}];
+			assert.deepEqual(breaches({disturbances}), []);
+			assert.ok(breaches({disturbances, calls: [brokenOff({end: {type: 'cut'}})]}).includes(name));
+		});
+	});
+
 	it('should notice a key that reaches an upstream', () => {
 		const name = 'a request runs only under the account of its key, and its key reaches no upstream';
 		const {accounts, accountArrivals} = breachingHistories[name]!;
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -3,7 +3,7 @@
 import type {
 	CallRecord, Disturbance, History, RunRecord,
 } from './history.js';
-import {deadlineMs} from './soak-caller.js';
+import {deadlineMs as usualDeadlineMs} from './soak-caller.js';
 import {soakRetryBound} from './soak-site.js';
 
 /** Time for which a leaving upstream may still get requests. */
@@ -39,7 +39,7 @@
 
 export type Check = {readonly name: string; readonly findBreaches: (history: History) => readonly string[]};
 
-function groupRunsById(runs: readonly RunRecord[]): ReadonlyMap<string, readonly RunRecord[]> {
+export function groupRunsById(runs: readonly RunRecord[]): ReadonlyMap<string, readonly RunRecord[]> {
 	const runsById = new Map<string, RunRecord[]>();
 	for (const run of runs) {
 		const runsOfId = runsById.get(run.id) ?? [];
@@ -229,7 +229,7 @@
 	findBreaches({calls, runs, stops, disturbances}) {
 		const runsById = groupRunsById(runs);
 		const hasStalled = ({sentAtMs, endedAtMs}: CallRecord) => disturbances.some(disturbance => disturbance.kind === 'stall' && overlaps(disturbance, sentAtMs, endedAtMs));
-		const isBrokenOff = ({sentAtMs, endedAtMs, end}: CallRecord) =>
+		const isBrokenOff = ({sentAtMs, endedAtMs, end, deadlineMs = usualDeadlineMs}: CallRecord) =>
 			end.type === 'answered' && end.status === timeoutStatus && endedAtMs - sentAtMs < deadlineMs - deadlineSlackMs;
 		return stops.filter(({wasKilled}) => !wasKilled).flatMap(({instance, signalledAtMs, endedAtMs: stoppedAtMs}) => calls
 			.filter(call => call.instance === instance && call.sentAtMs >= signalledAtMs && call.endedAtMs <= stoppedAtMs)
--- a/packages/soak/src/contracts.spec.ts
+++ b/packages/soak/src/contracts.spec.ts
@@ -38,6 +38,7 @@
 	cut: true,
 	stop: true,
 	'stop-in-use': true,
+	'planned-stop': true,
 	kill: true,
 	pause: true,
 	reload: true,
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -1,4 +1,5 @@
 /** Records of what callers and upstreams observed in a run, the only input of the checks. All times are from the monotonic clock. */
+import type {RunEnd} from '@cairnbank/platform/spec-support/upstream-stand-in';
 
 export type CallEnd =
 	| {readonly type: 'answered'; readonly status: number; readonly requestId: string; readonly signature: string; readonly body: string}
@@ -29,10 +30,18 @@
 	/** Time of its complete answer, or of the end of its connection. */
 	readonly endedAtMs: number;
 	readonly end: CallEnd;
+	/** Deadline that its headers state; that of all soak callers if absent. */
+	readonly deadlineMs?: number;
 };
 
 /** An upstream started to run a request. */
-export type RunRecord = {readonly id: string; readonly upstream: string; readonly atMs: number};
+export type RunRecord = {
+	readonly id: string;
+	readonly upstream: string;
+	readonly atMs: number;
+	/** Absent if it has not ended. */
+	readonly end?: RunEnd;
+};
 
 /** A period in which, and shortly after which, guarantees with a time bound are not checked. */
 export type Disturbance = {
@@ -99,6 +108,8 @@
 	readonly instance: string;
 	readonly exitCode: number | undefined;
 	readonly wasKilled: boolean;
+	/** Time from SIGTERM after which the platform kills it. */
+	readonly graceMs: number;
 	readonly signalledAtMs: number;
 	readonly endedAtMs: number;
 	/** The last lines that it wrote outside its log. */
--- a/packages/soak/src/instance-events.ts
+++ b/packages/soak/src/instance-events.ts
@@ -8,13 +8,21 @@
 
 /** Longer than the grace period of an instance, because stopping takes longer on a busy machine. */
 const stopWaitMs = 20_000;
+/** Time after the end of a planned stop at which the platform starts the instance again. */
+const restartDelayMs = 500;
 /** Maximum number of lines outside the log that are recorded when an instance ends. The last ones are recorded. */
 const maximumErrorLines = 20;
-const types = ['stop', 'stop-in-use', 'kill', 'herd', 'pause', 'reload'] as const;
+const types = ['stop', 'stop-in-use', 'planned-stop', 'kill', 'herd', 'pause', 'reload'] as const;
 const typeSet: ReadonlySet<string> = new Set(types);
 
 export type InstanceEvent = Extract<SoakEvent, {readonly type: typeof types[number]}>;
 
+type EndOptions = {
+	readonly furtherSignals?: readonly FurtherSignal[];
+	/** Whether the platform kills the instance after its grace period and waits before it starts it again. */
+	readonly isPlanned?: boolean;
+};
+
 export function isInstanceEvent(event: SoakEvent): event is InstanceEvent {
 	return typeSet.has(event.type);
 }
@@ -44,6 +52,12 @@
 				return this.#stopInUse(event);
 			}
 
+			case 'planned-stop': {
+				await Promise.all(event.instances.map(async instance =>
+					this.#reserve(instance, async () => this.#endAndRestart(instance, 'SIGTERM', {furtherSignals: event.furtherSignals, isPlanned: true}))));
+				return;
+			}
+
 			case 'kill': {
 				return this.#reserve(event.instance, async () => this.#endAndRestart(event.instance, 'SIGKILL'));
 			}
@@ -89,16 +103,17 @@
 			}));
 			await delay(signalMs);
 			isSignalled = true;
-			await this.#endAndRestart(instance, 'SIGTERM', furtherSignals);
+			await this.#endAndRestart(instance, 'SIGTERM', {furtherSignals});
 		});
 		const records = await Promise.all(calls);
 		this.stopCalls.push(...records.flat());
 	}
 
 	/** Ends an instance and starts it again at the same addresses. */
-	async #endAndRestart(index: number, signal: 'SIGTERM' | 'SIGKILL', furtherSignals: readonly FurtherSignal[] = []): Promise<void> {
-		const {process: ending, settings: {host}} = this.#site.entries[index]!;
+	async #endAndRestart(index: number, signal: 'SIGTERM' | 'SIGKILL', {furtherSignals = [], isPlanned = false}: EndOptions = {}): Promise<void> {
+		const {process: ending, settings: {host, bounds: {graceSeconds}}} = this.#site.entries[index]!;
 		const wasKilled = signal === 'SIGKILL';
+		const graceMs = graceSeconds * 1000;
 		const end = async () => {
 			const signalledAtMs = performance.now();
 			ending.kill(signal);
@@ -108,14 +123,21 @@
 				}, further.afterMs);
 			}
 
+			const killTimer = isPlanned
+				? setTimeout(() => {
+					ending.kill('SIGKILL');
+				}, graceMs)
+				: undefined;
 			await waitFor(`end of ${host}`, () => ending.exit !== undefined, stopWaitMs);
+			clearTimeout(killTimer);
 			this.stops.push({
-				instance: host, exitCode: ending.exit?.code, wasKilled, errors: ending.otherLines.slice(-maximumErrorLines), signalledAtMs, endedAtMs: performance.now(),
+				instance: host, exitCode: ending.exit?.code, wasKilled, graceMs, errors: ending.otherLines.slice(-maximumErrorLines), signalledAtMs, endedAtMs: performance.now(),
 			});
 		};
 
 		await this.#recordDisturbance({kind: wasKilled ? 'instance' : 'restart', instance: host}, async () => {
 			await end();
+			await delay(isPlanned ? restartDelayMs : 0);
 			await this.#site.restart(index);
 		});
 	}
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -7,6 +7,7 @@
 import {buildMutant} from './mutant.js';
 import {mutations} from './all-mutations.js';
 import type {Mutation} from './mutations.js';
+import {generatePlannedStops} from './planned-stops.js';
 import {
 	generateFleetSchedule, generateSchedule, mutationSchedule, readSchedule, type Schedule,
 } from './schedule.js';
@@ -23,6 +24,7 @@
 	readonly program?: string;
 	readonly file?: string;
 	readonly fleet?: boolean;
+	readonly stops?: boolean;
 	readonly mutations?: boolean;
 	readonly mutation?: string;
 };
@@ -88,11 +90,12 @@
 	cli.option('--file <path>', 'run only the schedule in this file, or that of a saved run');
 	cli.option('--program <path>', 'program to test, such as target/cairnbankd.cjs; the compiled program if not given');
 	cli.option('--fleet', 'run a fleet through outages of all upstreams, with few requests per instance; 19 instances and 60 seconds if not given');
+	cli.option('--stops', 'stop all instances of a fleet as planned work, with no faults beside it; 6 instances if not given');
 	cli.option('--mutations', 'run each intentionally broken build, and report whether its check notices it');
 	cli.option('--mutation <name>', 'run only this mutation');
 	cli.help();
 	const {
-		seed, count, instances, seconds, program, file, fleet: isFleet, mutations: runsMutations, mutation, help,
+		seed, count, instances, seconds, program, file, fleet: isFleet, stops: plansStops, mutations: runsMutations, mutation, help,
 	} = cli.parse().options as unknown as Options & {readonly help?: boolean};
 	if (help) {
 		return exitCodes.passed;
@@ -112,7 +115,8 @@
 			...(seconds === undefined ? {} : {durationMs: Number(seconds) * 1000}),
 			...(instances === undefined ? {} : {instances: Number(instances)}),
 		};
-		const hasPassed = await runSchedule(isFleet === true ? generateFleetSchedule(next, bounds) : generateSchedule(next, bounds), program);
+		const generate = plansStops === true ? generatePlannedStops : (isFleet === true ? generateFleetSchedule : generateSchedule);
+		const hasPassed = await runSchedule(generate(next, bounds), program);
 		breached.push(...(hasPassed ? [] : [next]));
 	}
 
--- a/packages/soak/src/pipelined-requests.ts
+++ b/packages/soak/src/pipelined-requests.ts
@@ -3,6 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {PipelinedCaller} from '@cairnbank/platform/spec-support/pipelined-caller';
 import type {CallEnd, CallRecord} from './history.js';
+import {withoutPadding} from './padding.js';
 import {deadlineMs} from './soak-caller.js';
 
 const pollMs = 5;
@@ -71,7 +72,7 @@
 			status: answer.status,
 			requestId: answer.id ?? '',
 			signature: answer.signature ?? '',
-			body: body.endsWith('.'.repeat(paddingBytes)) ? body.slice(0, body.length - paddingBytes) : body,
+			body: withoutPadding(body, paddingBytes),
 		};
 	}
 
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -9,6 +9,7 @@
 import {
 	drawsLongRequests, generateFurtherEvents, generateSpoilings, pick, randomSourceOf,
 } from './further-events.js';
+import type {FleetCallerPlan} from './fleet-callers.js';
 import {generateStops} from './stop-events.js';
 import type {StopCallerPlan} from './stop-callers.js';
 
@@ -24,6 +25,8 @@
 		readonly signalMs: number;
 		readonly furtherSignals: readonly FurtherSignal[];
 	}
+	/** The instances get SIGTERM at the same time, SIGKILL after their grace period, and start again at the same addresses. */
+	| {readonly type: 'planned-stop'; readonly instances: readonly number[]; readonly furtherSignals: readonly FurtherSignal[]}
 	| {readonly type: 'kill'; readonly instance: number}
 	| {readonly type: 'pause'; readonly instance: number; readonly forMs: number}
 	| {readonly type: 'reload'; readonly instance: number}
@@ -73,6 +76,10 @@
 	readonly duringStart?: readonly SoakEvent[];
 	/** True if one more caller sends requests that take up to seconds; false if absent. */
 	readonly hasLongRequests?: boolean;
+	/** Callers that follow addresses by their time to live, in addition to the others; none if absent. */
+	readonly fleetCallers?: readonly FleetCallerPlan[];
+	/** Time that instances have to stop, in seconds; 2 if absent. */
+	readonly graceSeconds?: number;
 	/** Processing time of each request at an upstream that states none itself. */
 	readonly workMs: number;
 	readonly durationMs: number;
--- a/packages/soak/src/soak-caller.ts
+++ b/packages/soak/src/soak-caller.ts
@@ -4,6 +4,7 @@
 import type {RandomSource} from '@cairnbank/core';
 import {readAnswerHeaders, callerHeaders} from '@cairnbank/platform/spec-support/caller-request';
 import type {CallEnd, CallRecord, SentRecord} from './history.js';
+import {withoutPadding} from './padding.js';
 import type {RequestBursts} from './schedule.js';
 
 const pauseMs = 15;
@@ -33,6 +34,10 @@
 	readonly headers?: Readonly<Record<string, string>>;
 	/** Time after which the caller leaves although the instance may still answer. */
 	readonly leavesAfterMs?: number;
+	/** Deadline that its headers state; that of all callers if absent. */
+	readonly deadlineMs?: number;
+	/** Bytes that the upstream appends to the text of the answer; the record leaves them out. */
+	readonly paddingBytes?: number;
 };
 
 function pauseAfter(sent: number, bursts: RequestBursts | undefined): number {
@@ -76,6 +81,7 @@
 	const {end, keepsConnection, sent} = await exchange(address, callerRequest, agent);
 	const record: CallRecord = {
 		id, method, path, idempotent: method === 'GET', instance: address.split(':')[0]!, sentAtMs, endedAtMs: performance.now(), end, ...(sent === undefined ? {} : {sent}),
+		...(callerRequest.deadlineMs === undefined ? {} : {deadlineMs: callerRequest.deadlineMs}),
 	};
 	return {record, keepsConnection};
 }
@@ -84,13 +90,13 @@
 
 async function exchange(address: string, callerRequest: CallerRequest, agent?: Agent): Promise<Exchange> {
 	const {
-		id, method, path, from, headers, leavesAfterMs = 2 * deadlineMs,
+		id, method, path, from, headers, deadlineMs: statedDeadlineMs = deadlineMs, leavesAfterMs = 2 * statedDeadlineMs, paddingBytes = 0,
 	} = callerRequest;
 	const [host, port] = address.split(':');
 	let sent: SentRecord | undefined;
 	return new Promise(resolve => {
 		const outgoing = request({
-			host, port, localAddress: from, method, path, agent: agent ?? false, headers: {...callerHeaders(id, deadlineMs), ...headers},
+			host, port, localAddress: from, method, path, agent: agent ?? false, headers: {...callerHeaders(id, statedDeadlineMs), ...headers},
 		}, response => {
 			let body = '';
 			response.on('data', chunk => {
@@ -101,7 +107,7 @@
 					type: 'answered',
 					status: response.statusCode ?? 0,
 					...readAnswerHeaders(response.headers),
-					body,
+					body: withoutPadding(body, paddingBytes),
 				};
 				resolve({end: response.complete ? end : {type: 'cut'}, sent, keepsConnection: response.complete && response.headers.connection !== 'close'});
 			});
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -4,6 +4,7 @@
 import type {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {createRandomSource} from '@cairnbank/core/random';
 import {AccountEvents, isAccountEvent} from './account-events.js';
+import {FleetCaller} from './fleet-callers.js';
 import {FaultInjector} from './fault-injector.js';
 import type {
 	AccountArrivalRecord, ArrivalRecord, BackOffRecord, CallRecord, CrashingRequestRecord, FloodCalls, History, RunRecord,
@@ -24,6 +25,7 @@
 const requestsPerConnection = 20;
 /** Number of seeds for callers per schedule, so that schedules with consecutive seeds share none. */
 const callerSeedsPerSchedule = 1000;
+const fleetCallerSeedOffset = 500;
 
 export class SoakRun {
 	readonly #schedule: Schedule;
@@ -35,7 +37,7 @@
 	/** @param program - path of the program to test; defaults to the compiled program */
 	constructor(schedule: Schedule, program?: string) {
 		this.#schedule = schedule;
-		this.#site = new SoakSite(program);
+		this.#site = new SoakSite(schedule, program);
 		this.#injector = new FaultInjector(this.#site);
 		this.#accountEvents = new AccountEvents(this.#site);
 		this.#instanceEvents = new InstanceEvents(this.#site);
@@ -48,7 +50,7 @@
 
 	async execute(): Promise<History> {
 		const stopCallers = new AbortController();
-		setMaxListeners(this.#schedule.callers + 2, stopCallers.signal);
+		setMaxListeners(this.#schedule.callers + (this.#schedule.fleetCallers?.length ?? 0) + 2, stopCallers.signal);
 		const stopWatching = this.#injector.watchForPauses();
 		try {
 			const {duringStart} = this.#schedule;
@@ -85,7 +87,17 @@
 				requestsPerConnection: index % 2 === 0 ? Number.POSITIVE_INFINITY : requestsPerConnection,
 			});
 		});
-		return [...callers, this.#startSendingAhead(stop), ...(this.#schedule.hasLongRequests ? [this.#startLongRequests(stop)] : [])];
+		return [...callers, ...this.#startFleetCallers(stop), this.#startSendingAhead(stop), ...(this.#schedule.hasLongRequests ? [this.#startLongRequests(stop)] : [])];
+	}
+
+	#startFleetCallers(stop: AbortSignal): Array<Promise<CallRecord[]>> {
+		const {seed, fleetCallers = []} = this.#schedule;
+		return fleetCallers.map(async (plan, index) => {
+			const random = createRandomSource((seed * callerSeedsPerSchedule) + fleetCallerSeedOffset + index);
+			return new FleetCaller({
+				name: `f${index}`, plan, random, stop, lookUp: async () => this.#site.lookUp(random.nextInteger(this.#site.entries.length)),
+			}).run();
+		});
 	}
 
 	/** Starts one more caller, with a random source of its own, so that the others do the same with a seed as without it. */
@@ -197,6 +209,11 @@
 	});
 }
 
-function runsOf({id: upstream, executedIds, executedAtMs}: UpstreamStandIn): readonly RunRecord[] {
-	return executedIds.map((id, index) => ({id, upstream, atMs: executedAtMs[index]!}));
+function runsOf({id: upstream, executedIds, executedAtMs, executedEnds}: UpstreamStandIn): readonly RunRecord[] {
+	return executedIds.map((id, index) => {
+		const end = executedEnds[index];
+		return {
+			id, upstream, atMs: executedAtMs[index]!, ...(end === undefined ? {} : {end}),
+		};
+	});
 }
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -1,5 +1,5 @@
 /** The site of a soak: instances of the real program, a store, and upstreams, each behind its own proxy. */
-import type {InstanceProcess} from '@cairnbank/platform/spec-support/instance-process';
+import type {AddressList, InstanceProcess} from '@cairnbank/platform/spec-support/instance-process';
 import {LinkProxy} from '@cairnbank/platform/spec-support/link-proxy';
 import {defaultRetryBound, type RetryBound} from '@cairnbank/platform/spec-support/retry-bound';
 import {LinkedSite, type LinkCut} from '@cairnbank/platform/spec-support/linked-site';
@@ -52,8 +52,13 @@
 	readonly #endedLines: Array<Readonly<Record<string, unknown>>> = [];
 
 	/** @param program - path of the program to test; defaults to the compiled program */
-	constructor(program?: string) {
-		this.#site = new LinkedSite({logging: {level: 'info', sampleOneIn: 1}, retryBound: soakRetryBound, ...(program === undefined ? {} : {program})});
+	constructor({graceSeconds}: Pick<Schedule, 'graceSeconds'>, program?: string) {
+		this.#site = new LinkedSite({
+			logging: {level: 'info', sampleOneIn: 1},
+			retryBound: soakRetryBound,
+			...(graceSeconds === undefined ? {} : {graceSeconds}),
+			...(program === undefined ? {} : {program}),
+		});
 		this.crashing = new CrashingUpstreams(this.#site);
 	}
 
@@ -173,18 +178,24 @@
 
 	/** Asks instances for addresses in turn, starting with this one, until one returns any. */
 	async resolve(first: number): Promise<readonly string[]> {
+		const {addresses} = await this.lookUp(first);
+		return addresses;
+	}
+
+	/** Like `resolve`, with the time to live of the addresses. */
+	async lookUp(first: number): Promise<AddressList> {
 		for (let index = 0; index < this.entries.length; index++) {
 			try {
-				const addresses = await this.entries[(first + index) % this.entries.length]!.resolve();
-				if (addresses.length > 0) {
-					return addresses;
+				const list = await this.entries[(first + index) % this.entries.length]!.lookUp();
+				if (list.addresses.length > 0) {
+					return list;
 				}
 			} catch {
 				// The instance is starting or has ended, so the next one is asked.
 			}
 		}
 
-		return [];
+		return {addresses: [], ttlS: 0};
 	}
 
 	get #accounts() {
--- a/packages/soak/src/stop-checks.ts
+++ b/packages/soak/src/stop-checks.ts
@@ -1,7 +1,7 @@
 /** Checks of what callers observe of an instance that stops. */
 import type {Check} from './checks.js';
 import type {CallRecord, Lag} from './history.js';
-import {deadlineMs} from './soak-caller.js';
+import {deadlineMs as usualDeadlineMs} from './soak-caller.js';
 
 /** Time in which the connection of a whole request may end without an answer, as the two ends may close it at the same time. */
 const closeSlackMs = 200;
@@ -19,7 +19,9 @@
 		const isDisturbed = ({instance, sentAtMs, endedAtMs}: CallRecord) => disturbances.some(({kind, instance: disturbed, fromMs, untilMs}) =>
 			kind === 'instance' && disturbed === instance && fromMs <= endedAtMs && untilMs >= sentAtMs);
 		const unanswered = [...calls, ...crashes.flatMap(crash => [...crash.calls, ...crash.harmlessCalls])].flatMap(call => {
-			const {sent, sentAtMs, endedAtMs, end} = call;
+			const {
+				sent, sentAtMs, endedAtMs, end, deadlineMs = usualDeadlineMs,
+			} = call;
 			if (sent === undefined || end.type !== 'cut' || endedAtMs - sentAtMs >= deadlineMs || isDisturbed(call)) {
 				return [];
 			}
