--- a/packages/soak/src/fleet-callers.ts
+++ b/packages/soak/src/fleet-callers.ts
@@ -26,6 +26,8 @@
 	readonly random: RandomSource;
 	readonly stop: AbortSignal;
 	readonly lookUp: () => Promise<AddressList>;
+	/** Returns the address at which an instance is reached. */
+	readonly via: (address: string) => string;
 };
 
 const shortestWorkMs = 250;
@@ -136,8 +138,8 @@
 		}
 
 		const agent = this.#kept?.agent ?? new Agent({keepAlive: true, maxSockets: 1});
-		const {record, keepsConnection} = await callOnce(address, {...this.#createRequest(), deadlineMs}, agent);
-		this.#records.push(record);
+		const {record, keepsConnection} = await callOnce(this.#options.via(address), {...this.#createRequest(), deadlineMs}, agent);
+		this.#record([record], address);
 		if (connections === 'kept' && keepsConnection) {
 			this.#kept = {address, agent};
 		} else {
@@ -157,7 +159,7 @@
 
 		const requests = Array.from({length: 1 + this.#options.random.nextInteger(mostAhead)}, () => this.#createRequest());
 		const records = await sendAhead(connection, requests);
-		this.#records.push(...records);
+		this.#record(records, connection.address);
 		if (records.some(record => mayRetry(record))) {
 			this.#failed.add(connection.address);
 		}
@@ -168,12 +170,24 @@
 		}
 	}
 
+	/** When an instance has the last byte of a request is not known where a link lies between them. */
+	#record(records: readonly CallRecord[], address: string): void {
+		const isLinked = this.#options.via(address) !== address;
+		for (const {sent, ...record} of records) {
+			this.#records.push({...record, instance: hostOf(address), ...(isLinked || sent === undefined ? {} : {sent})});
+		}
+	}
+
 	#openAhead(): {readonly address: string; readonly caller: PipelinedCaller; readonly name: string} | undefined {
 		const address = this.#pickAddress();
-		return address === undefined ? undefined : {address, caller: new PipelinedCaller(address), name: `${this.#options.name}#${this.#requests}`};
+		return address === undefined ? undefined : {address, caller: new PipelinedCaller(this.#options.via(address)), name: `${this.#options.name}#${this.#requests}`};
 	}
 }
 
+function hostOf(address: string): string {
+	return address.split(':')[0]!;
+}
+
 /** Returns whether a caller sends a request once more: a payment only if it has not run. */
 function mayRetry({end, idempotent}: CallRecord): boolean {
 	switch (end.type) {
--- a/packages/soak/src/instance-events.ts
+++ b/packages/soak/src/instance-events.ts
@@ -111,7 +111,7 @@
 
 	/** Ends an instance and starts it again at the same addresses. */
 	async #endAndRestart(index: number, signal: 'SIGTERM' | 'SIGKILL', {furtherSignals = [], isPlanned = false}: EndOptions = {}): Promise<void> {
-		const {process: ending, settings: {host, bounds: {graceSeconds}}} = this.#site.entries[index]!;
+		const {process: ending, settings: {host, listen, bounds: {graceSeconds}}} = this.#site.entries[index]!;
 		const wasKilled = signal === 'SIGKILL';
 		const graceMs = graceSeconds * 1000;
 		const end = async () => {
@@ -130,6 +130,7 @@
 				: undefined;
 			await waitFor(`end of ${host}`, () => ending.exit !== undefined, stopWaitMs);
 			clearTimeout(killTimer);
+			this.#site.callerLinks.processEnded(listen.callers);
 			this.stops.push({
 				instance: host, exitCode: ending.exit?.code, wasKilled, graceMs, errors: ending.otherLines.slice(-maximumErrorLines), signalledAtMs, endedAtMs: performance.now(),
 			});
--- a/packages/soak/src/planned-stops.ts
+++ b/packages/soak/src/planned-stops.ts
@@ -16,6 +16,8 @@
 const firstStopMs = 1000;
 const longestPauseMs = 3000;
 const shortDeadlineMs = 1500;
+const longestLinkDelayMs = 100;
+const linkBuffers = [16_384, 65_536, 262_144] as const;
 const longDeadlineMs = 8000;
 const meanPauseMs = 300;
 const longestKeptAddresses = 3;
@@ -44,6 +46,7 @@
 		upstreams: Math.max(fewestUpstreams, upstreamsPerInstance * instances),
 		callers: 1,
 		fleetCallers: Array.from({length: callersPerInstance * instances}, () => generateCaller(random)),
+		...generateLinks(random),
 		graceSeconds,
 		workMs: 20,
 		durationMs: atMs + (graceSeconds * 1000),
@@ -51,6 +54,14 @@
 	};
 }
 
+/** Half of the schedules have links; those of half of them end with the process of their instance. */
+function generateLinks(random: RandomSource): Pick<Schedule, 'callerLinks'> {
+	const callerLinks = {
+		delayMs: 3 + random.nextInteger(longestLinkDelayMs), bufferBytes: pick(random, linkBuffers), holdsUntilHalf: random.next() < 0.3, endsWithProcess: random.next() < 0.5,
+	};
+	return random.next() < 0.5 ? {callerLinks} : {};
+}
+
 function generateSignals(random: RandomSource): FurtherSignal[] {
 	return Array.from({length: random.nextInteger(3)}, () => ({signal: pick(random, signals), afterMs: random.nextInteger(graceSeconds * 500)}));
 }
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -9,6 +9,7 @@
 import {
 	drawsLongRequests, generateFurtherEvents, generateSpoilings, pick, randomSourceOf,
 } from './further-events.js';
+import type {CallerLinkPlan} from './caller-links.js';
 import type {FleetCallerPlan} from './fleet-callers.js';
 import {generateStops} from './stop-events.js';
 import type {StopCallerPlan} from './stop-callers.js';
@@ -78,6 +79,8 @@
 	readonly hasLongRequests?: boolean;
 	/** Callers that follow addresses by their time to live, in addition to the others; none if absent. */
 	readonly fleetCallers?: readonly FleetCallerPlan[];
+	/** Links through which fleet callers reach instances; none if absent. */
+	readonly callerLinks?: CallerLinkPlan;
 	/** Time that instances have to stop, in seconds; 2 if absent. */
 	readonly graceSeconds?: number;
 	/** Processing time of each request at an upstream that states none itself. */
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -95,7 +95,7 @@
 		return fleetCallers.map(async (plan, index) => {
 			const random = createRandomSource((seed * callerSeedsPerSchedule) + fleetCallerSeedOffset + index);
 			return new FleetCaller({
-				name: `f${index}`, plan, random, stop, lookUp: async () => this.#site.lookUp(random.nextInteger(this.#site.entries.length)),
+				name: `f${index}`, plan, random, stop, lookUp: async () => this.#site.lookUp(random.nextInteger(this.#site.entries.length)), via: address => this.#site.callerLinks.via(address),
 			}).run();
 		});
 	}
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -7,6 +7,7 @@
 import type {StoreCopy, StoreStandIn} from '@cairnbank/platform/spec-support/store-stand-in';
 import {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {waitFor} from '@cairnbank/testing/harness';
+import {CallerLinks} from './caller-links.js';
 import {CrashingUpstreams, crashingService} from './crashing-upstreams.js';
 import type {Schedule} from './schedule.js';
 
@@ -40,6 +41,7 @@
 	readonly upstreams: UpstreamStandIn[] = [];
 	readonly proxies: LinkProxy[] = [];
 	readonly crashing: CrashingUpstreams;
+	readonly callerLinks: CallerLinks;
 	readonly #site: LinkedSite;
 	readonly #sequences = new Map<string, number>();
 	#copies: StoreCopy[] = [];
@@ -52,7 +54,8 @@
 	readonly #endedLines: Array<Readonly<Record<string, unknown>>> = [];
 
 	/** @param program - path of the program to test; defaults to the compiled program */
-	constructor({graceSeconds}: Pick<Schedule, 'graceSeconds'>, program?: string) {
+	constructor({graceSeconds, callerLinks}: Pick<Schedule, 'graceSeconds' | 'callerLinks'>, program?: string) {
+		this.callerLinks = new CallerLinks(callerLinks);
 		this.#site = new LinkedSite({
 			logging: {level: 'info', sampleOneIn: 1},
 			retryBound: soakRetryBound,
@@ -91,6 +94,7 @@
 			return offers.every(addresses => addresses.length >= Math.min(instances, maximumExpectedAddresses));
 		});
 		await Promise.all(this.entries.map(async entry => entry.waitForFleetShare()));
+		await Promise.all(this.entries.map(async ({settings}) => this.callerLinks.connect(settings.listen.callers)));
 		this.#copies = [this.#site.store.copy()];
 		this.#copyTimer = setInterval(() => {
 			this.#copies = [...this.#copies, this.#site.store.copy()].slice(-maximumCopies);
@@ -99,6 +103,7 @@
 
 	async stop(): Promise<void> {
 		clearInterval(this.#copyTimer);
+		this.callerLinks.stop();
 		await this.#site.stop();
 		for (const proxy of this.proxies) {
 			proxy.stop();
@@ -152,6 +157,7 @@
 	async restart(index: number): Promise<void> {
 		this.#endedLines.push(...this.entries[index]!.process.lines);
 		const entry = await this.#site.restartInstance(index);
+		await this.callerLinks.connect(entry.settings.listen.callers);
 		await entry.waitUntilReady();
 	}
 
