--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -24,6 +24,7 @@
 	readonly #connections: CallerConnections;
 	readonly #handler: RequestHandler;
 	#isLeaving = false;
+	#isStopped = false;
 
 	constructor(options: CallersTaskOptions) {
 		const {context} = options;
@@ -43,6 +44,13 @@
 				// A caller may send thousands; the first one of a connection shows the cause.
 				context.logger[isFirst ? 'info' : 'debug']('request not started, as its connection closes', this.#describe(request));
 			},
+			onUndelivered: ({answers, reason, heldBytes}) => {
+				for (const answer of answers) {
+					context.logger.warn('answer not known to be delivered as the instance stops', {
+						...this.#handler.identify(answer), reason, heldBytes, ...answer.describeAnswer(context.clock.monotonicMs()),
+					});
+				}
+			},
 			onWriteFault(error) {
 				recordUnexpectedFault(context, 'answer', error);
 			},
@@ -70,8 +78,12 @@
 	}
 
 	async drain(): Promise<void> {
-		await this.#connections.untilArrivalsAreRead();
-		this.#server.close();
+		if (this.#server.listening) {
+			await this.#connections.closeListener(() => this.#isStopped);
+			await this.#connections.untilUsed();
+		}
+
+		await this.#connections.untilArrivalsAreRead(() => this.#isStopped);
 		this.#server.closeIdleConnections();
 		await this.#connections.untilIdle();
 	}
@@ -87,7 +99,9 @@
 	}
 
 	stop(): void {
+		this.#isStopped = true;
 		this.#logOpenRequests();
+		this.#connections.reportUndelivered();
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
