Stop: what comes to one task while another is waited for is not ended before its time

Cause: the stop went to its next step as soon as each task had had nothing in flight once, each at another moment. What came meanwhile on an open connection was ended, long before the end of the grace period. Class: an end that is decided by a state that was true a moment ago.

Change: tasks tell whether work is in flight or may still come; the stop drains again until none is busy at the same moment, and reads what has arrived only where something is left to be ended.

Evidence: gateway.spec, "while another is waited for": red before, green after.

--- a/packages/gateway/src/gateway.spec.ts
+++ b/packages/gateway/src/gateway.spec.ts
@@ -5,15 +5,17 @@
 import {ok} from 'neverthrow';
 import {Gateway} from './gateway.js';
 import type {Context} from './kernel/context.js';
+import {InFlight} from './kernel/in-flight.js';
 import {StopDeadline} from './kernel/stop-deadline.js';
 import type {Task} from './kernel/task.js';
 import {createMetrics} from './metrics/metrics.js';
 
-const graceMs = 200;
+const shortGraceMs = 200;
+const longGraceMs = 1500;
 const noop = () => undefined;
 
 /** Creates a gateway of these tasks, and the list of what they did. */
-function gatewayOf(steps: string[], tasks: ReadonlyArray<Partial<Task>>): {gateway: Gateway; context: Context} {
+function gatewayOf(steps: string[], tasks: ReadonlyArray<Partial<Task>>, graceMs = shortGraceMs): {gateway: Gateway; context: Context} {
 	const context = {
 		settings: {bounds: {graceSeconds: graceMs / 1000}},
 		clock: systemClock,
@@ -86,4 +88,31 @@
 		await gateway.stop();
 		assert.deepEqual(steps, ['answered', 't0 stop']);
 	});
+
+	// Guards against an end of the grace period as soon as each task has had nothing in flight for a moment.
+	it('should end nothing before its time that comes to one task while another is waited for', async () => {
+		const steps: string[] = [];
+		const inFlight = new InFlight<string>();
+		let isFirstDrain = true;
+		const {gateway} = gatewayOf(steps, [
+			{
+				drain: async () => inFlight.untilEmpty(),
+				isBusy: () => inFlight.size > 0,
+			},
+			{
+				async drain() {
+					if (isFirstDrain) {
+						isFirstDrain = false;
+						inFlight.add('late');
+						setTimeout(() => {
+							steps.push('answered');
+							inFlight.delete('late');
+						}, 50);
+					}
+				},
+			},
+		], longGraceMs);
+		await gateway.stop();
+		assert.deepEqual(steps, ['answered', 't0 expire', 't1 expire', 't1 stop', 't0 stop']);
+	});
 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 /** Runs the tasks of an entry instance from its start to its graceful stop. */
-import {setTimeout as delay} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import {ok, type Result} from 'neverthrow';
 import {untilArrivalsAreRead} from './kernel/arrivals.js';
 import type {Context} from './kernel/context.js';
@@ -30,6 +30,7 @@
 	readonly #context: Context;
 	readonly #tasks: readonly Task[];
 	readonly #flushLogs: () => Promise<void>;
+	#isStopped = false;
 
 	/**
 	 * @param tasks - tasks in the order in which they are started
@@ -89,9 +90,13 @@
 		this.#forEachTask(task => task.leave?.());
 		await untilPart(acceptingRatio);
 		await Promise.race([this.#drain(), untilPart(drainRatio)]);
-		await this.#readAnswers(startedAtMs + (graceMs * readRatio));
+		if (this.#isBusy) {
+			await this.#readAnswers(startedAtMs + (graceMs * readRatio));
+		}
+
 		this.#forEachTask(task => task.expire?.());
 		await Promise.race([this.#drain(), Promise.all([untilPart(answerRatio), delay(minimumAnswerMs)])]);
+		this.#isStopped = true;
 		this.#forEachTask(task => {
 			task.stop();
 		}, this.#tasks.toReversed());
@@ -106,15 +111,24 @@
 		await untilArrivalsAreRead(() => answerMemory.readBytes, () => clock.monotonicMs() >= readUntilMs);
 	}
 
-	/** Resolves once no task has work in flight. */
+	get #isBusy(): boolean {
+		return this.#tasks.some(task => task.isBusy?.() === true);
+	}
+
+	/** Resolves once no task has work in flight, all at the same moment: work may come to one task while another is waited for. */
 	async #drain(): Promise<void> {
-		await Promise.all(this.#tasks.map(async task => {
-			try {
-				await task.drain?.();
-			} catch (error) {
-				recordUnexpectedFault(this.#context, 'stop', error, {task: task.name});
-			}
-		}));
+		do {
+			await nextTurn();
+			await Promise.all(this.#tasks.map(async task => this.#drainTask(task)));
+		} while (this.#isBusy && !this.#isStopped);
+	}
+
+	async #drainTask(task: Task): Promise<void> {
+		try {
+			await task.drain?.();
+		} catch (error) {
+			recordUnexpectedFault(this.#context, 'stop', error, {task: task.name});
+		}
 	}
 
 	/** Makes a step of the stop with all tasks; a fault in one of them keeps none of the others from it. */
--- a/packages/gateway/src/kernel/task.ts
+++ b/packages/gateway/src/kernel/task.ts
@@ -10,6 +10,8 @@
 	leave?(): void;
 	/** Stops accepting new work, and resolves once none is in flight. Called again after `expire`, as work may have come meanwhile. */
 	drain?(): Promise<void>;
+	/** Returns whether work is in flight, or may come on a connection that is still open. */
+	isBusy?(): boolean;
 	/** Called when the time to drain is over. Ends all work that is still in flight. */
 	expire?(): void;
 	/** Closes sockets and timers. */
