--- a/packages/soak/src/fleet-callers.ts
+++ b/packages/soak/src/fleet-callers.ts
@@ -6,7 +6,9 @@
 import {PipelinedCaller} from '@cairnbank/platform/spec-support/pipelined-caller';
 import {pick} from './further-events.js';
 import type {CallRecord} from './history.js';
-import {isReusable, sendAhead, type AheadRequest} from './pipelined-requests.js';
+import {
+	isReusable, sendAhead, type AheadRequest, type OpenConnection,
+} from './pipelined-requests.js';
 import {callOnce} from './soak-caller.js';
 
 export type FleetCallerPlan = {
@@ -30,6 +32,8 @@
 	readonly via: (address: string) => string;
 };
 
+type AheadConnection = OpenConnection & {readonly isLinked: boolean};
+
 const shortestWorkMs = 250;
 const longestUsualWorkMs = 320;
 const tailOneIn = 30;
@@ -51,7 +55,7 @@
 	#resolveAtMs = 0;
 	readonly #failed = new Set<string>();
 	#kept: {readonly address: string; readonly agent: Agent} | undefined;
-	#ahead: {readonly address: string; readonly caller: PipelinedCaller; readonly name: string} | undefined;
+	#ahead: AheadConnection | undefined;
 	#requests = 0;
 
 	constructor(options: FleetCallerOptions) {
@@ -138,8 +142,9 @@
 		}
 
 		const agent = this.#kept?.agent ?? new Agent({keepAlive: true, maxSockets: 1});
-		const {record, keepsConnection} = await callOnce(this.#options.via(address), {...this.#createRequest(), deadlineMs}, agent);
-		this.#record([record], address);
+		const reachedAt = this.#options.via(address);
+		const {record, keepsConnection} = await callOnce(reachedAt, {...this.#createRequest(), deadlineMs}, agent);
+		this.#record([record], {address, isLinked: reachedAt !== address});
 		if (connections === 'kept' && keepsConnection) {
 			this.#kept = {address, agent};
 		} else {
@@ -159,7 +164,7 @@
 
 		const requests = Array.from({length: 1 + this.#options.random.nextInteger(mostAhead)}, () => this.#createRequest());
 		const records = await sendAhead(connection, requests);
-		this.#record(records, connection.address);
+		this.#record(records, connection);
 		if (records.some(record => mayRetry(record))) {
 			this.#failed.add(connection.address);
 		}
@@ -171,16 +176,22 @@
 	}
 
 	/** When an instance has the last byte of a request is not known where a link lies between them. */
-	#record(records: readonly CallRecord[], address: string): void {
-		const isLinked = this.#options.via(address) !== address;
+	#record(records: readonly CallRecord[], {address, isLinked}: Pick<AheadConnection, 'address' | 'isLinked'>): void {
 		for (const {sent, ...record} of records) {
 			this.#records.push({...record, instance: hostOf(address), ...(isLinked || sent === undefined ? {} : {sent})});
 		}
 	}
 
-	#openAhead(): {readonly address: string; readonly caller: PipelinedCaller; readonly name: string} | undefined {
+	#openAhead(): AheadConnection | undefined {
 		const address = this.#pickAddress();
-		return address === undefined ? undefined : {address, caller: new PipelinedCaller(this.#options.via(address)), name: `${this.#options.name}#${this.#requests}`};
+		if (address === undefined) {
+			return undefined;
+		}
+
+		const reachedAt = this.#options.via(address);
+		return {
+			address, isLinked: reachedAt !== address, caller: new PipelinedCaller(reachedAt), name: `${this.#options.name}#${this.#requests}`,
+		};
 	}
 }
 
