A stopping instance waits for its callers to close until the end of the stop

Callers got part of an answer: 10 of 10 answers of 540 kB over a shared link of 10 Mbit/s, 23 of 60 of 90 kB, 1 of 1 of 5 MB that its caller began to read 4.2 s after the signal. An upstream had run each of the requests.

Cause: an answer counted as delivered one second after it had been handed to the socket. The instance then destroyed the connection, and as none was left, the process ended at 0.6 of its grace period with the answers in send queues or on their way, which go with the machine, and are dropped by a reset as soon as more bytes of the caller arrive.

Only the end of the caller's side shows that it has its answers. A closing connection is awaited until then: while the instance stops, until the end of the stop, and otherwise for as long as an idle connection. That showed connections whose reading the parser had stopped and that never read again, so that the caller's end was not noticed (callers-task.spec did not end); the time of one second had hidden that.

caller-connections.spec had a test that asserts the fixed time (idle about one second after the caller could have closed). Two that are as strict take its place: while the instance stops, the connection is open beyond the time to linger, until the stop ends it; otherwise it is closed after that time.

--- a/packages/gateway/src/features/calls/caller-connection-options.ts
+++ b/packages/gateway/src/features/calls/caller-connection-options.ts
@@ -1,10 +1,12 @@
 /** What a connection of a caller tells its owner. */
 import type {Socket} from 'node:net';
+import type {GracefulCloseOptions} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
 import type {Undelivered} from './written-answers.js';
 
 export type CallerConnectionOptions = {
 	readonly socket: Socket;
+	readonly gracefulClose: GracefulCloseOptions;
 	/** Called for each request that will be answered. */
 	readonly onOpened: (request: OpenRequest) => void;
 	readonly onStart: (request: OpenRequest) => void;
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -3,7 +3,7 @@
 import {waitTurns} from '../../kernel/arrivals.js';
 import {breakOff, untilBodyIsRead} from './body-reader.js';
 import type {CallerConnectionOptions} from './caller-connection-options.js';
-import {closeGracefully, discardFurtherBytes} from './graceful-close.js';
+import {GracefulClose} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
 import {answerToFault, statusOfFault} from './parser-faults.js';
 import {WrittenAnswers} from './written-answers.js';
@@ -19,18 +19,19 @@
 	readonly #options: CallerConnectionOptions;
 	readonly #sequence = new RequestSequence<OpenRequest>();
 	readonly #written: WrittenAnswers;
+	readonly #gracefulClose: GracefulClose;
 	/** Answers that are ready and not being written yet. */
 	readonly #ready = new Map<OpenRequest, ReadyAnswer>();
 	#newest: OpenRequest | undefined;
 	#faultStatus: number | undefined;
 	#isClosed = false;
 	#hasIgnored = false;
-	#isDiscarding = false;
 	#hasAnnouncedClose = false;
 
 	constructor(options: CallerConnectionOptions) {
 		this.#options = options;
 		this.#written = new WrittenAnswers(options.socket);
+		this.#gracefulClose = new GracefulClose(options.socket, options.gracefulClose);
 		options.socket.on('close', () => {
 			this.#closed();
 		});
@@ -63,7 +64,7 @@
 		if (arrival === 'ignored') {
 			this.#options.onIgnored(open, !this.#hasIgnored);
 			this.#hasIgnored = true;
-			this.#discardFurtherBytes();
+			this.#gracefulClose.discardFurtherBytes();
 			return;
 		}
 
@@ -107,7 +108,7 @@
 
 		this.#faultStatus = statusOfFault(code);
 		this.#sequence.closeBehind();
-		this.#discardFurtherBytes();
+		this.#gracefulClose.discardFurtherBytes();
 		this.#endIncomplete();
 		this.#endIfOver();
 	}
@@ -119,9 +120,9 @@
 		}
 	}
 
-	/** Disconnects a caller, so that its answers need no memory. */
+	/** Disconnects a caller, whether it has its answers or not. */
 	disconnect(): void {
-		this.#options.socket.destroy();
+		this.#gracefulClose.destroy();
 	}
 
 	/** Reports the answers that the caller isn't known to have. */
@@ -225,8 +226,8 @@
 		if (!socket.destroyed && !socket.writableEnded) {
 			onClosing();
 			this.#written.closes();
-			this.#discardFurtherBytes();
-			closeGracefully(socket);
+			this.#gracefulClose.discardFurtherBytes();
+			this.#gracefulClose.begin();
 		}
 	}
 
@@ -239,11 +240,4 @@
 			response.emit('close');
 		}
 	}
-
-	#discardFurtherBytes(): void {
-		if (!this.#isDiscarding) {
-			this.#isDiscarding = true;
-			discardFurtherBytes(this.#options.socket);
-		}
-	}
 }
--- a/packages/gateway/src/features/calls/caller-connections.spec.ts
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -14,15 +14,18 @@
 
 const answer = {type: 'answered', answer: answerOf(200, [], new Uint8Array(2))} as const;
 const headerTimeoutMs = 100;
+const keepAliveMs = 50;
 /** Fits into the buffers between a server and its caller. */
 const longAnswerBytes = 200_000;
 const servers: Server[] = [];
 
 /** Starts a server that leaves its requests to the spec, and sends it bytes. */
-async function send(bytes: string, isLeaving = false): Promise<{
+async function send(bytes: string, {isLeaving = false, keepAliveMs: keepAliveTimeout = 5000} = {}): Promise<{
 	clock: ManualClock; connections: CallerConnections; started: OpenRequest[]; received: () => string; socket: Socket; writeFaults: unknown[];
 }> {
-	const server = createServer({requireHostHeader: false, headersTimeout: headerTimeoutMs, connectionsCheckingInterval: headerTimeoutMs / 2});
+	const server = createServer({
+		requireHostHeader: false, headersTimeout: headerTimeoutMs, connectionsCheckingInterval: headerTimeoutMs / 2, keepAliveTimeout,
+	});
 	servers.push(server);
 	const started: OpenRequest[] = [];
 	const writeFaults: unknown[] = [];
@@ -117,7 +120,7 @@
 	// Guards against a connection that is reset under its last answer because the caller sends on.
 	it('should deliver the last answer whole to a caller that reads slowly and sends on as the connection closes', async () => {
 		const body = new Uint8Array(longAnswerBytes);
-		const {connections, started, received, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\n', true);
+		const {connections, started, received, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\n', {isLeaving: true});
 		socket.pause();
 		connections.respond(started[0]!, {type: 'answered', answer: answerOf(200, [], body)});
 		await once(started[0]!.response, 'close');
@@ -130,12 +133,33 @@
 		assert.equal(received().split('\r\n\r\n')[1]?.length, longAnswerBytes);
 	});
 
-	it('should close a connection whose caller does not close it, and report itself idle then', async () => {
-		const {connections, started, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\n', true);
+	// Guards against answers that are lost because their callers take longer to read them than a fixed time to linger.
+	it('should leave a connection open until its caller closes it or the stop ends, and report itself idle then', async () => {
+		const {connections, started, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\n', {isLeaving: true, keepAliveMs});
+		socket.allowHalfOpen = true;
+		let isIdle = false;
+		const idle = (async () => {
+			await once(started[0]!.response, 'close');
+			await connections.untilIdle();
+			isIdle = true;
+		})();
+		connections.respond(started[0]!, answer);
+		await once(socket, 'end');
+		await delay(3 * keepAliveMs);
+		assert.deepEqual([isIdle, started[0]!.request.socket.destroyed], [false, false]);
+		connections.stop();
+		await idle;
+		assert.equal(started[0]!.request.socket.destroyed, true);
+		socket.destroy();
+	});
+
+	it('should close a connection whose caller does not close it while the instance does not stop', async () => {
+		const {connections, started, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n', {keepAliveMs});
 		socket.allowHalfOpen = true;
 		connections.respond(started[0]!, answer);
 		await once(socket, 'end');
 		await connections.untilIdle();
+		assert.equal(started[0]!.request.socket.destroyed, true);
 		socket.destroy();
 	});
 });
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -54,7 +54,7 @@
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
-		const {server, clock, metrics, answerMemory, onStart, onIgnored} = options;
+		const {server, clock, metrics, answerMemory, isLeaving, onStart, onIgnored} = options;
 		this.open = new OpenRequests(size => {
 			metrics.inFlight.set(size);
 		});
@@ -71,6 +71,7 @@
 			this.#unused.add(socket);
 			this.#connections.set(socket, new CallerConnection({
 				socket,
+				gracefulClose: {lingerMs: () => server.keepAliveTimeout, isLeaving},
 				onUndelivered: undelivered => {
 					this.#undelivered(undelivered);
 				},
@@ -152,10 +153,13 @@
 		await this.#closing.untilEmpty();
 	}
 
-	/** Reports the answers that callers are not known to have as the stop ends. */
-	reportUndelivered(): void {
-		for (const connection of this.#connections.values()) {
+	/** Ends the connections that their callers have not closed after the last answer; reports the answers that callers are not known to have. */
+	stop(): void {
+		for (const [socket, connection] of this.#connections) {
 			connection.reportUndelivered();
+			if (this.#closing.has(socket)) {
+				connection.disconnect();
+			}
 		}
 	}
 
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -101,7 +101,7 @@
 	stop(): void {
 		this.#isStopped = true;
 		this.#logOpenRequests();
-		this.#connections.reportUndelivered();
+		this.#connections.stop();
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
