Callers and relay tell a stop what is in flight; it waits until all connections of callers are closed

What callers saw: 504 of the instance's own 2.6 s after SIGTERM of a grace period of 4 s, while its upstream was at work, for a request whose head came in two parts on a kept connection.

Change: the callers' task drains until no connection is left, and is busy as long as there is one; the relay is busy as long as it has requests. A fault in telling so is contained like those of the other steps.

--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -42,6 +42,7 @@
 	readonly open: OpenRequests;
 	readonly #options: CallerConnectionsOptions;
 	readonly #connections = new Map<Socket, CallerConnection>();
+	readonly #sockets = new InFlight<Socket>();
 	/** Connections that have not carried a request yet. */
 	readonly #unused = new InFlight<Socket>();
 	/** Connections whose last answer is written and which their callers have not closed yet. */
@@ -68,6 +69,7 @@
 				});
 			}
 
+			this.#sockets.add(socket);
 			this.#unused.add(socket);
 			this.#connections.set(socket, new CallerConnection({
 				socket,
@@ -92,6 +94,7 @@
 			}));
 			socket.once('close', () => {
 				this.#connections.delete(socket);
+				this.#sockets.delete(socket);
 				this.#unused.delete(socket);
 				this.#closing.delete(socket);
 			});
@@ -153,6 +156,16 @@
 		await this.#closing.untilEmpty();
 	}
 
+	/** True while requests may come on an open connection, or have no complete answer. */
+	get isBusy(): boolean {
+		return this.#sockets.size > 0 || this.open.size > 0;
+	}
+
+	/** Resolves once all connections are closed. */
+	async untilClosed(): Promise<void> {
+		await this.#sockets.untilEmpty();
+	}
+
 	/** Ends the connections that their callers have not closed after the last answer; reports the answers that callers are not known to have. */
 	stop(): void {
 		for (const [socket, connection] of this.#connections) {
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -86,6 +86,11 @@
 		await this.#connections.untilArrivalsAreRead(() => this.#isStopped);
 		this.#server.closeIdleConnections();
 		await this.#connections.untilIdle();
+		await this.#connections.untilClosed();
+	}
+
+	isBusy(): boolean {
+		return this.#connections.isBusy;
 	}
 
 	expire(): void {
--- a/packages/gateway/src/features/relay/relay-task.ts
+++ b/packages/gateway/src/features/relay/relay-task.ts
@@ -72,6 +72,10 @@
 		}
 	}
 
+	isBusy(): boolean {
+		return this.inFlight > 0;
+	}
+
 	expire(): void {
 		for (const request of this.#requests) {
 			request.expire();
--- a/packages/gateway/src/gateway.spec.ts
+++ b/packages/gateway/src/gateway.spec.ts
@@ -44,7 +44,7 @@
 }
 
 describe('the stop of a gateway', () => {
-	for (const step of ['leave', 'drain', 'expire', 'stop'] as const) {
+	for (const step of ['leave', 'drain', 'isBusy', 'expire', 'stop'] as const) {
 		// Guards against a fault in one task that ends the process with all requests unanswered.
 		it(`should make all its steps with all other tasks although one throws in "${step}"`, async () => {
 			const steps: string[] = [];
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -112,7 +112,11 @@
 	}
 
 	get #isBusy(): boolean {
-		return this.#tasks.some(task => task.isBusy?.() === true);
+		let isBusy = false;
+		this.#forEachTask(task => {
+			isBusy ||= task.isBusy?.() === true;
+		});
+		return isBusy;
 	}
 
 	/** Resolves once no task has work in flight, all at the same moment: work may come to one task while another is waited for. */
