A stopping instance closes idle connections gracefully

Cause: an answer that doesn't close its connection leaves it idle for the server as soon as it is in the socket. As the listener closed, the server destroyed such connections, and the process ended soon after. The rest of the answer went with the machine, or was dropped by the reset that the caller's next request met.

Idle connections are closed like those behind a last answer: the sending side ends, reading goes on, and the stop waits for the callers' ends, also for those that become idle later. A connection on which a request has begun to arrive is not idle; a request that crosses the close is logged and ignored. What ended a connection under an undelivered answer has fewer cases, and its metric too.

--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -27,6 +27,8 @@
 	#isClosed = false;
 	#hasIgnored = false;
 	#hasAnnouncedClose = false;
+	/** Bytes that had been read as the last of its requests was answered; undefined before its first request. */
+	#bytesUntilIdle: number | undefined;
 
 	constructor(options: CallerConnectionOptions) {
 		this.#options = options;
@@ -120,6 +122,15 @@
 		}
 	}
 
+	/** Closes the connection unless a request is open or has begun to arrive. A request that crosses the close is ignored. */
+	closeIfIdle(): void {
+		const {socket} = this.#options;
+		if (this.#sequence.unanswered.length === 0 && this.#bytesUntilIdle === socket.bytesRead) {
+			this.#sequence.closeBehind();
+			this.#beginClose();
+		}
+	}
+
 	/** Disconnects a caller, whether it has its answers or not. */
 	disconnect(): void {
 		this.#gracefulClose.destroy();
@@ -192,6 +203,7 @@
 		}
 
 		const next = this.#sequence.ended(open);
+		this.#bytesUntilIdle = this.#options.socket.bytesRead;
 		if (this.#isClosed) {
 			return;
 		}
@@ -222,11 +234,14 @@
 
 	/** Closes the connection behind its last answer. */
 	#closeGracefully(): void {
+		this.#gracefulClose.discardFurtherBytes();
+		this.#beginClose();
+	}
+
+	#beginClose(): void {
 		const {socket, onClosing} = this.#options;
 		if (!socket.destroyed && !socket.writableEnded) {
 			onClosing();
-			this.#written.closes();
-			this.#gracefulClose.discardFurtherBytes();
 			this.#gracefulClose.begin();
 		}
 	}
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -147,9 +147,17 @@
 		await untilArrivalsAreRead(() => this.#receivedRequests, isOver);
 	}
 
-	/** Resolves once every request has its complete answer, and the connections that closed with it are closed by their callers too. */
+	/** Closes the connections without requests; their callers may not have their last answers yet. */
+	closeIdle(): void {
+		for (const connection of this.#connections.values()) {
+			connection.closeIfIdle();
+		}
+	}
+
+	/** Resolves once every request has its complete answer, and callers have closed the connections that were used. */
 	async untilIdle(): Promise<void> {
 		await this.open.untilEmpty();
+		this.closeIdle();
 		await this.#closing.untilEmpty();
 	}
 
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -84,7 +84,7 @@
 		}
 
 		await this.#connections.untilArrivalsAreRead(() => this.#isStopped);
-		this.#server.closeIdleConnections();
+		this.#connections.closeIdle();
 		await this.#connections.untilIdle();
 	}
 
--- a/packages/gateway/src/features/calls/written-answers.ts
+++ b/packages/gateway/src/features/calls/written-answers.ts
@@ -5,10 +5,8 @@
 /** What ended a connection before its caller did. */
 export type UndeliveredReason =
 	| 'caller-reset'
-	/** The instance closed it as no request was open on it. */
-	| 'closed-idle'
-	/** The instance closed it after its last answer, as the caller had not closed it in time. */
-	| 'linger-over'
+	/** The instance disconnected the caller before the end of the stop. */
+	| 'disconnected'
 	/** It was open at the end of the stop. */
 	| 'stop-over';
 
@@ -23,7 +21,6 @@
 	readonly #socket: Socket;
 	#answers: OpenRequest[] = [];
 	#hasError = false;
-	#isClosing = false;
 
 	constructor(socket: Socket) {
 		this.#socket = socket;
@@ -45,11 +42,6 @@
 		this.#answers = [];
 	}
 
-	/** The instance has begun to close the connection after its last answer. */
-	closes(): void {
-		this.#isClosing = true;
-	}
-
 	/** Returns the answers whose delivery is not known as the connection ends, and forgets them. */
 	take(): Undelivered {
 		const answers = this.#answers;
@@ -62,10 +54,6 @@
 			return 'stop-over';
 		}
 
-		if (this.#hasError) {
-			return 'caller-reset';
-		}
-
-		return this.#isClosing ? 'linger-over' : 'closed-idle';
+		return this.#hasError ? 'caller-reset' : 'disconnected';
 	}
 }
