Spec: the log tells the age of an undelivered answer by the start of the process (red)

What operators saw: writtenMsAgo in 'answer not known to be delivered as the instance stops' is the uptime of the process.

Cause: the time at which an answer was written is never set.

--- a/packages/gateway/src/features/calls/undelivered-answers.spec.ts
+++ b/packages/gateway/src/features/calls/undelivered-answers.spec.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {afterEach, describe, it} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
+import {systemClock} from '@cairnbank/core';
 import {ok} from 'neverthrow';
 import type {LogFields} from '../../logging/create-logger.js';
 import {success} from './call-run-fixture.js';
@@ -61,6 +62,16 @@
 		assert.equal(await sum(harness.metrics.undeliveredAnswers), 1);
 	});
 
+	// Guards against a time since the start of the process in place of the time since the answer was written.
+	it('should report how long ago it was written', async () => {
+		const startMs = systemClock.monotonicMs();
+		const {harness, warnings} = await stopWithUnreadAnswer();
+		harness.task.stop();
+		const elapsedMs = systemClock.monotonicMs() - startMs;
+		const writtenMsAgo = Number(warnings[0]?.writtenMsAgo);
+		assert.ok(writtenMsAgo <= Math.ceil(elapsedMs), `${writtenMsAgo} ms, ${elapsedMs} ms since the start of the test`);
+	});
+
 	it('should report it as the caller resets the connection', async () => {
 		const {harness, caller, warnings} = await stopWithUnreadAnswer();
 		caller.reset();
