Undelivered answers: plain records, a bounded number, with the time at which each was written

An instance kept each answer, its request and their run, until its caller sent a request without one being open: a caller that always has a request open made it grow by 408 MB in 400 answers of 1 MB. And the log gave the uptime of the process as the time since an answer was written, as that was never set.

A connection keeps what the log needs of its newest 64 answers: the fields, and the time at which the answer had left the process.

--- a/packages/gateway/src/features/calls/caller-connection-options.ts
+++ b/packages/gateway/src/features/calls/caller-connection-options.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import type {GracefulCloseOptions} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
-import type {Undelivered} from './written-answers.js';
+import type {Undelivered, WrittenAnswer} from './written-answers.js';
 
 export type CallerConnectionOptions = {
 	readonly socket: Socket;
@@ -15,6 +15,8 @@
 	readonly onClosing: () => void;
 	/** Called for each request that is never started, as the connection closes before its turn. */
 	readonly onIgnored: (request: OpenRequest, isFirst: boolean) => void;
+	/** Returns what the log gets of an answer that has just left the process. */
+	readonly recordWritten: (request: OpenRequest) => WrittenAnswer;
 	/** Called as the connection ends before its caller is known to have all answers. */
 	readonly onUndelivered: (undelivered: Undelivered) => void;
 };
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -199,7 +199,7 @@
 	#ended(open: OpenRequest): void {
 		this.#ready.delete(open);
 		if (open.response.writableFinished) {
-			this.#written.add(open);
+			this.#written.add(this.#options.recordWritten(open));
 		}
 
 		const next = this.#sequence.ended(open);
--- a/packages/gateway/src/features/calls/caller-connections.spec.ts
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -43,6 +43,7 @@
 			started.push(request);
 		},
 		onIgnored: () => undefined,
+		identify: () => ({}),
 		onUndelivered: () => undefined,
 	});
 	server.listen(0, '127.0.0.1');
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -6,6 +6,7 @@
 import {HeldAnswers, type AnswerMemory} from '@cairnbank/core/connections';
 import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
 import {InFlight} from '../../kernel/in-flight.js';
+import type {LogFields} from '../../logging/create-logger.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {CallerConnectionOptions} from './caller-connection-options.js';
 import {CallerConnection} from './caller-connection.js';
@@ -31,6 +32,8 @@
 	readonly isLeaving: () => boolean;
 	readonly onStart: CallerConnectionOptions['onStart'];
 	readonly onIgnored: CallerConnectionOptions['onIgnored'];
+	/** Returns the log fields that name a request. */
+	readonly identify: (request: OpenRequest) => LogFields;
 	/** Called for each connection that ends while the instance leaves, before its caller is known to have all answers. */
 	readonly onUndelivered: CallerConnectionOptions['onUndelivered'];
 	/** Called if an outcome could not be written; its caller gets another one, or is disconnected. */
@@ -54,7 +57,7 @@
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
-		const {server, clock, metrics, answerMemory, isLeaving, onStart, onIgnored} = options;
+		const {server, clock, metrics, answerMemory, identify, isLeaving, onStart, onIgnored} = options;
 		this.open = new OpenRequests(size => {
 			metrics.inFlight.set(size);
 		});
@@ -72,6 +75,7 @@
 			this.#connections.set(socket, new CallerConnection({
 				socket,
 				gracefulClose: {lingerMs: () => server.keepAliveTimeout, isLeaving},
+				recordWritten: request => ({fields: {...identify(request), ...request.describeAnswer()}, writtenAtMs: clock.monotonicMs()}),
 				onUndelivered: undelivered => {
 					this.#undelivered(undelivered);
 				},
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -44,10 +44,11 @@
 				// A caller may send thousands; the first one of a connection shows the cause.
 				context.logger[isFirst ? 'info' : 'debug']('request not started, as its connection closes', this.#describe(request));
 			},
-			onUndelivered: ({answers, reason, heldBytes}) => {
-				for (const answer of answers) {
+			identify: request => this.#handler.identify(request),
+			onUndelivered({answers, reason, heldBytes}) {
+				for (const {fields, writtenAtMs} of answers) {
 					context.logger.warn('answer not known to be delivered as the instance stops', {
-						...this.#handler.identify(answer), reason, heldBytes, ...answer.describeAnswer(context.clock.monotonicMs()),
+						...fields, reason, heldBytes, writtenMsAgo: Math.round(context.clock.monotonicMs() - writtenAtMs),
 					});
 				}
 			},
--- a/packages/gateway/src/features/calls/open-request.ts
+++ b/packages/gateway/src/features/calls/open-request.ts
@@ -14,8 +14,6 @@
 	unwrittenBytes = 0;
 	/** Bytes of the answer's body. */
 	answerBytes = 0;
-	/** Time of the monotonic clock at which the whole answer had left the process. */
-	writtenAtMs = 0;
 
 	/** @param receivedAtMs - time of the monotonic clock at which its head was read */
 	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, readonly receivedAtMs: number) {}
@@ -25,8 +23,8 @@
 		return {state: this.state, ageMs: Math.round(nowMs - this.receivedAtMs), unwrittenBytes: this.unwrittenBytes};
 	}
 
-	/** Describes its answer for the log, once that has left the process. */
-	describeAnswer(nowMs: number): LogFields {
-		return {status: this.response.statusCode, answerBytes: this.answerBytes, writtenMsAgo: Math.round(nowMs - this.writtenAtMs)};
+	/** Describes its answer for the log. */
+	describeAnswer(): LogFields {
+		return {status: this.response.statusCode, answerBytes: this.answerBytes};
 	}
 }
--- a/packages/gateway/src/features/calls/written-answers.ts
+++ b/packages/gateway/src/features/calls/written-answers.ts
@@ -1,6 +1,16 @@
 /** The answers of one connection that have left the process, and that the caller isn't known to have. */
 import type {Socket} from 'node:net';
-import type {OpenRequest} from './open-request.js';
+import type {LogFields} from '../../logging/create-logger.js';
+
+/** Answers that are remembered for each connection; a caller that always has a request open would need one more for each. */
+const maximumAnswers = 64;
+
+export type WrittenAnswer = {
+	/** Names the request and its answer in the log. */
+	readonly fields: LogFields;
+	/** Time of the monotonic clock at which the whole answer had left the process. */
+	readonly writtenAtMs: number;
+};
 
 /** What ended a connection before its caller did. */
 export type UndeliveredReason =
@@ -11,7 +21,8 @@
 	| 'stop-over';
 
 export type Undelivered = {
-	readonly answers: readonly OpenRequest[];
+	/** The newest ones, in the order in which they were written. */
+	readonly answers: readonly WrittenAnswer[];
 	readonly reason: UndeliveredReason;
 	/** Bytes that the process still holds. */
 	readonly heldBytes: number;
@@ -19,7 +30,7 @@
 
 export class WrittenAnswers {
 	readonly #socket: Socket;
-	#answers: OpenRequest[] = [];
+	#answers: WrittenAnswer[] = [];
 	#hasError = false;
 
 	constructor(socket: Socket) {
@@ -33,8 +44,11 @@
 		});
 	}
 
-	add(request: OpenRequest): void {
-		this.#answers.push(request);
+	add(answer: WrittenAnswer): void {
+		this.#answers.push(answer);
+		if (this.#answers.length > maximumAnswers) {
+			this.#answers.shift();
+		}
 	}
 
 	/** Forgets all answers so far, as the caller goes on after them. */
