Ports for peers, the directory, readiness and metrics end once the other side has their last answers

What callers saw: an answer that was still on its way as the process ended could be lost, and one more request behind the last answer reset the connection under it.

Cause: the ports counted an answer as delivered once it was written, and closed both sides of its connection then.

A test of the same file awaited an event that comes earlier now; it listens before.

Change: behind a last answer of a leaving instance only the sending side ends; the stop awaits the other side's close, within its bounds.

--- a/packages/gateway/src/kernel/last-answers.spec.ts
+++ b/packages/gateway/src/kernel/last-answers.spec.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
@@ -6,9 +7,13 @@
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
 import {setImmediate as nextTurn} from 'node:timers/promises';
+import {waitTurns} from './arrivals.js';
 import {LastAnswers} from './last-answers.js';
 
 const host = '127.0.0.1';
+/** Fits into the buffers between a server and its caller. */
+const longAnswerBytes = 200_000;
+const turnsAfterAnswer = 10;
 
 function requestFor(path: string): string {
 	return `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
@@ -47,6 +52,15 @@
 		answers.stop();
 	});
 
+	/** Drains the port while its caller reads on. */
+	async function answersAreDrainedBeside(caller: Socket): Promise<void> {
+		const closed = once(caller, 'close');
+		await waitTurns(turnsAfterAnswer);
+		caller.resume();
+		await answers.drain();
+		await closed;
+	}
+
 	/** Returns the body and the `Connection` header of each answer. */
 	function receivedAnswers(): Array<string | undefined> {
 		return received.split('HTTP/1.1 ').slice(1).map(text => `${text.split('\r\n').at(-1)} ${/^connection: (\S+)/im.exec(text)?.[1]}`);
@@ -104,6 +118,7 @@
 		await untilHeld('/held1');
 		answers.leave();
 		let isDrained = false;
+		const closed = once(socket, 'close');
 		const drained = (async () => {
 			await answers.drain();
 			isDrained = true;
@@ -115,7 +130,42 @@
 		assert.equal(isDrained, false);
 		held.get('/held2')!.end();
 		await drained;
-		await once(socket, 'close');
+		await closed;
+	});
+
+	// Guards against answers that are lost on their way because the process ends once they are written.
+	it('should drain once the other side has closed the connection behind its last answer', async () => {
+		answers.leave();
+		socket.pause();
+		socket.write(requestFor('/held1'));
+		await untilHeld('/held1');
+		const response = held.get('/held1')!;
+		let isDrained = false;
+		const drained = (async () => {
+			await answers.drain();
+			isDrained = true;
+		})();
+		response.end(Buffer.alloc(longAnswerBytes));
+		await once(response, 'close');
+		await waitTurns(turnsAfterAnswer);
+		assert.equal(isDrained, false);
+		socket.resume();
+		await drained;
+		assert.equal(received.split('\r\n\r\n')[1]?.length, longAnswerBytes);
+	});
+
+	// Guards against answers that are reset because their caller sends one more request.
+	it('should deliver the last answer whole though one more request arrives behind it', async () => {
+		answers.leave();
+		socket.pause();
+		socket.write(requestFor('/held1'));
+		await untilHeld('/held1');
+		const response = held.get('/held1')!;
+		response.end(Buffer.alloc(longAnswerBytes));
+		await once(response, 'close');
+		socket.write(requestFor('/2'));
+		await answersAreDrainedBeside(socket);
+		assert.equal(received.split('\r\n\r\n')[1]?.length, longAnswerBytes);
 	});
 
 	it('should drain though a caller has disconnected before its answers', async () => {
--- a/packages/gateway/src/kernel/last-answers.ts
+++ b/packages/gateway/src/kernel/last-answers.ts
@@ -13,6 +13,8 @@
 	readonly #server: Server;
 	readonly #handle: RequestListener;
 	readonly #unanswered = new InFlight<ServerResponse>();
+	/** Connections whose last answer is written and which the other side has not closed yet. */
+	readonly #ending = new InFlight<Socket>();
 	/** Response to the last request of each connection. */
 	readonly #newest = new WeakMap<Socket, ServerResponse>();
 	/** Responses that close their connections only because the instance leaves. */
@@ -26,7 +28,9 @@
 		this.#handle = handle;
 		server.on('connection', (socket: Socket) => {
 			this.#arrivals += 1;
+			this.#endGracefully(socket);
 			socket.once('close', () => {
+				this.#ending.delete(socket);
 				this.#forget(socket);
 			});
 		});
@@ -46,11 +50,12 @@
 		}
 	}
 
-	/** Resolves once all that has arrived is answered; closes idle connections. What arrives later on new ones is answered too. */
+	/** Resolves once all that has arrived is answered, and the answers that close their connections are read; closes idle connections. What arrives later on new ones is answered too. */
 	async drain(): Promise<void> {
 		await untilArrivalsAreRead(() => this.#arrivals, () => this.#isStopped);
 		this.#server.closeIdleConnections();
 		await this.#unanswered.untilEmpty();
+		await this.#ending.untilEmpty();
 	}
 
 	/** Closes the listener and all connections. */
@@ -62,6 +67,11 @@
 
 	async #receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {socket} = request;
+		if (socket.writableEnded) {
+			request.resume();
+			return;
+		}
+
 		const previous = this.#newest.get(socket);
 		this.#newest.set(socket, response);
 		this.#unanswered.add(response);
@@ -77,6 +87,25 @@
 		this.#handle(request, response);
 	}
 
+	/**
+	 * Replaces what the server does behind a last answer while the instance leaves: only the sending side ends. The close of the other side is the
+	 * only sign that it has the answer, which closing with unread bytes would reset.
+	 */
+	#endGracefully(socket: Socket): void {
+		const destroySoon = socket.destroySoon.bind(socket);
+		const destroy = socket.destroy.bind(socket);
+		socket.destroySoon = () => {
+			if (!this.#isLeaving) {
+				destroySoon();
+			} else if (!socket.destroyed && !socket.writableEnded) {
+				this.#ending.add(socket);
+				// The server takes the connection for idle.
+				socket.destroy = error => error === undefined && !socket.readableEnded && !this.#isStopped ? socket : destroy(error);
+				socket.end();
+			}
+		};
+	}
+
 	#close(response: ServerResponse): void {
 		if (response.shouldKeepAlive) {
 			this.#closing.add(response);
