The idle time of a connection is over only once what has arrived on it is read

What callers saw: payments that came on kept connections within the idle time were reset unread, as the process did not run for a moment.

Cause: the runtime ends idle connections by timers, and timers run before sockets are read.

Change: a connection whose time is over closes only if nothing was read on it in the turns after that.

--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -5,6 +5,7 @@
 import type {Clock} from '@cairnbank/core';
 import {HeldAnswers, type AnswerMemory} from '@cairnbank/core/connections';
 import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
+import {closeIdleConnectionsOnceRead} from '../../kernel/idle-connections.js';
 import {InFlight} from '../../kernel/in-flight.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {CallerConnectionOptions} from './caller-connection-options.js';
@@ -59,6 +60,7 @@
 			metrics.inFlight.set(size);
 		});
 		this.#held = new HeldAnswers(clock, answerMemory);
+		closeIdleConnectionsOnceRead(server);
 		server.on('connection', (socket: Socket) => {
 			this.#acceptedConnections += 1;
 			if (this.#isAccepting) {
--- a/packages/gateway/src/kernel/last-answers.spec.ts
+++ b/packages/gateway/src/kernel/last-answers.spec.ts
@@ -14,6 +14,9 @@
 /** Fits into the buffers between a server and its caller. */
 const longAnswerBytes = 200_000;
 const turnsAfterAnswer = 10;
+const idleTimeoutMs = 100;
+/** Longer than the idle time and the second that the runtime adds to it. */
+const stallMs = 1500;
 
 function requestFor(path: string): string {
 	return `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
@@ -168,6 +171,24 @@
 		assert.equal(received.split('\r\n\r\n')[1]?.length, longAnswerBytes);
 	});
 
+	// Guards against requests that are reset unread by the idle time-out of their connection.
+	it('should answer a request that arrives within the idle time, though the process does not run for longer', async () => {
+		server.keepAliveTimeout = idleTimeoutMs;
+		socket.write(requestFor('/held1'));
+		await untilHeld('/held1');
+		held.get('/held1')!.end();
+		await once(socket, 'data');
+		await waitTurns(turnsAfterAnswer);
+		socket.write(requestFor('/2'));
+		const untilMs = performance.now() + stallMs;
+		while (performance.now() < untilMs) {
+			// Nothing else runs meanwhile.
+		}
+
+		await once(socket, 'close');
+		assert.equal(received.match(/200 OK/g)?.length, 2);
+	});
+
 	it('should drain though a caller has disconnected before its answers', async () => {
 		socket.write(requestFor('/held1') + requestFor('/held2'));
 		await untilHeld('/held2');
--- a/packages/gateway/src/kernel/last-answers.ts
+++ b/packages/gateway/src/kernel/last-answers.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {untilArrivalsAreRead, waitTurns} from './arrivals.js';
+import {closeIdleConnectionsOnceRead} from './idle-connections.js';
 import {InFlight} from './in-flight.js';
 
 /** Turns of the event loop in which the requests behind one are read. */
@@ -26,6 +27,7 @@
 	constructor(server: Server, handle: RequestListener) {
 		this.#server = server;
 		this.#handle = handle;
+		closeIdleConnectionsOnceRead(server);
 		server.on('connection', (socket: Socket) => {
 			this.#arrivals += 1;
 			this.#endGracefully(socket);
