--- a/packages/gateway/src/features/directory/directory-task.ts
+++ b/packages/gateway/src/features/directory/directory-task.ts
@@ -70,6 +70,10 @@
 		await Promise.all(this.#answers.map(async answers => answers.drain()));
 	}
 
+	isBusy(): boolean {
+		return this.#answers.some(({isBusy}) => isBusy);
+	}
+
 	stop(): void {
 		for (const answers of this.#answers) {
 			answers.stop();
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -170,6 +170,10 @@
 		await this.#peerServer.drain();
 	}
 
+	isBusy(): boolean {
+		return this.#peerServer.isBusy;
+	}
+
 	stop(): void {
 		this.#isStopped = true;
 		clearTimeout(this.#roundTimer);
--- a/packages/gateway/src/features/fleet/peer-server.ts
+++ b/packages/gateway/src/features/fleet/peer-server.ts
@@ -50,6 +50,11 @@
 		return listen(this.#server, 'state', address);
 	}
 
+	/** Whether other instances await answers, or have not closed connections behind their last ones. */
+	get isBusy(): boolean {
+		return this.#answers.isBusy;
+	}
+
 	/** Called when a graceful stop begins. */
 	leave(): void {
 		this.#answers.leave();
--- a/packages/gateway/src/features/metrics/metrics-task.ts
+++ b/packages/gateway/src/features/metrics/metrics-task.ts
@@ -50,6 +50,10 @@
 		await this.#answers.drain();
 	}
 
+	isBusy(): boolean {
+		return this.#answers.isBusy;
+	}
+
 	stop(): void {
 		this.#answers.stop();
 	}
--- a/packages/gateway/src/kernel/last-answers.ts
+++ b/packages/gateway/src/kernel/last-answers.ts
@@ -42,6 +42,11 @@
 		});
 	}
 
+	/** Whether requests are unanswered, or the other side has not closed a connection behind its last answer. */
+	get isBusy(): boolean {
+		return this.#unanswered.size > 0 || this.#ending.size > 0;
+	}
+
 	/** Called when a graceful stop begins. */
 	leave(): void {
 		this.#isLeaving = true;
