--- a/packages/testing/src/stand-ins/listener.ts
+++ b/packages/testing/src/stand-ins/listener.ts
@@ -2,17 +2,25 @@
 import {once} from 'node:events';
 import {createServer, type RequestListener, type Server} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {heldPortHost, holdPort} from './held-port.js';
 import {resetSocket} from './reset-socket.js';
 
-const host = '127.0.0.1';
+const usualHost = '127.0.0.1';
+
+export type ListenerOptions = {
+	/** Whether other programs on this machine can't take its port while it is closed. */
+	readonly keepsPort?: boolean;
+};
 
 /** Wraps an HTTP server and tracks its connections, so that they can be reset. */
 export class Listener {
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
+	readonly #keepsPort: boolean;
 	#port = 0;
 
-	constructor(handler: RequestListener) {
+	constructor(handler: RequestListener, {keepsPort = false}: ListenerOptions = {}) {
+		this.#keepsPort = keepsPort;
 		this.#server = createServer({keepAliveTimeout: 60_000, requestTimeout: 0}, handler);
 		this.#server.on('connection', socket => {
 			socket.setNoDelay(true);
@@ -26,7 +34,7 @@
 
 	/** `IP:port`; known after the first `open`. */
 	get address(): string {
-		return `${host}:${this.#port}`;
+		return `${this.#host}:${this.#port}`;
 	}
 
 	get url(): string {
@@ -38,13 +46,17 @@
 		return this.#sockets.size;
 	}
 
+	get #host(): string {
+		return this.#keepsPort ? heldPortHost : usualHost;
+	}
+
 	/** Listens on `port`, or on the previous port if none is given; 0 picks a free port. */
 	async open(port: number = this.#port): Promise<void> {
 		if (this.#server.listening) {
 			return;
 		}
 
-		this.#server.listen(port, host);
+		this.#server.listen(port === 0 && this.#keepsPort ? await holdPort() : port, this.#host);
 		await once(this.#server, 'listening');
 		this.#port = (this.#server.address() as AddressInfo).port;
 	}
