A time limit lets long answers that have arrived be read whole

What callers saw: 504 in place of an answer of 540 kB that had arrived before the deadline, from an instance that did not run for a moment.

Cause: the limit waited for one turn of the event loop, in which a connection reads 64 KiB.

--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -1,7 +1,6 @@
 /** Harness that runs one call against fake upstreams, whose answers and clock the spec controls. */
 import {Buffer} from 'node:buffer';
 import {mock} from 'node:test';
-import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
 	ManualClock, type Clock, type ServiceId, type UpstreamId,
 } from '@cairnbank/core';
@@ -14,6 +13,7 @@
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {err, ok, type Result} from 'neverthrow';
 import type {AnswerReading} from '../../kernel/answer-reading.js';
+import {waitTurns} from '../../kernel/arrivals.js';
 import {StopDeadline} from '../../kernel/stop-deadline.js';
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
@@ -36,6 +36,8 @@
 	readonly fail: (fault: Error) => void;
 };
 
+/** Turns in which a time limit reads what has arrived, and one more. */
+const turnsToRead = 4;
 const answered = (status: number, ...headers: string[]) => ok(answerOf(status, headers, Buffer.from('body')));
 export const success = answered(200, 'signature', 's');
 export const failure = answered(500, 'signature', 's');
@@ -152,10 +154,10 @@
 		await runPendingPromises();
 	}
 
-	/** Lets time pass, and one turn of the event loop in which sockets are read. */
+	/** Lets time pass, and turns of the event loop in which sockets are read. */
 	async advance(durationMs: number): Promise<void> {
 		this.passTime(durationMs);
-		await nextTurn();
+		await waitTurns(turnsToRead);
 		await runPendingPromises();
 	}
 
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -66,7 +66,7 @@
 
 	/** @returns the outcome; rejects if a fault of the program ends the call */
 	async run(): Promise<Outcome> {
-		this.#deadline = new TimeLimit(this.#remainingMs, () => {
+		this.#deadline = new TimeLimit(this.#remainingMs, this.#dependencies.answerMemory, () => {
 			this.expire();
 		});
 		this.#dependencies.overload.recordArrival(this.#call);
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -182,7 +182,7 @@
 
 	#setLimit(durationMs: number, failure: ExchangeFailure): void {
 		this.#limit?.clear();
-		this.#limit = new TimeLimit(durationMs, () => {
+		this.#limit = new TimeLimit(durationMs, this.#options.answerMemory, () => {
 			this.#abort(failure, 'failed');
 		});
 	}
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -105,7 +105,7 @@
 				return;
 			}
 
-			const limit = new TimeLimit(this.#isConnected ? request.timeoutMs : Math.min(request.timeoutMs, this.#options.connectTimeoutMs), () => {
+			const limit = new TimeLimit(this.#isConnected ? request.timeoutMs : Math.min(request.timeoutMs, this.#options.connectTimeoutMs), this.#options.answerMemory, () => {
 				if (this.#isConnected) {
 					this.#giveUp({type: 'timed-out'});
 				} else {
@@ -156,7 +156,7 @@
 		this.#isRetired = true;
 		this.#pending = {
 			request,
-			limit: new TimeLimit(lateAnswerMs, () => {
+			limit: new TimeLimit(lateAnswerMs, this.#options.answerMemory, () => {
 				this.#fail({type: 'cancelled'});
 			}),
 			settle(result) {
@@ -195,7 +195,7 @@
 		}
 
 		pending.limit.clear();
-		const limit = new TimeLimit(pending.request.timeoutMs, () => {
+		const limit = new TimeLimit(pending.request.timeoutMs, this.#options.answerMemory, () => {
 			this.#giveUp({type: 'timed-out'});
 		});
 		this.#pending = {...pending, limit};
