What crosses the close of a connection is never run, and a stopping instance waits until no connection is left

Payments ran and got no answer: 8 of 8 that were the first on their connections and arrived while the instance did not run for a moment (crossing-while-stopping.spec). The end of the time to wait for first requests ended those connections from a timer, without reading what had arrived and without closing the sequence of their requests, so that they were read, run, and had no way back.

- What has arrived is read before an unused or idle connection is closed, and the close ends its sequence in the same step: a request that crosses it is logged and ignored.
- The parser decides which connections are idle, as the server does; before, one with a part of the next request could count as idle if that part had been read together with the request before.
- Draining is over once no connection is left, not once all that were closing are: a request on one that is left would meet the end of the grace period early.
A caller that never closes holds it until the end of the stop.
- Bytes that are no request behind the close of an idle connection no longer go to the parser again and again.

--- a/packages/gateway/src/features/calls/caller-connection-options.ts
+++ b/packages/gateway/src/features/calls/caller-connection-options.ts
@@ -11,8 +11,8 @@
 	readonly onOpened: (request: OpenRequest) => void;
 	readonly onStart: (request: OpenRequest) => void;
 	readonly onSentAhead: () => void;
-	/** Called when the last answer is written and only the caller's end of the connection is awaited. */
-	readonly onClosing: () => void;
+	/** Called as the last open request has its answer and the connection stays open. */
+	readonly onIdle: () => void;
 	/** Called for each request that is never started, as the connection closes before its turn. */
 	readonly onIgnored: (request: OpenRequest, isFirst: boolean) => void;
 	/** Returns what the log gets of an answer that has just left the process. */
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -27,19 +27,20 @@
 	#isClosed = false;
 	#hasIgnored = false;
 	#hasAnnouncedClose = false;
-	/** Bytes that had been read as the last of its requests was answered; undefined before its first request. */
-	#bytesUntilIdle: number | undefined;
 
 	constructor(options: CallerConnectionOptions) {
 		this.#options = options;
 		this.#written = new WrittenAnswers(options.socket);
-		this.#gracefulClose = new GracefulClose(options.socket, options.gracefulClose);
+		this.#gracefulClose = new GracefulClose(options.socket, options.gracefulClose, () => {
+			this.close();
+		});
 		options.socket.on('close', () => {
 			this.#closed();
 		});
 		// The server calls it once the last answer is written.
 		options.socket.destroySoon = () => {
-			this.#closeGracefully();
+			this.#gracefulClose.discardFurtherBytes();
+			this.close();
 		};
 
 		// An orderly end cannot be told from a caller that has left, so its requests are cancelled.
@@ -122,13 +123,14 @@
 		}
 	}
 
-	/** Closes the connection unless a request is open or has begun to arrive. A request that crosses the close is ignored. */
-	closeIfIdle(): void {
-		const {socket} = this.#options;
-		if (this.#sequence.unanswered.length === 0 && this.#bytesUntilIdle === socket.bytesRead) {
-			this.#sequence.closeBehind();
-			this.#beginClose();
-		}
+	get isClosing(): boolean {
+		return this.#gracefulClose.hasBegun;
+	}
+
+	/** Closes the connection, on which no request is open. One that crosses the close is ignored. */
+	close(): void {
+		this.#sequence.closeBehind();
+		this.#gracefulClose.begin();
 	}
 
 	/** Disconnects a caller, whether it has its answers or not. */
@@ -203,7 +205,6 @@
 		}
 
 		const next = this.#sequence.ended(open);
-		this.#bytesUntilIdle = this.#options.socket.bytesRead;
 		if (this.#isClosed) {
 			return;
 		}
@@ -214,6 +215,9 @@
 
 		this.#writeFirst();
 		this.#endIfOver();
+		if (this.#sequence.unanswered.length === 0 && !this.#hasAnnouncedClose) {
+			this.#options.onIdle();
+		}
 	}
 
 	/** Closes a connection whose last answer did not say so, as the reason to close came after it. */
@@ -232,20 +236,6 @@
 		socket.destroySoon();
 	}
 
-	/** Closes the connection behind its last answer. */
-	#closeGracefully(): void {
-		this.#gracefulClose.discardFurtherBytes();
-		this.#beginClose();
-	}
-
-	#beginClose(): void {
-		const {socket, onClosing} = this.#options;
-		if (!socket.destroyed && !socket.writableEnded) {
-			onClosing();
-			this.#gracefulClose.begin();
-		}
-	}
-
 	/** Closes the responses that have no socket yet; Node.js closes only the one whose answer comes next. */
 	#closed(): void {
 		this.#isClosed = true;
--- a/packages/gateway/src/features/calls/caller-connections.spec.ts
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -135,21 +135,21 @@
 	});
 
 	// Guards against answers that are lost because their callers take longer to read them than a fixed time to linger.
-	it('should leave a connection open until its caller closes it or the stop ends, and report itself idle then', async () => {
+	it('should leave a connection open until its caller closes it or the stop ends, and report it closed then', async () => {
 		const {connections, started, socket} = await send('GET /1 HTTP/1.1\r\nHost: h\r\n\r\n', {isLeaving: true, keepAliveMs});
 		socket.allowHalfOpen = true;
-		let isIdle = false;
-		const idle = (async () => {
+		let isClosed = false;
+		const closed = (async () => {
 			await once(started[0]!.response, 'close');
-			await connections.untilIdle();
-			isIdle = true;
+			await connections.untilClosed();
+			isClosed = true;
 		})();
 		connections.respond(started[0]!, answer);
 		await once(socket, 'end');
 		await delay(3 * keepAliveMs);
-		assert.deepEqual([isIdle, started[0]!.request.socket.destroyed], [false, false]);
+		assert.deepEqual([isClosed, started[0]!.request.socket.destroyed], [false, false]);
 		connections.stop();
-		await idle;
+		await closed;
 		assert.equal(started[0]!.request.socket.destroyed, true);
 		socket.destroy();
 	});
@@ -159,7 +159,7 @@
 		socket.allowHalfOpen = true;
 		connections.respond(started[0]!, answer);
 		await once(socket, 'end');
-		await connections.untilIdle();
+		await connections.untilClosed();
 		assert.equal(started[0]!.request.socket.destroyed, true);
 		socket.destroy();
 	});
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -1,7 +1,6 @@
 /** The connections of all callers, and the memory of the answers that they have not read yet. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import {Server as NetServer, type Socket} from 'node:net';
-import {setTimeout as delay} from 'node:timers/promises';
+import type {Socket} from 'node:net';
 import type {Clock} from '@cairnbank/core';
 import {HeldAnswers, type AnswerMemory} from '@cairnbank/core/connections';
 import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
@@ -10,6 +9,7 @@
 import type {Metrics} from '../../metrics/metrics.js';
 import type {CallerConnectionOptions} from './caller-connection-options.js';
 import {CallerConnection} from './caller-connection.js';
+import {NewConnections} from './new-connections.js';
 import {OpenRequest} from './open-request.js';
 import {OpenRequests} from './open-requests.js';
 import type {Outcome} from './outcome.js';
@@ -18,10 +18,8 @@
 
 /** Time in which a link of 10 Mbit/s sends a few long answers. */
 const heldRetryAfterMs = 500;
-/** Time in which the first request of a connection comes that its caller opened just before the listener closed. */
-const firstRequestWaitMs = 1000;
-/** Connections that are read again in one turn of the event loop. */
-const resumedInTurn = 4;
+/** Turns of the event loop in which the rest of what has arrived on a connection is read. */
+const turnsToRead = 2;
 
 export type CallerConnectionsOptions = {
 	readonly server: Server;
@@ -45,15 +43,13 @@
 	readonly open: OpenRequests;
 	readonly #options: CallerConnectionsOptions;
 	readonly #connections = new Map<Socket, CallerConnection>();
-	/** Connections that have not carried a request yet. */
-	readonly #unused = new InFlight<Socket>();
-	/** Connections whose last answer is written and which their callers have not closed yet. */
-	readonly #closing = new InFlight<Socket>();
+	readonly #new: NewConnections;
+	readonly #sockets = new InFlight<Socket>();
 	readonly #owners = new WeakMap<OpenRequest, CallerConnection>();
 	readonly #held: HeldAnswers<CallerConnection>;
-	#acceptedConnections = 0;
 	#receivedRequests = 0;
-	#isAccepting = false;
+	#closesIdle = false;
+	#isEndingIdle = false;
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
@@ -62,19 +58,13 @@
 			metrics.inFlight.set(size);
 		});
 		this.#held = new HeldAnswers(clock, answerMemory);
+		this.#new = new NewConnections(server);
 		server.on('connection', (socket: Socket) => {
-			this.#acceptedConnections += 1;
-			if (this.#isAccepting) {
-				// A new socket resumes by itself once this event is over.
-				queueMicrotask(() => {
-					socket.pause();
-				});
-			}
-
-			this.#unused.add(socket);
+			this.#new.opened(socket);
+			this.#sockets.add(socket);
 			this.#connections.set(socket, new CallerConnection({
 				socket,
-				gracefulClose: {lingerMs: () => server.keepAliveTimeout, isLeaving},
+				gracefulClose: {lingerMs: () => server.keepAliveTimeout, isLeaving, isEndingIdle: () => this.#isEndingIdle},
 				recordWritten: request => ({fields: {...identify(request), ...request.describeAnswer()}, writtenAtMs: clock.monotonicMs()}),
 				onUndelivered: undelivered => {
 					this.#undelivered(undelivered);
@@ -83,8 +73,10 @@
 					this.open.add(request);
 				},
 				onStart,
-				onClosing: () => {
-					this.#closing.add(socket);
+				onIdle: () => {
+					if (this.#closesIdle) {
+						void this.#closeIdle();
+					}
 				},
 				onSentAhead() {
 					metrics.requestsSentAhead.inc();
@@ -96,8 +88,8 @@
 			}));
 			socket.once('close', () => {
 				this.#connections.delete(socket);
-				this.#unused.delete(socket);
-				this.#closing.delete(socket);
+				this.#new.used(socket);
+				this.#sockets.delete(socket);
 			});
 		});
 		for (const event of ['request', 'checkExpectation']) {
@@ -110,35 +102,26 @@
 			this.#connections.get(socket)?.fail('CONNECT');
 		});
 		server.on('clientError', ({code}: NodeJS.ErrnoException, socket: Socket) => {
-			if (code === 'ECONNRESET' || !socket.writable) {
+			const connection = this.#connections.get(socket);
+			if (code === 'ECONNRESET' || (!socket.writable && connection?.isClosing !== true)) {
 				socket.destroy();
 			} else {
-				this.#connections.get(socket)?.fail(code ?? '');
+				connection?.fail(code ?? '');
 			}
 		});
 	}
 
 	/**
-	 * Accepts the connections that wait and closes the listener, which resets those that are left. Nothing is read meanwhile: the runtime
-	 * accepts one connection in each turn of its event loop, and callers that go on connecting would outrun long turns.
+	 * Closes the listener once all that has arrived is accepted, and the new connections on which no request comes in time.
 	 *
 	 * @param isOver - returns whether the instance has stopped
 	 */
 	async closeListener(isOver: () => boolean): Promise<void> {
-		this.#isAccepting = true;
-		this.#pauseReading();
-		await untilArrivalsAreRead(() => this.#acceptedConnections, isOver);
-		// The method of the HTTP server would close kept connections too, with what has arrived on them.
-		NetServer.prototype.close.call(this.#options.server);
-		this.#isAccepting = false;
-		await this.#resumeReading();
-	}
-
-	/** Resolves once each connection has carried a request; closes those on which none comes in time. */
-	async untilUsed(): Promise<void> {
-		await Promise.race([this.#unused.untilEmpty(), delay(firstRequestWaitMs, undefined, {ref: false})]);
-		for (const socket of this.#unused) {
-			socket.destroySoon();
+		await this.#new.closeListener(() => this.#connections.keys(), isOver);
+		await this.#new.untilUsed();
+		await this.untilArrivalsAreRead(isOver);
+		for (const socket of this.#new.unused) {
+			this.#connections.get(socket)?.close();
 		}
 	}
 
@@ -151,25 +134,18 @@
 		await untilArrivalsAreRead(() => this.#receivedRequests, isOver);
 	}
 
-	/** Closes the connections without requests; their callers may not have their last answers yet. */
-	closeIdle(): void {
-		for (const connection of this.#connections.values()) {
-			connection.closeIfIdle();
-		}
-	}
-
-	/** Resolves once every request has its complete answer, and callers have closed the connections that were used. */
-	async untilIdle(): Promise<void> {
-		await this.open.untilEmpty();
-		this.closeIdle();
-		await this.#closing.untilEmpty();
+	/** Closes each connection once no request is open on it or has begun to arrive. Resolves once their callers have closed all of them. */
+	async untilClosed(): Promise<void> {
+		this.#closesIdle = true;
+		await this.#closeIdle();
+		await this.#sockets.untilEmpty();
 	}
 
 	/** Ends the connections that their callers have not closed after the last answer; reports the answers that callers are not known to have. */
 	stop(): void {
-		for (const [socket, connection] of this.#connections) {
+		for (const connection of this.#connections.values()) {
 			connection.reportUndelivered();
-			if (this.#closing.has(socket)) {
+			if (connection.isClosing) {
 				connection.disconnect();
 			}
 		}
@@ -215,27 +191,17 @@
 		});
 	}
 
-	#pauseReading(): void {
-		for (const socket of this.#connections.keys()) {
-			socket.pause();
-		}
-	}
-
-	/** Reads a few connections in each turn, so that timers are not held up. */
-	async #resumeReading(): Promise<void> {
-		let resumed = 0;
-		for (const socket of this.#connections.keys()) {
-			socket.resume();
-			resumed += 1;
-			if (resumed % resumedInTurn === 0) {
-				await waitTurns(1);
-			}
-		}
+	/** Closes the connections that the server takes for idle, once what has arrived on them is read. */
+	async #closeIdle(): Promise<void> {
+		await waitTurns(turnsToRead);
+		this.#isEndingIdle = true;
+		this.#options.server.closeIdleConnections();
+		this.#isEndingIdle = false;
 	}
 
 	#receive(request: IncomingMessage, response: ServerResponse): void {
 		this.#receivedRequests += 1;
-		this.#unused.delete(request.socket);
+		this.#new.used(request.socket);
 		const connection = this.#connections.get(request.socket)!;
 		const open = new OpenRequest(request, response, this.#options.clock.monotonicMs());
 		this.#owners.set(open, connection);
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -81,12 +81,10 @@
 	async drain(): Promise<void> {
 		if (this.#server.listening) {
 			await this.#connections.closeListener(() => this.#isStopped);
-			await this.#connections.untilUsed();
 		}
 
 		await this.#connections.untilArrivalsAreRead(() => this.#isStopped);
-		this.#connections.closeIdle();
-		await this.#connections.untilIdle();
+		await this.#connections.untilClosed();
 	}
 
 	expire(): void {
--- a/packages/gateway/src/features/calls/graceful-close.ts
+++ b/packages/gateway/src/features/calls/graceful-close.ts
@@ -6,17 +6,35 @@
 	readonly lingerMs: () => number;
 	/** Returns whether the instance stops; the end of the stop then ends the connection. */
 	readonly isLeaving: () => boolean;
+	/** Returns whether the server is destroying the connections that it takes for idle. */
+	readonly isEndingIdle: () => boolean;
 };
 
 export class GracefulClose {
 	readonly #socket: Socket;
 	readonly #options: GracefulCloseOptions;
+	readonly #destroySocket: (error?: Error) => Socket;
+	#hasBegun = false;
 	#isDiscarding = false;
-	#destroySocket: ((error?: Error) => unknown) | undefined;
 
-	constructor(socket: Socket, options: GracefulCloseOptions) {
+	/** @param onIdle - called in place of the end of the connection if the server takes it for idle */
+	constructor(socket: Socket, options: GracefulCloseOptions, onIdle: () => void) {
 		this.#socket = socket;
 		this.#options = options;
+		this.#destroySocket = socket.destroy.bind(socket);
+		socket.destroy = error => {
+			if (error === undefined && options.isEndingIdle()) {
+				onIdle();
+				return socket;
+			}
+
+			// The server takes a connection for idle whose caller has not read its last answer yet.
+			return error === undefined && this.#hasBegun && !socket.readableEnded ? socket : this.#destroySocket(error);
+		};
+	}
+
+	get hasBegun(): boolean {
+		return this.#hasBegun;
 	}
 
 	/** Reads on without parsing, so that requests that never start need no memory and the caller's end is noticed. */
@@ -45,28 +63,25 @@
 	 */
 	begin(): void {
 		const socket = this.#socket;
+		if (this.#hasBegun || socket.destroyed || socket.writableEnded) {
+			return;
+		}
+
 		const {lingerMs, isLeaving} = this.#options;
+		this.#hasBegun = true;
 		socket.end();
-		const destroy = socket.destroy.bind(socket);
-		this.#destroySocket = destroy;
 		const timer = setTimeout(() => {
 			if (!isLeaving()) {
-				destroy();
+				this.destroy();
 			}
 		}, lingerMs());
 		socket.once('close', () => {
 			clearTimeout(timer);
 		});
-		// The server takes the connection for idle and would destroy it as the server closes.
-		socket.destroy = error => error === undefined && !socket.readableEnded ? socket : destroy(error);
 	}
 
 	/** Destroys the connection, whether the caller has its answers or not. */
 	destroy(): void {
-		if (this.#destroySocket === undefined) {
-			this.#socket.destroy();
-		} else {
-			this.#destroySocket();
-		}
+		this.#destroySocket();
 	}
 }
--- a/packages/gateway/src/features/calls/unanswered-on-closing-connections.spec.ts
+++ b/packages/gateway/src/features/calls/unanswered-on-closing-connections.spec.ts
@@ -104,31 +104,35 @@
 	});
 
 	// Guards against the reset of an answer that was written before the stop, as its caller sends the next request on a connection that closes as idle.
-	it('should be left open for the rest of an answer as it closes as idle, and run no further request', async () => {
-		const harness = await startHarness();
-		const bodyBytes = 200_000;
-		harness.answer = answerOf(bodyBytes);
-		const caller = connectCaller(harness);
-		caller.pause();
-		await caller.sendText(requestText('answers'));
-		await delay(settleMs);
-		await waitUntil(() => harness.openRequests === 0);
-		harness.leave();
-		let isDrained = false;
-		void (async () => {
-			await harness.task.drain();
-			isDrained = true;
-		})();
-
-		await delay(closingMs);
-		await caller.sendText(requestText('upstream'));
-		await delay(settleMs);
-		assert.deepEqual([isDrained, harness.openRequests], [false, 0]);
-		caller.resume();
-		await waitUntil(() => caller.isClosed && isDrained);
-		assert.deepEqual([isDrained, caller.statuses], [true, [200]]);
-		assert.ok(caller.receivedBytes > bodyBytes, `${caller.receivedBytes} bytes received`);
-	});
+	for (const [name, further] of [['a request', requestText('upstream')], ['bytes that are no request', '\0\0\0\0\r\n\r\n']] as const) {
+		it(`should be left open for the rest of an answer as it closes as idle, and run nothing of ${name} behind it`, async () => {
+			const harness = await startHarness();
+			const bodyBytes = 200_000;
+			harness.answer = answerOf(bodyBytes);
+			const caller = connectCaller(harness);
+			caller.pause();
+			await caller.sendText(requestText('answers'));
+			await delay(settleMs);
+			await waitUntil(() => harness.openRequests === 0);
+			harness.leave();
+			let isDrained = false;
+			void (async () => {
+				await harness.task.drain();
+				isDrained = true;
+			})();
+
+			await delay(closingMs);
+			await caller.sendText(further);
+			await delay(settleMs);
+			await caller.sendText(further);
+			await delay(settleMs);
+			assert.deepEqual([isDrained, harness.openRequests], [false, 0]);
+			caller.resume();
+			await waitUntil(() => caller.isClosed && isDrained);
+			assert.deepEqual([isDrained, caller.statuses], [true, [200]]);
+			assert.ok(caller.receivedBytes > bodyBytes, `${caller.receivedBytes} bytes received`);
+		});
+	}
 
 	// Guards against earlier requests that lose their answers as the server destroys the connection.
 	it('should answer the requests before a CONNECT', async () => {
--- a/packages/gateway/src/kernel/in-flight.ts
+++ b/packages/gateway/src/kernel/in-flight.ts
@@ -16,10 +16,6 @@
 		return this.#items.values();
 	}
 
-	has(item: Item): boolean {
-		return this.#items.has(item);
-	}
-
 	add(item: Item): void {
 		this.#items.add(item);
 		this.#onSizeChanged(this.size);
