--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -141,6 +141,11 @@
 		await this.#sockets.untilEmpty();
 	}
 
+	/** True while requests may come on an open connection, or have no complete answer. */
+	get isBusy(): boolean {
+		return this.#sockets.size > 0 || this.open.size > 0;
+	}
+
 	/** Ends the connections that their callers have not closed after the last answer; reports the answers that callers are not known to have. */
 	stop(): void {
 		for (const connection of this.#connections.values()) {
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -87,6 +87,10 @@
 		await this.#connections.untilClosed();
 	}
 
+	isBusy(): boolean {
+		return this.#connections.isBusy;
+	}
+
 	expire(): void {
 		const {logger} = this.#options.context;
 		logger.info('grace period over', {openRequests: Object.fromEntries(this.countOpenRequests())});
