Daemon: its ports close once all connections that wait are accepted and read

What callers saw: whole requests on connections that waited to be accepted as a port of the daemon closed were reset.

Cause: the port waited two turns of the event loop, in each of which one connection is accepted.

Change: it closes after turns in which nothing came, within the time that it gives to connections anyway.

--- a/packages/daemon/src/kernel/listen.ts
+++ b/packages/daemon/src/kernel/listen.ts
@@ -7,11 +7,17 @@
 import type {ListenAddress} from '../settings/listen-address.js';
 import type {StartError} from './start-error.js';
 
-const openSockets = new WeakMap<Server, Set<Socket>>();
+/** Turns of the event loop in which nothing came, after which nothing more is taken to have arrived. */
+const quietTurns = 3;
+
+/** @property arrivals - number of connections and requests so far */
+type Traffic = {readonly sockets: Set<Socket>; arrivals: number};
+
+const trafficOf = new WeakMap<Server, Traffic>();
 
 /** Starts listening. If the address has port 0, the result contains the port that the operating system assigned. */
 export async function listen(server: Server, name: string, address: ListenAddress): Promise<Result<AddressInfo, StartError>> {
-	trackSockets(server);
+	trackTraffic(server);
 	return new Promise(resolve => {
 		server.once('error', error => {
 			resolve(err({type: 'cannot-listen', listener: name, message: error.message}));
@@ -38,7 +44,7 @@
 		return;
 	}
 
-	await readArrived();
+	await readArrived(server, graceMs);
 
 	const closed = new Promise<void>(resolve => {
 		server.close(() => {
@@ -54,26 +60,38 @@
 	clearTimeout(timer);
 }
 
-/** Resolves once what has already arrived on all connections is read: the event loop polls the sockets between the two turns. */
-async function readArrived(): Promise<void> {
-	await nextTurn();
-	await nextTurn();
+/** Resolves once what has already arrived is read, or after `maximumMs`. The runtime accepts one connection in each turn of its event loop. */
+async function readArrived(server: Server, maximumMs: number): Promise<void> {
+	const traffic = trafficOf.get(server);
+	const end = AbortSignal.timeout(maximumMs);
+	let before = traffic?.arrivals;
+	for (let quiet = 0; quiet < quietTurns && !end.aborted; quiet++) {
+		await nextTurn();
+		if (traffic?.arrivals !== before) {
+			before = traffic?.arrivals;
+			quiet = -1;
+		}
+	}
 }
 
 /** Closes connections on which no byte was ever received, because `closeIdleConnections` treats them as active. */
 function closeUnusedConnections(server: Server): void {
-	for (const socket of openSockets.get(server) ?? []) {
+	for (const socket of trafficOf.get(server)?.sockets ?? []) {
 		if (socket.bytesRead === 0) {
 			socket.destroy();
 		}
 	}
 }
 
-function trackSockets(server: Server): void {
-	const sockets = new Set<Socket>();
-	openSockets.set(server, sockets);
+function trackTraffic(server: Server): void {
+	const traffic: Traffic = {sockets: new Set(), arrivals: 0};
+	trafficOf.set(server, traffic);
 	server.on('connection', socket => {
-		sockets.add(socket);
-		socket.once('close', () => sockets.delete(socket));
+		traffic.arrivals += 1;
+		traffic.sockets.add(socket);
+		socket.once('close', () => traffic.sockets.delete(socket));
+	});
+	server.on('request', () => {
+		traffic.arrivals += 1;
 	});
 }
