--- a/packages/testing/src/harness/node-process.ts
+++ b/packages/testing/src/harness/node-process.ts
@@ -99,6 +99,11 @@
 		this.#child.stdout!.resume();
 	}
 
+	/** Closes its standard output at the reader's end. */
+	closeOutput(): void {
+		this.#child.stdout!.destroy();
+	}
+
 	/** Waits for the first JSON line that `matches`; throws if the process ends without one. */
 	async waitForLine(description: string, matches: (line: JsonLine) => boolean): Promise<JsonLine> {
 		await waitFor(description, () => {
