--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -3,7 +3,7 @@
 import {waitTurns} from '../../kernel/arrivals.js';
 import {breakOff, untilBodyIsRead} from './body-reader.js';
 import type {CallerConnectionOptions} from './caller-connection-options.js';
-import {closeGracefully, discardFurtherBytes} from './graceful-close.js';
+import {GracefulClose} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
 import {answerToFault, statusOfFault} from './parser-faults.js';
 import {WrittenAnswers} from './written-answers.js';
@@ -19,18 +19,21 @@
 	readonly #options: CallerConnectionOptions;
 	readonly #sequence = new RequestSequence<OpenRequest>();
 	readonly #written: WrittenAnswers;
+	readonly #gracefulClose: GracefulClose;
 	/** Answers that are ready and not being written yet. */
 	readonly #ready = new Map<OpenRequest, ReadyAnswer>();
 	#newest: OpenRequest | undefined;
 	#faultStatus: number | undefined;
 	#isClosed = false;
 	#hasIgnored = false;
-	#isDiscarding = false;
 	#hasAnnouncedClose = false;
+	/** Bytes that had been read as the last of its requests was answered; undefined before its first request. */
+	#bytesUntilIdle: number | undefined;
 
 	constructor(options: CallerConnectionOptions) {
 		this.#options = options;
 		this.#written = new WrittenAnswers(options.socket);
+		this.#gracefulClose = new GracefulClose(options.socket, options.gracefulClose);
 		options.socket.on('close', () => {
 			this.#closed();
 		});
@@ -63,7 +66,7 @@
 		if (arrival === 'ignored') {
 			this.#options.onIgnored(open, !this.#hasIgnored);
 			this.#hasIgnored = true;
-			this.#discardFurtherBytes();
+			this.#gracefulClose.discardFurtherBytes();
 			return;
 		}
 
@@ -107,7 +110,7 @@
 
 		this.#faultStatus = statusOfFault(code);
 		this.#sequence.closeBehind();
-		this.#discardFurtherBytes();
+		this.#gracefulClose.discardFurtherBytes();
 		this.#endIncomplete();
 		this.#endIfOver();
 	}
@@ -119,9 +122,18 @@
 		}
 	}
 
-	/** Disconnects a caller, so that its answers need no memory. */
+	/** Closes the connection unless a request is open or has begun to arrive. A request that crosses the close is ignored. */
+	closeIfIdle(): void {
+		const {socket} = this.#options;
+		if (this.#sequence.unanswered.length === 0 && this.#bytesUntilIdle === socket.bytesRead) {
+			this.#sequence.closeBehind();
+			this.#beginClose();
+		}
+	}
+
+	/** Disconnects a caller, whether it has its answers or not. */
 	disconnect(): void {
-		this.#options.socket.destroy();
+		this.#gracefulClose.destroy();
 	}
 
 	/** Reports the answers that the caller isn't known to have. */
@@ -187,10 +199,11 @@
 	#ended(open: OpenRequest): void {
 		this.#ready.delete(open);
 		if (open.response.writableFinished) {
-			this.#written.add(open);
+			this.#written.add(this.#options.recordWritten(open));
 		}
 
 		const next = this.#sequence.ended(open);
+		this.#bytesUntilIdle = this.#options.socket.bytesRead;
 		if (this.#isClosed) {
 			return;
 		}
@@ -221,12 +234,15 @@
 
 	/** Closes the connection behind its last answer. */
 	#closeGracefully(): void {
+		this.#gracefulClose.discardFurtherBytes();
+		this.#beginClose();
+	}
+
+	#beginClose(): void {
 		const {socket, onClosing} = this.#options;
 		if (!socket.destroyed && !socket.writableEnded) {
 			onClosing();
-			this.#written.closes();
-			this.#discardFurtherBytes();
-			closeGracefully(socket);
+			this.#gracefulClose.begin();
 		}
 	}
 
@@ -239,11 +255,4 @@
 			response.emit('close');
 		}
 	}
-
-	#discardFurtherBytes(): void {
-		if (!this.#isDiscarding) {
-			this.#isDiscarding = true;
-			discardFurtherBytes(this.#options.socket);
-		}
-	}
 }
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -7,6 +7,7 @@
 import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
 import {closeIdleConnectionsOnceRead} from '../../kernel/idle-connections.js';
 import {InFlight} from '../../kernel/in-flight.js';
+import type {LogFields} from '../../logging/create-logger.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {CallerConnectionOptions} from './caller-connection-options.js';
 import {CallerConnection} from './caller-connection.js';
@@ -32,6 +33,8 @@
 	readonly isLeaving: () => boolean;
 	readonly onStart: CallerConnectionOptions['onStart'];
 	readonly onIgnored: CallerConnectionOptions['onIgnored'];
+	/** Returns the log fields that name a request. */
+	readonly identify: (request: OpenRequest) => LogFields;
 	/** Called for each connection that ends while the instance leaves, before its caller is known to have all answers. */
 	readonly onUndelivered: CallerConnectionOptions['onUndelivered'];
 	/** Called if an outcome could not be written; its caller gets another one, or is disconnected. */
@@ -43,6 +46,7 @@
 	readonly open: OpenRequests;
 	readonly #options: CallerConnectionsOptions;
 	readonly #connections = new Map<Socket, CallerConnection>();
+	readonly #sockets = new InFlight<Socket>();
 	/** Connections that have not carried a request yet. */
 	readonly #unused = new InFlight<Socket>();
 	/** Connections whose last answer is written and which their callers have not closed yet. */
@@ -55,7 +59,7 @@
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
-		const {server, clock, metrics, answerMemory, onStart, onIgnored} = options;
+		const {server, clock, metrics, answerMemory, identify, isLeaving, onStart, onIgnored} = options;
 		this.open = new OpenRequests(size => {
 			metrics.inFlight.set(size);
 		});
@@ -70,9 +74,12 @@
 				});
 			}
 
+			this.#sockets.add(socket);
 			this.#unused.add(socket);
 			this.#connections.set(socket, new CallerConnection({
 				socket,
+				gracefulClose: {lingerMs: () => server.keepAliveTimeout, isLeaving},
+				recordWritten: request => ({fields: {...identify(request), ...request.describeAnswer()}, writtenAtMs: clock.monotonicMs()}),
 				onUndelivered: undelivered => {
 					this.#undelivered(undelivered);
 				},
@@ -93,6 +100,7 @@
 			}));
 			socket.once('close', () => {
 				this.#connections.delete(socket);
+				this.#sockets.delete(socket);
 				this.#unused.delete(socket);
 				this.#closing.delete(socket);
 			});
@@ -148,16 +156,37 @@
 		await untilArrivalsAreRead(() => this.#receivedRequests, isOver);
 	}
 
-	/** Resolves once every request has its complete answer, and the connections that closed with it are closed by their callers too. */
+	/** Closes the connections without requests; their callers may not have their last answers yet. */
+	closeIdle(): void {
+		for (const connection of this.#connections.values()) {
+			connection.closeIfIdle();
+		}
+	}
+
+	/** Resolves once every request has its complete answer, and callers have closed the connections that were used. */
 	async untilIdle(): Promise<void> {
 		await this.open.untilEmpty();
+		this.closeIdle();
 		await this.#closing.untilEmpty();
 	}
 
-	/** Reports the answers that callers are not known to have as the stop ends. */
-	reportUndelivered(): void {
-		for (const connection of this.#connections.values()) {
+	/** True while requests may come on an open connection, or have no complete answer. */
+	get isBusy(): boolean {
+		return this.#sockets.size > 0 || this.open.size > 0;
+	}
+
+	/** Resolves once all connections are closed. */
+	async untilClosed(): Promise<void> {
+		await this.#sockets.untilEmpty();
+	}
+
+	/** Ends the connections that their callers have not closed after the last answer; reports the answers that callers are not known to have. */
+	stop(): void {
+		for (const [socket, connection] of this.#connections) {
 			connection.reportUndelivered();
+			if (this.#closing.has(socket)) {
+				connection.disconnect();
+			}
 		}
 	}
 
--- a/packages/gateway/src/features/calls/written-answers.ts
+++ b/packages/gateway/src/features/calls/written-answers.ts
@@ -1,19 +1,28 @@
 /** The answers of one connection that have left the process, and that the caller isn't known to have. */
 import type {Socket} from 'node:net';
-import type {OpenRequest} from './open-request.js';
+import type {LogFields} from '../../logging/create-logger.js';
+
+/** Answers that are remembered for each connection; a caller that always has a request open would need one more for each. */
+const maximumAnswers = 64;
+
+export type WrittenAnswer = {
+	/** Names the request and its answer in the log. */
+	readonly fields: LogFields;
+	/** Time of the monotonic clock at which the whole answer had left the process. */
+	readonly writtenAtMs: number;
+};
 
 /** What ended a connection before its caller did. */
 export type UndeliveredReason =
 	| 'caller-reset'
-	/** The instance closed it as no request was open on it. */
-	| 'closed-idle'
-	/** The instance closed it after its last answer, as the caller had not closed it in time. */
-	| 'linger-over'
+	/** The instance disconnected the caller before the end of the stop. */
+	| 'disconnected'
 	/** It was open at the end of the stop. */
 	| 'stop-over';
 
 export type Undelivered = {
-	readonly answers: readonly OpenRequest[];
+	/** The newest ones, in the order in which they were written. */
+	readonly answers: readonly WrittenAnswer[];
 	readonly reason: UndeliveredReason;
 	/** Bytes that the process still holds. */
 	readonly heldBytes: number;
@@ -21,9 +30,8 @@
 
 export class WrittenAnswers {
 	readonly #socket: Socket;
-	#answers: OpenRequest[] = [];
+	#answers: WrittenAnswer[] = [];
 	#hasError = false;
-	#isClosing = false;
 
 	constructor(socket: Socket) {
 		this.#socket = socket;
@@ -36,8 +44,11 @@
 		});
 	}
 
-	add(request: OpenRequest): void {
-		this.#answers.push(request);
+	add(answer: WrittenAnswer): void {
+		this.#answers.push(answer);
+		if (this.#answers.length > maximumAnswers) {
+			this.#answers.shift();
+		}
 	}
 
 	/** Forgets all answers so far, as the caller goes on after them. */
@@ -45,11 +56,6 @@
 		this.#answers = [];
 	}
 
-	/** The instance has begun to close the connection after its last answer. */
-	closes(): void {
-		this.#isClosing = true;
-	}
-
 	/** Returns the answers whose delivery is not known as the connection ends, and forgets them. */
 	take(): Undelivered {
 		const answers = this.#answers;
@@ -62,10 +68,6 @@
 			return 'stop-over';
 		}
 
-		if (this.#hasError) {
-			return 'caller-reset';
-		}
-
-		return this.#isClosing ? 'linger-over' : 'closed-idle';
+		return this.#hasError ? 'caller-reset' : 'disconnected';
 	}
 }
