An idle connection of a caller keeps no answer

An instance grew by 411 MB with 400 idle connections after answers of 1 MB, outside the bound on answers that are held: each connection kept its newest request, and with it the answer, until the next one. It is needed only while its body is incomplete, and goes with its answer otherwise.

--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -22,6 +22,7 @@
 	readonly #gracefulClose: GracefulClose;
 	/** Answers that are ready and not being written yet. */
 	readonly #ready = new Map<OpenRequest, ReadyAnswer>();
+	/** The request that arrived last, while it is open or its body is incomplete. */
 	#newest: OpenRequest | undefined;
 	#faultStatus: number | undefined;
 	#isClosed = false;
@@ -200,6 +201,7 @@
 
 	#ended(open: OpenRequest): void {
 		this.#ready.delete(open);
+		this.#newest = this.#newest === open && open.request.complete ? undefined : this.#newest;
 		if (open.response.writableFinished) {
 			this.#written.add(this.#options.recordWritten(open));
 		}
