Idle connections do not keep their last answers

Cause: a connection kept its newest request, and with it the answer, until the next one, for the case that bytes that are no request come while its body is read.

Change: it is forgotten once it has ended and its body is complete.

--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -200,6 +200,10 @@
 
 	#ended(open: OpenRequest): void {
 		this.#ready.delete(open);
+		if (this.#newest === open && open.request.complete) {
+			this.#newest = undefined;
+		}
+
 		if (open.response.writableFinished) {
 			this.#written.add(this.#options.recordWritten(open));
 		}
