Daemon: behind a last answer only the sending side of a connection ends

What callers saw: 195,485 of 200,000 bytes of the last answer of a leaving daemon, as the caller sent one more request.

Cause: the server closes both sides of a connection behind its last answer; bytes that arrive then reset it.

Change: the sending side ends, and what arrives is discarded unparsed until the other side closes, for as long as an idle connection may stay open, and to the end of the stop at most. A request behind that end is not run.

--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -152,7 +152,8 @@
 		});
 		// Calls bypass hono, because it answers HEAD through GET with a response of its own and creates a web request object for each call.
 		server.on('request', (request, response) => {
-			if (!this.#unansweredRequests.tryBegin(response)) {
+			// Nothing that arrives behind the end of the connection may run, as its answer can't be written.
+			if (request.socket.writableEnded || !this.#unansweredRequests.tryBegin(response)) {
 				request.resume();
 				return;
 			}
--- a/packages/daemon/src/kernel/listen.ts
+++ b/packages/daemon/src/kernel/listen.ts
@@ -10,8 +10,11 @@
 /** Turns of the event loop in which nothing came, after which nothing more is taken to have arrived. */
 const quietTurns = 3;
 
-/** @property arrivals - number of connections and requests so far */
-type Traffic = {readonly sockets: Set<Socket>; arrivals: number};
+/**
+ * @property arrivals - number of connections and requests so far
+ * @property isOver - whether connections end whatever is left on them
+ */
+type Traffic = {readonly sockets: Set<Socket>; arrivals: number; isOver: boolean};
 
 const trafficOf = new WeakMap<Server, Traffic>();
 
@@ -54,6 +57,11 @@
 	server.closeIdleConnections();
 	closeUnusedConnections(server);
 	const timer = setTimeout(() => {
+		const traffic = trafficOf.get(server);
+		if (traffic !== undefined) {
+			traffic.isOver = true;
+		}
+
 		server.closeAllConnections();
 	}, graceMs);
 	await closed;
@@ -84,14 +92,50 @@
 }
 
 function trackTraffic(server: Server): void {
-	const traffic: Traffic = {sockets: new Set(), arrivals: 0};
+	const traffic: Traffic = {sockets: new Set(), arrivals: 0, isOver: false};
 	trafficOf.set(server, traffic);
 	server.on('connection', socket => {
 		traffic.arrivals += 1;
 		traffic.sockets.add(socket);
+		// The server calls it once the last answer is written.
+		socket.destroySoon = () => {
+			closeGracefully(socket, traffic, server.keepAliveTimeout);
+		};
+
 		socket.once('close', () => traffic.sockets.delete(socket));
 	});
 	server.on('request', () => {
 		traffic.arrivals += 1;
 	});
 }
+
+/**
+ * Ends the sending side of a socket and reads on without parsing until the other side closes, or has had time to: closing with unread bytes
+ * resets the connection, and the other side loses answers that it has not read.
+ *
+ * @param lingerMs - time for which an idle connection may stay open
+ */
+function closeGracefully(socket: Socket, traffic: Traffic, lingerMs: number): void {
+	if (socket.destroyed || socket.writableEnded) {
+		return;
+	}
+
+	socket.end();
+	// The parser must not be detached while it runs.
+	setImmediate(() => {
+		// Adding a listener detaches the parser from the socket; removing all then also removes the parser's own.
+		socket.on('data', () => undefined);
+		socket.removeAllListeners('data');
+		socket.on('data', () => undefined);
+		socket.resume();
+		// Ends the read that the parser may have paused, so that the stream begins another one.
+		socket.push('');
+	});
+	const destroy = socket.destroy.bind(socket);
+	const timer = setTimeout(destroy, lingerMs);
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+	// The server takes the connection for idle and would destroy it as the server closes.
+	socket.destroy = error => error === undefined && !socket.readableEnded && !traffic.isOver ? socket : destroy(error);
+}
