--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -1,6 +1,6 @@
 /** Intentionally broken builds. Each breaks one guarantee, and one check of the soak has to notice it. */
 import {requestOfLeavingCallers, requestThatFails} from './crashing-upstreams.js';
-import type {ScheduledEvent, SoakEvent} from './schedule.js';
+import type {FleetSetting, ScheduledEvent, SoakEvent} from './schedule.js';
 
 export type Mutation = {
 	readonly name: string;
@@ -12,6 +12,7 @@
 	readonly events: readonly ScheduledEvent[];
 	/** True if some requests take up to seconds; false if absent. */
 	readonly hasLongRequests?: boolean;
+	readonly fleet?: FleetSetting;
 	/** Name of the check that has to notice the mutation. */
 	readonly noticedBy: string;
 };
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -168,10 +168,13 @@
 	};
 }
 
+/** What planned stops of a fleet have in addition. */
+export type FleetSetting = Pick<Schedule, 'fleetCallers' | 'callerLinks' | 'graceSeconds'>;
+
 /** Returns the schedule for an intentionally broken build. */
-export function mutationSchedule({events, hasLongRequests = false}: Pick<Schedule, 'events' | 'hasLongRequests'>): Schedule {
+export function mutationSchedule({events, hasLongRequests = false, fleet = {}}: Pick<Schedule, 'events' | 'hasLongRequests'> & {readonly fleet?: FleetSetting}): Schedule {
 	return {
-		hasLongRequests, seed: 1, instances: 3, upstreams: 5, callers: 10, workMs: 10, durationMs: defaultDurationMs, events,
+		...fleet, hasLongRequests, seed: 1, instances: 3, upstreams: 5, callers: 10, workMs: 10, durationMs: defaultDurationMs, events,
 	};
 }
 
