Mutation answers-count-as-delivered-when-written follows the code of caller-connections.ts

A stop waits for all connections of callers now, so the build that forgets one as its last answer is written takes the place of the one that forgets it among the closing ones.

--- a/packages/soak/src/delivery-mutations.ts
+++ b/packages/soak/src/delivery-mutations.ts
@@ -12,7 +12,7 @@
 
 /** Callers are far away, and lose what is on its way as the process of their instance ends. */
 const farCallers: FleetSetting = {
-	graceSeconds: 3,
+	graceSeconds: 4,
 	callerLinks: {delayMs: 80, bufferBytes: 16_384, endsWithProcess: true},
 	fleetCallers: Array.from({length: 18}, (_, index) => ({
 		connections: index % 2 === 0 ? 'kept' : 'new', method: index % 3 === 0 ? 'POST' : 'GET', keepsAddresses: 3, deadlineMs: 1500, pauseMs: 100,
@@ -41,8 +41,8 @@
 	{
 		name: 'answers-count-as-delivered-when-written',
 		file: `${calls}/caller-connections.js`,
-		find: 'this.#closing.add(socket);',
-		replaceBy: '',
+		find: 'connection.answer(open, this.#options.isLeaving, isLast => {',
+		replaceBy: 'connection.answer(open, this.#options.isLeaving, isLast => { if (isLast) this.#sockets.delete(open.request.socket);',
 		events: plannedStops,
 		fleet: farCallers,
 		noticedBy: stopsDeliverWholeAnswers,
