--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -13,6 +13,7 @@
 import {WindowBudget} from '@cairnbank/core/window-budget';
 import {err, ok, type Result} from 'neverthrow';
 import type {AnswerReading} from '../../kernel/answer-reading.js';
+import {waitTurns} from '../../kernel/arrivals.js';
 import {StopDeadline} from '../../kernel/stop-deadline.js';
 import {createMetrics} from '../../metrics/metrics.js';
 import {plainDialect} from '../../ports/request-dialect-fixture.js';
@@ -35,6 +36,8 @@
 	readonly fail: (fault: Error) => void;
 };
 
+/** Turns in which a time limit reads what has arrived, and one more. */
+const turnsToRead = 4;
 const answered = (status: number, ...headers: string[]) => ok(answerOf(status, headers, Buffer.from('body')));
 export const success = answered(200, 'signature', 's');
 export const failure = answered(500, 'signature', 's');
@@ -151,10 +154,17 @@
 		await runPendingPromises();
 	}
 
+	/** Lets time pass, and turns of the event loop in which sockets are read. */
 	async advance(durationMs: number): Promise<void> {
+		this.passTime(durationMs);
+		await waitTurns(turnsToRead);
+		await runPendingPromises();
+	}
+
+	/** Lets time pass without a turn of the event loop. */
+	passTime(durationMs: number): void {
 		this.clock.advance(durationMs);
 		mock.timers.tick(durationMs);
-		await runPendingPromises();
 	}
 
 	async #recordEnd(): Promise<void> {
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -1,58 +1,46 @@
 /** One connection of a caller: starts its requests, returns the answers in their order and closes it with the last one. */
-import {STATUS_CODES} from 'node:http';
-import type {Socket} from 'node:net';
 import {RequestSequence} from '@cairnbank/core/connections';
 import {waitTurns} from '../../kernel/arrivals.js';
 import {breakOff, untilBodyIsRead} from './body-reader.js';
-import {closeGracefully, discardFurtherBytes} from './graceful-close.js';
+import type {CallerConnectionOptions} from './caller-connection-options.js';
+import {GracefulClose} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
-
-export type CallerConnectionOptions = {
-	readonly socket: Socket;
-	/** Called for each request that will be answered. */
-	readonly onOpened: (request: OpenRequest) => void;
-	readonly onStart: (request: OpenRequest) => void;
-	readonly onSentAhead: () => void;
-	/** Called when the last answer is written and only the caller's end of the connection is awaited. */
-	readonly onClosing: () => void;
-	/** Called for each request that is never started, as the connection closes before its turn. */
-	readonly onIgnored: (request: OpenRequest, isFirst: boolean) => void;
-};
+import {answerToFault, statusOfFault} from './parser-faults.js';
+import {WrittenAnswers} from './written-answers.js';
 
 type ReadyAnswer = {readonly wantsClose: () => boolean; readonly write: (isLast: boolean) => void};
 
-const badRequestStatus = 400;
 /** Time for which the rest of a refused request's body is awaited before its answer closes the connection. */
 const maximumBodyWaitMs = 50;
 /** Turns of the event loop in which the rest of what has arrived on a connection is read; one reads it in parts. */
 const turnsToRead = 2;
-/** Statuses for faults of the HTTP parser; all others are bad requests. */
-const faultStatuses: Readonly<Record<string, number>> = {
-	HPE_HEADER_OVERFLOW: 431,
-	HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
-	ERR_HTTP_REQUEST_TIMEOUT: 408,
-};
 
 export class CallerConnection {
 	readonly #options: CallerConnectionOptions;
 	readonly #sequence = new RequestSequence<OpenRequest>();
+	readonly #written: WrittenAnswers;
+	readonly #gracefulClose: GracefulClose;
 	/** Answers that are ready and not being written yet. */
 	readonly #ready = new Map<OpenRequest, ReadyAnswer>();
 	#newest: OpenRequest | undefined;
 	#faultStatus: number | undefined;
 	#isClosed = false;
 	#hasIgnored = false;
-	#isDiscarding = false;
 	#hasAnnouncedClose = false;
 
 	constructor(options: CallerConnectionOptions) {
 		this.#options = options;
+		this.#written = new WrittenAnswers(options.socket);
+		this.#gracefulClose = new GracefulClose(options.socket, options.gracefulClose, () => {
+			this.close();
+		});
 		options.socket.on('close', () => {
 			this.#closed();
 		});
 		// The server calls it once the last answer is written.
 		options.socket.destroySoon = () => {
-			this.#closeGracefully();
+			this.#gracefulClose.discardFurtherBytes();
+			this.close();
 		};
 
 		// An orderly end cannot be told from a caller that has left, so its requests are cancelled.
@@ -79,12 +67,14 @@
 		if (arrival === 'ignored') {
 			this.#options.onIgnored(open, !this.#hasIgnored);
 			this.#hasIgnored = true;
-			this.#discardFurtherBytes();
+			this.#gracefulClose.discardFurtherBytes();
 			return;
 		}
 
 		if (isSentAhead) {
 			this.#options.onSentAhead();
+		} else {
+			this.#written.callerHasAll();
 		}
 
 		this.#newest = open;
@@ -119,9 +109,9 @@
 			return;
 		}
 
-		this.#faultStatus = faultStatuses[code] ?? badRequestStatus;
+		this.#faultStatus = statusOfFault(code);
 		this.#sequence.closeBehind();
-		this.#discardFurtherBytes();
+		this.#gracefulClose.discardFurtherBytes();
 		this.#endIncomplete();
 		this.#endIfOver();
 	}
@@ -133,9 +123,27 @@
 		}
 	}
 
-	/** Disconnects a caller, so that its answers need no memory. */
+	get isClosing(): boolean {
+		return this.#gracefulClose.hasBegun;
+	}
+
+	/** Closes the connection, on which no request is open. One that crosses the close is ignored. */
+	close(): void {
+		this.#sequence.closeBehind();
+		this.#gracefulClose.begin();
+	}
+
+	/** Disconnects a caller, whether it has its answers or not. */
 	disconnect(): void {
-		this.#options.socket.destroy();
+		this.#gracefulClose.destroy();
+	}
+
+	/** Reports the answers that the caller isn't known to have. */
+	reportUndelivered(): void {
+		const undelivered = this.#written.take();
+		if (undelivered.answers.length > 0) {
+			this.#options.onUndelivered(undelivered);
+		}
 	}
 
 	/** Writes the answer whose turn it is, if it is ready. */
@@ -192,6 +200,10 @@
 
 	#ended(open: OpenRequest): void {
 		this.#ready.delete(open);
+		if (open.response.writableFinished) {
+			this.#written.add(this.#options.recordWritten(open));
+		}
+
 		const next = this.#sequence.ended(open);
 		if (this.#isClosed) {
 			return;
@@ -203,6 +215,9 @@
 
 		this.#writeFirst();
 		this.#endIfOver();
+		if (this.#sequence.unanswered.length === 0 && !this.#hasAnnouncedClose) {
+			this.#options.onIdle();
+		}
 	}
 
 	/** Closes a connection whose last answer did not say so, as the reason to close came after it. */
@@ -215,35 +230,19 @@
 		this.#hasAnnouncedClose = true;
 		const status = this.#faultStatus;
 		if (status !== undefined) {
-			socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			socket.write(answerToFault(status));
 		}
 
 		socket.destroySoon();
 	}
 
-	/** Closes the connection behind its last answer. */
-	#closeGracefully(): void {
-		const {socket, onClosing} = this.#options;
-		if (!socket.destroyed && !socket.writableEnded) {
-			onClosing();
-			this.#discardFurtherBytes();
-			closeGracefully(socket);
-		}
-	}
-
 	/** Closes the responses that have no socket yet; Node.js closes only the one whose answer comes next. */
 	#closed(): void {
 		this.#isClosed = true;
+		this.reportUndelivered();
 		for (const {response} of this.#sequence.unanswered.filter(({response: {socket}}) => socket === null)) {
 			response.destroy();
 			response.emit('close');
 		}
 	}
-
-	#discardFurtherBytes(): void {
-		if (!this.#isDiscarding) {
-			this.#isDiscarding = true;
-			discardFurtherBytes(this.#options.socket);
-		}
-	}
 }
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -3,19 +3,24 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '@cairnbank/core';
 import {HeldAnswers, type AnswerMemory} from '@cairnbank/core/connections';
-import {untilArrivalsAreRead} from '../../kernel/arrivals.js';
+import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
+import {closeIdleConnectionsOnceRead} from '../../kernel/idle-connections.js';
 import {InFlight} from '../../kernel/in-flight.js';
+import type {LogFields} from '../../logging/create-logger.js';
 import type {Metrics} from '../../metrics/metrics.js';
-import {CallerConnection, type CallerConnectionOptions} from './caller-connection.js';
+import type {CallerConnectionOptions} from './caller-connection-options.js';
+import {CallerConnection} from './caller-connection.js';
+import {NewConnections} from './new-connections.js';
 import {OpenRequest} from './open-request.js';
 import {OpenRequests} from './open-requests.js';
 import type {Outcome} from './outcome.js';
 import {writeOutcome, type WriteOptions} from './write-outcome.js';
+import type {Undelivered} from './written-answers.js';
 
 /** Time in which a link of 10 Mbit/s sends a few long answers. */
 const heldRetryAfterMs = 500;
-/** Bounds the wait for what has arrived, as callers may go on connecting. */
-const maximumArrivalsWaitMs = 400;
+/** Turns of the event loop in which the rest of what has arrived on a connection is read. */
+const turnsToRead = 2;
 
 export type CallerConnectionsOptions = {
 	readonly server: Server;
@@ -26,6 +31,10 @@
 	readonly isLeaving: () => boolean;
 	readonly onStart: CallerConnectionOptions['onStart'];
 	readonly onIgnored: CallerConnectionOptions['onIgnored'];
+	/** Returns the log fields that name a request. */
+	readonly identify: (request: OpenRequest) => LogFields;
+	/** Called for each connection that ends while the instance leaves, before its caller is known to have all answers. */
+	readonly onUndelivered: CallerConnectionOptions['onUndelivered'];
 	/** Called if an outcome could not be written; its caller gets another one, or is disconnected. */
 	readonly onWriteFault: (error: unknown) => void;
 };
@@ -35,29 +44,41 @@
 	readonly open: OpenRequests;
 	readonly #options: CallerConnectionsOptions;
 	readonly #connections = new Map<Socket, CallerConnection>();
-	/** Connections whose last answer is written and which their callers have not closed yet. */
-	readonly #closing = new InFlight<Socket>();
+	readonly #new: NewConnections;
+	readonly #sockets = new InFlight<Socket>();
 	readonly #owners = new WeakMap<OpenRequest, CallerConnection>();
 	readonly #held: HeldAnswers<CallerConnection>;
-	#arrivals = 0;
+	#receivedRequests = 0;
+	#closesIdle = false;
+	#isEndingIdle = false;
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
-		const {server, clock, metrics, answerMemory, onStart, onIgnored} = options;
+		const {server, clock, metrics, answerMemory, identify, isLeaving, onStart, onIgnored} = options;
 		this.open = new OpenRequests(size => {
 			metrics.inFlight.set(size);
 		});
 		this.#held = new HeldAnswers(clock, answerMemory);
+		closeIdleConnectionsOnceRead(server);
+		this.#new = new NewConnections(server);
 		server.on('connection', (socket: Socket) => {
-			this.#arrivals += 1;
+			this.#new.opened(socket);
+			this.#sockets.add(socket);
 			this.#connections.set(socket, new CallerConnection({
 				socket,
+				gracefulClose: {lingerMs: () => server.keepAliveTimeout, isLeaving, isEndingIdle: () => this.#isEndingIdle},
+				recordWritten: request => ({fields: {...identify(request), ...request.describeAnswer()}, writtenAtMs: clock.monotonicMs()}),
+				onUndelivered: undelivered => {
+					this.#undelivered(undelivered);
+				},
 				onOpened: request => {
 					this.open.add(request);
 				},
 				onStart,
-				onClosing: () => {
-					this.#closing.add(socket);
+				onIdle: () => {
+					if (this.#closesIdle) {
+						void this.#closeIdle();
+					}
 				},
 				onSentAhead() {
 					metrics.requestsSentAhead.inc();
@@ -69,7 +90,8 @@
 			}));
 			socket.once('close', () => {
 				this.#connections.delete(socket);
-				this.#closing.delete(socket);
+				this.#new.used(socket);
+				this.#sockets.delete(socket);
 			});
 		});
 		for (const event of ['request', 'checkExpectation']) {
@@ -82,23 +104,58 @@
 			this.#connections.get(socket)?.fail('CONNECT');
 		});
 		server.on('clientError', ({code}: NodeJS.ErrnoException, socket: Socket) => {
-			if (code === 'ECONNRESET' || !socket.writable) {
+			const connection = this.#connections.get(socket);
+			if (code === 'ECONNRESET' || (!socket.writable && connection?.isClosing !== true)) {
 				socket.destroy();
 			} else {
-				this.#connections.get(socket)?.fail(code ?? '');
+				connection?.fail(code ?? '');
 			}
 		});
 	}
 
-	/** Resolves once the connections and requests that have arrived are read; closing the listener or a connection before would reset them unread. */
-	async untilArrivalsAreRead(): Promise<void> {
-		await untilArrivalsAreRead(() => this.#arrivals, this.#options.clock, maximumArrivalsWaitMs);
+	/**
+	 * Closes the listener once all that has arrived is accepted, and the new connections on which no request comes in time.
+	 *
+	 * @param isOver - returns whether the instance has stopped
+	 */
+	async closeListener(isOver: () => boolean): Promise<void> {
+		await this.#new.closeListener(() => this.#connections.keys(), isOver);
+		await this.#new.untilUsed();
+		await this.untilArrivalsAreRead(isOver);
+		for (const socket of this.#new.unused) {
+			this.#connections.get(socket)?.close();
+		}
+	}
+
+	/**
+	 * Resolves once the requests that have arrived are read; closing their connections before would reset them.
+	 *
+	 * @param isOver - returns whether the instance has stopped
+	 */
+	async untilArrivalsAreRead(isOver: () => boolean): Promise<void> {
+		await untilArrivalsAreRead(() => this.#receivedRequests, isOver);
+	}
+
+	/** Closes each connection once no request is open on it or has begun to arrive. Resolves once their callers have closed all of them. */
+	async untilClosed(): Promise<void> {
+		this.#closesIdle = true;
+		await this.#closeIdle();
+		await this.#sockets.untilEmpty();
+	}
+
+	/** True while requests may come on an open connection, or have no complete answer. */
+	get isBusy(): boolean {
+		return this.#sockets.size > 0 || this.open.size > 0;
 	}
 
-	/** Resolves once every request has its complete answer, and the connections that closed with it are closed by their callers too. */
-	async untilIdle(): Promise<void> {
-		await this.open.untilEmpty();
-		await this.#closing.untilEmpty();
+	/** Ends the connections that their callers have not closed after the last answer; reports the answers that callers are not known to have. */
+	stop(): void {
+		for (const connection of this.#connections.values()) {
+			connection.reportUndelivered();
+			if (connection.isClosing) {
+				connection.disconnect();
+			}
+		}
 	}
 
 	/** Starts all requests that wait on their connections, and those that arrive from now on, as none of them will run. */
@@ -127,6 +184,7 @@
 		}
 
 		open.unwrittenBytes = bytes;
+		open.answerBytes = bytes;
 		connection.answer(open, this.#options.isLeaving, isLast => {
 			this.#held.progressed(connection);
 			this.#write(response, outcome, {
@@ -140,14 +198,31 @@
 		});
 	}
 
+	/** Closes the connections that the server takes for idle, once what has arrived on them is read. */
+	async #closeIdle(): Promise<void> {
+		await waitTurns(turnsToRead);
+		this.#isEndingIdle = true;
+		this.#options.server.closeIdleConnections();
+		this.#isEndingIdle = false;
+	}
+
 	#receive(request: IncomingMessage, response: ServerResponse): void {
-		this.#arrivals += 1;
+		this.#receivedRequests += 1;
+		this.#new.used(request.socket);
 		const connection = this.#connections.get(request.socket)!;
 		const open = new OpenRequest(request, response, this.#options.clock.monotonicMs());
 		this.#owners.set(open, connection);
 		connection.receive(open);
 	}
 
+	#undelivered(undelivered: Undelivered): void {
+		const {isLeaving, metrics, onUndelivered} = this.#options;
+		if (isLeaving()) {
+			metrics.undeliveredAnswers.inc({reason: undelivered.reason}, undelivered.answers.length);
+			onUndelivered(undelivered);
+		}
+	}
+
 	#write(response: ServerResponse, outcome: Outcome, options: WriteOptions): void {
 		try {
 			writeOutcome(response, outcome, options);
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -24,6 +24,7 @@
 	readonly #connections: CallerConnections;
 	readonly #handler: RequestHandler;
 	#isLeaving = false;
+	#isStopped = false;
 
 	constructor(options: CallersTaskOptions) {
 		const {context} = options;
@@ -43,6 +44,14 @@
 				// A caller may send thousands; the first one of a connection shows the cause.
 				context.logger[isFirst ? 'info' : 'debug']('request not started, as its connection closes', this.#describe(request));
 			},
+			identify: request => this.#handler.identify(request),
+			onUndelivered({answers, reason, heldBytes}) {
+				for (const {fields, writtenAtMs} of answers) {
+					context.logger.warn('answer not known to be delivered as the instance stops', {
+						...fields, reason, heldBytes, writtenMsAgo: Math.round(context.clock.monotonicMs() - writtenAtMs),
+					});
+				}
+			},
 			onWriteFault(error) {
 				recordUnexpectedFault(context, 'answer', error);
 			},
@@ -70,10 +79,16 @@
 	}
 
 	async drain(): Promise<void> {
-		await this.#connections.untilArrivalsAreRead();
-		this.#server.close();
-		this.#server.closeIdleConnections();
-		await this.#connections.untilIdle();
+		if (this.#server.listening) {
+			await this.#connections.closeListener(() => this.#isStopped);
+		}
+
+		await this.#connections.untilArrivalsAreRead(() => this.#isStopped);
+		await this.#connections.untilClosed();
+	}
+
+	isBusy(): boolean {
+		return this.#connections.isBusy;
 	}
 
 	expire(): void {
@@ -87,7 +102,9 @@
 	}
 
 	stop(): void {
+		this.#isStopped = true;
 		this.#logOpenRequests();
+		this.#connections.stop();
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
--- a/packages/gateway/src/features/calls/open-request.ts
+++ b/packages/gateway/src/features/calls/open-request.ts
@@ -12,6 +12,8 @@
 	run: Pick<CallRun, 'expire'> | undefined;
 	/** Bytes of the answer's body that the socket has not taken yet. */
 	unwrittenBytes = 0;
+	/** Bytes of the answer's body. */
+	answerBytes = 0;
 
 	/** @param receivedAtMs - time of the monotonic clock at which its head was read */
 	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, readonly receivedAtMs: number) {}
@@ -20,4 +22,9 @@
 	describe(nowMs: number): LogFields {
 		return {state: this.state, ageMs: Math.round(nowMs - this.receivedAtMs), unwrittenBytes: this.unwrittenBytes};
 	}
+
+	/** Describes its answer for the log. */
+	describeAnswer(): LogFields {
+		return {status: this.response.statusCode, answerBytes: this.answerBytes};
+	}
 }
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -4,12 +4,12 @@
 import type {AnswerMemory} from '@cairnbank/core/connections';
 import {err, ok, type Result} from 'neverthrow';
 import {AnswerReading} from '../../kernel/answer-reading.js';
+import {TimeLimit} from '../../kernel/time-limit.js';
 import {AnswerParser} from './answer-parser.js';
 import type {ExchangeFailure, OutgoingRequest} from './exchange.js';
 import type {UpstreamAnswer} from './upstream-answer.js';
 import {matchAnswer} from './match-answer.js';
 import {defaultIdleMs, idleTimeMs} from './idle-time.js';
-import {TimeLimit} from './time-limit.js';
 
 /** Bytes of one read. All connections share it, as their parsers copy what they keep. */
 const readBuffer = Buffer.allocUnsafeSlow(65_536);
@@ -105,7 +105,7 @@
 				return;
 			}
 
-			const limit = new TimeLimit(this.#isConnected ? request.timeoutMs : Math.min(request.timeoutMs, this.#options.connectTimeoutMs), () => {
+			const limit = new TimeLimit(this.#isConnected ? request.timeoutMs : Math.min(request.timeoutMs, this.#options.connectTimeoutMs), this.#options.answerMemory, () => {
 				if (this.#isConnected) {
 					this.#giveUp({type: 'timed-out'});
 				} else {
@@ -156,7 +156,7 @@
 		this.#isRetired = true;
 		this.#pending = {
 			request,
-			limit: new TimeLimit(lateAnswerMs, () => {
+			limit: new TimeLimit(lateAnswerMs, this.#options.answerMemory, () => {
 				this.#fail({type: 'cancelled'});
 			}),
 			settle(result) {
@@ -195,7 +195,7 @@
 		}
 
 		pending.limit.clear();
-		const limit = new TimeLimit(pending.request.timeoutMs, () => {
+		const limit = new TimeLimit(pending.request.timeoutMs, this.#options.answerMemory, () => {
 			this.#giveUp({type: 'timed-out'});
 		});
 		this.#pending = {...pending, limit};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** Runs the tasks of an entry instance from its start to its graceful stop. */
-import {setTimeout as delay} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import {ok, type Result} from 'neverthrow';
+import {untilArrivalsAreRead} from './kernel/arrivals.js';
 import type {Context} from './kernel/context.js';
 import type {StartError} from './kernel/start-error.js';
 import type {Task} from './kernel/task.js';
@@ -16,6 +17,10 @@
 const acceptingRatio = 0.6;
 /** Fraction of the grace period in which requests in flight may end by themselves, and before whose end those taken later have their deadlines. */
 const drainRatio = 0.9;
+/** Fraction of the grace period until which answers of upstreams that have arrived by its end are read; one that could not run reads late. */
+const readRatio = 0.93;
+/** Time for reading them if the end of the grace period comes late, as the process could not run. */
+const minimumReadMs = 50;
 /** Fraction of the grace period by which the remaining requests must be answered; the rest is for closing sockets and ending the process. */
 const answerRatio = 0.96;
 /** Time for the remaining answers if the end of the grace period comes late, as the process could not run. */
@@ -25,6 +30,7 @@
 	readonly #context: Context;
 	readonly #tasks: readonly Task[];
 	readonly #flushLogs: () => Promise<void>;
+	#isStopped = false;
 
 	/**
 	 * @param tasks - tasks in the order in which they are started
@@ -84,8 +90,13 @@
 		this.#forEachTask(task => task.leave?.());
 		await untilPart(acceptingRatio);
 		await Promise.race([this.#drain(), untilPart(drainRatio)]);
+		if (this.#isBusy) {
+			await this.#readAnswers(startedAtMs + (graceMs * readRatio));
+		}
+
 		this.#forEachTask(task => task.expire?.());
 		await Promise.race([this.#drain(), Promise.all([untilPart(answerRatio), delay(minimumAnswerMs)])]);
+		this.#isStopped = true;
 		this.#forEachTask(task => {
 			task.stop();
 		}, this.#tasks.toReversed());
@@ -93,15 +104,35 @@
 		await this.#flushLogs();
 	}
 
-	/** Resolves once no task has work in flight. */
+	/** Reads the answers of upstreams that have arrived, as the runtime calls timers before it reads sockets. */
+	async #readAnswers(untilMs: number): Promise<void> {
+		const {answerMemory, clock} = this.#context;
+		const readUntilMs = Math.max(untilMs, clock.monotonicMs() + minimumReadMs);
+		await untilArrivalsAreRead(() => answerMemory.readBytes, () => clock.monotonicMs() >= readUntilMs);
+	}
+
+	get #isBusy(): boolean {
+		let isBusy = false;
+		this.#forEachTask(task => {
+			isBusy ||= task.isBusy?.() === true;
+		});
+		return isBusy;
+	}
+
+	/** Resolves once no task has work in flight, all at the same moment: work may come to one task while another is waited for. */
 	async #drain(): Promise<void> {
-		await Promise.all(this.#tasks.map(async task => {
-			try {
-				await task.drain?.();
-			} catch (error) {
-				recordUnexpectedFault(this.#context, 'stop', error, {task: task.name});
-			}
-		}));
+		do {
+			await nextTurn();
+			await Promise.all(this.#tasks.map(async task => this.#drainTask(task)));
+		} while (this.#isBusy && !this.#isStopped);
+	}
+
+	async #drainTask(task: Task): Promise<void> {
+		try {
+			await task.drain?.();
+		} catch (error) {
+			recordUnexpectedFault(this.#context, 'stop', error, {task: task.name});
+		}
 	}
 
 	/** Makes a step of the stop with all tasks; a fault in one of them keeps none of the others from it. */
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -1,5 +1,5 @@
 /** The site of a soak: instances of the real program, a store, and upstreams, each behind its own proxy. */
-import type {InstanceProcess} from '@cairnbank/platform/spec-support/instance-process';
+import type {AddressList, InstanceProcess} from '@cairnbank/platform/spec-support/instance-process';
 import {LinkProxy} from '@cairnbank/platform/spec-support/link-proxy';
 import {defaultRetryBound, type RetryBound} from '@cairnbank/platform/spec-support/retry-bound';
 import {LinkedSite, type LinkCut} from '@cairnbank/platform/spec-support/linked-site';
@@ -7,6 +7,7 @@
 import type {StoreCopy, StoreStandIn} from '@cairnbank/platform/spec-support/store-stand-in';
 import {UpstreamStandIn} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import {waitFor} from '@cairnbank/testing/harness';
+import {CallerLinks} from './caller-links.js';
 import {CrashingUpstreams, crashingService} from './crashing-upstreams.js';
 import type {Schedule} from './schedule.js';
 
@@ -40,6 +41,7 @@
 	readonly upstreams: UpstreamStandIn[] = [];
 	readonly proxies: LinkProxy[] = [];
 	readonly crashing: CrashingUpstreams;
+	readonly callerLinks: CallerLinks;
 	readonly #site: LinkedSite;
 	readonly #sequences = new Map<string, number>();
 	#copies: StoreCopy[] = [];
@@ -52,8 +54,14 @@
 	readonly #endedLines: Array<Readonly<Record<string, unknown>>> = [];
 
 	/** @param program - path of the program to test; defaults to the compiled program */
-	constructor(program?: string) {
-		this.#site = new LinkedSite({logging: {level: 'info', sampleOneIn: 1}, retryBound: soakRetryBound, ...(program === undefined ? {} : {program})});
+	constructor({graceSeconds, callerLinks}: Pick<Schedule, 'graceSeconds' | 'callerLinks'>, program?: string) {
+		this.callerLinks = new CallerLinks(callerLinks);
+		this.#site = new LinkedSite({
+			logging: {level: 'info', sampleOneIn: 1},
+			retryBound: soakRetryBound,
+			...(graceSeconds === undefined ? {} : {graceSeconds}),
+			...(program === undefined ? {} : {program}),
+		});
 		this.crashing = new CrashingUpstreams(this.#site);
 	}
 
@@ -86,6 +94,7 @@
 			return offers.every(addresses => addresses.length >= Math.min(instances, maximumExpectedAddresses));
 		});
 		await Promise.all(this.entries.map(async entry => entry.waitForFleetShare()));
+		await Promise.all(this.entries.map(async ({settings}) => this.callerLinks.connect(settings.listen.callers)));
 		this.#copies = [this.#site.store.copy()];
 		this.#copyTimer = setInterval(() => {
 			this.#copies = [...this.#copies, this.#site.store.copy()].slice(-maximumCopies);
@@ -94,6 +103,7 @@
 
 	async stop(): Promise<void> {
 		clearInterval(this.#copyTimer);
+		this.callerLinks.stop();
 		await this.#site.stop();
 		for (const proxy of this.proxies) {
 			proxy.stop();
@@ -147,6 +157,7 @@
 	async restart(index: number): Promise<void> {
 		this.#endedLines.push(...this.entries[index]!.process.lines);
 		const entry = await this.#site.restartInstance(index);
+		await this.callerLinks.connect(entry.settings.listen.callers);
 		await entry.waitUntilReady();
 	}
 
@@ -173,18 +184,24 @@
 
 	/** Asks instances for addresses in turn, starting with this one, until one returns any. */
 	async resolve(first: number): Promise<readonly string[]> {
+		const {addresses} = await this.lookUp(first);
+		return addresses;
+	}
+
+	/** Like `resolve`, with the time to live of the addresses. */
+	async lookUp(first: number): Promise<AddressList> {
 		for (let index = 0; index < this.entries.length; index++) {
 			try {
-				const addresses = await this.entries[(first + index) % this.entries.length]!.resolve();
-				if (addresses.length > 0) {
-					return addresses;
+				const list = await this.entries[(first + index) % this.entries.length]!.lookUp();
+				if (list.addresses.length > 0) {
+					return list;
 				}
 			} catch {
 				// The instance is starting or has ended, so the next one is asked.
 			}
 		}
 
-		return [];
+		return {addresses: [], ttlS: 0};
 	}
 
 	get #accounts() {
