A time limit waits only while its own answer is read, for 100 ms at most

Cause: the limit waited as long as any answer of the instance was being read, and its bound was in turns of the event loop, which are long where processor time is short.

Change: each limit goes by what is read on its own channel, and ends 100 ms after its time.

--- a/packages/gateway/src/features/calls/attempt.ts
+++ b/packages/gateway/src/features/calls/attempt.ts
@@ -67,6 +67,11 @@
 		return this.#placement.upstream.registered.id;
 	}
 
+	/** Bytes read on its channel. */
+	get readBytes(): number {
+		return this.#channel.readBytes;
+	}
+
 	get kind(): AttemptKind {
 		return this.#kind;
 	}
--- a/packages/gateway/src/features/calls/call-dependencies.ts
+++ b/packages/gateway/src/features/calls/call-dependencies.ts
@@ -32,7 +32,7 @@
 	/** Decides whether a call can still be answered while the instance stops. */
 	readonly stop: Pick<StopDeadline, 'allows'>;
 	/** Counts an answer that is kept while another attempt is made. */
-	readonly answerMemory: Pick<AnswerMemory<AnswerReading>, 'hold' | 'release' | 'readBytes'>;
+	readonly answerMemory: Pick<AnswerMemory<AnswerReading>, 'hold' | 'release'>;
 	/** Returns this instance's share of the limits that the fleet divides among its instances. */
 	readonly share: () => FleetShare;
 	/** Returns the reason that no upstream of a service takes a request; called when none was found. */
--- a/packages/gateway/src/features/calls/call-run-fixture.ts
+++ b/packages/gateway/src/features/calls/call-run-fixture.ts
@@ -189,6 +189,7 @@
 		const id = `u${this.#placements}` as UpstreamId;
 		const connection = {
 			isConnected: this.#isConnected,
+			readBytes: 0,
 			exchange: async (request: OutgoingRequest) => new Promise<Result<UpstreamAnswer, ExchangeFailure>>((resolve, reject) => {
 				this.exchanges.push({
 					upstream: id, request, settle: resolve, fail: reject,
@@ -242,7 +243,7 @@
 }
 
 /** Returns a place at an upstream that is idle. */
-export function idlePlacement(id: UpstreamId, connection: Pick<UpstreamChannel, 'cancel' | 'exchange' | 'isConnected'>, condition: UpstreamCondition): Placement {
+export function idlePlacement(id: UpstreamId, connection: Pick<UpstreamChannel, 'cancel' | 'exchange' | 'isConnected' | 'readBytes'>, condition: UpstreamCondition): Placement {
 	return {
 		upstream: {
 			registered: {id, service: 'ledger' as ServiceId}, condition, pool: {take: () => connection, release: () => undefined},
--- a/packages/gateway/src/features/calls/call-run.ts
+++ b/packages/gateway/src/features/calls/call-run.ts
@@ -64,9 +64,14 @@
 		return this.#attempts.sent;
 	}
 
+	/** Bytes read by the attempts that run. */
+	get readBytes(): number {
+		return [...this.#runningAttempts].reduce((sum, attempt) => sum + attempt.readBytes, 0);
+	}
+
 	/** @returns the outcome; rejects if a fault of the program ends the call */
 	async run(): Promise<Outcome> {
-		this.#deadline = new TimeLimit(this.#remainingMs, this.#dependencies.answerMemory, () => {
+		this.#deadline = new TimeLimit(this.#remainingMs, this, () => {
 			this.expire();
 		});
 		this.#dependencies.overload.recordArrival(this.#call);
--- a/packages/gateway/src/features/calls/callers-task-fixture.ts
+++ b/packages/gateway/src/features/calls/callers-task-fixture.ts
@@ -110,6 +110,7 @@
 
 		return idlePlacement('u1' as UpstreamId, {
 			isConnected: true,
+			readBytes: 0,
 			exchange: async () => stage === 'answers' ? this.answer : never,
 			cancel() {
 				if (stage === 'fault') {
--- a/packages/gateway/src/features/relay/relay-stop.spec.ts
+++ b/packages/gateway/src/features/relay/relay-stop.spec.ts
@@ -48,6 +48,7 @@
 /** A channel whose request never ends by itself. */
 class HeldChannel implements UpstreamChannel {
 	readonly isReusable = false;
+	readonly readBytes = 0;
 	isReleased = false;
 	isCancelled = false;
 	settle: ((result: Result<UpstreamAnswer, ExchangeFailure>) => void) | undefined;
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -87,6 +87,11 @@
 		});
 	}
 
+	/** Bytes read of the answer so far. */
+	get readBytes(): number {
+		return this.#reading.readBytes;
+	}
+
 	cancel(): void {
 		this.#abort({type: 'cancelled'}, 'passed-on');
 	}
@@ -182,7 +187,7 @@
 
 	#setLimit(durationMs: number, failure: ExchangeFailure): void {
 		this.#limit?.clear();
-		this.#limit = new TimeLimit(durationMs, this.#options.answerMemory, () => {
+		this.#limit = new TimeLimit(durationMs, this, () => {
 			this.#abort(failure, 'failed');
 		});
 	}
--- a/packages/gateway/src/features/upstreams/upstream-channel.ts
+++ b/packages/gateway/src/features/upstreams/upstream-channel.ts
@@ -12,6 +12,8 @@
 	readonly relay?: string | undefined;
 	/** Time that the way through another instance takes from the upstream's; undefined for a connection of this instance. */
 	readonly hopMs?: number;
+	/** Bytes read of all answers on this channel. */
+	readonly readBytes: number;
 	/** Sends one request; resolves once its answer is complete or the exchange has failed. */
 	exchange(request: OutgoingRequest): Promise<Result<UpstreamAnswer, ExchangeFailure>>;
 	/** Cancels the running request; most upstreams then stop processing it. */
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -97,6 +97,11 @@
 		return this.#isConnected;
 	}
 
+	/** Bytes read of all answers on this connection. */
+	get readBytes(): number {
+		return this.#reading.readBytes;
+	}
+
 	/** Sends one request; resolves once its answer is complete or the exchange has failed. */
 	async exchange(request: OutgoingRequest): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
 		return new Promise(resolve => {
@@ -105,7 +110,7 @@
 				return;
 			}
 
-			const limit = new TimeLimit(this.#isConnected ? request.timeoutMs : Math.min(request.timeoutMs, this.#options.connectTimeoutMs), this.#options.answerMemory, () => {
+			const limit = new TimeLimit(this.#isConnected ? request.timeoutMs : Math.min(request.timeoutMs, this.#options.connectTimeoutMs), this, () => {
 				if (this.#isConnected) {
 					this.#giveUp({type: 'timed-out'});
 				} else {
@@ -156,7 +161,7 @@
 		this.#isRetired = true;
 		this.#pending = {
 			request,
-			limit: new TimeLimit(lateAnswerMs, this.#options.answerMemory, () => {
+			limit: new TimeLimit(lateAnswerMs, this, () => {
 				this.#fail({type: 'cancelled'});
 			}),
 			settle(result) {
@@ -195,7 +200,7 @@
 		}
 
 		pending.limit.clear();
-		const limit = new TimeLimit(pending.request.timeoutMs, this.#options.answerMemory, () => {
+		const limit = new TimeLimit(pending.request.timeoutMs, this, () => {
 			this.#giveUp({type: 'timed-out'});
 		});
 		this.#pending = {...pending, limit};
--- a/packages/gateway/src/kernel/answer-reading.ts
+++ b/packages/gateway/src/kernel/answer-reading.ts
@@ -12,14 +12,21 @@
 export class AnswerReading {
 	readonly #options: AnswerReadingOptions;
 	#bytes = 0;
+	#readBytes = 0;
 
 	constructor(options: AnswerReadingOptions) {
 		this.#options = options;
 	}
 
+	/** Bytes read so far, of this answer and those before it. */
+	get readBytes(): number {
+		return this.#readBytes;
+	}
+
 	/** Records bytes that were read, for which longer answers may have to be given up. Returns false if this one was. */
 	add(bytes: number): boolean {
 		this.#bytes += bytes;
+		this.#readBytes += bytes;
 		const outgrown = this.#options.memory.read(this, bytes);
 		for (const reading of outgrown) {
 			reading.#giveUp();
--- a/packages/gateway/src/kernel/time-limit.ts
+++ b/packages/gateway/src/kernel/time-limit.ts
@@ -1,37 +1,47 @@
 /** Limits the time until something arrives on a socket. */
-import type {AnswerMemory} from '@cairnbank/core/connections';
 import {untilArrivalsAreRead} from './arrivals.js';
 
-/** Bounds the reading of a long answer, of which a connection takes 64 KiB in one turn of the event loop. */
-const maximumTurns = 64;
+/** Bounds the reading of a long answer: a time-out must not come much later than its time. */
+const maximumReadMs = 100;
+
+/** What is read until a time limit is over. */
+export type ReadProgress = {
+	/** Bytes read so far. */
+	readonly readBytes: number;
+};
 
 export class TimeLimit {
-	readonly #timer: NodeJS.Timeout;
-	#isCleared = false;
+	readonly #progress: ReadProgress;
+	readonly #onOver: () => void;
+	#timer: NodeJS.Timeout;
+	#isOver = false;
 
-	/**
-	 * @param answers - the memory of answers, by which it is seen whether more of them is being read
-	 * @param onOver - called after the time, once what has arrived by then was read: a process that is short of processor time reads late
-	 */
-	constructor(durationMs: number, answers: Pick<AnswerMemory<unknown>, 'readBytes'>, onOver: () => void) {
-		this.#timer = setTimeout(async () => {
-			await this.#untilRead(answers);
-			if (!this.#isCleared) {
-				onOver();
-			}
+	/** @param onOver - called after the time, once what has arrived by then was read: a process that is short of processor time reads late */
+	constructor(durationMs: number, progress: ReadProgress, onOver: () => void) {
+		this.#progress = progress;
+		this.#onOver = onOver;
+		this.#timer = setTimeout(() => {
+			void this.#endOnceRead();
 		}, Math.max(1, durationMs));
 	}
 
 	clear(): void {
-		this.#isCleared = true;
+		this.#isOver = true;
 		clearTimeout(this.#timer);
 	}
 
-	async #untilRead(answers: Pick<AnswerMemory<unknown>, 'readBytes'>): Promise<void> {
-		let turns = 0;
-		await untilArrivalsAreRead(() => answers.readBytes, () => {
-			turns += 1;
-			return this.#isCleared || turns > maximumTurns;
-		});
+	async #endOnceRead(): Promise<void> {
+		this.#timer = setTimeout(() => {
+			this.#end();
+		}, maximumReadMs);
+		await untilArrivalsAreRead(() => this.#progress.readBytes, () => this.#isOver);
+		this.#end();
+	}
+
+	#end(): void {
+		if (!this.#isOver) {
+			this.clear();
+			this.#onOver();
+		}
 	}
 }
