--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -148,16 +148,24 @@
 		return this.#sockets.size > 0 || this.open.size > 0;
 	}
 
-	/** Ends the connections that their callers have not closed after the last answer; reports the answers that callers are not known to have. */
-	stop(): void {
+	/** Ends the connections that their callers have not closed after the last answer, as one that never closes would hold the stop. */
+	endLingering(): void {
 		for (const connection of this.#connections.values()) {
-			connection.reportUndelivered();
 			if (connection.isClosing) {
+				connection.reportUndelivered();
 				connection.disconnect();
 			}
 		}
 	}
 
+	/** Ends the connections that linger; reports all answers that callers are not known to have. */
+	stop(): void {
+		this.endLingering();
+		for (const connection of this.#connections.values()) {
+			connection.reportUndelivered();
+		}
+	}
+
 	/** Starts all requests that wait on their connections, and those that arrive from now on, as none of them will run. */
 	startAtOnce(): void {
 		for (const connection of this.#connections.values()) {
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -95,6 +95,7 @@
 		const {logger} = this.#options.context;
 		logger.info('grace period over', {openRequests: Object.fromEntries(this.countOpenRequests())});
 		this.#handler.refuseAll();
+		this.#connections.endLingering();
 		this.#connections.startAtOnce();
 		for (const open of this.#connections.open) {
 			this.#handler.finish(open);
