--- a/packages/gateway/src/features/calls/caller-connection-options.ts
+++ b/packages/gateway/src/features/calls/caller-connection-options.ts
@@ -1,4 +1,4 @@
-/** What a connection of a caller tells its owner. */
+/** Settings and callbacks of a caller's connection. */
 import type {Socket} from 'node:net';
 import type {GracefulCloseOptions} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
@@ -15,7 +15,7 @@
 	readonly onIdle: () => void;
 	/** Called for each request that is never started, as the connection closes before its turn. */
 	readonly onIgnored: (request: OpenRequest, isFirst: boolean) => void;
-	/** Returns what the log gets of an answer that has just left the process. */
+	/** Returns the log fields of an answer that has just left the process, and its time. */
 	readonly recordWritten: (request: OpenRequest) => WrittenAnswer;
 	/** Called as the connection ends before its caller is known to have all answers. */
 	readonly onUndelivered: (undelivered: Undelivered) => void;
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -201,7 +201,10 @@
 
 	#ended(open: OpenRequest): void {
 		this.#ready.delete(open);
-		this.#newest = this.#newest === open && open.request.complete ? undefined : this.#newest;
+		if (this.#newest === open && open.request.complete) {
+			this.#newest = undefined;
+		}
+
 		if (open.response.writableFinished) {
 			this.#written.add(this.#options.recordWritten(open));
 		}
--- a/packages/gateway/src/features/fleet/peer-server.ts
+++ b/packages/gateway/src/features/fleet/peer-server.ts
@@ -50,7 +50,7 @@
 		return listen(this.#server, 'state', address);
 	}
 
-	/** Whether other instances await answers, or have not closed connections behind their last ones. */
+	/** True while other instances await answers, or have not closed connections behind their last ones. */
 	get isBusy(): boolean {
 		return this.#answers.isBusy;
 	}
