--- a/packages/soak/src/fleet-callers.ts
+++ b/packages/soak/src/fleet-callers.ts
@@ -83,14 +83,14 @@
 			return;
 		}
 
-		const {addresses, ttlS} = await this.#options.lookUp();
+		const {addresses, ttlMs} = await this.#options.lookUp();
 		if (addresses.length === 0) {
 			return;
 		}
 
 		this.#addresses = addresses;
 		this.#failed.clear();
-		this.#resolveAtMs = performance.now() + (this.#options.plan.keepsAddresses * ttlS * 1000);
+		this.#resolveAtMs = performance.now() + (this.#options.plan.keepsAddresses * ttlMs);
 		if (this.#kept !== undefined && !addresses.includes(this.#kept.address)) {
 			this.#kept.agent.destroy();
 			this.#kept = undefined;
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -201,7 +201,7 @@
 			}
 		}
 
-		return {addresses: [], ttlS: 0};
+		return {addresses: [], ttlMs: 0};
 	}
 
 	get #accounts() {
