--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -138,7 +138,7 @@
 	return count > allowed ? 1 : 0;
 }
 
-const deployment = await new Deployment().start(zones, {bounds, settings: {accountLimits: {windowSeconds: 5, excessRatio: excess, slackRequests: slack}}});
+const deployment = await new Deployment().start(zones, {bounds, hasZonePorts: true, settings: {accountLimits: {windowSeconds: 5, excessRatio: excess, slackRequests: slack}}});
 const links = new ZoneLinks(Array.from({length: instanceCount}, (_, index) => ({host: deployment.hostOf(index), zone: deployment.zoneOf(index), port: deployment.peerPortOf(index)})));
 let exitCode = 2;
 try {
--- a/review/shared-2/deployment.mjs
+++ b/review/shared-2/deployment.mjs
@@ -90,12 +90,13 @@
 	#ports;
 
 	/** @param options - zones of the instances in turn, and settings that differ from the usual ones */
-	async start(zones, {bounds = smallBounds, settings = {}} = {}) {
+	async start(zones, {bounds = smallBounds, settings = {}, hasZonePorts = false} = {}) {
 		await this.store.start();
 		this.#ports = await ReservedPorts.reserve(portsPerInstance + zones.length);
 		this.zones = zones;
 		this.bounds = bounds;
 		this.settings = settings;
+		this.hasZonePorts = hasZonePorts;
 		return this;
 	}
 
@@ -103,9 +104,9 @@
 		return this.zones[index % this.zones.length];
 	}
 
-	/** Port for traffic between instances, which is one of the zone. */
+	/** Port for traffic between instances: the same for all, or one for each zone where links between zones are to be cut. */
 	peerPortOf(index) {
-		return this.#ports.numbers[portsPerInstance + (index % this.zones.length)];
+		return this.#ports.numbers[portsPerInstance + (this.hasZonePorts ? index % this.zones.length : 0)];
 	}
 
 	async addUpstream(id, service, zone) {
