--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,23 +1,27 @@
-/** A machine that was cut off brings back the evacuation of a zone that the operator had taken back. */
+/** The last machine of a deployment starts again, and serves no tenant that has a rate limit any more. */
 import {writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	ask, configuration, Deployment, route,
 } from '../shared-2/deployment.mjs';
-import {ZoneLinks} from '../shared-2/zone-links.mjs';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const zones = ['lautoka-hall', 'nadi-hall'];
-const emptiedZone = 'sigatoka-hall';
-const key = `evacuate/${emptiedZone}`;
-/** `node_cut` has a dose of 5.5 s in the site files, `node_kill` one of 3.5 s. */
-const cutMs = 5000;
-const darkMs = 2500;
-const durationMs = 70_000;
-const deadlineMs = 1000;
-/** All upstreams of the ledger are in the zone that is emptied for a while. */
-const kinds = ['ledger', 'disburse'];
+const zones = ['khomas-a', 'khomas-b'];
+const excess = 0.1;
+const slack = 20;
+const tenant = {
+	name: 'airport', apiKeys: ['key-of-the-airport'], priority: 1, ratePerS: 100, burst: 100,
+};
+/** A fifth of the tenant's limit. */
+const requestsPerS = 20;
+const deadlineMs = 2000;
+const recoveryMs = 15_000;
+const downMs = 600;
+/** Bounds of the site file `ecmru-refunds-grown`. */
+const bounds = {
+	graceSeconds: 6, maximumAddressTtlSeconds: 5, retryRatio: 0.2, retrySlack: 178, retryWindowSeconds: 10, probesPerSecond: 42,
+};
 
 const record = [];
 const startedAtMs = performance.now();
@@ -27,9 +31,10 @@
 
 const calls = [];
 
+/** Returns the addresses that the first machine to answer names. */
 async function resolve(deployment) {
 	for (const index of [0, 1]) {
-		const answer = await ask(deployment.addressOf(index, 2), '/resolve?name=pay.example&region=viti-west&zone=nadi-hall', {}, 1000);
+		const answer = await ask(deployment.addressOf(index, 2), '/resolve?name=pay.example&region=khomas&zone=khomas-a', {}, 1000);
 		if (answer.status === 200) {
 			return JSON.parse(answer.body).addresses;
 		}
@@ -38,7 +43,7 @@
 	return [];
 }
 
-/** Sends one request of each kind every 50 ms, to addresses that a directory names. */
+/** Sends requests to the addresses that a directory names. A caller that finds none, or is refused, has failed. */
 async function runCallers(deployment, endMs) {
 	const pending = [];
 	let addresses = [];
@@ -49,112 +54,87 @@
 			resolvedAtMs = performance.now();
 		}
 
-		for (const kind of kinds) {
-			pending.push(send(kind, addresses, count));
-		}
-
-		await delay(50);
+		pending.push(send(addresses, count));
+		await delay(1000 / requestsPerS);
 	}
 
 	await Promise.all(pending);
 }
 
-async function send(kind, addresses, count) {
-	const call = {kind, sentAtMs: performance.now(), isServed: false};
+async function send(addresses, count) {
+	const call = {id: `r${count}`, sentAtMs: performance.now(), status: 0};
 	calls.push(call);
-	for (const [attempt, address] of addresses.toSorted(() => Math.random() - 0.5).entries()) {
-		const id = `${kind}-${count}-${attempt}`;
-		const answer = await ask(address, `/${kind}/1`, {host: 'pay.example', 'x-request-id': id, 'x-deadline-ms': String(deadlineMs)}, deadlineMs);
-		call.isServed = answer.status === 200 && answer.headers['x-response-signature'] !== undefined;
-		note(`${id} to ${address}: ${answer.status} ${call.isServed ? answer.headers['x-response-signature'] : answer.body}`);
+	for (const address of addresses.toSorted(() => Math.random() - 0.5)) {
+		const answer = await ask(address, '/claims/1', {
+			host: 'pay.example', 'x-request-id': `${call.id}-${address}`, 'x-deadline-ms': String(deadlineMs), authorization: `Bearer ${tenant.apiKeys[0]}`,
+		}, deadlineMs);
+		call.status = answer.status;
+		note(`${call.id} to ${address}: ${answer.status} ${answer.status === 200 ? answer.headers['x-response-signature'] : answer.body}`);
 		if (answer.status !== 0) {
 			return;
 		}
 	}
 }
 
-/** Cuts machine 0 off from the other one and from the store. Meanwhile machine 1 loses power, and the operator takes the zone back. */
-async function disrupt(deployment, links) {
-	note('machine 0 is cut off from machine 1 and from the store');
-	links.cut(...zones);
-	deployment.cutFromStore(0, true);
-	const healAtMs = performance.now() + cutMs;
-	await delay(500);
-	note('machine 1 loses power');
-	deployment.instances[1].signal('SIGKILL');
-	await deployment.instances[1].exited;
-	await delay(darkMs / 2);
-	note('operator takes the zone back');
-	deployment.store.put('keyed.op', key, undefined);
-	await delay(darkMs / 2);
-	note('machine 1 starts again');
-	await deployment.startInstance(1, false);
-	await deployment.untilReady(1);
-	note('machine 1 is ready');
-	await delay(healAtMs - performance.now());
-	note('end of the cut');
-	deployment.cutFromStore(0, false);
-	links.heal();
-}
-
-async function run(deployment, links) {
-	deployment.store.put('keyed.op', 'config', configuration('r1', kinds.map(kind => route(kind, `/${kind}/`, kind)), kinds));
+async function run(deployment) {
+	deployment.store.put('keyed.op', 'config', configuration('r1', [route('claims', '/claims/', 'refund-desk')], ['refund-desk'], [tenant]));
 	for (let index = 0; index < 3; index++) {
-		await deployment.addUpstream(`ledger-${index}`, 'ledger', emptiedZone);
-		await deployment.addUpstream(`disburse-${index}`, 'disburse', zones[index % 2]);
+		await deployment.addUpstream(`desk-${index}`, 'refund-desk', zones[index % 2]);
 	}
 
 	for (const index of [0, 1]) {
 		await deployment.startInstance(index, true);
 	}
 
-	await links.start();
 	await Promise.all([0, 1].map(async index => deployment.untilReady(index)));
-	await delay(4000);
-	const load = runCallers(deployment, performance.now() + durationMs);
-	await delay(3000);
-	note('operator evacuates the zone');
-	deployment.store.put('keyed.op', key, {});
-	await delay(2000);
+	await delay(5000);
+	const faultAfterMs = 20_000;
+	const load = runCallers(deployment, performance.now() + faultAfterMs + downMs + recoveryMs + 20_000);
+	await delay(6000);
 	if (hasTrouble) {
-		await disrupt(deployment, links);
-	} else {
-		note('operator takes the zone back');
-		deployment.store.put('keyed.op', key, undefined);
+		note('machine 1 gets SIGTERM and is removed');
+		deployment.instances[1].signal('SIGTERM');
+		note(`machine 1 has ended: ${JSON.stringify(await deployment.instances[1].exited)}`);
 	}
 
-	await load;
-	for (const [index, {lines}] of deployment.instances.entries()) {
-		for (const line of lines.filter(({event}) => /^availability zone|^store /.test(event))) {
-			note(`log of machine ${index}: ${JSON.stringify(line)}`);
-		}
+	await delay(6000);
+	const faultAtMs = performance.now();
+	if (hasTrouble) {
+		note('all processes are killed');
+		deployment.instances[0].signal('SIGKILL');
+		await deployment.instances[0].exited;
+		await delay(downMs);
+		await deployment.startInstance(0, false);
+		await deployment.untilReady(0);
+		note('machine 0 is back and ready');
 	}
+
+	const backAtMs = performance.now();
+	await load;
+	return {faultAtMs, backAtMs};
 }
 
-function conclude() {
-	const shareOf = list => list.filter(({isServed}) => isServed).length / list.length;
-	const shares = kinds.map(kind => shareOf(calls.filter(call => call.kind === kind)));
-	const all = shareOf(calls);
-	note(`${calls.length} sent; served: all ${all.toFixed(3)}, ${kinds.map((kind, index) => `${kind} ${shares[index].toFixed(3)}`).join(', ')}`);
-	if (calls.length < 1000) {
+function conclude({faultAtMs, backAtMs}) {
+	const before = calls.filter(({sentAtMs}) => sentAtMs < faultAtMs);
+	const after = calls.filter(({sentAtMs}) => sentAtMs > backAtMs + recoveryMs);
+	const served = list => list.filter(({status}) => status === 200).length;
+	note(`before the final fault ${before.length} sent, ${served(before)} served; later than 15 s after the machines were back ${after.length} sent, ${served(after)} served`);
+	if (before.length < 100 || after.length < 100) {
 		return 2;
 	}
 
-	const isBroken = shares.some(share => share < all / 4);
+	const isBroken = served(before) >= before.length / 4 && served(after) < after.length / 4;
 	note(isBroken ? 'rule broken' : 'rule held');
 	return isBroken ? 1 : 0;
 }
 
-const deployment = await new Deployment().start(zones, {hasZonePorts: true});
-const links = new ZoneLinks([0, 1].map(index => ({host: deployment.hostOf(index), zone: deployment.zoneOf(index), port: deployment.peerPortOf(index)})));
+const deployment = await new Deployment().start(zones, {bounds, settings: {accountLimits: {windowSeconds: 5, excessRatio: excess, slackRequests: slack}}});
 let exitCode = 2;
 try {
-	await run(deployment, links);
-	exitCode = conclude();
+	exitCode = conclude(await run(deployment));
 } catch (error) {
 	note(`could not run: ${error.stack}`);
 } finally {
-	links.stop();
 	await deployment.stop();
 }
 
