--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -38,6 +38,13 @@
 		statePort: port,
 		metricsPort: port,
 	}),
+	/** What the process may use of its machine; what callers send and leave unread is bounded by it. */
+	machine: v.optional(v.strictObject({
+		/** Memory beyond which the machine ends the process, in units of 1,000,000 bytes. */
+		memoryMegabytes: v.optional(positive, 350),
+		/** Open files and sockets. */
+		descriptors: v.optional(v.pipe(v.number(), v.integer(), v.gtValue(0)), 4100),
+	}), {}),
 	/** Whether the whole fleet starts for the first time, so that no process has run as this instance before. */
 	isFirstStart: v.optional(v.boolean(), false),
 	/** Addresses (`IP:port`) of instances that may be running; the port is ignored. */
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -7,6 +7,8 @@
 import {spec as SpecReporter} from 'node:test/reporters';
 
 const concurrency = 6;
+/** Ending of spec files that run one at a time once all others have ended, as they measure what a process takes of its machine. */
+const aloneEnding = '.alone.spec.js';
 /** Ends a spec file that hangs. It leaves time for the scenarios within the 8 minutes of a whole run. */
 const specFileTimeoutMs = 300_000;
 const scenarioModules = ['packages/testing', 'platform'].map(folder => new URL(`../${folder}/dist/fault-matrix/run-scenarios.js`, import.meta.url));
@@ -50,7 +52,7 @@
 	return running;
 }
 
-async function runSpecs(files) {
+async function runSpecs(files, concurrency) {
 	const counts = {passed: 0, failed: 0, failures: []};
 	const stream = run({files, concurrency, timeout: specFileTimeoutMs});
 	const running = trackRunning(stream);
@@ -89,15 +91,18 @@
 }
 
 const files = await specFiles();
-const specs = await runSpecs(files);
-const scenarios = await runScenarios();
+const parts = [
+	await runSpecs(files.filter(file => !file.endsWith(aloneEnding)), concurrency),
+	await runSpecs(files.filter(file => file.endsWith(aloneEnding)), 1),
+	await runScenarios(),
+];
 const namesKnownToFail = await readKnownFailures();
-const knownFailures = [...specs.failures, ...scenarios.failures].filter(name => namesKnownToFail.has(name));
+const knownFailures = parts.flatMap(({failures}) => failures).filter(name => namesKnownToFail.has(name));
 for (const name of knownFailures) {
 	console.log(`known failure, not counted: ${name}`);
 }
 
-const passed = specs.passed + scenarios.passed;
-const failed = specs.failed + scenarios.failed - knownFailures.length;
+const passed = parts.reduce((sum, part) => sum + part.passed, 0);
+const failed = parts.reduce((sum, part) => sum + part.failed, 0) - knownFailures.length;
 console.log(`${passed} passed, ${failed} failed`);
 process.exitCode = failed > 0 || passed === 0 ? 1 : 0;
