Bodies of requests are held in blocks, and the memory of the blocks is counted

Cause: each chunk was kept as a buffer of its own until the body was whole. A buffer takes some 350 bytes whatever it holds, and only the bytes of the body were counted. Bodies over 1 MiB were copied to one place of the greatest length allowed.

Change: chunks are copied into blocks (BlockBuffer, before AnswerBody), and CallerMemory counts the blocks against what the machine's memory leaves. A whole body is sent and hashed in its blocks and never joined. Where bodies fill their room, the longest one that has been arriving for over 0.2 s gives way to a shorter one, so that short ones of callers that behave still fit; a body that is as long as those that are held is refused as before. The bodies of relayed requests are read the same way. Blocks that were sent are not used again, as an exchange may still be writing them.

--- a/packages/core/src/model/request-fingerprint.ts
+++ b/packages/core/src/model/request-fingerprint.ts
@@ -13,15 +13,17 @@
 	readonly path: string;
 	/** Omitted if identical requests of different tenants count as the same request. */
 	readonly tenant?: string;
-	readonly body?: Uint8Array;
+	/** The whole body, or its parts in order. */
+	readonly body?: Uint8Array | readonly Uint8Array[];
 };
 
 /** Hashes the parts of a request that stay the same when it is sent again. Tickets and idempotency keys are not included. */
 export function fingerprintOf({service, method, path, tenant, body}: FingerprintedRequest): Fingerprint {
 	const head = JSON.stringify([service, method, path, tenant ?? noTenant]);
 	const hash = createHash('sha256').update(head).update('\n');
-	if (body !== undefined) {
-		hash.update(body);
+	const parts = body instanceof Uint8Array ? [body] : body ?? [];
+	for (const part of parts) {
+		hash.update(part);
 	}
 
 	return hash.digest().subarray(0, fingerprintBytes).toString('base64url') as Fingerprint;
--- a/packages/gateway/src/features/calls/body-reader.spec.ts
+++ b/packages/gateway/src/features/calls/body-reader.spec.ts
@@ -3,10 +3,18 @@
 import {IncomingMessage} from 'node:http';
 import {Socket} from 'node:net';
 import {describe, it} from 'node:test';
-import {maximumHeldBodyBytes} from '@cairnbank/core/connections';
+import {ManualClock} from '@cairnbank/core';
+import {CallerMemory, maximumHeldBodyBytes} from '@cairnbank/core/connections';
 import {createMetrics} from '../../metrics/metrics.js';
 import {BodyReader, breakOff} from './body-reader.js';
 
+function createReader(): BodyReader {
+	const memory = new CallerMemory({
+		clock: new ManualClock(), maximumBytes: 2 * maximumHeldBodyBytes, maximumBodyBytes: maximumHeldBodyBytes, answerBytes: () => 0,
+	});
+	return new BodyReader({memory, metrics: createMetrics()});
+}
+
 /** @param announced - its `Content-Length`; in chunks if undefined */
 function requestWithBody(announced?: number): IncomingMessage {
 	const request = new IncomingMessage(new Socket());
@@ -19,13 +27,13 @@
 		const request = requestWithBody();
 		request.destroy();
 		await once(request, 'close');
-		const body = await new BodyReader(createMetrics()).read(request, 100);
+		const body = await createReader().read(request, 100);
 		assert.equal(body._unsafeUnwrapErr(), 'broken-off');
 	});
 
 	it('should fail if the caller disconnects in the middle of its body', async () => {
 		const request = requestWithBody();
-		const reading = new BodyReader(createMetrics()).read(request, 100);
+		const reading = createReader().read(request, 100);
 		request.push('pay');
 		request.destroy();
 		const body = await reading;
@@ -35,13 +43,13 @@
 	it('should fail if the body broke off while its request was held', async () => {
 		const request = requestWithBody();
 		breakOff(request);
-		const body = await new BodyReader(createMetrics()).read(request, 100);
+		const body = await createReader().read(request, 100);
 		assert.equal(body._unsafeUnwrapErr(), 'broken-off');
 	});
 
 	it('should refuse a body that is too large', async () => {
 		const request = requestWithBody();
-		const reading = new BodyReader(createMetrics()).read(request, 2);
+		const reading = createReader().read(request, 2);
 		request.push('pay');
 		const body = await reading;
 		assert.equal(body._unsafeUnwrapErr(), 'too-large');
@@ -49,14 +57,14 @@
 
 	describe('while other bodies fill the memory', () => {
 		it('should refuse a body by its announced length, before it arrives', async () => {
-			const reader = new BodyReader(createMetrics());
+			const reader = createReader();
 			void reader.read(requestWithBody(maximumHeldBodyBytes - 10), maximumHeldBodyBytes);
 			const body = await reader.read(requestWithBody(11), 100);
 			assert.equal(body._unsafeUnwrapErr(), 'no-room');
 		});
 
 		it('should refuse a body without an announced length once it doesn\'t fit', async () => {
-			const reader = new BodyReader(createMetrics());
+			const reader = createReader();
 			void reader.read(requestWithBody(maximumHeldBodyBytes - 2), maximumHeldBodyBytes);
 			const request = requestWithBody();
 			const reading = reader.read(request, 100);
@@ -66,7 +74,7 @@
 		});
 
 		it('should read further ones once a body is released or broken off', async () => {
-			const reader = new BodyReader(createMetrics());
+			const reader = createReader();
 			const requests = [requestWithBody(maximumHeldBodyBytes - 3), requestWithBody(3)];
 			const [broken, whole] = requests.map(async request => reader.read(request, maximumHeldBodyBytes));
 			requests[0]!.destroy();
--- a/packages/gateway/src/features/calls/body-reader.ts
+++ b/packages/gateway/src/features/calls/body-reader.ts
@@ -1,15 +1,16 @@
 /** Reads the bodies of requests. Bodies are held whole until their calls end, so that a refused request can be sent to another upstream. */
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {HeldBodies, maximumHeldBodyBytes} from '@cairnbank/core/connections';
+import type {CallerMemory, UnfinishedBody} from '@cairnbank/core/connections';
 import {err, ok, type Result} from 'neverthrow';
+import {BlockBuffer} from '../../kernel/block-buffer.js';
 import type {Metrics} from '../../metrics/metrics.js';
+import type {RequestBody} from '../upstreams/exchange.js';
 import type {Outcome} from './outcome.js';
 
 export type HeldBody = {
 	/** Undefined if the request has no body. */
-	readonly bytes: Uint8Array | undefined;
-	/** Frees the memory set aside for the body; called once. */
+	readonly body: RequestBody | undefined;
+	/** Frees the memory set aside for the body. */
 	readonly release: () => void;
 };
 
@@ -25,9 +26,6 @@
 	'broken-off': {type: 'abandoned'},
 };
 
-/** Bodies from this length on count as long. */
-const longBodyBytes = 1_048_576;
-
 /** Requests whose remaining bytes will not come, though their connection is open. */
 const brokenRequests = new WeakSet<IncomingMessage>();
 
@@ -50,112 +48,158 @@
 	});
 }
 
+export type BodyReaderOptions = {
+	readonly memory: CallerMemory;
+	readonly metrics: Pick<Metrics, 'heldBodyBytes'>;
+};
+
 export class BodyReader {
-	readonly #held = new HeldBodies();
-	readonly #metrics: Pick<Metrics, 'heldBodyBytes'>;
+	readonly #options: BodyReaderOptions;
 
-	constructor(metrics: Pick<Metrics, 'heldBodyBytes'>) {
-		this.#metrics = metrics;
+	constructor(options: BodyReaderOptions) {
+		this.#options = options;
 	}
 
 	/** Reads the whole body. One whose announced length doesn't fit is rejected before its bytes arrive; what arrives of a rejected one is dropped. */
 	async read(request: IncomingMessage, maximumBytes: number): Promise<Result<HeldBody, UnreadBodyReason>> {
-		if (request.destroyed || brokenRequests.has(request)) {
-			// The caller disconnected, or its body broke off, while the request was held, so the stream emits no further event.
-			return err('broken-off');
+		return new IncomingBody(request, maximumBytes, this.#options).whole;
+	}
+}
+
+/** The body of one request, from its first byte until its memory is freed. */
+class IncomingBody implements UnfinishedBody {
+	/** Resolves once the body has arrived, or is not read any further. */
+	readonly whole: Promise<Result<HeldBody, UnreadBodyReason>>;
+	readonly #request: IncomingMessage;
+	readonly #maximumBytes: number;
+	readonly #options: BodyReaderOptions;
+	#settle!: (result: Result<HeldBody, UnreadBodyReason>) => void;
+	#blocks: BlockBuffer | undefined;
+	#reservedBytes = 0;
+	#isOver = false;
+
+	constructor(request: IncomingMessage, maximumBytes: number, options: BodyReaderOptions) {
+		this.#request = request;
+		this.#options = options;
+		this.#maximumBytes = Math.min(maximumBytes, options.memory.maximumBodyBytes);
+		this.whole = new Promise(resolve => {
+			this.#settle = resolve;
+		});
+		// The caller may have disconnected, or its body broken off, while the request was held; the stream emits no further event then.
+		const refusal = request.destroyed || brokenRequests.has(request) ? 'broken-off' : this.#reserveAnnounced();
+		if (refusal === undefined) {
+			this.#listen();
+		} else {
+			this.#fail(refusal);
 		}
+	}
 
-		const {'content-length': announced, 'transfer-encoding': coding} = request.headers;
-		const hasBody = announced !== undefined || coding !== undefined;
-		const bodyBytes = Math.min(maximumBytes, maximumHeldBodyBytes);
-		let reserved = 0;
-		const reserve = (bytes: number): UnreadBodyReason | undefined => {
-			if (reserved + bytes > bodyBytes) {
-				return 'too-large';
-			}
-
-			if (!this.#held.reserve(bytes)) {
-				return 'no-room';
-			}
-
-			reserved += bytes;
-			this.#metrics.heldBodyBytes.set(this.#held.bytes);
+	/** Refuses the request, as its memory was taken back. */
+	giveUp(): void {
+		this.#reservedBytes = 0;
+		this.#fail('no-room');
+	}
+
+	#reserveAnnounced(): UnreadBodyReason | undefined {
+		const {'content-length': announced} = this.#request.headers;
+		if (announced === undefined) {
 			return undefined;
-		};
-
-		const release = (): void => {
-			if (reserved > 0) {
-				this.#held.release(reserved);
-				this.#metrics.heldBodyBytes.set(this.#held.bytes);
-			}
-		};
-
-		const refusal = announced === undefined ? undefined : reserve(Number(announced));
-		const bytes = refusal === undefined
-			? await collect(request, announced === undefined ? bodyBytes : Number(announced), announced === undefined ? reserve : () => undefined)
-			: err(refusal);
-		if (bytes.isErr()) {
-			release();
-			request.resume();
-			return err(bytes.error);
 		}
 
-		return ok({bytes: hasBody ? bytes.value : undefined, release});
+		const bytes = Number(announced);
+		return bytes > this.#maximumBytes ? 'too-large' : this.#reserve(bytes);
 	}
-}
 
-/** @param reserve - called with the size of each part; returns a reason to read no further */
-async function collect(request: IncomingMessage, capacity: number, reserve: (bytes: number) => UnreadBodyReason | undefined): Promise<Result<Uint8Array, UnreadBodyReason>> {
-	return new Promise(resolve => {
-		const bytes = new BodyBytes(capacity);
-		request.on('data', (chunk: Uint8Array) => {
-			const refusal = reserve(chunk.length);
-			if (refusal === undefined) {
-				bytes.add(chunk);
-				return;
-			}
-
-			request.removeAllListeners('data');
-			resolve(err(refusal));
+	#reserve(bytes: number): 'no-room' | undefined {
+		const {memory, metrics} = this.#options;
+		if (bytes <= this.#reservedBytes) {
+			return undefined;
+		}
+
+		if (!memory.reserveBody(this, bytes - this.#reservedBytes)) {
+			return 'no-room';
+		}
+
+		this.#reservedBytes = bytes;
+		metrics.heldBodyBytes.set(memory.bodyBytes);
+		return undefined;
+	}
+
+	#listen(): void {
+		const request = this.#request;
+		request.on('data', (part: Uint8Array) => {
+			this.#add(part);
 		});
 		request.on('end', () => {
-			resolve(ok(bytes.toBytes()));
+			this.#complete();
 		});
 		request.on('close', () => {
-			resolve(err('broken-off'));
+			this.#fail('broken-off');
 		});
-	});
-}
+	}
 
-/** Joins the parts of a body. Parts of a long one are copied to one place as they arrive; joining them at the end would take their memory twice. */
-class BodyBytes {
-	readonly #capacity: number;
-	#parts: Uint8Array[] = [];
-	#received = 0;
-	#whole: Uint8Array | undefined;
+	#add(part: Uint8Array): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#blocks ??= new BlockBuffer(Number(this.#request.headers['content-length'] ?? 0));
+		if (this.#blocks.bytes + part.length > this.#maximumBytes) {
+			this.#fail('too-large');
+			return;
+		}
 
-	constructor(capacity: number) {
-		this.#capacity = capacity;
+		this.#blocks.add(part);
+		const refusal = this.#reserve(Math.min(this.#blocks.allocatedBytes, this.#longestReservation));
+		if (refusal !== undefined) {
+			this.#fail(refusal);
+		}
 	}
 
-	add(part: Uint8Array): void {
-		if (this.#whole === undefined && this.#received + part.length > longBodyBytes) {
-			// Takes no memory before it is written.
-			this.#whole = Buffer.allocUnsafe(this.#capacity);
-			this.#whole.set(Buffer.concat(this.#parts));
-			this.#parts = [];
+	/** The last block of a body of known length may reach beyond its end. */
+	get #longestReservation(): number {
+		return Number(this.#request.headers['content-length'] ?? Number.POSITIVE_INFINITY);
+	}
+
+	#complete(): void {
+		if (this.#isOver) {
+			return;
 		}
 
-		if (this.#whole === undefined) {
-			this.#parts.push(part);
-		} else {
-			this.#whole.set(part, this.#received);
+		this.#isOver = true;
+		this.#options.memory.completeBody(this);
+		const {'content-length': announced, 'transfer-encoding': coding} = this.#request.headers;
+		const hasBody = announced !== undefined || coding !== undefined;
+		const length = this.#blocks?.bytes ?? 0;
+		const body = hasBody ? {length, parts: this.#blocks?.takeParts() ?? []} : undefined;
+		this.#settle(ok({
+			body,
+			release: () => {
+				this.#release();
+			},
+		}));
+	}
+
+	#fail(reason: UnreadBodyReason): void {
+		if (this.#isOver) {
+			return;
 		}
 
-		this.#received += part.length;
+		this.#isOver = true;
+		this.#blocks?.discard();
+		this.#release();
+		this.#request.removeAllListeners('data');
+		this.#request.resume();
+		this.#settle(err(reason));
 	}
 
-	toBytes(): Uint8Array {
-		return this.#whole?.subarray(0, this.#received) ?? Buffer.concat(this.#parts);
+	#release(): void {
+		const {memory, metrics} = this.#options;
+		if (this.#reservedBytes > 0) {
+			memory.releaseBody(this, this.#reservedBytes);
+			this.#reservedBytes = 0;
+		}
+
+		metrics.heldBodyBytes.set(memory.bodyBytes);
 	}
 }
--- a/packages/gateway/src/features/calls/call.ts
+++ b/packages/gateway/src/features/calls/call.ts
@@ -2,6 +2,7 @@
 import type {ServiceId} from '@cairnbank/core';
 import type {ClientAccount, KeyDigest} from '@cairnbank/core/accounts';
 import type {Route} from '@cairnbank/core/routes';
+import type {RequestBody} from '../upstreams/exchange.js';
 import type {RawHeaders} from '../upstreams/upstream-answer.js';
 
 export type Call = {
@@ -15,7 +16,7 @@
 	readonly target: string;
 	/** As the caller sent them, without hop-by-hop headers and those that the gateway sets itself. */
 	readonly headers: RawHeaders;
-	readonly body: Uint8Array | undefined;
+	readonly body: RequestBody | undefined;
 	/** Account that the caller has authenticated as; undefined on a public route and where no accounts are configured. */
 	readonly account: ClientAccount | undefined;
 	/** Digest of the key by which the caller has authenticated; undefined if `account` is. */
--- a/packages/gateway/src/features/calls/callers-task-fixture.ts
+++ b/packages/gateway/src/features/calls/callers-task-fixture.ts
@@ -4,6 +4,7 @@
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
 import {systemClock, type ServiceId, type UpstreamId} from '@cairnbank/core';
+import {CallerMemory, limitsOf} from '@cairnbank/core/connections';
 import {UpstreamCondition} from '@cairnbank/core/placement';
 import {RouteTable} from '@cairnbank/core/routes';
 import {ok} from 'neverthrow';
@@ -28,6 +29,8 @@
 	maximumHeaderBytes: 8192, maximumBodyBytes: 65_536, headerTimeoutMs: 5000, idleTimeoutMs: 4000,
 };
 
+const machineLimits = limitsOf({memoryBytes: 350_000_000, descriptors: 4100});
+
 export class CallersHarness {
 	/** Requests are held as if the instance had just started. */
 	isStarting = false;
@@ -62,6 +65,9 @@
 			logger: this.logger,
 			metrics,
 			answerMemory: this.#dependencies.answerMemory,
+			callerMemory: new CallerMemory({
+				clock: systemClock, maximumBytes: machineLimits.callerBytes, maximumBodyBytes: machineLimits.bodyBytes, answerBytes: () => 0,
+			}),
 			random: {next: () => 0, nextInteger: () => 0},
 			settings: {listen: {callers: '127.0.0.1:0'}, logging: {sampleOneIn: 0}},
 			stop: this.#stop,
--- a/packages/gateway/src/features/calls/request-handler.ts
+++ b/packages/gateway/src/features/calls/request-handler.ts
@@ -46,7 +46,7 @@
 	constructor(options: RequestHandlerOptions, connections: Pick<CallerConnections, 'refusal' | 'respond'>) {
 		this.#options = options;
 		this.#connections = connections;
-		this.#bodies = new BodyReader(options.context.metrics);
+		this.#bodies = new BodyReader({memory: options.context.callerMemory, metrics: options.context.metrics});
 		this.#log = new RequestLog(options.context);
 		this.#requestHeaders = new RequestHeaders(options.callDependencies.dialect);
 	}
@@ -150,7 +150,7 @@
 
 		try {
 			if (!open.hasOutcome) {
-				await this.#admitCall(open, {...head, body: body.value.bytes}, fields);
+				await this.#admitCall(open, {...head, body: body.value.body}, fields);
 			}
 		} finally {
 			body.value.release();
--- a/packages/gateway/src/features/calls/suspect-request.ts
+++ b/packages/gateway/src/features/calls/suspect-request.ts
@@ -30,6 +30,6 @@
  */
 export function fingerprintOfCall({host, method, target, account, body}: Call): Fingerprint {
 	return fingerprintOf({
-		service: host, method, path: target, ...(account === undefined ? {} : {tenant: account.id}), ...(body === undefined ? {} : {body}),
+		service: host, method, path: target, ...(account === undefined ? {} : {tenant: account.id}), ...(body === undefined ? {} : {body: body.parts}),
 	});
 }
--- a/packages/gateway/src/features/relay/relay-stop.spec.ts
+++ b/packages/gateway/src/features/relay/relay-stop.spec.ts
@@ -22,6 +22,7 @@
 import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
 import type {Upstream} from '../upstreams/upstream.js';
+import {bodyOf} from '../upstreams/request-body-fixture.js';
 import {
 	encodeHead, maximumRelayBodyBytes, maximumRelayHeaderBytes, relayHeadHeader, relayPath,
 } from './relay-codec.js';
@@ -158,7 +159,7 @@
 			onEnd: () => undefined,
 		});
 		const result = await exchange.exchange({
-			method: 'POST', target: '/', headers: [], body, requestId: 'a', timeoutMs,
+			method: 'POST', target: '/', headers: [], body: body === undefined ? undefined : bodyOf(body), requestId: 'a', timeoutMs,
 		});
 		return result.match(() => 'answered', failure => failure.type);
 	}
--- a/packages/gateway/src/features/relay/relayed-exchange.spec.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.spec.ts
@@ -10,6 +10,7 @@
 import type {AnswerReading} from '../../kernel/answer-reading.js';
 import type {Context} from '../../kernel/context.js';
 import {containFaults} from '../../kernel/unexpected-fault.js';
+import {bodyOf} from '../upstreams/request-body-fixture.js';
 import {maximumRelayBodyBytes} from './relay-codec.js';
 import {RelayedExchange} from './relayed-exchange.js';
 
@@ -31,7 +32,7 @@
 		onEnd: () => undefined,
 	});
 	const result = await exchange.exchange({
-		method: 'POST', target: '/', headers: [], body, requestId: 'a', timeoutMs: 1000,
+		method: 'POST', target: '/', headers: [], body: body === undefined ? undefined : bodyOf(body), requestId: 'a', timeoutMs: 1000,
 	});
 	server.close();
 	return result._unsafeUnwrapErr().type;
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -7,8 +7,8 @@
 import type {RelayOutcome, RelayPeer} from '@cairnbank/core/reachability';
 import {err, type Result} from 'neverthrow';
 import {AnswerReading} from '../../kernel/answer-reading.js';
+import {BlockBuffer} from '../../kernel/block-buffer.js';
 import {TimeLimit} from '../../kernel/time-limit.js';
-import {AnswerBody} from '../upstreams/answer-body.js';
 import type {ExchangeFailure, OutgoingRequest} from '../upstreams/exchange.js';
 import {createAnswer, type UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
@@ -135,11 +135,15 @@
 		request.on('close', () => {
 			this.#fail('closed');
 		});
-		request.end(body);
+		for (const part of body?.parts ?? []) {
+			request.write(part);
+		}
+
+		request.end();
 	}
 
 	#receive(response: IncomingMessage): void {
-		const body = new AnswerBody();
+		const body = new BlockBuffer();
 		response.on('data', (chunk: Uint8Array) => {
 			if (this.#settle !== undefined && this.#reading.add(chunk.length)) {
 				body.add(chunk);
--- a/packages/gateway/src/features/relay/relayed-request.ts
+++ b/packages/gateway/src/features/relay/relayed-request.ts
@@ -1,11 +1,11 @@
 /** Passes one request of another instance on to its upstream, and ends it in every state as the instance stops. */
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Fingerprint} from '@cairnbank/core';
 import {err, type Result} from 'neverthrow';
 import type {PoisonGuard} from '../calls/poison-guard.js';
 import type {SuspectRequest} from '../calls/suspect-request.js';
-import type {ExchangeFailure} from '../upstreams/exchange.js';
+import {BlockBuffer} from '../../kernel/block-buffer.js';
+import type {ExchangeFailure, RequestBody} from '../upstreams/exchange.js';
 import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import type {UpstreamChannel} from '../upstreams/upstream-channel.js';
@@ -81,7 +81,7 @@
 		this.cancel();
 	}
 
-	async #exchange(body: Uint8Array): Promise<RelayEnd> {
+	async #exchange(body: RequestBody): Promise<RelayEnd> {
 		const {response, upstream} = this.#options;
 		const channel = upstream.pool.takeOwn();
 		this.#channel = channel;
@@ -99,7 +99,7 @@
 		}
 	}
 
-	async #send(channel: UpstreamChannel, body: Uint8Array): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
+	async #send(channel: UpstreamChannel, body: RequestBody): Promise<Result<UpstreamAnswer, ExchangeFailure>> {
 		const {head, poisonGuard, upstream} = this.#options;
 		const {upstream: _, fingerprint, ...outgoing} = head;
 		const result = await Promise.race([this.#expired, channel.exchange({
@@ -130,15 +130,16 @@
 }
 
 /** @returns undefined if the connection ended before the whole body arrived */
-async function readAll(request: IncomingMessage): Promise<Uint8Array | undefined> {
-	const chunks: Uint8Array[] = [];
+async function readAll(request: IncomingMessage): Promise<RequestBody | undefined> {
+	const blocks = new BlockBuffer(Number(request.headers['content-length']));
 	try {
 		for await (const chunk of request) {
-			chunks.push(chunk as Uint8Array);
+			blocks.add(chunk as Uint8Array);
 		}
 	} catch {
+		blocks.discard();
 		return undefined;
 	}
 
-	return Buffer.concat(chunks);
+	return {length: blocks.bytes, parts: blocks.takeParts()};
 }
--- a/packages/gateway/src/features/upstreams/answer-parser.ts
+++ b/packages/gateway/src/features/upstreams/answer-parser.ts
@@ -1,6 +1,6 @@
 /** Parses the bytes of one connection into answers, one at a time. */
 import {Buffer} from 'node:buffer';
-import {AnswerBody} from './answer-body.js';
+import {BlockBuffer} from '../../kernel/block-buffer.js';
 import {StrictParser, type AfterHead, type ResponseInfo} from './strict-parser.js';
 import {
 	bodylessStatuses, createAnswer, type RawHeaders, type UpstreamAnswer,
@@ -38,7 +38,7 @@
 	});
 
 	#head: ResponseInfo | undefined;
-	#body = new AnswerBody();
+	#body = new BlockBuffer();
 	#fault: string | undefined;
 	#answer: UpstreamAnswer | undefined;
 	#hasAnswered = false;
@@ -97,7 +97,7 @@
 
 		const [announcedBytes] = valuesOf(info.headers, 'content-length').map(Number);
 		this.#body.discard();
-		this.#body = new AnswerBody(announcedBytes);
+		this.#body = new BlockBuffer(announcedBytes);
 		return 'body';
 	}
 
--- a/packages/gateway/src/features/upstreams/exchange.ts
+++ b/packages/gateway/src/features/upstreams/exchange.ts
@@ -23,12 +23,15 @@
 	/** Cancelled by the sender. */
 	| {readonly type: 'cancelled'};
 
+/** A whole body, in the blocks in which it was read: joining them would take their memory twice. */
+export type RequestBody = {readonly length: number; readonly parts: readonly Uint8Array[]};
+
 export type OutgoingRequest = {
 	readonly method: string;
 	/** Path and query. */
 	readonly target: string;
 	readonly headers: RawHeaders;
-	readonly body: Uint8Array | undefined;
+	readonly body: RequestBody | undefined;
 	/** An answer with another id belongs to an earlier request and is ignored. */
 	readonly requestId: string | undefined;
 	/** Identifies the request if upstreams crash under it; undefined for health checks. */
--- a/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.spec.ts
@@ -13,6 +13,7 @@
 import type {ExchangeFailure, OutgoingRequest} from './exchange.js';
 import type {UpstreamAnswer} from './upstream-answer.js';
 import {UpstreamConnection} from './upstream-connection.js';
+import {bodyOf} from './request-body-fixture.js';
 
 const longMs = 60_000;
 /** Time after which a request ends whose answer became part of another one. */
@@ -261,7 +262,7 @@
 		});
 		const body = Buffer.alloc(64 * 1024 * 1024);
 		const result = await connection.exchange({
-			...request('own'), method: 'POST', headers: ['Host', 'h', 'Content-Length', String(body.length)], body,
+			...request('own'), method: 'POST', headers: ['Host', 'h', 'Content-Length', String(body.length)], body: bodyOf(body),
 		});
 		assert.equal(result._unsafeUnwrap().status, 200);
 		assert.equal(connection.isReusable, false);
--- a/packages/gateway/src/features/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/features/upstreams/upstream-connection.ts
@@ -222,7 +222,10 @@
 		// Both leave in one packet where they fit, and a long body isn't copied.
 		this.#socket.cork();
 		this.#socket.write(headBytes);
-		this.#socket.write(body);
+		for (const part of body.parts) {
+			this.#socket.write(part);
+		}
+
 		this.#socket.uncork();
 	}
 
--- a/packages/gateway/src/features/upstreams/upstreams-task.ts
+++ b/packages/gateway/src/features/upstreams/upstreams-task.ts
@@ -11,7 +11,7 @@
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
 import type {RequestDialect} from '../../ports/index.js';
-import {trimBlocks} from './block-pool.js';
+import {trimBlocks} from '../../kernel/block-pool.js';
 import {ChannelPool} from './channel-pool.js';
 import {ConnectionPool} from './connection-pool.js';
 import type {LinkMonitor} from './link-monitor.js';
--- a/packages/gateway/src/features/upstreams/answer-body.ts
+++ b/packages/gateway/src/kernel/block-buffer.ts
@@ -1,4 +1,4 @@
-/** Collects the body of an answer in blocks, so that one of many small parts takes little more memory than its bytes. */
+/** Collects the body of a message in blocks, so that one of many small parts takes little more memory than its bytes. */
 import {Buffer} from 'node:buffer';
 import {returnBlock, takeBlock} from './block-pool.js';
 
@@ -8,24 +8,31 @@
 /** Longer bodies take memory as they arrive, whatever length is announced. */
 const maximumReservedBytes = 1_048_576;
 
-export class AnswerBody {
+export class BlockBuffer {
 	/** Full blocks, in order. */
 	#blocks: Uint8Array[] = [];
-	/** The blocks among them, and the last one, that other answers use later. */
+	/** The blocks among them, and the last one, that other messages use later. */
 	#shared: Uint8Array[] = [];
 	#last: Uint8Array;
 	#lastBytes = 0;
 	#bytes = 0;
+	#allocatedBytes = 0;
 
 	/** @param announcedBytes - length that the head states; undefined if it states none */
 	constructor(announcedBytes = 0) {
 		this.#last = Buffer.allocUnsafe(announcedBytes > maximumReservedBytes ? 0 : announcedBytes);
+		this.#allocatedBytes = this.#last.length;
 	}
 
 	get bytes(): number {
 		return this.#bytes;
 	}
 
+	/** Memory of all blocks. */
+	get allocatedBytes(): number {
+		return this.#allocatedBytes;
+	}
+
 	/** Copies a part of the body. */
 	add(part: Uint8Array): void {
 		for (let start = 0; start < part.length;) {
@@ -50,17 +57,29 @@
 		return bytes;
 	}
 
+	/** Returns the whole body in its blocks, and empties this one. None of them is used again, as it may still be written when its message has ended. */
+	takeParts(): readonly Uint8Array[] {
+		const parts = [...this.#blocks, this.#last.subarray(0, this.#lastBytes)].filter(({length}) => length > 0);
+		this.#clear();
+		return parts;
+	}
+
 	/** Frees the memory of the body. */
 	discard(): void {
 		for (const block of this.#shared) {
 			returnBlock(block);
 		}
 
+		this.#clear();
+	}
+
+	#clear(): void {
 		this.#blocks = [];
 		this.#shared = [];
 		this.#last = Buffer.alloc(0);
 		this.#lastBytes = 0;
 		this.#bytes = 0;
+		this.#allocatedBytes = 0;
 	}
 
 	#addBlock(neededBytes: number): void {
@@ -75,5 +94,7 @@
 			this.#last = takeBlock();
 			this.#shared.push(this.#last);
 		}
+
+		this.#allocatedBytes += this.#last.length;
 	}
 }
--- a/packages/gateway/src/features/upstreams/block-pool.ts
+++ b/packages/gateway/src/kernel/block-pool.ts
@@ -1,4 +1,4 @@
-/** Blocks of memory for parts of answers. They are used again at once: dropped ones would take memory beside new ones until the collector runs. */
+/** Blocks of memory for parts of messages. They are used again at once: dropped ones would take memory beside new ones until the collector runs. */
 import {Buffer} from 'node:buffer';
 
 const blockBytes = 65_536;
--- a/packages/gateway/src/kernel/context.ts
+++ b/packages/gateway/src/kernel/context.ts
@@ -1,6 +1,6 @@
 /** The environment of all tasks. */
 import type {Clock, IncarnationId, RandomSource} from '@cairnbank/core';
-import type {AnswerMemory} from '@cairnbank/core/connections';
+import type {AnswerMemory, CallerMemory} from '@cairnbank/core/connections';
 import type {Logger} from '../logging/create-logger.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {Settings} from '../settings/settings.js';
@@ -18,4 +18,6 @@
 	readonly stop: StopDeadline;
 	/** Bounds what the answers of upstreams take until their callers have read them. */
 	readonly answerMemory: AnswerMemory<AnswerReading>;
+	/** Bounds what callers make the instance hold. */
+	readonly callerMemory: CallerMemory;
 };
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -3,7 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {AvailabilityZoneId} from '@cairnbank/core';
 import {systemClock} from '@cairnbank/core/clock';
-import {AnswerMemory} from '@cairnbank/core/connections';
+import {AnswerMemory, CallerMemory, limitsOf} from '@cairnbank/core/connections';
 import {CrashTable} from '@cairnbank/core/crash-table';
 import {createRandomSource} from '@cairnbank/core/random';
 import {createIncarnation, withoutLostLinks} from '@cairnbank/core/fleet';
@@ -33,6 +33,7 @@
 import {RecheckTask} from './features/upstreams/recheck-task.js';
 import {UpstreamsTask} from './features/upstreams/upstreams-task.js';
 import {Gateway} from './gateway.js';
+import type {AnswerReading} from './kernel/answer-reading.js';
 import type {Context} from './kernel/context.js';
 import {StopDeadline} from './kernel/stop-deadline.js';
 import {recordUnexpectedFault} from './kernel/unexpected-fault.js';
@@ -46,6 +47,7 @@
 const incarnationBytes = 3;
 const randomSeedBytes = 4;
 const standardOutput = 1;
+const bytesPerMegabyte = 1_000_000;
 /** Maximum time that the process waits before it exits until its log lines are read; well within the rest of the grace period. */
 const logFlushTimeoutMs = 200;
 
@@ -58,6 +60,8 @@
 /** Creates an entry instance, which opens no sockets before it is started. */
 export function wireGateway(settings: Settings, ports: Ports): Gateway {
 	const lines = new LineWriter(descriptorSink(standardOutput));
+	const machineLimits = limitsOf({memoryBytes: settings.machine.memoryMegabytes * bytesPerMegabyte, descriptors: settings.machine.descriptors});
+	const answerMemory = new AnswerMemory<AnswerReading>();
 	const context: Context = {
 		settings,
 		incarnation: createIncarnation(systemClock, randomBytes(incarnationBytes).toString('base64url')),
@@ -72,7 +76,10 @@
 		}),
 		metrics: createMetrics(),
 		stop: new StopDeadline(),
-		answerMemory: new AnswerMemory(),
+		answerMemory,
+		callerMemory: new CallerMemory({
+			clock: systemClock, maximumBytes: machineLimits.callerBytes, maximumBodyBytes: machineLimits.bodyBytes, answerBytes: () => answerMemory.bytes,
+		}),
 	};
 	const links = new LinkMonitor({
 		context,
