Bodies of requests are read as they arrive, also behind open requests

What callers saw: 6 connections with 8 open requests each and 40 behind them, whose bodies of 15 kB came in chunks of one byte, took 372 MB of 250.

Cause: the body of a request that waits for its turn was not read. Node.js kept its chunks in the stream, each as a buffer of its own, and stops reading only once their bytes, not their memory, exceed a bound; and it keeps one such stream for each waiting request.

Change: a body is read into counted blocks from its arrival on, whatever the state of its request, and its memory is freed as the request is refused or its response closes. A long body behind others no longer stops the reading of its connection.

--- a/packages/gateway/src/features/calls/body-reader.spec.ts
+++ b/packages/gateway/src/features/calls/body-reader.spec.ts
@@ -27,13 +27,13 @@
 		const request = requestWithBody();
 		request.destroy();
 		await once(request, 'close');
-		const body = await createReader().read(request, 100);
+		const body = await createReader().begin(request, 100).whole;
 		assert.equal(body._unsafeUnwrapErr(), 'broken-off');
 	});
 
 	it('should fail if the caller disconnects in the middle of its body', async () => {
 		const request = requestWithBody();
-		const reading = createReader().read(request, 100);
+		const reading = createReader().begin(request, 100).whole;
 		request.push('pay');
 		request.destroy();
 		const body = await reading;
@@ -43,13 +43,13 @@
 	it('should fail if the body broke off while its request was held', async () => {
 		const request = requestWithBody();
 		breakOff(request);
-		const body = await createReader().read(request, 100);
+		const body = await createReader().begin(request, 100).whole;
 		assert.equal(body._unsafeUnwrapErr(), 'broken-off');
 	});
 
 	it('should refuse a body that is too large', async () => {
 		const request = requestWithBody();
-		const reading = createReader().read(request, 2);
+		const reading = createReader().begin(request, 2).whole;
 		request.push('pay');
 		const body = await reading;
 		assert.equal(body._unsafeUnwrapErr(), 'too-large');
@@ -58,16 +58,16 @@
 	describe('while other bodies fill the memory', () => {
 		it('should refuse a body by its announced length, before it arrives', async () => {
 			const reader = createReader();
-			void reader.read(requestWithBody(maximumHeldBodyBytes - 10), maximumHeldBodyBytes);
-			const body = await reader.read(requestWithBody(11), 100);
+			void reader.begin(requestWithBody(maximumHeldBodyBytes - 10), maximumHeldBodyBytes).whole;
+			const body = await reader.begin(requestWithBody(11), 100).whole;
 			assert.equal(body._unsafeUnwrapErr(), 'no-room');
 		});
 
 		it('should refuse a body without an announced length once it doesn\'t fit', async () => {
 			const reader = createReader();
-			void reader.read(requestWithBody(maximumHeldBodyBytes - 2), maximumHeldBodyBytes);
+			void reader.begin(requestWithBody(maximumHeldBodyBytes - 2), maximumHeldBodyBytes).whole;
 			const request = requestWithBody();
-			const reading = reader.read(request, 100);
+			const reading = reader.begin(request, 100).whole;
 			request.push('pay');
 			const body = await reading;
 			assert.equal(body._unsafeUnwrapErr(), 'no-room');
@@ -76,7 +76,7 @@
 		it('should read further ones once a body is released or broken off', async () => {
 			const reader = createReader();
 			const requests = [requestWithBody(maximumHeldBodyBytes - 3), requestWithBody(3)];
-			const [broken, whole] = requests.map(async request => reader.read(request, maximumHeldBodyBytes));
+			const [broken, whole] = requests.map(async request => reader.begin(request, maximumHeldBodyBytes).whole);
 			requests[0]!.destroy();
 			await broken;
 			requests[1]!.push('pay');
@@ -84,7 +84,7 @@
 			const body = await whole!;
 			body._unsafeUnwrap().release();
 			const next = requestWithBody(maximumHeldBodyBytes);
-			const reading = reader.read(next, maximumHeldBodyBytes);
+			const reading = reader.begin(next, maximumHeldBodyBytes).whole;
 			next.destroy();
 			const end = await reading;
 			assert.equal(end._unsafeUnwrapErr(), 'broken-off');
--- a/packages/gateway/src/features/calls/body-reader.ts
+++ b/packages/gateway/src/features/calls/body-reader.ts
@@ -60,14 +60,14 @@
 		this.#options = options;
 	}
 
-	/** Reads the whole body. One whose announced length doesn't fit is rejected before its bytes arrive; what arrives of a rejected one is dropped. */
-	async read(request: IncomingMessage, maximumBytes: number): Promise<Result<HeldBody, UnreadBodyReason>> {
-		return new IncomingBody(request, maximumBytes, this.#options).whole;
+	/** Begins to read a body. One whose announced length doesn't fit is rejected before its bytes arrive; what arrives of a rejected one is dropped. */
+	begin(request: IncomingMessage, maximumBytes: number): IncomingBody {
+		return new IncomingBody(request, maximumBytes, this.#options);
 	}
 }
 
 /** The body of one request, from its first byte until its memory is freed. */
-class IncomingBody implements UnfinishedBody {
+export class IncomingBody implements UnfinishedBody {
 	/** Resolves once the body has arrived, or is not read any further. */
 	readonly whole: Promise<Result<HeldBody, UnreadBodyReason>>;
 	readonly #request: IncomingMessage;
@@ -100,6 +100,12 @@
 		this.#fail('no-room');
 	}
 
+	/** Frees the memory of the body, whether it has arrived or not; what still arrives is dropped. */
+	discard(): void {
+		this.#fail('broken-off');
+		this.#release();
+	}
+
 	#reserveAnnounced(): UnreadBodyReason | undefined {
 		const {'content-length': announced} = this.#request.headers;
 		if (announced === undefined) {
--- a/packages/gateway/src/features/calls/caller-connections.spec.ts
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -39,6 +39,7 @@
 		onWriteFault(error) {
 			writeFaults.push(error);
 		},
+		onArrived: () => undefined,
 		onStart(request) {
 			started.push(request);
 		},
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -29,6 +29,8 @@
 	readonly answerMemory: Pick<AnswerMemory<unknown>, 'hold' | 'release' | 'isFull'>;
 	/** Returns whether the instance leaves, so that connections close once nothing is lost by it. */
 	readonly isLeaving: () => boolean;
+	/** Called for each request that will be answered, before it is started or waits. */
+	readonly onArrived: (request: OpenRequest) => void;
 	readonly onStart: CallerConnectionOptions['onStart'];
 	readonly onIgnored: CallerConnectionOptions['onIgnored'];
 	/** Returns the log fields that name a request. */
@@ -54,7 +56,7 @@
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
-		const {server, clock, metrics, answerMemory, identify, isLeaving, onStart, onIgnored} = options;
+		const {server, clock, metrics, answerMemory, identify, isLeaving, onArrived, onStart, onIgnored} = options;
 		this.open = new OpenRequests(size => {
 			metrics.inFlight.set(size);
 		});
@@ -73,6 +75,7 @@
 				},
 				onOpened: request => {
 					this.open.add(request);
+					onArrived(request);
 				},
 				onStart,
 				onIdle: () => {
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -37,6 +37,9 @@
 			metrics: context.metrics,
 			answerMemory: context.answerMemory,
 			isLeaving: () => this.#isLeaving,
+			onArrived: request => {
+				this.#handler.receive(request);
+			},
 			onStart: request => {
 				void this.#handler.handle(request);
 			},
--- a/packages/gateway/src/features/calls/open-request.ts
+++ b/packages/gateway/src/features/calls/open-request.ts
@@ -2,12 +2,15 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestState} from '@cairnbank/core/connections';
 import type {LogFields} from '../../logging/create-logger.js';
+import type {IncomingBody} from './body-reader.js';
 import type {CallRun} from './call-run.js';
 
 export class OpenRequest {
 	state: RequestState = 'waiting';
 	/** True once its outcome is decided; a later one is ignored. */
 	hasOutcome = false;
+	/** Its body, which is read as it arrives. */
+	body: IncomingBody | undefined;
 	/** Its run, in the state `running`. */
 	run: Pick<CallRun, 'expire'> | undefined;
 	/** Bytes of the answer's body that the socket has not taken yet. */
--- a/packages/gateway/src/features/calls/request-handler.ts
+++ b/packages/gateway/src/features/calls/request-handler.ts
@@ -51,6 +51,19 @@
 		this.#requestHeaders = new RequestHeaders(options.callDependencies.dialect);
 	}
 
+	/**
+	 * Begins to read the body of a request that has arrived, though it may wait behind others: what the stream itself keeps of a body that is
+	 * not read has no bound in its memory.
+	 */
+	receive(open: OpenRequest): void {
+		const maximumBytes = this.#options.routes()?.configuration.limits.maximumBodyBytes ?? Number.POSITIVE_INFINITY;
+		const body = this.#bodies.begin(open.request, maximumBytes);
+		open.body = body;
+		open.response.once('close', () => {
+			body.discard();
+		});
+	}
+
 	/** Starts a request. It ends with an answer, whatever happens on its way. */
 	async handle(open: OpenRequest): Promise<void> {
 		try {
@@ -70,7 +83,7 @@
 		try {
 			switch (finalStepOf(open.state)) {
 				case 'refuse': {
-					open.request.resume();
+					open.body?.discard();
 					this.#respond(open, leavingOutcome, this.identify(open));
 					break;
 				}
@@ -99,7 +112,7 @@
 		const fields = this.identify(open);
 		try {
 			recordUnexpectedFault(this.#options.context, 'call', error, fields);
-			open.request.resume();
+			open.body?.discard();
 			this.#respond(open, {type: 'unknown', reason: 'internal-error'}, fields);
 		} catch {
 			open.response.destroy();
@@ -109,7 +122,7 @@
 	async #answer(open: OpenRequest): Promise<void> {
 		const {context, callDependencies, authenticator} = this.#options;
 		if (this.#isExpired) {
-			open.request.resume();
+			open.body?.discard();
 			this.#respond(open, leavingOutcome, this.identify(open));
 			return;
 		}
@@ -130,7 +143,7 @@
 			random: context.random,
 		});
 		if (head.isErr()) {
-			open.request.resume();
+			open.body?.discard();
 			this.#respond(open, head.error, this.identify(open));
 		} else {
 			await this.#processCall(open, head.value, routes?.configuration.limits.maximumBodyBytes ?? 0);
@@ -142,14 +155,17 @@
 			id: head.requestId, route: head.route.id, account: head.account?.id, configuration: head.configurationVersion, service: head.service,
 		};
 		open.state = 'reading-body';
-		const body = await this.#bodies.read(open.request, maximumBodyBytes);
+		const body = await open.body!.whole;
 		if (body.isErr()) {
 			this.#respond(open, outcomesOfUnreadBodies[body.error], fields);
 			return;
 		}
 
 		try {
-			if (!open.hasOutcome) {
+			if ((body.value.body?.length ?? 0) > maximumBodyBytes) {
+				// Another configuration was in force as the body began to arrive.
+				this.#respond(open, outcomesOfUnreadBodies['too-large'], fields);
+			} else if (!open.hasOutcome) {
 				await this.#admitCall(open, {...head, body: body.value.body}, fields);
 			}
 		} finally {
