The heads of requests count, those that wait and those that are never started too

What callers saw: 60 connections with 8 open requests each and 50 behind them, whose heads of 15 kB lie within the limits, took 256 and 292 MB of 250. With 5,000 requests of 26 bytes behind the open ones they took 681 MB.

Cause: a request takes some 6 kB beside its text, and 40 bytes for each part of its head; nothing counted it. The runtime keeps each request until it is answered or its connection closes, those that are never started as well, and its parser reads on to the end of 64 KiB, where 2,500 short requests fit, even on a connection that was destroyed.

Change: each request reserves memory as it arrives, and frees it as its response closes. If there is none, it is refused at once as not run where its turn has come (reason requests-held), and otherwise the connection closes behind the requests before it, since an answer of its own would be held behind theirs. Requests that wait or are never started may take a quarter. Behind 64 of the latter the parser skips the rest of what it has read.

--- a/packages/core/src/connections/caller-memory.spec.ts
+++ b/packages/core/src/connections/caller-memory.spec.ts
@@ -76,6 +76,18 @@
 		});
 	});
 
+	describe('with requests that wait', () => {
+		it('should leave room for others', () => {
+			const {memory} = createMemory();
+			assert.equal(memory.reserveWaiting(250), true);
+			assert.equal(memory.reserveWaiting(1), false);
+			assert.equal(memory.reserveHead(750), true);
+			memory.releaseWaiting(250);
+			assert.equal(memory.headBytes, 750);
+			assert.equal(memory.reserveWaiting(250), true);
+		});
+	});
+
 	describe('with bodies, heads and answers', () => {
 		it('should keep them together within its bound', () => {
 			const {memory, answers, body} = createMemory();
--- a/packages/core/src/connections/caller-memory.ts
+++ b/packages/core/src/connections/caller-memory.ts
@@ -19,6 +19,9 @@
 /** Time after which an unfinished body may have to make room: one that comes at the speed of a sound link has mostly arrived by then. */
 export const unfinishedBodyGraceMs = 200;
 
+/** Part of the memory that requests may take which wait behind others on their connections, or are never started. */
+const waitingRatio = 0.25;
+
 type Unfinished = {bytes: number; readonly startedAtMs: number};
 
 export class CallerMemory {
@@ -26,6 +29,7 @@
 	readonly #unfinished = new Map<UnfinishedBody, Unfinished>();
 	#bodyBytes = 0;
 	#headBytes = 0;
+	#waitingBytes = 0;
 
 	constructor(options: CallerMemoryOptions) {
 		this.#options = options;
@@ -93,6 +97,21 @@
 		this.#headBytes -= bytes;
 	}
 
+	/** Reserves memory for a request that waits behind others on its connection, or is never started. Such requests leave room for those that run. */
+	reserveWaiting(bytes: number): boolean {
+		if (this.#waitingBytes + bytes > this.#options.maximumBytes * waitingRatio || !this.reserveHead(bytes)) {
+			return false;
+		}
+
+		this.#waitingBytes += bytes;
+		return true;
+	}
+
+	releaseWaiting(bytes: number): void {
+		this.#waitingBytes -= bytes;
+		this.releaseHead(bytes);
+	}
+
 	/** Returns the memory that answers may take; unfinished bodies give way to them, as the requests of answers have run. */
 	roomForAnswers(): number {
 		while (!this.#hasRoom(0) && this.#giveUpLongest(0)) {
--- a/packages/core/src/connections/request-sequence.ts
+++ b/packages/core/src/connections/request-sequence.ts
@@ -24,6 +24,16 @@
 		return this.#isClosing && this.#started.length === 0;
 	}
 
+	/** True if requests that arrive from now on are ignored. */
+	get isClosing(): boolean {
+		return this.#isClosing;
+	}
+
+	/** True if the next request starts at once, as few enough are under way. */
+	get startsNext(): boolean {
+		return this.#startsAtOnce || this.#started.length < maximumStarted;
+	}
+
 	/** Requests that were started and not yet answered, in order. */
 	get started(): readonly Request[] {
 		return this.#started;
@@ -40,7 +50,7 @@
 			return 'ignored';
 		}
 
-		const mayStart = this.#startsAtOnce || this.#started.length < maximumStarted;
+		const mayStart = this.startsNext;
 		(mayStart ? this.#started : this.#waiting).push(request);
 		this.#isClosing = closesBehind || this.#started.length + this.#waiting.length >= maximumStarted + maximumWaiting;
 		return mayStart ? 'started' : 'waiting';
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -1,10 +1,12 @@
 /** One connection of a caller: starts its requests, returns the answers in their order and closes it with the last one. */
 import {RequestSequence} from '@cairnbank/core/connections';
 import {waitTurns} from '../../kernel/arrivals.js';
+import {skipRequestsIf} from '../../kernel/skip-requests.js';
 import {breakOff, untilBodyIsRead} from './body-reader.js';
 import type {CallerConnectionOptions} from './caller-connection-options.js';
 import {GracefulClose} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
+import {memoryOf} from './request-memory.js';
 import {answerToFault, statusOfFault} from './parser-faults.js';
 import {WrittenAnswers} from './written-answers.js';
 
@@ -12,6 +14,8 @@
 
 /** Time for which the rest of a refused request's body is awaited before its answer closes the connection. */
 const maximumBodyWaitMs = 50;
+/** Requests behind the end of a connection that are counted and logged; the runtime keeps each of them until the connection is closed. */
+const maximumIgnored = 64;
 /** Turns of the event loop in which the rest of what has arrived on a connection is read; one reads it in parts. */
 const turnsToRead = 2;
 
@@ -26,7 +30,7 @@
 	#newest: OpenRequest | undefined;
 	#faultStatus: number | undefined;
 	#isClosed = false;
-	#hasIgnored = false;
+	#ignored = 0;
 	#hasAnnouncedClose = false;
 
 	constructor(options: CallerConnectionOptions) {
@@ -35,6 +39,7 @@
 		this.#gracefulClose = new GracefulClose(options.socket, options.gracefulClose, () => {
 			this.close();
 		});
+		skipRequestsIf(options.socket, () => this.#ignored >= maximumIgnored || options.socket.destroyed);
 		options.socket.on('close', () => {
 			this.#closed();
 		});
@@ -64,11 +69,10 @@
 		}
 
 		const isSentAhead = this.#sequence.started.length > 0;
+		this.#reserveMemory(open);
 		const arrival = this.#sequence.arrived(open, !response.shouldKeepAlive);
 		if (arrival === 'ignored') {
-			this.#options.onIgnored(open, !this.#hasIgnored);
-			this.#hasIgnored = true;
-			this.#gracefulClose.discardFurtherBytes();
+			this.#ignore(open);
 			return;
 		}
 
@@ -147,6 +151,34 @@
 		}
 	}
 
+	/** Reserves memory for a request. If there is none, it is refused at its turn if that has come, and ignored behind others, whose answers would hold it. */
+	#reserveMemory(open: OpenRequest): void {
+		if (this.#sequence.isClosing) {
+			return;
+		}
+
+		const release = this.#options.memory.reserve(memoryOf(open.request), !this.#sequence.startsNext);
+		if (release !== undefined) {
+			open.response.once('close', release);
+			return;
+		}
+
+		open.hasMemory = false;
+		if (this.#sequence.started.length > 0) {
+			this.#sequence.closeBehind();
+		}
+	}
+
+	#ignore(open: OpenRequest): void {
+		this.#options.onIgnored(open, this.#ignored === 0);
+		this.#ignored += 1;
+		if (this.#options.memory.reserveIgnored(memoryOf(open.request))) {
+			this.#gracefulClose.discardFurtherBytes();
+		} else {
+			this.disconnect();
+		}
+	}
+
 	/** Writes the answer whose turn it is, if it is ready. */
 	#writeFirst(): void {
 		const [first] = this.#sequence.started;
@@ -244,6 +276,7 @@
 	/** Closes the responses that have no socket yet; Node.js closes only the one whose answer comes next. */
 	#closed(): void {
 		this.#isClosed = true;
+		this.#options.memory.releaseIgnored();
 		this.reportUndelivered();
 		for (const {response} of this.#sequence.unanswered.filter(({response: {socket}}) => socket === null)) {
 			response.destroy();
--- a/packages/gateway/src/features/calls/caller-connections.spec.ts
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -5,7 +5,9 @@
 import {afterEach, describe, it} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {ManualClock} from '@cairnbank/core';
-import {AnswerMemory, maximumHeldBytes, stallMs} from '@cairnbank/core/connections';
+import {
+	AnswerMemory, CallerMemory, maximumHeldBytes, stallMs,
+} from '@cairnbank/core/connections';
 import {createMetrics} from '../../metrics/metrics.js';
 import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import {answerOf} from '../upstreams/upstream-answer-fixture.js';
@@ -35,6 +37,9 @@
 		clock,
 		metrics: createMetrics(),
 		answerMemory: new AnswerMemory(),
+		callerMemory: new CallerMemory({
+			clock, maximumBytes: 100_000_000, maximumBodyBytes: 50_000_000, answerBytes: () => 0,
+		}),
 		isLeaving: () => isLeaving,
 		onWriteFault(error) {
 			writeFaults.push(error);
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@cairnbank/core';
-import {HeldAnswers, type AnswerMemory} from '@cairnbank/core/connections';
+import {HeldAnswers, type AnswerMemory, type CallerMemory} from '@cairnbank/core/connections';
 import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
 import {closeIdleConnectionsOnceRead} from '../../kernel/idle-connections.js';
 import {InFlight} from '../../kernel/in-flight.js';
@@ -13,6 +13,7 @@
 import {NewConnections} from './new-connections.js';
 import {OpenRequest} from './open-request.js';
 import {OpenRequests} from './open-requests.js';
+import {RequestMemory} from './request-memory.js';
 import type {Outcome} from './outcome.js';
 import {writeOutcome, type WriteOptions} from './write-outcome.js';
 import type {Undelivered} from './written-answers.js';
@@ -27,6 +28,7 @@
 	readonly clock: Clock;
 	readonly metrics: Metrics;
 	readonly answerMemory: Pick<AnswerMemory<unknown>, 'hold' | 'release' | 'isFull'>;
+	readonly callerMemory: CallerMemory;
 	/** Returns whether the instance leaves, so that connections close once nothing is lost by it. */
 	readonly isLeaving: () => boolean;
 	/** Called for each request that will be answered, before it is started or waits. */
@@ -68,6 +70,7 @@
 			this.#sockets.add(socket);
 			this.#connections.set(socket, new CallerConnection({
 				socket,
+				memory: new RequestMemory(options.callerMemory),
 				gracefulClose: {lingerMs: () => server.keepAliveTimeout, isLeaving, isEndingIdle: () => this.#isEndingIdle},
 				recordWritten: request => ({fields: {...identify(request), ...request.describeAnswer()}, writtenAtMs: clock.monotonicMs()}),
 				onUndelivered: undelivered => {
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -36,6 +36,7 @@
 			clock: context.clock,
 			metrics: context.metrics,
 			answerMemory: context.answerMemory,
+			callerMemory: context.callerMemory,
 			isLeaving: () => this.#isLeaving,
 			onArrived: request => {
 				this.#handler.receive(request);
--- a/packages/gateway/src/features/calls/open-request.ts
+++ b/packages/gateway/src/features/calls/open-request.ts
@@ -9,6 +9,8 @@
 	state: RequestState = 'waiting';
 	/** True once its outcome is decided; a later one is ignored. */
 	hasOutcome = false;
+	/** False if there is no memory for it, so that it is refused. */
+	hasMemory = true;
 	/** Its body, which is read as it arrives. */
 	body: IncomingBody | undefined;
 	/** Its run, in the state `running`. */
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -33,6 +33,8 @@
 	| 'answers-held'
 	/** The bodies of other requests fill the memory set aside for them. */
 	| 'bodies-held'
+	/** What other callers have sent fills the memory of the instance. */
+	| 'requests-held'
 	/** No instance was reached that knows how much of its limit the account has used. */
 	| 'account-use-unknown';
 
--- a/packages/gateway/src/features/calls/request-handler.ts
+++ b/packages/gateway/src/features/calls/request-handler.ts
@@ -20,6 +20,9 @@
 import {RequestLog} from './request-log.js';
 import type {StartupGate} from './startup-gate.js';
 
+/** There is no memory for the request. Requests that fill it end within their deadlines, most of them much sooner. */
+const noMemoryOutcome: Outcome = {type: 'not-run', reason: 'requests-held', retryAfterMs: 200};
+
 /** The instance stops, and the request was never sent. */
 const leavingOutcome: Outcome = {type: 'not-run', reason: 'leaving', retryAfterMs: leavingRetryAfterMs};
 
@@ -121,9 +124,9 @@
 
 	async #answer(open: OpenRequest): Promise<void> {
 		const {context, callDependencies, authenticator} = this.#options;
-		if (this.#isExpired) {
+		if (this.#isExpired || !open.hasMemory) {
 			open.body?.discard();
-			this.#respond(open, leavingOutcome, this.identify(open));
+			this.#respond(open, this.#isExpired ? leavingOutcome : noMemoryOutcome, this.identify(open));
 			return;
 		}
 
--- a/packages/gateway/src/features/metrics/metrics-stop.spec.ts
+++ b/packages/gateway/src/features/metrics/metrics-stop.spec.ts
@@ -31,7 +31,9 @@
 		port = await findFreePort();
 		agent = new Agent({keepAlive: true});
 		const context = {settings: {host, peers: {metricsPort: port}}, metrics: createMetrics(), logger: {error: () => undefined}};
-		task = new MetricsTask(context as unknown as Context, {droppedLogLines: () => 0, countOpenRequests: () => new Map(), unfinishedAnswerBytes: () => 0});
+		task = new MetricsTask(context as unknown as Context, {
+			droppedLogLines: () => 0, countOpenRequests: () => new Map(), unfinishedAnswerBytes: () => 0, heldHeadBytes: () => 0,
+		});
 		const started = await task.start();
 		assert.ok(started.isOk());
 	});
--- a/packages/gateway/src/features/metrics/metrics-task.ts
+++ b/packages/gateway/src/features/metrics/metrics-task.ts
@@ -14,6 +14,7 @@
 	readonly droppedLogLines: () => number;
 	readonly countOpenRequests: () => ReadonlyMap<RequestState, number>;
 	readonly unfinishedAnswerBytes: () => number;
+	readonly heldHeadBytes: () => number;
 };
 
 export class MetricsTask implements Task {
@@ -22,12 +23,13 @@
 	readonly #server: Server;
 	readonly #answers: LastAnswers;
 
-	constructor(context: Context, {droppedLogLines, countOpenRequests, unfinishedAnswerBytes}: MetricsSources) {
+	constructor(context: Context, {droppedLogLines, countOpenRequests, unfinishedAnswerBytes, heldHeadBytes}: MetricsSources) {
 		this.#context = context;
 		this.#server = createServer();
 		this.#answers = new LastAnswers(this.#server, containFaults(context, 'metrics', async (_request, response) => {
 			context.metrics.droppedLogLines.set(droppedLogLines());
 			context.metrics.unfinishedAnswerBytes.set(unfinishedAnswerBytes());
+			context.metrics.heldHeadBytes.set(heldHeadBytes());
 			for (const [state, count] of countOpenRequests()) {
 				context.metrics.openRequests.set({state}, count);
 			}
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -310,6 +310,7 @@
 		droppedLogLines: () => lines.droppedLines,
 		countOpenRequests: () => callers.countOpenRequests(),
 		unfinishedAnswerBytes: () => context.answerMemory.unfinishedBytes,
+		heldHeadBytes: () => context.callerMemory.headBytes,
 	});
 	return new Gateway(context, [upstreams, recheck, relayClient, fleet, relay, state, accountLimits, callers, directory, metrics], async () => lines.waitUntilFlushed(logFlushTimeoutMs));
 }
