Connections of callers stay within the machine's descriptors and memory

What callers saw: 600 open connections took 629 descriptors of 400, whether they sent nothing, a part of a head, or a head without its body. With more, the process has no descriptor left for anybody.

Cause: nothing bounded the connections of callers.

Change: ConnectionBound. Where the port has as many as half of the descriptors, or half of the memory, bear, the connection that has been without a request for longest is ended, then one whose last answer is written or whose only request has not arrived whole. A connection on which a request runs is never ended for others, so a caller that behaves gets in before those that hold theirs idle.

--- a/packages/core/src/connections/index.ts
+++ b/packages/core/src/connections/index.ts
@@ -1,5 +1,6 @@
 export * from './answer-memory.js';
 export * from './caller-memory.js';
+export * from './connection-bound.js';
 export * from './held-answers.js';
 export * from './machine-limits.js';
 export * from './request-sequence.js';
--- a/packages/core/src/connections/machine-limits.ts
+++ b/packages/core/src/connections/machine-limits.ts
@@ -34,7 +34,7 @@
 /** Room for a body of 64 MiB, the longest that operators allow, beside several of usual size. */
 export const maximumHeldBodyBytes = 100_663_296;
 /** Memory of a connection whose request has not arrived whole. */
-const connectionBytes = 32_768;
+export const connectionBytes = 49_152;
 /** Connections may take this part of the memory at most. */
 const connectionMemoryRatio = 0.5;
 /** Files, listeners and the store. */
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -132,6 +132,12 @@
 		return this.#gracefulClose.hasBegun;
 	}
 
+	/** True if the connection may be ended to make room for others: its last answer is written, or its only request has not arrived whole. */
+	get mayEnd(): boolean {
+		const {unanswered} = this.#sequence;
+		return (this.isClosing && !this.#options.gracefulClose.isLeaving()) || (unanswered.length === 1 && unanswered[0]!.state === 'reading-body');
+	}
+
 	/** Closes the connection, on which no request is open. One that crosses the close is ignored. */
 	close(): void {
 		this.#sequence.closeBehind();
--- a/packages/gateway/src/features/calls/caller-connections.spec.ts
+++ b/packages/gateway/src/features/calls/caller-connections.spec.ts
@@ -40,6 +40,8 @@
 		callerMemory: new CallerMemory({
 			clock, maximumBytes: 100_000_000, maximumBodyBytes: 50_000_000, answerBytes: () => 0,
 		}),
+		maximumConnections: 100,
+		onTooMany: () => undefined,
 		isLeaving: () => isLeaving,
 		onWriteFault(error) {
 			writeFaults.push(error);
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -2,7 +2,9 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@cairnbank/core';
-import {HeldAnswers, type AnswerMemory, type CallerMemory} from '@cairnbank/core/connections';
+import {
+	connectionBytes, ConnectionBound, HeldAnswers, type AnswerMemory, type CallerMemory,
+} from '@cairnbank/core/connections';
 import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
 import {closeIdleConnectionsOnceRead} from '../../kernel/idle-connections.js';
 import {InFlight} from '../../kernel/in-flight.js';
@@ -29,6 +31,9 @@
 	readonly metrics: Metrics;
 	readonly answerMemory: Pick<AnswerMemory<unknown>, 'hold' | 'release' | 'isFull'>;
 	readonly callerMemory: CallerMemory;
+	readonly maximumConnections: number;
+	/** Called for each connection that is ended because there are too many. */
+	readonly onTooMany: () => void;
 	/** Returns whether the instance leaves, so that connections close once nothing is lost by it. */
 	readonly isLeaving: () => boolean;
 	/** Called for each request that will be answered, before it is started or waits. */
@@ -50,6 +55,7 @@
 	readonly #connections = new Map<Socket, CallerConnection>();
 	readonly #new: NewConnections;
 	readonly #sockets = new InFlight<Socket>();
+	readonly #bound: ConnectionBound<CallerConnection>;
 	readonly #owners = new WeakMap<OpenRequest, CallerConnection>();
 	readonly #held: HeldAnswers<CallerConnection>;
 	#receivedRequests = 0;
@@ -58,47 +64,16 @@
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
-		const {server, clock, metrics, answerMemory, identify, isLeaving, onArrived, onStart, onIgnored} = options;
+		const {server, clock, metrics, answerMemory} = options;
 		this.open = new OpenRequests(size => {
 			metrics.inFlight.set(size);
 		});
 		this.#held = new HeldAnswers(clock, answerMemory);
+		this.#bound = new ConnectionBound(options.maximumConnections);
 		closeIdleConnectionsOnceRead(server);
 		this.#new = new NewConnections(server);
 		server.on('connection', (socket: Socket) => {
-			this.#new.opened(socket);
-			this.#sockets.add(socket);
-			this.#connections.set(socket, new CallerConnection({
-				socket,
-				memory: new RequestMemory(options.callerMemory),
-				gracefulClose: {lingerMs: () => server.keepAliveTimeout, isLeaving, isEndingIdle: () => this.#isEndingIdle},
-				recordWritten: request => ({fields: {...identify(request), ...request.describeAnswer()}, writtenAtMs: clock.monotonicMs()}),
-				onUndelivered: undelivered => {
-					this.#undelivered(undelivered);
-				},
-				onOpened: request => {
-					this.open.add(request);
-					onArrived(request);
-				},
-				onStart,
-				onIdle: () => {
-					if (this.#closesIdle) {
-						void this.#closeIdle();
-					}
-				},
-				onSentAhead() {
-					metrics.requestsSentAhead.inc();
-				},
-				onIgnored(request, isFirst) {
-					metrics.requestsBehindClose.inc();
-					onIgnored(request, isFirst);
-				},
-			}));
-			socket.once('close', () => {
-				this.#connections.delete(socket);
-				this.#new.used(socket);
-				this.#sockets.delete(socket);
-			});
+			this.#opened(socket);
 		});
 		for (const event of ['request', 'checkExpectation']) {
 			server.on(event, (request: IncomingMessage, response: ServerResponse) => {
@@ -212,6 +187,59 @@
 		});
 	}
 
+	#opened(socket: Socket): void {
+		this.#new.opened(socket);
+		this.#sockets.add(socket);
+		const connection = this.#createConnection(socket);
+		this.#connections.set(socket, connection);
+		const hasMemory = this.#options.callerMemory.reserveHead(connectionBytes);
+		socket.once('close', () => {
+			this.#options.callerMemory.releaseHead(hasMemory ? connectionBytes : 0);
+			this.#connections.delete(socket);
+			this.#bound.closed(connection);
+			this.#new.used(socket);
+			this.#sockets.delete(socket);
+		});
+		const tooMany = hasMemory ? this.#bound.opened(connection, busy => busy.mayEnd) : connection;
+		if (tooMany !== undefined) {
+			tooMany.disconnect();
+			this.#options.onTooMany();
+		}
+	}
+
+	#createConnection(socket: Socket): CallerConnection {
+		const {server, clock, metrics, callerMemory, identify, isLeaving, onArrived, onStart, onIgnored} = this.#options;
+		const connection: CallerConnection = new CallerConnection({
+			socket,
+			memory: new RequestMemory(callerMemory),
+			gracefulClose: {lingerMs: () => server.keepAliveTimeout, isLeaving, isEndingIdle: () => this.#isEndingIdle},
+			recordWritten: request => ({fields: {...identify(request), ...request.describeAnswer()}, writtenAtMs: clock.monotonicMs()}),
+			onUndelivered: undelivered => {
+				this.#undelivered(undelivered);
+			},
+			onOpened: request => {
+				this.#bound.busy(connection);
+				this.open.add(request);
+				onArrived(request);
+			},
+			onStart,
+			onIdle: () => {
+				this.#bound.resting(connection);
+				if (this.#closesIdle) {
+					void this.#closeIdle();
+				}
+			},
+			onSentAhead() {
+				metrics.requestsSentAhead.inc();
+			},
+			onIgnored(request, isFirst) {
+				metrics.requestsBehindClose.inc();
+				onIgnored(request, isFirst);
+			},
+		});
+		return connection;
+	}
+
 	/** Closes the connections that the server takes for idle, once what has arrived on them is read. */
 	async #closeIdle(): Promise<void> {
 		await waitTurns(turnsToRead);
--- a/packages/gateway/src/features/calls/callers-task-fixture.ts
+++ b/packages/gateway/src/features/calls/callers-task-fixture.ts
@@ -68,6 +68,7 @@
 			callerMemory: new CallerMemory({
 				clock: systemClock, maximumBytes: machineLimits.callerBytes, maximumBodyBytes: machineLimits.bodyBytes, answerBytes: () => 0,
 			}),
+			machineLimits,
 			random: {next: () => 0, nextInteger: () => 0},
 			settings: {listen: {callers: '127.0.0.1:0'}, logging: {sampleOneIn: 0}},
 			stop: this.#stop,
--- a/packages/gateway/src/kernel/context.ts
+++ b/packages/gateway/src/kernel/context.ts
@@ -1,6 +1,6 @@
 /** The environment of all tasks. */
 import type {Clock, IncarnationId, RandomSource} from '@cairnbank/core';
-import type {AnswerMemory, CallerMemory} from '@cairnbank/core/connections';
+import type {AnswerMemory, CallerMemory, MachineLimits} from '@cairnbank/core/connections';
 import type {Logger} from '../logging/create-logger.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {Settings} from '../settings/settings.js';
@@ -20,4 +20,6 @@
 	readonly answerMemory: AnswerMemory<AnswerReading>;
 	/** Bounds what callers make the instance hold. */
 	readonly callerMemory: CallerMemory;
+	/** Bounds that follow from the machine. */
+	readonly machineLimits: MachineLimits;
 };
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -40,6 +40,7 @@
 		}),
 		requestsSentAhead: counter('cairnbank_requests_sent_ahead_total', 'Requests that arrived on a connection before an earlier one was answered'),
 		requestsBehindClose: counter('cairnbank_requests_behind_close_total', 'Requests that were not started, as their connection closes before them'),
+		endedConnections: counter('cairnbank_ended_connections_total', 'Connections that were ended because their port had too many', ['port']),
 		undeliveredAnswers: counter('cairnbank_undelivered_answers_total', 'Answers of a stopping instance whose callers are not known to have them, by what ended the connection', ['reason']),
 		heldAnswerBytes: new Gauge({name: 'cairnbank_held_answer_bytes', help: 'Bytes of answers that their callers have not yet read', registers}),
 		unfinishedAnswerBytes: new Gauge({name: 'cairnbank_unfinished_answer_bytes', help: 'Bytes of answers that are being read from upstreams', registers}),
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -77,6 +77,7 @@
 		metrics: createMetrics(),
 		stop: new StopDeadline(),
 		answerMemory,
+		machineLimits,
 		callerMemory: new CallerMemory({
 			clock: systemClock, maximumBytes: machineLimits.callerBytes, maximumBodyBytes: machineLimits.bodyBytes, answerBytes: () => answerMemory.bytes,
 		}),
