Requests that run at a time stay within the machine's descriptors

What callers saw: 100 connections with 8 requests each that run for 20 s took 929 descriptors of 400, most of them for upstreams.

Cause: only the slots that upstreams tell bounded what runs at a time, not the descriptors of the instance.

Change: RunningRequests. At most a quarter of the descriptors' worth of requests runs at a time, and half of that for one service, so that callers of other services are served while its requests are long. Others are refused at once as not run (too-many-requests).

Evidence: misbehaving-callers.alone.spec, 'should bear requests that run for as long as they may': 929 (red) -> 153 descriptors, and an ordinary caller of another service is served.

--- a/packages/core/src/connections/index.ts
+++ b/packages/core/src/connections/index.ts
@@ -5,3 +5,4 @@
 export * from './machine-limits.js';
 export * from './request-sequence.js';
 export * from './request-state.js';
+export * from './running-requests.js';
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -35,6 +35,8 @@
 	| 'bodies-held'
 	/** What other callers have sent fills the memory of the instance. */
 	| 'requests-held'
+	/** As many requests run as the instance has descriptors for. */
+	| 'too-many-requests'
 	/** No instance was reached that knows how much of its limit the account has used. */
 	| 'account-use-unknown';
 
--- a/packages/gateway/src/features/calls/request-handler.ts
+++ b/packages/gateway/src/features/calls/request-handler.ts
@@ -1,5 +1,6 @@
 /** Leads a request of a caller through its states to its one outcome. */
-import {finalStepOf} from '@cairnbank/core/connections';
+import type {ServiceId} from '@cairnbank/core';
+import {finalStepOf, RunningRequests} from '@cairnbank/core/connections';
 import type {RouteTable} from '@cairnbank/core/routes';
 import type {Context} from '../../kernel/context.js';
 import {recordUnexpectedFault} from '../../kernel/unexpected-fault.js';
@@ -23,6 +24,9 @@
 /** There is no memory for the request. Requests that fill it end within their deadlines, most of them much sooner. */
 const noMemoryOutcome: Outcome = {type: 'not-run', reason: 'requests-held', retryAfterMs: 200};
 
+/** Other requests take all descriptors that are meant for upstreams. */
+const tooManyOutcome: Outcome = {type: 'not-run', reason: 'too-many-requests', retryAfterMs: 200};
+
 /** The instance stops, and the request was never sent. */
 const leavingOutcome: Outcome = {type: 'not-run', reason: 'leaving', retryAfterMs: leavingRetryAfterMs};
 
@@ -44,12 +48,14 @@
 	readonly #bodies: BodyReader;
 	readonly #requestHeaders: RequestHeaders;
 	readonly #log: RequestLog;
+	readonly #running: RunningRequests<ServiceId>;
 	#isExpired = false;
 
 	constructor(options: RequestHandlerOptions, connections: Pick<CallerConnections, 'refusal' | 'respond'>) {
 		this.#options = options;
 		this.#connections = connections;
 		this.#bodies = new BodyReader({memory: options.context.callerMemory, metrics: options.context.metrics});
+		this.#running = new RunningRequests(options.context.machineLimits.runningRequests);
 		this.#log = new RequestLog(options.context);
 		this.#requestHeaders = new RequestHeaders(options.callDependencies.dialect);
 	}
@@ -169,13 +175,27 @@
 				// Another configuration was in force as the body began to arrive.
 				this.#respond(open, outcomesOfUnreadBodies['too-large'], fields);
 			} else if (!open.hasOutcome) {
-				await this.#admitCall(open, {...head, body: body.value.body}, fields);
+				await this.#runCounted(open, {...head, body: body.value.body}, fields);
 			}
 		} finally {
 			body.value.release();
 		}
 	}
 
+	/** Runs a call unless too many run already. */
+	async #runCounted(open: OpenRequest, call: Call, fields: Record<string, unknown>): Promise<void> {
+		if (!this.#running.tryBegin(call.service)) {
+			this.#respond(open, tooManyOutcome, fields);
+			return;
+		}
+
+		try {
+			await this.#admitCall(open, call, fields);
+		} finally {
+			this.#running.end(call.service);
+		}
+	}
+
 	async #admitCall(open: OpenRequest, call: Call, fields: Record<string, unknown>): Promise<void> {
 		const refusal = this.#refusalWhileLeaving(call) ?? this.#connections.refusal();
 		if (refusal !== undefined) {
