The other ports bear connections and requests sent ahead without end

What callers saw: 800 open connections on the port for look-ups, readiness, peers or metrics took 830 descriptors of 600, so that callers of the port for requests find none; 20 connections that send 1,800 requests ahead on the metrics port and read nothing took 349 MB.

Cause: nothing bounded these ports. The text of the metrics, some 100 KB, was made for each request on its own, and the runtime reads all requests of 64 KiB before it notices that their answers are not read.

One text of the metrics serves all who ask meanwhile.

Two new tests of LastAnswers run in one process.

--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -8,6 +8,7 @@
 import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
 import {closeIdleConnectionsOnceRead} from '../../kernel/idle-connections.js';
 import {InFlight} from '../../kernel/in-flight.js';
+import type {ConnectionLimit} from '../../kernel/last-answers.js';
 import type {LogFields} from '../../logging/create-logger.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {CallerConnectionOptions} from './caller-connection-options.js';
@@ -25,15 +26,12 @@
 /** Turns of the event loop in which the rest of what has arrived on a connection is read. */
 const turnsToRead = 2;
 
-export type CallerConnectionsOptions = {
+export type CallerConnectionsOptions = ConnectionLimit & {
 	readonly server: Server;
 	readonly clock: Clock;
 	readonly metrics: Metrics;
 	readonly answerMemory: Pick<AnswerMemory<unknown>, 'hold' | 'release' | 'isFull'>;
 	readonly callerMemory: CallerMemory;
-	readonly maximumConnections: number;
-	/** Called for each connection that is ended because there are too many. */
-	readonly onTooMany: () => void;
 	/** Returns whether the instance leaves, so that connections close once nothing is lost by it. */
 	readonly isLeaving: () => boolean;
 	/** Called for each request that will be answered, before it is started or waits. */
--- a/packages/gateway/src/features/calls/callers-task.ts
+++ b/packages/gateway/src/features/calls/callers-task.ts
@@ -3,7 +3,7 @@
 import type {RequestState} from '@cairnbank/core/connections';
 import type {RouteTable} from '@cairnbank/core/routes';
 import type {Result} from 'neverthrow';
-import {endedConnections} from '../../kernel/ended-connections.js';
+import {connectionLimit} from '../../kernel/connection-limit.js';
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
@@ -38,8 +38,7 @@
 			metrics: context.metrics,
 			answerMemory: context.answerMemory,
 			callerMemory: context.callerMemory,
-			maximumConnections: context.machineLimits.callerConnections,
-			onTooMany: endedConnections(context, 'callers', context.machineLimits.callerConnections),
+			...connectionLimit(context, 'callers', context.machineLimits.callerConnections),
 			isLeaving: () => this.#isLeaving,
 			onArrived: request => {
 				this.#handler.receive(request);
--- a/packages/gateway/src/features/directory/directory-stop.spec.ts
+++ b/packages/gateway/src/features/directory/directory-stop.spec.ts
@@ -7,6 +7,7 @@
 } from 'node:test';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {Addressable} from '@cairnbank/core/fleet';
+import {limitsOf} from '@cairnbank/core/connections';
 import type {Context} from '../../kernel/context.js';
 import {createMetrics} from '../../metrics/metrics.js';
 import type {DirectoryDialect} from '../../ports/index.js';
@@ -43,7 +44,9 @@
 		const settings = {listen: {callers: address, directory: address, readiness: address}, bounds: {maximumAddressTtlSeconds: 5}};
 		const offered: Array<Partial<Addressable>> = [{host, availabilityZone: 'a' as Addressable['availabilityZone']}];
 		task = new DirectoryTask({
-			context: {settings, metrics: createMetrics(), logger: {error: () => undefined}} as unknown as Context,
+			context: {
+				settings, machineLimits: limitsOf({memoryBytes: 350_000_000, descriptors: 4100}), metrics: createMetrics(), logger: {error: () => undefined},
+			} as unknown as Context,
 			dialect,
 			isReady: () => true,
 			offered: () => offered as Addressable[],
--- a/packages/gateway/src/features/directory/directory-task.ts
+++ b/packages/gateway/src/features/directory/directory-task.ts
@@ -6,6 +6,7 @@
 import {chooseAddresses, type Addressable} from '@cairnbank/core/fleet';
 import {ok, type Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
+import {connectionLimit} from '../../kernel/connection-limit.js';
 import {LastAnswers} from '../../kernel/last-answers.js';
 import {listen, splitAddress} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
@@ -38,13 +39,14 @@
 
 	constructor(options: DirectoryTaskOptions) {
 		this.#options = options;
-		const {directory, readiness, control} = options.context.settings.listen;
+		const {machineLimits, settings} = options.context;
+		const {directory, readiness, control} = settings.listen;
 		for (const address of new Set([directory, readiness, ...(control === undefined ? [] : [control])])) {
 			const server = createServer({keepAliveTimeout: keepAliveMs});
 			this.#servers.set(address, server);
 			this.#answers.push(new LastAnswers(server, containFaults(options.context, 'directory', async (request, response) => {
 				this.#answer(request, response);
-			})));
+			}), connectionLimit(options.context, 'directory', address === directory ? machineLimits.directoryConnections : machineLimits.operatorConnections)));
 		}
 	}
 
--- a/packages/gateway/src/features/fleet/fleet-task.ts
+++ b/packages/gateway/src/features/fleet/fleet-task.ts
@@ -85,6 +85,7 @@
 		});
 		this.#peerServer = new PeerServer({
 			context: options.context,
+			maximumConnections: options.context.machineLimits.peerConnections,
 			maximumHeaderBytes: maximumRelayHeaderBytes,
 			handlers: {
 				[statePath]: async (request, response) => stateExchange.answer(request, response),
--- a/packages/gateway/src/features/fleet/peer-server.ts
+++ b/packages/gateway/src/features/fleet/peer-server.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import type {Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
+import {connectionLimit} from '../../kernel/connection-limit.js';
 import {LastAnswers} from '../../kernel/last-answers.js';
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
@@ -20,14 +21,15 @@
 	/** Handlers by path. */
 	readonly handlers: Readonly<Record<string, PeerHandler>>;
 	readonly maximumHeaderBytes: number;
-	readonly context: Pick<Context, 'logger' | 'metrics'>;
+	readonly maximumConnections: number;
+	readonly context: Pick<Context, 'clock' | 'logger' | 'metrics'>;
 };
 
 export class PeerServer {
 	readonly #server: Server;
 	readonly #answers: LastAnswers;
 
-	constructor({context, handlers, maximumHeaderBytes}: PeerServerOptions) {
+	constructor({context, handlers, maximumConnections, maximumHeaderBytes}: PeerServerOptions) {
 		this.#server = createServer({maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: keepAliveMs, noDelay: true});
 		this.#answers = new LastAnswers(this.#server, containFaults(context, 'peer', async (request, response) => {
 			const handler = handlers[pathOf(request.url ?? '')];
@@ -37,7 +39,7 @@
 			} else {
 				await handler(request, response);
 			}
-		}));
+		}), connectionLimit(context, 'peers', maximumConnections));
 	}
 
 	/** The port that is listened on; undefined before the start. */
--- a/packages/gateway/src/features/metrics/metrics-stop.spec.ts
+++ b/packages/gateway/src/features/metrics/metrics-stop.spec.ts
@@ -6,6 +6,7 @@
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
 import {setImmediate as nextTurn} from 'node:timers/promises';
+import {limitsOf} from '@cairnbank/core/connections';
 import type {Context} from '../../kernel/context.js';
 import {createMetrics} from '../../metrics/metrics.js';
 import {MetricsTask} from './metrics-task.js';
@@ -30,7 +31,9 @@
 	beforeEach(async () => {
 		port = await findFreePort();
 		agent = new Agent({keepAlive: true});
-		const context = {settings: {host, peers: {metricsPort: port}}, metrics: createMetrics(), logger: {error: () => undefined}};
+		const context = {
+			settings: {host, peers: {metricsPort: port}}, machineLimits: limitsOf({memoryBytes: 350_000_000, descriptors: 4100}), metrics: createMetrics(), logger: {error: () => undefined},
+		};
 		task = new MetricsTask(context as unknown as Context, {
 			droppedLogLines: () => 0, countOpenRequests: () => new Map(), unfinishedAnswerBytes: () => 0, heldHeadBytes: () => 0,
 		});
--- a/packages/gateway/src/features/metrics/metrics-task.ts
+++ b/packages/gateway/src/features/metrics/metrics-task.ts
@@ -3,6 +3,7 @@
 import type {RequestState} from '@cairnbank/core/connections';
 import type {Result} from 'neverthrow';
 import type {Context} from '../../kernel/context.js';
+import {connectionLimit} from '../../kernel/connection-limit.js';
 import {LastAnswers} from '../../kernel/last-answers.js';
 import {listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
@@ -22,6 +23,8 @@
 	readonly #context: Context;
 	readonly #server: Server;
 	readonly #answers: LastAnswers;
+	/** The text that is being made; one serves all requests that arrive meanwhile, as it is long. */
+	#text: Promise<string> | undefined;
 
 	constructor(context: Context, {droppedLogLines, countOpenRequests, unfinishedAnswerBytes, heldHeadBytes}: MetricsSources) {
 		this.#context = context;
@@ -35,7 +38,7 @@
 			}
 
 			await this.#answer(response);
-		}));
+		}), connectionLimit(context, 'metrics', context.machineLimits.operatorConnections));
 	}
 
 	async start(): Promise<Result<void, StartError>> {
@@ -63,6 +66,15 @@
 	async #answer(response: ServerResponse): Promise<void> {
 		const {registry} = this.#context.metrics;
 		response.setHeader('Content-Type', registry.contentType);
-		response.end(await registry.metrics());
+		this.#text ??= this.#createText();
+		response.end(await this.#text);
+	}
+
+	async #createText(): Promise<string> {
+		try {
+			return await this.#context.metrics.registry.metrics();
+		} finally {
+			this.#text = undefined;
+		}
 	}
 }
--- a/packages/gateway/src/features/relay/relay-stop.spec.ts
+++ b/packages/gateway/src/features/relay/relay-stop.spec.ts
@@ -126,6 +126,7 @@
 			poisonGuard: () => ({recordAbandoned: () => undefined, forgetAbandoned: () => undefined}),
 		});
 		server = new PeerServer({
+			maximumConnections: 100,
 			context,
 			maximumHeaderBytes: maximumRelayHeaderBytes,
 			handlers: {[relayPath]: async (request, response) => task.handle(request, response)},
--- a/packages/gateway/src/kernel/last-answers.spec.ts
+++ b/packages/gateway/src/kernel/last-answers.spec.ts
@@ -13,6 +13,9 @@
 const host = '127.0.0.1';
 /** Fits into the buffers between a server and its caller. */
 const longAnswerBytes = 200_000;
+const maximumConnections = 3;
+/** Requests of one connection that are answered, the last of which closes it. */
+const maximumUnanswered = 64;
 const turnsAfterAnswer = 10;
 const idleTimeoutMs = 100;
 /** Longer than the idle time and the second that the runtime adds to it. */
@@ -28,16 +31,23 @@
 	let socket: Socket;
 	let received: string;
 	let held: Map<string, ServerResponse>;
+	let ended: number;
 
 	beforeEach(async () => {
 		server = createServer();
 		held = new Map();
+		ended = 0;
 		answers = new LastAnswers(server, (request, response) => {
 			if (request.url!.startsWith('/held')) {
 				held.set(request.url!, response);
 			} else {
 				response.end(request.url);
 			}
+		}, {
+			maximumConnections,
+			onTooMany() {
+				ended += 1;
+			},
 		});
 		server.listen(0, host);
 		await once(server, 'listening');
@@ -203,4 +213,36 @@
 		answers.stop();
 		await drained;
 	});
+
+	describe('with callers that do not behave', () => {
+		// Guards against thousands of requests that are sent ahead and whose answers are held.
+		it('should answer so many requests of a connection that are sent ahead, and close it', async () => {
+			socket.write(requestFor('/held') + requestFor('/next').repeat(1000));
+			await waitTurns(turnsAfterAnswer);
+			held.get('/held')!.end('first');
+			await once(socket, 'close');
+			assert.equal(received.match(/HTTP\/1\.1 200/g)?.length, maximumUnanswered);
+			assert.match(received, /Connection: close\r\n[^]*\/next$/);
+		});
+
+		it('should end the connection that has rested for longest where there are too many', async () => {
+			const {port} = server.address() as AddressInfo;
+			const others: Socket[] = [];
+			for (let opened = 0; opened < maximumConnections; opened++) {
+				const other = connect(port, host);
+				others.push(other);
+				await once(server, 'connection');
+			}
+
+			await once(socket, 'close');
+			assert.equal(ended, 1);
+			const newest = others.at(-1)!;
+			newest.write(requestFor('/newest'));
+			const [answer] = await once(newest, 'data') as [Uint8Array];
+			assert.match(Buffer.from(answer).toString(), /newest/);
+			for (const other of others) {
+				other.destroy();
+			}
+		});
+	});
 });
