Answers, bodies and heads have one bound together, and dropped buffers are freed when memory is short

Bodies (96 MiB) and answers (72 MiB) each had a bound of their own, which together exceed the smallest machines. And the runtime frees dropped buffers only after some 64 MB more were made, whatever memory the machine has.

Change: answers may take what heads and bodies leave, half of the memory for callers at most, and unfinished bodies give way to them. GarbageLimit looks at the memory of all buffers after each 4 MB that were read; where it is over half of the memory for callers and 16 MB of it are dropped, it collects, at most once in 200 ms. In calm it never does: 4 MB in use and dropped together stay below it.

--- a/packages/core/src/connections/answer-memory.spec.ts
+++ b/packages/core/src/connections/answer-memory.spec.ts
@@ -33,6 +33,18 @@
 		assert.equal(memory.bytes, longBytes);
 	});
 
+	it('should keep within the memory that requests leave, and take no less than a few long answers', () => {
+		let roomBytes = 40 * mebibyte;
+		const memory = new AnswerMemory<string>({roomBytes: () => roomBytes});
+		memory.read('sound', longBytes);
+		assert.deepEqual(memory.read('long', longestBytes), []);
+		memory.hold(8 * mebibyte);
+		assert.deepEqual(memory.read('sound', 1), ['long']);
+		roomBytes = 0;
+		assert.deepEqual(memory.read('sound', longBytes), []);
+		assert.equal(memory.isFull, true);
+	});
+
 	it('should leave less to unfinished answers while callers hold whole ones', () => {
 		const memory = new AnswerMemory<string>();
 		memory.hold(maximumHeldBytes);
--- a/packages/core/src/connections/answer-memory.ts
+++ b/packages/core/src/connections/answer-memory.ts
@@ -8,6 +8,16 @@
 /** Most of an unfinished answer that counts towards the refusal of requests, as a longer one can be ended to make room. */
 export const usualAnswerBytes = 65_536;
 
+/** Answers may take this much though requests fill the memory, as those of the answers have run. */
+const leastAnswerBytes = 16_777_216;
+
+export type AnswerMemoryOptions = {
+	/** Returns the memory that requests leave for answers. */
+	readonly roomBytes: () => number;
+	/** Called with the bytes of each part that is read. */
+	readonly onRead: (bytes: number) => void;
+};
+
 /** Counts answers that are read from upstreams, by their readers, and whole ones. */
 export class AnswerMemory<Reader> {
 	readonly #unfinished = new Map<Reader, number>();
@@ -15,6 +25,11 @@
 	#usualBytes = 0;
 	#wholeBytes = 0;
 	#readBytes = 0;
+	readonly #options: AnswerMemoryOptions;
+
+	constructor(options: Partial<AnswerMemoryOptions> = {}) {
+		this.#options = {roomBytes: () => maximumAnswerMemoryBytes, onRead: () => undefined, ...options};
+	}
 
 	/** Bytes read of all answers since the start. */
 	get readBytes(): number {
@@ -31,7 +46,7 @@
 
 	/** True if requests are to be refused before they run, as their answers could not be held. */
 	get isFull(): boolean {
-		return this.#wholeBytes + this.#usualBytes >= maximumHeldBytes;
+		return this.#wholeBytes + this.#usualBytes >= this.#maximumBytes - unfinishedRoomBytes;
 	}
 
 	/** Returns the bytes that a reader has recorded since its answer began. */
@@ -42,9 +57,11 @@
 	/** Records bytes of an unfinished answer. Returns the readers of the longest answers, which have to give them up, so that the others fit. */
 	read(reader: Reader, bytes: number): Reader[] {
 		this.#readBytes += bytes;
+		this.#options.onRead(bytes);
 		this.#set(reader, this.bytesOf(reader) + bytes);
 		const outgrown: Reader[] = [];
-		while (this.bytes > maximumAnswerMemoryBytes) {
+		const maximumBytes = this.#maximumBytes;
+		while (this.bytes > maximumBytes) {
 			const longest = this.#longest();
 			if (longest === undefined) {
 				break;
@@ -73,6 +90,10 @@
 		this.#wholeBytes -= bytes;
 	}
 
+	get #maximumBytes(): number {
+		return Math.max(leastAnswerBytes, Math.min(maximumAnswerMemoryBytes, this.#options.roomBytes()));
+	}
+
 	#set(reader: Reader, bytes: number): void {
 		const previousBytes = this.bytesOf(reader);
 		this.#unfinished.set(reader, bytes);
--- a/packages/core/src/connections/caller-memory.ts
+++ b/packages/core/src/connections/caller-memory.ts
@@ -14,6 +14,8 @@
 	readonly maximumBodyBytes: number;
 	/** Returns the memory of all answers, which have bounds of their own beside this one. */
 	readonly answerBytes: () => number;
+	/** Called with the bytes that are reserved for a body or a part of one. */
+	readonly onReserved?: (bytes: number) => void;
 };
 
 /** Time after which an unfinished body may have to make room: one that comes at the speed of a sound link has mostly arrived by then. */
@@ -67,6 +69,7 @@
 		unfinished.bytes = neededBytes;
 		this.#unfinished.set(body, unfinished);
 		this.#bodyBytes += bytes;
+		this.#options.onReserved?.(bytes);
 		return true;
 	}
 
--- a/packages/core/src/connections/machine-limits.ts
+++ b/packages/core/src/connections/machine-limits.ts
@@ -1,5 +1,7 @@
 /** Divides what a machine grants the process among what callers can make it hold. */
 
+import {maximumAnswerMemoryBytes} from './answer-memory.js';
+
 /** What the operator's settings say of the machine. */
 export type Machine = {
 	/** Memory beyond which the process is ended. */
@@ -13,6 +15,8 @@
 	readonly callerBytes: number;
 	/** The part of it that bodies of requests may take. */
 	readonly bodyBytes: number;
+	/** The part of it that answers may take; blocks in which they were read take as much again for a while. */
+	readonly answerBytes: number;
 	/** Connections of callers to the port for requests. */
 	readonly callerConnections: number;
 	/** Requests that run at a time, each of which may take a connection to an upstream. */
@@ -25,10 +29,11 @@
 	readonly operatorConnections: number;
 };
 
-/** The program at rest, heads that have not arrived whole, and what was dropped and is not freed yet. */
-const ownBytes = 120_000_000;
+/** The program at rest, 75 MB, and what was read and dropped and is not freed yet: up to 75 MB while callers send as fast as they can. */
+const ownBytes = 150_000_000;
 /** Room for a few requests where the settings name a machine that is too small for the program itself. */
 const minimumCallerBytes = 32_000_000;
+const answerRatio = 0.5;
 /** Room beside the bodies, so that requests without one are served while bodies fill theirs. */
 const bytesBesideBodies = 32_000_000;
 /** Room for a body of 64 MiB, the longest that operators allow, beside several of usual size. */
@@ -53,6 +58,7 @@
 	return {
 		callerBytes,
 		bodyBytes: Math.min(maximumHeldBodyBytes, Math.max(minimumCallerBytes / 2, callerBytes - bytesBesideBodies)),
+		answerBytes: Math.min(maximumAnswerMemoryBytes, callerBytes * answerRatio),
 		callerConnections: Math.min(share(descriptorRatios.callers), Math.floor(callerBytes * connectionMemoryRatio / connectionBytes)),
 		runningRequests: share(descriptorRatios.running),
 		directoryConnections: share(descriptorRatios.directory),
--- a/packages/gateway/src/kernel/block-pool.ts
+++ b/packages/gateway/src/kernel/block-pool.ts
@@ -17,6 +17,11 @@
 	freeBlocks.push(block);
 }
 
+/** Returns the memory of the blocks that nothing uses. */
+export function freeBlockBytes(): number {
+	return freeBlocks.length * blockBytes;
+}
+
 /** Drops some of the blocks that nothing uses; called from time to time. */
 export function trimBlocks(): void {
 	freeBlocks.splice(-trimmedBlocks);
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -34,7 +34,9 @@
 import {UpstreamsTask} from './features/upstreams/upstreams-task.js';
 import {Gateway} from './gateway.js';
 import type {AnswerReading} from './kernel/answer-reading.js';
+import {freeBlockBytes} from './kernel/block-pool.js';
 import type {Context} from './kernel/context.js';
+import {GarbageLimit} from './kernel/garbage-limit.js';
 import {StopDeadline} from './kernel/stop-deadline.js';
 import {recordUnexpectedFault} from './kernel/unexpected-fault.js';
 import {createLogger} from './logging/create-logger.js';
@@ -48,6 +50,8 @@
 const randomSeedBytes = 4;
 const standardOutput = 1;
 const bytesPerMegabyte = 1_000_000;
+/** Part of the memory for callers from which on dropped buffers are freed. */
+const garbageRatio = 0.5;
 /** Maximum time that the process waits before it exits until its log lines are read; well within the rest of the grace period. */
 const logFlushTimeoutMs = 200;
 
@@ -61,7 +65,23 @@
 export function wireGateway(settings: Settings, ports: Ports): Gateway {
 	const lines = new LineWriter(descriptorSink(standardOutput));
 	const machineLimits = limitsOf({memoryBytes: settings.machine.memoryMegabytes * bytesPerMegabyte, descriptors: settings.machine.descriptors});
-	const answerMemory = new AnswerMemory<AnswerReading>();
+	const answerMemory = new AnswerMemory<AnswerReading>({
+		roomBytes: () => Math.min(machineLimits.answerBytes, callerMemory.roomForAnswers()),
+		onRead(bytes) {
+			garbage.allocated(bytes);
+		},
+	});
+	const callerMemory: CallerMemory = new CallerMemory({
+		clock: systemClock, maximumBytes: machineLimits.callerBytes, maximumBodyBytes: machineLimits.bodyBytes, answerBytes: () => answerMemory.bytes,
+		onReserved(bytes) {
+			garbage.allocated(bytes);
+		},
+	});
+	const garbage = new GarbageLimit({
+		clock: systemClock,
+		maximumBytes: machineLimits.callerBytes * garbageRatio,
+		usedBytes: () => callerMemory.bodyBytes + answerMemory.bytes + freeBlockBytes(),
+	});
 	const context: Context = {
 		settings,
 		incarnation: createIncarnation(systemClock, randomBytes(incarnationBytes).toString('base64url')),
@@ -78,9 +98,7 @@
 		stop: new StopDeadline(),
 		answerMemory,
 		machineLimits,
-		callerMemory: new CallerMemory({
-			clock: systemClock, maximumBytes: machineLimits.callerBytes, maximumBodyBytes: machineLimits.bodyBytes, answerBytes: () => answerMemory.bytes,
-		}),
+		callerMemory,
 	};
 	const links = new LinkMonitor({
 		context,
