A request whose body has not arrived whole by its deadline is told so, and its connection closes

What callers saw: nothing. A request whose body stops short of its end got no answer at its deadline nor at the timeout of its route, and held its memory for as long as the runtime waits, 300 s.

Cause: the deadline was watched only once the body had arrived.

Change: reading a body ends at the deadline, after what has arrived by then is read, with 408 (body-late): the status promises that the request has not run and will not. The connection closes behind it, since the rest may never come and nothing can be read behind it.

Evidence: late-bodies.spec: no answer within 5 s before, 408 and a closed connection at the deadline of 100 ms now; a body whose rest comes in time is answered as before.

--- a/packages/gateway/src/features/calls/body-reader.ts
+++ b/packages/gateway/src/features/calls/body-reader.ts
@@ -3,6 +3,7 @@
 import type {CallerMemory, UnfinishedBody} from '@cairnbank/core/connections';
 import {err, ok, type Result} from 'neverthrow';
 import {BlockBuffer} from '../../kernel/block-buffer.js';
+import {TimeLimit} from '../../kernel/time-limit.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {RequestBody} from '../upstreams/exchange.js';
 import type {Outcome} from './outcome.js';
@@ -14,8 +15,8 @@
 	readonly release: () => void;
 };
 
-/** `no-room`: the bodies of other requests fill the memory set aside for them. `broken-off`: the caller disconnected, or the rest can't be parsed. */
-export type UnreadBodyReason = 'too-large' | 'no-room' | 'broken-off';
+/** `no-room`: the bodies of other requests fill the memory set aside for them. `late`: it had not arrived by the deadline of its request. `broken-off`: the caller disconnected, or the rest can't be parsed. */
+export type UnreadBodyReason = 'too-large' | 'no-room' | 'late' | 'broken-off';
 
 /** Time in which several long bodies are sent to their upstreams. */
 const bodiesHeldRetryAfterMs = 200;
@@ -23,6 +24,7 @@
 export const outcomesOfUnreadBodies: Readonly<Record<UnreadBodyReason, Outcome>> = {
 	'too-large': {type: 'bad-request', reason: 'body-too-large'},
 	'no-room': {type: 'not-run', reason: 'bodies-held', retryAfterMs: bodiesHeldRetryAfterMs},
+	late: {type: 'bad-request', reason: 'body-late'},
 	'broken-off': {type: 'abandoned'},
 };
 
@@ -100,6 +102,24 @@
 		this.#fail('no-room');
 	}
 
+	/** Resolves once the body has arrived, or is not read any further, after `maximumMs` at the latest. */
+	async wholeWithin(maximumMs: number): Promise<Result<HeldBody, UnreadBodyReason>> {
+		const {socket} = this.#request;
+		const progress = {
+			get readBytes() {
+				return socket.bytesRead;
+			},
+		};
+		const limit = this.#isOver
+			? undefined
+			: new TimeLimit(maximumMs, progress, () => {
+				this.#fail('late');
+			});
+		const result = await this.whole;
+		limit?.clear();
+		return result;
+	}
+
 	/** Frees the memory of the body, whether it has arrived or not; what still arrives is dropped. */
 	discard(): void {
 		this.#fail('broken-off');
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -172,7 +172,9 @@
 
 		open.unwrittenBytes = bytes;
 		open.answerBytes = bytes;
-		connection.answer(open, this.#options.isLeaving, isLast => {
+		// The rest of a late body may never come, and nothing can be read behind it.
+		const endsBehind = outcome.type === 'bad-request' && outcome.reason === 'body-late';
+		connection.answer(open, () => endsBehind || this.#options.isLeaving(), isLast => {
 			this.#held.progressed(connection);
 			this.#write(response, outcome, {
 				isLast,
--- a/packages/gateway/src/features/calls/outcome.ts
+++ b/packages/gateway/src/features/calls/outcome.ts
@@ -47,7 +47,10 @@
 	/** A fault of this program ended the call; attempts that were sent may have run. */
 	| 'internal-error';
 
-export type BadRequestReason = 'no-route' | 'no-request-id' | 'body-too-large' | 'header-too-large' | 'bad-deadline' | 'unknown-expectation';
+export type BadRequestReason =
+	/** The body had not arrived whole by the deadline; the request has not run and will not run. */
+	| 'body-late'
+	| 'no-route' | 'no-request-id' | 'body-too-large' | 'header-too-large' | 'bad-deadline' | 'unknown-expectation';
 
 /** `key-removed`: the key was taken away while the request waited. */
 export type UnauthenticatedReason = AuthenticationFault | 'key-removed';
--- a/packages/gateway/src/features/calls/request-handler.ts
+++ b/packages/gateway/src/features/calls/request-handler.ts
@@ -164,7 +164,7 @@
 			id: head.requestId, route: head.route.id, account: head.account?.id, configuration: head.configurationVersion, service: head.service,
 		};
 		open.state = 'reading-body';
-		const body = await open.body!.whole;
+		const body = await open.body!.wholeWithin(head.deadlineAtMs - this.#options.context.clock.monotonicMs());
 		if (body.isErr()) {
 			this.#respond(open, outcomesOfUnreadBodies[body.error], fields);
 			return;
--- a/packages/gateway/src/features/calls/write-outcome.ts
+++ b/packages/gateway/src/features/calls/write-outcome.ts
@@ -14,6 +14,7 @@
 	'no-route': 404,
 	'no-request-id': 400,
 	'bad-deadline': 400,
+	'body-late': 408,
 	'body-too-large': 413,
 	'header-too-large': 431,
 	'unknown-expectation': 417,
