What is remembered of answers that callers have not read is bounded

What callers saw: nothing yet. For each answer that its caller is not known to have, an instance keeps a line for its log, up to 64 on each connection, with the whole target of the request: up to 64 KB each, 4 MB a connection that always has a request open.

Cause: the lines were bounded in number for each connection, not in length nor for all connections.

Change: a line names a request by the first 256 characters of its id and target, copied, and 8,192 lines are kept for all connections; beyond, only the newest of each connection.

Evidence: undelivered-answers.spec, 'should name it by the beginning of its target', fails without the change (the target has 5,009 characters); written-answers.spec.

--- a/packages/gateway/src/features/calls/caller-connection-options.ts
+++ b/packages/gateway/src/features/calls/caller-connection-options.ts
@@ -3,12 +3,13 @@
 import type {GracefulCloseOptions} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
 import type {RequestMemory} from './request-memory.js';
-import type {Undelivered, WrittenAnswer} from './written-answers.js';
+import type {Undelivered, WrittenAnswer, WrittenTotal} from './written-answers.js';
 
 export type CallerConnectionOptions = {
 	readonly socket: Socket;
 	readonly gracefulClose: GracefulCloseOptions;
 	readonly memory: RequestMemory;
+	readonly writtenTotal: WrittenTotal;
 	/** Called for each request that will be answered. */
 	readonly onOpened: (request: OpenRequest) => void;
 	readonly onStart: (request: OpenRequest) => void;
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -35,7 +35,7 @@
 
 	constructor(options: CallerConnectionOptions) {
 		this.#options = options;
-		this.#written = new WrittenAnswers(options.socket);
+		this.#written = new WrittenAnswers(options.socket, options.writtenTotal);
 		this.#gracefulClose = new GracefulClose(options.socket, options.gracefulClose, () => {
 			this.close();
 		});
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -19,7 +19,7 @@
 import {RequestMemory} from './request-memory.js';
 import type {Outcome} from './outcome.js';
 import {writeOutcome, type WriteOptions} from './write-outcome.js';
-import type {Undelivered} from './written-answers.js';
+import type {Undelivered, WrittenTotal} from './written-answers.js';
 
 /** Time in which a link of 10 Mbit/s sends a few long answers. */
 const heldRetryAfterMs = 500;
@@ -56,6 +56,7 @@
 	readonly #bound: ConnectionBound<CallerConnection>;
 	readonly #owners = new WeakMap<OpenRequest, CallerConnection>();
 	readonly #held: HeldAnswers<CallerConnection>;
+	readonly #writtenTotal: WrittenTotal = {count: 0};
 	#receivedRequests = 0;
 	#closesIdle = false;
 	#isEndingIdle = false;
@@ -212,6 +213,7 @@
 		const connection: CallerConnection = new CallerConnection({
 			socket,
 			memory: new RequestMemory(callerMemory),
+			writtenTotal: this.#writtenTotal,
 			gracefulClose: {lingerMs: () => server.keepAliveTimeout, isLeaving, isEndingIdle: () => this.#isEndingIdle},
 			recordWritten: request => ({fields: {...identify(request), ...request.describeAnswer()}, writtenAtMs: clock.monotonicMs()}),
 			onUndelivered: undelivered => {
--- a/packages/gateway/src/features/calls/request-handler.ts
+++ b/packages/gateway/src/features/calls/request-handler.ts
@@ -1,4 +1,5 @@
 /** Leads a request of a caller through its states to its one outcome. */
+import {Buffer} from 'node:buffer';
 import type {ServiceId} from '@cairnbank/core';
 import {finalStepOf, RunningRequests} from '@cairnbank/core/connections';
 import type {RouteTable} from '@cairnbank/core/routes';
@@ -40,6 +41,9 @@
 	readonly routes: () => RouteTable | undefined;
 };
 
+/** Longest text of a request in a line of the log that names it. Lines may be kept until the caller has its answer, and a target may have 64 KB. */
+const maximumNameCharacters = 256;
+
 type Admitted = Exclude<CallAdmittance, {readonly type: 'refused'}>;
 
 export class RequestHandler {
@@ -113,7 +117,7 @@
 
 	/** Returns the log fields that name a request. */
 	identify({request}: OpenRequest): LogFields {
-		return {id: request.headers[this.#options.callDependencies.dialect.requestIdHeader], target: request.url};
+		return {id: shorten(request.headers[this.#options.callDependencies.dialect.requestIdHeader]), target: shorten(request.url)};
 	}
 
 	/** Ends a request that a fault of the program has left without an outcome. */
@@ -284,3 +288,10 @@
 		this.#log.record(outcome, fields, hasSingleAttempt);
 	}
 }
+
+/** Copies the beginning of a text, as a part of one would keep the whole in memory. */
+function shorten(text: string | readonly string[] | undefined): string | undefined {
+	return typeof text === 'string' && text.length > maximumNameCharacters
+		? `${Buffer.from(text.slice(0, maximumNameCharacters), 'latin1').toString('latin1')}…`
+		: text?.toString();
+}
--- a/packages/gateway/src/features/calls/undelivered-answers.spec.ts
+++ b/packages/gateway/src/features/calls/undelivered-answers.spec.ts
@@ -26,7 +26,8 @@
 }
 
 /** Starts an instance that stops while an answer of it has left the process, and its caller has read nothing of it. */
-async function stopWithUnreadAnswer(): Promise<{harness: CallersHarness; caller: HarnessCaller; warnings: LogFields[]}> {
+/** @param target - target of the request; that of the stage if undefined */
+async function stopWithUnreadAnswer(target?: string): Promise<{harness: CallersHarness; caller: HarnessCaller; warnings: LogFields[]}> {
 	const harness = await new CallersHarness().start();
 	harnesses.push(harness);
 	const warnings: LogFields[] = [];
@@ -39,7 +40,12 @@
 	const caller = harness.connect();
 	callers.push(caller);
 	caller.pause();
-	caller.send(['answers']);
+	if (target === undefined) {
+		caller.send(['answers']);
+	} else {
+		await caller.sendText(`GET ${target} HTTP/1.1\r\nHost: h\r\nId: r\r\n\r\n`);
+	}
+
 	await waitUntil(async () => await sum(harness.metrics.requests) === 1 && harness.openRequests === 0);
 	return {harness, caller, warnings};
 }
@@ -55,6 +61,16 @@
 		}
 	});
 
+	// Guards against targets that are kept whole with each answer that its caller has not read.
+	it('should name it by the beginning of its target', async () => {
+		const {harness, caller, warnings} = await stopWithUnreadAnswer(`/answers/${'t'.repeat(5000)}`);
+		caller.reset();
+		await waitUntil(() => warnings.length > 0);
+		assert.match(String(warnings[0]!.target), /^\/answers\/t+…$/);
+		assert.ok(String(warnings[0]!.target).length < 300);
+		assert.equal(harness.openRequests, 0);
+	});
+
 	it('should report it as the stop ends before the caller has closed', async () => {
 		const {harness, warnings} = await stopWithUnreadAnswer();
 		harness.task.stop();
--- a/packages/gateway/src/features/calls/written-answers.ts
+++ b/packages/gateway/src/features/calls/written-answers.ts
@@ -4,6 +4,11 @@
 
 /** Answers that are remembered for each connection; a caller that always has a request open would need one more for each. */
 const maximumAnswers = 64;
+/** Answers that are remembered for all connections, at some 1 KB each. Beyond, only the newest one of a connection is. */
+const maximumTotal = 8192;
+
+/** Number of answers that are remembered for all connections. */
+export type WrittenTotal = {count: number};
 
 export type WrittenAnswer = {
 	/** Names the request and its answer in the log. */
@@ -32,9 +37,11 @@
 	readonly #socket: Socket;
 	#answers: WrittenAnswer[] = [];
 	#hasError = false;
+	readonly #total: WrittenTotal;
 
-	constructor(socket: Socket) {
+	constructor(socket: Socket, total: WrittenTotal) {
 		this.#socket = socket;
+		this.#total = total;
 		socket.on('error', () => {
 			this.#hasError = true;
 		});
@@ -46,20 +53,23 @@
 
 	add(answer: WrittenAnswer): void {
 		this.#answers.push(answer);
-		if (this.#answers.length > maximumAnswers) {
+		this.#total.count += 1;
+		while (this.#answers.length > maximumAnswers || (this.#answers.length > 1 && this.#total.count > maximumTotal)) {
 			this.#answers.shift();
+			this.#total.count -= 1;
 		}
 	}
 
 	/** Forgets all answers so far, as the caller goes on after them. */
 	callerHasAll(): void {
+		this.#total.count -= this.#answers.length;
 		this.#answers = [];
 	}
 
 	/** Returns the answers whose delivery is not known as the connection ends, and forgets them. */
 	take(): Undelivered {
 		const answers = this.#answers;
-		this.#answers = [];
+		this.callerHasAll();
 		return {answers, reason: this.#reason(), heldBytes: this.#socket.writableLength};
 	}
 
