Status lines are read as a whole

What callers saw: an upstream's 'HTTP/1.1 2000 OK' reached its caller as a 200 with the upstream's body. So did '200OK', '200-OK', a tab in place of the space, a control character in the reason, and the versions 0.9, 2.0 and 3.0. Through a daemon of the other program, the statuses 600 to 999 did.

Cause: the parser's library matches the first three digits of the status and takes what follows for the reason, and accepts any version of one digit each. The daemon's client reads three digits and nothing checked their range.

Ruled out: 000 and 099 became 502 before (a status below 200 is refused as an answer is created), on both ways and through another instance: relayed statuses are checked once more, now by a test. Health checks take the same way through the same parser.

Change: StrictParser rejects a status line that is not 'HTTP/1.' digit, space, 100 to 599, and a space with a reason or nothing. The daemon ends an attempt whose status is over 599 as unknown.

--- a/packages/daemon/src/features/calls/upstream-attempt.ts
+++ b/packages/daemon/src/features/calls/upstream-attempt.ts
@@ -19,6 +19,7 @@
 
 const shedStatusCode = 503;
 const firstFinalStatusCode = 200;
+const lastStatusCode = 599;
 
 /** The reason why an attempt is cancelled before the upstream has answered. */
 export type CancelReason = CancellationReason | 'deadline-exceeded';
@@ -127,9 +128,10 @@
 
 		this.#statusCode = statusCode;
 		this.#noRetry = headers[headerNames.noRetry] !== undefined;
-		if (!isDelimited(this.#options.call.method, statusCode, headers)) {
+		const fault = findHeadFault(this.#options.call.method, statusCode, headers);
+		if (fault !== undefined) {
 			this.#settle({type: 'unknown', reason: 'answer-truncated'});
-			controller.abort(new Error('answer has neither a content length nor chunked encoding'));
+			controller.abort(new Error(fault));
 			return;
 		}
 
@@ -242,3 +244,12 @@
 		this.#options.onEnd(result);
 	}
 }
+
+/** @returns the reason why a head does not begin an answer that can be passed on, if it does not */
+function findHeadFault(method: string, statusCode: number, headers: AnswerHeaders): string | undefined {
+	if (statusCode > lastStatusCode) {
+		return 'answer has a status that does not exist';
+	}
+
+	return isDelimited(method, statusCode, headers) ? undefined : 'answer has neither a content length nor chunked encoding';
+}
--- a/packages/gateway/src/features/relay/relayed-exchange.spec.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.spec.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {Agent, createServer, type RequestListener} from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -11,7 +12,7 @@
 import type {Context} from '../../kernel/context.js';
 import {containFaults} from '../../kernel/unexpected-fault.js';
 import {bodyOf} from '../upstreams/request-body-fixture.js';
-import {maximumRelayBodyBytes} from './relay-codec.js';
+import {maximumRelayBodyBytes, relayHeadHeader} from './relay-codec.js';
 import {RelayedExchange} from './relayed-exchange.js';
 
 /** Sends one request through an instance that handles it so, and returns the type of its failure. */
@@ -64,6 +65,16 @@
 		assert.equal(memory.unfinishedBytes, 0);
 	});
 
+	// Guards against a status that no upstream has sent, as the other instance reads status lines less strictly.
+	it('should reject an answer whose status does not exist', async () => {
+		for (const status of [0, 99, 199, 600, 2000]) {
+			assert.equal(await failureThrough((_, response) => {
+				const head = Buffer.from(JSON.stringify({type: 'answered', status, headers: []})).toString('base64url');
+				response.writeHead(200, {[relayHeadHeader]: head}).end();
+			}), 'malformed', String(status));
+		}
+	});
+
 	// Guards against a payment that runs twice, as the other instance failed after it had sent it.
 	it('should report that the request may have run if the other instance fails under it', async () => {
 		const context = {metrics: createMetrics(), logger: {error: () => undefined} as unknown as Context['logger']};
--- a/packages/gateway/src/features/upstreams/answer-parser.spec.ts
+++ b/packages/gateway/src/features/upstreams/answer-parser.spec.ts
@@ -55,6 +55,48 @@
 		}), {seed: 5});
 	});
 
+	describe('with a status line', () => {
+		for (const line of [
+			'HTTP/1.1 2000 OK',
+			'HTTP/1.1 200OK',
+			'HTTP/1.1 20 OK',
+			'HTTP/1.1 000 OK',
+			'HTTP/1.1 099 OK',
+			'HTTP/1.1 600 OK',
+			'HTTP/1.1 999 OK',
+			'HTTP/1.1 200\tOK',
+			'HTTP/1.1 200-OK',
+			'HTTP/1.1  200 OK',
+			'HTTP/1.1 +200 OK',
+			'HTTP/1.1 2e2 OK',
+			'HTTP/2.0 200 OK',
+			'HTTP/0.9 200 OK',
+			'HTTP/1.11 200 OK',
+			'HTTP/11 200 OK',
+			'http/1.1 200 OK',
+			' HTTP/1.1 200 OK',
+			'HTTP/1.1 200 O\0K',
+			'HTTP/1.1 200 O\rK',
+			'HTTP/1.1\t200 OK',
+			'ICY 200 OK',
+		]) {
+			// Guards against a status that no upstream has sent, as a part of the line was read as one.
+			it(`should reject ${JSON.stringify(line)}`, () => {
+				const {answers, fault} = parse(`${line}\r\nContent-Length: 0\r\n\r\n`);
+				assert.deepEqual(answers, []);
+				assert.notEqual(fault, undefined);
+			});
+		}
+
+		for (const line of ['HTTP/1.1 200 OK', 'HTTP/1.0 404 Not Found', 'HTTP/1.1 200 ', 'HTTP/1.1 200', 'HTTP/1.1 503 \u00DCberlast', 'HTTP/1.1 599 A 2000 B']) {
+			it(`should read ${JSON.stringify(line)}`, () => {
+				const {answers, fault} = parse(`${line}\r\nContent-Length: 0\r\n\r\n`);
+				assert.equal(fault, undefined);
+				assert.deepEqual(answers.map(({status}) => status), [Number(line.slice(9, 12))]);
+			});
+		}
+	});
+
 	it('should return no answer if it is truncated', () => {
 		fc.assert(fc.property(fc.nat(46), length => {
 			const whole = `${head}Content-Length: 5\r\n\r\nabcde`;
--- a/packages/gateway/src/features/upstreams/strict-parser.ts
+++ b/packages/gateway/src/features/upstreams/strict-parser.ts
@@ -3,6 +3,8 @@
 
 /** Header lines keep all eight bits of each byte. */
 const lineEncoding = 'latin1';
+/** A whole status line; the library reads the first three digits of a longer number as the status, and any version. */
+const statusLine = /^HTTP\/1\.\d [1-5]\d\d(?: [\t\u0020-\u007E\u0080-\u00FF]*)?$/;
 const headerLine = /^[\w!#$%&'*+.^`|~-]+:/;
 const continuationLine = /^[ \t]/;
 const chunkSizeLine = /^[\da-f]{1,8}[ \t]*(?:;.*)?$/i;
@@ -88,13 +90,17 @@
 		super.parseHeader(line, headers);
 	}
 
-	/** Rejects lines without an end, which the library would collect in memory. */
+	/** Rejects lines without an end, which the library would collect in memory, and status lines of which it would read a part. */
 	override consumeLine(): string | undefined {
 		const line = super.consumeLine();
 		if (line === undefined && this.line.length > maximumHeaderCharacters) {
 			throw new Error('line too long');
 		}
 
+		if (this.state === 'RESPONSE_LINE' && line !== undefined && line !== '' && !statusLine.test(line)) {
+			throw new Error('invalid status line');
+		}
+
 		return line;
 	}
 
--- a/packages/testing/src/calls/answers.spec.ts
+++ b/packages/testing/src/calls/answers.spec.ts
@@ -20,6 +20,9 @@
 	'no answer': {text: '', end: 'reset'},
 };
 
+/** Status lines that HTTP forbids. */
+const invalidStatusLines = ['HTTP/1.1 000 OK', 'HTTP/1.1 099 OK', 'HTTP/1.1 2000 OK', 'HTTP/1.1 200OK', 'HTTP/1.1 600 OK', 'HTTP/1.1 999 OK', 'HTTP/3.0 200 OK'];
+
 describe('answers that a daemon passes on', () => {
 	let deployment: Deployment;
 	let upstreams: RawUpstream[] = [];
@@ -62,6 +65,10 @@
 		it(`should never pass on a truncated answer as a complete one: ${name}`, async () => assertOutcomeUnknown(answer));
 	}
 
+	for (const line of invalidStatusLines) {
+		it(`should not pass on an answer with the status line ${line}`, async () => assertOutcomeUnknown({text: `${line}\r\nContent-Length: 5\r\n\r\nwhole`, end: 'keep'}));
+	}
+
 	it('should get the complete answer from another upstream for an idempotent request', async () => {
 		await serve([truncated['chunked, reset']!], [completeAnswer]);
 		const result = await call('GET');
