Buffers, request memory and the guard of a port move to core, for both programs; a red case of the daemon's answers

Moves without a change of behaviour: block-buffer, block-pool, skip-requests and request-memory to core/runtime; what LastAnswers did for connections and requests sent ahead is PortGuard there. The daemon needs the same parts.

--- /dev/null
+++ b/packages/core/src/runtime/index.ts
@@ -0,0 +1,5 @@
+export * from './block-buffer.js';
+export * from './block-pool.js';
+export * from './port-guard.js';
+export * from './request-memory.js';
+export * from './skip-requests.js';
--- a/packages/gateway/src/features/calls/request-memory.ts
+++ b/packages/core/src/runtime/request-memory.ts
@@ -1,6 +1,6 @@
-/** Counts the memory of requests of callers from their arrival until nothing holds them any more. */
+/** Counts the memory of callers' requests from their arrival until nothing holds them any more. */
 import type {IncomingMessage} from 'node:http';
-import type {CallerMemory} from '@cairnbank/core/connections';
+import type {CallerMemory} from '../connections/caller-memory.js';
 
 /** A request and its response in the runtime, without the text of its head. */
 const requestBytes = 6144;
--- a/packages/gateway/src/features/calls/body-reader.ts
+++ b/packages/gateway/src/features/calls/body-reader.ts
@@ -1,8 +1,8 @@
 /** Reads the bodies of requests. Bodies are held whole until their calls end, so that a refused request can be sent to another upstream. */
 import type {IncomingMessage} from 'node:http';
 import type {CallerMemory, UnfinishedBody} from '@cairnbank/core/connections';
+import {BlockBuffer} from '@cairnbank/core/runtime';
 import {err, ok, type Result} from 'neverthrow';
-import {BlockBuffer} from '../../kernel/block-buffer.js';
 import {TimeLimit} from '../../kernel/time-limit.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {RequestBody} from '../upstreams/exchange.js';
--- a/packages/gateway/src/features/calls/caller-connection-options.ts
+++ b/packages/gateway/src/features/calls/caller-connection-options.ts
@@ -1,8 +1,8 @@
 /** Settings and callbacks of a caller's connection. */
 import type {Socket} from 'node:net';
+import type {RequestMemory} from '@cairnbank/core/runtime';
 import type {GracefulCloseOptions} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
-import type {RequestMemory} from './request-memory.js';
 import type {Undelivered, WrittenAnswer, WrittenTotal} from './written-answers.js';
 
 export type CallerConnectionOptions = {
--- a/packages/gateway/src/features/calls/caller-connection.ts
+++ b/packages/gateway/src/features/calls/caller-connection.ts
@@ -1,12 +1,11 @@
 /** One connection of a caller: starts its requests, returns the answers in their order and closes it with the last one. */
 import {RequestSequence} from '@cairnbank/core/connections';
+import {memoryOf, skipRequestsIf} from '@cairnbank/core/runtime';
 import {waitTurns} from '../../kernel/arrivals.js';
-import {skipRequestsIf} from '../../kernel/skip-requests.js';
 import {breakOff, untilBodyIsRead} from './body-reader.js';
 import type {CallerConnectionOptions} from './caller-connection-options.js';
 import {GracefulClose} from './graceful-close.js';
 import type {OpenRequest} from './open-request.js';
-import {memoryOf} from './request-memory.js';
 import {answerToFault, statusOfFault} from './parser-faults.js';
 import {WrittenAnswers} from './written-answers.js';
 
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -5,6 +5,7 @@
 import {
 	connectionBytes, ConnectionBound, HeldAnswers, type AnswerMemory, type CallerMemory,
 } from '@cairnbank/core/connections';
+import {RequestMemory} from '@cairnbank/core/runtime';
 import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
 import {closeIdleConnectionsOnceRead} from '../../kernel/idle-connections.js';
 import {InFlight} from '../../kernel/in-flight.js';
@@ -16,7 +17,6 @@
 import {NewConnections} from './new-connections.js';
 import {OpenRequest} from './open-request.js';
 import {OpenRequests} from './open-requests.js';
-import {RequestMemory} from './request-memory.js';
 import type {Outcome} from './outcome.js';
 import {writeOutcome, type WriteOptions} from './write-outcome.js';
 import type {Undelivered, WrittenTotal} from './written-answers.js';
--- a/packages/gateway/src/features/relay/relayed-exchange.ts
+++ b/packages/gateway/src/features/relay/relayed-exchange.ts
@@ -5,9 +5,9 @@
 import type {UpstreamId} from '@cairnbank/core';
 import type {AnswerMemory} from '@cairnbank/core/connections';
 import type {RelayOutcome, RelayPeer} from '@cairnbank/core/reachability';
+import {BlockBuffer} from '@cairnbank/core/runtime';
 import {err, type Result} from 'neverthrow';
 import {AnswerReading} from '../../kernel/answer-reading.js';
-import {BlockBuffer} from '../../kernel/block-buffer.js';
 import {TimeLimit} from '../../kernel/time-limit.js';
 import type {ExchangeFailure, OutgoingRequest} from '../upstreams/exchange.js';
 import {createAnswer, type UpstreamAnswer} from '../upstreams/upstream-answer.js';
--- a/packages/gateway/src/features/relay/relayed-request.ts
+++ b/packages/gateway/src/features/relay/relayed-request.ts
@@ -1,10 +1,10 @@
 /** Passes one request of another instance on to its upstream, and ends it in every state as the instance stops. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Fingerprint} from '@cairnbank/core';
+import {BlockBuffer} from '@cairnbank/core/runtime';
 import {err, type Result} from 'neverthrow';
 import type {PoisonGuard} from '../calls/poison-guard.js';
 import type {SuspectRequest} from '../calls/suspect-request.js';
-import {BlockBuffer} from '../../kernel/block-buffer.js';
 import type {ExchangeFailure, RequestBody} from '../upstreams/exchange.js';
 import type {UpstreamAnswer} from '../upstreams/upstream-answer.js';
 import type {Upstream} from '../upstreams/upstream.js';
--- a/packages/gateway/src/features/upstreams/answer-parser.ts
+++ b/packages/gateway/src/features/upstreams/answer-parser.ts
@@ -1,6 +1,6 @@
 /** Parses the bytes of one connection into answers, one at a time. */
 import {Buffer} from 'node:buffer';
-import {BlockBuffer} from '../../kernel/block-buffer.js';
+import {BlockBuffer} from '@cairnbank/core/runtime';
 import {StrictParser, type AfterHead, type ResponseInfo} from './strict-parser.js';
 import {
 	bodylessStatuses, createAnswer, type RawHeaders, type UpstreamAnswer,
--- a/packages/gateway/src/kernel/last-answers.ts
+++ b/packages/gateway/src/kernel/last-answers.ts
@@ -3,18 +3,14 @@
 	IncomingMessage, RequestListener, Server, ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import {ConnectionBound} from '@cairnbank/core/connections';
+import {PortGuard} from '@cairnbank/core/runtime';
 import {untilArrivalsAreRead, waitTurns} from './arrivals.js';
 import {closeIdleConnectionsOnceRead} from './idle-connections.js';
 import {InFlight} from './in-flight.js';
-import {skipRequestsIf} from './skip-requests.js';
 
 /** Turns of the event loop in which the requests behind one are read. */
 const turnsToRead = 2;
 
-/** Requests without an answer on one connection, the last of which closes it; those who use these ports wait for each answer. */
-const maximumUnanswered = 64;
-
 export type ConnectionLimit = {
 	readonly maximumConnections: number;
 	/** Called for each connection that is ended because there are too many. */
@@ -27,11 +23,7 @@
 	readonly #unanswered = new InFlight<ServerResponse>();
 	/** Connections whose last answer is written and which the other side has not closed yet. */
 	readonly #ending = new InFlight<Socket>();
-	readonly #bound: ConnectionBound<Socket>;
-	/** Number of unanswered requests of each connection that has any. */
-	readonly #sentAhead = new Map<Socket, number>();
-	/** Connections that close behind the requests that have arrived, as those are too many. */
-	readonly #overfull = new WeakSet<Socket>();
+	readonly #guard: PortGuard;
 	/** Response to the last request of each connection. */
 	readonly #newest = new WeakMap<Socket, ServerResponse>();
 	/** Responses that close their connections only because the instance leaves. */
@@ -40,27 +32,19 @@
 	#isLeaving = false;
 	#isStopped = false;
 
-	constructor(server: Server, handle: RequestListener, {maximumConnections, onTooMany}: ConnectionLimit) {
+	constructor(server: Server, handle: RequestListener, limit: ConnectionLimit) {
 		this.#server = server;
 		this.#handle = handle;
-		this.#bound = new ConnectionBound(maximumConnections);
 		closeIdleConnectionsOnceRead(server);
 		server.on('connection', (socket: Socket) => {
 			this.#arrivals += 1;
 			this.#endGracefully(socket);
-			skipRequestsIf(socket, () => socket.destroyed || this.#overfull.has(socket));
 			socket.once('close', () => {
 				this.#ending.delete(socket);
-				this.#bound.closed(socket);
-				this.#sentAhead.delete(socket);
 				this.#forget(socket);
 			});
-			const tooMany = this.#bound.opened(socket);
-			if (tooMany !== undefined) {
-				tooMany.destroy();
-				onTooMany();
-			}
 		});
+		this.#guard = new PortGuard(server, limit);
 		server.on('request', (request, response) => {
 			this.#arrivals += 1;
 			void this.#receive(request, response);
@@ -104,7 +88,7 @@
 			return;
 		}
 
-		this.#count(socket, response);
+		this.#guard.received(socket, response);
 		const previous = this.#newest.get(socket);
 		this.#newest.set(socket, response);
 		this.#unanswered.add(response);
@@ -139,26 +123,6 @@
 		};
 	}
 
-	#count(socket: Socket, response: ServerResponse): void {
-		const unanswered = (this.#sentAhead.get(socket) ?? 0) + 1;
-		this.#sentAhead.set(socket, unanswered);
-		this.#bound.busy(socket);
-		if (unanswered === maximumUnanswered) {
-			this.#overfull.add(socket);
-			response.shouldKeepAlive = false;
-		}
-
-		response.once('close', () => {
-			const left = (this.#sentAhead.get(socket) ?? 1) - 1;
-			if (left > 0) {
-				this.#sentAhead.set(socket, left);
-			} else {
-				this.#sentAhead.delete(socket);
-				this.#bound.resting(socket);
-			}
-		});
-	}
-
 	#close(response: ServerResponse): void {
 		if (response.shouldKeepAlive) {
 			this.#closing.add(response);
--- a/packages/testing/src/calls/misbehaving-callers.alone.spec.ts
+++ b/packages/testing/src/calls/misbehaving-callers.alone.spec.ts
@@ -9,7 +9,7 @@
 import {
 	Caller, Deployment, descriptorCount, largeChunks, lastChunk, peakMegabytes, RawCaller, shortHeaders, smallChunks, unfinishedHead, waitFor,
 } from '../harness/index.js';
-import {RawUpstream} from '../stand-ins/raw-upstream.js';
+import {RawUpstream, type RawAnswer} from '../stand-ins/raw-upstream.js';
 
 /** Memory of an instance at its design size. */
 const memoryMegabytes = 256;
@@ -24,9 +24,10 @@
 const upstreams: RawUpstream[] = [];
 const crowd: RawCaller[] = [];
 
-async function start(): Promise<Deployment> {
-	const silent = await new RawUpstream([{text: '', end: 'keep'}]).start();
-	upstreams.push(silent);
+/** @param answer - what the upstream of the service ledger sends */
+async function start(answer: RawAnswer = {text: '', end: 'keep'}): Promise<Deployment> {
+	const ledger = await new RawUpstream([answer]).start();
+	upstreams.push(ledger);
 	const deployment = await Deployment.start({
 		services: [{id: 'sound', upstreams: 1}], daemons: 1, settings: {calls: {maximumConnections: connections}},
 	});
@@ -40,7 +41,7 @@
 			{
 				id: 'ledger',
 				upstreams: [{
-					id: 'silent', address: silent.address, availabilityZone: 'zone-a', slots: 1000, connections: 1000,
+					id: 'raw', address: ledger.address, availabilityZone: 'zone-a', slots: 1000, connections: 1000,
 				}],
 			},
 		],
@@ -183,6 +184,15 @@
 		});
 	});
 
+	describe('with answers of an upstream in chunks of one byte', () => {
+		it('should bear several at a time at the daemon', async () => {
+			const deployment = await start({text: `HTTP/1.1 200 OK\r\n${chunked}\r\n${Buffer.from(smallChunks(700_000)).toString()}${lastChunk}`, end: 'keep'});
+			const callers = await send(deployment.daemons[0]!.callersAddress, 6, head('/ledger/c', 'GET', ''));
+			await waitFor('the answers', () => callers.every(({received, isClosed}) => received !== '' || isClosed));
+			await assertSound(deployment);
+		});
+	});
+
 	describe('with requests sent ahead whose answers nobody reads', () => {
 		it('should bear them on the admin port of the daemon', async () => {
 			const deployment = await start();
