Daemon: bodies of requests are held in blocks, whose memory is counted

What callers saw: 12 callers that each left 400 kB in chunks of one byte unfinished took 1,143 MB of 256, 280 with 0.9 MB in large chunks 370, one whole body of 900 kB in chunks of one byte 479, and bodies sent ahead 403.

Cause: as at the gateway, a buffer of its own for each chunk; and nothing bounded the bodies of all calls together, up to 10,000 of 1 MiB.

Change: bodies are read into blocks and count against calls.heldRequestsTotalBytes (64 MiB, bodies three quarters of it). A body that finds no room is refused as not run with the known reason instance-busy, unless a longer one has been arriving for over 0.2 s. An operator's maximumBodyBytes above that keeps room for one such body.

Evidence: the four tests of misbehaving-callers.alone.spec of the daemon, red before with the figures above, pass (bound 256 MB).

--- a/packages/daemon/src/features/calls/call-refusal.ts
+++ b/packages/daemon/src/features/calls/call-refusal.ts
@@ -5,4 +5,5 @@
 	readonly reason: NotRunReason;
 	readonly statusCode: number;
 	readonly detail: string;
+	readonly retryAfterMs?: number;
 };
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Address} from '@cairnbank/core';
+import {CallerMemory} from '@cairnbank/core/connections';
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono} from 'hono';
@@ -41,6 +42,9 @@
 /** Path prefix of the daemon's own routes on the caller port; no service can have this name. */
 const ownRoutesPrefix = '/.well-known/';
 
+/** Part of the memory for requests that their bodies may take. */
+const bodyRatio = 0.75;
+
 const stoppingRefusal: Refusal = {
 	statusCode: 503, reason: 'stopping', detail: 'not run: this instance is stopping, ask for addresses again', retryAfterMs: 1000,
 };
@@ -67,6 +71,7 @@
 	readonly #handler: CallHandler;
 	readonly #heldAnswers: HeldAnswers;
 	readonly #readerOptions: CallReaderOptions;
+	readonly #memory: CallerMemory;
 	readonly #server: Server;
 	readonly #callsInFlight: CallsInFlight;
 	readonly #unansweredRequests = new UnansweredRequests();
@@ -81,7 +86,14 @@
 		this.#context = context;
 		this.#handler = handler;
 		this.#heldAnswers = heldAnswers;
-		this.#readerOptions = {clock: context.clock, tracing: context.tracing, maximumBodyBytes: context.settings.calls.maximumBodyBytes};
+		const {maximumBodyBytes, heldRequestsTotalBytes} = context.settings.calls;
+		const bodyBytes = Math.max(heldRequestsTotalBytes * bodyRatio, maximumBodyBytes);
+		this.#memory = new CallerMemory({
+			clock: context.clock, maximumBytes: Math.max(heldRequestsTotalBytes, bodyBytes / bodyRatio), maximumBodyBytes: bodyBytes, answerBytes: () => 0,
+		});
+		this.#readerOptions = {
+			clock: context.clock, tracing: context.tracing, maximumBodyBytes, memory: this.#memory,
+		};
 		this.#callsInFlight = new CallsInFlight(context.settings.calls.maximumInFlight);
 		this.#server = this.#createServer(routes);
 		context.bus.on('configuration-in-force', ({configuration}) => {
@@ -219,7 +231,13 @@
 			open.cancellation.cancel('caller-gone');
 		});
 		const call = await open.untilRead(readCall({
-			request, configuration: this.#configuration, cancellation: open.cancellation, sink: new ResponseSink(response),
+			request,
+			configuration: this.#configuration,
+			cancellation: open.cancellation,
+			sink: new ResponseSink(response),
+			onHeld(release) {
+				response.once('close', release);
+			},
 		}, this.#readerOptions));
 		if (call === 'expired') {
 			writeProblem(response, toRefusalProblem(request, stoppingRefusal));
--- a/packages/daemon/src/features/calls/read-body.ts
+++ b/packages/daemon/src/features/calls/read-body.ts
@@ -1,9 +1,19 @@
-/** Reads the complete body of a request, up to a size limit. */
-import {Buffer} from 'node:buffer';
+/** Reads the complete body of a request, up to a size limit and within the memory for requests. */
 import type {IncomingMessage} from 'node:http';
+import type {CallerMemory, UnfinishedBody} from '@cairnbank/core/connections';
+import {BlockBuffer} from '@cairnbank/core/runtime';
 import {err, ok, type Result} from 'neverthrow';
 
-export type BodyError = {readonly type: 'too-large'} | {readonly type: 'caller-gone'};
+/** `no-room`: other requests fill the memory. */
+export type BodyError = {readonly type: 'too-large' | 'no-room' | 'caller-gone'};
+
+export type BodyReaderOptions = {
+	readonly memory: CallerMemory;
+	/** Reading stops with an error once the body exceeds this size. */
+	readonly maximumBytes: number;
+	/** Called with a function that frees the memory of the body; it has to be called once the call has ended. */
+	readonly onHeld: (release: () => void) => void;
+};
 
 /** Returns whether the headers of the request announce a body. */
 export function hasBody(request: IncomingMessage): boolean {
@@ -11,25 +21,52 @@
 	return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
 }
 
-/** @param maximumBytes - reading stops with an error once the body exceeds this size */
-export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Result<Uint8Array, BodyError>> {
+export async function readBody(request: IncomingMessage, {memory, maximumBytes, onHeld}: BodyReaderOptions): Promise<Result<Uint8Array, BodyError>> {
 	if (Number(request.headers['content-length'] ?? 0) > maximumBytes) {
 		return err({type: 'too-large'});
 	}
 
 	return new Promise(resolve => {
-		const chunks: Uint8Array[] = [];
-		let length = 0;
+		const blocks = new BlockBuffer();
+		let reservedBytes = 0;
+		const release = (): void => {
+			memory.releaseBody(body, reservedBytes);
+			reservedBytes = 0;
+		};
+
+		const fail = (type: BodyError['type']): void => {
+			blocks.discard();
+			release();
+			request.removeAllListeners('data');
+			request.resume();
+			resolve(err({type}));
+		};
+
+		const body: UnfinishedBody = {
+			giveUp() {
+				reservedBytes = 0;
+				fail('no-room');
+			},
+		};
+		onHeld(release);
 		request.on('data', (chunk: Uint8Array) => {
-			chunks.push(chunk);
-			length += chunk.length;
-			if (length > maximumBytes) {
-				request.pause();
-				resolve(err({type: 'too-large'}));
+			if (blocks.bytes + chunk.length > maximumBytes) {
+				fail('too-large');
+				return;
 			}
+
+			blocks.add(chunk);
+			const grownBytes = blocks.allocatedBytes - reservedBytes;
+			if (grownBytes > 0 && !memory.reserveBody(body, grownBytes)) {
+				fail('no-room');
+				return;
+			}
+
+			reservedBytes = Math.max(reservedBytes, blocks.allocatedBytes);
 		});
 		request.on('end', () => {
-			resolve(ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+			memory.completeBody(body);
+			resolve(ok(blocks.takeBytes()));
 		});
 		request.on('close', () => {
 			resolve(err({type: 'caller-gone'}));
--- a/packages/daemon/src/features/calls/read-call.ts
+++ b/packages/daemon/src/features/calls/read-call.ts
@@ -1,6 +1,7 @@
 /** Turns a caller's HTTP request into a call, or returns the reason why that is not possible. */
 import type {IncomingMessage} from 'node:http';
 import {type Clock, type TenantId, tenantIdSchema} from '@cairnbank/core';
+import type {CallerMemory} from '@cairnbank/core/connections';
 import {headerNames} from '@cairnbank/protocol/headers';
 import {err, ok, type Result} from 'neverthrow';
 import type {TraceHeaders} from '../../tracing/call-trace.js';
@@ -11,10 +12,12 @@
 import type {Cancellation} from './cancellation.js';
 import type {ConfigurationInForce} from './configuration-in-force.js';
 import {endToEndHeaders} from './end-to-end-headers.js';
-import {hasBody, readBody} from './read-body.js';
+import {hasBody, readBody, type BodyError} from './read-body.js';
 
 const anonymousTenant = tenantIdSchema.parse('anonymous');
 const numberPattern = /^\d{1,9}$/;
+/** Time in which several long bodies are sent to their upstreams. */
+const bodiesRetryAfterMs = 200;
 
 const statusCodes = {
 	badRequest: 400,
@@ -27,6 +30,7 @@
 	readonly clock: Clock;
 	readonly tracing: Tracing;
 	readonly maximumBodyBytes: number;
+	readonly memory: CallerMemory;
 };
 
 export type CallSource = {
@@ -34,6 +38,8 @@
 	readonly configuration: ConfigurationInForce | undefined;
 	readonly cancellation: Cancellation;
 	readonly sink: AnswerSink;
+	/** Called with a function that frees the memory of the body; it has to be called once the call has ended. */
+	readonly onHeld: (release: () => void) => void;
 };
 
 /** Reads a request including its body and classifies it. */
@@ -43,12 +49,28 @@
 		return head;
 	}
 
-	const body = await readBody(source.request, options.maximumBodyBytes);
+	const body = await readBody(source.request, {memory: options.memory, maximumBytes: options.maximumBodyBytes, onHeld: source.onHeld});
 	return body
 		.map(bytes => ({...head.value, body: bytes, readAtMs: options.clock.monotonicMs()}))
-		.mapErr((error): CallRefusal => error.type === 'too-large'
-			? {reason: 'request-too-large', statusCode: statusCodes.contentTooLarge, detail: `bodies may have ${options.maximumBodyBytes} bytes`}
-			: {reason: 'caller-gone', statusCode: statusCodes.badRequest, detail: 'the connection closed within the request'});
+		.mapErr(error => refusalOf(error, options));
+}
+
+function refusalOf({type}: BodyError, {maximumBodyBytes}: CallReaderOptions): CallRefusal {
+	switch (type) {
+		case 'too-large': {
+			return {reason: 'request-too-large', statusCode: statusCodes.contentTooLarge, detail: `bodies may have ${maximumBodyBytes} bytes`};
+		}
+
+		case 'no-room': {
+			return {
+				reason: 'instance-busy', statusCode: statusCodes.unavailable, detail: 'not run: bodies of other requests fill the memory', retryAfterMs: bodiesRetryAfterMs,
+			};
+		}
+
+		case 'caller-gone': {
+			return {reason: 'caller-gone', statusCode: statusCodes.badRequest, detail: 'the connection closed within the request'};
+		}
+	}
 }
 
 function readHead(source: CallSource, options: CallReaderOptions): Result<Call, CallRefusal> {
--- a/packages/daemon/src/settings/call-settings.ts
+++ b/packages/daemon/src/settings/call-settings.ts
@@ -10,6 +10,8 @@
 	maximumBodyBytes: z.int().min(0).default(mebibyte),
 	/** Maximum size of the headers of a request. */
 	maximumHeaderBytes: z.int().min(kibibyte).default(16 * kibibyte),
+	/** Maximum memory of the requests that are held at a time: connections, heads and bodies. */
+	heldRequestsTotalBytes: z.int().min(mebibyte).default(64 * mebibyte),
 	/** Answers up to this size are buffered completely before their first byte is sent. Larger ones are streamed. */
 	heldAnswerBytes: z.int().min(0).default(mebibyte),
 	/** Maximum total size of the answers that are buffered at a time for calls in flight. */
--- a/packages/testing/src/calls/misbehaving-callers.alone.spec.ts
+++ b/packages/testing/src/calls/misbehaving-callers.alone.spec.ts
@@ -20,12 +20,13 @@
 const pauseMs = 500;
 const startedPerConnection = 8;
 
+const noAnswer: RawAnswer = {text: '', end: 'keep'};
 const deployments: Deployment[] = [];
 const upstreams: RawUpstream[] = [];
 const crowd: RawCaller[] = [];
 
 /** @param answer - what the upstream of the service ledger sends */
-async function start(answer: RawAnswer = {text: '', end: 'keep'}): Promise<Deployment> {
+async function start(answer = noAnswer): Promise<Deployment> {
 	const ledger = await new RawUpstream([answer]).start();
 	upstreams.push(ledger);
 	const deployment = await Deployment.start({
