Daemon: answers of upstreams are held in blocks, whose memory is counted

What callers saw: six answers of 700 kB in chunks of one byte took 653 MB of 256.

Cause: each chunk of an answer was a buffer of its own until the answer was whole, and only its bytes counted against calls.heldAnswersTotalBytes.

Change: chunks are copied into blocks, and the memory of the blocks counts.

Evidence: misbehaving-callers.alone.spec of the daemon, 'should bear several at a time at the daemon': 653 (red) -> 145 MB.

--- a/packages/daemon/src/features/calls/upstream-attempt.ts
+++ b/packages/daemon/src/features/calls/upstream-attempt.ts
@@ -4,9 +4,9 @@
  * Before `onRequestStart` nothing has been sent, so after a failure the request provably did not run. Later it is unknown after a failure
  * whether the request ran, unless the upstream itself answers that it shed the request.
  */
-import {Buffer} from 'node:buffer';
 import type {UpstreamId} from '@cairnbank/core';
 import type {AttemptResult, RawHeaders} from '@cairnbank/core/outcomes';
+import {BlockBuffer} from '@cairnbank/core/runtime';
 import {headerNames} from '@cairnbank/protocol/headers';
 import type {Dispatcher} from 'undici';
 import type {HopSpan} from '../../tracing/call-trace.js';
@@ -52,7 +52,7 @@
 	#shed = false;
 	#noRetry = false;
 	#connectionLost = false;
-	#chunks: Uint8Array[] = [];
+	readonly #body = new BlockBuffer();
 	#heldBytes = 0;
 
 	constructor(options: AttemptOptions) {
@@ -154,10 +154,11 @@
 			return;
 		}
 
-		this.#chunks.push(chunk);
-		this.#heldBytes += chunk.length;
-		this.#options.heldAnswers.add(chunk.length);
-		if (this.#heldBytes > this.#options.heldAnswerBytes || this.#options.heldAnswers.isFull) {
+		this.#body.add(chunk);
+		const grownBytes = this.#body.allocatedBytes - this.#heldBytes;
+		this.#heldBytes += grownBytes;
+		this.#options.heldAnswers.add(grownBytes);
+		if (this.#body.bytes > this.#options.heldAnswerBytes || this.#options.heldAnswers.isFull) {
 			this.#beginStreaming(controller);
 		}
 	}
@@ -199,8 +200,7 @@
 	}
 
 	#bufferedAnswer(): AttemptResult {
-		const body = this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks);
-		return {type: 'answered', answer: {statusCode: this.#statusCode, headers: this.#headers, body}};
+		return {type: 'answered', answer: {statusCode: this.#statusCode, headers: this.#headers, body: this.#body.takeBytes()}};
 	}
 
 	#beginStreaming(controller: Dispatcher.DispatchController): void {
@@ -214,9 +214,9 @@
 		this.#streaming = true;
 		onStreamingStart();
 		sink.begin(this.#statusCode, this.#headers);
-		const chunks = this.#chunks;
+		const parts = this.#body.takeParts();
 		this.#releaseBuffer();
-		for (const chunk of chunks) {
+		for (const chunk of parts) {
 			this.#writeToSink(controller, chunk);
 		}
 	}
@@ -234,7 +234,7 @@
 	#releaseBuffer(): void {
 		this.#options.heldAnswers.remove(this.#heldBytes);
 		this.#heldBytes = 0;
-		this.#chunks = [];
+		this.#body.discard();
 	}
 
 	#settle(result: AttemptResult): void {
