Daemon: connections give way to new ones, and the heads of requests count

What callers saw: once as many connections were open as calls.maximumConnections allows, every new one was reset, so that an ordinary caller got no answer in ten tries, whatever the others sent. Requests with long heads sent ahead behind open ones took 292 MB of 256.

Cause: the runtime drops new connections beyond the maximum and keeps those that hold theirs idle or unfinished. Nothing counted heads, nor the requests sent ahead on one connection; and where the parser failed behind a closed request it was given each further part once more, with a copy of 64 KB in the error.

Change: PortGuard, as on the other ports of the gateway: the connection without a request for longest is ended, then one whose only request is being read, and a connection closes behind 64 unanswered requests. Requests and connections reserve memory of calls.heldRequestsTotalBytes. discardFurtherBytes, which stood in two places, is one function, and a connection that closes behind its requests uses it too.

Evidence: misbehaving-callers.alone.spec of the daemon, red before: three of 600 connections (no answer in ten tries -> answered, 326 descriptors of 400), long heads 292 and 378 -> 238 and 159 MB (309 before the discarding).

--- a/packages/core/src/runtime/port-guard.ts
+++ b/packages/core/src/runtime/port-guard.ts
@@ -2,6 +2,7 @@
 import type {Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {ConnectionBound} from '../connections/connection-bound.js';
+import {discardFurtherBytes} from './discard-further-bytes.js';
 import {skipRequestsIf} from './skip-requests.js';
 
 /** Requests without an answer on one connection, the last of which closes it; few callers send more than some ahead. */
@@ -36,9 +37,12 @@
 		return this.#unanswered.get(socket) ?? 0;
 	}
 
-	/** Makes the parser skip what arrives on a connection from now on. */
+	/** Drops what arrives on a connection from now on. */
 	closeBehind(socket: Socket): void {
-		this.#closing.add(socket);
+		if (!this.#closing.has(socket)) {
+			this.#closing.add(socket);
+			discardFurtherBytes(socket);
+		}
 	}
 
 	/** Records a request that will be answered. */
--- a/packages/daemon/src/features/calls/caller-listener-task.ts
+++ b/packages/daemon/src/features/calls/caller-listener-task.ts
@@ -4,12 +4,14 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Address} from '@cairnbank/core';
-import {CallerMemory} from '@cairnbank/core/connections';
+import {CallerMemory, connectionBytes} from '@cairnbank/core/connections';
+import {memoryOf, RequestMemory, type PortGuard} from '@cairnbank/core/runtime';
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono} from 'hono';
 import {type Result} from 'neverthrow';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
+import {createPortGuard} from '../../kernel/guard-port.js';
 import {closeServer, listen, toAdvertisedAddress} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
@@ -77,6 +79,8 @@
 	readonly #unansweredRequests = new UnansweredRequests();
 	/** Calls whose response has not closed. */
 	readonly #openCalls = new Set<OpenCall>();
+	/** Connections whose newest request is being read. */
+	readonly #reading = new WeakSet<Socket>();
 	#configuration: ConfigurationInForce | undefined;
 	#leaving = false;
 	#refusing = false;
@@ -163,20 +167,27 @@
 			requestTimeout: readTimeoutMs,
 		});
 		// Calls bypass hono, because it answers HEAD through GET with a response of its own and creates a web request object for each call.
+		const guard = createPortGuard(server, this.#context, {
+			listener: this.name, maximumConnections, mayEnd: socket => guard.unansweredOf(socket) === 1 && this.#reading.has(socket),
+		});
+		server.on('connection', socket => {
+			this.#reserveConnection(socket);
+		});
 		server.on('request', (request, response) => {
 			// Nothing that arrives behind the end of the connection may run, as its answer can't be written.
-			if (request.socket.writableEnded || !this.#unansweredRequests.tryBegin(response)) {
+			if (request.socket.writableEnded || !this.#hasMemoryFor(request, response, guard) || !this.#unansweredRequests.tryBegin(response)) {
 				request.resume();
 				return;
 			}
 
+			guard.received(request.socket, response);
+
 			if (this.#leaving) {
 				response.shouldKeepAlive = false;
 			}
 
 			void (request.url!.startsWith(ownRoutesPrefix) ? serveOwnRoute(request, response) : this.#serveContained(request, response));
 		});
-		server.maxConnections = maximumConnections;
 		server.on('checkExpectation', (request, response) => {
 			writeProblem(response, toRefusalProblem(request, unsupportedExpectationRefusal));
 		});
@@ -189,6 +200,41 @@
 		return server;
 	}
 
+	#reserveConnection(socket: Socket): void {
+		if (!this.#memory.reserveHead(connectionBytes)) {
+			socket.destroy();
+			return;
+		}
+
+		socket.once('close', () => {
+			this.#memory.releaseHead(connectionBytes);
+		});
+	}
+
+	/**
+	 * Reserves memory for a request until it is answered. If there is none, one without others before it is refused as busy; behind others,
+	 * whose answers would hold it, the connection closes without it.
+	 */
+	#hasMemoryFor(request: IncomingMessage, response: ServerResponse, guard: PortGuard): boolean {
+		const {socket} = request;
+		const waits = guard.unansweredOf(socket) > 0;
+		const release = new RequestMemory(this.#memory).reserve(memoryOf(request), waits);
+		if (release !== undefined) {
+			response.once('close', release);
+			return true;
+		}
+
+		if (!waits) {
+			writeProblem(response, toRefusalProblem(request, busyRefusal));
+		} else if (this.#unansweredRequests.closeAfterAnswers(socket)) {
+			guard.closeBehind(socket);
+		} else {
+			socket.destroy();
+		}
+
+		return false;
+	}
+
 	/** Refuses bytes that are no request, unless the caller would take the refusal for the answer to an earlier one. */
 	#refuseUnreadable(socket: Socket, errorCode?: string): void {
 		if (!this.#unansweredRequests.closeAfterAnswers(socket)) {
@@ -230,6 +276,7 @@
 			this.#openCalls.delete(open);
 			open.cancellation.cancel('caller-gone');
 		});
+		this.#reading.add(request.socket);
 		const call = await open.untilRead(readCall({
 			request,
 			configuration: this.#configuration,
@@ -239,6 +286,7 @@
 				response.once('close', release);
 			},
 		}, this.#readerOptions));
+		this.#reading.delete(request.socket);
 		if (call === 'expired') {
 			writeProblem(response, toRefusalProblem(request, stoppingRefusal));
 			return;
--- a/packages/daemon/src/kernel/listen.ts
+++ b/packages/daemon/src/kernel/listen.ts
@@ -3,6 +3,7 @@
 import {isIPv6, type AddressInfo, type Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {addressSchema, type Address} from '@cairnbank/core';
+import {discardFurtherBytes} from '@cairnbank/core/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import type {ListenAddress} from '../settings/listen-address.js';
 import type {StartError} from './start-error.js';
@@ -121,16 +122,7 @@
 	}
 
 	socket.end();
-	// The parser must not be detached while it runs.
-	setImmediate(() => {
-		// Adding a listener detaches the parser from the socket; removing all then also removes the parser's own.
-		socket.on('data', () => undefined);
-		socket.removeAllListeners('data');
-		socket.on('data', () => undefined);
-		socket.resume();
-		// Ends the read that the parser may have paused, so that the stream begins another one.
-		socket.push('');
-	});
+	discardFurtherBytes(socket);
 	const destroy = socket.destroy.bind(socket);
 	const timer = setTimeout(destroy, lingerMs);
 	socket.once('close', () => {
--- a/packages/gateway/src/features/calls/graceful-close.ts
+++ b/packages/gateway/src/features/calls/graceful-close.ts
@@ -1,5 +1,6 @@
 /** Closes the connection of a caller so that it gets all that was written. */
 import type {Socket} from 'node:net';
+import {discardFurtherBytes} from '@cairnbank/core/runtime';
 
 export type GracefulCloseOptions = {
 	/** Returns the time for which the caller's end is awaited while the instance does not stop. */
@@ -44,17 +45,7 @@
 		}
 
 		this.#isDiscarding = true;
-		const socket = this.#socket;
-		// The parser must not be detached while it runs.
-		setImmediate(() => {
-			// Adding a listener detaches the parser from the socket; removing all then also removes the parser's own.
-			socket.on('data', () => undefined);
-			socket.removeAllListeners('data');
-			socket.on('data', () => undefined);
-			socket.resume();
-			// Ends the read that the parser may have paused, so that the stream begins another one.
-			socket.push('');
-		});
+		discardFurtherBytes(this.#socket);
 	}
 
 	/**
