Daemon: the ports of peers and operators bear connections and requests sent ahead without end

Cause: nothing bounded these ports, and the text of the metrics was made for each request.

Change: PortGuard for both, an eighth of the callers' connections for other daemons and 32 for the admin port; one text of the metrics serves all who ask while it is made.

--- a/packages/daemon/src/features/admin/admin-routes.ts
+++ b/packages/daemon/src/features/admin/admin-routes.ts
@@ -22,7 +22,22 @@
 	const router = createOperatorsRouter(operators);
 	app.get('/healthz', context => context.text('ok'));
 	app.get('/readyz', context => state.current === 'ready' ? context.text('ready') : context.text(state.current, unavailable));
-	app.get('/metrics', async context => context.body(await metrics.metrics(), {headers: {'content-type': metrics.contentType}}));
+	let text: Promise<string> | undefined;
+	// One text serves all requests that arrive while it is made, as it is long.
+	const createText = async (): Promise<string> => {
+		try {
+			return await metrics.metrics();
+		} finally {
+			text = undefined;
+		}
+	};
+
+	const metricsText = async (): Promise<string> => {
+		text ??= createText();
+		return text;
+	};
+
+	app.get('/metrics', async context => context.body(await metricsText(), {headers: {'content-type': metrics.contentType}}));
 	app.all(`${operatorsPath}/*`, async context => fetchRequestHandler({
 		endpoint: operatorsPath,
 		req: context.req.raw,
--- a/packages/daemon/src/features/admin/admin-task.ts
+++ b/packages/daemon/src/features/admin/admin-task.ts
@@ -3,6 +3,7 @@
 import {createAdaptorServer} from '@hono/node-server';
 import {type Result} from 'neverthrow';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
+import {guardPort} from '../../kernel/guard-port.js';
 import {closeServer, listen} from '../../kernel/listen.js';
 import type {StartError} from '../../kernel/start-error.js';
 import type {Task} from '../../kernel/task.js';
@@ -14,6 +15,8 @@
 
 /** Time that unfinished answers have to complete when the port is closed. */
 const closingGraceMs = 1000;
+/** Operators, the metrics collector and health checks. */
+const maximumConnections = 32;
 
 export class AdminTask implements Task {
 	readonly name = 'admin';
@@ -31,6 +34,7 @@
 			secrets: context.settings.operatorSecrets,
 		});
 		this.#server = createAdaptorServer({fetch: routes.fetch}) as Server;
+		guardPort(this.#server, context, {listener: this.name, maximumConnections});
 	}
 
 	async start(): Promise<Result<void, StartError>> {
--- a/packages/daemon/src/features/peers/peers-task.ts
+++ b/packages/daemon/src/features/peers/peers-task.ts
@@ -7,6 +7,7 @@
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {type Result} from 'neverthrow';
 import type {DaemonContext} from '../../kernel/daemon-context.js';
+import {guardPort} from '../../kernel/guard-port.js';
 import {closeServer, listen, toAdvertisedAddress} from '../../kernel/listen.js';
 import {isAuthorized} from '../../kernel/secret.js';
 import type {StartError} from '../../kernel/start-error.js';
@@ -17,6 +18,9 @@
 const unauthorized = 401;
 /** Ratio of the maximum body size of the peer port to that of a call: a forwarded call is sent with its headers and a body in base64. */
 const bodyBytesPerCallByte = 1.5;
+/** Connections of other daemons, as a part of those of callers. */
+const connectionRatio = 0.125;
+const minimumConnections = 16;
 const keepAliveTimeoutMs = 600_000;
 const headersTimeoutMs = 5000;
 const closingTimeoutMs = 1000;
@@ -45,6 +49,8 @@
 		this.#server = createServer({keepAliveTimeout: keepAliveTimeoutMs, headersTimeout: headersTimeoutMs}, (request, response) => {
 			this.#handle(request, response);
 		});
+		const {maximumConnections} = context.settings.calls;
+		guardPort(this.#server, context, {listener: this.name, maximumConnections: Math.max(minimumConnections, Math.floor(maximumConnections * connectionRatio))});
 		this.#server.on('connection', socket => {
 			bytes.track('peers', socket);
 		});
