--- a/packages/gateway/src/kernel/garbage-limit.spec.ts
+++ b/packages/gateway/src/kernel/garbage-limit.spec.ts
@@ -19,6 +19,7 @@
 			collect() {
 				collections.push(clock.monotonicMs());
 			},
+			onCollected: () => undefined,
 		});
 		return {clock, collections, limit};
 	};
--- a/packages/gateway/src/kernel/garbage-limit.ts
+++ b/packages/gateway/src/kernel/garbage-limit.ts
@@ -20,6 +20,8 @@
 	/** Returns the memory of all buffers. */
 	readonly bufferBytes?: () => number;
 	readonly collect?: () => void;
+	/** Called after each collection. */
+	readonly onCollected: () => void;
 };
 
 /**
@@ -51,6 +53,7 @@
 		if (bytes > maximumBytes && bytes - usedBytes() > harmlessBytes && nowMs - this.#collectedAtMs >= minimumIntervalMs) {
 			this.#collectedAtMs = nowMs;
 			collect();
+			this.#options.onCollected();
 		}
 	}
 }
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -45,6 +45,7 @@
 		heldAnswerBytes: new Gauge({name: 'cairnbank_held_answer_bytes', help: 'Bytes of answers that their callers have not yet read', registers}),
 		unfinishedAnswerBytes: new Gauge({name: 'cairnbank_unfinished_answer_bytes', help: 'Bytes of answers that are being read from upstreams', registers}),
 		outgrownAnswers: counter('cairnbank_outgrown_answers_total', 'Answers that were given up before their end, as they were the longest and memory was short'),
+		forcedCollections: counter('cairnbank_forced_collections_total', 'Times that dropped buffers were freed because memory was short'),
 		heldHeadBytes: new Gauge({name: 'cairnbank_held_head_bytes', help: 'Memory set aside for connections of callers and for requests without their bodies', registers}),
 		heldBodyBytes: new Gauge({name: 'cairnbank_held_body_bytes', help: 'Bytes set aside for bodies of requests that have not ended', registers}),
 		configurationVersion: new Gauge({name: 'cairnbank_configuration_version', help: 'Version of the configuration in force', registers}),
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -81,6 +81,9 @@
 		clock: systemClock,
 		maximumBytes: machineLimits.callerBytes * garbageRatio,
 		usedBytes: () => callerMemory.bodyBytes + answerMemory.bytes + freeBlockBytes(),
+		onCollected() {
+			context.metrics.forcedCollections.inc();
+		},
 	});
 	const context: Context = {
 		settings,
