Soak: crowds of callers that do not behave; a caller that leaves as planned is no breach of its instance

A call now says when its caller leaves by plan; one that left earlier, or was cut, is still noticed (checks.spec, both ways).

--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -18,7 +18,7 @@
 
 const validHistory: History = {
 	calls: [call(answered(200))], runs: [run()], disturbances: [], lags: [], arrivals: [], backOffs: [], drains: [], limits: [], leavings: [], stops: [], cuts: [],
-	crashes: [], accounts: [], floods: [], limitLoweredAtMs: Number.POSITIVE_INFINITY, accountArrivals: [], afterwards: [],
+	crashes: [], accounts: [], floods: [], limitLoweredAtMs: Number.POSITIVE_INFINITY, accountArrivals: [], afterwards: [], memory: [],
 };
 
 const stop: StopRecord = {
@@ -122,6 +122,7 @@
 	'a request that runs gets the whole answer of its upstream, though its instance stops': {
 		calls: [brokenOff()], runs: [runThatEnds('dropped', 20)], stops: [stop],
 	},
+	'an instance stays within the memory of its machine beside callers that do not behave': {memory: [{instance: '127.0.0.2', peakMegabytes: 350}, {instance: '127.0.0.3', peakMegabytes: 351}]},
 };
 
 function breachedChecks(history: History): string[] {
@@ -236,6 +237,15 @@
 			assert.deepEqual(breaches({runs: []}), []);
 		});
 
+		it('should ignore one whose caller has left at the time that it had set itself, and notice one that has left before', () => {
+			const runs = [runThatEnds('dropped', 15)];
+			const [left] = [brokenOff({end: {type: 'left'}})];
+			const waitedMs = left.endedAtMs - left.sentAtMs;
+			assert.equal(breaches({runs, calls: [{...left, leavesAfterMs: waitedMs}]}).includes(name), false);
+			assert.equal(breaches({runs, calls: [{...left, leavesAfterMs: waitedMs + 2}]}).includes(name), true);
+			assert.equal(breaches({runs, calls: [{...left, end: {type: 'cut'}, leavesAfterMs: waitedMs}]}).includes(name), true);
+		});
+
 		it('should notice one up to 1 s after the grace period, and none before the signal', () => {
 			assert.deepEqual(breaches({calls: [brokenOff({sentAtMs: 3000, endedAtMs: 3010})]}), [name]);
 			assert.deepEqual(breaches({calls: [brokenOff({sentAtMs: 3001, endedAtMs: 3010})]}), []);
--- a/packages/soak/src/contracts.spec.ts
+++ b/packages/soak/src/contracts.spec.ts
@@ -42,6 +42,7 @@
 	kill: true,
 	pause: true,
 	reload: true,
+	crowd: true,
 	configure: true,
 	drain: true,
 	leave: true,
--- a/packages/soak/src/crashing-caller.ts
+++ b/packages/soak/src/crashing-caller.ts
@@ -45,5 +45,5 @@
 	}
 
 	const [calls, harmlessCalls] = await Promise.all([Promise.all(pending), Promise.all(pendingHarmless)]);
-	return {path, calls: calls.map(({record}) => record), harmlessCalls: harmlessCalls.map(({record}) => record)};
+	return {path, calls: calls.map(({record}) => ({...record, ...leaving})), harmlessCalls: harmlessCalls.map(({record}) => record)};
 }
--- a/packages/soak/src/delivery-checks.ts
+++ b/packages/soak/src/delivery-checks.ts
@@ -10,9 +10,16 @@
 /** An upstream that is at work in the last part of the grace period excuses requests that were sent in its first part. */
 const lastWorkRatio = 5 / 6;
 const firstSentRatio = 1 / 2;
+/** Timers fire up to a millisecond early. */
+const timerSlackMs = 1;
 /** Time for which an unplanned disturbance excuses requests that follow it. */
 const recoveryMs = 3000;
 
+/** Returns whether the caller has left at the time that it had set itself. */
+function hasLeftAsPlanned({end, sentAtMs, endedAtMs, leavesAfterMs}: CallRecord): boolean {
+	return end.type === 'left' && leavesAfterMs !== undefined && endedAtMs - sentAtMs >= leavesAfterMs - timerSlackMs;
+}
+
 /** Returns how a request failed to get the whole answer of its upstream; undefined if it got it. */
 function describeLoss({end}: CallRecord, runs: readonly RunRecord[]): string | undefined {
 	switch (end.type) {
@@ -62,7 +69,7 @@
 			const loss = ofCall.length === 0 ? undefined : describeLoss(call, ofCall);
 			const isLate = call.endedAtMs - call.sentAtMs >= (call.deadlineMs ?? usualDeadlineMs);
 			const brokeOff = ofCall.some(({end}) => end?.type === 'breaks-off');
-			return loss === undefined || isLate || brokeOff || isDisturbed(call, ofCall, history) ? [] : [{call, loss, runs: ofCall}];
+			return loss === undefined || isLate || brokeOff || hasLeftAsPlanned(call) || isDisturbed(call, ofCall, history) ? [] : [{call, loss, runs: ofCall}];
 		});
 		return stops.filter(({wasKilled}) => !wasKilled).flatMap(stop => lost
 			.filter(({call: {instance, sentAtMs, endedAtMs}}) => instance === stop.instance
--- a/packages/soak/src/further-events.ts
+++ b/packages/soak/src/further-events.ts
@@ -4,6 +4,7 @@
 import type {LinkCut} from '@cairnbank/platform/spec-support/linked-site';
 import type {Spoiling} from '@cairnbank/platform/spec-support/spoiled-bytes';
 import {requestOfLeavingCallers, requestThatFails} from './crashing-upstreams.js';
+import {crowdManners} from './misbehaving-crowd.js';
 import type {ScheduledEvent} from './schedule.js';
 
 /** Spreads consecutive seeds, which would otherwise give similar first random numbers. */
@@ -14,6 +15,10 @@
 const floodSeedOffset = 400_000;
 const spoilingSeedOffset = 500_000;
 const longRequestsSeedOffset = 600_000;
+const crowdSeedOffset = 900_000;
+const crowdEvents = 3;
+const fewestCallers = 5;
+const additionalCallers = 40;
 const spoilings: readonly Spoiling[] = ['head', 'behind', 'later'];
 const spoilingEvents = 4;
 const removalMs = 9000;
@@ -40,6 +45,18 @@
 	}));
 }
 
+/** Generates crowds of callers that do not behave. */
+export function generateCrowds(seed: number, durationMs: number, instances: number): ScheduledEvent[] {
+	const random = randomSourceOf(seed + crowdSeedOffset);
+	return Array.from({length: crowdEvents}, () => ({
+		atMs: random.nextInteger(durationMs),
+		event: {
+			type: 'crowd', instance: random.nextInteger(instances), manner: pick(random, crowdManners),
+			callers: fewestCallers + random.nextInteger(additionalCallers), forMs: 500 + random.nextInteger(4000),
+		},
+	}));
+}
+
 /** @returns whether a schedule has requests that take up to seconds, as half of them do */
 export function drawsLongRequests(seed: number): boolean {
 	return randomSourceOf(seed + longRequestsSeedOffset).next() < 0.5;
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -32,6 +32,8 @@
 	readonly end: CallEnd;
 	/** Deadline that its headers state; that of all soak callers if absent. */
 	readonly deadlineMs?: number;
+	/** Time after which its caller leaves, whatever the instance does; absent if it waits past its deadline. */
+	readonly leavesAfterMs?: number;
 };
 
 /** An upstream started to run a request. */
@@ -116,6 +118,9 @@
 	readonly errors: readonly string[];
 };
 
+/** The most memory that an instance has taken by the end of a crowd of callers that do not behave. */
+export type MemoryRecord = {readonly instance: string; readonly peakMegabytes: number};
+
 export type History = {
 	readonly calls: readonly CallRecord[];
 	readonly runs: readonly RunRecord[];
@@ -136,4 +141,5 @@
 	readonly accountArrivals: readonly AccountArrivalRecord[];
 	/** Calls after the last fault, all of which should succeed. */
 	readonly afterwards: readonly CallRecord[];
+	readonly memory: readonly MemoryRecord[];
 };
--- a/packages/soak/src/instance-events.ts
+++ b/packages/soak/src/instance-events.ts
@@ -1,7 +1,10 @@
 /** Plays the events that signal instances, and records what follows. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {waitFor} from '@cairnbank/testing/harness';
-import type {CallRecord, Disturbance, StopRecord} from './history.js';
+import type {
+	CallRecord, Disturbance, MemoryRecord, StopRecord,
+} from './history.js';
+import {runCrowd} from './misbehaving-crowd.js';
 import type {FurtherSignal, SoakEvent} from './schedule.js';
 import type {SoakSite} from './soak-site.js';
 import {runStopCaller} from './stop-callers.js';
@@ -12,7 +15,7 @@
 const restartDelayMs = 500;
 /** Maximum number of lines outside the log that are recorded when an instance ends. The last ones are recorded. */
 const maximumErrorLines = 20;
-const types = ['stop', 'stop-in-use', 'planned-stop', 'kill', 'herd', 'pause', 'reload'] as const;
+const types = ['stop', 'stop-in-use', 'planned-stop', 'kill', 'herd', 'pause', 'reload', 'crowd'] as const;
 const typeSet: ReadonlySet<string> = new Set(types);
 
 export type InstanceEvent = Extract<SoakEvent, {readonly type: typeof types[number]}>;
@@ -32,8 +35,10 @@
 	readonly stops: StopRecord[] = [];
 	/** Requests of callers that keep using a stopping instance. */
 	readonly stopCalls: CallRecord[] = [];
+	readonly memory: MemoryRecord[] = [];
 	readonly #site: SoakSite;
 	#stopsInUse = 0;
+	#crowds = 0;
 	/** Instances that are stopping, starting or paused. Signals of other events to them are skipped. */
 	readonly #unavailableInstances = new Set<number>();
 
@@ -75,6 +80,14 @@
 				if (!this.#unavailableInstances.has(event.instance)) {
 					this.#site.entries[event.instance]!.process.kill('SIGHUP');
 				}
+
+				return;
+			}
+
+			case 'crowd': {
+				this.#crowds += 1;
+				const record = await runCrowd(this.#site.entries[event.instance]!, event, `crowd-${this.#crowds}`);
+				this.memory.push(...(record === undefined ? [] : [record]));
 			}
 		}
 	}
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -7,10 +7,11 @@
 import type {UpstreamBehaviour} from '@cairnbank/platform/spec-support/upstream-stand-in';
 import type {LinkFault} from '@cairnbank/platform/spec-support/link-proxy';
 import {
-	drawsLongRequests, generateFurtherEvents, generateSpoilings, pick, randomSourceOf,
+	drawsLongRequests, generateCrowds, generateFurtherEvents, generateSpoilings, pick, randomSourceOf,
 } from './further-events.js';
 import type {CallerLinkPlan} from './caller-links.js';
 import type {FleetCallerPlan} from './fleet-callers.js';
+import type {CrowdManner} from './misbehaving-crowd.js';
 import {generateStops} from './stop-events.js';
 import type {StopCallerPlan} from './stop-callers.js';
 
@@ -31,6 +32,8 @@
 	| {readonly type: 'kill'; readonly instance: number}
 	| {readonly type: 'pause'; readonly instance: number; readonly forMs: number}
 	| {readonly type: 'reload'; readonly instance: number}
+	/** Callers that do not behave connect to the instance, send, and keep their connections for `forMs`, whatever happens to it. */
+	| {readonly type: 'crowd'; readonly instance: number; readonly manner: CrowdManner; readonly callers: number; readonly forMs: number}
 	| {readonly type: 'configure'}
 	| {readonly type: 'drain'; readonly upstream: number}
 	/** The upstream says in its answers at once that it is leaving, and in its registry entry some time later. */
@@ -126,7 +129,12 @@
 		events.push({atMs, event: generateEvent(random, instances, upstreams)});
 	}
 
-	events.push(...generateFurtherEvents(seed, durationMs, instances), ...generateSpoilings(seed, durationMs, upstreams), ...generateStops(seed, durationMs, instances));
+	events.push(
+		...generateFurtherEvents(seed, durationMs, instances),
+		...generateSpoilings(seed, durationMs, upstreams),
+		...generateStops(seed, durationMs, instances),
+		...generateCrowds(seed, durationMs, instances),
+	);
 	return {
 		seed,
 		instances,
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -165,7 +165,7 @@
 		const {
 			lags, drains, limits, leavings, cuts, crashing,
 		} = this.#injector;
-		const {stops, stopCalls} = this.#instanceEvents;
+		const {stops, stopCalls, memory} = this.#instanceEvents;
 		const {accounts, floods, limitLoweredAtMs} = this.#accountEvents;
 		const crashRuns = this.#site.crashing.upstreams.flatMap(upstream => runsOf(upstream));
 		const crashes: CrashingRequestRecord[] = [...new Set(crashing.map(({path}) => path))].map(path => {
@@ -183,6 +183,7 @@
 			lags, drains, limits, leavings, stops, cuts, crashes, accounts, floods, limitLoweredAtMs,
 			accountArrivals: this.#site.upstreams.flatMap(upstream => accountArrivalsOf(upstream)),
 			afterwards,
+			memory,
 		};
 	}
 }
