--- a/packages/soak/src/delivery-mutations.ts
+++ b/packages/soak/src/delivery-mutations.ts
@@ -41,8 +41,8 @@
 	{
 		name: 'answers-count-as-delivered-when-written',
 		file: `${calls}/caller-connections.js`,
-		find: 'connection.answer(open, this.#options.isLeaving, isLast => {',
-		replaceBy: 'connection.answer(open, this.#options.isLeaving, isLast => { if (isLast) this.#sockets.delete(open.request.socket);',
+		find: 'connection.answer(open, () => endsBehind || this.#options.isLeaving(), isLast => {',
+		replaceBy: 'connection.answer(open, () => endsBehind || this.#options.isLeaving(), isLast => { if (isLast) this.#sockets.delete(open.request.socket);',
 		events: plannedStops,
 		fleet: farCallers,
 		noticedBy: stopsDeliverWholeAnswers,
