A request whose caller left keeps its fingerprint, not its body

What callers saw: eight crowds of 60 callers, one after the other, that send whole bodies of 0.9 MB and leave while their requests run, took 486 MB of 250.

Cause: a request that was abandoned at an upstream is remembered, up to 512 of them, as the upstream may crash under it. Its fingerprint was computed on demand, so the call was kept with its body, whose memory counted as free; and those older than a second were dropped only as another came.

Change: the fingerprint of a request with a body is computed as it is abandoned, at some 2 ms for 1 MB.

--- a/packages/gateway/src/features/calls/suspect-request.ts
+++ b/packages/gateway/src/features/calls/suspect-request.ts
@@ -24,6 +24,17 @@
 	};
 }
 
+/** Identifies a call that has ended, and keeps nothing else of it: its body may be long, and its memory counts as free. */
+export function endedSuspectOf(call: Call): SuspectRequest {
+	const suspect = suspectOf(call);
+	if (call.body === undefined) {
+		return suspect;
+	}
+
+	const fingerprint = suspect.fingerprint();
+	return {requestId: suspect.requestId, description: suspect.description, fingerprint: () => fingerprint};
+}
+
 /**
  * Contains only what the caller repeats: its address may be another each time, and so may the service that is picked for the request.
  * Contains the account, so that none can have equal requests of another blocked; a further key of the account is no way around.
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -16,7 +16,7 @@
 import {Authenticator} from './features/calls/authenticator.js';
 import {CallersTask} from './features/calls/callers-task.js';
 import {PoisonGuard} from './features/calls/poison-guard.js';
-import {suspectOf} from './features/calls/suspect-request.js';
+import {endedSuspectOf} from './features/calls/suspect-request.js';
 import {RetryBudgets} from './features/calls/retry-budgets.js';
 import {StartupGate} from './features/calls/startup-gate.js';
 import {DirectoryTask} from './features/directory/directory-task.js';
@@ -309,7 +309,7 @@
 			},
 			onConnectionBroken: async (call, upstream) => guard.handleBrokenConnection(call, upstream),
 			onAbandoned(call, upstream, abandonment) {
-				guard.recordAbandoned(suspectOf(call), upstream, abandonment);
+				guard.recordAbandoned(endedSuspectOf(call), upstream, abandonment);
 			},
 			onAbandonedAnswered({requestId}, upstream) {
 				guard.forgetAbandoned(requestId, upstream);
