The body of a request that has run is not kept while its answer waits

What callers saw: 40 connections, each with one open request and seven payments behind it whose bodies have 0.9 MB, took 350 and 352 MB of 250 once the payments had run: their answers wait for the one before them.

Cause: a request without a complete answer kept its run, and the result of reading its body, though the memory of the body counted as free.

Change: a request keeps its run only while it lasts, and the body is dropped as its memory is freed.

Evidence: misbehaving-callers.alone.spec, 'should bear the bodies of those whose answers wait': red as above -> 116 to 118 MB. The test was written for this fault; sent all at once its payments were refused for want of memory and showed 233 MB, so they are sent in turn.

--- a/packages/gateway/src/features/calls/body-reader.ts
+++ b/packages/gateway/src/features/calls/body-reader.ts
@@ -9,7 +9,7 @@
 import type {Outcome} from './outcome.js';
 
 export type HeldBody = {
-	/** Undefined if the request has no body. */
+	/** Undefined if the request has no body, and once its memory is freed. */
 	readonly body: RequestBody | undefined;
 	/** Frees the memory set aside for the body. */
 	readonly release: () => void;
@@ -77,6 +77,7 @@
 	readonly #options: BodyReaderOptions;
 	#settle!: (result: Result<HeldBody, UnreadBodyReason>) => void;
 	#blocks: BlockBuffer | undefined;
+	#body: RequestBody | undefined;
 	#reservedBytes = 0;
 	#isOver = false;
 
@@ -197,9 +198,12 @@
 		const {'content-length': announced, 'transfer-encoding': coding} = this.#request.headers;
 		const hasBody = announced !== undefined || coding !== undefined;
 		const length = this.#blocks?.bytes ?? 0;
-		const body = hasBody ? {length, parts: this.#blocks?.takeParts() ?? []} : undefined;
+		this.#body = hasBody ? {length, parts: this.#blocks?.takeParts() ?? []} : undefined;
+		const bodyNow = () => this.#body;
 		this.#settle(ok({
-			body,
+			get body() {
+				return bodyNow();
+			},
 			release: () => {
 				this.#release();
 			},
@@ -221,6 +225,7 @@
 
 	#release(): void {
 		const {memory, metrics} = this.#options;
+		this.#body = undefined;
 		if (this.#reservedBytes > 0) {
 			memory.releaseBody(this, this.#reservedBytes);
 			this.#reservedBytes = 0;
--- a/packages/gateway/src/features/calls/open-request.ts
+++ b/packages/gateway/src/features/calls/open-request.ts
@@ -13,8 +13,8 @@
 	hasMemory = true;
 	/** Its body, which is read as it arrives. */
 	body: IncomingBody | undefined;
-	/** Its run, in the state `running`. */
-	run: Pick<CallRun, 'expire'> | undefined;
+	/** Its run, in the state `running`. Not kept any longer, as it has the body of the request. */
+	run: Pick<CallRun, 'abandon' | 'expire'> | undefined;
 	/** Bytes of the answer's body that the socket has not taken yet. */
 	unwrittenBytes = 0;
 	/** Bytes of the answer's body. */
--- a/packages/gateway/src/features/calls/request-handler.ts
+++ b/packages/gateway/src/features/calls/request-handler.ts
@@ -240,12 +240,13 @@
 		const {response} = open;
 		response.on('close', () => {
 			if (!response.writableFinished) {
-				run.abandon();
+				open.run?.abandon();
 			}
 		});
 		open.state = 'running';
 		open.run = run;
 		const outcome = await this.#run(run, admittance);
+		open.run = undefined;
 		const tookMs = this.#options.context.clock.monotonicMs() - call.receivedAtMs;
 		this.#respond(open, outcome, {...fields, tookMs: Math.round(tookMs), decisions: run.decisions.join(' ')}, run.attemptsSent === 1);
 		this.#options.context.metrics.requestSeconds.observe({outcome: outcome.type}, tookMs / 1000);
