Read-through: the limit of a port stands with its type; a change of the machine's settings takes a restart and is told so

The settings of the machine bound what is held from the start on, so a reload keeps the former ones and logs needsRestart, as for host, listen, peers and store; before, the log told nothing of it.

--- a/packages/core/src/connections/machine-limits.ts
+++ b/packages/core/src/connections/machine-limits.ts
@@ -1,5 +1,4 @@
 /** Divides what a machine grants the process among what callers can make it hold. */
-
 import {maximumAnswerMemoryBytes} from './answer-memory.js';
 
 /** What the operator's settings say of the machine. */
@@ -33,6 +32,7 @@
 const ownBytes = 150_000_000;
 /** Room for a few requests where the settings name a machine that is too small for the program itself. */
 const minimumCallerBytes = 32_000_000;
+/** Part of the memory for callers that answers may take. */
 const answerRatio = 0.5;
 /** Room beside the bodies, so that requests without one are served while bodies fill theirs. */
 const bytesBesideBodies = 32_000_000;
--- a/packages/gateway/src/features/calls/body-reader.ts
+++ b/packages/gateway/src/features/calls/body-reader.ts
@@ -75,11 +75,11 @@
 	readonly #request: IncomingMessage;
 	readonly #maximumBytes: number;
 	readonly #options: BodyReaderOptions;
+	readonly #turns: ReadTurns;
 	#settle!: (result: Result<HeldBody, UnreadBodyReason>) => void;
 	#blocks: BlockBuffer | undefined;
 	#body: RequestBody | undefined;
 	#reservedBytes = 0;
-	readonly #turns: ReadTurns;
 	#isOver = false;
 
 	constructor(request: IncomingMessage, maximumBytes: number, options: BodyReaderOptions) {
--- a/packages/gateway/src/features/calls/caller-connections.ts
+++ b/packages/gateway/src/features/calls/caller-connections.ts
@@ -7,9 +7,9 @@
 } from '@cairnbank/core/connections';
 import {readFirstInTurn, RequestMemory} from '@cairnbank/core/runtime';
 import {untilArrivalsAreRead, waitTurns} from '../../kernel/arrivals.js';
+import type {ConnectionLimit} from '../../kernel/connection-limit.js';
 import {closeIdleConnectionsOnceRead} from '../../kernel/idle-connections.js';
 import {InFlight} from '../../kernel/in-flight.js';
-import type {ConnectionLimit} from '../../kernel/last-answers.js';
 import type {LogFields} from '../../logging/create-logger.js';
 import type {Metrics} from '../../metrics/metrics.js';
 import type {CallerConnectionOptions} from './caller-connection-options.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -61,7 +61,7 @@
 		await this.#flushLogs();
 	}
 
-	/** Applies changed settings, except those of the instance's id, address and sockets, which change only with a restart. */
+	/** Applies changed settings, except those of the instance's id, address, sockets and machine, which change only with a restart. */
 	reload(result: Result<Settings, SettingsError>): void {
 		const {logger, settings: before} = this.#context;
 		if (result.isErr()) {
@@ -71,10 +71,10 @@
 
 		const after = result.value;
 		this.#context.settings = {
-			...after, instanceId: before.instanceId, host: before.host, listen: before.listen, peers: before.peers,
+			...after, instanceId: before.instanceId, host: before.host, listen: before.listen, peers: before.peers, machine: before.machine,
 		};
-		const needsRestart = JSON.stringify([before.host, before.listen, before.peers, before.store])
-			!== JSON.stringify([after.host, after.listen, after.peers, after.store]);
+		const needsRestart = JSON.stringify([before.host, before.listen, before.peers, before.store, before.machine])
+			!== JSON.stringify([after.host, after.listen, after.peers, after.store, after.machine]);
 		logger.info('settings reloaded', {changed: JSON.stringify(before) !== JSON.stringify(after), needsRestart});
 	}
 
--- a/packages/gateway/src/kernel/last-answers.ts
+++ b/packages/gateway/src/kernel/last-answers.ts
@@ -5,18 +5,13 @@
 import type {Socket} from 'node:net';
 import {PortGuard} from '@cairnbank/core/runtime';
 import {untilArrivalsAreRead, waitTurns} from './arrivals.js';
+import type {ConnectionLimit} from './connection-limit.js';
 import {closeIdleConnectionsOnceRead} from './idle-connections.js';
 import {InFlight} from './in-flight.js';
 
 /** Turns of the event loop in which the requests behind one are read. */
 const turnsToRead = 2;
 
-export type ConnectionLimit = {
-	readonly maximumConnections: number;
-	/** Called for each connection that is ended because there are too many. */
-	readonly onTooMany: () => void;
-};
-
 export class LastAnswers {
 	readonly #server: Server;
 	readonly #handle: RequestListener;
