Daemon: an operator's undrain outranks marks from before it that a peer sends later

What callers see: an upstream that an operator has undrained gets no requests again, until probes have shown for 5 s that it doesn't drain.

Cause: observeUndrain dropped the offset of an undrain where no mark was known, so a mark with a smaller configuration offset, from a daemon that missed the undrain, was merged as if it were new.

Change: DrainMarkSet keeps the offset of the last undrain of each upstream in the inventory, clears a mark from before it as it is merged, and spreads that clearing. DrainMarkUpdater records undrains of all upstreams, not only of those with a mark.

Evidence: drain-mark-set.spec, "an undrain that is known already": two of four red before; membership specs 47 passed. That it shows on real processes was not played.

--- a/packages/core/src/membership/drain-mark-set.spec.ts
+++ b/packages/core/src/membership/drain-mark-set.spec.ts
@@ -115,6 +115,44 @@
 		});
 	});
 
+	describe('an undrain that is known already', () => {
+		const marked: DrainMark = {
+			upstream, version: 1, draining: true, source: 'answer', configurationOffset: 3,
+		};
+
+		// Guards against an upstream that drains again on the report of a daemon that missed the operator's undrain.
+		it('should clear a mark from before it that a peer sends later', () => {
+			const {marks} = setOf();
+			marks.observeUndrain(upstream, 7);
+			assert.deepEqual(marks.merge([marked]).map(({draining, source, version}) => ({draining, source, version})), [{draining: false, source: 'operator', version: 2}]);
+			assert.equal(marks.isDraining(upstream), false);
+		});
+
+		it('should reach the daemon that missed it', () => {
+			const {marks} = setOf();
+			const stale = setOf();
+			stale.marks.merge([marked]);
+			marks.observeUndrain(upstream, 7);
+			stale.marks.merge(marks.merge(stale.marks.all()));
+			assert.equal(stale.marks.isDraining(upstream), false);
+		});
+
+		it('should not clear a mark from after it', () => {
+			const {marks} = setOf();
+			marks.observeUndrain(upstream, 7);
+			marks.merge([{...marked, configurationOffset: 7}]);
+			assert.equal(marks.isDraining(upstream), true);
+		});
+
+		it('should be forgotten with the upstream', () => {
+			const {marks} = setOf();
+			marks.observeUndrain(upstream, 7);
+			marks.retain(new Set());
+			marks.merge([marked]);
+			assert.equal(marks.isDraining(upstream), true);
+		});
+	});
+
 	it('should remove upstreams that are no longer in the inventory and return those that were draining', () => {
 		const {marks} = setOf();
 		marks.observeMarkedAnswer(upstream);
--- a/packages/core/src/membership/drain-mark-set.ts
+++ b/packages/core/src/membership/drain-mark-set.ts
@@ -9,6 +9,7 @@
  * - The instance list marks an upstream only when its state there changes. A list that keeps showing `leaving` does not
  *   mark it again after a clearing.
  * - If a clearing and a marking have the same version, the upstream stays marked.
+ * - An operator's undrain counts whether or not a mark was known then: a peer may send a mark from before it later.
  */
 import type {Clock} from '../model/clock.js';
 import type {UpstreamId} from '../model/ids.js';
@@ -33,6 +34,8 @@
 	readonly #marks = new Map<UpstreamId, DrainMark>();
 	readonly #evidence = new Map<UpstreamId, MarkEvidence>();
 	readonly #listed = new Map<UpstreamId, ListedState>();
+	/** Offset of the last operator's undrain of each upstream. */
+	readonly #undrainOffsets = new Map<UpstreamId, number>();
 	#configurationOffset = 0;
 
 	constructor(options: DrainMarkSetOptions) {
@@ -56,9 +59,9 @@
 		this.#configurationOffset = Math.max(this.#configurationOffset, offset);
 	}
 
-	/** Merges a peer's marks. @returns the marks that changed a known one */
+	/** Merges a peer's marks. @returns the marks that changed a known one; the clearing for one from before a known undrain */
 	merge(marks: readonly DrainMark[]): DrainMark[] {
-		return marks.filter(mark => this.#merge(mark));
+		return marks.filter(mark => this.#merge(mark)).map(mark => this.#clearUndrained(mark.upstream) ?? mark);
 	}
 
 	/** Records an answer with the draining header. @returns the new mark, if the upstream was not marked yet */
@@ -105,18 +108,19 @@
 	/** Records that an operator's change at `offset` undrained the upstream. @returns the clearing mark, if there was one to clear */
 	observeUndrain(upstream: UpstreamId, offset: number): DrainMark | undefined {
 		this.setConfigurationOffset(offset);
-		const mark = this.#marks.get(upstream);
-		return mark?.draining && mark.configurationOffset < offset ? this.#clear(upstream, 'operator') : undefined;
+		this.#undrainOffsets.set(upstream, Math.max(offset, this.#undrainOffsets.get(upstream) ?? 0));
+		return this.#clearUndrained(upstream);
 	}
 
 	/** Removes all upstreams but those given. @returns the removed ones that were draining */
 	retain(upstreams: ReadonlySet<UpstreamId>): UpstreamId[] {
 		const removed = this.all().filter(mark => mark.draining && !upstreams.has(mark.upstream));
-		for (const upstream of [...this.#marks.keys(), ...this.#listed.keys()]) {
+		for (const upstream of [...this.#marks.keys(), ...this.#listed.keys(), ...this.#undrainOffsets.keys()]) {
 			if (!upstreams.has(upstream)) {
 				this.#marks.delete(upstream);
 				this.#evidence.delete(upstream);
 				this.#listed.delete(upstream);
+				this.#undrainOffsets.delete(upstream);
 			}
 		}
 
@@ -127,6 +131,12 @@
 		return this.isDraining(upstream) ? undefined : this.#createMark(upstream, source, true);
 	}
 
+	/** Clears a mark from before the operator's undrain. @returns the clearing, if there was one to clear */
+	#clearUndrained(upstream: UpstreamId): DrainMark | undefined {
+		const mark = this.#marks.get(upstream);
+		return mark?.draining && mark.configurationOffset < (this.#undrainOffsets.get(upstream) ?? 0) ? this.#clear(upstream, 'operator') : undefined;
+	}
+
 	#clear(upstream: UpstreamId, source: DrainSource): DrainMark {
 		return this.#createMark(upstream, source, false);
 	}
--- a/packages/daemon/src/features/membership/drain-mark-updater.ts
+++ b/packages/daemon/src/features/membership/drain-mark-updater.ts
@@ -77,9 +77,12 @@
 		}
 	}
 
-	/** Clears marks of upstreams whose drain key an operator set, to a value other than draining, after the mark was made. */
+	/**
+	 * Clears marks of upstreams whose drain key an operator set, to a value other than draining, after the mark was made. Upstreams
+	 * without a mark are recorded too, as an instance that missed the change may still send one.
+	 */
 	#applyUndrains({drained, lastAcceptedByKey}: ConfigurationState): void {
-		const cleared = this.drainingUpstreams()
+		const cleared = [...this.#upstreams.values()]
 			.filter(({id}) => !drained.has(id))
 			.map(({id}) => this.#state.drainMarks.observeUndrain(id, lastAcceptedByKey.get(drainKey(id))?.offset ?? 0));
 		this.#announceLocalChanges(cleared);
