An evacuation that was cancelled does not come back from an instance that missed it

Cause: the revision of evacuation orders said where they last changed on an instance, and is compared as if it said up to where they are known.

Ruled out: that the cancellation was not read (the zone was used until the cut ended).

Change: each read of the store advances the revision, so that the one that knows more wins, and the stale instance is corrected by heartbeats without the store. A greater revision no longer hides cancellations that follow a restore of the store: they count whatever the revision.

--- a/packages/core/src/evacuation/evacuations.ts
+++ b/packages/core/src/evacuation/evacuations.ts
@@ -3,7 +3,10 @@
 
 /** Evacuation orders that an instance knows; sent with every heartbeat. */
 export type EvacuationOrders = {
-	/** Store position after the last change of the orders. A greater revision includes all changes up to a smaller one. */
+	/**
+	 * Store position up to which the orders are known to be complete (exclusive), whether or not a record there has changed them. Of two
+	 * instances, the one with the greater revision knows all that the other one does.
+	 */
 	readonly revision: number;
 	/** Availability zones whose upstreams get no new requests. */
 	readonly zones: readonly AvailabilityZoneId[];
@@ -67,12 +70,14 @@
 			return [];
 		}
 
-		const ordered = new Set(zones);
-		if (!hasSameZones(ordered, this.#ordered)) {
-			this.#revision = endOffset;
-		}
+		// A snapshot that confirms the known orders still makes those of an earlier position outdated.
+		this.#revision = endOffset;
+		return this.#apply(new Set(zones));
+	}
 
-		return this.#apply(ordered);
+	/** Records that the store has been read up to this position (exclusive), without any gap after the known orders. */
+	advanceTo(endOffset: number): void {
+		this.#revision = Math.max(this.#revision, endOffset);
 	}
 
 	/** Applies consecutive records from the store. Records that are already known are ignored. */
@@ -96,15 +101,17 @@
 		return this.#apply(zones, retained);
 	}
 
-	/** Adopts the orders of another instance if its revision is greater. */
+	/**
+	 * Adopts the orders of another instance if its revision is greater. A cancellation ends a retained evacuation whatever the revision,
+	 * as it was written after the restore; a snapshot, which advances the revision, contains no cancellations.
+	 */
 	adopt({revision, zones, cancelled}: EvacuationOrders): readonly EvacuationEvent[] {
-		if (revision <= this.#revision) {
-			return [];
-		}
-
-		this.#revision = revision;
-		this.#cancelled = new Set(cancelled);
-		return this.#apply(new Set(zones), new Set([...this.#retained].filter(zone => !this.#cancelled.has(zone))));
+		const isNewer = revision > this.#revision;
+		const ordered = isNewer ? new Set(zones) : this.#ordered;
+		const retained = new Set([...this.#retained].filter(zone => !cancelled.includes(zone)));
+		this.#revision = Math.max(revision, this.#revision);
+		this.#cancelled = new Set([...this.#cancelled, ...cancelled].filter(zone => !ordered.has(zone)));
+		return this.#apply(ordered, retained);
 	}
 
 	#apply(ordered: ReadonlySet<AvailabilityZoneId>, retained: ReadonlySet<AvailabilityZoneId> = this.#retained): readonly EvacuationEvent[] {
@@ -118,7 +125,3 @@
 		];
 	}
 }
-
-function hasSameZones(left: ReadonlySet<AvailabilityZoneId>, right: ReadonlySet<AvailabilityZoneId>): boolean {
-	return left.size === right.size && [...left].every(zone => right.has(zone));
-}
--- a/packages/gateway/src/features/state/operator-state.ts
+++ b/packages/gateway/src/features/state/operator-state.ts
@@ -71,6 +71,7 @@
 		this.#readOffset = endOffset;
 		const orders = records.flatMap(({offset, value}) => value?.type === 'evacuation' ? [{offset, zone: value.zone, isOrdered: value.isOrdered}] : []);
 		this.#emitEvacuations(this.#evacuations.applyRecords(orders), 'store');
+		this.#evacuations.advanceTo(endOffset);
 		this.#applyConfigurations(records.map(({value}) => value));
 	}
 
--- a/packages/gateway/src/features/state/simulated-state-fleet.ts
+++ b/packages/gateway/src/features/state/simulated-state-fleet.ts
@@ -104,6 +104,8 @@
 	readonly writers = new StoreWriters(this.store);
 	/** Indexes of the instances that can't reach the store. */
 	readonly disconnected = new Set<number>();
+	/** Indexes of the instances that can't reach other instances. */
+	readonly isolated = new Set<number>();
 	readonly instances: SimulatedInstance[];
 	#nextHeartbeatMs = 0;
 	#rewriteAtMs = Number.POSITIVE_INFINITY;
@@ -195,7 +197,7 @@
 	#sendToAll(from: number): void {
 		const size = this.instances?.length ?? 0;
 		const receivers = size <= 13 || this.#roleOf(from).isFollower ? [...this.instances ?? []] : Array.from({length: 8}, () => this.instances[this.#random.nextInteger(size)]!);
-		for (const {state} of receivers.filter(({index}) => index !== from)) {
+		for (const {state} of receivers.filter(({index}) => index !== from && !this.isolated.has(from) && !this.isolated.has(index))) {
 			const sender = this.instances[from]!.state;
 			const member = memberOf(from, sender);
 			const query = state.compare(member, this.#roleOf(from).isFollower);
