One instance decides on an account while a link to it is cut that a third instance bridges

Cause: an owner that didn't answer was skipped, and the next instance that answered decided in its place unless it reached the owner itself. "It doesn't answer me" was taken for "it has ended". Ruled out as the cure: smaller shares, which refuse more below the limit and leave two owners; and the gossip, which declares the owner lost in small fleets and mostly not in large ones.

Change: before an instance counts as silent, up to nine others are asked whether it answers them (SWIM's indirect probe). The first one that reaches it relays the messages of both, and the direct path is checked twice a second. Instances that are no longer heard stay in the order as suspected while the fleet view knows them, and count for the share of the limit only while messages of theirs arrive. The search for the first instance that answers moves to a module of its own.

--- a/packages/core/src/account-limits/account-limiter.ts
+++ b/packages/core/src/account-limits/account-limiter.ts
@@ -2,39 +2,42 @@
  * Keeps the requests of accounts within the limits that hold for all instances together. Each account is decided on by one
  * instance, its owner: the first in the order of the account that answers. The others ask it for tokens, with one question at
  * a time for all requests that wait. A question reaches the owner also by an instance whose view differs, as each passes it on
- * to those that come before it; so two instances decide at the same time only while they can't reach each other.
+ * to those that come before it, and through a third instance where the link to the owner is cut. So two instances decide at the
+ * same time only while neither reaches the other in any way.
  */
 import type {AccountRateLimit} from '../accounts/client-account.js';
 import type {ClientAccountId} from '../model/ids.js';
 import {AccountOrders} from './account-orders.js';
 import {AccountOwner} from './account-owner.js';
-import type {LimitAnswer, LimitMessage} from './limit-message.js';
+import type {LimitAnswer, LimitMessage, RelayableMessage} from './limit-message.js';
 import type {LimiterEnvironment} from './limiter-environment.js';
 import {MessageCalls, type CallTiming} from './message-calls.js';
+import {MessagePaths} from './message-paths.js';
 import {ownerOrder} from './owner-order.js';
+import {OwnerSearch} from './owner-search.js';
 import {ReceivedAsks} from './received-asks.js';
+import {RelaySearch} from './relay-search.js';
 import {SilentHosts} from './silent-hosts.js';
 import {WaitingRequests, type Admittance} from './waiting-requests.js';
 
 /** Timing of questions for requests of this instance to the first instance in the order. */
-const ownTiming: CallTiming = {intervalMs: 80, attempts: 2};
-/** To the ones after it, which may have to find out first whether the first one has ended. */
-const furtherTiming: CallTiming = {intervalMs: 250, attempts: 2};
+const ownTiming: CallTiming = {intervalMs: 80, attempts: 2, searchAfterMs: 100};
 /** Of questions that are passed on: an instance that takes over because of lost datagrams would exceed the limit. */
-const passedOnTiming: CallTiming = {intervalMs: 50, attempts: 4};
-/** Of checks whether an instance answers. */
-const checkTiming: CallTiming = {intervalMs: 40, attempts: 2};
-/** Time for which an instance that can't decide yet isn't asked again. */
-const unreadyMs = 300;
-/** Instances that are checked at a time once the first in the order doesn't answer: in a division many of the next ones don't. */
-const checkedAtOnce = 8;
+const passedOnTiming: CallTiming = {intervalMs: 50, attempts: 4, searchAfterMs: 80};
+/** Of the tokens that an instance hands over as it leaves. */
+const handOverTiming: CallTiming = {intervalMs: 40, attempts: 2, searchAfterMs: 40};
+/** Of checks whether the direct path to an instance is restored. */
+const directCheckTiming: CallTiming = {intervalMs: 100, attempts: 1, isDirect: true};
 
 type OnAnswer = (answer: LimitAnswer | undefined) => void;
 
 export class AccountLimiter {
 	readonly #environment: LimiterEnvironment;
+	readonly #paths: MessagePaths;
 	readonly #calls: MessageCalls;
+	readonly #relaySearch: RelaySearch;
 	readonly #owner: AccountOwner;
+	readonly #ownerSearch: OwnerSearch;
 	readonly #silent: SilentHosts;
 	readonly #received: ReceivedAsks;
 	readonly #waiting: WaitingRequests;
@@ -45,9 +48,17 @@
 	constructor(environment: LimiterEnvironment) {
 		this.#environment = environment;
 		this.#orders = new AccountOrders(environment);
-		this.#calls = new MessageCalls(environment);
+		this.#paths = new MessagePaths(environment);
+		this.#calls = new MessageCalls(environment, {
+			paths: this.#paths,
+			findRelay: (host, done) => {
+				this.#relaySearch.begin(host, done);
+			},
+		});
 		this.#silent = new SilentHosts(environment, this.#calls);
-		this.#owner = new AccountOwner(environment, this.#calls, host => this.#silent.isSilent(host));
+		this.#relaySearch = new RelaySearch(environment, this.#calls, this.#paths, host => this.#silent.isSilent(host));
+		this.#owner = new AccountOwner(environment, this.#calls, this.#silent);
+		this.#ownerSearch = new OwnerSearch(this.#calls, this.#silent);
 		this.#received = new ReceivedAsks(environment.clock);
 		this.#waiting = new WaitingRequests(environment, (account, count, done) => {
 			this.#obtain(account, count, ownTiming, done);
@@ -65,23 +76,32 @@
 		if (host === this.#environment.host) {
 			this.#owner.giveBack(account, count);
 		} else if (host !== undefined) {
-			this.#environment.send({type: 'limit-return', account, count}, host);
+			this.#paths.send({type: 'limit-return', account, count}, host);
 		}
 	}
 
 	/** Called every 100 ms or so, so that a pause of this process is noticed. */
 	tick(): void {
 		this.#owner.tick();
+		this.#silent.sweep(this.#orders.heads(host => this.#silent.isSilent(host)));
+		this.#relaySearch.sweep();
+		for (const host of this.#paths.takeDueChecks()) {
+			this.#calls.call(host, sequence => ({type: 'limit-check', sequence}), directCheckTiming, reply => {
+				if (reply !== undefined) {
+					this.#paths.useDirectPath(host);
+				}
+			});
+		}
 	}
 
 	/** Hands over the accounts on which this instance decides, as it leaves. Called when `fleet` no longer counts it as known. */
 	leave(): void {
 		for (const [account, level] of this.#owner.releaseAll()) {
-			const [successor] = this.#orders.of(account).behind;
+			const successor = this.#orders.of(account).behind.find(host => !this.#silent.isSilent(host));
 			if (successor !== undefined) {
 				this.#calls.call(successor, sequence => ({
 					type: 'limit-hand-over', account, sequence, level,
-				}), checkTiming, () => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+				}), handOverTiming, () => {}); // eslint-disable-line @typescript-eslint/no-empty-function
 			}
 		}
 	}
@@ -100,28 +120,76 @@
 	/** Handles a message of another instance. */
 	receive(message: LimitMessage, from: string): void {
 		this.#silent.heardFrom(from);
-		const {send} = this.#environment;
+		const {fleet, send} = this.#environment;
+		switch (message.type) {
+			case 'limit-probe': {
+				this.#relaySearch.check(message.hosts, reached => {
+					send({type: 'limit-probed', sequence: message.sequence, reached}, from);
+				});
+				return;
+			}
+
+			case 'limit-probed': {
+				this.#calls.settle(message.sequence, from, message);
+				return;
+			}
+
+			case 'limit-relay': {
+				const {others, suspected} = fleet();
+				if (others.includes(message.to) || suspected.includes(message.to)) {
+					send({type: 'limit-relayed', origin: from, message: message.message}, message.to);
+				}
+
+				return;
+			}
+
+			case 'limit-relayed': {
+				this.#silent.heardFrom(message.origin);
+				this.#handle(message.message, message.origin, from);
+				return;
+			}
+
+			case 'limit-ask':
+			case 'limit-answer':
+			case 'limit-working':
+			case 'limit-take-over':
+			case 'limit-level':
+			case 'limit-hand-over':
+			case 'limit-check':
+			case 'limit-checked':
+			case 'limit-return': {
+				this.#handle(message, from, undefined);
+			}
+		}
+	}
+
+	/** @param via - instance that has relayed the message, as the answer takes the same way; undefined if it came directly */
+	#handle(message: RelayableMessage, from: string, via: string | undefined): void {
+		const reply = (answer: RelayableMessage) => {
+			this.#paths.sendVia(answer, from, via);
+		};
+
 		switch (message.type) {
 			case 'limit-ask': {
-				this.#receiveAsk(message, from);
+				this.#handleAsk(message, from, reply);
 				return;
 			}
 
 			case 'limit-take-over': {
 				const {account, sequence} = message;
 				const level = this.#comesBefore(from, account) ? this.#owner.release(account) : undefined;
-				send({type: 'limit-level', sequence, level}, from);
+				reply({type: 'limit-level', sequence, level});
 				return;
 			}
 
 			case 'limit-hand-over': {
 				this.#owner.handedOver.record(message.account, message.level);
-				send({type: 'limit-checked', sequence: message.sequence}, from);
+				reply({type: 'limit-checked', sequence: message.sequence});
 				return;
 			}
 
 			case 'limit-check': {
-				send({type: 'limit-checked', sequence: message.sequence}, from);
+				reply({type: 'limit-checked', sequence: message.sequence});
 				return;
 			}
 
@@ -143,17 +211,17 @@
 		}
 	}
 
-	#receiveAsk({account, sequence, count}: Extract<LimitMessage, {type: 'limit-ask'}>, from: string): void {
-		const {fleet, send, limitOf} = this.#environment;
+	#handleAsk({account, sequence, count}: Extract<LimitMessage, {type: 'limit-ask'}>, from: string, reply: (answer: RelayableMessage) => void): void {
+		const {fleet, limitOf} = this.#environment;
 		const answerWith: OnAnswer = answer => {
 			this.#received.recordAnswer(from, sequence, answer);
-			send({type: 'limit-answer', sequence, answer}, from);
+			reply({type: 'limit-answer', sequence, answer});
 		};
 
 		const earlier = this.#received.record(from, sequence);
 		if (earlier !== undefined) {
 			if (earlier.reply === undefined) {
-				send({type: 'limit-working', sequence}, from);
+				reply({type: 'limit-working', sequence});
 			} else {
 				answerWith(earlier.reply.answer);
 			}
@@ -169,70 +237,24 @@
 		const {ahead, behind} = this.#orders.of(account);
 		const {isKnown} = this.#environment.fleet();
 		const candidates = isKnown ? ahead : [...ahead, ...behind];
-		const question = {
+		this.#ownerSearch.ask({
 			account, count, candidates, timing,
-		};
-		this.#tryFirst(question, answer => {
-			if (answer !== undefined || !isKnown) {
-				done(answer);
-				return;
-			}
-
-			this.#grantedBy.set(account, this.#environment.host);
-			this.#owner.decide(account, count, {hasSilentAhead: ahead.length > 0, behind}, done);
-		});
-	}
-
-	/** Asks the first candidate that isn't known to be silent, and the next ones if it doesn't answer. */
-	#tryFirst(question: Question, done: OnAnswer): void {
-		const {account, count, candidates} = question;
-		const host = candidates.find(candidate => !this.#silent.has(candidate));
-		if (host === undefined) {
-			done(undefined);
-			return;
-		}
-
-		this.#calls.call(host, sequence => ({
-			type: 'limit-ask', account, sequence, count,
-		}), question.timing, reply => {
-			if (reply?.type === 'limit-answer' && reply.answer !== undefined) {
-				this.#grantedBy.set(account, host);
+		}, found => {
+			if (found !== undefined) {
+				this.#grantedBy.set(account, found.host);
 				// The one that answered decides now; what this instance may have kept of the account is out of date.
 				this.#owner.release(account);
-				done(reply.answer);
+				done(found.answer);
 				return;
 			}
 
-			const next = {...question, candidates: candidates.slice(candidates.indexOf(host) + 1), timing: furtherTiming};
-			if (reply === undefined) {
-				this.#silent.markSilent(host);
-				this.#checkFirst(next, done);
-			} else {
-				this.#silent.markUnready(host, unreadyMs);
-				this.#tryFirst(next, done);
-			}
-		});
-	}
-
-	/** Finds out which of the first candidates answer before it asks one of them. */
-	#checkFirst(question: Question, done: OnAnswer): void {
-		const checked = question.candidates.filter(host => !this.#silent.has(host)).slice(0, checkedAtOnce);
-		if (checked.length === 0) {
-			this.#tryFirst(question, done);
-			return;
-		}
-
-		this.#calls.callAll(checked, sequence => ({type: 'limit-check', sequence}), checkTiming, replies => {
-			const silent = checked.filter((_host, index) => replies[index] === undefined);
-			for (const host of silent) {
-				this.#silent.markSilent(host);
+			if (!isKnown) {
+				done(undefined);
+				return;
 			}
 
-			if (silent.length < checked.length) {
-				this.#tryFirst(question, done);
-			} else {
-				this.#checkFirst(question, done);
-			}
+			this.#grantedBy.set(account, this.#environment.host);
+			this.#owner.decide(account, count, {hasSilentAhead: ahead.length > 0, behind}, done);
 		});
 	}
 
@@ -240,10 +262,3 @@
 		return ownerOrder(account, [other, this.#environment.host])[0] === other;
 	}
 }
-
-type Question = {
-	readonly account: ClientAccountId;
-	readonly count: number;
-	readonly candidates: readonly string[];
-	readonly timing: CallTiming;
-};
--- a/packages/core/src/account-limits/account-orders.ts
+++ b/packages/core/src/account-limits/account-orders.ts
@@ -6,6 +6,7 @@
 /** Time for which an order is kept; an instance that ends meanwhile doesn't answer and is skipped. */
 const orderLifetimeMs = 250;
 
+/** Holds instances that count as lost too: others may reach them, and they may decide. */
 export type AccountOrder = {
 	/** Instances that come before this one. */
 	readonly ahead: readonly string[];
@@ -13,7 +14,7 @@
 };
 
 type KeptOrder = AccountOrder & {
-	/** The other instances from which it was made. */
+	/** The other instances from which it was made, with those that count as lost. */
 	readonly others: readonly string[];
 	checkedAtMs: number;
 };
@@ -34,7 +35,8 @@
 			return known;
 		}
 
-		const {others} = fleet();
+		const {others: live, suspected} = fleet();
+		const others = [...live, ...suspected];
 		if (known !== undefined && isSame(known.others, others)) {
 			known.checkedAtMs = nowMs;
 			return known;
@@ -49,6 +51,12 @@
 		return order;
 	}
 
+	/** The instance that comes first for each account, without those that are skipped. */
+	heads(isSkipped: (host: string) => boolean): readonly string[] {
+		const heads = [...this.#orders.values()].map(({ahead}) => ahead.find(host => !isSkipped(host)));
+		return [...new Set(heads.filter(host => host !== undefined))];
+	}
+
 	retain(isLimited: (account: ClientAccountId) => boolean): void {
 		for (const account of this.#orders.keys()) {
 			if (!isLimited(account)) {
--- a/packages/core/src/account-limits/account-owner.ts
+++ b/packages/core/src/account-limits/account-owner.ts
@@ -15,8 +15,9 @@
 import type {LimitAnswer} from './limit-message.js';
 import type {LimiterEnvironment} from './limiter-environment.js';
 import type {MessageCalls} from './message-calls.js';
+import type {SilentHosts} from './silent-hosts.js';
 
-const callTiming = {intervalMs: 40, attempts: 2};
+const callTiming = {intervalMs: 40, attempts: 2, searchAfterMs: 40};
 /** Instances next in the order that are asked for their tokens; several instances may join at once. */
 const askedForLevel = 3;
 /** Instances that are sampled; a part of two thirds of the fleet is taken for the whole in one of 600 samples. */
@@ -74,15 +75,14 @@
 	readonly #environment: LimiterEnvironment;
 	readonly #calls: MessageCalls;
 	readonly #ownerships = new Map<ClientAccountId, Ownership>();
-	readonly #isSilent: (host: string) => boolean;
+	readonly #silent: SilentHosts;
 	#tickedAtMs: number;
 
-	/** @param isSilent - whether an instance doesn't answer */
-	constructor(environment: LimiterEnvironment, calls: MessageCalls, isSilent: (host: string) => boolean) {
+	constructor(environment: LimiterEnvironment, calls: MessageCalls, silent: SilentHosts) {
 		this.#environment = environment;
 		this.handedOver = new HandedOverLevels(environment);
 		this.#calls = calls;
-		this.#isSilent = isSilent;
+		this.#silent = silent;
 		this.#tickedAtMs = environment.clock.monotonicMs();
 	}
 
@@ -167,7 +167,7 @@
 		this.#calls.callAll(sample, sequence => ({type: 'limit-check', sequence}), callTiming, checked => {
 			const reached = checked.filter(reply => reply !== undefined).length;
 			const reachedRatio = (reached + 1) / (sample.length + 1);
-			this.#calls.callAll(behind.slice(0, askedForLevel), sequence => ({type: 'limit-take-over', account, sequence}), callTiming, replies => {
+			this.#calls.callAll(this.#mayHaveDecided(behind), sequence => ({type: 'limit-take-over', account, sequence}), callTiming, replies => {
 				const own = [ownership.levelBeforePause, this.handedOver.take(account, this.#share)].filter(level => level !== undefined);
 				const levels = replies.flatMap(reply => reply?.type === 'limit-level' && reply.level !== undefined ? [reply.level] : []);
 				this.#finishPreparing(account, ownership, {levels: [...levels, ...own], reachedRatio, isTakeOver: hasSilentAhead});
@@ -239,14 +239,24 @@
 
 	/** The part of the limit that this instance hands out: that of the fleet which it reaches. */
 	get #share(): number {
-		const {others, instances, hasHeardOthers} = this.#environment.fleet();
-		const live = hasHeardOthers ? others.filter(host => !this.#isSilent(host)).length + 1 : 1;
+		const {instances, hasHeardOthers} = this.#environment.fleet();
+		const live = hasHeardOthers ? this.#silent.reachable.length + 1 : 1;
 		return Math.min(1, live / instances);
 	}
 
+	/** Of the instances that come later, those that may have decided before: the first live ones, and the first ones that others may reach. */
+	#mayHaveDecided(behind: readonly string[]): readonly string[] {
+		const suspected = new Set(this.#environment.fleet().suspected);
+		const answering = behind.filter(host => !this.#silent.isSilent(host));
+		return [
+			...answering.filter(host => !suspected.has(host)).slice(0, askedForLevel),
+			...answering.filter(host => suspected.has(host)).slice(0, askedForLevel),
+		];
+	}
+
 	#sample(): readonly string[] {
-		const {fleet, random} = this.#environment;
-		const hosts = fleet().others.filter(host => !this.#isSilent(host));
+		const {random} = this.#environment;
+		const hosts = [...this.#silent.reachable];
 		const sample: string[] = [];
 		while (hosts.length > 0 && sample.length < sampleSize) {
 			sample.push(...hosts.splice(random.nextInteger(hosts.length), 1));
--- a/packages/core/src/account-limits/limit-message.ts
+++ b/packages/core/src/account-limits/limit-message.ts
@@ -13,7 +13,8 @@
 	readonly isCertain: boolean;
 };
 
-export type LimitMessage =
+/** A message that reaches its receiver directly or through a relay. */
+export type RelayableMessage =
 	/** Asks for tokens. Repeated with the same sequence number if no answer comes. */
 	| {readonly type: 'limit-ask'; readonly account: ClientAccountId; readonly sequence: number; readonly count: number}
 	/** `answer` is undefined if the receiver can't decide; the next instance in the order is asked then. */
@@ -31,3 +32,15 @@
 	| {readonly type: 'limit-checked'; readonly sequence: number}
 	/** Returns tokens of requests that did not run. */
 	| {readonly type: 'limit-return'; readonly account: ClientAccountId; readonly count: number};
+
+/** Messages by which instances that can't reach each other find a third one that reaches both, and use it. */
+export type RelayMessage =
+	/** Asks which of these instances the receiver reaches. */
+	| {readonly type: 'limit-probe'; readonly sequence: number; readonly hosts: readonly string[]}
+	| {readonly type: 'limit-probed'; readonly sequence: number; readonly reached: readonly string[]}
+	/** The receiver passes the message on to `to`. */
+	| {readonly type: 'limit-relay'; readonly to: string; readonly message: RelayableMessage}
+	/** A message of `origin` that the sender passes on. */
+	| {readonly type: 'limit-relayed'; readonly origin: string; readonly message: RelayableMessage};
+
+export type LimitMessage = RelayableMessage | RelayMessage;
--- a/packages/core/src/account-limits/limiter-environment.ts
+++ b/packages/core/src/account-limits/limiter-environment.ts
@@ -1,7 +1,7 @@
 /** What the limiter of an instance needs from its surroundings. */
 import type {AccountRateLimit} from '../accounts/client-account.js';
 import type {Clock} from '../model/clock.js';
-import type {ClientAccountId} from '../model/ids.js';
+import type {AvailabilityZoneId, ClientAccountId} from '../model/ids.js';
 import type {RandomSource} from '../model/random-source.js';
 import type {AccountBound} from './account-bound.js';
 import type {LimitMessage} from './limit-message.js';
@@ -10,6 +10,10 @@
 export type LimiterFleet = {
 	/** Hosts of the other live instances that serve callers. */
 	readonly others: readonly string[];
+	/** Hosts of instances that served callers and are no longer heard here. They may have ended, or be reached by others only. */
+	readonly suspected: readonly string[];
+	/** Availability zone of an instance; undefined if it isn't known. */
+	readonly zoneOf: (host: string) => AvailabilityZoneId | undefined;
 	/** Size of the whole fleet, with instances that may be cut off. */
 	readonly instances: number;
 	/** Whether the instance knows the fleet, so that it may decide for others; not just after its start. */
--- a/packages/core/src/account-limits/simulated-limiters.ts
+++ b/packages/core/src/account-limits/simulated-limiters.ts
@@ -1,6 +1,6 @@
 /** Limiters of a fleet in simulated time, with messages that are delayed and lost, and views of the fleet that lag behind. */
 import type {AccountRateLimit} from '../accounts/client-account.js';
-import type {ClientAccountId} from '../model/ids.js';
+import type {AvailabilityZoneId, ClientAccountId} from '../model/ids.js';
 import {ManualClock} from '../model/manual-clock.js';
 import {createRandomSource, type RandomSource} from '../model/random-source.js';
 import {defaultAccountBound} from './account-bound.js';
@@ -8,7 +8,9 @@
 
 type Event = {readonly atMs: number; readonly action: () => void};
 type Instance = {
-	limiter: AccountLimiter; host: string; group: number; isRunning: boolean; startedAtMs: number; others: string[]; heardAtMs: number; pausedUntilMs: number; isLeaving: boolean;
+	limiter: AccountLimiter; host: string; group: number; isRunning: boolean; startedAtMs: number; heardAtMs: number; pausedUntilMs: number; isLeaving: boolean;
+	others: string[];
+	suspected: string[];
 };
 
 export type Load = {readonly requestsPerSecond: number; readonly from: (random: RandomSource) => number};
@@ -17,6 +19,10 @@
 const tickMs = 100;
 const settlingMs = 500;
 const heardLimitMs = 800;
+/** With up to this number of instances, one that isn't heard directly counts as lost; in a larger fleet others report that they hear it. */
+const directViewMaximum = 25;
+const suspectedMs = 20_000;
+const simulatedZones = 3;
 const account = 'account' as ClientAccountId;
 
 export class SimulatedLimiters {
@@ -29,6 +35,8 @@
 	lossRatio = 0;
 	messages = 0;
 	readonly #random: RandomSource;
+	/** Whether an instance can't reach another one, by their indexes; both ways. */
+	#isCut: ((left: number, right: number) => boolean) | undefined;
 	/** By time; those of one millisecond in the order in which they were added. */
 	readonly #events = new Map<number, Event[]>();
 
@@ -97,6 +105,17 @@
 		this.#spreadViews(noticedMs / 2, noticedMs);
 	}
 
+	/** Cuts links between pairs of instances. The others notice within `noticedMs` which ones they don't hear. */
+	cutLinks(isCut: (left: number, right: number) => boolean, noticedMs = 1800): void {
+		this.#isCut = (left, right) => isCut(left, right) || isCut(right, left);
+		this.#spreadViews(noticedMs / 2, noticedMs);
+	}
+
+	restoreLinks(noticedMs = 800): void {
+		this.#isCut = undefined;
+		this.#spreadViews(0, noticedMs);
+	}
+
 	/** The largest number of requests granted in one window. */
 	busiestWindow(): number {
 		const {grantedAtMs} = this.served;
@@ -120,7 +139,7 @@
 	#create(index: number, startedAtMs: number): Instance {
 		const host = `10.0.${Math.floor(index / 250)}.${index % 250}`;
 		const instance: Instance = {
-			limiter: undefined as unknown as AccountLimiter, host, group: 0, isRunning: true, startedAtMs, others: [], heardAtMs: startedAtMs, pausedUntilMs: 0, isLeaving: false,
+			limiter: undefined as unknown as AccountLimiter, host, group: 0, isRunning: true, startedAtMs, others: [], suspected: [], heardAtMs: startedAtMs, pausedUntilMs: 0, isLeaving: false,
 		};
 		instance.limiter = new AccountLimiter({
 			clock: this.clock,
@@ -130,6 +149,8 @@
 			limitOf: () => this.limit,
 			fleet: () => ({
 				others: instance.others,
+				suspected: instance.suspected,
+				zoneOf: other => `${this.indexOf(other) % simulatedZones}` as AvailabilityZoneId,
 				instances: this.instances.length,
 				isKnown: this.clock.monotonicMs() - instance.startedAtMs >= settlingMs && !instance.isLeaving,
 				hasHeardOthers: this.clock.monotonicMs() - instance.heardAtMs < heardLimitMs,
@@ -192,13 +213,33 @@
 	#spreadViews(earliestMs: number, latestMs: number): void {
 		for (const instance of this.instances) {
 			this.#at(earliestMs + (this.#random.next() * (latestMs - earliestMs)), () => {
-				instance.others = this.#hostsExcept(instance);
+				this.#updateView(instance);
 			});
 		}
 	}
 
+	/** Instances that are no longer heard stay suspected for a time. Those that others report and that aren't heard here become suspected too. */
+	#updateView(instance: Instance): void {
+		const before = instance.others;
+		instance.others = this.#hostsExcept(instance);
+		const reporting = this.#isCut === undefined ? [] : this.instances.filter(other => other !== instance && this.#areInTouch(instance, other));
+		const live = new Set(instance.others);
+		const lost = new Set([...before, ...reporting.flatMap(({others}) => others)].filter(host => host !== instance.host && !live.has(host)));
+		const suspected = instance.suspected.filter(host => !live.has(host));
+		for (const host of [...lost].filter(host => !suspected.includes(host) && !this.instances[this.indexOf(host)]!.isLeaving)) {
+			suspected.push(host);
+			this.#at(suspectedMs, () => {
+				instance.suspected = instance.suspected.filter(other => other !== host);
+			});
+		}
+
+		instance.suspected = suspected;
+	}
+
 	#hostsExcept(instance: Instance): string[] {
-		return this.instances.filter(other => other !== instance && !other.isLeaving && this.#areInTouch(instance, other)).map(({host}) => host);
+		const isReported = this.#isCut !== undefined && this.instances.length > directViewMaximum;
+		const isSeen = (other: Instance) => this.#areInTouch(instance, other) || (isReported && this.instances.some(third => this.#areInTouch(instance, third) && this.#areInTouch(third, other)));
+		return this.instances.filter(other => other !== instance && !other.isLeaving && isSeen(other)).map(({host}) => host);
 	}
 
 	#isPaused({pausedUntilMs}: Instance): boolean {
@@ -214,12 +255,18 @@
 	}
 
 	#areInTouch(left: Instance, right: Instance): boolean {
-		return left.isRunning && right.isRunning && left.group === right.group;
+		return left.isRunning && right.isRunning && left.group === right.group
+			&& this.#isCut?.(this.indexOf(left.host), this.indexOf(right.host)) !== true;
 	}
 
 	#at(delayMs: number, action: () => void): void {
 		const atMs = Math.ceil(this.clock.monotonicMs() + Math.max(1, delayMs));
-		this.#events.set(atMs, [...this.#events.get(atMs) ?? [], {atMs, action}]);
+		const events = this.#events.get(atMs);
+		if (events === undefined) {
+			this.#events.set(atMs, [{atMs, action}]);
+		} else {
+			events.push({atMs, action});
+		}
 	}
 
 	#takeDue(): readonly Event[] {
--- a/packages/core/src/fleet/fleet-view.spec.ts
+++ b/packages/core/src/fleet/fleet-view.spec.ts
@@ -48,6 +48,20 @@
 		assert.equal(view.offered().length, 1);
 	});
 
+	it('should suspect an instance that is no longer heard until it is removed, unless it was leaving or not ready', () => {
+		const clock = new ManualClock();
+		const view = new FleetView(clock);
+		view.receiveHeartbeat(member('10.0.0.1'));
+		view.receiveHeartbeat(member('10.0.0.2', {leaving: true}));
+		view.receiveHeartbeat(member('10.0.0.3', {ready: false}));
+		assert.deepEqual(view.suspected(), []);
+		clock.advance(defaultFleetTiming.suspectAfterMs + 1);
+		assert.deepEqual(view.suspected().map(({host}) => host), ['10.0.0.1']);
+		clock.advance(defaultFleetTiming.removeAfterMs);
+		view.sweep();
+		assert.deepEqual(view.suspected(), []);
+	});
+
 	it('should replace the previous process by a new one at the same address', () => {
 		const view = new FleetView(new ManualClock());
 		view.receiveHeartbeat(member('10.0.0.1'));
--- a/packages/core/src/fleet/fleet-view.ts
+++ b/packages/core/src/fleet/fleet-view.ts
@@ -177,6 +177,14 @@
 		return this.live().filter(({ready, leaving}) => ready && !leaving);
 	}
 
+	/**
+	 * Instances that could be offered to callers until they were declared lost or their heartbeats stopped. They may have ended, or run
+	 * where only others reach them.
+	 */
+	suspected(): readonly FleetMember[] {
+		return [...this.#peers.values()].filter(peer => this.#isSilent(peer)).map(({member}) => member).filter(({ready, leaving}) => ready && !leaving);
+	}
+
 	/** Addresses at which there may be an instance, but none was heard from yet. */
 	candidates(): readonly string[] {
 		return [...this.#candidates.keys()];
--- a/packages/gateway/src/features/account-limits/known-fleet.ts
+++ b/packages/gateway/src/features/account-limits/known-fleet.ts
@@ -22,6 +22,8 @@
 	const isAlone = view.live().length === 0 && unheard > 0 && !view.size.isReported;
 	return {
 		others,
+		suspected: view.suspected().map(({host}) => host),
+		zoneOf: host => view.zoneOf(host),
 		instances: Math.max(view.size.greatest, view.live().length + 1 + unheard),
 		isKnown: sinceStartMs >= settlingMs && !isLeaving && !isAlone,
 		hasHeardOthers: view.hasHeardOthersRecently,
--- a/packages/gateway/src/features/account-limits/limit-codec.ts
+++ b/packages/gateway/src/features/account-limits/limit-codec.ts
@@ -1,6 +1,6 @@
 /** Encodes messages about the limits of accounts as short arrays. */
 import type {ClientAccountId} from '@cairnbank/core';
-import type {LimitAnswer, LimitMessage} from '@cairnbank/core/account-limits';
+import type {LimitAnswer, LimitMessage, RelayableMessage} from '@cairnbank/core/account-limits';
 import * as v from 'valibot';
 
 /** Longer names than that do not fit into a datagram together with the rest. */
@@ -16,7 +16,13 @@
 /** Granted requests, time until a token, time for those refused, whether the account is known to be over its limit. */
 const answer = v.tuple([count, durationMs, durationMs, v.boolean()]);
 
-export const limitSchema = v.union([
+/** More instances than one probe asks for. */
+const maximumHosts = 64;
+/** IP address of an instance. */
+const host = v.pipe(v.string(), v.ip());
+const hosts = v.pipe(v.array(host), v.maxLength(maximumHosts));
+
+const relayableSchemas = [
 	v.tuple([v.literal('a'), account, sequence, count]),
 	v.tuple([v.literal('r'), sequence, v.nullable(answer)]),
 	v.tuple([v.literal('w'), sequence]),
@@ -26,11 +32,53 @@
 	v.tuple([v.literal('c'), sequence]),
 	v.tuple([v.literal('d'), sequence]),
 	v.tuple([v.literal('b'), account, count]),
+] as const;
+const relayableSchema = v.union(relayableSchemas);
+
+export const limitSchema = v.union([
+	...relayableSchemas,
+	v.tuple([v.literal('p'), sequence, hosts]),
+	v.tuple([v.literal('q'), sequence, hosts]),
+	v.tuple([v.literal('f'), host, relayableSchema]),
+	v.tuple([v.literal('g'), host, relayableSchema]),
 ]);
 
+type EncodedRelayableMessage = v.InferOutput<typeof relayableSchema>;
 export type EncodedLimitMessage = v.InferOutput<typeof limitSchema>;
 
 export function encodeLimitMessage(message: LimitMessage): EncodedLimitMessage {
+	switch (message.type) {
+		case 'limit-probe': {
+			return ['p', message.sequence, [...message.hosts]];
+		}
+
+		case 'limit-probed': {
+			return ['q', message.sequence, [...message.reached]];
+		}
+
+		case 'limit-relay': {
+			return ['f', message.to, encodeRelayable(message.message)];
+		}
+
+		case 'limit-relayed': {
+			return ['g', message.origin, encodeRelayable(message.message)];
+		}
+
+		case 'limit-ask':
+		case 'limit-answer':
+		case 'limit-working':
+		case 'limit-take-over':
+		case 'limit-level':
+		case 'limit-hand-over':
+		case 'limit-check':
+		case 'limit-checked':
+		case 'limit-return': {
+			return encodeRelayable(message);
+		}
+	}
+}
+
+function encodeRelayable(message: RelayableMessage): EncodedRelayableMessage {
 	switch (message.type) {
 		case 'limit-ask': {
 			return ['a', message.account, message.sequence, message.count];
@@ -71,6 +119,38 @@
 }
 
 export function decodeLimitMessage(array: EncodedLimitMessage): LimitMessage {
+	switch (array[0]) {
+		case 'p': {
+			return {type: 'limit-probe', sequence: array[1], hosts: array[2]};
+		}
+
+		case 'q': {
+			return {type: 'limit-probed', sequence: array[1], reached: array[2]};
+		}
+
+		case 'f': {
+			return {type: 'limit-relay', to: array[1], message: decodeRelayable(array[2])};
+		}
+
+		case 'g': {
+			return {type: 'limit-relayed', origin: array[1], message: decodeRelayable(array[2])};
+		}
+
+		case 'a':
+		case 'r':
+		case 'w':
+		case 't':
+		case 'l':
+		case 'h':
+		case 'c':
+		case 'd':
+		case 'b': {
+			return decodeRelayable(array);
+		}
+	}
+}
+
+function decodeRelayable(array: EncodedRelayableMessage): RelayableMessage {
 	switch (array[0]) {
 		case 'a': {
 			return {
--- a/packages/gateway/src/features/fleet/datagrams.spec.ts
+++ b/packages/gateway/src/features/fleet/datagrams.spec.ts
@@ -140,6 +140,14 @@
 			type: 'limit-ask', account: 'a'.repeat(1000) as ClientAccountId, sequence: 7, count: 3,
 		},
 		{type: 'limit-working', sequence: 7},
+		{type: 'limit-probe', sequence: 9, hosts: ['10.0.0.1', '10.0.0.2']},
+		{type: 'limit-probed', sequence: 9, reached: []},
+		{type: 'limit-relay', to: '10.0.0.1', message: {type: 'limit-check', sequence: 10}},
+		{
+			type: 'limit-relayed', origin: '10.0.0.2', message: {
+				type: 'limit-ask', account: 'shop' as ClientAccountId, sequence: 7, count: 3,
+			},
+		},
 		{type: 'limit-take-over', account: 'shop' as ClientAccountId, sequence: 8},
 		{type: 'limit-level', sequence: 8, level: 12.5},
 		{
@@ -165,6 +173,10 @@
 		'a token in the past': ['r', 1, [0, -1, 0, true]],
 		'a negative level': ['l', 1, -5],
 		'an unknown kind': ['x', 1],
+		'a relay to a name': ['f', 'entry-1', ['c', 1]],
+		'a relay of a relay': ['f', '10.0.0.1', ['f', '10.0.0.2', ['c', 1]]],
+		'a relay of a probe': ['g', '10.0.0.1', ['p', 1, []]],
+		'a probe for more instances than there are': ['p', 1, Array.from({length: 1000}, () => '10.0.0.1')],
 		'a missing field': ['b', 'shop'],
 	})) {
 		it(`should reject a message about limits with ${fault}`, () => {
