--- a/packages/core/src/account-limits/limiter-environment.ts
+++ b/packages/core/src/account-limits/limiter-environment.ts
@@ -18,6 +18,8 @@
 	readonly instances: number;
 	/** Whether the instance knows the fleet, so that it may decide for others; not just after its start. */
 	readonly isKnown: boolean;
+	/** Whether no other instance was heard since the start, so that nobody can decide for now. */
+	readonly isAlone: boolean;
 	/** Whether any other instance was heard lately. */
 	readonly hasHeardOthers: boolean;
 };
--- a/packages/core/src/account-limits/relay-search.spec.ts
+++ b/packages/core/src/account-limits/relay-search.spec.ts
@@ -28,6 +28,7 @@
 			zoneOf: host => `zone-${others.indexOf(host) % 3}` as AvailabilityZoneId,
 			instances: 11,
 			isKnown: true,
+			isAlone: false,
 			hasHeardOthers: true,
 		}),
 		send: (message, to) => {
--- a/packages/core/src/account-limits/simulated-limiters.ts
+++ b/packages/core/src/account-limits/simulated-limiters.ts
@@ -153,6 +153,7 @@
 				zoneOf: other => `${this.indexOf(other) % simulatedZones}` as AvailabilityZoneId,
 				instances: this.instances.length,
 				isKnown: this.clock.monotonicMs() - instance.startedAtMs >= settlingMs && !instance.isLeaving,
+				isAlone: false,
 				hasHeardOthers: this.clock.monotonicMs() - instance.heardAtMs < heardLimitMs,
 			}),
 			send: (message, to) => {
--- a/packages/core/src/account-limits/waiting-requests.spec.ts
+++ b/packages/core/src/account-limits/waiting-requests.spec.ts
@@ -13,7 +13,19 @@
 	readonly clock = new ManualClock();
 	readonly asked: number[] = [];
 	readonly results: string[] = [];
-	readonly waiting = new WaitingRequests({clock: this.clock, random: createRandomSource(1), schedule: () => () => undefined}, (_account, count, done) => {
+	isAlone = false;
+	scheduled = 0;
+	readonly waiting = new WaitingRequests({
+		clock: this.clock,
+		random: createRandomSource(1),
+		fleet: () => ({
+			others: [], suspected: [], zoneOf: () => undefined, instances: 2, isKnown: false, isAlone: this.isAlone, hasHeardOthers: false,
+		}),
+		schedule: () => {
+			this.scheduled += 1;
+			return () => undefined;
+		},
+	}, (_account, count, done) => {
 		this.asked.push(count);
 		this.answer = done;
 	});
@@ -64,6 +76,18 @@
 		assert.deepEqual(fixture.results, ['unknown']);
 	});
 
+	it('should be asked for again while no instance decides, and refused at once where nobody can be asked', () => {
+		const fixture = new Fixture();
+		fixture.request();
+		fixture.answer(undefined);
+		assert.deepEqual([fixture.results, fixture.scheduled], [[], 1]);
+		const lone = new Fixture();
+		lone.isAlone = true;
+		lone.request();
+		lone.answer(undefined);
+		assert.deepEqual([lone.results, lone.scheduled], [['unknown'], 0]);
+	});
+
 	it('should be asked for again at once after the limit was changed', () => {
 		const fixture = new Fixture();
 		fixture.request();
--- a/packages/core/src/account-limits/waiting-requests.ts
+++ b/packages/core/src/account-limits/waiting-requests.ts
@@ -32,11 +32,11 @@
 type Ask = (account: ClientAccountId, count: number, done: (answer: LimitAnswer | undefined) => void) => void;
 
 export class WaitingRequests {
-	readonly #environment: Pick<LimiterEnvironment, 'clock' | 'random' | 'schedule'>;
+	readonly #environment: Pick<LimiterEnvironment, 'clock' | 'fleet' | 'random' | 'schedule'>;
 	readonly #ask: Ask;
 	readonly #accounts = new Map<ClientAccountId, Waiting>();
 
-	constructor(environment: Pick<LimiterEnvironment, 'clock' | 'random' | 'schedule'>, ask: Ask) {
+	constructor(environment: Pick<LimiterEnvironment, 'clock' | 'fleet' | 'random' | 'schedule'>, ask: Ask) {
 		this.#environment = environment;
 		this.#ask = ask;
 	}
@@ -79,7 +79,7 @@
 		waiting.isAsking = true;
 		const count = waiting.requests.length;
 		this.#ask(account, count, answer => {
-			if (answer === undefined && unanswered < maximumUnanswered) {
+			if (answer === undefined && unanswered < maximumUnanswered && !this.#environment.fleet().isAlone) {
 				this.#environment.schedule(unansweredIntervalMs, () => {
 					this.#askForAll(account, waiting, unanswered + 1);
 				});
--- a/packages/gateway/src/features/account-limits/account-limits-task.spec.ts
+++ b/packages/gateway/src/features/account-limits/account-limits-task.spec.ts
@@ -46,7 +46,7 @@
 	const task = new AccountLimitsTask({
 		context,
 		fleet: () => ({
-			others, suspected: [], zoneOf: () => undefined, instances: others.length + 1, isKnown, hasHeardOthers: true,
+			others, suspected: [], zoneOf: () => undefined, instances: others.length + 1, isKnown, isAlone: false, hasHeardOthers: true,
 		}),
 		send(message) {
 			sent.push(message);
