An instance that starts again decides on accounts only once it knows the fleet that others report

Cause: half a second after its start an instance decides, also while it hasn't heard of those that only a third zone reaches. It can't ask them for their tokens then, so it starts with a reserve beside them.

Change: while it knows of fewer instances than others report it decides from 2 s after its start on; some may be gone for good. Until then it asks others, as in its first half second.

No test on real processes.

--- a/packages/core/src/fleet/fleet-view.ts
+++ b/packages/core/src/fleet/fleet-view.ts
@@ -208,6 +208,11 @@
 		return [...this.#peers.keys(), ...this.#candidates.keys()];
 	}
 
+	/** Number of instances that were heard here or by another instance and aren't removed yet, with this one. */
+	get knownInstances(): number {
+		return this.#peers.size + 1;
+	}
+
 	/** Whether an instance at this address was heard here or by another instance. */
 	isKnown(host: string): boolean {
 		return this.#peers.has(host);
--- a/packages/gateway/src/features/account-limits/known-fleet.spec.ts
+++ b/packages/gateway/src/features/account-limits/known-fleet.spec.ts
@@ -88,6 +88,17 @@
 		assert.deepEqual({isKnown, instances}, {isKnown: true, instances: 3});
 	});
 
+	// Guards against an instance that starts again and decides beside one that it doesn't know yet.
+	it('should be known to one that has heard of fewer only after some time', () => {
+		const {clock, view, fleet} = fixture();
+		view.receiveHeartbeat(memberAt('10.0.0.3', 9));
+		clock.advance(600);
+		assert.equal(fleet().isKnown, false);
+		clock.advance(2000);
+		const {isKnown, instances} = fleet();
+		assert.deepEqual({isKnown, instances}, {isKnown: true, instances: 9});
+	});
+
 	it('should contain those that are no longer heard as suspected, unless they have left', () => {
 		const {clock, view, fleet} = fixture();
 		view.receiveHeartbeat(memberAt('10.0.0.3'));
--- a/packages/gateway/src/features/account-limits/known-fleet.ts
+++ b/packages/gateway/src/features/account-limits/known-fleet.ts
@@ -4,6 +4,11 @@
 
 /** Time after the start within which an instance learns of the others. */
 const settlingMs = 500;
+/**
+ * Time after the start from which an instance decides though it knows of fewer instances than the fleet is reported to have. Those that it
+ * doesn't know may decide on an account meanwhile, so they have to be asked for their tokens; some of them may be gone.
+ */
+const incompleteMs = 2000;
 /** Time after the start from which an instance that has heard no other one tells callers at once that it can't decide. */
 const aloneNoticedMs = 1000;
 /**
@@ -34,12 +39,14 @@
 	const live = view.live().length;
 	const unheard = candidates.length + unheardSeeds.length;
 	const isAlone = live === 0 && unheard > 0 && !view.size.isReported;
+	const isComplete = view.knownInstances >= view.size.greatest;
+	const decidesAfterMs = isAlone ? aloneDecidesMs : (isComplete ? settlingMs : incompleteMs);
 	return {
 		others,
 		suspected: view.suspected().map(({host}) => host),
 		zoneOf: host => view.zoneOf(host),
 		instances: Math.max(view.size.greatest, live + 1 + unheard),
-		isKnown: sinceStartMs >= (isAlone ? aloneDecidesMs : settlingMs) && !isLeaving,
+		isKnown: sinceStartMs >= decidesAfterMs && !isLeaving,
 		isAlone: isAlone && sinceStartMs >= aloneNoticedMs && sinceStartMs < aloneDecidesMs,
 		hasHeardOthers: view.hasHeardOthersRecently,
 	};
