--- a/packages/core/src/account-limits/partly-cut-fleet.spec.ts
+++ b/packages/core/src/account-limits/partly-cut-fleet.spec.ts
@@ -114,38 +114,31 @@
 	});
 
 	for (const [title, rank] of [['the owner', 0], ['the instance after it', 1], ['another instance', 4]] as const) {
-		it(`should stay within the bound and serve on where ${title} starts again in the cut`, () => {
-			forAll(each => {
-				const {fleet, size, rate, what} = each;
-				fleet.run(6000, {requestsPerSecond: rate * flood, from: anyOf(size)});
-				const index = orderOf(fleet)[rank]!;
-				cutOwnersZone(fleet);
-				fleet.run(2000, {requestsPerSecond: rate * flood, from: anyOf(size)});
-				const before = fleet.served.granted;
+		for (const [change, apply] of [
+			['starts again', (fleet, index) => {
 				fleet.start(index);
-				fleet.run(3500, {requestsPerSecond: rate * flood, from: anyOf(size)});
-				assert.ok(fleet.served.granted - before >= 0.5 * rate * 3.5, `${what}: ${fleet.served.granted - before} granted`);
-				fleet.restoreLinks();
-				fleet.run(5000, {requestsPerSecond: rate * flood, from: anyOf(size)});
-				assertBound(each);
-			});
-		});
-
-		it(`should stay within the bound and serve on where ${title} ends in the cut`, () => {
-			forAll(each => {
-				const {fleet, size, rate, what} = each;
-				fleet.run(6000, {requestsPerSecond: rate * flood, from: anyOf(size)});
-				const index = orderOf(fleet)[rank]!;
-				cutOwnersZone(fleet);
-				fleet.run(2000, {requestsPerSecond: rate * flood, from: anyOf(size)});
-				const before = fleet.served.granted;
+			}],
+			['ends', (fleet, index) => {
 				fleet.kill(index);
-				fleet.run(3500, {requestsPerSecond: rate * flood, from: anyOf(size)});
-				assert.ok(fleet.served.granted - before >= 0.5 * rate * 3.5, `${what}: ${fleet.served.granted - before} granted`);
-				fleet.restoreLinks();
-				fleet.run(5000, {requestsPerSecond: rate * flood, from: anyOf(size)});
-				assertBound(each);
+			}],
+		] as ReadonlyArray<readonly [string, (fleet: SimulatedLimiters, index: number) => void]>) {
+			it(`should stay within the bound and serve on where ${title} ${change} in the cut`, () => {
+				forAll(each => {
+					const {fleet, size, rate, what} = each;
+					const load = {requestsPerSecond: rate * flood, from: anyOf(size)};
+					fleet.run(6000, load);
+					const index = orderOf(fleet)[rank]!;
+					cutOwnersZone(fleet);
+					fleet.run(2000, load);
+					const before = fleet.served.granted;
+					apply(fleet, index);
+					fleet.run(3500, load);
+					assert.ok(fleet.served.granted - before >= 0.5 * rate * 3.5, `${what}: ${fleet.served.granted - before} granted`);
+					fleet.restoreLinks();
+					fleet.run(5000, load);
+					assertBound(each);
+				});
 			});
-		});
+		}
 	}
 });
--- a/packages/core/src/account-limits/silent-hosts.ts
+++ b/packages/core/src/account-limits/silent-hosts.ts
@@ -11,7 +11,7 @@
 const searchedRecheckTiming: CallTiming = {intervalMs: 100, attempts: 1, searchAfterMs: 50};
 /** Time between two later checks, whatever the number of instances that count as lost. */
 const recheckMs = 500;
-/** Each so manieth later check includes a search. */
+/** Number of later checks of which one includes a search. */
 const rechecksPerSearch = 8;
 /** Time for which an instance that isn't heard otherwise counts as reachable after a message from it. */
 const heardMs = 1000;
@@ -65,7 +65,10 @@
 	}
 
 	markSilent(host: string): void {
-		if (!this.#silent.has(host)) {
+		if (this.#suspected.has(host)) {
+			this.#checked.add(host);
+			this.#silent.add(host);
+		} else if (!this.#silent.has(host)) {
 			this.#silent.add(host);
 			this.#check(host);
 		}
